--- /dev/null
+++ b/internal/invariant/fatal.go
@@ -0,0 +1,6 @@
+//go:build invariantfatal
+
+package invariant
+
+// Fatal makes Check panic on a violation.
+var Fatal = true
--- /dev/null
+++ b/internal/invariant/invariant.go
@@ -0,0 +1,51 @@
+// Package invariant reports violations of the system's invariants: counted in
+// expvar under "invariant_violations", logged, and fatal when Fatal is set (the
+// build tag invariantfatal sets it, as do tests).
+package invariant
+
+import (
+	"expvar"
+	"fmt"
+
+	"github.com/rs/zerolog/log"
+)
+
+// ID names an invariant of docs/design.md, such as "I4".
+type ID string
+
+const (
+	AvailabilityBudget ID = "I1"
+	OnePool            ID = "I2"
+	KeyAuthorizes      ID = "I3"
+	TeamLimit          ID = "I4"
+	WholeAnswer        ID = "I5"
+	TrueRefusal        ID = "I6"
+	AtMostOnce         ID = "I7"
+	NoWorkWhenLeaving  ID = "I8"
+	GracefulStop       ID = "I9"
+	ConfigNeverReverts ID = "I10"
+)
+
+var violations = expvar.NewMap("invariant_violations")
+
+// Check reports a violation of id unless ok holds. The message follows fmt.Sprintf.
+func Check(ok bool, id ID, format string, args ...any) bool {
+	if ok {
+		return true
+	}
+	violations.Add(string(id), 1)
+	msg := fmt.Sprintf(format, args...)
+	log.Error().Str("part", "invariant").Str("id", string(id)).Msg(msg)
+	if Fatal {
+		panic("invariant " + string(id) + " violated: " + msg)
+	}
+	return false
+}
+
+// Count returns the number of violations of id since process start.
+func Count(id ID) int64 {
+	if v, ok := violations.Get(string(id)).(*expvar.Int); ok {
+		return v.Value()
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/peer/messages.go
@@ -0,0 +1,228 @@
+package peer
+
+import (
+	"time"
+
+	"boragepulley/internal/model"
+)
+
+// Method names of the peer protocol.
+const (
+	MethodHeartbeat     = "Heartbeat"
+	MethodRegister      = "Register"
+	MethodAcquire       = "Acquire"
+	MethodCancelAcquire = "CancelAcquire"
+	MethodRelease       = "Release"
+	MethodForward       = "Forward"
+	MethodConfigOffer   = "ConfigOffer"
+	MethodConfigGet     = "ConfigGet"
+	MethodUsage         = "Usage"
+	MethodAllotmentAsk  = "AllotmentAsk"
+	MethodJobGet        = "JobGet"
+	MethodJobCancel     = "JobCancel"
+	MethodHoldRecords   = "HoldRecords"
+	MethodDropRecords   = "DropRecords"
+)
+
+// Sender identifies the process that sent a message.
+type Sender struct {
+	Entry       model.EntryVM     `json:"entry"`
+	DC          model.DataCentre  `json:"dc"`
+	Incarnation model.Incarnation `json:"inc"`
+}
+
+// Heartbeat is sent to every entry VM of the own data centre every 500 ms, and by
+// coordinators to one entry VM of each other data centre every second.
+type Heartbeat struct {
+	From   Sender `json:"from"`
+	Config uint64 `json:"config"`
+	// Token is the highest coordinator token of the own data centre that the sender has seen.
+	Token model.Token `json:"token"`
+	// Coordinator is the entry VM that the sender follows; empty if none.
+	Coordinator model.EntryVM `json:"coordinator,omitempty"`
+	// StoreAge is the time since the sender last confirmed the configuration head with the table.
+	StoreAge time.Duration `json:"store_age"`
+	// Leaving is set while the sender shuts down.
+	Leaving bool `json:"leaving,omitempty"`
+}
+
+// HeartbeatReply answers a Heartbeat with the receiver's own state.
+type HeartbeatReply struct {
+	Heartbeat
+}
+
+// Register announces a new coordinator to an entry VM of its data centre.
+type Register struct {
+	From  Sender      `json:"from"`
+	Token model.Token `json:"token"`
+	// Local is set for a takeover without the table.
+	Local bool `json:"local,omitempty"`
+}
+
+// RegisterReply carries what the new coordinator needs to rebuild its state.
+type RegisterReply struct {
+	From Sender `json:"from"`
+	// Accepted is false if the receiver has seen a higher token, which Token then holds.
+	Accepted bool        `json:"accepted"`
+	Token    model.Token `json:"token"`
+	// Permits are the receiver's outstanding permits.
+	Permits []model.Permit `json:"permits,omitempty"`
+	// Charged lists, per team, running work that the receiver, as the previous coordinator, had unattributed.
+	Unattributed map[model.VM]int `json:"unattributed,omitempty"`
+}
+
+// Acquire asks the coordinator for a permit; the answer comes when the job may
+// start, or is refused.
+type Acquire struct {
+	From    Sender        `json:"from"`
+	Request model.Request `json:"request"`
+	Attempt int           `json:"attempt"`
+	// Wait is the time left until the request's deadline; clocks of VMs are not compared.
+	Wait time.Duration `json:"wait"`
+	// Avoid lists minions that already failed this job.
+	Avoid []model.VM `json:"avoid,omitempty"`
+	// Hops is 1 for a forwarded request, which is never forwarded again.
+	Hops int `json:"hops,omitempty"`
+}
+
+// AcquireReply grants a permit, refuses, or redirects to another data centre.
+type AcquireReply struct {
+	Permit *model.Permit `json:"permit,omitempty"`
+	// Refused is the reason if there is neither a permit nor a redirect. A refusal
+	// means that no permit for this attempt exists.
+	Refused model.Reason `json:"refused,omitempty"`
+	// ForwardTo is a data centre that has free slots.
+	ForwardTo model.DataCentre `json:"forward_to,omitempty"`
+	Detail    string           `json:"detail,omitempty"`
+}
+
+// CancelAcquire withdraws a waiting Acquire. A permit that was granted meanwhile is released by the sender.
+type CancelAcquire struct {
+	From    Sender      `json:"from"`
+	Job     model.JobID `json:"job"`
+	Attempt int         `json:"attempt"`
+}
+
+// AttemptResult is what a dispatch attempt showed about the minion.
+type AttemptResult string
+
+const (
+	AttemptOK         AttemptResult = "ok"
+	AttemptNotStarted AttemptResult = "not_started"
+	AttemptFailed     AttemptResult = "failed"
+	// AttemptLost means that the work may still be running on the minion.
+	AttemptLost AttemptResult = "lost"
+	// AttemptUnused means that the permit was never used.
+	AttemptUnused AttemptResult = "unused"
+)
+
+// Release gives a permit back.
+type Release struct {
+	From    Sender        `json:"from"`
+	Job     model.JobID   `json:"job"`
+	Attempt int           `json:"attempt"`
+	Minion  model.VM      `json:"minion"`
+	Token   model.Token   `json:"token"`
+	Result  AttemptResult `json:"result"`
+}
+
+// Forward hands a whole request to an entry VM of another data centre, or of the
+// own one when the sender shuts down.
+type Forward struct {
+	From    Sender        `json:"from"`
+	Request model.Request `json:"request"`
+	// Wait is the time left until the deadline.
+	Wait        time.Duration `json:"wait"`
+	ContentType string        `json:"content_type,omitempty"`
+	Body        []byte        `json:"body"`
+	// Claimed is set if the sender holds the claim of a non-idempotent request.
+	Claimed bool `json:"claimed,omitempty"`
+}
+
+// ForwardReply is the result of a forwarded request.
+type ForwardReply struct {
+	Result model.Result `json:"result"`
+}
+
+// ConfigOffer tells a peer that a configuration version exists.
+type ConfigOffer struct {
+	From    Sender `json:"from"`
+	Version uint64 `json:"version"`
+}
+
+// ConfigGet asks a peer for its configuration if it is newer than Version.
+type ConfigGet struct {
+	From    Sender `json:"from"`
+	Version uint64 `json:"version"`
+}
+
+// ConfigGetReply carries the peer's configuration document if it is newer.
+type ConfigGetReply struct {
+	Version  uint64 `json:"version"`
+	Document []byte `json:"document,omitempty"`
+}
+
+// Usage is exchanged between coordinators once a second.
+type Usage struct {
+	From  Sender      `json:"from"`
+	Token model.Token `json:"token"`
+	// Seq increases with each message of one incarnation; older messages are ignored.
+	Seq uint64 `json:"seq"`
+	// Running and Waiting count requests per team in the sender's data centre.
+	Running map[model.Team]int `json:"running,omitempty"`
+	Waiting map[model.Team]int `json:"waiting,omitempty"`
+	// Free counts free slots per service, after the waiting requests.
+	Free map[model.Service]int `json:"free,omitempty"`
+}
+
+// AllotmentAsk asks another data centre's coordinator for part of a team's limit.
+type AllotmentAsk struct {
+	From Sender     `json:"from"`
+	Team model.Team `json:"team"`
+	Want int        `json:"want"`
+}
+
+// AllotmentAskReply says how much the giver has moved in the table.
+type AllotmentAskReply struct {
+	Given int `json:"given"`
+	// RowVersion is the allotment row's version after the move.
+	RowVersion uint64 `json:"row_version,omitempty"`
+}
+
+// JobGet asks the entry VM that accepted a job for its state.
+type JobGet struct {
+	From Sender      `json:"from"`
+	Job  model.JobID `json:"job"`
+	// Answer asks for the answer's body too.
+	Answer bool `json:"answer,omitempty"`
+}
+
+// JobGetReply is the state of a job.
+type JobGetReply struct {
+	Found  bool           `json:"found"`
+	Result model.Result   `json:"result"`
+	Steps  []model.Record `json:"steps,omitempty"`
+}
+
+// JobCancel cancels a job that was not dispatched yet.
+type JobCancel struct {
+	From Sender      `json:"from"`
+	Job  model.JobID `json:"job"`
+	Team model.Team  `json:"team"`
+}
+
+// HoldRecords keeps a copy of account records until the owner has stored them.
+type HoldRecords struct {
+	From    Sender `json:"from"`
+	Batch   uint64 `json:"batch"`
+	Payload []byte `json:"payload"`
+}
+
+// DropRecords releases the copies of all batches up to and including Batch.
+type DropRecords struct {
+	From  Sender `json:"from"`
+	Batch uint64 `json:"batch"`
+}
+
+// Empty is the reply of messages that need none.
+type Empty struct{}
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,108 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Errors of this package. Callers match them with errors.Is.
+var (
+	// ErrConflict means that a condition of a transaction did not hold; nothing was written.
+	ErrConflict = errors.New("platform: condition failed")
+	// ErrNotFound means that a row or object does not exist.
+	ErrNotFound = errors.New("platform: not found")
+	// ErrUnavailable means that the request certainly had no effect (not sent, or refused).
+	ErrUnavailable = errors.New("platform: unavailable")
+	// ErrUnknownOutcome means that a write may or may not have taken effect: its answer was lost.
+	ErrUnknownOutcome = errors.New("platform: outcome unknown")
+	// ErrBudget means that the request budget or the circuit breaker rejected the call before sending.
+	ErrBudget = errors.New("platform: request budget exhausted")
+)
+
+// Priority orders calls that compete for the request budget; lower values go first.
+type Priority int
+
+const (
+	PriorityLease Priority = iota
+	PriorityClaim
+	PriorityConfig
+	PriorityAllotment
+	PriorityAccount
+	PriorityBackground
+)
+
+// Row is one row of the table. Version increases with each write of the row and
+// is 0 for a row that does not exist.
+type Row struct {
+	Key     string          `json:"key"`
+	Version uint64          `json:"version"`
+	Value   json.RawMessage `json:"value,omitempty"`
+}
+
+// Condition requires that the row with Key has exactly Version at commit
+// (0: the row does not exist).
+type Condition struct {
+	Key     string `json:"key"`
+	Version uint64 `json:"version"`
+}
+
+// Put writes one row. A nil Value deletes the row.
+type Put struct {
+	Key   string          `json:"key"`
+	Value json.RawMessage `json:"value,omitempty"`
+}
+
+// Txn is applied as a whole if every condition holds, and not at all otherwise.
+type Txn struct {
+	Conditions []Condition `json:"conditions,omitempty"`
+	Puts       []Put       `json:"puts,omitempty"`
+}
+
+// Table is the platform's transactional table service.
+type Table interface {
+	// Get returns the row with the key. A missing row is returned with Version 0 and no error.
+	// Errors: ErrUnavailable, ErrBudget.
+	Get(ctx context.Context, p Priority, key string) (Row, error)
+	// Scan returns the rows whose keys start with prefix, in key order, at most limit (0: all).
+	// Errors: ErrUnavailable, ErrBudget.
+	Scan(ctx context.Context, p Priority, prefix string, limit int) ([]Row, error)
+	// Commit applies a transaction and returns the new version of each put row.
+	// Errors: ErrConflict, ErrUnavailable, ErrBudget (no effect); ErrUnknownOutcome.
+	Commit(ctx context.Context, p Priority, t Txn) (map[string]uint64, error)
+}
+
+// Objects is the platform's object store. Objects are written whole and never changed.
+type Objects interface {
+	// Put stores an object; storing the same bytes again is not an error.
+	// Errors: ErrUnavailable, ErrBudget (no effect); ErrUnknownOutcome (safe to repeat).
+	Put(ctx context.Context, p Priority, name string, data []byte) error
+	// Get returns an object. Errors: ErrNotFound, ErrUnavailable, ErrBudget.
+	Get(ctx context.Context, p Priority, name string) ([]byte, error)
+	// List returns the names that start with prefix, sorted.
+	// Errors: ErrUnavailable, ErrBudget.
+	List(ctx context.Context, p Priority, prefix string) ([]string, error)
+}
+
+// ListedVM is one entry of the platform's list of VMs. The list lags.
+type ListedVM struct {
+	Name    string    `json:"name"`
+	Leaving bool      `json:"leaving"`
+	Since   time.Time `json:"since"`
+}
+
+// VMList is the platform's list of live and leaving VMs.
+type VMList interface {
+	// List returns the current list, which may lag the fleet by seconds.
+	// Errors: ErrUnavailable, ErrBudget.
+	List(ctx context.Context) ([]ListedVM, error)
+}
+
+// Services groups the platform's services. Another implementation can replace any of them.
+type Services struct {
+	Table   Table
+	Objects Objects
+	VMs     VMList
+}
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,24 @@
+#!/usr/bin/env bash
+# Runs every check that a change must pass: format, vet, staticcheck, build, tests.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+echo "gofmt"
+unformatted=$(gofmt -l cmd internal standins bench test 2>/dev/null || true)
+if [ -n "$unformatted" ]; then
+	echo "not formatted:"
+	echo "$unformatted"
+	exit 1
+fi
+
+echo "go vet"
+go vet ./...
+
+echo "staticcheck"
+go tool staticcheck ./...
+
+echo "build"
+go build -o bin/ ./cmd/...
+
+echo "tests"
+go test -race -timeout 20m ./...
