design: settle open points; interfaces for traffic, upstreams, settings

Cause: a read-through of the design listed ten contradictions, among them a lease TTL of 3 s against urgent work that must start within 2.2 s, and claim batches above the write budget.

--- /dev/null
+++ b/cmd/boragepulleyd/main.go
@@ -0,0 +1,4 @@
+// Command boragepulleyd is the daemon that runs on every entry VM.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/account/recorder.go
@@ -0,0 +1,11 @@
+package account
+
+import "boragepulley/internal/model"
+
+// Recorder takes facts for the account. It never blocks on the network.
+type Recorder interface {
+	// Record adds one fact about a job.
+	Record(model.Record)
+	// Event adds one fact about the fleet.
+	Event(model.FleetEvent)
+}
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -21,8 +21,10 @@
 	Token model.Token
 	// Leaving is set once a graceful shutdown has begun.
 	Leaving bool
-	// StoreAge is the time since the configuration head was last confirmed with the table.
-	StoreAge time.Duration
+	// EvidenceAt is the local time of the newest evidence that Site is the head (D3).
+	EvidenceAt time.Time
+	// Ready is whether this entry VM should get requests from the balancer.
+	Ready bool
 	// Peers is the state of the other entry VMs, by name.
 	Peers map[model.EntryVM]PeerState
 }
--- a/internal/model/job.go
+++ b/internal/model/job.go
@@ -111,6 +111,7 @@
 	ReasonRetry            Reason = "retry"
 	ReasonStaleToken       Reason = "stale_coordinator_token"
 	ReasonPermitExpired    Reason = "permit_expired"
+	ReasonAnswerExpired    Reason = "answer_expired"
 )
 
 // Priority is the caller's priority class.
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -40,8 +40,9 @@
 	Token model.Token `json:"token"`
 	// Coordinator is the entry VM that the sender follows; empty if none.
 	Coordinator model.EntryVM `json:"coordinator,omitempty"`
-	// StoreAge is the time since the sender last confirmed the configuration head with the table.
-	StoreAge time.Duration `json:"store_age"`
+	// EvidenceAge is the age of the sender's newest evidence that Config is the head: it
+	// grows with each relay and never shrinks, see D3.
+	EvidenceAge time.Duration `json:"evidence_age"`
 	// Leaving is set while the sender shuts down.
 	Leaving bool `json:"leaving,omitempty"`
 }
@@ -67,7 +68,7 @@
 	Token    model.Token `json:"token"`
 	// Permits are the receiver's outstanding permits.
 	Permits []model.Permit `json:"permits,omitempty"`
-	// Charged lists, per team, running work that the receiver, as the previous coordinator, had unattributed.
+	// Unattributed counts, per minion, running jobs of unknown origin that the receiver tracked as coordinator.
 	Unattributed map[model.VM]int `json:"unattributed,omitempty"`
 }
 
