--- /dev/null
+++ b/internal/account/check.go
@@ -0,0 +1,92 @@
+package account
+
+import (
+	"fmt"
+
+	"boragepulley/internal/model"
+)
+
+// Names of the checks that a report makes of itself.
+const (
+	CheckEachJobOnce     = "each job appears once"
+	CheckTotalsAddUp     = "totals add up"
+	CheckGroupsAddUp     = "groups add up to the total"
+	CheckReasonsAddUp    = "reasons add up to the refusals, cancellations and unknown outcomes"
+	CheckNoContradiction = "no job is reported both as run and as not run"
+	CheckReasonGiven     = "every refusal, cancellation and unknown outcome has a reason"
+	CheckAccepted        = "every job has its acceptance on record, or lies in a gap"
+)
+
+func (r *Report) check() {
+	r.Checks = []Check{
+		r.checkOnce(),
+		{Name: CheckTotalsAddUp, OK: r.Total.sums() && r.Total.Accepted == len(r.jobs)},
+		r.checkGroups(),
+		r.checkReasons(),
+		r.checkEachJob(CheckNoContradiction, func(j *Job) bool { return !j.Contradictory }),
+		r.checkEachJob(CheckReasonGiven, hasReason),
+		r.checkEachJob(CheckAccepted, func(j *Job) bool { return len(r.Gaps) > 0 || hasAcceptance(j) }),
+	}
+}
+
+func (r *Report) checkOnce() Check {
+	seen := make(map[model.JobID]bool, len(r.jobs))
+	for _, j := range r.jobs {
+		if seen[j.ID] {
+			return Check{Name: CheckEachJobOnce, Detail: string(j.ID)}
+		}
+		seen[j.ID] = true
+	}
+	return Check{Name: CheckEachJobOnce, OK: true}
+}
+
+func (r *Report) checkGroups() Check {
+	var sum Counts
+	for _, g := range r.Groups {
+		sum.plus(g.Counts)
+	}
+	return Check{Name: CheckGroupsAddUp, OK: sum == r.Total}
+}
+
+func (r *Report) checkReasons() Check {
+	n := 0
+	for _, w := range r.Why {
+		n += w.Jobs
+	}
+	return Check{Name: CheckReasonsAddUp, OK: n == r.Total.Refused+r.Total.Cancelled+r.Total.Unknown}
+}
+
+func (r *Report) checkEachJob(name string, ok func(*Job) bool) Check {
+	bad := 0
+	first := model.JobID("")
+	for _, j := range r.jobs {
+		if ok(j) {
+			continue
+		}
+		if bad == 0 {
+			first = j.ID
+		}
+		bad++
+	}
+	if bad > 0 {
+		return Check{Name: name, Detail: fmt.Sprintf("%d jobs, the first is %s", bad, first)}
+	}
+	return Check{Name: name, OK: true}
+}
+
+func hasReason(j *Job) bool {
+	switch j.State {
+	case model.StateRefused, model.StateCancelled, model.StateUnknown:
+		return j.Reason != model.ReasonNone
+	}
+	return true
+}
+
+func hasAcceptance(j *Job) bool {
+	for _, s := range j.Steps {
+		if s.State == model.StateAccepted {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/account/report.go
@@ -0,0 +1,256 @@
+package account
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"boragepulley/internal/model"
+	"boragepulley/internal/platform"
+)
+
+// readParallelism bounds concurrent object reads of one report.
+const readParallelism = 8
+
+// Counts are the jobs of one group by outcome.
+type Counts struct {
+	Accepted  int `json:"accepted"`
+	Ran       int `json:"ran"`
+	Refused   int `json:"refused"`
+	Cancelled int `json:"cancelled"`
+	Unknown   int `json:"unknown"`
+	// Open jobs are waiting or running at a live entry VM at the time of the report.
+	Open int `json:"open"`
+}
+
+func (c *Counts) add(s model.State) {
+	c.Accepted++
+	switch s {
+	case model.StateRan:
+		c.Ran++
+	case model.StateRefused:
+		c.Refused++
+	case model.StateCancelled:
+		c.Cancelled++
+	case model.StateUnknown:
+		c.Unknown++
+	default:
+		c.Open++
+	}
+}
+
+func (c *Counts) plus(o Counts) {
+	c.Accepted += o.Accepted
+	c.Ran += o.Ran
+	c.Refused += o.Refused
+	c.Cancelled += o.Cancelled
+	c.Unknown += o.Unknown
+	c.Open += o.Open
+}
+
+func (c *Counts) sums() bool {
+	return c.Accepted == c.Ran+c.Refused+c.Cancelled+c.Unknown+c.Open
+}
+
+// Group is the counts of one queue and team.
+type Group struct {
+	Queue model.Queue `json:"queue"`
+	Team  model.Team  `json:"team,omitempty"`
+	Counts
+}
+
+// ReasonCount counts the jobs that ended in a state for a reason.
+type ReasonCount struct {
+	State  model.State  `json:"state"`
+	Reason model.Reason `json:"reason"`
+	Jobs   int          `json:"jobs"`
+}
+
+// Check is one of the report's checks of itself.
+type Check struct {
+	Name   string `json:"name"`
+	OK     bool   `json:"ok"`
+	Detail string `json:"detail,omitempty"`
+}
+
+// Report is the account of all jobs and of the fleet.
+type Report struct {
+	Time   time.Time     `json:"time"`
+	From   time.Time     `json:"from,omitzero"`
+	Total  Counts        `json:"total"`
+	Groups []Group       `json:"groups"`
+	Why    []ReasonCount `json:"reasons"`
+	// Gaps are windows in which facts may be missing. Without gaps the report is complete.
+	Gaps   []Gap              `json:"gaps"`
+	Checks []Check            `json:"checks"`
+	Events []model.FleetEvent `json:"events"`
+	// Unknown lists the jobs whose outcome is unknown.
+	Unknown []*Job `json:"unknown_jobs"`
+
+	jobs []*Job
+}
+
+// OK reports whether every check of the report holds. A report with gaps can be OK:
+// it says where facts may be missing.
+func (r *Report) OK() bool {
+	for _, c := range r.Checks {
+		if !c.OK {
+			return false
+		}
+	}
+	return true
+}
+
+// Jobs returns every job once, in order of acceptance.
+func (r *Report) Jobs() []*Job { return r.jobs }
+
+// Job returns one job, or nil.
+func (r *Report) Job(id model.JobID) *Job {
+	for _, j := range r.jobs {
+		if j.ID == id {
+			return j
+		}
+	}
+	return nil
+}
+
+// Input is what a report is built from.
+type Input struct {
+	Batches   []Batch
+	Rows      []Incarnation
+	Coverages []Coverage
+	// Live holds the incarnations that run now; true if one stored or handed over all
+	// its facts for this report.
+	Live map[model.Incarnation]bool
+	Now  time.Time
+}
+
+// Build makes the report from stored facts.
+func Build(in Input) *Report {
+	m := Merge(in.Batches, in.Rows, in.Coverages)
+	m.markLost(in.Live)
+	r := &Report{Time: in.Now, Events: m.Events}
+	for _, j := range m.Jobs {
+		r.jobs = append(r.jobs, j)
+	}
+	slices.SortFunc(r.jobs, func(a, b *Job) int {
+		return cmp.Or(a.Accepted.Compare(b.Accepted), cmp.Compare(a.ID, b.ID))
+	})
+	if len(r.jobs) > 0 {
+		r.From = r.jobs[0].Accepted
+	}
+	r.count()
+	r.Gaps = FindGaps(m.Owners, in.Live, in.Now)
+	r.check()
+	return r
+}
+
+func (r *Report) count() {
+	type groupKey struct {
+		q model.Queue
+		t model.Team
+	}
+	type whyKey struct {
+		s model.State
+		r model.Reason
+	}
+	groups := make(map[groupKey]*Group)
+	why := make(map[whyKey]int)
+	for _, j := range r.jobs {
+		r.Total.add(j.State)
+		k := groupKey{j.Queue, j.Team}
+		if groups[k] == nil {
+			groups[k] = &Group{Queue: j.Queue, Team: j.Team}
+		}
+		groups[k].add(j.State)
+		switch j.State {
+		case model.StateRefused, model.StateCancelled, model.StateUnknown:
+			why[whyKey{j.State, j.Reason}]++
+		}
+		if j.State == model.StateUnknown {
+			r.Unknown = append(r.Unknown, j)
+		}
+	}
+	for _, g := range groups {
+		r.Groups = append(r.Groups, *g)
+	}
+	slices.SortFunc(r.Groups, func(a, b Group) int {
+		return cmp.Or(cmp.Compare(a.Queue, b.Queue), cmp.Compare(a.Team, b.Team))
+	})
+	for k, n := range why {
+		r.Why = append(r.Why, ReasonCount{k.s, k.r, n})
+	}
+	slices.SortFunc(r.Why, func(a, b ReasonCount) int {
+		return cmp.Or(cmp.Compare(a.State, b.State), cmp.Compare(a.Reason, b.Reason))
+	})
+}
+
+// Load reads everything that is stored for a report.
+// Errors: those of platform.Table and platform.Objects, and ErrMalformed. A report
+// is never built from a part of the objects.
+func Load(ctx context.Context, s platform.Services) (Input, error) {
+	rows, err := loadRows(ctx, s.Table)
+	if err != nil {
+		return Input{}, err
+	}
+	batches, err := loadAll(ctx, s.Objects, objectPrefix, DecodeBatch)
+	if err != nil {
+		return Input{}, err
+	}
+	covers, err := loadAll(ctx, s.Objects, coveragePrefix, decodeCoverage)
+	if err != nil {
+		return Input{}, err
+	}
+	return Input{Batches: batches, Rows: rows, Coverages: covers}, nil
+}
+
+func loadRows(ctx context.Context, t platform.Table) ([]Incarnation, error) {
+	rows, err := t.Scan(ctx, platform.PriorityBackground, incarnationRowPrefix, 0)
+	if err != nil {
+		return nil, errors.Wrap(err, "account: read incarnations")
+	}
+	out := make([]Incarnation, 0, len(rows))
+	for _, row := range rows {
+		var r Incarnation
+		if err := json.Unmarshal(row.Value, &r); err != nil {
+			return nil, errors.Wrapf(ErrMalformed, "row %s: %v", row.Key, err)
+		}
+		out = append(out, r)
+	}
+	return out, nil
+}
+
+func decodeCoverage(data []byte) (Coverage, error) {
+	var c Coverage
+	err := decode(data, &c)
+	return c, err
+}
+
+func loadAll[T any](ctx context.Context, o platform.Objects, prefix string, dec func([]byte) (T, error)) ([]T, error) {
+	names, err := o.List(ctx, platform.PriorityBackground, prefix)
+	if err != nil {
+		return nil, errors.Wrapf(err, "account: list %s", prefix)
+	}
+	out := make([]T, len(names))
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(readParallelism)
+	for i, name := range names {
+		g.Go(func() error {
+			data, err := o.Get(ctx, platform.PriorityBackground, name)
+			if err != nil {
+				return errors.Wrapf(err, "account: read %s", name)
+			}
+			out[i], err = dec(data)
+			return errors.Wrapf(err, "account: %s", name)
+		})
+	}
+	if err := g.Wait(); err != nil {
+		return nil, err
+	}
+	return out, nil
+}
