bench/proc: start, pause, kill and measure the processes of an experiment

Cause: integration tests and experiments need real processes whose faults are injected by process id. Change: package bench/proc.

--- /dev/null
+++ b/bench/proc/proc.go
@@ -0,0 +1,169 @@
+// Package proc starts, pauses and ends the processes of an experiment. It signals
+// only processes that it started itself, by their process id.
+package proc
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Errors of this package.
+var (
+	// ErrNotReady means that a process ended or printed nothing before its ready line was due.
+	ErrNotReady = errors.New("proc: process not ready")
+	// ErrStillRunning means that a process did not end in time.
+	ErrStillRunning = errors.New("proc: process still running")
+)
+
+// Spec says what to start.
+type Spec struct {
+	// Name names the process and its log file.
+	Name string
+	Path string
+	Args []string
+	// LogDir is where "<name>.log" is appended to.
+	LogDir string
+	// ReadyWithin bounds the wait for the first line on standard output; 0: do not wait.
+	ReadyWithin time.Duration
+	// Ready, if set, receives the ready line as JSON.
+	Ready any
+}
+
+// Process is a process of the experiment.
+type Process struct {
+	spec Spec
+	cmd  *exec.Cmd
+	log  *os.File
+	done chan struct{}
+
+	mu  sync.Mutex
+	err error // result of Wait, valid once done is closed
+}
+
+// Start starts a process and waits for its ready line if the spec asks for one.
+// Errors: ErrNotReady, or the error of starting.
+func Start(s Spec) (*Process, error) {
+	if err := os.MkdirAll(s.LogDir, 0o755); err != nil {
+		return nil, errors.Wrap(err, "proc: log folder")
+	}
+	log, err := os.OpenFile(filepath.Join(s.LogDir, s.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, errors.Wrap(err, "proc: log file")
+	}
+	cmd := exec.Command(s.Path, s.Args...)
+	cmd.Stderr = log
+	// The children end with the experiment, even if it is killed.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	stdout, err := cmd.StdoutPipe()
+	if err != nil {
+		return nil, errors.Wrap(err, "proc: standard output")
+	}
+	if err := cmd.Start(); err != nil {
+		return nil, errors.Wrapf(err, "proc: start %s", s.Name)
+	}
+	p := &Process{spec: s, cmd: cmd, log: log, done: make(chan struct{})}
+	first := make(chan []byte, 1)
+	go p.collect(stdout, first)
+	if s.ReadyWithin == 0 {
+		return p, nil
+	}
+	return p, p.awaitReady(first)
+}
+
+func (p *Process) collect(stdout io.Reader, first chan<- []byte) {
+	r := bufio.NewReader(stdout)
+	if line, err := r.ReadBytes('\n'); err == nil {
+		first <- line
+		_, _ = p.log.Write(line)
+	}
+	_, _ = io.Copy(p.log, r)
+	err := p.cmd.Wait()
+	p.mu.Lock()
+	p.err = err
+	p.mu.Unlock()
+	_ = p.log.Close()
+	close(p.done)
+}
+
+func (p *Process) awaitReady(first <-chan []byte) error {
+	select {
+	case line := <-first:
+		if p.spec.Ready == nil {
+			return nil
+		}
+		return errors.Wrapf(json.Unmarshal(line, p.spec.Ready), "proc: ready line of %s", p.spec.Name)
+	case <-p.done:
+		return errors.Wrapf(ErrNotReady, "%s ended: %v", p.spec.Name, p.err)
+	case <-time.After(p.spec.ReadyWithin):
+		p.Kill()
+		return errors.Wrapf(ErrNotReady, "%s: no ready line", p.spec.Name)
+	}
+}
+
+// Name returns the name of the process.
+func (p *Process) Name() string { return p.spec.Name }
+
+// PID returns the process id.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
+// Running reports whether the process has not ended.
+func (p *Process) Running() bool {
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
+// Kill ends the process at once (SIGKILL) and waits for its end.
+func (p *Process) Kill() {
+	_ = p.cmd.Process.Signal(syscall.SIGKILL)
+	<-p.done
+}
+
+// Pause stops the process (SIGSTOP) without ending it.
+func (p *Process) Pause() error { return p.signal(syscall.SIGSTOP) }
+
+// Resume continues a paused process (SIGCONT).
+func (p *Process) Resume() error { return p.signal(syscall.SIGCONT) }
+
+// Terminate asks the process to stop gracefully (SIGTERM) and waits for its end.
+// Errors: ErrStillRunning after the time, or the exit status if it is not 0.
+func (p *Process) Terminate(within time.Duration) error {
+	if err := p.signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	select {
+	case <-p.done:
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return errors.Wrapf(p.err, "proc: %s", p.spec.Name)
+	case <-time.After(within):
+		return errors.Wrapf(ErrStillRunning, "%s after %v", p.spec.Name, within)
+	}
+}
+
+func (p *Process) signal(s syscall.Signal) error {
+	if !p.Running() {
+		return errors.Errorf("proc: %s has ended", p.spec.Name)
+	}
+	return errors.Wrapf(p.cmd.Process.Signal(s), "proc: signal %s", p.spec.Name)
+}
+
+// Usage is the processor time and memory of a process.
+type Usage struct {
+	// CPU is the processor time used since start.
+	CPU time.Duration
+	// ResidentBytes is the resident set size.
+	ResidentBytes int64
+}
--- /dev/null
+++ b/bench/proc/proc_test.go
@@ -0,0 +1,36 @@
+package proc
+
+import (
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against processes of an experiment that outlive it or are reported as ready
+// when they are not.
+func TestLifecycle(t *testing.T) {
+	var ready struct{ Addr string }
+	p, err := Start(Spec{Name: "echo", Path: "/bin/sh", Args: []string{"-c", `echo '{"Addr":"x"}'; exec sleep 60`},
+		LogDir: t.TempDir(), ReadyWithin: 10 * time.Second, Ready: &ready})
+	require.NoError(t, err)
+	require.Equal(t, "x", ready.Addr)
+	u, err := p.Usage()
+	require.NoError(t, err)
+	require.Positive(t, u.ResidentBytes)
+	require.NoError(t, p.Pause())
+	require.NoError(t, p.Resume())
+	p.Kill()
+	require.False(t, p.Running())
+	require.Error(t, p.Pause())
+}
+
+// Guards against waiting for a process that ended before it was ready.
+func TestEndedBeforeReady(t *testing.T) {
+	dir := t.TempDir()
+	_, err := Start(Spec{Name: "false", Path: "/bin/false", LogDir: dir, ReadyWithin: 10 * time.Second})
+	require.ErrorIs(t, err, ErrNotReady)
+	_, err = os.Stat(dir + "/false.log")
+	require.NoError(t, err)
+}
--- /dev/null
+++ b/bench/proc/usage.go
@@ -0,0 +1,44 @@
+package proc
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// clockTicks is the kernel's USER_HZ, the unit of processor times in /proc.
+const clockTicks = 100
+
+// Usage reads the processor time and memory of a running process from /proc.
+func (p *Process) Usage() (Usage, error) {
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.PID()))
+	if err != nil {
+		return Usage{}, errors.Wrap(err, "proc: usage")
+	}
+	// The command name, in parentheses, may hold spaces; the fields follow it.
+	text := string(stat)
+	fields := strings.Fields(text[strings.LastIndexByte(text, ')')+1:])
+	const userTime, systemTime, residentPages = 11, 12, 21
+	if len(fields) <= residentPages {
+		return Usage{}, errors.Errorf("proc: short stat line of %s", p.Name())
+	}
+	var ticks, pages int64
+	for _, i := range []int{userTime, systemTime} {
+		n, err := strconv.ParseInt(fields[i], 10, 64)
+		if err != nil {
+			return Usage{}, errors.Wrap(err, "proc: processor time")
+		}
+		ticks += n
+	}
+	if pages, err = strconv.ParseInt(fields[residentPages], 10, 64); err != nil {
+		return Usage{}, errors.Wrap(err, "proc: resident pages")
+	}
+	return Usage{
+		CPU:           time.Duration(ticks) * time.Second / clockTicks,
+		ResidentBytes: pages * int64(os.Getpagesize()),
+	}, nil
+}
