--- /dev/null
+++ b/internal/platform/limits_test.go
@@ -0,0 +1,164 @@
+package platform
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against account or background calls that delay a lease renewal when the budget
+// is exhausted, and against a rate above the budget.
+func TestBudgetPriorities(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBudget(10, time.Hour)
+		for range 20 {
+			require.NoError(t, b.take(t.Context(), PriorityBackground))
+		}
+		var mu sync.Mutex
+		var order []Priority
+		served := func() []Priority {
+			synctest.Wait()
+			mu.Lock()
+			defer mu.Unlock()
+			return append([]Priority(nil), order...)
+		}
+		start := time.Now()
+		for _, p := range []Priority{PriorityBackground, PriorityAccount, PriorityClaim, PriorityLease, PriorityLease} {
+			go func() {
+				if b.take(t.Context(), p) == nil {
+					mu.Lock()
+					defer mu.Unlock()
+					order = append(order, p)
+				}
+			}()
+			synctest.Wait()
+		}
+		time.Sleep(490 * time.Millisecond)
+		require.Len(t, served(), 4, "ten tokens a second")
+		time.Sleep(20 * time.Millisecond)
+		require.Equal(t, []Priority{PriorityLease, PriorityLease, PriorityClaim, PriorityAccount, PriorityBackground}, served())
+		require.Less(t, time.Since(start), time.Second)
+	})
+}
+
+// Guards against waiting calls that keep a place, or block others, after they gave up.
+func TestBudgetLeavesQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBudget(1, 1500*time.Millisecond)
+		for range 2 {
+			require.NoError(t, b.take(t.Context(), PriorityLease))
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		left := make(chan error)
+		go func() { left <- b.take(ctx, PriorityLease) }()
+		synctest.Wait()
+		cancel()
+		require.ErrorIs(t, <-left, context.Canceled)
+		require.Empty(t, b.waiters)
+		results := make(chan error, 2)
+		for range 2 {
+			go func() { results <- b.take(t.Context(), PriorityConfig) }()
+		}
+		require.NoError(t, <-results)
+		require.ErrorIs(t, <-results, errBudgetWait)
+		go func() { results <- b.take(t.Context(), PriorityConfig) }()
+		synctest.Wait()
+		b.reject(errBreakerOpen)
+		require.ErrorIs(t, <-results, errBreakerOpen)
+		require.Nil(t, b.timer)
+	})
+}
+
+// failTimes reports n failures of calls that the breaker allowed.
+func failTimes(t *testing.T, b *breaker, n int) {
+	t.Helper()
+	for range n {
+		gen, ok := b.allow()
+		require.True(t, ok)
+		b.report(gen, healthDown)
+	}
+}
+
+// Guards against a stampede on a service that comes back, and a back-off outside its range.
+func TestBreakerProbesOneAtATime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		opened := 0
+		b := newBreaker(func() { opened++ })
+		failTimes(t, b, breakerThreshold)
+		require.Equal(t, 1, opened)
+		for i := range 20 {
+			start := time.Now()
+			for b.blocked() {
+				time.Sleep(time.Millisecond)
+			}
+			wait := time.Since(start)
+			require.LessOrEqual(t, wait, 5*time.Second+time.Millisecond)
+			require.GreaterOrEqual(t, wait, 250*time.Millisecond)
+			if i > 5 {
+				require.GreaterOrEqual(t, wait, 2500*time.Millisecond, "the back-off grows")
+			}
+			gen, ok := b.allow()
+			require.True(t, ok)
+			_, second := b.allow()
+			require.False(t, second, "one probe at a time")
+			b.report(gen, healthDown)
+		}
+		time.Sleep(5 * time.Second)
+		gen, ok := b.allow()
+		require.True(t, ok)
+		b.report(gen, healthUp)
+		require.False(t, b.blocked())
+		failTimes(t, b, breakerThreshold)
+		time.Sleep(500 * time.Millisecond)
+		require.False(t, b.blocked(), "the back-off starts again after a success")
+	})
+}
+
+// Guards against results of calls from before the outage that close or reopen the
+// breaker, and against a probe whose caller left and that blocks all later ones.
+func TestBreakerIgnoresStaleResults(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBreaker(nil)
+		old, ok := b.allow()
+		require.True(t, ok)
+		failTimes(t, b, breakerThreshold)
+		b.report(old, healthUp)
+		require.True(t, b.blocked())
+		time.Sleep(time.Second)
+		probe, ok := b.allow()
+		require.True(t, ok)
+		b.report(old, healthUp)
+		require.True(t, b.blocked(), "only the probe decides")
+		b.report(probe, healthNeutral)
+		probe, ok = b.allow()
+		require.True(t, ok, "the next call probes after a cancelled probe")
+		b.report(probe, healthUp)
+		for range breakerThreshold {
+			b.report(old, healthDown)
+		}
+		require.False(t, b.blocked())
+	})
+}
+
+// Guards against a write that is reported as not sent and leaves later.
+func TestFence(t *testing.T) {
+	a, z := net.Pipe()
+	defer z.Close()
+	c := &trackedConn{Conn: a}
+	require.True(t, c.fence(c.count()))
+	_, err := c.Write([]byte("x"))
+	require.ErrorIs(t, err, errFenced)
+
+	a2, z2 := net.Pipe()
+	z2.Close()
+	c = &trackedConn{Conn: a2}
+	mark := c.count()
+	_, err = c.Write([]byte("x"))
+	require.Error(t, err)
+	require.False(t, c.fence(mark), "a write that was tried may have left")
+}
