--- a/internal/platform/trace.go
+++ b/internal/platform/trace.go
@@ -17,7 +17,7 @@
 	net.Conn
 
 	mu     sync.Mutex
-	writes uint64 // guarded by mu; counted before the write
+	writes uint64 // guarded by mu; writes under way and writes that passed any byte on
 	fenced bool   // guarded by mu; further writes fail
 }
 
@@ -30,7 +30,15 @@
 	}
 	c.writes++
 	c.mu.Unlock()
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(p)
+	if n == 0 && err != nil {
+		// The HTTP transport repeats such a call on another connection, whose result
+		// must decide about the call.
+		c.mu.Lock()
+		c.writes--
+		c.mu.Unlock()
+	}
+	return n, err
 }
 
 func (c *trackedConn) count() uint64 {
