--- /dev/null
+++ b/internal/tomldoc/lines.go
@@ -0,0 +1,113 @@
+package tomldoc
+
+import (
+	"slices"
+	"strconv"
+
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+// maxPath bounds the length of an indexed path in bytes. Without it, a dotted key of
+// one megabyte would need memory that grows with the square of its length.
+const maxPath = 512
+
+// lineIndex maps the path of each key, such as "vm[3].slots", to its line. The
+// decoder does not keep positions of valid keys, so the syntax tree is walked once.
+type lineIndex struct {
+	lines map[string]int
+	// arrays counts the elements of each array of tables seen so far.
+	arrays   map[string]int
+	newlines []int
+}
+
+func newLineIndex(text []byte) *lineIndex {
+	x := &lineIndex{lines: map[string]int{}, arrays: map[string]int{}}
+	for i, b := range text {
+		if b == '\n' {
+			x.newlines = append(x.newlines, i)
+		}
+	}
+	p := unstable.Parser{}
+	p.Reset(text)
+	prefix := ""
+	for p.NextExpression() {
+		switch n := p.Expression(); n.Kind {
+		case unstable.Table, unstable.ArrayTable:
+			prefix = x.header(n)
+		case unstable.KeyValue:
+			x.keyValue(prefix, n)
+		}
+	}
+	return x
+}
+
+// header records a [table] or [[table]] header and returns its path.
+func (x *lineIndex) header(n *unstable.Node) string {
+	path := ""
+	it := n.Key()
+	for it.Next() {
+		if len(path) > maxPath {
+			return path
+		}
+		path = join(path, string(it.Node().Data))
+		last := it.IsLast()
+		x.record(path, it.Node())
+		if last && n.Kind == unstable.ArrayTable {
+			x.arrays[path]++
+		}
+		if c := x.arrays[path]; c > 0 {
+			path = element(path, c-1)
+			x.record(path, it.Node())
+		}
+	}
+	return path
+}
+
+func (x *lineIndex) keyValue(path string, n *unstable.Node) {
+	it := n.Key()
+	var key *unstable.Node
+	for it.Next() {
+		if len(path) > maxPath {
+			return
+		}
+		key = it.Node()
+		path = join(path, string(key.Data))
+		x.record(path, key)
+	}
+	x.value(path, key, n.Value())
+}
+
+func (x *lineIndex) value(path string, key, v *unstable.Node) {
+	switch v.Kind {
+	case unstable.InlineTable:
+		for it := v.Children(); it.Next(); {
+			x.keyValue(path, it.Node())
+		}
+	case unstable.Array:
+		i := 0
+		for it := v.Children(); it.Next(); {
+			e := element(path, i)
+			x.record(e, key)
+			x.value(e, key, it.Node())
+			i++
+		}
+	}
+}
+
+// record keeps the first line at which a path appears.
+func (x *lineIndex) record(path string, key *unstable.Node) {
+	if _, ok := x.lines[path]; ok {
+		return
+	}
+	i, _ := slices.BinarySearch(x.newlines, int(key.Raw.Offset))
+	x.lines[path] = i + 1
+}
+
+func join(path, key string) string {
+	if path == "" {
+		return key
+	}
+	return path + "." + key
+}
+
+func element(path string, i int) string { return path + "[" + strconv.Itoa(i) + "]" }
--- /dev/null
+++ b/internal/tomldoc/table.go
@@ -0,0 +1,371 @@
+package tomldoc
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+	"unicode/utf8"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pkg/errors"
+)
+
+// MaxFaults bounds the faults of a set of files, so that a large file of the wrong kind
+// does not produce a report larger than itself. Further faults appear once these are mended.
+const MaxFaults = 1000
+
+// maxFound bounds the part of a value that a fault repeats, in bytes.
+const maxFound = 80
+
+// document is one file; its tables share it.
+type document struct {
+	name   string
+	lines  *lineIndex
+	faults *Faults
+}
+
+// Table is one table of a file. It is not safe for concurrent use.
+type Table struct {
+	doc    *document
+	path   string
+	values map[string]any
+	// asked holds the fields that were read, faulty those with a fault.
+	asked  map[string]bool
+	faulty map[string]bool
+}
+
+// Parse parses the text of the file with the given name. It adds a fault and returns
+// nil if the text is longer than maxBytes or is not TOML.
+func Parse(name, text string, maxBytes int, faults *Faults) *Table {
+	if len(text) > maxBytes {
+		*faults = append(*faults, Fault{File: name, Found: fmt.Sprintf("%d bytes", len(text)), Expected: fmt.Sprintf("at most %d bytes", maxBytes)})
+		return nil
+	}
+	values := map[string]any{}
+	if err := toml.NewDecoder(strings.NewReader(text)).Decode(&values); err != nil {
+		*faults = append(*faults, syntaxFault(name, err))
+		return nil
+	}
+	d := &document{name: name, lines: newLineIndex([]byte(text)), faults: faults}
+	return d.table("", values)
+}
+
+func syntaxFault(name string, err error) Fault {
+	f := Fault{File: name, Found: strings.TrimPrefix(err.Error(), "toml: "), Expected: "valid TOML"}
+	var de *toml.DecodeError
+	if errors.As(err, &de) {
+		f.Line, _ = de.Position()
+		f.Field = strings.Join(de.Key(), ".")
+	}
+	return f
+}
+
+func (d *document) table(path string, values map[string]any) *Table {
+	return &Table{doc: d, path: path, values: values, asked: map[string]bool{}, faulty: map[string]bool{}}
+}
+
+// File returns the name of the table's file.
+func (t *Table) File() string { return t.doc.name }
+
+// Line returns the line of a field, or of the table if the field is absent or empty.
+func (t *Table) Line(field string) int {
+	if l, ok := t.doc.lines.lines[join(t.path, field)]; ok && field != "" {
+		return l
+	}
+	return t.doc.lines.lines[t.path]
+}
+
+// Fault adds a fault of a field.
+func (t *Table) Fault(field, found, expected string) { t.add(field, found, expected, false) }
+
+// Warn adds a warning about a field.
+func (t *Table) Warn(field, found, expected string) { t.add(field, found, expected, true) }
+
+func (t *Table) add(field, found, expected string, warning bool) {
+	t.faulty[field] = t.faulty[field] || !warning
+	if len(*t.doc.faults) >= MaxFaults && (warning || t.doc.faults.Failed()) {
+		return
+	}
+	name := t.path
+	if field != "" {
+		name = join(t.path, field)
+	}
+	*t.doc.faults = append(*t.doc.faults, Fault{
+		File: t.doc.name, Line: t.Line(field), Field: name, Found: cut(found), Expected: expected, Warning: warning,
+	})
+}
+
+// Has reports whether the field is present.
+func (t *Table) Has(field string) bool {
+	_, ok := t.values[field]
+	return ok
+}
+
+// Sound reports whether none of the fields has a fault. Rules that compare fields apply
+// only to sound ones, because a faulty field is read as its default.
+func (t *Table) Sound(fields ...string) bool {
+	return !slices.ContainsFunc(fields, func(f string) bool { return t.faulty[f] })
+}
+
+func (t *Table) get(field string) (any, bool) {
+	t.asked[field] = true
+	v, ok := t.values[field]
+	return v, ok
+}
+
+// missing handles an absent field.
+func (t *Table) missing(field string, required bool, expected string) {
+	if required {
+		t.Fault(field, "nothing", expected)
+	}
+}
+
+// StringRule is the rule for a string field.
+type StringRule struct {
+	Required bool
+	Default  string
+	// OK decides whether a value is accepted; nil accepts every value.
+	OK func(string) bool
+	// Expected describes the accepted values.
+	Expected string
+	// Secret keeps the value out of faults.
+	Secret bool
+}
+
+// String reads a string. It returns the default if the field is absent or has a fault.
+func (t *Table) String(field string, r StringRule) string {
+	v, ok := t.get(field)
+	if !ok {
+		t.missing(field, r.Required, r.Expected)
+		return r.Default
+	}
+	s, ok := v.(string)
+	if !ok || (r.OK != nil && !r.OK(s)) {
+		found := describe(v)
+		if r.Secret {
+			found = "a value that is not accepted"
+		}
+		t.Fault(field, found, r.Expected)
+		return r.Default
+	}
+	return s
+}
+
+// Strings reads a list of strings, each of which must satisfy the rule.
+func (t *Table) Strings(field string, r StringRule) []string {
+	v, ok := t.get(field)
+	if !ok {
+		t.missing(field, r.Required, "a list of "+r.Expected)
+		return nil
+	}
+	list, ok := v.([]any)
+	if !ok || (r.Required && len(list) == 0) {
+		t.Fault(field, describe(v), "a list of "+r.Expected)
+		return nil
+	}
+	var out []string
+	seen := make(map[string]bool, len(list))
+	for i, e := range list {
+		s, ok := e.(string)
+		switch {
+		case !ok || (r.OK != nil && !r.OK(s)):
+			t.Fault(element(field, i), describe(e), r.Expected)
+		case seen[s]:
+			t.Fault(element(field, i), describe(e)+" twice", "each value once")
+		default:
+			seen[s] = true
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// IntRule is the rule for an integer field.
+type IntRule struct {
+	Required bool
+	Default  int64
+	Min, Max int64
+}
+
+// Int reads an integer. It returns the default if the field is absent or has a fault.
+func (t *Table) Int(field string, r IntRule) int64 {
+	expected := fmt.Sprintf("an integer from %d to %d", r.Min, r.Max)
+	v, ok := t.get(field)
+	if !ok {
+		t.missing(field, r.Required, expected)
+		return r.Default
+	}
+	n, ok := v.(int64)
+	if !ok || n < r.Min || n > r.Max {
+		t.Fault(field, describe(v), expected)
+		return r.Default
+	}
+	return n
+}
+
+// FloatRule is the rule for a number.
+type FloatRule struct {
+	Default  float64
+	Min, Max float64
+}
+
+// Float reads a number, written as an integer or a float.
+func (t *Table) Float(field string, r FloatRule) float64 {
+	v, ok := t.get(field)
+	if !ok {
+		return r.Default
+	}
+	f, ok := v.(float64)
+	if n, isInt := v.(int64); isInt {
+		f, ok = float64(n), true
+	}
+	if !ok || !(f >= r.Min && f <= r.Max) {
+		t.Fault(field, describe(v), fmt.Sprintf("a number from %g to %g", r.Min, r.Max))
+		return r.Default
+	}
+	return f
+}
+
+// DurationRule is the rule for a duration field.
+type DurationRule struct {
+	Required bool
+	Default  time.Duration
+	Min, Max time.Duration
+}
+
+// Duration reads a duration such as "1.5s", "200ms" or "10m".
+func (t *Table) Duration(field string, r DurationRule) time.Duration {
+	expected := fmt.Sprintf("a duration from %q to %q", ShortDuration(r.Min), ShortDuration(r.Max))
+	v, ok := t.get(field)
+	if !ok {
+		t.missing(field, r.Required, expected)
+		return r.Default
+	}
+	s, ok := v.(string)
+	d, err := time.ParseDuration(s)
+	if !ok || err != nil || d < r.Min || d > r.Max {
+		t.Fault(field, describe(v), expected)
+		return r.Default
+	}
+	return d
+}
+
+// Bool reads a boolean; an absent field is false.
+func (t *Table) Bool(field string) bool {
+	v, ok := t.get(field)
+	if !ok {
+		return false
+	}
+	b, ok := v.(bool)
+	if !ok {
+		t.Fault(field, describe(v), "true or false")
+	}
+	return b
+}
+
+// Time reads a required point in time with an offset from UTC.
+func (t *Table) Time(field string) time.Time {
+	const expected = "a time with offset such as 2027-03-01T02:00:00Z"
+	v, ok := t.get(field)
+	if !ok {
+		t.missing(field, true, expected)
+		return time.Time{}
+	}
+	at, ok := v.(time.Time)
+	if !ok {
+		t.Fault(field, describe(v), expected)
+	}
+	return at
+}
+
+// Table reads a sub-table; it returns nil if the field is absent or not a table.
+func (t *Table) Table(field string) *Table {
+	v, ok := t.get(field)
+	if !ok {
+		return nil
+	}
+	m, ok := v.(map[string]any)
+	if !ok {
+		t.Fault(field, describe(v), "a table ["+field+"]")
+		return nil
+	}
+	return t.doc.table(join(t.path, field), m)
+}
+
+// Tables reads an array of tables.
+func (t *Table) Tables(field string) []*Table {
+	v, ok := t.get(field)
+	if !ok {
+		return nil
+	}
+	list, ok := v.([]any)
+	if !ok {
+		t.Fault(field, describe(v), "an array of tables [["+field+"]]")
+		return nil
+	}
+	var out []*Table
+	for i, e := range list {
+		m, ok := e.(map[string]any)
+		if !ok {
+			t.Fault(element(field, i), describe(e), "a table")
+			continue
+		}
+		out = append(out, t.doc.table(element(join(t.path, field), i), m))
+	}
+	return out
+}
+
+// Done reports every field that was not asked for.
+func (t *Table) Done() {
+	known := make([]string, 0, len(t.asked))
+	for f := range t.asked {
+		known = append(known, f)
+	}
+	slices.Sort(known)
+	for f := range t.values {
+		if !t.asked[f] {
+			t.Fault(f, "an unknown field", "one of "+strings.Join(known, ", "))
+		}
+	}
+}
+
+// ShortDuration formats a duration without trailing zero units, such as "10m".
+func ShortDuration(d time.Duration) string {
+	s := d.String()
+	if strings.HasSuffix(s, "m0s") {
+		s = strings.TrimSuffix(s, "0s")
+	}
+	if strings.HasSuffix(s, "h0m") {
+		s = strings.TrimSuffix(s, "0m")
+	}
+	return s
+}
+
+// describe shows a value as it was found.
+func describe(v any) string {
+	switch v := v.(type) {
+	case string:
+		return fmt.Sprintf("%q", cut(v))
+	case map[string]any:
+		return "a table"
+	case []any:
+		if len(v) == 0 {
+			return "an empty list"
+		}
+		return fmt.Sprintf("a list of %d", len(v))
+	}
+	return fmt.Sprint(v)
+}
+
+// cut shortens a text at a character boundary.
+func cut(s string) string {
+	if len(s) <= maxFound {
+		return s
+	}
+	n := maxFound
+	for n > 0 && !utf8.RuneStart(s[n]) {
+		n--
+	}
+	return s[:n] + "..."
+}
