--- /dev/null
+++ b/internal/settings/load.go
@@ -0,0 +1,171 @@
+package settings
+
+import (
+	"fmt"
+	"net/url"
+	"os"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"boragepulley/internal/config"
+	"boragepulley/internal/model"
+	"boragepulley/internal/tomldoc"
+)
+
+// MaxFileBytes bounds the size of a settings file.
+const MaxFileBytes = 1 << 20
+
+// Defaults of the settings.
+const (
+	DefaultLogLevel        = "info"
+	DefaultSiteWrites      = 300
+	DefaultSiteReads       = 1200
+	DefaultMaxRequests     = 4096
+	DefaultBodyTimeout     = 10 * time.Second
+	DefaultDrainTimeout    = 11 * time.Minute
+	DefaultAnswerRetention = 10 * time.Minute
+	// DefaultAnswerBytes leaves most of the 128 MB that a daemon may use to its requests.
+	DefaultAnswerBytes = 16 << 20
+)
+
+// MinTokenLength bounds the operator token from below, in bytes, against guessing.
+const MinTokenLength = 16
+
+// maxRequests bounds max_requests: each request holds a goroutine and a connection.
+const maxRequests = 100000
+
+var nameForm = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
+
+var (
+	nameRule    = tomldoc.StringRule{Required: true, OK: nameForm.MatchString, Expected: "1 to 63 lower-case letters, digits and inner hyphens"}
+	addressRule = tomldoc.StringRule{Required: true, OK: config.ValidAddress, Expected: `an address "IP:port"`}
+	levels      = []string{"debug", "info", "warn", "error"}
+)
+
+// Load reads and checks the settings file at path. Errors: the file cannot be read, or
+// tomldoc.Faults with all faults of the file.
+func Load(path string) (*Settings, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "settings")
+	}
+	if info.Size() > MaxFileBytes {
+		return nil, errors.Errorf("settings: %s: found %d bytes, expected at most %d", path, info.Size(), MaxFileBytes)
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "settings")
+	}
+	return Parse(path, string(text))
+}
+
+// Parse reads and checks settings; name is the file name that faults show. The error, if
+// any, is tomldoc.Faults with all faults at once.
+func Parse(name, text string) (*Settings, error) {
+	var faults tomldoc.Faults
+	t := tomldoc.Parse(name, text, MaxFileBytes, &faults)
+	if t == nil {
+		return nil, faults.Err()
+	}
+	s := read(t)
+	t.Done()
+	faults.Sort()
+	if err := faults.Err(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func read(t *tomldoc.Table) *Settings {
+	s := &Settings{
+		Name:                model.EntryVM(t.String("name", nameRule)),
+		DC:                  model.DataCentre(t.String("data_centre", nameRule)),
+		CallerListen:        t.String("caller_listen", addressRule),
+		OperatorListen:      t.String("operator_listen", addressRule),
+		PeerListen:          t.String("peer_listen", addressRule),
+		OperatorToken:       readToken(t),
+		LogLevel:            t.String("log_level", tomldoc.StringRule{Default: DefaultLogLevel, OK: knownLevel, Expected: "one of " + strings.Join(levels, ", ")}),
+		PlatformURL:         t.String("platform_url", tomldoc.StringRule{Required: true, OK: validURL, Expected: `a base URL "http://host:port"`}),
+		SiteWritesPerSecond: t.Float("site_writes_per_second", tomldoc.FloatRule{Default: DefaultSiteWrites, Min: 1, Max: 100000}),
+		SiteReadsPerSecond:  t.Float("site_reads_per_second", tomldoc.FloatRule{Default: DefaultSiteReads, Min: 1, Max: 100000}),
+		MaxRequests:         int(t.Int("max_requests", tomldoc.IntRule{Default: DefaultMaxRequests, Min: 1, Max: maxRequests})),
+		BodyTimeout:         t.Duration("body_timeout", tomldoc.DurationRule{Default: DefaultBodyTimeout, Min: 100 * time.Millisecond, Max: 5 * time.Minute}),
+		DrainTimeout:        t.Duration("drain_timeout", tomldoc.DurationRule{Default: DefaultDrainTimeout, Min: time.Second, Max: time.Hour}),
+		AnswerRetention:     t.Duration("answer_retention", tomldoc.DurationRule{Default: DefaultAnswerRetention, Min: time.Second, Max: time.Hour}),
+		AnswerBytes:         t.Int("answer_bytes", tomldoc.IntRule{Default: DefaultAnswerBytes, Min: 0, Max: 1 << 30}),
+	}
+	checkListens(t, s)
+	readPeers(t, s)
+	return s
+}
+
+// readToken reads the operator token. Its faults do not repeat the token.
+func readToken(t *tomldoc.Table) string {
+	return t.String("operator_token", tomldoc.StringRule{
+		Required: true,
+		Secret:   true,
+		OK: func(s string) bool {
+			return len(s) >= MinTokenLength && !strings.ContainsFunc(s, func(r rune) bool { return r <= ' ' || r > '~' })
+		},
+		Expected: fmt.Sprintf("a string of at least %d printable ASCII characters without spaces", MinTokenLength),
+	})
+}
+
+// checkListens reports two listeners on one address.
+func checkListens(t *tomldoc.Table, s *Settings) {
+	used := map[string]string{}
+	for _, l := range []struct{ field, addr string }{
+		{"caller_listen", s.CallerListen}, {"operator_listen", s.OperatorListen}, {"peer_listen", s.PeerListen},
+	} {
+		if other, ok := used[l.addr]; ok && l.addr != "" {
+			t.Fault(l.field, fmt.Sprintf("%q", l.addr), "an address other than that of "+other)
+			continue
+		}
+		used[l.addr] = l.field
+	}
+}
+
+// readPeers reads the entry VMs of the site, which must include this one.
+func readPeers(t *tomldoc.Table, s *Settings) {
+	tables := t.Tables("peer")
+	for _, pt := range tables {
+		p := Peer{
+			Name: model.EntryVM(pt.String("name", nameRule)),
+			DC:   model.DataCentre(pt.String("data_centre", nameRule)),
+			Addr: pt.String("address", addressRule),
+		}
+		pt.Done()
+		checkPeer(pt, s, p)
+		s.Peers = append(s.Peers, p)
+	}
+	own := slices.ContainsFunc(s.Peers, func(p Peer) bool { return p.Name == s.Name })
+	if !own && t.Sound("name", "peer") && s.Name != "" {
+		t.Fault("peer", fmt.Sprintf("%d peers without %q", len(tables), s.Name), "all entry VMs of the site, this one included")
+	}
+}
+
+// checkPeer checks one peer against those before it and against the entry VM itself.
+func checkPeer(pt *tomldoc.Table, s *Settings, p Peer) {
+	for _, o := range s.Peers {
+		if o.Name == p.Name && p.Name != "" {
+			pt.Fault("name", fmt.Sprintf("%q again", p.Name), "a unique name")
+		}
+		if o.Addr == p.Addr && p.Addr != "" {
+			pt.Fault("address", fmt.Sprintf("%q again", p.Addr), fmt.Sprintf("an address other than that of peer %q", o.Name))
+		}
+	}
+	if p.Name == s.Name && p.DC != s.DC && p.DC != "" && s.DC != "" {
+		pt.Fault("data_centre", fmt.Sprintf("%q", p.DC), fmt.Sprintf("%q, the data_centre of this entry VM", s.DC))
+	}
+}
+
+func knownLevel(s string) bool { return slices.Contains(levels, s) }
+
+func validURL(s string) bool {
+	u, err := url.Parse(s)
+	return err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != "" && u.RawQuery == "" && u.Fragment == "" && u.User == nil
+}
