--- /dev/null
+++ b/examples/doc.go
@@ -0,0 +1,2 @@
+// Package examples holds the example files of both sites and the tests that check them.
+package examples
