admission: state machine of a data centre's admission queue

Cause: the coordinator needs one place that enforces slots, connections, limits, shares, keys and draining. Change: internal/admission takes requests and events and returns grants, refusals and forwards with typed reasons; example tests for each rule.

--- /dev/null
+++ b/internal/admission/admission_test.go
@@ -0,0 +1,266 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"boragepulley/internal/config"
+	"boragepulley/internal/model"
+	"boragepulley/internal/peer"
+)
+
+var small = fixture{services: 1, minions: 1, slots: 1, conns: 8, entries: 1, teams: 3, maxWaiting: 100, limit: 100}
+
+// Guards against a second permit, or a second place in the queue, for a repeated Acquire.
+func TestSubmitIsIdempotent(t *testing.T) {
+	a := small.start(epoch)
+	p := one(t, a.Submit(epoch, acquire(1, 0, "q0", time.Minute)), EffectGrant).Permit
+	require.Equal(t, p, one(t, a.Submit(epoch, acquire(1, 0, "q0", time.Minute)), EffectGrant).Permit)
+	require.Empty(t, a.Submit(epoch, acquire(2, 0, "q0", time.Minute)))
+	require.Empty(t, a.Submit(epoch, acquire(2, 0, "q0", time.Minute)))
+	require.Equal(t, 1, a.Usage(epoch).Waiting[teamName(0)])
+	require.Len(t, a.Release(epoch, release(p, peer.AttemptOK)), 1)
+	e := one(t, a.Submit(epoch, acquire(1, 0, "q0", time.Minute)), EffectRefuse)
+	require.Equal(t, model.ReasonDuplicateID, e.Reason)
+}
+
+// Guards against work that is accepted or kept without a valid key.
+func TestKeys(t *testing.T) {
+	a := small.start(epoch)
+	bad := acquire(1, 0, "q0", time.Minute)
+	bad.Request.Team = teamName(1)
+	require.Equal(t, model.ReasonBadKey, one(t, a.Submit(epoch, bad), EffectRefuse).Reason)
+	require.Equal(t, model.ReasonNoKey, one(t, a.Submit(epoch, acquire(2, -1, "q0", time.Minute)), EffectRefuse).Reason)
+	require.Equal(t, model.ReasonUnknownQueue, one(t, a.Submit(epoch, acquire(3, 0, "none", time.Minute)), EffectRefuse).Reason)
+	one(t, a.Submit(epoch, acquire(4, -1, "open0", time.Minute)), EffectGrant)
+	require.Empty(t, a.Submit(epoch, acquire(5, 0, "q0", time.Minute)))
+	require.Empty(t, a.Submit(epoch, acquire(6, 1, "late0", time.Minute)))
+	s := small.site()
+	s.Keys = s.Keys[1:]
+	s.Queues = s.Queues[:1]
+	out := a.SetSite(config.NewIndex(s, 2), epoch)
+	require.Len(t, out, 2)
+	require.Equal(t, model.ReasonKeyWithdrawn, out[0].Reason)
+	require.Equal(t, model.ReasonUnknownQueue, out[1].Reason)
+}
+
+// Guards against freeing the slot of an attempt that may still run, and against losing
+// the slot of one that is over.
+func TestLostAttemptKeepsSlot(t *testing.T) {
+	for _, end := range []string{"lost", "holder gone", "cancelled", "overdue"} {
+		t.Run(end, func(t *testing.T) {
+			a, now := small.start(epoch), epoch
+			p := one(t, a.Submit(now, acquire(1, 0, "q0", time.Minute)), EffectGrant).Permit
+			require.Empty(t, a.Submit(now, acquire(2, 0, "q0", time.Minute)))
+			at := func(d time.Duration) time.Time { return epoch.Add(d) }
+			switch end {
+			case "lost":
+				require.Empty(t, a.Release(now, release(p, peer.AttemptLost)))
+			case "holder gone":
+				one(t, a.HolderGone(now, "e0"), EffectRefuse)
+				q := acquire(2, 0, "q0", time.Minute)
+				q.From.Entry = "e1"
+				require.Empty(t, a.Submit(now, q))
+			case "cancelled":
+				require.Empty(t, a.Cancel(now, p.Job, 1, "e0"))
+				// The permit may still be dispatched until its start window ends.
+				require.Empty(t, a.MinionStatus(at(0), at(0), p.Minion, nil))
+				require.Empty(t, a.MinionStatus(at(900*time.Millisecond), at(900*time.Millisecond), p.Minion, nil))
+				now = at(time.Second)
+			case "overdue":
+				now = at(12*time.Second + time.Millisecond)
+			}
+			key := []Attempt{{Job: p.Job, Attempt: 1}}
+			step := func(jobs []Attempt) []Effect {
+				out := a.MinionStatus(now, now, p.Minion, jobs)
+				now = now.Add(100 * time.Millisecond)
+				return out
+			}
+			require.Empty(t, step(nil))
+			require.Empty(t, step(key), "a listed job starts the count again")
+			require.Empty(t, step(nil))
+			require.Empty(t, step(nil), "polls 100 ms apart are too close")
+			require.Equal(t, model.JobID("j000002"), one(t, step(nil), EffectGrant).Job)
+		})
+	}
+}
+
+// Guards against use of a minion whose running jobs are not known after a takeover.
+func TestTakeover(t *testing.T) {
+	f := small
+	f.minions, f.limit = 2, 2
+	a := New("a", model.Token{Epoch: 2}, DefaultParams())
+	a.SetSite(config.NewIndex(f.site(), 1), epoch)
+	a.SetAllotments(epoch, map[model.Team]int{teamName(0): 2})
+	a.SetMinionState(epoch, "m0-000", model.VMServing)
+	a.SetMinionState(epoch, "m0-001", model.VMServing)
+	require.Empty(t, a.Submit(epoch, acquire(1, 0, "q0", time.Minute)))
+	old := model.Permit{Job: "old", Attempt: 1, Team: teamName(0), Queue: "q0", Service: "s0", Minion: "m0-000", Holder: "e0"}
+	require.Empty(t, a.MinionStatus(epoch, epoch, "m0-000", []Attempt{{"old", 1}}))
+	require.Equal(t, 2, a.Blocked(), "one unattributed job, one silent minion")
+	require.Empty(t, a.Adopt(epoch, []model.Permit{old}))
+	require.Equal(t, 1, a.Blocked())
+	require.Equal(t, 1, a.TeamRunning(teamName(0)))
+	require.Empty(t, a.MinionStatus(epoch, epoch, "m0-001", []Attempt{{"other", 1}}))
+	at := epoch.Add(time.Second)
+	require.Empty(t, a.MinionStatus(at, at, "m0-001", nil))
+	at = at.Add(time.Second)
+	require.Equal(t, model.VM("m0-001"), one(t, a.MinionStatus(at, at, "m0-001", nil), EffectGrant).Permit.Minion)
+}
+
+// Guards against counting a job that ended while a status answer was on its way.
+func TestLateStatus(t *testing.T) {
+	a := small.start(epoch)
+	p := one(t, a.Submit(epoch, acquire(1, 0, "q0", time.Minute)), EffectGrant).Permit
+	at := epoch.Add(10 * time.Millisecond)
+	a.Release(at, release(p, peer.AttemptOK))
+	a.MinionStatus(at.Add(time.Millisecond), epoch, p.Minion, []Attempt{{p.Job, 1}})
+	require.Zero(t, a.Blocked())
+	at = at.Add(time.Second)
+	a.MinionStatus(at, at, p.Minion, []Attempt{{p.Job, 1}})
+	require.Equal(t, 1, a.Blocked(), "a minion that still runs the job a second later has a second run")
+}
+
+// Guards against a wrong order: urgent first, but old and deferrable work still finishes.
+func TestOrderWithinTeam(t *testing.T) {
+	a, now := small.start(epoch), epoch
+	p := one(t, a.Submit(now, acquire(0, 0, "q0", time.Minute)), EffectGrant).Permit
+	require.Empty(t, a.Submit(now, acquire(1, 0, "late0", 10*time.Minute)))
+	done := -1
+	for i := 1; i <= 40 && done < 0; i++ {
+		now = now.Add(500 * time.Millisecond)
+		u := acquire(100+i, 0, "q0", time.Minute)
+		u.Request.Priority = model.PriorityUrgent
+		require.Empty(t, a.Submit(now, u))
+		p = one(t, a.Release(now, release(p, peer.AttemptOK)), EffectGrant).Permit
+		if p.Job == "j000001" {
+			done = i
+		}
+	}
+	require.Greater(t, done, 9, "urgent work goes first until the deferrable request is aged")
+	require.Less(t, done, 20, "the deferrable request starts while urgent work keeps coming")
+}
+
+// Guards against starvation of a team whose work never wins a tie by priority.
+func TestTiesStarveNobody(t *testing.T) {
+	a, now := small.start(epoch), epoch
+	p := one(t, a.Submit(now, acquire(0, 0, "q0", time.Minute)), EffectGrant).Permit
+	require.Empty(t, a.Submit(now, acquire(1, 1, "late0", 10*time.Minute)))
+	for i := 1; i <= 30; i++ {
+		now = now.Add(500 * time.Millisecond)
+		u := acquire(100+i, 0, "q0", time.Minute)
+		u.Request.Priority = model.PriorityUrgent
+		require.Empty(t, a.Submit(now, u))
+		p = one(t, a.Release(now, release(p, peer.AttemptOK)), EffectGrant).Permit
+		if p.Job == "j000001" {
+			return
+		}
+	}
+	require.Fail(t, "the second team never started")
+}
+
+// Guards against early refusals that are wrong and against accepting hopeless requests.
+func TestCannotStart(t *testing.T) {
+	a, now := small.start(epoch), epoch
+	for i := range 10 {
+		p := one(t, a.Submit(now, acquire(i, 0, "q0", time.Minute)), EffectGrant).Permit
+		now = now.Add(time.Second)
+		a.Release(now, release(p, peer.AttemptOK))
+	}
+	p := one(t, a.Submit(now, acquire(100, 0, "q0", time.Second)), EffectGrant).Permit
+	for i := range 10 {
+		require.Empty(t, a.Submit(now, acquire(200+i, 0, "q0", 30*time.Second)))
+	}
+	hopeless := acquire(300, 0, "late0", 5*time.Second)
+	require.Equal(t, model.ReasonCannotStart, one(t, a.Submit(now, hopeless), EffectRefuse).Reason)
+	require.Empty(t, a.Submit(now, acquire(301, 0, "q0", 5*time.Second)), "an earlier deadline goes first")
+	now = now.Add(5 * time.Second)
+	require.Equal(t, model.ReasonDeadlineQueued, one(t, a.Tick(now), EffectRefuse).Reason)
+	require.NotNil(t, p)
+}
+
+// Guards against forwarding in circles and against queueing where nothing serves.
+func TestForward(t *testing.T) {
+	a := small.start(epoch)
+	a.SetMinionState(epoch, "m0-000", model.VMDraining)
+	require.Equal(t, model.ReasonNoMinion, one(t, a.Submit(epoch, acquire(1, 0, "q0", time.Minute)), EffectRefuse).Reason)
+	a.SetRemoteUsage(epoch, "b", nil, map[model.Service]int{"s0": 1})
+	require.Equal(t, model.DataCentre("b"), one(t, a.Submit(epoch, acquire(2, 0, "q0", time.Minute)), EffectForward).To)
+	require.Equal(t, model.ReasonNoMinion, one(t, a.Submit(epoch, acquire(3, 0, "q0", time.Minute)), EffectRefuse).Reason,
+		"the reported slot is used up")
+	a.SetRemoteUsage(epoch, "b", nil, map[model.Service]int{"s0": 9})
+	hop := acquire(4, 0, "q0", time.Minute)
+	hop.Hops = 1
+	require.Equal(t, model.ReasonNoMinion, one(t, a.Submit(epoch, hop), EffectRefuse).Reason)
+	old := epoch.Add(3*time.Second + 1)
+	require.Equal(t, model.ReasonNoMinion, one(t, a.Submit(old, acquire(5, 0, "q0", time.Minute)), EffectRefuse).Reason)
+}
+
+// Guards against ejecting too many minions and against probing with more than one request.
+func TestOutliers(t *testing.T) {
+	f := small
+	f.minions, f.slots = 4, 4
+	a, now := f.start(epoch), epoch
+	job := 0
+	try := func(r peer.AttemptResult) model.VM {
+		job++
+		p := one(t, a.Submit(now, acquire(job, 0, "q0", time.Minute)), EffectGrant).Permit
+		a.Release(now, release(p, r))
+		return p.Minion
+	}
+	for range 40 {
+		try(peer.AttemptFailed)
+	}
+	ejected := map[model.VM]bool{}
+	for _, m := range a.Minions() {
+		if m.Ejected {
+			ejected[m.VM] = true
+		}
+	}
+	require.Len(t, ejected, 2)
+	now = now.Add(time.Second)
+	probe := one(t, a.Submit(now, acquire(900, 0, "q0", time.Minute)), EffectGrant).Permit
+	require.True(t, ejected[probe.Minion])
+	second := one(t, a.Submit(now, acquire(901, 0, "q0", time.Minute)), EffectGrant).Permit
+	require.True(t, ejected[second.Minion])
+	require.NotEqual(t, probe.Minion, second.Minion)
+	require.False(t, ejected[one(t, a.Submit(now, acquire(902, 0, "q0", time.Minute)), EffectGrant).Permit.Minion])
+	a.Release(now, release(probe, peer.AttemptFailed))
+	a.Release(now, release(second, peer.AttemptOK))
+	now = now.Add(1500 * time.Millisecond)
+	require.NotEqual(t, probe.Minion, try(peer.AttemptOK), "the back-off has doubled")
+	now = now.Add(time.Second)
+	require.Equal(t, probe.Minion, try(peer.AttemptOK))
+}
+
+// Guards against a retry on a minion that already failed the job.
+func TestAvoid(t *testing.T) {
+	f := small
+	f.minions = 2
+	a := f.start(epoch)
+	q := acquire(1, 0, "q0", time.Minute)
+	q.Avoid = []model.VM{"m0-000"}
+	require.Equal(t, model.VM("m0-001"), one(t, a.Submit(epoch, q), EffectGrant).Permit.Minion)
+	q = acquire(2, 0, "q0", time.Minute)
+	q.Avoid = []model.VM{"m0-001", "m0-000"}
+	require.Equal(t, model.ReasonNeverRuns, one(t, a.Submit(epoch, q), EffectRefuse).Reason)
+	q = acquire(3, 0, "q0", time.Minute)
+	q.Avoid = []model.VM{"m0-000"}
+	require.Empty(t, a.Submit(epoch, q), "waits for the other minion")
+	require.Equal(t, model.VM("m0-000"), one(t, a.Submit(epoch, acquire(4, 0, "q0", time.Minute)), EffectGrant).Permit.Minion)
+}
+
+// Guards against permits beyond the entry VM's share of a minion's connections.
+func TestConnectionShare(t *testing.T) {
+	f := small
+	f.slots, f.conns, f.entries = 4, 7, 3 // two connections each
+	a := f.start(epoch)
+	one(t, a.Submit(epoch, acquire(1, 0, "q0", time.Minute)), EffectGrant)
+	one(t, a.Submit(epoch, acquire(2, 0, "q0", time.Minute)), EffectGrant)
+	require.Empty(t, a.Submit(epoch, acquire(3, 0, "q0", time.Minute)))
+	q := acquire(4, 0, "q0", time.Minute)
+	q.From.Entry = "e1"
+	one(t, a.Submit(epoch, q), EffectGrant)
+}
--- /dev/null
+++ b/internal/admission/effect.go
@@ -0,0 +1,57 @@
+package admission
+
+import (
+	"boragepulley/internal/model"
+	"boragepulley/internal/peer"
+)
+
+// EffectKind is the kind of an Effect.
+type EffectKind string
+
+const (
+	// EffectGrant: the attempt may start with the permit.
+	EffectGrant EffectKind = "grant"
+	// EffectRefuse: no permit for the attempt exists and none will be granted.
+	EffectRefuse EffectKind = "refuse"
+	// EffectForward: the request belongs to another data centre; no permit exists here.
+	EffectForward EffectKind = "forward"
+)
+
+// Effect is one answer to one Acquire. Each accepted Acquire ends in exactly one effect.
+type Effect struct {
+	Kind EffectKind
+	// Holder is the entry VM that waits for the answer.
+	Holder  model.EntryVM
+	Job     model.JobID
+	Attempt int
+	Queue   model.Queue
+	Team    model.Team
+	// Permit is set for a grant.
+	Permit *model.Permit
+	// Reason is always set; Detail explains it with the figures behind the decision.
+	Reason model.Reason
+	Detail string
+	// To is the data centre of a forward.
+	To model.DataCentre
+}
+
+// Reply returns the effect as the answer to the Acquire.
+func (e Effect) Reply() peer.AcquireReply {
+	switch e.Kind {
+	case EffectGrant:
+		return peer.AcquireReply{Permit: e.Permit, Detail: e.Detail}
+	case EffectForward:
+		return peer.AcquireReply{ForwardTo: e.To, Detail: e.Detail}
+	}
+	return peer.AcquireReply{Refused: e.Reason, Detail: e.Detail}
+}
+
+func refusal(r *request, reason model.Reason, detail string) Effect {
+	return Effect{Kind: EffectRefuse, Holder: r.holder, Job: r.key.Job, Attempt: r.key.Attempt,
+		Queue: r.queue, Team: r.team, Reason: reason, Detail: detail}
+}
+
+func forwarding(r *request, to model.DataCentre, detail string) Effect {
+	return Effect{Kind: EffectForward, Holder: r.holder, Job: r.key.Job, Attempt: r.key.Attempt,
+		Queue: r.queue, Team: r.team, Reason: model.ReasonForwarded, Detail: detail, To: to}
+}
--- /dev/null
+++ b/internal/admission/grant.go
@@ -0,0 +1,264 @@
+package admission
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"boragepulley/internal/invariant"
+	"boragepulley/internal/model"
+)
+
+// touched collects the services in which a grant may have become possible.
+type touched map[model.Service]*service
+
+func (d touched) add(s *service) {
+	if s != nil && s.waiting > 0 {
+		d[s.name] = s
+	}
+}
+
+// addTeam adds the services for which the team waits.
+func (d touched) addTeam(t *team) {
+	if t.waiting == 0 {
+		return
+	}
+	for _, b := range t.backlogs {
+		if b.waiting > 0 {
+			d.add(b.service)
+		}
+	}
+}
+
+func (a *Admission) allTouched() touched {
+	d := make(touched)
+	for _, s := range a.services {
+		d.add(s)
+	}
+	return d
+}
+
+// candidate is the request that a service would start next.
+type candidate struct {
+	service *service
+	backlog *backlog
+	request *request
+	aged    bool
+	starved bool
+}
+
+// pump grants permits in the touched services until no waiting request is eligible.
+// Services are compared with each other, so that a team at its allotment does not
+// serve one of its services only.
+func (a *Admission) pump(now time.Time, d touched) []Effect {
+	if len(d) == 0 {
+		return nil
+	}
+	blocked := a.blockedSlots()
+	cands := make([]candidate, 0, len(d))
+	for _, s := range d {
+		if c := a.next(now, s, blocked); c.request != nil {
+			cands = append(cands, c)
+		}
+	}
+	slices.SortFunc(cands, func(x, y candidate) int { return cmp.Compare(x.service.name, y.service.name) })
+	var out []Effect
+	for len(cands) > 0 {
+		best := 0
+		for i := 1; i < len(cands); i++ {
+			if cands[i].before(&cands[best]) {
+				best = i
+			}
+		}
+		c := cands[best]
+		out = append(out, a.grantWaiting(now, c, blocked))
+		kept := cands[:0]
+		for _, o := range cands {
+			if o.service == c.service || o.backlog.team == c.backlog.team {
+				o = a.next(now, o.service, blocked)
+			}
+			if o.request != nil {
+				kept = append(kept, o)
+			}
+		}
+		cands = kept
+	}
+	return out
+}
+
+// blockedSlots counts the slots that count against every team's limit: jobs that no
+// permit explains and the slots of minions that have not answered since the takeover.
+func (a *Admission) blockedSlots() int {
+	n := a.unattributed
+	for _, m := range a.minions {
+		n += m.unknown()
+	}
+	return n
+}
+
+// room is how many more requests the team may start here; negative above a lowered limit.
+func (t *team) room(blocked int) int {
+	if !t.limited {
+		return 1
+	}
+	return min(t.allotment, t.limit) - t.permits - t.tasks - blocked
+}
+
+// next chooses the request that s would start now: the team with the lowest fleet-wide
+// usage ratio among those below their allotment, then priority, deadline and arrival.
+func (a *Admission) next(now time.Time, s *service, blocked int) candidate {
+	none := candidate{service: s}
+	s.survey(now)
+	if len(s.open) == 0 || s.waiting == 0 {
+		return none
+	}
+	best := none
+	for _, b := range s.backlogs {
+		if b.team.room(blocked) <= 0 {
+			continue
+		}
+		c := candidate{service: s, backlog: b, starved: a.starved(now, b)}
+		// The head request only matters among equals, so most teams need no look at it.
+		if best.request != nil && c.rank(&best) > 0 {
+			continue
+		}
+		c.request, c.aged = a.head(now, b)
+		if c.request != nil && (best.request == nil || c.before(&best)) {
+			best = c
+		}
+	}
+	return best
+}
+
+// rank compares what does not depend on the request: starved teams, then usage ratios.
+func (c *candidate) rank(o *candidate) int {
+	if c.starved != o.starved {
+		if c.starved {
+			return -1
+		}
+		return 1
+	}
+	if c.starved {
+		if d := c.backlog.lastGrant.Compare(o.backlog.lastGrant); d != 0 {
+			return d
+		}
+	}
+	return c.backlog.team.lowerRatio(o.backlog.team)
+}
+
+func (c *candidate) before(o *candidate) bool {
+	if d := c.rank(o); d != 0 {
+		return d < 0
+	}
+	return c.request.before(o.request)
+}
+
+// starved reports whether the team has waited for this service for much longer than its
+// share explains. Without it, ties by priority could pass over a team for ever.
+func (a *Admission) starved(now time.Time, b *backlog) bool {
+	since := now.Sub(b.lastGrant)
+	if since <= a.params.AgeBound {
+		return false
+	}
+	shares, slots := 0, b.service.serving
+	for _, o := range b.service.backlogs {
+		shares += o.team.share
+	}
+	// The team's share gives it a slot at least once per expected interval.
+	expected := time.Duration(float64(b.service.mean) * float64(shares) / float64(max(1, slots*b.team.share)))
+	return since > 2*expected
+}
+
+// head chooses the team's next eligible request: by class, deadline and arrival, except
+// that one grant in AgedEvery goes to the oldest aged request.
+func (a *Admission) head(now time.Time, b *backlog) (r *request, aged bool) {
+	var oldest *request
+	for _, l := range b.lines {
+		first := l.heap[0]
+		if !b.service.hasMinion(l.key.holder, first.avoid) {
+			continue
+		}
+		if r == nil || first.before(r) {
+			r = first
+		}
+		if oldest == nil || l.oldest.seq < oldest.seq {
+			oldest = l.oldest
+		}
+	}
+	if r != nil && b.sinceAged >= a.params.AgedEvery-1 && now.Sub(oldest.arrival) > a.params.AgeBound {
+		return oldest, true
+	}
+	return r, false
+}
+
+// grantWaiting starts the candidate's request.
+func (a *Admission) grantWaiting(now time.Time, c candidate, blocked int) Effect {
+	b, r := c.backlog, c.request
+	c.service.survey(now)
+	m := c.service.pick(r)
+	waited := now.Sub(r.arrival)
+	a.dequeue(r)
+	b.lastGrant = now
+	b.sinceAged++
+	if c.aged {
+		b.sinceAged = 0
+	}
+	return a.grant(now, r, m, blocked, fmt.Sprintf("started after %d ms in the queue", waited.Milliseconds()))
+}
+
+// grant creates the permit of r on m.
+func (a *Admission) grant(now time.Time, r *request, m *minion, blocked int, detail string) Effect {
+	t, s := a.team(r.team), m.service
+	invariant.Check(m.state == model.VMServing, invariant.NoWorkWhenLeaving,
+		"permit for minion %s in state %q", m.vm, m.state)
+	invariant.Check(m.used() < m.slots, invariant.NoWorkWhenLeaving,
+		"permit for minion %s with %d of %d slots used", m.vm, m.used(), m.slots)
+	invariant.Check(t.room(blocked) > 0, invariant.TeamLimit,
+		"permit for team %s above its allotment %d", t.name, t.allotment)
+	invariant.Check(a.authorize(r.queue, r.keyID, r.team) == model.ReasonNone, invariant.KeyAuthorizes,
+		"permit for job %s without a valid key", r.key.Job)
+	p := &permit{
+		Permit: model.Permit{
+			Job: r.key.Job, Attempt: r.key.Attempt, Team: r.team, Queue: r.queue, Service: s.name,
+			Minion: m.vm, Addr: m.addr, Holder: r.holder, Token: a.token,
+			StartWithin: min(a.params.StartWithin, r.deadline.Sub(now)),
+		},
+		key: r.key, minion: m, granted: now, maxRun: s.maxRun, probe: m.ejected,
+	}
+	if p.probe {
+		m.probing = true
+	}
+	a.addPermit(p)
+	return a.granted(p, detail)
+}
+
+func (a *Admission) granted(p *permit, detail string) Effect {
+	c := p.Permit
+	return Effect{Kind: EffectGrant, Holder: p.Holder, Job: p.Job, Attempt: p.Attempt, Queue: p.Queue,
+		Team: p.Team, Permit: &c, Reason: model.ReasonGranted, Detail: detail}
+}
+
+// begin ends what the passing of time ends: waiting requests past their deadline and
+// remote reports that are too old. Every event starts with it.
+func (a *Admission) begin(now time.Time) []Effect {
+	a.expireRemotes(now)
+	if len(a.timers) == 0 || now.Before(a.timers[0].deadline) {
+		return nil
+	}
+	var out []Effect
+	blocked := a.blockedSlots()
+	for len(a.timers) > 0 && !now.Before(a.timers[0].deadline) {
+		r := a.timers[0]
+		t := a.team(r.team)
+		reason, detail := model.ReasonDeadlineQueued, fmt.Sprintf("waited %d ms", now.Sub(r.arrival).Milliseconds())
+		if t.room(blocked) <= 0 {
+			reason = model.ReasonTeamLimit
+			detail = fmt.Sprintf("%s; team %q runs %d of %d, %d slots are of unknown use", detail,
+				t.name, t.permits+t.tasks, min(t.allotment, t.limit), blocked)
+		}
+		a.dequeue(r)
+		out = append(out, refusal(r, reason, detail))
+	}
+	return out
+}
--- /dev/null
+++ b/internal/admission/outlier.go
@@ -0,0 +1,67 @@
+package admission
+
+import (
+	"time"
+
+	"boragepulley/internal/model"
+)
+
+// Outlier detection of a minion:
+//
+//	healthy -> (EjectAfter failures in a row) -> ejected -> (back-off) -> probing
+//	probing -> healthy (the probe succeeds) | ejected with twice the back-off
+//
+// At most half of a service's serving minions are ejected, because failures on more
+// minions point at the requests and not at the minions.
+
+func (m *minion) succeed() {
+	m.failures, m.ejected, m.backoff, m.probeAt = 0, false, 0, time.Time{}
+}
+
+func (m *minion) fail(now time.Time, probe bool, p Params) {
+	m.failures++
+	switch {
+	case m.ejected && probe:
+		m.backoff = min(2*m.backoff, p.ProbeMax)
+		m.probeAt = now.Add(m.backoff)
+	case !m.ejected && m.failures >= p.EjectAfter && m.service != nil && m.service.mayEject():
+		m.ejected, m.backoff = true, p.ProbeMin
+		m.probeAt = now.Add(m.backoff)
+	}
+}
+
+// ejections counts the serving minions and the ejected ones among them.
+func (s *service) ejections() (serving, ejected int) {
+	for _, m := range s.minions {
+		if m.state == model.VMServing {
+			serving++
+			if m.ejected {
+				ejected++
+			}
+		}
+	}
+	return serving, ejected
+}
+
+func (s *service) mayEject() bool {
+	serving, ejected := s.ejections()
+	return 2*(ejected+1) <= serving
+}
+
+// limitEjections returns the minions with the earliest probe to service when fewer are
+// serving than when they were ejected.
+func (s *service) limitEjections() {
+	for {
+		serving, ejected := s.ejections()
+		if 2*ejected <= serving {
+			return
+		}
+		var first *minion
+		for _, m := range s.minions {
+			if m.state == model.VMServing && m.ejected && (first == nil || m.probeAt.Before(first.probeAt)) {
+				first = m
+			}
+		}
+		first.succeed()
+	}
+}
--- /dev/null
+++ b/internal/admission/request.go
@@ -0,0 +1,229 @@
+package admission
+
+import (
+	"container/heap"
+	"slices"
+	"strings"
+	"time"
+
+	"boragepulley/internal/model"
+	"boragepulley/internal/peer"
+)
+
+// Attempt identifies one attempt of one job.
+type Attempt struct {
+	Job     model.JobID
+	Attempt int
+}
+
+// class orders the requests of a team: urgent, normal, then deferrable queues.
+type class uint8
+
+const (
+	classUrgent class = iota
+	classNormal
+	classDeferrable
+	classes
+)
+
+// request is one waiting attempt.
+type request struct {
+	key        Attempt
+	holder     model.EntryVM
+	keyID      string
+	team       model.Team
+	queue      model.Queue
+	class      class
+	idempotent bool
+	hops       int
+	avoid      []model.VM
+	// avoidKey is the sorted avoid list as one string; requests with equal keys share a line.
+	avoidKey string
+	arrival  time.Time
+	deadline time.Time
+	// seq increases with each arrival and breaks all ties.
+	seq uint64
+
+	line       *line
+	heapIndex  int
+	timerIndex int
+	// older and newer link the requests of a line by arrival.
+	older, newer *request
+}
+
+func newRequest(now time.Time, a *peer.Acquire, c class, seq uint64) *request {
+	avoid := slices.Clone(a.Avoid)
+	slices.Sort(avoid)
+	avoid = slices.Compact(avoid)
+	names := make([]string, len(avoid))
+	for i, v := range avoid {
+		names[i] = string(v)
+	}
+	return &request{
+		key:    Attempt{Job: a.Request.Job, Attempt: a.Attempt},
+		holder: a.From.Entry, keyID: a.Request.KeyID, team: a.Request.Team, queue: a.Request.Queue,
+		class: c, idempotent: a.Request.Idempotent, hops: a.Hops,
+		avoid: avoid, avoidKey: strings.Join(names, "\x00"),
+		arrival: now, deadline: now.Add(a.Wait), seq: seq,
+	}
+}
+
+// before orders the requests of one team: class, deadline, arrival.
+func (r *request) before(o *request) bool {
+	if r.class != o.class {
+		return r.class < o.class
+	}
+	if !r.deadline.Equal(o.deadline) {
+		return r.deadline.Before(o.deadline)
+	}
+	return r.seq < o.seq
+}
+
+// requestHeap orders the requests of a line by before.
+type requestHeap []*request
+
+func (h requestHeap) Len() int           { return len(h) }
+func (h requestHeap) Less(i, j int) bool { return h[i].before(h[j]) }
+func (h requestHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].heapIndex, h[j].heapIndex = i, j
+}
+func (h *requestHeap) Push(x any) {
+	r := x.(*request)
+	r.heapIndex = len(*h)
+	*h = append(*h, r)
+}
+func (h *requestHeap) Pop() any {
+	old := *h
+	n := len(old) - 1
+	r := old[n]
+	old[n] = nil
+	*h = old[:n]
+	return r
+}
+
+// deadlineHeap orders all waiting requests by deadline, for Tick.
+type deadlineHeap []*request
+
+func (h deadlineHeap) Len() int { return len(h) }
+func (h deadlineHeap) Less(i, j int) bool {
+	if !h[i].deadline.Equal(h[j].deadline) {
+		return h[i].deadline.Before(h[j].deadline)
+	}
+	return h[i].seq < h[j].seq
+}
+func (h deadlineHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].timerIndex, h[j].timerIndex = i, j
+}
+func (h *deadlineHeap) Push(x any) {
+	r := x.(*request)
+	r.timerIndex = len(*h)
+	*h = append(*h, r)
+}
+func (h *deadlineHeap) Pop() any {
+	old := *h
+	n := len(old) - 1
+	r := old[n]
+	old[n] = nil
+	*h = old[:n]
+	return r
+}
+
+// lineKey names a line: requests with the same key can use the same minions.
+type lineKey struct {
+	queue  model.Queue
+	holder model.EntryVM
+	avoid  string
+}
+
+// line holds the waiting requests of a team and queue that can use the same minions,
+// because they have the same holder (connections) and the same minions to avoid.
+type line struct {
+	key            lineKey
+	backlog        *backlog
+	index          int // in backlog.lines
+	heap           requestHeap
+	oldest, newest *request
+}
+
+func (l *line) push(r *request) {
+	r.line = l
+	heap.Push(&l.heap, r)
+	r.older, r.newer = l.newest, nil
+	if l.newest != nil {
+		l.newest.newer = r
+	} else {
+		l.oldest = r
+	}
+	l.newest = r
+}
+
+func (l *line) remove(r *request) {
+	heap.Remove(&l.heap, r.heapIndex)
+	if r.older != nil {
+		r.older.newer = r.newer
+	} else {
+		l.oldest = r.newer
+	}
+	if r.newer != nil {
+		r.newer.older = r.older
+	} else {
+		l.newest = r.older
+	}
+	r.older, r.newer, r.line = nil, nil, nil
+}
+
+// backlog holds the waiting requests of one team for one service.
+type backlog struct {
+	team    *team
+	service *service
+	index   int // in service.backlogs
+	lines   []*line
+	byKey   map[lineKey]*line
+	waiting int
+	// perClass and bySecond count waiting requests by class and by the second of their
+	// deadline; estimates read them in place of the heaps.
+	perClass [classes]int
+	bySecond [classes]map[int64]int
+	// sinceAged counts grants since the last one to an aged request.
+	sinceAged int
+	// lastGrant is the time of the last grant, or when the backlog began.
+	lastGrant time.Time
+}
+
+func (b *backlog) add(r *request) {
+	k := lineKey{queue: r.queue, holder: r.holder, avoid: r.avoidKey}
+	l := b.byKey[k]
+	if l == nil {
+		l = &line{key: k, backlog: b, index: len(b.lines)}
+		b.byKey[k] = l
+		b.lines = append(b.lines, l)
+	}
+	l.push(r)
+	b.waiting++
+	b.perClass[r.class]++
+	if b.bySecond[r.class] == nil {
+		b.bySecond[r.class] = make(map[int64]int)
+	}
+	b.bySecond[r.class][r.deadline.Unix()]++
+}
+
+func (b *backlog) drop(r *request) {
+	l := r.line
+	l.remove(r)
+	b.waiting--
+	b.perClass[r.class]--
+	s := r.deadline.Unix()
+	if b.bySecond[r.class][s]--; b.bySecond[r.class][s] == 0 {
+		delete(b.bySecond[r.class], s)
+	}
+	if len(l.heap) == 0 {
+		last := len(b.lines) - 1
+		b.lines[l.index] = b.lines[last]
+		b.lines[l.index].index = l.index
+		b.lines[last] = nil
+		b.lines = b.lines[:last]
+		delete(b.byKey, l.key)
+	}
+}
--- /dev/null
+++ b/internal/admission/site.go
@@ -0,0 +1,198 @@
+package admission
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"boragepulley/internal/config"
+	"boragepulley/internal/model"
+)
+
+// SetSite puts a configuration in force. Waiting requests whose key was withdrawn or
+// whose queue is gone are refused; permits already granted are not affected.
+func (a *Admission) SetSite(x *config.Index, now time.Time) []Effect {
+	out := a.begin(now)
+	a.site = x
+	a.setTeams(x)
+	a.setMinions(x)
+	for _, k := range slices.SortedFunc(maps.Values(a.waiting), func(p, q *request) int { return cmp.Compare(p.seq, q.seq) }) {
+		out = append(out, a.recheck(k)...)
+	}
+	return append(out, a.pump(now, a.allTouched())...)
+}
+
+func (a *Admission) setTeams(x *config.Index) {
+	for _, t := range a.teams {
+		if t.limited {
+			t.limit = 0
+		}
+	}
+	for i := range x.Teams {
+		t := a.team(x.Teams[i].Name)
+		t.share, t.limit = max(1, x.Teams[i].Share), x.Teams[i].Limit
+	}
+}
+
+func (a *Admission) setMinions(x *config.Index) {
+	entries := 1
+	for _, d := range x.DataCentres {
+		if d.Name == a.dc {
+			entries = max(1, len(d.EntryVMs))
+		}
+	}
+	for _, s := range a.services {
+		s.minions, s.racks = s.minions[:0], 0
+	}
+	for i := range x.Services {
+		a.service(x.Services[i].Name).maxRun = x.Services[i].MaxRun
+	}
+	racks := make(map[*service]map[model.Rack]int)
+	here := make(map[model.VM]bool)
+	for i := range x.VMs {
+		v := &x.VMs[i]
+		if v.DC != a.dc {
+			continue
+		}
+		here[v.Name] = true
+		m := a.minion(v.Name)
+		m.addr, m.slots, m.connShare = v.Addr, v.Slots, v.Connections/entries
+		m.service = nil
+		p := x.Pool(v.Pool)
+		if p == nil || p.Spare || p.Service == "" {
+			continue
+		}
+		s := a.service(p.Service)
+		m.service = s
+		s.minions = append(s.minions, m)
+		if racks[s] == nil {
+			racks[s] = make(map[model.Rack]int)
+		}
+		if _, ok := racks[s][v.Rack]; !ok {
+			racks[s][v.Rack] = len(racks[s])
+		}
+		m.rackIndex = racks[s][v.Rack]
+	}
+	for vm, m := range a.minions {
+		if !here[vm] {
+			a.removeMinion(m)
+		}
+	}
+	for _, s := range a.services {
+		slices.SortFunc(s.minions, func(p, q *minion) int { return cmp.Compare(p.vm, q.vm) })
+		s.racks = len(racks[s])
+		s.rackLoad = make([]int, s.racks)
+		s.limitEjections()
+	}
+}
+
+// removeMinion handles a VM that left the configuration. It is tracked as long as jobs
+// may run on it, except that a VM that was already down is taken as over.
+func (a *Admission) removeMinion(m *minion) {
+	m.service = nil
+	if m.state == model.VMFailed || m.state == model.VMRebooting || m.state == model.VMEmpty {
+		a.clearMinion(m)
+	}
+	if len(m.permits) == 0 && len(m.unattributed) == 0 {
+		delete(a.minions, m.vm)
+	}
+}
+
+// clearMinion frees what only the minion's status would free.
+func (a *Admission) clearMinion(m *minion) {
+	a.unattributed -= len(m.unattributed)
+	clear(m.unattributed)
+	for _, p := range m.permits {
+		if p.state != permitOutstanding {
+			a.freePermit(p)
+		}
+	}
+}
+
+// recheck refuses or moves a waiting request after a configuration change.
+func (a *Admission) recheck(r *request) []Effect {
+	if reason := a.authorize(r.queue, r.keyID, r.team); reason != model.ReasonNone {
+		if reason == model.ReasonBadKey || reason == model.ReasonNoKey {
+			reason = model.ReasonKeyWithdrawn
+		}
+		a.dequeue(r)
+		return []Effect{refusal(r, reason, fmt.Sprintf("configuration version %d", a.version()))}
+	}
+	if s := a.service(a.site.Queue(r.queue).Service); s != r.line.backlog.service {
+		a.dequeue(r)
+		a.enqueue(r, s)
+	}
+	return nil
+}
+
+// SetAllotments sets the part of each team's limit that this data centre may use now. A
+// team that is not listed may start nothing.
+func (a *Admission) SetAllotments(now time.Time, parts map[model.Team]int) []Effect {
+	out := a.begin(now)
+	d := make(touched)
+	for _, t := range a.teams {
+		if n := parts[t.name]; n != t.allotment {
+			if n > t.allotment {
+				d.addTeam(t)
+			}
+			t.allotment = n
+		}
+	}
+	for n, k := range parts {
+		a.team(n).allotment = k
+	}
+	return append(out, a.pump(now, d)...)
+}
+
+// SetTasks sets the number of tasks on workers that count against this data centre's
+// allotments. Teams that are not listed have none.
+func (a *Admission) SetTasks(now time.Time, running map[model.Team]int) []Effect {
+	out := a.begin(now)
+	for n := range running {
+		a.team(n)
+	}
+	d := make(touched)
+	for _, t := range a.teams {
+		if n := running[t.name]; n != t.tasks {
+			if n < t.tasks {
+				d.addTeam(t)
+			}
+			t.tasks = n
+		}
+	}
+	return append(out, a.pump(now, d)...)
+}
+
+// SetMinionState sets the state of a VM of this data centre. A VM that comes back from
+// a reboot runs nothing from before.
+func (a *Admission) SetMinionState(now time.Time, vm model.VM, st model.VMState) []Effect {
+	out := a.begin(now)
+	m := a.minions[vm]
+	if m == nil || m.state == st {
+		return out
+	}
+	blocked := a.blockedSlots()
+	if m.state == model.VMRebooting && st != model.VMFailed {
+		a.clearMinion(m)
+		m.failures, m.ejected, m.probeAt, m.backoff = 0, false, time.Time{}, 0
+	}
+	m.state = st
+	if m.service != nil {
+		m.service.limitEjections()
+	}
+	out = append(out, a.forwardStranded(now)...)
+	return append(out, a.pump(now, a.touchedBy(m, blocked))...)
+}
+
+// touchedBy returns the services that may start work after a change of m: its own, and
+// all of them if slots of unknown use were freed.
+func (a *Admission) touchedBy(m *minion, blockedBefore int) touched {
+	if a.blockedSlots() < blockedBefore {
+		return a.allTouched()
+	}
+	d := make(touched, 1)
+	d.add(m.service)
+	return d
+}
--- /dev/null
+++ b/internal/admission/state.go
@@ -0,0 +1,264 @@
+package admission
+
+import (
+	"container/heap"
+	"time"
+
+	"boragepulley/internal/config"
+	"boragepulley/internal/model"
+)
+
+// permitState is the state of a permit as the coordinator sees it.
+//
+// State machine:
+//
+//	outstanding -> (released)
+//	outstanding -> orphaned (holder gone) -> (over on the minion) | outstanding (holder registers again)
+//	outstanding -> lost (connection lost, cancelled in flight, overdue) -> (over on the minion) | (released)
+//
+// A permit holds its slot and counts for its team in every state.
+type permitState uint8
+
+const (
+	permitOutstanding permitState = iota
+	permitOrphaned
+	permitLost
+)
+
+type permit struct {
+	model.Permit
+	key     Attempt
+	minion  *minion
+	granted time.Time
+	// maxRun is the service's largest run time when the permit was granted.
+	maxRun time.Duration
+	state  permitState
+	// probe is set if the permit tests an ejected minion.
+	probe bool
+	// notBefore is the earliest time at which the minion's status may free the permit.
+	notBefore time.Time
+	// missingSince is the first poll that did not list the attempt; zero if listed.
+	missingSince time.Time
+}
+
+// team is a team's usage in this data centre.
+type team struct {
+	name  model.Team
+	share int
+	// limited is false for work without a team on queues open to all.
+	limited bool
+	// allotment is the part of the limit that this data centre may use.
+	allotment int
+	// limit is the fleet-wide limit of the configuration.
+	limit int
+	// permits counts permits in every state.
+	permits int
+	// tasks counts tasks on workers that are charged to this data centre's allotment.
+	tasks int
+	// remote counts running work in other data centres, by fresh reports.
+	remote   int
+	waiting  int
+	backlogs map[model.Service]*backlog
+}
+
+// fleetRunning is the numerator of the team's usage ratio.
+func (t *team) fleetRunning() int { return t.permits + t.tasks + t.remote }
+
+// lowerRatio compares usage ratios: negative if t is further below its share than o.
+func (t *team) lowerRatio(o *team) int { return t.fleetRunning()*o.share - o.fleetRunning()*t.share }
+
+// service is an upstream service in this data centre.
+type service struct {
+	name    model.Service
+	maxRun  time.Duration
+	minions []*minion // by name
+	// racks is the number of racks; minion.rackIndex is below it.
+	racks int
+	// rackLoad, open and serving are the results of the last survey.
+	rackLoad []int
+	open     []*minion
+	serving  int
+	backlogs []*backlog
+	waiting  int
+	// mean is the exponentially weighted service time of samples attempts.
+	mean    time.Duration
+	samples int
+}
+
+type remote struct {
+	at      time.Time
+	running map[model.Team]int
+	free    map[model.Service]int
+}
+
+// finished remembers an attempt that is over or cancelled.
+type finished struct {
+	key    Attempt
+	at     time.Time
+	reason model.Reason
+	// rejects is set if a repeated Acquire of the attempt must be refused.
+	rejects bool
+}
+
+// Admission is the admission state of one data centre. It is owned by the
+// coordinator's control goroutine.
+type Admission struct {
+	params Params
+	dc     model.DataCentre
+	token  model.Token
+	site   *config.Index
+	seq    uint64
+
+	minions  map[model.VM]*minion
+	services map[model.Service]*service
+	teams    map[model.Team]*team
+	queued   map[model.Queue]int // waiting requests per queue
+	waiting  map[Attempt]*request
+	byHolder map[model.EntryVM]map[Attempt]*request
+	timers   deadlineHeap
+	permits  map[Attempt]*permit
+	remotes  map[model.DataCentre]*remote
+	// remoteUntil is the time at which the first remote report becomes too old.
+	remoteUntil time.Time
+	// unattributed counts running jobs that no permit explains, on all minions.
+	unattributed int
+	past         map[Attempt]*finished
+	pastOrder    []*finished
+}
+
+// New returns the state of a coordinator of dc that has just taken over with the
+// token: it knows no permits, and every minion counts as fully occupied until its
+// first status.
+func New(dc model.DataCentre, token model.Token, p Params) *Admission {
+	return &Admission{
+		params: p, dc: dc, token: token,
+		minions:  make(map[model.VM]*minion),
+		services: make(map[model.Service]*service),
+		teams:    make(map[model.Team]*team),
+		queued:   make(map[model.Queue]int),
+		waiting:  make(map[Attempt]*request),
+		byHolder: make(map[model.EntryVM]map[Attempt]*request),
+		permits:  make(map[Attempt]*permit),
+		remotes:  make(map[model.DataCentre]*remote),
+		past:     make(map[Attempt]*finished),
+	}
+}
+
+// SetToken sets the token of later permits, when the same coordinator continues with a
+// newer one.
+func (a *Admission) SetToken(t model.Token) { a.token = t }
+
+func (a *Admission) team(n model.Team) *team {
+	t := a.teams[n]
+	if t == nil {
+		t = &team{name: n, share: 1, limited: n != "", backlogs: make(map[model.Service]*backlog)}
+		a.teams[n] = t
+	}
+	return t
+}
+
+func (a *Admission) service(n model.Service) *service {
+	s := a.services[n]
+	if s == nil {
+		s = &service{name: n}
+		a.services[n] = s
+	}
+	return s
+}
+
+func (a *Admission) minion(vm model.VM) *minion {
+	m := a.minions[vm]
+	if m == nil {
+		m = &minion{vm: vm, permits: make(map[Attempt]*permit), conns: make(map[model.EntryVM]int),
+			unattributed: make(map[Attempt]time.Time)}
+		a.minions[vm] = m
+	}
+	return m
+}
+
+// enqueue adds r to the waiting requests of its team and service.
+func (a *Admission) enqueue(r *request, s *service) {
+	t := a.team(r.team)
+	b := t.backlogs[s.name]
+	if b == nil {
+		b = &backlog{team: t, service: s, byKey: make(map[lineKey]*line)}
+		t.backlogs[s.name] = b
+	}
+	if b.waiting == 0 {
+		b.index = len(s.backlogs)
+		s.backlogs = append(s.backlogs, b)
+		b.lastGrant = r.arrival
+	}
+	b.add(r)
+	t.waiting++
+	s.waiting++
+	a.queued[r.queue]++
+	a.waiting[r.key] = r
+	if a.byHolder[r.holder] == nil {
+		a.byHolder[r.holder] = make(map[Attempt]*request)
+	}
+	a.byHolder[r.holder][r.key] = r
+	heap.Push(&a.timers, r)
+}
+
+// dequeue removes r from the waiting requests.
+func (a *Admission) dequeue(r *request) {
+	b := r.line.backlog
+	b.drop(r)
+	s := b.service
+	if b.waiting == 0 {
+		last := len(s.backlogs) - 1
+		s.backlogs[b.index] = s.backlogs[last]
+		s.backlogs[b.index].index = b.index
+		s.backlogs[last] = nil
+		s.backlogs = s.backlogs[:last]
+	}
+	b.team.waiting--
+	s.waiting--
+	if a.queued[r.queue]--; a.queued[r.queue] == 0 {
+		delete(a.queued, r.queue)
+	}
+	delete(a.waiting, r.key)
+	if h := a.byHolder[r.holder]; len(h) == 1 {
+		delete(a.byHolder, r.holder)
+	} else {
+		delete(h, r.key)
+	}
+	heap.Remove(&a.timers, r.timerIndex)
+}
+
+// addPermit charges p to its minion and team.
+func (a *Admission) addPermit(p *permit) {
+	a.permits[p.key] = p
+	p.minion.permits[p.key] = p
+	p.minion.conns[p.Holder]++
+	a.team(p.Team).permits++
+}
+
+// freePermit gives the slot and the team's usage of p back.
+func (a *Admission) freePermit(p *permit) {
+	delete(a.permits, p.key)
+	delete(p.minion.permits, p.key)
+	if p.minion.conns[p.Holder]--; p.minion.conns[p.Holder] == 0 {
+		delete(p.minion.conns, p.Holder)
+	}
+	a.team(p.Team).permits--
+	if p.probe {
+		p.minion.probing = false
+	}
+}
+
+// remember keeps an attempt that is over for Params.Remember.
+func (a *Admission) remember(now time.Time, k Attempt, reason model.Reason, rejects bool) {
+	f := &finished{key: k, at: now, reason: reason, rejects: rejects}
+	a.past[k] = f
+	a.pastOrder = append(a.pastOrder, f)
+	for len(a.pastOrder) > 0 && now.Sub(a.pastOrder[0].at) > a.params.Remember {
+		old := a.pastOrder[0]
+		a.pastOrder[0] = nil
+		a.pastOrder = a.pastOrder[1:]
+		if a.past[old.key] == old {
+			delete(a.past, old.key)
+		}
+	}
+}
