--- /dev/null
+++ b/internal/upstream/client.go
@@ -0,0 +1,211 @@
+package upstream
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Defaults of Options.
+const (
+	// DefaultConnections fits 64 connections per minion and four entry VMs per data centre.
+	DefaultConnections = 16
+	// DefaultDialTimeout bounds one connection attempt inside a data centre (1 ms away).
+	DefaultDialTimeout = 500 * time.Millisecond
+	// DefaultIdleTimeout is short because a middlebox can lose the state of an idle connection.
+	DefaultIdleTimeout = 5 * time.Second
+	// DefaultLateAnswer is how long an answer is awaited after the caller's deadline, so
+	// that a job that ended slightly late is not accounted as unknown.
+	DefaultLateAnswer = 2 * time.Second
+	// DefaultStatusTimeout bounds one status request.
+	DefaultStatusTimeout = time.Second
+	// DefaultMaxAnswer bounds an answer's body in bytes.
+	DefaultMaxAnswer = 16 << 20
+
+	// maxHeader bounds the head of an answer in bytes.
+	maxHeader = 64 << 10
+	// maxStatus bounds the body of a status answer in bytes.
+	maxStatus = 1 << 20
+)
+
+// Options configure a Client. Zero values select the defaults.
+type Options struct {
+	// Connections bounds the connections to one minion: floor(minion's connections /
+	// entry VMs of the data centre).
+	Connections   int
+	DialTimeout   time.Duration
+	IdleTimeout   time.Duration
+	LateAnswer    time.Duration
+	StatusTimeout time.Duration
+	// MaxAnswer bounds the body of an answer in bytes.
+	MaxAnswer int64
+	// Dial opens a connection to "IP:port"; nil uses TCP.
+	Dial func(ctx context.Context, addr string) (net.Conn, error)
+}
+
+// Client implements Minions over HTTP/1.1. It writes requests to its own connections,
+// because net/http repeats some requests by itself on a stale connection, and because
+// only the writer knows whether a byte was sent. It is safe for concurrent use.
+type Client struct {
+	opt Options
+
+	mu     sync.Mutex // guards the fields below
+	limit  int
+	limits map[string]int
+	pools  map[string]*pool
+	closed bool
+}
+
+var _ Minions = (*Client)(nil)
+
+// New returns a client. Close releases its connections.
+func New(o Options) *Client {
+	setDefault(&o.Connections, DefaultConnections)
+	setDefault(&o.DialTimeout, DefaultDialTimeout)
+	setDefault(&o.IdleTimeout, DefaultIdleTimeout)
+	setDefault(&o.LateAnswer, DefaultLateAnswer)
+	setDefault(&o.StatusTimeout, DefaultStatusTimeout)
+	setDefault(&o.MaxAnswer, DefaultMaxAnswer)
+	if o.Dial == nil {
+		o.Dial = dialTCP
+	}
+	return &Client{opt: o, limit: o.Connections, pools: map[string]*pool{}}
+}
+
+func setDefault[T comparable](v *T, d T) {
+	var zero T
+	if *v == zero {
+		*v = d
+	}
+}
+
+// SetLimits changes the bound on connections per minion: byAddr by "IP:port", general
+// for all others. Values below 1 count as 1. Connections above a lowered bound are
+// closed when their call ends.
+func (c *Client) SetLimits(general int, byAddr map[string]int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.limit, c.limits = general, byAddr
+	for addr, p := range c.pools {
+		p.setLimit(c.limitLocked(addr))
+	}
+}
+
+func (c *Client) limitLocked(addr string) int {
+	n, ok := c.limits[addr]
+	if !ok {
+		n = c.limit
+	}
+	return max(n, 1)
+}
+
+// Close closes all idle connections; connections in use are closed when their call ends.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	for _, p := range c.pools {
+		p.close()
+	}
+}
+
+func (c *Client) pool(addr string) *pool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.pools[addr]
+	if p == nil {
+		p = newPool(addr, c.limitLocked(addr), &c.opt)
+		p.closed = c.closed
+		c.pools[addr] = p
+	}
+	return p
+}
+
+// Run implements Minions. The answer is awaited until the deadline plus Options.LateAnswer.
+func (c *Client) Run(ctx context.Context, call Call) (Answer, error) {
+	start := time.Now()
+	a, err := c.run(ctx, call)
+	observe(runLatency, runOutcomes, time.Since(start), err)
+	return a, err
+}
+
+func (c *Client) run(ctx context.Context, call Call) (Answer, error) {
+	p := c.pool(call.Addr)
+	cn, err := acquireUntil(ctx, p, call.Deadline, want{fresh: call.FreshConnection})
+	if err != nil {
+		return Answer{}, failure(ErrNotReached, err)
+	}
+	if call.BeforeSend != nil {
+		if err := call.BeforeSend(); err != nil {
+			p.put(cn, true)
+			return Answer{}, failure(ErrNotReached, err)
+		}
+	}
+	resp, err := cn.exchange(ctx, exchange{
+		head:  runHead(call),
+		body:  call.Body,
+		until: call.Deadline.Add(c.opt.LateAnswer),
+		limit: c.opt.MaxAnswer,
+	})
+	if err != nil {
+		p.put(cn, false)
+		return Answer{}, err
+	}
+	a, err := checkAnswer(call, resp)
+	p.put(cn, resp.reusable && !errors.Is(err, ErrAnswerNotWhole))
+	return a, err
+}
+
+// Status implements Minions. A request that fails on a pooled connection is repeated on
+// a new one, because the pooled connection may have gone silent.
+func (c *Client) Status(ctx context.Context, addr string) (Status, error) {
+	start := time.Now()
+	s, reused, err := c.status(ctx, addr, false, c.opt.StatusTimeout/2)
+	if err != nil && reused && ctx.Err() == nil {
+		s, _, err = c.status(ctx, addr, true, c.opt.StatusTimeout/2)
+	}
+	observe(statusLatency, statusOutcomes, time.Since(start), err)
+	return s, err
+}
+
+func (c *Client) status(ctx context.Context, addr string, fresh bool, timeout time.Duration) (s Status, reused bool, err error) {
+	until := time.Now().Add(timeout)
+	p := c.pool(addr)
+	cn, err := acquireUntil(ctx, p, until, want{fresh: fresh, status: true})
+	if err != nil {
+		return s, false, failure(ErrNotReached, err)
+	}
+	reused = cn.reused
+	resp, err := cn.exchange(ctx, exchange{head: statusHead(addr), until: until, limit: maxStatus})
+	if err != nil {
+		p.put(cn, false)
+		return s, reused, err
+	}
+	p.put(cn, resp.reusable)
+	if resp.status != http.StatusOK {
+		return s, false, failure(ErrAnswerLost, errors.Errorf("status answer %d", resp.status))
+	}
+	if err := json.Unmarshal(resp.body, &s); err != nil {
+		return Status{}, false, failure(ErrAnswerLost, errors.Wrap(err, "status answer"))
+	}
+	return s, reused, nil
+}
+
+func acquireUntil(ctx context.Context, p *pool, until time.Time, w want) (*conn, error) {
+	ctx, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
+	return p.acquire(ctx, w)
+}
+
+// callError joins the class of a failed call with its cause; errors.Is matches both.
+type callError struct{ class, cause error }
+
+func failure(class, cause error) error { return &callError{class, cause} }
+
+func (e *callError) Error() string   { return e.class.Error() + ": " + e.cause.Error() }
+func (e *callError) Unwrap() []error { return []error{e.class, e.cause} }
--- /dev/null
+++ b/internal/upstream/pool.go
@@ -0,0 +1,253 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// statusReserve connections of a minion's bound are kept for status requests, so that
+	// a coordinator can ask a minion whose other connections are all busy.
+	statusReserve = 1
+	// tcpUserTimeout is the Linux socket option TCP_USER_TIMEOUT, which package syscall lacks.
+	tcpUserTimeout = 0x12
+	// unackedTimeout ends a connection whose peer acknowledges nothing: a middlebox that
+	// lost the connection's state drops packets without an answer.
+	unackedTimeout = 3 * time.Second
+)
+
+var errPoolClosed = errors.New("client closed")
+
+// want says what kind of connection a call needs.
+type want struct {
+	// fresh asks for a connection that no other call has used.
+	fresh bool
+	// status may use the reserved connections.
+	status bool
+}
+
+// pool holds the connections to one minion.
+type pool struct {
+	addr string
+	opt  *Options
+
+	mu      sync.Mutex // guards the fields below
+	limit   int
+	open    int     // connections that are in use, idle or being opened
+	runs    int     // connections in use or being opened for runs
+	idle    []*conn // in the order of their last use
+	changed chan struct{}
+	closed  bool
+}
+
+func newPool(addr string, limit int, o *Options) *pool {
+	return &pool{addr: addr, opt: o, limit: limit, changed: make(chan struct{})}
+}
+
+// acquire returns a connection; the caller gives it back with put.
+func (p *pool) acquire(ctx context.Context, w want) (*conn, error) {
+	for {
+		p.mu.Lock()
+		cn, dial := p.takeLocked(w)
+		changed, closed := p.changed, p.closed
+		p.mu.Unlock()
+		switch {
+		case closed:
+			return nil, errPoolClosed
+		case cn != nil:
+			return cn, nil
+		case dial:
+			return p.dial(ctx, w)
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil, errors.Wrap(ctx.Err(), "no free connection")
+		}
+	}
+}
+
+// takeLocked returns an idle connection, or whether the caller may open one.
+func (p *pool) takeLocked(w want) (cn *conn, dial bool) {
+	if p.closed || (!w.status && p.runs >= p.runLimitLocked()) {
+		return nil, false
+	}
+	for len(p.idle) > 0 && !w.fresh && cn == nil {
+		last := p.idle[len(p.idle)-1]
+		p.idle = p.idle[:len(p.idle)-1]
+		if last.timer.Stop() && last.usable() {
+			cn = last
+			cn.reused = true
+			continue
+		}
+		last.Close()
+		p.open--
+	}
+	if cn == nil && p.open >= p.limit && len(p.idle) > 0 {
+		oldest := p.idle[0]
+		p.idle = p.idle[1:]
+		oldest.timer.Stop()
+		oldest.Close()
+		p.open--
+	}
+	if cn == nil && p.open >= p.limit {
+		return nil, false
+	}
+	if cn == nil {
+		p.open++
+	} else {
+		cn.status = w.status
+	}
+	if !w.status {
+		p.runs++
+	}
+	return cn, cn == nil
+}
+
+func (p *pool) runLimitLocked() int {
+	if p.limit > statusReserve {
+		return p.limit - statusReserve
+	}
+	return p.limit
+}
+
+func (p *pool) dial(ctx context.Context, w want) (*conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.opt.DialTimeout)
+	defer cancel()
+	nc, err := p.opt.Dial(ctx, p.addr)
+	if err != nil {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.dropLocked(w.status)
+		return nil, err
+	}
+	connectionsOpened.Add(1)
+	return newConn(nc, w.status), nil
+}
+
+// put gives a connection back after a call. Only a reusable connection is kept.
+func (p *pool) put(cn *conn, reusable bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !reusable || p.closed || p.open > p.limit || cn.br.Buffered() > 0 {
+		cn.Close()
+		p.dropLocked(cn.status)
+		return
+	}
+	if !cn.status {
+		p.runs--
+	}
+	cn.timer = time.AfterFunc(p.opt.IdleTimeout, func() { p.expire(cn) })
+	p.idle = append(p.idle, cn)
+	p.wakeLocked()
+}
+
+// expire closes a connection that was idle for the idle timeout.
+func (p *pool) expire(cn *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i, c := range p.idle {
+		if c == cn {
+			p.idle = append(p.idle[:i:i], p.idle[i+1:]...)
+			cn.Close()
+			p.open--
+			p.wakeLocked()
+			return
+		}
+	}
+}
+
+func (p *pool) dropLocked(status bool) {
+	p.open--
+	if !status {
+		p.runs--
+	}
+	p.wakeLocked()
+}
+
+func (p *pool) wakeLocked() {
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+func (p *pool) setLimit(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limit = n
+	p.wakeLocked()
+}
+
+func (p *pool) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, cn := range p.idle {
+		cn.timer.Stop()
+		cn.Close()
+	}
+	p.open -= len(p.idle)
+	p.idle = nil
+	p.wakeLocked()
+}
+
+// conn is one connection to a minion. One call at a time uses it.
+type conn struct {
+	net.Conn
+	lr     *io.LimitedReader
+	br     *bufio.Reader
+	status bool
+	reused bool
+	timer  *time.Timer // closes the connection while idle; guarded by the pool's lock
+}
+
+func newConn(nc net.Conn, status bool) *conn {
+	lr := &io.LimitedReader{R: nc}
+	return &conn{Conn: nc, lr: lr, br: bufio.NewReader(lr), status: status}
+}
+
+// usable reports whether an idle connection was neither closed by the minion nor
+// carries unexpected bytes. It does not block.
+func (c *conn) usable() bool {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, rerr := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = rerr == syscall.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
+
+// dialTCP connects with keep-alive probes and a bound on unacknowledged data, so that
+// the kernel ends connections that a middlebox has forgotten.
+func dialTCP(ctx context.Context, addr string) (net.Conn, error) {
+	d := net.Dialer{
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3},
+		Control: func(_, _ string, rc syscall.RawConn) error {
+			var serr error
+			err := rc.Control(func(fd uintptr) {
+				serr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unackedTimeout.Milliseconds()))
+			})
+			if err != nil {
+				return err
+			}
+			return serr
+		},
+	}
+	return d.DialContext(ctx, "tcp", addr)
+}
