--- /dev/null
+++ b/internal/caller/answers.go
@@ -0,0 +1,120 @@
+package caller
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
+
+	"boragepulley/internal/model"
+	"boragepulley/internal/problem"
+)
+
+// statusOf returns the HTTP status of a request that was not run, by its reason.
+func statusOf(r model.Reason) int {
+	switch r {
+	case model.ReasonBadRequest, model.ReasonBodyIncomplete:
+		return http.StatusBadRequest
+	case model.ReasonNoKey, model.ReasonBadKey, model.ReasonKeyWithdrawn:
+		return http.StatusUnauthorized
+	case model.ReasonKeyNotForQueue:
+		return http.StatusForbidden
+	case model.ReasonUnknownQueue:
+		return http.StatusNotFound
+	case model.ReasonDuplicateID, model.ReasonCancelled:
+		return http.StatusConflict
+	case model.ReasonBodyTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case model.ReasonQueueFull, model.ReasonTeamLimit, model.ReasonCannotStart:
+		return http.StatusTooManyRequests
+	case model.ReasonDeadlineQueued:
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusServiceUnavailable
+}
+
+// writeResult answers with the result of a job.
+func writeResult(c echo.Context, r model.Result) error {
+	allowWrite(c)
+	switch r.Outcome() {
+	case model.OutcomeRan:
+		return writeAnswer(c, r, http.StatusConflict)
+	case model.OutcomeNotRun:
+		return resultProblem(r, statusOf(r.Reason)).Write(c)
+	}
+	return resultProblem(r, http.StatusGatewayTimeout).Write(c)
+}
+
+// writeAnswer writes the minion's answer. expired is the status if it is not kept any
+// more. A minion's status of 500 and above becomes 502, so that it cannot be taken for
+// a refusal of the entry VM; X-Minion-Status holds the original.
+func writeAnswer(c echo.Context, r model.Result, expired int) error {
+	if r.Reason == model.ReasonAnswerExpired {
+		return resultProblem(r, expired).Write(c)
+	}
+	h := c.Response().Header()
+	h.Set(headerJobID, string(r.Job))
+	h.Set(headerOutcome, string(model.OutcomeRan))
+	if r.Reason != model.ReasonNone {
+		h.Set(headerReason, string(r.Reason))
+	}
+	status := r.Status
+	if status >= http.StatusInternalServerError {
+		h.Set(headerMinionStatus, strconv.Itoa(status))
+		status = http.StatusBadGateway
+	}
+	h.Set(echo.HeaderContentLength, strconv.Itoa(len(r.Body)))
+	contentType := r.ContentType
+	if contentType == "" {
+		contentType = echo.MIMEOctetStream
+	}
+	return c.Blob(status, contentType, r.Body)
+}
+
+// resultProblem describes a job without an answer.
+func resultProblem(r model.Result, status int) problem.Problem {
+	detail := r.Detail
+	if detail == "" {
+		detail = "state " + string(r.State)
+	}
+	return problem.Problem{
+		Title: title(r.Outcome()), Status: status, Detail: detail,
+		Outcome: r.Outcome(), Reason: r.Reason, JobID: r.Job,
+	}
+}
+
+func title(o model.Outcome) string {
+	switch o {
+	case model.OutcomeNotRun:
+		return "The job was not run"
+	case model.OutcomeRan:
+		return "The job ran; its answer is not kept any more"
+	}
+	return "It is not known whether the job ran"
+}
+
+// allowWrite bounds the time that the caller may take to read the answer.
+func allowWrite(c echo.Context) {
+	rc := http.NewResponseController(c.Response().Writer)
+	// Writers without deadlines, as in tests, cannot be slow.
+	_ = rc.SetWriteDeadline(time.Now().Add(writeTimeout))
+}
+
+// handleError answers requests that no handler took: unknown paths and methods.
+func (s *Server) handleError(err error, c echo.Context) {
+	if c.Response().Committed {
+		return
+	}
+	p := problem.Problem{Status: http.StatusInternalServerError, Title: "Internal error"}
+	var he *echo.HTTPError
+	if errors.As(err, &he) {
+		p.Status, p.Title = he.Code, http.StatusText(he.Code)
+	} else {
+		s.log.Error().Err(err).Str("path", c.Path()).Msg("request failed")
+	}
+	if werr := p.Write(c); werr != nil {
+		s.log.Debug().Err(werr).Msg("problem not written")
+	}
+}
--- /dev/null
+++ b/internal/caller/headers.go
@@ -0,0 +1,116 @@
+package caller
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"boragepulley/internal/dispatch"
+	"boragepulley/internal/model"
+)
+
+// Headers of the callers' API.
+const (
+	headerRequestID    = "X-Request-Id"
+	headerIdempotent   = "X-Idempotent"
+	headerPriority     = "X-Priority"
+	headerDeadlineMs   = "X-Deadline-Ms"
+	headerPrefer       = "Prefer"
+	headerJobID        = "X-Job-Id"
+	headerOutcome      = "X-Outcome"
+	headerReason       = "X-Reason"
+	headerMinionStatus = "X-Minion-Status"
+)
+
+// maxDeadlineMs is the largest accepted deadline in milliseconds.
+const maxDeadlineMs = 600_000
+
+// parseHeaders reads a request's headers. Errors name the header and what it may hold.
+// Each header may be sent once: two different values would leave it open which counts.
+func parseHeaders(h http.Header) (in dispatch.Input, async bool, err error) {
+	in = dispatch.Input{Idempotent: true, Priority: model.PriorityNormal, ContentType: h.Get("Content-Type")}
+	for _, name := range []string{"Authorization", headerRequestID, headerIdempotent, headerPriority, headerDeadlineMs} {
+		if len(h.Values(name)) > 1 {
+			return in, false, errors.Errorf("%s is given more than once", name)
+		}
+	}
+	if in.Key, err = parseKey(h.Get("Authorization")); err != nil {
+		return in, false, err
+	}
+	in.RequestID = h.Get(headerRequestID)
+	if !printable(in.RequestID) || len(in.RequestID) > dispatch.MaxRequestID {
+		in.RequestID = ""
+		return in, false, errors.Errorf("%s: want at most %d printable ASCII characters", headerRequestID, dispatch.MaxRequestID)
+	}
+	if _, given := h[headerRequestID]; given && in.RequestID == "" {
+		return in, false, errors.Errorf("%s is empty", headerRequestID)
+	}
+	switch v := strings.ToLower(h.Get(headerIdempotent)); v {
+	case "", "true":
+	case "false":
+		in.Idempotent = false
+	default:
+		return in, false, errors.Errorf("%s: want true or false", headerIdempotent)
+	}
+	switch v := model.Priority(strings.ToLower(h.Get(headerPriority))); v {
+	case "", model.PriorityNormal:
+	case model.PriorityUrgent:
+		in.Priority = v
+	default:
+		return in, false, errors.Errorf("%s: want urgent or normal", headerPriority)
+	}
+	if in.Deadline, err = parseDeadline(h.Get(headerDeadlineMs)); err != nil {
+		return in, false, err
+	}
+	return in, prefersAsync(h.Values(headerPrefer)), nil
+}
+
+// parseKey returns "<key id>.<secret>" of an Authorization header, or "" without one.
+func parseKey(v string) (string, error) {
+	if v == "" {
+		return "", nil
+	}
+	scheme, key, _ := strings.Cut(v, " ")
+	key = strings.TrimSpace(key)
+	id, secret, ok := strings.Cut(key, ".")
+	if !strings.EqualFold(scheme, "Bearer") || !ok || id == "" || secret == "" || !printable(key) {
+		return "", errors.New("Authorization: want Bearer <key id>.<secret>")
+	}
+	return key, nil
+}
+
+func parseDeadline(v string) (time.Duration, error) {
+	if v == "" {
+		return 0, nil
+	}
+	ms, err := strconv.Atoi(v)
+	if err != nil || ms < 1 || ms > maxDeadlineMs {
+		return 0, errors.Errorf("%s: want a number of milliseconds from 1 to %d", headerDeadlineMs, maxDeadlineMs)
+	}
+	return time.Duration(ms) * time.Millisecond, nil
+}
+
+// prefersAsync finds the preference respond-async (RFC 7240).
+func prefersAsync(values []string) bool {
+	for _, v := range values {
+		for _, p := range strings.Split(v, ",") {
+			name, _, _ := strings.Cut(p, ";")
+			if strings.EqualFold(strings.TrimSpace(name), "respond-async") {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func printable(s string) bool {
+	for i := range len(s) {
+		if s[i] < ' ' || s[i] > '~' {
+			return false
+		}
+	}
+	return true
+}
