--- /dev/null
+++ b/internal/upstream/client_test.go
@@ -0,0 +1,361 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func testCall(addr string) Call {
+	return Call{Job: "job-e1", Attempt: 2, Minion: "m1", Addr: addr, Body: []byte("in"), Deadline: time.Now().Add(5 * time.Second)}
+}
+
+// rawMinion accepts connections and answers each request with reply. A reply that
+// returns false closes the connection.
+func rawMinion(t *testing.T, reply func(c net.Conn, r *http.Request, conn int) bool) (addr string, conns *atomic.Int32) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	conns = &atomic.Int32{}
+	var wg sync.WaitGroup
+	t.Cleanup(func() { l.Close(); wg.Wait() })
+	wg.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			n := int(conns.Add(1))
+			wg.Go(func() { serveRaw(c, n, reply) })
+		}
+	})
+	return l.Addr().String(), conns
+}
+
+func serveRaw(c net.Conn, n int, reply func(net.Conn, *http.Request, int) bool) {
+	defer c.Close()
+	br := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		body, _ := io.ReadAll(r.Body)
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		if !reply(c, r, n) {
+			return
+		}
+	}
+}
+
+func writeAnswer(w io.Writer, job, attempt, digest string, length int, body string) {
+	fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nX-Job-Id: %s\r\nX-Attempt: %s\r\nX-Digest: %s\r\nContent-Length: %d\r\n\r\n%s",
+		job, attempt, digest, length, body)
+}
+
+func goodAnswer(w io.Writer) { writeAnswer(w, "job-e1", "2", Digest([]byte("out")), 3, "out") }
+
+// Guards against taking an incomplete, corrupted or foreign answer for the whole one,
+// and against reporting a job as not started when the minion did not say so.
+func TestAnswerClasses(t *testing.T) {
+	digest := Digest([]byte("out"))
+	cases := map[string]struct {
+		reply func(c net.Conn)
+		want  error
+	}{
+		"whole":           {func(c net.Conn) { goodAnswer(c) }, nil},
+		"continue first":  {func(c net.Conn) { io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n"); goodAnswer(c) }, nil},
+		"truncated":       {func(c net.Conn) { writeAnswer(c, "job-e1", "2", digest, 4, "out") }, ErrAnswerNotWhole},
+		"wrong job":       {func(c net.Conn) { writeAnswer(c, "other-e1", "2", digest, 3, "out") }, ErrAnswerNotWhole},
+		"earlier attempt": {func(c net.Conn) { writeAnswer(c, "job-e1", "1", digest, 3, "out") }, ErrAnswerNotWhole},
+		"wrong digest":    {func(c net.Conn) { writeAnswer(c, "job-e1", "2", digest, 3, "0ut") }, ErrAnswerNotWhole},
+		"no digest":       {func(c net.Conn) { writeAnswer(c, "job-e1", "2", "", 3, "out") }, ErrAnswerNotWhole},
+		"too large":       {func(c net.Conn) { writeAnswer(c, "job-e1", "2", digest, 1025, "out") }, ErrAnswerNotWhole},
+		"no length": {func(c net.Conn) {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Job-Id: job-e1\r\nX-Attempt: 2\r\nX-Digest: %s\r\n\r\nout", digest)
+		}, ErrAnswerNotWhole},
+		"chunked": {func(c net.Conn) {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Job-Id: job-e1\r\nX-Attempt: 2\r\nX-Digest: %s\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nout\r\n0\r\n\r\n", digest)
+		}, ErrAnswerNotWhole},
+		"garbage":     {func(c net.Conn) { io.WriteString(c, "garbage\r\n\r\n") }, ErrAnswerNotWhole},
+		"head cut":    {func(c net.Conn) { io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Job") }, ErrAnswerNotWhole},
+		"no answer":   {func(net.Conn) {}, ErrAnswerLost},
+		"not started": {func(c net.Conn) { refuse(c, "X-Not-Started: true\r\n") }, ErrNotStarted},
+		"not started, other attempt": {func(c net.Conn) {
+			refuse(c, "X-Not-Started: true\r\nX-Job-Id: job-e1\r\nX-Attempt: 1\r\n")
+		}, ErrAnswerNotWhole},
+		"503 without word": {func(c net.Conn) { refuse(c, "") }, ErrAnswerNotWhole},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			addr, _ := rawMinion(t, func(c net.Conn, _ *http.Request, _ int) bool { tc.reply(c); return false })
+			cl := New(Options{MaxAnswer: 1024})
+			defer cl.Close()
+			a, err := cl.Run(context.Background(), testCall(addr))
+			if tc.want == nil {
+				require.NoError(t, err)
+				require.Equal(t, "out", string(a.Body))
+				return
+			}
+			require.ErrorIs(t, err, tc.want)
+			for _, other := range []error{ErrNotReached, ErrNotStarted, ErrAnswerLost, ErrAnswerNotWhole} {
+				require.Equal(t, other == tc.want, errors.Is(err, other), "one class only: %v", err)
+			}
+		})
+	}
+}
+
+func refuse(w io.Writer, header string) {
+	fmt.Fprintf(w, "HTTP/1.1 503 Service Unavailable\r\n%sContent-Length: 0\r\n\r\n", header)
+}
+
+// Guards against a wrong request on the wire.
+func TestRequestOnTheWire(t *testing.T) {
+	addr, _ := rawMinion(t, func(c net.Conn, r *http.Request, _ int) bool {
+		b, _ := io.ReadAll(r.Body)
+		if r.Method != "POST" || r.URL.Path != "/run" || r.Header.Get("X-Job-Id") != "job-e1" || r.Header.Get("X-Attempt") != "2" ||
+			r.Header.Get("X-Deadline-Ms") == "" || r.Header.Get("Content-Type") != "a/bEvil: 1" || string(b) != "in" {
+			return false
+		}
+		goodAnswer(c)
+		return true
+	})
+	cl := New(Options{})
+	defer cl.Close()
+	call := testCall(addr)
+	call.ContentType = "a/b\r\nEvil: 1"
+	_, err := cl.Run(context.Background(), call)
+	require.NoError(t, err)
+}
+
+// Guards against reporting "not reached" after bytes were sent, and "may have run"
+// although the connection was refused or BeforeSend stopped the call.
+func TestNotReached(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	addr := l.Addr().String()
+	l.Close()
+	cl := New(Options{})
+	defer cl.Close()
+	_, err = cl.Run(context.Background(), testCall(addr))
+	require.ErrorIs(t, err, ErrNotReached)
+
+	addr, _ = rawMinion(t, func(net.Conn, *http.Request, int) bool { t.Error("request was sent"); return false })
+	dials := 0
+	cl = New(Options{Dial: func(ctx context.Context, addr string) (net.Conn, error) {
+		dials++
+		return dialTCP(ctx, addr)
+	}})
+	defer cl.Close()
+	call := testCall(addr)
+	stop := errors.New("stop")
+	call.BeforeSend = func() error { return stop }
+	for range 2 {
+		_, err = cl.Run(context.Background(), call)
+		require.ErrorIs(t, err, ErrNotReached)
+		require.ErrorIs(t, err, stop)
+	}
+	require.Equal(t, 1, dials, "an unused connection is kept")
+}
+
+// Guards against the repetition of a request that went out on a connection which the
+// minion closes at that moment, and against reusing a connection that has failed.
+func TestNoHiddenRetry(t *testing.T) {
+	var requests atomic.Int32
+	addr, conns := rawMinion(t, func(c net.Conn, _ *http.Request, conn int) bool {
+		if requests.Add(1) == 2 {
+			return false
+		}
+		goodAnswer(c)
+		return true
+	})
+	cl := New(Options{})
+	defer cl.Close()
+	for i, want := range []error{nil, ErrAnswerLost, nil} {
+		_, err := cl.Run(context.Background(), testCall(addr))
+		require.ErrorIs(t, err, want, "call %d", i)
+	}
+	require.EqualValues(t, 3, requests.Load())
+	require.EqualValues(t, 2, conns.Load())
+}
+
+// Guards against sending on a pooled connection that the minion has closed meanwhile.
+func TestClosedIdleConnection(t *testing.T) {
+	closed := make(chan struct{}, 2)
+	addr, conns := rawMinion(t, func(c net.Conn, _ *http.Request, _ int) bool {
+		goodAnswer(c)
+		c.Close()
+		closed <- struct{}{}
+		return false
+	})
+	cl := New(Options{})
+	defer cl.Close()
+	for range 2 {
+		_, err := cl.Run(context.Background(), testCall(addr))
+		require.NoError(t, err)
+		<-closed
+		// The close reaches this end over loopback without a further event to wait for.
+		require.Eventually(t, func() bool {
+			p := cl.pool(addr)
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			return len(p.idle) == 1 && !p.idle[0].usable()
+		}, 5*time.Second, time.Millisecond)
+	}
+	require.EqualValues(t, 2, conns.Load())
+}
+
+// Guards against more connections to a minion than allowed, and against a coordinator
+// that cannot ask a minion whose connections are busy.
+func TestConnectionBound(t *testing.T) {
+	release := make(chan struct{})
+	var running, most atomic.Int32
+	m := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/status" {
+			fmt.Fprint(w, `{"busy":2,"slots":8,"jobs":[{"id":"job-e1","attempt":2}]}`)
+			return
+		}
+		most.Store(max(most.Load(), running.Add(1)))
+		<-release
+		running.Add(-1)
+		w.Header().Set("X-Job-Id", "job-e1")
+		w.Header().Set("X-Attempt", "2")
+		w.Header().Set("X-Digest", Digest(nil))
+	}))
+	defer m.Close()
+	addr := strings.TrimPrefix(m.URL, "http://")
+	cl := New(Options{Connections: 3})
+	defer cl.Close()
+	var wg sync.WaitGroup
+	for i := range 6 {
+		wg.Go(func() {
+			call := testCall(addr)
+			call.FreshConnection = i%2 == 0
+			_, err := cl.Run(context.Background(), call)
+			if err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	require.Eventually(t, func() bool { return running.Load() == 2 }, 5*time.Second, time.Millisecond)
+	st, err := cl.Status(context.Background(), addr)
+	require.NoError(t, err)
+	require.Equal(t, Status{Busy: 2, Slots: 8, Jobs: []RunningJob{{ID: "job-e1", Attempt: 2}}}, st)
+	p := cl.pool(addr)
+	p.mu.Lock()
+	require.LessOrEqual(t, p.open, 3)
+	p.mu.Unlock()
+	close(release)
+	wg.Wait()
+	require.EqualValues(t, 2, most.Load())
+	require.Zero(t, p.runs)
+
+	cl.SetLimits(1, nil)
+	call := testCall(addr)
+	_, err = cl.Run(context.Background(), call)
+	require.NoError(t, err)
+	require.LessOrEqual(t, p.open, 1)
+}
+
+// Guards against FreshConnection using a pooled connection that may be silent.
+func TestFreshConnection(t *testing.T) {
+	addr, conns := rawMinion(t, func(c net.Conn, _ *http.Request, _ int) bool { goodAnswer(c); return true })
+	cl := New(Options{})
+	defer cl.Close()
+	for i, fresh := range []bool{false, false, true} {
+		call := testCall(addr)
+		call.FreshConnection = fresh
+		_, err := cl.Run(context.Background(), call)
+		require.NoError(t, err, i)
+	}
+	require.EqualValues(t, 2, conns.Load())
+}
+
+// pipeDialer dials minions in memory, so that synctest controls the time.
+func pipeDialer(serve func(c net.Conn, n int)) (func(context.Context, string) (net.Conn, error), *int) {
+	n := new(int)
+	return func(context.Context, string) (net.Conn, error) {
+		a, b := net.Pipe()
+		*n++
+		k := *n
+		go serve(b, k)
+		return a, nil
+	}, n
+}
+
+// Guards against waiting for ever on a silent connection, and against using it again.
+func TestSilentConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dial, dials := pipeDialer(func(c net.Conn, n int) {
+			serveRaw(c, n, func(c net.Conn, r *http.Request, n int) bool {
+				switch {
+				case n == 1:
+					return true // takes the request and stays silent
+				case r.URL.Path == "/status":
+					io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+				default:
+					goodAnswer(c)
+				}
+				return true
+			})
+		})
+		cl := New(Options{Dial: dial, LateAnswer: time.Second})
+		start := time.Now()
+		call := testCall("m")
+		_, err := cl.Run(context.Background(), call)
+		require.ErrorIs(t, err, ErrAnswerLost)
+		require.Equal(t, call.Deadline.Add(time.Second), time.Now())
+		require.Less(t, time.Since(start), 10*time.Second)
+		_, err = cl.Run(context.Background(), testCall("m"))
+		require.NoError(t, err)
+		require.Equal(t, 2, *dials)
+
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_, err = cl.Status(ctx, "m")
+		require.NoError(t, err)
+		time.Sleep(2 * DefaultIdleTimeout)
+		require.Zero(t, cl.pool("m").open, "idle connections are closed in time")
+	})
+}
+
+// Guards against a status request that fails because its pooled connection went silent
+// while the minion answers on new ones.
+func TestStatusOnSilentPooledConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var requests atomic.Int32
+		dial, dials := pipeDialer(func(c net.Conn, n int) {
+			serveRaw(c, n, func(c net.Conn, _ *http.Request, _ int) bool {
+				if requests.Add(1) != 2 {
+					io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n{\"busy\":3}")
+				}
+				return true
+			})
+		})
+		cl := New(Options{Dial: dial})
+		for range 2 {
+			st, err := cl.Status(context.Background(), "m")
+			require.NoError(t, err)
+			require.Equal(t, 3, st.Busy)
+		}
+		require.Equal(t, 2, *dials)
+		cl.Close()
+	})
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -91,11 +91,7 @@
 		p.open--
 	}
 	if cn == nil && p.open >= p.limit && len(p.idle) > 0 {
-		oldest := p.idle[0]
-		p.idle = p.idle[1:]
-		oldest.timer.Stop()
-		oldest.Close()
-		p.open--
+		p.closeOldestLocked()
 	}
 	if cn == nil && p.open >= p.limit {
 		return nil, false
@@ -111,6 +107,14 @@
 	return cn, cn == nil
 }
 
+func (p *pool) closeOldestLocked() {
+	oldest := p.idle[0]
+	p.idle = p.idle[1:]
+	oldest.timer.Stop()
+	oldest.Close()
+	p.open--
+}
+
 func (p *pool) runLimitLocked() int {
 	if p.limit > statusReserve {
 		return p.limit - statusReserve
@@ -181,6 +185,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.limit = n
+	for p.open > p.limit && len(p.idle) > 0 {
+		p.closeOldestLocked()
+	}
 	p.wakeLocked()
 }
 
@@ -188,12 +195,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
-	for _, cn := range p.idle {
-		cn.timer.Stop()
-		cn.Close()
+	for len(p.idle) > 0 {
+		p.closeOldestLocked()
 	}
-	p.open -= len(p.idle)
-	p.idle = nil
 	p.wakeLocked()
 }
 
--- a/internal/upstream/wire.go
+++ b/internal/upstream/wire.go
@@ -83,7 +83,10 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 
-	bufs := net.Buffers{x.head, x.body}
+	bufs := net.Buffers{x.head}
+	if len(x.body) > 0 {
+		bufs = append(bufs, x.body)
+	}
 	n, werr := bufs.WriteTo(c.Conn)
 	if werr != nil {
 		if n == 0 {
