--- a/internal/dispatch/claims.go
+++ b/internal/dispatch/claims.go
@@ -90,8 +90,8 @@
 	claiming bool
 	voids    []claim
 	voiding  bool
-	// voided is closed when no claim waits to be voided; nil while none does.
-	voided chan struct{}
+	// settled is closed when neither goroutine has work left; nil while both are idle.
+	settled chan struct{}
 
 	// nextTxn is when the next claim transaction may start; owned by the claim goroutine,
 	// of which there is at most one at a time.
@@ -110,6 +110,7 @@
 	c.pending = append(c.pending, ask)
 	if !c.claiming {
 		c.claiming = true
+		c.busyLocked()
 		go c.claimLoop()
 	}
 	c.mu.Unlock()
@@ -158,7 +159,10 @@
 		rest = append(rest, a)
 	}
 	c.pending = rest
-	c.claiming = len(batch) > 0
+	if len(batch) == 0 {
+		c.claiming = false
+		c.quietLocked()
+	}
 	return batch
 }
 
--- /dev/null
+++ b/internal/dispatch/dispatch_test.go
@@ -0,0 +1,561 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+
+	"boragepulley/internal/control"
+	"boragepulley/internal/model"
+	"boragepulley/internal/peer"
+	"boragepulley/internal/platform"
+	"boragepulley/internal/upstream"
+)
+
+// Guards against a retry that could run a job twice, a missing retry that was allowed,
+// and an outcome that is not true (D7).
+func TestRetryByFailureClass(t *testing.T) {
+	type want struct {
+		state  model.State
+		reason model.Reason
+		sent   int
+	}
+	ran := func(sent int) want { return want{model.StateRan, model.ReasonNone, sent} }
+	cases := []struct {
+		kind            fault
+		idempotent, not want
+		release         peer.AttemptResult
+	}{
+		{okay, ran(1), ran(1), peer.AttemptOK},
+		{refusedConn, ran(1), ran(1), peer.AttemptFailed},
+		{unsent, ran(2), ran(2), peer.AttemptFailed},
+		{notStarted, ran(2), ran(2), peer.AttemptNotStarted},
+		{lostBefore, ran(2), want{model.StateUnknown, model.ReasonAnswerLost, 1}, peer.AttemptLost},
+		{lostAfter, ran(2), want{model.StateUnknown, model.ReasonAnswerLost, 1}, peer.AttemptLost},
+		{partAnswer, ran(2), want{model.StateUnknown, model.ReasonAnswerNotWhole, 1}, peer.AttemptLost},
+		{status500, ran(2), ran(1), peer.AttemptFailed},
+	}
+	for _, c := range cases {
+		for _, idempotent := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s idempotent=%t", c.kind, idempotent), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					r := newRig(3)
+					r.minions.fault = failFirst(c.kind)
+					w := c.not
+					if idempotent {
+						w = c.idempotent
+					}
+					res := r.Submit(context.Background(), input("body", idempotent))
+					require.Equal(t, w, want{res.State, res.Reason, len(r.minions.calls)})
+					require.Equal(t, w.state, r.ctl.merged(res.Job))
+					require.Equal(t, c.release, r.ctl.released[0])
+					for i, call := range r.minions.calls {
+						require.Equal(t, !idempotent || call.Attempt > 1, call.FreshConnection, i)
+						require.False(t, i > 0 && call.Minion == r.minions.calls[i-1].Minion, "another minion")
+					}
+					r.settled(t)
+				})
+			})
+		}
+	}
+}
+
+// Guards against endless attempts and against a final reason that hides that the job
+// itself is at fault.
+func TestAttemptsExhausted(t *testing.T) {
+	for kind, want := range map[fault]struct {
+		state  model.State
+		reason model.Reason
+	}{
+		refusedConn: {model.StateRefused, model.ReasonAttempts},
+		notStarted:  {model.StateRefused, model.ReasonNeverRuns},
+		lostAfter:   {model.StateUnknown, model.ReasonNeverRuns},
+		status500:   {model.StateRan, model.ReasonNeverRuns},
+	} {
+		t.Run(string(kind), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRig(3)
+				r.minions.fault = always(kind)
+				res := r.Submit(context.Background(), input("body", true))
+				require.Equal(t, want.state, res.State)
+				require.Equal(t, want.reason, res.Reason)
+				require.Len(t, r.ctl.released, 3)
+				r.settled(t)
+			})
+		})
+	}
+}
+
+// Guards against retries that multiply the load when all minions fail: 40 requests
+// bring 4 retries, besides 3 at the start and 3 per second.
+func TestRetryBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(2)
+		r.minions.fault = always(notStarted)
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		reasons := map[model.Reason]int{}
+		for i := range 40 {
+			wg.Go(func() {
+				res := r.Submit(context.Background(), input(fmt.Sprint(i), true))
+				mu.Lock()
+				defer mu.Unlock()
+				reasons[res.Reason]++
+			})
+		}
+		wg.Wait()
+		require.Equal(t, map[model.Reason]int{model.ReasonNeverRuns: 7, model.ReasonRetryBudget: 33}, reasons)
+		r.settled(t)
+	})
+}
+
+// Guards against a dispatch with a permit or key that is no longer valid (I3, I8).
+func TestPermitChecks(t *testing.T) {
+	for reason, runs := range map[model.Reason]int{
+		model.ReasonKeyWithdrawn: 0, model.ReasonIsolated: 0, model.ReasonStaleToken: 1, model.ReasonPermitExpired: 1,
+	} {
+		t.Run(string(reason), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRig(1)
+				r.ctl.check = func(p *model.Permit) model.Reason {
+					if p.Attempt == 1 {
+						return reason
+					}
+					return model.ReasonNone
+				}
+				res := r.Submit(context.Background(), input("x", false))
+				require.Equal(t, runs, r.minions.ran("x"))
+				require.Equal(t, peer.AttemptUnused, r.ctl.released[0])
+				if runs == 0 {
+					require.Equal(t, model.StateRefused, res.State)
+					require.Equal(t, reason, res.Reason)
+				}
+				r.settled(t)
+			})
+		})
+	}
+}
+
+// Guards against keyed work in a data centre that cannot confirm its configuration.
+func TestIsolationPolicy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(1)
+		snap := testSnapshot(1)
+		snap.Current = false
+		r.ctl.snap = snap
+		res := r.Submit(context.Background(), input("x", true))
+		require.Equal(t, model.ReasonIsolated, res.Reason)
+		require.Equal(t, model.OutcomeNotRun, res.Outcome())
+		res = r.Submit(context.Background(), Input{Queue: "open", Idempotent: true})
+		require.Equal(t, model.StateRan, res.State)
+		snap.Site.Isolation.Keys = "serve"
+		res = r.Submit(context.Background(), input("x", true))
+		require.Equal(t, model.StateRan, res.State)
+	})
+}
+
+// holdAcquire keeps every attempt in the queue until its context ends.
+func holdAcquire(ctx context.Context, _ control.Attempt) (peer.AcquireReply, bool, error) {
+	<-ctx.Done()
+	return peer.AcquireReply{}, true, ctx.Err()
+}
+
+// Guards against requests that outlive their deadline or caller in the queue, and
+// against a claim of an unrun job that blocks its request id.
+func TestEndWhileQueued(t *testing.T) {
+	for name, c := range map[string]struct {
+		end    func(r *rig, cancel func(), id model.JobID)
+		state  model.State
+		reason model.Reason
+	}{
+		"deadline":   {func(*rig, func(), model.JobID) {}, model.StateRefused, model.ReasonDeadlineQueued},
+		"disconnect": {func(_ *rig, cancel func(), _ model.JobID) { cancel() }, model.StateCancelled, model.ReasonCallerGone},
+		"cancel": {func(r *rig, _ func(), id model.JobID) {
+			if _, err := r.Cancel(id, "blue"); !errors.Is(err, ErrNotOwner) {
+				panic(err)
+			}
+			if _, err := r.Cancel(id, "red"); err != nil {
+				panic(err)
+			}
+		}, model.StateCancelled, model.ReasonCancelled},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRig(3)
+				r.ctl.acquire = holdAcquire
+				in := withID(input("x", false), "id")
+				in.Job = r.NewJobID()
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
+				go func() {
+					time.Sleep(time.Second)
+					c.end(r, cancel, in.Job)
+				}()
+				r.Submit(ctx, in)
+				synctest.Wait()
+				rep := r.Get(in.Job)
+				require.Equal(t, c.state, rep.Result.State)
+				require.Equal(t, c.reason, rep.Result.Reason)
+				require.Equal(t, c.state, r.ctl.merged(in.Job))
+
+				r.ctl.acquire = nil
+				res := r.Submit(context.Background(), withID(input("x", false), "id"))
+				require.Equal(t, model.StateRan, res.State, "the id can be used again")
+				require.Equal(t, 1, r.minions.ran("x"))
+				r.settled(t)
+			})
+		})
+	}
+}
+
+// Guards against losing the answer of a dispatched job whose caller went away or whose
+// deadline passed, and against calling such a job not run.
+func TestEndWhileDispatched(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(3)
+		r.minions.fault = always(runsTillLate)
+		in := input("x", false)
+		in.Job, in.Deadline = r.NewJobID(), time.Second
+		start := time.Now()
+		res := r.Submit(context.Background(), in)
+		require.Equal(t, time.Second, time.Since(start))
+		require.Equal(t, model.StateUnknown, res.State)
+		require.Equal(t, model.ReasonDeadlineRunning, res.Reason)
+		_, err := r.Cancel(in.Job, "red")
+		require.ErrorIs(t, err, ErrTooLate)
+		time.Sleep(5 * time.Second)
+		require.Equal(t, "X", string(r.Answer(in.Job).Result.Body))
+
+		ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+		defer cancel()
+		in.Job = r.NewJobID()
+		r.Submit(ctx, in)
+		time.Sleep(5 * time.Second)
+		require.Equal(t, model.StateRan, r.Get(in.Job).Result.State)
+		require.Equal(t, model.StateRan, r.ctl.merged(in.Job))
+		r.settled(t)
+	})
+}
+
+// Guards against a second run of a request that is sent twice at once, and against the
+// answer of another request with the same id.
+func TestParallelDuplicates(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			r := newRig(3)
+			var wg sync.WaitGroup
+			for range 10 {
+				wg.Go(func() {
+					res := r.Submit(context.Background(), withID(input("x", idempotent), "id"))
+					if string(res.Body) != "X" {
+						t.Errorf("result %+v", res)
+					}
+				})
+			}
+			wg.Wait()
+			require.Equal(t, 1, r.minions.ran("x"))
+			res := r.Submit(context.Background(), withID(input("other", idempotent), "id"))
+			require.Equal(t, model.ReasonDuplicateID, res.Reason)
+			require.Equal(t, model.OutcomeNotRun, res.Outcome())
+			require.Zero(t, r.minions.ran("other"))
+			r.settled(t)
+		})
+	}
+}
+
+// Guards against a second run through another entry VM of a non-idempotent request.
+func TestClaimAcrossEntryVMs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := newRig(3)
+		b := a.other("e2", "a")
+		var wg sync.WaitGroup
+		results := make([]model.Result, 8)
+		for i := range results {
+			wg.Go(func() {
+				s := []*rig{a, b}[i%2]
+				results[i] = s.Submit(context.Background(), withID(input("x", false), "id"))
+			})
+		}
+		wg.Wait()
+		for _, res := range results {
+			require.Equal(t, "X", string(res.Body), "%+v", res)
+			require.Equal(t, results[0].Job, res.Job)
+		}
+		require.Equal(t, 1, a.minions.ran("x"))
+		res := b.SubmitAsync(context.Background(), withID(input("x", false), "id"))
+		require.Equal(t, results[0].Job, res.Job)
+		a.links.to["e1"], a.links.to["e2"] = nil, nil
+		c := a.other("e9", "a")
+		res = c.Submit(context.Background(), withID(input("x", false), "id"))
+		require.Equal(t, model.OutcomeUnknown, res.Outcome(), "the original cannot be asked")
+		require.Equal(t, results[0].Job, res.Job)
+		require.Equal(t, 1, a.minions.ran("x"))
+		for _, r := range []*rig{a, b, c} {
+			r.settled(t)
+		}
+	})
+}
+
+// Guards against running without a stored claim, against losing one whose answer was
+// lost, and against claims that stay behind for jobs that did not run.
+func TestClaimFaults(t *testing.T) {
+	first := func(err error, stored bool) func(int) (error, bool) {
+		return func(n int) (error, bool) {
+			if n == 1 {
+				return err, stored
+			}
+			return nil, false
+		}
+	}
+	for name, c := range map[string]struct {
+		commit func(int) (error, bool)
+		get    error
+		runs   int
+	}{
+		"answer lost, stored":             {first(platform.ErrUnknownOutcome, true), nil, 1},
+		"answer lost, not stored":         {first(platform.ErrUnknownOutcome, false), nil, 1},
+		"answer lost, cannot read back":   {first(platform.ErrUnknownOutcome, true), platform.ErrUnavailable, 0},
+		"not stored, cannot read back":    {first(platform.ErrUnknownOutcome, false), platform.ErrUnavailable, 0},
+		"store down":                      {first(platform.ErrUnavailable, false), platform.ErrUnavailable, 0},
+		"budget used up":                  {first(platform.ErrBudget, false), nil, 0},
+		"other error, cannot read back":   {first(errors.New("broken"), true), platform.ErrUnavailable, 0},
+		"answers lost again and again":    {func(n int) (error, bool) { return lostUntil(n, 5), false }, nil, 0},
+		"every answer lost, first stored": {func(n int) (error, bool) { return lostUntil(n, 5), n == 1 }, nil, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRig(3)
+				r.table.commitErr = c.commit
+				down := time.Now().Add(3 * time.Second)
+				r.table.getErr = func() error {
+					if time.Now().Before(down) {
+						return c.get
+					}
+					return nil
+				}
+				res := r.Submit(context.Background(), withID(input("x", false), "id"))
+				require.Equal(t, c.runs, r.minions.ran("x"))
+				if c.runs == 1 {
+					require.Equal(t, model.StateRan, res.State)
+					r.settled(t)
+					return
+				}
+				require.Equal(t, model.StateRefused, res.State)
+				require.Equal(t, model.ReasonClaimUnavailable, res.Reason)
+				time.Sleep(30 * time.Second)
+				res = r.Submit(context.Background(), withID(input("x", false), "id"))
+				require.Equal(t, model.StateRan, res.State, "the id can be used again: %+v", res)
+				r.settled(t)
+			})
+		})
+	}
+	// Without an id there is nothing to claim, and idempotent work needs no store.
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(3)
+		r.table.commitErr = func(int) (error, bool) { return platform.ErrUnavailable, false }
+		require.Equal(t, model.StateRan, r.Submit(context.Background(), input("x", false)).State)
+		require.Equal(t, model.StateRan, r.Submit(context.Background(), withID(input("y", true), "id")).State)
+		require.Zero(t, r.table.commits)
+	})
+}
+
+func lostUntil(n, last int) error {
+	if n <= last {
+		return platform.ErrUnknownOutcome
+	}
+	return nil
+}
+
+// Guards against one used request id that spoils the claims of a whole batch, and
+// against more than 20 claim transactions a second.
+func TestClaimBatches(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := newRig(3)
+		b := a.other("e2", "a")
+		used := b.Submit(context.Background(), withID(input("7", false), "id7"))
+		a.table.commits = 0
+		start := time.Now()
+		var wg sync.WaitGroup
+		for i := range 150 {
+			wg.Go(func() {
+				res := a.Submit(context.Background(), withID(input(fmt.Sprint(i), false), fmt.Sprint("id", i)))
+				if string(res.Body) != fmt.Sprint(i) || (i == 7) != (res.Job == used.Job) {
+					t.Errorf("request %d: %+v", i, res)
+				}
+			})
+		}
+		wg.Wait()
+		for i := range 150 {
+			require.Equal(t, 1, a.minions.ran(fmt.Sprint(i)))
+		}
+		require.LessOrEqual(t, a.table.commits, 20)
+		require.GreaterOrEqual(t, time.Since(start), time.Duration(a.table.commits-1)*claimSpacing)
+		a.settled(t)
+		b.settled(t)
+	})
+}
+
+// Guards against answers kept without bound, against a waiting caller that gets none
+// because of the bound, and against a repeat that runs again after the answer expired.
+func TestAnswerRetention(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(3)
+		large := strings.Repeat("x", 900)
+		res := r.Submit(context.Background(), withID(input(large, true), "id"))
+		require.Len(t, res.Body, 900)
+		first := res.Job
+		res = r.Submit(context.Background(), input(strings.Repeat("y", 900), true))
+		require.Len(t, res.Body, 900)
+		require.LessOrEqual(t, r.kept.bytes, int64(1<<10))
+		res = r.Submit(context.Background(), withID(input(large, true), "id"))
+		require.Equal(t, first, res.Job)
+		require.Equal(t, model.StateRan, res.State)
+		require.Equal(t, model.ReasonAnswerExpired, res.Reason)
+		require.Equal(t, 1, r.minions.ran(large))
+
+		res = r.Submit(context.Background(), input("short", true))
+		time.Sleep(DefaultAnswerRetention - time.Second)
+		require.Equal(t, "SHORT", string(r.Answer(res.Job).Result.Body))
+		time.Sleep(2 * time.Second)
+		require.Equal(t, model.ReasonAnswerExpired, r.Answer(res.Job).Result.Reason)
+		time.Sleep(stateRetention)
+		require.False(t, r.Get(res.Job).Found)
+		require.Zero(t, r.kept.bytes)
+		require.Empty(t, r.kept.jobs)
+		require.Empty(t, r.kept.repeats)
+	})
+}
+
+// redirect sends first attempts that have not been forwarded to a data centre.
+func redirect(dc model.DataCentre) func(context.Context, control.Attempt) (peer.AcquireReply, bool, error) {
+	return func(_ context.Context, a control.Attempt) (peer.AcquireReply, bool, error) {
+		return peer.AcquireReply{ForwardTo: dc}, a.Hops == 0, nil
+	}
+}
+
+// Guards against a lost forward that runs twice or is called not run.
+func TestForward(t *testing.T) {
+	broken := errors.New("connection lost")
+	for name, c := range map[string]struct {
+		fail            func(model.EntryVM) (error, bool)
+		idempotent, not model.State
+		runs            int
+	}{
+		"delivered":             {nil, model.StateRan, model.StateRan, 1},
+		"not sent":              {func(model.EntryVM) (error, bool) { return ErrForwardNotSent, false }, model.StateRan, model.StateRan, 1},
+		"reply lost":            {func(model.EntryVM) (error, bool) { return broken, true }, model.StateRan, model.StateUnknown, 1},
+		"lost on its way there": {func(model.EntryVM) (error, bool) { return broken, false }, model.StateRan, model.StateUnknown, 0},
+	} {
+		for _, idempotent := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s idempotent=%t", name, idempotent), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					a := newRig(3)
+					b := a.other("e3", "b")
+					a.links.fail = c.fail
+					a.ctl.acquire = redirect("b")
+					res := a.Submit(context.Background(), withID(input("x", idempotent), "id"))
+					if idempotent {
+						require.Equal(t, c.idempotent, res.State)
+					} else {
+						require.Equal(t, c.not, res.State)
+						require.Equal(t, c.runs, a.minions.ran("x"))
+					}
+					require.Equal(t, []model.EntryVM{"e3"}, a.links.sent)
+					a.settled(t)
+					b.settled(t)
+				})
+			})
+		}
+	}
+}
+
+// Guards against a refusal of the other entry VM in the account of a job that this one
+// goes on with, and against forwarded work for a key that was withdrawn there.
+func TestForwardRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := newRig(3)
+		b := a.other("e3", "b")
+		a.ctl.acquire = redirect("b")
+		b.BeginDrain()
+		res := a.Submit(context.Background(), input("x", false))
+		require.Equal(t, model.StateRan, res.State)
+		require.Empty(t, b.ctl.records)
+
+		c := a.other("e3", "b")
+		snap := testSnapshot(3)
+		snap.Site.Key("k1").Team = "blue"
+		c.ctl.snap = snap
+		res = a.Submit(context.Background(), input("y", false))
+		require.Equal(t, model.ReasonKeyWithdrawn, res.Reason)
+		require.Equal(t, model.OutcomeNotRun, res.Outcome())
+		require.Zero(t, a.minions.ran("y"))
+		require.Empty(t, c.ctl.records)
+		a.settled(t)
+	})
+}
+
+// Guards against a shutdown that cuts a request (I9): queued ones move to another entry
+// VM with their claim, dispatched ones end, new ones are refused as not run.
+func TestDrain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := newRig(3)
+		b := a.other("e2", "a")
+		a.minions.fault = func(c upstream.Call) fault {
+			if string(c.Body) == "running" {
+				return runsTillLate
+			}
+			return okay
+		}
+		results := make(chan model.Result, 2)
+		submit := func(in Input) { results <- a.Submit(context.Background(), in) }
+		running := input("running", false)
+		running.Deadline = 3 * time.Second
+		go submit(running)
+		synctest.Wait()
+		a.ctl.acquire = holdAcquire
+		go submit(withID(input("queued", false), "id"))
+		time.Sleep(time.Second)
+		a.BeginDrain()
+		res := <-results
+		require.Equal(t, "QUEUED", string(res.Body))
+		require.Equal(t, []model.EntryVM{"e2"}, a.links.sent)
+		res = a.Submit(context.Background(), input("new", false))
+		require.Equal(t, model.ReasonShuttingDown, res.Reason)
+		require.Equal(t, model.OutcomeNotRun, res.Outcome())
+		res = <-results
+		require.Equal(t, model.ReasonDeadlineRunning, res.Reason, "told at its deadline")
+		a.settled(t)
+		require.Equal(t, model.StateRan, a.Get(res.Job).Result.State, "and the answer is awaited")
+		res = b.Submit(context.Background(), withID(input("queued", false), "id"))
+		require.Equal(t, "QUEUED", string(res.Body), "the claim still leads to the answer")
+		require.Equal(t, 1, a.minions.ran("queued"))
+		b.settled(t)
+	})
+}
+
+// Guards against a drain that refuses queued requests when no other entry VM can take
+// them.
+func TestDrainAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(3)
+		release := time.Now().Add(2 * time.Second)
+		r.ctl.acquire = func(ctx context.Context, _ control.Attempt) (peer.AcquireReply, bool, error) {
+			if !sleep(ctx, time.Until(release)) {
+				return peer.AcquireReply{}, true, ctx.Err()
+			}
+			return peer.AcquireReply{}, false, nil
+		}
+		done := make(chan model.Result, 1)
+		go func() { done <- r.Submit(context.Background(), input("x", false)) }()
+		time.Sleep(time.Second)
+		r.settled(t)
+		require.Equal(t, "X", string((<-done).Body))
+	})
+}
--- /dev/null
+++ b/internal/dispatch/fakes_test.go
@@ -0,0 +1,352 @@
+package dispatch
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"boragepulley/internal/config"
+	"boragepulley/internal/control"
+	"boragepulley/internal/model"
+	"boragepulley/internal/peer"
+	"boragepulley/internal/platform"
+	"boragepulley/internal/upstream"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const testKey = "k1.secret"
+
+func testSnapshot(maxAttempts int) *control.Snapshot {
+	q := config.Queue{Name: "cuts", Service: "s", MaxBody: 1 << 10, Deadline: 10 * time.Second, MaxDeadline: time.Minute,
+		MaxAttempts: maxAttempts, RetryPercent: 10}
+	open := q
+	open.Name, open.Open = "open", true
+	hash := sha256.Sum256([]byte("secret"))
+	return &control.Snapshot{Current: true, Ready: true,
+		Site: config.NewIndex(&config.Site{
+			Services: []config.Service{{Name: "s", MaxRun: 2 * time.Second}},
+			Queues:   []config.Queue{q, open},
+			Teams:    []config.Team{{Name: "red"}},
+			Keys:     []config.Key{{ID: "k1", Team: "red", SHA256: hash}},
+		}, 3),
+		Peers: map[model.EntryVM]control.PeerState{
+			"e2": {DC: "a", Status: control.MemberAlive}, "e3": {DC: "b", Status: control.MemberAlive},
+			"e4": {DC: "a", Status: control.MemberSuspect},
+		}}
+}
+
+// fakeControl grants permits for minions m1 to m4 in turn, skipping those to avoid.
+type fakeControl struct {
+	mu       sync.Mutex
+	snap     *control.Snapshot
+	acquire  func(ctx context.Context, a control.Attempt) (rep peer.AcquireReply, handled bool, err error)
+	check    func(p *model.Permit) model.Reason
+	out      map[string]bool // outstanding permits
+	released []peer.AttemptResult
+	records  []model.Record
+}
+
+func (f *fakeControl) Snapshot() *control.Snapshot {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.snap
+}
+
+func (f *fakeControl) Acquire(ctx context.Context, a control.Attempt) (peer.AcquireReply, error) {
+	if f.acquire != nil {
+		if rep, handled, err := f.acquire(ctx, a); handled {
+			return rep, err
+		}
+	}
+	if ctx.Err() != nil {
+		return peer.AcquireReply{}, ctx.Err()
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range []model.VM{"m1", "m2", "m3", "m4"} {
+		if slices.Contains(a.Avoid, m) {
+			continue
+		}
+		key := fmt.Sprint(a.Request.Job, a.Number)
+		if f.out[key] {
+			panic("attempt number used twice: " + key)
+		}
+		f.out[key] = true
+		return peer.AcquireReply{Permit: &model.Permit{Job: a.Request.Job, Attempt: a.Number, Team: a.Request.Team,
+			Queue: a.Request.Queue, Minion: m, Addr: string(m)}}, nil
+	}
+	return peer.AcquireReply{Refused: model.ReasonNoMinion}, nil
+}
+
+func (f *fakeControl) CheckPermit(p *model.Permit, _ string) model.Reason {
+	if f.check != nil {
+		return f.check(p)
+	}
+	return model.ReasonNone
+}
+
+func (f *fakeControl) Release(p *model.Permit, r peer.AttemptResult) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	key := fmt.Sprint(p.Job, p.Attempt)
+	if !f.out[key] {
+		panic("permit released twice: " + key)
+	}
+	delete(f.out, key)
+	f.released = append(f.released, r)
+}
+
+func (f *fakeControl) Record(r model.Record) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.records = append(f.records, r)
+}
+func (f *fakeControl) Event(model.FleetEvent) {}
+
+// merged returns the account's state of a job: the record with the highest rank.
+func (f *fakeControl) merged(id model.JobID) model.State {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var best model.State
+	for _, r := range f.records {
+		if r.Job == id && r.State.Rank() > best.Rank() {
+			best = r.State
+		}
+	}
+	return best
+}
+
+// fault is how a fake minion fails a call.
+type fault string
+
+const (
+	okay         fault = "okay"
+	refusedConn  fault = "connection refused"
+	unsent       fault = "not sent after the check"
+	notStarted   fault = "not started"
+	lostBefore   fault = "lost before the run"
+	lostAfter    fault = "lost after the run"
+	partAnswer   fault = "part of the answer"
+	status500    fault = "status 500"
+	runsTillLate fault = "runs past the deadline"
+)
+
+// fakeMinions runs jobs as the fault of each attempt says and counts the runs.
+type fakeMinions struct {
+	mu    sync.Mutex
+	fault func(c upstream.Call) fault
+	runs  map[string]int // by body
+	calls []upstream.Call
+}
+
+func (f *fakeMinions) Status(context.Context, string) (upstream.Status, error) {
+	return upstream.Status{}, nil
+}
+
+func (f *fakeMinions) Run(_ context.Context, c upstream.Call) (upstream.Answer, error) {
+	kind := okay
+	if f.fault != nil {
+		kind = f.fault(c)
+	}
+	if kind == refusedConn {
+		return upstream.Answer{}, upstream.ErrNotReached
+	}
+	if err := c.BeforeSend(); err != nil {
+		return upstream.Answer{}, fmt.Errorf("%w: %w", upstream.ErrNotReached, err)
+	}
+	f.mu.Lock()
+	f.calls = append(f.calls, c)
+	if kind != unsent && kind != notStarted && kind != lostBefore {
+		f.runs[string(c.Body)]++
+		f.runs["job "+string(c.Job)]++
+	}
+	f.mu.Unlock()
+	time.Sleep(5 * time.Millisecond)
+	switch kind {
+	case unsent:
+		return upstream.Answer{}, upstream.ErrNotReached
+	case notStarted:
+		return upstream.Answer{}, upstream.ErrNotStarted
+	case lostBefore, lostAfter:
+		return upstream.Answer{}, upstream.ErrAnswerLost
+	case partAnswer:
+		return upstream.Answer{}, upstream.ErrAnswerNotWhole
+	case status500:
+		return upstream.Answer{Status: 500, Body: []byte("no")}, nil
+	case runsTillLate:
+		time.Sleep(time.Until(c.Deadline.Add(time.Second)))
+	}
+	return upstream.Answer{Status: 200, Body: []byte(strings.ToUpper(string(c.Body)))}, nil
+}
+
+func (f *fakeMinions) ran(body string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.runs[body]
+}
+
+// fakeTable is the table service with faults. Entry VMs can share one.
+type fakeTable struct {
+	mu      sync.Mutex
+	rows    map[string]platform.Row
+	commits int
+	// commitErr decides about a commit: an error, and whether the write took effect.
+	commitErr func(n int) (err error, stored bool)
+	getErr    func() error
+}
+
+func newFakeTable() *fakeTable { return &fakeTable{rows: map[string]platform.Row{}} }
+
+func (f *fakeTable) Get(_ context.Context, _ platform.Priority, key string) (platform.Row, error) {
+	time.Sleep(time.Millisecond)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.getErr != nil {
+		if err := f.getErr(); err != nil {
+			return platform.Row{}, err
+		}
+	}
+	row := f.rows[key]
+	row.Key = key
+	return row, nil
+}
+
+func (f *fakeTable) Scan(context.Context, platform.Priority, string, int) ([]platform.Row, error) {
+	return nil, nil
+}
+
+func (f *fakeTable) Commit(_ context.Context, _ platform.Priority, t platform.Txn) (map[string]uint64, error) {
+	time.Sleep(2 * time.Millisecond)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.commits++
+	if f.commitErr != nil {
+		if err, stored := f.commitErr(f.commits); err != nil {
+			if stored {
+				_, _ = f.apply(t)
+			}
+			return nil, err
+		}
+	}
+	return f.apply(t)
+}
+
+func (f *fakeTable) apply(t platform.Txn) (map[string]uint64, error) {
+	for _, c := range t.Conditions {
+		if f.rows[c.Key].Version != c.Version {
+			return nil, platform.ErrConflict
+		}
+	}
+	out := map[string]uint64{}
+	for _, p := range t.Puts {
+		v := f.rows[p.Key].Version + 1
+		f.rows[p.Key] = platform.Row{Key: p.Key, Version: v, Value: p.Value}
+		out[p.Key] = v
+	}
+	return out, nil
+}
+
+// links connects entry VMs; fail decides about each forward.
+type links struct {
+	mu   sync.Mutex
+	to   map[model.EntryVM]*Service
+	sent []model.EntryVM
+	fail func(to model.EntryVM) (err error, delivered bool)
+}
+
+func (l *links) Forward(ctx context.Context, to model.EntryVM, f peer.Forward) (peer.ForwardReply, error) {
+	l.mu.Lock()
+	l.sent = append(l.sent, to)
+	s := l.to[to]
+	l.mu.Unlock()
+	if l.fail != nil {
+		if err, delivered := l.fail(to); err != nil {
+			if delivered {
+				s.Forwarded(ctx, f)
+			}
+			return peer.ForwardReply{}, err
+		}
+	}
+	if s == nil {
+		return peer.ForwardReply{}, ErrForwardNotSent
+	}
+	return s.Forwarded(ctx, f), nil
+}
+
+func (l *links) JobGet(_ context.Context, to model.EntryVM, id model.JobID, _ bool) (peer.JobGetReply, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s := l.to[to]; s != nil {
+		return s.Answer(id), nil
+	}
+	return peer.JobGetReply{}, fmt.Errorf("entry VM %s does not answer", to)
+}
+
+// rig is one entry VM over fakes.
+type rig struct {
+	ctl     *fakeControl
+	minions *fakeMinions
+	table   *fakeTable
+	links   *links
+	*Service
+}
+
+func newRig(maxAttempts int) *rig {
+	return joinRig("e1", "a", &fakeMinions{runs: map[string]int{}}, newFakeTable(),
+		&links{to: map[model.EntryVM]*Service{}}, maxAttempts)
+}
+
+// joinRig makes an entry VM that shares minions, table and links with others.
+func joinRig(name model.EntryVM, dc model.DataCentre, m *fakeMinions, t *fakeTable, l *links, maxAttempts int) *rig {
+	r := &rig{ctl: &fakeControl{snap: testSnapshot(maxAttempts), out: map[string]bool{}}, minions: m, table: t, links: l}
+	r.Service = New(Config{Entry: name, DC: dc, Control: r.ctl, Minions: m, Table: t, Recorder: r.ctl,
+		Forwarder: l, Lookup: l, Log: zerolog.Nop(), AnswerBytes: 1 << 10})
+	l.to[name] = r.Service
+	return r
+}
+
+func (r *rig) other(name model.EntryVM, dc model.DataCentre) *rig {
+	return joinRig(name, dc, r.minions, r.table, r.links, 3)
+}
+
+// settled checks what must hold once all requests have ended.
+func (r *rig) settled(t require.TestingT) {
+	r.BeginDrain()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Hour)
+	defer cancel()
+	require.NoError(t, r.Wait(ctx))
+	r.ctl.mu.Lock()
+	defer r.ctl.mu.Unlock()
+	require.Empty(t, r.ctl.out, "permits must be released")
+}
+
+func input(body string, idempotent bool) Input {
+	return Input{Queue: "cuts", Key: testKey, Idempotent: idempotent, Body: []byte(body)}
+}
+
+func withID(in Input, id string) Input {
+	in.RequestID = id
+	return in
+}
+
+// failFirst fails the first attempt of every job.
+func failFirst(k fault) func(upstream.Call) fault {
+	return func(c upstream.Call) fault {
+		if c.Attempt == 1 {
+			return k
+		}
+		return okay
+	}
+}
+
+func always(k fault) func(upstream.Call) fault { return func(upstream.Call) fault { return k } }
--- a/internal/dispatch/keep.go
+++ b/internal/dispatch/keep.go
@@ -138,16 +138,6 @@
 	return n
 }
 
-// result returns the result of j, with or without its answer's body.
-func (k *keptJobs) result(j *job, now time.Time, body bool) model.Result {
-	k.sweep(now)
-	res := j.result()
-	if !body {
-		res.Body = nil
-	}
-	return res
-}
-
 // Get returns the state of a job that this entry VM accepted or works on, without its
 // answer. The steps name the job's queue and team.
 func (s *Service) Get(id model.JobID) peer.JobGetReply { return s.get(id, false) }
@@ -158,11 +148,15 @@
 func (s *Service) get(id model.JobID, body bool) peer.JobGetReply {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.kept.sweep(time.Now())
 	j := s.kept.jobs[id]
 	if j == nil {
 		return peer.JobGetReply{Result: model.Result{Job: id}}
 	}
-	res := s.kept.result(j, time.Now(), body)
+	res := j.result()
+	if !body {
+		res.Body = nil
+	}
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.original != nil {
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -252,7 +252,8 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.kept.result(j, time.Now(), true)
+	s.kept.sweep(time.Now())
+	return j.result()
 }
 
 // finished is called once when the goroutine of j ends.
--- a/internal/dispatch/voids.go
+++ b/internal/dispatch/voids.go
@@ -25,15 +25,30 @@
 	c.voids = append(c.voids, v)
 	if !c.voiding {
 		c.voiding = true
-		c.voided = make(chan struct{})
+		c.busyLocked()
 		go c.voidLoop()
 	}
 }
 
-// flush waits until no claim waits to be voided. Error: ctx's.
+// busyLocked notes that a goroutine has work.
+func (c *claimer) busyLocked() {
+	if c.settled == nil {
+		c.settled = make(chan struct{})
+	}
+}
+
+// quietLocked notes that a goroutine has no work left.
+func (c *claimer) quietLocked() {
+	if !c.claiming && !c.voiding {
+		close(c.settled)
+		c.settled = nil
+	}
+}
+
+// flush waits until no claim is on its way or waits to be voided. Error: ctx's.
 func (c *claimer) flush(ctx context.Context) error {
 	c.mu.Lock()
-	done := c.voided
+	done := c.settled
 	c.mu.Unlock()
 	if done == nil {
 		return nil
@@ -73,8 +88,7 @@
 	defer c.mu.Unlock()
 	if len(c.voids) == 0 {
 		c.voiding = false
-		close(c.voided)
-		c.voided = nil
+		c.quietLocked()
 		return nil
 	}
 	var batch, rest []claim
