--- /dev/null
+++ b/internal/peer/codec.go
@@ -0,0 +1,84 @@
+package peer
+
+import (
+	"bufio"
+	"encoding/binary"
+	"encoding/json"
+	"io"
+
+	"github.com/pkg/errors"
+)
+
+// MaxMessage bounds one message in bytes. It leaves room for a forwarded body of
+// 16 MiB in base64 and its envelope.
+const MaxMessage = 24 << 20
+
+// codec frames each JSON object with its length as an unsigned varint. It differs
+// from jsonrpc2.VarintObjectCodec in that the length is bounded, checked against the
+// object, and reported for the byte counters.
+type codec struct {
+	// read and wrote are called with the size of each message on the wire.
+	read, wrote func(n int)
+}
+
+// WriteObject implements jsonrpc2.ObjectCodec. Error: ErrTooLarge, before anything is written.
+func (c codec) WriteObject(w io.Writer, obj any) error {
+	data, err := json.Marshal(obj)
+	if err != nil {
+		return err
+	}
+	if len(data) > MaxMessage {
+		return ErrTooLarge
+	}
+	var head [binary.MaxVarintLen64]byte
+	n := binary.PutUvarint(head[:], uint64(len(data)))
+	c.wrote(n + len(data))
+	if _, err := w.Write(head[:n]); err != nil {
+		return err
+	}
+	_, err = w.Write(data)
+	return err
+}
+
+// ReadObject implements jsonrpc2.ObjectCodec.
+func (c codec) ReadObject(r *bufio.Reader, v any) error {
+	size, err := binary.ReadUvarint(r)
+	if err != nil {
+		return err
+	}
+	if size > MaxMessage {
+		return errors.Wrapf(ErrMalformed, "length %d", size)
+	}
+	data, err := readAll(r, int(size))
+	if err != nil {
+		return err
+	}
+	c.read(len(data) + uvarintLen(size))
+	if err := json.Unmarshal(data, v); err != nil {
+		return errors.Wrap(ErrMalformed, err.Error())
+	}
+	return nil
+}
+
+// readAll reads n bytes. It allocates in steps, so that a false length costs no
+// more memory than what was really sent.
+func readAll(r io.Reader, n int) ([]byte, error) {
+	const step = 64 << 10
+	data := make([]byte, 0, min(n, step))
+	for len(data) < n {
+		at := len(data)
+		data = append(data, make([]byte, min(n-at, max(step, at)))...)
+		if _, err := io.ReadFull(r, data[at:]); err != nil {
+			return nil, err
+		}
+	}
+	return data, nil
+}
+
+func uvarintLen(v uint64) int {
+	n := 1
+	for ; v >= 0x80; v >>= 7 {
+		n++
+	}
+	return n
+}
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,239 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"boragepulley/internal/model"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+var testSender = Sender{Entry: "a1", DC: "a", Incarnation: "i1"}
+
+// testHandler answers heartbeats and holds each Acquire until release is closed.
+type testHandler struct {
+	Handler
+	release  chan struct{}
+	acquires atomic.Int32
+}
+
+func (h *testHandler) Heartbeat(_ context.Context, m *Heartbeat) (*HeartbeatReply, error) {
+	return &HeartbeatReply{Heartbeat: Heartbeat{From: Sender{Entry: "a2", Incarnation: "i2"}, Config: m.Config + 1}}, nil
+}
+
+func (h *testHandler) Acquire(ctx context.Context, m *Acquire) (*AcquireReply, error) {
+	h.acquires.Add(1)
+	select {
+	case <-h.release:
+		return &AcquireReply{Permit: &model.Permit{Job: m.Request.Job}}, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (h *testHandler) Release(context.Context, *Release) (*Empty, error) {
+	return nil, ErrNotCoordinator
+}
+
+func startServer(t *testing.T, h Handler) string {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := NewServer(h, []model.EntryVM{"a1"}, zerolog.Nop())
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(lis) }()
+	t.Cleanup(func() {
+		s.Close()
+		require.NoError(t, <-done)
+	})
+	return lis.Addr().String()
+}
+
+func startClient(t *testing.T, addr string) *Client {
+	t.Helper()
+	c := NewClient(testSender, "a2", addr, zerolog.Nop())
+	t.Cleanup(c.Close)
+	return c
+}
+
+// Guards against a waiting Acquire that delays heartbeats on the same connection.
+func TestWaitingAcquireDoesNotBlock(t *testing.T) {
+	h := &testHandler{release: make(chan struct{})}
+	c := startClient(t, startServer(t, h))
+	got := make(chan error, 1)
+	go func() {
+		_, err := c.Acquire(t.Context(), &Acquire{From: testSender, Wait: 10 * time.Second})
+		got <- err
+	}()
+	require.Eventually(t, func() bool { return h.acquires.Load() == 1 }, 5*time.Second, time.Millisecond)
+	r, err := c.Heartbeat(t.Context(), &Heartbeat{From: testSender, Config: 4})
+	require.NoError(t, err)
+	require.Equal(t, uint64(5), r.Config)
+	close(h.release)
+	require.NoError(t, <-got)
+}
+
+// Guards against typed errors that arrive as text only, and against senders that
+// are counted under no name.
+func TestErrorsAndCounters(t *testing.T) {
+	c := startClient(t, startServer(t, &testHandler{}))
+	_, err := c.Release(t.Context(), &Release{From: testSender})
+	require.ErrorIs(t, err, ErrNotCoordinator)
+	_, err = c.Release(t.Context(), &Release{})
+	require.ErrorIs(t, err, ErrMalformed)
+	_, err = c.Forward(t.Context(), &Forward{From: testSender, Body: make([]byte, MaxMessage)})
+	require.ErrorIs(t, err, ErrTooLarge)
+	_, err = c.Heartbeat(t.Context(), &Heartbeat{From: testSender})
+	require.NoError(t, err)
+	for _, k := range []string{"a2/Heartbeat/sent", "a2/Heartbeat/received", "a1/Heartbeat/received", "a1/Heartbeat/sent"} {
+		require.NotNil(t, controlBytes.Get(k), k)
+	}
+	require.NotNil(t, trafficBytes.Get("a2/Release/sent"))
+	require.Nil(t, controlBytes.Get("a2/Release/sent"))
+}
+
+// Guards against taking a dead process for a paused one and the reverse.
+func TestRefusedAndSilent(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	silent := startClient(t, lis.Addr().String())
+	_, err = silent.Probe(t.Context(), &Heartbeat{From: testSender})
+	require.ErrorIs(t, err, ErrNoAnswer)
+	require.NoError(t, lis.Close())
+	_, err = silent.Probe(t.Context(), &Heartbeat{From: testSender})
+	require.ErrorIs(t, err, ErrRefused)
+	_, err = silent.Heartbeat(t.Context(), &Heartbeat{From: testSender})
+	require.ErrorIs(t, err, ErrRefused)
+}
+
+// valve forwards bytes between a client and a server. While stuck, existing
+// connections carry nothing more, and new ones work, as behind a middlebox that
+// lost its state.
+type valve struct {
+	target string
+	lis    net.Listener
+	mu     sync.Mutex
+	conns  []*valveConn
+	wg     sync.WaitGroup
+}
+
+type valveConn struct {
+	a, b  net.Conn
+	stuck atomic.Bool
+}
+
+func startValve(t *testing.T, target string) *valve {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	v := &valve{target: target, lis: lis}
+	v.wg.Add(1)
+	go v.accept()
+	t.Cleanup(func() {
+		lis.Close()
+		v.mu.Lock()
+		for _, c := range v.conns {
+			c.a.Close()
+			c.b.Close()
+		}
+		v.mu.Unlock()
+		v.wg.Wait()
+	})
+	return v
+}
+
+func (v *valve) accept() {
+	defer v.wg.Done()
+	for {
+		a, err := v.lis.Accept()
+		if err != nil {
+			return
+		}
+		b, err := net.Dial("tcp", v.target)
+		if err != nil {
+			a.Close()
+			continue
+		}
+		c := &valveConn{a: a, b: b}
+		v.mu.Lock()
+		v.conns = append(v.conns, c)
+		v.mu.Unlock()
+		v.wg.Add(2)
+		go v.pipe(c, a, b)
+		go v.pipe(c, b, a)
+	}
+}
+
+func (v *valve) pipe(c *valveConn, from, to net.Conn) {
+	defer v.wg.Done()
+	buf := make([]byte, 4096)
+	for {
+		n, err := from.Read(buf)
+		if err != nil {
+			if !c.stuck.Load() {
+				to.Close()
+			}
+			return
+		}
+		if !c.stuck.Load() {
+			_, _ = to.Write(buf[:n])
+		}
+	}
+}
+
+func (v *valve) stick() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, c := range v.conns {
+		c.stuck.Store(true)
+	}
+}
+
+// Guards against calls that stay on a connection that went silent while new ones work.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	h := &testHandler{release: make(chan struct{})}
+	defer close(h.release)
+	v := startValve(t, startServer(t, h))
+	c := startClient(t, v.lis.Addr().String())
+	got := make(chan error, 1)
+	go func() {
+		_, err := c.Acquire(t.Context(), &Acquire{From: testSender, Wait: time.Minute})
+		got <- err
+	}()
+	require.Eventually(t, func() bool { return h.acquires.Load() == 1 }, 5*time.Second, time.Millisecond)
+	v.stick()
+	start := time.Now()
+	require.ErrorIs(t, <-got, ErrNoAnswer)
+	// 1.5 s is the bound of D8; the rest allows for a busy machine.
+	require.Less(t, time.Since(start), 3*time.Second)
+	_, err := c.Heartbeat(t.Context(), &Heartbeat{From: testSender})
+	require.NoError(t, err)
+}
+
+// Guards against a client that gives up on a peer that was down for a while.
+func TestReconnects(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	addr := lis.Addr().String()
+	require.NoError(t, lis.Close())
+	c := startClient(t, addr)
+	_, err = c.Heartbeat(t.Context(), &Heartbeat{From: testSender})
+	require.ErrorIs(t, err, ErrRefused)
+	lis, err = net.Listen("tcp", addr)
+	require.NoError(t, err)
+	s := NewServer(&testHandler{}, nil, zerolog.Nop())
+	go func() { _ = s.Serve(lis) }()
+	defer s.Close()
+	require.Eventually(t, func() bool {
+		_, err := c.Heartbeat(t.Context(), &Heartbeat{From: testSender})
+		return err == nil
+	}, 5*time.Second, 10*time.Millisecond)
+}
