--- /dev/null
+++ b/internal/control/configuration.go
@@ -0,0 +1,443 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	stderrors "errors"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"boragepulley/internal/config"
+	"boragepulley/internal/invariant"
+	"boragepulley/internal/model"
+	"boragepulley/internal/peer"
+	"boragepulley/internal/platform"
+)
+
+const (
+	headKey       = "config/head"
+	historyPrefix = "config/history/"
+	objectPrefix  = "config/"
+)
+
+// configState is what the control goroutine knows about the configuration.
+type configState struct {
+	// doc and index are in force; raw is doc as sent to peers.
+	doc   *config.Document
+	index *config.Index
+	// learned is the newest valid document, which is pushed to peers before it is in force.
+	learned *version
+	// head is the version of the newest head row that was read.
+	head     uint64
+	headRead bool
+	polling  bool
+	// fetching is the version that is being fetched, 0 if none.
+	fetching uint64
+	// bad holds versions whose object could not be read or parsed, for one log line each.
+	bad map[uint64]bool
+	// booted is set once a starting daemon may put a version in force (D3).
+	booted bool
+	// evidenceAt is the time of the newest evidence that the version in force is the head.
+	evidenceAt time.Time
+	since      time.Time
+}
+
+// version is one valid configuration.
+type version struct {
+	doc  *config.Document
+	site *config.Site
+	raw  []byte
+	// headAt is when the head was asked for that named this version; zero if it came
+	// from a peer.
+	headAt time.Time
+}
+
+func (s *configState) version() uint64 {
+	if s.doc == nil {
+		return 0
+	}
+	return s.doc.Version
+}
+
+// newest returns the newest valid version, in force or not yet.
+func (s *configState) newest() uint64 {
+	if s.learned == nil {
+		return 0
+	}
+	return s.learned.doc.Version
+}
+
+// pollHead reads the head row.
+func (c *Control) pollHead(now time.Time) {
+	if c.cfg.polling {
+		return
+	}
+	c.cfg.polling = true
+	c.async(storeTimeout, func(ctx context.Context) func() {
+		row, err := c.d.Table.Get(ctx, platform.PriorityConfig, headKey)
+		return func() {
+			c.cfg.polling = false
+			if err != nil {
+				configOps.Add("head_failed", 1)
+				return
+			}
+			c.onHead(row, now)
+		}
+	})
+}
+
+// onHead handles a head row that was asked for at sent.
+func (c *Control) onHead(row platform.Row, sent time.Time) {
+	c.cfg.headRead = true
+	if row.Version == 0 {
+		return
+	}
+	var h config.Head
+	if err := json.Unmarshal(row.Value, &h); err != nil {
+		c.log.Error().Err(err).Msg("configuration head malformed")
+		return
+	}
+	c.cfg.head = max(c.cfg.head, h.Version)
+	if h.Version > c.cfg.newest() {
+		c.fetchObject(h, sent)
+		return
+	}
+	if h.Version <= c.cfg.version() {
+		c.addEvidence(sent)
+	}
+	c.checkConfig(time.Now())
+}
+
+// fetchObject reads the object of a head.
+func (c *Control) fetchObject(h config.Head, sent time.Time) {
+	if c.cfg.fetching >= h.Version {
+		return
+	}
+	c.cfg.fetching = h.Version
+	c.async(storeTimeout, func(ctx context.Context) func() {
+		data, err := c.d.Objects.Get(ctx, platform.PriorityConfig, objectPrefix+h.Digest)
+		if err == nil {
+			var v *version
+			if v, err = c.version(h, data); err == nil {
+				v.headAt = sent
+				return func() {
+					c.cfg.fetching = 0
+					c.learn(v, "table", true)
+				}
+			}
+		}
+		return func() { c.onFetchFailed(h.Version, "object store", err) }
+	})
+}
+
+// version checks the object of a head. Object bytes depend on the files only, so that
+// the same files applied twice are the same object; the rest comes from the head.
+func (c *Control) version(h config.Head, object []byte) (*version, error) {
+	var d config.Document
+	if err := json.Unmarshal(object, &d); err != nil {
+		return nil, errors.Wrap(err, "control: configuration object")
+	}
+	d.Version, d.Digest, d.ApplyID, d.Operator, d.Time = h.Version, h.Digest, h.ApplyID, h.Operator, h.Time
+	return c.checkDocument(&d)
+}
+
+func (c *Control) checkDocument(d *config.Document) (*version, error) {
+	if got := c.d.Digest(d.Files); got != d.Digest {
+		return nil, errors.Errorf("control: configuration %d has digest %s, want %s", d.Version, got, d.Digest)
+	}
+	site, err := c.d.Parse(d.Files)
+	if err != nil {
+		return nil, errors.Wrapf(err, "control: configuration %d", d.Version)
+	}
+	raw, err := json.Marshal(d)
+	if err != nil {
+		return nil, errors.Wrap(err, "control: encode configuration")
+	}
+	return &version{doc: d, site: site, raw: raw}, nil
+}
+
+func (c *Control) onFetchFailed(v uint64, source string, err error) {
+	if c.cfg.fetching == v {
+		c.cfg.fetching = 0
+	}
+	configOps.Add("fetch_failed", 1)
+	if c.cfg.bad == nil {
+		c.cfg.bad = map[uint64]bool{}
+	}
+	if !c.cfg.bad[v] {
+		c.cfg.bad[v] = true
+		c.log.Warn().Err(err).Uint64("version", v).Str("source", source).Msg("configuration not fetched; retrying")
+	}
+}
+
+// fetchFrom gets a configuration from a peer that has reported a newer one.
+func (c *Control) fetchFrom(m *member, v uint64) {
+	if c.cfg.fetching >= v {
+		return
+	}
+	c.cfg.fetching = v
+	have := c.cfg.newest()
+	c.async(storeTimeout, func(ctx context.Context) func() {
+		got, err := c.getFrom(ctx, m.remote, have)
+		if err != nil {
+			return func() { c.onFetchFailed(v, string(m.Name), err) }
+		}
+		return func() {
+			c.cfg.fetching = 0
+			if got != nil {
+				c.learn(got, string(m.Name), false)
+			}
+		}
+	})
+}
+
+// getFrom asks a peer for a version above have; it returns nil if the peer has none.
+func (c *Control) getFrom(ctx context.Context, r Remote, have uint64) (*version, error) {
+	reply, err := r.ConfigGet(ctx, &peer.ConfigGet{From: c.self, Version: have})
+	if err != nil || reply.Document == nil {
+		return nil, err
+	}
+	var d config.Document
+	if err := json.Unmarshal(reply.Document, &d); err != nil {
+		return nil, errors.Wrap(err, "control: configuration of a peer")
+	}
+	return c.checkDocument(&d)
+}
+
+// learn keeps a version if it is newer than the newest one, pushes it to peers and then
+// puts it in force.
+func (c *Control) learn(v *version, source string, fromTable bool) {
+	if v.doc.Version <= c.cfg.newest() {
+		return // a late answer with an old copy
+	}
+	c.cfg.learned = v
+	configOps.Add("learned", 1)
+	c.log.Info().Uint64("version", v.doc.Version).Str("source", source).Msg("configuration learned")
+	c.push(v, fromTable)
+}
+
+// push offers a version to peers. It comes into force as soon as one peer holds it, or
+// after configPushWait. A version learned from a peer is pushed inside the data centre
+// only: the entry VM that learned it first pushes it everywhere.
+func (c *Control) push(v *version, everywhere bool) {
+	n := v.doc.Version
+	msg := &peer.ConfigOffer{From: c.self, Version: n}
+	acked := make(chan struct{}, len(c.members))
+	sent := 0
+	for _, m := range c.members {
+		if m.config >= n || m.status == MemberGone || !everywhere && m.DC != c.self.DC {
+			continue
+		}
+		sent++
+		c.async(storeTimeout, func(ctx context.Context) func() {
+			_, err := m.remote.ConfigOffer(ctx, msg)
+			acked <- struct{}{}
+			if err != nil {
+				return nil
+			}
+			return func() {
+				m.config = max(m.config, n)
+				c.putInForce(n)
+			}
+		})
+	}
+	if sent == 0 {
+		c.putInForce(n)
+		return
+	}
+	c.async(storeTimeout, func(ctx context.Context) func() {
+		wctx, cancel := context.WithTimeout(ctx, configPushWait)
+		defer cancel()
+		for range sent {
+			select {
+			case <-acked:
+			case <-wctx.Done():
+				return func() { c.putInForce(n) }
+			}
+		}
+		return func() { c.putInForce(n) }
+	})
+}
+
+// putInForce puts the learned version in force if it is version n and the daemon has
+// left its start phase.
+func (c *Control) putInForce(n uint64) {
+	v := c.cfg.learned
+	if v == nil || v.doc.Version != n || c.cfg.version() >= n {
+		return
+	}
+	if !c.cfg.booted && !c.bootDone(time.Now()) {
+		return
+	}
+	c.cfg.booted = true
+	old := c.cfg.version()
+	if !invariant.Check(n > old, invariant.ConfigNeverReverts, "configuration %d would replace %d", n, old) {
+		return
+	}
+	c.cfg.doc, c.cfg.index, c.cfg.since = v.doc, config.NewIndex(v.site, n), time.Now()
+	c.dirty = true
+	setGauge("configuration_version", int64(n))
+	c.log.Info().Uint64("from", old).Uint64("to", n).Str("operator", v.doc.Operator).Str("digest", v.doc.Digest).
+		Msg("configuration in force")
+	c.event("configuration", "entry/"+string(c.self.Entry), versionText(old), versionText(n), "in force")
+	c.addEvidence(v.headAt)
+	c.applySite()
+	c.publish()
+	if old == 0 {
+		// The first evidence should not wait for the next round.
+		c.heartbeatRound(time.Now())
+	}
+}
+
+// bootDone reports whether a starting daemon may put its newest version in force: it
+// has the head that the table reported, or the table has not answered for
+// configBootWait and a peer has.
+func (c *Control) bootDone(now time.Time) bool {
+	if c.cfg.headRead {
+		return c.cfg.newest() >= c.cfg.head
+	}
+	return now.Sub(c.started) >= configBootWait && c.cfg.learned != nil
+}
+
+// checkConfig puts a version in force that had to wait for the start phase, and
+// updates the evidence that needs no table.
+func (c *Control) checkConfig(now time.Time) {
+	if v := c.cfg.learned; v != nil && c.cfg.version() < v.doc.Version && !c.cfg.booted && c.bootDone(now) {
+		c.putInForce(v.doc.Version)
+	}
+	c.farEvidence(now)
+	if was := c.Snapshot().Current; c.cfg.index != nil && was != c.current(now) {
+		c.dirty = true
+		c.log.Warn().Bool("current", !was).Dur("evidence_age", c.evidenceAge(now)).Msg("configuration evidence changed")
+		c.event("configuration", "entry/"+string(c.self.Entry), "", map[bool]string{true: "current", false: "isolated"}[!was], "evidence age")
+	}
+}
+
+// addEvidence notes that the version in force was the head at t.
+func (c *Control) addEvidence(t time.Time) {
+	if c.cfg.doc != nil && t.After(c.cfg.evidenceAt) {
+		c.cfg.evidenceAt = t
+		c.dirty = true
+	}
+}
+
+// onEvidence takes the evidence that a peer relays in the answer to a message sent at
+// sent. The age at the peer counts from then, so it never shrinks on the way. A
+// peer with a newer version proves that the own one is not the head.
+func (c *Control) onEvidence(hb *peer.Heartbeat, sent time.Time) {
+	if hb.Config <= c.cfg.version() && hb.Config > 0 && hb.EvidenceAge >= 0 {
+		c.addEvidence(sent.Add(-hb.EvidenceAge))
+	}
+}
+
+// farEvidence derives evidence from messages of every other data centre of the
+// configuration: the head moves only through entry VMs, so one that hears all others
+// cannot miss a change by more than a message. The coordinator alone hears them.
+func (c *Control) farEvidence(now time.Time) {
+	if c.coord == nil || c.cfg.index == nil {
+		return
+	}
+	oldest := now
+	for _, dc := range c.cfg.index.DataCentres {
+		if dc.Name == c.self.DC {
+			continue
+		}
+		f := c.far[dc.Name]
+		if f == nil || f.answered.IsZero() || f.config > c.cfg.version() {
+			return
+		}
+		if f.answered.Before(oldest) {
+			oldest = f.answered
+		}
+	}
+	c.addEvidence(oldest)
+}
+
+// noEvidence is the age that stands for no evidence at all.
+const noEvidence = time.Duration(1<<62 - 1)
+
+func (c *Control) evidenceAge(now time.Time) time.Duration {
+	if c.cfg.evidenceAt.IsZero() {
+		return noEvidence
+	}
+	return now.Sub(c.cfg.evidenceAt)
+}
+
+// current reports whether the configuration in force is confirmed.
+func (c *Control) current(now time.Time) bool {
+	return c.cfg.index != nil && c.evidenceAge(now) <= c.cfg.index.Isolation.After
+}
+
+// ConfigOffer implements peer.ControlHandler. It answers once this entry VM holds the
+// version, so that the sender knows it is not alone with it.
+func (h handler) ConfigOffer(ctx context.Context, m *peer.ConfigOffer) (*peer.Empty, error) {
+	c := h.c
+	have, err := ask(ctx, c, func() (uint64, error) {
+		if p := c.byName[m.From.Entry]; p != nil && c.onSender(m.From) {
+			p.config = max(p.config, m.Version)
+		}
+		return c.cfg.newest(), nil
+	})
+	if err != nil || have >= m.Version {
+		return &peer.Empty{}, err
+	}
+	r := c.remotes[m.From.Entry]
+	if r == nil {
+		return nil, peer.ErrMalformed
+	}
+	v, err := c.getFrom(ctx, r, have)
+	if err != nil {
+		return nil, err
+	}
+	if v == nil {
+		return nil, errors.New("control: the offered configuration is not there")
+	}
+	return ask(ctx, c, func() (*peer.Empty, error) {
+		c.learn(v, string(m.From.Entry), false)
+		return &peer.Empty{}, nil
+	})
+}
+
+// ConfigGet implements peer.ControlHandler. Without a document, Version is the one in
+// force here.
+func (h handler) ConfigGet(ctx context.Context, m *peer.ConfigGet) (*peer.ConfigGetReply, error) {
+	c := h.c
+	return ask(ctx, c, func() (*peer.ConfigGetReply, error) {
+		c.onSender(m.From)
+		if c.cfg.newest() > m.Version {
+			return &peer.ConfigGetReply{Version: c.cfg.newest(), Document: c.cfg.learned.raw}, nil
+		}
+		return &peer.ConfigGetReply{Version: c.cfg.version()}, nil
+	})
+}
+
+// bootFromPeers asks every peer for its configuration once at the start.
+func (c *Control) bootFromPeers() {
+	for _, m := range c.members {
+		c.async(storeTimeout, func(ctx context.Context) func() {
+			v, err := c.getFrom(ctx, m.remote, 0)
+			if err != nil || v == nil {
+				return nil
+			}
+			return func() { c.learn(v, string(m.Name), false) }
+		})
+	}
+}
+
+// unreachable reports whether a store call certainly had no effect.
+func unreachable(err error) bool {
+	return stderrors.Is(err, platform.ErrUnavailable) || stderrors.Is(err, platform.ErrBudget)
+}
+
+// dataCentres returns the names of the data centres of the configuration, sorted.
+func (c *Control) dataCentres() []model.DataCentre {
+	if c.cfg.index == nil {
+		return nil
+	}
+	out := make([]model.DataCentre, 0, len(c.cfg.index.DataCentres))
+	for _, d := range c.cfg.index.DataCentres {
+		out = append(out, d.Name)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/control/control.go
@@ -0,0 +1,295 @@
+package control
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"boragepulley/internal/account"
+	"boragepulley/internal/config"
+	"boragepulley/internal/logging"
+	"boragepulley/internal/model"
+	"boragepulley/internal/peer"
+	"boragepulley/internal/platform"
+	"boragepulley/internal/settings"
+	"boragepulley/internal/upstream"
+)
+
+// Errors of this package. Callers match them with errors.Is.
+var (
+	// ErrStopped means that the control loop has ended.
+	ErrStopped = errors.New("control: stopped")
+	// ErrNoConfig means that no configuration is known yet.
+	ErrNoConfig = errors.New("control: no configuration")
+)
+
+// Remote is the connection to one other entry VM. peer.Client implements it.
+type Remote interface {
+	peer.ControlHandler
+	// Probe sends a heartbeat over a new connection.
+	Probe(ctx context.Context, m *peer.Heartbeat) (*peer.HeartbeatReply, error)
+	Close()
+}
+
+// MinionStatus asks a minion for its running jobs. upstream.Minions implements it.
+type MinionStatus interface {
+	Status(ctx context.Context, addr string) (upstream.Status, error)
+}
+
+// Deps are the parts that the control loop works with.
+type Deps struct {
+	Settings    *settings.Settings
+	Incarnation model.Incarnation
+	Table       platform.Table
+	Objects     platform.Objects
+	Minions     MinionStatus
+	Recorder    account.Recorder
+	// Dial returns the connection to a peer; it does not block.
+	Dial func(settings.Peer) Remote
+	// Parse checks a set of files and returns its content.
+	Parse func([]config.File) (*config.Site, error)
+	// Digest returns the digest of a set of files.
+	Digest func([]config.File) string
+	Log    zerolog.Logger
+	// Rand is used by the control goroutine only.
+	Rand *rand.Rand
+}
+
+// Control is the control side of one daemon. Its methods are safe for concurrent use.
+type Control struct {
+	d    Deps
+	log  zerolog.Logger
+	self peer.Sender
+
+	snap   atomic.Pointer[Snapshot]
+	gate   gate
+	events chan func()
+	// remotes is read-only after New.
+	remotes  map[model.EntryVM]Remote
+	releases releaseQueue
+
+	ctx  context.Context
+	stop context.CancelFunc
+	wg   sync.WaitGroup
+
+	// The fields below are owned by the control goroutine.
+	started   time.Time
+	members   []*member // by name, without this entry VM
+	byName    map[model.EntryVM]*member
+	timers    []*timer
+	dirty     bool
+	leaving   bool
+	following following
+	lease     leaseState
+	takeover  *takeover
+	coord     *coordinator
+	cfg       configState
+	vms       map[model.VM]model.VMState
+	far       map[model.DataCentre]*farState
+	allot     allotState
+	usageSeq  uint64
+}
+
+var _ Traffic = (*Control)(nil)
+
+// handler answers the messages of peers. It is a type of its own because Traffic has
+// methods of the same names.
+type handler struct{ c *Control }
+
+// Handler returns the handler of the control messages of peers.
+func (c *Control) Handler() peer.ControlHandler { return handler{c} }
+
+// New returns a control side that does nothing until Start.
+func New(d Deps) *Control {
+	ctx, stop := context.WithCancel(context.Background())
+	c := &Control{
+		d:       d,
+		log:     logging.Part(d.Log, "control"),
+		self:    peer.Sender{Entry: d.Settings.Name, DC: d.Settings.DC, Incarnation: d.Incarnation},
+		events:  make(chan func(), 1024),
+		remotes: map[model.EntryVM]Remote{},
+		ctx:     ctx,
+		stop:    stop,
+		byName:  map[model.EntryVM]*member{},
+		vms:     map[model.VM]model.VMState{},
+		far:     map[model.DataCentre]*farState{},
+	}
+	c.gate.init()
+	c.releases.init()
+	c.addMembers()
+	c.allot.init()
+	c.snap.Store(&Snapshot{Peers: c.peerStates()})
+	return c
+}
+
+// timer runs a function on the control goroutine at intervals.
+type timer struct {
+	at    time.Time
+	every time.Duration
+	run   func(now time.Time)
+}
+
+// every adds a timer with an interval that varies by a tenth, so that daemons that
+// started together do not act together.
+func (c *Control) every(d time.Duration, run func(now time.Time)) *timer {
+	t := &timer{at: c.started.Add(time.Duration(c.d.Rand.Int64N(int64(d)))), every: d, run: run}
+	c.timers = append(c.timers, t)
+	return t
+}
+
+func (c *Control) jitter(d time.Duration) time.Duration {
+	return d*9/10 + time.Duration(c.d.Rand.Int64N(int64(d)/5+1))
+}
+
+// Start begins membership, lease and configuration work.
+func (c *Control) Start() {
+	c.started = time.Now()
+	c.every(checkEvery, c.check)
+	c.every(heartbeatEvery, c.heartbeatRound).at = c.started
+	c.every(remoteEvery, c.remoteRound)
+	c.every(renewEvery, c.renewLease)
+	c.every(leaseReadFast, c.readLease).at = c.started
+	c.every(configPollEvery, c.pollHead).at = c.started
+	c.every(usageEvery, c.exchangeUsage)
+	c.every(allotmentEvery, c.settleAllotments)
+	c.bootFromPeers()
+	c.wg.Add(1)
+	go c.loop()
+	for range releaseWorkers {
+		c.wg.Add(1)
+		go c.releaseLoop()
+	}
+}
+
+// loop owns all control state. Events never block; I/O runs in goroutines of async.
+func (c *Control) loop() {
+	defer c.wg.Done()
+	wake := time.NewTimer(0)
+	defer wake.Stop()
+	for {
+		select {
+		case <-c.ctx.Done():
+			c.endWaiters()
+			return
+		case ev := <-c.events:
+			ev()
+		case <-wake.C:
+		}
+		c.settle()
+		now := time.Now()
+		next := now.Add(time.Second)
+		for _, t := range c.timers {
+			if !now.Before(t.at) {
+				t.at = now.Add(c.jitter(t.every))
+				t.run(now)
+			}
+			if t.at.Before(next) {
+				next = t.at
+			}
+		}
+		c.settle()
+		wake.Reset(time.Until(next))
+	}
+}
+
+// settle applies what every event may have caused.
+func (c *Control) settle() {
+	c.checkAuthority(time.Now())
+	if c.dirty {
+		c.publish()
+	}
+}
+
+// post hands an event to the control goroutine. It must not be called on it.
+func (c *Control) post(ev func()) bool {
+	select {
+	case c.events <- ev:
+		return true
+	case <-c.ctx.Done():
+		return false
+	}
+}
+
+// ask runs f on the control goroutine and returns its result.
+func ask[R any](ctx context.Context, c *Control, f func() (R, error)) (R, error) {
+	type result struct {
+		r   R
+		err error
+	}
+	ch := make(chan result, 1)
+	var zero R
+	select {
+	case c.events <- func() {
+		r, err := f()
+		ch <- result{r, err}
+	}:
+	case <-ctx.Done():
+		return zero, ctx.Err()
+	case <-c.ctx.Done():
+		return zero, ErrStopped
+	}
+	select {
+	case x := <-ch:
+		return x.r, x.err
+	case <-ctx.Done():
+		return zero, ctx.Err()
+	case <-c.ctx.Done():
+		return zero, ErrStopped
+	}
+}
+
+// async runs io in a goroutine and hands the function that it returns to the control
+// goroutine.
+func (c *Control) async(timeout time.Duration, io func(ctx context.Context) func()) {
+	c.wg.Add(1)
+	go func() {
+		defer c.wg.Done()
+		ctx, cancel := context.WithTimeout(c.ctx, timeout)
+		defer cancel()
+		if ev := io(ctx); ev != nil {
+			c.post(ev)
+		}
+	}()
+}
+
+// check runs the time-dependent checks of all parts.
+func (c *Control) check(now time.Time) {
+	c.checkMembers(now)
+	c.checkTakeover(now)
+	c.checkSuccession(now)
+	c.checkConfig(now)
+	c.checkWaiters(now)
+	c.pollMinions(now)
+}
+
+// Snapshot implements Traffic.
+func (c *Control) Snapshot() *Snapshot { return c.snap.Load() }
+
+// publish replaces the snapshot.
+func (c *Control) publish() {
+	c.dirty = false
+	s := &Snapshot{
+		Site:        c.cfg.index,
+		Document:    c.cfg.doc,
+		Coordinator: c.following.coordinator,
+		Token:       c.following.token,
+		Leaving:     c.leaving,
+		EvidenceAt:  c.cfg.evidenceAt,
+		Peers:       c.peerStates(),
+	}
+	s.Current = c.current(time.Now())
+	// A change of coordinator does not make an entry VM unready: requests wait for the
+	// next one, and all entry VMs of the data centre would be unready together.
+	s.Ready = s.Site != nil && !s.Leaving && s.Token != (model.Token{})
+	c.snap.Store(s)
+}
+
+func (c *Control) event(kind, object, from, to, reason string) {
+	c.d.Recorder.Event(model.FleetEvent{Time: time.Now(), Entry: c.self.Entry, DC: c.self.DC,
+		Kind: kind, Object: object, From: from, To: to, Reason: reason})
+}
--- /dev/null
+++ b/internal/control/fakes_test.go
@@ -0,0 +1,517 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sort"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"boragepulley/internal/config"
+	"boragepulley/internal/model"
+	"boragepulley/internal/peer"
+	"boragepulley/internal/platform"
+	"boragepulley/internal/settings"
+	"boragepulley/internal/upstream"
+)
+
+// fakeStore is a table and object store in memory.
+type fakeStore struct {
+	mu      sync.Mutex
+	rows    map[string]platform.Row
+	objects map[string][]byte
+	down    bool
+	// lose reports whether the answer of a transaction is lost after it took effect.
+	lose func(platform.Txn) bool
+	// commits counts transactions that took effect, by the key of their first put.
+	commits map[string]int
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{rows: map[string]platform.Row{}, objects: map[string][]byte{}, commits: map[string]int{}}
+}
+
+func (s *fakeStore) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+func (s *fakeStore) row(key string) platform.Row {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rows[key]
+}
+
+// view is the store as one entry VM reaches it.
+type view struct {
+	*fakeStore
+	n *node
+}
+
+// enter simulates the way to the store; while the node is paused nothing returns.
+func (v view) enter(ctx context.Context) error {
+	v.n.waitResumed()
+	time.Sleep(time.Millisecond)
+	v.mu.Lock()
+	down := v.down
+	v.mu.Unlock()
+	if down || v.n.cutFromStore.Load() {
+		return platform.ErrUnavailable
+	}
+	return ctx.Err()
+}
+
+func (v view) Get(ctx context.Context, _ platform.Priority, key string) (platform.Row, error) {
+	if err := v.enter(ctx); err != nil {
+		return platform.Row{}, platform.ErrUnavailable
+	}
+	defer v.n.waitResumed()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	r := v.rows[key]
+	r.Key = key
+	return r, nil
+}
+
+func (v view) Scan(ctx context.Context, _ platform.Priority, prefix string, _ int) ([]platform.Row, error) {
+	if err := v.enter(ctx); err != nil {
+		return nil, platform.ErrUnavailable
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var out []platform.Row
+	for k, r := range v.rows {
+		if strings.HasPrefix(k, prefix) {
+			out = append(out, r)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Key < out[j].Key })
+	return out, nil
+}
+
+func (v view) Commit(ctx context.Context, _ platform.Priority, t platform.Txn) (map[string]uint64, error) {
+	if err := v.enter(ctx); err != nil {
+		return nil, platform.ErrUnavailable
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, c := range t.Conditions {
+		if v.rows[c.Key].Version != c.Version {
+			return nil, platform.ErrConflict
+		}
+	}
+	out := map[string]uint64{}
+	for _, p := range t.Puts {
+		n := v.rows[p.Key].Version + 1
+		v.rows[p.Key] = platform.Row{Key: p.Key, Version: n, Value: p.Value}
+		out[p.Key] = n
+	}
+	v.commits[t.Puts[0].Key]++
+	if v.lose != nil && v.lose(t) {
+		return nil, platform.ErrUnknownOutcome
+	}
+	return out, nil
+}
+
+// objectView is the object store as one entry VM reaches it.
+type objectView struct{ view }
+
+func (v objectView) Put(ctx context.Context, _ platform.Priority, name string, data []byte) error {
+	if err := v.enter(ctx); err != nil {
+		return err
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if old, ok := v.objects[name]; ok && string(old) != string(data) {
+		return errors.New("object changed")
+	}
+	v.objects[name] = data
+	return nil
+}
+
+func (v objectView) Get(ctx context.Context, _ platform.Priority, name string) ([]byte, error) {
+	if err := v.enter(ctx); err != nil {
+		return nil, err
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if b, ok := v.objects[name]; ok {
+		return b, nil
+	}
+	return nil, platform.ErrNotFound
+}
+
+func (v objectView) List(context.Context, platform.Priority, string) ([]string, error) {
+	return nil, nil
+}
+
+// cluster is a set of control sides with a network and minions in memory.
+type cluster struct {
+	t     *testing.T
+	store *fakeStore
+	nodes map[model.EntryVM]*node
+	peers []settings.Peer
+	sites map[string]*config.Site
+
+	mu sync.Mutex
+	// running holds the jobs that run on each minion address.
+	running map[string][]upstream.RunningJob
+	events  []model.FleetEvent
+	// cut reports whether messages between two entry VMs are lost; may be nil.
+	cut func(from, to model.EntryVM) bool
+	// delay is added to messages of a method; may be nil.
+	delay func(from, to model.EntryVM, method string) time.Duration
+}
+
+type node struct {
+	cl   *cluster
+	name model.EntryVM
+	c    *Control
+
+	mu      sync.Mutex
+	dead    bool
+	resumed chan struct{} // not nil while paused
+
+	cutFromStore atomicBool
+}
+
+type atomicBool struct {
+	mu sync.Mutex
+	v  bool
+}
+
+func (b *atomicBool) Load() bool   { b.mu.Lock(); defer b.mu.Unlock(); return b.v }
+func (b *atomicBool) Store(v bool) { b.mu.Lock(); defer b.mu.Unlock(); b.v = v }
+
+// newCluster returns a cluster with the entry VMs "<dc>-<n>"; none is started.
+func newCluster(t *testing.T, counts map[model.DataCentre]int) *cluster {
+	cl := &cluster{t: t, store: newFakeStore(), nodes: map[model.EntryVM]*node{},
+		sites: map[string]*config.Site{}, running: map[string][]upstream.RunningJob{}}
+	for dc, n := range counts {
+		for i := range n {
+			name := model.EntryVM(string(dc) + "-" + string(rune('1'+i)))
+			cl.peers = append(cl.peers, settings.Peer{Name: name, DC: dc, Addr: string(name)})
+		}
+	}
+	sort.Slice(cl.peers, func(i, j int) bool { return cl.peers[i].Name < cl.peers[j].Name })
+	for _, p := range cl.peers {
+		cl.nodes[p.Name] = &node{cl: cl, name: p.Name, dead: true}
+	}
+	return cl
+}
+
+// start starts a new process on the entry VM.
+func (cl *cluster) start(names ...model.EntryVM) {
+	for _, name := range names {
+		n := cl.nodes[name]
+		var self settings.Peer
+		for _, p := range cl.peers {
+			if p.Name == name {
+				self = p
+			}
+		}
+		n.c = New(Deps{
+			Settings:    &settings.Settings{Name: name, DC: self.DC, Peers: cl.peers},
+			Incarnation: model.NewIncarnation(),
+			Table:       view{cl.store, n},
+			Objects:     objectView{view{cl.store, n}},
+			Minions:     cl,
+			Recorder:    cl,
+			Dial:        func(p settings.Peer) Remote { return &link{n, cl.nodes[p.Name]} },
+			Parse:       cl.parse,
+			Digest:      func(f []config.File) string { return "digest-" + f[0].Text },
+			Log:         zerolog.New(zerolog.NewTestWriter(cl.t)).With().Str("entry", string(name)).Logger(),
+			Rand:        rand.New(rand.NewPCG(1, uint64(len(name))+uint64(name[len(name)-1]))),
+		})
+		n.setDead(false)
+		n.c.Start()
+	}
+}
+
+func (cl *cluster) startAll() {
+	for _, p := range cl.peers {
+		cl.start(p.Name)
+	}
+}
+
+// stopAll ends all processes.
+func (cl *cluster) stopAll() {
+	for _, n := range cl.nodes {
+		n.resume()
+		if n.c != nil {
+			n.c.Stop()
+		}
+	}
+}
+
+// kill ends a process at once: connections to it are refused.
+func (n *node) kill() {
+	n.setDead(true)
+	n.c.Stop()
+}
+
+func (n *node) setDead(d bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.dead = d
+}
+
+// pause stops the control goroutine and all messages of the node until resume.
+func (n *node) pause() {
+	n.mu.Lock()
+	n.resumed = make(chan struct{})
+	n.mu.Unlock()
+	n.c.post(n.waitResumed)
+}
+
+func (n *node) resume() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.resumed != nil {
+		close(n.resumed)
+		n.resumed = nil
+	}
+}
+
+func (n *node) waitResumed() {
+	n.mu.Lock()
+	ch := n.resumed
+	n.mu.Unlock()
+	if ch != nil {
+		<-ch
+	}
+}
+
+func (n *node) isDead() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.dead
+}
+
+func (n *node) isPaused() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.resumed != nil
+}
+
+// Status implements MinionStatus.
+func (cl *cluster) Status(_ context.Context, addr string) (upstream.Status, error) {
+	time.Sleep(time.Millisecond)
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	return upstream.Status{Slots: 8, Busy: len(cl.running[addr]), Jobs: append([]upstream.RunningJob(nil), cl.running[addr]...)}, nil
+}
+
+func (cl *cluster) Record(model.Record) {}
+
+func (cl *cluster) Event(e model.FleetEvent) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	cl.events = append(cl.events, e)
+}
+
+func (cl *cluster) parse(files []config.File) (*config.Site, error) {
+	if s := cl.sites[files[0].Text]; s != nil {
+		return s, nil
+	}
+	return nil, errors.Errorf("unknown site %q", files[0].Text)
+}
+
+// site registers a site with one service, two VMs per data centre, a key per team and
+// the given limits.
+func (cl *cluster) site(text string, slots int, limits map[model.Team]int) {
+	s := &config.Site{Name: text, Isolation: config.Isolation{Keys: config.KeysRefuse, After: 5 * time.Second},
+		Services: []config.Service{{Name: "quotes", MaxRun: 10 * time.Second}},
+		Pools:    []config.Pool{{Name: "quotes", Service: "quotes"}},
+		Queues: []config.Queue{{Name: "quotes", Kind: config.QueueRequests, Service: "quotes", MaxWaiting: 1000,
+			MaxBody: 1000, Deadline: time.Minute, MaxDeadline: time.Minute, MaxAttempts: 3}},
+	}
+	dcs := map[model.DataCentre][]model.EntryVM{}
+	for _, p := range cl.peers {
+		dcs[p.DC] = append(dcs[p.DC], p.Name)
+	}
+	for dc, e := range dcs {
+		s.DataCentres = append(s.DataCentres, config.DataCentre{Name: dc, EntryVMs: e})
+		for _, n := range []string{"1", "2"} {
+			vm := string(dc) + "-vm-" + n
+			s.VMs = append(s.VMs, config.VM{Name: model.VM(vm), Pool: "quotes", DC: dc, Rack: "r",
+				Addr: vm, Slots: slots, Connections: 64})
+		}
+	}
+	for team, limit := range limits {
+		s.Teams = append(s.Teams, config.Team{Name: team, Share: 1, Limit: limit})
+		s.Keys = append(s.Keys, config.Key{ID: "key-" + string(team), Team: team})
+	}
+	cl.sites[text] = s
+}
+
+// apply applies a site at a node.
+func (cl *cluster) apply(at model.EntryVM, text string, base uint64) (ApplyResult, error) {
+	ctx, cancel := context.WithTimeout(cl.t.Context(), 10*time.Second)
+	defer cancel()
+	return cl.nodes[at].c.Apply(ctx, ApplyRequest{ApplyID: "apply-" + text + "-" + string(at), Operator: "op-" + string(at),
+		BaseVersion: base, Files: []config.File{{Name: "site.toml", Text: text}}})
+}
+
+// acquire asks for a permit through a node with the given deadline.
+func (cl *cluster) acquire(at model.EntryVM, team model.Team, wait time.Duration) (*model.Permit, model.Reason) {
+	now := time.Now()
+	r, err := cl.nodes[at].c.Acquire(cl.t.Context(), Attempt{Number: 1, Request: model.Request{
+		Job: model.NewJobID(now, at), Queue: "quotes", Team: team, KeyID: "key-" + string(team),
+		Priority: model.PriorityNormal, Deadline: now.Add(wait), Accepted: now}})
+	require.NoError(cl.t, err)
+	return r.Permit, r.Refused
+}
+
+// run marks the job of a permit as running on its minion.
+func (cl *cluster) run(p *model.Permit) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	cl.running[p.Addr] = append(cl.running[p.Addr], upstream.RunningJob{ID: p.Job, Attempt: p.Attempt})
+}
+
+// wait advances the time by d.
+func (cl *cluster) wait(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
+// eventually waits up to d for ok.
+func (cl *cluster) eventually(d time.Duration, ok func() bool, msg string) {
+	cl.t.Helper()
+	end := time.Now().Add(d)
+	for !ok() {
+		if time.Now().After(end) {
+			require.FailNow(cl.t, msg)
+		}
+		cl.wait(10 * time.Millisecond)
+	}
+}
+
+// coordinators returns the living nodes that grant permits in a data centre.
+func (cl *cluster) coordinators(dc model.DataCentre) []model.EntryVM {
+	var out []model.EntryVM
+	for _, p := range cl.peers {
+		n := cl.nodes[p.Name]
+		if p.DC == dc && !n.isDead() && !n.isPaused() {
+			if _, err := n.c.CoordinatorStatus(cl.t.Context()); err == nil {
+				out = append(out, p.Name)
+			}
+		}
+	}
+	return out
+}
+
+// coordinator waits for the only coordinator of a data centre.
+func (cl *cluster) coordinator(dc model.DataCentre, within time.Duration) model.EntryVM {
+	cl.t.Helper()
+	var got []model.EntryVM
+	cl.eventually(within, func() bool {
+		got = cl.coordinators(dc)
+		require.LessOrEqual(cl.t, len(got), 1, "two coordinators grant permits")
+		return len(got) == 1
+	}, "no coordinator of "+string(dc))
+	return got[0]
+}
+
+// inForce waits until a version is in force at the named nodes.
+func (cl *cluster) inForce(v uint64, within time.Duration, names ...model.EntryVM) {
+	cl.t.Helper()
+	cl.eventually(within, func() bool {
+		for _, n := range names {
+			if d := cl.nodes[n].c.Snapshot().Document; d == nil || d.Version < v {
+				return false
+			}
+		}
+		return true
+	}, "configuration not in force")
+}
+
+// link is the connection from one node to another.
+type link struct{ from, to *node }
+
+func send[Q, R any](ctx context.Context, l *link, method string, m *Q, f func(peer.ControlHandler, context.Context, *Q) (*R, error)) (*R, error) {
+	l.from.waitResumed()
+	d := time.Millisecond
+	l.from.cl.mu.Lock()
+	cut := l.from.cl.cut != nil && l.from.cl.cut(l.from.name, l.to.name)
+	if l.from.cl.delay != nil {
+		d += l.from.cl.delay(l.from.name, l.to.name, method)
+	}
+	l.from.cl.mu.Unlock()
+	time.Sleep(d)
+	if l.to.isDead() {
+		return nil, peer.ErrRefused
+	}
+	if cut || l.to.isPaused() {
+		// A real connection is found to be silent within 1.5 s.
+		tctx, cancel := context.WithTimeout(ctx, 1500*time.Millisecond)
+		defer cancel()
+		<-tctx.Done()
+		return nil, peer.ErrNoAnswer
+	}
+	r, err := f(l.to.c.Handler(), ctx, recode(m))
+	l.to.waitResumed()
+	l.from.waitResumed()
+	if l.to.isDead() || ctx.Err() != nil {
+		return nil, peer.ErrNoAnswer
+	}
+	if err != nil {
+		return nil, err
+	}
+	return recode(r), nil
+}
+
+// recode copies a message the way the wire does.
+func recode[T any](m *T) *T {
+	b, err := json.Marshal(m)
+	if err != nil {
+		panic(err)
+	}
+	out := new(T)
+	if err := json.Unmarshal(b, out); err != nil {
+		panic(err)
+	}
+	return out
+}
+
+func (l *link) Close() {}
+func (l *link) Probe(ctx context.Context, m *peer.Heartbeat) (*peer.HeartbeatReply, error) {
+	return l.Heartbeat(ctx, m)
+}
+func (l *link) Heartbeat(ctx context.Context, m *peer.Heartbeat) (*peer.HeartbeatReply, error) {
+	return send(ctx, l, peer.MethodHeartbeat, m, peer.ControlHandler.Heartbeat)
+}
+func (l *link) Register(ctx context.Context, m *peer.Register) (*peer.RegisterReply, error) {
+	return send(ctx, l, peer.MethodRegister, m, peer.ControlHandler.Register)
+}
+func (l *link) Acquire(ctx context.Context, m *peer.Acquire) (*peer.AcquireReply, error) {
+	return send(ctx, l, peer.MethodAcquire, m, peer.ControlHandler.Acquire)
+}
+func (l *link) CancelAcquire(ctx context.Context, m *peer.CancelAcquire) (*peer.Empty, error) {
+	return send(ctx, l, peer.MethodCancelAcquire, m, peer.ControlHandler.CancelAcquire)
+}
+func (l *link) Release(ctx context.Context, m *peer.Release) (*peer.Empty, error) {
+	return send(ctx, l, peer.MethodRelease, m, peer.ControlHandler.Release)
+}
+func (l *link) ConfigOffer(ctx context.Context, m *peer.ConfigOffer) (*peer.Empty, error) {
+	return send(ctx, l, peer.MethodConfigOffer, m, peer.ControlHandler.ConfigOffer)
+}
+func (l *link) ConfigGet(ctx context.Context, m *peer.ConfigGet) (*peer.ConfigGetReply, error) {
+	return send(ctx, l, peer.MethodConfigGet, m, peer.ControlHandler.ConfigGet)
+}
+func (l *link) Usage(ctx context.Context, m *peer.Usage) (*peer.Empty, error) {
+	return send(ctx, l, peer.MethodUsage, m, peer.ControlHandler.Usage)
+}
+func (l *link) AllotmentAsk(ctx context.Context, m *peer.AllotmentAsk) (*peer.AllotmentAskReply, error) {
+	return send(ctx, l, peer.MethodAllotmentAsk, m, peer.ControlHandler.AllotmentAsk)
+}
--- /dev/null
+++ b/internal/control/lease.go
@@ -0,0 +1,343 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	stderrors "errors"
+	"time"
+
+	"boragepulley/internal/model"
+	"boragepulley/internal/platform"
+)
+
+// leaseRow is the value of the table row "coordinator/<dc>".
+type leaseRow struct {
+	// Holder is empty after a graceful release.
+	Holder      model.EntryVM     `json:"holder"`
+	Incarnation model.Incarnation `json:"incarnation"`
+	Epoch       uint64            `json:"epoch"`
+	// Seq increases with each renewal, so that a read-back tells whether a write took effect.
+	Seq uint64 `json:"seq"`
+	// Expiry is by the holder's clock and for operators only; takers use their own
+	// monotonic clock.
+	Expiry time.Time `json:"expiry"`
+}
+
+// leaseState is what the control goroutine knows about the lease row.
+type leaseState struct {
+	// known is set once the row (or its absence) was read.
+	known   bool
+	version uint64
+	row     leaseRow
+	// changed is when this entry VM first saw the version.
+	changed time.Time
+	// answeredAt is when the table last answered, failing whether the last call failed.
+	answeredAt time.Time
+	failing    bool
+	lastRead   time.Time
+	reading    bool
+	// writing is set while a write is in flight; at most one is.
+	writing bool
+	// until is when the own lease ends: the TTL after the latest successful write was sent.
+	until time.Time
+}
+
+// following is the coordinator that this entry VM follows. The token never decreases.
+type following struct {
+	token       model.Token
+	coordinator model.EntryVM
+	// resigned is the highest token whose coordinator gave up; it never comes back
+	// with the same token.
+	resigned model.Token
+}
+
+func (c *Control) leaseKey() string { return "coordinator/" + string(c.self.DC) }
+
+// observeToken follows a higher token and steps down if this entry VM held a lower one.
+func (c *Control) observeToken(t model.Token, holder model.EntryVM, source string) {
+	if !c.following.token.Less(t) {
+		return
+	}
+	if c.coord != nil || c.takeover != nil {
+		c.stepDown("higher token " + t.String() + " in " + source)
+	}
+	c.follow(t, holder, source)
+}
+
+// follow sets the token and its coordinator.
+func (c *Control) follow(t model.Token, holder model.EntryVM, reason string) {
+	old := c.following.coordinator
+	c.following.token, c.following.coordinator = t, holder
+	c.gate.follow(t, holder, holder == c.self.Entry)
+	c.dirty = true
+	c.log.Info().Str("from", string(old)).Str("to", string(holder)).Stringer("token", t).
+		Str("reason", reason).Msg("coordinator change")
+	c.event("lease", "coordinator/"+string(c.self.DC), string(old), string(holder), reason+" token "+t.String())
+	if m := c.byName[holder]; m != nil {
+		// The first proof that the coordinator is alive should not wait for the next round.
+		c.beat(m)
+	}
+}
+
+// resign notes that the coordinator of the current token gave up.
+func (c *Control) resign(reason string) {
+	c.following.resigned = c.following.token
+	c.follow(c.following.token, "", reason)
+}
+
+// stepDown gives up the coordinator role. Waiting requests are sent again by their
+// entry VMs to the next coordinator.
+func (c *Control) stepDown(reason string) {
+	leaseOps.Add("step_down", 1)
+	c.log.Warn().Stringer("token", c.following.token).Str("reason", reason).Msg("coordinator steps down")
+	c.endWaiters()
+	c.coord, c.takeover = nil, nil
+	c.lease.until = time.Time{}
+	setGauge("coordinator", 0)
+	if c.following.coordinator == c.self.Entry {
+		c.resign(reason)
+	}
+}
+
+// readLease polls the lease row.
+func (c *Control) readLease(now time.Time) {
+	held := c.coord != nil && !c.coord.local
+	if held || c.lease.reading || c.leaving {
+		return
+	}
+	if c.rank() >= fastReaders && c.lease.known && now.Sub(c.lease.lastRead) < leaseReadSlow {
+		return
+	}
+	c.lease.reading, c.lease.lastRead = true, now
+	c.async(leaseCallTimeout, func(ctx context.Context) func() {
+		row, err := c.d.Table.Get(ctx, platform.PriorityLease, c.leaseKey())
+		return func() {
+			c.lease.reading = false
+			c.onLeaseRead(row, err)
+		}
+	})
+}
+
+// rank is the number of living entry VMs of the data centre with a lower name.
+func (c *Control) rank() int {
+	n := 0
+	for _, m := range c.local() {
+		if m.Name < c.self.Entry && m.status != MemberGone && m.status != MemberSuspect {
+			n++
+		}
+	}
+	return n
+}
+
+// onTable notes whether the table answered.
+func (c *Control) onTable(err error) {
+	c.lease.failing = err != nil && !stderrors.Is(err, platform.ErrConflict)
+	if !c.lease.failing {
+		c.lease.answeredAt = time.Now()
+	}
+}
+
+func (c *Control) onLeaseRead(row platform.Row, err error) {
+	c.onTable(err)
+	if err != nil {
+		leaseOps.Add("read_failed", 1)
+		return
+	}
+	if c.lease.known && row.Version <= c.lease.version {
+		c.considerTake(time.Now())
+		return
+	}
+	var v leaseRow
+	if row.Version > 0 {
+		if err := json.Unmarshal(row.Value, &v); err != nil {
+			// Nothing can be concluded from the value; the unchanged version still expires.
+			c.log.Error().Err(err).Msg("lease row malformed")
+			v = leaseRow{Holder: "?"}
+		}
+	}
+	c.lease.known, c.lease.version, c.lease.row, c.lease.changed = true, row.Version, v, time.Now()
+	c.considerTake(time.Now())
+}
+
+// considerTake takes the lease if its holder is gone or has not renewed it in time.
+func (c *Control) considerTake(now time.Time) {
+	if c.leaving || c.takeover != nil || c.lease.writing || !c.lease.known || c.lease.failing {
+		return
+	}
+	if c.coord != nil {
+		if c.coord.local {
+			c.take("table available again")
+		}
+		return
+	}
+	if c.coordinatorAlive(now) {
+		return
+	}
+	if reason := c.mayTake(now); reason != "" {
+		c.take(reason)
+	}
+}
+
+// coordinatorAlive reports whether another coordinator was heard within the TTL.
+func (c *Control) coordinatorAlive(now time.Time) bool {
+	f := c.following
+	return f.coordinator != "" && f.coordinator != c.self.Entry && now.Sub(c.gate.heard()) <= LeaseTTL
+}
+
+// mayTake returns why the lease may be taken now, or "".
+func (c *Control) mayTake(now time.Time) string {
+	row := c.lease.row
+	m := c.byName[row.Holder]
+	switch {
+	case row.Holder == "":
+		return "no holder"
+	case row.Holder == c.self.Entry:
+		return "own row of an earlier term"
+	case m != nil && m.dead[row.Incarnation]:
+		return "holder is gone"
+	case m != nil && m.status == MemberGone && m.goneAt.After(c.lease.changed):
+		return "holder is gone"
+	case now.Sub(c.lease.changed) > LeaseTTL+leaseMargin:
+		return "lease expired"
+	}
+	return ""
+}
+
+// take writes the lease row with the next epoch.
+func (c *Control) take(reason string) {
+	epoch := max(c.lease.row.Epoch, c.following.token.Epoch) + 1
+	v := leaseRow{Holder: c.self.Entry, Incarnation: c.self.Incarnation, Epoch: epoch, Seq: 1}
+	c.log.Info().Uint64("epoch", epoch).Str("reason", reason).Msg("taking the coordinator lease")
+	c.writeLease(v, func(ok bool) {
+		if !ok {
+			return
+		}
+		leaseOps.Add("taken", 1)
+		t := model.Token{Epoch: epoch}
+		switch {
+		case !c.following.token.Less(t):
+			// A higher token appeared while the write was in flight.
+			c.log.Warn().Stringer("token", t).Msg("lease taken with an outdated token")
+			c.lease.until = time.Time{}
+		case c.coord != nil && c.coord.local:
+			c.continueWith(t)
+		default:
+			c.startTakeover(t, false, reason)
+		}
+	})
+}
+
+// renewLease extends the lease while this entry VM holds it.
+func (c *Control) renewLease(now time.Time) {
+	if (c.coord == nil || c.coord.local) && (c.takeover == nil || c.takeover.local) || c.lease.writing {
+		return
+	}
+	if c.lease.row.Holder != c.self.Entry || c.lease.row.Epoch != c.following.token.Epoch {
+		return
+	}
+	v := c.lease.row
+	v.Seq++
+	c.writeLease(v, func(ok bool) {
+		if ok {
+			leaseOps.Add("renewed", 1)
+		}
+	})
+}
+
+// writeLease writes the row on the condition that it has the version last seen, and
+// reads it back if the answer was lost or the condition failed. then runs on the
+// control goroutine and is told whether the write took effect.
+func (c *Control) writeLease(v leaseRow, then func(ok bool)) {
+	c.lease.writing = true
+	sent := time.Now()
+	v.Expiry = sent.Add(LeaseTTL)
+	val, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // a struct of plain fields always encodes
+	}
+	key := c.leaseKey()
+	txn := platform.Txn{
+		Conditions: []platform.Condition{{Key: key, Version: c.lease.version}},
+		Puts:       []platform.Put{{Key: key, Value: val}},
+	}
+	c.async(2*leaseCallTimeout, func(ctx context.Context) func() {
+		wctx, cancel := context.WithTimeout(ctx, leaseCallTimeout)
+		versions, err := c.d.Table.Commit(wctx, platform.PriorityLease, txn)
+		cancel()
+		if err == nil {
+			row := platform.Row{Key: key, Version: versions[key], Value: val}
+			return func() { c.onLeaseWritten(row, v, sent, true, nil, then) }
+		}
+		if stderrors.Is(err, platform.ErrUnavailable) || stderrors.Is(err, platform.ErrBudget) {
+			return func() { c.onLeaseWritten(platform.Row{}, v, sent, false, err, then) }
+		}
+		row, rerr := c.d.Table.Get(ctx, platform.PriorityLease, key)
+		return func() { c.onLeaseWritten(row, v, sent, false, rerr, then) }
+	})
+}
+
+// onLeaseWritten handles the end of a write: row is what is in the table, if known.
+func (c *Control) onLeaseWritten(row platform.Row, v leaseRow, sent time.Time, ok bool, err error, then func(bool)) {
+	c.lease.writing = false
+	c.onTable(err)
+	if err != nil {
+		leaseOps.Add("write_failed", 1)
+		then(false)
+		return
+	}
+	c.lease.known = true
+	var got leaseRow
+	if row.Version > 0 && json.Unmarshal(row.Value, &got) != nil {
+		got = leaseRow{Holder: "?"}
+	}
+	if row.Version > c.lease.version {
+		c.lease.version, c.lease.row, c.lease.changed = row.Version, got, time.Now()
+	}
+	own := got.Holder == v.Holder && got.Incarnation == v.Incarnation && got.Epoch == v.Epoch
+	if !ok {
+		leaseOps.Add("read_back", 1)
+		ok = own && got.Seq == v.Seq
+	}
+	if ok && v.Holder == c.self.Entry {
+		c.lease.until = sent.Add(LeaseTTL)
+	}
+	if !own && v.Holder == c.self.Entry && (c.coord != nil && !c.coord.local || c.takeover != nil && !c.takeover.local) {
+		c.stepDown("lease row is held by " + string(got.Holder))
+	}
+	then(ok)
+}
+
+// authorityUntil returns until when this entry VM may grant permits: its table lease,
+// or while the table is unreachable the confirmation by every other entry VM of the
+// data centre that is neither gone nor silent.
+func (c *Control) authorityUntil(now time.Time, local bool) time.Time {
+	if !local && c.lease.until.After(now) {
+		return c.lease.until
+	}
+	if !c.lease.failing {
+		return c.lease.until
+	}
+	until := now.Add(LeaseTTL)
+	for _, m := range c.local() {
+		if m.exempt || m.status == MemberGone {
+			continue
+		}
+		if t := m.confirmed.Add(LeaseTTL); t.Before(until) {
+			until = t
+		}
+	}
+	return until
+}
+
+// checkAuthority steps down once neither the lease nor confirmations hold.
+func (c *Control) checkAuthority(now time.Time) {
+	if c.coord == nil {
+		return
+	}
+	until := c.authorityUntil(now, c.coord.local)
+	if now.After(until) {
+		c.stepDown("neither a valid lease nor confirmations")
+		return
+	}
+	c.gate.authorize(c.following.token, until)
+}
--- /dev/null
+++ b/internal/control/member.go
@@ -0,0 +1,405 @@
+package control
+
+import (
+	"context"
+	stderrors "errors"
+	"slices"
+	"strings"
+	"time"
+
+	"boragepulley/internal/model"
+	"boragepulley/internal/peer"
+	"boragepulley/internal/settings"
+)
+
+// member is what the control goroutine knows about another entry VM.
+type member struct {
+	settings.Peer
+	remote Remote
+	status MemberStatus
+	inc    model.Incarnation
+	// dead holds incarnations that a later one replaced; their late messages are ignored.
+	dead map[model.Incarnation]bool
+	// heard is when its last message or reply arrived.
+	heard time.Time
+	// answered is when the latest message that it answered was sent.
+	answered time.Time
+	// unansweredSince is when the first of the attempts was sent that have all
+	// stayed unanswered since; zero after an answer.
+	unansweredSince time.Time
+	// silentProbes counts new connections without an answer since the last answer.
+	silentProbes int
+	probing      bool
+	// goneAt is when new connections were last refused.
+	goneAt time.Time
+	config uint64
+	// coordinator is the entry VM that it reported to follow, token the highest it reported.
+	coordinator model.EntryVM
+	token       model.Token
+	// confirmed is when the latest message was sent whose answer confirmed this entry
+	// VM's own token.
+	confirmed time.Time
+	// exempt is set while the member was gone or silent for silentAfter: its
+	// confirmation is not needed until it has confirmed once again.
+	exempt      bool
+	registering bool
+}
+
+// addMembers fills the list of members from the settings.
+func (c *Control) addMembers() {
+	for _, p := range c.d.Settings.Peers {
+		if p.Name == c.self.Entry {
+			continue
+		}
+		m := &member{Peer: p, remote: c.d.Dial(p), status: MemberUnknown, dead: map[model.Incarnation]bool{}}
+		c.members = append(c.members, m)
+		c.byName[p.Name] = m
+		c.remotes[p.Name] = m.remote
+		if p.DC != c.self.DC && c.far[p.DC] == nil {
+			c.far[p.DC] = &farState{}
+		}
+	}
+	slices.SortFunc(c.members, func(a, b *member) int { return strings.Compare(string(a.Name), string(b.Name)) })
+}
+
+// local returns the members of the own data centre.
+func (c *Control) local() []*member {
+	var out []*member
+	for _, m := range c.members {
+		if m.DC == c.self.DC {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+func (c *Control) peerStates() map[model.EntryVM]PeerState {
+	out := make(map[model.EntryVM]PeerState, len(c.members))
+	for _, m := range c.members {
+		out[m.Name] = PeerState{DC: m.DC, Addr: m.Addr, Status: m.status, Config: m.config, LastHeard: m.heard}
+	}
+	return out
+}
+
+// heartbeat returns the current heartbeat of this entry VM.
+func (c *Control) heartbeat() *peer.Heartbeat {
+	now := time.Now()
+	hb := &peer.Heartbeat{
+		From:        c.self,
+		Config:      c.cfg.version(),
+		Token:       c.following.token,
+		Coordinator: c.following.coordinator,
+		EvidenceAge: c.evidenceAge(now),
+		Leaving:     c.leaving,
+	}
+	if c.coord != nil {
+		hb.NotServing = c.notServing()
+	}
+	return hb
+}
+
+// heartbeatRound sends a heartbeat to every entry VM of the data centre.
+func (c *Control) heartbeatRound(now time.Time) {
+	for _, m := range c.local() {
+		if m.status == MemberGone {
+			c.probe(m)
+		} else {
+			c.beat(m)
+		}
+	}
+	c.dirty = true
+}
+
+// beat sends one heartbeat to m.
+func (c *Control) beat(m *member) {
+	hb, sent := c.heartbeat(), time.Now()
+	c.async(heartbeatTimeout, func(ctx context.Context) func() {
+		r, err := m.remote.Heartbeat(ctx, hb)
+		return func() { c.onBeat(m, r, err, sent) }
+	})
+}
+
+func (c *Control) onBeat(m *member, r *peer.HeartbeatReply, err error, sent time.Time) {
+	if err == nil {
+		c.onAnswer(m, &r.Heartbeat, sent)
+		return
+	}
+	c.onUnanswered(m, sent)
+	c.probe(m)
+}
+
+func (c *Control) onUnanswered(m *member, sent time.Time) {
+	if sent.Before(m.answered) {
+		return
+	}
+	if m.unansweredSince.IsZero() || sent.Before(m.unansweredSince) {
+		m.unansweredSince = sent
+	}
+}
+
+// probe tries up to goneRefusals new connections. They tell a dead process (refused)
+// from a paused one (no answer) and from a connection that went silent (an answer).
+func (c *Control) probe(m *member) {
+	if m.probing {
+		return
+	}
+	m.probing = true
+	hb := c.heartbeat()
+	c.async(goneRefusals*heartbeatTimeout, func(ctx context.Context) func() {
+		for n := 1; ; n++ {
+			sent := time.Now()
+			pctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+			r, err := m.remote.Probe(pctx, hb)
+			cancel()
+			refused := stderrors.Is(err, peer.ErrRefused)
+			if refused && n < goneRefusals {
+				sleep(ctx, probeGap)
+				continue
+			}
+			return func() {
+				m.probing = false
+				switch {
+				case err == nil:
+					c.onAnswer(m, &r.Heartbeat, sent)
+				case refused:
+					m.goneAt = sent
+					c.setStatus(m, MemberGone, "three new connections refused")
+				default:
+					m.silentProbes++
+					c.onUnanswered(m, sent)
+				}
+			}
+		}
+	})
+}
+
+// onAnswer handles a heartbeat reply. sent is when the question was sent: the peer
+// was alive after it, however late the reply is read.
+func (c *Control) onAnswer(m *member, hb *peer.Heartbeat, sent time.Time) {
+	if !c.onSender(hb.From) {
+		return
+	}
+	if sent.After(m.answered) {
+		m.answered = sent
+	}
+	m.unansweredSince, m.silentProbes = time.Time{}, 0
+	c.onHeartbeat(m, hb)
+	if m.DC == c.self.DC {
+		c.onLocalAnswer(m, hb, sent)
+	}
+	c.onEvidence(hb, sent)
+}
+
+// onLocalAnswer takes the coordinator facts from the reply of a member of the data centre.
+func (c *Control) onLocalAnswer(m *member, hb *peer.Heartbeat, sent time.Time) {
+	if hb.Token != c.following.token {
+		return
+	}
+	if c.following.coordinator == m.Name && hb.Coordinator == m.Name {
+		c.gate.hear(hb.Token, m.Name, sent)
+	}
+	if c.following.coordinator == c.self.Entry && hb.Coordinator == c.self.Entry {
+		c.confirm(m, sent)
+	}
+}
+
+// confirm notes that m follows this entry VM's token at a time after sent.
+func (c *Control) confirm(m *member, sent time.Time) {
+	if sent.After(m.confirmed) {
+		m.confirmed = sent
+	}
+	m.exempt = false
+}
+
+// onSender notes a message of a process and reports whether it is the newest known one.
+func (c *Control) onSender(from peer.Sender) bool {
+	m := c.byName[from.Entry]
+	if m == nil || m.dead[from.Incarnation] {
+		return false
+	}
+	m.heard = time.Now()
+	if m.inc != from.Incarnation {
+		if m.inc != "" {
+			m.dead[m.inc] = true
+			c.onIncarnationEnd(m, "new incarnation")
+		}
+		m.inc = from.Incarnation
+		c.setStatus(m, MemberAlive, "new incarnation")
+	} else if m.status != MemberAlive && m.status != MemberLeaving {
+		c.setStatus(m, MemberAlive, "answers again")
+	}
+	return true
+}
+
+// onHeartbeat takes the facts that a heartbeat or its reply carries.
+func (c *Control) onHeartbeat(m *member, hb *peer.Heartbeat) {
+	m.config = max(m.config, hb.Config)
+	m.coordinator, m.token = hb.Coordinator, hb.Token
+	if hb.Leaving && m.status == MemberAlive {
+		c.setStatus(m, MemberLeaving, "graceful shutdown")
+	}
+	if m.DC == c.self.DC {
+		c.observeToken(hb.Token, hb.Coordinator, "heartbeat")
+		c.onCoordinatorClaim(m, hb)
+		if c.coord != nil && hb.Token.Less(c.following.token) {
+			c.registerLate(m)
+		}
+	} else if f := c.far[m.DC]; f != nil && hb.Coordinator != "" {
+		f.coordinator = hb.Coordinator
+	}
+	if hb.Config > c.cfg.newest() {
+		c.fetchFrom(m, hb.Config)
+	}
+}
+
+// onCoordinatorClaim handles what a member says about its own coordinator role at the
+// current token.
+func (c *Control) onCoordinatorClaim(m *member, hb *peer.Heartbeat) {
+	f := c.following
+	switch {
+	case hb.Token != f.token:
+	case hb.Coordinator == m.Name && f.coordinator == m.Name:
+		c.takeVMStates(hb.NotServing)
+	case hb.Coordinator == m.Name && f.coordinator == "" && f.resigned.Less(f.token):
+		c.follow(f.token, m.Name, "heartbeat")
+	case hb.Coordinator != m.Name && f.coordinator == m.Name:
+		c.resign("coordinator gave up")
+	}
+}
+
+// onIncarnationEnd frees what only the ended process held.
+func (c *Control) onIncarnationEnd(m *member, reason string) {
+	m.exempt = true
+	if c.coord != nil && m.DC == c.self.DC {
+		c.deliver(c.coord.adm.HolderGone(time.Now(), m.Name))
+	}
+	c.event("failure", "entry/"+string(m.Name), "", "gone", reason)
+}
+
+func (c *Control) setStatus(m *member, s MemberStatus, reason string) {
+	if m.status == s {
+		return
+	}
+	old := m.status
+	m.status = s
+	c.dirty = true
+	membership.Add(string(s), 1)
+	c.log.Info().Str("peer", string(m.Name)).Str("from", string(old)).Str("to", string(s)).
+		Str("reason", reason).Msg("membership change")
+	c.event("membership", "entry/"+string(m.Name), string(old), string(s), reason)
+	switch {
+	case s == MemberGone:
+		if m.inc != "" {
+			m.dead[m.inc] = true
+			m.inc = ""
+		}
+		c.onIncarnationEnd(m, reason)
+	case s == MemberAlive && c.coord != nil && m.DC == c.self.DC:
+		c.registerLate(m)
+	}
+}
+
+// checkMembers marks members without an answer as suspect.
+func (c *Control) checkMembers(now time.Time) {
+	for _, m := range c.local() {
+		if (m.status == MemberAlive || m.status == MemberLeaving) && now.Sub(m.heard) > suspectAfter {
+			c.setStatus(m, MemberSuspect, "no message for 1.5 s")
+		}
+		if m.silent(now) {
+			m.exempt = true
+		}
+	}
+}
+
+// silent reports whether m left new connections unanswered for silentAfter, as a
+// paused process does.
+func (m *member) silent(now time.Time) bool {
+	return !m.unansweredSince.IsZero() && m.silentProbes >= 2 && now.Sub(m.unansweredSince) >= silentAfter
+}
+
+// Heartbeat implements peer.ControlHandler.
+func (h handler) Heartbeat(ctx context.Context, hb *peer.Heartbeat) (*peer.HeartbeatReply, error) {
+	c := h.c
+	return ask(ctx, c, func() (*peer.HeartbeatReply, error) {
+		if m := c.byName[hb.From.Entry]; m != nil && c.onSender(hb.From) {
+			c.onHeartbeat(m, hb)
+		}
+		return &peer.HeartbeatReply{Heartbeat: *c.heartbeat()}, nil
+	})
+}
+
+// farState is what a coordinator knows about another data centre.
+type farState struct {
+	coordinator model.EntryVM
+	// turn rotates through the entry VMs while the coordinator is not known.
+	turn int
+	// answered is when the latest answered message was sent, config the version it reported.
+	answered time.Time
+	config   uint64
+	// usageToken and usageSeq are those of the newest usage report, waiting its counts.
+	usageToken model.Token
+	usageSeq   uint64
+	waiting    map[model.Team]int
+}
+
+// remoteRound sends a heartbeat to one entry VM of every other data centre.
+func (c *Control) remoteRound(now time.Time) {
+	if c.coord == nil {
+		return
+	}
+	for dc, f := range c.far {
+		m := c.farTarget(dc, f)
+		if m == nil {
+			continue
+		}
+		hb, sent := c.heartbeat(), now
+		c.async(heartbeatTimeout, func(ctx context.Context) func() {
+			r, err := m.remote.Heartbeat(ctx, hb)
+			return func() {
+				if err != nil {
+					c.onFarFailure(m, f, err)
+					return
+				}
+				c.onAnswer(m, &r.Heartbeat, sent)
+				if sent.After(f.answered) {
+					f.answered, f.config = sent, r.Config
+				}
+			}
+		})
+	}
+}
+
+func (c *Control) onFarFailure(m *member, f *farState, err error) {
+	f.coordinator = ""
+	f.turn++
+	if m.status == MemberAlive || m.status == MemberUnknown {
+		c.setStatus(m, MemberSuspect, err.Error())
+	}
+}
+
+// farTarget returns the entry VM of a data centre to talk to: its coordinator if known.
+func (c *Control) farTarget(dc model.DataCentre, f *farState) *member {
+	if m := c.byName[f.coordinator]; m != nil && m.DC == dc {
+		return m
+	}
+	var all []*member
+	for _, m := range c.members {
+		if m.DC == dc {
+			all = append(all, m)
+		}
+	}
+	if len(all) == 0 {
+		return nil
+	}
+	return all[f.turn%len(all)]
+}
+
+// sleep waits for d or the end of ctx.
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/control/metrics.go
@@ -0,0 +1,19 @@
+package control
+
+import "expvar"
+
+// Counters of control decisions since process start, and gauges of the current state.
+var (
+	membership = expvar.NewMap("control_membership_changes")
+	leaseOps   = expvar.NewMap("control_lease")
+	decisions  = expvar.NewMap("control_decisions")
+	configOps  = expvar.NewMap("control_configuration")
+	permitOps  = expvar.NewMap("control_permits")
+	gauges     = expvar.NewMap("control_gauges")
+)
+
+func setGauge(name string, v int64) {
+	i := new(expvar.Int)
+	i.Set(v)
+	gauges.Set(name, i)
+}
--- /dev/null
+++ b/internal/control/permits.go
@@ -0,0 +1,240 @@
+package control
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"boragepulley/internal/model"
+	"boragepulley/internal/peer"
+)
+
+// Acquire implements Traffic.
+func (c *Control) Acquire(ctx context.Context, a Attempt) (peer.AcquireReply, error) {
+	deadline := a.Request.Deadline
+	wctx, cancel := context.WithDeadline(ctx, deadline.Add(acquireGrace))
+	defer cancel()
+	asked := false
+	for {
+		at := c.gate.place()
+		// A release of the same attempt that is still on its way would free the new permit.
+		free := !c.releases.holds(permitKey{a.Request.Job, a.Number})
+		if at.coordinator != "" && free && time.Now().Before(deadline) {
+			asked = true
+			reply, err := c.acquireAt(wctx, at, a)
+			if err == nil {
+				if r, ok := c.accept(reply, at); ok {
+					return r, nil
+				}
+				continue
+			}
+		}
+		if wctx.Err() != nil || c.ctx.Err() != nil || !time.Now().Before(deadline) {
+			break
+		}
+		select {
+		case <-at.changed:
+		case <-time.After(retryGap/2 + rand.N(retryGap)):
+		case <-wctx.Done():
+		case <-c.ctx.Done():
+		}
+	}
+	if asked {
+		c.releases.add(release{cancel: &peer.CancelAcquire{From: c.self, Job: a.Request.Job, Attempt: a.Number}})
+	}
+	if err := ctx.Err(); err != nil && time.Now().Before(deadline) {
+		return peer.AcquireReply{}, err
+	}
+	reason := model.ReasonDeadlineQueued
+	if !asked {
+		reason = model.ReasonNoCoordinator
+	}
+	permitOps.Add("gave_up_"+string(reason), 1)
+	return peer.AcquireReply{Refused: reason, Detail: "no answer of a coordinator before the deadline"}, nil
+}
+
+// acquireAt asks one coordinator. It ends when another coordinator is followed.
+func (c *Control) acquireAt(ctx context.Context, at place, a Attempt) (*peer.AcquireReply, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-at.changed:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	msg := &peer.Acquire{From: c.self, Request: a.Request, Attempt: a.Number,
+		Wait: time.Until(a.Request.Deadline), Avoid: a.Avoid, Hops: a.Hops}
+	if at.coordinator == c.self.Entry {
+		return c.Handler().Acquire(ctx, msg)
+	}
+	return c.remotes[at.coordinator].Acquire(ctx, msg)
+}
+
+// accept takes a reply over. It returns false if the permit is void because the
+// coordinator changed or was out of reach meanwhile; then another one is needed.
+func (c *Control) accept(r *peer.AcquireReply, at place) (peer.AcquireReply, bool) {
+	if r.Permit == nil {
+		return *r, true
+	}
+	p := r.Permit
+	p.NotAfter = time.Now().Add(p.StartWithin)
+	if !c.gate.admit(p, at.session) {
+		permitOps.Add("void", 1)
+		// Not released: the repeated Acquire gets the same permit again if the
+		// coordinator still counts it.
+		return peer.AcquireReply{}, false
+	}
+	return *r, true
+}
+
+func (c *Control) releaseOf(p *model.Permit, result peer.AttemptResult) *peer.Release {
+	return &peer.Release{From: c.self, Job: p.Job, Attempt: p.Attempt, Minion: p.Minion, Token: p.Token, Result: result}
+}
+
+// Release implements Traffic.
+func (c *Control) Release(p *model.Permit, result peer.AttemptResult) {
+	if c.gate.remove(p) {
+		c.releases.add(release{release: c.releaseOf(p, result)})
+	}
+}
+
+// release is a message that gives something back to the coordinator, one of the two.
+type release struct {
+	release *peer.Release
+	cancel  *peer.CancelAcquire
+	since   time.Time
+}
+
+// releaseQueue holds messages to the coordinator until it has answered them.
+type releaseQueue struct {
+	mu   sync.Mutex
+	list []release
+	// open holds the attempts whose message is not confirmed yet.
+	open map[permitKey]int
+	// more is signalled when the list grows.
+	more chan struct{}
+}
+
+func (q *releaseQueue) init() {
+	q.more = make(chan struct{}, 1)
+	q.open = map[permitKey]int{}
+}
+
+func (r *release) key() permitKey {
+	if r.cancel != nil {
+		return permitKey{r.cancel.Job, r.cancel.Attempt}
+	}
+	return permitKey{r.release.Job, r.release.Attempt}
+}
+
+// holds reports whether a message about the attempt is not confirmed yet.
+func (q *releaseQueue) holds(k permitKey) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.open[k] > 0
+}
+
+// done ends the message r.
+func (q *releaseQueue) done(r release) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.open[r.key()]--; q.open[r.key()] <= 0 {
+		delete(q.open, r.key())
+	}
+}
+
+func (q *releaseQueue) signal() {
+	select {
+	case q.more <- struct{}{}:
+	default:
+	}
+}
+
+func (q *releaseQueue) add(r release) {
+	r.since = time.Now()
+	q.mu.Lock()
+	q.list = append(q.list, r)
+	q.open[r.key()]++
+	q.mu.Unlock()
+	q.signal()
+}
+
+func (q *releaseQueue) next() (release, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.list) == 0 {
+		return release{}, false
+	}
+	r := q.list[0]
+	q.list[0] = release{}
+	q.list = q.list[1:]
+	if len(q.list) > 0 {
+		q.signal()
+	}
+	return r, true
+}
+
+// size returns the number of messages that are not confirmed yet.
+func (q *releaseQueue) size() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.open)
+}
+
+// releaseLoop sends releases to the current coordinator until it confirms them.
+func (c *Control) releaseLoop() {
+	defer c.wg.Done()
+	for {
+		select {
+		case <-c.ctx.Done():
+			return
+		case <-c.releases.more:
+		}
+		for {
+			r, ok := c.releases.next()
+			if !ok {
+				break
+			}
+			c.sendRelease(r)
+			c.releases.done(r)
+		}
+	}
+}
+
+func (c *Control) sendRelease(r release) {
+	for time.Since(r.since) < releaseFor && c.ctx.Err() == nil {
+		if c.sendReleaseOnce(r) == nil {
+			return
+		}
+		permitOps.Add("release_retry", 1)
+		select {
+		case <-time.After(retryGap/2 + rand.N(retryGap)):
+		case <-c.ctx.Done():
+		}
+	}
+	permitOps.Add("release_dropped", 1)
+	c.log.Warn().Msg("release not confirmed; the minion's status decides")
+}
+
+func (c *Control) sendReleaseOnce(r release) error {
+	at := c.gate.place()
+	h := c.Handler()
+	if at.coordinator == "" {
+		return peer.ErrNotCoordinator
+	}
+	if at.coordinator != c.self.Entry {
+		h = c.remotes[at.coordinator]
+	}
+	ctx, cancel := context.WithTimeout(c.ctx, heartbeatTimeout)
+	defer cancel()
+	var err error
+	if r.cancel != nil {
+		_, err = h.CancelAcquire(ctx, r.cancel)
+	} else {
+		_, err = h.Release(ctx, r.release)
+	}
+	return err
+}
--- /dev/null
+++ b/internal/control/shutdown.go
@@ -0,0 +1,80 @@
+package control
+
+import (
+	"context"
+	"time"
+)
+
+// BeginLeaving starts a graceful shutdown: readiness turns red, and the coordinator
+// role is given up by clearing the lease row, so that another entry VM takes it at once. It
+// returns when the row is cleared, the role is not held, or ctx ends; permits that are
+// held stay valid. The peer listener must stay open until Stop.
+func (c *Control) BeginLeaving(ctx context.Context) error {
+	done := make(chan struct{})
+	if !c.post(func() { c.beginLeaving(done) }) {
+		return ErrStopped
+	}
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-c.ctx.Done():
+		return ErrStopped
+	}
+}
+
+func (c *Control) beginLeaving(done chan struct{}) {
+	if !c.leaving {
+		c.leaving, c.dirty = true, true
+		c.log.Info().Msg("graceful shutdown begins")
+		c.event("membership", "entry/"+string(c.self.Entry), "alive", "leaving", "graceful shutdown")
+		for _, m := range c.local() {
+			c.beat(m)
+		}
+	}
+	c.releaseLease(done)
+}
+
+// releaseLease steps down and clears the lease row. Stepping down comes first: no
+// permit is granted once another entry VM may take the row.
+func (c *Control) releaseLease(done chan struct{}) {
+	held := c.coord != nil || c.takeover != nil
+	if held {
+		c.stepDown("graceful shutdown")
+		for _, m := range c.local() {
+			c.beat(m)
+		}
+	}
+	if c.lease.writing {
+		c.async(time.Second, func(ctx context.Context) func() {
+			sleep(ctx, checkEvery/4)
+			return func() { c.releaseLease(done) }
+		})
+		return
+	}
+	if c.lease.row.Holder != c.self.Entry || c.lease.row.Incarnation != c.self.Incarnation {
+		close(done)
+		return
+	}
+	v := leaseRow{Epoch: c.lease.row.Epoch, Seq: c.lease.row.Seq + 1}
+	c.writeLease(v, func(ok bool) {
+		c.log.Info().Bool("cleared", ok).Msg("coordinator lease released")
+		leaseOps.Add("released", 1)
+		close(done)
+	})
+}
+
+// Pending returns the number of releases that the coordinator has not confirmed yet; a
+// graceful shutdown waits until it is 0.
+func (c *Control) Pending() int { return c.releases.size() }
+
+// Stop ends all control work and waits for it. The caller closes the peer listener
+// after it.
+func (c *Control) Stop() {
+	c.stop()
+	c.wg.Wait()
+	for _, r := range c.remotes {
+		r.Close()
+	}
+}
--- /dev/null
+++ b/internal/control/succession.go
@@ -0,0 +1,45 @@
+package control
+
+import (
+	"time"
+
+	"boragepulley/internal/model"
+)
+
+// checkSuccession takes the coordinator role without the table (D2): the table is
+// unreachable, the coordinator is gone, silent or has given up, and this entry VM is the
+// living one with the lowest name.
+func (c *Control) checkSuccession(now time.Time) {
+	if c.leaving || c.coord != nil || c.takeover != nil || c.lease.writing {
+		return
+	}
+	if !c.lease.failing || now.Sub(c.lease.answeredAt) < LeaseTTL || now.Sub(c.started) < LeaseTTL {
+		return
+	}
+	if c.coordinatorAlive(now) || !c.lowestAlive(now) || !c.predecessorOut(now) {
+		return
+	}
+	t := c.following.token
+	t.Succession++
+	c.startTakeover(t, true, "table unreachable and coordinator out of service")
+}
+
+// lowestAlive reports whether no living member has a lower name.
+func (c *Control) lowestAlive(now time.Time) bool {
+	for _, m := range c.local() {
+		if m.Name < c.self.Entry && m.status != MemberGone && !m.silent(now) && m.status != MemberLeaving {
+			return false
+		}
+	}
+	return true
+}
+
+// predecessorOut reports whether the last known coordinator cannot serve any more.
+func (c *Control) predecessorOut(now time.Time) bool {
+	name := c.following.coordinator
+	if name == "" && c.following.token == (model.Token{}) {
+		name = c.lease.row.Holder
+	}
+	m := c.byName[name]
+	return m == nil || m.status == MemberGone || m.silent(now) || m.coordinator != m.Name && m.answered.After(c.lease.answeredAt)
+}
--- /dev/null
+++ b/internal/control/takeover.go
@@ -0,0 +1,179 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"boragepulley/internal/model"
+	"boragepulley/internal/peer"
+)
+
+// takeover is the registration phase of a new coordinator. No permit is granted in it.
+type takeover struct {
+	token   model.Token
+	local   bool
+	started time.Time
+	// pending are the members that have neither answered nor been found out of service.
+	pending map[model.EntryVM]*member
+	permits []model.Permit
+	// vmsKnown is set once the VM states were read, or could not be.
+	vmsKnown bool
+	// early are requests that arrived before the end of the phase.
+	early []func()
+}
+
+// startTakeover registers at all entry VMs of the data centre.
+func (c *Control) startTakeover(t model.Token, local bool, reason string) {
+	c.follow(t, c.self.Entry, reason)
+	tk := &takeover{token: t, local: local, started: time.Now(), pending: map[model.EntryVM]*member{}}
+	c.takeover = tk
+	if tk.vmsKnown = local; !local {
+		c.loadVMs(tk)
+	}
+	for _, m := range c.local() {
+		m.confirmed = time.Time{}
+		if m.status != MemberGone {
+			tk.pending[m.Name] = m
+			c.register(m)
+		}
+	}
+	c.checkTakeover(time.Now())
+}
+
+// register sends the current token to m. Its answer confirms the token and lists the
+// permits that m holds.
+func (c *Control) register(m *member) {
+	if m.registering {
+		return
+	}
+	m.registering = true
+	sent := time.Now()
+	msg := &peer.Register{From: c.self, Token: c.following.token, Local: c.takeover != nil && c.takeover.local}
+	c.async(heartbeatTimeout, func(ctx context.Context) func() {
+		r, err := m.remote.Register(ctx, msg)
+		return func() {
+			m.registering = false
+			c.onRegistered(m, msg.Token, r, err, sent)
+		}
+	})
+}
+
+// registerLate registers at a member that came back or has not seen the token yet.
+func (c *Control) registerLate(m *member) {
+	if c.takeover == nil && c.coord != nil {
+		c.register(m)
+	}
+}
+
+func (c *Control) onRegistered(m *member, t model.Token, r *peer.RegisterReply, err error, sent time.Time) {
+	if t != c.following.token || c.following.coordinator != c.self.Entry {
+		return // of an earlier term
+	}
+	if err != nil {
+		c.onUnanswered(m, sent)
+		c.probe(m)
+		return // checkTakeover repeats it
+	}
+	if !c.onSender(r.From) {
+		return
+	}
+	if !r.Accepted {
+		c.log.Warn().Str("peer", string(m.Name)).Stringer("token", r.Token).Msg("registration rejected")
+		if !t.Less(r.Token) {
+			c.stepDown("registration rejected by " + string(m.Name))
+			return
+		}
+		c.observeToken(r.Token, "", "registration reply of "+string(m.Name))
+		return
+	}
+	c.confirm(m, sent)
+	switch {
+	case c.takeover != nil:
+		c.takeover.permits = append(c.takeover.permits, r.Permits...)
+		delete(c.takeover.pending, m.Name)
+		c.checkTakeover(time.Now())
+	case c.coord != nil:
+		c.deliver(c.coord.adm.Adopt(time.Now(), r.Permits))
+	}
+}
+
+// checkTakeover ends the registration phase when nobody is left to wait for. A member
+// that was heard within the TTL is waited for, because it may still dispatch with a
+// permit of the earlier coordinator; one that was not cannot.
+func (c *Control) checkTakeover(now time.Time) {
+	tk := c.takeover
+	if tk == nil {
+		c.considerTake(now)
+		return
+	}
+	for n, m := range tk.pending {
+		switch {
+		case m.status == MemberGone,
+			!tk.local && now.Sub(m.heard) > LeaseTTL && now.Sub(tk.started) > registerWait,
+			tk.local && m.silent(now):
+			delete(tk.pending, n)
+		default:
+			if now.Sub(tk.started) > checkEvery {
+				c.register(m)
+			}
+		}
+	}
+	if len(tk.pending) > 0 || !tk.vmsKnown {
+		return
+	}
+	if !tk.local && !c.lease.until.After(now) || tk.local && !c.authorityUntil(now, true).After(now) {
+		if now.Sub(tk.started) > 2*LeaseTTL {
+			c.stepDown("no authority at the end of the registration")
+		}
+		return
+	}
+	c.activate(tk)
+}
+
+// activate starts to grant permits.
+func (c *Control) activate(tk *takeover) {
+	now := time.Now()
+	c.takeover = nil
+	c.coord = c.newCoordinator(tk.token, tk.local)
+	c.gate.authorize(tk.token, c.authorityUntil(now, tk.local))
+	c.deliver(c.coord.adm.Adopt(now, append(tk.permits, c.gate.outstanding()...)))
+	c.dirty = true
+	setGauge("coordinator", 1)
+	c.log.Info().Stringer("token", tk.token).Bool("local", tk.local).Int("permits", len(tk.permits)).
+		Dur("registration", now.Sub(tk.started)).Msg("coordinator grants permits")
+	c.pollMinions(now)
+	for _, f := range tk.early {
+		f()
+	}
+}
+
+// continueWith goes on with the token of the table after a local succession.
+func (c *Control) continueWith(t model.Token) {
+	c.follow(t, c.self.Entry, "local successor took the lease")
+	c.coord.local = false
+	c.coord.adm.SetToken(t)
+	for _, m := range c.local() {
+		c.register(m)
+	}
+}
+
+// Register implements peer.ControlHandler. Accepting a token is a promise to reject
+// lower ones.
+func (h handler) Register(ctx context.Context, m *peer.Register) (*peer.RegisterReply, error) {
+	c := h.c
+	return ask(ctx, c, func() (*peer.RegisterReply, error) {
+		r := &peer.RegisterReply{From: c.self}
+		known := c.onSender(m.From)
+		same := m.Token == c.following.token && m.From.Entry == c.following.coordinator
+		if known && (same || c.following.token.Less(m.Token)) && m.From.DC == c.self.DC {
+			if c.coord != nil {
+				r.Unattributed = c.unattributed()
+			}
+			c.observeToken(m.Token, m.From.Entry, "registration")
+			r.Accepted = true
+			r.Permits = c.gate.outstanding()
+		}
+		r.Token = c.following.token
+		return r, nil
+	})
+}
--- /dev/null
+++ b/internal/control/timing.go
@@ -0,0 +1,65 @@
+package control
+
+import "time"
+
+const (
+	// LeaseTTL is how long a lease, a confirmation or a message of the coordinator holds (D2).
+	LeaseTTL = 1500 * time.Millisecond
+	// leaseMargin is added to the TTL before another entry VM takes an unchanged lease:
+	// it covers the difference between two monotonic clocks over the TTL.
+	leaseMargin = 250 * time.Millisecond
+	// registerWait is the least time that a takeover gives to a member that was not heard
+	// within the TTL, so that a merely idle connection does not count as a dead one.
+	registerWait = 100 * time.Millisecond
+	renewEvery   = 400 * time.Millisecond
+	// leaseCallTimeout leaves time for a read-back within the TTL.
+	leaseCallTimeout = time.Second
+	// leaseReadFast is the poll interval of the entry VMs that would take over first
+	// (fastReaders of them), leaseReadSlow that of the others. The takeover time depends
+	// on the fast ones; the slow ones only save reads.
+	leaseReadFast = 300 * time.Millisecond
+	leaseReadSlow = time.Second
+	fastReaders   = 2
+	// silentAfter is how long a peer must leave attempts over new connections
+	// unanswered before a local succession treats it as paused (D2).
+	silentAfter = 2 * LeaseTTL
+
+	heartbeatEvery = 500 * time.Millisecond
+	// heartbeatTimeout and heartbeatEvery add up to the 1.5 s in which a silent
+	// connection must be noticed (D8).
+	heartbeatTimeout = time.Second
+	suspectAfter     = 1500 * time.Millisecond
+	remoteEvery      = time.Second
+	// goneRefusals refused new connections in a row mean that a process is dead.
+	goneRefusals = 3
+	probeGap     = 50 * time.Millisecond
+
+	configPollEvery = time.Second
+	// configBootWait is how long a starting daemon collects versions from peers while
+	// the table does not answer (D3).
+	configBootWait = 3 * time.Second
+	// configPushWait bounds the push to peers that precedes a version coming into force.
+	configPushWait = 300 * time.Millisecond
+	storeTimeout   = 2 * time.Second
+
+	usageEvery     = time.Second
+	allotmentEvery = time.Second
+	// checkEvery is the resolution of checks that have no timer of their own.
+	checkEvery = 100 * time.Millisecond
+	// minionPollGap is the time between two polls of one minion with jobs in doubt, and
+	// minionPollIdle that of one with outstanding permits only, whose release may be lost.
+	minionPollGap     = 200 * time.Millisecond
+	minionPollIdle    = 10 * time.Second
+	minionPollTimeout = time.Second
+	minionPolls       = 16
+	// waiterGrace is how long a waiting request survives the loss of its connection.
+	waiterGrace = 2 * time.Second
+
+	// retryGap is the mean wait before a call to the coordinator is repeated.
+	retryGap = 40 * time.Millisecond
+	// acquireGrace lets the coordinator's own answer at the deadline arrive first.
+	acquireGrace   = 250 * time.Millisecond
+	releaseWorkers = 16
+	// releaseFor bounds the retries of one release; after it the minion's status decides.
+	releaseFor = 30 * time.Second
+)
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -45,6 +45,9 @@
 	EvidenceAge time.Duration `json:"evidence_age"`
 	// Leaving is set while the sender shuts down.
 	Leaving bool `json:"leaving,omitempty"`
+	// NotServing lists the VMs of the data centre in any state but serving. Only the
+	// coordinator sends it, so that a successor without the table knows them.
+	NotServing map[model.VM]model.VMState `json:"not_serving,omitempty"`
 }
 
 // HeartbeatReply answers a Heartbeat with the receiver's own state.
