--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -41,7 +41,7 @@
 			require.Equal(t, model.ReasonPermitExpired, cl.nodes[at].c.CheckPermit(p, "key-t"))
 		}
 		cl.wait(100 * time.Millisecond)
-		s, err := cl.nodes[cl.coordinator("a", time.Second)].c.CoordinatorStatus(t.Context())
+		s, err := cl.nodes[cl.coordinator("a", time.Second)].c.CoordinatorStatus(cl.t.Context())
 		require.NoError(t, err)
 		require.Empty(t, s.Permits)
 	})
