daemon: wire control, dispatch, account and listeners

Cause: the parts exist but no process runs them. Change: package daemon, record copies over the peer protocol, pull of unstored records for reports, status across data centres, graceful shutdown in order; report lists every job.

--- a/internal/account/check.go
+++ b/internal/account/check.go
@@ -20,7 +20,7 @@
 func (r *Report) check() {
 	r.Checks = []Check{
 		r.checkOnce(),
-		{Name: CheckTotalsAddUp, OK: r.Total.sums() && r.Total.Accepted == len(r.jobs)},
+		{Name: CheckTotalsAddUp, OK: r.Total.sums() && r.Total.Accepted == len(r.All)},
 		r.checkGroups(),
 		r.checkReasons(),
 		r.checkEachJob(CheckNoContradiction, func(j *Job) bool { return !j.Contradictory }),
@@ -30,8 +30,8 @@
 }
 
 func (r *Report) checkOnce() Check {
-	seen := make(map[model.JobID]bool, len(r.jobs))
-	for _, j := range r.jobs {
+	seen := make(map[model.JobID]bool, len(r.All))
+	for _, j := range r.All {
 		if seen[j.ID] {
 			return Check{Name: CheckEachJobOnce, Detail: string(j.ID)}
 		}
@@ -59,7 +59,7 @@
 func (r *Report) checkEachJob(name string, ok func(*Job) bool) Check {
 	bad := 0
 	first := model.JobID("")
-	for _, j := range r.jobs {
+	for _, j := range r.All {
 		if ok(j) {
 			continue
 		}
--- a/internal/account/html.go
+++ b/internal/account/html.go
@@ -33,7 +33,7 @@
 		r.plotJobs,
 		func() ([]byte, error) { return r.plotEvents("vm_state", "VMs by state", "VMs") },
 		func() ([]byte, error) {
-			return r.plotEvents("member", "Entry VMs by status as seen by their peers", "views")
+			return r.plotEvents("membership", "Entry VMs by status as seen by their peers", "views")
 		},
 	} {
 		svg, err := f()
--- a/internal/account/plot.go
+++ b/internal/account/plot.go
@@ -47,7 +47,7 @@
 	}
 	states := []model.State{model.StateRan, model.StateRefused, model.StateUnknown, model.StateCancelled}
 	counts := make(map[model.State][]float64, len(states))
-	for _, j := range r.jobs {
+	for _, j := range r.All {
 		if j.Finished.IsZero() {
 			continue
 		}
--- a/internal/account/report.go
+++ b/internal/account/report.go
@@ -90,9 +90,9 @@
 	Checks []Check            `json:"checks"`
 	Events []model.FleetEvent `json:"events"`
 	// Unknown lists the jobs whose outcome is unknown.
-	Unknown []*Job `json:"unknown_jobs"`
-
-	jobs []*Job
+	Unknown []*Job `json:"-"`
+	// All holds each job once, in order of acceptance.
+	All []*Job `json:"jobs"`
 }
 
 // OK reports whether every check of the report holds. A report with gaps can be OK:
@@ -107,11 +107,11 @@
 }
 
 // Jobs returns every job once, in order of acceptance.
-func (r *Report) Jobs() []*Job { return r.jobs }
+func (r *Report) Jobs() []*Job { return r.All }
 
 // Job returns one job, or nil.
 func (r *Report) Job(id model.JobID) *Job {
-	for _, j := range r.jobs {
+	for _, j := range r.All {
 		if j.ID == id {
 			return j
 		}
@@ -136,13 +136,13 @@
 	m.markLost(in.Live)
 	r := &Report{Time: in.Now, Events: m.Events}
 	for _, j := range m.Jobs {
-		r.jobs = append(r.jobs, j)
+		r.All = append(r.All, j)
 	}
-	slices.SortFunc(r.jobs, func(a, b *Job) int {
+	slices.SortFunc(r.All, func(a, b *Job) int {
 		return cmp.Or(a.Accepted.Compare(b.Accepted), cmp.Compare(a.ID, b.ID))
 	})
-	if len(r.jobs) > 0 {
-		r.From = r.jobs[0].Accepted
+	if len(r.All) > 0 {
+		r.From = r.All[0].Accepted
 	}
 	r.count()
 	r.Gaps = FindGaps(m.Owners, in.Live, in.Now)
@@ -150,6 +150,34 @@
 	return r
 }
 
+// Between returns the report of the jobs accepted and the events that happened from
+// from until to; zero times leave the period open. Gaps that touch the period stay.
+func (r *Report) Between(from, to time.Time) *Report {
+	if from.IsZero() && to.IsZero() {
+		return r
+	}
+	in := func(t time.Time) bool { return !t.Before(from) && (to.IsZero() || t.Before(to)) }
+	out := &Report{Time: r.Time, From: from}
+	for _, j := range r.All {
+		if in(j.Accepted) {
+			out.All = append(out.All, j)
+		}
+	}
+	for _, e := range r.Events {
+		if in(e.Time) {
+			out.Events = append(out.Events, e)
+		}
+	}
+	for _, g := range r.Gaps {
+		if !g.To.Before(from) && (to.IsZero() || g.From.Before(to)) {
+			out.Gaps = append(out.Gaps, g)
+		}
+	}
+	out.count()
+	out.check()
+	return out
+}
+
 func (r *Report) count() {
 	type groupKey struct {
 		q model.Queue
@@ -161,7 +189,7 @@
 	}
 	groups := make(map[groupKey]*Group)
 	why := make(map[whyKey]int)
-	for _, j := range r.jobs {
+	for _, j := range r.All {
 		r.Total.add(j.State)
 		k := groupKey{j.Queue, j.Team}
 		if groups[k] == nil {
--- a/internal/control/member.go
+++ b/internal/control/member.go
@@ -76,7 +76,7 @@
 func (c *Control) peerStates() map[model.EntryVM]PeerState {
 	out := make(map[model.EntryVM]PeerState, len(c.members))
 	for _, m := range c.members {
-		out[m.Name] = PeerState{DC: m.DC, Addr: m.Addr, Status: m.status, Config: m.config, LastHeard: m.heard}
+		out[m.Name] = PeerState{DC: m.DC, Addr: m.Addr, Status: m.status, Incarnation: m.inc, Config: m.config, LastHeard: m.heard}
 	}
 	return out
 }
--- /dev/null
+++ b/internal/control/sitestatus.go
@@ -0,0 +1,112 @@
+package control
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"boragepulley/internal/model"
+	"boragepulley/internal/peer"
+)
+
+// SiteStatus is what the coordinators of the site answered, for operators.
+type SiteStatus struct {
+	// Coordinators has one entry per data centre; Entry is empty where none answered.
+	Coordinators []DCCoordinator
+	Running      map[model.Team]int
+	Waiting      map[model.Team]int
+	VMs          map[model.VM]peer.VMStatus
+}
+
+// DCCoordinator is the coordinator of one data centre.
+type DCCoordinator struct {
+	DC    model.DataCentre
+	Entry model.EntryVM
+	Token model.Token
+	Local bool
+}
+
+// DCStatus returns the state of the own data centre if this entry VM is its coordinator.
+func (h handler) DCStatus(ctx context.Context, _ *peer.DCStatus) (*peer.DCStatusReply, error) {
+	c := h.c
+	return ask(ctx, c, func() (*peer.DCStatusReply, error) {
+		r := &peer.DCStatusReply{From: c.self, Coordinator: c.coord != nil, Token: c.following.token}
+		if c.coord == nil {
+			return r, nil
+		}
+		usage := c.coord.adm.Usage(time.Now())
+		r.Local, r.Running, r.Waiting = c.coord.local, usage.Running, usage.Waiting
+		for _, m := range c.coord.adm.Minions() {
+			r.VMs = append(r.VMs, peer.VMStatus{Name: m.VM, State: m.State, Used: m.Used, Ejected: m.Ejected})
+		}
+		return r, nil
+	})
+}
+
+// SiteStatus asks all entry VMs for the state of their data centres. It takes at most
+// as long as one unanswered call.
+func (c *Control) SiteStatus(ctx context.Context) SiteStatus {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	var replies []*peer.DCStatusReply
+	collect := func(r *peer.DCStatusReply, err error) {
+		if err != nil || !r.Coordinator {
+			return
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		replies = append(replies, r)
+	}
+	for _, r := range c.remotes {
+		wg.Go(func() { collect(r.DCStatus(ctx, &peer.DCStatus{From: c.self})) })
+	}
+	collect(handler{c}.DCStatus(ctx, nil))
+	wg.Wait()
+	return mergeStatus(c.siteDataCentres(), replies)
+}
+
+// siteDataCentres returns the data centres of the settings, by name.
+func (c *Control) siteDataCentres() []model.DataCentre {
+	var out []model.DataCentre
+	for _, p := range c.d.Settings.Peers {
+		if !slices.Contains(out, p.DC) {
+			out = append(out, p.DC)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// mergeStatus keeps, per data centre, the reply with the highest token.
+func mergeStatus(dcs []model.DataCentre, replies []*peer.DCStatusReply) SiteStatus {
+	best := make(map[model.DataCentre]*peer.DCStatusReply)
+	for _, r := range replies {
+		if b := best[r.From.DC]; b == nil || b.Token.Less(r.Token) {
+			best[r.From.DC] = r
+		}
+	}
+	out := SiteStatus{
+		Running: make(map[model.Team]int), Waiting: make(map[model.Team]int), VMs: make(map[model.VM]peer.VMStatus),
+	}
+	for _, dc := range dcs {
+		r := best[dc]
+		if r == nil {
+			out.Coordinators = append(out.Coordinators, DCCoordinator{DC: dc})
+			continue
+		}
+		out.Coordinators = append(out.Coordinators, DCCoordinator{DC: dc, Entry: r.From.Entry, Token: r.Token, Local: r.Local})
+		for t, n := range r.Running {
+			out.Running[t] += n
+		}
+		for t, n := range r.Waiting {
+			out.Waiting[t] += n
+		}
+		for _, v := range r.VMs {
+			out.VMs[v.Name] = v
+		}
+	}
+	slices.SortFunc(out.Coordinators, func(a, b DCCoordinator) int { return strings.Compare(string(a.DC), string(b.DC)) })
+	return out
+}
--- /dev/null
+++ b/internal/control/sitestatus_test.go
@@ -0,0 +1,33 @@
+package control
+
+import (
+	"context"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"boragepulley/internal/model"
+	"boragepulley/internal/peer"
+)
+
+func (l *link) DCStatus(ctx context.Context, m *peer.DCStatus) (*peer.DCStatusReply, error) {
+	return send(ctx, l, peer.MethodDCStatus, m, peer.ControlHandler.DCStatus)
+}
+
+// Guards against a status that counts a replaced coordinator twice, or hides a data
+// centre without one.
+func TestMergeStatusKeepsHighestToken(t *testing.T) {
+	reply := func(dc model.DataCentre, e model.EntryVM, epoch uint64, running int) *peer.DCStatusReply {
+		return &peer.DCStatusReply{From: peer.Sender{Entry: e, DC: dc}, Coordinator: true,
+			Token: model.Token{Epoch: epoch}, Running: map[model.Team]int{"t": running}}
+	}
+	s := mergeStatus([]model.DataCentre{"a", "b", "c"}, []*peer.DCStatusReply{
+		reply("a", "a-1", 4, 3), reply("a", "a-2", 5, 2), reply("b", "b-1", 1, 1),
+	})
+	require.Equal(t, 3, s.Running["t"])
+	require.Equal(t, []DCCoordinator{
+		{DC: "a", Entry: "a-2", Token: model.Token{Epoch: 5}},
+		{DC: "b", Entry: "b-1", Token: model.Token{Epoch: 1}},
+		{DC: "c"},
+	}, s.Coordinators)
+}
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -35,6 +35,8 @@
 	// Addr is its peer address, "IP:port".
 	Addr   string       `json:"addr"`
 	Status MemberStatus `json:"status"`
+	// Incarnation is its last known process start; empty once that process is gone.
+	Incarnation model.Incarnation `json:"incarnation,omitempty"`
 	// Config is the highest configuration version that it reported in force.
 	Config uint64 `json:"config"`
 	// LastHeard is the local time of its last message.
--- /dev/null
+++ b/internal/daemon/links.go
@@ -0,0 +1,155 @@
+package daemon
+
+import (
+	"context"
+	"slices"
+
+	"github.com/pkg/errors"
+
+	"boragepulley/internal/control"
+	"boragepulley/internal/dispatch"
+	"boragepulley/internal/model"
+	"boragepulley/internal/peer"
+)
+
+// errNoPeer means that the settings do not name an entry VM.
+var errNoPeer = errors.New("daemon: unknown entry VM")
+
+// links are the connections to all other entry VMs. It is immutable.
+type links struct {
+	self    peer.Sender
+	clients map[model.EntryVM]*peer.Client
+}
+
+func (l *links) client(to model.EntryVM) (*peer.Client, error) {
+	c := l.clients[to]
+	if c == nil {
+		return nil, errors.Wrap(errNoPeer, string(to))
+	}
+	return c, nil
+}
+
+// Forward implements dispatch.Forwarder.
+func (l *links) Forward(ctx context.Context, to model.EntryVM, f peer.Forward) (peer.ForwardReply, error) {
+	c, err := l.client(to)
+	if err != nil {
+		return peer.ForwardReply{}, notSent(err)
+	}
+	f.From = l.self
+	r, err := c.Forward(ctx, &f)
+	if err != nil {
+		if certainlyNotSent(err) {
+			return peer.ForwardReply{}, notSent(err)
+		}
+		return peer.ForwardReply{}, errors.Wrapf(err, "daemon: forward to %s", to)
+	}
+	return *r, nil
+}
+
+func notSent(err error) error {
+	return errors.WithMessage(dispatch.ErrForwardNotSent, err.Error())
+}
+
+func certainlyNotSent(err error) bool {
+	for _, e := range []error{peer.ErrRefused, peer.ErrNotConnected, peer.ErrTooLarge, peer.ErrBusy} {
+		if errors.Is(err, e) {
+			return true
+		}
+	}
+	return false
+}
+
+// JobGet implements dispatch.Lookup.
+func (l *links) JobGet(ctx context.Context, to model.EntryVM, id model.JobID, answer bool) (peer.JobGetReply, error) {
+	c, err := l.client(to)
+	if err != nil {
+		return peer.JobGetReply{}, err
+	}
+	r, err := c.JobGet(ctx, &peer.JobGet{From: l.self, Job: id, Answer: answer})
+	if err != nil {
+		return peer.JobGetReply{}, errors.Wrapf(err, "daemon: job at %s", to)
+	}
+	return *r, nil
+}
+
+// JobCancel implements caller.JobLookup.
+func (l *links) JobCancel(ctx context.Context, to model.EntryVM, id model.JobID, team model.Team) (model.Result, error) {
+	c, err := l.client(to)
+	if err != nil {
+		return model.Result{Job: id}, err
+	}
+	r, err := c.JobCancel(ctx, &peer.JobCancel{From: l.self, Job: id, Team: team})
+	if err != nil {
+		return model.Result{Job: id}, errors.Wrapf(err, "daemon: cancel at %s", to)
+	}
+	return r.Result, cancelError(r)
+}
+
+// cancelError converts the outcome of a cancellation at another entry VM.
+func cancelError(r *peer.JobGetReply) error {
+	switch {
+	case r.Denied:
+		return dispatch.ErrNotOwner
+	case !r.Found:
+		return dispatch.ErrNoSuchJob
+	case r.Result.State != model.StateCancelled:
+		return dispatch.ErrTooLate
+	}
+	return nil
+}
+
+// copier copies account batches to another entry VM: one of the own data centre, or of
+// another one if this entry VM is alone in its own. It keeps the target while that is alive.
+type copier struct {
+	links    *links
+	snapshot func() *control.Snapshot
+	// target is used by the ledger's goroutine only.
+	target model.EntryVM
+}
+
+// Target implements account.Copier.
+func (c *copier) Target() model.EntryVM {
+	peers := c.snapshot().Peers
+	if c.target != "" && peers[c.target].Status == control.MemberAlive {
+		return c.target
+	}
+	var near, far []model.EntryVM
+	for name, p := range peers {
+		switch {
+		case p.Status != control.MemberAlive:
+		case p.DC == c.links.self.DC:
+			near = append(near, name)
+		default:
+			far = append(far, name)
+		}
+	}
+	for _, names := range [][]model.EntryVM{near, far} {
+		if len(names) > 0 {
+			// The next name after the own one spreads the copies over the entry VMs.
+			slices.Sort(names)
+			i, _ := slices.BinarySearch(names, c.links.self.Entry)
+			c.target = names[i%len(names)]
+			return c.target
+		}
+	}
+	c.target = ""
+	return ""
+}
+
+// Hold implements account.Copier.
+func (c *copier) Hold(ctx context.Context, sequence uint64, payload []byte) error {
+	to, err := c.links.client(c.target)
+	if err != nil {
+		return err
+	}
+	_, err = to.HoldRecords(ctx, &peer.HoldRecords{From: c.links.self, Batch: sequence, Payload: payload})
+	return errors.Wrapf(err, "daemon: copy records to %s", c.target)
+}
+
+// Drop implements account.Copier. A lost message only leaves a copy behind, which the
+// report merges.
+func (c *copier) Drop(ctx context.Context, sequence uint64) {
+	if to, err := c.links.client(c.target); err == nil {
+		_, _ = to.DropRecords(ctx, &peer.DropRecords{From: c.links.self, Batch: sequence})
+	}
+}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -400,3 +400,13 @@
 func (c *Client) DropRecords(ctx context.Context, m *DropRecords) (*Empty, error) {
 	return call[Empty](ctx, c, MethodDropRecords, m, shortTimeout, false)
 }
+
+// PullRecords implements RecordHandler.
+func (c *Client) PullRecords(ctx context.Context, m *PullRecords) (*PullRecordsReply, error) {
+	return call[PullRecordsReply](ctx, c, MethodPullRecords, m, fetchTimeout, false)
+}
+
+// DCStatus implements ControlHandler.
+func (c *Client) DCStatus(ctx context.Context, m *DCStatus) (*DCStatusReply, error) {
+	return call[DCStatusReply](ctx, c, MethodDCStatus, m, shortTimeout, false)
+}
--- a/internal/peer/handler.go
+++ b/internal/peer/handler.go
@@ -30,6 +30,7 @@
 	ConfigGet(ctx context.Context, m *ConfigGet) (*ConfigGetReply, error)
 	Usage(ctx context.Context, m *Usage) (*Empty, error)
 	AllotmentAsk(ctx context.Context, m *AllotmentAsk) (*AllotmentAskReply, error)
+	DCStatus(ctx context.Context, m *DCStatus) (*DCStatusReply, error)
 }
 
 // JobHandler handles the messages about whole requests. Client implements it too.
@@ -43,6 +44,7 @@
 type RecordHandler interface {
 	HoldRecords(ctx context.Context, m *HoldRecords) (*Empty, error)
 	DropRecords(ctx context.Context, m *DropRecords) (*Empty, error)
+	PullRecords(ctx context.Context, m *PullRecords) (*PullRecordsReply, error)
 }
 
 // Handler handles all messages, one method per message. Each call runs in its own
@@ -77,6 +79,8 @@
 func (m *JobCancel) sender() Sender     { return m.From }
 func (m *HoldRecords) sender() Sender   { return m.From }
 func (m *DropRecords) sender() Sender   { return m.From }
+func (m *PullRecords) sender() Sender   { return m.From }
+func (m *DCStatus) sender() Sender      { return m.From }
 func (m *Ping) sender() Sender          { return m.From }
 
 func bind[Q, R any, P interface {
@@ -120,6 +124,8 @@
 	MethodJobCancel:     bind(Handler.JobCancel),
 	MethodHoldRecords:   bind(Handler.HoldRecords),
 	MethodDropRecords:   bind(Handler.DropRecords),
+	MethodPullRecords:   bind(Handler.PullRecords),
+	MethodDCStatus:      bind(Handler.DCStatus),
 	MethodPing: bind(func(Handler, context.Context, *Ping) (*Empty, error) {
 		return &Empty{}, nil
 	}),
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -22,6 +22,8 @@
 	MethodJobCancel     = "JobCancel"
 	MethodHoldRecords   = "HoldRecords"
 	MethodDropRecords   = "DropRecords"
+	MethodPullRecords   = "PullRecords"
+	MethodDCStatus      = "DCStatus"
 )
 
 // Sender identifies the process that sent a message.
@@ -208,7 +210,9 @@
 
 // JobGetReply is the state of a job.
 type JobGetReply struct {
-	Found  bool           `json:"found"`
+	Found bool `json:"found"`
+	// Denied is set if the job belongs to another team than the one that asks.
+	Denied bool           `json:"denied,omitempty"`
 	Result model.Result   `json:"result"`
 	Steps  []model.Record `json:"steps,omitempty"`
 }
@@ -233,5 +237,44 @@
 	Batch uint64 `json:"batch"`
 }
 
+// PullRecords asks for the records that the receiver has not stored yet, for a report.
+type PullRecords struct {
+	From Sender `json:"from"`
+}
+
+// PullRecordsReply carries encoded batches.
+type PullRecordsReply struct {
+	From    Sender   `json:"from"`
+	Batches [][]byte `json:"batches,omitempty"`
+	// Complete is false if not all unstored records fit into the reply.
+	Complete bool `json:"complete"`
+}
+
+// DCStatus asks an entry VM for the state of its data centre, for operators.
+type DCStatus struct {
+	From Sender `json:"from"`
+}
+
+// DCStatusReply is answered by coordinators; Coordinator is false at other entry VMs.
+type DCStatusReply struct {
+	From        Sender      `json:"from"`
+	Coordinator bool        `json:"coordinator"`
+	Token       model.Token `json:"token"`
+	// Local is set for a coordinator that took over without the table.
+	Local   bool               `json:"local,omitempty"`
+	Running map[model.Team]int `json:"running,omitempty"`
+	Waiting map[model.Team]int `json:"waiting,omitempty"`
+	VMs     []VMStatus         `json:"vms,omitempty"`
+}
+
+// VMStatus is a coordinator's view of one upstream VM.
+type VMStatus struct {
+	Name  model.VM      `json:"name"`
+	State model.VMState `json:"state"`
+	// Used counts the slots in use, those of unknown use included.
+	Used    int  `json:"used"`
+	Ejected bool `json:"ejected,omitempty"`
+}
+
 // Empty is the reply of messages that need none.
 type Empty struct{}
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -26,6 +26,7 @@
 	DefaultSiteReads       = 1200
 	DefaultMaxRequests     = 4096
 	DefaultBodyTimeout     = 10 * time.Second
+	DefaultBalancerGrace   = 2 * time.Second
 	DefaultDrainTimeout    = 11 * time.Minute
 	DefaultAnswerRetention = 10 * time.Minute
 	// DefaultAnswerBytes leaves most of the 128 MB that a daemon may use to its requests.
@@ -94,6 +95,7 @@
 		SiteReadsPerSecond:  t.Float("site_reads_per_second", tomldoc.FloatRule{Default: DefaultSiteReads, Min: 1, Max: 100000}),
 		MaxRequests:         int(t.Int("max_requests", tomldoc.IntRule{Default: DefaultMaxRequests, Min: 1, Max: maxRequests})),
 		BodyTimeout:         t.Duration("body_timeout", tomldoc.DurationRule{Default: DefaultBodyTimeout, Min: 100 * time.Millisecond, Max: 5 * time.Minute}),
+		BalancerGrace:       t.Duration("balancer_grace", tomldoc.DurationRule{Default: DefaultBalancerGrace, Min: 0, Max: time.Minute}),
 		DrainTimeout:        t.Duration("drain_timeout", tomldoc.DurationRule{Default: DefaultDrainTimeout, Min: time.Second, Max: time.Hour}),
 		AnswerRetention:     t.Duration("answer_retention", tomldoc.DurationRule{Default: DefaultAnswerRetention, Min: time.Second, Max: time.Hour}),
 		AnswerBytes:         t.Int("answer_bytes", tomldoc.IntRule{Default: DefaultAnswerBytes, Min: 0, Max: 1 << 30}),
--- a/internal/settings/load_test.go
+++ b/internal/settings/load_test.go
@@ -40,7 +40,7 @@
 		OperatorToken: "0123456789abcdef", LogLevel: "info", PlatformURL: "http://127.0.0.1:7000",
 		SiteWritesPerSecond: 300, SiteReadsPerSecond: 1200,
 		Peers:       []Peer{{"e1", "dc-a", "127.0.0.1:8003"}, {"e2", "dc-b", "127.0.0.1:8013"}},
-		MaxRequests: 4096, BodyTimeout: 10 * time.Second, DrainTimeout: 11 * time.Minute,
+		MaxRequests: 4096, BodyTimeout: 10 * time.Second, BalancerGrace: 2 * time.Second, DrainTimeout: 11 * time.Minute,
 		AnswerRetention: 10 * time.Minute, AnswerBytes: 16 << 20,
 	}, s)
 	require.Equal(t, 150.0, s.WriteBudget())
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -30,6 +30,9 @@
 	MaxRequests int
 	// BodyTimeout bounds how long a caller may take to send a request.
 	BodyTimeout time.Duration
+	// BalancerGrace is how long a stopping daemon still takes requests after its readiness
+	// turned red, so that the balancer can notice.
+	BalancerGrace time.Duration
 	// DrainTimeout bounds a graceful shutdown; it must exceed the largest MaxRun.
 	DrainTimeout time.Duration
 	// AnswerRetention is how long answers are kept, AnswerBytes bounds their total size.
