--- a/cmd/boragepulleyd/main.go
+++ b/cmd/boragepulleyd/main.go
@@ -31,7 +31,7 @@
 	var c cli
 	kong.Parse(&c, kong.Name("boragepulleyd"),
 		kong.Description("Entry VM daemon of boragepulley, a fleet capacity and maintenance manager."),
-		kong.Vars{"version": operator.Build().String()})
+		kong.Vars{"version": operator.Build().Version})
 	os.Exit(run(c))
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,7 +18,6 @@
 	"boragepulley/internal/dispatch"
 	"boragepulley/internal/logging"
 	"boragepulley/internal/model"
-	"boragepulley/internal/operator"
 	"boragepulley/internal/peer"
 	"boragepulley/internal/platform"
 	"boragepulley/internal/settings"
@@ -202,7 +201,7 @@
 			for _, vm := range site.VMs {
 				byAddr[vm.Addr] = vm.Connections / entries
 			}
-			d.minions.SetLimits(byAddr, upstream.DefaultConnections/entries)
+			d.minions.SetLimits(upstream.DefaultConnections/entries, byAddr)
 		}
 		select {
 		case <-ctx.Done():
