--- /dev/null
+++ b/bench/cluster/entries.go
@@ -0,0 +1,126 @@
+package cluster
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"boragepulley/bench/proc"
+	"boragepulley/internal/model"
+)
+
+// prepareEntries chooses addresses, adds the links between all processes and writes the
+// settings of every entry VM.
+func (c *Cluster) prepareEntries() error {
+	for _, dc := range c.Site.DataCentres {
+		for _, n := range dc.EntryVMs {
+			addrs, err := freeAddrs(3)
+			if err != nil {
+				return err
+			}
+			c.entries[n] = &Entry{Name: n, DC: dc.Name, Caller: addrs[0], Operator: addrs[1], Peer: addrs[2],
+				settings: filepath.Join(c.Dir, string(n)+".toml")}
+			c.names = append(c.names, n)
+		}
+	}
+	for _, n := range c.names {
+		if err := c.writeSettings(c.entries[n]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// freeAddrs returns addresses on loopback that nothing listens on.
+func freeAddrs(n int) ([]string, error) {
+	var out []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, errors.Wrap(err, "cluster: free address")
+		}
+		defer l.Close()
+		out = append(out, l.Addr().String())
+	}
+	return out, nil
+}
+
+// writeSettings writes the settings of one entry VM. It reaches its peers and the
+// platform through links of its own, so that a fault can concern one direction.
+func (c *Cluster) writeSettings(e *Entry) error {
+	platform, err := c.addLink("platform/"+string(e.DC)+"/"+string(e.Name), c.platformAddr)
+	if err != nil {
+		return err
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "name = %q\ndata_centre = %q\n", e.Name, e.DC)
+	fmt.Fprintf(&b, "caller_listen = %q\noperator_listen = %q\npeer_listen = %q\n", e.Caller, e.Operator, e.Peer)
+	fmt.Fprintf(&b, "operator_token = %q\nlog_level = %q\n", OperatorToken, c.LogLevel)
+	fmt.Fprintf(&b, "platform_url = \"http://%s\"\nbalancer_grace = \"500ms\"\ndrain_timeout = %q\n", platform, drainTimeout)
+	for _, n := range c.names {
+		p := c.entries[n]
+		addr := p.Peer
+		if p != e {
+			if addr, err = c.addLink(peerLink(e, p), p.Peer); err != nil {
+				return err
+			}
+		}
+		fmt.Fprintf(&b, "[[peer]]\nname = %q\ndata_centre = %q\naddress = %q\n", p.Name, p.DC, addr)
+	}
+	return errors.Wrap(os.WriteFile(e.settings, []byte(b.String()), 0o600), "cluster: settings")
+}
+
+func peerLink(from, to *Entry) string {
+	return fmt.Sprintf("peer/%s/%s/%s/%s", from.DC, to.DC, from.Name, to.Name)
+}
+
+// StartEntry starts the daemon of an entry VM.
+func (c *Cluster) StartEntry(n model.EntryVM) error {
+	e := c.entries[n]
+	p, err := proc.Start(proc.Spec{
+		Name: string(n), Path: filepath.Join(c.Bin, "boragepulleyd"), Args: []string{e.settings}, LogDir: c.Dir, ReadyWithin: readyWithin,
+	})
+	if err != nil {
+		return err
+	}
+	e.proc = p
+	return nil
+}
+
+// StartEntries starts all daemons.
+func (c *Cluster) StartEntries() error {
+	for _, n := range c.names {
+		if err := c.StartEntry(n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Kill ends a daemon at once.
+func (c *Cluster) Kill(n model.EntryVM) { c.entries[n].proc.Kill() }
+
+// Pause stops a daemon without ending it.
+func (c *Cluster) Pause(n model.EntryVM) error { return c.entries[n].proc.Pause() }
+
+// Resume continues a paused daemon.
+func (c *Cluster) Resume(n model.EntryVM) error { return c.entries[n].proc.Resume() }
+
+// Terminate shuts a daemon down gracefully.
+func (c *Cluster) Terminate(n model.EntryVM, within time.Duration) error {
+	return c.entries[n].proc.Terminate(within)
+}
+
+// Running reports whether the daemon runs.
+func (c *Cluster) Running(n model.EntryVM) bool {
+	p := c.entries[n].proc
+	return p != nil && p.Running()
+}
+
+// Usage returns processor time and memory of a daemon.
+func (c *Cluster) Usage(n model.EntryVM) (proc.Usage, error) { return c.entries[n].proc.Usage() }
--- /dev/null
+++ b/bench/cluster/faults.go
@@ -0,0 +1,140 @@
+package cluster
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"boragepulley/bench/load"
+	"boragepulley/internal/model"
+	"boragepulley/standins/faultproxy"
+	"boragepulley/standins/minion"
+	"boragepulley/standins/platform"
+	"boragepulley/standins/runs"
+)
+
+var adminClient = &http.Client{Timeout: 10 * time.Second}
+
+// admin calls an admin endpoint of a stand-in.
+func admin(method, addr, path string, body, result any) error {
+	var r io.Reader
+	if body != nil {
+		data, err := json.Marshal(body)
+		if err != nil {
+			return errors.Wrap(err, "cluster: encode")
+		}
+		r = bytes.NewReader(data)
+	}
+	req, err := http.NewRequest(method, "http://"+addr+path, r)
+	if err != nil {
+		return errors.Wrap(err, "cluster: admin")
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := adminClient.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "cluster: admin")
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return errors.Wrap(err, "cluster: admin")
+	}
+	if resp.StatusCode != http.StatusOK {
+		return errors.Errorf("cluster: %s %s: %d %s", method, path, resp.StatusCode, data)
+	}
+	if result == nil {
+		return nil
+	}
+	return errors.Wrap(json.Unmarshal(data, result), "cluster: decode")
+}
+
+// addLink adds a proxy link and returns its address.
+func (c *Cluster) addLink(name, target string) (string, error) {
+	var st faultproxy.LinkStatus
+	err := admin(http.MethodPost, c.proxyAdmin, "/links", faultproxy.LinkSpec{Name: name, Listen: "127.0.0.1:0", Target: target}, &st)
+	return st.Listen, err
+}
+
+// Link applies an action to all links whose names start with a prefix.
+func (c *Cluster) Link(a faultproxy.Action, prefixes ...string) error {
+	return admin(http.MethodPost, c.proxyAdmin, "/actions", faultproxy.Command{Action: a, Prefixes: prefixes}, nil)
+}
+
+// Delay delays all links whose names start with a prefix.
+func (c *Cluster) Delay(d time.Duration, prefixes ...string) error {
+	return admin(http.MethodPost, c.proxyAdmin, "/actions",
+		faultproxy.Command{Action: faultproxy.ActionDelay, DelayMS: d.Milliseconds(), Prefixes: prefixes}, nil)
+}
+
+// PlatformLinks returns the prefix of a data centre's links to the platform.
+func PlatformLinks(dc model.DataCentre) string { return "platform/" + string(dc) + "/" }
+
+// CrossLinks returns the prefixes of all links between a data centre and the others.
+func (c *Cluster) CrossLinks(dc model.DataCentre) []string {
+	var out []string
+	for _, o := range c.Site.DataCentres {
+		if o.Name != dc {
+			out = append(out, "peer/"+string(dc)+"/"+string(o.Name)+"/", "peer/"+string(o.Name)+"/"+string(dc)+"/")
+		}
+	}
+	return out
+}
+
+// EntryLinks returns the prefixes of all links from and to an entry VM's peers.
+func (c *Cluster) EntryLinks(n model.EntryVM) []string {
+	var out []string
+	e := c.entries[n]
+	for _, o := range c.entries {
+		if o != e {
+			out = append(out, peerLink(e, o), peerLink(o, e))
+		}
+	}
+	return out
+}
+
+// MinionLink returns the name of the link to a minion.
+func MinionLink(vm model.VM) string { return "minion/" + string(vm) }
+
+// PlatformFaults replaces the faults of the platform.
+func (c *Cluster) PlatformFaults(f platform.Faults) error {
+	return admin(http.MethodPut, c.platformAddr, platform.PathFaults, f, nil)
+}
+
+// PlatformStats returns the counts of the platform.
+func (c *Cluster) PlatformStats() (platform.Stats, error) {
+	var s platform.Stats
+	return s, admin(http.MethodGet, c.platformAddr, platform.PathStats, nil, &s)
+}
+
+// MinionFaults replaces the faults of a minion.
+func (c *Cluster) MinionFaults(vm model.VM, f ...minion.Fault) error {
+	return admin(http.MethodPut, c.minionAdmin, "/minions/"+string(vm)+"/faults", minion.Faults{Faults: f}, nil)
+}
+
+// Reboot takes a minion down for a time.
+func (c *Cluster) Reboot(vm model.VM, down time.Duration) error {
+	return admin(http.MethodPost, c.minionAdmin, "/minions/"+string(vm)+"/reboot", minion.Reboot{DownMS: down.Milliseconds()}, nil)
+}
+
+// Runs returns how often each job was started at the minions.
+func (c *Cluster) Runs() (load.Runs, error) {
+	var a runs.Answer
+	if err := admin(http.MethodGet, c.minionAdmin, "/debug/runs", nil, &a); err != nil {
+		return nil, err
+	}
+	out := make(load.Runs, len(a.Runs))
+	for _, r := range a.Runs {
+		out[model.JobID(r.ID)] = r.Count
+	}
+	return out, nil
+}
+
+// MinionStats returns the counts of all minions.
+func (c *Cluster) MinionStats() ([]minion.Stats, error) {
+	var s []minion.Stats
+	return s, admin(http.MethodGet, c.minionAdmin, "/debug/stats", nil, &s)
+}
