--- a/internal/control/fakes_test.go
+++ b/internal/control/fakes_test.go
@@ -29,6 +29,8 @@
 	rows    map[string]platform.Row
 	objects map[string][]byte
 	down    bool
+	// dropWrites makes every transaction end without an answer and without effect.
+	dropWrites bool
 	// lose reports whether the answer of a transaction is lost after it took effect.
 	lose func(platform.Txn) bool
 	// commits counts transactions that took effect, by the key of their first put.
@@ -104,6 +106,9 @@
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if v.dropWrites {
+		return nil, platform.ErrUnknownOutcome
+	}
 	for _, c := range t.Conditions {
 		if v.rows[c.Key].Version != c.Version {
 			return nil, platform.ErrConflict
@@ -168,8 +173,8 @@
 	events  []model.FleetEvent
 	// cut reports whether messages between two entry VMs are lost; may be nil.
 	cut func(from, to model.EntryVM) bool
-	// delay is added to messages of a method; may be nil.
-	delay func(from, to model.EntryVM, method string) time.Duration
+	// replyDelay delays the reply of a message; may be nil.
+	replyDelay func(from, to model.EntryVM, method string) time.Duration
 }
 
 type node struct {
@@ -441,14 +446,14 @@
 
 func send[Q, R any](ctx context.Context, l *link, method string, m *Q, f func(peer.ControlHandler, context.Context, *Q) (*R, error)) (*R, error) {
 	l.from.waitResumed()
-	d := time.Millisecond
+	var delay time.Duration
 	l.from.cl.mu.Lock()
 	cut := l.from.cl.cut != nil && l.from.cl.cut(l.from.name, l.to.name)
-	if l.from.cl.delay != nil {
-		d += l.from.cl.delay(l.from.name, l.to.name, method)
+	if l.from.cl.replyDelay != nil {
+		delay = l.from.cl.replyDelay(l.from.name, l.to.name, method)
 	}
 	l.from.cl.mu.Unlock()
-	time.Sleep(d)
+	time.Sleep(time.Millisecond)
 	if l.to.isDead() {
 		return nil, peer.ErrRefused
 	}
@@ -460,6 +465,7 @@
 		return nil, peer.ErrNoAnswer
 	}
 	r, err := f(l.to.c.Handler(), ctx, recode(m))
+	time.Sleep(delay)
 	l.to.waitResumed()
 	l.from.waitResumed()
 	if l.to.isDead() || ctx.Err() != nil {
@@ -515,3 +521,41 @@
 func (l *link) AllotmentAsk(ctx context.Context, m *peer.AllotmentAsk) (*peer.AllotmentAskReply, error) {
 	return send(ctx, l, peer.MethodAllotmentAsk, m, peer.ControlHandler.AllotmentAsk)
 }
+
+func (cl *cluster) setCut(cut func(from, to model.EntryVM) bool) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	cl.cut = cut
+}
+
+// serving starts all nodes with a site in force and returns the coordinator of "a".
+func (cl *cluster) serving(slots, limit int) model.EntryVM {
+	cl.t.Helper()
+	cl.site("v1", slots, map[model.Team]int{"t": limit})
+	cl.startAll()
+	var names []model.EntryVM
+	for _, p := range cl.peers {
+		names = append(names, p.Name)
+	}
+	at := cl.coordinator("a", 3*time.Second)
+	_, err := cl.apply(at, "v1", 0)
+	require.NoError(cl.t, err)
+	cl.inForce(1, 3*time.Second, names...)
+	cl.wait(time.Second)
+	return at
+}
+
+// others returns the nodes of data centre "a" except the named ones.
+func (cl *cluster) others(not ...model.EntryVM) []model.EntryVM {
+	var out []model.EntryVM
+next:
+	for _, p := range cl.peers {
+		for _, n := range not {
+			if p.Name == n || p.DC != "a" {
+				continue next
+			}
+		}
+		out = append(out, p.Name)
+	}
+	return out
+}
--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -31,11 +31,15 @@
 	row     leaseRow
 	// changed is when this entry VM first saw the version.
 	changed time.Time
-	// answeredAt is when the table last answered, failing whether the last call failed.
-	answeredAt time.Time
-	failing    bool
-	lastRead   time.Time
-	reading    bool
+	// usableAt is when the table was last usable. It is not while the last call failed
+	// or the last write had no effect, even if reads work.
+	usableAt     time.Time
+	failing      bool
+	writeFailing bool
+	// nextTake is when the row may be tried again after a failed write.
+	nextTake time.Time
+	lastRead time.Time
+	reading  bool
 	// writing is set while a write is in flight; at most one is.
 	writing bool
 	// until is when the own lease ends: the TTL after the latest successful write was sent.
@@ -132,8 +136,21 @@
 // onTable notes whether the table answered.
 func (c *Control) onTable(err error) {
 	c.lease.failing = err != nil && !stderrors.Is(err, platform.ErrConflict)
-	if !c.lease.failing {
-		c.lease.answeredAt = time.Now()
+	if c.lease.usable() {
+		c.lease.usableAt = time.Now()
+	}
+}
+
+func (l *leaseState) usable() bool { return !l.failing && !l.writeFailing }
+
+// onWrite notes whether a write had an effect or lost against another one.
+func (c *Control) onWrite(decided bool) {
+	now := time.Now()
+	c.lease.writeFailing = !decided
+	if decided {
+		c.lease.usableAt = now
+	} else {
+		c.lease.nextTake = now.Add(c.jitter(takeGap))
 	}
 }
 
@@ -161,7 +178,7 @@
 
 // considerTake takes the lease if its holder is gone or has not renewed it in time.
 func (c *Control) considerTake(now time.Time) {
-	if c.leaving || c.takeover != nil || c.lease.writing || !c.lease.known || c.lease.failing {
+	if c.leaving || c.takeover != nil || c.lease.writing || !c.lease.known || c.lease.failing || now.Before(c.lease.nextTake) {
 		return
 	}
 	if c.coord != nil {
@@ -282,10 +299,12 @@
 	c.onTable(err)
 	if err != nil {
 		leaseOps.Add("write_failed", 1)
+		c.onWrite(false)
 		then(false)
 		return
 	}
 	c.lease.known = true
+	before := c.lease.version
 	var got leaseRow
 	if row.Version > 0 && json.Unmarshal(row.Value, &got) != nil {
 		got = leaseRow{Holder: "?"}
@@ -298,6 +317,7 @@
 		leaseOps.Add("read_back", 1)
 		ok = own && got.Seq == v.Seq
 	}
+	c.onWrite(ok || row.Version > before)
 	if ok && v.Holder == c.self.Entry {
 		c.lease.until = sent.Add(LeaseTTL)
 	}
@@ -314,7 +334,7 @@
 	if !local && c.lease.until.After(now) {
 		return c.lease.until
 	}
-	if !c.lease.failing {
+	if !local && c.lease.usable() {
 		return c.lease.until
 	}
 	until := now.Add(LeaseTTL)
--- a/internal/control/member.go
+++ b/internal/control/member.go
@@ -41,8 +41,11 @@
 	confirmed time.Time
 	// exempt is set while the member was gone or silent for silentAfter: its
 	// confirmation is not needed until it has confirmed once again.
-	exempt      bool
-	registering bool
+	exempt bool
+	// unregistered is set until the member has accepted a registration since the
+	// takeover and since it was last out of reach.
+	unregistered bool
+	registering  bool
 }
 
 // addMembers fills the list of members from the settings.
@@ -241,7 +244,7 @@
 	if m.DC == c.self.DC {
 		c.observeToken(hb.Token, hb.Coordinator, "heartbeat")
 		c.onCoordinatorClaim(m, hb)
-		if c.coord != nil && hb.Token.Less(c.following.token) {
+		if c.coord != nil && (m.unregistered || hb.Token.Less(c.following.token)) {
 			c.registerLate(m)
 		}
 	} else if f := c.far[m.DC]; f != nil && hb.Coordinator != "" {
@@ -294,7 +297,8 @@
 			m.inc = ""
 		}
 		c.onIncarnationEnd(m, reason)
-	case s == MemberAlive && c.coord != nil && m.DC == c.self.DC:
+	case s == MemberAlive && m.DC == c.self.DC:
+		m.unregistered = true
 		c.registerLate(m)
 	}
 }
--- a/internal/control/succession.go
+++ b/internal/control/succession.go
@@ -13,7 +13,7 @@
 	if c.leaving || c.coord != nil || c.takeover != nil || c.lease.writing {
 		return
 	}
-	if !c.lease.failing || now.Sub(c.lease.answeredAt) < LeaseTTL || now.Sub(c.started) < LeaseTTL {
+	if c.lease.usable() || now.Sub(c.lease.usableAt) < LeaseTTL || now.Sub(c.started) < LeaseTTL {
 		return
 	}
 	if c.coordinatorAlive(now) || !c.lowestAlive(now) || !c.predecessorOut(now) {
@@ -41,5 +41,5 @@
 		name = c.lease.row.Holder
 	}
 	m := c.byName[name]
-	return m == nil || m.status == MemberGone || m.silent(now) || m.coordinator != m.Name && m.answered.After(c.lease.answeredAt)
+	return m == nil || m.status == MemberGone || m.silent(now) || m.coordinator != m.Name && m.answered.After(c.lease.usableAt)
 }
--- a/internal/control/takeover.go
+++ b/internal/control/takeover.go
@@ -31,7 +31,7 @@
 		c.loadVMs(tk)
 	}
 	for _, m := range c.local() {
-		m.confirmed = time.Time{}
+		m.confirmed, m.unregistered = time.Time{}, true
 		if m.status != MemberGone {
 			tk.pending[m.Name] = m
 			c.register(m)
@@ -87,6 +87,7 @@
 		return
 	}
 	c.confirm(m, sent)
+	m.unregistered = false
 	switch {
 	case c.takeover != nil:
 		c.takeover.permits = append(c.takeover.permits, r.Permits...)
--- a/internal/control/timing.go
+++ b/internal/control/timing.go
@@ -11,7 +11,9 @@
 	// registerWait is the least time that a takeover gives to a member that was not heard
 	// within the TTL, so that a merely idle connection does not count as a dead one.
 	registerWait = 100 * time.Millisecond
-	renewEvery   = 400 * time.Millisecond
+	// takeGap is the mean wait after a write of the lease row that had no effect.
+	takeGap    = 250 * time.Millisecond
+	renewEvery = 400 * time.Millisecond
 	// leaseCallTimeout leaves time for a read-back within the TTL.
 	leaseCallTimeout = time.Second
 	// leaseReadFast is the poll interval of the entry VMs that would take over first
