--- a/internal/control/fakes_test.go
+++ b/internal/control/fakes_test.go
@@ -167,6 +167,9 @@
 	peers []settings.Peer
 	sites map[string]*config.Site
 
+	// dial replaces the network in memory; may be nil.
+	dial func(self peer.Sender, to settings.Peer) Remote
+
 	mu sync.Mutex
 	// running holds the jobs that run on each minion address.
 	running map[string][]upstream.RunningJob
@@ -224,14 +227,21 @@
 				self = p
 			}
 		}
+		inc := model.NewIncarnation()
+		dial := func(p settings.Peer) Remote { return &link{n, cl.nodes[p.Name]} }
+		if cl.dial != nil {
+			dial = func(p settings.Peer) Remote {
+				return cl.dial(peer.Sender{Entry: name, DC: self.DC, Incarnation: inc}, p)
+			}
+		}
 		n.c = New(Deps{
 			Settings:    &settings.Settings{Name: name, DC: self.DC, Peers: cl.peers},
-			Incarnation: model.NewIncarnation(),
+			Incarnation: inc,
 			Table:       view{cl.store, n},
 			Objects:     objectView{view{cl.store, n}},
 			Minions:     cl,
 			Recorder:    cl,
-			Dial:        func(p settings.Peer) Remote { return &link{n, cl.nodes[p.Name]} },
+			Dial:        dial,
 			Parse:       cl.parse,
 			Digest:      func(f []config.File) string { return "digest-" + f[0].Text },
 			Log:         zerolog.New(zerolog.NewTestWriter(cl.t)).With().Str("entry", string(name)).Logger(),
--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -71,6 +71,9 @@
 // follow sets the token and its coordinator.
 func (c *Control) follow(t model.Token, holder model.EntryVM, reason string) {
 	old := c.following.coordinator
+	if c.byName[holder] == nil && holder != c.self.Entry {
+		holder = "" // not in the settings: it cannot be asked
+	}
 	c.following.token, c.following.coordinator = t, holder
 	c.gate.follow(t, holder, holder == c.self.Entry)
 	c.dirty = true
@@ -195,10 +198,11 @@
 	}
 }
 
-// coordinatorAlive reports whether another coordinator was heard within the TTL.
+// coordinatorAlive reports whether another coordinator was heard within the TTL and is
+// not known to be dead.
 func (c *Control) coordinatorAlive(now time.Time) bool {
-	f := c.following
-	return f.coordinator != "" && f.coordinator != c.self.Entry && now.Sub(c.gate.heard()) <= LeaseTTL
+	m := c.byName[c.following.coordinator]
+	return m != nil && m.status != MemberGone && now.Sub(c.gate.heard()) <= LeaseTTL
 }
 
 // mayTake returns why the lease may be taken now, or "".
