--- a/internal/caller/answers.go
+++ b/internal/caller/answers.go
@@ -27,7 +27,7 @@
 		return http.StatusConflict
 	case model.ReasonBodyTooLarge:
 		return http.StatusRequestEntityTooLarge
-	case model.ReasonQueueFull, model.ReasonTeamLimit, model.ReasonCannotStart:
+	case model.ReasonQueueFull, model.ReasonTeamLimit:
 		return http.StatusTooManyRequests
 	case model.ReasonDeadlineQueued:
 		return http.StatusGatewayTimeout
@@ -42,9 +42,9 @@
 	case model.OutcomeRan:
 		return writeAnswer(c, r, http.StatusConflict)
 	case model.OutcomeNotRun:
-		return resultProblem(r, statusOf(r.Reason)).Write(c)
+		return writeProblem(c, r, statusOf(r.Reason))
 	}
-	return resultProblem(r, http.StatusGatewayTimeout).Write(c)
+	return writeProblem(c, r, http.StatusGatewayTimeout)
 }
 
 // writeAnswer writes the minion's answer. expired is the status if it is not kept any
@@ -52,7 +52,7 @@
 // a refusal of the entry VM; X-Minion-Status holds the original.
 func writeAnswer(c echo.Context, r model.Result, expired int) error {
 	if r.Reason == model.ReasonAnswerExpired {
-		return resultProblem(r, expired).Write(c)
+		return writeProblem(c, r, expired)
 	}
 	h := c.Response().Header()
 	h.Set(headerJobID, string(r.Job))
@@ -73,6 +73,18 @@
 	return c.Blob(status, contentType, r.Body)
 }
 
+// writeProblem answers about a job without an answer. The headers repeat the members
+// that a caller without a JSON parser needs.
+func writeProblem(c echo.Context, r model.Result, status int) error {
+	h := c.Response().Header()
+	h.Set(headerJobID, string(r.Job))
+	h.Set(headerOutcome, string(r.Outcome()))
+	if status == http.StatusTooManyRequests {
+		h.Set(echo.HeaderRetryAfter, "1")
+	}
+	return resultProblem(r, status).Write(c)
+}
+
 // resultProblem describes a job without an answer.
 func resultProblem(r model.Result, status int) problem.Problem {
 	detail := r.Detail
--- a/internal/caller/jobs.go
+++ b/internal/caller/jobs.go
@@ -37,9 +37,9 @@
 	case rep.Result.State == model.StateRan:
 		return writeAnswer(c, rep.Result, http.StatusGone)
 	case rep.Result.State.Final() || rep.Result.State == model.StateUnknown:
-		return resultProblem(rep.Result, http.StatusConflict).Write(c)
+		return writeProblem(c, rep.Result, http.StatusConflict)
 	}
-	c.Response().Header().Set("Retry-After", "1")
+	c.Response().Header().Set(echo.HeaderRetryAfter, "1")
 	c.Response().Header().Set(echo.HeaderLocation, jobPath(rep.Result.Job))
 	return c.JSON(http.StatusAccepted, viewOf(rep.Result))
 }
--- a/internal/caller/requests.go
+++ b/internal/caller/requests.go
@@ -105,7 +105,7 @@
 	if c.Request().ContentLength != 0 {
 		c.Response().Header().Set(echo.HeaderConnection, "close")
 	}
-	return resultProblem(res, status).Write(c)
+	return writeProblem(c, res, status)
 }
 
 // jobView is the state of a job as callers see it.
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -23,12 +23,16 @@
 	// forwardLate is how long after the deadline the reply is awaited: the other entry VM
 	// answers at its own deadline, and the message takes a few milliseconds.
 	forwardLate = 500 * time.Millisecond
+	// After a lost reply the other entry VM is asked for this long: an idempotent job can
+	// be repeated soon, any other one would be reported as unknown.
+	askIdempotent = 500 * time.Millisecond
+	askUnknown    = 5 * time.Second
 )
 
 // Forwarder hands requests to other entry VMs.
 type Forwarder interface {
-	// Forward sends f to an entry VM and waits for the result. ErrForwardNotSent means
-	// that the request did not leave this VM; after any other error it may be running.
+	// Forward sends f to an entry VM and waits for the result; it may complete f.From.
+	// ErrForwardNotSent means that the request did not leave this VM; after any other error it may be running.
 	Forward(ctx context.Context, to model.EntryVM, f peer.Forward) (peer.ForwardReply, error)
 }
 
@@ -79,10 +83,40 @@
 		From: peer.Sender{Entry: s.cfg.Entry, DC: s.cfg.DC}, Request: j.req, Wait: time.Until(j.req.Deadline),
 		ContentType: j.contentType, Body: j.body, Claimed: j.claim != nil || j.hasClaim, Attempts: attempts, Avoid: avoid,
 	})
-	if err != nil {
-		return s.forwardFailed(j, to, err)
+	if err == nil {
+		return s.forwardDone(j, to, rep.Result)
+	}
+	if !errors.Is(err, ErrForwardNotSent) {
+		if r, ok := s.askForwarded(j, to); ok {
+			return s.forwardDone(j, to, r)
+		}
+	}
+	return s.forwardFailed(j, to, err)
+}
+
+// askForwarded asks an entry VM, whose reply was lost, what became of a forwarded job.
+// It reports false if the job is not known there: the request may still arrive.
+func (s *Service) askForwarded(j *job, to model.EntryVM) (model.Result, bool) {
+	if s.cfg.Lookup == nil {
+		return model.Result{}, false
+	}
+	wait := askUnknown
+	if j.req.Idempotent {
+		wait = askIdempotent
+	}
+	ctx, cancel := context.WithTimeout(j.ctx, wait)
+	defer cancel()
+	for d := lookupFirstDelay; ; d = min(2*d, lookupMaxDelay) {
+		rep, err := s.cfg.Lookup.JobGet(ctx, to, j.req.Job, true)
+		ended := err == nil && rep.Found && rep.Result.Job == j.req.Job &&
+			(rep.Result.State.Final() || rep.Result.State == model.StateUnknown)
+		if ended {
+			return rep.Result, true
+		}
+		if !sleep(ctx, d) {
+			return model.Result{}, false
+		}
 	}
-	return s.forwardDone(j, to, rep.Result)
 }
 
 func (s *Service) forwardFailed(j *job, to model.EntryVM, err error) (ended, next bool) {
@@ -123,7 +157,8 @@
 	}
 	j.handBack(false)
 	switch r.Reason {
-	case model.ReasonShuttingDown, model.ReasonQueueFull, model.ReasonNoMinion, model.ReasonNoCoordinator, model.ReasonIsolated:
+	// ReasonCallerGone: the other entry VM lost the connection to this one.
+	case model.ReasonCallerGone, model.ReasonShuttingDown, model.ReasonQueueFull, model.ReasonNoMinion, model.ReasonNoCoordinator, model.ReasonIsolated:
 		s.step(j, fact{state: model.StateQueued, reason: r.Reason, detail: detail})
 		return false, r.Reason == model.ReasonShuttingDown
 	}
--- a/internal/dispatch/record.go
+++ b/internal/dispatch/record.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"expvar"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -9,6 +10,12 @@
 	"boragepulley/internal/model"
 )
 
+// Metrics: job steps by state and reason, and repeated requests that joined a job.
+var (
+	stepCount   = expvar.NewMap("dispatch_steps")
+	repeatCount = expvar.NewInt("dispatch_repeats")
+)
+
 // fact is one step in the life of a job.
 type fact struct {
 	state   model.State
@@ -78,6 +85,11 @@
 }
 
 func (s *Service) logStep(r model.Record) {
+	name := string(r.State)
+	if r.Reason != model.ReasonNone {
+		name += "/" + string(r.Reason)
+	}
+	stepCount.Add(name, 1)
 	ev := s.log.Info()
 	if r.State == model.StateUnknown {
 		ev = s.log.Warn()
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -207,6 +207,7 @@
 			"job " + string(first.req.Job) + " has this request id and another queue, kind or body"})
 	}
 	first.join(j.async)
+	repeatCount.Add(1)
 	s.log.Info().Str("job", string(first.req.Job)).Str("repeat", string(j.req.Job)).
 		Str("reason", string(model.ReasonDuplicateID)).Msg("repeated request joins the earlier job")
 	return first, model.Result{}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -87,7 +87,7 @@
 			cn.reused = true
 			continue
 		}
-		last.Close()
+		last.discard()
 		p.open--
 	}
 	if cn == nil && p.open >= p.limit && len(p.idle) > 0 {
@@ -111,7 +111,7 @@
 	oldest := p.idle[0]
 	p.idle = p.idle[1:]
 	oldest.timer.Stop()
-	oldest.Close()
+	oldest.discard()
 	p.open--
 }
 
@@ -160,7 +160,7 @@
 	for i, c := range p.idle {
 		if c == cn {
 			p.idle = append(p.idle[:i:i], p.idle[i+1:]...)
-			cn.Close()
+			cn.discard()
 			p.open--
 			p.wakeLocked()
 			return
@@ -216,6 +216,16 @@
 	return &conn{Conn: nc, lr: lr, br: bufio.NewReader(lr), status: status}
 }
 
+// discard closes an idle connection with a reset. Nothing is in flight on it, and many
+// short-lived connections to one minion would otherwise use up the local ports, each
+// of which waits a minute after a normal close.
+func (c *conn) discard() {
+	if tc, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tc.SetLinger(0)
+	}
+	c.Close()
+}
+
 // usable reports whether an idle connection was neither closed by the minion nor
 // carries unexpected bytes. It does not block.
 func (c *conn) usable() bool {
