--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -74,6 +74,9 @@
 	addressRule = tomldoc.StringRule{Required: true, OK: ValidAddress, Expected: `an address "IP:port"`}
 )
 
+// ValidName reports whether s can name an object of the files, or a key id.
+func ValidName(s string) bool { return nameForm.MatchString(s) }
+
 // ValidAddress reports whether s is "IP:port" with a port above 0.
 func ValidAddress(s string) bool {
 	a, err := netip.ParseAddrPort(s)
@@ -130,7 +133,8 @@
 	return out
 }
 
-// checkFiles checks names and sizes. It returns false if the set is too large to read.
+// checkFiles checks names and sizes. It returns false if the set is too large, or
+// holds a name twice, so that places in the files would be ambiguous.
 func (d *draft) checkFiles(files []File) bool {
 	fault := func(name, found, expected string) {
 		d.faults = append(d.faults, Fault{File: name, Found: found, Expected: expected})
@@ -139,11 +143,12 @@
 		fault("(all files)", fmt.Sprintf("%d files", len(files)), fmt.Sprintf("1 to %d files", MaxFiles))
 		return false
 	}
-	total, seen := 0, map[string]bool{}
+	total, readable, seen := 0, true, map[string]bool{}
 	for _, f := range files {
 		total += len(f.Text)
 		if seen[f.Name] {
 			fault(f.Name, "the file name twice", "each file name once")
+			readable = false
 		}
 		seen[f.Name] = true
 		if len(f.Name) > maxFileName || !fileForm.MatchString(f.Name) || strings.Contains(f.Name, "..") {
@@ -154,7 +159,7 @@
 		fault("(all files)", fmt.Sprintf("%d bytes", total), fmt.Sprintf("at most %d bytes", MaxTotalBytes))
 		return false
 	}
-	return true
+	return readable
 }
 
 // readAll reads every file and reports whether all are valid TOML.
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"net/url"
 	"os"
-	"regexp"
 	"slices"
 	"strings"
 	"time"
@@ -38,10 +37,8 @@
 // maxRequests bounds max_requests: each request holds a goroutine and a connection.
 const maxRequests = 100000
 
-var nameForm = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
-
 var (
-	nameRule    = tomldoc.StringRule{Required: true, OK: nameForm.MatchString, Expected: "1 to 63 lower-case letters, digits and inner hyphens"}
+	nameRule    = tomldoc.StringRule{Required: true, OK: config.ValidName, Expected: "1 to 63 lower-case letters, digits and inner hyphens"}
 	addressRule = tomldoc.StringRule{Required: true, OK: config.ValidAddress, Expected: `an address "IP:port"`}
 	levels      = []string{"debug", "info", "warn", "error"}
 )
