demo: the whole path from end to end, compared with the callers' account

Cause: the parts must be seen to work together before they grow. Change: bench/demo, bpbench; VMs can be drained in the files; the report accepts refusals on arrival.

--- a/bench/load/judge.go
+++ b/bench/load/judge.go
@@ -6,6 +6,7 @@
 
 	"boragepulley/internal/account"
 	"boragepulley/internal/model"
+	"boragepulley/standins/minion"
 )
 
 // maxFaultsListed bounds the faults of one kind that are listed in full.
@@ -23,6 +24,7 @@
 	FaultReportDiffers   FaultKind = "report disagrees with what the caller saw"
 	FaultCutOff          FaultKind = "request cut off by a planned stop (I9)"
 	FaultDuplicateAnswer FaultKind = "one job answered two requests"
+	FaultMinionLimits    FaultKind = "slots or connections of a minion exceeded"
 )
 
 // Fault is one broken promise.
@@ -163,3 +165,18 @@
 	}
 	return out
 }
+
+// JudgeMinions finds minions whose slots or connections were exceeded.
+func JudgeMinions(stats []minion.Stats) []Fault {
+	var out []Fault
+	for _, s := range stats {
+		if s.SlotViolations > 0 || s.ConnectionViolations > 0 {
+			out = append(out, Fault{FaultMinionLimits, fmt.Sprintf("%s: %d times over its slots, %d over its connections",
+				s.Name, s.SlotViolations, s.ConnectionViolations)})
+		}
+	}
+	return out
+}
+
+// CutOff is the fault of a request whose connection broke in a planned stop.
+func CutOff(s Seen) Fault { return fault(FaultCutOff, s) }
--- a/bench/sites/sites.go
+++ b/bench/sites/sites.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/hex"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -74,6 +75,10 @@
 	MaxUnavailable int
 	// WaveStart adds a maintenance wave over all services; the zero time adds none.
 	WaveStart time.Time
+	// Drain takes VMs out of service.
+	Drain []model.VM
+	// WithdrawnKeys are the indices of teams without a key.
+	WithdrawnKeys []int
 	// Isolation policy; default refuse after 5 s.
 	Isolation config.Isolation
 }
@@ -216,6 +221,9 @@
 		n := i / len(o.DataCentres)
 		w.line("[[vm]]\nname = %q\npool = %q\ndata_centre = %q\nrack = \"m%d\"", MinionName(i), pool, o.DataCentres[o.MinionDC(i)].Name, n/perRack+1)
 		w.line("address = %q\nslots = %d\nconnections = %d", address(o.MinionAddrs, i, 1), o.Slots, o.Connections)
+		if slices.Contains(o.Drain, MinionName(i)) {
+			w.line("drain = true")
+		}
 	}
 	for i := range o.Workers {
 		n := i / perRack / len(o.DataCentres)
@@ -267,6 +275,9 @@
 		}
 		h := config.KeyHash(Secret(KeyID(i)))
 		w.line("[[team]]\nname = %q\nshare = %d\nlimit = %d", TeamName(i), share, limit)
+		if slices.Contains(o.WithdrawnKeys, i) {
+			continue
+		}
 		w.line("[[key]]\nid = %q\nteam = %q\nsha256 = %q", KeyID(i), TeamName(i), hex.EncodeToString(h[:]))
 	}
 	return w.String()
--- /dev/null
+++ b/cmd/bpbench/main.go
@@ -0,0 +1,57 @@
+// Command bpbench runs experiments with the whole system as real processes on loopback.
+//
+// Exit codes: 0 if every promise held, 1 if one was broken or a step failed, 2 for a
+// wrong command line.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"boragepulley/bench/demo"
+)
+
+type cli struct {
+	Bin  string `default:"bin" type:"existingdir" help:"Folder of the programs."`
+	Dir  string `help:"Folder for logs and settings; default: a new temporary folder."`
+	Seed uint64 `default:"1" help:"Seed of everything random in the load and the faults."`
+
+	Demo demoCmd `cmd:"" help:"Run the whole path once and compare the report with the callers."`
+}
+
+type demoCmd struct{}
+
+func (demoCmd) Run(ctx context.Context, c *cli) error {
+	return demo.Run(ctx, demo.Options{Bin: c.Bin, Dir: c.Dir, Seed: c.Seed}, os.Stdout)
+}
+
+func main() {
+	var c cli
+	k := kong.Parse(&c, kong.Name("bpbench"), kong.Description("Load and experiment tool of boragepulley."))
+	os.Exit(run(k, &c))
+}
+
+func run(k *kong.Context, c *cli) int {
+	if c.Dir == "" {
+		dir, err := os.MkdirTemp("", "bpbench-")
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return 1
+		}
+		c.Dir = dir
+	}
+	fmt.Printf("seed %d, logs in %s\n", c.Seed, c.Dir)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	k.BindTo(ctx, (*context.Context)(nil))
+	if err := k.Run(c); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return 0
+}
--- a/internal/account/account_test.go
+++ b/internal/account/account_test.go
@@ -298,3 +298,15 @@
 	require.NotContains(t, out, "<script>")
 	require.NotContains(t, out, "src=")
 }
+
+// Guards against a report that calls a refusal on arrival incomplete, or that accepts a
+// job whose beginning is missing.
+func TestAcceptanceCheck(t *testing.T) {
+	now := time.Now()
+	report := func(rs ...model.Record) *Report {
+		return Build(Input{Batches: []Batch{{Owner: testOwner, First: 1, Last: 1, Records: rs}}, Now: now,
+			Live: map[model.Incarnation]bool{testOwner.Incarnation: true}})
+	}
+	require.True(t, report(finished("j", now, model.StateRefused, model.ReasonBadKey)).OK())
+	require.False(t, report(finished("j", now, model.StateRan, "")).OK())
+}
--- a/internal/account/check.go
+++ b/internal/account/check.go
@@ -14,7 +14,7 @@
 	CheckReasonsAddUp    = "reasons add up to the refusals, cancellations and unknown outcomes"
 	CheckNoContradiction = "no job is reported both as run and as not run"
 	CheckReasonGiven     = "every refusal, cancellation and unknown outcome has a reason"
-	CheckAccepted        = "every job has its acceptance on record, or lies in a gap"
+	CheckAccepted        = "every job was refused on arrival, has its acceptance on record, or lies in a gap"
 )
 
 func (r *Report) check() {
@@ -82,11 +82,15 @@
 	return true
 }
 
+// hasAcceptance reports whether the account of a job is complete from its start: it
+// begins with its acceptance, or a refusal on arrival is all there is.
 func hasAcceptance(j *Job) bool {
+	refusedOnly := true
 	for _, s := range j.Steps {
 		if s.State == model.StateAccepted {
 			return true
 		}
+		refusedOnly = refusedOnly && s.State == model.StateRefused
 	}
-	return false
+	return refusedOnly
 }
--- a/internal/account/text.go
+++ b/internal/account/text.go
@@ -19,7 +19,7 @@
 	}
 	fmt.Fprint(t, "\n\nqueue\tteam\taccepted\tran\trefused\tcancelled\tunknown\topen\n")
 	for _, g := range r.Groups {
-		writeCounts(t, string(g.Queue), cmp.Or(string(g.Team), "(open)"), g.Counts)
+		writeCounts(t, string(g.Queue), cmp.Or(string(g.Team), "(none)"), g.Counts)
 	}
 	writeCounts(t, "total", "", r.Total)
 	if len(r.Why) > 0 {
@@ -63,7 +63,7 @@
 // WriteText writes the whole story of the job for a terminal.
 func (j *Job) WriteText(w io.Writer) error {
 	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
-	fmt.Fprintf(t, "job\t%s\nqueue\t%s\nteam\t%s\nstate\t%s\noutcome\t%s\n", j.ID, j.Queue, cmp.Or(string(j.Team), "(open)"), j.State, j.State.Outcome())
+	fmt.Fprintf(t, "job\t%s\nqueue\t%s\nteam\t%s\nstate\t%s\noutcome\t%s\n", j.ID, j.Queue, cmp.Or(string(j.Team), "(none)"), j.State, j.State.Outcome())
 	if j.RequestID != "" {
 		fmt.Fprintf(t, "request id\t%s\n", j.RequestID)
 	}
--- a/internal/config/diff.go
+++ b/internal/config/diff.go
@@ -187,6 +187,7 @@
 	return object{string(v.Name), []field{
 		{"pool", string(v.Pool)}, {"data_centre", string(v.DC)}, {"rack", string(v.Rack)}, {"address", v.Addr},
 		integer("slots", int64(v.Slots)), integer("connections", int64(v.Connections)),
+		boolean("drain", v.Drain),
 	}}
 }
 
--- a/internal/config/model.go
+++ b/internal/config/model.go
@@ -88,6 +88,8 @@
 	Addr        string
 	Slots       int
 	Connections int
+	// Drain takes the VM out of service: running requests end, new ones go elsewhere.
+	Drain bool
 }
 
 // Worker is one worker of the platform.
--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -267,6 +267,7 @@
 		DC:          model.DataCentre(t.String("data_centre", nameRule)),
 		Rack:        model.Rack(t.String("rack", nameRule)),
 		Addr:        t.String("address", addressRule),
+		Drain:       t.Bool("drain"),
 		Slots:       int(t.Int("slots", tomldoc.IntRule{Default: defaultSlots, Min: 1, Max: maxSlots})),
 		Connections: int(t.Int("connections", tomldoc.IntRule{Default: defaultConnections, Min: 1, Max: maxConnections})),
 	}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -157,6 +157,7 @@
 	c.every(configPollEvery, c.pollHead).at = c.started
 	c.every(usageEvery, c.exchangeUsage)
 	c.every(allotmentEvery, c.settleAllotments)
+	c.every(drainCheckEvery, c.checkDrained)
 	c.bootFromPeers()
 	c.wg.Add(1)
 	go c.loop()
--- a/internal/control/coordinator.go
+++ b/internal/control/coordinator.go
@@ -71,6 +71,7 @@
 			c.deliver(k.adm.SetMinionState(now, v.Name, c.vmState(v.Name)))
 		}
 	}
+	c.applyDrains()
 }
 
 // Acquire implements peer.ControlHandler.
--- a/internal/control/takeover.go
+++ b/internal/control/takeover.go
@@ -142,6 +142,9 @@
 	setGauge("coordinator", 1)
 	c.log.Info().Stringer("token", tk.token).Bool("local", tk.local).Int("permits", len(tk.permits)).
 		Dur("registration", now.Sub(tk.started)).Msg("coordinator grants permits")
+	if c.cfg.index != nil {
+		c.applyDrains()
+	}
 	c.pollMinions(now)
 	for _, f := range tk.early {
 		f()
