--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -215,6 +215,50 @@
 	}
 }
 
+// Guards against a dispatch after the caller was told that the job is cancelled, while
+// the connection to the minion is being opened.
+func TestCancelWhileConnecting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(3)
+		r.minions.connect = time.Second
+		in := input("x", false)
+		in.Job = r.NewJobID()
+		go func() {
+			time.Sleep(500 * time.Millisecond)
+			_, err := r.Cancel(in.Job, "red")
+			if err != nil {
+				t.Error(err)
+			}
+		}()
+		res := r.Submit(context.Background(), in)
+		require.Equal(t, model.StateCancelled, res.State)
+		require.Zero(t, r.minions.ran("x"))
+		require.Equal(t, []peer.AttemptResult{peer.AttemptUnused}, r.ctl.released)
+		r.settled(t)
+	})
+}
+
+// Guards against more attempts than allowed, and attempt numbers that two entry VMs
+// use, when a job that failed before is forwarded and the reply is lost.
+func TestForwardAfterFailure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := newRig(2)
+		b := joinRig("e2", "a", a.minions, a.table, a.links, 2)
+		a.links.mute = true
+		a.links.fail = func(model.EntryVM) (error, bool) { return errors.New("lost"), true }
+		a.minions.fault = always(notStarted)
+		a.ctl.acquire = func(_ context.Context, at control.Attempt) (peer.AcquireReply, bool, error) {
+			return peer.AcquireReply{ForwardTo: "a"}, at.Number == 2 && at.Hops == 0, nil
+		}
+		res := a.Submit(context.Background(), input("x", true))
+		require.Equal(t, model.StateUnknown, res.State, "the lost forward may have run")
+		require.Equal(t, model.ReasonNeverRuns, res.Reason)
+		require.Len(t, a.minions.calls, 3, "one before, one at e2, one after")
+		a.settled(t)
+		b.settled(t)
+	})
+}
+
 // Guards against losing the answer of a dispatched job whose caller went away or whose
 // deadline passed, and against calling such a job not run.
 func TestEndWhileDispatched(t *testing.T) {
@@ -413,7 +457,10 @@
 		first := res.Job
 		res = r.Submit(context.Background(), input(strings.Repeat("y", 900), true))
 		require.Len(t, res.Body, 900)
-		require.LessOrEqual(t, r.kept.bytes, int64(1<<10))
+		require.LessOrEqual(t, r.kept.bytes, int64(1000))
+		res = r.Submit(context.Background(), input(strings.Repeat("z", 1010), true))
+		require.Len(t, res.Body, 1010, "the caller that waits gets an answer that is not kept")
+		require.LessOrEqual(t, r.kept.bytes, int64(1000))
 		res = r.Submit(context.Background(), withID(input(large, true), "id"))
 		require.Equal(t, first, res.Job)
 		require.Equal(t, model.StateRan, res.State)
--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -47,6 +47,7 @@
 
 // fakeControl grants permits for minions m1 to m4 in turn, skipping those to avoid.
 type fakeControl struct {
+	dc       model.DataCentre
 	mu       sync.Mutex
 	snap     *control.Snapshot
 	acquire  func(ctx context.Context, a control.Attempt) (rep peer.AcquireReply, handled bool, err error)
@@ -83,7 +84,7 @@
 		}
 		f.out[key] = true
 		return peer.AcquireReply{Permit: &model.Permit{Job: a.Request.Job, Attempt: a.Number, Team: a.Request.Team,
-			Queue: a.Request.Queue, Minion: m, Addr: string(m)}}, nil
+			Queue: a.Request.Queue, Minion: m, Addr: string(f.dc) + string(m)}}, nil
 	}
 	return peer.AcquireReply{Refused: model.ReasonNoMinion}, nil
 }
@@ -145,8 +146,11 @@
 type fakeMinions struct {
 	mu    sync.Mutex
 	fault func(c upstream.Call) fault
-	runs  map[string]int // by body
-	calls []upstream.Call
+	// connect is how long a connection takes.
+	connect time.Duration
+	runs    map[string]int // by body and by "job "+id
+	calls   []upstream.Call
+	used    map[string]bool // attempts, by data centre
 }
 
 func (f *fakeMinions) Status(context.Context, string) (upstream.Status, error) {
@@ -161,11 +165,17 @@
 	if kind == refusedConn {
 		return upstream.Answer{}, upstream.ErrNotReached
 	}
+	time.Sleep(f.connect)
 	if err := c.BeforeSend(); err != nil {
 		return upstream.Answer{}, fmt.Errorf("%w: %w", upstream.ErrNotReached, err)
 	}
 	f.mu.Lock()
 	f.calls = append(f.calls, c)
+	attempt := fmt.Sprint(c.Addr[:1], c.Job, c.Attempt)
+	if f.used[attempt] {
+		panic("attempt number used twice in a data centre: " + attempt)
+	}
+	f.used[attempt] = true
 	if kind != unsent && kind != notStarted && kind != lostBefore {
 		f.runs[string(c.Body)]++
 		f.runs["job "+string(c.Job)]++
@@ -312,15 +322,15 @@
 }
 
 func newRig(maxAttempts int) *rig {
-	return joinRig("e1", "a", &fakeMinions{runs: map[string]int{}}, newFakeTable(),
+	return joinRig("e1", "a", &fakeMinions{runs: map[string]int{}, used: map[string]bool{}}, newFakeTable(),
 		&links{to: map[model.EntryVM]*Service{}}, maxAttempts)
 }
 
 // joinRig makes an entry VM that shares minions, table and links with others.
 func joinRig(name model.EntryVM, dc model.DataCentre, m *fakeMinions, t *fakeTable, l *links, maxAttempts int) *rig {
-	r := &rig{ctl: &fakeControl{snap: testSnapshot(maxAttempts), out: map[string]bool{}}, minions: m, table: t, links: l}
+	r := &rig{ctl: &fakeControl{dc: dc, snap: testSnapshot(maxAttempts), out: map[string]bool{}}, minions: m, table: t, links: l}
 	r.Service = New(Config{Entry: name, DC: dc, Control: r.ctl, Minions: m, Table: t, Recorder: r.ctl,
-		Forwarder: l, Lookup: l, Log: zerolog.Nop(), AnswerBytes: 1 << 10})
+		Forwarder: l, Lookup: l, Log: zerolog.Nop(), AnswerBytes: 1000})
 	l.to[name] = r.Service
 	return r
 }
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -45,12 +45,12 @@
 
 // forward hands the job to an entry VM of a data centre. It reports whether the job
 // has ended; otherwise nobody else works on it and this entry VM goes on.
-func (s *Service) forward(j *job, dc model.DataCentre, attempts int, avoid []model.VM) (ended bool) {
+func (s *Service) forward(j *job, dc model.DataCentre, avoid []model.VM) (ended bool) {
 	if s.cfg.Forwarder == nil {
 		return false
 	}
 	for _, to := range s.forwardCandidates(dc) {
-		ended, next := s.forwardTo(j, to, attempts, avoid)
+		ended, next := s.forwardTo(j, to, avoid)
 		if ended || !next {
 			return ended
 		}
@@ -71,17 +71,17 @@
 }
 
 // forwardTo hands the job to one entry VM. next says that another one may be asked.
-func (s *Service) forwardTo(j *job, to model.EntryVM, attempts int, avoid []model.VM) (ended, next bool) {
+func (s *Service) forwardTo(j *job, to model.EntryVM, avoid []model.VM) (ended, next bool) {
 	if err := j.hand(nil); err != nil {
 		s.end(j, reasonOr(j.stopReason(), model.ReasonCannotStart), "")
 		return true, false
 	}
-	s.step(j, fact{state: model.StateDispatched, reason: model.ReasonForwarded, attempt: attempts, detail: "forwarded to entry VM " + string(to)})
+	s.step(j, fact{state: model.StateDispatched, reason: model.ReasonForwarded, detail: "forwarded to entry VM " + string(to)})
 	ctx, cancel := context.WithDeadline(context.Background(), j.req.Deadline.Add(forwardLate))
 	defer cancel()
 	rep, err := s.cfg.Forwarder.Forward(ctx, to, peer.Forward{
 		From: peer.Sender{Entry: s.cfg.Entry, DC: s.cfg.DC}, Request: j.req, Wait: time.Until(j.req.Deadline),
-		ContentType: j.contentType, Body: j.body, Claimed: j.claim != nil || j.hasClaim, Attempts: attempts, Avoid: avoid,
+		ContentType: j.contentType, Body: j.body, Claimed: j.claim != nil || j.hasClaim, Attempts: j.result().Attempts, Avoid: avoid,
 	})
 	if err == nil {
 		return s.forwardDone(j, to, rep.Result)
@@ -148,7 +148,7 @@
 	switch r.Outcome() {
 	case model.OutcomeRan:
 		j.handBack(false)
-		s.step(j, fact{state: model.StateRan, reason: r.Reason, detail: r.Detail, minion: r.Minion, attempt: r.Attempts, answer: &r})
+		s.step(j, fact{state: model.StateRan, reason: r.Reason, detail: r.Detail, minion: r.Minion, answer: &r})
 		return true, false
 	case model.OutcomeUnknown:
 		j.handBack(true)
@@ -172,7 +172,7 @@
 	snap := s.cfg.Control.Snapshot()
 	j := &job{
 		req: f.Request, contentType: f.ContentType, body: f.Body, forwarded: true, hops: 1,
-		hasClaim: f.Claimed, attempt: f.Attempts, avoid: f.Avoid,
+		hasClaim: f.Claimed, attempts: f.Attempts, avoid: f.Avoid,
 	}
 	// The clocks of two VMs are not compared, so the deadline is counted from receipt.
 	j.req.Deadline = time.Now().Add(f.Wait)
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -38,9 +38,10 @@
 	hops int
 	// hasClaim is set if the entry VM that forwarded the request holds the claim.
 	hasClaim bool
-	// attempt is the number of attempts that another entry VM made before.
-	attempt int
-	avoid   []model.VM
+	// attempts is the number of dispatches that another entry VM made before, avoid the
+	// minions that failed them.
+	attempts int
+	avoid    []model.VM
 	// ctx ends at the deadline or when the job is withdrawn.
 	ctx    context.Context
 	cancel context.CancelCauseFunc
@@ -76,12 +77,24 @@
 	j.ctx, j.cancel = context.WithCancelCause(ctx)
 	context.AfterFunc(j.ctx, release)
 	j.done, j.claimed = make(chan struct{}), make(chan struct{})
-	j.res = model.Result{Job: j.req.Job, State: model.StateAccepted}
+	j.res = model.Result{Job: j.req.Job, State: model.StateAccepted, Attempts: j.attempts}
 	if !j.async {
 		j.waiters = 1
 	}
 }
 
+// forwardedAttempts is added to the attempt numbers of a forwarded job: if the reply is
+// lost, the entry VM that accepted the job may go on with its own numbers, and the pair
+// of job and attempt must stay unique.
+const forwardedAttempts = 10_000
+
+func (j *job) firstAttempt() int {
+	if j.forwarded {
+		return forwardedAttempts + 1
+	}
+	return 1
+}
+
 // join adds a caller; an asynchronous one keeps the job alive without waiting.
 func (j *job) join(async bool) {
 	j.mu.Lock()
--- a/internal/dispatch/property_test.go
+++ b/internal/dispatch/property_test.go
@@ -40,6 +40,7 @@
 	commits  []int
 	gets     []bool
 	drain    time.Duration // 0: never
+	connect  time.Duration
 }
 
 func drawPlan(t *rapid.T) plan {
@@ -70,6 +71,7 @@
 	p.forwards = rapid.SliceOfN(rapid.IntRange(0, 3), 0, 6).Draw(t, "forwards")
 	p.commits = rapid.SliceOfN(rapid.IntRange(0, 4), 0, 8).Draw(t, "commits")
 	p.gets = rapid.SliceOfN(rapid.Bool(), 0, 5).Draw(t, "gets")
+	p.connect = ms("connect", 100)
 	if rapid.Bool().Draw(t, "drains") {
 		p.drain = ms("drain", 400)
 	}
@@ -95,6 +97,7 @@
 func (p plan) apply(rigs []*rig) {
 	faults, checks, moves := &script[fault]{left: p.faults}, &script[model.Reason]{left: p.checks}, &script[bool]{left: p.moves}
 	forwards, commits, gets := &script[int]{left: p.forwards}, &script[int]{left: p.commits}, &script[bool]{left: p.gets}
+	rigs[0].minions.connect = p.connect
 	rigs[0].minions.fault = func(upstream.Call) fault {
 		if f := faults.next(); f != "" {
 			return f
--- a/internal/dispatch/record.go
+++ b/internal/dispatch/record.go
@@ -75,8 +75,8 @@
 	if f.minion != "" {
 		j.res.Minion = f.minion
 	}
-	if f.attempt > 0 {
-		j.res.Attempts = f.attempt
+	if f.state == model.StateDispatched && f.minion != "" {
+		j.res.Attempts++
 	}
 	if f.answer != nil {
 		j.res.Status, j.res.ContentType, j.res.Body = f.answer.Status, f.answer.ContentType, f.answer.Body
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -41,20 +41,20 @@
 
 // attempts tries the job until it ends.
 func (s *Service) attempts(j *job) {
-	fails := failures{avoid: j.avoid}
+	fails := failures{count: len(j.avoid), avoid: j.avoid}
 	delay := newBackoff()
 	mayMove := true
-	for number := j.attempt + 1; ; number++ {
+	for number := j.firstAttempt(); ; number++ {
 		if r := j.stopReason(); r != model.ReasonNone {
 			s.end(j, r, "")
 			return
 		}
-		s.step(j, fact{state: model.StateQueued, attempt: number - 1})
+		s.step(j, fact{state: model.StateQueued})
 		rep, err := s.acquire(j, number, fails.avoid, mayMove)
 		switch {
 		case errors.Is(err, errDraining):
 			mayMove = false
-			if s.forward(j, s.cfg.DC, number-1, fails.avoid) {
+			if s.forward(j, s.cfg.DC, fails.avoid) {
 				return
 			}
 			continue
@@ -62,7 +62,7 @@
 			s.end(j, reasonOr(j.stopReason(), model.ReasonDeadlineQueued), "")
 			return
 		case rep.Permit == nil && rep.ForwardTo != "" && j.hops == 0:
-			if s.forward(j, rep.ForwardTo, number-1, fails.avoid) {
+			if s.forward(j, rep.ForwardTo, fails.avoid) {
 				return
 			}
 			j.hops = 1
@@ -263,7 +263,7 @@
 func answerResult(j *job, p *model.Permit, a upstream.Answer) model.Result {
 	return model.Result{
 		Job: j.req.Job, State: model.StateRan, Status: a.Status, ContentType: a.ContentType,
-		Body: a.Body, Minion: p.Minion, Attempts: p.Attempt,
+		Body: a.Body, Minion: p.Minion,
 	}
 }
 
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -138,8 +138,7 @@
 	Body        []byte        `json:"body"`
 	// Claimed is set if the sender holds the claim of a non-idempotent request.
 	Claimed bool `json:"claimed,omitempty"`
-	// Attempts is the number of attempts already made; the receiver continues the count,
-	// so that (job, attempt) stays unique.
+	// Attempts is the number of dispatches already made.
 	Attempts int `json:"attempts,omitempty"`
 	// Avoid lists minions that already failed this job.
 	Avoid []model.VM `json:"avoid,omitempty"`
