--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -13,6 +13,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
+
+	"boragepulley/internal/settings"
 )
 
 // Defaults of Options.
@@ -46,6 +48,17 @@
 	Log  zerolog.Logger
 }
 
+// OptionsOf returns the options of a daemon with the given settings.
+func OptionsOf(s *settings.Settings, log zerolog.Logger) Options {
+	return Options{
+		BaseURL:         s.PlatformURL,
+		ClientName:      string(s.DC) + "/" + string(s.Name),
+		WritesPerSecond: s.WriteBudget(),
+		ReadsPerSecond:  s.ReadBudget(),
+		Log:             log,
+	}
+}
+
 // Client calls the platform over HTTP. Its methods are safe for concurrent use.
 type Client struct {
 	opt     Options
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -13,9 +13,11 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"boragepulley/internal/platform"
+	"boragepulley/internal/settings"
 	standin "boragepulley/standins/platform"
 )
 
@@ -369,3 +371,18 @@
 		require.EqualValues(t, 100, limited, "the burst of the service is a quarter of a second")
 	})
 }
+
+// Guards against a daemon that uses the whole site's budget or a name that a cut of its
+// data centre does not match.
+func TestOptionsOfSettings(t *testing.T) {
+	o := platform.OptionsOf(&settings.Settings{Name: "entry-1", DC: "a", PlatformURL: "http://127.0.0.1:1",
+		SiteWritesPerSecond: 300, SiteReadsPerSecond: 1200, Peers: make([]settings.Peer, 8)}, zerolog.Nop())
+	require.Equal(t, "a/entry-1", o.ClientName)
+	require.Equal(t, 37.5, o.WritesPerSecond)
+	require.Equal(t, 150.0, o.ReadsPerSecond)
+	_, err := platform.NewClient(o)
+	require.NoError(t, err)
+	o.ReadsPerSecond = 0
+	_, err = platform.NewClient(o)
+	require.Error(t, err)
+}
