--- a/internal/admission/forward.go
+++ b/internal/admission/forward.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -74,10 +75,14 @@
 // more, as far as other data centres report free slots.
 func (a *Admission) forwardStranded(now time.Time) []Effect {
 	var out []Effect
+	var stranded []*service
 	for _, s := range a.services {
-		if s.waiting == 0 || s.outlook(nil) != outlookNone {
-			continue
+		if s.waiting > 0 && s.outlook(nil) == outlookNone {
+			stranded = append(stranded, s)
 		}
+	}
+	slices.SortFunc(stranded, func(x, y *service) int { return cmp.Compare(x.name, y.name) })
+	for _, s := range stranded {
 		for _, b := range slices.Clone(s.backlogs) {
 			out = append(out, a.forwardBacklog(now, b)...)
 		}
--- a/internal/admission/grant.go
+++ b/internal/admission/grant.go
@@ -91,6 +91,9 @@
 // permit explains and the slots of minions that have not answered since the takeover.
 func (a *Admission) blockedSlots() int {
 	n := a.unattributed
+	if a.silent == 0 {
+		return n
+	}
 	for _, m := range a.minions {
 		n += m.unknown()
 	}
--- a/internal/admission/site.go
+++ b/internal/admission/site.go
@@ -97,6 +97,9 @@
 	}
 	if len(m.permits) == 0 && len(m.unattributed) == 0 {
 		delete(a.minions, m.vm)
+		if !m.answered {
+			a.silent--
+		}
 	}
 }
 
--- a/internal/admission/state.go
+++ b/internal/admission/state.go
@@ -122,8 +122,10 @@
 	remoteUntil time.Time
 	// unattributed counts running jobs that no permit explains, on all minions.
 	unattributed int
-	past         map[Attempt]*finished
-	pastOrder    []*finished
+	// silent counts minions that have not answered since the takeover.
+	silent    int
+	past      map[Attempt]*finished
+	pastOrder []*finished
 }
 
 // New returns the state of a coordinator of dc that has just taken over with the
@@ -171,6 +173,7 @@
 	if m == nil {
 		m = &minion{vm: vm, permits: make(map[Attempt]*permit), conns: make(map[model.EntryVM]int),
 			unattributed: make(map[Attempt]time.Time)}
+		a.silent++
 		a.minions[vm] = m
 	}
 	return m
--- a/internal/admission/status.go
+++ b/internal/admission/status.go
@@ -21,7 +21,11 @@
 		return out
 	}
 	blocked := a.blockedSlots()
-	m.answered, m.lastAsked = true, asked
+	if !m.answered {
+		m.answered = true
+		a.silent--
+	}
+	m.lastAsked = asked
 	listed := make(map[Attempt]bool, len(jobs))
 	for _, k := range jobs {
 		listed[k] = true
