--- a/cmd/boragepulley/main_test.go
+++ b/cmd/boragepulley/main_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -30,6 +31,8 @@
 	inForce int
 	err     error
 	applied []operator.ApplyRequest
+	// onStatus, if set, is called for each look at the status.
+	onStatus func()
 }
 
 func (s *site) Apply(_ context.Context, r operator.ApplyRequest) (operator.ApplyResult, error) {
@@ -47,6 +50,9 @@
 func (s *site) Document() *config.Document { return nil }
 
 func (s *site) Status(context.Context) (operator.Status, error) {
+	if s.onStatus != nil {
+		s.onStatus()
+	}
 	c := operator.ConfigurationStatus{Head: s.head, Stored: true, InForce: s.inForce, Of: 2, Everywhere: s.inForce == 2, Confirmed: true}
 	if s.inForce < 2 {
 		c.Missing = []operator.MissingEntry{{Name: "entry-2", DC: "dc-b", Status: control.MemberSuspect, Since: time.Unix(60, 0)}}
@@ -167,23 +173,36 @@
 	s := &site{inForce: 1}
 	start(t, s)
 	dir := folder(t, "")
-	code, out, errOut := tool(t, "apply", "--wait", "300ms", dir)
+	// The second look of the waiting loop ends the tool, so that no time decides.
+	ctx, stop := context.WithCancel(t.Context())
+	var looks atomic.Int32
+	s.onStatus = func() {
+		if looks.Add(1) == 2 {
+			stop()
+		}
+	}
+	var stdout, stderr bytes.Buffer
+	code := run(ctx, []string{"apply", "--base", "0", "--wait", "1h", dir}, &stdout, &stderr)
+	out, errOut := stdout.String(), stderr.String()
 	require.Equal(t, exitNotEverywhere, code)
 	require.Contains(t, out, "stored: version 1")
 	require.Contains(t, out, "in force at 1 of 2 entry VMs")
 	require.Regexp(t, `entry-2 +dc-b +0 +suspect +1970-01-01T00:01:00.000Z`, out)
-	require.Contains(t, errOut, "not in force everywhere within 300ms")
+	require.Contains(t, errOut, "not in force everywhere within 1h0m0s")
 
-	s.inForce = 2
+	// The first site's handler may still run, since its caller was stopped.
+	first := s.applied[0]
+	s = &site{head: s.head, inForce: 2}
+	start(t, s)
 	code, out, _ = tool(t, "-o", "json", "apply", dir)
 	require.Equal(t, exitOK, code)
 	var r applyOutput
 	require.NoError(t, json.Unmarshal([]byte(out), &r))
 	require.Equal(t, stateEverywhere, r.State)
 	require.EqualValues(t, 2, r.Result.Version)
-	require.EqualValues(t, 1, s.applied[1].BaseVersion)
-	require.Equal(t, "ann", s.applied[1].Operator)
-	require.NotEqual(t, s.applied[0].ApplyID, s.applied[1].ApplyID)
+	require.EqualValues(t, 1, s.applied[0].BaseVersion)
+	require.Equal(t, "ann", s.applied[0].Operator)
+	require.NotEqual(t, first.ApplyID, s.applied[0].ApplyID)
 
 	code, out, _ = tool(t, "apply", "--wait", "0s", dir)
 	require.Equal(t, exitOK, code)
