prove: scenarios with real processes under faults; readiness waits for evidence

Ruled out: the balancer's grace, since shutting-down refusals were 0. Change: readiness needs a first confirmation, or that the isolation time has passed; ten scenarios (kills, freezes, cuts, store down, lost answers, silent connections, rolling restart) that compare callers, minions and report; minions record concurrency by tag; ports of experiments are fixed.

--- a/bench/cluster/cluster.go
+++ b/bench/cluster/cluster.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
+	"net/http"
 	"path/filepath"
 	"strings"
 	"time"
@@ -51,6 +53,7 @@
 	proxyAdmin                        string
 	entries                           map[model.EntryVM]*Entry
 	names                             []model.EntryVM
+	ports                             *portPicker
 	// Balancer stands for the platform's balancer over all entry VMs.
 	Balancer     *load.Balancer
 	stopBalancer context.CancelFunc
@@ -81,7 +84,7 @@
 	if len(o.Site.DataCentres) == 0 {
 		o.Site.DataCentres = sites.DataCentres(3, 2)
 	}
-	c := &Cluster{Options: o, entries: make(map[model.EntryVM]*Entry)}
+	c := &Cluster{Options: o, entries: make(map[model.EntryVM]*Entry), ports: newPortPicker()}
 	for _, step := range []func() error{c.startPlatform, c.startProxy, c.startMinions, c.startWorkers, c.prepareEntries} {
 		if err := step(); err != nil {
 			c.Close()
@@ -238,3 +241,38 @@
 		}
 	}
 }
+
+// Vars returns the metrics of a daemon.
+func (c *Cluster) Vars(n model.EntryVM) (map[string]json.RawMessage, error) {
+	req, err := http.NewRequest(http.MethodGet, "http://"+c.entries[n].Operator+"/debug/vars", nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "cluster: metrics")
+	}
+	req.Header.Set("Authorization", "Bearer "+OperatorToken)
+	resp, err := adminClient.Do(req)
+	if err != nil {
+		return nil, errors.Wrap(err, "cluster: metrics")
+	}
+	defer resp.Body.Close()
+	var out map[string]json.RawMessage
+	return out, errors.Wrap(json.NewDecoder(resp.Body).Decode(&out), "cluster: metrics")
+}
+
+// Coordinator returns the coordinator of a data centre as a status shows it; empty if
+// there is none.
+func (c *Cluster) Coordinator(ctx context.Context, dc model.DataCentre) (model.EntryVM, error) {
+	op, err := c.Operator()
+	if err != nil {
+		return "", err
+	}
+	st, err := op.Status(ctx)
+	if err != nil {
+		return "", err
+	}
+	for _, k := range st.Coordinators {
+		if k.DC == dc {
+			return k.Entry, nil
+		}
+	}
+	return "", nil
+}
--- a/bench/cluster/entries.go
+++ b/bench/cluster/entries.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -19,11 +18,7 @@
 func (c *Cluster) prepareEntries() error {
 	for _, dc := range c.Site.DataCentres {
 		for _, n := range dc.EntryVMs {
-			addrs, err := freeAddrs(3)
-			if err != nil {
-				return err
-			}
-			c.entries[n] = &Entry{Name: n, DC: dc.Name, Caller: addrs[0], Operator: addrs[1], Peer: addrs[2],
+			c.entries[n] = &Entry{Name: n, DC: dc.Name, Caller: c.ports.next(), Operator: c.ports.next(), Peer: c.ports.next(),
 				settings: filepath.Join(c.Dir, string(n)+".toml")}
 			c.names = append(c.names, n)
 		}
@@ -36,20 +31,6 @@
 	return nil
 }
 
-// freeAddrs returns addresses on loopback that nothing listens on.
-func freeAddrs(n int) ([]string, error) {
-	var out []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, errors.Wrap(err, "cluster: free address")
-		}
-		defer l.Close()
-		out = append(out, l.Addr().String())
-	}
-	return out, nil
-}
-
 // writeSettings writes the settings of one entry VM. It reaches its peers and the
 // platform through links of its own, so that a fault can concern one direction.
 func (c *Cluster) writeSettings(e *Entry) error {
--- a/bench/cluster/faults.go
+++ b/bench/cluster/faults.go
@@ -55,7 +55,7 @@
 // addLink adds a proxy link and returns its address.
 func (c *Cluster) addLink(name, target string) (string, error) {
 	var st faultproxy.LinkStatus
-	err := admin(http.MethodPost, c.proxyAdmin, "/links", faultproxy.LinkSpec{Name: name, Listen: "127.0.0.1:0", Target: target}, &st)
+	err := admin(http.MethodPost, c.proxyAdmin, "/links", faultproxy.LinkSpec{Name: name, Listen: c.ports.next(), Target: target}, &st)
 	return st.Listen, err
 }
 
@@ -138,3 +138,14 @@
 	var s []minion.Stats
 	return s, admin(http.MethodGet, c.minionAdmin, "/debug/stats", nil, &s)
 }
+
+// Tags returns the concurrency by team over all minions.
+func (c *Cluster) Tags() ([]minion.TagStats, error) {
+	var s []minion.TagStats
+	return s, admin(http.MethodGet, c.minionAdmin, "/debug/tags", nil, &s)
+}
+
+// ResetTags starts new maxima and integrals of the concurrency by team.
+func (c *Cluster) ResetTags() error {
+	return admin(http.MethodPost, c.minionAdmin, "/debug/tags/reset", nil, nil)
+}
--- a/bench/load/caller.go
+++ b/bench/load/caller.go
@@ -37,6 +37,9 @@
 	AnswerBytes int
 	// Entry selects one entry VM by name; empty lets the balancer choose.
 	Entry string
+	// Content makes the body distinct; 0 selects the request's number. A repeated request
+	// has the same content as the first one.
+	Content int64
 }
 
 // Verdict is what a caller saw of its request.
@@ -116,7 +119,11 @@
 
 // body makes each request's body distinct, so that an answer to another request is noticed.
 func (s *Seen) body() []byte {
-	return fmt.Appendf(nil, `{"run_ms":%d,"answer_bytes":%d,"number":%d}`, s.Run.Milliseconds(), s.AnswerBytes, s.Number)
+	content := s.Content
+	if content == 0 {
+		content = s.Number
+	}
+	return fmt.Appendf(nil, `{"run_ms":%d,"answer_bytes":%d,"tag":%q,"number":%d}`, s.Run.Milliseconds(), s.AnswerBytes, s.Team, content)
 }
 
 func (c *Callers) send(ctx context.Context, s *Seen) {
--- a/bench/load/judge.go
+++ b/bench/load/judge.go
@@ -42,6 +42,17 @@
 	return out
 }
 
+// Reasons counts the requests that did not run, or of unknown outcome, by reason.
+func Reasons(seen []Seen) map[model.Reason]int {
+	out := make(map[model.Reason]int)
+	for _, s := range seen {
+		if s.Verdict == SawNotRun || s.Verdict == SawUnknown {
+			out[s.Reason]++
+		}
+	}
+	return out
+}
+
 // Runs is how often each job was started at the minions.
 type Runs map[model.JobID]int
 
@@ -128,10 +139,16 @@
 	return true
 }
 
+// inGap reports whether the job was in progress at its entry VM in one of its gaps. The
+// answer can come through another entry VM than the one that accepted the job.
 func inGap(gaps []account.Gap, s Seen) bool {
+	owner, err := s.Job.Entry()
+	if err != nil {
+		return false
+	}
 	end := s.Sent.Add(s.Took)
 	for _, g := range gaps {
-		if string(g.Entry) == s.Entry && !end.Before(g.From) && !s.Sent.After(g.To) {
+		if g.Entry == owner && !end.Before(g.From) && !s.Sent.After(g.To) {
 			return true
 		}
 	}
--- a/cmd/bpbench/main.go
+++ b/cmd/bpbench/main.go
@@ -10,10 +10,12 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kong"
 
 	"boragepulley/bench/demo"
+	"boragepulley/bench/prove"
 )
 
 type cli struct {
@@ -21,7 +23,24 @@
 	Dir  string `help:"Folder for logs and settings; default: a new temporary folder."`
 	Seed uint64 `default:"1" help:"Seed of everything random in the load and the faults."`
 
-	Demo demoCmd `cmd:"" help:"Run the whole path once and compare the report with the callers."`
+	Demo  demoCmd  `cmd:"" help:"Run the whole path once and compare the report with the callers."`
+	Prove proveCmd `cmd:"" help:"Show the invariants under injected faults."`
+}
+
+type proveCmd struct {
+	Duration time.Duration `default:"60s" help:"Duration of the long scenarios."`
+	Scenario []string      `help:"Run only these scenarios."`
+	Runs     int           `default:"1" help:"Runs, with consecutive seeds."`
+}
+
+func (p proveCmd) Run(ctx context.Context, c *cli) error {
+	for i := range p.Runs {
+		o := prove.Options{Bin: c.Bin, Dir: c.Dir, Seed: c.Seed + uint64(i), Duration: p.Duration, Out: os.Stdout}
+		if _, err := prove.Run(ctx, o, p.Scenario); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 type demoCmd struct{}
--- a/internal/control/configuration.go
+++ b/internal/control/configuration.go
@@ -41,6 +41,8 @@
 	// evidenceAt is the time of the newest evidence that the version in force is the head.
 	evidenceAt time.Time
 	since      time.Time
+	// confirmed is set once the configuration was current (D3).
+	confirmed bool
 }
 
 // version is one valid configuration.
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -286,7 +286,11 @@
 	s.Current = c.current(time.Now())
 	// A change of coordinator does not make an entry VM unready: requests wait for the
 	// next one, and all entry VMs of the data centre would be unready together.
-	s.Ready = s.Site != nil && !s.Leaving && s.Token != (model.Token{})
+	// A starting daemon waits for its first evidence, because until then it refuses keyed
+	// work; if there is none to be had, it serves what the isolation policy allows.
+	c.cfg.confirmed = c.cfg.confirmed || s.Current
+	waited := s.Site != nil && time.Since(c.cfg.since) > s.Site.Isolation.After
+	s.Ready = s.Site != nil && !s.Leaving && s.Token != (model.Token{}) && (c.cfg.confirmed || waited)
 	c.snap.Store(s)
 }
 
--- a/internal/daemon/operate.go
+++ b/internal/daemon/operate.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -70,12 +71,14 @@
 // Status returns the status of the site as this entry VM knows it.
 func (s statusSource) Status(ctx context.Context) (operator.Status, error) {
 	snap := s.control.Snapshot()
-	out := operator.Status{
-		Entry: s.self.Entry, DC: s.self.DC, Time: time.Now(),
-		Configuration: s.configuration(ctx, snap),
-		Peers:         s.peerStatus(ctx, snap),
-	}
-	site := s.control.SiteStatus(ctx)
+	out := operator.Status{Entry: s.self.Entry, DC: s.self.DC, Time: time.Now()}
+	var site control.SiteStatus
+	// Each part may wait for an entry VM that does not answer, so they wait together.
+	var wg sync.WaitGroup
+	wg.Go(func() { out.Configuration = s.configuration(ctx, snap) })
+	wg.Go(func() { out.Peers = s.peerStatus(ctx, snap) })
+	wg.Go(func() { site = s.control.SiteStatus(ctx) })
+	wg.Wait()
 	for _, c := range site.Coordinators {
 		out.Coordinators = append(out.Coordinators, operator.CoordinatorStatus{DC: c.DC, Entry: c.Entry, Token: c.Token, Local: c.Local})
 	}
--- a/standins/minion/fleet.go
+++ b/standins/minion/fleet.go
@@ -20,12 +20,14 @@
 type Fleet struct {
 	minions []*Minion
 	byName  map[string]*Minion
+	tags    *tagGauge
 }
 
 // StartFleet starts all minions or none.
 func StartFleet(opts []Options) (*Fleet, error) {
-	f := &Fleet{byName: map[string]*Minion{}}
+	f := &Fleet{byName: map[string]*Minion{}, tags: newTagGauge()}
 	for _, o := range opts {
+		o.tags = f.tags
 		m, err := Start(o)
 		if err != nil {
 			f.Close()
@@ -69,6 +71,8 @@
 //
 //	GET  /debug/runs              runs.Answer of all minions
 //	GET  /debug/stats             []Stats
+//	GET  /debug/tags              []TagStats
+//	POST /debug/tags/reset        starts new maxima and integrals
 //	GET  /minions/{name}/faults   Faults
 //	PUT  /minions/{name}/faults   Faults
 //	POST /minions/{name}/reboot   Reboot; answers at once
@@ -76,6 +80,11 @@
 	e := echo.New()
 	e.GET("/debug/runs", func(c echo.Context) error { return c.JSON(http.StatusOK, f.Runs()) })
 	e.GET("/debug/stats", func(c echo.Context) error { return c.JSON(http.StatusOK, f.Stats()) })
+	e.GET("/debug/tags", func(c echo.Context) error { return c.JSON(http.StatusOK, f.tags.stats()) })
+	e.POST("/debug/tags/reset", func(c echo.Context) error {
+		f.tags.reset()
+		return c.JSON(http.StatusOK, f.tags.stats())
+	})
 	e.GET("/minions/:name/faults", f.with(func(c echo.Context, m *Minion) error {
 		return c.JSON(http.StatusOK, m.faults.get())
 	}))
--- a/standins/minion/minion.go
+++ b/standins/minion/minion.go
@@ -45,6 +45,8 @@
 	Connections int
 	Run         time.Duration
 	Seed        uint64
+	// tags is shared by the minions of a fleet.
+	tags *tagGauge
 }
 
 // RunBody is the optional JSON body of POST /run. Other bodies run with the defaults.
@@ -53,6 +55,8 @@
 	RunMS *int64 `json:"run_ms"`
 	// AnswerBytes is the size of padding in the answer.
 	AnswerBytes int `json:"answer_bytes"`
+	// Tag groups requests whose concurrency over all minions is recorded, such as a team.
+	Tag string `json:"tag"`
 }
 
 // RunAnswer is the answer of POST /run.
@@ -107,6 +111,7 @@
 	host   *serve.Host
 	runs   *runs.Log
 	faults *faultState
+	tags   *tagGauge
 
 	rebootMu sync.Mutex // serialises Reboot and Close
 	closed   bool       // guarded by rebootMu
@@ -126,7 +131,10 @@
 	if o.Run == 0 {
 		o.Run = DefaultRun
 	}
-	m := &Minion{opt: o, host: serve.NewHost(o.Addr), runs: runs.NewLog(), faults: newFaultState(o.Seed)}
+	if o.tags == nil {
+		o.tags = newTagGauge()
+	}
+	m := &Minion{opt: o, host: serve.NewHost(o.Addr), runs: runs.NewLog(), faults: newFaultState(o.Seed), tags: o.tags}
 	m.host.OnConnections = func(open int) {
 		if open > o.Connections {
 			m.connViolations.Add(1)
@@ -225,7 +233,10 @@
 	m.started.Add(1)
 	m.runs.Add(job, attempt)
 	in := parseBody(body)
-	if !b.work(m.runTime(in)+faults[FaultSlow], faults.has(FaultHang), changed) {
+	leave := m.tags.enter(in.Tag)
+	done := b.work(m.runTime(in)+faults[FaultSlow], faults.has(FaultHang), changed)
+	leave()
+	if !done {
 		panic(http.ErrAbortHandler) // rebooted: the job is lost
 	}
 	// The slot is free before the answer is sent, so that a client that reacts to the
