--- a/internal/admission/property_test.go
+++ b/internal/admission/property_test.go
@@ -19,12 +19,13 @@
 )
 
 // TestMain lengthens the random sequences: a takeover only matters after a holder died or
-// an attempt was lost, which the default of 30 steps rarely reaches.
+// an attempt was lost, which the default of 30 steps rarely reaches. The command line has
+// precedence.
 func TestMain(m *testing.M) {
-	flag.Parse()
 	if err := flag.Set("rapid.steps", "200"); err != nil {
 		panic(err)
 	}
+	flag.Parse()
 	m.Run()
 }
 
