--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -417,6 +417,47 @@
 	return nil
 }
 
+// Guards against a repeat that is refused because the claim of the first request, which
+// did not run, is not void yet.
+func TestRepeatBeforeClaimIsVoid(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := newRig(3)
+		b := a.other("e2", "a")
+		a.table.commitErr = func(n int) (error, bool) {
+			if n == 2 { // the first attempt to void the claim
+				return platform.ErrUnavailable, false
+			}
+			return nil, false
+		}
+		a.ctl.acquire = func(context.Context, control.Attempt) (peer.AcquireReply, bool, error) {
+			return peer.AcquireReply{Refused: model.ReasonQueueFull}, true, nil
+		}
+		res := a.Submit(context.Background(), withID(input("x", false), "id"))
+		require.Equal(t, model.ReasonQueueFull, res.Reason)
+		time.Sleep(5 * time.Millisecond)
+		res = b.Submit(context.Background(), withID(input("x", false), "id"))
+		require.Equal(t, model.StateRan, res.State)
+		require.Equal(t, 1, a.minions.ran("x"))
+		a.settled(t)
+		b.settled(t)
+	})
+}
+
+// Guards against voiding the claim of another job, which would let its request run twice.
+func TestVoidOfAnothersClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(3)
+		res := r.Submit(context.Background(), withID(input("x", false), "id"))
+		key := claimKey(model.Request{Team: "red", RequestID: "id"})
+		for _, version := range []uint64{0, 7} {
+			r.claims.void(claim{key: key, row: claimRow{Job: "another-e1"}, version: version})
+			require.NoError(t, r.claims.flush(context.Background()))
+			require.Contains(t, string(r.table.rows[key].Value), string(res.Job))
+			require.NotContains(t, string(r.table.rows[key].Value), "void")
+		}
+	})
+}
+
 // Guards against one used request id that spoils the claims of a whole batch, and
 // against more than 20 claim transactions a second.
 func TestClaimBatches(t *testing.T) {
@@ -593,6 +634,7 @@
 		res := <-results
 		require.Equal(t, "QUEUED", string(res.Body))
 		require.Equal(t, []model.EntryVM{"e2"}, a.links.sent)
+		require.Equal(t, 1, a.table.commits, "the claim is not made twice")
 		res = a.Submit(context.Background(), input("new", false))
 		require.Equal(t, model.ReasonShuttingDown, res.Reason)
 		require.Equal(t, model.OutcomeNotRun, res.Outcome())
--- a/internal/dispatch/record.go
+++ b/internal/dispatch/record.go
@@ -35,17 +35,23 @@
 		Queue: j.req.Queue, Team: j.req.Team, RequestID: j.req.RequestID,
 		Minion: f.minion, Attempt: f.attempt, Config: version(s.cfg.Control.Snapshot()), Detail: f.detail,
 	}
+	j.take(f, rec)
+	if accountable(j, f.state) {
+		s.cfg.Recorder.Record(rec)
+	}
+	s.logStep(rec)
+}
+
+// take makes a step the job's present state. The lock is released even if a violated
+// invariant panics, so that the panic ends the process instead of blocking it.
+func (j *job) take(f fact, rec model.Record) {
 	j.mu.Lock()
+	defer j.mu.Unlock()
 	checkStep(j, f)
 	j.setResultLocked(f)
 	if len(j.steps) < maxSteps || f.state.Final() {
 		j.steps = append(j.steps, rec)
 	}
-	j.mu.Unlock()
-	if accountable(j, f.state) {
-		s.cfg.Recorder.Record(rec)
-	}
-	s.logStep(rec)
 }
 
 // accountable reports whether this entry VM may account for the state. A refusal of a
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -175,6 +175,45 @@
 	require.Equal(t, 1, dials, "an unused connection is kept")
 }
 
+// Guards against calling a job not run after a part of its request was sent, and against
+// losing the refusal of a minion that answers before it has read the body.
+func TestPartlyWrittenRequest(t *testing.T) {
+	for name, c := range map[string]struct {
+		reply string
+		want  error
+	}{
+		"closed":  {"", ErrAnswerLost},
+		"refused": {"HTTP/1.1 503 Service Unavailable\r\nX-Not-Started: true\r\nContent-Length: 0\r\n\r\n", ErrNotStarted},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer l.Close()
+			var wg sync.WaitGroup
+			defer wg.Wait()
+			wg.Go(func() {
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer conn.Close()
+				_, _ = io.ReadFull(conn, make([]byte, 10))
+				if c.reply != "" {
+					io.WriteString(conn, c.reply)
+					_, _ = io.Copy(io.Discard, conn)
+				}
+			})
+			cl := New(Options{})
+			defer cl.Close()
+			call := testCall(l.Addr().String())
+			call.Body = make([]byte, 8<<20) // more than the socket buffers hold
+			_, err = cl.Run(context.Background(), call)
+			require.ErrorIs(t, err, c.want)
+			require.NotErrorIs(t, err, ErrNotReached)
+		})
+	}
+}
+
 // Guards against the repetition of a request that went out on a connection which the
 // minion closes at that moment, and against reusing a connection that has failed.
 func TestNoHiddenRetry(t *testing.T) {
