--- a/internal/caller/requests.go
+++ b/internal/caller/requests.go
@@ -24,6 +24,10 @@
 	if err != nil {
 		return s.refuse(c, in, unread{http.StatusBadRequest, model.ReasonBadRequest, err.Error()})
 	}
+	defer s.open.Add(-1)
+	if s.open.Add(1) > int64(s.cfg.MaxRequests) {
+		return s.refuse(c, in, unread{http.StatusTooManyRequests, model.ReasonQueueFull, "this entry VM holds its maximum of requests"})
+	}
 	maxBody, refused, ok := s.cfg.Jobs.Precheck(in)
 	if !ok {
 		return s.writeRefusal(c, statusOf(refused.Reason), refused)
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	stdlog "log"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -61,6 +63,9 @@
 	Log    zerolog.Logger
 	// BodyTimeout bounds how long a caller may take to send a request.
 	BodyTimeout time.Duration
+	// MaxRequests bounds the requests that are open at once, with those whose body is
+	// still being read; it bounds the memory for bodies.
+	MaxRequests int
 }
 
 // Server serves the callers' API.
@@ -69,6 +74,7 @@
 	log  zerolog.Logger
 	echo *echo.Echo
 	http *http.Server
+	open atomic.Int64
 }
 
 // New returns a server that does not listen yet.
@@ -76,6 +82,9 @@
 	if c.BodyTimeout <= 0 {
 		c.BodyTimeout = DefaultBodyTimeout
 	}
+	if c.MaxRequests <= 0 {
+		c.MaxRequests = dispatch.DefaultMaxRequests
+	}
 	s := &Server{cfg: c, log: c.Log.With().Str("part", "caller").Logger(), echo: echo.New()}
 	s.routes()
 	s.http = &http.Server{
@@ -83,6 +92,7 @@
 		ReadHeaderTimeout: c.BodyTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          stdlog.New(s.log, "", 0),
 	}
 	return s
 }
--- a/internal/caller/server_test.go
+++ b/internal/caller/server_test.go
@@ -34,8 +34,9 @@
 
 // fakeControl grants every attempt a permit for one minion.
 type fakeControl struct {
-	addr string
-	snap atomic.Pointer[control.Snapshot]
+	platform.Table // not used: no test here makes a claim
+	addr           string
+	snap           atomic.Pointer[control.Snapshot]
 	// hold, if set, keeps attempts waiting until it is closed.
 	hold chan struct{}
 }
@@ -56,15 +57,6 @@
 func (f *fakeControl) Release(*model.Permit, peer.AttemptResult)      {}
 func (f *fakeControl) Record(model.Record)                            {}
 func (f *fakeControl) Event(model.FleetEvent)                         {}
-func (f *fakeControl) Get(context.Context, platform.Priority, string) (platform.Row, error) {
-	return platform.Row{}, nil
-}
-func (f *fakeControl) Scan(context.Context, platform.Priority, string, int) ([]platform.Row, error) {
-	return nil, nil
-}
-func (f *fakeControl) Commit(context.Context, platform.Priority, platform.Txn) (map[string]uint64, error) {
-	return nil, nil
-}
 
 // fakeLookup answers for entry VM e2.
 type fakeLookup struct{ rep peer.JobGetReply }
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -274,6 +274,8 @@
 		require.Equal(t, model.ReasonDeadlineRunning, res.Reason)
 		_, err := r.Cancel(in.Job, "red")
 		require.ErrorIs(t, err, ErrTooLate)
+		r.cfg.MaxRequests = 1
+		require.Equal(t, model.ReasonQueueFull, r.Submit(context.Background(), input("more", true)).Reason)
 		time.Sleep(5 * time.Second)
 		require.Equal(t, "X", string(r.Answer(in.Job).Result.Body))
 
--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -144,8 +144,9 @@
 
 // fakeMinions runs jobs as the fault of each attempt says and counts the runs.
 type fakeMinions struct {
-	mu    sync.Mutex
-	fault func(c upstream.Call) fault
+	upstream.Minions // Status is not used
+	mu               sync.Mutex
+	fault            func(c upstream.Call) fault
 	// connect is how long a connection takes.
 	connect time.Duration
 	runs    map[string]int // by body and by "job "+id
@@ -153,10 +154,6 @@
 	used    map[string]bool // attempts, by data centre
 }
 
-func (f *fakeMinions) Status(context.Context, string) (upstream.Status, error) {
-	return upstream.Status{}, nil
-}
-
 func (f *fakeMinions) Run(_ context.Context, c upstream.Call) (upstream.Answer, error) {
 	kind := okay
 	if f.fault != nil {
@@ -207,9 +204,10 @@
 
 // fakeTable is the table service with faults. Entry VMs can share one.
 type fakeTable struct {
-	mu      sync.Mutex
-	rows    map[string]platform.Row
-	commits int
+	platform.Table // Scan is not used
+	mu             sync.Mutex
+	rows           map[string]platform.Row
+	commits        int
 	// commitErr decides about a commit: an error, and whether the write took effect.
 	commitErr func(n int) (err error, stored bool)
 	getErr    func() error
@@ -231,10 +229,6 @@
 	return row, nil
 }
 
-func (f *fakeTable) Scan(context.Context, platform.Priority, string, int) ([]platform.Row, error) {
-	return nil, nil
-}
-
 func (f *fakeTable) Commit(_ context.Context, _ platform.Priority, t platform.Txn) (map[string]uint64, error) {
 	time.Sleep(2 * time.Millisecond)
 	f.mu.Lock()
