--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -44,13 +44,8 @@
 
 var _ Jobs = (*dispatch.Service)(nil)
 
-// JobLookup asks the entry VM that accepted a job.
-type JobLookup interface {
-	dispatch.Lookup
-	// JobCancel cancels a job there. Errors: dispatch.ErrNoSuchJob, dispatch.ErrNotOwner,
-	// dispatch.ErrTooLate; any other error says nothing about the job.
-	JobCancel(ctx context.Context, to model.EntryVM, id model.JobID, team model.Team) (model.Result, error)
-}
+// JobLookup reaches the entry VM that accepted a job.
+type JobLookup = dispatch.Lookup
 
 // Config are the parts and bounds of a Server.
 type Config struct {
--- a/internal/dispatch/cancel.go
+++ b/internal/dispatch/cancel.go
@@ -1,6 +1,9 @@
 package dispatch
 
 import (
+	"context"
+	"time"
+
 	"github.com/pkg/errors"
 
 	"boragepulley/internal/model"
@@ -28,12 +31,18 @@
 	if !j.queue.Open && j.req.Team != team {
 		return model.Result{Job: id}, ErrNotOwner
 	}
-	if !j.withdraw() {
+	at, ok := j.withdraw()
+	if at != "" {
+		ok = s.cancelAt(at, j) == nil
+	}
+	if !ok {
 		res := j.result()
 		res.Body = nil
 		return res, ErrTooLate
 	}
-	<-j.done // the job's goroutine waits for nothing but its cancelled context
+	// The job's goroutine now waits for nothing but its cancelled context or the reply to
+	// its forward.
+	<-j.done
 	res := j.result()
 	if res.State != model.StateCancelled {
 		return res, ErrTooLate
@@ -41,13 +50,29 @@
 	return res, nil
 }
 
-// withdraw cancels the job unless it is handed out or has ended.
-func (j *job) withdraw() bool {
+// withdraw cancels the job unless it is handed out or has ended. For a forwarded job it
+// returns the entry VM that must be asked to cancel it.
+func (j *job) withdraw() (at model.EntryVM, ok bool) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.handed || j.res.State.Final() || j.res.State == model.StateUnknown {
-		return false
+		return j.at, false
 	}
 	j.cancel(errCancelled)
-	return true
+	return "", true
+}
+
+// cancelTimeout bounds the cancellation of a forwarded job.
+const cancelTimeout = 3 * time.Second
+
+// cancelAt cancels a forwarded job at the entry VM that has it. The reply to the forward
+// then ends the job here.
+func (s *Service) cancelAt(at model.EntryVM, j *job) error {
+	if s.cfg.Lookup == nil {
+		return ErrTooLate
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+	defer cancel()
+	_, err := s.cfg.Lookup.JobCancel(ctx, at, j.req.Job, j.req.Team)
+	return err
 }
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -586,6 +586,35 @@
 	})
 }
 
+// Guards against forwarded requests that stay queued at the other entry VM after their
+// caller cancelled them or went away.
+func TestCancelForwarded(t *testing.T) {
+	for _, reason := range []model.Reason{model.ReasonCancelled, model.ReasonCallerGone} {
+		synctest.Test(t, func(t *testing.T) {
+			a := newRig(3)
+			b := a.other("e3", "b")
+			a.ctl.acquire, b.ctl.acquire = redirect("b"), holdAcquire
+			in := input("x", false)
+			in.Job = a.NewJobID()
+			ctx, leave := context.WithCancel(context.Background())
+			defer leave()
+			go a.Submit(ctx, in)
+			time.Sleep(time.Second)
+			if reason == model.ReasonCancelled {
+				res, err := a.Cancel(in.Job, "red")
+				require.NoError(t, err)
+				require.Equal(t, model.StateCancelled, res.State)
+			}
+			leave()
+			synctest.Wait()
+			require.Equal(t, reason, a.Get(in.Job).Result.Reason)
+			require.Equal(t, model.StateCancelled, a.ctl.merged(in.Job))
+			require.Zero(t, b.Active())
+			a.settled(t)
+		})
+	}
+}
+
 // Guards against a refusal of the other entry VM in the account of a job that this one
 // goes on with, and against forwarded work for a key that was withdrawn there.
 func TestForwardRefused(t *testing.T) {
--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -306,6 +306,13 @@
 	return peer.JobGetReply{}, fmt.Errorf("entry VM %s does not answer", to)
 }
 
+func (l *links) JobCancel(_ context.Context, to model.EntryVM, id model.JobID, team model.Team) (model.Result, error) {
+	l.mu.Lock()
+	s := l.to[to]
+	l.mu.Unlock()
+	return s.Cancel(id, team)
+}
+
 // rig is one entry VM over fakes.
 type rig struct {
 	ctl     *fakeControl
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -36,11 +36,14 @@
 	Forward(ctx context.Context, to model.EntryVM, f peer.Forward) (peer.ForwardReply, error)
 }
 
-// Lookup asks another entry VM about a job that it accepted.
+// Lookup asks another entry VM about a job that it accepted or works on.
 type Lookup interface {
 	// JobGet returns the state of a job and, if asked for, its answer. An error says
 	// nothing about the job.
 	JobGet(ctx context.Context, to model.EntryVM, id model.JobID, answer bool) (peer.JobGetReply, error)
+	// JobCancel cancels a job there. Errors: ErrNoSuchJob, ErrNotOwner, ErrTooLate; any
+	// other error says nothing about the job.
+	JobCancel(ctx context.Context, to model.EntryVM, id model.JobID, team model.Team) (model.Result, error)
 }
 
 // forward hands the job to an entry VM of a data centre. It reports whether the job
@@ -77,6 +80,8 @@
 		return true, false
 	}
 	s.step(j, fact{state: model.StateDispatched, reason: model.ReasonForwarded, detail: "forwarded to entry VM " + string(to)})
+	j.forwardTo(to)
+	defer j.forwardTo("")
 	ctx, cancel := context.WithDeadline(context.Background(), j.req.Deadline.Add(forwardLate))
 	defer cancel()
 	rep, err := s.cfg.Forwarder.Forward(ctx, to, peer.Forward{
@@ -162,7 +167,12 @@
 		s.step(j, fact{state: model.StateQueued, reason: r.Reason, detail: detail})
 		return false, r.Reason == model.ReasonShuttingDown
 	}
-	s.end(j, r.Reason, detail)
+	reason := r.Reason
+	if reason == model.ReasonCancelled {
+		// Either the caller cancelled the job or this entry VM did when the caller left.
+		reason = reasonOr(j.stopReason(), reason)
+	}
+	s.end(j, reason, detail)
 	return true, false
 }
 
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -58,6 +58,8 @@
 	res model.Result
 	// handed is set while a minion or another entry VM may have the request.
 	handed bool
+	// at is the entry VM that has the request while it is forwarded.
+	at model.EntryVM
 	// mayHaveRun is set once an attempt may have run without a whole answer.
 	mayHaveRun bool
 	// failedAnswer is the last whole answer that says that the job failed.
@@ -106,18 +108,29 @@
 	}
 }
 
+// forwardTo notes the entry VM that has the request, or none.
+func (j *job) forwardTo(e model.EntryVM) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.at = e
+}
+
 // leave removes a waiting caller. A job that nobody waits for is withdrawn if it was
-// not dispatched.
-func (j *job) leave() {
+// not dispatched. It returns the entry VM that has an abandoned request, if any.
+func (j *job) leave() (at model.EntryVM) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.waiters--
 	if j.waiters <= 0 {
 		j.final = nil
 	}
-	if j.abandonedLocked() && !j.handed {
+	if !j.abandonedLocked() {
+		return ""
+	}
+	if !j.handed {
 		j.cancel(errCallerGone)
 	}
+	return j.at
 }
 
 func (j *job) abandonedLocked() bool { return j.waiters <= 0 && !j.async }
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -227,7 +227,9 @@
 			defer j.leave()
 			return s.resultFor(j)
 		case <-ctx.Done():
-			j.leave()
+			if at := j.leave(); at != "" {
+				go func() { _ = s.cancelAt(at, j) }()
+			}
 			return j.result()
 		case <-timer.C:
 			if res, overdue := j.overdue(); overdue {
