--- a/internal/control/allotments.go
+++ b/internal/control/allotments.go
@@ -2,34 +2,399 @@
 
 import (
 	"context"
+	"encoding/json"
+	stderrors "errors"
+	"maps"
+	"strings"
 	"time"
 
 	"boragepulley/internal/model"
 	"boragepulley/internal/peer"
+	"boragepulley/internal/platform"
 )
 
-// allotState is what the coordinator knows about the allotment rows.
-type allotState struct{}
+const allotPrefix = "allotment/"
 
-func (s *allotState) init() {}
+// allotState is what the control goroutine knows about the parts of the teams' limits.
+type allotState struct {
+	// teams holds the rows, on the coordinator.
+	teams map[model.Team]*allotment
+	// heard are the parts that the coordinator last reported, for a succession without
+	// the table.
+	heard map[model.Team]int
+	// sent are the parts last given to admission.
+	sent    map[model.Team]int
+	checked time.Time
+	reading bool
+}
+
+// allotment is one team's row and the work on it.
+type allotment struct {
+	known   bool
+	version uint64
+	row     allotRow
+	// given is subtracted from the own part for gifts whose write is not known to have
+	// taken effect or failed. givenAt is the row version that such a write replaces.
+	given   int
+	givenAt uint64
+	busy    bool
+	// next is when the next attempt may be made.
+	next time.Time
+	// turn rotates through the data centres that are asked.
+	turn int
+}
+
+func (s *allotState) init() {
+	s.teams, s.heard = map[model.Team]*allotment{}, map[model.Team]int{}
+}
+
+func (s *allotState) team(t model.Team) *allotment {
+	a := s.teams[t]
+	if a == nil {
+		a = &allotment{}
+		s.teams[t] = a
+	}
+	return a
+}
+
+// take keeps a row that is newer than the held one.
+func (a *allotment) take(version uint64, row allotRow) {
+	if a.known && version <= a.version {
+		return
+	}
+	a.known, a.version, a.row = true, version, row
+	if version > a.givenAt {
+		// The write that the gift waited for has taken effect or never can.
+		a.given, a.givenAt = 0, 0
+	}
+}
+
+// limitOf returns the limit that counts for a team: a row of a newer configuration
+// can only lower it.
+func (c *Control) limitOf(t model.Team, a *allotment) int {
+	team := c.cfg.index.Team(t)
+	if team == nil {
+		return 0
+	}
+	if a.known && a.row.Version > c.cfg.version() {
+		return min(team.Limit, a.row.Limit)
+	}
+	return team.Limit
+}
 
 // allotments returns the part of each team's limit that this data centre may use.
-func (c *Control) allotments(now time.Time) map[model.Team]int {
+func (c *Control) allotments() map[model.Team]int {
 	out := map[model.Team]int{}
 	if c.cfg.index == nil {
 		return out
 	}
-	dcs := c.dataCentres()
 	for _, t := range c.cfg.index.Teams {
-		// A fixed equal split until the rows are read.
-		out[t.Name] = t.Limit / max(1, len(dcs))
+		a := c.allot.team(t.Name)
+		if a.known {
+			out[t.Name] = max(0, a.row.usable(c.self.DC, c.limitOf(t.Name, a))-a.given)
+		} else {
+			out[t.Name] = min(c.allot.heard[t.Name], t.Limit)
+		}
 	}
 	return out
 }
 
-func (c *Control) settleAllotments(now time.Time) {}
+// spendAllotments tells admission the parts if they changed.
+func (c *Control) spendAllotments() {
+	if c.coord == nil {
+		return
+	}
+	parts := c.allotments()
+	if maps.Equal(parts, c.allot.sent) {
+		return
+	}
+	c.allot.sent = parts
+	c.deliver(c.coord.adm.SetAllotments(time.Now(), parts))
+}
+
+// takeHeld keeps the parts that the coordinator reported.
+func (c *Control) takeHeld(held map[model.Team]int) {
+	if held != nil {
+		c.allot.heard = held
+	}
+}
+
+// onAllotRows keeps rows of a scan.
+func (c *Control) onAllotRows(rows []platform.Row) {
+	for _, r := range rows {
+		var v allotRow
+		if err := json.Unmarshal(r.Value, &v); err != nil {
+			c.log.Error().Err(err).Str("key", r.Key).Msg("allotment row malformed")
+			continue
+		}
+		c.allot.team(model.Team(strings.TrimPrefix(r.Key, allotPrefix))).take(r.Version, v)
+	}
+}
+
+// settleAllotments reads the rows again, which restores parts of lost gifts, and
+// creates and rescales rows.
+func (c *Control) settleAllotments(now time.Time) {
+	if c.coord == nil || c.coord.local || c.allot.reading || c.cfg.index == nil {
+		return
+	}
+	c.allot.reading = true
+	c.async(storeTimeout, func(ctx context.Context) func() {
+		rows, err := c.d.Table.Scan(ctx, platform.PriorityAllotment, allotPrefix, 0)
+		return func() {
+			c.allot.reading = false
+			if err != nil || c.coord == nil {
+				return
+			}
+			c.onAllotRows(rows)
+			c.rescale(time.Now())
+			c.spendAllotments()
+			c.checkAllotments(time.Now())
+		}
+	})
+}
+
+// rescale writes rows that are missing or whose own part belongs to another limit.
+func (c *Control) rescale(now time.Time) {
+	for _, t := range c.cfg.index.Teams {
+		a := c.allot.team(t.Name)
+		limit := c.limitOf(t.Name, a)
+		switch {
+		case a.busy || now.Before(a.next):
+		case !a.known:
+			c.writeAllotment(t.Name, a, firstRow(limit, c.cfg.version(), slotsByDC(c.cfg.index.Site)), "first row", nil)
+		case a.given == 0 && c.cfg.version() >= a.row.Version && (a.row.Base[c.self.DC] != limit || a.row.Limit != limit):
+			c.writeAllotment(t.Name, a, a.row.settle(c.self.DC, limit, c.cfg.version()), "limit changed", nil)
+		}
+	}
+}
+
+// writeAllotment writes a row on the condition that neither it nor the lease changed.
+// then, if any, is told whether the write took effect; known is false if that stays open.
+func (c *Control) writeAllotment(t model.Team, a *allotment, row allotRow, reason string, then func(ok, known bool)) {
+	a.busy = true
+	val, err := json.Marshal(row)
+	if err != nil {
+		panic(err) // a struct of plain fields always encodes
+	}
+	key := allotPrefix + string(t)
+	at := a.version
+	txn := platform.Txn{
+		Conditions: []platform.Condition{{Key: key, Version: at}, {Key: c.leaseKey(), Version: c.lease.version}},
+		Puts:       []platform.Put{{Key: key, Value: val}},
+	}
+	c.async(storeTimeout, func(ctx context.Context) func() {
+		versions, err := c.d.Table.Commit(ctx, platform.PriorityAllotment, txn)
+		var got platform.Row
+		gotErr := err
+		if err != nil && !unreachable(err) {
+			got, gotErr = c.d.Table.Get(ctx, platform.PriorityAllotment, key)
+		}
+		return func() {
+			a.busy = false
+			ok, known := err == nil, err == nil || unreachable(err) || stderrors.Is(err, platform.ErrConflict)
+			if ok {
+				a.take(versions[key], row)
+			} else {
+				a.next = time.Now().Add(c.jitter(allotRetry))
+				if gotErr == nil && got.Version > at {
+					var v allotRow
+					if json.Unmarshal(got.Value, &v) == nil {
+						a.take(got.Version, v)
+						// The row moved on, so the write cannot take effect any more.
+						ok, known = string(got.Value) == string(val), true
+					}
+				}
+			}
+			allotOps.Add(map[bool]string{true: "written", false: "not_written"}[ok], 1)
+			if ok {
+				c.log.Info().Str("team", string(t)).Interface("held", row.Held).Int("limit", row.Limit).
+					Str("reason", reason).Msg("allotment written")
+			}
+			if then != nil {
+				then(ok, known)
+			}
+			c.spendAllotments()
+		}
+	})
+}
 
-// AllotmentAsk implements peer.ControlHandler.
+// checkAllotments gets more of a limit for teams that wait because of their part.
+func (c *Control) checkAllotments(now time.Time) {
+	k := c.coord
+	if k == nil || k.local || c.cfg.index == nil || now.Sub(c.allot.checked) < allotCheckGap {
+		return
+	}
+	c.allot.checked = now
+	u := k.adm.Usage(now)
+	for t, waiting := range u.Waiting {
+		a := c.allot.teams[t]
+		if t == "" || a == nil || !a.known || a.busy || now.Before(a.next) {
+			continue
+		}
+		limit := c.limitOf(t, a)
+		part := a.row.usable(c.self.DC, limit) - a.given
+		want := min(u.Running[t]+waiting+k.adm.Blocked(), limit) - part
+		if want <= 0 {
+			continue
+		}
+		if free := a.row.free(limit); free > 0 {
+			row := a.row.settle(c.self.DC, limit, c.cfg.version())
+			row.Held[c.self.DC] += min(want, free)
+			c.writeAllotment(t, a, row, "taken from the unassigned part", nil)
+			continue
+		}
+		c.askFor(t, a, want, now)
+	}
+}
+
+// askFor asks another data centre that holds a part of the team's limit, in turn.
+func (c *Control) askFor(t model.Team, a *allotment, want int, now time.Time) {
+	var targets []*member
+	for _, dc := range c.dataCentres() {
+		f := c.far[dc]
+		if dc == c.self.DC || f == nil || a.row.Held[dc] == 0 || f.coordinator == "" {
+			continue
+		}
+		if m := c.byName[f.coordinator]; m != nil {
+			targets = append(targets, m)
+		}
+	}
+	if len(targets) == 0 {
+		return
+	}
+	m := targets[a.turn%len(targets)]
+	a.turn++
+	a.busy, a.next = true, now.Add(c.jitter(allotRetry))
+	msg := &peer.AllotmentAsk{From: c.self, Team: t, Want: want}
+	c.async(2*storeTimeout, func(ctx context.Context) func() {
+		r, err := m.remote.AllotmentAsk(ctx, msg)
+		var got platform.Row
+		if err == nil && r.Given > 0 {
+			got, err = c.d.Table.Get(ctx, platform.PriorityAllotment, allotPrefix+string(t))
+		}
+		return func() {
+			a.busy = false
+			if err != nil || r.Given == 0 {
+				allotOps.Add("ask_failed", 1)
+				return
+			}
+			allotOps.Add("received", 1)
+			a.next = time.Time{}
+			got.Key = allotPrefix + string(t)
+			c.onAllotRows([]platform.Row{got})
+			c.spendAllotments()
+		}
+	})
+}
+
+// AllotmentAsk implements peer.ControlHandler. The giver subtracts in memory, makes
+// sure that its followers know it, and then moves the part in the row: a loss on the
+// way can only lose capacity, which reading the row again restores.
 func (h handler) AllotmentAsk(ctx context.Context, m *peer.AllotmentAsk) (*peer.AllotmentAskReply, error) {
-	return &peer.AllotmentAskReply{}, nil
+	c := h.c
+	type gift struct {
+		n     int
+		since time.Time
+	}
+	g, err := ask(ctx, c, func() (gift, error) {
+		n, err := c.subtract(m)
+		if n > 0 {
+			for _, p := range c.local() {
+				c.beat(p)
+			}
+		}
+		return gift{n, time.Now()}, err
+	})
+	if err != nil || g.n == 0 {
+		return &peer.AllotmentAskReply{}, err
+	}
+	told := c.awaitFollowers(g.since)
+	type outcome struct{ version uint64 }
+	ch := make(chan outcome, 1)
+	c.post(func() { c.give(m, g.n, told, func(v uint64) { ch <- outcome{v} }) })
+	select {
+	case o := <-ch:
+		if o.version == 0 {
+			return &peer.AllotmentAskReply{}, nil
+		}
+		return &peer.AllotmentAskReply{Given: g.n, RowVersion: o.version}, nil
+	case <-c.ctx.Done():
+		return nil, ErrStopped
+	}
+}
+
+// subtract takes up to m.Want that is not needed here out of the own part.
+func (c *Control) subtract(m *peer.AllotmentAsk) (int, error) {
+	k := c.coord
+	if k == nil || !c.onSender(m.From) {
+		return 0, peer.ErrNotCoordinator
+	}
+	a := c.allot.teams[m.Team]
+	if k.local || c.cfg.index == nil || c.cfg.index.Team(m.Team) == nil || a == nil || !a.known || a.busy || a.given > 0 {
+		return 0, nil
+	}
+	now := time.Now()
+	u := k.adm.Usage(now)
+	part := a.row.usable(c.self.DC, c.limitOf(m.Team, a))
+	n := min(m.Want, part-u.Running[m.Team]-u.Waiting[m.Team]-k.adm.Blocked())
+	if n <= 0 {
+		return 0, nil
+	}
+	a.busy, a.given, a.givenAt = true, n, a.version
+	c.spendAllotments()
+	return n, nil
+}
+
+// awaitFollowers waits until every member of the data centre that is in service has
+// answered a message sent after since, and reports whether all have.
+func (c *Control) awaitFollowers(since time.Time) bool {
+	for range followerChecks {
+		all, err := ask(c.ctx, c, func() (bool, error) {
+			for _, m := range c.local() {
+				if m.status != MemberGone && !m.exempt && m.answered.Before(since) {
+					return false, nil
+				}
+			}
+			return true, nil
+		})
+		if all || err != nil {
+			return all
+		}
+		sleep(c.ctx, followerGap)
+	}
+	return false
+}
+
+// give moves n that was subtracted to the asking data centre. done is told the row's
+// version, or 0 if nothing was moved.
+func (c *Control) give(m *peer.AllotmentAsk, n int, told bool, done func(version uint64)) {
+	a := c.allot.teams[m.Team]
+	a.busy = false
+	limit := 0
+	if c.cfg.index != nil {
+		limit = c.limitOf(m.Team, a)
+	}
+	if c.coord == nil || !told || a.version != a.givenAt || a.row.usable(c.self.DC, limit) < n {
+		a.given, a.givenAt = 0, 0
+		c.spendAllotments()
+		done(0)
+		return
+	}
+	row := a.row.settle(c.self.DC, limit, c.cfg.version())
+	row.Held[c.self.DC] -= n
+	row.Held[m.From.DC] += n
+	if row.Base[m.From.DC] == 0 {
+		row.Base[m.From.DC] = limit
+	}
+	c.writeAllotment(m.Team, a, row, "given to "+string(m.From.DC), func(ok, known bool) {
+		switch {
+		case ok:
+			allotOps.Add("given", 1)
+			done(a.version)
+			return
+		case known:
+			a.given, a.givenAt = 0, 0
+		}
+		done(0)
+	})
 }
--- /dev/null
+++ b/internal/control/allotments_test.go
@@ -0,0 +1,183 @@
+package control
+
+import (
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"boragepulley/internal/model"
+	"boragepulley/internal/peer"
+	"boragepulley/internal/platform"
+)
+
+// Guards against rows whose parts add up to more than the limit, and against parts that
+// grow when a limit is lowered.
+func TestAllotRowNeverAboveLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := map[model.DataCentre]int{}
+		for _, dc := range []model.DataCentre{"a", "b", "c", "d"}[:rapid.IntRange(1, 4).Draw(t, "dcs")] {
+			slots[dc] = rapid.IntRange(0, 100).Draw(t, "slots")
+		}
+		limit := rapid.IntRange(0, 1000).Draw(t, "limit")
+		r := firstRow(limit, 1, slots)
+		for v := uint64(2); v < 20; v++ {
+			sum := 0
+			for dc := range slots {
+				sum += r.usable(dc, limit)
+			}
+			require.LessOrEqual(t, sum, limit)
+			lower := rapid.IntRange(0, limit).Draw(t, "lower")
+			for dc := range slots {
+				require.LessOrEqual(t, r.usable(dc, lower), r.usable(dc, limit))
+			}
+			limit = lower
+			dc := rapid.SampledFrom([]model.DataCentre{"a", "b", "c", "d"}).Draw(t, "dc")
+			if _, ok := slots[dc]; ok {
+				free := r.free(limit)
+				r = r.settle(dc, limit, v)
+				r.Held[dc] += free
+			}
+		}
+	})
+}
+
+// running counts the permits of a team in the whole fleet that entry VMs hold.
+func (cl *cluster) runningPermits() int {
+	n := 0
+	for _, p := range cl.peers {
+		if !cl.nodes[p.Name].isDead() {
+			n += len(cl.nodes[p.Name].c.gate.outstanding())
+		}
+	}
+	return n
+}
+
+// Guards against a team above its limit across data centres, and against parts that
+// stay where they are not needed.
+func TestLimitAcrossDataCentres(t *testing.T) {
+	inBubble(t, map[model.DataCentre]int{"a": 2, "b": 2}, func(cl *cluster) {
+		cl.serving(8, 10)
+		cl.coordinator("b", 3*time.Second)
+		cl.wait(5 * time.Second)
+		first := cl.fill("a-1", 100)
+		require.Len(t, first, 9, "all but the first part of the other data centre")
+		require.Len(t, cl.fill("b-2", 100), 1)
+		for _, p := range first[:6] {
+			cl.finish(p)
+			cl.nodes["a-1"].c.Release(p, peer.AttemptOK)
+		}
+		cl.wait(100 * time.Millisecond)
+		got := 0
+		cl.eventually(5*time.Second, func() bool { got += len(cl.fill("b-1", 6-got)); return got == 6 }, "the other data centre gives its spare part")
+		require.Equal(t, 10, cl.runningPermits())
+		require.Empty(t, cl.fill("a-2", 1))
+		require.Empty(t, cl.fill("b-2", 1))
+	})
+}
+
+// Guards against a limit that is exceeded while parts move during partitions, lost
+// store answers and deaths of coordinators.
+func TestLimitUnderFaults(t *testing.T) {
+	for seed := range uint64(4) {
+		inBubble(t, map[model.DataCentre]int{"a": 2, "b": 2, "c": 1}, func(cl *cluster) {
+			rng := rand.New(rand.NewPCG(seed, 7))
+			var mu sync.Mutex
+			cl.serving(8, 12)
+			cl.store.mu.Lock()
+			cl.store.lose = func(x platform.Txn) bool {
+				mu.Lock()
+				defer mu.Unlock()
+				return strings.HasPrefix(x.Puts[0].Key, allotPrefix) && rng.IntN(3) == 0
+			}
+			cl.store.mu.Unlock()
+			held := map[*model.Permit]model.EntryVM{}
+			granted := 0
+			for step := range 150 {
+				mu.Lock()
+				at, what := cl.peers[rng.IntN(len(cl.peers))].Name, rng.IntN(20)
+				mu.Unlock()
+				switch {
+				case what == 0:
+					cl.setCut(func(from, to model.EntryVM) bool { return from[0] != to[0] })
+				case what == 1:
+					cl.store.setDown(true)
+				case what <= 4:
+					cl.setCut(nil)
+					cl.store.setDown(false)
+				case what == 5 && at[0] != 'c' && step%2 == 0:
+					cl.nodes[at].kill()
+					for p, n := range held {
+						if n == at {
+							delete(held, p) // still running on its minion
+						}
+					}
+					cl.start(at)
+				case what < 14:
+					for _, p := range cl.fill(at, 3) {
+						held[p] = at
+						granted++
+					}
+				default:
+					for p, n := range held {
+						if n == at {
+							cl.finish(p)
+							cl.nodes[at].c.Release(p, peer.AttemptOK)
+							delete(held, p)
+						}
+					}
+				}
+				require.LessOrEqual(t, cl.runningJobs(), 12, "seed %d step %d", seed, step)
+				cl.wait(200 * time.Millisecond)
+			}
+			require.Greater(t, granted, 20, "seed %d", seed)
+		})
+	}
+}
+
+// Guards against a lowered limit that is not in force at once where work starts.
+func TestLimitLowered(t *testing.T) {
+	inBubble(t, map[model.DataCentre]int{"a": 2, "b": 1}, func(cl *cluster) {
+		cl.serving(8, 12)
+		cl.coordinator("b", 3*time.Second)
+		held := cl.fill("a-1", 6)
+		require.Len(t, held, 6)
+		cl.site("v2", 8, map[model.Team]int{"t": 4})
+		_, err := cl.apply("a-1", "v2", 1)
+		require.NoError(t, err)
+		cl.inForce(2, 3*time.Second, "a-1", "a-2", "b-1")
+		require.Empty(t, cl.fill("a-2", 1))
+		for _, p := range held {
+			cl.finish(p)
+			cl.nodes["a-1"].c.Release(p, peer.AttemptOK)
+		}
+		cl.wait(5 * time.Second)
+		n := len(cl.fill("a-2", 100)) + len(cl.fill("b-1", 100))
+		require.Equal(t, 4, n)
+	})
+}
+
+// Guards against requests that wait in a full data centre while another one is idle.
+func TestUsageLeadsToForward(t *testing.T) {
+	inBubble(t, map[model.DataCentre]int{"a": 1, "b": 1}, func(cl *cluster) {
+		cl.serving(1, 100)
+		cl.coordinator("b", 3*time.Second)
+		cl.wait(3 * time.Second)
+		require.Len(t, cl.fill("a-1", 2), 2)
+		cl.site("v2", 1, map[model.Team]int{"t": 100})
+		cl.sites["v2"].Queues[0].MaxWaiting = 0
+		_, err := cl.apply("a-1", "v2", 1)
+		require.NoError(t, err)
+		cl.inForce(2, 3*time.Second, "a-1", "b-1")
+		cl.wait(2 * time.Second)
+		now := time.Now()
+		r, err := cl.nodes["a-1"].c.Acquire(cl.t.Context(), Attempt{Number: 1, Request: model.Request{
+			Job: model.NewJobID(now, "a-1"), Queue: "quotes", Team: "t", KeyID: "key-t", Deadline: now.Add(time.Second)}})
+		require.NoError(t, err)
+		require.Equal(t, model.DataCentre("b"), r.ForwardTo, "%+v", r)
+	})
+}
--- a/internal/control/configuration_test.go
+++ b/internal/control/configuration_test.go
@@ -149,6 +149,7 @@
 		steady(10*time.Second, true, "hears the other data centre")
 		p, reason := cl.acquire("b-1", "t", time.Second)
 		require.NotNil(t, p, reason)
+		cl.nodes["b-1"].c.Release(p, peer.AttemptUnused)
 		partition := func(from, to model.EntryVM) bool { return from[0] != to[0] }
 		cl.setCut(partition)
 		cl.wait(6 * time.Second)
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -264,6 +264,7 @@
 	c.checkSuccession(now)
 	c.checkConfig(now)
 	c.checkWaiters(now)
+	c.checkAllotments(now)
 	c.pollMinions(now)
 }
 
--- a/internal/control/coordinator.go
+++ b/internal/control/coordinator.go
@@ -52,7 +52,8 @@
 			}
 		}
 	}
-	k.adm.SetAllotments(now, c.allotments(now))
+	c.allot.sent = c.allotments()
+	k.adm.SetAllotments(now, c.allot.sent)
 	return k
 }
 
@@ -64,13 +65,14 @@
 	}
 	now := time.Now()
 	// Limits come first: a lowered limit must hold before the new site starts anything.
-	c.deliver(k.adm.SetAllotments(now, c.allotments(now)))
+	c.spendAllotments()
 	c.deliver(k.adm.SetSite(c.cfg.index, now))
 	for _, v := range c.cfg.index.VMs {
 		if v.DC == c.self.DC {
 			c.deliver(k.adm.SetMinionState(now, v.Name, c.vmState(v.Name)))
 		}
 	}
+	c.settleAllotments(now)
 }
 
 // Acquire implements peer.ControlHandler.
@@ -110,7 +112,11 @@
 	}
 	k.waiters[key] = append(k.waiters[key], ch)
 	delete(k.abandoned, key)
-	c.deliver(k.adm.Submit(time.Now(), *m))
+	effects := k.adm.Submit(time.Now(), *m)
+	c.deliver(effects)
+	if len(effects) == 0 {
+		c.checkAllotments(time.Now())
+	}
 }
 
 // abandon handles the end of a call that waits. The request stays for waiterGrace,
--- a/internal/control/fakes_test.go
+++ b/internal/control/fakes_test.go
@@ -569,3 +569,27 @@
 	}
 	return out
 }
+
+// finish ends the job of a permit on its minion.
+func (cl *cluster) finish(p *model.Permit) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	jobs := cl.running[p.Addr]
+	for i, j := range jobs {
+		if j.ID == p.Job && j.Attempt == p.Attempt {
+			cl.running[p.Addr] = append(jobs[:i:i], jobs[i+1:]...)
+			return
+		}
+	}
+}
+
+// runningJobs counts the jobs on all minions.
+func (cl *cluster) runningJobs() int {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	n := 0
+	for _, jobs := range cl.running {
+		n += len(jobs)
+	}
+	return n
+}
--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -98,6 +98,10 @@
 	leaseOps.Add("step_down", 1)
 	c.log.Warn().Stringer("token", c.following.token).Str("reason", reason).Msg("coordinator steps down")
 	c.endWaiters()
+	if c.coord != nil {
+		// What this entry VM may use if it succeeds itself without the table.
+		c.allot.heard = c.allot.sent
+	}
 	c.coord, c.takeover = nil, nil
 	c.lease.until = time.Time{}
 	setGauge("coordinator", 0)
--- a/internal/control/member.go
+++ b/internal/control/member.go
@@ -116,6 +116,9 @@
 // beat sends one heartbeat to m.
 func (c *Control) beat(m *member) {
 	hb, sent := c.heartbeat(), time.Now()
+	if c.coord != nil {
+		hb.Held = c.allot.sent
+	}
 	c.async(heartbeatTimeout, func(ctx context.Context) func() {
 		r, err := m.remote.Heartbeat(ctx, hb)
 		return func() { c.onBeat(m, r, err, sent) }
@@ -263,6 +266,7 @@
 	case hb.Token != f.token:
 	case hb.Coordinator == m.Name && f.coordinator == m.Name:
 		c.takeVMStates(hb.NotServing)
+		c.takeHeld(hb.Held)
 	case hb.Coordinator == m.Name && f.coordinator == "" && f.resigned.Less(f.token):
 		c.follow(f.token, m.Name, "heartbeat")
 	case hb.Coordinator != m.Name && f.coordinator == m.Name:
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -8,6 +8,7 @@
 	leaseOps   = expvar.NewMap("control_lease")
 	decisions  = expvar.NewMap("control_decisions")
 	configOps  = expvar.NewMap("control_configuration")
+	allotOps   = expvar.NewMap("control_allotments")
 	permitOps  = expvar.NewMap("control_permits")
 	gauges     = expvar.NewMap("control_gauges")
 )
--- a/internal/control/takeover.go
+++ b/internal/control/takeover.go
@@ -16,8 +16,8 @@
 	// pending are the members that have neither answered nor been found out of service.
 	pending map[model.EntryVM]*member
 	permits []model.Permit
-	// vmsKnown is set once the VM states were read, or could not be.
-	vmsKnown bool
+	// rowsKnown is set once the VM states and allotments were read, or could not be.
+	rowsKnown bool
 	// early are requests that arrived before the end of the phase.
 	early []func()
 }
@@ -27,8 +27,10 @@
 	c.follow(t, c.self.Entry, reason)
 	tk := &takeover{token: t, local: local, started: time.Now(), pending: map[model.EntryVM]*member{}}
 	c.takeover = tk
-	if tk.vmsKnown = local; !local {
-		c.loadVMs(tk)
+	if tk.rowsKnown = local; local {
+		c.allot.teams = map[model.Team]*allotment{}
+	} else {
+		c.loadRows(tk)
 	}
 	for _, m := range c.local() {
 		m.confirmed, m.unregistered = time.Time{}, true
@@ -119,7 +121,7 @@
 			}
 		}
 	}
-	if len(tk.pending) > 0 || !tk.vmsKnown {
+	if len(tk.pending) > 0 || !tk.rowsKnown {
 		return
 	}
 	if !tk.local && !c.lease.until.After(now) || tk.local && !c.authorityUntil(now, true).After(now) {
--- a/internal/control/timing.go
+++ b/internal/control/timing.go
@@ -45,7 +45,14 @@
 	storeTimeout   = 2 * time.Second
 
 	usageEvery     = time.Second
-	allotmentEvery = time.Second
+	allotmentEvery = 2 * time.Second
+	// allotCheckGap bounds how often waiting requests look for more of a limit,
+	// allotRetry is the mean wait after a failed attempt for one team.
+	allotCheckGap = 20 * time.Millisecond
+	allotRetry    = 200 * time.Millisecond
+	// followerChecks times followerGap bound the wait for followers before a gift.
+	followerChecks = 100
+	followerGap    = 5 * time.Millisecond
 	// checkEvery is the resolution of checks that have no timer of their own.
 	checkEvery = 100 * time.Millisecond
 	// minionPollGap is the time between two polls of one minion with jobs in doubt, and
--- a/internal/control/vmstates.go
+++ b/internal/control/vmstates.go
@@ -53,17 +53,22 @@
 	State model.VMState `json:"state"`
 }
 
-// loadVMs reads the VM states of the data centre for a takeover through the table.
-func (c *Control) loadVMs(tk *takeover) {
+// loadRows reads the VM states and the allotments for a takeover through the table.
+func (c *Control) loadRows(tk *takeover) {
+	c.allot.teams = map[model.Team]*allotment{}
 	c.async(storeTimeout, func(ctx context.Context) func() {
 		rows, err := c.d.Table.Scan(ctx, platform.PriorityLease, "vm/", 0)
+		var allots []platform.Row
+		if err == nil {
+			allots, err = c.d.Table.Scan(ctx, platform.PriorityLease, allotPrefix, 0)
+		}
 		return func() {
 			if c.takeover != tk {
 				return
 			}
 			if err != nil {
-				c.log.Warn().Err(err).Msg("vm states not read; the last known ones hold")
-				tk.vmsKnown = true
+				c.log.Warn().Err(err).Msg("vm states and allotments not read; the last known ones hold")
+				tk.rowsKnown = true
 				c.checkTakeover(time.Now())
 				return
 			}
@@ -75,7 +80,8 @@
 				}
 				c.setVMState(model.VM(strings.TrimPrefix(r.Key, "vm/")), v.State, "read at takeover")
 			}
-			tk.vmsKnown = true
+			c.onAllotRows(allots)
+			tk.rowsKnown = true
 			c.checkTakeover(time.Now())
 		}
 	})
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -48,6 +48,9 @@
 	// NotServing lists the VMs of the data centre in any state but serving. Only the
 	// coordinator sends it, so that a successor without the table knows them.
 	NotServing map[model.VM]model.VMState `json:"not_serving,omitempty"`
+	// Held is the part of each team's limit that the data centre may use. Only the
+	// coordinator sends it, and only in requests, for the same purpose.
+	Held map[model.Team]int `json:"held,omitempty"`
 }
 
 // HeartbeatReply answers a Heartbeat with the receiver's own state.
