--- a/internal/control/permits.go
+++ b/internal/control/permits.go
@@ -15,7 +15,7 @@
 	deadline := a.Request.Deadline
 	wctx, cancel := context.WithDeadline(ctx, deadline.Add(acquireGrace))
 	defer cancel()
-	asked := false
+	asked, gap := false, retryGap
 	for {
 		at := c.gate.place()
 		// A release of the same attempt that is still on its way would free the new permit.
@@ -35,7 +35,8 @@
 		}
 		select {
 		case <-at.changed:
-		case <-time.After(retryGap/2 + rand.N(retryGap)):
+		case <-time.After(gap/2 + rand.N(gap)):
+			gap = min(2*gap, retryGapMax)
 		case <-wctx.Done():
 		case <-c.ctx.Done():
 		}
--- a/internal/control/shutdown.go
+++ b/internal/control/shutdown.go
@@ -33,9 +33,25 @@
 			c.beat(m)
 		}
 	}
+	if !c.hasHeir() {
+		// Without the role, requests that wait here could not start any more.
+		c.log.Info().Msg("no other entry VM can take the coordinator role; it is kept until the stop")
+		close(done)
+		return
+	}
 	c.releaseLease(done)
 }
 
+// hasHeir reports whether another entry VM of the data centre can coordinate.
+func (c *Control) hasHeir() bool {
+	for _, m := range c.local() {
+		if m.status == MemberAlive {
+			return true
+		}
+	}
+	return false
+}
+
 // releaseLease steps down and clears the lease row. Stepping down comes first: no
 // permit is granted once another entry VM may take the row.
 func (c *Control) releaseLease(done chan struct{}) {
--- a/internal/control/timing.go
+++ b/internal/control/timing.go
@@ -66,6 +66,9 @@
 
 	// retryGap is the mean wait before a call to the coordinator is repeated.
 	retryGap = 40 * time.Millisecond
+	// retryGapMax bounds the load of many waiting requests on entry VMs that are not the
+	// coordinator; a change of coordinator ends the wait early.
+	retryGapMax = 320 * time.Millisecond
 	// acquireGrace lets the coordinator's own answer at the deadline arrive first.
 	acquireGrace   = 250 * time.Millisecond
 	releaseWorkers = 16
