--- a/internal/control/allotments.go
+++ b/internal/control/allotments.go
@@ -137,6 +137,9 @@
 	if c.coord == nil || c.coord.local || c.allot.reading || c.cfg.index == nil {
 		return
 	}
+	if c.lease.term == 0 {
+		c.readTerm()
+	}
 	c.allot.reading = true
 	c.async(storeTimeout, func(ctx context.Context) func() {
 		rows, err := c.d.Table.Scan(ctx, platform.PriorityAllotment, allotPrefix, 0)
@@ -159,7 +162,7 @@
 		a := c.allot.team(t.Name)
 		limit := c.limitOf(t.Name, a)
 		switch {
-		case a.busy || now.Before(a.next):
+		case a.busy || now.Before(a.next) || c.lease.term == 0:
 		case !a.known:
 			c.writeAllotment(t.Name, a, firstRow(limit, c.cfg.version(), slotsByDC(c.cfg.index.Site)), "first row", nil)
 		case a.given == 0 && c.cfg.version() >= a.row.Version && (a.row.Base[c.self.DC] != limit || a.row.Limit != limit):
@@ -168,7 +171,7 @@
 	}
 }
 
-// writeAllotment writes a row on the condition that neither it nor the lease changed.
+// writeAllotment writes a row on the condition that neither it nor the term changed.
 // then, if any, is told whether the write took effect; known is false if that stays open.
 func (c *Control) writeAllotment(t model.Team, a *allotment, row allotRow, reason string, then func(ok, known bool)) {
 	a.busy = true
@@ -179,7 +182,7 @@
 	key := allotPrefix + string(t)
 	at := a.version
 	txn := platform.Txn{
-		Conditions: []platform.Condition{{Key: key, Version: at}, {Key: c.leaseKey(), Version: c.lease.version}},
+		Conditions: []platform.Condition{{Key: key, Version: at}, c.fence()},
 		Puts:       []platform.Put{{Key: key, Value: val}},
 	}
 	c.async(storeTimeout, func(ctx context.Context) func() {
@@ -214,26 +217,36 @@
 				then(ok, known)
 			}
 			c.spendAllotments()
+			c.checkAllotments(time.Now())
 		}
 	})
 }
 
-// checkAllotments gets more of a limit for teams that wait because of their part.
+// reserveFraction is the part of its running work that a data centre takes on top from
+// the unassigned part, so that the next request does not wait for the table.
+const reserveFraction = 8
+
+// checkAllotments gets more of a limit for teams that wait because of their part or come
+// close to it.
 func (c *Control) checkAllotments(now time.Time) {
 	k := c.coord
-	if k == nil || k.local || c.cfg.index == nil || now.Sub(c.allot.checked) < allotCheckGap {
+	if k == nil || k.local || c.lease.term == 0 || c.cfg.index == nil || now.Sub(c.allot.checked) < allotCheckGap {
 		return
 	}
 	c.allot.checked = now
 	u := k.adm.Usage(now)
-	for t, waiting := range u.Waiting {
-		a := c.allot.teams[t]
-		if t == "" || a == nil || !a.known || a.busy || now.Before(a.next) {
+	for t, a := range c.allot.teams {
+		running, waiting := u.Running[t], u.Waiting[t]
+		if !a.known || a.busy || now.Before(a.next) || running+waiting == 0 {
 			continue
 		}
 		limit := c.limitOf(t, a)
 		part := a.row.usable(c.self.DC, limit) - a.given
-		want := min(u.Running[t]+waiting+k.adm.Blocked(), limit) - part
+		need := running + waiting + k.adm.Blocked()
+		if waiting > 0 || need+max(1, need/reserveFraction) > part {
+			need += max(1, need/reserveFraction)
+		}
+		want := min(need, limit) - part
 		if want <= 0 {
 			continue
 		}
@@ -243,7 +256,9 @@
 			c.writeAllotment(t, a, row, "taken from the unassigned part", nil)
 			continue
 		}
-		c.askFor(t, a, want, now)
+		if waiting > 0 {
+			c.askFor(t, a, want, now)
+		}
 	}
 }
 
@@ -283,6 +298,7 @@
 			got.Key = allotPrefix + string(t)
 			c.onAllotRows([]platform.Row{got})
 			c.spendAllotments()
+			c.checkAllotments(time.Now())
 		}
 	})
 }
@@ -330,7 +346,7 @@
 		return 0, peer.ErrNotCoordinator
 	}
 	a := c.allot.teams[m.Team]
-	if k.local || c.cfg.index == nil || c.cfg.index.Team(m.Team) == nil || a == nil || !a.known || a.busy || a.given > 0 {
+	if k.local || c.lease.term == 0 || c.cfg.index == nil || c.cfg.index.Team(m.Team) == nil || a == nil || !a.known || a.busy || a.given > 0 {
 		return 0, nil
 	}
 	now := time.Now()
@@ -374,7 +390,7 @@
 	if c.cfg.index != nil {
 		limit = c.limitOf(m.Team, a)
 	}
-	if c.coord == nil || !told || a.version != a.givenAt || a.row.usable(c.self.DC, limit) < n {
+	if c.coord == nil || c.coord.local || c.lease.term == 0 || !told || a.version != a.givenAt || a.row.usable(c.self.DC, limit) < n {
 		a.given, a.givenAt = 0, 0
 		c.spendAllotments()
 		done(0)
--- a/internal/control/allotments_test.go
+++ b/internal/control/allotments_test.go
@@ -181,3 +181,77 @@
 		require.Equal(t, model.DataCentre("b"), r.ForwardTo, "%+v", r)
 	})
 }
+
+// slowAllotments delays the writes of allotment rows by d, on their way to the table.
+func (cl *cluster) slowAllotments(d time.Duration) {
+	cl.store.mu.Lock()
+	defer cl.store.mu.Unlock()
+	cl.store.slow = func(x platform.Txn) time.Duration {
+		if strings.HasPrefix(x.Puts[0].Key, allotPrefix) {
+			return d
+		}
+		return 0
+	}
+}
+
+// holdAtA moves nine of ten to data centre "a" and leaves them unused there.
+func (cl *cluster) holdAtA() {
+	cl.serving(8, 10)
+	cl.coordinator("b", 3*time.Second)
+	cl.wait(5 * time.Second)
+	for _, p := range cl.fill("a-1", 9) {
+		cl.finish(p)
+		cl.nodes["a-1"].c.Release(p, peer.AttemptOK)
+	}
+	cl.wait(4 * time.Second) // "b" has read the row
+}
+
+// Guards against a giver that uses its part while the gift is on its way to the table.
+func TestGiverSubtractsFirst(t *testing.T) {
+	inBubble(t, map[model.DataCentre]int{"a": 2, "b": 1}, func(cl *cluster) {
+		cl.holdAtA()
+		cl.slowAllotments(time.Second)
+		got := make(chan int, 1)
+		go func() {
+			n := 0
+			for range 4 {
+				if p, _ := cl.acquire("b-1", "t", 5*time.Second); p != nil {
+					n++
+				}
+			}
+			got <- n
+		}()
+		cl.wait(500 * time.Millisecond)
+		n := len(cl.fill("a-1", 100))
+		require.Less(t, n, 9)
+		n += <-got
+		require.LessOrEqual(t, n, 10)
+		require.Greater(t, n, 8)
+	})
+}
+
+// Guards against a gift of a dead coordinator that takes effect after its successor has
+// read the row.
+func TestLateGiftOfDeadCoordinator(t *testing.T) {
+	inBubble(t, map[model.DataCentre]int{"a": 3, "b": 1}, func(cl *cluster) {
+		cl.holdAtA()
+		old := cl.coordinator("a", time.Second)
+		cl.slowAllotments(1500 * time.Millisecond)
+		got := make(chan int, 1)
+		go func() {
+			n := 0
+			for range 4 {
+				if p, _ := cl.acquire("b-1", "t", 2500*time.Millisecond); p != nil {
+					n++
+				}
+			}
+			got <- n
+		}()
+		cl.wait(200 * time.Millisecond)
+		cl.nodes[old].setDead(true)
+		go cl.nodes[old].c.Stop()
+		next := cl.coordinator("a", 1200*time.Millisecond)
+		n := len(cl.fill(next, 100))
+		require.LessOrEqual(t, n+<-got, 10)
+	})
+}
--- a/internal/control/fakes_test.go
+++ b/internal/control/fakes_test.go
@@ -31,6 +31,8 @@
 	down    bool
 	// dropWrites makes every transaction end without an answer and without effect.
 	dropWrites bool
+	// slow is how long a transaction is on its way before it takes effect; may be nil.
+	slow func(platform.Txn) time.Duration
 	// lose reports whether the answer of a transaction is lost after it took effect.
 	lose func(platform.Txn) bool
 	// commits counts transactions that took effect, by the key of their first put.
@@ -105,6 +107,12 @@
 		return nil, platform.ErrUnavailable
 	}
 	v.mu.Lock()
+	slow := v.slow
+	v.mu.Unlock()
+	if slow != nil {
+		time.Sleep(slow(t))
+	}
+	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.dropWrites {
 		return nil, platform.ErrUnknownOutcome
--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -42,6 +42,8 @@
 	reading  bool
 	// writing is set while a write is in flight; at most one is.
 	writing bool
+	// term is the version of the row "term/<dc>" that the own take wrote, 0 if not known.
+	term uint64
 	// until is when the own lease ends: the TTL after the latest successful write was sent.
 	until time.Time
 }
@@ -57,6 +59,36 @@
 
 func (c *Control) leaseKey() string { return "coordinator/" + string(c.self.DC) }
 
+// termKey is the row that changes with each take of the lease but not with renewals. A
+// coordinator's writes are conditional on it: conditional on the lease row itself, a
+// write that takes longer than renewEvery would always lose against a renewal.
+func (c *Control) termKey() string { return "term/" + string(c.self.DC) }
+
+// fence returns the condition that makes writes of a replaced coordinator void.
+func (c *Control) fence() platform.Condition {
+	return platform.Condition{Key: c.termKey(), Version: c.lease.term}
+}
+
+// readTerm reads the version of the term row when the answer of the take was lost.
+func (c *Control) readTerm() {
+	epoch := c.lease.row.Epoch
+	c.async(leaseCallTimeout, func(ctx context.Context) func() {
+		row, err := c.d.Table.Get(ctx, platform.PriorityLease, c.termKey())
+		if err != nil {
+			return nil
+		}
+		var v leaseRow
+		if json.Unmarshal(row.Value, &v) != nil || v.Epoch != epoch || v.Incarnation != c.self.Incarnation {
+			return nil
+		}
+		return func() {
+			if c.lease.row.Epoch == epoch {
+				c.lease.term = row.Version
+			}
+		}
+	})
+}
+
 // observeToken follows a higher token and steps down if this entry VM held a lower one.
 func (c *Control) observeToken(t model.Token, holder model.EntryVM, source string) {
 	if !c.following.token.Less(t) {
@@ -238,6 +270,9 @@
 			return
 		}
 		leaseOps.Add("taken", 1)
+		if c.lease.term == 0 {
+			c.readTerm()
+		}
 		t := model.Token{Epoch: epoch}
 		switch {
 		case !c.following.token.Less(t):
@@ -280,18 +315,27 @@
 	if err != nil {
 		panic(err) // a struct of plain fields always encodes
 	}
-	key := c.leaseKey()
+	key, term := c.leaseKey(), c.termKey()
 	txn := platform.Txn{
 		Conditions: []platform.Condition{{Key: key, Version: c.lease.version}},
 		Puts:       []platform.Put{{Key: key, Value: val}},
 	}
+	if v.Seq == 1 {
+		c.lease.term = 0
+		txn.Puts = append(txn.Puts, platform.Put{Key: term, Value: val})
+	}
 	c.async(2*leaseCallTimeout, func(ctx context.Context) func() {
 		wctx, cancel := context.WithTimeout(ctx, leaseCallTimeout)
 		versions, err := c.d.Table.Commit(wctx, platform.PriorityLease, txn)
 		cancel()
 		if err == nil {
 			row := platform.Row{Key: key, Version: versions[key], Value: val}
-			return func() { c.onLeaseWritten(row, v, sent, true, nil, then) }
+			return func() {
+				if n := versions[term]; n > 0 {
+					c.lease.term = n
+				}
+				c.onLeaseWritten(row, v, sent, true, nil, then)
+			}
 		}
 		if stderrors.Is(err, platform.ErrUnavailable) || stderrors.Is(err, platform.ErrBudget) {
 			return func() { c.onLeaseWritten(platform.Row{}, v, sent, false, err, then) }
--- a/internal/control/lease_test.go
+++ b/internal/control/lease_test.go
@@ -47,7 +47,14 @@
 		require.Less(t, time.Since(start), 2500*time.Millisecond)
 
 		cl.wait(3 * time.Second)
+		first := make(chan *model.Permit, 1)
+		go func() {
+			p, _ := cl.acquire(old, "t", 5*time.Second)
+			first <- p
+		}()
+		cl.wait(100 * time.Millisecond) // now it waits for the paused control goroutine
 		cl.nodes[old].resume()
+		require.Equal(t, cl.token(next), (<-first).Token)
 		require.NotEqual(t, model.ReasonNone, cl.nodes[old].c.CheckPermit(held, "key-t"))
 		for range 200 {
 			cl.wait(10 * time.Millisecond)
--- a/internal/control/timing.go
+++ b/internal/control/timing.go
@@ -48,7 +48,7 @@
 	allotmentEvery = 2 * time.Second
 	// allotCheckGap bounds how often waiting requests look for more of a limit,
 	// allotRetry is the mean wait after a failed attempt for one team.
-	allotCheckGap = 20 * time.Millisecond
+	allotCheckGap = 5 * time.Millisecond
 	allotRetry    = 200 * time.Millisecond
 	// followerChecks times followerGap bound the wait for followers before a gift.
 	followerChecks = 100
