maintenance: test the order of steps and VMs marked empty

Cause: two faults inserted by hand passed the tests: a returning VM not counted until it serves, and a VM marked empty while requests run. Change: the simulation checks budgets with returns applied last, and permits at StepEmpty. Conclusion: no fault in the code was found.

--- a/internal/maintenance/plan_test.go
+++ b/internal/maintenance/plan_test.go
@@ -216,11 +216,13 @@
 				}
 				v.Idle = v.Permits == 0
 			}
-			down := map[model.VM]bool{}
+			down, before, drained := map[model.VM]bool{}, map[model.VM]bool{}, map[model.VM]bool{}
 			for i := range s.VMs {
 				down[s.VMs[i].Name] = s.VMs[i].State == model.VMFailed || s.VMs[i].State == model.VMRebooting
+				before[s.VMs[i].Name] = s.VMs[i].State != model.VMServing
 			}
 			for _, st := range Make(s).Steps {
+				drained[st.VM] = st.Kind == StepDrain
 				for i := range s.VMs {
 					if s.VMs[i].Name == st.VM {
 						apply(t, &s, &s.VMs[i], st)
@@ -230,6 +232,9 @@
 			if !allowed(&s, func(v *VM) bool { return v.State != model.VMServing }, func(v *VM) bool { return down[v.Name] }) {
 				t.Fatalf("budget broken in round %d", round)
 			}
+			if !allowed(&s, func(v *VM) bool { return before[v.Name] || drained[v.Name] }, func(v *VM) bool { return before[v.Name] }) {
+				t.Fatalf("budget broken in round %d if returns come last", round)
+			}
 		}
 		if st := Make(s).Waves[0]; possible && st.Done != st.Total {
 			t.Fatalf("%d of %d VMs done: %+v", st.Done, st.Total, Make(s))
@@ -240,8 +245,8 @@
 func apply(t *rapid.T, s *Snapshot, v *VM, st Step) {
 	next := map[StepKind]model.VMState{StepDrain: model.VMDraining, StepEmpty: model.VMEmpty,
 		StepReboot: model.VMRebooting, StepReturn: model.VMServing, StepFail: model.VMFailed}[st.Kind]
-	if st.Kind == StepReboot && v.State != model.VMFailed && v.Permits > 0 {
-		t.Fatalf("VM %s rebooted with %d permits", v.Name, v.Permits)
+	if (st.Kind == StepReboot || st.Kind == StepEmpty) && v.State != model.VMFailed && v.Permits > 0 {
+		t.Fatalf("step %s of VM %s with %d permits", st.Kind, v.Name, v.Permits)
 	}
 	for _, w := range st.Waves {
 		s.Done[w][v.Name] = true
