--- a/internal/dispatch/property_test.go
+++ b/internal/dispatch/property_test.go
@@ -30,15 +30,27 @@
 	disconnect time.Duration // 0: never
 }
 
+// messageFault is how a message fails, and whether it took effect all the same.
+type messageFault struct {
+	err   error
+	taken bool
+}
+
+var (
+	errBroken     = errors.New("connection lost")
+	forwardFaults = []messageFault{{}, {ErrForwardNotSent, false}, {errBroken, true}, {errBroken, false}}
+	commitFaults  = []messageFault{{}, {}, {platform.ErrUnavailable, false}, {platform.ErrUnknownOutcome, true}, {platform.ErrUnknownOutcome, false}}
+)
+
 // plan is a random run: requests and the faults in the order in which they happen.
 type plan struct {
 	requests []plannedRequest
 	faults   []fault
 	checks   []model.Reason
 	moves    []bool
-	forwards []int
-	commits  []int
-	gets     []bool
+	forwards []messageFault
+	commits  []messageFault
+	gets     []error
 	drain    time.Duration // 0: never
 	connect  time.Duration
 }
@@ -68,9 +80,9 @@
 	p.faults = rapid.SliceOfN(rapid.SampledFrom(kinds), 0, 12).Draw(t, "faults")
 	p.checks = rapid.SliceOfN(rapid.SampledFrom([]model.Reason{"", "", model.ReasonStaleToken, model.ReasonPermitExpired, model.ReasonKeyWithdrawn}), 0, 6).Draw(t, "checks")
 	p.moves = rapid.SliceOfN(rapid.Bool(), 0, 8).Draw(t, "moves")
-	p.forwards = rapid.SliceOfN(rapid.IntRange(0, 3), 0, 6).Draw(t, "forwards")
-	p.commits = rapid.SliceOfN(rapid.IntRange(0, 4), 0, 8).Draw(t, "commits")
-	p.gets = rapid.SliceOfN(rapid.Bool(), 0, 5).Draw(t, "gets")
+	p.forwards = rapid.SliceOfN(rapid.SampledFrom(forwardFaults), 0, 6).Draw(t, "forwards")
+	p.commits = rapid.SliceOfN(rapid.SampledFrom(commitFaults), 0, 8).Draw(t, "commits")
+	p.gets = rapid.SliceOfN(rapid.SampledFrom([]error{nil, platform.ErrUnavailable}), 0, 5).Draw(t, "gets")
 	p.connect = ms("connect", 100)
 	if rapid.Bool().Draw(t, "drains") {
 		p.drain = ms("drain", 400)
@@ -96,7 +108,7 @@
 // apply sets the plan's faults on two entry VMs of one data centre and one of another.
 func (p plan) apply(rigs []*rig) {
 	faults, checks, moves := &script[fault]{left: p.faults}, &script[model.Reason]{left: p.checks}, &script[bool]{left: p.moves}
-	forwards, commits, gets := &script[int]{left: p.forwards}, &script[int]{left: p.commits}, &script[bool]{left: p.gets}
+	forwards, commits, gets := &script[messageFault]{left: p.forwards}, &script[messageFault]{left: p.commits}, &script[error]{left: p.gets}
 	rigs[0].minions.connect = p.connect
 	rigs[0].minions.fault = func(upstream.Call) fault {
 		if f := faults.next(); f != "" {
@@ -113,34 +125,9 @@
 			return peer.AcquireReply{ForwardTo: "b"}, a.Hops == 0 && moves.next(), nil
 		}
 	}
-	rigs[0].links.fail = func(model.EntryVM) (error, bool) {
-		switch forwards.next() {
-		case 1:
-			return ErrForwardNotSent, false
-		case 2:
-			return errors.New("connection lost"), true
-		case 3:
-			return errors.New("connection lost"), false
-		}
-		return nil, false
-	}
-	rigs[0].table.commitErr = func(int) (error, bool) {
-		switch commits.next() {
-		case 1:
-			return platform.ErrUnavailable, false
-		case 2:
-			return platform.ErrUnknownOutcome, true
-		case 3:
-			return platform.ErrUnknownOutcome, false
-		}
-		return nil, false
-	}
-	rigs[0].table.getErr = func() error {
-		if gets.next() {
-			return platform.ErrUnavailable
-		}
-		return nil
-	}
+	rigs[0].links.fail = func(model.EntryVM) (error, bool) { f := forwards.next(); return f.err, f.taken }
+	rigs[0].table.commitErr = func(int) (error, bool) { f := commits.next(); return f.err, f.taken }
+	rigs[0].table.getErr = gets.next
 }
 
 // run performs the plan and returns the results that callers were told.
