--- /dev/null
+++ b/internal/placement/plan.go
@@ -0,0 +1,275 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+
+	"boragepulley/internal/model"
+)
+
+// planner holds the intermediate results of one plan.
+type planner struct {
+	s      *Snapshot
+	plan   Plan
+	slots  []*slot
+	byName map[model.Worker]*slot
+	teams  map[model.Team]*Team
+	racks  map[model.Rack]int
+	// spread counts running tasks by queue and rack.
+	spread map[model.Queue][]int
+	// noRoom lists sizes that found no worker: what needs as much or more finds none either,
+	// because free resources only shrink during a plan.
+	noRoom []Size
+}
+
+// Make computes the plan for a snapshot, which it does not change. Running tasks are only
+// moved to make room for urgent ones. The oldest aged task comes first and gets a worker
+// reserved, so that large and deferrable tasks start at last; then urgent tasks; then the
+// team with the lowest ratio of running work to share.
+func Make(snapshot Snapshot) Plan {
+	s := snapshot
+	s.Tasks, s.Teams = slices.Clone(s.Tasks), slices.Clone(s.Teams)
+	p := &planner{s: &s, byName: make(map[model.Worker]*slot), teams: make(map[model.Team]*Team), spread: make(map[model.Queue][]int), racks: make(map[model.Rack]int)}
+	waiting := p.load()
+	waiting = p.refuse(waiting)
+	waiting = p.reserve(waiting)
+	waiting = p.urgent(waiting)
+	p.fair(waiting)
+	p.unthrottle()
+	return p.plan
+}
+
+func (p *planner) step(k StepKind, t *Task, s *slot, r Reason) {
+	st := Step{Kind: k, Task: t.ID, Reason: r}
+	if s != nil {
+		st.Worker = s.Name
+	}
+	p.plan.Steps = append(p.plan.Steps, st)
+}
+
+// wait records why the task waits; a worker that is given is kept for it in this plan.
+func (p *planner) wait(t *Task, r Reason, s *slot) {
+	w := Waiting{Task: t.ID, Reason: r}
+	if s != nil {
+		w.Worker, s.reserved, s.aged = s.Name, true, false
+	}
+	p.plan.Waiting = append(p.plan.Waiting, w)
+}
+
+// load enters running tasks on their workers and returns the waiting ones in the order
+// of class, deadline and submission.
+func (p *planner) load() []*Task {
+	for i := range p.s.Workers {
+		s := &slot{Worker: &p.s.Workers[i], free: p.s.Workers[i].Size}
+		if _, ok := p.racks[s.Rack]; !ok {
+			p.racks[s.Rack] = len(p.racks)
+		}
+		s.rack = p.racks[s.Rack]
+		p.slots = append(p.slots, s)
+		p.byName[s.Name] = s
+	}
+	for i := range p.s.Teams {
+		p.teams[p.s.Teams[i].Name] = &p.s.Teams[i]
+	}
+	var waiting []*Task
+	for i := range p.s.Tasks {
+		t := &p.s.Tasks[i]
+		if t.Worker == "" {
+			waiting = append(waiting, t)
+		} else if s := p.byName[t.Worker]; s != nil {
+			p.run(t, s)
+		}
+	}
+	slices.SortStableFunc(waiting, func(a, b *Task) int {
+		return cmp.Or(cmp.Compare(a.Class, b.Class), a.Deadline.Compare(b.Deadline), a.Submitted.Compare(b.Submitted), cmp.Compare(a.ID, b.ID))
+	})
+	return waiting
+}
+
+func (p *planner) run(t *Task, s *slot) {
+	used := t.Size
+	if t.Throttled {
+		used = used.minus(throttled(t.Size))
+	}
+	s.free = s.free.minus(used)
+	if t.Leaving {
+		s.leaving = s.leaving.plus(used)
+	}
+	s.running = append(s.running, t)
+	p.onRacks(t.Queue)[s.rack]++
+}
+
+// refuse ends tasks that are larger than every worker, including those that do not accept
+// tasks now.
+func (p *planner) refuse(waiting []*Task) []*Task {
+	return slices.DeleteFunc(waiting, func(t *Task) bool {
+		for _, s := range p.slots {
+			if t.Size.fits(s.Size) {
+				return false
+			}
+		}
+		if len(p.slots) > 0 {
+			p.step(StepRefuse, t, nil, ReasonNeverFits)
+		}
+		return len(p.slots) > 0
+	})
+}
+
+// room reports whether the team may start a task. Work without a team has no limit.
+func (p *planner) room(t *Task) bool {
+	tm := p.teams[t.Team]
+	return t.Team == "" || (tm != nil && tm.Room > 0)
+}
+
+// reserve places the oldest aged task, or keeps the worker for it that is closest to
+// having room. Nothing else starts there, so the same worker stays closest.
+func (p *planner) reserve(waiting []*Task) []*Task {
+	var oldest *Task
+	for _, t := range waiting {
+		if p.s.Now.Sub(t.Submitted) > AgeBound && p.room(t) && (oldest == nil || t.Submitted.Before(oldest.Submitted)) {
+			oldest = t
+		}
+	}
+	if oldest == nil {
+		return waiting
+	}
+	if s := p.choose(oldest); s != nil {
+		p.place(oldest, s)
+	} else if s := p.closest(oldest); s != nil {
+		p.wait(oldest, ReasonReserved, s)
+		s.aged = true
+	} else {
+		return waiting
+	}
+	return slices.DeleteFunc(waiting, func(t *Task) bool { return t == oldest })
+}
+
+// closest returns the accepting worker that lacks the smallest part of the task's size.
+func (p *planner) closest(t *Task) *slot {
+	var best *slot
+	least := 0.0
+	for _, s := range p.slots {
+		if !s.Accepts || !s.accepts(t) || !t.Size.fits(s.Size) {
+			continue
+		}
+		lack := share(t.Size.Cores, s.free.Cores) + share(t.Size.MemoryMB, s.free.MemoryMB) + share(t.Size.Accelerators, s.free.Accelerators)
+		if best == nil || lack < least {
+			best, least = s, lack
+		}
+	}
+	return best
+}
+
+// share is the part of need that is not free.
+func share(need, free int) float64 {
+	if need <= free {
+		return 0
+	}
+	return float64(need-free) / float64(need)
+}
+
+// urgent starts urgent tasks, with room made by others if there is none.
+func (p *planner) urgent(waiting []*Task) []*Task {
+	rest := make([]*Task, 0, len(waiting))
+	for _, t := range waiting {
+		if t.Class != Urgent {
+			rest = append(rest, t)
+			continue
+		}
+		if !p.room(t) {
+			p.wait(t, ReasonTeamRoom, nil)
+		} else if !p.startUrgent(t) {
+			t.lastResort = true
+			if !p.startUrgent(t) {
+				t.lastResort = false
+				p.wait(t, ReasonNoRoom, p.closest(t))
+			}
+		}
+	}
+	return rest
+}
+
+// startUrgent starts an urgent task, or sees to it that room is made.
+func (p *planner) startUrgent(t *Task) bool {
+	if s := p.choose(t); s != nil {
+		p.place(t, s)
+		return true
+	}
+	return p.awaitRoom(t) || p.makeRoom(t)
+}
+
+// fair starts the other tasks, the team with the lowest ratio first.
+func (p *planner) fair(waiting []*Task) {
+	byTeam := make(map[model.Team][]*Task)
+	var names []model.Team
+	for _, t := range waiting {
+		if byTeam[t.Team] == nil {
+			names = append(names, t.Team)
+		}
+		byTeam[t.Team] = append(byTeam[t.Team], t)
+	}
+	for {
+		best := model.Team("")
+		found := false
+		for _, n := range names {
+			if len(byTeam[n]) > 0 && (!found || p.ratio(n) < p.ratio(best)) {
+				best, found = n, true
+			}
+		}
+		if !found {
+			return
+		}
+		t := byTeam[best][0]
+		byTeam[best] = byTeam[best][1:]
+		p.start(t)
+	}
+}
+
+// ratio is the team's running work in the fleet by its share.
+func (p *planner) ratio(n model.Team) float64 {
+	tm := p.teams[n]
+	if tm == nil {
+		return 0
+	}
+	return float64(tm.Running) / float64(max(1, tm.Share))
+}
+
+func (p *planner) start(t *Task) {
+	if !p.room(t) {
+		p.wait(t, ReasonTeamRoom, nil)
+		return
+	}
+	for _, n := range p.noRoom {
+		if n.fits(t.Size) {
+			p.wait(t, ReasonNoRoom, nil)
+			return
+		}
+	}
+	if s := p.choose(t); s != nil {
+		p.place(t, s)
+		return
+	}
+	if len(t.Avoid) == 0 {
+		p.noRoom = append(p.noRoom, t.Size)
+	}
+	p.wait(t, ReasonNoRoom, nil)
+}
+
+// unthrottle gives cores back that nothing else could use.
+func (p *planner) unthrottle() {
+	for _, s := range p.slots {
+		if s.reserved {
+			continue
+		}
+		for _, t := range s.running {
+			if need := throttled(t.Size); t.Throttled && !t.Leaving && need.fits(s.free) && !p.throttledNow(t) {
+				s.free = s.free.minus(need)
+				p.step(StepUnthrottle, t, s, ReasonRoomAgain)
+			}
+		}
+	}
+}
+
+func (p *planner) throttledNow(t *Task) bool {
+	return slices.ContainsFunc(p.plan.Steps, func(st Step) bool { return st.Kind == StepThrottle && st.Task == t.ID })
+}
