--- a/internal/control/allot_row.go
+++ b/internal/control/allot_row.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 
+	"boragepulley/internal/allotment"
 	"boragepulley/internal/config"
 	"boragepulley/internal/model"
 )
@@ -20,24 +21,14 @@
 	Base map[model.DataCentre]int `json:"base,omitempty"`
 }
 
-// initialPart is the divisor of the part of a limit that is assigned by capacity at
-// first (D5): a quarter, so that a burst finds the rest unassigned or nearby.
-const initialPart = 4
-
-// firstRow returns the first row of a team. A single data centre holds the whole limit.
+// firstRow returns the first row of a team. A single data centre holds the whole limit,
+// because nobody else could use the unassigned part.
 func firstRow(limit int, version uint64, slots map[model.DataCentre]int) allotRow {
-	r := allotRow{Limit: limit, Version: version, Held: map[model.DataCentre]int{}, Base: map[model.DataCentre]int{}}
-	total := 0
-	for _, n := range slots {
-		total += n
-	}
-	for dc, n := range slots {
+	r := allotRow{Limit: limit, Version: version, Held: allotment.Initial(limit, version, slots).Held, Base: map[model.DataCentre]int{}}
+	for dc := range slots {
 		r.Base[dc] = limit
-		switch {
-		case len(slots) == 1:
+		if len(slots) == 1 {
 			r.Held[dc] = limit
-		case total > 0:
-			r.Held[dc] = limit / initialPart * n / total
 		}
 	}
 	return r
--- a/internal/control/allotments.go
+++ b/internal/control/allotments.go
@@ -8,6 +8,8 @@
 	"strings"
 	"time"
 
+	"boragepulley/internal/admission"
+	"boragepulley/internal/allotment"
 	"boragepulley/internal/model"
 	"boragepulley/internal/peer"
 	"boragepulley/internal/platform"
@@ -18,7 +20,7 @@
 // allotState is what the control goroutine knows about the parts of the teams' limits.
 type allotState struct {
 	// teams holds the rows, on the coordinator.
-	teams map[model.Team]*allotment
+	teams map[model.Team]*teamPart
 	// heard are the parts that the coordinator last reported, for a succession without
 	// the table.
 	heard map[model.Team]int
@@ -28,8 +30,8 @@
 	reading bool
 }
 
-// allotment is one team's row and the work on it.
-type allotment struct {
+// teamPart is one team's row and the work on it.
+type teamPart struct {
 	known   bool
 	version uint64
 	row     allotRow
@@ -42,23 +44,29 @@
 	next time.Time
 	// turn rotates through the data centres that are asked.
 	turn int
+	// recent is the team's running work in the last seconds.
+	recent allotment.Recent
+	// hold is held back until holdUntil for a data centre that asked while this one
+	// was busy: running work ends, and the repeated ask finds its part free.
+	hold      int
+	holdUntil time.Time
 }
 
 func (s *allotState) init() {
-	s.teams, s.heard = map[model.Team]*allotment{}, map[model.Team]int{}
+	s.teams, s.heard = map[model.Team]*teamPart{}, map[model.Team]int{}
 }
 
-func (s *allotState) team(t model.Team) *allotment {
+func (s *allotState) team(t model.Team) *teamPart {
 	a := s.teams[t]
 	if a == nil {
-		a = &allotment{}
+		a = &teamPart{}
 		s.teams[t] = a
 	}
 	return a
 }
 
 // take keeps a row that is newer than the held one.
-func (a *allotment) take(version uint64, row allotRow) {
+func (a *teamPart) take(version uint64, row allotRow) {
 	if a.known && version <= a.version {
 		return
 	}
@@ -71,7 +79,7 @@
 
 // limitOf returns the limit that counts for a team: a row of a newer configuration
 // can only lower it.
-func (c *Control) limitOf(t model.Team, a *allotment) int {
+func (c *Control) limitOf(t model.Team, a *teamPart) int {
 	team := c.cfg.index.Team(t)
 	if team == nil {
 		return 0
@@ -83,7 +91,7 @@
 }
 
 // allotments returns the part of each team's limit that this data centre may use.
-func (c *Control) allotments() map[model.Team]int {
+func (c *Control) allotments(now time.Time) map[model.Team]int {
 	out := map[model.Team]int{}
 	if c.cfg.index == nil {
 		return out
@@ -91,7 +99,11 @@
 	for _, t := range c.cfg.index.Teams {
 		a := c.allot.team(t.Name)
 		if a.known {
-			out[t.Name] = max(0, a.row.usable(c.self.DC, c.limitOf(t.Name, a))-a.given)
+			n := a.row.usable(c.self.DC, c.limitOf(t.Name, a)) - a.given
+			if now.Before(a.holdUntil) {
+				n -= a.hold
+			}
+			out[t.Name] = max(0, n)
 		} else {
 			out[t.Name] = min(c.allot.heard[t.Name], t.Limit)
 		}
@@ -104,7 +116,7 @@
 	if c.coord == nil {
 		return
 	}
-	parts := c.allotments()
+	parts := c.allotments(time.Now())
 	if maps.Equal(parts, c.allot.sent) {
 		return
 	}
@@ -150,6 +162,7 @@
 			}
 			c.onAllotRows(rows)
 			c.rescale(time.Now())
+			c.returnUnused(time.Now())
 			c.spendAllotments()
 			c.checkAllotments(time.Now())
 		}
@@ -173,7 +186,7 @@
 
 // writeAllotment writes a row on the condition that neither it nor the term changed.
 // then, if any, is told whether the write took effect; known is false if that stays open.
-func (c *Control) writeAllotment(t model.Team, a *allotment, row allotRow, reason string, then func(ok, known bool)) {
+func (c *Control) writeAllotment(t model.Team, a *teamPart, row allotRow, reason string, then func(ok, known bool)) {
 	a.busy = true
 	val, err := json.Marshal(row)
 	if err != nil {
@@ -222,9 +235,14 @@
 	})
 }
 
-// reserveFraction is the part of its running work that a data centre takes on top from
-// the unassigned part, so that the next request does not wait for the table.
-const reserveFraction = 8
+// demand returns the team's demand in this data centre. Slots of unknown use count as
+// running, as they do in admission.
+func (c *Control) demand(u admission.Usage, t model.Team, a *teamPart, now time.Time) allotment.Demand {
+	running := u.Running[t] + c.coord.adm.Blocked()
+	a.recent.Observe(now, running)
+	slots := slotsByDC(c.cfg.index.Site)[c.self.DC]
+	return allotment.Demand{Running: running, Waiting: u.Waiting[t], Peak: a.recent.Max(now), Capacity: max(slots, running)}
+}
 
 // checkAllotments gets more of a limit for teams that wait because of their part or come
 // close to it.
@@ -236,18 +254,14 @@
 	c.allot.checked = now
 	u := k.adm.Usage(now)
 	for t, a := range c.allot.teams {
-		running, waiting := u.Running[t], u.Waiting[t]
-		if !a.known || a.busy || now.Before(a.next) || running+waiting == 0 {
+		if !a.known || a.busy || now.Before(a.next) || u.Running[t]+u.Waiting[t] == 0 {
 			continue
 		}
 		limit := c.limitOf(t, a)
 		part := a.row.usable(c.self.DC, limit) - a.given
-		need := running + waiting + k.adm.Blocked()
-		if waiting > 0 || need+max(1, need/reserveFraction) > part {
-			need += max(1, need/reserveFraction)
-		}
-		want := min(need, limit) - part
-		if want <= 0 {
+		d := c.demand(u, t, a, now)
+		want := allotment.Wants(d, part)
+		if want <= 0 || part >= limit {
 			continue
 		}
 		if free := a.row.free(limit); free > 0 {
@@ -256,14 +270,15 @@
 			c.writeAllotment(t, a, row, "taken from the unassigned part", nil)
 			continue
 		}
-		if waiting > 0 {
+		if d.Waiting > 0 {
+			// The whole want, also above the limit: the giver divides by demand.
 			c.askFor(t, a, want, now)
 		}
 	}
 }
 
 // askFor asks another data centre that holds a part of the team's limit, in turn.
-func (c *Control) askFor(t model.Team, a *allotment, want int, now time.Time) {
+func (c *Control) askFor(t model.Team, a *teamPart, want int, now time.Time) {
 	var targets []*member
 	for _, dc := range c.dataCentres() {
 		f := c.far[dc]
@@ -350,10 +365,13 @@
 		return 0, nil
 	}
 	now := time.Now()
-	u := k.adm.Usage(now)
 	part := a.row.usable(c.self.DC, c.limitOf(m.Team, a))
-	n := min(m.Want, part-u.Running[m.Team]-u.Waiting[m.Team]-k.adm.Blocked())
+	d := c.demand(k.adm.Usage(now), m.Team, a, now)
+	offer := allotment.Offers(d, part, a.row.Held[m.From.DC], m.Want)
+	a.hold, a.holdUntil = offer.HoldBack, now.Add(holdFor)
+	n := offer.Now
 	if n <= 0 {
+		c.spendAllotments()
 		return 0, nil
 	}
 	a.busy, a.given, a.givenAt = true, n, a.version
@@ -381,7 +399,8 @@
 	return false
 }
 
-// give moves n that was subtracted to the asking data centre. done is told the row's
+// give moves n that was subtracted to the asking data centre, or to the unassigned part
+// if there is none. done is told the row's
 // version, or 0 if nothing was moved.
 func (c *Control) give(m *peer.AllotmentAsk, n int, told bool, done func(version uint64)) {
 	a := c.allot.teams[m.Team]
@@ -398,9 +417,11 @@
 	}
 	row := a.row.settle(c.self.DC, limit, c.cfg.version())
 	row.Held[c.self.DC] -= n
-	row.Held[m.From.DC] += n
-	if row.Base[m.From.DC] == 0 {
-		row.Base[m.From.DC] = limit
+	if m.From.DC != "" {
+		row.Held[m.From.DC] += n
+		if row.Base[m.From.DC] == 0 {
+			row.Base[m.From.DC] = limit
+		}
 	}
 	c.writeAllotment(m.Team, a, row, "given to "+string(m.From.DC), func(ok, known bool) {
 		switch {
@@ -414,3 +435,32 @@
 		done(0)
 	})
 }
+
+// returnUnused gives back what was not needed for a while, so that other data centres
+// find it unassigned, also when this one is cut off later.
+func (c *Control) returnUnused(now time.Time) {
+	u := c.coord.adm.Usage(now)
+	for _, t := range c.cfg.index.Teams {
+		a := c.allot.team(t.Name)
+		if !a.known || a.busy || a.given > 0 || c.lease.term == 0 || now.Before(a.next) {
+			continue
+		}
+		limit := c.limitOf(t.Name, a)
+		part := a.row.usable(c.self.DC, limit)
+		first := firstRow(limit, 0, slotsByDC(c.cfg.index.Site)).Held[c.self.DC]
+		n := part - allotment.Returns(c.demand(u, t.Name, a, now), part, first)
+		if n <= 0 || now.Sub(c.coord.since) < returnAfter {
+			continue
+		}
+		a.busy, a.given, a.givenAt = true, n, a.version
+		c.spendAllotments()
+		for _, p := range c.local() {
+			c.beat(p)
+		}
+		msg := &peer.AllotmentAsk{Team: t.Name, Want: n}
+		c.async(2*storeTimeout, func(context.Context) func() {
+			told := c.awaitFollowers(now)
+			return func() { c.give(msg, n, told, func(uint64) {}) }
+		})
+	}
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -264,6 +264,7 @@
 	c.checkSuccession(now)
 	c.checkConfig(now)
 	c.checkWaiters(now)
+	c.spendAllotments()
 	c.checkAllotments(now)
 	c.pollMinions(now)
 }
@@ -283,7 +284,12 @@
 		EvidenceAt:  c.cfg.evidenceAt,
 		Peers:       c.peerStates(),
 	}
-	s.Current = c.current(time.Now())
+	now := time.Now()
+	s.Current = c.current(now)
+	if c.cfg.index != nil {
+		setGauge("evidence_age_ms", c.evidenceAge(now).Milliseconds())
+	}
+	setGauge("releases_pending", int64(c.releases.size()))
 	// A change of coordinator does not make an entry VM unready: requests wait for the
 	// next one, and all entry VMs of the data centre would be unready together.
 	s.Ready = s.Site != nil && !s.Leaving && s.Token != (model.Token{})
--- a/internal/control/coordinator.go
+++ b/internal/control/coordinator.go
@@ -13,6 +13,7 @@
 
 // coordinator is the state of a coordinator that grants permits.
 type coordinator struct {
+	since time.Time
 	// local is set while the role was taken without the table.
 	local bool
 	adm   *admission.Admission
@@ -37,6 +38,7 @@
 
 func (c *Control) newCoordinator(t model.Token, local bool) *coordinator {
 	k := &coordinator{
+		since:     time.Now(),
 		local:     local,
 		adm:       admission.New(c.self.DC, t, admission.DefaultParams()),
 		waiters:   map[permitKey][]chan<- waitResult{},
@@ -52,7 +54,7 @@
 			}
 		}
 	}
-	c.allot.sent = c.allotments()
+	c.allot.sent = c.allotments(now)
 	k.adm.SetAllotments(now, c.allot.sent)
 	return k
 }
--- a/internal/control/takeover.go
+++ b/internal/control/takeover.go
@@ -28,7 +28,7 @@
 	tk := &takeover{token: t, local: local, started: time.Now(), pending: map[model.EntryVM]*member{}}
 	c.takeover = tk
 	if tk.rowsKnown = local; local {
-		c.allot.teams = map[model.Team]*allotment{}
+		c.allot.teams = map[model.Team]*teamPart{}
 	} else {
 		c.loadRows(tk)
 	}
--- a/internal/control/timing.go
+++ b/internal/control/timing.go
@@ -50,6 +50,10 @@
 	// allotRetry is the mean wait after a failed attempt for one team.
 	allotCheckGap = 5 * time.Millisecond
 	allotRetry    = 200 * time.Millisecond
+	// holdFor covers several repetitions of an ask.
+	holdFor = time.Second
+	// returnAfter is how long a coordinator observes a team before it returns anything.
+	returnAfter = 30 * time.Second
 	// followerChecks times followerGap bound the wait for followers before a gift.
 	followerChecks = 100
 	followerGap    = 5 * time.Millisecond
--- a/internal/control/vmstates.go
+++ b/internal/control/vmstates.go
@@ -55,7 +55,7 @@
 
 // loadRows reads the VM states and the allotments for a takeover through the table.
 func (c *Control) loadRows(tk *takeover) {
-	c.allot.teams = map[model.Team]*allotment{}
+	c.allot.teams = map[model.Team]*teamPart{}
 	c.async(storeTimeout, func(ctx context.Context) func() {
 		rows, err := c.d.Table.Scan(ctx, platform.PriorityLease, "vm/", 0)
 		var allots []platform.Row
