--- a/internal/control/allotments.go
+++ b/internal/control/allotments.go
@@ -25,7 +25,9 @@
 	// the table.
 	heard map[model.Team]int
 	// sent are the parts last given to admission.
-	sent    map[model.Team]int
+	sent map[model.Team]int
+	// seq increases when sent is replaced. Members get the list until they have confirmed it.
+	seq     uint64
 	checked time.Time
 	reading bool
 }
@@ -121,6 +123,7 @@
 		return
 	}
 	c.allot.sent = parts
+	c.allot.seq++
 	c.deliver(c.coord.adm.SetAllotments(time.Now(), parts))
 }
 
--- a/internal/control/coordinator.go
+++ b/internal/control/coordinator.go
@@ -55,6 +55,7 @@
 		}
 	}
 	c.allot.sent = c.allotments(now)
+	c.allot.seq++
 	k.adm.SetAllotments(now, c.allot.sent)
 	return k
 }
--- a/internal/control/member.go
+++ b/internal/control/member.go
@@ -45,7 +45,9 @@
 	// unregistered is set until the member has accepted a registration since the
 	// takeover and since it was last out of reach.
 	unregistered bool
-	registering  bool
+	// heldSeq is the newest list of parts that the member has confirmed; see allotState.seq.
+	heldSeq     uint64
+	registering bool
 }
 
 // addMembers fills the list of members from the settings.
@@ -115,13 +117,19 @@
 
 // beat sends one heartbeat to m.
 func (c *Control) beat(m *member) {
-	hb, sent := c.heartbeat(), time.Now()
-	if c.coord != nil {
+	hb, sent, seq := c.heartbeat(), time.Now(), c.allot.seq
+	if c.coord != nil && m.heldSeq != seq {
 		hb.Held = c.allot.sent
 	}
 	c.async(heartbeatTimeout, func(ctx context.Context) func() {
 		r, err := m.remote.Heartbeat(ctx, hb)
-		return func() { c.onBeat(m, r, err, sent) }
+		return func() {
+			c.onBeat(m, r, err, sent)
+			follows := err == nil && r.Token == hb.Token && r.Coordinator == c.self.Entry && r.From.Incarnation == m.inc
+			if hb.Held != nil && follows && seq == c.allot.seq {
+				m.heldSeq = seq
+			}
+		}
 	})
 }
 
@@ -276,7 +284,7 @@
 
 // onIncarnationEnd frees what only the ended process held.
 func (c *Control) onIncarnationEnd(m *member, reason string) {
-	m.exempt = true
+	m.exempt, m.heldSeq = true, 0
 	if c.coord != nil && m.DC == c.self.DC {
 		c.deliver(c.coord.adm.HolderGone(time.Now(), m.Name))
 	}
