--- a/internal/maintenance/plan_test.go
+++ b/internal/maintenance/plan_test.go
@@ -95,6 +95,18 @@
 	require.Equal(t, ReasonNoWave, p.Steps[0].Reason)
 }
 
+// Guards against a drain in place of a VM that returns but does not serve yet.
+func TestReturningVMCounts(t *testing.T) {
+	s := site(4, 2, 4)
+	s.Budgets = []config.Budget{{Service: "s0", Scope: config.ScopeDataCentre, MaxUnavailable: 2},
+		{Service: "s0", Scope: config.ScopeRack, MaxUnavailable: 1}}
+	s.VMs[0].State, s.VMs[1].State = model.VMDraining, model.VMFailed
+	p := Make(s)
+	require.Equal(t, 1, p.steps(StepReturn))
+	require.Zero(t, p.steps(StepDrain))
+	require.Equal(t, ReasonDCBudget, p.held("v002"))
+}
+
 func randomBudgets(t *rapid.T, s *Snapshot) {
 	for i := range s.Waves[0].Pools {
 		svc := model.Service(fmt.Sprintf("s%d", i))
@@ -187,7 +199,7 @@
 // every VM is done once failures stop.
 func TestWaveWithFailures(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		s := site(rapid.IntRange(2, 16).Draw(t, "n"), 4, rapid.IntRange(2, 8).Draw(t, "per service"))
+		s := site(rapid.IntRange(2, 16).Draw(t, "n"), rapid.IntRange(2, 4).Draw(t, "per rack"), rapid.IntRange(2, 8).Draw(t, "per service"))
 		randomBudgets(t, &s)
 		possible := true
 		for i := range s.Budgets {
