--- a/bench/cluster/cluster.go
+++ b/bench/cluster/cluster.go
@@ -17,6 +17,7 @@
 	"boragepulley/internal/config"
 	"boragepulley/internal/model"
 	"boragepulley/internal/operator"
+	"boragepulley/standins/platform"
 )
 
 const (
@@ -137,6 +138,9 @@
 	if err != nil {
 		return err
 	}
+	if err := c.PlatformReboots(platform.DefaultDown); err != nil {
+		return err
+	}
 	c.Site.MinionAddrs = nil
 	for i := range c.Site.Minions() {
 		name := string(sites.MinionName(i))
--- a/bench/cluster/faults.go
+++ b/bench/cluster/faults.go
@@ -104,6 +104,12 @@
 	return admin(http.MethodPut, c.platformAddr, platform.PathFaults, f, nil)
 }
 
+// PlatformReboots sets how long a VM is down when the platform reboots it.
+func (c *Cluster) PlatformReboots(down time.Duration) error {
+	return admin(http.MethodPut, c.platformAddr, platform.PathReboots,
+		platform.Reboots{MinionAdmin: c.minionAdmin, DownMS: down.Milliseconds()}, nil)
+}
+
 // PlatformStats returns the counts of the platform.
 func (c *Cluster) PlatformStats() (platform.Stats, error) {
 	var s platform.Stats
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -53,12 +53,16 @@
 	Appear time.Duration `default:"2s" help:"Lag of the VM list for new and leaving VMs."`
 	Remove time.Duration `default:"5s" help:"Lag of the VM list for VMs that are gone."`
 	Seed   uint64        `default:"1" help:"Seed of probabilistic faults."`
+
+	MinionAdmin string        `help:"Address of the minions' admin endpoint, which performs reboots."`
+	RebootDown  time.Duration `default:"2s" help:"How long a VM is down during a reboot."`
 }
 
 func (c *platformCmd) Run(ctx context.Context, out io.Writer) error {
 	s := platform.New(platform.Options{
 		WritesPerSecond: c.Writes, ReadsPerSecond: c.Reads, Seed: c.Seed,
-		Lag: platform.Lag{AppearMS: c.Appear.Milliseconds(), RemoveMS: c.Remove.Milliseconds()},
+		Lag:     platform.Lag{AppearMS: c.Appear.Milliseconds(), RemoveMS: c.Remove.Milliseconds()},
+		Reboots: platform.Reboots{MinionAdmin: c.MinionAdmin, DownMS: c.RebootDown.Milliseconds()},
 	})
 	return serveUntil(ctx, out, c.Listen, s, func(addr string) Ready {
 		return Ready{Kind: "platform", Addr: addr, Admin: addr}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -103,7 +103,7 @@
 
 // Services returns the client as the platform's services.
 func (c *Client) Services() Services {
-	return Services{Table: tableClient{c}, Objects: objectsClient{c}, VMs: vmsClient{c}}
+	return Services{Table: tableClient{c}, Objects: objectsClient{c}, VMs: vmsClient{c}, Pools: poolsClient{c}}
 }
 
 // Close closes idle connections.
@@ -303,3 +303,19 @@
 	err := v.c.do(ctx, call{op: "list_vms", prio: PriorityBackground, method: http.MethodGet, path: PathVMs, out: &a})
 	return a.VMs, err
 }
+
+// poolsClient implements VMPools.
+type poolsClient struct{ c *Client }
+
+func (v poolsClient) Reboot(ctx context.Context, vm, id string) error {
+	var a RebootAnswer
+	return v.c.do(ctx, call{op: "reboot", prio: PriorityBackground, write: true, method: http.MethodPost, path: PathReboot,
+		in: Reboot{Name: vm, ID: id}, out: &a})
+}
+
+func (v poolsClient) RebootStatus(ctx context.Context, vm, id string) (RebootState, error) {
+	var a RebootAnswer
+	err := v.c.do(ctx, call{op: "reboot_status", prio: PriorityBackground, method: http.MethodGet, path: PathReboot,
+		query: url.Values{"name": {vm}, "id": {id}}, out: &a})
+	return a.State, err
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -100,9 +100,36 @@
 	List(ctx context.Context) ([]ListedVM, error)
 }
 
+// RebootState is how far a reboot has come.
+//
+// State machine:
+//
+//	unknown -> running -> done
+type RebootState string
+
+const (
+	// RebootUnknown: the platform has not taken a reboot with this id.
+	RebootUnknown RebootState = "unknown"
+	RebootRunning RebootState = "running"
+	RebootDone    RebootState = "done"
+)
+
+// VMPools reboots VMs of the platform's pools.
+type VMPools interface {
+	// Reboot orders the reboot of a VM. It is idempotent per id: repeating a call whose
+	// answer was lost starts no second reboot.
+	// Errors: ErrUnavailable, ErrBudget (no effect); ErrUnknownOutcome (safe to repeat);
+	// ErrConflict if the id was used for another VM; ErrNotFound for an unknown VM.
+	Reboot(ctx context.Context, vm, id string) error
+	// RebootStatus returns the state of the reboot with the id.
+	// Errors: ErrUnavailable, ErrBudget.
+	RebootStatus(ctx context.Context, vm, id string) (RebootState, error)
+}
+
 // Services groups the platform's services. Another implementation can replace any of them.
 type Services struct {
 	Table   Table
 	Objects Objects
 	VMs     VMList
+	Pools   VMPools
 }
--- a/internal/platform/wire.go
+++ b/internal/platform/wire.go
@@ -8,6 +8,7 @@
 	PathObject  = "/v1/objects/object" // PUT Object; GET ?name= -> Object
 	PathObjects = "/v1/objects"        // GET ?prefix= -> NamesAnswer
 	PathVMs     = "/v1/vms"            // GET -> VMsAnswer
+	PathReboot  = "/v1/vms/reboot"     // POST Reboot -> RebootAnswer; GET ?name=&id= -> RebootAnswer
 )
 
 const (
@@ -56,6 +57,18 @@
 	VMs []ListedVM `json:"vms"`
 }
 
+// Reboot orders the reboot of a VM.
+type Reboot struct {
+	Name string `json:"name"`
+	// ID makes repetitions of the order recognisable.
+	ID string `json:"id"`
+}
+
+// RebootAnswer is the state of a reboot.
+type RebootAnswer struct {
+	State RebootState `json:"state"`
+}
+
 // ErrorAnswer is the body of every refusal.
 type ErrorAnswer struct {
 	Code    ErrorCode `json:"code"`
--- a/standins/platform/server.go
+++ b/standins/platform/server.go
@@ -40,6 +40,8 @@
 	// Seed seeds the decisions of probabilistic faults.
 	Seed uint64
 	Lag  Lag
+	// Reboots says how reboots are performed.
+	Reboots Reboots
 }
 
 // Stats are counts since the start.
@@ -59,6 +61,7 @@
 	table   *table
 	objects *objects
 	vms     *vmList
+	reboots *reboots
 	faults  *faultState
 	writes  *rate.Limiter
 	reads   *rate.Limiter
@@ -76,7 +79,7 @@
 	}
 	s := &Server{
 		echo: echo.New(), table: newTable(), objects: newObjects(),
-		vms: newVMList(o.Lag), faults: newFaultState(o.Seed),
+		vms: newVMList(o.Lag), reboots: &reboots{how: o.Reboots, byID: map[string]reboot{}}, faults: newFaultState(o.Seed),
 		writes: limiter(o.WritesPerSecond), reads: limiter(o.ReadsPerSecond),
 	}
 	s.routes()
@@ -98,6 +101,9 @@
 	e.GET(platform.PathObject, s.getObject, read)
 	e.GET(platform.PathObjects, s.listObjects, read)
 	e.GET(platform.PathVMs, s.listVMs, read)
+	e.POST(platform.PathReboot, s.postReboot, write)
+	e.GET(platform.PathReboot, s.getReboot, read)
+	e.PUT(PathReboots, s.adminReboots)
 	e.GET(PathFaults, func(c echo.Context) error { return c.JSON(http.StatusOK, s.faults.get()) })
 	e.PUT(PathFaults, s.adminFaults)
 	e.PUT(PathLag, s.adminLag)
