--- a/internal/config/diff.go
+++ b/internal/config/diff.go
@@ -223,6 +223,7 @@
 func waveObject(w *Wave) object {
 	return object{w.Name, []field{
 		{"pools", list(w.Pools)}, {"start", w.Start.UTC().Format(time.RFC3339Nano)}, duration("drain_timeout", w.DrainTimeout),
+		duration("cooldown", w.Cooldown),
 	}}
 }
 
--- a/internal/config/model.go
+++ b/internal/config/model.go
@@ -180,6 +180,8 @@
 	Start time.Time
 	// DrainTimeout bounds how long a VM may drain before the wave reports it.
 	DrainTimeout time.Duration
+	// Cooldown is how long waves stay paused after two VMs of a rack failed together.
+	Cooldown time.Duration
 }
 
 // KeyPolicy says what an isolated data centre does with keyed work.
--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -56,6 +56,7 @@
 	defaultDeadline    = 30 * time.Second
 	defaultIsolation   = 5 * time.Second
 	defaultDrain       = 10 * time.Minute
+	defaultCooldown    = 10 * time.Minute
 )
 
 var (
@@ -355,6 +356,7 @@
 		Pools:        names[model.Pool](t, "pools", true),
 		Start:        t.Time("start"),
 		DrainTimeout: t.Duration("drain_timeout", tomldoc.DurationRule{Default: defaultDrain, Min: time.Second, Max: 24 * time.Hour}),
+		Cooldown:     t.Duration("cooldown", tomldoc.DurationRule{Default: defaultCooldown, Min: time.Second, Max: 24 * time.Hour}),
 	}
 }
 
--- a/internal/maintenance/plan.go
+++ b/internal/maintenance/plan.go
@@ -40,6 +40,9 @@
 		case v.State == model.VMRebooting:
 			p.ledger.count(v)
 			p.comeBack(v)
+		case v.Drained:
+			p.ledger.count(v)
+			p.keepOut(v)
 		case v.State == model.VMDraining || v.State == model.VMEmpty:
 			leaving = append(leaving, v)
 		case v.Suspect:
@@ -98,15 +101,34 @@
 	h := Held{VM: v.Name, Reason: r, Detail: detail}
 	if w := p.need[v.Name]; w != nil {
 		h.Wave = w.Name
-	} else if v.State == model.VMServing {
+	} else if v.State == model.VMServing && v.MoveTo == "" {
 		return
 	}
 	p.plan.Held = append(p.plan.Held, h)
 }
 
+// keepOut drains a VM that the configuration takes out of service. The operator's wish
+// goes before the budgets; the VM counts against them.
+func (p *planner) keepOut(v *VM) {
+	switch {
+	case v.State == model.VMServing:
+		p.step(v, StepDrain, ReasonConfigured, "")
+	case v.State == model.VMDraining && (v.Permits > 0 || !v.Idle):
+		p.hold(v, ReasonInUse, fmt.Sprintf("%d permits are outstanding", v.Permits))
+	case v.State == model.VMDraining:
+		p.step(v, StepEmpty, ReasonDrained, "after "+p.s.Now.Sub(v.Since).String())
+	case v.MoveTo != "":
+		p.step(v, StepMove, ReasonMove, "to pool "+string(v.MoveTo))
+	default:
+		p.hold(v, ReasonConfigured, "")
+	}
+}
+
 // repair reboots a failed VM: it is out of service already.
 func (p *planner) repair(v *VM) {
 	switch {
+	case v.Drained:
+		p.hold(v, ReasonConfigured, "the VM is not repaired while the configuration drains it")
 	case v.Permits > 0 && p.s.Now.Sub(v.Since) < FailedGrace:
 		p.hold(v, ReasonInUse, fmt.Sprintf("%d permits are outstanding", v.Permits))
 	case p.s.Now.Before(v.RetryAt):
@@ -151,7 +173,7 @@
 // leave moves a draining or empty VM on, or returns it to service.
 func (p *planner) leave(v *VM) {
 	w := p.need[v.Name]
-	if !p.started(w) {
+	if !p.started(w) && v.MoveTo == "" {
 		p.returning = append(p.returning, v)
 		p.step(v, StepReturn, ReasonNoWave, "it was draining for a wave that has ended or changed")
 		return
@@ -163,12 +185,14 @@
 	}
 	busy := v.Permits > 0 || !v.Idle
 	switch {
-	case busy && p.s.Now.Sub(v.Since) > w.DrainTimeout && w.DrainTimeout > 0:
+	case busy && w != nil && p.s.Now.Sub(v.Since) > w.DrainTimeout && w.DrainTimeout > 0:
 		p.hold(v, ReasonDrainTimeout, fmt.Sprintf("%d permits after %s", v.Permits, p.s.Now.Sub(v.Since)))
 	case busy:
 		p.hold(v, ReasonInUse, fmt.Sprintf("%d permits are outstanding", v.Permits))
 	case v.State == model.VMDraining:
 		p.step(v, StepEmpty, ReasonDrained, "after "+p.s.Now.Sub(v.Since).String())
+	case v.MoveTo != "":
+		p.step(v, StepMove, ReasonMove, "to pool "+string(v.MoveTo))
 	case p.paused:
 		p.hold(v, ReasonPaused, p.pauseDetail)
 	default:
@@ -197,14 +221,18 @@
 func (p *planner) drain(v *VM) {
 	w := p.need[v.Name]
 	switch {
-	case w == nil:
-	case !p.started(w):
+	case w == nil && v.MoveTo == "":
+	case !p.started(w) && v.MoveTo == "":
 		p.hold(v, ReasonNotStarted, "in "+w.Start.Sub(p.s.Now).String())
 	case p.paused:
 		p.hold(v, ReasonPaused, p.pauseDetail)
 	default:
 		b, ok := p.ledger.admit(v)
-		if ok {
+		switch {
+		case ok && v.MoveTo != "":
+			p.step(v, StepDrain, ReasonMove, "to pool "+string(v.MoveTo))
+			return
+		case ok:
 			p.step(v, StepDrain, ReasonWave, w.Name)
 			return
 		}
--- a/internal/maintenance/plan_test.go
+++ b/internal/maintenance/plan_test.go
@@ -282,3 +282,38 @@
 		Make(s)
 	}
 }
+
+// Guards against a VM drained by configuration that is rebooted, repaired or returned, or
+// that is left out of the count of a budget.
+func TestDrainedByConfiguration(t *testing.T) {
+	s := site(4, 4, 4)
+	s.Budgets = []config.Budget{{Service: "s0", Scope: config.ScopeDataCentre, MaxUnavailable: 1}}
+	s.VMs[0].Drained = true
+	p := Make(s)
+	require.Equal(t, []Step{{Kind: StepDrain, VM: "v000", Reason: ReasonConfigured}}, p.Steps)
+	require.Equal(t, ReasonDCBudget, p.held("v001"))
+	for _, st := range []model.VMState{model.VMEmpty, model.VMFailed} {
+		s.VMs[0].State = st
+		p = Make(s)
+		require.Empty(t, p.Steps, st)
+		require.Equal(t, ReasonConfigured, p.held("v000"), st)
+	}
+}
+
+// Guards against a VM that changes its pool while requests run on it, or outside the
+// budgets of the service that it leaves.
+func TestPoolChangeWhenEmpty(t *testing.T) {
+	s := site(4, 4, 4)
+	s.Waves = nil
+	s.Budgets = []config.Budget{{Service: "s0", Scope: config.ScopeDataCentre, MaxUnavailable: 1}}
+	s.VMs[0].MoveTo, s.VMs[1].MoveTo = "spare", "spare"
+	p := Make(s)
+	require.Equal(t, []Step{{Kind: StepDrain, VM: "v000", Reason: ReasonMove, Detail: "to pool spare"}}, p.Steps)
+	require.Equal(t, ReasonDCBudget, p.held("v001"))
+	s.VMs[0].State, s.VMs[0].Permits = model.VMDraining, 1
+	require.Equal(t, ReasonInUse, Make(s).held("v000"))
+	s.VMs[0].Permits = 0
+	require.Equal(t, 1, Make(s).steps(StepEmpty))
+	s.VMs[0].State = model.VMEmpty
+	require.Equal(t, 1, Make(s).steps(StepMove))
+}
--- a/internal/maintenance/types.go
+++ b/internal/maintenance/types.go
@@ -26,6 +26,12 @@
 	Suspect bool
 	// RetryAt is the earliest time to reboot a failed VM again.
 	RetryAt time.Time
+	// Drained is whether the configuration takes the VM out of service: it is not counted
+	// as available and not rebooted.
+	Drained bool
+	// MoveTo is the pool that the configuration wants the VM in, if it is not Pool. The VM
+	// moves when it is empty.
+	MoveTo model.Pool
 }
 
 // Failure is the failure of one VM, kept for at least FailureWindow plus Cooldown.
@@ -47,6 +53,9 @@
 	// Done holds the VMs that a wave has finished.
 	Done     map[string]map[model.VM]bool
 	Failures []Failure
+	// Cooldown is how long waves stay paused after the last correlated failure; 0 selects
+	// the constant Cooldown.
+	Cooldown time.Duration
 }
 
 // StepKind is a change of a VM's state.
@@ -63,6 +72,8 @@
 	StepReturn StepKind = "return"
 	// StepFail: rebooting -> failed.
 	StepFail StepKind = "fail"
+	// StepMove: empty -> serving in another pool.
+	StepMove StepKind = "move"
 )
 
 // Reason says why a step is taken or a VM is held back.
@@ -75,6 +86,8 @@
 	ReasonRebooted      Reason = "rebooted"
 	ReasonNoWave        Reason = "no_wave_needs_it"
 	ReasonRebootTimeout Reason = "reboot_timed_out"
+	ReasonConfigured    Reason = "drain_configured"
+	ReasonMove          Reason = "pool_change"
 	// The reasons below hold a VM back, or return it to service before its turn.
 	ReasonNotStarted   Reason = "wave_not_started"
 	ReasonPaused       Reason = "paused_after_correlated_failure"
