--- a/cmd/boragepulley/print.go
+++ b/cmd/boragepulley/print.go
@@ -140,9 +140,14 @@
 	})
 	p.line("")
 	p.table(func(t *printer) {
-		t.line("VM\tdata centre\tpool\tstate\tbusy\tslots\twave")
+		t.line("VM\tdata centre\tpool\tstate\tbusy\tslots\twave\theld back")
 		for _, x := range s.VMs {
-			t.line("%s\t%s\t%s\t%s%s\t%d\t%d\t%s", x.Name, x.DC, x.Pool, x.State, choose(x.Ejected, " (ejected)", ""), x.Busy, x.Slots, orDash(x.Wave))
+			pool := string(x.Pool)
+			if x.MoveTo != "" {
+				pool += " -> " + string(x.MoveTo)
+			}
+			t.line("%s\t%s\t%s\t%s%s%s\t%d\t%d\t%s\t%s", x.Name, x.DC, pool, x.State, choose(x.Ejected, " (ejected)", ""),
+				choose(x.Suspect, " (suspect)", ""), x.Busy, x.Slots, orDash(x.Wave), held(x.Held, x.Detail))
 		}
 	})
 	p.waves(s.Waves)
@@ -237,3 +242,11 @@
 	}
 	return no
 }
+
+// held formats why a VM waits.
+func held(reason, detail string) string {
+	if detail == "" {
+		return orDash(reason)
+	}
+	return reason + ": " + detail
+}
--- a/internal/config/diff.go
+++ b/internal/config/diff.go
@@ -18,6 +18,8 @@
 	ActionAdd    Action = "add"
 	ActionRemove Action = "remove"
 	ActionChange Action = "change"
+	// ActionMove: a VM changes its pool, once it is empty.
+	ActionMove Action = "move"
 )
 
 // Kind is the kind of object that a change concerns, as the section is named in files.
@@ -45,7 +47,7 @@
 	Kind   Kind   `json:"kind"`
 	// Object is the name of the object; empty for sections that exist once.
 	Object string `json:"object,omitempty"`
-	// Field is set for ActionChange only.
+	// Field is set for ActionChange and ActionMove only.
 	Field string `json:"field,omitempty"`
 	From  string `json:"from,omitempty"`
 	To    string `json:"to,omitempty"`
@@ -58,6 +60,8 @@
 		return fmt.Sprintf("+ %s (%s)", name, c.To)
 	case ActionRemove:
 		return fmt.Sprintf("- %s (%s)", name, c.From)
+	case ActionMove:
+		return fmt.Sprintf("> %s: moves from pool %s to pool %s when it is empty", name, c.From, c.To)
 	}
 	return fmt.Sprintf("~ %s: %s: %s -> %s", name, c.Field, cmp.Or(c.From, "(none)"), cmp.Or(c.To, "(none)"))
 }
@@ -98,7 +102,11 @@
 		}
 		for i, f := range o.fields {
 			if was := p.fields[i].value; was != f.value {
-				out = append(out, Change{ActionChange, kind, o.name, f.name, was, f.value})
+				action := ActionChange
+				if kind == KindVM && f.name == "pool" {
+					action = ActionMove
+				}
+				out = append(out, Change{action, kind, o.name, f.name, was, f.value})
 			}
 		}
 	}
--- /dev/null
+++ b/internal/control/budgetrows.go
@@ -0,0 +1,225 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"boragepulley/internal/config"
+	"boragepulley/internal/maintenance"
+	"boragepulley/internal/model"
+	"boragepulley/internal/platform"
+)
+
+const (
+	budgetPrefix = "budget/"
+	// budgetIdle is how often the rows are read while nothing here needs a part.
+	budgetIdle = 10 * time.Second
+)
+
+// budgetPart is this data centre's knowledge of the row "budget/<service>", which splits
+// a budget whose scope is the fleet. Its value has the form of the allotment rows. All of
+// the budget is unassigned at first; a coordinator takes what it needs and gives back the
+// rest, so that the sum of the parts never exceeds the budget.
+type budgetPart struct {
+	known   bool
+	version uint64
+	row     allotRow
+	// given is subtracted from the own part until its write is known to have taken
+	// effect; givenAt is the row version that such a write replaces.
+	given   int
+	givenAt uint64
+	busy    bool
+	next    time.Time
+}
+
+// take keeps a row that is newer than the held one.
+func (b *budgetPart) take(version uint64, row allotRow) {
+	if b.known && version <= b.version {
+		return
+	}
+	b.known, b.version, b.row = true, version, row
+	if version > b.givenAt {
+		b.given, b.givenAt = 0, 0
+	}
+}
+
+// fleetBudgets returns the budgets whose scope is the fleet: the smallest per service.
+func fleetBudgets(s *config.Site) map[model.Service]int {
+	out := map[model.Service]int{}
+	for _, b := range s.Budgets {
+		if b.Scope != config.ScopeFleet {
+			continue
+		}
+		if n, ok := out[b.Service]; !ok || b.MaxUnavailable < n {
+			out[b.Service] = b.MaxUnavailable
+		}
+	}
+	return out
+}
+
+func (c *Control) budgetPart(s model.Service) *budgetPart {
+	b := c.fleet.budgets[s]
+	if b == nil {
+		b = &budgetPart{}
+		c.fleet.budgets[s] = b
+	}
+	return b
+}
+
+// fleetParts returns this data centre's part of each budget whose scope is the fleet.
+func (c *Control) fleetParts() map[model.Service]int {
+	out := map[model.Service]int{}
+	for s, limit := range fleetBudgets(c.cfg.index.Site) {
+		b := c.budgetPart(s)
+		if b.known {
+			out[s] = max(0, b.row.usable(c.self.DC, limit)-b.given)
+			continue
+		}
+		// Until the row is read, what is out of service stays so and nothing is added.
+		for vm, r := range c.fleet.vms {
+			if r.cur.State != model.VMServing && c.serviceOf(r) == s && c.cfg.index.VM(vm) != nil {
+				out[s]++
+			}
+		}
+	}
+	return out
+}
+
+// serviceOf returns the service of the pool that a VM is in; empty in a spare pool.
+func (c *Control) serviceOf(r *vmRecord) model.Service {
+	if p := c.cfg.index.Pool(r.cur.Pool); p != nil && !p.Spare {
+		return p.Service
+	}
+	return ""
+}
+
+// settleBudgets reads the rows and moves parts: a data centre holds as much as VMs are out
+// of service there or could be drained now.
+func (c *Control) settleBudgets(s *maintenance.Snapshot, plan *maintenance.Plan, now time.Time) {
+	limits := fleetBudgets(c.cfg.index.Site)
+	c.fleet.need = needed(s, plan)
+	if c.coord.local || c.lease.term == 0 || c.fleet.readingBudgets || len(limits) == 0 {
+		return
+	}
+	idle := true
+	for svc := range limits {
+		b := c.budgetPart(svc)
+		idle = idle && b.known && c.fleet.need[svc] == 0 && b.row.Held[c.self.DC] == 0
+	}
+	if idle && now.Sub(c.fleet.budgetsRead) < budgetIdle {
+		return
+	}
+	k := c.coord
+	c.fleet.readingBudgets, c.fleet.budgetsRead = true, now
+	c.async(storeTimeout, func(ctx context.Context) func() {
+		rows, err := c.d.Table.Scan(ctx, platform.PriorityAllotment, budgetPrefix, 0)
+		return func() {
+			c.fleet.readingBudgets = false
+			if err != nil || c.coord != k || c.cfg.index == nil {
+				return
+			}
+			c.onBudgetRows(rows)
+			for svc, limit := range fleetBudgets(c.cfg.index.Site) {
+				c.settleBudget(svc, limit, c.fleet.need[svc], time.Now())
+			}
+		}
+	})
+}
+
+// needed counts, per service, the VMs that are out of service, those that the plan takes
+// out now, and those that a larger part would allow.
+func needed(s *maintenance.Snapshot, plan *maintenance.Plan) map[model.Service]int {
+	out := map[model.Service]int{}
+	service := map[model.VM]model.Service{}
+	for i := range s.VMs {
+		v := &s.VMs[i]
+		service[v.Name] = v.Service
+		if v.State != model.VMServing || v.Suspect {
+			out[v.Service]++
+		}
+	}
+	for i := range plan.Steps {
+		if st := &plan.Steps[i]; st.Kind == maintenance.StepDrain {
+			out[service[st.VM]]++
+		}
+	}
+	for svc, n := range plan.FleetWants {
+		out[svc] += n
+	}
+	return out
+}
+
+// onBudgetRows keeps the rows of a complete scan; a row that is missing has version 0.
+func (c *Control) onBudgetRows(rows []platform.Row) {
+	for _, r := range rows {
+		var v allotRow
+		if err := json.Unmarshal(r.Value, &v); err != nil {
+			c.log.Error().Err(err).Str("key", r.Key).Msg("budget row malformed; no part of it is used")
+			continue
+		}
+		c.budgetPart(model.Service(strings.TrimPrefix(r.Key, budgetPrefix))).take(r.Version, v)
+	}
+	for svc, limit := range fleetBudgets(c.cfg.index.Site) {
+		if b := c.budgetPart(svc); !b.known {
+			b.take(0, allotRow{Limit: limit, Version: c.cfg.version(), Held: map[model.DataCentre]int{}})
+		}
+	}
+}
+
+// settleBudget moves the own part of one budget towards what is needed.
+func (c *Control) settleBudget(svc model.Service, limit, need int, now time.Time) {
+	b := c.budgetPart(svc)
+	if b.busy || now.Before(b.next) || c.lease.term == 0 || c.coord.local {
+		return
+	}
+	if b.row.Version > c.cfg.version() {
+		return // a newer configuration is on its way
+	}
+	row := b.row.settle(c.self.DC, limit, c.cfg.version())
+	held := row.Held[c.self.DC]
+	switch free := row.free(limit); {
+	case b.given > 0 && b.givenAt == b.version:
+		// The write of the gift may still take effect; it is repeated until one does.
+		row.Held[c.self.DC] = max(0, held-b.given)
+	case need > held && free > 0:
+		row.Held[c.self.DC] += min(need-held, free)
+	case need < held:
+		b.given, b.givenAt = held-need, b.version
+		row.Held[c.self.DC] = need
+	case b.row.Held[c.self.DC] != held || held > 0 && b.row.Base[c.self.DC] != limit:
+	default:
+		return
+	}
+	c.writeBudget(svc, b, row)
+}
+
+// writeBudget writes a row on the condition that neither it nor the term changed.
+func (c *Control) writeBudget(svc model.Service, b *budgetPart, row allotRow) {
+	val, err := json.Marshal(row)
+	if err != nil {
+		panic(err) // a struct of plain fields always encodes
+	}
+	key := budgetPrefix + string(svc)
+	txn := platform.Txn{
+		Conditions: []platform.Condition{{Key: key, Version: b.version}, c.fence()},
+		Puts:       []platform.Put{{Key: key, Value: val}},
+	}
+	b.busy = true
+	c.async(storeTimeout, func(ctx context.Context) func() {
+		versions, err := c.d.Table.Commit(ctx, platform.PriorityAllotment, txn)
+		return func() {
+			b.busy = false
+			if err != nil {
+				// What was given stays given: an earlier write of it may still take effect.
+				// The next round reads the row again.
+				b.next = time.Now().Add(c.jitter(allotRetry))
+				return
+			}
+			b.take(versions[key], row)
+			fleetOps.Add("budget_parts_moved", 1)
+			c.log.Info().Str("service", string(svc)).Interface("held", row.Held).Int("limit", row.Limit).Msg("budget part written")
+		}
+	})
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -48,7 +48,9 @@
 	Table       platform.Table
 	Objects     platform.Objects
 	Minions     MinionStatus
-	Recorder    account.Recorder
+	// Pools reboots VMs.
+	Pools    platform.VMPools
+	Recorder account.Recorder
 	// Dial returns the connection to a peer; it does not block.
 	Dial func(settings.Peer) Remote
 	// Parse checks a set of files and returns its content.
@@ -90,9 +92,14 @@
 	coord     *coordinator
 	cfg       configState
 	vms       map[model.VM]model.VMState
-	far       map[model.DataCentre]*farState
-	allot     allotState
-	usageSeq  uint64
+	// vmsHeard is set once a coordinator reported vms; poolsHeard are the pools that it
+	// reported as different from the configuration's.
+	vmsHeard   bool
+	poolsHeard map[model.VM]model.Pool
+	fleet      fleetState
+	far        map[model.DataCentre]*farState
+	allot      allotState
+	usageSeq   uint64
 }
 
 var _ Traffic = (*Control)(nil)
@@ -123,6 +130,7 @@
 	c.releases.init()
 	c.addMembers()
 	c.allot.init()
+	c.fleet.init()
 	c.snap.Store(&Snapshot{Peers: c.peerStates()})
 	return c
 }
@@ -157,7 +165,8 @@
 	c.every(configPollEvery, c.pollHead).at = c.started
 	c.every(usageEvery, c.exchangeUsage)
 	c.every(allotmentEvery, c.settleAllotments)
-	c.every(drainCheckEvery, c.checkDrained)
+	c.every(healthCheck, c.pollHealth)
+	c.every(planEvery, c.planRound)
 	c.bootFromPeers()
 	c.wg.Add(1)
 	go c.loop()
--- a/internal/control/coordinator.go
+++ b/internal/control/coordinator.go
@@ -47,7 +47,7 @@
 	}
 	now := time.Now()
 	if c.cfg.index != nil {
-		k.adm.SetSite(c.cfg.index, now)
+		k.adm.SetSite(c.effectiveSite(), now)
 		for _, v := range c.cfg.index.VMs {
 			if v.DC == c.self.DC {
 				k.adm.SetMinionState(now, v.Name, c.vmState(v.Name))
@@ -69,7 +69,7 @@
 	now := time.Now()
 	// Limits come first: a lowered limit must hold before the new site starts anything.
 	c.spendAllotments()
-	c.deliver(k.adm.SetSite(c.cfg.index, now))
+	c.deliver(k.adm.SetSite(c.effectiveSite(), now))
 	for _, v := range c.cfg.index.VMs {
 		if v.DC == c.self.DC {
 			c.deliver(k.adm.SetMinionState(now, v.Name, c.vmState(v.Name)))
--- a/internal/control/fakes_test.go
+++ b/internal/control/fakes_test.go
@@ -182,6 +182,12 @@
 	// running holds the jobs that run on each minion address.
 	running map[string][]upstream.RunningJob
 	events  []model.FleetEvent
+	// down holds the minion addresses that answer nothing.
+	down map[string]bool
+	// reboots holds the ends of the reboots by id, orders counts the calls; VMs are named
+	// like their addresses.
+	reboots map[string]time.Time
+	orders  int
 	// cut reports whether messages between two entry VMs are lost; may be nil.
 	cut func(from, to model.EntryVM) bool
 	// replyDelay delays the reply of a message; may be nil.
@@ -211,7 +217,8 @@
 // newCluster returns a cluster with the entry VMs "<dc>-<n>"; none is started.
 func newCluster(t *testing.T, counts map[model.DataCentre]int) *cluster {
 	cl := &cluster{t: t, store: newFakeStore(), nodes: map[model.EntryVM]*node{},
-		sites: map[string]*config.Site{}, running: map[string][]upstream.RunningJob{}}
+		sites: map[string]*config.Site{}, running: map[string][]upstream.RunningJob{},
+		down: map[string]bool{}, reboots: map[string]time.Time{}}
 	for dc, n := range counts {
 		for i := range n {
 			name := model.EntryVM(string(dc) + "-" + string(rune('1'+i)))
@@ -248,6 +255,7 @@
 			Table:       view{cl.store, n},
 			Objects:     objectView{view{cl.store, n}},
 			Minions:     cl,
+			Pools:       pools{view{cl.store, n}},
 			Recorder:    cl,
 			Dial:        dial,
 			Parse:       cl.parse,
@@ -331,6 +339,9 @@
 	time.Sleep(time.Millisecond)
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
+	if cl.down[addr] {
+		return upstream.Status{}, upstream.ErrNotReached
+	}
 	return upstream.Status{Slots: 8, Busy: len(cl.running[addr]), Jobs: append([]upstream.RunningJob(nil), cl.running[addr]...)}, nil
 }
 
@@ -601,3 +612,49 @@
 	}
 	return n
 }
+
+// rebootTime is how long a VM is down during a reboot.
+const rebootTime = 2 * time.Second
+
+// pools reboots VMs as one entry VM reaches the platform.
+type pools struct{ view }
+
+func (p pools) Reboot(ctx context.Context, vm, id string) error {
+	if err := p.enter(ctx); err != nil {
+		return err
+	}
+	cl := p.n.cl
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	cl.orders++
+	if _, ok := cl.reboots[id]; ok {
+		return nil
+	}
+	cl.reboots[id] = time.Now().Add(rebootTime)
+	cl.down[vm], cl.running[vm] = true, nil
+	time.AfterFunc(rebootTime, func() {
+		cl.mu.Lock()
+		defer cl.mu.Unlock()
+		cl.down[vm] = false
+	})
+	if cl.orders%2 == 1 {
+		return platform.ErrUnknownOutcome // every other answer is lost after its effect
+	}
+	return nil
+}
+
+func (p pools) RebootStatus(ctx context.Context, _, id string) (platform.RebootState, error) {
+	if err := p.enter(ctx); err != nil {
+		return "", err
+	}
+	cl := p.n.cl
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	switch end, ok := cl.reboots[id]; {
+	case !ok:
+		return platform.RebootUnknown, nil
+	case time.Now().Before(end):
+		return platform.RebootRunning, nil
+	}
+	return platform.RebootDone, nil
+}
--- a/internal/control/member.go
+++ b/internal/control/member.go
@@ -99,6 +99,7 @@
 	}
 	if c.coord != nil {
 		hb.NotServing = c.notServing()
+		hb.Pools = c.fleet.moved
 	}
 	return hb
 }
@@ -273,7 +274,7 @@
 	switch {
 	case hb.Token != f.token:
 	case hb.Coordinator == m.Name && f.coordinator == m.Name:
-		c.takeVMStates(hb.NotServing)
+		c.takeVMStates(hb.NotServing, hb.Pools)
 		c.takeHeld(hb.Held)
 	case hb.Coordinator == m.Name && f.coordinator == "" && f.resigned.Less(f.token):
 		c.follow(f.token, m.Name, "heartbeat")
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -9,6 +9,7 @@
 	decisions  = expvar.NewMap("control_decisions")
 	configOps  = expvar.NewMap("control_configuration")
 	allotOps   = expvar.NewMap("control_allotments")
+	fleetOps   = expvar.NewMap("control_fleet")
 	permitOps  = expvar.NewMap("control_permits")
 	gauges     = expvar.NewMap("control_gauges")
 )
--- a/internal/control/sitestatus.go
+++ b/internal/control/sitestatus.go
@@ -18,6 +18,8 @@
 	Running      map[model.Team]int
 	Waiting      map[model.Team]int
 	VMs          map[model.VM]peer.VMStatus
+	// Waves add up the progress in all data centres that answered, by name.
+	Waves []peer.WaveStatus
 }
 
 // DCCoordinator is the coordinator of one data centre.
@@ -38,9 +40,7 @@
 		}
 		usage := c.coord.adm.Usage(time.Now())
 		r.Local, r.Running, r.Waiting = c.coord.local, usage.Running, usage.Waiting
-		for _, m := range c.coord.adm.Minions() {
-			r.VMs = append(r.VMs, peer.VMStatus{Name: m.VM, State: m.State, Used: m.Used, Ejected: m.Ejected})
-		}
+		r.VMs, r.Waves = c.vmStatus(), c.waveStatus()
 		return r, nil
 	})
 }
@@ -106,7 +106,27 @@
 		for _, v := range r.VMs {
 			out.VMs[v.Name] = v
 		}
+		out.addWaves(dc, r.Waves)
 	}
 	slices.SortFunc(out.Coordinators, func(a, b DCCoordinator) int { return strings.Compare(string(a.DC), string(b.DC)) })
 	return out
 }
+
+// addWaves adds the progress in one data centre.
+func (s *SiteStatus) addWaves(dc model.DataCentre, waves []peer.WaveStatus) {
+	for _, w := range waves {
+		i := slices.IndexFunc(s.Waves, func(x peer.WaveStatus) bool { return x.Name == w.Name })
+		if i < 0 {
+			i = len(s.Waves)
+			s.Waves = append(s.Waves, peer.WaveStatus{Name: w.Name})
+		}
+		x := &s.Waves[i]
+		x.Done, x.Active, x.Total = x.Done+w.Done, x.Active+w.Active, x.Total+w.Total
+		if w.Paused != "" {
+			if x.Paused != "" {
+				x.Paused += "; "
+			}
+			x.Paused += string(dc) + ": " + w.Paused
+		}
+	}
+}
--- a/internal/control/takeover.go
+++ b/internal/control/takeover.go
@@ -29,6 +29,7 @@
 	c.takeover = tk
 	if tk.rowsKnown = local; local {
 		c.allot.teams = map[model.Team]*teamPart{}
+		c.fleet.reset()
 	} else {
 		c.loadRows(tk)
 	}
--- /dev/null
+++ b/internal/control/vmrows.go
@@ -0,0 +1,438 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	stderrors "errors"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"boragepulley/internal/config"
+	"boragepulley/internal/invariant"
+	"boragepulley/internal/maintenance"
+	"boragepulley/internal/model"
+	"boragepulley/internal/platform"
+)
+
+const (
+	vmPrefix   = "vm/"
+	wavePrefix = "wave/"
+	// maxRowsPerWrite bounds one transaction; the rest follows in the next round.
+	maxRowsPerWrite = 50
+)
+
+// vmRow is the value of the table row "vm/<name>". Only the coordinator of the VM's data
+// centre writes it.
+type vmRow struct {
+	Pool  model.Pool    `json:"pool"`
+	State model.VMState `json:"state"`
+	// Wave is the wave that the VM was drained for, if any.
+	Wave  string      `json:"wave,omitempty"`
+	Since time.Time   `json:"since"`
+	Token model.Token `json:"token"`
+	// Request is the id of the reboot in state rebooting.
+	Request string `json:"request,omitempty"`
+	// Failed is when the VM last failed, kept after its repair: a takeover must not forget
+	// why waves are paused.
+	Failed time.Time `json:"failed,omitzero"`
+}
+
+// same reports whether two rows differ at most in the token of their writer.
+func (r vmRow) same(o vmRow) bool {
+	r.Token, o.Token = model.Token{}, model.Token{}
+	sinceEqual, failedEqual := r.Since.Equal(o.Since), r.Failed.Equal(o.Failed)
+	r.Since, o.Since, r.Failed, o.Failed = time.Time{}, time.Time{}, time.Time{}, time.Time{}
+	return r == o && sinceEqual && failedEqual
+}
+
+// vmRecord is the coordinator's knowledge of one VM of its data centre.
+type vmRecord struct {
+	// version and row are what the table holds, as far as known; version 0 means no row.
+	version uint64
+	row     vmRow
+	// cur is in force here. It differs from row while a write is due: planned changes that
+	// take capacity away are written first, all others afterwards.
+	cur vmRow
+	health
+	// ordered is set once the platform has taken the reboot of cur.Request, rebooted once
+	// it has ended.
+	ordered, ordering bool
+	rebooted                  time.Time
+	// repairs counts reboots of the failed VM since it last served.
+	repairs int
+	retryAt time.Time
+	// held is why the VM waits, and detail the numbers behind it, by the last plan.
+	held, detail string
+}
+
+// waveRow is the value of the table row "wave/<name>/<dc>".
+type waveRow struct {
+	// Start tells a wave from an earlier one of the same name.
+	Start time.Time  `json:"start"`
+	Done  []model.VM `json:"done"`
+	// Began and Ended are when the first VM was drained and the last one was done.
+	Began time.Time `json:"began,omitzero"`
+	Ended time.Time `json:"ended,omitzero"`
+}
+
+// waveRecord is the progress of a wave in this data centre. dirty is set while the row is
+// behind it.
+type waveRecord struct {
+	version uint64
+	cur     waveRow
+	dirty   bool
+}
+
+// fleetState is the coordinator's state of VMs and waves. It survives the loss of the
+// role, for a later succession without the table.
+type fleetState struct {
+	vms   map[model.VM]*vmRecord
+	waves map[string]*waveRecord
+	// writing is set while a transaction is in flight, so that one writer's transactions
+	// never meet. reload is set while the versions of the rows are not known.
+	writing, reload bool
+	// term is that of the last load; rows are loaded once per term.
+	term uint64
+	// effective is the configuration with the pools that VMs are in, for base.
+	effective, base *config.Index
+	// moved lists the VMs whose pool differs from the configuration's in effective.
+	moved map[model.VM]model.Pool
+	// paused and shown hold what was logged last, by wave and VM.
+	paused map[string]string
+	shown  map[model.VM]string
+	// polling counts health polls in flight.
+	polling int
+	budgets map[model.Service]*budgetPart
+	// readingBudgets is set while the budget rows are read, budgetsRead is when that began.
+	readingBudgets bool
+	budgetsRead    time.Time
+	// need is how much of each budget the newest plan needs.
+	need map[model.Service]int
+	// plan is the newest plan.
+	plan maintenance.Plan
+}
+
+func (f *fleetState) init() { f.reset() }
+
+// reset forgets what an earlier term knew. Calls in flight keep their marks.
+func (f *fleetState) reset() {
+	f.vms, f.waves, f.budgets = map[model.VM]*vmRecord{}, map[string]*waveRecord{}, map[model.Service]*budgetPart{}
+	f.effective, f.base, f.moved, f.plan, f.term = nil, nil, nil, maintenance.Plan{}, 0
+	f.paused, f.shown = map[string]string{}, map[model.VM]string{}
+}
+
+// vmRecord returns the record of a VM. One that was never seen is in the pool that the
+// configuration gives it.
+func (c *Control) vmRecord(vm model.VM) *vmRecord {
+	r := c.fleet.vms[vm]
+	if r == nil {
+		r = &vmRecord{cur: vmRow{State: c.vmState(vm), Since: time.Now()}}
+		if p, ok := c.poolsHeard[vm]; ok {
+			r.cur.Pool = p
+		} else if c.cfg.index != nil && c.cfg.index.VM(vm) != nil {
+			r.cur.Pool = c.cfg.index.VM(vm).Pool
+		}
+		c.fleet.vms[vm] = r
+	}
+	return r
+}
+
+// merge reconciles the state in force here with a newer row. known is whether the state
+// here was reported by a coordinator or found by this one. A row that takes capacity away
+// was written before it took effect, so it holds; a state that returns capacity took
+// effect first, but whether it is newer cannot be told, so the VM drains again.
+func merge(here model.VMState, known bool, row model.VMState) model.VMState {
+	switch {
+	case !known || here == row:
+		return row
+	case here == model.VMFailed && row != model.VMRebooting:
+		return model.VMFailed
+	case row == model.VMDraining && here == model.VMEmpty:
+		return model.VMEmpty
+	case here == model.VMServing && (row == model.VMDraining || row == model.VMEmpty || row == model.VMRebooting):
+		return model.VMDraining
+	}
+	return row
+}
+
+// onVMRows takes rows of a scan. A row that is malformed leaves the VM without work.
+func (c *Control) onVMRows(rows []platform.Row, known bool) {
+	for _, r := range rows {
+		name := model.VM(strings.TrimPrefix(r.Key, vmPrefix))
+		if c.cfg.index != nil {
+			if v := c.cfg.index.VM(name); v == nil || v.DC != c.self.DC {
+				continue
+			}
+		}
+		var v vmRow
+		if err := json.Unmarshal(r.Value, &v); err != nil {
+			c.log.Error().Err(err).Str("key", r.Key).Msg("vm row malformed; the VM gets no work")
+			v.State = model.VMFailed
+		}
+		rec := c.vmRecord(name)
+		if r.Version <= rec.version {
+			continue
+		}
+		rec.version, rec.row = r.Version, v
+		state := merge(c.vmState(name), known, v.State)
+		pool := rec.cur.Pool
+		if v.Pool != "" {
+			pool = v.Pool
+		}
+		if state != v.State {
+			// The state here differs: the row is written again.
+			c.setVMState(name, state, "differs from the row, which says "+string(v.State))
+			rec.cur.Failed, rec.cur.Wave = v.Failed, v.Wave
+		} else {
+			c.setVMState(name, state, "read from the table")
+			rec.cur = v
+		}
+		rec.cur.Pool = pool
+		rec.ordered, rec.rebooted = false, time.Time{}
+	}
+}
+
+// onWaveRows takes the rows of this data centre's waves.
+func (c *Control) onWaveRows(rows []platform.Row) {
+	for _, r := range rows {
+		name, ok := strings.CutSuffix(strings.TrimPrefix(r.Key, wavePrefix), "/"+string(c.self.DC))
+		if !ok {
+			continue
+		}
+		var v waveRow
+		if err := json.Unmarshal(r.Value, &v); err != nil {
+			c.log.Error().Err(err).Str("key", r.Key).Msg("wave row malformed; the wave starts again")
+		}
+		w := c.fleet.waves[name]
+		if w == nil {
+			w = &waveRecord{}
+			c.fleet.waves[name] = w
+		}
+		if r.Version <= w.version {
+			continue
+		}
+		if w.dirty && w.cur.Start.Equal(v.Start) {
+			// What was done here and not stored yet stays done.
+			for _, vm := range w.cur.Done {
+				if !slices.Contains(v.Done, vm) {
+					v.Done = append(v.Done, vm)
+				}
+			}
+		}
+		w.version, w.cur = r.Version, v
+	}
+}
+
+// loadFleet reads all rows again, when their versions are not known.
+func (c *Control) loadFleet() {
+	k, term := c.coord, c.lease.term
+	c.fleet.writing = true
+	c.async(storeTimeout, func(ctx context.Context) func() {
+		vms, err := c.d.Table.Scan(ctx, platform.PriorityAllotment, vmPrefix, 0)
+		var waves []platform.Row
+		if err == nil {
+			waves, err = c.d.Table.Scan(ctx, platform.PriorityAllotment, wavePrefix, 0)
+		}
+		return func() {
+			c.fleet.writing = false
+			if err != nil || c.coord != k || c.lease.term != term {
+				return
+			}
+			c.fleet.reload, c.fleet.term = false, term
+			c.onVMRows(vms, true)
+			c.onWaveRows(waves)
+			c.applyPools()
+		}
+	})
+}
+
+// change is a planned change of one VM that is written before it takes effect.
+type change struct {
+	vm     model.VM
+	next   vmRow
+	reason string
+}
+
+// writeFleet writes planned changes, and all rows that are behind, in one transaction on
+// the condition that neither they nor the term changed. Planned changes take effect when
+// it has succeeded; otherwise the next round plans them again.
+func (c *Control) writeFleet(planned []change) {
+	k := c.coord
+	if k == nil || k.local || c.lease.term == 0 || c.fleet.writing || c.cfg.index == nil {
+		return
+	}
+	if c.fleet.reload || c.fleet.term != c.lease.term {
+		c.loadFleet()
+		return
+	}
+	t := &fleetWrite{c: c, txn: platform.Txn{Conditions: []platform.Condition{c.fence()}}, vms: map[model.VM]vmRow{}, waves: map[string]waveRow{}}
+	for _, p := range planned {
+		t.addVM(p.vm, p.next)
+	}
+	t.planned = planned
+	for _, vm := range slices.Sorted(maps.Keys(c.fleet.vms)) {
+		r := c.fleet.vms[vm]
+		if v := c.cfg.index.VM(vm); v != nil && v.DC == c.self.DC && !r.cur.same(r.row) {
+			t.addVM(vm, r.cur)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(c.fleet.waves)) {
+		if w := c.fleet.waves[name]; w.dirty {
+			t.addWave(name, w)
+		}
+	}
+	if len(t.txn.Puts) == 0 {
+		return
+	}
+	c.fleet.writing = true
+	c.async(storeTimeout, func(ctx context.Context) func() {
+		versions, err := c.d.Table.Commit(ctx, platform.PriorityAllotment, t.txn)
+		return func() { t.done(k, versions, err) }
+	})
+}
+
+// fleetWrite is one transaction over rows of VMs and waves.
+type fleetWrite struct {
+	c       *Control
+	txn     platform.Txn
+	planned []change
+	vms     map[model.VM]vmRow
+	waves   map[string]waveRow
+}
+
+func (t *fleetWrite) put(key string, version uint64, v any) {
+	val, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // a struct of plain fields always encodes
+	}
+	t.txn.Conditions = append(t.txn.Conditions, platform.Condition{Key: key, Version: version})
+	t.txn.Puts = append(t.txn.Puts, platform.Put{Key: key, Value: val})
+}
+
+func (t *fleetWrite) addVM(vm model.VM, row vmRow) {
+	if _, ok := t.vms[vm]; ok || len(t.txn.Puts) >= maxRowsPerWrite {
+		return
+	}
+	row.Token = t.c.following.token
+	t.vms[vm] = row
+	t.put(vmPrefix+string(vm), t.c.fleet.vms[vm].version, row)
+}
+
+func (t *fleetWrite) addWave(name string, w *waveRecord) {
+	if len(t.txn.Puts) >= maxRowsPerWrite {
+		return
+	}
+	row := w.cur
+	row.Done = slices.Clone(row.Done)
+	t.waves[name] = row
+	t.put(wavePrefix+name+"/"+string(t.c.self.DC), w.version, row)
+}
+
+// done handles the end of the transaction.
+func (t *fleetWrite) done(k *coordinator, versions map[string]uint64, err error) {
+	c := t.c
+	c.fleet.writing = false
+	if c.coord != k {
+		return // the next coordinator reads the rows
+	}
+	if err != nil {
+		fleetOps.Add("write_failed", 1)
+		// A conflict means that the versions known here are old; with a lost answer they may be.
+		c.fleet.reload = c.fleet.reload || !unreachable(err)
+		if stderrors.Is(err, platform.ErrConflict) {
+			fleetOps.Add("write_conflict", 1)
+		}
+		return
+	}
+	fleetOps.Add("rows_written", int64(len(t.txn.Puts)))
+	for vm, row := range t.vms {
+		r := c.vmRecord(vm)
+		r.version, r.row = versions[vmPrefix+string(vm)], row
+	}
+	for name, row := range t.waves {
+		w := c.fleet.waves[name]
+		w.version = versions[wavePrefix+name+"/"+string(c.self.DC)]
+		w.dirty = len(row.Done) != len(w.cur.Done) || !row.Start.Equal(w.cur.Start) || !row.Ended.Equal(w.cur.Ended) || !row.Began.Equal(w.cur.Began)
+	}
+	for _, p := range t.planned {
+		if row, ok := t.vms[p.vm]; ok {
+			c.applyChange(p, row)
+		}
+	}
+}
+
+// applyChange puts a planned change in force after its row was written.
+func (c *Control) applyChange(p change, row vmRow) {
+	r := c.vmRecord(p.vm)
+	if c.vmState(p.vm) == model.VMFailed && row.State != model.VMRebooting {
+		return // it failed meanwhile; the row is written again
+	}
+	if m := minionsByName(c.coord.adm)[p.vm]; row.State == model.VMRebooting && c.vmState(p.vm) == model.VMEmpty {
+		invariant.Check(m.Used == 0, invariant.GracefulStop, "VM %s is rebooted with %d slots in use", p.vm, m.Used)
+	}
+	moved := r.cur.Pool != row.Pool
+	if moved {
+		invariant.Check(c.vmState(p.vm) == model.VMEmpty, invariant.OnePool, "VM %s moves from pool %s to %s in state %s",
+			p.vm, r.cur.Pool, row.Pool, c.vmState(p.vm))
+		c.event("vm_state", "vm/"+string(p.vm), "pool "+string(r.cur.Pool), "pool "+string(row.Pool), p.reason)
+		c.log.Info().Str("vm", string(p.vm)).Str("from", string(r.cur.Pool)).Str("to", string(row.Pool)).Msg("vm moved to another pool")
+	}
+	r.cur.Pool = row.Pool
+	if moved {
+		c.applyPools()
+	}
+	c.setVMState(p.vm, row.State, p.reason)
+	failed := r.cur.Failed
+	r.cur = row
+	if failed.After(row.Failed) {
+		r.cur.Failed = failed
+	}
+	r.ordered, r.rebooted = false, time.Time{}
+	if row.State == model.VMRebooting {
+		c.orderReboots()
+	}
+}
+
+// effectiveSite returns the configuration with each VM of this data centre in the pool
+// that its row names. A VM changes its pool only when it is empty, not when the
+// configuration does.
+func (c *Control) effectiveSite() *config.Index {
+	base := c.cfg.index
+	moved := map[model.VM]model.Pool{}
+	for i := range base.VMs {
+		v := &base.VMs[i]
+		if v.DC != c.self.DC {
+			continue
+		}
+		if p := c.vmRecord(v.Name).cur.Pool; p != v.Pool {
+			moved[v.Name] = p
+		}
+	}
+	if c.fleet.base == base && maps.Equal(moved, c.fleet.moved) {
+		return c.fleet.effective
+	}
+	c.fleet.base, c.fleet.moved, c.fleet.effective = base, moved, base
+	if len(moved) > 0 {
+		site := *base.Site
+		site.VMs = slices.Clone(base.VMs)
+		for i := range site.VMs {
+			if p, ok := moved[site.VMs[i].Name]; ok {
+				site.VMs[i].Pool = p
+			}
+		}
+		c.fleet.effective = config.NewIndex(&site, base.Version)
+	}
+	return c.fleet.effective
+}
+
+// applyPools tells admission about pools that changed.
+func (c *Control) applyPools() {
+	if c.coord == nil || c.cfg.index == nil {
+		return
+	}
+	if old := c.fleet.effective; c.effectiveSite() != old {
+		c.deliver(c.coord.adm.SetSite(c.fleet.effective, time.Now()))
+	}
+}
--- a/internal/control/vmstates.go
+++ b/internal/control/vmstates.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"maps"
-	"strings"
 	"time"
 
 	"boragepulley/internal/model"
@@ -23,7 +21,9 @@
 func (c *Control) notServing() map[model.VM]model.VMState { return maps.Clone(c.vms) }
 
 // takeVMStates keeps the coordinator's list for a succession without the table.
-func (c *Control) takeVMStates(s map[model.VM]model.VMState) {
+func (c *Control) takeVMStates(s map[model.VM]model.VMState, pools map[model.VM]model.Pool) {
+	c.vmsHeard = true
+	c.poolsHeard = pools
 	c.vms = maps.Clone(s)
 	if c.vms == nil {
 		c.vms = map[model.VM]model.VMState{}
@@ -41,6 +41,17 @@
 	} else {
 		c.vms[vm] = s
 	}
+	r := c.vmRecord(vm)
+	r.cur.State, r.cur.Since, r.idle = s, time.Now(), false
+	switch s {
+	case model.VMServing:
+		r.cur.Request, r.repairs, r.missed, r.suspect = "", 0, 0, time.Time{}
+	case model.VMRebooting:
+		if old == model.VMFailed {
+			r.repairs++
+			r.retryAt = r.cur.Since.Add(min(repairGap<<min(r.repairs-1, 10), repairGapMax))
+		}
+	}
 	c.log.Info().Str("vm", string(vm)).Str("from", string(old)).Str("to", string(s)).Str("reason", reason).Msg("vm state")
 	c.event("vm_state", "vm/"+string(vm), string(old), string(s), reason)
 	if c.coord != nil {
@@ -48,17 +59,16 @@
 	}
 }
 
-// vmRow is the part of the table row "vm/<name>" that decides about placement.
-type vmRow struct {
-	State model.VMState `json:"state"`
-}
-
 // loadRows reads the VM states and the allotments for a takeover through the table.
 func (c *Control) loadRows(tk *takeover) {
 	c.allot.teams = map[model.Team]*teamPart{}
+	c.fleet.reset()
 	c.async(storeTimeout, func(ctx context.Context) func() {
-		rows, err := c.d.Table.Scan(ctx, platform.PriorityLease, "vm/", 0)
-		var allots []platform.Row
+		rows, err := c.d.Table.Scan(ctx, platform.PriorityLease, vmPrefix, 0)
+		var allots, waves []platform.Row
+		if err == nil {
+			waves, err = c.d.Table.Scan(ctx, platform.PriorityLease, wavePrefix, 0)
+		}
 		if err == nil {
 			allots, err = c.d.Table.Scan(ctx, platform.PriorityLease, allotPrefix, 0)
 		}
@@ -72,14 +82,8 @@
 				c.checkTakeover(time.Now())
 				return
 			}
-			for _, r := range rows {
-				var v vmRow
-				if err := json.Unmarshal(r.Value, &v); err != nil {
-					c.log.Error().Err(err).Str("key", r.Key).Msg("vm row malformed; the VM gets no work")
-					v.State = model.VMFailed
-				}
-				c.setVMState(model.VM(strings.TrimPrefix(r.Key, "vm/")), v.State, "read at takeover")
-			}
+			c.onVMRows(rows, c.vmsHeard)
+			c.onWaveRows(waves)
 			c.onAllotRows(allots)
 			tk.rowsKnown = true
 			c.checkTakeover(time.Now())
--- /dev/null
+++ b/internal/control/waves_test.go
@@ -0,0 +1,268 @@
+package control
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"boragepulley/internal/admission"
+	"boragepulley/internal/config"
+	"boragepulley/internal/model"
+	"boragepulley/internal/peer"
+	"boragepulley/internal/platform"
+)
+
+// maintained is serving with a wave over the pool and a fleet budget of one VM.
+func (cl *cluster) maintained() model.EntryVM {
+	at := cl.serving(8, 100)
+	cl.site("v2", 8, map[model.Team]int{"t": 100})
+	s := cl.sites["v2"]
+	s.Budgets = []config.Budget{{Service: "quotes", Scope: config.ScopeFleet, MaxUnavailable: 1}}
+	s.Waves = []config.Wave{{Name: "w", Pools: []model.Pool{"quotes"}, Start: time.Now().Add(time.Second), DrainTimeout: time.Minute, Cooldown: time.Minute}}
+	_, err := cl.apply(at, "v2", 1)
+	require.NoError(cl.t, err)
+	return at
+}
+
+// out returns the VMs that a coordinator has out of service or whose minion is down.
+func (cl *cluster) out() []model.VM {
+	got := map[model.VM]bool{}
+	for _, p := range cl.peers {
+		n := cl.nodes[p.Name]
+		if n.isDead() || n.isPaused() {
+			continue
+		}
+		if s, err := n.c.CoordinatorStatus(cl.t.Context()); err == nil {
+			for _, m := range s.Minions {
+				if m.State != model.VMServing {
+					got[m.VM] = true
+				}
+			}
+		}
+	}
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	for vm, down := range cl.down {
+		if down {
+			got[model.VM(vm)] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(got))
+}
+
+func (cl *cluster) status(at model.EntryVM) CoordinatorStatus {
+	s, err := cl.nodes[at].c.CoordinatorStatus(cl.t.Context())
+	require.NoError(cl.t, err)
+	return s
+}
+
+func (cl *cluster) rebooted() int {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	return len(cl.reboots)
+}
+
+func (cl *cluster) vm(dc model.DataCentre, vm model.VM) peer.VMStatus {
+	s := cl.nodes[cl.coordinator(dc, 5*time.Second)].c.SiteStatus(cl.t.Context())
+	return s.VMs[vm]
+}
+
+// awaitWave waits until the wave has ended in all data centres and checks the budget of
+// one VM at every step.
+func (cl *cluster) awaitWave(within time.Duration, total int) {
+	cl.t.Helper()
+	cl.eventually(within, func() bool {
+		require.LessOrEqual(cl.t, len(cl.out()), 1, "budget of one VM across data centres: %v", cl.out())
+		for _, p := range cl.peers {
+			if n := cl.nodes[p.Name]; !n.isDead() && !n.isPaused() {
+				w := n.c.SiteStatus(cl.t.Context()).Waves
+				return len(w) == 1 && w[0].Done == total && w[0].Total == total && len(cl.out()) == 0
+			}
+		}
+		return false
+	}, "the wave does not end")
+}
+
+// Guards against a wave that takes more VMs out of service in two data centres together
+// than a budget of the fleet allows, cuts off a request, or reboots a VM twice when the
+// answers of the platform and of the table are lost.
+func TestWaveAcrossDataCentres(t *testing.T) {
+	inBubble(t, map[model.DataCentre]int{"a": 2, "b": 1}, func(cl *cluster) {
+		n := 0
+		cl.store.lose = func(x platform.Txn) bool {
+			if k := x.Puts[0].Key; strings.HasPrefix(k, "vm/") || strings.HasPrefix(k, "budget/") {
+				n++
+				return n%3 == 0
+			}
+			return false
+		}
+		at := cl.maintained()
+		p, reason := cl.acquire(at, "t", time.Second)
+		require.NotNil(t, p, reason)
+		cl.run(p)
+		for range 300 {
+			cl.wait(50 * time.Millisecond)
+			require.LessOrEqual(t, len(cl.out()), 1)
+			cl.mu.Lock()
+			require.False(t, cl.down[string(p.Minion)], "rebooted with a request on it")
+			cl.mu.Unlock()
+		}
+		cl.finish(p)
+		cl.nodes[at].c.Release(p, peer.AttemptOK)
+		cl.awaitWave(2*time.Minute, 4)
+		require.Equal(t, 4, cl.rebooted())
+		var row vmRow
+		require.NoError(t, json.Unmarshal(cl.store.row("vm/a-vm-1").Value, &row))
+		require.Equal(t, model.VMServing, row.State)
+		require.Equal(t, model.Pool("quotes"), row.Pool)
+	})
+}
+
+// Guards against a takeover that forgets a wave: VMs rebooted twice, left out of service,
+// or taken out beyond the budget.
+func TestTakeoverContinuesWave(t *testing.T) {
+	for _, state := range []model.VMState{model.VMDraining, model.VMEmpty, model.VMRebooting} {
+		t.Run(string(state), func(t *testing.T) {
+			inBubble(t, map[model.DataCentre]int{"a": 3}, func(cl *cluster) {
+				at := cl.maintained()
+				cl.eventually(20*time.Second, func() bool {
+					s, err := cl.nodes[at].c.CoordinatorStatus(cl.t.Context())
+					return err == nil && slices.ContainsFunc(s.Minions, func(m admission.MinionInfo) bool { return m.State == state })
+				}, "no VM in the state")
+				cl.nodes[at].kill()
+				cl.coordinator("a", 4*time.Second)
+				cl.awaitWave(time.Minute, 2)
+				require.Equal(t, 2, cl.rebooted())
+			})
+		})
+	}
+}
+
+// Guards against a planned step without the table, and against steps under way that stop
+// there.
+func TestNoPlannedStepWithoutTable(t *testing.T) {
+	inBubble(t, map[model.DataCentre]int{"a": 2}, func(cl *cluster) {
+		at := cl.maintained()
+		cl.eventually(20*time.Second, func() bool { return cl.rebooted() == 1 }, "no reboot")
+		cl.store.setDown(true)
+		cl.eventually(20*time.Second, func() bool { return cl.vmsUp() }, "the reboot ends")
+		for range 400 {
+			cl.wait(50 * time.Millisecond)
+			require.LessOrEqual(t, len(cl.out()), 1)
+		}
+		require.Equal(t, 1, cl.rebooted())
+		cl.nodes[at].kill()
+		cl.coordinator("a", 6*time.Second)
+		for range 200 {
+			cl.wait(50 * time.Millisecond)
+			require.LessOrEqual(t, len(cl.out()), 1)
+		}
+		require.Equal(t, 1, cl.rebooted())
+		cl.store.setDown(false)
+		cl.awaitWave(time.Minute, 2)
+		require.Equal(t, 2, cl.rebooted())
+	})
+}
+
+func (cl *cluster) vmsUp() bool {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	for _, down := range cl.down {
+		if down {
+			return false
+		}
+	}
+	return true
+}
+
+// Guards against a VM that is taken for failed too early or never, is not repaired, or
+// does not count against the budget meanwhile.
+func TestSuspectAndFailedVM(t *testing.T) {
+	inBubble(t, map[model.DataCentre]int{"a": 1}, func(cl *cluster) {
+		at := cl.serving(8, 100)
+		cl.mu.Lock()
+		cl.down["a-vm-1"] = true
+		cl.mu.Unlock()
+		start := time.Now()
+		cl.eventually(6*time.Second, func() bool { return cl.vm("a", "a-vm-1").Suspect }, "not suspect")
+		require.Greater(t, time.Since(start), 2*time.Second)
+		cl.eventually(12*time.Second, func() bool { return cl.vm("a", "a-vm-1").State == model.VMFailed }, "not failed")
+		require.Greater(t, time.Since(start), failedAfter)
+		cl.eventually(10*time.Second, func() bool { return cl.vm("a", "a-vm-1").State == model.VMServing }, "not repaired")
+		require.Equal(t, 1, cl.rebooted())
+		p, reason := cl.acquire(at, "t", time.Second)
+		require.NotNil(t, p, reason)
+	})
+}
+
+// Guards against a VM that is in its new pool while requests of the old one run on it, or
+// in two pools, also across a takeover.
+func TestPoolChangesWhenEmpty(t *testing.T) {
+	inBubble(t, map[model.DataCentre]int{"a": 2}, func(cl *cluster) {
+		at := cl.serving(8, 100)
+		var held []*model.Permit
+		for range 2 { // one per VM
+			p, reason := cl.acquire(at, "t", time.Second)
+			require.NotNil(t, p, reason)
+			cl.run(p)
+			held = append(held, p)
+		}
+		require.NotEqual(t, held[0].Minion, held[1].Minion)
+		vm := held[0].Minion
+		cl.site("v2", 8, map[model.Team]int{"t": 100})
+		s := cl.sites["v2"]
+		s.Pools = append(s.Pools, config.Pool{Name: "spare", Spare: true})
+		for i := range s.VMs {
+			if s.VMs[i].Name == vm {
+				s.VMs[i].Pool = "spare"
+			}
+		}
+		_, err := cl.apply(at, "v2", 1)
+		require.NoError(t, err)
+		cl.eventually(5*time.Second, func() bool { return cl.vm("a", vm).State == model.VMDraining }, "does not drain")
+		for range 100 {
+			cl.wait(50 * time.Millisecond)
+			require.Equal(t, model.Pool("quotes"), cl.vm("a", vm).Pool)
+		}
+		require.Equal(t, model.Pool("spare"), cl.vm("a", vm).MoveTo)
+		next := cl.others(at)[0]
+		cl.nodes[at].kill()
+		for range 60 {
+			cl.wait(50 * time.Millisecond)
+			if len(cl.coordinators("a")) == 1 {
+				require.Equal(t, model.Pool("quotes"), cl.vm("a", vm).Pool)
+				for _, m := range cl.status(next).Minions {
+					require.Equal(t, m.VM != vm, m.State == model.VMServing)
+				}
+			}
+		}
+		cl.finish(held[0])
+		cl.eventually(10*time.Second, func() bool { return cl.vm("a", vm).Pool == "spare" }, "does not move")
+		require.Equal(t, model.VMServing, cl.vm("a", vm).State)
+		for range 5 {
+			p, reason := cl.acquire(next, "t", time.Second)
+			require.NotNil(t, p, reason)
+			require.NotEqual(t, vm, p.Minion, "a VM of the spare pool got work")
+		}
+	})
+}
+
+// Guards against a takeover that gives work to a VM that was about to be rebooted, or
+// forgets that it failed.
+func TestMergeOfRowAndReportedState(t *testing.T) {
+	const s, d, e, r, f = model.VMServing, model.VMDraining, model.VMEmpty, model.VMRebooting, model.VMFailed
+	for _, x := range []struct{ here, row, want model.VMState }{
+		{s, s, s}, {s, d, d}, {s, e, d}, {s, r, d}, {s, f, f},
+		{d, s, s}, {d, d, d}, {d, e, e}, {d, r, r}, {d, f, f},
+		{e, d, e}, {e, r, r}, {e, s, s}, {r, d, d}, {r, e, e}, {r, s, s},
+		{f, s, f}, {f, d, f}, {f, e, f}, {f, r, r}, {f, f, f},
+	} {
+		require.Equal(t, x.want, merge(x.here, true, x.row), "%s here, %s in the row", x.here, x.row)
+		require.Equal(t, x.row, merge(x.here, false, x.row))
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -98,7 +98,7 @@
 	d.minions = upstream.New(upstream.Options{})
 	d.control = control.New(control.Deps{
 		Settings: d.set, Incarnation: d.self.Incarnation, Table: d.Table, Objects: d.Objects,
-		Minions: d.minions, Recorder: d.ledger, Dial: d.dial(log), Parse: parseFiles, Digest: config.Digest,
+		Minions: d.minions, Pools: d.Pools, Recorder: d.ledger, Dial: d.dial(log), Parse: parseFiles, Digest: config.Digest,
 		Log: log, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	d.jobs = dispatch.New(dispatch.Config{
--- a/internal/daemon/operate.go
+++ b/internal/daemon/operate.go
@@ -85,6 +85,9 @@
 	if snap.Site != nil {
 		out.VMs = vmStatus(snap.Site, site)
 		out.Teams = teamStatus(snap.Site, site)
+		for _, w := range site.Waves {
+			out.Waves = append(out.Waves, operator.WaveStatus{Name: w.Name, Done: w.Done, Active: w.Active, Total: w.Total, Paused: w.Paused})
+		}
 	}
 	return out, nil
 }
@@ -158,7 +161,11 @@
 	for _, vm := range site.VMs {
 		v := operator.VMStatus{Name: vm.Name, DC: vm.DC, Pool: vm.Pool, State: model.VMServing, Slots: vm.Slots}
 		if m, ok := st.VMs[vm.Name]; ok {
-			v.State, v.Busy, v.Ejected = m.State, m.Used, m.Ejected
+			v.State, v.Busy, v.Ejected, v.Suspect = m.State, m.Used, m.Ejected, m.Suspect
+			v.MoveTo, v.Wave, v.Since, v.Held, v.Detail = m.MoveTo, m.Wave, m.Since, m.Held, m.Detail
+			if m.Pool != "" {
+				v.Pool = m.Pool
+			}
 		}
 		out = append(out, v)
 	}
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -88,8 +88,18 @@
 	Busy  int `json:"busy"`
 	Slots int `json:"slots"`
 	// Ejected is set while outlier detection keeps work away from the minion.
-	Ejected bool   `json:"ejected,omitempty"`
-	Wave    string `json:"wave,omitempty"`
+	Ejected bool `json:"ejected,omitempty"`
+	// Suspect is set while the minion answers no polls.
+	Suspect bool `json:"suspect,omitempty"`
+	// MoveTo is the pool that the configuration wants the VM in; it moves when it is empty.
+	MoveTo model.Pool `json:"move_to,omitempty"`
+	// Wave is the wave that the VM was drained for.
+	Wave string `json:"wave,omitempty"`
+	// Since is when the VM entered its state.
+	Since time.Time `json:"since,omitzero"`
+	// Held is why the VM waits, and Detail the numbers behind it.
+	Held   string `json:"held,omitempty"`
+	Detail string `json:"detail,omitempty"`
 }
 
 // WaveStatus is the progress of a maintenance wave.
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -50,6 +50,9 @@
 	// NotServing lists the VMs of the data centre in any state but serving. Only the
 	// coordinator sends it, so that a successor without the table knows them.
 	NotServing map[model.VM]model.VMState `json:"not_serving,omitempty"`
+	// Pools lists the VMs of the data centre that are in another pool than their
+	// configuration says, because they are not empty yet. Only the coordinator sends it.
+	Pools map[model.VM]model.Pool `json:"pools,omitempty"`
 	// Held is the part of each team's limit that the data centre may use. Only the
 	// coordinator sends it, and only in requests, for the same purpose.
 	Held map[model.Team]int `json:"held,omitempty"`
@@ -267,6 +270,18 @@
 	Running map[model.Team]int `json:"running,omitempty"`
 	Waiting map[model.Team]int `json:"waiting,omitempty"`
 	VMs     []VMStatus         `json:"vms,omitempty"`
+	Waves   []WaveStatus       `json:"waves,omitempty"`
+}
+
+// WaveStatus is the progress of a maintenance wave in one data centre.
+type WaveStatus struct {
+	Name string `json:"name"`
+	// Done of Total VMs were maintained, Active are under way.
+	Done   int `json:"done"`
+	Active int `json:"active"`
+	Total  int `json:"total"`
+	// Paused is why the wave does not proceed; empty if it does.
+	Paused string `json:"paused,omitempty"`
 }
 
 // VMStatus is a coordinator's view of one upstream VM.
@@ -276,6 +291,18 @@
 	// Used counts the slots in use, those of unknown use included.
 	Used    int  `json:"used"`
 	Ejected bool `json:"ejected,omitempty"`
+	// Suspect is set while the minion answers no polls.
+	Suspect bool `json:"suspect,omitempty"`
+	// Pool is the pool that the VM is in, MoveTo the one that the configuration wants it
+	// in, if that is another.
+	Pool   model.Pool `json:"pool,omitempty"`
+	MoveTo model.Pool `json:"move_to,omitempty"`
+	// Wave is the wave that the VM was drained for.
+	Wave  string    `json:"wave,omitempty"`
+	Since time.Time `json:"since,omitzero"`
+	// Held is why the VM waits, and Detail the numbers behind it.
+	Held   string `json:"held,omitempty"`
+	Detail string `json:"detail,omitempty"`
 }
 
 // Empty is the reply of messages that need none.
