--- a/bench/cluster/faults.go
+++ b/bench/cluster/faults.go
@@ -126,6 +126,11 @@
 	return admin(http.MethodPost, c.minionAdmin, "/minions/"+string(vm)+"/reboot", minion.Reboot{DownMS: down.Milliseconds()}, nil)
 }
 
+// KillMinion takes a minion down until the platform reboots it.
+func (c *Cluster) KillMinion(vm model.VM) error {
+	return admin(http.MethodPost, c.minionAdmin, "/minions/"+string(vm)+"/kill", nil, nil)
+}
+
 // Runs returns how often each job was started at the minions.
 func (c *Cluster) Runs() (load.Runs, error) {
 	var a runs.Answer
--- a/bench/sites/sites.go
+++ b/bench/sites/sites.go
@@ -75,6 +75,10 @@
 	MaxUnavailable int
 	// WaveStart adds a maintenance wave over all services; the zero time adds none.
 	WaveStart time.Time
+	// WaveCooldown is the wave's pause after correlated failures; 0 selects the default.
+	WaveCooldown time.Duration
+	// Moved puts VMs into other pools than their index says.
+	Moved map[model.VM]model.Pool
 	// Drain takes VMs out of service.
 	Drain []model.VM
 	// WithdrawnKeys are the indices of teams without a key.
@@ -218,6 +222,9 @@
 		if s := i / o.MinionsPerService; s < o.Services {
 			pool = PoolName(s)
 		}
+		if p, ok := o.Moved[MinionName(i)]; ok {
+			pool = p
+		}
 		n := i / len(o.DataCentres)
 		w.line("[[vm]]\nname = %q\npool = %q\ndata_centre = %q\nrack = \"m%d\"", MinionName(i), pool, o.DataCentres[o.MinionDC(i)].Name, n/perRack+1)
 		w.line("address = %q\nslots = %d\nconnections = %d", address(o.MinionAddrs, i, 1), o.Slots, o.Connections)
@@ -295,6 +302,9 @@
 	}
 	if !o.WaveStart.IsZero() {
 		w.line("[[wave]]\nname = \"wave-1\"\npools = %s\nstart = %s", quoted(pools), o.WaveStart.Format(time.RFC3339Nano))
+		if o.WaveCooldown > 0 {
+			w.line("cooldown = %q", tomldoc.ShortDuration(o.WaveCooldown))
+		}
 	}
 	return w.String()
 }
--- a/internal/control/budgetrows.go
+++ b/internal/control/budgetrows.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"strings"
 	"time"
 
@@ -18,14 +19,34 @@
 	budgetIdle = 10 * time.Second
 )
 
+// budgetRow is the value of the row "budget/<service>".
+type budgetRow struct {
+	allotRow
+	// Owed is how many VMs are out of service in a data centre beyond its part and cannot
+	// be returned, such as failed ones. The others give up parts for them, so that failed
+	// VMs count first in the whole fleet.
+	Owed map[model.DataCentre]int `json:"owed,omitempty"`
+}
+
+// owedTo counts what is owed to other data centres than dc.
+func (r *budgetRow) owedTo(dc model.DataCentre) int {
+	n := 0
+	for d, k := range r.Owed {
+		if d != dc {
+			n += k
+		}
+	}
+	return n
+}
+
 // budgetPart is this data centre's knowledge of the row "budget/<service>", which splits
-// a budget whose scope is the fleet. Its value has the form of the allotment rows. All of
+// a budget whose scope is the fleet, in the form of the allotment rows. All of
 // the budget is unassigned at first; a coordinator takes what it needs and gives back the
 // rest, so that the sum of the parts never exceeds the budget.
 type budgetPart struct {
 	known   bool
 	version uint64
-	row     allotRow
+	row     budgetRow
 	// given is subtracted from the own part until its write is known to have taken
 	// effect; givenAt is the row version that such a write replaces.
 	given   int
@@ -35,7 +56,7 @@
 }
 
 // take keeps a row that is newer than the held one.
-func (b *budgetPart) take(version uint64, row allotRow) {
+func (b *budgetPart) take(version uint64, row budgetRow) {
 	if b.known && version <= b.version {
 		return
 	}
@@ -99,14 +120,14 @@
 // of service there or could be drained now.
 func (c *Control) settleBudgets(s *maintenance.Snapshot, plan *maintenance.Plan, now time.Time) {
 	limits := fleetBudgets(c.cfg.index.Site)
-	c.fleet.need = needed(s, plan)
+	c.fleet.need, c.fleet.stuck = needed(s, plan)
 	if c.coord.local || c.lease.term == 0 || c.fleet.readingBudgets || len(limits) == 0 {
 		return
 	}
 	idle := true
 	for svc := range limits {
 		b := c.budgetPart(svc)
-		idle = idle && b.known && c.fleet.need[svc] == 0 && b.row.Held[c.self.DC] == 0
+		idle = idle && b.known && c.fleet.need[svc] == 0 && b.row.Held[c.self.DC]+b.row.Owed[c.self.DC] == 0
 	}
 	if idle && now.Sub(c.fleet.budgetsRead) < budgetIdle {
 		return
@@ -122,16 +143,17 @@
 			}
 			c.onBudgetRows(rows)
 			for svc, limit := range fleetBudgets(c.cfg.index.Site) {
-				c.settleBudget(svc, limit, c.fleet.need[svc], time.Now())
+				c.settleBudget(svc, limit, c.fleet.need[svc], c.fleet.stuck[svc], time.Now())
 			}
 		}
 	})
 }
 
 // needed counts, per service, the VMs that are out of service, those that the plan takes
-// out now, and those that a larger part would allow.
-func needed(s *maintenance.Snapshot, plan *maintenance.Plan) map[model.Service]int {
-	out := map[model.Service]int{}
+// out now, and those that a larger part would allow. stuck counts those that are out and
+// cannot be returned to service.
+func needed(s *maintenance.Snapshot, plan *maintenance.Plan) (out, stuck map[model.Service]int) {
+	out, stuck = map[model.Service]int{}, map[model.Service]int{}
 	service := map[model.VM]model.Service{}
 	for i := range s.VMs {
 		v := &s.VMs[i]
@@ -139,6 +161,9 @@
 		if v.State != model.VMServing || v.Suspect {
 			out[v.Service]++
 		}
+		if v.Suspect || v.Drained || v.State == model.VMRebooting || v.State == model.VMFailed {
+			stuck[v.Service]++
+		}
 	}
 	for i := range plan.Steps {
 		if st := &plan.Steps[i]; st.Kind == maintenance.StepDrain {
@@ -148,13 +173,13 @@
 	for svc, n := range plan.FleetWants {
 		out[svc] += n
 	}
-	return out
+	return out, stuck
 }
 
 // onBudgetRows keeps the rows of a complete scan; a row that is missing has version 0.
 func (c *Control) onBudgetRows(rows []platform.Row) {
 	for _, r := range rows {
-		var v allotRow
+		var v budgetRow
 		if err := json.Unmarshal(r.Value, &v); err != nil {
 			c.log.Error().Err(err).Str("key", r.Key).Msg("budget row malformed; no part of it is used")
 			continue
@@ -163,13 +188,14 @@
 	}
 	for svc, limit := range fleetBudgets(c.cfg.index.Site) {
 		if b := c.budgetPart(svc); !b.known {
-			b.take(0, allotRow{Limit: limit, Version: c.cfg.version(), Held: map[model.DataCentre]int{}})
+			b.take(0, budgetRow{allotRow: allotRow{Limit: limit, Version: c.cfg.version(), Held: map[model.DataCentre]int{}}})
 		}
 	}
 }
 
-// settleBudget moves the own part of one budget towards what is needed.
-func (c *Control) settleBudget(svc model.Service, limit, need int, now time.Time) {
+// settleBudget moves the own part of one budget towards what is needed. stuck of it is out
+// of service and cannot be returned; it goes before the planned work of others.
+func (c *Control) settleBudget(svc model.Service, limit, need, stuck int, now time.Time) {
 	b := c.budgetPart(svc)
 	if b.busy || now.Before(b.next) || c.lease.term == 0 || c.coord.local {
 		return
@@ -177,26 +203,40 @@
 	if b.row.Version > c.cfg.version() {
 		return // a newer configuration is on its way
 	}
-	row := b.row.settle(c.self.DC, limit, c.cfg.version())
-	held := row.Held[c.self.DC]
-	switch free := row.free(limit); {
+	dc := c.self.DC
+	row := budgetRow{allotRow: b.row.settle(dc, limit, c.cfg.version()), Owed: maps.Clone(b.row.Owed)}
+	held, free, owed := row.Held[dc], row.free(limit), b.row.owedTo(dc)
+	changed := b.row.Held[dc] != held || held > 0 && b.row.Base[dc] != limit
+	target := need
+	if owed > 0 {
+		target = max(stuck, min(need, held-max(0, owed-free)))
+	}
+	switch {
 	case b.given > 0 && b.givenAt == b.version:
 		// The write of the gift may still take effect; it is repeated until one does.
-		row.Held[c.self.DC] = max(0, held-b.given)
-	case need > held && free > 0:
-		row.Held[c.self.DC] += min(need-held, free)
-	case need < held:
-		b.given, b.givenAt = held-need, b.version
-		row.Held[c.self.DC] = need
-	case b.row.Held[c.self.DC] != held || held > 0 && b.row.Base[c.self.DC] != limit:
-	default:
-		return
+		row.Held[dc], changed = max(0, held-b.given), true
+	case target > held && free > 0:
+		row.Held[dc], changed = held+min(target-held, free), true
+	case target < held:
+		b.given, b.givenAt = held-target, b.version
+		row.Held[dc], changed = target, true
+	}
+	if n := max(0, stuck-row.Held[dc]); n != row.Owed[dc] {
+		if row.Owed == nil {
+			row.Owed = map[model.DataCentre]int{}
+		}
+		row.Owed[dc], changed = n, true
+		if n == 0 {
+			delete(row.Owed, dc)
+		}
+	}
+	if changed {
+		c.writeBudget(svc, b, row)
 	}
-	c.writeBudget(svc, b, row)
 }
 
 // writeBudget writes a row on the condition that neither it nor the term changed.
-func (c *Control) writeBudget(svc model.Service, b *budgetPart, row allotRow) {
+func (c *Control) writeBudget(svc model.Service, b *budgetPart, row budgetRow) {
 	val, err := json.Marshal(row)
 	if err != nil {
 		panic(err) // a struct of plain fields always encodes
--- a/internal/control/vmrows.go
+++ b/internal/control/vmrows.go
@@ -59,7 +59,7 @@
 	// ordered is set once the platform has taken the reboot of cur.Request, rebooted once
 	// it has ended.
 	ordered, ordering bool
-	rebooted                  time.Time
+	rebooted          time.Time
 	// repairs counts reboots of the failed VM since it last served.
 	repairs int
 	retryAt time.Time
@@ -108,8 +108,9 @@
 	// readingBudgets is set while the budget rows are read, budgetsRead is when that began.
 	readingBudgets bool
 	budgetsRead    time.Time
-	// need is how much of each budget the newest plan needs.
-	need map[model.Service]int
+	// need is how much of each budget the newest plan needs, stuck how much of that is out
+	// of service and cannot be returned.
+	need, stuck map[model.Service]int
 	// plan is the newest plan.
 	plan maintenance.Plan
 }
--- a/internal/control/waves_test.go
+++ b/internal/control/waves_test.go
@@ -266,3 +266,45 @@
 		require.Equal(t, x.row, merge(x.here, false, x.row))
 	}
 }
+
+// Guards against planned work that keeps a budget of the fleet which failed VMs of another
+// data centre need.
+func TestFailedVMsOfAnotherDataCentreCountFirst(t *testing.T) {
+	inBubble(t, map[model.DataCentre]int{"a": 1, "b": 1}, func(cl *cluster) {
+		at := cl.serving(8, 100)
+		for range 2 { // the VMs of a stay busy, so that they drain for long
+			p, reason := cl.acquire(at, "t", time.Second)
+			require.NotNil(t, p, reason)
+			cl.run(p)
+		}
+		cl.site("v2", 8, map[model.Team]int{"t": 100})
+		s := cl.sites["v2"]
+		s.Budgets = []config.Budget{{Service: "quotes", Scope: config.ScopeFleet, MaxUnavailable: 1}}
+		s.Pools = append(s.Pools, config.Pool{Name: "quotes-b", Service: "quotes"})
+		for i := range s.VMs {
+			if s.VMs[i].DC == "b" {
+				s.VMs[i].Pool = "quotes-b"
+			}
+		}
+		s.Waves = []config.Wave{{Name: "w", Pools: []model.Pool{"quotes"}, Start: time.Now().Add(5 * time.Second), DrainTimeout: time.Minute, Cooldown: time.Minute}}
+		_, err := cl.apply(at, "v2", 1)
+		require.NoError(t, err)
+		cl.eventually(20*time.Second, func() bool {
+			return cl.vm("a", "a-vm-1").State == model.VMDraining || cl.vm("a", "a-vm-2").State == model.VMDraining
+		}, "no VM drains")
+		cl.mu.Lock()
+		cl.down["b-vm-1"] = true
+		cl.mu.Unlock()
+		cl.eventually(10*time.Second, func() bool { return cl.vm("b", "b-vm-1").Suspect }, "not suspect")
+		serving := func() bool {
+			return cl.vm("a", "a-vm-1").State == model.VMServing && cl.vm("a", "a-vm-2").State == model.VMServing
+		}
+		cl.eventually(4*time.Second, serving, "a planned drain goes on beyond the budget")
+		for cl.vm("b", "b-vm-1").State == model.VMServing {
+			require.True(t, serving())
+			cl.wait(50 * time.Millisecond)
+		}
+		cl.eventually(40*time.Second, func() bool { return cl.vm("b", "b-vm-1").State == model.VMServing }, "not repaired")
+		cl.eventually(10*time.Second, func() bool { return !serving() }, "the wave does not go on")
+	})
+}
--- a/standins/minion/fleet.go
+++ b/standins/minion/fleet.go
@@ -76,6 +76,7 @@
 //	GET  /minions/{name}/faults   Faults
 //	PUT  /minions/{name}/faults   Faults
 //	POST /minions/{name}/reboot   Reboot; answers at once
+//	POST /minions/{name}/kill     takes the minion down until a reboot
 func (f *Fleet) Admin() http.Handler {
 	e := echo.New()
 	e.GET("/debug/runs", func(c echo.Context) error { return c.JSON(http.StatusOK, f.Runs()) })
@@ -90,6 +91,10 @@
 	}))
 	e.PUT("/minions/:name/faults", f.with(putFaults))
 	e.POST("/minions/:name/reboot", f.with(postReboot))
+	e.POST("/minions/:name/kill", f.with(func(c echo.Context, m *Minion) error {
+		m.Kill()
+		return c.JSON(http.StatusOK, m.Stats())
+	}))
 	return e
 }
 
--- a/standins/minion/minion.go
+++ b/standins/minion/minion.go
@@ -94,6 +94,10 @@
 	Started              int64 `json:"started"`
 	Finished             int64 `json:"finished"`
 	Reboots              int64 `json:"reboots"`
+	// CutOff counts the jobs that ran when a reboot took the minion down.
+	CutOff int64 `json:"cut_off"`
+	// Up is whether the minion runs.
+	Up bool `json:"up"`
 }
 
 // boot is the state of a minion between two reboots.
@@ -115,9 +119,11 @@
 
 	rebootMu sync.Mutex // serialises Reboot and Close
 	closed   bool       // guarded by rebootMu
+	killed   bool       // guarded by rebootMu
 	boot     atomic.Pointer[boot]
 
-	slotViolations, connViolations, started, finished, reboots atomic.Int64
+	slotViolations, connViolations, started, finished, reboots, cutOff atomic.Int64
+	isUp                                                               atomic.Bool
 }
 
 // Start returns a minion that listens at its address.
@@ -147,6 +153,7 @@
 func (m *Minion) up() error {
 	b := &boot{down: make(chan struct{}), running: map[uint64]RunningJob{}}
 	m.boot.Store(b)
+	m.isUp.Store(true)
 	return m.host.Start(m.routes(b))
 }
 
@@ -168,11 +175,12 @@
 		Name: m.opt.Name, Addr: m.Addr(),
 		SlotViolations: m.slotViolations.Load(), ConnectionViolations: m.connViolations.Load(),
 		Started: m.started.Load(), Finished: m.finished.Load(), Reboots: m.reboots.Load(),
+		CutOff: m.cutOff.Load(), Up: m.isUp.Load(),
 	}
 }
 
 // Reboot resets all connections, loses the running jobs and refuses connections for d.
-// It returns when the minion is up again.
+// It returns when the minion is up again. It also brings up a minion that was killed.
 func (m *Minion) Reboot(d time.Duration) error {
 	m.rebootMu.Lock()
 	defer m.rebootMu.Unlock()
@@ -180,23 +188,40 @@
 		return nil
 	}
 	m.reboots.Add(1)
-	m.goDown()
+	if !m.killed {
+		m.cutOff.Add(int64(m.boot.Load().status(0).Busy))
+		m.goDown()
+	}
+	m.killed = false
 	time.Sleep(d)
 	return m.up()
 }
 
+// Kill takes the minion down until a reboot. Running jobs are lost.
+func (m *Minion) Kill() {
+	m.rebootMu.Lock()
+	defer m.rebootMu.Unlock()
+	if !m.closed && !m.killed {
+		m.killed = true
+		m.goDown()
+	}
+}
+
 // Close stops the minion for good.
 func (m *Minion) Close() {
 	m.rebootMu.Lock()
 	defer m.rebootMu.Unlock()
 	if !m.closed {
 		m.closed = true
-		m.goDown()
+		if !m.killed {
+			m.goDown()
+		}
 		m.host.Close()
 	}
 }
 
 func (m *Minion) goDown() {
+	m.isUp.Store(false)
 	close(m.boot.Load().down)
 	m.host.Stop()
 }
