--- a/bench/cluster/cluster.go
+++ b/bench/cluster/cluster.go
@@ -214,7 +214,12 @@
 // Apply applies files on top of the version in force and waits until they are in force
 // everywhere, or ctx ends. It returns the new version and how long it took.
 func (c *Cluster) Apply(ctx context.Context, files []config.File) (uint64, time.Duration, error) {
-	op, err := c.Operator()
+	return c.ApplyAt(ctx, files)
+}
+
+// ApplyAt is Apply through the given entry VMs, or all.
+func (c *Cluster) ApplyAt(ctx context.Context, files []config.File, names ...model.EntryVM) (uint64, time.Duration, error) {
+	op, err := c.Operator(names...)
 	if err != nil {
 		return 0, 0, err
 	}
--- a/bench/prove/scenarios.go
+++ b/bench/prove/scenarios.go
@@ -26,6 +26,9 @@
 		{Name: "store-down", Shows: "I6 I7 I10: the store down for everyone, coordinator killed meanwhile", Run: storeDown},
 		{Name: "answers-lost", Shows: "I6 I7 I10: answers of the store lost after the write took effect", Run: answersLost},
 		{Name: "silent-connections", Shows: "I5 I6: open connections go silent while new ones work", Run: silentConnections},
+		{Name: "wave", Shows: "I1 I2 I8 I9: maintenance of every VM under load, then VMs change their pools", Site: waveSite, Run: wave},
+		{Name: "wave-faults", Shows: "I1 I8 I9: a wave with failures in one rack, coordinators killed and frozen, the store down", Site: waveSite, Run: waveFaults},
+		{Name: "drain-cut", Shows: "I8: a VM drained while its data centre is cut from the platform", Run: drainCut},
 		{Name: "rolling-restart", Shows: "I9: every entry VM replaced in turn under load", Run: rollingRestart},
 	}
 }
