--- a/bench/prove/waves.go
+++ b/bench/prove/waves.go
@@ -395,11 +395,32 @@
 	return nil
 }
 
-// rackMates returns two VMs of one rack and data centre, of different services.
-func (e *Env) rackMates() (a, b model.VM) {
-	step := e.Site.MinionsPerService / len(e.Site.DataCentres) * len(e.Site.DataCentres)
-	i := e.Rand.IntN(len(e.Site.DataCentres))
-	return sites.MinionName(i), sites.MinionName(i + step)
+// rackMates waits for two VMs of one rack and data centre, of different services, that
+// serve and that the wave has still to maintain, while it maintains others.
+func (e *Env) rackMates(ctx context.Context) (a, b model.VM, err error) {
+	per, dcs := e.Site.MinionsPerService, len(e.Site.DataCentres)
+	err = e.awaitStatus(ctx, settleWithin, func(st *operator.Status) bool {
+		w := waveOf(st)
+		if w == nil || w.Active == 0 {
+			return false
+		}
+		waits := map[model.VM]bool{}
+		for _, v := range st.VMs {
+			waits[v.Name] = v.State == model.VMServing && !v.Suspect && v.Held == "fleet_budget"
+		}
+		for _, i := range e.Rand.Perm(dcs) {
+			// With six minions per service in three data centres, the VMs with the indices i,
+			// i+3, i+6 and i+9 are in one rack; the first two and the last two share a service.
+			for _, x := range [][2]int{{i, i + per}, {i + dcs, i + per}, {i, i + per + dcs}} {
+				a, b = sites.MinionName(x[0]), sites.MinionName(x[1])
+				if waits[a] && waits[b] {
+					return true
+				}
+			}
+		}
+		return false
+	})
+	return a, b, errors.Wrap(err, "prove: no two VMs of a rack wait for the wave")
 }
 
 // waveFaults is a wave with correlated failures, a lost and a frozen coordinator and an
@@ -414,8 +435,10 @@
 	if err := e.startWave(ctx); err != nil {
 		return err
 	}
-	e.Wait(ctx, 3*time.Second)
-	a, b := e.rackMates()
+	a, b, err := e.rackMates(ctx)
+	if err != nil {
+		return err
+	}
 	for _, vm := range []model.VM{a, b} {
 		if err := s.kill(vm); err != nil {
 			return err
