--- a/bench/cluster/cluster.go
+++ b/bench/cluster/cluster.go
@@ -17,6 +17,7 @@
 	"boragepulley/internal/config"
 	"boragepulley/internal/model"
 	"boragepulley/internal/operator"
+	"boragepulley/standins/platform"
 )
 
 const (
@@ -85,7 +86,9 @@
 		o.Site.DataCentres = sites.DataCentres(3, 2)
 	}
 	c := &Cluster{Options: o, entries: make(map[model.EntryVM]*Entry), ports: newPortPicker()}
-	for _, step := range []func() error{c.startPlatform, c.startProxy, c.startMinions, c.startWorkers, c.prepareEntries} {
+	for _, step := range []func() error{
+		c.startPlatform, c.startProxy, c.startMinions, c.startWorkers, c.prepareEntries, c.listUpstreams,
+	} {
 		if err := step(); err != nil {
 			c.Close()
 			return nil, err
@@ -169,6 +172,15 @@
 	return nil
 }
 
+// listUpstreams puts the upstream VMs on the platform's list.
+func (c *Cluster) listUpstreams() error {
+	var all []platform.VMChange
+	for i := range c.Site.Minions() {
+		all = append(all, platform.VMChange{Name: string(sites.MinionName(i)), State: platform.VMLive})
+	}
+	return admin(http.MethodPost, c.platformAddr, platform.PathSetVM, all, nil)
+}
+
 // Close ends every process.
 func (c *Cluster) Close() {
 	if c.stopBalancer != nil {
--- a/bench/cluster/entries.go
+++ b/bench/cluster/entries.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
@@ -11,6 +12,7 @@
 
 	"boragepulley/bench/proc"
 	"boragepulley/internal/model"
+	"boragepulley/standins/platform"
 )
 
 // prepareEntries chooses addresses, adds the links between all processes and writes the
@@ -34,7 +36,7 @@
 // writeSettings writes the settings of one entry VM. It reaches its peers and the
 // platform through links of its own, so that a fault can concern one direction.
 func (c *Cluster) writeSettings(e *Entry) error {
-	platform, err := c.addLink("platform/"+string(e.DC)+"/"+string(e.Name), c.platformAddr)
+	link, err := c.addLink("platform/"+string(e.DC)+"/"+string(e.Name), c.platformAddr)
 	if err != nil {
 		return err
 	}
@@ -42,7 +44,7 @@
 	fmt.Fprintf(&b, "name = %q\ndata_centre = %q\n", e.Name, e.DC)
 	fmt.Fprintf(&b, "caller_listen = %q\noperator_listen = %q\npeer_listen = %q\n", e.Caller, e.Operator, e.Peer)
 	fmt.Fprintf(&b, "operator_token = %q\nlog_level = %q\n", OperatorToken, c.LogLevel)
-	fmt.Fprintf(&b, "platform_url = \"http://%s\"\nbalancer_grace = \"500ms\"\ndrain_timeout = %q\n", platform, drainTimeout)
+	fmt.Fprintf(&b, "platform_url = \"http://%s\"\nbalancer_grace = \"500ms\"\ndrain_timeout = %q\n", link, drainTimeout)
 	for _, n := range c.names {
 		p := c.entries[n]
 		addr := p.Peer
@@ -70,7 +72,12 @@
 		return err
 	}
 	e.proc = p
-	return nil
+	return c.list(string(n), platform.VMLive)
+}
+
+// list tells the platform's list of VMs about a change, which it shows after its lag.
+func (c *Cluster) list(name string, s platform.VMState) error {
+	return admin(http.MethodPost, c.platformAddr, platform.PathSetVM, []platform.VMChange{{Name: name, State: s}}, nil)
 }
 
 // StartEntries starts all daemons.
@@ -84,7 +91,10 @@
 }
 
 // Kill ends a daemon at once.
-func (c *Cluster) Kill(n model.EntryVM) { c.entries[n].proc.Kill() }
+func (c *Cluster) Kill(n model.EntryVM) error {
+	c.entries[n].proc.Kill()
+	return c.list(string(n), platform.VMGone)
+}
 
 // Pause stops a daemon without ending it.
 func (c *Cluster) Pause(n model.EntryVM) error { return c.entries[n].proc.Pause() }
@@ -94,7 +104,13 @@
 
 // Terminate shuts a daemon down gracefully.
 func (c *Cluster) Terminate(n model.EntryVM, within time.Duration) error {
-	return c.entries[n].proc.Terminate(within)
+	if err := c.list(string(n), platform.VMLeaving); err != nil {
+		return err
+	}
+	if err := c.entries[n].proc.Terminate(within); err != nil {
+		return err
+	}
+	return c.list(string(n), platform.VMGone)
 }
 
 // Running reports whether the daemon runs.
--- a/bench/prove/scenario.go
+++ b/bench/prove/scenario.go
@@ -166,7 +166,9 @@
 func (e *Env) KillEntry(n model.EntryVM) {
 	e.Say("Killing %s.", n)
 	e.killed[n] = true
-	e.Cluster.Kill(n)
+	if err := e.Cluster.Kill(n); err != nil {
+		e.Fail("stand-in", "%v", err)
+	}
 }
 
 // Heal removes all faults, resumes and restarts all entry VMs.
--- a/cmd/bpbench/main.go
+++ b/cmd/bpbench/main.go
@@ -16,6 +16,7 @@
 
 	"boragepulley/bench/demo"
 	"boragepulley/bench/prove"
+	"boragepulley/bench/up"
 )
 
 type cli struct {
@@ -24,9 +25,18 @@
 	Seed uint64 `default:"1" help:"Seed of everything random in the load and the faults."`
 
 	Demo  demoCmd  `cmd:"" help:"Run the whole path once and compare the report with the callers."`
+	Up    upCmd    `cmd:"" help:"Run a small site until interrupted, for trying things by hand."`
 	Prove proveCmd `cmd:"" help:"Show the invariants under injected faults."`
 }
 
+type upCmd struct {
+	Load bool `help:"Put a light load on the site."`
+}
+
+func (u upCmd) Run(ctx context.Context, c *cli) error {
+	return up.Run(ctx, up.Options{Bin: c.Bin, Dir: c.Dir, Seed: c.Seed, Load: u.Load}, os.Stdout)
+}
+
 type proveCmd struct {
 	Duration time.Duration `default:"60s" help:"Duration of the long scenarios."`
 	Scenario []string      `help:"Run only these scenarios."`
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -108,6 +108,7 @@
 	})
 	d.callers = caller.New(caller.Config{
 		Entry: d.self.Entry, Jobs: d.jobs, Snapshot: snapshot, Lookup: d.links, Log: log, BodyTimeout: d.set.BodyTimeout,
+		MaxRequests: d.set.MaxRequests,
 	})
 	names := make([]model.EntryVM, 0, len(d.set.Peers))
 	for _, p := range d.set.Peers {
@@ -201,7 +202,7 @@
 			for _, vm := range site.VMs {
 				byAddr[vm.Addr] = vm.Connections / entries
 			}
-			d.minions.SetLimits(upstream.DefaultConnections/entries, byAddr)
+			d.minions.SetLimits(upstream.DefaultConnections, byAddr)
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/dispatch/claimjob.go
+++ b/internal/dispatch/claimjob.go
@@ -74,7 +74,7 @@
 		s.end(j, model.ReasonDuplicateID, "job "+string(row.Job)+" has this request id and another queue, kind or body")
 		return true
 	}
-	res := s.original(j.ctx, row.Job)
+	res := unfinished(s.original(j.ctx, row.Job))
 	if mayReclaim && res.Outcome() == model.OutcomeNotRun {
 		return false
 	}
@@ -85,6 +85,16 @@
 	return true
 }
 
+// unfinished gives the result of a job that still runs at the repeat's deadline a
+// reason that its caller can understand; the reason of its last step is not one.
+func unfinished(r model.Result) model.Result {
+	if r.Outcome() == model.OutcomeUnknown && r.State != model.StateUnknown {
+		r.State, r.Reason = model.StateUnknown, model.ReasonDeadlineRunning
+		r.Detail = "the job with this request id was still running at the deadline; ask for its state later"
+	}
+	return r
+}
+
 // original waits for the result of a claimed job until ctx ends. What cannot be found
 // out is unknown.
 func (s *Service) original(ctx context.Context, id model.JobID) model.Result {
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -699,3 +699,14 @@
 		require.Equal(t, "X", string((<-done).Body))
 	})
 }
+
+// Guards against an unknown outcome that gives the reason of a step, such as "granted".
+func TestUnfinishedOriginalHasReason(t *testing.T) {
+	r := unfinished(model.Result{State: model.StateDispatched, Reason: model.ReasonGranted})
+	require.Equal(t, model.OutcomeUnknown, r.Outcome())
+	require.Equal(t, model.ReasonDeadlineRunning, r.Reason)
+	lost := model.Result{State: model.StateUnknown, Reason: model.ReasonAnswerLost}
+	require.Equal(t, lost, unfinished(lost))
+	ran := model.Result{State: model.StateRan}
+	require.Equal(t, ran, unfinished(ran))
+}
