admission: wake up teams whose lost attempts a reboot ends

Cause: 4,606 random sequences found a request that waited while a minion was free: its team was at its allotment through a lost attempt for another service, and the reboot that ended the attempt woke up only the rebooted VM's service. Change: a reboot also wakes up the services for which these teams wait; example test for it. Tests for the queue bound, forwarding on a long wait and remote usage. The random sequences now let a failed VM reboot with jobs on it, which end, and start nothing while it reboots; before, they kept such jobs running through a reboot, which no VM does.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -264,3 +264,45 @@
 	q.From.Entry = "e1"
 	one(t, a.Submit(epoch, q), EffectGrant)
 }
+
+// Guards against a queue without bound and against refusing what another data centre can run.
+func TestQueueBoundAndLongWait(t *testing.T) {
+	f := small
+	f.maxWaiting = 7
+	a := f.start(epoch)
+	for i := range 8 {
+		a.Submit(epoch, acquire(i, 0, "q0", time.Minute))
+	}
+	require.Equal(t, model.ReasonQueueFull, one(t, a.Submit(epoch, acquire(8, 0, "q0", time.Minute)), EffectRefuse).Reason)
+	require.Empty(t, a.Submit(epoch, acquire(9, 1, "late0", time.Minute)), "the bound is per queue")
+	a.SetRemoteUsage(epoch, "b", nil, map[model.Service]int{"s0": 2})
+	one(t, a.Submit(epoch, acquire(10, 0, "q0", time.Minute)), EffectForward)
+	one(t, a.Submit(epoch, acquire(11, 0, "late0", time.Hour)), EffectForward) // 0.7 s of earlier work at the assumed 0.1 s each
+	require.Empty(t, a.Submit(epoch, acquire(12, 0, "late0", time.Hour)), "the reported slots are used up")
+}
+
+// Guards against shares that only count this data centre, and against counts of a data
+// centre that is no longer heard.
+func TestRemoteUsageCountsForShares(t *testing.T) {
+	for age, first := range map[time.Duration]model.JobID{3 * time.Second: "j000002", 3*time.Second + 1: "j000001"} {
+		a, now := small.start(epoch), epoch.Add(age)
+		p := one(t, a.Submit(epoch, acquire(0, 2, "q0", time.Minute)), EffectGrant).Permit
+		a.SetRemoteUsage(epoch, "b", map[model.Team]int{teamName(0): 5}, nil)
+		require.Empty(t, a.Submit(now, acquire(1, 0, "q0", time.Minute)))
+		require.Empty(t, a.Submit(now, acquire(2, 1, "q0", time.Minute)))
+		require.Equal(t, first, one(t, a.Release(now, release(p, peer.AttemptOK)), EffectGrant).Job)
+	}
+}
+
+// Guards against a team that stays at its limit after a reboot ended its lost attempt
+// for another service.
+func TestRebootFreesTeamUsage(t *testing.T) {
+	f := small
+	f.services, f.limit = 2, 1
+	a := f.start(epoch)
+	p := one(t, a.Submit(epoch, acquire(1, 0, "q0", time.Minute)), EffectGrant).Permit
+	a.Release(epoch, release(p, peer.AttemptLost))
+	require.Empty(t, a.Submit(epoch, acquire(2, 0, "q1", time.Minute)))
+	require.Empty(t, a.SetMinionState(epoch, p.Minion, model.VMRebooting))
+	require.Equal(t, model.JobID("j000002"), one(t, a.SetMinionState(epoch, p.Minion, model.VMServing), EffectGrant).Job)
+}
--- a/internal/admission/property_test.go
+++ b/internal/admission/property_test.go
@@ -265,6 +265,9 @@
 
 func (w *world) start(t *rapid.T) {
 	k, p := w.permit(t, false)
+	if w.states[p.Minion] == model.VMRebooting {
+		t.Skip("nothing starts while the VM reboots")
+	}
 	w.grants++
 	w.started[k] = true
 	w.running[p.Minion][k] = p.Team
@@ -397,8 +400,8 @@
 			"state": w.rare(func(t *rapid.T) {
 				vm := w.vm(t)
 				st := rapid.SampledFrom([]model.VMState{model.VMServing, model.VMServing, model.VMDraining, model.VMRebooting}).Draw(t, "state")
-				if st == model.VMRebooting && len(w.running[vm]) > 0 {
-					t.Skip("a VM reboots only when empty")
+				if st == model.VMRebooting {
+					clear(w.running[vm]) // a failed VM reboots with jobs on it
 				}
 				w.states[vm] = st
 				w.apply(w.a.SetMinionState(w.now, vm, st))
--- a/internal/admission/site.go
+++ b/internal/admission/site.go
@@ -177,7 +177,13 @@
 		return out
 	}
 	blocked := a.blockedSlots()
+	d := make(touched)
 	if m.state == model.VMRebooting && st != model.VMFailed {
+		for _, p := range m.permits {
+			if p.state != permitOutstanding {
+				d.addTeam(a.team(p.Team))
+			}
+		}
 		a.clearMinion(m)
 		m.failures, m.ejected, m.probeAt, m.backoff = 0, false, time.Time{}, 0
 	}
@@ -186,7 +192,8 @@
 		m.service.limitEjections()
 	}
 	out = append(out, a.forwardStranded(now)...)
-	return append(out, a.pump(now, a.touchedBy(m, blocked))...)
+	maps.Copy(d, a.touchedBy(m, blocked))
+	return append(out, a.pump(now, d)...)
 }
 
 // touchedBy returns the services that may start work after a change of m: its own, and
