--- a/bench/cluster/faults.go
+++ b/bench/cluster/faults.go
@@ -5,12 +5,14 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/url"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"boragepulley/bench/load"
 	"boragepulley/internal/model"
+	table "boragepulley/internal/platform"
 	"boragepulley/standins/faultproxy"
 	"boragepulley/standins/minion"
 	"boragepulley/standins/platform"
@@ -149,3 +151,11 @@
 func (c *Cluster) ResetTags() error {
 	return admin(http.MethodPost, c.minionAdmin, "/debug/tags/reset", nil, nil)
 }
+
+// TableRows returns the rows of the platform's table whose keys start with a prefix. The
+// platform must not be in an outage.
+func (c *Cluster) TableRows(prefix string) ([]table.Row, error) {
+	var a table.RowsAnswer
+	path := table.PathRows + "?limit=10000&prefix=" + url.QueryEscape(prefix)
+	return a.Rows, admin(http.MethodGet, c.platformAddr, path, nil, &a)
+}
--- a/bench/load/caller.go
+++ b/bench/load/caller.go
@@ -35,6 +35,9 @@
 	Deadline time.Duration
 	// AnswerBytes pads the answer.
 	AnswerBytes int
+	// Tag groups requests whose starts and concurrency the minions record; empty selects
+	// the team.
+	Tag string
 	// Entry selects one entry VM by name; empty lets the balancer choose.
 	Entry string
 	// Content makes the body distinct; 0 selects the request's number. A repeated request
@@ -123,7 +126,11 @@
 	if content == 0 {
 		content = s.Number
 	}
-	return fmt.Appendf(nil, `{"run_ms":%d,"answer_bytes":%d,"tag":%q,"number":%d}`, s.Run.Milliseconds(), s.AnswerBytes, s.Team, content)
+	tag := s.Tag
+	if tag == "" {
+		tag = s.Team
+	}
+	return fmt.Appendf(nil, `{"run_ms":%d,"answer_bytes":%d,"tag":%q,"number":%d}`, s.Run.Milliseconds(), s.AnswerBytes, tag, content)
 }
 
 func (c *Callers) send(ctx context.Context, s *Seen) {
--- a/bench/prove/run.go
+++ b/bench/prove/run.go
@@ -51,6 +51,9 @@
 	if r.Error != "" {
 		fmt.Fprintf(o.Out, "    %s\n", r.Error)
 	}
+	for _, f := range r.Figures {
+		fmt.Fprintf(o.Out, "    %s\n", f)
+	}
 	for _, l := range load.Summarize(r.Faults) {
 		fmt.Fprintf(o.Out, "    %s\n", l)
 	}
--- a/bench/prove/scenario.go
+++ b/bench/prove/scenario.go
@@ -56,11 +56,12 @@
 	Seed     uint64
 	Duration time.Duration
 
-	out    io.Writer
-	killed map[model.EntryVM]bool
+	out io.Writer
 
-	mu     sync.Mutex // guards faults
-	faults []load.Fault
+	mu      sync.Mutex // guards the fields below
+	killed  map[model.EntryVM]bool
+	faults  []load.Fault
+	figures []Figure
 }
 
 // Options of a run.
@@ -80,8 +81,10 @@
 	Requests map[load.Verdict]int `json:"requests"`
 	// Reasons counts the requests that did not run, or of unknown outcome, by reason.
 	Reasons map[model.Reason]int `json:"reasons,omitempty"`
-	Faults  []load.Fault         `json:"faults,omitempty"`
-	Error   string               `json:"error,omitempty"`
+	// Figures are what the scenario measured.
+	Figures []Figure     `json:"figures,omitempty"`
+	Faults  []load.Fault `json:"faults,omitempty"`
+	Error   string       `json:"error,omitempty"`
 }
 
 // OK reports whether every promise held.
@@ -107,7 +110,8 @@
 	if e != nil {
 		r.Requests = load.Verdicts(e.Callers.Seen())
 		r.Reasons = load.Reasons(e.Callers.Seen())
-		r.Faults = e.faults
+		e.measureCallers()
+		r.Faults, r.Figures = e.faults, e.figures
 	}
 	if err != nil {
 		r.Error = err.Error()
@@ -165,10 +169,24 @@
 // KillEntry kills an entry VM at once; the account may then have a gap there.
 func (e *Env) KillEntry(n model.EntryVM) {
 	e.Say("Killing %s.", n)
-	e.killed[n] = true
+	e.lose(n)
 	e.Cluster.Kill(n)
 }
 
+// lose notes that callers of an entry VM may see broken connections, because it is
+// killed or paused.
+func (e *Env) lose(n model.EntryVM) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.killed[n] = true
+}
+
+func (e *Env) lost(n model.EntryVM) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.killed[n]
+}
+
 // Heal removes all faults, resumes and restarts all entry VMs.
 func (e *Env) Heal(ctx context.Context) error {
 	if err := e.Link(faultproxy.ActionHeal, ""); err != nil {
@@ -274,7 +292,7 @@
 func (e *Env) judgeGaps(r *account.Report) []load.Fault {
 	var out []load.Fault
 	for _, g := range r.Gaps {
-		if !e.killed[g.Entry] {
+		if !e.lost(g.Entry) {
 			out = append(out, load.Fault{Kind: load.FaultReportDiffers, Detail: fmt.Sprintf("gap without a lost entry VM: %+v", g)})
 		}
 	}
@@ -285,7 +303,7 @@
 func (e *Env) judgeBroken(seen []load.Seen) []load.Fault {
 	var out []load.Fault
 	for _, s := range seen {
-		if s.Verdict == load.SawBroken && !e.killed[model.EntryVM(s.Entry)] {
+		if s.Verdict == load.SawBroken && !e.lost(model.EntryVM(s.Entry)) {
 			out = append(out, load.CutOff(s))
 		}
 	}
--- a/bench/prove/scenarios.go
+++ b/bench/prove/scenarios.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -16,6 +17,12 @@
 
 // All returns every scenario.
 func All() []Scenario {
+	return slices.Concat(basics(), configScenarios(), keyScenarios(), limitScenarios(), onceScenarios(),
+		minionScenarios(), callerScenarios(), stormScenarios())
+}
+
+// basics are the scenarios of one fault each under ordinary load.
+func basics() []Scenario {
 	return []Scenario{
 		{Name: "coordinator-killed", Shows: "I4 I5 I6 I7, slots: kill -9 of the coordinator under load", Run: coordinatorKilled},
 		{Name: "coordinator-paused", Shows: "I4 I6 I7, slots: coordinator frozen past its lease, then resumed", Run: coordinatorPaused},
@@ -128,7 +135,7 @@
 		return err
 	}
 	// Requests at the paused entry VM are answered late; their callers may give up.
-	e.killed[old] = true
+	e.lose(old)
 	if _, err := e.awaitCoordinator(ctx, dc, old, start); err != nil {
 		return err
 	}
