dispatch: a queued request whose key is withdrawn is told so after its entry VM resumes

Cause: requests that waited at an entry VM while it was paused ask the coordinator again after it resumes. The coordinator no longer knows the key and answers key_unknown, which was passed on to callers whose key had been accepted.

Ruled out: the requests were not accepted after the withdrawal (sent 4 s before it), and no minion started them (starts per entry VM did not change).

Change: a key that the coordinator does not know is reported as key_withdrawn, because a job asks for a permit only after its key was checked.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -67,6 +67,22 @@
 	}
 }
 
+// Guards against a job that is told that its key was never known: the key was withdrawn
+// while the job's entry VM had no coordinator to wait at.
+func TestKeyWithdrawnBeforeAcquire(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(1)
+		r.ctl.acquire = func(context.Context, control.Attempt) (peer.AcquireReply, bool, error) {
+			return peer.AcquireReply{Refused: model.ReasonBadKey, Detail: "configuration version 2"}, true, nil
+		}
+		res := r.Submit(context.Background(), input("body", true))
+		require.Equal(t, model.StateRefused, res.State)
+		require.Equal(t, model.ReasonKeyWithdrawn, res.Reason)
+		require.Empty(t, r.minions.calls)
+		r.settled(t)
+	})
+}
+
 // Guards against endless attempts and against a final reason that hides that the job
 // itself is at fault.
 func TestAttemptsExhausted(t *testing.T) {
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -68,7 +68,7 @@
 			j.hops = 1
 			continue
 		case rep.Permit == nil:
-			s.end(j, reasonOr(rep.Refused, model.ReasonNoMinion), rep.Detail)
+			s.end(j, refusedBecause(rep.Refused), rep.Detail)
 			return
 		}
 		if !s.attempt(j, rep.Permit, &fails) {
@@ -81,6 +81,16 @@
 	}
 }
 
+// refusedBecause returns the reason of a job that the coordinator refused. The key of a
+// job is checked before the job is started, so one that the coordinator does not know
+// was withdrawn since.
+func refusedBecause(r model.Reason) model.Reason {
+	if r == model.ReasonBadKey {
+		return model.ReasonKeyWithdrawn
+	}
+	return reasonOr(r, model.ReasonNoMinion)
+}
+
 func reasonOr(r, other model.Reason) model.Reason {
 	if r == model.ReasonNone {
 		return other
