--- a/bench/load/caller.go
+++ b/bench/load/caller.go
@@ -255,9 +255,18 @@
 		s.Verdict, s.Detail = SawWrong, "answer to another request"
 	case a.Job != string(s.Job):
 		s.Verdict, s.Detail = SawWrong, "answer of another job"
-	case len(a.Padding) != s.AnswerBytes:
-		s.Verdict, s.Detail = SawWrong, "answer too short"
+	case a.Padding != padding(s.AnswerBytes):
+		s.Verdict, s.Detail = SawWrong, "answer altered or too short"
 	default:
 		s.Verdict = SawRan
 	}
 }
+
+// padding is what a minion pads its answer with.
+func padding(n int) string {
+	p := make([]byte, n)
+	for i := range p {
+		p[i] = 'a' + byte(i%26)
+	}
+	return string(p)
+}
--- a/bench/prove/limits.go
+++ b/bench/prove/limits.go
@@ -17,6 +17,7 @@
 func limitScenarios() []Scenario {
 	return []Scenario{
 		{Name: "limits-faults", Shows: "I4: demand far above low limits while coordinators and entry VMs are killed, paused and cut off", Site: limitSite, Run: limitsFaults},
+		{Name: "slots-takeover", Shows: "slots: every slot is busy while coordinators are paused, resumed and killed", Site: slotSite, Run: slotsTakeover},
 		{Name: "limits-move", Shows: "I4: demand moves from one data centre to another and is served", Site: limitSite, Run: limitsMove},
 	}
 }
@@ -37,6 +38,34 @@
 	return o
 }
 
+// slotSite has far fewer slots than the demand, and limits that leave all of them to
+// every team.
+func slotSite() sites.Options {
+	o := smallSite()
+	o.Services, o.MinionsPerService = 1, 6
+	slots := o.MinionsPerService * 8
+	o.Limits = []int{slots, slots, slots, slots, slots, slots}
+	return o
+}
+
+// slotsTakeover is judged by the minions, which count requests beyond their slots.
+func slotsTakeover(ctx context.Context, e *Env) error {
+	f := e.demand(ctx, e.Entries(), 4, 400*time.Millisecond)
+	defer f.stop()
+	e.Wait(ctx, 2*time.Second)
+	for range 2 {
+		if err := e.pauseCoordinator(ctx, e.target(), 3*time.Second); err != nil {
+			return err
+		}
+		e.Wait(ctx, 1500*time.Millisecond)
+		if err := e.killCoordinator(ctx, e.target()); err != nil {
+			return err
+		}
+		e.Wait(ctx, 1500*time.Millisecond)
+	}
+	return nil
+}
+
 // demand keeps requests of every team in flight at entry VMs.
 func (e *Env) demand(ctx context.Context, entries []model.EntryVM, perTeam int, run time.Duration) floods {
 	var f floods
--- /dev/null
+++ b/bench/prove/mutants/list.go
@@ -0,0 +1,103 @@
+package mutants
+
+import (
+	"boragepulley/bench/load"
+	"boragepulley/bench/prove"
+)
+
+// Edit replaces one text of one file.
+type Edit struct {
+	// File is relative to the module's root.
+	File string
+	// Old must occur exactly once in the file.
+	Old, New string
+}
+
+// Mutant is one broken rule.
+type Mutant struct {
+	Name  string
+	Edits []Edit
+	// Scenario must notice the mutant with a fault of the kind Expect.
+	Scenario string
+	Seed     uint64
+	Expect   load.FaultKind
+}
+
+// All returns every mutant. A rule that two places guard is broken in both, because one
+// alone would change nothing that can be seen.
+func All() []Mutant {
+	return []Mutant{
+		{
+			Name: "configuration steps back", Scenario: "config-burst", Seed: 1, Expect: prove.FaultVersionBack,
+			Edits: []Edit{
+				{"internal/control/configuration.go", "if h.Version > c.cfg.newest() {", "if h.Version != c.cfg.newest() {"},
+				{"internal/control/configuration.go", "if v.doc.Version <= c.cfg.newest() {", "if v.doc.Version == c.cfg.newest() {"},
+				{"internal/control/configuration.go", "|| c.cfg.version() >= n {", "|| c.cfg.version() == n {"},
+				{"internal/control/configuration.go", "if !invariant.Check(n > old, invariant.ConfigNeverReverts,", "if !invariant.Check(true, invariant.ConfigNeverReverts,"},
+				// The answer of the table arrives late.
+				{"internal/control/configuration.go", "row, err := c.d.Table.Get(ctx, platform.PriorityConfig, headKey)", "row, err := c.d.Table.Get(ctx, platform.PriorityConfig, headKey)\n\t\tsleep(ctx, storeTimeout/4)"},
+			},
+		},
+		{
+			Name: "no key check before the dispatch", Scenario: "key-isolated", Seed: 1, Expect: prove.FaultKeyWorks,
+			Edits: []Edit{{"internal/control/gate.go", "		r = checkKey(c.Snapshot(), p, keyID, now)", "		r = model.ReasonNone"}},
+		},
+		{
+			Name: "queued requests keep a withdrawn key", Scenario: "key-withdrawn", Seed: 1, Expect: prove.FaultInvariant,
+			Edits: []Edit{{"internal/admission/site.go", "if reason := a.authorize(r.queue, r.keyID, r.team); reason != model.ReasonNone {", "if reason := a.authorize(r.queue, r.keyID, r.team); reason == model.ReasonUnknownQueue {"}},
+		},
+		{
+			Name: "team limit exceeded by one per data centre", Scenario: "limits-faults", Seed: 1, Expect: prove.FaultLimit,
+			Edits: []Edit{{"internal/admission/grant.go", "- t.permits - t.tasks - blocked", "- t.permits - t.tasks - blocked + 1"}},
+		},
+		{
+			Name: "slots of unknown use are free after a takeover", Scenario: "slots-takeover", Seed: 1, Expect: load.FaultMinionLimits,
+			Edits: []Edit{
+				{"internal/admission/minion.go", "	if !m.answered {\n		return max(m.slots, len(m.permits))", "	if !m.answered {\n		return len(m.permits)"},
+				{"internal/admission/minion.go", "return len(m.permits) + len(m.unattributed)", "return len(m.permits)"},
+				{"internal/admission/minion.go", "m.state == model.VMServing && m.answered && m.used()", "m.state == model.VMServing && m.used()"},
+			},
+		},
+		{
+			Name: "a resumed coordinator is not checked", Scenario: "slots-takeover", Seed: 1, Expect: load.FaultMinionLimits,
+			Edits: []Edit{
+				{"internal/control/gate.go", "	case g.self && now.After(g.until):", "	case false:"},
+				{"internal/control/gate.go", "	case p.Token.Less(g.token):", "	case false:"},
+				{"internal/control/gate.go", "	case !g.self && now.Sub(g.heardAt) > LeaseTTL:", "	case false:"},
+				{"internal/control/gate.go", "case !ok || h.permit != p || h.session != g.session || now.After(p.NotAfter):", "case !ok || h.permit != p:"},
+				{"internal/control/gate.go", "if p.Token.Less(g.token) || session != g.session {", "if false {"},
+			},
+		},
+		{
+			Name: "no claim", Scenario: "once-faults", Seed: 1, Expect: load.FaultRanTwice,
+			Edits: []Edit{{"internal/dispatch/claimjob.go", `if j.req.Idempotent || j.req.RequestID == "" || j.hasClaim {`, "if j != nil {"}},
+		},
+		{
+			Name: "a claim in conflict counts as held", Scenario: "once-faults", Seed: 1, Expect: load.FaultRanTwice,
+			Edits: []Edit{{"internal/dispatch/claims.go", "		case errors.Is(err, platform.ErrConflict):\n			c.resolveEach(g)", "		case errors.Is(err, platform.ErrConflict):\n			for _, a := range g {\n				c.deliver(a, claimResult{held: true})\n			}"}},
+		},
+		{
+			Name: "a non-idempotent job that may have started is tried again", Scenario: "minion-all-bad", Seed: 1, Expect: load.FaultRanTwice,
+			Edits: []Edit{{"internal/dispatch/retry.go", "	case failLost, failNotWhole, failStatus:\n		return idempotent", "	case failLost, failNotWhole, failStatus:\n		return true"}},
+		},
+		{
+			Name: "the digest of an answer is not checked", Scenario: "minion-faults", Seed: 1, Expect: load.FaultWrongAnswer,
+			Edits: []Edit{{"internal/upstream/wire.go", "; !strings.EqualFold(got, want) {", "; got == want+want {"}},
+		},
+		{
+			Name: "a job that may have run is reported as not run", Scenario: "minion-all-bad", Seed: 1, Expect: load.FaultFalseRefusal,
+			Edits: []Edit{{"internal/dispatch/run.go", "	case lost:\n		f.state = model.StateUnknown", "	case lost:\n		f.state = model.StateRefused"}},
+		},
+		{
+			Name: "a graceful shutdown does not wait for answers", Scenario: "rolling-restart", Seed: 1, Expect: load.FaultCutOff,
+			Edits: []Edit{
+				{"internal/daemon/shutdown.go", "if e := d.jobs.Wait(ctx); e != nil {", "if e := ctx.Err(); e != nil {"},
+				{"internal/caller/server.go", "s.http.Shutdown(ctx)", "s.http.Close()"},
+			},
+		},
+		{
+			Name: "no copies of records", Scenario: "records-copied", Seed: 1, Expect: prove.FaultGapLong,
+			Edits: []Edit{{"internal/account/holder.go", "		c.batches[sequence] = payload\n", ""}},
+		},
+	}
+}
--- /dev/null
+++ b/bench/prove/records.go
@@ -0,0 +1,85 @@
+package prove
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"boragepulley/bench/load"
+	"boragepulley/internal/account"
+	"boragepulley/internal/model"
+	"boragepulley/standins/platform"
+)
+
+func recordScenarios() []Scenario {
+	return []Scenario{
+		{Name: "records-copied", Shows: "account: an entry VM is killed while the store is down; its peer stores its records", Run: recordsCopied},
+	}
+}
+
+// FaultGapLong is a gap that reaches back further than the copies allow.
+const FaultGapLong load.FaultKind = "records were lost although a peer should have had copies"
+
+// copyWithin bounds how much of the end of an entry VM's account may be lost: its
+// records are copied to a peer every second, and a copy takes a moment.
+const copyWithin = 2 * time.Second
+
+func recordsCopied(ctx context.Context, e *Env) error {
+	stop := e.Load(ctx, defaultMix())
+	defer stop()
+	e.Wait(ctx, 2*time.Second)
+	e.Say("The store is down.")
+	if err := e.PlatformFaults(platform.Faults{Outage: platform.OutageRefuse}); err != nil {
+		return err
+	}
+	e.Wait(ctx, 6*time.Second)
+	n := e.pickEntries(1)[0]
+	killed := time.Now()
+	e.KillEntry(n)
+	e.Wait(ctx, 3*time.Second)
+	e.Say("The store is back.")
+	if err := e.PlatformFaults(platform.Faults{}); err != nil {
+		return err
+	}
+	stop()
+	if err := e.Heal(ctx); err != nil {
+		return err
+	}
+	return e.judgeCopies(ctx, n, killed)
+}
+
+// judgeCopies reads the report until the peer has stored its copies, which waits for its
+// circuit breaker and its next round, at most for settleWithin.
+func (e *Env) judgeCopies(ctx context.Context, n model.EntryVM, killed time.Time) error {
+	start := time.Now()
+	for {
+		r, err := e.finalReport(ctx)
+		if err != nil {
+			return err
+		}
+		g, ok := gapOf(r, n)
+		if !ok {
+			return errors.Errorf("prove: the report shows no gap of %s, which was killed", n)
+		}
+		short := killed.Sub(g.From) <= copyWithin
+		if short || time.Since(start) > settleWithin {
+			e.measureTime(killed.Sub(g.From), "end of the account of %s that is lost", n)
+			e.measureTime(time.Since(start), "until the copies were in the report")
+			if !short {
+				e.Fail(FaultGapLong, "%s was killed at %v; gap: %+v", n, killed.UTC(), g)
+			}
+			return nil
+		}
+		e.Wait(ctx, 500*time.Millisecond)
+	}
+}
+
+func gapOf(r *account.Report, n model.EntryVM) (account.Gap, bool) {
+	for _, g := range r.Gaps {
+		if g.Entry == n {
+			return g, true
+		}
+	}
+	return account.Gap{}, false
+}
--- a/bench/prove/run.go
+++ b/bench/prove/run.go
@@ -67,3 +67,13 @@
 	}
 	return false
 }
+
+// Find returns the scenario with a name.
+func Find(name string) (Scenario, bool) {
+	for _, s := range All() {
+		if s.Name == name {
+			return s, true
+		}
+	}
+	return Scenario{}, false
+}
--- a/bench/prove/scenarios.go
+++ b/bench/prove/scenarios.go
@@ -18,7 +18,7 @@
 // All returns every scenario.
 func All() []Scenario {
 	return slices.Concat(basics(), configScenarios(), keyScenarios(), limitScenarios(), onceScenarios(),
-		minionScenarios(), callerScenarios(), stormScenarios())
+		minionScenarios(), callerScenarios(), recordScenarios(), stormScenarios())
 }
 
 // basics are the scenarios of one fault each under ordinary load.
--- a/bench/prove/storm.go
+++ b/bench/prove/storm.go
@@ -27,7 +27,7 @@
 func stormSite() sites.Options {
 	return sites.Options{
 		Name: "prove", DataCentres: sites.DataCentres(3, 2), Services: 5, MinionsPerService: 10,
-		MaxRun: 5 * time.Second, Deadline: 8 * time.Second, Limits: []int{60, 60, 24, 24, 12, 9},
+		MaxRun: 5 * time.Second, Deadline: 8 * time.Second, Limits: []int{9, 9, 6, 6, 4, 3},
 	}
 }
 
--- a/cmd/bpbench/main.go
+++ b/cmd/bpbench/main.go
@@ -16,6 +16,7 @@
 
 	"boragepulley/bench/demo"
 	"boragepulley/bench/prove"
+	"boragepulley/bench/prove/mutants"
 )
 
 type cli struct {
@@ -25,6 +26,19 @@
 
 	Demo  demoCmd  `cmd:"" help:"Run the whole path once and compare the report with the callers."`
 	Prove proveCmd `cmd:"" help:"Show the invariants under injected faults."`
+
+	Mutants mutantsCmd `cmd:"" help:"Show that the scenarios notice a daemon with a broken rule."`
+}
+
+type mutantsCmd struct {
+	Module   string   `default:"." type:"existingdir" help:"Root of the module."`
+	Mutant   []string `help:"Run only these mutants."`
+	Parallel int      `default:"2" help:"Mutants at the same time."`
+}
+
+func (m mutantsCmd) Run(ctx context.Context, c *cli) error {
+	_, err := mutants.Run(ctx, mutants.Options{Module: m.Module, Bin: c.Bin, Dir: c.Dir, Only: m.Mutant, Parallel: m.Parallel, Out: os.Stdout})
+	return err
 }
 
 type proveCmd struct {
