--- a/bench/prove/scenario.go
+++ b/bench/prove/scenario.go
@@ -56,11 +56,12 @@
 	Seed     uint64
 	Duration time.Duration
 
-	out    io.Writer
-	killed map[model.EntryVM]bool
+	out io.Writer
 
-	mu     sync.Mutex // guards faults
-	faults []load.Fault
+	mu      sync.Mutex // guards the fields below
+	killed  map[model.EntryVM]bool
+	faults  []load.Fault
+	figures []Figure
 }
 
 // Options of a run.
@@ -80,8 +81,10 @@
 	Requests map[load.Verdict]int `json:"requests"`
 	// Reasons counts the requests that did not run, or of unknown outcome, by reason.
 	Reasons map[model.Reason]int `json:"reasons,omitempty"`
-	Faults  []load.Fault         `json:"faults,omitempty"`
-	Error   string               `json:"error,omitempty"`
+	// Figures are what the scenario measured.
+	Figures []Figure     `json:"figures,omitempty"`
+	Faults  []load.Fault `json:"faults,omitempty"`
+	Error   string       `json:"error,omitempty"`
 }
 
 // OK reports whether every promise held.
@@ -107,7 +110,8 @@
 	if e != nil {
 		r.Requests = load.Verdicts(e.Callers.Seen())
 		r.Reasons = load.Reasons(e.Callers.Seen())
-		r.Faults = e.faults
+		e.measureCallers()
+		r.Faults, r.Figures = e.faults, e.figures
 	}
 	if err != nil {
 		r.Error = err.Error()
@@ -165,12 +169,26 @@
 // KillEntry kills an entry VM at once; the account may then have a gap there.
 func (e *Env) KillEntry(n model.EntryVM) {
 	e.Say("Killing %s.", n)
-	e.killed[n] = true
+	e.lose(n)
 	if err := e.Cluster.Kill(n); err != nil {
 		e.Fail("stand-in", "%v", err)
 	}
 }
 
+// lose notes that callers of an entry VM may see broken connections, because it is
+// killed or paused.
+func (e *Env) lose(n model.EntryVM) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.killed[n] = true
+}
+
+func (e *Env) lost(n model.EntryVM) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.killed[n]
+}
+
 // Heal removes all faults, resumes and restarts all entry VMs.
 func (e *Env) Heal(ctx context.Context) error {
 	if err := e.Link(faultproxy.ActionHeal, ""); err != nil {
@@ -226,11 +244,14 @@
 	if !r.OK() {
 		e.Fail(load.FaultReportDiffers, "the report's own checks: %+v", r.Checks)
 	}
+	if err := e.judgeCounters(); err != nil {
+		return err
+	}
 	return e.judgeInvariants()
 }
 
-// finalReport reads the report until no job is open and nothing waits to be stored, at
-// most for settleWithin.
+// finalReport reads the report until no job is open, nothing waits to be stored and the
+// entry VM that makes the report reaches every running one, at most for settleWithin.
 func (e *Env) finalReport(ctx context.Context) (*account.Report, error) {
 	ctx, cancel := context.WithTimeout(ctx, settleWithin)
 	defer cancel()
@@ -240,7 +261,7 @@
 	}
 	for {
 		r, err := readReport(ctx, op)
-		if err == nil && r.Total.Open == 0 && !hasUnstored(r) {
+		if err == nil && r.Total.Open == 0 && !hasUnstored(r) && len(e.judgeGaps(r)) == 0 {
 			return r, nil
 		}
 		select {
@@ -276,7 +297,7 @@
 func (e *Env) judgeGaps(r *account.Report) []load.Fault {
 	var out []load.Fault
 	for _, g := range r.Gaps {
-		if !e.killed[g.Entry] {
+		if !e.lost(g.Entry) {
 			out = append(out, load.Fault{Kind: load.FaultReportDiffers, Detail: fmt.Sprintf("gap without a lost entry VM: %+v", g)})
 		}
 	}
@@ -287,7 +308,7 @@
 func (e *Env) judgeBroken(seen []load.Seen) []load.Fault {
 	var out []load.Fault
 	for _, s := range seen {
-		if s.Verdict == load.SawBroken && !e.killed[model.EntryVM(s.Entry)] {
+		if s.Verdict == load.SawBroken && !e.lost(model.EntryVM(s.Entry)) {
 			out = append(out, load.CutOff(s))
 		}
 	}
