allotment: one row type for the split of limits; parts are fractions that never add up to more than 1

Cause: control and the pure package had two versions of the row. The pure package's SetLimit lowered parts of data centres that are cut off, which may go on using them. Ruled out: setting the bases of the other parts on each write, which is wrong for a data centre that is cut off with the older limit. Change: Row and Part in internal/allotment are what control uses; each part counts as its fraction held/base, rounded up; gifts to a part settled for a lower limit give the same fraction.

--- a/internal/allotment/allotment_test.go
+++ b/internal/allotment/allotment_test.go
@@ -24,46 +24,37 @@
 	m.Run()
 }
 
-// Guards against parts that add up to more than a limit, or that a lowered limit leaves.
-func TestChanges(t *testing.T) {
-	r := Initial(100, 1, map[model.DataCentre]int{"a": 3, "b": 1})
-	require.Equal(t, Row{Limit: 100, Config: 1, Held: map[model.DataCentre]int{"a": 18, "b": 6}}, r)
-	c := Take(r, "a", 1000)
-	require.Equal(t, 76, c.Moved)
-	require.Zero(t, c.Row.Unassigned())
+// Guards against a part that was settled for a lower limit and is given away twice when
+// the limit is raised and lowered again.
+func TestRaiseThenLower(t *testing.T) {
+	r := Row{Limit: 20, Version: 1, Held: map[model.DataCentre]int{"a": 10}, Base: map[model.DataCentre]int{"a": 20}}
+	r, n := r.Take("b", 1000, 100, 2)
+	require.Equal(t, 50, n, "a holds half of any limit until it has settled")
+	require.Equal(t, 20, r.Usable("a", 20)+r.Usable("b", 20))
+	r = r.Settle("a", 100, 2)
+	require.Equal(t, 40, r.Free(100))
+	require.Equal(t, 12, r.Usable("a", 20)+r.Usable("b", 20))
+}
+
+// Guards against moves that create or lose more than rounding.
+func TestMoves(t *testing.T) {
+	r := First(100, 1, map[model.DataCentre]int{"a": 3, "b": 1})
+	require.Equal(t, map[model.DataCentre]int{"a": 18, "b": 6}, r.Held)
+	r2, n := r.Take("a", 1000, 100, 1)
+	require.Equal(t, 76, n)
+	require.Zero(t, r2.Free(100))
 	require.Equal(t, 18, r.Held["a"], "the row that a change was computed from stays as it is")
-	require.Equal(t, ReasonNothing, Take(c.Row, "b", 1).Reason)
-	c = Give(c.Row, "a", "b", 50, 60)
-	require.Equal(t, map[model.DataCentre]int{"a": 60, "b": 40}, c.Row.Held)
-	require.Equal(t, ReasonInUse, Give(c.Row, "a", "b", 1, 60).Reason)
-	low := SetLimit(c.Row, 33, 2).Row
+	r3 := r2.Give("a", "b", 34, 100, 1)
+	require.Equal(t, map[model.DataCentre]int{"a": 60, "b": 40}, r3.Held)
+	require.Equal(t, 10, r3.Give("b", "", 10, 100, 1).Free(100))
+	low := r3.Settle("a", 33, 2).Settle("b", 33, 2)
 	require.Equal(t, map[model.DataCentre]int{"a": 19, "b": 13}, low.Held)
-	require.Equal(t, ReasonStale, SetLimit(low, 100, 1).Reason)
-	require.Equal(t, 67+1, SetLimit(low, 100, 3).Row.Unassigned())
-	require.Equal(t, 13, Return(low, "a", 6).Moved)
-	require.Equal(t, map[model.DataCentre]int{"b": 13}, Drop(low, []model.DataCentre{"b"}).Row.Held)
+	raised := low.Settle("a", 66, 3)
+	require.Equal(t, 13+5, raised.Give("a", "b", 10, 66, 3).Held["b"], "b's part still counts of 33")
+	require.Equal(t, map[model.DataCentre]int{"a": 7}, First(7, 1, map[model.DataCentre]int{"a": 5}).Held)
 	require.Error(t, Row{Limit: 1, Held: map[model.DataCentre]int{"a": 2}}.Check())
 }
 
-// Guards against use of a part that was lowered for a configuration never seen here.
-func TestSkippedConfiguration(t *testing.T) {
-	p := NewPart("a")
-	p.SetConfig(1, 100)
-	old := Row{Limit: 100, Config: 1, Held: map[model.DataCentre]int{"a": 60}}
-	p.Read(old, 1, p.Current())
-	p.SetConfig(2, 50)
-	require.Equal(t, 30, p.Usable())
-	p.SetConfig(3, 200)
-	require.Equal(t, 30, p.Usable(), "a raised limit adds nothing until the row is written")
-	p.SetConfig(5, 200) // version 4 may have been anything
-	require.Zero(t, p.Usable())
-	p.Read(old, 1, 3)
-	require.Zero(t, p.Usable(), "the read was sent before version 5 was known")
-	p.Read(old, 1, 5)
-	require.Equal(t, 60, p.Usable())
-	require.True(t, p.Behind())
-}
-
 // Guards against a data centre that keeps the whole limit because it was first, and
 // against giving away what is in use.
 func TestOffers(t *testing.T) {
@@ -87,7 +78,7 @@
 	require.Equal(t, 0, r.Max(at.Add(90*time.Second)))
 }
 
-// table is the row, the configurations so far, and writes and reads on their way.
+// table is the row, the limits so far, and the data centres with messages on their way.
 type table struct {
 	row     Row
 	version uint64
@@ -95,228 +86,217 @@
 	dcs     []*centre
 }
 
-// centre is a data centre's coordinator with messages on their way.
+// centre is a data centre's coordinator, with the configuration version that it has in
+// force, and writes and reads on their way.
 type centre struct {
-	name   model.DataCentre
-	part   *Part
-	reads  []func()
-	writes []func() // deliver a write to the table and queue its answer, or lose it
+	name     model.DataCentre
+	config   uint64
+	part     Part
+	inFlight []func()
 }
 
-func (tb *table) limit() int { return tb.limits[len(tb.limits)-1] }
-
-func (tb *table) send(c *centre, ch Change, lost, twice bool) {
-	cond, cfg := c.part.version, uint64(0)
-	if ch.Reason == ReasonLimitMoved {
-		cfg = ch.Row.Config
+func newTable(limit int) *table {
+	tb := &table{row: First(limit, 1, map[model.DataCentre]int{"a": 1, "b": 1, "c": 2}), version: 1, limits: []int{limit}}
+	for _, n := range []model.DataCentre{"a", "b", "c"} {
+		c := &centre{name: n, config: 1}
+		c.part.Learn(tb.row, 1)
+		tb.dcs = append(tb.dcs, c)
 	}
-	deliver := func() {
-		if tb.version != cond || (cfg != 0 && cfg != uint64(len(tb.limits))) {
-			if !lost {
-				c.reads = append(c.reads, func() { c.part.Refused(cond) })
-			}
+	return tb
+}
+
+func (tb *table) limit(c *centre) int { return c.part.Limit(tb.limits[c.config-1], c.config) }
+
+func (tb *table) usable(c *centre) int { return c.part.Usable(c.name, tb.limit(c)) }
+
+// send puts a write on its way; lost says whether its answer is lost. done, if any, is
+// called with the answer.
+func (tb *table) send(c *centre, row Row, lost bool, done func(ok bool)) {
+	_, at, _ := c.part.Row()
+	c.inFlight = append(c.inFlight, func() {
+		ok := tb.version == at
+		if ok {
+			tb.row, tb.version = row, tb.version+1
+		}
+		if lost {
 			return
 		}
-		tb.row, tb.version = ch.Row, tb.version+1
 		v := tb.version
-		if !lost {
-			c.reads = append(c.reads, func() { c.part.Written(cond, v) })
-		}
-	}
-	c.writes = append(c.writes, deliver)
-	if twice {
-		c.writes = append(c.writes, deliver)
+		c.inFlight = append(c.inFlight, func() {
+			if ok {
+				c.part.Learn(row, v)
+			}
+			if done != nil {
+				done(ok)
+			}
+		})
+	})
+}
+
+// give reserves and sends a gift as the coordinator does: a refused write releases the
+// reserve, a lost answer keeps it.
+func (tb *table) give(c *centre, to model.DataCentre, n int, lost bool) {
+	n = min(n, tb.usable(c))
+	r, _, ok := c.part.Row()
+	if !ok || n <= 0 || c.part.Reserved() > 0 || c.name == to {
+		return
 	}
+	c.part.Reserve(n)
+	tb.send(c, r.Give(c.name, to, n, tb.limit(c), c.config), lost, func(ok bool) {
+		if !ok {
+			c.part.Release()
+		}
+	})
 }
 
 // Guards against use above a limit in any order of writes, reads and configurations,
-// with lost answers, late answers, repeated writes and skipped configuration versions.
+// with lost and late answers, raised and lowered limits, and data centres that are cut
+// off with an older configuration.
 func TestNeverAboveTheLimit(t *testing.T) {
-	var moved, uncertain int
+	moved, mixed := 0, 0
 	rapid.Check(t, func(t *rapid.T) {
-		tb := &table{row: Initial(100, 1, map[model.DataCentre]int{"a": 1, "b": 1, "c": 2}), version: 1, limits: []int{100}}
-		for _, n := range []model.DataCentre{"a", "b", "c"} {
-			c := &centre{name: n, part: NewPart(n)}
-			c.part.SetConfig(1, 100)
-			c.part.Read(tb.row, 1, 1)
-			tb.dcs = append(tb.dcs, c)
-		}
+		tb := newTable(100)
 		pick := func(t *rapid.T) *centre { return rapid.SampledFrom(tb.dcs).Draw(t, "dc") }
-		write := func(t *rapid.T, c *centre, ch Change) {
-			if ch.Moved != 0 && c.part.Begin(ch) {
-				moved++
-				tb.send(c, ch, rapid.Bool().Draw(t, "answer lost"), rapid.IntRange(0, 5).Draw(t, "twice") == 5)
-			}
-		}
+		lost := func(t *rapid.T) bool { return rapid.Bool().Draw(t, "answer lost") }
 		t.Repeat(map[string]func(*rapid.T){
 			"": func(t *rapid.T) {
 				require.NoError(t, tb.row.Check())
-				sum, head := 0, uint64(len(tb.limits))
+				sum, highest, lowest := 0, 0, 1<<30
 				for _, c := range tb.dcs {
-					if c.part.Current() != head {
-						continue
-					}
-					u := c.part.Usable()
-					if u > tb.row.Held[c.name] {
-						t.Fatalf("%s may use %d and holds %d", c.name, u, tb.row.Held[c.name])
-					}
-					sum += u
-					if !c.part.Certain() {
-						uncertain++
-					}
+					sum += tb.usable(c)
+					highest = max(highest, tb.limits[c.config-1])
+					lowest = min(lowest, tb.limits[c.config-1])
 				}
-				if sum > tb.limit() {
-					t.Fatalf("%d usable of %d", sum, tb.limit())
+				if lowest < highest {
+					mixed++
+				}
+				if sum > highest {
+					t.Fatalf("%d usable of %d, row %+v", sum, highest, tb.row)
 				}
 			},
 			"take": func(t *rapid.T) {
 				c := pick(t)
-				if r, _, ok := c.part.Row(); ok {
-					write(t, c, Take(r, c.name, rapid.IntRange(1, 80).Draw(t, "n")))
+				r, _, _ := c.part.Row()
+				if row, n := r.Take(c.name, rapid.IntRange(1, 80).Draw(t, "n"), tb.limit(c), c.config); n > 0 {
+					tb.send(c, row, lost(t), nil)
+					moved++
 				}
 			},
 			"give": func(t *rapid.T) {
-				c, to := pick(t), pick(t)
-				if r, _, ok := c.part.Row(); ok {
-					write(t, c, Give(r, c.name, to.name, rapid.IntRange(1, 80).Draw(t, "n"), rapid.IntRange(0, 9).Draw(t, "keep")))
-				}
+				tb.give(pick(t), pick(t).name, rapid.IntRange(1, 80).Draw(t, "n"), lost(t))
 			},
 			"return": func(t *rapid.T) {
-				c := pick(t)
-				if r, _, ok := c.part.Row(); ok {
-					write(t, c, Return(r, c.name, rapid.IntRange(0, 30).Draw(t, "keep")))
-				}
-			},
-			"set limit": func(t *rapid.T) {
-				c := pick(t)
-				if r, _, ok := c.part.Row(); ok && c.part.Behind() {
-					cfg := c.part.Current()
-					write(t, c, SetLimit(r, tb.limits[cfg-1], cfg))
-				}
+				tb.give(pick(t), "", rapid.IntRange(1, 80).Draw(t, "n"), lost(t))
 			},
-			"repeat": func(t *rapid.T) {
+			"settle": func(t *rapid.T) {
 				c := pick(t)
-				if ch, ok := c.part.Pending(); ok {
-					tb.send(c, ch, rapid.Bool().Draw(t, "answer lost"), false)
+				r, _, _ := c.part.Row()
+				if c.part.Reserved() == 0 && c.config >= r.Version {
+					tb.send(c, r.Settle(c.name, tb.limit(c), c.config), lost(t), nil)
 				}
 			},
 			"deliver": func(t *rapid.T) {
-				if c := pick(t); len(c.writes) > 0 {
-					i := rapid.IntRange(0, len(c.writes)-1).Draw(t, "write")
-					w := c.writes[i]
-					c.writes = append(c.writes[:i:i], c.writes[i+1:]...)
-					w()
-				}
-			},
-			"answer": func(t *rapid.T) {
-				if c := pick(t); len(c.reads) > 0 {
-					i := rapid.IntRange(0, len(c.reads)-1).Draw(t, "answer")
-					f := c.reads[i]
-					c.reads = append(c.reads[:i:i], c.reads[i+1:]...)
-					f()
+				c := pick(t)
+				if len(c.inFlight) == 0 {
+					t.Skip("nothing on its way")
 				}
-			},
-			"read late": func(t *rapid.T) {
-				c, r, v := pick(t), tb.row, tb.version
-				asked := c.part.Current()
-				c.reads = append(c.reads, func() { c.part.Read(r, v, asked) })
+				i := rapid.IntRange(0, len(c.inFlight)-1).Draw(t, "message")
+				m := c.inFlight[i]
+				c.inFlight = append(c.inFlight[:i:i], c.inFlight[i+1:]...)
+				m()
 			},
 			"read": func(t *rapid.T) {
-				c := pick(t)
-				c.part.Read(tb.row, tb.version, c.part.Current())
+				c, r, v := pick(t), tb.row, tb.version
+				if rapid.Bool().Draw(t, "late") {
+					c.inFlight = append(c.inFlight, func() { c.part.Learn(r, v) })
+					return
+				}
+				c.part.Learn(r, v)
 			},
 			"apply": func(t *rapid.T) {
-				tb.limits = append(tb.limits, rapid.SampledFrom([]int{0, 7, 50, 100, 200}).Draw(t, "limit"))
-			},
-			"learn all": func(t *rapid.T) {
-				c := pick(t)
-				for v := int(c.part.Current()) + 1; v <= len(tb.limits); v++ {
-					c.part.SetConfig(uint64(v), tb.limits[v-1])
-				}
+				tb.limits = append(tb.limits, rapid.SampledFrom([]int{1, 7, 20, 50, 100, 200}).Draw(t, "limit"))
 			},
 			"learn": func(t *rapid.T) {
-				c := pick(t)
-				if have := int(c.part.Current()); have < len(tb.limits) {
-					v := rapid.IntRange(have+1, len(tb.limits)).Draw(t, "version")
-					c.part.SetConfig(uint64(v), tb.limits[v-1])
+				if c := pick(t); c.config < uint64(len(tb.limits)) {
+					c.config = uint64(rapid.IntRange(int(c.config)+1, len(tb.limits)).Draw(t, "version"))
 				}
 			},
 		})
 	})
-	require.Positive(t, moved*uncertain, "the sequences move parts and skip configurations")
+	require.Positive(t, moved, "parts move")
+	require.Positive(t, mixed, "limits differ between data centres")
 }
 
 // Guards against capacity that stays where nobody needs it: after lost answers and
 // changes of demand, every data centre comes to what it needs if the limit allows it.
 func TestUnusedPartsReachDemand(t *testing.T) {
+	const limit = 100
 	rapid.Check(t, func(t *rapid.T) {
-		limit := 100
-		names := []model.DataCentre{"a", "b", "c"}
-		row, version := Initial(limit, 1, map[model.DataCentre]int{"a": 1, "b": 1, "c": 1}), uint64(1)
-		parts, running := map[model.DataCentre]*Part{}, map[model.DataCentre]int{}
-		for _, n := range names {
-			parts[n] = NewPart(n)
-			parts[n].SetConfig(1, limit)
-			parts[n].Read(row, version, 1)
-		}
-		write := func(n model.DataCentre, c Change) {
-			if c.Moved == 0 || !parts[n].Begin(c) {
-				return
-			}
-			lost := rapid.IntRange(0, 3).Draw(t, "lost") // 0: the write, 1: the answer
-			if lost != 0 && parts[n].version == version {
-				row, version = c.Row, version+1
-				if lost > 1 {
-					parts[n].Written(version-1, version)
-				}
+		tb := newTable(limit)
+		running := map[model.DataCentre]int{}
+		deliver := func(c *centre) {
+			for len(c.inFlight) > 0 {
+				m := c.inFlight[0]
+				c.inFlight = c.inFlight[1:]
+				m()
 			}
+			c.part.Learn(tb.row, tb.version)
 		}
+		lost := func() bool { return rapid.IntRange(0, 3).Draw(t, "lost") == 0 }
 		for phase := range 3 {
 			backlog := map[model.DataCentre]int{}
-			for _, n := range names {
-				backlog[n] = rapid.SampledFrom([]int{0, 5, 30, 90}).Draw(t, fmt.Sprintf("demand %s in phase %d", n, phase))
+			for _, c := range tb.dcs {
+				backlog[c.name] = rapid.SampledFrom([]int{0, 5, 30, 90}).Draw(t, fmt.Sprintf("demand %s in phase %d", c.name, phase))
 			}
 			for range 60 {
-				sum := 0
-				for _, n := range names {
-					p := parts[n]
-					if c, ok := p.Pending(); ok && p.version == version {
-						row, version = c.Row, version+1
-						p.Written(version-1, version)
-					}
-					p.Read(row, version, 1)
-					running[n] = min(backlog[n], p.Usable())
-					sum += running[n]
-					d := Demand{Running: running[n], Waiting: backlog[n] - running[n], Peak: running[n], Capacity: 100}
-					write(n, Return(row, n, Returns(d, p.Usable(), 8)))
-					want := Wants(d, p.Usable())
-					write(n, Take(row, n, want))
-					for _, o := range names {
-						q := parts[o]
-						q.Read(row, version, 1)
-						od := Demand{Running: running[o], Waiting: backlog[o] - running[o], Capacity: 100}
-						if offer := Offers(od, q.Usable(), row.Held[n], want); n != o && offer.Now > 0 {
-							write(o, Give(row, o, n, offer.Now, 0))
-						} else if n != o && offer.HoldBack > 0 {
-							running[o] -= min(offer.HoldBack, 5) // some requests end and none starts
-						}
-					}
+				for _, c := range tb.dcs {
+					tb.round(c, backlog, running, lost, deliver)
 				}
-				if sum > limit {
-					t.Fatalf("%d running of %d", sum, limit)
+				sum := 0
+				for _, n := range running {
+					sum += n
 				}
+				require.LessOrEqual(t, sum, limit)
 			}
 			total, served := 0, 0
-			for _, n := range names {
-				total += backlog[n]
-				served += running[n]
-				if backlog[n] > 0 && running[n] == 0 {
-					t.Fatalf("%s gets nothing: %v of %v, row %v", n, running, backlog, row)
+			for dc, n := range backlog {
+				total += n
+				served += running[dc]
+				if n > 0 && running[dc] == 0 {
+					t.Fatalf("%s gets nothing: %v of %v, row %+v", dc, running, backlog, tb.row)
 				}
 			}
 			if served < min(total, limit)-10 {
-				t.Fatalf("%d of %d run at limit %d: %v, row %v", served, total, limit, running, row)
+				t.Fatalf("%d of %d run at limit %d: %v, row %+v", served, total, limit, running, tb.row)
 			}
 		}
 	})
 }
+
+// round is one data centre's turn: it starts what it may, returns what it does not need,
+// takes what nobody holds and asks the others.
+func (tb *table) round(c *centre, backlog, running map[model.DataCentre]int, lost func() bool, deliver func(*centre)) {
+	deliver(c)
+	running[c.name] = min(backlog[c.name], tb.usable(c))
+	d := Demand{Running: running[c.name], Waiting: backlog[c.name] - running[c.name], Peak: running[c.name], Capacity: 100}
+	tb.give(c, "", tb.usable(c)-Returns(d, tb.usable(c), 8), lost())
+	deliver(c)
+	want := Wants(d, tb.usable(c))
+	r, _, _ := c.part.Row()
+	if row, n := r.Take(c.name, want, tb.limit(c), c.config); n > 0 {
+		tb.send(c, row, lost(), nil)
+		deliver(c)
+	}
+	for _, o := range tb.dcs {
+		if o == c || want <= 0 {
+			continue
+		}
+		deliver(o)
+		od := Demand{Running: running[o.name], Waiting: backlog[o.name] - running[o.name], Capacity: 100}
+		offer := Offers(od, tb.usable(o), tb.row.Held[c.name], want)
+		tb.give(o, c.name, offer.Now, lost())
+		// Some requests end, and held back requests do not start.
+		running[o.name] -= min(offer.HoldBack, 5, running[o.name])
+		deliver(o)
+	}
+}
--- a/internal/allotment/row.go
+++ b/internal/allotment/row.go
@@ -1,76 +1,145 @@
 package allotment
 
 import (
-	"cmp"
 	"fmt"
 	"maps"
-	"slices"
 
 	"boragepulley/internal/model"
 )
 
-// Row is the value of the table rows "allotment/<team>" and "budget/<service>". The sum
-// of Held never exceeds Limit. The table's row version is kept beside it, as the
-// condition of the next write.
+// Row is the value of the table rows "allotment/<team>" and "budget/<service>". The
+// fractions Held/Base add up to at most 1. The table's row version is kept beside it,
+// as the condition of the next write.
 type Row struct {
-	// Limit is the fleet-wide limit that the parts were computed for.
-	Limit int `json:"limit"`
-	// Config is the configuration version that set the limit.
-	Config uint64 `json:"config"`
-	// Held is each data centre's part.
+	// Limit is the limit at the configuration version of the last write.
+	Limit   int    `json:"limit"`
+	Version uint64 `json:"version"`
+	// Held is each data centre's part. Only the data centre itself lowers it.
 	Held map[model.DataCentre]int `json:"held"`
+	// Base is the limit for which each part was last settled: a part is the fraction
+	// held/base of whatever limit is in force at its data centre, but never more than held.
+	Base map[model.DataCentre]int `json:"base,omitempty"`
 }
 
-// Unassigned is the part of the limit that no data centre holds.
-func (r Row) Unassigned() int {
-	n := r.Limit
-	for _, k := range r.Held {
-		n -= k
-	}
-	return n
-}
+// initialPart is the fraction of a limit that is assigned before there is any demand; the
+// rest stays unassigned, so that a burst finds spare parts without asking a peer.
+const initialPart = 4 // a quarter
 
-// Check returns an error unless the row is sound.
-func (r Row) Check() error {
-	for dc, n := range r.Held {
-		if n < 0 {
-			return fmt.Errorf("allotment: %s holds %d", dc, n)
-		}
+// First returns the first row of a limit: a quarter of it by data centre capacity. A
+// single data centre holds the whole limit, because nobody else could use the rest.
+func First(limit int, version uint64, capacity map[model.DataCentre]int) Row {
+	r := Row{Limit: limit, Version: version, Held: make(map[model.DataCentre]int, len(capacity)),
+		Base: make(map[model.DataCentre]int, len(capacity))}
+	total := 0
+	for _, n := range capacity {
+		total += n
 	}
-	if n := r.Unassigned(); n < 0 {
-		return fmt.Errorf("allotment: held parts exceed the limit %d by %d", r.Limit, -n)
+	for dc, n := range capacity {
+		r.Base[dc] = limit
+		switch {
+		case len(capacity) == 1:
+			r.Held[dc] = limit
+		case total > 0:
+			r.Held[dc] = limit / initialPart * n / total
+		}
 	}
-	return nil
+	return r
 }
 
-func (r Row) clone() Row {
-	r.Held = maps.Clone(r.Held)
+// Clone returns a copy that shares nothing with r.
+func (r Row) Clone() Row {
+	r.Held, r.Base = maps.Clone(r.Held), maps.Clone(r.Base)
 	if r.Held == nil {
 		r.Held = make(map[model.DataCentre]int)
 	}
+	if r.Base == nil {
+		r.Base = make(map[model.DataCentre]int)
+	}
 	return r
 }
 
-func (r Row) names() []model.DataCentre {
-	return slices.SortedFunc(maps.Keys(r.Held), func(a, b model.DataCentre) int { return cmp.Compare(a, b) })
+// base returns the base of dc's part; rows written without one count from their limit.
+func (r Row) base(dc model.DataCentre) int {
+	if b := r.Base[dc]; b > 0 {
+		return b
+	}
+	return r.Limit
 }
 
-// initialPart is the fraction of a limit that is assigned before there is any demand; the
-// rest stays unassigned, so that a burst finds spare parts without asking a peer.
-const initialPart = 4 // a quarter
+// Usable is what dc may use of its part while the given limit is in force there.
+func (r Row) Usable(dc model.DataCentre, limit int) int {
+	n, base := r.Held[dc], r.base(dc)
+	if limit >= base {
+		return n
+	}
+	return max(0, n*limit/base)
+}
 
-// Initial returns the row for a new limit: a quarter of it by data centre capacity.
-func Initial(limit int, cfg uint64, capacity map[model.DataCentre]int) Row {
-	r := Row{Limit: limit, Config: cfg, Held: make(map[model.DataCentre]int, len(capacity))}
-	total := 0
-	for _, n := range capacity {
-		total += n
+// Free is how much of the limit no data centre holds. Each part counts as its fraction
+// of the limit, rounded up, so that a part that was settled for a lower limit is not
+// given away twice when the limit is lowered again.
+func (r Row) Free(limit int) int {
+	free := limit
+	for dc, n := range r.Held {
+		if base := r.base(dc); base > 0 {
+			free -= (n*limit + base - 1) / base
+		}
 	}
-	if total == 0 {
-		return r
+	return max(0, free)
+}
+
+// Settle returns the row with dc's part settled for the limit of a configuration version.
+func (r Row) Settle(dc model.DataCentre, limit int, version uint64) Row {
+	out := r.Clone()
+	out.Held[dc], out.Base[dc] = r.Usable(dc, limit), limit
+	if version >= r.Version {
+		out.Limit, out.Version = limit, version
 	}
-	for dc, n := range capacity {
-		r.Held[dc] = limit / initialPart * n / total
+	return out
+}
+
+// Take returns the row with dc's part settled and raised by up to want from what nobody
+// holds, and by how much it was raised. dc may use it only after the write has succeeded.
+func (r Row) Take(dc model.DataCentre, want, limit int, version uint64) (Row, int) {
+	out := r.Settle(dc, limit, version)
+	n := max(0, min(want, out.Free(limit)))
+	out.Held[dc] += n
+	return out, n
+}
+
+// Give returns the row with n of from's part moved to another data centre, or to nobody
+// if to is empty. from must have subtracted n from what it uses before the write, see
+// Part.Reserve. A receiver whose part was settled for a lower limit gets the same
+// fraction, which is less than n.
+func (r Row) Give(from, to model.DataCentre, n, limit int, version uint64) Row {
+	out := r.Settle(from, limit, version)
+	n = min(n, out.Held[from])
+	out.Held[from] -= n
+	if to == "" || limit <= 0 {
+		return out
 	}
-	return r
+	if out.Held[to] == 0 {
+		out.Base[to] = limit
+	}
+	out.Held[to] += n * min(out.base(to), limit) / limit
+	return out
+}
+
+// Check returns an error unless the fractions of the row add up to at most 1.
+func (r Row) Check() error {
+	sum := 0.0
+	for dc, n := range r.Held {
+		base := r.base(dc)
+		if n < 0 || (base <= 0 && n > 0) {
+			return fmt.Errorf("allotment: %s holds %d of %d", dc, n, base)
+		}
+		if base > 0 {
+			sum += float64(n) / float64(base)
+		}
+	}
+	const rounding = 1e-9
+	if sum > 1+rounding {
+		return fmt.Errorf("allotment: parts add up to %.6f of the limit", sum)
+	}
+	return nil
 }
--- a/internal/control/allotments.go
+++ b/internal/control/allotments.go
@@ -10,6 +10,7 @@
 
 	"boragepulley/internal/admission"
 	"boragepulley/internal/allotment"
+	"boragepulley/internal/config"
 	"boragepulley/internal/model"
 	"boragepulley/internal/peer"
 	"boragepulley/internal/platform"
@@ -34,14 +35,8 @@
 
 // teamPart is one team's row and the work on it.
 type teamPart struct {
-	known   bool
-	version uint64
-	row     allotRow
-	// given is subtracted from the own part for gifts whose write is not known to have
-	// taken effect or failed. givenAt is the row version that such a write replaces.
-	given   int
-	givenAt uint64
-	busy    bool
+	allotment.Part
+	busy bool
 	// next is when the next attempt may be made.
 	next time.Time
 	// turn rotates through the data centres that are asked.
@@ -67,16 +62,16 @@
 	return a
 }
 
-// take keeps a row that is newer than the held one.
-func (a *teamPart) take(version uint64, row allotRow) {
-	if a.known && version <= a.version {
-		return
-	}
-	a.known, a.version, a.row = true, version, row
-	if version > a.givenAt {
-		// The write that the gift waited for has taken effect or never can.
-		a.given, a.givenAt = 0, 0
-	}
+// known reports whether a row was read.
+func (a *teamPart) known() bool {
+	_, _, ok := a.Row()
+	return ok
+}
+
+// row returns the newest known row.
+func (a *teamPart) row() allotment.Row {
+	r, _, _ := a.Row()
+	return r
 }
 
 // limitOf returns the limit that counts for a team: a row of a newer configuration
@@ -86,10 +81,7 @@
 	if team == nil {
 		return 0
 	}
-	if a.known && a.row.Version > c.cfg.version() {
-		return min(team.Limit, a.row.Limit)
-	}
-	return team.Limit
+	return a.Limit(team.Limit, c.cfg.version())
 }
 
 // allotments returns the part of each team's limit that this data centre may use.
@@ -100,8 +92,8 @@
 	}
 	for _, t := range c.cfg.index.Teams {
 		a := c.allot.team(t.Name)
-		if a.known {
-			n := a.row.usable(c.self.DC, c.limitOf(t.Name, a)) - a.given
+		if a.known() {
+			n := a.Usable(c.self.DC, c.limitOf(t.Name, a))
 			if now.Before(a.holdUntil) {
 				n -= a.hold
 			}
@@ -137,12 +129,12 @@
 // onAllotRows keeps rows of a scan.
 func (c *Control) onAllotRows(rows []platform.Row) {
 	for _, r := range rows {
-		var v allotRow
+		var v allotment.Row
 		if err := json.Unmarshal(r.Value, &v); err != nil {
 			c.log.Error().Err(err).Str("key", r.Key).Msg("allotment row malformed")
 			continue
 		}
-		c.allot.team(model.Team(strings.TrimPrefix(r.Key, allotPrefix))).take(r.Version, v)
+		c.allot.team(model.Team(strings.TrimPrefix(r.Key, allotPrefix))).Learn(v, r.Version)
 	}
 }
 
@@ -179,24 +171,24 @@
 		limit := c.limitOf(t.Name, a)
 		switch {
 		case a.busy || now.Before(a.next) || c.lease.term == 0:
-		case !a.known:
-			c.writeAllotment(t.Name, a, firstRow(limit, c.cfg.version(), slotsByDC(c.cfg.index.Site)), "first row", nil)
-		case a.given == 0 && c.cfg.version() >= a.row.Version && (a.row.Base[c.self.DC] != limit || a.row.Limit != limit):
-			c.writeAllotment(t.Name, a, a.row.settle(c.self.DC, limit, c.cfg.version()), "limit changed", nil)
+		case !a.known():
+			c.writeAllotment(t.Name, a, allotment.First(limit, c.cfg.version(), slotsByDC(c.cfg.index.Site)), "first row", nil)
+		case a.Reserved() == 0 && c.cfg.version() >= a.row().Version && (a.row().Base[c.self.DC] != limit || a.row().Limit != limit):
+			c.writeAllotment(t.Name, a, a.row().Settle(c.self.DC, limit, c.cfg.version()), "limit changed", nil)
 		}
 	}
 }
 
 // writeAllotment writes a row on the condition that neither it nor the term changed.
 // then, if any, is told whether the write took effect; known is false if that stays open.
-func (c *Control) writeAllotment(t model.Team, a *teamPart, row allotRow, reason string, then func(ok, known bool)) {
+func (c *Control) writeAllotment(t model.Team, a *teamPart, row allotment.Row, reason string, then func(ok, known bool)) {
 	a.busy = true
 	val, err := json.Marshal(row)
 	if err != nil {
 		panic(err) // a struct of plain fields always encodes
 	}
 	key := allotPrefix + string(t)
-	at := a.version
+	_, at, _ := a.Row()
 	txn := platform.Txn{
 		Conditions: []platform.Condition{{Key: key, Version: at}, c.fence()},
 		Puts:       []platform.Put{{Key: key, Value: val}},
@@ -212,13 +204,13 @@
 			a.busy = false
 			ok, known := err == nil, err == nil || unreachable(err) || stderrors.Is(err, platform.ErrConflict)
 			if ok {
-				a.take(versions[key], row)
+				a.Learn(row, versions[key])
 			} else {
 				a.next = time.Now().Add(c.jitter(allotRetry))
 				if gotErr == nil && got.Version > at {
-					var v allotRow
+					var v allotment.Row
 					if json.Unmarshal(got.Value, &v) == nil {
-						a.take(got.Version, v)
+						a.Learn(v, got.Version)
 						// The row moved on, so the write cannot take effect any more.
 						ok, known = string(got.Value) == string(val), true
 					}
@@ -257,19 +249,17 @@
 	c.allot.checked = now
 	u := k.adm.Usage(now)
 	for t, a := range c.allot.teams {
-		if !a.known || a.busy || now.Before(a.next) || u.Running[t]+u.Waiting[t] == 0 {
+		if !a.known() || a.busy || now.Before(a.next) || u.Running[t]+u.Waiting[t] == 0 {
 			continue
 		}
 		limit := c.limitOf(t, a)
-		part := a.row.usable(c.self.DC, limit) - a.given
+		part := a.Usable(c.self.DC, limit)
 		d := c.demand(u, t, a, now)
 		want := allotment.Wants(d, part)
 		if want <= 0 || part >= limit {
 			continue
 		}
-		if free := a.row.free(limit); free > 0 {
-			row := a.row.settle(c.self.DC, limit, c.cfg.version())
-			row.Held[c.self.DC] += min(want, free)
+		if row, n := a.row().Take(c.self.DC, want, limit, c.cfg.version()); n > 0 {
 			c.writeAllotment(t, a, row, "taken from the unassigned part", nil)
 			continue
 		}
@@ -285,7 +275,7 @@
 	var targets []*member
 	for _, dc := range c.dataCentres() {
 		f := c.far[dc]
-		if dc == c.self.DC || f == nil || a.row.Held[dc] == 0 || f.coordinator == "" {
+		if dc == c.self.DC || f == nil || a.row().Held[dc] == 0 || f.coordinator == "" {
 			continue
 		}
 		if m := c.byName[f.coordinator]; m != nil {
@@ -364,20 +354,21 @@
 		return 0, peer.ErrNotCoordinator
 	}
 	a := c.allot.teams[m.Team]
-	if k.local || c.lease.term == 0 || c.cfg.index == nil || c.cfg.index.Team(m.Team) == nil || a == nil || !a.known || a.busy || a.given > 0 {
+	if k.local || c.lease.term == 0 || c.cfg.index == nil || c.cfg.index.Team(m.Team) == nil || a == nil || !a.known() || a.busy || a.Reserved() > 0 {
 		return 0, nil
 	}
 	now := time.Now()
-	part := a.row.usable(c.self.DC, c.limitOf(m.Team, a))
+	part := a.Usable(c.self.DC, c.limitOf(m.Team, a))
 	d := c.demand(k.adm.Usage(now), m.Team, a, now)
-	offer := allotment.Offers(d, part, a.row.Held[m.From.DC], m.Want)
+	offer := allotment.Offers(d, part, a.row().Held[m.From.DC], m.Want)
 	a.hold, a.holdUntil = offer.HoldBack, now.Add(holdFor)
 	n := offer.Now
 	if n <= 0 {
 		c.spendAllotments()
 		return 0, nil
 	}
-	a.busy, a.given, a.givenAt = true, n, a.version
+	a.busy = true
+	a.Reserve(n)
 	c.spendAllotments()
 	return n, nil
 }
@@ -412,28 +403,22 @@
 	if c.cfg.index != nil {
 		limit = c.limitOf(m.Team, a)
 	}
-	if c.coord == nil || c.coord.local || c.lease.term == 0 || !told || a.version != a.givenAt || a.row.usable(c.self.DC, limit) < n {
-		a.given, a.givenAt = 0, 0
+	if c.coord == nil || c.coord.local || c.lease.term == 0 || !told || !a.Unchanged() || a.row().Usable(c.self.DC, limit) < n {
+		a.Release()
 		c.spendAllotments()
 		done(0)
 		return
 	}
-	row := a.row.settle(c.self.DC, limit, c.cfg.version())
-	row.Held[c.self.DC] -= n
-	if m.From.DC != "" {
-		row.Held[m.From.DC] += n
-		if row.Base[m.From.DC] == 0 {
-			row.Base[m.From.DC] = limit
-		}
-	}
+	row := a.row().Give(c.self.DC, m.From.DC, n, limit, c.cfg.version())
 	c.writeAllotment(m.Team, a, row, "given to "+string(m.From.DC), func(ok, known bool) {
 		switch {
 		case ok:
 			allotOps.Add("given", 1)
-			done(a.version)
+			_, version, _ := a.Row()
+			done(version)
 			return
 		case known:
-			a.given, a.givenAt = 0, 0
+			a.Release()
 		}
 		done(0)
 	})
@@ -445,17 +430,18 @@
 	u := c.coord.adm.Usage(now)
 	for _, t := range c.cfg.index.Teams {
 		a := c.allot.team(t.Name)
-		if !a.known || a.busy || a.given > 0 || c.lease.term == 0 || now.Before(a.next) {
+		if !a.known() || a.busy || a.Reserved() > 0 || c.lease.term == 0 || now.Before(a.next) {
 			continue
 		}
 		limit := c.limitOf(t.Name, a)
-		part := a.row.usable(c.self.DC, limit)
-		first := firstRow(limit, 0, slotsByDC(c.cfg.index.Site)).Held[c.self.DC]
+		part := a.Usable(c.self.DC, limit)
+		first := allotment.First(limit, 0, slotsByDC(c.cfg.index.Site)).Held[c.self.DC]
 		n := part - allotment.Returns(c.demand(u, t.Name, a, now), part, first)
 		if n <= 0 || now.Sub(c.coord.since) < returnAfter {
 			continue
 		}
-		a.busy, a.given, a.givenAt = true, n, a.version
+		a.busy = true
+		a.Reserve(n)
 		c.spendAllotments()
 		for _, p := range c.local() {
 			c.beat(p)
@@ -467,3 +453,15 @@
 		})
 	}
 }
+
+// slotsByDC counts the slots of each data centre of a configuration.
+func slotsByDC(s *config.Site) map[model.DataCentre]int {
+	out := map[model.DataCentre]int{}
+	for _, d := range s.DataCentres {
+		out[d.Name] = 0
+	}
+	for i := range s.VMs {
+		out[s.VMs[i].DC] += s.VMs[i].Slots
+	}
+	return out
+}
--- a/internal/control/allotments_test.go
+++ b/internal/control/allotments_test.go
@@ -9,44 +9,13 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-	"pgregory.net/rapid"
 
+	"boragepulley/internal/allotment"
 	"boragepulley/internal/model"
 	"boragepulley/internal/peer"
 	"boragepulley/internal/platform"
 )
 
-// Guards against rows whose parts add up to more than the limit, and against parts that
-// grow when a limit is lowered.
-func TestAllotRowNeverAboveLimit(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		slots := map[model.DataCentre]int{}
-		for _, dc := range []model.DataCentre{"a", "b", "c", "d"}[:rapid.IntRange(1, 4).Draw(t, "dcs")] {
-			slots[dc] = rapid.IntRange(0, 100).Draw(t, "slots")
-		}
-		limit := rapid.IntRange(0, 1000).Draw(t, "limit")
-		r := firstRow(limit, 1, slots)
-		for v := uint64(2); v < 20; v++ {
-			sum := 0
-			for dc := range slots {
-				sum += r.usable(dc, limit)
-			}
-			require.LessOrEqual(t, sum, limit)
-			lower := rapid.IntRange(0, limit).Draw(t, "lower")
-			for dc := range slots {
-				require.LessOrEqual(t, r.usable(dc, lower), r.usable(dc, limit))
-			}
-			limit = lower
-			dc := rapid.SampledFrom([]model.DataCentre{"a", "b", "c", "d"}).Draw(t, "dc")
-			if _, ok := slots[dc]; ok {
-				free := r.free(limit)
-				r = r.settle(dc, limit, v)
-				r.Held[dc] += free
-			}
-		}
-	})
-}
-
 // running counts the permits of a team in the whole fleet that entry VMs hold.
 func (cl *cluster) runningPermits() int {
 	n := 0
@@ -316,8 +285,8 @@
 	})
 }
 
-func (cl *cluster) allotted(team string) allotRow {
-	var r allotRow
+func (cl *cluster) allotted(team string) allotment.Row {
+	var r allotment.Row
 	require.NoError(cl.t, json.Unmarshal(cl.store.row(allotPrefix+team).Value, &r))
 	return r
 }
