--- a/cmd/bpbench/main.go
+++ b/cmd/bpbench/main.go
@@ -16,6 +16,8 @@
 
 	"boragepulley/bench/demo"
 	"boragepulley/bench/prove"
+	"boragepulley/bench/prove/mutants"
+	"boragepulley/bench/up"
 )
 
 type cli struct {
@@ -24,7 +26,29 @@
 	Seed uint64 `default:"1" help:"Seed of everything random in the load and the faults."`
 
 	Demo  demoCmd  `cmd:"" help:"Run the whole path once and compare the report with the callers."`
+	Up    upCmd    `cmd:"" help:"Run a small site until interrupted, for trying things by hand."`
 	Prove proveCmd `cmd:"" help:"Show the invariants under injected faults."`
+
+	Mutants mutantsCmd `cmd:"" help:"Show that the scenarios notice a daemon with a broken rule."`
+}
+
+type mutantsCmd struct {
+	Module   string   `default:"." type:"existingdir" help:"Root of the module."`
+	Mutant   []string `help:"Run only these mutants."`
+	Parallel int      `default:"2" help:"Mutants at the same time."`
+}
+
+func (m mutantsCmd) Run(ctx context.Context, c *cli) error {
+	_, err := mutants.Run(ctx, mutants.Options{Module: m.Module, Bin: c.Bin, Dir: c.Dir, Only: m.Mutant, Parallel: m.Parallel, Out: os.Stdout})
+	return err
+}
+
+type upCmd struct {
+	Load bool `help:"Put a light load on the site."`
+}
+
+func (u upCmd) Run(ctx context.Context, c *cli) error {
+	return up.Run(ctx, up.Options{Bin: c.Bin, Dir: c.Dir, Seed: c.Seed, Load: u.Load}, os.Stdout)
 }
 
 type proveCmd struct {
