--- a/internal/control/budgetrows.go
+++ b/internal/control/budgetrows.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"boragepulley/internal/allotment"
 	"boragepulley/internal/config"
 	"boragepulley/internal/maintenance"
 	"boragepulley/internal/model"
@@ -21,17 +22,43 @@
 
 // budgetRow is the value of the row "budget/<service>".
 type budgetRow struct {
-	allotRow
+	allotment.Row
 	// Owed is how many VMs are out of service in a data centre beyond its part and cannot
 	// be returned, such as failed ones. The others give up parts for them, so that failed
 	// VMs count first in the whole fleet.
 	Owed map[model.DataCentre]int `json:"owed,omitempty"`
 }
 
+// budgetPart is this data centre's knowledge of the row "budget/<service>", which splits
+// a budget whose scope is the fleet like a limit. All of the budget is unassigned at
+// first; a coordinator takes what it needs and gives back the rest, so that the sum of the
+// parts never exceeds the budget.
+type budgetPart struct {
+	allotment.Part
+	// owed is Owed of the known row.
+	owed map[model.DataCentre]int
+	busy bool
+	next time.Time
+}
+
+// learn keeps a row that is newer than the known one.
+func (b *budgetPart) learn(row budgetRow, version uint64) {
+	if _, at, ok := b.Row(); !ok || version > at {
+		b.owed = row.Owed
+	}
+	b.Learn(row.Row, version)
+}
+
+// known reports whether a row was read.
+func (b *budgetPart) known() bool {
+	_, _, ok := b.Row()
+	return ok
+}
+
 // owedTo counts what is owed to other data centres than dc.
-func (r *budgetRow) owedTo(dc model.DataCentre) int {
+func (b *budgetPart) owedTo(dc model.DataCentre) int {
 	n := 0
-	for d, k := range r.Owed {
+	for d, k := range b.owed {
 		if d != dc {
 			n += k
 		}
@@ -39,33 +66,6 @@
 	return n
 }
 
-// budgetPart is this data centre's knowledge of the row "budget/<service>", which splits
-// a budget whose scope is the fleet, in the form of the allotment rows. All of
-// the budget is unassigned at first; a coordinator takes what it needs and gives back the
-// rest, so that the sum of the parts never exceeds the budget.
-type budgetPart struct {
-	known   bool
-	version uint64
-	row     budgetRow
-	// given is subtracted from the own part until its write is known to have taken
-	// effect; givenAt is the row version that such a write replaces.
-	given   int
-	givenAt uint64
-	busy    bool
-	next    time.Time
-}
-
-// take keeps a row that is newer than the held one.
-func (b *budgetPart) take(version uint64, row budgetRow) {
-	if b.known && version <= b.version {
-		return
-	}
-	b.known, b.version, b.row = true, version, row
-	if version > b.givenAt {
-		b.given, b.givenAt = 0, 0
-	}
-}
-
 // fleetBudgets returns the budgets whose scope is the fleet: the smallest per service.
 func fleetBudgets(s *config.Site) map[model.Service]int {
 	out := map[model.Service]int{}
@@ -94,8 +94,8 @@
 	out := map[model.Service]int{}
 	for s, limit := range fleetBudgets(c.cfg.index.Site) {
 		b := c.budgetPart(s)
-		if b.known {
-			out[s] = max(0, b.row.usable(c.self.DC, limit)-b.given)
+		if b.known() {
+			out[s] = b.Usable(c.self.DC, b.Limit(limit, c.cfg.version()))
 			continue
 		}
 		// Until the row is read, what is out of service stays so and nothing is added.
@@ -127,7 +127,8 @@
 	idle := true
 	for svc := range limits {
 		b := c.budgetPart(svc)
-		idle = idle && b.known && c.fleet.need[svc] == 0 && b.row.Held[c.self.DC]+b.row.Owed[c.self.DC] == 0
+		row, _, known := b.Row()
+		idle = idle && known && c.fleet.need[svc] == 0 && row.Held[c.self.DC]+b.owed[c.self.DC] == 0
 	}
 	if idle && now.Sub(c.fleet.budgetsRead) < budgetIdle {
 		return
@@ -184,11 +185,11 @@
 			c.log.Error().Err(err).Str("key", r.Key).Msg("budget row malformed; no part of it is used")
 			continue
 		}
-		c.budgetPart(model.Service(strings.TrimPrefix(r.Key, budgetPrefix))).take(r.Version, v)
+		c.budgetPart(model.Service(strings.TrimPrefix(r.Key, budgetPrefix))).learn(v, r.Version)
 	}
 	for svc, limit := range fleetBudgets(c.cfg.index.Site) {
-		if b := c.budgetPart(svc); !b.known {
-			b.take(0, budgetRow{allotRow: allotRow{Limit: limit, Version: c.cfg.version(), Held: map[model.DataCentre]int{}}})
+		if b := c.budgetPart(svc); !b.known() {
+			b.learn(budgetRow{Row: allotment.Row{Limit: limit, Version: c.cfg.version()}}, 0)
 		}
 	}
 }
@@ -200,26 +201,29 @@
 	if b.busy || now.Before(b.next) || c.lease.term == 0 || c.coord.local {
 		return
 	}
-	if b.row.Version > c.cfg.version() {
+	known, _, _ := b.Row()
+	version := c.cfg.version()
+	if known.Version > version {
 		return // a newer configuration is on its way
 	}
 	dc := c.self.DC
-	row := budgetRow{allotRow: b.row.settle(dc, limit, c.cfg.version()), Owed: maps.Clone(b.row.Owed)}
-	held, free, owed := row.Held[dc], row.free(limit), b.row.owedTo(dc)
-	changed := b.row.Held[dc] != held || held > 0 && b.row.Base[dc] != limit
+	row := budgetRow{Row: known.Settle(dc, limit, version), Owed: maps.Clone(b.owed)}
+	held, free, owed := row.Held[dc], row.Free(limit), b.owedTo(dc)
+	changed := known.Held[dc] != held || held > 0 && known.Base[dc] != limit
 	target := need
 	if owed > 0 {
 		target = max(stuck, min(need, held-max(0, owed-free)))
 	}
 	switch {
-	case b.given > 0 && b.givenAt == b.version:
+	case b.Reserved() > 0 && b.Unchanged():
 		// The write of the gift may still take effect; it is repeated until one does.
-		row.Held[dc], changed = max(0, held-b.given), true
+		row.Row, changed = known.Give(dc, "", b.Reserved(), limit, version), true
 	case target > held && free > 0:
-		row.Held[dc], changed = held+min(target-held, free), true
+		row.Row, _ = known.Take(dc, target-held, limit, version)
+		changed = true
 	case target < held:
-		b.given, b.givenAt = held-target, b.version
-		row.Held[dc], changed = target, true
+		b.Reserve(held - target)
+		row.Row, changed = known.Give(dc, "", held-target, limit, version), true
 	}
 	if n := max(0, stuck-row.Held[dc]); n != row.Owed[dc] {
 		if row.Owed == nil {
@@ -242,8 +246,9 @@
 		panic(err) // a struct of plain fields always encodes
 	}
 	key := budgetPrefix + string(svc)
+	_, at, _ := b.Row()
 	txn := platform.Txn{
-		Conditions: []platform.Condition{{Key: key, Version: b.version}, c.fence()},
+		Conditions: []platform.Condition{{Key: key, Version: at}, c.fence()},
 		Puts:       []platform.Put{{Key: key, Value: val}},
 	}
 	b.busy = true
@@ -257,7 +262,7 @@
 				b.next = time.Now().Add(c.jitter(allotRetry))
 				return
 			}
-			b.take(versions[key], row)
+			b.learn(row, versions[key])
 			fleetOps.Add("budget_parts_moved", 1)
 			c.log.Info().Str("service", string(svc)).Interface("held", row.Held).Int("limit", row.Limit).Msg("budget part written")
 		}
