docs: maintenance waves; test that status shows waves, VM states and what holds a VM back

The warning about a wave over a service without a budget said that all VMs may be taken at once; the planner takes one at a time in each data centre.

--- a/cmd/boragepulley/main_test.go
+++ b/cmd/boragepulley/main_test.go
@@ -57,7 +57,13 @@
 	if s.inForce < 2 {
 		c.Missing = []operator.MissingEntry{{Name: "entry-2", DC: "dc-b", Status: control.MemberSuspect, Since: time.Unix(60, 0)}}
 	}
-	return operator.Status{Entry: "entry-1", Configuration: c, Teams: []operator.TeamStatus{{Name: "desk", Running: 3, Limit: 8}}}, nil
+	return operator.Status{Entry: "entry-1", Configuration: c, Teams: []operator.TeamStatus{{Name: "desk", Running: 3, Limit: 8}},
+		VMs: []operator.VMStatus{
+			{Name: "vm-1", DC: "dc-a", Pool: "quotes", State: model.VMDraining, Busy: 2, Slots: 8, Wave: "spring", Held: "requests_running", Detail: "2 permits are outstanding"},
+			{Name: "vm-2", DC: "dc-a", Pool: "quotes", MoveTo: "spare", State: model.VMServing, Suspect: true, Slots: 8, Held: "vm_does_not_answer"},
+		},
+		Waves: []operator.WaveStatus{{Name: "spring", Done: 3, Active: 1, Total: 9, Paused: "dc-a: paused_after_correlated_failure: VMs x and y"}},
+	}, nil
 }
 
 func (s *site) Jobs(context.Context, operator.JobQuery) (operator.JobList, error) {
@@ -243,4 +249,19 @@
 	}
 }
 
+// Guards against a status that hides the state of a VM, what it waits for, or the progress
+// and the pause of a wave.
+func TestStatusShowsMaintenance(t *testing.T) {
+	start(t, &site{head: config.Head{Version: 4, Operator: "ben"}, inForce: 2})
+	code, out, errOut := tool(t, "status")
+	require.Equal(t, exitOK, code, errOut)
+	var rows []string
+	for line := range strings.Lines(out) {
+		rows = append(rows, strings.Join(strings.Fields(line), " "))
+	}
+	require.Contains(t, rows, "vm-1 dc-a quotes draining 2 8 spring requests_running: 2 permits are outstanding")
+	require.Contains(t, rows, "vm-2 dc-a quotes -> spare serving (suspect) 0 8 - vm_does_not_answer")
+	require.Contains(t, rows, "spring 3 1 9 dc-a: paused_after_correlated_failure: VMs x and y")
+}
+
 func exampleJob() string { return string(model.NewJobID(time.Unix(0, 0), "entry-1")) }
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -345,7 +345,7 @@
 				continue
 			}
 			if len(budgets[s]) == 0 {
-				it.table.Warn("pools", fmt.Sprintf("pool %q of service %q without a budget", p, s), "a budget, or the wave may take all VMs at once")
+				it.table.Warn("pools", fmt.Sprintf("pool %q of service %q without a budget", p, s), "a budget, or the wave takes one VM of the service at a time in each data centre")
 			}
 			for _, b := range budgets[s] {
 				if b.value.MaxUnavailable == 0 && b.table.Sound("max_unavailable") {
