daemon: the report misses no records that are stored while it is made

Cause: the report listed the stored objects first and collected the unstored records of the entry VMs after that. Records that an entry VM stored in between were in neither, and because the entry VM answered, the report showed no gap.

Ruled out: the records were not lost.

Change: the unstored records are collected first; what is stored meanwhile is in both and merges. The time of the report is the time at which it begins.

--- a/internal/daemon/reports.go
+++ b/internal/daemon/reports.go
@@ -18,14 +18,18 @@
 // buildReport makes a report of everything that is stored and of what the live entry
 // VMs have not stored yet. Error: operator.ErrUnavailable if the store does not answer,
 // because a report of a part of the account would not say so.
+//
+// The unstored records are collected before the store is read: records that are stored
+// in between are then in both, and in the other order they would be in neither.
 func (d *Daemon) buildReport(ctx context.Context) (*account.Report, error) {
+	now := time.Now()
+	batches, live := d.unstored(ctx)
 	in, err := account.Load(ctx, d.Services)
 	if err != nil {
 		return nil, errors.WithMessage(operator.ErrUnavailable, err.Error())
 	}
-	batches, live := d.unstored(ctx)
 	in.Batches = append(in.Batches, batches...)
-	in.Live, in.Now = live, time.Now()
+	in.Live, in.Now = live, now
 	return account.Build(in), nil
 }
 
