--- a/bench/cluster/cluster.go
+++ b/bench/cluster/cluster.go
@@ -131,8 +131,15 @@
 
 func (c *Cluster) startMinions() error {
 	var r ready
-	p, err := c.standin("minions", &r, "minions", fmt.Sprintf("--count=%d", c.Site.Minions()),
-		"--prefix="+strings.TrimSuffix(string(sites.MinionName(0)), "1"), fmt.Sprintf("--seed=%d", c.Seed))
+	args := []string{"minions", fmt.Sprintf("--count=%d", c.Site.Minions()),
+		"--prefix=" + strings.TrimSuffix(string(sites.MinionName(0)), "1"), fmt.Sprintf("--seed=%d", c.Seed)}
+	if c.Site.Slots > 0 {
+		args = append(args, fmt.Sprintf("--slots=%d", c.Site.Slots))
+	}
+	if c.Site.Connections > 0 {
+		args = append(args, fmt.Sprintf("--connections=%d", c.Site.Connections))
+	}
+	p, err := c.standin("minions", &r, args...)
 	c.minions, c.minionAdmin = p, r.Admin
 	if err != nil {
 		return err
@@ -186,6 +193,12 @@
 	}
 }
 
+// PlatformAddr returns the platform's own address, past the proxy.
+func (c *Cluster) PlatformAddr() string { return c.platformAddr }
+
+// PlatformUsage returns processor time and memory of the platform's stand-in.
+func (c *Cluster) PlatformUsage() (proc.Usage, error) { return c.platform.Usage() }
+
 // Entries returns the names of the entry VMs in order.
 func (c *Cluster) Entries() []model.EntryVM { return c.names }
 
--- a/cmd/bpbench/main.go
+++ b/cmd/bpbench/main.go
@@ -9,12 +9,14 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"syscall"
 	"time"
 
 	"github.com/alecthomas/kong"
 
 	"boragepulley/bench/demo"
+	"boragepulley/bench/measure"
 	"boragepulley/bench/prove"
 )
 
@@ -25,6 +27,22 @@
 
 	Demo  demoCmd  `cmd:"" help:"Run the whole path once and compare the report with the callers."`
 	Prove proveCmd `cmd:"" help:"Show the invariants under injected faults."`
+
+	Measure measureCmd `cmd:"" help:"Measure the system and its packages."`
+}
+
+type measureCmd struct {
+	Only    []string `help:"Run only these experiments."`
+	Results string   `default:"run/measurements.jsonl" help:"File to which one JSON line per figure is appended; empty: none."`
+}
+
+func (m measureCmd) Run(ctx context.Context, c *cli) error {
+	if dir := filepath.Dir(m.Results); m.Results != "" {
+		if err := os.MkdirAll(dir, 0o755); err != nil {
+			return err
+		}
+	}
+	return measure.Run(ctx, measure.Options{Bin: c.Bin, Dir: c.Dir, Seed: c.Seed, Results: m.Results, Only: m.Only, Out: os.Stdout})
 }
 
 type proveCmd struct {
