--- a/bench/measure/account.go
+++ b/bench/measure/account.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"boragepulley/bench/cluster"
 	"boragepulley/bench/load"
 	"boragepulley/bench/sites"
@@ -26,7 +28,7 @@
 // accountCost measures what the account stores per job and how long a report takes.
 func accountCost(ctx context.Context, e *Env) error {
 	c, err := e.start(ctx, "3x2", cluster.Options{DirectMinions: true, Site: sites.Options{
-		DataCentres: sites.DataCentres(3, 2), Limits: []int{400, 400, 400, 400, 400, 400}}})
+		DataCentres: sites.DataCentres(3, 2), Services: 5, MinionsPerService: 10, Limits: []int{400, 400, 400, 400, 400, 400}}})
 	if err != nil {
 		return err
 	}
@@ -44,6 +46,9 @@
 		start := time.Now()
 		jobs := e.accountLoad(ctx, c, rate)
 		secs := time.Since(start).Seconds()
+		if jobs == 0 {
+			return errors.New("measure: no request was sent")
+		}
 		pause(ctx, accountStored)
 		now, err := readStored(ctx, store)
 		if err != nil {
--- a/bench/measure/claims.go
+++ b/bench/measure/claims.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"boragepulley/bench/cluster"
 	"boragepulley/bench/load"
 	"boragepulley/bench/sites"
@@ -19,7 +21,7 @@
 // with the store at once and with a store that takes 10 ms.
 func claims(ctx context.Context, e *Env) error {
 	c, err := e.start(ctx, "3x2", cluster.Options{DirectMinions: true, Site: sites.Options{
-		DataCentres: sites.DataCentres(3, 2), Limits: []int{400, 400, 400, 400, 400, 400}}})
+		DataCentres: sites.DataCentres(3, 2), Services: 5, MinionsPerService: 10, Limits: []int{400, 400, 400, 400, 400, 400}}})
 	if err != nil {
 		return err
 	}
@@ -106,6 +108,9 @@
 			row.notRun++
 		}
 	}
+	if err == nil && row.sent == 0 {
+		err = errors.New("measure: no request was sent")
+	}
 	row.p50, row.p99 = quantile(took, 0.5), quantile(took, 0.99)
 	return row, err
 }
--- a/bench/measure/pure.go
+++ b/bench/measure/pure.go
@@ -99,7 +99,7 @@
 		limits[i] = vms * 8
 	}
 	o := sites.Options{DataCentres: sites.DataCentres(1, 4), Services: 1, MinionsPerService: vms, Teams: teams,
-		Limits: limits, MaxWaiting: 1 << 20}
+		Limits: limits, MaxWaiting: 100_000}
 	s, faults := config.Parse(sites.Generate(o))
 	if s == nil {
 		return nil, o, errors.Errorf("measure: generated site: %v", faults)
--- a/bench/measure/shares.go
+++ b/bench/measure/shares.go
@@ -173,7 +173,7 @@
 				wg.Go(func() {
 					for ctx.Err() == nil {
 						s := callers.Do(context.WithoutCancel(ctx), load.Request{Queue: string(sites.QueueName(0)), Team: name, Key: key,
-							Idempotent: true, Run: sharesRun, Deadline: 20 * time.Second, Entry: string(entries[k%len(entries)])})
+							Idempotent: true, Run: sharesRun, Deadline: 6 * time.Second, Entry: string(entries[k%len(entries)])})
 						if s.Verdict != load.SawRan {
 							pause(ctx, 50*time.Millisecond)
 						}
