--- a/bench/prove/run.go
+++ b/bench/prove/run.go
@@ -51,6 +51,9 @@
 	if r.Error != "" {
 		fmt.Fprintf(o.Out, "    %s\n", r.Error)
 	}
+	for _, f := range r.Figures {
+		fmt.Fprintf(o.Out, "    %s\n", f)
+	}
 	for _, l := range load.Summarize(r.Faults) {
 		fmt.Fprintf(o.Out, "    %s\n", l)
 	}
@@ -64,3 +67,13 @@
 	}
 	return false
 }
+
+// Find returns the scenario with a name.
+func Find(name string) (Scenario, bool) {
+	for _, s := range All() {
+		if s.Name == name {
+			return s, true
+		}
+	}
+	return Scenario{}, false
+}
--- a/cmd/bpbench/main.go
+++ b/cmd/bpbench/main.go
@@ -18,6 +18,8 @@
 	"boragepulley/bench/demo"
 	"boragepulley/bench/measure"
 	"boragepulley/bench/prove"
+	"boragepulley/bench/prove/mutants"
+	"boragepulley/bench/up"
 )
 
 type cli struct {
@@ -26,9 +28,11 @@
 	Seed uint64 `default:"1" help:"Seed of everything random in the load and the faults."`
 
 	Demo  demoCmd  `cmd:"" help:"Run the whole path once and compare the report with the callers."`
+	Up    upCmd    `cmd:"" help:"Run a small site until interrupted, for trying things by hand."`
 	Prove proveCmd `cmd:"" help:"Show the invariants under injected faults."`
 
 	Measure measureCmd `cmd:"" help:"Measure the system and its packages."`
+	Mutants mutantsCmd `cmd:"" help:"Show that the scenarios notice a daemon with a broken rule."`
 }
 
 type measureCmd struct {
@@ -45,6 +49,25 @@
 	return measure.Run(ctx, measure.Options{Bin: c.Bin, Dir: c.Dir, Seed: c.Seed, Results: m.Results, Only: m.Only, Out: os.Stdout})
 }
 
+type mutantsCmd struct {
+	Module   string   `default:"." type:"existingdir" help:"Root of the module."`
+	Mutant   []string `help:"Run only these mutants."`
+	Parallel int      `default:"2" help:"Mutants at the same time."`
+}
+
+func (m mutantsCmd) Run(ctx context.Context, c *cli) error {
+	_, err := mutants.Run(ctx, mutants.Options{Module: m.Module, Bin: c.Bin, Dir: c.Dir, Only: m.Mutant, Parallel: m.Parallel, Out: os.Stdout})
+	return err
+}
+
+type upCmd struct {
+	Load bool `help:"Put a light load on the site."`
+}
+
+func (u upCmd) Run(ctx context.Context, c *cli) error {
+	return up.Run(ctx, up.Options{Bin: c.Bin, Dir: c.Dir, Seed: c.Seed, Load: u.Load}, os.Stdout)
+}
+
 type proveCmd struct {
 	Duration time.Duration `default:"60s" help:"Duration of the long scenarios."`
 	Scenario []string      `help:"Run only these scenarios."`
