dispatch: claims that arrive before the next transaction may start are part of it

The claimer took a batch and then waited for its turn, so that a claim under load waited for up to two spacings of 50 ms. It now waits first.

--- a/internal/dispatch/claims.go
+++ b/internal/dispatch/claims.go
@@ -132,6 +132,7 @@
 
 func (c *claimer) claimLoop() {
 	for {
+		c.awaitTurn()
 		batch := c.nextBatch()
 		if len(batch) == 0 {
 			return
@@ -140,6 +141,17 @@
 	}
 }
 
+// awaitTurn waits until the next transaction may start, so that claims which arrive
+// meanwhile are part of it.
+func (c *claimer) awaitTurn() {
+	c.mu.Lock()
+	waiting := len(c.pending) > 0
+	c.mu.Unlock()
+	if waiting {
+		time.Sleep(time.Until(c.nextTxn))
+	}
+}
+
 // nextBatch takes up to claimBatch claims with different keys: a transaction cannot
 // insert a row twice.
 func (c *claimer) nextBatch() []*claimAsk {
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -476,6 +476,26 @@
 	})
 }
 
+// Guards against a claim that waits for two transactions: one that arrives while the
+// next transaction may not start yet is part of it.
+func TestClaimJoinsNextTransaction(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(3)
+		start := time.Now()
+		var wg sync.WaitGroup
+		for i, at := range []time.Duration{0, claimSpacing / 5, claimSpacing * 4 / 5} {
+			wg.Go(func() {
+				time.Sleep(at)
+				res := r.claims.claim(context.Background(), fmt.Sprintf("claim/red/%d", i), claimRow{Job: "job-e1"})
+				require.True(t, res.held)
+			})
+		}
+		wg.Wait()
+		require.Less(t, time.Since(start), 2*claimSpacing)
+		require.Equal(t, 2, r.table.commits)
+	})
+}
+
 // Guards against one used request id that spoils the claims of a whole batch, and
 // against more than 20 claim transactions a second.
 func TestClaimBatches(t *testing.T) {
