--- a/bench/measure/pure.go
+++ b/bench/measure/pure.go
@@ -188,10 +188,10 @@
 	for _, d := range sites.DataCentres(dcs, 1) {
 		capacity[d.Name] = 400
 	}
-	r := allotment.Initial(1000, 1, capacity)
+	r := allotment.First(1000, 1, capacity)
 	return func() {
-		t := allotment.Take(r, "dc-1", 100)
-		allotment.Give(t.Row, "dc-1", "dc-2", 50, 0)
+		t, _ := r.Take("dc-1", 100, 1000, 1)
+		t.Give("dc-1", "dc-2", 50, 1000, 1)
 	}, nil
 }
 
