allotment: no reserve kept from a data centre that holds nothing; fewer connections per minion

Change: a data centre that runs nothing gives all to one that holds nothing; an entry VM opens at most slots + 4 connections to a minion, and never more than its equal part.

--- a/internal/allotment/allotment_test.go
+++ b/internal/allotment/allotment_test.go
@@ -60,6 +60,8 @@
 func TestOffers(t *testing.T) {
 	require.Equal(t, Offer{Now: 70}, Offers(Demand{Running: 16, Capacity: 500}, 100, 0, 70))
 	require.Equal(t, Offer{Now: 82}, Offers(Demand{Running: 16, Capacity: 500}, 100, 0, 700))
+	require.Equal(t, Offer{Now: 1}, Offers(Demand{Capacity: 500}, 1, 0, 2), "an idle reserve is not kept from one that holds nothing")
+	require.Equal(t, Offer{}, Offers(Demand{Capacity: 500}, 1, 1, 2))
 	busy := Demand{Running: 100, Waiting: 100, Capacity: 100}
 	require.Equal(t, Offer{HoldBack: 50}, Offers(busy, 100, 0, 100))
 	busy.Running = 70
--- a/internal/allotment/demand.go
+++ b/internal/allotment/demand.go
@@ -41,14 +41,19 @@
 
 // Offers decides how much of its usable part a data centre gives to another one that
 // holds other and wants more. Without waiting requests it keeps what it runs and a small
-// reserve. Otherwise both parts are divided by demand, so that a data centre that was
+// reserve; one that runs nothing keeps no reserve from a data centre that holds nothing,
+// because the reserves of several data centres may be all there is of a small limit. Otherwise both parts are divided by demand, so that a data centre that was
 // first does not keep the whole limit.
 func Offers(d Demand, usable, other, wants int) Offer {
 	if wants <= 0 || usable <= 0 {
 		return Offer{}
 	}
 	if d.Waiting == 0 {
-		return Offer{Now: max(0, min(wants, usable-d.Running-d.reserve()))}
+		reserve := d.reserve()
+		if d.Running == 0 && other == 0 {
+			reserve = 0
+		}
+		return Offer{Now: max(0, min(wants, usable-d.Running-reserve))}
 	}
 	own, total := d.need(), usable+other
 	target := (total*own + own + other + wants - 1) / (own + other + wants)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -200,7 +200,7 @@
 			version = site.Version
 			byAddr := make(map[string]int, len(site.VMs))
 			for _, vm := range site.VMs {
-				byAddr[vm.Addr] = vm.Connections / entries
+				byAddr[vm.Addr] = connectionBound(vm, entries)
 			}
 			d.minions.SetLimits(upstream.DefaultConnections, byAddr)
 		}
@@ -211,3 +211,14 @@
 		}
 	}
 }
+
+// spareConnections are the connections to one minion beyond one per slot: for status
+// polls and for connections that are about to be replaced.
+const spareConnections = 4
+
+// connectionBound is how many connections this entry VM may open to a minion: an equal
+// part of the minion's, but not more than it can use, because a minion counts a closed
+// connection until it has noticed the end.
+func connectionBound(vm config.VM, entries int) int {
+	return min(vm.Connections/entries, vm.Slots+spareConnections)
+}
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -134,3 +134,12 @@
 	_, err := New(set, zerolog.Nop())
 	require.ErrorContains(t, err, "daemon: listen")
 }
+
+// Guards against connections of a minion that are used up by ones that are closing, and
+// against entry VMs that together open more than the minion has.
+func TestConnectionBound(t *testing.T) {
+	vm := config.VM{Slots: 8, Connections: 64}
+	require.Equal(t, 12, connectionBound(vm, 2))
+	require.Equal(t, 8, connectionBound(vm, 8))
+	require.Equal(t, 4, connectionBound(config.VM{Slots: 8, Connections: 8}, 2))
+}
