admission: a repeated Acquire gets no permit under a withdrawn key

Cause: an entry VM that resumes after a pause of more than the TTL discards the answers it finds and repeats its calls. The coordinator gave the outstanding permit again without looking at the key, which had been withdrawn since the grant, and the entry VM checked it against the configuration from before its pause.

Ruled out: the requests were not sent before the pause (their dispatch is logged 13 ms after the resume), and the entry VM did not use the permit of its earlier session.

Change: the key is checked again; without it the request is refused as key_withdrawn and its slot stays occupied like that of a lost permit.

The unit test fails without the change.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -46,6 +46,24 @@
 	require.Equal(t, model.ReasonUnknownQueue, out[1].Reason)
 }
 
+// Guards against a permit that is given again after its key was withdrawn: its holder
+// may have been paused meanwhile and not know the new configuration yet.
+func TestRepeatedAcquireAfterWithdrawal(t *testing.T) {
+	a := small.start(epoch)
+	p := one(t, a.Submit(epoch, acquire(1, 0, "q0", time.Minute)), EffectGrant).Permit
+	require.Empty(t, a.Submit(epoch, acquire(2, 1, "q0", time.Minute)))
+	s := small.site()
+	s.Keys = s.Keys[1:]
+	require.Empty(t, a.SetSite(config.NewIndex(s, 2), epoch))
+	now := epoch.Add(3 * time.Second)
+	e := one(t, a.Submit(now, acquire(1, 0, "q0", time.Minute)), EffectRefuse)
+	require.Equal(t, model.ReasonKeyWithdrawn, e.Reason)
+	// The slot is free once two status answers no longer list the job.
+	require.Empty(t, a.MinionStatus(now, now, p.Minion, nil))
+	later := now.Add(time.Second)
+	one(t, a.MinionStatus(later, later, p.Minion, nil), EffectGrant)
+}
+
 // Guards against freeing the slot of an attempt that may still run, and against losing
 // the slot of one that is over.
 func TestLostAttemptKeepsSlot(t *testing.T) {
--- a/internal/admission/submit.go
+++ b/internal/admission/submit.go
@@ -58,6 +58,15 @@
 	}
 	if p := a.permits[r.key]; p != nil {
 		if p.Holder == r.holder && p.state == permitOutstanding {
+			if reason := a.authorize(r.queue, r.keyID, r.team); reason != model.ReasonNone {
+				// The key was withdrawn after the permit was granted. The holder may still
+				// use the first answer, so the slot stays occupied like that of a lost permit.
+				p.lose(permitLost, r.arrival, p.granted.Add(p.StartWithin))
+				if reason == model.ReasonBadKey || reason == model.ReasonNoKey {
+					reason = model.ReasonKeyWithdrawn
+				}
+				return []Effect{refusal(r, reason, fmt.Sprintf("configuration version %d", a.version()))}, true
+			}
 			p.Token = a.token
 			return []Effect{a.granted(p, "repeated request")}, true
 		}
