--- a/bench/prove/limits.go
+++ b/bench/prove/limits.go
@@ -28,8 +28,8 @@
 	FaultStarved load.FaultKind = "a team below its limit was not served within a few seconds"
 )
 
-// fewSeconds is the bound for "within a few seconds".
-const fewSeconds = 5 * time.Second
+// servedWithin is the bound for "within a few seconds".
+const servedWithin = 5 * time.Second
 
 // limitSite has limits far below the slots of the fleet.
 func limitSite() sites.Options {
@@ -216,7 +216,7 @@
 		f := e.demand(ctx, inside, 4, 200*time.Millisecond)
 		err := e.awaitServed(ctx, dc.Name, start)
 		if err == nil {
-			e.Wait(ctx, time.Until(start.Add(fewSeconds)))
+			e.Wait(ctx, time.Until(start.Add(servedWithin)))
 			err = e.measureUse(i, dc.Name, start)
 		}
 		f.stop()
@@ -230,7 +230,7 @@
 // awaitServed requires that every team starts work within a few seconds.
 func (e *Env) awaitServed(ctx context.Context, dc model.DataCentre, start time.Time) error {
 	first := make(map[int]bool)
-	for time.Since(start) < fewSeconds && len(first) < teams {
+	for time.Since(start) < servedWithin && len(first) < teams {
 		tags, err := e.tagsByName()
 		if err != nil {
 			return err
@@ -245,7 +245,7 @@
 	}
 	for t := range teams {
 		if !first[t] {
-			e.Fail(FaultStarved, "%s started nothing in %s in %v", sites.TeamName(t), dc, fewSeconds)
+			e.Fail(FaultStarved, "%s started nothing in %s in %v", sites.TeamName(t), dc, servedWithin)
 		}
 	}
 	return nil
