--- a/bench/sites/sites.go
+++ b/bench/sites/sites.go
@@ -43,6 +43,9 @@
 	MinionsPerService int
 	// SpareMinions is the size of the spare pool; 0 means that there is none.
 	SpareMinions int
+	// Lend is how many VMs each pool of a service may receive from the spare pool, which
+	// may lend all of its VMs; 0 means that VMs do not move.
+	Lend int
 	// MinionAddrs are the "IP:port" of the minions, service by service, then the spare
 	// ones. Addresses that are missing are made up.
 	MinionAddrs []string
@@ -204,9 +207,15 @@
 	for i := range o.Services {
 		w.line("[[service]]\nname = %q\nmax_run = %q", ServiceName(i), tomldoc.ShortDuration(o.MaxRun))
 		w.line("[[pool]]\nname = %q\nservice = %q", PoolName(i), ServiceName(i))
+		if o.Lend > 0 {
+			w.line("max = %d", o.MinionsPerService+o.Lend)
+		}
 	}
 	if o.SpareMinions > 0 {
 		w.line("[[pool]]\nname = %q\nspare = true", SparePool)
+		if o.Lend > 0 {
+			w.line("min = 0")
+		}
 	}
 	return w.String()
 }
--- a/bench/sites/sites_test.go
+++ b/bench/sites/sites_test.go
@@ -18,6 +18,7 @@
 	for name, o := range map[string]Options{
 		"default":    {},
 		"alexandria": Alexandria(),
+		"lending":    {SpareMinions: 2, Lend: 1},
 		"aarhus":     wave,
 		"smallest":   {DataCentres: DataCentres(1, 1), Services: 1, MinionsPerService: 1, Teams: 1},
 		"target":     {DataCentres: DataCentres(7, 4), Services: 34, MinionsPerService: 40, SpareMinions: 40, Workers: 1200, Accelerators: 1, Teams: 31},
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -19,6 +19,7 @@
 	d.checkTeams()
 	d.checkBudgets()
 	d.checkWaves()
+	d.checkPoolBounds()
 	d.checkUse()
 }
 
--- a/internal/config/diff.go
+++ b/internal/config/diff.go
@@ -180,7 +180,8 @@
 }
 
 func poolObject(p *Pool) object {
-	return object{string(p.Name), []field{{"service", string(p.Service)}, boolean("spare", p.Spare)}}
+	return object{string(p.Name), []field{{"service", string(p.Service)}, boolean("spare", p.Spare),
+		integer("min", int64(p.Min)), integer("max", int64(p.Max))}}
 }
 
 func vmObject(v *VM) object {
--- a/internal/config/model.go
+++ b/internal/config/model.go
@@ -76,6 +76,10 @@
 	Name    model.Pool
 	Service model.Service
 	Spare   bool
+	// Min and Max bound the VMs that are in the pool across the fleet while VMs move
+	// between pools. Both default to the number of VMs whose home pool it is.
+	Min int
+	Max int
 }
 
 // VM is one upstream VM with its minion.
--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -39,6 +39,7 @@
 	maxBody        = 16 << 20
 	maxAttempts    = 10
 	maxWeight      = 100
+	maxPoolVMs     = 100000
 	// MaxDeadline is the largest deadline of a request.
 	MaxDeadline = 600 * time.Second
 )
@@ -250,6 +251,8 @@
 		Name:    model.Pool(t.String("name", nameRule)),
 		Service: model.Service(t.String("service", optionalRef)),
 		Spare:   t.Bool("spare"),
+		Min:     int(t.Int("min", tomldoc.IntRule{Default: undeclared, Max: maxPoolVMs})),
+		Max:     int(t.Int("max", tomldoc.IntRule{Default: undeclared, Max: maxPoolVMs})),
 	}
 	switch {
 	case p.Spare && t.Has("service"):
