--- a/bench/cluster/cluster.go
+++ b/bench/cluster/cluster.go
@@ -140,6 +140,9 @@
 	if err != nil {
 		return err
 	}
+	if err := c.PlatformReboots(platform.DefaultDown); err != nil {
+		return err
+	}
 	c.Site.MinionAddrs = nil
 	for i := range c.Site.Minions() {
 		name := string(sites.MinionName(i))
