--- a/internal/maintenance/budget.go
+++ b/internal/maintenance/budget.go
@@ -86,22 +86,23 @@
 	detail string
 }
 
-// admit takes the VM out of service if every budget allows it; otherwise it returns the
-// narrowest budget that does not.
-func (l *ledger) admit(v *VM) (b block, ok bool) {
-	ds := l.domains(v)
-	for _, d := range ds {
+// room reports whether every budget allows the VM to be out of service; otherwise it
+// returns the narrowest budget that does not.
+func (l *ledger) room(v *VM) (b block, ok bool) {
+	for _, d := range l.domains(v) {
 		if n, limit := l.out[d], l.limit(d); n >= limit {
 			b = block{reason: scopeReason(d.scope), detail: fmt.Sprintf("%d of %d VMs of service %s are out%s", n, limit, d.service, where(d))}
 		}
 	}
-	if b.reason != "" {
-		return b, false
-	}
-	for _, d := range ds {
-		l.out[d]++
+	return b, b.reason == ""
+}
+
+// admit takes the VM out of service if every budget allows it.
+func (l *ledger) admit(v *VM) (b block, ok bool) {
+	if b, ok = l.room(v); ok {
+		l.count(v)
 	}
-	return block{}, true
+	return b, ok
 }
 
 func scopeReason(s config.BudgetScope) Reason {
--- /dev/null
+++ b/internal/pools/history_test.go
@@ -0,0 +1,125 @@
+package pools
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"boragepulley/internal/model"
+)
+
+// history runs plans against demand over time and performs their moves.
+type history struct {
+	s     Snapshot
+	work  map[model.Service]int
+	ends  map[model.VM]time.Time
+	last  map[model.VM]Move
+	raw   map[model.Service][]int
+	moves int
+}
+
+// step advances by a second.
+func (h *history) step(t *rapid.T) {
+	h.s.Now = h.s.Now.Add(time.Second)
+	for i := range h.s.VMs {
+		v := &h.s.VMs[i]
+		if end, ok := h.ends[v.Name]; ok && !h.s.Now.Before(end) {
+			delete(h.ends, v.Name)
+			v.Pool, v.Target, v.State, v.MovedAt = v.Target, "", model.VMServing, h.s.Now
+		}
+	}
+	for i, svc := range []model.Service{"s00", "s01"} {
+		slots := 0
+		for _, v := range h.s.VMs {
+			if v.Home == h.s.Pools[i].Name && v.Pool == v.Home && v.Target == "" {
+				slots += v.Slots
+			}
+		}
+		h.raw[svc] = append(h.raw[svc], h.work[svc]-slots)
+		h.s.Demand[svc].Observe(Sample{At: h.s.Now, Work: h.work[svc], Slots: slots, Unit: 8}, h.s.MoveTime)
+	}
+	for _, m := range Make(h.s).Moves {
+		h.begin(t, m)
+	}
+}
+
+func (h *history) begin(t *rapid.T, m Move) {
+	h.moves++
+	for i := range h.s.VMs {
+		v := &h.s.VMs[i]
+		if v.Name != m.VM {
+			continue
+		}
+		if prev, ok := h.last[m.VM]; ok {
+			h.checkChanged(t, v, prev, m)
+		}
+		v.Target, v.State = m.To, model.VMDraining
+		h.ends[m.VM] = h.s.Now.Add(h.s.MoveTime)
+		h.last[m.VM] = m
+	}
+}
+
+// checkChanged requires that a VM moves again only after demand has differed for longer
+// than two moves take: on average over that time, the VM was unused before it goes home,
+// and would have been used before it is lent again.
+func (h *history) checkChanged(t *rapid.T, v *VM, prev, m Move) {
+	window := int(2 * h.s.MoveTime / time.Second)
+	require.Greater(t, h.s.Now.Sub(v.MovedAt), 2*h.s.MoveTime, "%s moved %s ago", v.Name, h.s.Now.Sub(v.MovedAt))
+	require.Equal(t, prev.To, m.From)
+	svc, lent := model.Service("s00"), 0
+	if m.From == "p01" || m.From == "spare" && m.To == "p01" {
+		svc = "s01"
+	}
+	for _, w := range h.s.VMs {
+		if w.Pool == "p"+model.Pool(svc[1:]) && w.Home != w.Pool {
+			lent++
+		}
+	}
+	if m.Reason == ReasonDemand {
+		lent++
+	}
+	raw := h.raw[svc]
+	sum := 0.0
+	for _, x := range raw[len(raw)-window:] {
+		sum += min(1, max(0, float64(x-(lent-1)*8)/8))
+	}
+	mean := sum / float64(window)
+	// The short average lags by its window, so the bounds have that much room.
+	room := shortWindow.Seconds() / float64(window) * 2
+	if m.Reason == ReasonDemand {
+		require.GreaterOrEqual(t, mean, lowUse-room, "lent again without demand")
+	} else {
+		require.LessOrEqual(t, mean, highUse+room, "returned while in use")
+	}
+}
+
+// Guards against VMs that go back and forth with bursts, and against spare VMs that do
+// not return home when demand has ended.
+func TestNoOscillationAndReturn(t *testing.T) {
+	moves := 0
+	rapid.Check(t, func(t *rapid.T) {
+		h := &history{s: fleet(2, 2, 2), work: map[model.Service]int{}, ends: map[model.VM]time.Time{}, last: map[model.VM]Move{}, raw: map[model.Service][]int{}}
+		h.s.MoveTime = time.Duration(rapid.IntRange(5, 10).Draw(t, "move")) * time.Second
+		for i := range h.s.Pools[:2] {
+			h.s.Pools[i].Max = 4
+		}
+		for range rapid.IntRange(1, 8).Draw(t, "phases") {
+			h.work["s00"] = rapid.SampledFrom([]int{0, 8, 20, 40}).Draw(t, "work")
+			h.work["s01"] = rapid.SampledFrom([]int{0, 8, 20, 40}).Draw(t, "other work")
+			for range rapid.SampledFrom([]int{3, 10, 30, 100}).Draw(t, "length") {
+				h.step(t)
+			}
+		}
+		h.work = map[model.Service]int{}
+		for range 20 * int(h.s.MoveTime/time.Second) {
+			h.step(t)
+		}
+		for _, v := range h.s.VMs {
+			require.Equal(t, v.Home, v.Pool, "%s is not at home", v.Name)
+		}
+		moves += h.moves
+	})
+	require.Greater(t, moves, 1000, "the cases must contain moves")
+}
