--- a/cmd/bpbench/main.go
+++ b/cmd/bpbench/main.go
@@ -15,6 +15,7 @@
 	"github.com/alecthomas/kong"
 
 	"boragepulley/bench/demo"
+	"boragepulley/bench/poolmodel"
 	"boragepulley/bench/prove"
 	"boragepulley/bench/up"
 )
@@ -27,6 +28,7 @@
 	Demo  demoCmd  `cmd:"" help:"Run the whole path once and compare the report with the callers."`
 	Up    upCmd    `cmd:"" help:"Run a small site until interrupted, for trying things by hand."`
 	Prove proveCmd `cmd:"" help:"Show the invariants under injected faults."`
+	Pools poolsCmd `cmd:"" help:"Compare policies for moves between pools in a model of both sites."`
 }
 
 type upCmd struct {
@@ -53,6 +55,22 @@
 	return nil
 }
 
+type poolsCmd struct {
+	Site   string `default:"both" enum:"alexandria,aarhus,both" help:"Site: alexandria, aarhus or both."`
+	Tuning bool   `help:"Run the profile that the policy's constants are tried on in place of the reported ones."`
+}
+
+func (p poolsCmd) Run(c *cli) error {
+	names, profiles := []string{p.Site}, poolmodel.Profiles
+	if p.Site == "both" {
+		names = []string{"alexandria", "aarhus"}
+	}
+	if p.Tuning {
+		profiles = []poolmodel.Profile{poolmodel.Tuning}
+	}
+	return poolmodel.Compare(os.Stdout, names, profiles, c.Seed)
+}
+
 type demoCmd struct{}
 
 func (demoCmd) Run(ctx context.Context, c *cli) error {
