--- a/internal/pools/history_test.go
+++ b/internal/pools/history_test.go
@@ -101,7 +101,7 @@
 	moves := 0
 	rapid.Check(t, func(t *rapid.T) {
 		h := &history{s: fleet(2, 2, 2), work: map[model.Service]int{}, ends: map[model.VM]time.Time{}, last: map[model.VM]Move{}, raw: map[model.Service][]int{}}
-		h.s.MoveTime = time.Duration(rapid.IntRange(5, 10).Draw(t, "move")) * time.Second
+		h.s.MoveTime = time.Duration(rapid.IntRange(4, 6).Draw(t, "move")) * time.Second
 		for i := range h.s.Pools[:2] {
 			h.s.Pools[i].Max = 4
 		}
@@ -112,8 +112,13 @@
 				h.step(t)
 			}
 		}
-		h.work = map[model.Service]int{}
-		for range 20 * int(h.s.MoveTime/time.Second) {
+		// Bursts that are shorter than a move go on; they must not keep the VMs away.
+		gap := rapid.IntRange(10, 20).Draw(t, "gap")
+		for i := range 20 * int(h.s.MoveTime/time.Second) {
+			h.work = map[model.Service]int{}
+			if i%gap < 3 {
+				h.work["s00"] = 40
+			}
 			h.step(t)
 		}
 		for _, v := range h.s.VMs {
--- a/internal/pools/plan.go
+++ b/internal/pools/plan.go
@@ -190,8 +190,9 @@
 	if l == nil {
 		return "", ""
 	}
-	if t := l.lasted(p.s.Now); !l.high && t > 2*p.s.MoveTime {
-		return ReasonDemandGone, fmt.Sprintf("service %s has not needed it for %s", here.Service, t.Round(time.Second))
+	// The long average keeps a VM where bursts that follow each other closely use it.
+	if t := p.s.Now.Sub(l.quiet); !l.high && l.long < highUse && t > 2*p.s.MoveTime {
+		return ReasonDemandGone, fmt.Sprintf("service %s has had no lasting need of it for %s", here.Service, t.Round(time.Second))
 	}
 	if home.Spare || p.lent[home.Service] > 0 || p.touched[home.Service] {
 		return "", ""
--- a/internal/pools/tracker.go
+++ b/internal/pools/tracker.go
@@ -44,7 +44,10 @@
 	short, long float64
 	high        bool
 	since       time.Time
-	past        []time.Duration
+	// quiet is when the last episode that outlasted a move ended, or when samples began.
+	// Bursts, which are shorter, do not change it: they would keep a lent VM for ever.
+	quiet time.Time
+	past  []time.Duration
 }
 
 // Tracker keeps what the policy needs to know about the demand for a service over time.
@@ -75,7 +78,7 @@
 		l := &t.levels[i]
 		l.short += a * (use - l.short)
 		l.long += b * (use - l.long)
-		l.update(s.At)
+		l.update(s.At, moveTime)
 	}
 }
 
@@ -83,7 +86,7 @@
 func (t *Tracker) restart(now time.Time) {
 	t.first = now
 	for i := range t.levels {
-		t.levels[i] = level{since: now, past: t.levels[i].past}
+		t.levels[i] = level{since: now, quiet: now, past: t.levels[i].past}
 	}
 }
 
@@ -97,7 +100,10 @@
 	return 1 - math.Exp(-gap.Seconds()/max(window.Seconds(), 1e-3))
 }
 
-func (l *level) update(now time.Time) {
+func (l *level) update(now time.Time, moveTime time.Duration) {
+	if l.high && l.lasted(now) > moveTime {
+		l.quiet = now
+	}
 	switch {
 	case !l.high && l.short >= highUse:
 		l.high, l.since = true, now
