--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -605,6 +605,44 @@
 	}
 }
 
+// Guards against a refusal as not run because no entry VM of the data centre that the
+// coordinator named was heard here: only coordinators hear those of other data centres.
+func TestForwardToDataCentreNotHeard(t *testing.T) {
+	for status, sent := range map[control.MemberStatus]bool{
+		control.MemberAlive: true, control.MemberUnknown: true, control.MemberSuspect: true,
+		control.MemberLeaving: false, control.MemberGone: false,
+	} {
+		t.Run(string(status), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				a := newRig(3)
+				b := a.other("e3", "b")
+				a.ctl.snap.Peers["e3"] = control.PeerState{DC: "b", Status: status}
+				a.ctl.acquire = redirect("b")
+				res := a.Submit(context.Background(), withID(input("x", true), "id"))
+				require.Equal(t, model.StateRan, res.State)
+				require.Equal(t, sent, len(a.links.sent) == 1)
+				require.Equal(t, 1, a.minions.ran("x"))
+				a.settled(t)
+				b.settled(t)
+			})
+		})
+	}
+}
+
+// Guards against a request that is offered to an entry VM that may be dead before one that is
+// alive, or to one of the own data centre that is suspect.
+func TestForwardPrefersAlive(t *testing.T) {
+	a := newRig(3)
+	a.ctl.snap.Peers["e5"] = control.PeerState{DC: "b", Status: control.MemberUnknown}
+	a.ctl.snap.Peers["e6"] = control.PeerState{DC: "b", Status: control.MemberSuspect}
+	for range 20 {
+		got := a.forwardCandidates("b")
+		require.Len(t, got, forwardTargets)
+		require.Equal(t, model.EntryVM("e3"), got[0])
+		require.Equal(t, []model.EntryVM{"e2"}, a.forwardCandidates("a"), "entry VMs of the own data centre are heard")
+	}
+}
+
 // Guards against calling a job cancelled because the connection between two entry VMs
 // broke: the accepting one goes on with it.
 func TestForwardConnectionLostWhileQueued(t *testing.T) {
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -61,15 +61,27 @@
 	return false
 }
 
-// forwardCandidates returns live entry VMs of a data centre in random order.
+// forwardCandidates returns entry VMs of a data centre in random order, those known to be
+// alive first. Only coordinators exchange messages with other data centres, so elsewhere
+// an entry VM there may never have been heard, or not since it was suspect; the coordinator
+// that names the data centre hears it, and a connection that cannot be opened loses nothing.
 func (s *Service) forwardCandidates(dc model.DataCentre) []model.EntryVM {
-	var out []model.EntryVM
+	var alive, unheard []model.EntryVM
 	for name, p := range s.cfg.Control.Snapshot().Peers {
-		if name != s.cfg.Entry && p.DC == dc && p.Status == control.MemberAlive {
-			out = append(out, name)
+		if name == s.cfg.Entry || p.DC != dc {
+			continue
 		}
+		switch {
+		case p.Status == control.MemberAlive:
+			alive = append(alive, name)
+		case dc != s.cfg.DC && (p.Status == control.MemberUnknown || p.Status == control.MemberSuspect):
+			unheard = append(unheard, name)
+		}
+	}
+	for _, list := range [][]model.EntryVM{alive, unheard} {
+		rand.Shuffle(len(list), func(a, b int) { list[a], list[b] = list[b], list[a] })
 	}
-	rand.Shuffle(len(out), func(a, b int) { out[a], out[b] = out[b], out[a] })
+	out := append(alive, unheard...)
 	return out[:min(len(out), forwardTargets)]
 }
 
