--- a/bench/cluster/cluster.go
+++ b/bench/cluster/cluster.go
@@ -134,8 +134,15 @@
 
 func (c *Cluster) startMinions() error {
 	var r ready
-	p, err := c.standin("minions", &r, "minions", fmt.Sprintf("--count=%d", c.Site.Minions()),
-		"--prefix="+strings.TrimSuffix(string(sites.MinionName(0)), "1"), fmt.Sprintf("--seed=%d", c.Seed))
+	args := []string{"minions", fmt.Sprintf("--count=%d", c.Site.Minions()),
+		"--prefix=" + strings.TrimSuffix(string(sites.MinionName(0)), "1"), fmt.Sprintf("--seed=%d", c.Seed)}
+	if c.Site.Slots > 0 {
+		args = append(args, fmt.Sprintf("--slots=%d", c.Site.Slots))
+	}
+	if c.Site.Connections > 0 {
+		args = append(args, fmt.Sprintf("--connections=%d", c.Site.Connections))
+	}
+	p, err := c.standin("minions", &r, args...)
 	c.minions, c.minionAdmin = p, r.Admin
 	if err != nil {
 		return err
@@ -201,6 +208,12 @@
 	}
 }
 
+// PlatformAddr returns the platform's own address, past the proxy.
+func (c *Cluster) PlatformAddr() string { return c.platformAddr }
+
+// PlatformUsage returns processor time and memory of the platform's stand-in.
+func (c *Cluster) PlatformUsage() (proc.Usage, error) { return c.platform.Usage() }
+
 // Entries returns the names of the entry VMs in order.
 func (c *Cluster) Entries() []model.EntryVM { return c.names }
 
@@ -225,7 +238,12 @@
 // Apply applies files on top of the version in force and waits until they are in force
 // everywhere, or ctx ends. It returns the new version and how long it took.
 func (c *Cluster) Apply(ctx context.Context, files []config.File) (uint64, time.Duration, error) {
-	op, err := c.Operator()
+	return c.ApplyAt(ctx, files)
+}
+
+// ApplyAt is Apply through the given entry VMs, or all.
+func (c *Cluster) ApplyAt(ctx context.Context, files []config.File, names ...model.EntryVM) (uint64, time.Duration, error) {
+	op, err := c.Operator(names...)
 	if err != nil {
 		return 0, 0, err
 	}
--- a/bench/prove/scenarios.go
+++ b/bench/prove/scenarios.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -16,6 +17,12 @@
 
 // All returns every scenario.
 func All() []Scenario {
+	return slices.Concat(basics(), configScenarios(), keyScenarios(), limitScenarios(), onceScenarios(),
+		minionScenarios(), callerScenarios(), recordScenarios(), stormScenarios())
+}
+
+// basics are the scenarios of one fault each under ordinary load.
+func basics() []Scenario {
 	return []Scenario{
 		{Name: "coordinator-killed", Shows: "I4 I5 I6 I7, slots: kill -9 of the coordinator under load", Run: coordinatorKilled},
 		{Name: "coordinator-paused", Shows: "I4 I6 I7, slots: coordinator frozen past its lease, then resumed", Run: coordinatorPaused},
@@ -26,6 +33,9 @@
 		{Name: "store-down", Shows: "I6 I7 I10: the store down for everyone, coordinator killed meanwhile", Run: storeDown},
 		{Name: "answers-lost", Shows: "I6 I7 I10: answers of the store lost after the write took effect", Run: answersLost},
 		{Name: "silent-connections", Shows: "I5 I6: open connections go silent while new ones work", Run: silentConnections},
+		{Name: "wave", Shows: "I1 I2 I8 I9: maintenance of every VM under load, then VMs change their pools", Site: waveSite, Run: wave},
+		{Name: "wave-faults", Shows: "I1 I8 I9: a wave with failures in one rack, coordinators killed and frozen, the store down", Site: waveSite, Run: waveFaults},
+		{Name: "drain-cut", Shows: "I8: a VM drained while its data centre is cut from the platform", Run: drainCut},
 		{Name: "rolling-restart", Shows: "I9: every entry VM replaced in turn under load", Run: rollingRestart},
 	}
 }
@@ -128,7 +138,7 @@
 		return err
 	}
 	// Requests at the paused entry VM are answered late; their callers may give up.
-	e.killed[old] = true
+	e.lose(old)
 	if _, err := e.awaitCoordinator(ctx, dc, old, start); err != nil {
 		return err
 	}
@@ -255,7 +265,9 @@
 }
 
 func rollingRestart(ctx context.Context, e *Env) error {
-	stop := e.Load(ctx, defaultMix())
+	// Requests run for longer than the balancer's grace, so that some always run when an
+	// entry VM begins to stop.
+	stop := e.Load(ctx, Mix{Rate: 8, Run: 2 * time.Second, Steady: true, NonIdempotent: 0.4, Repeat: 0.3})
 	defer stop()
 	e.Wait(ctx, time.Second)
 	for _, n := range e.Entries() {
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -67,6 +67,22 @@
 	}
 }
 
+// Guards against a job that is told that its key was never known: the key was withdrawn
+// while the job's entry VM had no coordinator to wait at.
+func TestKeyWithdrawnBeforeAcquire(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(1)
+		r.ctl.acquire = func(context.Context, control.Attempt) (peer.AcquireReply, bool, error) {
+			return peer.AcquireReply{Refused: model.ReasonBadKey, Detail: "configuration version 2"}, true, nil
+		}
+		res := r.Submit(context.Background(), input("body", true))
+		require.Equal(t, model.StateRefused, res.State)
+		require.Equal(t, model.ReasonKeyWithdrawn, res.Reason)
+		require.Empty(t, r.minions.calls)
+		r.settled(t)
+	})
+}
+
 // Guards against endless attempts and against a final reason that hides that the job
 // itself is at fault.
 func TestAttemptsExhausted(t *testing.T) {
@@ -460,6 +476,26 @@
 	})
 }
 
+// Guards against a claim that waits for two transactions: one that arrives while the
+// next transaction may not start yet is part of it.
+func TestClaimJoinsNextTransaction(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(3)
+		start := time.Now()
+		var wg sync.WaitGroup
+		for i, at := range []time.Duration{0, claimSpacing / 5, claimSpacing * 4 / 5} {
+			wg.Go(func() {
+				time.Sleep(at)
+				res := r.claims.claim(context.Background(), fmt.Sprintf("claim/red/%d", i), claimRow{Job: "job-e1"})
+				require.True(t, res.held)
+			})
+		}
+		wg.Wait()
+		require.Less(t, time.Since(start), 2*claimSpacing)
+		require.Equal(t, 2, r.table.commits)
+	})
+}
+
 // Guards against one used request id that spoils the claims of a whole batch, and
 // against more than 20 claim transactions a second.
 func TestClaimBatches(t *testing.T) {
@@ -569,6 +605,44 @@
 	}
 }
 
+// Guards against a refusal as not run because no entry VM of the data centre that the
+// coordinator named was heard here: only coordinators hear those of other data centres.
+func TestForwardToDataCentreNotHeard(t *testing.T) {
+	for status, sent := range map[control.MemberStatus]bool{
+		control.MemberAlive: true, control.MemberUnknown: true, control.MemberSuspect: true,
+		control.MemberLeaving: false, control.MemberGone: false,
+	} {
+		t.Run(string(status), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				a := newRig(3)
+				b := a.other("e3", "b")
+				a.ctl.snap.Peers["e3"] = control.PeerState{DC: "b", Status: status}
+				a.ctl.acquire = redirect("b")
+				res := a.Submit(context.Background(), withID(input("x", true), "id"))
+				require.Equal(t, model.StateRan, res.State)
+				require.Equal(t, sent, len(a.links.sent) == 1)
+				require.Equal(t, 1, a.minions.ran("x"))
+				a.settled(t)
+				b.settled(t)
+			})
+		})
+	}
+}
+
+// Guards against a request that is offered to an entry VM that may be dead before one that is
+// alive, or to one of the own data centre that is suspect.
+func TestForwardPrefersAlive(t *testing.T) {
+	a := newRig(3)
+	a.ctl.snap.Peers["e5"] = control.PeerState{DC: "b", Status: control.MemberUnknown}
+	a.ctl.snap.Peers["e6"] = control.PeerState{DC: "b", Status: control.MemberSuspect}
+	for range 20 {
+		got := a.forwardCandidates("b")
+		require.Len(t, got, forwardTargets)
+		require.Equal(t, model.EntryVM("e3"), got[0])
+		require.Equal(t, []model.EntryVM{"e2"}, a.forwardCandidates("a"), "entry VMs of the own data centre are heard")
+	}
+}
+
 // Guards against calling a job cancelled because the connection between two entry VMs
 // broke: the accepting one goes on with it.
 func TestForwardConnectionLostWhileQueued(t *testing.T) {
