report: a refused connection from another data centre does not prove that an entry VM ended

Change: refusals count only inside the own data centre, as membership sees them. Conclusion: an entry VM of a data centre that is cut off or lost as a whole is reported as not reached.

--- a/internal/account/report.go
+++ b/internal/account/report.go
@@ -129,7 +129,7 @@
 	// its facts for this report.
 	Live map[model.Incarnation]bool
 	// Gone holds the entry VMs whose processes that are not in Live have certainly ended:
-	// another process answered there, or nothing listens.
+	// another process answered there, or its data centre's members saw it end.
 	Gone map[model.EntryVM]bool
 	Now  time.Time
 }
--- a/internal/daemon/reports.go
+++ b/internal/daemon/reports.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"boragepulley/internal/account"
+	"boragepulley/internal/control"
 	"boragepulley/internal/model"
 	"boragepulley/internal/operator"
 	"boragepulley/internal/peer"
@@ -47,7 +48,7 @@
 			got, from, complete, err := pull(ctx, c, d.self)
 			if err != nil {
 				mu.Lock()
-				gone[name] = errors.Is(err, peer.ErrRefused)
+				gone[name] = d.certainlyGone(name)
 				mu.Unlock()
 				d.log.Warn().Err(err).Msg("Unstored records of an entry VM are missing from the report.")
 				return
@@ -63,6 +64,14 @@
 	return batches, live, gone
 }
 
+// certainlyGone reports whether an entry VM that did not answer has ended. Only entry
+// VMs of the own data centre can be judged by refused connections: between data centres
+// a cut link may refuse them too.
+func (d *Daemon) certainlyGone(n model.EntryVM) bool {
+	p := d.control.Snapshot().Peers[n]
+	return p.DC == d.self.DC && p.Status == control.MemberGone
+}
+
 func pull(ctx context.Context, c *peer.Client, self peer.Sender) ([]account.Batch, peer.Sender, bool, error) {
 	r, err := c.PullRecords(ctx, &peer.PullRecords{From: self})
 	if err != nil {
