bench/cluster: experiments at the same time share no ports

Nothing listens on the port of a cut link, and pickers of other experiments only looked for ports on which nothing listens. Which process had the port was not seen; other experiments were running. Ports now come in blocks that one picker reserves.

The list of integration scenarios has wave, wave-faults and drain-cut.

--- a/bench/cluster/cluster.go
+++ b/bench/cluster/cluster.go
@@ -206,6 +206,7 @@
 			p.Kill()
 		}
 	}
+	c.ports.close()
 }
 
 // PlatformAddr returns the platform's own address, past the proxy.
--- a/bench/cluster/entries.go
+++ b/bench/cluster/entries.go
@@ -20,8 +20,14 @@
 func (c *Cluster) prepareEntries() error {
 	for _, dc := range c.Site.DataCentres {
 		for _, n := range dc.EntryVMs {
-			c.entries[n] = &Entry{Name: n, DC: dc.Name, Caller: c.ports.next(), Operator: c.ports.next(), Peer: c.ports.next(),
-				settings: filepath.Join(c.Dir, string(n)+".toml")}
+			e := &Entry{Name: n, DC: dc.Name, settings: filepath.Join(c.Dir, string(n)+".toml")}
+			for _, addr := range []*string{&e.Caller, &e.Operator, &e.Peer} {
+				var err error
+				if *addr, err = c.ports.next(); err != nil {
+					return err
+				}
+			}
+			c.entries[n] = e
 			c.names = append(c.names, n)
 		}
 	}
--- a/bench/cluster/faults.go
+++ b/bench/cluster/faults.go
@@ -56,8 +56,12 @@
 
 // addLink adds a proxy link and returns its address.
 func (c *Cluster) addLink(name, target string) (string, error) {
+	listen, err := c.ports.next()
+	if err != nil {
+		return "", err
+	}
 	var st faultproxy.LinkStatus
-	err := admin(http.MethodPost, c.proxyAdmin, "/links", faultproxy.LinkSpec{Name: name, Listen: c.ports.next(), Target: target}, &st)
+	err = admin(http.MethodPost, c.proxyAdmin, "/links", faultproxy.LinkSpec{Name: name, Listen: listen, Target: target}, &st)
 	return st.Listen, err
 }
 
--- a/test/integration/integration_test.go
+++ b/test/integration/integration_test.go
@@ -33,6 +33,8 @@
 	seed uint64
 }{
 	{"minion-all-bad", 1},
+	{"wave-faults", 1},
+	{"wave", 1},
 	{"storm", 2},
 	{"limits-faults", 1},
 	{"limits-move", 1},
@@ -45,6 +47,7 @@
 	{"records-copied", 1},
 	{"rolling-restart", 1},
 	{"coordinator-paused", 1},
+	{"drain-cut", 1},
 	{"key-paused", 1},
 	{"key-isolated", 1},
 	{"once-killed", 1},
