--- a/cmd/boragepulley/main.go
+++ b/cmd/boragepulley/main.go
@@ -47,7 +47,7 @@
 	Check   checkCmd   `cmd:"" help:"Check files without a server."`
 	Plan    planCmd    `cmd:"" help:"Show what applying files would change."`
 	Apply   applyCmd   `cmd:"" help:"Apply files as a whole and wait until they are in force everywhere."`
-	Status  statusCmd  `cmd:"" help:"Show the configuration, coordinators, entry VMs, VMs and teams."`
+	Status  statusCmd  `cmd:"" help:"Show the configuration, coordinators, entry VMs, VMs, waves and teams."`
 	Jobs    jobsCmd    `cmd:"" help:"List jobs that a server knows, newest first."`
 	Explain explainCmd `cmd:"" help:"Show every recorded step of a job."`
 	Report  reportCmd  `cmd:"" help:"Print the account of the site."`
--- a/internal/maintenance/plan.go
+++ b/internal/maintenance/plan.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"time"
 
 	"boragepulley/internal/config"
 	"boragepulley/internal/model"
@@ -107,6 +108,19 @@
 	p.plan.Held = append(p.plan.Held, h)
 }
 
+// inState is how long the VM has been in its state, for details.
+func (p *planner) inState(v *VM) time.Duration {
+	return p.s.Now.Sub(v.Since).Round(time.Millisecond)
+}
+
+// inUse says what still keeps a VM from being empty.
+func inUse(v *VM) string {
+	if v.Permits > 0 {
+		return fmt.Sprintf("%d permits are outstanding", v.Permits)
+	}
+	return "the minion has not confirmed yet that nothing runs"
+}
+
 // keepOut drains a VM that the configuration takes out of service. The operator's wish
 // goes before the budgets; the VM counts against them.
 func (p *planner) keepOut(v *VM) {
@@ -114,9 +128,9 @@
 	case v.State == model.VMServing:
 		p.step(v, StepDrain, ReasonConfigured, "")
 	case v.State == model.VMDraining && (v.Permits > 0 || !v.Idle):
-		p.hold(v, ReasonInUse, fmt.Sprintf("%d permits are outstanding", v.Permits))
+		p.hold(v, ReasonInUse, inUse(v))
 	case v.State == model.VMDraining:
-		p.step(v, StepEmpty, ReasonDrained, "after "+p.s.Now.Sub(v.Since).String())
+		p.step(v, StepEmpty, ReasonDrained, "after "+p.inState(v).String())
 	case v.MoveTo != "":
 		p.step(v, StepMove, ReasonMove, "to pool "+string(v.MoveTo))
 	default:
@@ -130,11 +144,11 @@
 	case v.Drained:
 		p.hold(v, ReasonConfigured, "the VM is not repaired while the configuration drains it")
 	case v.Permits > 0 && p.s.Now.Sub(v.Since) < FailedGrace:
-		p.hold(v, ReasonInUse, fmt.Sprintf("%d permits are outstanding", v.Permits))
+		p.hold(v, ReasonInUse, inUse(v))
 	case p.s.Now.Before(v.RetryAt):
 		p.hold(v, ReasonBackOff, "next reboot in "+v.RetryAt.Sub(p.s.Now).String())
 	default:
-		p.step(v, StepReboot, ReasonRepair, "failed for "+p.s.Now.Sub(v.Since).String())
+		p.step(v, StepReboot, ReasonRepair, "failed for "+p.inState(v).String())
 	}
 }
 
@@ -142,7 +156,7 @@
 func (p *planner) comeBack(v *VM) {
 	switch {
 	case v.Up:
-		p.step(v, StepReturn, ReasonRebooted, "after "+p.s.Now.Sub(v.Since).String())
+		p.step(v, StepReturn, ReasonRebooted, "after "+p.inState(v).String())
 		last := &p.plan.Steps[len(p.plan.Steps)-1]
 		for i := range p.s.Waves {
 			w := &p.s.Waves[i]
@@ -152,9 +166,9 @@
 			}
 		}
 	case p.s.Now.Sub(v.Since) > RebootTimeout:
-		p.step(v, StepFail, ReasonRebootTimeout, "no answer for "+p.s.Now.Sub(v.Since).String())
+		p.step(v, StepFail, ReasonRebootTimeout, "no answer for "+p.inState(v).String())
 	default:
-		p.hold(v, ReasonRebooting, "for "+p.s.Now.Sub(v.Since).String())
+		p.hold(v, ReasonRebooting, "for "+p.inState(v).String())
 	}
 }
 
@@ -186,11 +200,11 @@
 	busy := v.Permits > 0 || !v.Idle
 	switch {
 	case busy && w != nil && p.s.Now.Sub(v.Since) > w.DrainTimeout && w.DrainTimeout > 0:
-		p.hold(v, ReasonDrainTimeout, fmt.Sprintf("%d permits after %s", v.Permits, p.s.Now.Sub(v.Since)))
+		p.hold(v, ReasonDrainTimeout, inUse(v)+", after "+p.inState(v).String())
 	case busy:
-		p.hold(v, ReasonInUse, fmt.Sprintf("%d permits are outstanding", v.Permits))
+		p.hold(v, ReasonInUse, inUse(v))
 	case v.State == model.VMDraining:
-		p.step(v, StepEmpty, ReasonDrained, "after "+p.s.Now.Sub(v.Since).String())
+		p.step(v, StepEmpty, ReasonDrained, "after "+p.inState(v).String())
 	case v.MoveTo != "":
 		p.step(v, StepMove, ReasonMove, "to pool "+string(v.MoveTo))
 	case p.paused:
--- a/internal/maintenance/plan_test.go
+++ b/internal/maintenance/plan_test.go
@@ -317,3 +317,21 @@
 	s.VMs[0].State = model.VMEmpty
 	require.Equal(t, 1, Make(s).steps(StepMove))
 }
+
+// Guards against a status that blames permits when only the minion's confirmation is
+// missing.
+func TestHeldSaysWhatKeepsVMInUse(t *testing.T) {
+	s := site(2, 2, 2)
+	s.VMs = s.VMs[:1]
+	s.VMs[0].State, s.VMs[0].Idle = model.VMDraining, false
+	for permits, want := range map[int]string{
+		0: "the minion has not confirmed yet that nothing runs",
+		2: "2 permits are outstanding",
+	} {
+		s.VMs[0].Permits = permits
+		p := Make(s)
+		require.Len(t, p.Held, 1)
+		require.Equal(t, ReasonInUse, p.Held[0].Reason)
+		require.Equal(t, want, p.Held[0].Detail)
+	}
+}
