control: fewer messages between data centres

Change: heartbeats between data centres every 2.5 s while evidence from the table is fresh, without the lists that only a successor in the own data centre needs; unchanged usage reports every 1.5 s.

--- a/internal/control/member.go
+++ b/internal/control/member.go
@@ -104,6 +104,13 @@
 	return hb
 }
 
+// farHeartbeat leaves out what only a successor in the own data centre needs.
+func (c *Control) farHeartbeat() *peer.Heartbeat {
+	hb := c.heartbeat()
+	hb.NotServing, hb.Pools, hb.Held = nil, nil, nil
+	return hb
+}
+
 // heartbeatRound sends a heartbeat to every entry VM of the data centre.
 func (c *Control) heartbeatRound(now time.Time) {
 	for _, m := range c.local() {
@@ -341,6 +348,9 @@
 		if m := c.byName[hb.From.Entry]; m != nil && c.onSender(hb.From) {
 			c.onHeartbeat(m, hb)
 		}
+		if hb.From.DC != c.self.DC {
+			return &peer.HeartbeatReply{Heartbeat: *c.farHeartbeat()}, nil
+		}
 		return &peer.HeartbeatReply{Heartbeat: *c.heartbeat()}, nil
 	})
 }
@@ -357,6 +367,17 @@
 	usageToken model.Token
 	usageSeq   uint64
 	waiting    map[model.Team]int
+	// reported is the last usage report that was sent there, at reportedAt.
+	reported   *peer.Usage
+	reportedAt time.Time
+}
+
+// due reports whether a heartbeat is due to another data centre. While the table proves
+// that the configuration is the head, an answer serves only to notice a change of
+// coordinator there, and the usage reports do that as well.
+func (f *farState) due(now, tableEvidence time.Time) bool {
+	fresh := now.Sub(tableEvidence) < farEvidenceFresh
+	return !fresh || f.coordinator == "" || now.Sub(f.answered) > remoteIdle
 }
 
 // remoteRound sends a heartbeat to one entry VM of every other data centre.
@@ -366,10 +387,10 @@
 	}
 	for dc, f := range c.far {
 		m := c.farTarget(dc, f)
-		if m == nil {
+		if m == nil || !f.due(now, c.cfg.evidenceAt) {
 			continue
 		}
-		hb, sent := c.heartbeat(), now
+		hb, sent := c.farHeartbeat(), now
 		c.async(heartbeatTimeout, func(ctx context.Context) func() {
 			r, err := m.remote.Heartbeat(ctx, hb)
 			return func() {
--- a/internal/control/timing.go
+++ b/internal/control/timing.go
@@ -46,8 +46,14 @@
 	configPushWait = 300 * time.Millisecond
 	storeTimeout   = 2 * time.Second
 
-	usageEvery     = time.Second
-	allotmentEvery = 2 * time.Second
+	usageEvery = time.Second
+	// usageRefresh repeats an unchanged report before it expires at its receiver (3 s).
+	usageRefresh = 1500 * time.Millisecond
+	// remoteIdle is the time between heartbeats to another data centre while evidence
+	// from the table is not older than farEvidenceFresh.
+	remoteIdle       = 2500 * time.Millisecond
+	farEvidenceFresh = 2500 * time.Millisecond
+	allotmentEvery   = 2 * time.Second
 	// allotCheckGap bounds how often waiting requests look for more of a limit,
 	// allotRetry is the mean wait after a failed attempt for one team.
 	allotCheckGap = 5 * time.Millisecond
--- a/internal/control/usage.go
+++ b/internal/control/usage.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"boragepulley/internal/peer"
@@ -18,18 +19,31 @@
 		Running: u.Running, Waiting: u.Waiting, Free: u.Free}
 	for dc, f := range c.far {
 		m := c.farTarget(dc, f)
-		if m == nil || f.coordinator == "" {
+		if m == nil || f.coordinator == "" || !f.worthReporting(msg, now) {
 			continue
 		}
+		f.reported, f.reportedAt = msg, now
 		c.async(heartbeatTimeout, func(ctx context.Context) func() {
 			if _, err := m.remote.Usage(ctx, msg); err != nil {
-				return func() { c.log.Debug().Err(err).Str("peer", string(m.Name)).Msg("usage not delivered") }
+				return func() {
+					c.log.Debug().Err(err).Str("peer", string(m.Name)).Msg("usage not delivered")
+					f.reported = nil
+					c.onFarFailure(m, f, err)
+				}
 			}
 			return nil
 		})
 	}
 }
 
+// worthReporting reports whether a usage report differs from the last one sent, or that
+// one is about to expire at its receiver.
+func (f *farState) worthReporting(u *peer.Usage, now time.Time) bool {
+	last := f.reported
+	return last == nil || now.Sub(f.reportedAt) > usageRefresh || last.Token != u.Token ||
+		!maps.Equal(last.Running, u.Running) || !maps.Equal(last.Waiting, u.Waiting) || !maps.Equal(last.Free, u.Free)
+}
+
 // Usage implements peer.ControlHandler. Messages that are older than one already
 // received, or from a replaced coordinator, are ignored.
 func (h handler) Usage(ctx context.Context, u *peer.Usage) (*peer.Empty, error) {
