--- a/internal/admission/state.go
+++ b/internal/admission/state.go
@@ -55,6 +55,8 @@
 	permits int
 	// tasks counts tasks on workers that are charged to this data centre's allotment.
 	tasks int
+	// tasksWaiting counts tasks that wait for a worker.
+	tasksWaiting int
 	// remote counts running work in other data centres, by fresh reports.
 	remote   int
 	waiting  int
--- a/internal/admission/usage.go
+++ b/internal/admission/usage.go
@@ -13,7 +13,7 @@
 type Usage struct {
 	// Running counts permits in every state and tasks, per team.
 	Running map[model.Team]int
-	// Waiting counts waiting requests per team.
+	// Waiting counts waiting requests and tasks per team.
 	Waiting map[model.Team]int
 	// Free counts free slots per service after the waiting requests.
 	Free map[model.Service]int
@@ -26,8 +26,8 @@
 		if k := t.permits + t.tasks; k > 0 {
 			u.Running[n] = k
 		}
-		if t.waiting > 0 {
-			u.Waiting[n] = t.waiting
+		if k := t.waiting + t.tasksWaiting; k > 0 {
+			u.Waiting[n] = k
 		}
 	}
 	for n, s := range a.services {
--- a/internal/caller/headers.go
+++ b/internal/caller/headers.go
@@ -23,6 +23,24 @@
 	headerOutcome      = "X-Outcome"
 	headerReason       = "X-Reason"
 	headerMinionStatus = "X-Minion-Status"
+
+	headerTaskCores        = "X-Task-Cores"
+	headerTaskMemoryMB     = "X-Task-Memory-Mb"
+	headerTaskAccelerators = "X-Task-Accelerators"
+	headerTaskRunMs        = "X-Task-Run-Ms"
+	headerTaskCheckpoint   = "X-Task-Checkpoint"
+)
+
+// Bounds of the declared sizes of a task: above every worker that is planned for.
+const (
+	maxTaskCores        = 4096
+	maxTaskMemoryMB     = 16 << 20
+	maxTaskAccelerators = 256
+	// maxTaskRunMs is a week in milliseconds.
+	maxTaskRunMs = 7 * 24 * 3600 * 1000
+
+	defaultTaskCores    = 1
+	defaultTaskMemoryMB = 512
 )
 
 // maxDeadlineMs is the largest accepted deadline in milliseconds.
@@ -32,7 +50,8 @@
 // Each header may be sent once: two different values would leave it open which counts.
 func parseHeaders(h http.Header) (in dispatch.Input, async bool, err error) {
 	in = dispatch.Input{Idempotent: true, Priority: model.PriorityNormal, ContentType: h.Get("Content-Type")}
-	for _, name := range []string{"Authorization", headerRequestID, headerIdempotent, headerPriority, headerDeadlineMs} {
+	for _, name := range []string{"Authorization", headerRequestID, headerIdempotent, headerPriority, headerDeadlineMs,
+		headerTaskCores, headerTaskMemoryMB, headerTaskAccelerators, headerTaskRunMs, headerTaskCheckpoint} {
 		if len(h.Values(name)) > 1 {
 			return in, false, errors.Errorf("%s is given more than once", name)
 		}
@@ -65,9 +84,47 @@
 	if in.Deadline, err = parseDeadline(h.Get(headerDeadlineMs)); err != nil {
 		return in, false, err
 	}
+	if in.Task, err = parseTask(h); err != nil {
+		return in, false, err
+	}
 	return in, prefersAsync(h.Values(headerPrefer)), nil
 }
 
+// parseTask reads the headers that declare a task. Queues of other kinds ignore them.
+func parseTask(h http.Header) (t dispatch.TaskSpec, err error) {
+	number := func(name string, def, least, most int) int {
+		v := h.Get(name)
+		if v == "" || err != nil {
+			return def
+		}
+		n, e := strconv.Atoi(v)
+		if e != nil || n < least || n > most {
+			err = errors.Errorf("%s: want a number from %d to %d", name, least, most)
+		}
+		return n
+	}
+	t.Size.Cores = number(headerTaskCores, defaultTaskCores, 1, maxTaskCores)
+	t.Size.MemoryMB = number(headerTaskMemoryMB, defaultTaskMemoryMB, 1, maxTaskMemoryMB)
+	t.Size.Accelerators = number(headerTaskAccelerators, 0, 0, maxTaskAccelerators)
+	t.RunMS = int64(number(headerTaskRunMs, 0, 1, maxTaskRunMs))
+	switch strings.ToLower(h.Get(headerTaskCheckpoint)) {
+	case "", "false":
+	case "true":
+		t.CanCheckpoint = true
+	default:
+		err = cmpErr(err, errors.Errorf("%s: want true or false", headerTaskCheckpoint))
+	}
+	return t, err
+}
+
+// cmpErr returns the first error that is not nil.
+func cmpErr(a, b error) error {
+	if a != nil {
+		return a
+	}
+	return b
+}
+
 // parseKey returns "<key id>.<secret>" of an Authorization header, or "" without one.
 func parseKey(v string) (string, error) {
 	if v == "" {
--- a/internal/caller/jobs.go
+++ b/internal/caller/jobs.go
@@ -74,7 +74,15 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
 	defer cancel()
-	return s.cfg.Lookup.JobCancel(ctx, entry, id, team)
+	res, err := s.cfg.Lookup.JobCancel(ctx, entry, id, team)
+	if err == nil || errors.Is(err, dispatch.ErrTooLate) || errors.Is(err, dispatch.ErrNotOwner) {
+		return res, err
+	}
+	// A task can be cancelled through any entry VM of its data centre.
+	if rep, ferr := s.cfg.Jobs.CancelAnywhere(ctx, id, team); !errors.Is(ferr, dispatch.ErrNoSuchJob) {
+		return rep, ferr
+	}
+	return res, err
 }
 
 // caller returns the team of the request's key.
@@ -122,18 +130,23 @@
 func owner(rep peer.JobGetReply) model.Team { return rep.Steps[0].Team }
 
 func (s *Server) lookup(ctx context.Context, entry model.EntryVM, id model.JobID, answer bool) (peer.JobGetReply, *problem.Problem) {
+	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
+	defer cancel()
 	if entry == s.cfg.Entry {
-		if answer {
-			return s.cfg.Jobs.Answer(id), nil
-		}
-		return s.cfg.Jobs.Get(id), nil
+		return s.found(id, func() (peer.JobGetReply, error) { return s.cfg.Jobs.Find(ctx, id, answer) })
 	}
 	if _, known := s.cfg.Snapshot().Peers[entry]; !known || s.cfg.Lookup == nil {
 		return peer.JobGetReply{}, &errNotFound
 	}
-	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
-	defer cancel()
-	rep, err := s.cfg.Lookup.JobGet(ctx, entry, id, answer)
+	// A task is found in the store even if the entry VM that accepted it is lost.
+	if rep, err := s.cfg.Jobs.FindTask(ctx, id, answer); err == nil && rep.Found {
+		return rep, nil
+	}
+	return s.found(id, func() (peer.JobGetReply, error) { return s.cfg.Lookup.JobGet(ctx, entry, id, answer) })
+}
+
+func (s *Server) found(id model.JobID, f func() (peer.JobGetReply, error)) (peer.JobGetReply, *problem.Problem) {
+	rep, err := f()
 	if err != nil {
 		return rep, s.entryUnreachable(id, err)
 	}
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -37,9 +37,10 @@
 	Submit(ctx context.Context, in dispatch.Input) model.Result
 	SubmitAsync(ctx context.Context, in dispatch.Input) model.Result
 	Authenticate(key string) (model.Team, model.Reason)
-	Get(id model.JobID) peer.JobGetReply
-	Answer(id model.JobID) peer.JobGetReply
+	Find(ctx context.Context, id model.JobID, answer bool) (peer.JobGetReply, error)
+	FindTask(ctx context.Context, id model.JobID, answer bool) (peer.JobGetReply, error)
 	Cancel(id model.JobID, team model.Team) (model.Result, error)
+	CancelAnywhere(ctx context.Context, id model.JobID, team model.Team) (model.Result, error)
 }
 
 var _ Jobs = (*dispatch.Service)(nil)
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -48,7 +48,9 @@
 	Table       platform.Table
 	Objects     platform.Objects
 	Minions     MinionStatus
-	Recorder    account.Recorder
+	// Workers runs tasks; nil means that none are run.
+	Workers  Workers
+	Recorder account.Recorder
 	// Dial returns the connection to a peer; it does not block.
 	Dial func(settings.Peer) Remote
 	// Parse checks a set of files and returns its content.
@@ -93,6 +95,10 @@
 	far       map[model.DataCentre]*farState
 	allot     allotState
 	usageSeq  uint64
+	// taskCounts are the running tasks by team as the coordinator last reported them.
+	taskCounts map[model.Team]int
+	// taskTxn numbers the transactions on task rows of this process.
+	taskTxn uint64
 }
 
 var _ Traffic = (*Control)(nil)
@@ -268,6 +274,7 @@
 	c.spendAllotments()
 	c.checkAllotments(now)
 	c.pollMinions(now)
+	c.checkTasks(now)
 }
 
 // Snapshot implements Traffic.
--- a/internal/control/coordinator.go
+++ b/internal/control/coordinator.go
@@ -24,6 +24,7 @@
 	abandoned map[permitKey]abandoned
 	polls     map[model.VM]*minionPoll
 	polling   int
+	tasks     tasks
 }
 
 type abandoned struct {
@@ -44,6 +45,7 @@
 		waiters:   map[permitKey][]chan<- waitResult{},
 		abandoned: map[permitKey]abandoned{},
 		polls:     map[model.VM]*minionPoll{},
+		tasks:     newTasks(),
 	}
 	now := time.Now()
 	if c.cfg.index != nil {
@@ -76,6 +78,7 @@
 		}
 	}
 	c.applyDrains()
+	c.dropWithdrawn()
 	c.settleAllotments(now)
 }
 
--- a/internal/control/fakes_test.go
+++ b/internal/control/fakes_test.go
@@ -509,6 +509,12 @@
 }
 
 func (l *link) Close() {}
+func (l *link) TaskOffer(ctx context.Context, m *peer.TaskOffer) (*peer.Empty, error) {
+	return send(ctx, l, peer.MethodTaskOffer, m, peer.ControlHandler.TaskOffer)
+}
+func (l *link) TaskCancel(ctx context.Context, m *peer.TaskCancel) (*peer.JobGetReply, error) {
+	return send(ctx, l, peer.MethodTaskCancel, m, peer.ControlHandler.TaskCancel)
+}
 func (l *link) Probe(ctx context.Context, m *peer.Heartbeat) (*peer.HeartbeatReply, error) {
 	return l.Heartbeat(ctx, m)
 }
--- a/internal/control/member.go
+++ b/internal/control/member.go
@@ -99,6 +99,7 @@
 	}
 	if c.coord != nil {
 		hb.NotServing = c.notServing()
+		hb.Tasks = c.taskCounts
 	}
 	return hb
 }
@@ -275,6 +276,7 @@
 	case hb.Coordinator == m.Name && f.coordinator == m.Name:
 		c.takeVMStates(hb.NotServing)
 		c.takeHeld(hb.Held)
+		c.takeTaskCounts(hb.Tasks)
 	case hb.Coordinator == m.Name && f.coordinator == "" && f.resigned.Less(f.token):
 		c.follow(f.token, m.Name, "heartbeat")
 	case hb.Coordinator != m.Name && f.coordinator == m.Name:
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -9,6 +9,7 @@
 	decisions  = expvar.NewMap("control_decisions")
 	configOps  = expvar.NewMap("control_configuration")
 	allotOps   = expvar.NewMap("control_allotments")
+	taskOps    = expvar.NewMap("control_tasks")
 	permitOps  = expvar.NewMap("control_permits")
 	gauges     = expvar.NewMap("control_gauges")
 )
--- a/internal/control/takeover.go
+++ b/internal/control/takeover.go
@@ -6,6 +6,7 @@
 
 	"boragepulley/internal/model"
 	"boragepulley/internal/peer"
+	"boragepulley/internal/platform"
 )
 
 // takeover is the registration phase of a new coordinator. No permit is granted in it.
@@ -18,6 +19,10 @@
 	permits []model.Permit
 	// rowsKnown is set once the VM states and allotments were read, or could not be.
 	rowsKnown bool
+	// tasksKnown is the same for the task rows, which tasksRead says were read.
+	tasksKnown, tasksRead bool
+	taskRows              []platform.Row
+	taskSeq               platform.Row
 	// early are requests that arrived before the end of the phase.
 	early []func()
 }
@@ -27,10 +32,12 @@
 	c.follow(t, c.self.Entry, reason)
 	tk := &takeover{token: t, local: local, started: time.Now(), pending: map[model.EntryVM]*member{}}
 	c.takeover = tk
+	tk.tasksKnown = local
 	if tk.rowsKnown = local; local {
 		c.allot.teams = map[model.Team]*teamPart{}
 	} else {
 		c.loadRows(tk)
+		c.loadTasks(tk)
 	}
 	for _, m := range c.local() {
 		m.confirmed, m.unregistered = time.Time{}, true
@@ -121,7 +128,7 @@
 			}
 		}
 	}
-	if len(tk.pending) > 0 || !tk.rowsKnown {
+	if len(tk.pending) > 0 || !tk.rowsKnown || !tk.tasksKnown {
 		return
 	}
 	if !tk.local && !c.lease.until.After(now) || tk.local && !c.authorityUntil(now, true).After(now) {
@@ -140,6 +147,7 @@
 	c.coord = c.newCoordinator(tk.token, tk.local)
 	c.gate.authorize(tk.token, c.authorityUntil(now, tk.local))
 	c.deliver(c.coord.adm.Adopt(now, append(tk.permits, c.gate.outstanding()...)))
+	c.startTasks(tk)
 	c.dirty = true
 	setGauge("coordinator", 1)
 	c.log.Info().Stringer("token", tk.token).Bool("local", tk.local).Int("permits", len(tk.permits)).
--- /dev/null
+++ b/internal/control/taskapi.go
@@ -0,0 +1,176 @@
+package control
+
+import (
+	"context"
+	stderrors "errors"
+	"math/rand/v2"
+	"time"
+
+	"boragepulley/internal/model"
+	"boragepulley/internal/peer"
+	"boragepulley/internal/platform"
+)
+
+const (
+	// offerFor bounds the repetitions of an offer; after it the coordinator's scan finds
+	// the task.
+	offerFor = 20 * time.Second
+	offerGap = 50 * time.Millisecond
+	offerMax = time.Second
+)
+
+func isConflict(err error) bool { return stderrors.Is(err, platform.ErrConflict) }
+
+// leads reports whether this entry VM may act as coordinator with the token now.
+func (g *gate) leads(t model.Token, now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return t == g.token && g.self && !now.After(g.until)
+}
+
+// OfferTask tells the coordinator about a stored task, in the background.
+func (c *Control) OfferTask(version uint64, row model.TaskRow) {
+	msg := &peer.TaskOffer{From: c.self, Version: version, Row: row}
+	c.async(offerFor, func(ctx context.Context) func() {
+		_ = c.askCoordinator(ctx, func(ctx context.Context, h peer.ControlHandler) error {
+			_, err := h.TaskOffer(ctx, msg)
+			return err
+		})
+		return nil
+	})
+}
+
+// CancelTask asks the coordinator of this data centre to cancel a task, until ctx ends.
+// A task that is not known there is answered with Found false.
+func (c *Control) CancelTask(ctx context.Context, job model.JobID, team model.Team) (peer.JobGetReply, error) {
+	var out peer.JobGetReply
+	err := c.askCoordinator(ctx, func(ctx context.Context, h peer.ControlHandler) error {
+		r, err := h.TaskCancel(ctx, &peer.TaskCancel{From: c.self, Job: job, Team: team})
+		if err == nil {
+			out = *r
+		}
+		return err
+	})
+	return out, err
+}
+
+// askCoordinator repeats a call to the coordinator until one answers or ctx ends.
+func (c *Control) askCoordinator(ctx context.Context, f func(context.Context, peer.ControlHandler) error) error {
+	gap := offerGap
+	for {
+		at := c.gate.place()
+		err := peer.ErrNotCoordinator
+		if at.coordinator == c.self.Entry {
+			err = f(ctx, c.Handler())
+		} else if r := c.remotes[at.coordinator]; r != nil {
+			err = f(ctx, r)
+		}
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-at.changed:
+		case <-time.After(gap/2 + rand.N(gap)):
+			gap = min(2*gap, offerMax)
+		case <-ctx.Done():
+			return err
+		case <-c.ctx.Done():
+			return ErrStopped
+		}
+	}
+}
+
+// TaskOffer implements peer.ControlHandler.
+func (h handler) TaskOffer(ctx context.Context, m *peer.TaskOffer) (*peer.Empty, error) {
+	c := h.c
+	return ask(ctx, c, func() (*peer.Empty, error) {
+		if c.coord == nil || !c.coord.tasks.loaded || c.cfg.index == nil {
+			return nil, peer.ErrNotCoordinator
+		}
+		if m.From.Entry != c.self.Entry && !c.onSender(m.From) {
+			return nil, peer.ErrStaleToken
+		}
+		c.adoptOffer(m.Row)
+		return &peer.Empty{}, nil
+	})
+}
+
+// adoptOffer takes a new task over. An old offer, whose row may have been removed
+// meanwhile, is left to the scan.
+func (c *Control) adoptOffer(row model.TaskRow) {
+	if row.State != model.TaskWaiting || row.Attempt != 0 || time.Since(row.Request.Accepted) > taskKeep/2 {
+		return
+	}
+	if !keyHolds(c.cfg.index, row.Request) {
+		c.adoptTask(row, model.ReasonTaskStored)
+		c.dropWithdrawn()
+		return
+	}
+	c.adoptTask(row, model.ReasonTaskStored)
+	c.planTasks(time.Now())
+}
+
+// TaskCancel implements peer.ControlHandler. It answers once the end is stored.
+func (h handler) TaskCancel(ctx context.Context, m *peer.TaskCancel) (*peer.JobGetReply, error) {
+	c := h.c
+	ch := make(chan taskReply, 1)
+	at := c.gate.place()
+	if !c.post(func() { c.cancelTask(m, ch) }) {
+		return nil, ErrStopped
+	}
+	select {
+	case r := <-ch:
+		return r.reply, r.err
+	case <-at.changed:
+		return nil, peer.ErrNotCoordinator
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-c.ctx.Done():
+		return nil, peer.ErrNotCoordinator
+	}
+}
+
+// cancelTask cancels a task that certainly never started.
+func (c *Control) cancelTask(m *peer.TaskCancel, ch chan<- taskReply) {
+	if c.coord == nil || !c.coord.tasks.loaded {
+		ch <- taskReply{err: peer.ErrNotCoordinator}
+		return
+	}
+	t := c.coord.tasks.all[m.Job]
+	switch {
+	case t == nil:
+		c.readTaskFor(m, ch)
+	case t.row.Request.Team != "" && t.row.Request.Team != m.Team:
+		ch <- taskReply{reply: &peer.JobGetReply{Found: true, Denied: true}}
+	case t.phase == phaseWaiting && !t.row.Started:
+		t.cancelled = append(t.cancelled, ch)
+		c.endTask(t, model.Result{State: model.StateCancelled, Reason: model.ReasonCancelled}, nil)
+	case t.phase == phaseEnding && t.row.State == model.TaskEnded:
+		t.cancelled = append(t.cancelled, ch)
+	default:
+		ch <- taskReply{reply: c.taskState(t)}
+	}
+}
+
+// readTaskFor looks for a task whose offer has not arrived.
+func (c *Control) readTaskFor(m *peer.TaskCancel, ch chan<- taskReply) {
+	k := c.coord
+	c.async(storeTimeout, func(ctx context.Context) func() {
+		row, err := c.d.Table.Get(ctx, platform.PriorityAllotment, model.TaskKey(c.self.DC, m.Job))
+		return func() {
+			switch {
+			case err != nil || c.coord != k:
+				ch <- taskReply{err: peer.ErrNotCoordinator}
+			case row.Version == 0 || len(row.Value) == 0:
+				ch <- taskReply{reply: &peer.JobGetReply{}}
+			default:
+				c.adoptRow(row, model.ReasonTaskStored)
+				if k.tasks.all[m.Job] == nil {
+					ch <- taskReply{reply: &peer.JobGetReply{}}
+					return
+				}
+				c.cancelTask(m, ch)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/control/taskplan.go
@@ -0,0 +1,143 @@
+package control
+
+import (
+	"time"
+
+	"boragepulley/internal/config"
+	"boragepulley/internal/model"
+	"boragepulley/internal/placement"
+)
+
+// planTasks runs a planning round if something changed, at most every planGap.
+func (c *Control) planTasks(now time.Time) {
+	k := c.coord
+	ts := &k.tasks
+	if !ts.changed || !ts.loaded || k.local || now.Sub(ts.planned) < planGap || c.leaving || !c.lease.usable() {
+		return
+	}
+	ts.changed, ts.planned = false, now
+	c.countTasks()
+	plan := placement.Make(c.taskSnapshot(now))
+	for _, s := range plan.Steps {
+		if t := ts.all[s.Task]; t != nil {
+			c.takeStep(t, s)
+		}
+	}
+	for _, w := range plan.Waiting {
+		t := ts.all[w.Task]
+		if t == nil || t.waitsFor == w.Reason {
+			continue
+		}
+		t.waitsFor = w.Reason
+		c.log.Info().Str("job", string(t.job)).Str("team", string(t.row.Request.Team)).Str("worker", string(w.Worker)).
+			Str("reason", string(w.Reason)).Msg("task waits")
+	}
+	c.countTasks()
+}
+
+func (c *Control) takeStep(t *task, s placement.Step) {
+	taskOps.Add("plan_"+string(s.Kind), 1)
+	c.log.Info().Str("job", string(t.job)).Str("team", string(t.row.Request.Team)).Str("queue", string(t.row.Request.Queue)).
+		Str("worker", string(s.Worker)).Str("reason", string(s.Reason)).Msg("placement " + string(s.Kind))
+	switch s.Kind {
+	case placement.StepStart:
+		c.placeTask(t, s)
+	case placement.StepThrottle:
+		c.throttleTask(t, true)
+	case placement.StepUnthrottle:
+		c.throttleTask(t, false)
+	case placement.StepCheckpoint:
+		c.checkpointTask(t)
+	case placement.StepRefuse:
+		c.endTask(t, c.endWithoutRun(t, model.ReasonNeverFits, "the task is larger than every worker of the data centre"), nil)
+	}
+}
+
+// taskSnapshot is what a plan is computed from.
+func (c *Control) taskSnapshot(now time.Time) placement.Snapshot {
+	ts := &c.coord.tasks
+	s := placement.Snapshot{Now: now}
+	largest := placement.Size{}
+	for _, w := range c.cfg.index.Workers {
+		if w.DC != c.self.DC {
+			continue
+		}
+		size := placement.Size{Cores: w.Cores, MemoryMB: w.MemoryMB, Accelerators: w.Accelerators}
+		largest = placement.Size{Cores: max(largest.Cores, size.Cores), MemoryMB: max(largest.MemoryMB, size.MemoryMB),
+			Accelerators: max(largest.Accelerators, size.Accelerators)}
+		s.Workers = append(s.Workers, placement.Worker{Name: w.Name, Rack: w.Rack, Size: size,
+			Accepts: !now.Before(ts.worker(w.Name).downUntil)})
+	}
+	ts.health.Apply(now, s.Workers)
+	for _, t := range ts.active {
+		p := c.plannedTask(t)
+		p.Worker, p.Size = t.row.Worker, sizeOf(t.row.Reserved)
+		s.Tasks = append(s.Tasks, p)
+	}
+	for _, t := range ts.waiting {
+		p := c.plannedTask(t)
+		p.Size = ts.sizes.Expect(kindOf(t), sizeOf(t.row.Declared), largest)
+		s.Tasks = append(s.Tasks, p)
+	}
+	for _, tm := range c.cfg.index.Teams {
+		room, fleet := c.coord.adm.TeamRoom(tm.Name)
+		s.Teams = append(s.Teams, placement.Team{Name: tm.Name, Share: tm.Share, Room: room, Running: fleet})
+	}
+	return s
+}
+
+func (c *Control) plannedTask(t *task) placement.Task {
+	q := t.row.Request
+	p := placement.Task{
+		ID: t.job, Team: q.Team, Queue: q.Queue, Class: c.classOf(q), Submitted: q.Accepted, Deadline: q.Deadline,
+		Avoid: t.row.Avoid, Checkpoints: t.row.Checkpoints, Throttled: t.throttled,
+		// Only an attempt that is known to run can make room. A non-idempotent task is
+		// not checkpointed: with the answer lost, its state would be unknown.
+		CanCheckpoint: t.row.CanCheckpoint && q.Idempotent && t.acked,
+		Leaving:       t.leaving,
+	}
+	if len(t.row.Checkpoint) > 0 {
+		p.Last = t.row.Worker
+	}
+	return p
+}
+
+func (c *Control) classOf(q model.Request) placement.Class {
+	queue := c.cfg.index.Queue(q.Queue)
+	switch {
+	case q.Priority == model.PriorityUrgent:
+		return placement.Urgent
+	case queue != nil && queue.Deferrable:
+		return placement.Deferrable
+	}
+	return placement.Normal
+}
+
+func kindOf(t *task) placement.Kind {
+	return placement.Kind{Team: t.row.Request.Team, Queue: t.row.Request.Queue}
+}
+
+func sizeOf(s model.TaskSize) placement.Size {
+	return placement.Size{Cores: s.Cores, MemoryMB: s.MemoryMB, Accelerators: s.Accelerators}
+}
+
+// keyHolds reports whether the key that a task came with still holds for its queue.
+func keyHolds(x *config.Index, r model.Request) bool {
+	q := x.Queue(r.Queue)
+	if q != nil && q.Open || r.KeyID == "" {
+		return true
+	}
+	k := x.Key(r.KeyID)
+	return k != nil && k.Team == r.Team
+}
+
+// dropWithdrawn ends the waiting tasks whose key was withdrawn.
+func (c *Control) dropWithdrawn() {
+	ts := &c.coord.tasks
+	ts.changed = true
+	for _, t := range ts.waiting {
+		if !keyHolds(c.cfg.index, t.row.Request) {
+			c.endTask(t, c.endWithoutRun(t, model.ReasonKeyWithdrawn, "the key was withdrawn while the task waited"), nil)
+		}
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"boragepulley/internal/platform"
 	"boragepulley/internal/settings"
 	"boragepulley/internal/upstream"
+	"boragepulley/internal/worker"
 )
 
 const (
@@ -44,6 +45,7 @@
 	ledger  *account.Ledger
 	holder  *account.Holder
 	minions *upstream.Client
+	workers *worker.Client
 	platform.Services
 	links *links
 
@@ -96,14 +98,15 @@
 	d.ledger = account.NewLedger(owner, d.Services, &copier{links: d.links, snapshot: snapshot}, logging.Part(log, "account"), time.Now)
 	d.holder = account.NewHolder(d.self.Entry, d.Objects, logging.Part(log, "account"))
 	d.minions = upstream.New(upstream.Options{})
+	d.workers = worker.NewClient(worker.Options{})
 	d.control = control.New(control.Deps{
 		Settings: d.set, Incarnation: d.self.Incarnation, Table: d.Table, Objects: d.Objects,
-		Minions: d.minions, Recorder: d.ledger, Dial: d.dial(log), Parse: parseFiles, Digest: config.Digest,
+		Minions: d.minions, Workers: d.workers, Recorder: d.ledger, Dial: d.dial(log), Parse: parseFiles, Digest: config.Digest,
 		Log: log, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	d.jobs = dispatch.New(dispatch.Config{
 		Entry: d.self.Entry, DC: d.self.DC, Control: d.control, Minions: d.minions, Table: d.Table,
-		Recorder: d.ledger, Forwarder: d.links, Lookup: d.links, Log: log, MaxRequests: d.set.MaxRequests,
+		Objects: d.Objects, Tasks: d.control, Recorder: d.ledger, Forwarder: d.links, Lookup: d.links, Log: log, MaxRequests: d.set.MaxRequests,
 		AnswerRetention: d.set.AnswerRetention, AnswerBytes: d.set.AnswerBytes,
 	})
 	d.callers = caller.New(caller.Config{
--- a/internal/daemon/inbox.go
+++ b/internal/daemon/inbox.go
@@ -31,12 +31,11 @@
 	return &r, nil
 }
 
-func (b *inbox) JobGet(_ context.Context, m *peer.JobGet) (*peer.JobGetReply, error) {
-	if m.Answer {
-		r := b.jobs.Answer(m.Job)
-		return &r, nil
+func (b *inbox) JobGet(ctx context.Context, m *peer.JobGet) (*peer.JobGetReply, error) {
+	r, err := b.jobs.Find(ctx, m.Job, m.Answer)
+	if err != nil {
+		return nil, err
 	}
-	r := b.jobs.Get(m.Job)
 	return &r, nil
 }
 
@@ -47,6 +46,8 @@
 		return &peer.JobGetReply{}, nil
 	case errors.Is(err, dispatch.ErrNotOwner):
 		return &peer.JobGetReply{Found: true, Denied: true}, nil
+	case errors.Is(err, dispatch.ErrTaskUnreachable):
+		return nil, err
 	}
 	return &peer.JobGetReply{Found: true, Result: res}, nil
 }
--- a/internal/dispatch/auth.go
+++ b/internal/dispatch/auth.go
@@ -33,6 +33,8 @@
 	Deadline    time.Duration
 	ContentType string
 	Body        []byte
+	// Task is what the caller declares about a task; only queues of kind tasks use it.
+	Task TaskSpec
 }
 
 // refusal says why a request is refused.
@@ -82,7 +84,7 @@
 			Job: in.Job, RequestID: in.RequestID, Queue: in.Queue, Priority: in.Priority,
 			Idempotent: in.Idempotent, Accepted: now,
 		},
-		contentType: in.ContentType, body: in.Body,
+		contentType: in.ContentType, body: in.Body, task: in.Task,
 	}
 	if j.req.Priority == "" {
 		j.req.Priority = model.PriorityNormal
@@ -179,8 +181,6 @@
 		return &refusal{model.ReasonBadRequest, fmt.Sprintf(f, a...)}
 	}
 	switch {
-	case q.Kind == config.QueueTasks:
-		return &refusal{model.ReasonNoMinion, "this queue's jobs run as tasks on workers, which take no requests"}
 	case in.Priority != "" && in.Priority != model.PriorityNormal && in.Priority != model.PriorityUrgent:
 		return bad("priority %q: want urgent or normal", in.Priority)
 	case in.Deadline < 0 || (q.MaxDeadline > 0 && in.Deadline > q.MaxDeadline):
@@ -198,6 +198,9 @@
 func fingerprint(j *job) string {
 	d := xxhash.New()
 	fmt.Fprintf(d, "%s\x00%t\x00%s\x00", j.req.Queue, j.req.Idempotent, j.contentType)
+	if j.isTask() {
+		fmt.Fprintf(d, "%+v\x00", j.task)
+	}
 	_, _ = d.Write(j.body)
 	return fmt.Sprintf("%016x", d.Sum64())
 }
--- a/internal/dispatch/cancel.go
+++ b/internal/dispatch/cancel.go
@@ -25,8 +25,8 @@
 	s.mu.Lock()
 	j := s.kept.jobs[id]
 	s.mu.Unlock()
-	if j == nil {
-		return model.Result{Job: id}, ErrNoSuchJob
+	if j == nil || j.taskStored() {
+		return s.cancelTask(id, team)
 	}
 	if !j.queue.Open && j.req.Team != team {
 		return model.Result{Job: id}, ErrNotOwner
--- a/internal/dispatch/claimjob.go
+++ b/internal/dispatch/claimjob.go
@@ -121,7 +121,7 @@
 	}
 	select {
 	case <-j.done:
-		return s.resultFor(j)
+		return s.taskResult(ctx, j, s.resultFor(j))
 	case <-ctx.Done():
 		return j.result()
 	}
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -31,6 +31,7 @@
 	queue       config.Queue
 	maxRun      time.Duration
 	contentType string
+	task        TaskSpec
 	fingerprint string
 	// forwarded is set if another entry VM accepted the request.
 	forwarded bool
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -31,6 +31,12 @@
 	defer s.finished(j)
 	defer j.cancel(nil)
 	ok := s.claimJob(j)
+	if ok && j.isTask() {
+		s.storeTask(j)
+		s.settleClaim(j)
+		close(j.claimed)
+		return
+	}
 	close(j.claimed)
 	if !ok {
 		return
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -29,7 +29,11 @@
 	Control control.Traffic
 	Minions upstream.Minions
 	// Table holds the claims of non-idempotent requests.
-	Table    platform.Table
+	Table platform.Table
+	// Objects holds the bodies and answers of tasks, Tasks reaches the coordinator about
+	// them; without them queues of tasks are refused.
+	Objects  platform.Objects
+	Tasks    Tasks
 	Recorder account.Recorder
 	// Forwarder reaches other entry VMs; nil means that nothing is forwarded.
 	Forwarder Forwarder
@@ -225,7 +229,7 @@
 		select {
 		case <-j.done:
 			defer j.leave()
-			return s.resultFor(j)
+			return s.taskResult(ctx, j, s.resultFor(j))
 		case <-ctx.Done():
 			if at := j.leave(); at != "" {
 				go func() { _ = s.cancelAt(at, j) }()
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -410,3 +410,13 @@
 func (c *Client) DCStatus(ctx context.Context, m *DCStatus) (*DCStatusReply, error) {
 	return call[DCStatusReply](ctx, c, MethodDCStatus, m, shortTimeout, false)
 }
+
+// TaskOffer implements ControlHandler.
+func (c *Client) TaskOffer(ctx context.Context, m *TaskOffer) (*Empty, error) {
+	return call[Empty](ctx, c, MethodTaskOffer, m, shortTimeout, false)
+}
+
+// TaskCancel implements ControlHandler.
+func (c *Client) TaskCancel(ctx context.Context, m *TaskCancel) (*JobGetReply, error) {
+	return call[JobGetReply](ctx, c, MethodTaskCancel, m, fetchTimeout, false)
+}
--- a/internal/peer/fuzz_test.go
+++ b/internal/peer/fuzz_test.go
@@ -21,7 +21,7 @@
 		&CancelAcquire{From: testSender}, &Release{From: testSender}, &Forward{From: testSender, Body: []byte("x")},
 		&ConfigOffer{From: testSender}, &ConfigGet{From: testSender}, &Usage{From: testSender},
 		&AllotmentAsk{From: testSender}, &JobGet{From: testSender}, &JobCancel{From: testSender},
-		&HoldRecords{From: testSender}, &DropRecords{From: testSender}, &PullRecords{From: testSender}, &DCStatus{From: testSender},
+		&HoldRecords{From: testSender}, &DropRecords{From: testSender}, &PullRecords{From: testSender}, &DCStatus{From: testSender}, &TaskOffer{From: testSender}, &TaskCancel{From: testSender},
 		&Ping{From: testSender}}
 	require.Len(f, msgs, len(names))
 	for _, m := range msgs {
--- a/internal/peer/handler.go
+++ b/internal/peer/handler.go
@@ -31,6 +31,8 @@
 	Usage(ctx context.Context, m *Usage) (*Empty, error)
 	AllotmentAsk(ctx context.Context, m *AllotmentAsk) (*AllotmentAskReply, error)
 	DCStatus(ctx context.Context, m *DCStatus) (*DCStatusReply, error)
+	TaskOffer(ctx context.Context, m *TaskOffer) (*Empty, error)
+	TaskCancel(ctx context.Context, m *TaskCancel) (*JobGetReply, error)
 }
 
 // JobHandler handles the messages about whole requests. Client implements it too.
@@ -81,6 +83,8 @@
 func (m *DropRecords) sender() Sender   { return m.From }
 func (m *PullRecords) sender() Sender   { return m.From }
 func (m *DCStatus) sender() Sender      { return m.From }
+func (m *TaskOffer) sender() Sender     { return m.From }
+func (m *TaskCancel) sender() Sender    { return m.From }
 func (m *Ping) sender() Sender          { return m.From }
 
 func bind[Q, R any, P interface {
@@ -126,6 +130,8 @@
 	MethodDropRecords:   bind(Handler.DropRecords),
 	MethodPullRecords:   bind(Handler.PullRecords),
 	MethodDCStatus:      bind(Handler.DCStatus),
+	MethodTaskOffer:     bind(Handler.TaskOffer),
+	MethodTaskCancel:    bind(Handler.TaskCancel),
 	MethodPing: bind(func(Handler, context.Context, *Ping) (*Empty, error) {
 		return &Empty{}, nil
 	}),
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -24,6 +24,8 @@
 	MethodDropRecords   = "DropRecords"
 	MethodPullRecords   = "PullRecords"
 	MethodDCStatus      = "DCStatus"
+	MethodTaskOffer     = "TaskOffer"
+	MethodTaskCancel    = "TaskCancel"
 )
 
 // Sender identifies the process that sent a message.
@@ -53,6 +55,9 @@
 	// Held is the part of each team's limit that the data centre may use. Only the
 	// coordinator sends it, and only in requests, for the same purpose.
 	Held map[model.Team]int `json:"held,omitempty"`
+	// Tasks counts the tasks on workers by team. Only the coordinator sends it, and only in
+	// requests, so that a successor without the table counts them against the limits.
+	Tasks map[model.Team]int `json:"tasks,omitempty"`
 }
 
 // HeartbeatReply answers a Heartbeat with the receiver's own state.
@@ -280,3 +285,19 @@
 
 // Empty is the reply of messages that need none.
 type Empty struct{}
+
+// TaskOffer tells the coordinator of the own data centre about a stored task, so that it
+// does not wait for the next scan of the rows.
+type TaskOffer struct {
+	From    Sender        `json:"from"`
+	Version uint64        `json:"version"`
+	Row     model.TaskRow `json:"row"`
+}
+
+// TaskCancel asks the coordinator of the own data centre to cancel a task. It is answered
+// with a JobGetReply.
+type TaskCancel struct {
+	From Sender      `json:"from"`
+	Job  model.JobID `json:"job"`
+	Team model.Team  `json:"team,omitempty"`
+}
