--- a/bench/cluster/faults.go
+++ b/bench/cluster/faults.go
@@ -15,6 +15,7 @@
 	"boragepulley/standins/minion"
 	"boragepulley/standins/platform"
 	"boragepulley/standins/runs"
+	"boragepulley/standins/worker"
 )
 
 var adminClient = &http.Client{Timeout: 10 * time.Second}
@@ -120,19 +121,43 @@
 	return admin(http.MethodPost, c.minionAdmin, "/minions/"+string(vm)+"/reboot", minion.Reboot{DownMS: down.Milliseconds()}, nil)
 }
 
-// Runs returns how often each job was started at the minions.
+// Runs returns how often each job was started at the minions and workers.
 func (c *Cluster) Runs() (load.Runs, error) {
-	var a runs.Answer
-	if err := admin(http.MethodGet, c.minionAdmin, "/debug/runs", nil, &a); err != nil {
-		return nil, err
-	}
-	out := make(load.Runs, len(a.Runs))
-	for _, r := range a.Runs {
-		out[model.JobID(r.ID)] = r.Count
+	out := make(load.Runs)
+	for _, addr := range []string{c.minionAdmin, c.workerAdmin} {
+		if addr == "" {
+			continue
+		}
+		var a runs.Answer
+		if err := admin(http.MethodGet, addr, "/debug/runs", nil, &a); err != nil {
+			return nil, err
+		}
+		for _, r := range a.Runs {
+			out[model.JobID(r.ID)] += r.Count
+		}
 	}
 	return out, nil
 }
 
+// WorkerFaults replaces the faults of a worker.
+func (c *Cluster) WorkerFaults(n model.Worker, f worker.Faults) error {
+	return admin(http.MethodPut, c.workerAdmin, "/workers/"+string(n)+"/faults", f, nil)
+}
+
+// RebootWorker takes a worker down for a time; it loses its tasks.
+func (c *Cluster) RebootWorker(n model.Worker, down time.Duration) error {
+	return admin(http.MethodPost, c.workerAdmin, "/workers/"+string(n)+"/reboot", worker.Reboot{DownMS: down.Milliseconds()}, nil)
+}
+
+// WorkerStats returns the counts of all workers; none if the site has no workers.
+func (c *Cluster) WorkerStats() ([]worker.Stats, error) {
+	var s []worker.Stats
+	if c.workerAdmin == "" {
+		return s, nil
+	}
+	return s, admin(http.MethodGet, c.workerAdmin, "/debug/stats", nil, &s)
+}
+
 // MinionStats returns the counts of all minions.
 func (c *Cluster) MinionStats() ([]minion.Stats, error) {
 	var s []minion.Stats
--- a/bench/load/caller.go
+++ b/bench/load/caller.go
@@ -40,6 +40,8 @@
 	// Content makes the body distinct; 0 selects the request's number. A repeated request
 	// has the same content as the first one.
 	Content int64
+	// Task makes the request a task for a queue of kind tasks.
+	Task *Task
 }
 
 // Verdict is what a caller saw of its request.
@@ -74,6 +76,8 @@
 	Detail  string
 	Sent    time.Time
 	Took    time.Duration
+	// Open is set for a task that was accepted and whose end was not learnt.
+	Open bool
 }
 
 // Callers send requests and keep their own account.
@@ -110,6 +114,9 @@
 func (c *Callers) Do(ctx context.Context, r Request) Seen {
 	s := Seen{Request: r, Number: c.number.Add(1), Sent: time.Now()}
 	c.send(ctx, &s)
+	if s.Task != nil {
+		c.follow(ctx, &s)
+	}
 	s.Took = time.Since(s.Sent)
 	c.mu.Lock()
 	c.seen = append(c.seen, s)
@@ -123,6 +130,9 @@
 	if content == 0 {
 		content = s.Number
 	}
+	if s.Task != nil {
+		return s.Task.body(s.Run, content)
+	}
 	return fmt.Appendf(nil, `{"run_ms":%d,"answer_bytes":%d,"tag":%q,"number":%d}`, s.Run.Milliseconds(), s.AnswerBytes, s.Team, content)
 }
 
@@ -196,6 +206,9 @@
 	if s.Deadline > 0 {
 		h.Set("X-Deadline-Ms", strconv.FormatInt(s.Deadline.Milliseconds(), 10))
 	}
+	if s.Task != nil {
+		s.Task.setHeaders(h)
+	}
 }
 
 // judge decides what the answer says, and checks that a minion's answer is whole and
--- a/bench/load/judge.go
+++ b/bench/load/judge.go
@@ -7,6 +7,7 @@
 	"boragepulley/internal/account"
 	"boragepulley/internal/model"
 	"boragepulley/standins/minion"
+	"boragepulley/standins/worker"
 )
 
 // maxFaultsListed bounds the faults of one kind that are listed in full.
@@ -25,6 +26,8 @@
 	FaultCutOff          FaultKind = "request cut off by a planned stop (I9)"
 	FaultDuplicateAnswer FaultKind = "one job answered two requests"
 	FaultMinionLimits    FaultKind = "slots or connections of a minion exceeded"
+	FaultWorkerLimits    FaultKind = "cores, memory or accelerators of a worker exceeded"
+	FaultTaskOpen        FaultKind = "accepted task did not end"
 )
 
 // Fault is one broken promise.
@@ -197,3 +200,25 @@
 
 // CutOff is the fault of a request whose connection broke in a planned stop.
 func CutOff(s Seen) Fault { return fault(FaultCutOff, s) }
+
+// JudgeWorkers finds workers that were asked for more than they have.
+func JudgeWorkers(stats []worker.Stats) []Fault {
+	var out []Fault
+	for _, s := range stats {
+		if s.Violations > 0 {
+			out = append(out, Fault{FaultWorkerLimits, fmt.Sprintf("%s: %d times", s.Name, s.Violations)})
+		}
+	}
+	return out
+}
+
+// JudgeTasks finds accepted tasks whose end their callers did not learn.
+func JudgeTasks(seen []Seen) []Fault {
+	var out []Fault
+	for _, s := range seen {
+		if s.Task != nil && s.Open {
+			out = append(out, fault(FaultTaskOpen, s))
+		}
+	}
+	return out
+}
--- a/bench/prove/scenario.go
+++ b/bench/prove/scenario.go
@@ -23,6 +23,7 @@
 	"boragepulley/internal/operator"
 	"boragepulley/standins/faultproxy"
 	"boragepulley/standins/platform"
+	"boragepulley/standins/worker"
 )
 
 // Bounds come from the users' stated targets.
@@ -58,6 +59,8 @@
 
 	out    io.Writer
 	killed map[model.EntryVM]bool
+	// judge checks the final report for what only the scenario knows; may be nil.
+	judge func(r *account.Report)
 
 	mu     sync.Mutex // guards faults
 	faults []load.Fault
@@ -182,6 +185,11 @@
 			return err
 		}
 	}
+	for i := range e.Site.Workers {
+		if err := e.WorkerFaults(sites.WorkerName(i), worker.Faults{}); err != nil {
+			return err
+		}
+	}
 	for _, n := range e.Entries() {
 		if !e.Running(n) {
 			if err := e.StartEntry(n); err != nil {
@@ -215,9 +223,16 @@
 	if err != nil {
 		return err
 	}
+	workers, err := e.WorkerStats()
+	if err != nil {
+		return err
+	}
+	if e.judge != nil {
+		e.judge(r)
+	}
 	seen := e.Callers.Seen()
 	for _, f := range [][]load.Fault{
-		load.JudgeRuns(seen, runs), load.JudgeReport(seen, r), load.JudgeMinions(stats), e.judgeGaps(r), e.judgeBroken(seen),
+		load.JudgeRuns(seen, runs), load.JudgeReport(seen, r), load.JudgeMinions(stats), load.JudgeWorkers(workers), load.JudgeTasks(seen), e.judgeGaps(r), e.judgeBroken(seen),
 	} {
 		e.faults = append(e.faults, f...)
 	}
--- a/bench/prove/scenarios.go
+++ b/bench/prove/scenarios.go
@@ -16,6 +16,10 @@
 
 // All returns every scenario.
 func All() []Scenario {
+	return append(requestScenarios(), taskScenarios()...)
+}
+
+func requestScenarios() []Scenario {
 	return []Scenario{
 		{Name: "coordinator-killed", Shows: "I4 I5 I6 I7, slots: kill -9 of the coordinator under load", Run: coordinatorKilled},
 		{Name: "coordinator-paused", Shows: "I4 I6 I7, slots: coordinator frozen past its lease, then resumed", Run: coordinatorPaused},
--- a/bench/sites/sites.go
+++ b/bench/sites/sites.go
@@ -18,6 +18,8 @@
 	OpenQueue model.Queue = "open"
 	// TaskQueue runs on workers; it exists if the site has workers.
 	TaskQueue model.Queue = "tasks"
+	// ArchiveQueue runs on workers too, and its tasks are deferrable.
+	ArchiveQueue model.Queue = "archive"
 	// SparePool exists if the site has spare minions.
 	SparePool model.Pool = "spare"
 )
@@ -250,6 +252,7 @@
 	w.line("[[queue]]\nname = %q\nservice = %q\nopen = true\n%s", OpenQueue, ServiceName(0), bounds)
 	if o.Workers > 0 {
 		w.line("[[queue]]\nname = %q\nkind = \"tasks\"\n%s", TaskQueue, bounds)
+		w.line("[[queue]]\nname = %q\nkind = \"tasks\"\ndeferrable = true\n%s", ArchiveQueue, bounds)
 	}
 	return w.String()
 }
--- a/internal/control/task.go
+++ b/internal/control/task.go
@@ -92,6 +92,8 @@
 	calling            bool
 	throttled          bool
 	wasThrottled       bool
+	// throttledAt is when the last throttle call ended; earlier reports of the speed are old.
+	throttledAt time.Time
 	// leaving is set while the task is being checkpointed to make room.
 	leaving   bool
 	peak      worker.Usage
@@ -130,6 +132,8 @@
 	// ended are the tasks whose rows are to be removed, in the order of their end.
 	ended []*task
 
+	// queued counts the waiting tasks by queue.
+	queued  map[model.Queue]int
 	workers map[model.Worker]*taskWorker
 	sizes   *placement.Sizes
 	health  *placement.Health
@@ -143,7 +147,7 @@
 func newTasks() tasks {
 	return tasks{
 		all: map[model.JobID]*task{}, waiting: map[model.JobID]*task{}, active: map[model.JobID]*task{},
-		workers: map[model.Worker]*taskWorker{}, sizes: placement.NewSizes(), health: placement.NewHealth(),
+		queued: map[model.Queue]int{}, workers: map[model.Worker]*taskWorker{}, sizes: placement.NewSizes(), health: placement.NewHealth(),
 	}
 }
 
@@ -159,11 +163,15 @@
 // enter moves a task to a phase.
 func (ts *tasks) enter(t *task, p taskPhase) {
 	t.phase = p
+	if ts.waiting[t.job] != nil {
+		ts.queued[t.row.Request.Queue]--
+	}
 	delete(ts.waiting, t.job)
 	delete(ts.active, t.job)
 	switch p {
 	case phaseWaiting:
 		ts.waiting[t.job] = t
+		ts.queued[t.row.Request.Queue]++
 	case phasePlacing, phaseRunning:
 		ts.active[t.job] = t
 	}
--- a/internal/control/taskapi.go
+++ b/internal/control/taskapi.go
@@ -106,7 +106,14 @@
 		c.dropWithdrawn()
 		return
 	}
+	ts := &c.coord.tasks
+	known := ts.all[row.Request.Job] != nil
 	c.adoptTask(row, model.ReasonTaskStored)
+	q := c.cfg.index.Queue(row.Request.Queue)
+	if t := ts.all[row.Request.Job]; !known && q != nil && ts.queued[q.Name] > q.MaxWaiting {
+		c.endTask(t, c.endWithoutRun(t, model.ReasonQueueFull, "the queue holds its maximum of waiting tasks"), nil)
+		return
+	}
 	c.planTasks(time.Now())
 }
 
--- a/internal/control/taskrun.go
+++ b/internal/control/taskrun.go
@@ -226,6 +226,8 @@
 	case err == nil:
 		if !t.acked {
 			c.logTask(t, model.StateDispatched, model.ReasonStarted, "worker "+string(t.row.Worker)+" runs it")
+		}
+		if sent.After(t.throttledAt) && tw.throttling == 0 {
 			t.throttled = v.Percent > 0 && v.Percent < 100
 		}
 		c.acknowledge(t, sent, now)
@@ -361,9 +363,10 @@
 			if c.coord != k {
 				return
 			}
+			t.throttledAt = time.Now()
 			if err != nil && t.phase == phaseRunning && t.row.Attempt == attempt {
 				c.log.Warn().Err(err).Str("job", string(job)).Str("worker", string(t.row.Worker)).Int("percent", percent).Msg("task not throttled")
-				// A task that may still be throttled counts with all its cores.
+				// Until a renewal tells its speed, it counts with all its cores.
 				t.throttled = false
 				t.nextRenew = time.Now()
 			}
--- a/standins/worker/tasks.go
+++ b/standins/worker/tasks.go
@@ -73,6 +73,9 @@
 	return u
 }
 
+// heldCores is what a running task keeps at a speed: a throttled task gives cores back.
+func (t *task) heldCores(percent int) int { return t.Cores - t.Cores*(100-percent)/100 }
+
 // usageAt returns the latest sample at or before a time.
 func (t *task) usageAt(at time.Time) Usage {
 	for _, s := range slices.Backward(t.samples) {
@@ -147,7 +150,7 @@
 	cores, mem, acc := s.Cores, s.MemoryMB, s.Accelerators
 	for _, t := range ts.byID {
 		if t.state == StateRunning {
-			cores, mem, acc = cores+t.Cores, mem+t.MemoryMB, acc+t.Accelerators
+			cores, mem, acc = cores+t.heldCores(t.percent), mem+t.MemoryMB, acc+t.Accelerators
 		}
 	}
 	return cores <= ts.opt.Cores && mem <= ts.opt.MemoryMB && acc <= ts.opt.Accelerators
@@ -266,6 +269,9 @@
 		if c.Percent < 1 || c.Percent > 100 {
 			return fmt.Errorf("%w: percent must be from 1 to 100", errBadCommand)
 		}
+		if more := t.heldCores(c.Percent) - t.heldCores(t.percent); more > 0 && !ts.fits(Start{Cores: more}) {
+			return errNoRoom
+		}
 		t.done, t.since, t.percent = t.progress(now), now, c.Percent
 		t.samples = append(t.samples, sample{at: now, use: t.use()})
 		ts.arm(t)
--- a/standins/worker/worker.go
+++ b/standins/worker/worker.go
@@ -201,6 +201,9 @@
 			return err
 		}
 		t, err := f(c.Param("id"), cmd)
+		if errors.Is(err, errNoRoom) {
+			w.violations.Add(1)
+		}
 		return w.answer(c, t, err)
 	}
 }
