--- a/internal/control/fakes_test.go
+++ b/internal/control/fakes_test.go
@@ -182,6 +182,9 @@
 	// running holds the jobs that run on each minion address.
 	running map[string][]upstream.RunningJob
 	events  []model.FleetEvent
+	records []model.Record
+	// workers run tasks; may be nil.
+	workers Workers
 	// cut reports whether messages between two entry VMs are lost; may be nil.
 	cut func(from, to model.EntryVM) bool
 	// replyDelay delays the reply of a message; may be nil.
@@ -248,6 +251,7 @@
 			Table:       view{cl.store, n},
 			Objects:     objectView{view{cl.store, n}},
 			Minions:     cl,
+			Workers:     cl.workers,
 			Recorder:    cl,
 			Dial:        dial,
 			Parse:       cl.parse,
@@ -334,7 +338,11 @@
 	return upstream.Status{Slots: 8, Busy: len(cl.running[addr]), Jobs: append([]upstream.RunningJob(nil), cl.running[addr]...)}, nil
 }
 
-func (cl *cluster) Record(model.Record) {}
+func (cl *cluster) Record(r model.Record) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	cl.records = append(cl.records, r)
+}
 
 func (cl *cluster) Event(e model.FleetEvent) {
 	cl.mu.Lock()
--- /dev/null
+++ b/internal/control/task_test.go
@@ -0,0 +1,451 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"boragepulley/internal/config"
+	"boragepulley/internal/model"
+	"boragepulley/internal/platform"
+	"boragepulley/internal/worker"
+)
+
+// fakeWorkers are workers of 16 cores in memory, by address.
+type fakeWorkers struct {
+	mu sync.Mutex
+	// tasks holds the last attempt of each task by worker, starts counts starts by task.
+	tasks  map[string]map[model.JobID]*fakeAttempt
+	starts map[model.JobID]int
+	// startedAt is when a task first started.
+	startedAt map[model.JobID]time.Time
+	// run is how long a task takes.
+	run time.Duration
+	// fail lists workers that fail every task, down those that no call reaches.
+	fail, down map[string]bool
+	// loseStart lets the next starts take effect without an answer.
+	loseStart int
+	// over is set when a worker got more cores than it has.
+	over bool
+}
+
+type fakeAttempt struct {
+	s       worker.Start
+	state   worker.State
+	percent int
+	done    time.Duration
+	since   time.Time
+	lease   time.Time
+}
+
+func newFakeWorkers(run time.Duration) *fakeWorkers {
+	return &fakeWorkers{tasks: map[string]map[model.JobID]*fakeAttempt{}, starts: map[model.JobID]int{},
+		startedAt: map[model.JobID]time.Time{}, run: run, fail: map[string]bool{}, down: map[string]bool{}}
+}
+
+// settle brings the attempts of a worker up to date. f.mu is held.
+func (f *fakeWorkers) settle(addr string) {
+	now := time.Now()
+	for _, a := range f.tasks[addr] {
+		if a.state != worker.StateRunning {
+			continue
+		}
+		a.done += now.Sub(a.since) * time.Duration(a.percent) / 100
+		a.since = now
+		switch {
+		case a.done >= f.run && f.fail[addr]:
+			a.state = worker.StateFailed
+		case a.done >= f.run:
+			a.state = worker.StateDone
+		case now.After(a.lease):
+			a.state = worker.StateExpired
+		}
+	}
+}
+
+func (a *fakeAttempt) view() worker.Task {
+	return worker.Task{ID: a.s.ID, Attempt: a.s.Attempt, State: a.state, Percent: a.percent, DoneMS: a.done.Milliseconds(),
+		Usage: worker.Usage{Cores: 1, MemoryMB: 100}}
+}
+
+func (f *fakeWorkers) enter(addr string) error {
+	time.Sleep(time.Millisecond)
+	f.mu.Lock()
+	if f.down[addr] {
+		f.mu.Unlock()
+		return worker.ErrNotReached
+	}
+	f.settle(addr)
+	return nil
+}
+
+func (f *fakeWorkers) Start(_ context.Context, addr string, s worker.Start) (worker.Task, error) {
+	if err := f.enter(addr); err != nil {
+		return worker.Task{}, err
+	}
+	defer f.mu.Unlock()
+	if f.tasks[addr] == nil {
+		f.tasks[addr] = map[model.JobID]*fakeAttempt{}
+	}
+	if a := f.tasks[addr][s.ID]; a != nil && a.s.Attempt == s.Attempt {
+		return a.view(), nil
+	}
+	cores := s.Cores
+	for _, a := range f.tasks[addr] {
+		if a.state == worker.StateRunning {
+			cores += a.s.Cores - a.s.Cores*(100-a.percent)/100
+		}
+	}
+	f.over = f.over || cores > 16
+	now := time.Now()
+	a := &fakeAttempt{s: s, state: worker.StateRunning, percent: 100, since: now, lease: now.Add(time.Duration(s.LeaseMS) * time.Millisecond)}
+	f.tasks[addr][s.ID] = a
+	f.starts[s.ID]++
+	if f.starts[s.ID] == 1 {
+		f.startedAt[s.ID] = now
+	}
+	if f.loseStart > 0 {
+		f.loseStart--
+		return worker.Task{}, worker.ErrAnswerLost
+	}
+	return a.view(), nil
+}
+
+func (f *fakeWorkers) command(addr string, id model.JobID, attempt int, do func(a *fakeAttempt)) (worker.Task, error) {
+	if err := f.enter(addr); err != nil {
+		return worker.Task{}, err
+	}
+	defer f.mu.Unlock()
+	a := f.tasks[addr][id]
+	if a == nil {
+		return worker.Task{}, worker.ErrNoTask
+	}
+	if a.s.Attempt != attempt || a.state != worker.StateRunning {
+		return a.view(), worker.ErrEnded
+	}
+	do(a)
+	return a.view(), nil
+}
+
+func (f *fakeWorkers) Renew(_ context.Context, addr string, id model.JobID, attempt int, lease time.Duration) (worker.Task, error) {
+	return f.command(addr, id, attempt, func(a *fakeAttempt) { a.lease = time.Now().Add(lease) })
+}
+
+func (f *fakeWorkers) Checkpoint(_ context.Context, addr string, id model.JobID, attempt int, _ bool) (worker.Task, error) {
+	v, err := f.command(addr, id, attempt, func(a *fakeAttempt) { a.state = worker.StateStopped })
+	v.Checkpoint = json.RawMessage(`{"done_ms":1}`)
+	return v, err
+}
+
+func (f *fakeWorkers) Throttle(_ context.Context, addr string, id model.JobID, attempt, percent int) (worker.Task, error) {
+	return f.command(addr, id, attempt, func(a *fakeAttempt) { a.percent = percent })
+}
+
+func (f *fakeWorkers) List(_ context.Context, addr string) ([]worker.Task, error) {
+	if err := f.enter(addr); err != nil {
+		return nil, err
+	}
+	defer f.mu.Unlock()
+	var out []worker.Task
+	for _, a := range f.tasks[addr] {
+		out = append(out, a.view())
+	}
+	return out, nil
+}
+
+// forget lets a worker lose its tasks, as a reboot does.
+func (f *fakeWorkers) forget(addr string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.tasks, addr)
+}
+
+func (f *fakeWorkers) count(id model.JobID) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.starts[id]
+}
+
+// on returns the address of the worker that runs a task.
+func (f *fakeWorkers) on(id model.JobID) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for addr, ts := range f.tasks {
+		f.settle(addr)
+		if a := ts[id]; a != nil && a.state == worker.StateRunning {
+			return addr
+		}
+	}
+	return ""
+}
+
+// tasking runs f on a cluster of three entry VMs and three workers that serves.
+func tasking(t *testing.T, run time.Duration, f func(cl *cluster, w *fakeWorkers)) {
+	inBubble(t, map[model.DataCentre]int{"a": 3}, func(cl *cluster) {
+		w := newFakeWorkers(run)
+		cl.workers = w
+		cl.site("one", 100, map[model.Team]int{"t": 100})
+		s := cl.sites["one"]
+		s.Queues = append(s.Queues, config.Queue{Name: "cuts", Kind: config.QueueTasks, MaxWaiting: 5000, MaxBody: 1000,
+			Deadline: time.Minute, MaxDeadline: time.Minute, MaxAttempts: 3})
+		for i := range 3 {
+			name := fmt.Sprintf("w%d", i+1)
+			s.Workers = append(s.Workers, config.Worker{Name: model.Worker(name), DC: "a", Rack: "r", Addr: name, Cores: 16, MemoryMB: 32768})
+		}
+		gone := *s
+		gone.Keys, gone.Name = nil, "no-keys"
+		cl.sites["no-keys"] = &gone
+		cl.startAll()
+		at := cl.coordinator("a", 3*time.Second)
+		_, err := cl.apply(at, "one", 0)
+		require.NoError(t, err)
+		cl.inForce(1, 5*time.Second, at)
+		f(cl, w)
+		require.False(t, w.over, "a worker got more cores than it has")
+	})
+}
+
+// submit stores a task the way an entry VM does and offers it.
+func (cl *cluster) submit(change func(*model.TaskRow)) model.JobID {
+	cl.t.Helper()
+	at := cl.coordinator("a", 5*time.Second)
+	row := model.TaskRow{Declared: model.TaskSize{Cores: 4, MemoryMB: 512}, State: model.TaskWaiting, Digest: "d",
+		Request: model.Request{Job: model.NewJobID(time.Now(), at), Queue: "cuts", Team: "t", KeyID: "key-t",
+			Priority: model.PriorityNormal, Idempotent: true, Accepted: time.Now(), Deadline: time.Now().Add(time.Minute)}}
+	if change != nil {
+		change(&row)
+	}
+	id := row.Request.Job
+	v := view{cl.store, cl.nodes[at]}
+	require.NoError(cl.t, objectView{v}.Put(cl.t.Context(), 0, model.TaskBodyName(id), []byte("{}")))
+	val, err := json.Marshal(row)
+	require.NoError(cl.t, err)
+	key := model.TaskKey("a", id)
+	_, err = v.Commit(cl.t.Context(), 0, platform.Txn{Conditions: []platform.Condition{{Key: key}}, Puts: []platform.Put{{Key: key, Value: val}}})
+	require.NoError(cl.t, err)
+	cl.nodes[at].c.OfferTask(1, row)
+	return id
+}
+
+func nonIdempotent(r *model.TaskRow) { r.Request.Idempotent = false }
+
+func (cl *cluster) taskRow(id model.JobID) model.TaskRow {
+	var row model.TaskRow
+	require.NoError(cl.t, json.Unmarshal(cl.store.row(model.TaskKey("a", id)).Value, &row))
+	return row
+}
+
+// ended waits for the end of a task and returns its result.
+func (cl *cluster) ended(id model.JobID, within time.Duration) model.Result {
+	cl.t.Helper()
+	cl.eventually(within, func() bool { return cl.taskRow(id).State == model.TaskEnded }, "task "+string(id)+" did not end")
+	return *cl.taskRow(id).Result
+}
+
+// Guards against a task that is stored and never runs, runs twice, or ends without an
+// answer, and against a story that misses a step.
+func TestTaskRunsOnce(t *testing.T) {
+	tasking(t, 3*time.Second, func(cl *cluster, w *fakeWorkers) {
+		id := cl.submit(nonIdempotent)
+		res := cl.ended(id, 5*time.Second)
+		require.Equal(t, model.StateRan, res.State)
+		require.Equal(t, 1, w.count(id))
+		var a model.TaskAnswer
+		cl.store.mu.Lock()
+		require.NoError(t, json.Unmarshal(cl.store.objects[model.TaskAnswerName(id)], &a))
+		cl.store.mu.Unlock()
+		require.Contains(t, string(a.Result.Body), `"request_digest":"d"`)
+		cl.wait(100 * time.Millisecond)
+		var story []string
+		cl.mu.Lock()
+		for _, r := range cl.records {
+			if r.Job == id {
+				story = append(story, string(r.State)+" "+string(r.Reason))
+			}
+		}
+		cl.mu.Unlock()
+		require.Equal(t, []string{"queued task_stored", "queued placed", "dispatched started", "ran "}, story)
+		cl.wait(taskKeep + 2*time.Second)
+		require.Empty(t, cl.store.row(model.TaskKey("a", id)).Value, "the row of an ended task stays")
+	})
+}
+
+// Guards against a second run of a non-idempotent task whose attempt was lost, and
+// against an idempotent one that is not repeated.
+func TestLostAttempts(t *testing.T) {
+	tasking(t, 30*time.Second, func(cl *cluster, w *fakeWorkers) {
+		once, again := cl.submit(nonIdempotent), cl.submit(nil)
+		cl.eventually(3*time.Second, func() bool { return w.on(once) != "" && w.on(again) != "" }, "tasks not started")
+		for i := range 3 {
+			w.forget(fmt.Sprintf("w%d", i+1))
+		}
+		require.Equal(t, model.StateUnknown, cl.ended(once, 5*time.Second).State)
+		require.Equal(t, model.StateRan, cl.ended(again, 60*time.Second).State)
+		require.Equal(t, 1, w.count(once))
+		require.Equal(t, 2, w.count(again))
+	})
+}
+
+// Guards against a new attempt while the earlier one may still run on a worker that
+// cannot be reached.
+func TestAttemptOnUnreachableWorker(t *testing.T) {
+	tasking(t, 5*time.Minute, func(cl *cluster, w *fakeWorkers) {
+		id := cl.submit(nil)
+		cl.eventually(3*time.Second, func() bool { return w.on(id) != "" }, "task not started")
+		addr := w.on(id)
+		w.mu.Lock()
+		lease := w.tasks[addr][id].lease
+		w.down[addr] = true
+		w.mu.Unlock()
+		cl.eventually(40*time.Second, func() bool { return w.count(id) == 2 }, "task not repeated")
+		require.True(t, time.Now().After(lease.Add(taskMargin/2)), "repeated before the lease of the first attempt ended")
+		require.NotEqual(t, addr, w.on(id))
+	})
+}
+
+// Guards against a takeover that starts running tasks again, or loses them.
+func TestTakeoverKeepsTasks(t *testing.T) {
+	tasking(t, 20*time.Second, func(cl *cluster, w *fakeWorkers) {
+		ids := []model.JobID{cl.submit(nonIdempotent), cl.submit(nil)}
+		cl.eventually(3*time.Second, func() bool { return w.on(ids[0]) != "" && w.on(ids[1]) != "" }, "tasks not started")
+		old := cl.coordinator("a", time.Second)
+		cl.nodes[old].kill()
+		require.NotEqual(t, old, cl.coordinator("a", 5*time.Second))
+		for _, id := range ids {
+			require.Equal(t, model.StateRan, cl.ended(id, 30*time.Second).State)
+			require.Equal(t, 1, w.count(id))
+		}
+	})
+}
+
+// Guards against a start whose answer is lost being taken for one without effect.
+func TestLostStartAnswer(t *testing.T) {
+	tasking(t, time.Second, func(cl *cluster, w *fakeWorkers) {
+		w.loseStart = 1
+		id := cl.submit(nonIdempotent)
+		require.Equal(t, model.StateRan, cl.ended(id, 5*time.Second).State)
+		require.Equal(t, 1, w.count(id))
+	})
+}
+
+// Guards against urgent work that waits for others on a full fleet.
+func TestUrgentTaskOnFullFleet(t *testing.T) {
+	tasking(t, 10*time.Minute, func(cl *cluster, w *fakeWorkers) {
+		for range 12 {
+			cl.submit(nil)
+		}
+		cl.eventually(5*time.Second, func() bool {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			return len(w.starts) == 12
+		}, "the fleet is not full")
+		id := cl.submit(func(r *model.TaskRow) { r.Request.Priority = model.PriorityUrgent })
+		cl.eventually(2200*time.Millisecond, func() bool { return w.count(id) == 1 }, "urgent task not started")
+	})
+}
+
+// Guards against tasks that are tried for ever, or several times on the same worker.
+func TestTaskThatAlwaysFails(t *testing.T) {
+	tasking(t, 100*time.Millisecond, func(cl *cluster, w *fakeWorkers) {
+		w.fail = map[string]bool{"w1": true, "w2": true, "w3": true}
+		id, once := cl.submit(nil), cl.submit(nonIdempotent)
+		res := cl.ended(id, 20*time.Second)
+		require.Equal(t, model.ReasonFailsOnWorkers, res.Reason)
+		require.Equal(t, 500, res.Status)
+		require.Len(t, slices.Compact(slices.Sorted(slices.Values(cl.taskRow(id).Avoid))), 3)
+		require.Equal(t, 3, w.count(id))
+		require.Equal(t, model.ReasonTaskFailed, cl.ended(once, time.Second).Reason)
+		require.Equal(t, 1, w.count(once))
+		large := cl.submit(func(r *model.TaskRow) { r.Declared.Cores = 17 })
+		require.Equal(t, model.StateRefused, cl.ended(large, 2*time.Second).State)
+	})
+}
+
+// Guards against work of a withdrawn key, and against a refusal of what may have run.
+func TestWithdrawnKeyDropsWaitingTasks(t *testing.T) {
+	tasking(t, 30*time.Second, func(cl *cluster, w *fakeWorkers) {
+		runs := cl.submit(func(r *model.TaskRow) { r.Declared.Cores = 16 })
+		for range 2 {
+			cl.submit(func(r *model.TaskRow) { r.Declared.Cores = 16 })
+		}
+		waits := cl.submit(func(r *model.TaskRow) { r.Declared.Cores = 16 })
+		cl.eventually(3*time.Second, func() bool { return w.on(runs) != "" }, "task not started")
+		_, err := cl.apply(cl.coordinator("a", time.Second), "no-keys", 1)
+		require.NoError(t, err)
+		res := cl.ended(waits, 5*time.Second)
+		require.Equal(t, model.StateRefused, res.State)
+		require.Equal(t, model.ReasonKeyWithdrawn, res.Reason)
+		require.Zero(t, w.count(waits))
+		require.Equal(t, model.StateRan, cl.ended(runs, 40*time.Second).State)
+	})
+}
+
+// Guards against running tasks that are lost in an outage of the store, and against new
+// attempts without a row.
+func TestTasksInStoreOutage(t *testing.T) {
+	tasking(t, 15*time.Second, func(cl *cluster, w *fakeWorkers) {
+		id := cl.submit(nonIdempotent)
+		cl.eventually(3*time.Second, func() bool { return w.on(id) != "" }, "task not started")
+		var waits []model.JobID
+		for range 13 {
+			waits = append(waits, cl.submit(nonIdempotent))
+		}
+		cl.wait(500 * time.Millisecond)
+		cl.store.setDown(true)
+		cl.wait(25 * time.Second)
+		w.mu.Lock()
+		starts := len(w.starts)
+		w.mu.Unlock()
+		cl.wait(5 * time.Second)
+		require.Len(t, w.starts, starts, "a task started during the outage")
+		cl.store.setDown(false)
+		for _, x := range append(waits, id) {
+			require.Equal(t, model.StateRan, cl.ended(x, time.Minute).State)
+			require.Equal(t, 1, w.count(x))
+		}
+	})
+}
+
+// Guards against rows that are written twice, lost or out of order when answers of the
+// store are lost, and against cancellations that cost a transaction each.
+func TestCancelWaveWithLostAnswers(t *testing.T) {
+	tasking(t, time.Hour, func(cl *cluster, w *fakeWorkers) {
+		for range 3 {
+			cl.submit(func(r *model.TaskRow) { r.Declared.Cores = 16 })
+		}
+		var ids []model.JobID
+		for range 300 {
+			ids = append(ids, cl.submit(func(r *model.TaskRow) { r.Declared.Cores = 16 }))
+		}
+		cl.wait(time.Second)
+		n := 0
+		cl.store.mu.Lock()
+		cl.store.lose = func(x platform.Txn) bool { n++; return n%3 == 0 && strings.HasPrefix(x.Puts[0].Key, "task-seq/") }
+		before := cl.store.commits["task-seq/a"]
+		cl.store.mu.Unlock()
+		at := cl.nodes[cl.coordinator("a", time.Second)].c
+		var wg sync.WaitGroup
+		for _, id := range ids {
+			wg.Go(func() {
+				r, err := at.CancelTask(cl.t.Context(), id, "t")
+				require.NoError(t, err)
+				require.Equal(t, model.StateCancelled, r.Result.State)
+			})
+		}
+		wg.Wait()
+		for _, id := range ids {
+			require.Equal(t, model.StateCancelled, cl.ended(id, time.Second).State)
+			require.Zero(t, w.count(id))
+		}
+		cl.store.mu.Lock()
+		defer cl.store.mu.Unlock()
+		require.LessOrEqual(t, cl.store.commits["task-seq/a"]-before, 6)
+	})
+}
