--- a/internal/account/gaps.go
+++ b/internal/account/gaps.go
@@ -107,7 +107,7 @@
 		if j.State.Final() || j.State == model.StateUnknown {
 			continue
 		}
-		if _, alive := live[j.incarnation]; alive {
+		if _, alive := live[j.incarnation]; alive || j.stored() {
 			continue
 		}
 		j.Lost = true
@@ -118,3 +118,9 @@
 
 // ReasonEntryLost marks jobs whose entry VM was lost before their outcome was stored.
 const ReasonEntryLost model.Reason = "entry_vm_lost"
+
+// stored reports whether the job is a task whose row was stored: it outlives the process
+// that accepted it.
+func (j *Job) stored() bool {
+	return slices.ContainsFunc(j.Steps, func(r model.Record) bool { return r.Reason == model.ReasonTaskStored })
+}
--- a/internal/control/allotments.go
+++ b/internal/control/allotments.go
@@ -124,6 +124,7 @@
 	}
 	c.allot.sent = parts
 	c.allot.seq++
+	c.coord.tasks.changed = true // tasks may wait for the team's part
 	c.deliver(c.coord.adm.SetAllotments(time.Now(), parts))
 }
 
--- a/internal/control/task.go
+++ b/internal/control/task.go
@@ -30,9 +30,9 @@
 	taskRenewMax = 3 * time.Second
 	taskRenewMin = 200 * time.Millisecond
 	// planGap bounds the planning rounds; planIdle repeats them while tasks wait, for
-	// what only the passing of time changes.
+	// what no event tells: time that passes, and requests of the team that end.
 	planGap  = 200 * time.Millisecond
-	planIdle = 2 * time.Second
+	planIdle = 500 * time.Millisecond
 	// taskScanEvery finds stored tasks whose offer was lost.
 	taskScanEvery = 30 * time.Second
 	// taskScanRetry is the wait after a scan that failed.
