--- a/internal/account/gaps.go
+++ b/internal/account/gaps.go
@@ -117,7 +117,7 @@
 		if j.State.Final() || j.State == model.StateUnknown {
 			continue
 		}
-		if c := m.Owners[j.incarnation]; c != nil && !c.ended(in) {
+		if c := m.Owners[j.incarnation]; j.stored() || (c != nil && !c.ended(in)) {
 			continue
 		}
 		j.Lost = true
@@ -128,3 +128,9 @@
 
 // ReasonEntryLost marks jobs whose entry VM was lost before their outcome was stored.
 const ReasonEntryLost model.Reason = "entry_vm_lost"
+
+// stored reports whether the job is a task whose row was stored: it outlives the process
+// that accepted it.
+func (j *Job) stored() bool {
+	return slices.ContainsFunc(j.Steps, func(r model.Record) bool { return r.Reason == model.ReasonTaskStored })
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -49,7 +49,9 @@
 	Objects     platform.Objects
 	Minions     MinionStatus
 	// Pools reboots VMs.
-	Pools    platform.VMPools
+	Pools platform.VMPools
+	// Workers runs tasks; nil means that none are run.
+	Workers  Workers
 	Recorder account.Recorder
 	// Dial returns the connection to a peer; it does not block.
 	Dial func(settings.Peer) Remote
@@ -100,6 +102,10 @@
 	far        map[model.DataCentre]*farState
 	allot      allotState
 	usageSeq   uint64
+	// taskCounts are the running tasks by team as the coordinator last reported them.
+	taskCounts map[model.Team]int
+	// taskTxn numbers the transactions on task rows of this process.
+	taskTxn uint64
 }
 
 var _ Traffic = (*Control)(nil)
@@ -277,6 +283,7 @@
 	c.spendAllotments()
 	c.checkAllotments(now)
 	c.pollMinions(now)
+	c.checkTasks(now)
 }
 
 // Snapshot implements Traffic.
--- a/internal/control/member.go
+++ b/internal/control/member.go
@@ -100,6 +100,7 @@
 	if c.coord != nil {
 		hb.NotServing = c.notServing()
 		hb.Pools = c.fleet.moved
+		hb.Tasks = c.taskCounts
 	}
 	return hb
 }
@@ -283,6 +284,7 @@
 	case hb.Coordinator == m.Name && f.coordinator == m.Name:
 		c.takeVMStates(hb.NotServing, hb.Pools)
 		c.takeHeld(hb.Held)
+		c.takeTaskCounts(hb.Tasks)
 	case hb.Coordinator == m.Name && f.coordinator == "" && f.resigned.Less(f.token):
 		c.follow(f.token, m.Name, "heartbeat")
 	case hb.Coordinator != m.Name && f.coordinator == m.Name:
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -10,6 +10,7 @@
 	configOps  = expvar.NewMap("control_configuration")
 	allotOps   = expvar.NewMap("control_allotments")
 	fleetOps   = expvar.NewMap("control_fleet")
+	taskOps    = expvar.NewMap("control_tasks")
 	permitOps  = expvar.NewMap("control_permits")
 	gauges     = expvar.NewMap("control_gauges")
 )
