--- a/internal/worker/client_test.go
+++ b/internal/worker/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -79,7 +80,11 @@
 		"not an answer":       {answer(200, "", "x"), worker.ErrAnswerLost, false},
 		"malformed":           {answer(400, "", "x"), worker.ErrRejected, true},
 		"no answer":           {func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, worker.ErrAnswerLost, false},
-		"silent":              {func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, worker.ErrAnswerLost, false},
+		"silent": {func(_ http.ResponseWriter, r *http.Request) {
+			// The server notices a client that left only after the body was read.
+			_, _ = io.Copy(io.Discard, r.Body)
+			<-r.Context().Done()
+		}, worker.ErrAnswerLost, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := httptest.NewServer(x.h)
