--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/.."
 
 echo "gofmt"
-unformatted=$(gofmt -l cmd internal standins bench test 2>/dev/null || true)
+unformatted=$(gofmt -l cmd internal standins bench test examples || true)
 if [ -n "$unformatted" ]; then
 	echo "not formatted:"
 	echo "$unformatted"
@@ -28,3 +28,8 @@
 else
 	go test -race -timeout 20m ./...
 fi
+
+seed=${RAPID_SEED:-1}
+echo "decision logic over 10,000 random cases each, seed $seed"
+go test -timeout 20m ./internal/admission ./internal/allotment ./internal/maintenance ./internal/placement \
+	-rapid.checks=10000 -rapid.seed="$seed"
