--- a/bench/proc/proc.go
+++ b/bench/proc/proc.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"sync"
 	"syscall"
 	"time"
@@ -61,13 +62,15 @@
 	}
 	cmd := exec.Command(s.Path, s.Args...)
 	cmd.Stderr = log
-	// The children end with the experiment, even if it is killed.
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	// The children end with the experiment, even if it is killed. They have process groups
+	// of their own, so that signals of the terminal and of job control reach them only
+	// from here: a group that is orphaned while one of its processes is paused is hung up.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
 	stdout, err := cmd.StdoutPipe()
 	if err != nil {
 		return nil, errors.Wrap(err, "proc: standard output")
 	}
-	if err := cmd.Start(); err != nil {
+	if err := startOnKeptThread(cmd); err != nil {
 		return nil, errors.Wrapf(err, "proc: start %s", s.Name)
 	}
 	p := &Process{spec: s, cmd: cmd, log: log, done: make(chan struct{})}
@@ -79,6 +82,26 @@
 	return p, p.awaitReady(first)
 }
 
+// starts holds commands to start on a thread that never ends: the kernel sends the
+// parent-death signal when the thread that started the child ends, not the process, and
+// the runtime may end a thread at any time.
+var starts = sync.OnceValue(func() chan<- func() {
+	ch := make(chan func())
+	go func() {
+		runtime.LockOSThread()
+		for f := range ch {
+			f()
+		}
+	}()
+	return ch
+})
+
+func startOnKeptThread(cmd *exec.Cmd) error {
+	done := make(chan error, 1)
+	starts() <- func() { done <- cmd.Start() }
+	return <-done
+}
+
 func (p *Process) collect(stdout io.Reader, first chan<- []byte) {
 	r := bufio.NewReader(stdout)
 	if line, err := r.ReadBytes('\n'); err == nil {
--- a/bench/proc/proc_test.go
+++ b/bench/proc/proc_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"runtime"
 	"testing"
 	"time"
 
@@ -28,6 +29,24 @@
 	require.Error(t, p.Pause())
 }
 
+// Guards against children that are killed because the thread that started them ended.
+func TestSurvivesItsThread(t *testing.T) {
+	started := make(chan *Process, 1)
+	go func() {
+		// The thread ends with this goroutine, because it stays locked to it.
+		runtime.LockOSThread()
+		p, err := Start(Spec{Name: "sleep", Path: "/bin/sleep", Args: []string{"60"}, LogDir: t.TempDir()})
+		if err != nil {
+			t.Error(err)
+		}
+		started <- p
+	}()
+	p := <-started
+	require.NotNil(t, p)
+	require.Never(t, func() bool { return !p.Running() }, 300*time.Millisecond, 10*time.Millisecond)
+	p.Kill()
+}
+
 // Guards against waiting for a process that ended before it was ready.
 func TestEndedBeforeReady(t *testing.T) {
 	dir := t.TempDir()
