--- a/bench/cluster/faults.go
+++ b/bench/cluster/faults.go
@@ -103,9 +103,6 @@
 	return out
 }
 
-// MinionLink returns the name of the link to a minion.
-func MinionLink(vm model.VM) string { return "minion/" + string(vm) }
-
 // PlatformFaults replaces the faults of the platform.
 func (c *Cluster) PlatformFaults(f platform.Faults) error {
 	return admin(http.MethodPut, c.platformAddr, platform.PathFaults, f, nil)
