allotment: a write that may have taken effect lowers the usable part at once

A data centre settled its part for limit 1; the write took effect, and before its answer arrived the limit rose to 7 again: it went on with the old part while another data centre had taken the rest. Gifts were reserved before their write, this was not. Change: Part notes every write before it is sent; usable is the least of the known row and of all rows whose write may have taken effect, until a newer row is read or the write certainly failed. Conclusion: the rule is now the same for every write of a row.

--- a/internal/allotment/allotment_test.go
+++ b/internal/allotment/allotment_test.go
@@ -115,6 +115,7 @@
 // called with the answer.
 func (tb *table) send(c *centre, row Row, lost bool, done func(ok bool)) {
 	_, at, _ := c.part.Row()
+	write := c.part.Begin(row)
 	c.inFlight = append(c.inFlight, func() {
 		ok := tb.version == at
 		if ok {
@@ -127,6 +128,8 @@
 		c.inFlight = append(c.inFlight, func() {
 			if ok {
 				c.part.Learn(row, v)
+			} else {
+				c.part.Abort(write)
 			}
 			if done != nil {
 				done(ok)
@@ -302,3 +305,18 @@
 		deliver(o)
 	}
 }
+
+// Guards against use of a part that an own write has lowered, when the limit rises again
+// before the answer to that write.
+func TestPendingWriteIsNotUsable(t *testing.T) {
+	var p Part
+	p.Learn(Row{Limit: 7, Version: 3, Held: map[model.DataCentre]int{"a": 2}, Base: map[model.DataCentre]int{"a": 7}}, 1)
+	r, _, _ := p.Row()
+	write := p.Begin(r.Settle("a", 1, 4))
+	require.Equal(t, 0, p.Usable("a", 7))
+	p.Abort(write)
+	require.Equal(t, 2, p.Usable("a", 7))
+	p.Begin(r.Settle("a", 1, 4))
+	p.Learn(r.Settle("a", 1, 4), 2)
+	require.Equal(t, 0, p.Usable("a", 7))
+}
--- a/internal/allotment/part.go
+++ b/internal/allotment/part.go
@@ -7,6 +7,8 @@
 //
 // What a gift takes away is reserved before its write is sent, and stays reserved until
 // the write certainly failed, or a newer row shows its effect or that it can have none.
+// The same holds for every other write: while it may take effect, no more is usable than
+// the written row allows, because the limit in force can rise before its answer arrives.
 type Part struct {
 	known   bool
 	row     Row
@@ -14,6 +16,10 @@
 	// reserved is not usable; reservedAt is the row version that the gift's write replaces.
 	reserved   int
 	reservedAt uint64
+	// pending holds the rows written in place of the known one whose effect is not known,
+	// by the number of the write.
+	pending map[int]Row
+	writes  int
 }
 
 // Learn takes a row that was read or written at the given row version. Rows that are not
@@ -22,7 +28,7 @@
 	if p.known && version <= p.version {
 		return
 	}
-	p.known, p.row, p.version = true, r, version
+	p.known, p.row, p.version, p.pending = true, r, version, nil
 	if version > p.reservedAt {
 		p.Release()
 	}
@@ -43,9 +49,27 @@
 
 // Usable is what dc may use at a limit; nothing before a row is known.
 func (p *Part) Usable(dc model.DataCentre, limit int) int {
-	return max(0, p.row.Usable(dc, limit)-p.reserved)
+	n := p.row.Usable(dc, limit) - p.reserved
+	for _, r := range p.pending {
+		n = min(n, r.Usable(dc, limit))
+	}
+	return max(0, n)
 }
 
+// Begin notes a write of r in place of the known row, before it is sent, and returns its
+// number.
+func (p *Part) Begin(r Row) int {
+	if p.pending == nil {
+		p.pending = make(map[int]Row)
+	}
+	p.writes++
+	p.pending[p.writes] = r
+	return p.writes
+}
+
+// Abort forgets a write that certainly has had no effect and can have none.
+func (p *Part) Abort(write int) { delete(p.pending, write) }
+
 // Reserve makes n unusable, before the write of a gift that replaces the known row.
 func (p *Part) Reserve(n int) { p.reserved, p.reservedAt = n, p.version }
 
--- a/internal/control/allotments.go
+++ b/internal/control/allotments.go
@@ -194,6 +194,8 @@
 		Conditions: []platform.Condition{{Key: key, Version: at}, c.fence()},
 		Puts:       []platform.Put{{Key: key, Value: val}},
 	}
+	write := a.Begin(row)
+	c.spendAllotments()
 	c.async(storeTimeout, func(ctx context.Context) func() {
 		versions, err := c.d.Table.Commit(ctx, platform.PriorityAllotment, txn)
 		var got platform.Row
@@ -217,6 +219,9 @@
 					}
 				}
 			}
+			if known && !ok {
+				a.Abort(write)
+			}
 			allotOps.Add(map[bool]string{true: "written", false: "not_written"}[ok], 1)
 			if ok {
 				c.log.Info().Str("team", string(t)).Interface("held", row.Held).Int("limit", row.Limit).
--- a/internal/control/budgetrows.go
+++ b/internal/control/budgetrows.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	stderrors "errors"
 	"maps"
 	"strings"
 	"time"
@@ -252,6 +253,7 @@
 		Puts:       []platform.Put{{Key: key, Value: val}},
 	}
 	b.busy = true
+	write := b.Begin(row.Row)
 	c.async(storeTimeout, func(ctx context.Context) func() {
 		versions, err := c.d.Table.Commit(ctx, platform.PriorityAllotment, txn)
 		return func() {
@@ -260,6 +262,9 @@
 				// What was given stays given: an earlier write of it may still take effect.
 				// The next round reads the row again.
 				b.next = time.Now().Add(c.jitter(allotRetry))
+				if unreachable(err) || stderrors.Is(err, platform.ErrConflict) {
+					b.Abort(write)
+				}
 				return
 			}
 			b.learn(row, versions[key])
