--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: test demo prove measure build fmt
+.PHONY: test demo prove measure build
 
 SEED ?= 1
 DURATION ?= 60s
