--- a/internal/control/allotments.go
+++ b/internal/control/allotments.go
@@ -404,6 +404,11 @@
 // version, or 0 if nothing was moved.
 func (c *Control) give(m *peer.AllotmentAsk, n int, told bool, done func(version uint64)) {
 	a := c.allot.teams[m.Team]
+	if a == nil {
+		// A takeover began after the part was subtracted; nothing was written.
+		done(0)
+		return
+	}
 	a.busy = false
 	limit := 0
 	if c.cfg.index != nil {
--- a/internal/control/allotments_test.go
+++ b/internal/control/allotments_test.go
@@ -290,3 +290,13 @@
 	require.NoError(cl.t, json.Unmarshal(cl.store.row(allotPrefix+team).Value, &r))
 	return r
 }
+
+// Guards against a crash of a coordinator that loses its table lease, and takes over
+// locally, between the subtraction of a gift and its write (storm, seeds 12 and 13).
+func TestGiftAfterTakeover(t *testing.T) {
+	c := &Control{}
+	c.allot.init()
+	version := uint64(1)
+	c.give(&peer.AllotmentAsk{Team: "t", Want: 2}, 2, true, func(v uint64) { version = v })
+	require.Zero(t, version, "nothing was moved")
+}
