--- a/cmd/boragepulleyd/main.go
+++ b/cmd/boragepulleyd/main.go
@@ -22,11 +22,49 @@
 )
 
 type cli struct {
-	Settings string           `arg:"" type:"existingfile" help:"The daemon's settings (TOML)."`
+	Settings string           `arg:"" optional:"" type:"existingfile" help:"The daemon's settings (TOML); without it $BORAGEPULLEY_SETTINGS names the file."`
+	Site     bool             `help:"Run on a platform on which one entry VM at a time coordinates the whole site; the settings are those of a site."`
 	Check    bool             `help:"Check the settings and exit."`
 	Version  kong.VersionFlag `help:"Print the version and exit."`
 }
 
+// runSite runs an entry VM on the users' platform. Its log lines go to standard output.
+func runSite(c cli) int {
+	set, err := settings.LoadSite(c.Settings)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 2
+	}
+	if c.Check {
+		return 0
+	}
+	out := logging.NewAsync(os.Stdout)
+	defer out.Close()
+	log, err := logging.New(out, set.LogLevel)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 2
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	go func() {
+		for range hup {
+			log.Info().Msg("Daemon: SIGHUP; settings are read at start only, nothing was reloaded.")
+		}
+	}()
+	s, err := daemon.NewSite(set, log)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	if err := s.Run(ctx); err != nil {
+		return 1
+	}
+	return 0
+}
+
 func main() {
 	var c cli
 	kong.Parse(&c, kong.Name("boragepulleyd"),
@@ -35,7 +73,16 @@
 	os.Exit(run(c))
 }
 
+// settingsVariable names the settings file where no argument does.
+const settingsVariable = "BORAGEPULLEY_SETTINGS"
+
 func run(c cli) int {
+	if c.Settings == "" {
+		c.Settings = os.Getenv(settingsVariable)
+	}
+	if c.Site {
+		return runSite(c)
+	}
 	set, err := settings.Load(c.Settings)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- /dev/null
+++ b/internal/coordinator/api.go
@@ -0,0 +1,84 @@
+package coordinator
+
+import (
+	"context"
+
+	"boragepulley/internal/jobs"
+)
+
+// Offer tells the term of a job whose row is stored.
+func (t *Term) Offer(id jobs.ID, row []byte) {
+	t.post(func() {
+		if t.loaded {
+			t.addRow(string(id), row, false)
+		}
+	})
+}
+
+// State returns a job's state as callers may be told; ok is unset for an unknown job.
+func (t *Term) State(ctx context.Context, id jobs.ID) (s jobs.State, ok bool, err error) {
+	loaded := false
+	err = t.do(ctx, func() {
+		loaded = t.loaded
+		if j := t.book.Get(id); j != nil {
+			s, ok = j.Shown(), true
+		}
+	})
+	if err == nil && !loaded {
+		err = ErrNotCoordinating
+	}
+	return s, ok, err
+}
+
+// Cancel cancels a job and returns once that is stored; ok is unset for an unknown job.
+func (t *Term) Cancel(ctx context.Context, id jobs.ID) (ok bool, err error) {
+	done := make(chan struct{})
+	loaded := false
+	err = t.do(ctx, func() {
+		if loaded = t.loaded; !loaded {
+			return
+		}
+		j := t.book.Get(id)
+		if j == nil {
+			return
+		}
+		ok = true
+		t.cancel(j)
+		if !j.Unsaved() {
+			close(done)
+			return
+		}
+		t.journal.urgent = true
+		t.journal.waiters[id] = append(t.journal.waiters[id], func() { close(done) })
+	})
+	switch {
+	case err != nil:
+		return ok, err
+	case !loaded:
+		return false, ErrNotCoordinating
+	case !ok:
+		return false, nil
+	}
+	select {
+	case <-done:
+		return true, nil
+	case <-ctx.Done():
+		return true, ctx.Err()
+	case <-t.ctx.Done():
+		return true, ErrNotCoordinating
+	}
+}
+
+// cancel ends a job that is in no final state.
+func (t *Term) cancel(j *jobs.Job) {
+	if !t.book.Cancel(j, t.now) {
+		return
+	}
+	t.journal.urgent = true
+	active := j.Active()
+	t.log.Info().Str("job", string(j.ID)).Int("running", len(active)).Msg("Coordinator: job cancelled.")
+	for _, x := range active {
+		t.stopRun(x, reasonCancelled)
+	}
+	t.dirty = true
+}
--- /dev/null
+++ b/internal/coordinator/coordinator.go
@@ -0,0 +1,249 @@
+package coordinator
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"boragepulley/internal/holding"
+	"boragepulley/internal/jobs"
+	"boragepulley/internal/lease"
+	"boragepulley/internal/model"
+	"boragepulley/internal/peer"
+	"boragepulley/internal/platform"
+	"boragepulley/internal/site"
+)
+
+// ErrNotCoordinating means that this entry VM does not coordinate the site, or not yet.
+var ErrNotCoordinating = errors.New("coordinator: not coordinating")
+
+// Codec reads and writes the documents of the platform.
+type Codec struct {
+	Minion     func(id string, value []byte) (site.MinionEntry, error)
+	Wave       func(value []byte) (site.Wave, error)
+	WaveStatus func(site.WaveState) ([]byte, error)
+}
+
+// Limits are the bounds that the platform sets.
+type Limits struct {
+	// Hold is the longest lease that a minion grants.
+	Hold time.Duration
+	// Stop bounds how long a stopped run may go on.
+	Stop time.Duration
+	// DutyGap is how long holders of machine orders must be apart.
+	DutyGap time.Duration
+	// Retention is how long a job's state can be asked for after its end.
+	Retention time.Duration
+}
+
+// Deps are the parts that a term works with.
+type Deps struct {
+	Self     peer.Sender
+	Addr     string
+	Table    platform.Table
+	Feed     platform.Feed
+	Minions  site.Minions
+	Machines site.Machines
+	Codec    Codec
+	Limits   Limits
+	// Config returns the configuration in force.
+	Config func() *site.Config
+	// Waves returns the operators' maintenance waves.
+	Waves func() map[int64]site.Wave
+	// Dial returns the connection to a peer; it does not block.
+	Dial func(name model.EntryVM, addr string) Remote
+	// Now is the clock that counts suspended time.
+	Now  func() time.Duration
+	Log  zerolog.Logger
+	Rand *rand.Rand
+}
+
+// Remote is the connection to one other entry VM.
+type Remote interface {
+	Lead(ctx context.Context, m *peer.Lead) (*peer.LeadReply, error)
+}
+
+// Term is one holding of the site's lease. Its exported methods are safe for concurrent
+// use; they end with ErrNotCoordinating when the term is over.
+type Term struct {
+	d      Deps
+	log    zerolog.Logger
+	held   *lease.Held
+	epoch  uint64
+	events chan func()
+	ctx    context.Context
+	stop   context.CancelCauseFunc
+	wg     sync.WaitGroup
+	view   atomic.Pointer[View]
+
+	// The fields below are owned by the term's goroutine.
+	now time.Duration
+	// began is when the lease was taken.
+	began time.Duration
+	// valid is when the lease ends as the store has confirmed it.
+	valid   time.Duration
+	loaded  bool
+	book    *jobs.Book
+	minions map[jobs.Minion]*holding.Minion
+	queues  map[model.Queue]site.Queue
+	orders  map[*jobs.Task]*order
+	stops   map[*jobs.Task]*stopping
+	dirty   bool
+	planned time.Duration
+	journal journal
+	members members
+	feeds   feeds
+	waves   waves
+	leaving bool
+}
+
+// View is what other goroutines may know of a term. It is immutable.
+type View struct {
+	Pending map[model.Queue]int
+	Load    map[model.Queue]peer.QueueLoad
+}
+
+const (
+	// tick is the longest pause between two looks at timers.
+	tick = 40 * time.Millisecond
+	// planGap is the least time between two plans: ends come in batches.
+	planGap = 8 * time.Millisecond
+	// viewEvery is how often the counts for callers are made anew; they may be 2 s old.
+	viewEvery = 300 * time.Millisecond
+)
+
+// Start begins a term on a lease that was just taken.
+func Start(d Deps, held *lease.Held) *Term {
+	ctx, stop := context.WithCancelCause(context.Background())
+	t := &Term{
+		d: d, held: held, epoch: held.Row.Epoch, events: make(chan func(), 4096), ctx: ctx, stop: stop,
+		log:  d.Log.With().Uint64("epoch", held.Row.Epoch).Logger(),
+		book: jobs.NewBook(), minions: map[jobs.Minion]*holding.Minion{}, queues: map[model.Queue]site.Queue{},
+		orders: map[*jobs.Task]*order{}, stops: map[*jobs.Task]*stopping{},
+	}
+	t.now = d.Now()
+	t.began, t.valid = t.now, held.Until
+	t.journal.init()
+	t.members.init()
+	t.waves.init()
+	t.log.Info().Msg("Coordinator: term began.")
+	t.wg.Go(t.loop)
+	t.wg.Go(t.load)
+	return t
+}
+
+// Epoch is the term's fencing token.
+func (t *Term) Epoch() uint64 { return t.epoch }
+
+// Done is closed when the term is over.
+func (t *Term) Done() <-chan struct{} { return t.ctx.Done() }
+
+// End ends the term.
+func (t *Term) End(cause error) { t.stop(cause) }
+
+// Wait returns after the end of the term, when its last goroutine is done, with the cause.
+func (t *Term) Wait() error {
+	<-t.ctx.Done()
+	t.wg.Wait()
+	return context.Cause(t.ctx)
+}
+
+// View returns the latest counts, or nil before the jobs are loaded.
+func (t *Term) View() *View { return t.view.Load() }
+
+// post hands an event to the term's goroutine.
+func (t *Term) post(f func()) {
+	select {
+	case t.events <- f:
+	case <-t.ctx.Done():
+	}
+}
+
+// do runs f on the term's goroutine and waits for it.
+func (t *Term) do(ctx context.Context, f func()) error {
+	done := make(chan struct{})
+	t.post(func() { f(); close(done) })
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-t.ctx.Done():
+		return ErrNotCoordinating
+	}
+}
+
+// async runs a call outside the term's goroutine; the function that it returns, if any,
+// runs on it.
+func (t *Term) async(timeout time.Duration, call func(ctx context.Context) func()) {
+	t.wg.Go(func() {
+		ctx, cancel := context.WithTimeout(t.ctx, timeout)
+		defer cancel()
+		if f := call(ctx); f != nil {
+			t.post(f)
+		}
+	})
+}
+
+func (t *Term) loop() {
+	timer := time.NewTimer(tick)
+	defer timer.Stop()
+	for {
+		select {
+		case <-t.ctx.Done():
+			return
+		case f := <-t.events:
+			t.now = t.d.Now()
+			f()
+			t.drain()
+		case <-timer.C:
+			t.now = t.d.Now()
+		}
+		timer.Reset(t.step())
+	}
+}
+
+// drain runs the events that are at hand, so that one plan covers them all.
+func (t *Term) drain() {
+	for range len(t.events) {
+		(<-t.events)()
+	}
+}
+
+// step does what is due and returns how long to wait for the next event.
+func (t *Term) step() time.Duration {
+	t.now = t.d.Now()
+	t.followMembers()
+	t.writeJournal()
+	if !t.loaded {
+		return tick
+	}
+	t.followFeeds()
+	t.watchMinions()
+	if t.leading() {
+		t.resendOrders()
+		t.runWaves()
+		if t.dirty && t.now-t.planned >= planGap {
+			t.plan()
+		}
+	}
+	t.publish()
+	if t.dirty {
+		return max(t.planned+planGap-t.now, time.Millisecond)
+	}
+	return tick
+}
+
+// leading reports whether orders may be given: no other entry VM can hold the lease.
+func (t *Term) leading() bool {
+	return !t.leaving && t.now < max(t.valid, t.members.promised())
+}
+
+func (t *Term) receiver(m *holding.Minion) site.Receiver {
+	return site.Receiver{ID: m.ID, Addr: m.Addr, Token: t.epoch}
+}
--- /dev/null
+++ b/internal/coordinator/journal.go
@@ -0,0 +1,206 @@
+package coordinator
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"boragepulley/internal/holding"
+	"boragepulley/internal/jobs"
+	"boragepulley/internal/lease"
+	"boragepulley/internal/platform"
+)
+
+const (
+	// renewEvery is how long the lease goes without a write; three fit into its time.
+	renewEvery = 700 * time.Millisecond
+	// lazyEvery is how long progress that nobody waits for may stay unstored. Minions keep
+	// ends for as long; the bound for noting them is 4 s.
+	lazyEvery = 400 * time.Millisecond
+	// urgentGap is the least time between two writes that somebody waits for.
+	urgentGap = 25 * time.Millisecond
+	// writeBatch leaves room for the lease's row in a transaction of 100 entries.
+	writeBatch = 95
+	// retryPause is the pause after a write that had no effect.
+	retryPause = 100 * time.Millisecond
+)
+
+// journal writes the progress of jobs behind their state in memory, one write at a time.
+type journal struct {
+	writing bool
+	// last is when the last write was sent, notBefore when the next may be.
+	last, notBefore time.Duration
+	urgent          bool
+	// newMinions are to be recorded, goneMinions to be forgotten.
+	newMinions  map[*holding.Minion]bool
+	goneMinions map[jobs.Minion]bool
+	// waiters are run when a job's state is stored.
+	waiters map[jobs.ID][]func()
+	// waveRows are rows of maintenance waves to write.
+	waveRows map[string][]byte
+}
+
+func (w *journal) init() {
+	w.newMinions, w.goneMinions = map[*holding.Minion]bool{}, map[jobs.Minion]bool{}
+	w.waiters, w.waveRows = map[jobs.ID][]func(){}, map[string][]byte{}
+}
+
+// saved is one job's progress in a write.
+type saved struct {
+	job    *jobs.Job
+	change uint64
+	state  jobs.State
+}
+
+// writeJournal sends the next write if one is due.
+func (t *Term) writeJournal() {
+	w := &t.journal
+	if w.writing || t.now < w.notBefore || t.leaving {
+		return
+	}
+	due := w.last + renewEvery
+	if len(t.book.Unsaved()) > 0 || len(w.waveRows) > 0 || len(w.goneMinions) > 0 {
+		due = w.last + lazyEvery
+	}
+	if w.urgent || len(w.newMinions) > 0 {
+		due = w.last + urgentGap
+	}
+	if t.now < due {
+		return
+	}
+	t.sendWrite(t.batch())
+}
+
+// batch collects the rows of the next write.
+func (t *Term) batch() (puts []platform.Put, after func()) {
+	w := &t.journal
+	w.urgent = false
+	var done []func()
+	add := func(key string, value []byte, f func()) bool {
+		if len(puts) >= writeBatch {
+			w.urgent = true
+			return false
+		}
+		puts = append(puts, platform.Put{Key: key, Value: value})
+		done = append(done, f)
+		return true
+	}
+	for m := range w.newMinions {
+		value, err := json.Marshal(minionRow{Addr: m.Addr, Service: m.Service})
+		if err != nil {
+			t.log.Error().Err(err).Str("minion", string(m.ID)).Msg("Coordinator: minion not recorded.")
+			continue
+		}
+		if !add(minionKey(m.ID), value, func() { m.Recorded, t.dirty = true, true; delete(w.newMinions, m) }) {
+			break
+		}
+	}
+	for id := range w.goneMinions {
+		if !add(minionKey(id), nil, func() { delete(w.goneMinions, id) }) {
+			break
+		}
+	}
+	for key, value := range w.waveRows {
+		if !add(key, value, func() { delete(w.waveRows, key) }) {
+			break
+		}
+	}
+	t.batchJobs(add)
+	return puts, func() {
+		for _, f := range done {
+			f()
+		}
+	}
+}
+
+// batchJobs adds the progress of jobs, those with a final state first.
+func (t *Term) batchJobs(add func(string, []byte, func()) bool) {
+	for _, final := range []bool{true, false} {
+		for _, j := range t.book.Unsaved() {
+			if j.State().Final() != final {
+				continue
+			}
+			value, err := jobs.EncodeProgress(j)
+			if err != nil {
+				t.log.Error().Err(err).Str("job", string(j.ID)).Msg("Coordinator: progress not stored.")
+				continue
+			}
+			s := saved{j, j.Changes(), j.State()}
+			if !add(ProgressKey(j.ID), value, func() { t.stored(s) }) {
+				return
+			}
+		}
+	}
+}
+
+// stored notes that a job's progress is in the store.
+func (t *Term) stored(s saved) {
+	t.book.Saved(s.job, s.change, s.state)
+	if s.state.Final() {
+		for _, f := range t.journal.waiters[s.job.ID] {
+			f()
+		}
+		delete(t.journal.waiters, s.job.ID)
+	}
+}
+
+func (t *Term) sendWrite(puts []platform.Put, after func()) {
+	w := &t.journal
+	w.writing, w.last = true, t.now
+	t.wg.Go(func() {
+		// The write goes on until its outcome is known or the term is over: the next one
+		// depends on the version that it leaves.
+		err := t.held.Commit(t.ctx, puts)
+		until := t.held.Until
+		t.post(func() { t.wrote(err, until, after) })
+	})
+}
+
+func (t *Term) wrote(err error, until time.Duration, after func()) {
+	w := &t.journal
+	w.writing = false
+	switch {
+	case err == nil:
+		t.valid = until
+		after()
+	case errors.Is(err, lease.ErrLost):
+		t.log.Warn().Err(err).Msg("Coordinator: lease lost.")
+		t.End(err)
+	case errors.Is(err, context.Canceled):
+	default:
+		w.notBefore, w.urgent = t.now+retryPause, true
+		t.log.Warn().Err(err).Dur("lease_left", t.valid-t.now).Msg("Coordinator: write had no effect.")
+	}
+}
+
+// Release ends the term and gives the lease up, so that another entry VM goes on at once.
+func (t *Term) Release(ctx context.Context) error {
+	idle := make(chan struct{})
+	t.post(func() { t.leaving = true })
+	t.wg.Go(func() { t.awaitIdle(idle) })
+	select {
+	case <-idle:
+	case <-ctx.Done():
+		t.End(ErrNotCoordinating)
+		return ctx.Err()
+	case <-t.ctx.Done():
+		return ErrNotCoordinating
+	}
+	err := t.held.Release(ctx)
+	t.End(ErrNotCoordinating)
+	return err
+}
+
+// awaitIdle closes idle once no write is under way; no further one begins.
+func (t *Term) awaitIdle(idle chan<- struct{}) {
+	for t.ctx.Err() == nil {
+		free := false
+		if t.do(t.ctx, func() { free = t.leaving && !t.journal.writing }) == nil && free {
+			close(idle)
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
--- /dev/null
+++ b/internal/coordinator/minions.go
@@ -0,0 +1,349 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"boragepulley/internal/holding"
+	"boragepulley/internal/jobs"
+	"boragepulley/internal/model"
+	"boragepulley/internal/site"
+)
+
+const (
+	// leaseSpan is how long runs go on without word from the coordinator. It is above the
+	// time of a takeover (lease.TTL and about 1 s) and of a cut of 5.5 s less what a dark
+	// rack costs until its tasks are started elsewhere; the minions grant 6 s and more.
+	leaseSpan = 4500 * time.Millisecond
+	// holdWait is how long a minion with tasks holds its answer back until a run ends.
+	holdWait = time.Second
+	// holdTimeout is added to it; an answer takes 2 ms, from a slow machine a few times that.
+	holdTimeout = 700 * time.Millisecond
+	// holdGap is the least time between two holds of a minion, so that ends that come
+	// together cost one look.
+	holdGap = 25 * time.Millisecond
+	// idleEvery is how often a minion without tasks is looked at, to keep its clock known
+	// within 40 ms and to learn of a new life.
+	idleEvery = 2 * time.Second
+	// silentEvery is the pause between looks at a minion that does not answer.
+	silentEvery = 200 * time.Millisecond
+	// suspectFor is how long a minion that refused or lost an order comes last.
+	suspectFor = time.Second
+)
+
+// listMinion notes an entry of the platform's list; an unreadable one names no minion.
+func (t *Term) listMinion(id string, value []byte) {
+	if value == nil {
+		if m := t.minions[jobs.Minion(id)]; m != nil && m.Listed {
+			m.Listed = false
+			t.log.Info().Str("minion", id).Int("tasks", len(m.Tasks)).Msg("Coordinator: minion left the list.")
+		}
+		return
+	}
+	e, err := t.d.Codec.Minion(id, value)
+	if err != nil {
+		t.log.Warn().Err(err).Str("minion", id).Msg("Coordinator: entry passed over.")
+		return
+	}
+	m := t.minions[e.ID]
+	switch {
+	case m == nil:
+		m = holding.New(e, 0)
+		t.minions[e.ID] = m
+	case m.Born != 0 && e.Born != 0 && e.Born < m.Born:
+		return // word of an earlier life
+	default:
+		if e.Leaving && !m.Leaving {
+			t.log.Info().Str("minion", id).Int("tasks", len(m.Tasks)).Dur("remaining", e.Remaining).Msg("Coordinator: minion leaves.")
+		}
+		if m.Born != 0 && e.Born > m.Born {
+			t.reborn(m, e.Born)
+		}
+		born := m.Born
+		m.MinionEntry = e
+		m.Born = max(born, e.Born)
+	}
+	m.Listed = true
+	t.dirty = true
+}
+
+// usable reports whether new work may go to a minion.
+func (t *Term) usable(m *holding.Minion) bool {
+	return m.Listed && !m.Leaving && !m.Closed && m.Recorded && m.Looked && m.Failures == 0 && m.ClockKnown()
+}
+
+// watchMinions looks at each minion whose turn has come, and frees the tasks of those
+// whose leases are certainly over.
+func (t *Term) watchMinions() {
+	for id, m := range t.minions {
+		if m.Failures > 0 && t.now > m.Lapses {
+			t.lapsed(m)
+		}
+		if !m.Listed && len(m.Tasks) == 0 && t.now > m.Lapses && m.Failures > 0 {
+			if m.Recorded {
+				t.journal.goneMinions[id] = true
+			}
+			delete(t.journal.newMinions, m)
+			delete(t.minions, id)
+			continue
+		}
+		if m.Listed && !m.Recorded {
+			t.journal.newMinions[m] = true
+		}
+		if !m.Asking && t.now >= m.NextLook {
+			t.look(m)
+		}
+	}
+}
+
+// look sends one hold. Leases are prolonged only while this entry VM surely coordinates.
+func (t *Term) look(m *holding.Minion) {
+	o := site.HoldOrder{Noted: m.Noted()}
+	if len(m.Tasks) > 0 && m.ClockKnown() && t.leading() {
+		o.LeaseUntil = m.Lease(t.now, leaseSpan)
+	}
+	if len(m.Tasks) > 0 && m.Failures == 0 && m.Looked {
+		o.Wait = holdWait
+	}
+	m.Asking = true
+	to, sent := t.receiver(m), t.now
+	t.async(o.Wait+holdTimeout, func(ctx context.Context) func() {
+		r, err := t.d.Minions.Hold(ctx, to, o)
+		return func() { t.looked(m, sent, r, err) }
+	})
+}
+
+// looked takes the answer of a hold that was sent at a time.
+func (t *Term) looked(m *holding.Minion, sent time.Duration, r site.HoldReport, err error) {
+	m.Asking = false
+	if t.minions[m.ID] != m {
+		return
+	}
+	if err != nil {
+		t.notAnswered(m, err)
+		return
+	}
+	if m.Failures > 0 {
+		t.log.Info().Str("minion", string(m.ID)).Dur("silent", t.now-m.Heard).Msg("Coordinator: minion answers again.")
+	}
+	if m.Born != 0 && r.Born != 0 && r.Born != m.Born {
+		if r.Born < m.Born {
+			m.NextLook = t.now + silentEvery
+			return
+		}
+		t.reborn(m, r.Born)
+	}
+	if r.Born != 0 {
+		m.Born = r.Born
+	}
+	m.Failures, m.Heard = 0, t.now
+	m.SetClock(r.Clock, t.now)
+	t.reconcile(m, sent, r)
+	m.Looked = true
+	t.dirty = true
+	m.NextLook = t.now + holdGap
+	if len(m.Tasks) == 0 && !m.Unnoted() {
+		m.NextLook = t.now + idleEvery
+	}
+}
+
+func (t *Term) notAnswered(m *holding.Minion, err error) {
+	switch {
+	case errors.Is(err, site.ErrOtherBoot):
+		// The address belongs to another minion: this one is over, and so are its runs.
+		t.log.Info().Str("minion", string(m.ID)).Int("tasks", len(m.Tasks)).Msg("Coordinator: another minion at the address.")
+		m.Lapses = 0
+		t.lapsed(m)
+	case site.RefusalOf(err) == site.RefusedFence:
+		t.log.Warn().Str("minion", string(m.ID)).Msg("Coordinator: minion has seen a higher token.")
+		t.End(errors.Wrap(err, "coordinator: replaced"))
+		return
+	}
+	if m.Failures == 0 {
+		t.log.Info().Err(err).Str("minion", string(m.ID)).Int("tasks", len(m.Tasks)).Dur("lease_left", m.Lapses-t.now).Msg("Coordinator: minion does not answer.")
+		if m.Heard == 0 {
+			m.Heard = t.now
+		}
+	}
+	m.Failures++
+	m.NextLook = t.now + silentEvery
+	if len(m.Tasks) == 0 && t.now > m.Lapses {
+		m.NextLook = t.now + idleEvery
+	}
+}
+
+// lapsed frees the tasks of a minion whose leases are over.
+func (t *Term) lapsed(m *holding.Minion) {
+	if len(m.Tasks) > 0 {
+		t.log.Warn().Str("minion", string(m.ID)).Int("tasks", len(m.Tasks)).Dur("silent", t.now-m.Heard).Msg("Coordinator: leases over, tasks start elsewhere.")
+	}
+	for x := range m.Tasks {
+		t.over(x)
+	}
+	// Nothing unseen goes on there any more.
+	m.Looked = true
+}
+
+// reborn notes that a minion started again under its id: its runs are over. An order
+// whose answer was lost may still be carried out by the new life, so it is stopped there.
+func (t *Term) reborn(m *holding.Minion, born int64) {
+	t.log.Info().Str("minion", string(m.ID)).Int("tasks", len(m.Tasks)).Int64("born", born).Msg("Coordinator: minion started again.")
+	m.Reborn(born)
+	for x := range m.Tasks {
+		if x.Phase == jobs.Ordered {
+			t.stopRun(x, reasonReborn)
+			continue
+		}
+		t.over(x)
+	}
+}
+
+// Reasons of stops, for logs.
+const (
+	reasonReborn    model.Reason = "minion_started_again"
+	reasonCancelled model.Reason = "cancelled_by_caller"
+	reasonFailed    model.Reason = "job_failed"
+	reasonLeaving   model.Reason = "minion_leaves"
+	reasonElsewhere model.Reason = "runs_elsewhere"
+	reasonWave      model.Reason = "maintenance"
+)
+
+// reconcile compares a minion's lists with the book. sent is when they were asked for:
+// orders that were answered later are not in them.
+func (t *Term) reconcile(m *holding.Minion, sent time.Duration, r site.HoldReport) {
+	seen := make(map[*jobs.Task]bool, len(r.Running))
+	for _, x := range r.Ended {
+		t.ended(m, x, seen)
+	}
+	for _, x := range r.Running {
+		t.running(m, x, seen)
+	}
+	for x := range m.Tasks {
+		if !seen[x] {
+			t.unlisted(x, sent)
+		}
+	}
+}
+
+func (t *Term) taskNamed(name string) *jobs.Task {
+	n, err := jobs.ParseTaskName(name)
+	if err != nil {
+		t.log.Warn().Err(err).Msg("Coordinator: minion names an unknown task.")
+		return nil
+	}
+	return t.book.Task(n)
+}
+
+// ended takes one end from a minion's list.
+func (t *Term) ended(m *holding.Minion, x site.Ended, seen map[*jobs.Task]bool) {
+	task := t.taskNamed(x.Task)
+	if task != nil && task.Minion == m.ID && task.Run <= x.Run {
+		seen[task] = true
+	}
+	if !m.Fresh(x.Number) {
+		return
+	}
+	if task == nil {
+		m.Keep(x.Number, nil, 0)
+		return
+	}
+	j := task.Step.Job
+	was := j.State()
+	changed := t.book.Finish(task, x.Run, m.ID, x.How, x.Checkpoint, t.queueOf(j).MaxAttempts, t.now)
+	if changed {
+		m.Keep(x.Number, j, j.Changes())
+	} else {
+		m.Keep(x.Number, nil, 0)
+	}
+	if !task.Active() {
+		t.forgetOrders(task)
+		m.Release(task)
+	}
+	if x.How != jobs.EndDone && x.How != jobs.EndStopped {
+		t.log.Info().Str("task", x.Task).Int("run", x.Run).Str("minion", string(m.ID)).Str("how", string(x.How)).Msg("Coordinator: run ended.")
+	}
+	if now := j.State(); now != was && now.Final() {
+		t.concluded(j)
+	}
+	t.dirty = true
+}
+
+// concluded ends what still runs of a job in a final state.
+func (t *Term) concluded(j *jobs.Job) {
+	t.journal.urgent = true
+	t.log.Info().Str("job", string(j.ID)).Str("queue", string(j.Queue)).Str("state", string(j.State())).Dur("after", t.now-j.Seen).Msg("Coordinator: job ended.")
+	for _, x := range j.Active() {
+		t.stopRun(x, reasonFailed)
+	}
+}
+
+// running takes one run from a minion's list.
+func (t *Term) running(m *holding.Minion, x site.Running, seen map[*jobs.Task]bool) {
+	task := t.taskNamed(x.Task)
+	if task == nil {
+		t.stopStray(m, x.Task, x.Run, "")
+		return
+	}
+	switch {
+	case task.Active() && task.Minion == m.ID && task.Run == x.Run:
+		seen[task] = true
+		task.Percent = x.Percent
+		if x.Checkpoint != "" {
+			task.Checkpoint = x.Checkpoint
+		}
+		t.book.Started(task, t.now)
+		delete(t.orders, task)
+	case task.Phase == jobs.Waiting && !task.Step.Job.State().Final():
+		t.book.Adopt(task, x.Run, m.ID, x.Checkpoint, t.now)
+		task.Percent = x.Percent
+		m.Assign(task)
+		seen[task] = true
+	case task.Step.Job.State().Final() && !task.Active():
+		t.book.Adopt(task, x.Run, m.ID, x.Checkpoint, t.now)
+		m.Assign(task)
+		seen[task] = true
+		t.stopRun(task, reasonCancelled)
+	default:
+		t.stopStray(m, x.Task, x.Run, task.Minion)
+	}
+}
+
+// stopStray ends a run that the book does not have there.
+func (t *Term) stopStray(m *holding.Minion, name string, run int, elsewhere jobs.Minion) {
+	t.log.Warn().Str("task", name).Int("run", run).Str("minion", string(m.ID)).Str("elsewhere", string(elsewhere)).Msg("Coordinator: stray run is stopped.")
+	if !t.leading() {
+		return
+	}
+	to := t.receiver(m)
+	t.async(orderTimeout, func(ctx context.Context) func() {
+		if err := t.d.Minions.Stop(ctx, to, site.StopOrder{Task: name, Run: run}); err != nil {
+			t.log.Info().Err(err).Str("task", name).Msg("Coordinator: stray run not stopped yet.")
+		}
+		return nil
+	})
+}
+
+// unlisted deals with a task that a minion lists neither as running nor as ended.
+func (t *Term) unlisted(x *jobs.Task, sent time.Duration) {
+	switch {
+	case x.Phase == jobs.Running && x.Since < sent:
+		t.log.Warn().Str("task", x.Name()).Int("run", x.Run).Str("minion", string(x.Minion)).Msg("Coordinator: run is gone.")
+		t.over(x)
+	case x.Phase == jobs.Stopping:
+		if s := t.stops[x]; s != nil && s.answered != 0 && s.answered < sent {
+			t.over(x)
+		}
+	}
+}
+
+// over makes a task wait whose run is certainly over.
+func (t *Term) over(x *jobs.Task) {
+	if m := t.minions[x.Minion]; m != nil {
+		m.Release(x)
+	}
+	t.forgetOrders(x)
+	t.book.Return(x, t.now)
+	t.dirty = true
+}
--- /dev/null
+++ b/internal/coordinator/plan.go
@@ -0,0 +1,177 @@
+package coordinator
+
+import (
+	"time"
+
+	"boragepulley/internal/holding"
+	"boragepulley/internal/jobs"
+	"boragepulley/internal/model"
+	"boragepulley/internal/peer"
+	"boragepulley/internal/schedule"
+	"boragepulley/internal/site"
+)
+
+// queueOf returns the queue of a job as the configuration has it, or as it last was.
+func (t *Term) queueOf(j *jobs.Job) site.Queue {
+	if c := t.d.Config(); c != nil {
+		if q := c.Queue(j.Queue); q != nil {
+			t.queues[j.Queue] = *q
+			return *q
+		}
+	}
+	if q, ok := t.queues[j.Queue]; ok {
+		return q
+	}
+	return site.Queue{Name: j.Queue, Service: j.Service, MaxAttempts: defaultAttempts, Stretch: defaultStretch}
+}
+
+const (
+	// defaultAttempts and defaultStretch hold for a job whose queue this process has never
+	// seen in a configuration.
+	defaultAttempts = 2
+	defaultStretch  = 2
+	// defaultEstimate stands for a task without an estimate.
+	defaultEstimate = time.Second
+)
+
+// plan starts waiting tasks as far as there is room.
+func (t *Term) plan() {
+	t.dirty, t.planned = false, t.now
+	snap := t.snapshot()
+	if len(snap.Steps) == 0 {
+		return
+	}
+	p := schedule.Make(snap)
+	for _, a := range p.Start {
+		if m := t.minions[a.Minion]; m != nil {
+			t.start(a.Task, m)
+		}
+	}
+}
+
+func (t *Term) snapshot() *schedule.Snapshot {
+	s := &schedule.Snapshot{Now: t.now, Teams: t.teamUse()}
+	perStep := t.perStep()
+	for _, m := range t.minions {
+		if !t.usable(m) {
+			continue
+		}
+		s.Minions = append(s.Minions, scheduleMinion(m, t.now, perStep))
+	}
+	wall := time.Now()
+	for _, j := range t.book.Open() {
+		j.OpenSteps(wall)
+		q := t.queueOf(j)
+		if j.Inherited && !t.settled(j, q.Service) {
+			continue
+		}
+		s.Steps = append(s.Steps, t.waitingSteps(j, q)...)
+	}
+	return s
+}
+
+func scheduleMinion(m *holding.Minion, now time.Duration, perStep map[jobs.Minion]map[*jobs.StepRun]int) schedule.Minion {
+	out := schedule.Minion{ID: m.ID, Service: m.Service, Kind: m.Kind, Rack: m.Rack, Room: m.Capacity.Sub(m.Used), Capacity: m.Capacity,
+		Suspect: now < m.AvoidUntil, PerStep: perStep[m.ID]}
+	for x := range m.Tasks {
+		if x.Step.Spec.TailTarget > 0 {
+			out.Serves++
+		}
+		if x.Step.Spec.Fills {
+			out.Fills++
+		}
+	}
+	return out
+}
+
+// waitingSteps returns the steps of a job with tasks to start.
+func (t *Term) waitingSteps(j *jobs.Job, q site.Queue) []schedule.Step {
+	var out []schedule.Step
+	for _, s := range j.Steps {
+		w := s.WaitingTasks()
+		if len(w) == 0 {
+			continue
+		}
+		arrived := j.Seen
+		chain := longest(j)
+		out = append(out, schedule.Step{Run: s, Service: q.Service, Team: j.Team, Priority: q.Priority, Arrived: arrived,
+			Due:  arrived + time.Duration(q.Stretch*float64(chain)) + q.Target,
+			Left: max(j.Spec.Chain(s.Index), defaultEstimate/10), Waiting: w})
+	}
+	return out
+}
+
+// longest returns the longest chain of estimates of a job.
+func longest(j *jobs.Job) time.Duration {
+	var out time.Duration
+	for i := range j.Spec.Steps {
+		out = max(out, j.Spec.Chain(i))
+	}
+	if out == 0 {
+		out = defaultEstimate
+	}
+	return out
+}
+
+// settled reports whether no run of a job that an earlier coordinator ordered can be
+// going on unseen. Runs are on minions of the service that the queue had or has.
+func (t *Term) settled(j *jobs.Job, now model.Service) bool {
+	for _, m := range t.minions {
+		if m.Looked || t.now > m.Lapses || m.Service != j.Service && m.Service != now {
+			continue
+		}
+		return false
+	}
+	j.Inherited = false
+	return true
+}
+
+// teamUse returns what each team has running, with its limit.
+func (t *Term) teamUse() map[model.Team]*schedule.Team {
+	out := map[model.Team]*schedule.Team{}
+	if c := t.d.Config(); c != nil {
+		for name, team := range c.Teams {
+			out[name] = &schedule.Team{Weight: team.Weight, Limit: team.Limit}
+		}
+	}
+	for _, m := range t.minions {
+		for x := range m.Tasks {
+			if u := out[x.Step.Job.Team]; u != nil {
+				u.Used = u.Used.Add(x.Step.Spec.Need)
+			}
+		}
+	}
+	return out
+}
+
+// perStep counts the tasks of each step with a bound per minion.
+func (t *Term) perStep() map[jobs.Minion]map[*jobs.StepRun]int {
+	out := map[jobs.Minion]map[*jobs.StepRun]int{}
+	for id, m := range t.minions {
+		for x := range m.Tasks {
+			if x.Step.Spec.PerMinion == 0 {
+				continue
+			}
+			if out[id] == nil {
+				out[id] = map[*jobs.StepRun]int{}
+			}
+			out[id][x.Step]++
+		}
+	}
+	return out
+}
+
+// publish makes the counts that entry VMs tell callers.
+func (t *Term) publish() {
+	if v := t.view.Load(); v != nil && t.now < t.members.viewAt+viewEvery {
+		return
+	}
+	t.members.viewAt = t.now
+	v := &View{Pending: map[model.Queue]int{}, Load: map[model.Queue]peer.QueueLoad{}}
+	for _, j := range t.book.Open() {
+		if !j.Begun() {
+			v.Pending[j.Queue]++
+		}
+	}
+	t.view.Store(v)
+}
--- /dev/null
+++ b/internal/coordinator/recover.go
@@ -0,0 +1,161 @@
+package coordinator
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"boragepulley/internal/holding"
+	"boragepulley/internal/jobs"
+	"boragepulley/internal/lease"
+	"boragepulley/internal/model"
+	"boragepulley/internal/platform"
+	"boragepulley/internal/site"
+)
+
+// Tables of the coordinator's rows.
+const (
+	// JobTable has a row for each accepted job, written by the entry VM that accepts it.
+	JobTable = "job"
+	// progressTable has a row for each job with progress.
+	progressTable = "progress"
+	// minionTable has a row for each minion that may run tasks.
+	minionTable = "minion"
+	// minionList is the platform's list of minions.
+	minionList = "servers"
+	// MemberTable has a row for each entry VM.
+	MemberTable = "entry"
+)
+
+const (
+	// loadTimeout bounds one attempt to read the tables: at 350 minions and 5,000 jobs of
+	// 2 KB they have about 25 pages.
+	loadTimeout = 5 * time.Second
+	// loadPause is the pause after a failed attempt.
+	loadPause = 200 * time.Millisecond
+)
+
+// JobKey returns the key of a job's row.
+func JobKey(id jobs.ID) string { return JobTable + "/" + string(id) }
+
+// ProgressKey returns the key of a job's progress.
+func ProgressKey(id jobs.ID) string { return progressTable + "/" + string(id) }
+
+func minionKey(id jobs.Minion) string { return minionTable + "/" + string(id) }
+
+// suffix returns a key without its table.
+func suffix(key string) string {
+	_, rest, _ := strings.Cut(key, "/")
+	return rest
+}
+
+// minionRow is what a successor must know of a minion to ask it for its runs.
+type minionRow struct {
+	Addr    string        `json:"a"`
+	Service model.Service `json:"s"`
+}
+
+// tables are the rows that a term begins with.
+type tables struct{ jobs, progress, recorded, listed platform.Changes }
+
+// load reads the tables until it succeeds or the term ends.
+func (t *Term) load() {
+	for t.ctx.Err() == nil {
+		ctx, cancel := context.WithTimeout(t.ctx, loadTimeout)
+		x, err := t.readTables(ctx)
+		cancel()
+		if err == nil {
+			t.post(func() { t.begin(x) })
+			return
+		}
+		t.log.Warn().Err(err).Msg("Coordinator: tables not read yet.")
+		select {
+		case <-time.After(loadPause):
+		case <-t.ctx.Done():
+		}
+	}
+}
+
+func (t *Term) readTables(ctx context.Context) (x tables, err error) {
+	for _, r := range []struct {
+		table string
+		to    *platform.Changes
+	}{{minionList, &x.listed}, {minionTable, &x.recorded}, {JobTable, &x.jobs}, {progressTable, &x.progress}} {
+		if *r.to, err = t.d.Feed.ReadAll(ctx, platform.PriorityClaim, r.table); err != nil {
+			return x, err
+		}
+	}
+	return x, nil
+}
+
+// begin takes the tables over. Runs that earlier coordinators ordered may be going on
+// until the end of the longest lease that they could give.
+func (t *Term) begin(x tables) {
+	unseen := time.Duration(0)
+	if t.epoch > 1 {
+		unseen = t.began + lease.TTL + time.Duration(float64(t.d.Limits.Hold)*1.05)
+	}
+	for _, r := range x.recorded.Rows {
+		var v minionRow
+		if err := json.Unmarshal(r.Value, &v); err != nil {
+			t.log.Error().Err(err).Str("row", r.Key).Msg("Coordinator: unreadable minion row passed over.")
+			continue
+		}
+		id := jobs.Minion(suffix(r.Key))
+		m := holding.New(site.MinionEntry{ID: id, Addr: v.Addr, Service: v.Service}, unseen)
+		m.Recorded = true
+		t.minions[id] = m
+	}
+	for _, r := range x.listed.Rows {
+		t.listMinion(suffix(r.Key), r.Value)
+	}
+	var cancels []jobs.ID
+	for _, r := range x.jobs.Rows {
+		id := suffix(r.Key)
+		if base, ok := strings.CutSuffix(id, cancelSuffix); ok {
+			cancels = append(cancels, jobs.ID(base))
+			continue
+		}
+		t.addRow(id, r.Value, t.epoch > 1)
+	}
+	for _, r := range x.progress.Rows {
+		if j := t.book.Get(jobs.ID(suffix(r.Key))); j != nil {
+			if err := t.book.Restore(j, r.Value, t.now); err != nil {
+				t.log.Error().Err(err).Str("job", string(j.ID)).Msg("Coordinator: unreadable progress passed over.")
+			}
+		}
+	}
+	for _, id := range cancels {
+		if j := t.book.Get(id); j != nil {
+			t.cancel(j)
+		}
+	}
+	t.feeds.begin(x.jobs.Version, x.listed.Version)
+	t.loaded, t.dirty = true, true
+	t.log.Info().Int("jobs", t.book.Len()).Int("open", len(t.book.Open())).Int("minions", len(t.minions)).
+		Dur("after", t.now-t.began).Msg("Coordinator: state loaded.")
+}
+
+// addRow adds an accepted job from its row.
+func (t *Term) addRow(id string, value []byte, inherited bool) *jobs.Job {
+	if j := t.book.Get(jobs.ID(id)); j != nil {
+		return j
+	}
+	var a jobs.Accepted
+	if err := json.Unmarshal(value, &a); err != nil || a.Spec.Check() != nil {
+		t.log.Error().Err(err).Str("job", id).Msg("Coordinator: unreadable job row passed over.")
+		return nil
+	}
+	a.ID = jobs.ID(id)
+	j := t.book.Add(a, t.now)
+	j.Inherited = inherited
+	if inherited {
+		// Callers count from their first attempt. The accepting clock may be off, so its
+		// difference to ours is used within bounds.
+		age := min(max(time.Since(a.At), 0), time.Minute)
+		j.Seen = t.now - age
+	}
+	t.dirty = true
+	return j
+}
--- /dev/null
+++ b/internal/coordinator/waves.go
@@ -0,0 +1,7 @@
+package coordinator
+
+type waves struct{}
+
+func (w *waves) init() {}
+
+func (t *Term) runWaves() {}
--- /dev/null
+++ b/internal/daemon/site.go
@@ -0,0 +1,143 @@
+package daemon
+
+import (
+	"context"
+	"expvar"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"boragepulley/internal/clock"
+	"boragepulley/internal/coordinator"
+	"boragepulley/internal/entry"
+	"boragepulley/internal/logging"
+	"boragepulley/internal/model"
+	"boragepulley/internal/peer"
+	client "boragepulley/internal/platform"
+	"boragepulley/internal/settings"
+	"boragepulley/platform"
+)
+
+const (
+	// balancerNotice is how long the balancer may go on sending connections after
+	// readiness turned red: it asks once a second and takes two misses.
+	balancerNotice = 2200 * time.Millisecond
+	// siteCloseMargin is kept of the platform's grace for the end of the process.
+	siteCloseMargin = 800 * time.Millisecond
+	// headerTimeout bounds how long a caller may take for a request's header, and
+	// callerIdle how long its connection may be unused.
+	headerTimeout = 3 * time.Second
+	callerIdle    = 60 * time.Second
+	// siteStoreTimeout bounds a store call; a store that is slow by a factor of 60 answers
+	// in 0.5 s, and a lost answer is noticed only by this bound.
+	siteStoreTimeout = 900 * time.Millisecond
+	// siteBreakerMax bounds the pause between two tries of a store that does not answer:
+	// accepting jobs begins again so long after its return.
+	siteBreakerMax = 400 * time.Millisecond
+)
+
+// Site is one running entry VM on the users' platform.
+type Site struct {
+	set     *settings.Site
+	log     zerolog.Logger
+	node    *entry.Node
+	callers *http.Server
+	ready   *http.Server
+	metrics *http.Server
+	peers   *peer.Server
+	lis     map[string]net.Listener
+}
+
+// NewSite builds an entry VM and opens its listeners. Errors: an address that cannot be
+// listened on, or settings that the store's client rejects.
+func NewSite(set *settings.Site, log zerolog.Logger) (*Site, error) {
+	store, err := client.NewClient(client.Options{
+		BaseURL: set.StoreURL, ClientName: string(set.DC) + "/" + string(set.Name), WritesPerSecond: set.StoreWrites / 2,
+		ReadsPerSecond: set.StoreReads / 2, CallTimeout: siteStoreTimeout, BreakerMax: siteBreakerMax, Log: logging.Part(log, "store"),
+	})
+	if err != nil {
+		return nil, errors.Wrap(err, "daemon")
+	}
+	table := platform.NewStore(store)
+	self := peer.Sender{Entry: set.Name, DC: set.DC, Incarnation: model.NewIncarnation()}
+	s := &Site{set: set, log: logging.Part(log, "daemon"), lis: map[string]net.Listener{}}
+	s.node = entry.New(entry.Deps{
+		Self: self, PeerAddr: set.PeerListen, Table: table, Feed: table, Minions: platform.NewMinions(), Machines: platform.NewMachines(set.MachinesAddr),
+		Codec:        coordinator.Codec{Minion: platform.DecodeMinion, Wave: platform.DecodeWave, WaveStatus: platform.EncodeWaveStatus},
+		DecodeConfig: platform.DecodeConfig,
+		Limits:       coordinator.Limits{Hold: set.MaxHold, Stop: set.MaxStop, DutyGap: set.DutyGap, Retention: set.Retention},
+		Now:          clock.SinceBoot, Log: log,
+	})
+	s.callers = &http.Server{Handler: platform.Callers(s.node), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle}
+	s.ready = &http.Server{Handler: platform.Readiness(s.node), ReadHeaderTimeout: headerTimeout}
+	s.metrics = &http.Server{Handler: expvar.Handler(), ReadHeaderTimeout: headerTimeout}
+	s.peers = peer.NewSiteServer(s.node.Handler(), logging.Part(log, "peer"))
+	return s, s.listen()
+}
+
+func (s *Site) listen() error {
+	for _, addr := range []string{s.set.CallerListen, s.set.ReadyListen, s.set.PeerListen, s.set.MetricsListen} {
+		l, err := net.Listen("tcp", addr)
+		if err != nil {
+			for _, open := range s.lis {
+				_ = open.Close()
+			}
+			return errors.Wrap(err, "daemon: listen")
+		}
+		s.lis[addr] = l
+	}
+	return nil
+}
+
+// Run serves until ctx ends, and then shuts down gracefully. Errors: a listener that
+// failed, or a shutdown that could not finish within its time.
+func (s *Site) Run(ctx context.Context) error {
+	failed := make(chan error, len(s.lis))
+	for _, x := range []struct {
+		addr  string
+		serve func(net.Listener) error
+	}{
+		{s.set.CallerListen, s.callers.Serve}, {s.set.ReadyListen, s.ready.Serve},
+		{s.set.MetricsListen, s.metrics.Serve}, {s.set.PeerListen, s.peers.Serve},
+	} {
+		go func() {
+			if err := x.serve(s.lis[x.addr]); err != nil && !errors.Is(err, http.ErrServerClosed) {
+				failed <- errors.Wrapf(err, "daemon: %s", x.addr)
+			}
+		}()
+	}
+	s.node.Start()
+	s.log.Info().Str("entry", string(s.set.Name)).Str("dc", string(s.set.DC)).Msg("Daemon started.")
+	var err error
+	select {
+	case <-ctx.Done():
+	case err = <-failed:
+		s.log.Error().Err(err).Msg("A listener failed; shutting down.")
+	}
+	if e := s.shutdown(); err == nil {
+		err = e
+	}
+	return err
+}
+
+// shutdown stops without cutting off a request: readiness turns red, the coordinator role
+// is handed over, and callers are served until the balancer has noticed and their last
+// answer is written.
+func (s *Site) shutdown() error {
+	s.log.Info().Msg("Graceful shutdown started.")
+	ctx, cancel := context.WithTimeout(context.Background(), s.set.Grace-siteCloseMargin)
+	defer cancel()
+	notice := time.After(min(balancerNotice, (s.set.Grace-siteCloseMargin)/2))
+	s.node.Leave(ctx)
+	<-notice
+	err := errors.Wrap(s.callers.Shutdown(ctx), "daemon: callers still waiting")
+	s.node.Stop()
+	s.peers.Close()
+	_ = s.ready.Close()
+	_ = s.metrics.Close()
+	s.log.Info().AnErr("error", err).Msg("Daemon stopped.")
+	return err
+}
--- /dev/null
+++ b/internal/entry/elect.go
@@ -0,0 +1,172 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"boragepulley/internal/coordinator"
+	"boragepulley/internal/lease"
+	"boragepulley/internal/platform"
+)
+
+const (
+	// electEvery is how often the state of the election is looked at.
+	electEvery = 100 * time.Millisecond
+	// silentAfter is how long the coordinator may be silent before the lease's row is read;
+	// it sends a message every 350 ms.
+	silentAfter = 900 * time.Millisecond
+	// readEvery is how often the row is read while the coordinator is silent.
+	readEvery = 250 * time.Millisecond
+	// takeMargin is added to the lease's time for the age of a read.
+	takeMargin = 100 * time.Millisecond
+	// takeSpread keeps entry VMs from taking a free lease at the same moment.
+	takeSpread = 80 * time.Millisecond
+	// leaseCallTimeout bounds a read or a take, with a store that is slow by a factor of 60.
+	leaseCallTimeout = 1500 * time.Millisecond
+	// registerRetry is the pause after a failed registration.
+	registerRetry = 300 * time.Millisecond
+)
+
+// observed is the lease's row as this node sees it.
+type observed struct {
+	row     platform.Row
+	lease   lease.Row
+	known   bool
+	changed time.Duration
+	// next is when the row is read again.
+	next time.Duration
+}
+
+// elect registers the node and takes the lease when it is free.
+func (n *Node) elect() {
+	if !n.register() {
+		return
+	}
+	var seen observed
+	for n.sleep(electEvery) {
+		if t := n.term.Load(); t != nil {
+			select {
+			case <-t.Done():
+				n.endTerm(t)
+				seen = observed{}
+			default:
+			}
+			continue
+		}
+		now := n.d.Now()
+		if n.leaving.Load() || !n.silent(now) || now < seen.next {
+			continue
+		}
+		n.observe(&seen)
+	}
+	if t := n.term.Load(); t != nil {
+		t.End(coordinator.ErrNotCoordinating)
+		n.endTerm(t)
+	}
+}
+
+func (n *Node) endTerm(t *coordinator.Term) {
+	err := t.Wait()
+	n.term.Store(nil)
+	n.log.Warn().Uint64("epoch", t.Epoch()).AnErr("cause", err).Msg("Entry: term ended.")
+}
+
+// register writes this node's row, so that the coordinator finds it.
+func (n *Node) register() bool {
+	value, err := json.Marshal(coordinator.MemberRow{Addr: n.d.PeerAddr, DC: n.d.Self.DC, Incarnation: n.d.Self.Incarnation})
+	if err != nil {
+		n.log.Error().Err(err).Msg("Entry: not registered.")
+		return false
+	}
+	key := coordinator.MemberTable + "/" + string(n.d.Self.Entry)
+	for {
+		ctx, cancel := context.WithTimeout(n.ctx, leaseCallTimeout)
+		_, err := n.d.Table.Commit(ctx, platform.PriorityLease, platform.Txn{Puts: []platform.Put{{Key: key, Value: value}}})
+		cancel()
+		if err == nil {
+			return true
+		}
+		n.log.Info().Err(err).Msg("Entry: not registered yet.")
+		if !n.sleep(registerRetry/2 + rand.N(registerRetry)) {
+			return false
+		}
+	}
+}
+
+// silent reports whether the coordinator was not heard of lately, or leaves.
+func (n *Node) silent(now time.Duration) bool {
+	l := n.leader.Load()
+	return l == nil || l.leaving || now-l.heard > silentAfter
+}
+
+// observe reads the lease's row and takes the lease if it is free or has not changed for
+// its time.
+func (n *Node) observe(s *observed) {
+	ctx, cancel := context.WithTimeout(n.ctx, leaseCallTimeout)
+	defer cancel()
+	asked := n.d.Now()
+	s.next = asked + readEvery
+	row, err := n.d.Table.Get(ctx, platform.PriorityLease, lease.Key)
+	if err != nil {
+		// Without the row nothing is known of the time since the last read.
+		return
+	}
+	if !s.known || row.Version != s.row.Version {
+		held, err := lease.Decode(row)
+		if err != nil {
+			n.log.Error().Err(err).Msg("Entry: unreadable lease.")
+			return
+		}
+		s.known, s.row, s.lease, s.changed = true, row, held, asked
+		n.noteHolder(held)
+	}
+	if n.free(s) {
+		n.take(s)
+	}
+}
+
+// noteHolder remembers where the coordinator is, before it is heard of.
+func (n *Node) noteHolder(r lease.Row) {
+	old := n.leader.Load()
+	if r.Holder == "" || old != nil && old.epoch >= r.Epoch {
+		return
+	}
+	n.leader.CompareAndSwap(old, &leaderView{name: r.Holder, addr: r.Addr, epoch: r.Epoch, heard: n.d.Now() - silentAfter - time.Millisecond})
+}
+
+func (n *Node) free(s *observed) bool {
+	now := n.d.Now()
+	if s.lease.Holder == "" {
+		return true
+	}
+	if s.lease.Holder == n.d.Self.Entry && s.lease.Incarnation != n.d.Self.Incarnation {
+		return true // an earlier process of this entry VM, which is over
+	}
+	l := n.leader.Load()
+	heard := l != nil && l.epoch >= s.lease.Epoch && now-l.heard < lease.TTL
+	return !heard && now-s.changed > lease.TTL+takeMargin
+}
+
+func (n *Node) take(s *observed) {
+	if !n.sleep(rand.N(takeSpread)) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(n.ctx, leaseCallTimeout)
+	defer cancel()
+	held, err := lease.Take(ctx, n.d.Table, n.d.Now, s.row, lease.Row{Holder: n.d.Self.Entry, Addr: n.d.PeerAddr, Incarnation: n.d.Self.Incarnation})
+	switch {
+	case errors.Is(err, lease.ErrLost):
+		s.next = 0
+		return
+	case err != nil:
+		n.log.Info().Err(err).Msg("Entry: lease not taken.")
+		return
+	}
+	n.log.Info().Uint64("epoch", held.Row.Epoch).Str("from", string(s.lease.Holder)).Dur("unchanged", n.d.Now()-s.changed).Msg("Entry: lease taken.")
+	n.leader.Store(&leaderView{name: n.d.Self.Entry, addr: n.d.PeerAddr, epoch: held.Row.Epoch, heard: n.d.Now()})
+	n.term.Store(coordinator.Start(n.startTerm(), held))
+}
--- /dev/null
+++ b/internal/entry/node.go
@@ -0,0 +1,147 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"boragepulley/internal/coordinator"
+	"boragepulley/internal/logging"
+	"boragepulley/internal/model"
+	"boragepulley/internal/peer"
+	"boragepulley/internal/platform"
+	"boragepulley/internal/site"
+)
+
+// Deps are the parts that a node works with.
+type Deps struct {
+	Self     peer.Sender
+	PeerAddr string
+	Table    platform.Table
+	Feed     platform.Feed
+	Minions  site.Minions
+	Machines site.Machines
+	Codec    coordinator.Codec
+	// DecodeConfig reads the operators' configuration.
+	DecodeConfig func(value []byte) (*site.Config, error)
+	Limits       coordinator.Limits
+	// Now is the clock that counts suspended time.
+	Now func() time.Duration
+	Log zerolog.Logger
+}
+
+// Node is one entry VM.
+type Node struct {
+	d   Deps
+	log zerolog.Logger
+
+	config atomic.Pointer[stored]
+	waves  atomic.Pointer[map[int64]site.Wave]
+	term   atomic.Pointer[coordinator.Term]
+	leader atomic.Pointer[leaderView]
+	// reached is set once the store has answered, leaving when a shutdown has begun.
+	reached, leaving atomic.Bool
+
+	mu      sync.Mutex
+	clients map[string]*peer.Client // guarded by mu; by address
+
+	ctx  context.Context
+	stop context.CancelFunc
+	wg   sync.WaitGroup
+}
+
+// stored is a configuration with its stored form.
+type stored struct {
+	*site.Config
+	value []byte
+}
+
+// leaderView is what this node knows of the site's coordinator.
+type leaderView struct {
+	name    model.EntryVM
+	addr    string
+	epoch   uint64
+	heard   time.Duration
+	leaving bool
+	pending map[model.Queue]int
+	load    map[model.Queue]peer.QueueLoad
+}
+
+// New returns a node that does nothing until Start.
+func New(d Deps) *Node {
+	ctx, stop := context.WithCancel(context.Background())
+	return &Node{d: d, log: logging.Part(d.Log, "entry"), ctx: ctx, stop: stop, clients: map[string]*peer.Client{}}
+}
+
+// Start begins to follow the configuration and to take part in the election.
+func (n *Node) Start() {
+	n.wg.Go(n.watchOperators)
+	n.wg.Go(n.elect)
+}
+
+// Leave gives the coordinator role up and turns readiness red.
+func (n *Node) Leave(ctx context.Context) {
+	n.leaving.Store(true)
+	if t := n.term.Load(); t != nil {
+		if err := t.Release(ctx); err != nil {
+			n.log.Warn().Err(err).Msg("Entry: lease not given up; it will lapse.")
+		}
+	}
+}
+
+// Stop ends all work of the node.
+func (n *Node) Stop() {
+	n.stop()
+	if t := n.term.Load(); t != nil {
+		t.End(coordinator.ErrNotCoordinating)
+	}
+	n.wg.Wait()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, c := range n.clients {
+		c.Close()
+	}
+}
+
+// dial returns the client of a peer's address.
+func (n *Node) dial(name model.EntryVM, addr string) *peer.Client {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	c := n.clients[addr]
+	if c == nil {
+		c = peer.NewClient(n.d.Self, name, addr, logging.Part(n.d.Log, "peer"))
+		n.clients[addr] = c
+	}
+	return c
+}
+
+func (n *Node) startTerm() coordinator.Deps {
+	return coordinator.Deps{
+		Self: n.d.Self, Addr: n.d.PeerAddr, Table: n.d.Table, Feed: n.d.Feed, Minions: n.d.Minions, Machines: n.d.Machines,
+		Codec: n.d.Codec, Limits: n.d.Limits, Config: n.Config,
+		Waves: func() map[int64]site.Wave {
+			if w := n.waves.Load(); w != nil {
+				return *w
+			}
+			return nil
+		},
+		Dial: func(name model.EntryVM, addr string) coordinator.Remote { return n.dial(name, addr) },
+		Now:  n.d.Now, Log: logging.Part(n.d.Log, "coordinator"), Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+}
+
+// sleep pauses; it reports false when the node stops.
+func (n *Node) sleep(d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-n.ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/entry/peers.go
@@ -0,0 +1,103 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"boragepulley/internal/jobs"
+	"boragepulley/internal/peer"
+)
+
+// handler answers the messages of other entry VMs.
+type handler struct{ n *Node }
+
+// Handler returns the handler of peers' messages.
+func (n *Node) Handler() peer.SiteHandler { return handler{n} }
+
+// Lead notes that a coordinator is alive. Word of a replaced one changes nothing.
+func (h handler) Lead(_ context.Context, m *peer.Lead) (*peer.LeadReply, error) {
+	n := h.n
+	reply := &peer.LeadReply{From: n.d.Self}
+	for {
+		old := n.leader.Load()
+		if old != nil && old.epoch > m.Epoch {
+			reply.Epoch = old.epoch
+			break
+		}
+		next := &leaderView{name: m.From.Entry, addr: m.Addr, epoch: m.Epoch, heard: n.d.Now(), leaving: m.Leaving, pending: m.Pending, load: m.Load}
+		if n.leader.CompareAndSwap(old, next) {
+			reply.Epoch = m.Epoch
+			if old == nil || old.epoch != m.Epoch {
+				n.log.Info().Str("coordinator", string(m.From.Entry)).Uint64("epoch", m.Epoch).Msg("Entry: coordinator followed.")
+			}
+			break
+		}
+	}
+	own := uint64(0)
+	if c := n.config.Load(); c != nil {
+		own = c.Version
+	}
+	reply.Config = own
+	if m.Config > own {
+		go n.fetchConfig(m)
+	}
+	return reply, nil
+}
+
+// fetchTimeout bounds the transfer of a configuration from a peer.
+const fetchTimeout = time.Second
+
+// fetchConfig asks the coordinator for its configuration.
+func (n *Node) fetchConfig(m *peer.Lead) {
+	ctx, cancel := context.WithTimeout(n.ctx, fetchTimeout)
+	defer cancel()
+	c, err := n.dial(m.From.Entry, m.Addr).SiteConfig(ctx, &peer.SiteConfigAsk{From: n.d.Self})
+	if err != nil {
+		n.log.Info().Err(err).Uint64("version", m.Config).Msg("Entry: configuration not fetched from the coordinator.")
+		return
+	}
+	n.takeConfig(c.Value, "coordinator")
+}
+
+// SiteConfig implements peer.SiteHandler.
+func (h handler) SiteConfig(context.Context, *peer.SiteConfigAsk) (*peer.SiteConfig, error) {
+	c := h.n.config.Load()
+	if c == nil {
+		return nil, peer.ErrBusy
+	}
+	return &peer.SiteConfig{Version: c.Version, Value: c.value}, nil
+}
+
+// JobOffer implements peer.SiteHandler.
+func (h handler) JobOffer(_ context.Context, m *peer.JobOffer) (*peer.Empty, error) {
+	if t := h.n.term.Load(); t != nil {
+		t.Offer(jobs.ID(m.Job), m.Row)
+	}
+	return &peer.Empty{}, nil
+}
+
+// JobState implements peer.SiteHandler.
+func (h handler) JobState(ctx context.Context, m *peer.JobAsk) (*peer.JobAnswer, error) {
+	t := h.n.term.Load()
+	if t == nil {
+		return &peer.JobAnswer{}, nil
+	}
+	s, ok, err := t.State(ctx, jobs.ID(m.Job))
+	if err != nil {
+		return &peer.JobAnswer{}, nil
+	}
+	return &peer.JobAnswer{Coordinates: true, Known: ok, State: string(s)}, nil
+}
+
+// JobStop implements peer.SiteHandler.
+func (h handler) JobStop(ctx context.Context, m *peer.JobAsk) (*peer.JobAnswer, error) {
+	t := h.n.term.Load()
+	if t == nil {
+		return &peer.JobAnswer{}, nil
+	}
+	ok, err := t.Cancel(ctx, jobs.ID(m.Job))
+	if err != nil {
+		return &peer.JobAnswer{}, nil
+	}
+	return &peer.JobAnswer{Coordinates: true, Known: ok}, nil
+}
--- /dev/null
+++ b/internal/holding/holding.go
@@ -0,0 +1,142 @@
+// Package holding keeps what the coordinator believes of each minion: which life of it
+// answers, how its clock runs, until when runs on it may go on, what runs there, and
+// which of its ends are stored. It performs no I/O and is owned by one goroutine.
+//
+// Invariants:
+//   - Lapses is never before the end of a lease that was sent, on this process's clock.
+//   - Noted never passes an end whose job's progress is not stored.
+package holding
+
+import (
+	"time"
+
+	"boragepulley/internal/jobs"
+	"boragepulley/internal/site"
+)
+
+const (
+	// clockSlowness bounds how much slower a minion's clock may run (the users' pages: 2%).
+	clockSlowness = 0.02
+	// lapseMargin covers the time between a minion's reading of its clock and our receipt.
+	lapseMargin = 150 * time.Millisecond
+)
+
+// Minion is one life of a minion as the coordinator sees it.
+type Minion struct {
+	site.MinionEntry
+	// Listed is set while the platform's list names the minion.
+	Listed bool
+	// Recorded is set once a successor would know of the minion.
+	Recorded bool
+	// Looked is set once the minion told this coordinator what runs on it.
+	Looked bool
+	// Lapses is when every run that may be going on unseen is over.
+	Lapses time.Duration
+
+	clock   int64
+	clockAt time.Duration
+
+	// Used is what the tasks in Tasks reserve.
+	Used  jobs.Resources
+	Tasks map[*jobs.Task]struct{}
+
+	// Asking is set while a hold is under way; NextLook is when the next one is due.
+	Asking   bool
+	NextLook time.Duration
+	// Failures counts holds in a row without an answer, Heard is when the last one came.
+	Failures int
+	Heard    time.Duration
+	// AvoidUntil keeps new work away for a while after a refusal or lost order.
+	AvoidUntil time.Duration
+	// Closed keeps new work away, because the machine is about to leave its pool or to be
+	// maintained.
+	Closed bool
+
+	seen  int64
+	noted int64
+	ends  []end
+}
+
+type end struct {
+	number int64
+	job    *jobs.Job // nil: nothing has to be stored
+	change uint64
+}
+
+// New returns the state of a minion of which only its entry is known. unseenUntil is when
+// runs that others ordered there are certainly over.
+func New(e site.MinionEntry, unseenUntil time.Duration) *Minion {
+	return &Minion{MinionEntry: e, Lapses: unseenUntil, Tasks: map[*jobs.Task]struct{}{}}
+}
+
+// ClockKnown reports whether leases can be expressed on the minion's clock.
+func (m *Minion) ClockKnown() bool { return m.clockAt != 0 }
+
+// SetClock notes a reading of the minion's clock that was received at now.
+func (m *Minion) SetClock(ms int64, now time.Duration) {
+	if ms > 0 {
+		m.clock, m.clockAt = ms, now
+	}
+}
+
+// Lease returns the end of a lease on the minion's clock, in milliseconds, and notes it.
+func (m *Minion) Lease(now, hold time.Duration) int64 {
+	until := m.clock + (now - m.clockAt + hold).Milliseconds()
+	// A slow clock reaches the end later.
+	left := time.Duration(float64(now-m.clockAt+hold) * (1 + clockSlowness))
+	m.Lapses = max(m.Lapses, m.clockAt+left+lapseMargin)
+	return until
+}
+
+// Reborn starts the belief about a new life under the same id. Ends of the earlier life
+// can no longer be asked for.
+func (m *Minion) Reborn(born int64) {
+	m.Born = born
+	m.seen, m.noted, m.ends = 0, 0, nil
+	m.clock, m.clockAt = 0, 0
+}
+
+// Assign counts a task's reservation on the minion.
+func (m *Minion) Assign(t *jobs.Task) {
+	if _, ok := m.Tasks[t]; ok {
+		return
+	}
+	m.Tasks[t] = struct{}{}
+	m.Used = m.Used.Add(t.Step.Spec.Reserved())
+}
+
+// Release takes a task's reservation back.
+func (m *Minion) Release(t *jobs.Task) {
+	if _, ok := m.Tasks[t]; !ok {
+		return
+	}
+	delete(m.Tasks, t)
+	m.Used = m.Used.Sub(t.Step.Spec.Reserved())
+}
+
+// Fresh reports whether an end was not seen before, and notes that it was.
+func (m *Minion) Fresh(number int64) bool {
+	if number <= m.seen {
+		return false
+	}
+	m.seen = number
+	return true
+}
+
+// Keep notes that an end may be forgotten by the minion once the change of the job is
+// stored; a nil job means at once.
+func (m *Minion) Keep(number int64, j *jobs.Job, change uint64) {
+	m.ends = append(m.ends, end{number, j, change})
+}
+
+// Noted returns the number of the last end that the minion may forget.
+func (m *Minion) Noted() int64 {
+	for len(m.ends) > 0 && (m.ends[0].job == nil || m.ends[0].job.SavedThrough(m.ends[0].change)) {
+		m.noted = m.ends[0].number
+		m.ends = m.ends[1:]
+	}
+	return m.noted
+}
+
+// Unnoted reports whether ends wait for being noted.
+func (m *Minion) Unnoted() bool { return len(m.ends) > 0 }
--- /dev/null
+++ b/internal/jobs/record.go
@@ -0,0 +1,150 @@
+package jobs
+
+import (
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// ErrRecord means that a stored row cannot be read.
+var ErrRecord = errors.New("jobs: unreadable row")
+
+// Progress is the stored form of what a successor must know about a job: every end that
+// a minion was told is noted is in it.
+type Progress struct {
+	// State is empty or a final state.
+	State State `json:"s,omitempty"`
+	// Done has a bitmap in hexadecimal for each step run, in the order of Job.Steps.
+	Done []string `json:"d,omitempty"`
+	// Failed lists failed runs by "occurrence.step.index"; a gang's under its first task.
+	Failed map[string][]int `json:"f,omitempty"`
+}
+
+// EncodeProgress returns the progress of a job.
+func EncodeProgress(j *Job) ([]byte, error) {
+	var p Progress
+	if j.state.Final() {
+		// Nothing of the tasks matters after a final state.
+		p.State = j.state
+		return json.Marshal(p)
+	}
+	for _, s := range j.Steps {
+		p.Done = append(p.Done, s.bitmap())
+		for _, t := range s.Tasks {
+			runs := t.FailedRuns
+			if s.Spec.Gang && t.Index == 0 {
+				runs = s.FailedRuns
+			}
+			if len(runs) > 0 {
+				if p.Failed == nil {
+					p.Failed = map[string][]int{}
+				}
+				p.Failed[fmt.Sprintf("%d.%d.%d", s.Occurrence, s.Index, t.Index)] = runs
+			}
+		}
+	}
+	return json.Marshal(p)
+}
+
+func (s *StepRun) bitmap() string {
+	if s.done == 0 {
+		return ""
+	}
+	bits := make([]byte, (len(s.Tasks)+7)/8)
+	for i, t := range s.Tasks {
+		if t.Phase == Done {
+			bits[i/8] |= 1 << (i % 8)
+		}
+	}
+	return hex.EncodeToString(bits)
+}
+
+// Restore applies stored progress to a job that was just added. Error: ErrRecord.
+func (b *Book) Restore(j *Job, value []byte, now time.Duration) error {
+	var p Progress
+	if err := json.Unmarshal(value, &p); err != nil {
+		return errors.Wrap(ErrRecord, err.Error())
+	}
+	for i, text := range p.Done {
+		if i >= len(j.Steps) {
+			return errors.Wrap(ErrRecord, "more steps than the job has")
+		}
+		bits, err := hex.DecodeString(text)
+		if err != nil {
+			return errors.Wrap(ErrRecord, err.Error())
+		}
+		s := j.Steps[i]
+		for n, t := range s.Tasks {
+			if n/8 < len(bits) && bits[n/8]&(1<<(n%8)) != 0 && t.Phase != Done {
+				t.Phase = Done
+				s.done++
+			}
+		}
+	}
+	for name, runs := range p.Failed {
+		n, err := ParseTaskName(string(j.ID) + "." + name)
+		if err != nil {
+			return err
+		}
+		t := b.Task(n)
+		if t == nil {
+			return errors.Wrapf(ErrRecord, "no task %s", name)
+		}
+		if t.Step.Spec.Gang {
+			t.Step.FailedRuns = runs
+		} else {
+			t.FailedRuns = runs
+		}
+		for _, r := range runs {
+			t.Run = max(t.Run, r)
+		}
+	}
+	if len(p.Done) > 0 || len(p.Failed) > 0 {
+		j.state, j.begun = StateRunning, true
+	}
+	if p.State.Final() {
+		j.state, j.stored, j.Ended = p.State, p.State, now
+		delete(b.open, j.ID)
+	}
+	return nil
+}
+
+// TaskName is the parsed name of a task.
+type TaskName struct {
+	Job                     ID
+	Occurrence, Step, Index int
+}
+
+// ParseTaskName parses the text of Task.Name. Error: ErrRecord.
+func ParseTaskName(s string) (TaskName, error) {
+	parts := strings.Split(s, ".")
+	if len(parts) != 4 || parts[0] == "" {
+		return TaskName{}, errors.Wrapf(ErrRecord, "task name %q", s)
+	}
+	n := TaskName{Job: ID(parts[0])}
+	for i, p := range []*int{&n.Occurrence, &n.Step, &n.Index} {
+		v, err := strconv.Atoi(parts[i+1])
+		if err != nil || v < 0 {
+			return TaskName{}, errors.Wrapf(ErrRecord, "task name %q", s)
+		}
+		*p = v
+	}
+	return n, nil
+}
+
+// StoredState returns the state of a job from its stored progress. Error: ErrRecord.
+func StoredState(value []byte) (State, error) {
+	var p Progress
+	if err := json.Unmarshal(value, &p); err != nil {
+		return "", errors.Wrap(ErrRecord, err.Error())
+	}
+	if p.State.Final() {
+		return p.State, nil
+	}
+	return StateRunning, nil
+}
--- a/internal/peer/handler.go
+++ b/internal/peer/handler.go
@@ -61,7 +61,8 @@
 type route struct {
 	// decode returns the decoded message and its sender.
 	decode func(params []byte) (any, Sender, error)
-	call   func(ctx context.Context, h Handler, msg any) (any, error)
+	// call passes the message to a handler of the type that the route was bound for.
+	call func(ctx context.Context, h any, msg any) (any, error)
 }
 
 // sent is a message that names its sender.
@@ -87,10 +88,10 @@
 func (m *TaskCancel) sender() Sender    { return m.From }
 func (m *Ping) sender() Sender          { return m.From }
 
-func bind[Q, R any, P interface {
+func bind[H, Q, R any, P interface {
 	*Q
 	sent
-}](f func(Handler, context.Context, *Q) (*R, error)) route {
+}](f func(H, context.Context, *Q) (*R, error)) route {
 	return route{
 		decode: func(params []byte) (any, Sender, error) {
 			m := new(Q)
@@ -103,8 +104,8 @@
 			}
 			return m, from, nil
 		},
-		call: func(ctx context.Context, h Handler, msg any) (any, error) {
-			r, err := f(h, ctx, msg.(*Q))
+		call: func(ctx context.Context, h any, msg any) (any, error) {
+			r, err := f(h.(H), ctx, msg.(*Q))
 			if err != nil {
 				return nil, err
 			}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -23,9 +23,10 @@
 
 // Server answers the messages of peers.
 type Server struct {
-	h     Handler
-	log   zerolog.Logger
-	known map[model.EntryVM]bool
+	h      any
+	routes map[string]route
+	log    zerolog.Logger
+	known  map[model.EntryVM]bool
 
 	ctx  context.Context
 	stop context.CancelFunc
@@ -40,12 +41,16 @@
 // NewServer returns a server for h. Byte counters are kept for the named peers;
 // other senders are counted together.
 func NewServer(h Handler, peers []model.EntryVM, log zerolog.Logger) *Server {
+	return newServer(h, routes, peers, log)
+}
+
+func newServer(h any, routes map[string]route, peers []model.EntryVM, log zerolog.Logger) *Server {
 	known := make(map[model.EntryVM]bool, len(peers))
 	for _, p := range peers {
 		known[p] = true
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	return &Server{h: h, log: log, known: known, ctx: ctx, stop: stop, conns: map[*jsonrpc2.Conn]struct{}{}}
+	return &Server{h: h, routes: routes, log: log, known: known, ctx: ctx, stop: stop, conns: map[*jsonrpc2.Conn]struct{}{}}
 }
 
 // Serve accepts connections from lis until Close. It returns nil after Close, and
@@ -148,7 +153,7 @@
 		return
 	}
 	method := req.Method
-	if _, ok := routes[method]; !ok {
+	if _, ok := c.srv.routes[method]; !ok {
 		method = "unknown"
 	}
 	c.mu.Lock()
@@ -197,7 +202,7 @@
 	if busy {
 		return nil, ErrBusy
 	}
-	r, ok := routes[req.Method]
+	r, ok := c.srv.routes[req.Method]
 	if !ok || req.Params == nil {
 		count(c.meter.name(), "unknown", "received", size)
 		return nil, ErrMalformed
--- /dev/null
+++ b/internal/peer/site.go
@@ -0,0 +1,143 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/rs/zerolog"
+
+	"boragepulley/internal/model"
+)
+
+// Methods between entry VMs where one of them coordinates the whole site.
+const (
+	MethodLead       = "Lead"
+	MethodJobOffer   = "JobOffer"
+	MethodJobStop    = "JobStop"
+	MethodJobState   = "JobState"
+	MethodSiteConfig = "SiteConfig"
+)
+
+// Lead is sent by the site's coordinator to every entry VM. An entry VM that answers it
+// does not try to take the lease for the lease's duration.
+type Lead struct {
+	From Sender `json:"from"`
+	// Epoch is the sender's fencing token.
+	Epoch uint64 `json:"epoch"`
+	// Addr is the sender's peer address, "IP:port".
+	Addr string `json:"addr"`
+	// Config is the configuration version that the sender acts on.
+	Config uint64 `json:"config"`
+	// Pending counts the accepted jobs by queue of which no task has started.
+	Pending map[model.Queue]int `json:"pending,omitempty"`
+	// Load is what entry VMs need to reject at once what would wait too long.
+	Load map[model.Queue]QueueLoad `json:"load,omitempty"`
+	// Leaving means that the sender gives the lease up.
+	Leaving bool `json:"leaving,omitempty"`
+}
+
+// QueueLoad is the backlog of a queue as the coordinator sees it.
+type QueueLoad struct {
+	// WaitMS is how long a job that is accepted now would wait, in milliseconds.
+	WaitMS int64 `json:"w"`
+}
+
+// LeadReply answers a Lead.
+type LeadReply struct {
+	From Sender `json:"from"`
+	// Epoch is the highest that the receiver has seen.
+	Epoch  uint64 `json:"epoch"`
+	Config uint64 `json:"config"`
+}
+
+// JobOffer tells the coordinator of an accepted job that is stored.
+type JobOffer struct {
+	From Sender `json:"from"`
+	Job  string `json:"job"`
+	// Row is the job's stored row.
+	Row json.RawMessage `json:"row"`
+}
+
+// JobAsk names a job, to cancel it or to learn its state.
+type JobAsk struct {
+	From Sender `json:"from"`
+	Job  string `json:"job"`
+}
+
+// JobAnswer is what the coordinator knows of a job.
+type JobAnswer struct {
+	// Coordinates is unset if the receiver does not coordinate the site, or not yet.
+	Coordinates bool `json:"coordinates,omitempty"`
+	Known       bool `json:"known,omitempty"`
+	// State is the job's state as callers may be told.
+	State string `json:"state,omitempty"`
+}
+
+// SiteConfigAsk asks for the configuration that the receiver acts on.
+type SiteConfigAsk struct {
+	From Sender `json:"from"`
+}
+
+// SiteConfig is a configuration as it is stored.
+type SiteConfig struct {
+	Version uint64 `json:"version"`
+	Value   []byte `json:"value"`
+}
+
+func (m *Lead) sender() Sender          { return m.From }
+func (m *JobOffer) sender() Sender      { return m.From }
+func (m *JobAsk) sender() Sender        { return m.From }
+func (m *SiteConfigAsk) sender() Sender { return m.From }
+
+// SiteHandler answers the messages of entry VMs of which one coordinates the site.
+type SiteHandler interface {
+	Lead(ctx context.Context, m *Lead) (*LeadReply, error)
+	JobOffer(ctx context.Context, m *JobOffer) (*Empty, error)
+	// JobStop cancels a job and answers once the cancelling is stored.
+	JobStop(ctx context.Context, m *JobAsk) (*JobAnswer, error)
+	JobState(ctx context.Context, m *JobAsk) (*JobAnswer, error)
+	SiteConfig(ctx context.Context, m *SiteConfigAsk) (*SiteConfig, error)
+}
+
+var _ SiteHandler = (*Client)(nil)
+
+var siteRoutes = map[string]route{
+	MethodLead:       bind(SiteHandler.Lead),
+	MethodJobOffer:   bind(SiteHandler.JobOffer),
+	MethodJobStop:    bind(SiteHandler.JobStop),
+	MethodJobState:   bind(SiteHandler.JobState),
+	MethodSiteConfig: bind(SiteHandler.SiteConfig),
+	MethodPing: bind(func(SiteHandler, context.Context, *Ping) (*Empty, error) {
+		return &Empty{}, nil
+	}),
+}
+
+// NewSiteServer returns a server for h.
+func NewSiteServer(h SiteHandler, log zerolog.Logger) *Server {
+	return newServer(h, siteRoutes, nil, log)
+}
+
+// Lead implements SiteHandler.
+func (c *Client) Lead(ctx context.Context, m *Lead) (*LeadReply, error) {
+	return call[LeadReply](ctx, c, MethodLead, m, shortTimeout, false)
+}
+
+// JobOffer implements SiteHandler.
+func (c *Client) JobOffer(ctx context.Context, m *JobOffer) (*Empty, error) {
+	return call[Empty](ctx, c, MethodJobOffer, m, shortTimeout, false)
+}
+
+// JobStop implements SiteHandler.
+func (c *Client) JobStop(ctx context.Context, m *JobAsk) (*JobAnswer, error) {
+	return call[JobAnswer](ctx, c, MethodJobStop, m, fetchTimeout, false)
+}
+
+// JobState implements SiteHandler.
+func (c *Client) JobState(ctx context.Context, m *JobAsk) (*JobAnswer, error) {
+	return call[JobAnswer](ctx, c, MethodJobState, m, shortTimeout, false)
+}
+
+// SiteConfig implements SiteHandler.
+func (c *Client) SiteConfig(ctx context.Context, m *SiteConfigAsk) (*SiteConfig, error) {
+	return call[SiteConfig](ctx, c, MethodSiteConfig, m, shortTimeout, false)
+}
--- a/internal/platform/breaker.go
+++ b/internal/platform/breaker.go
@@ -48,9 +48,13 @@
 	backoff *backoff.ExponentialBackOff // guarded by mu
 }
 
-func newBreaker(onOpen func()) *breaker {
+// newBreaker returns a closed breaker; longest bounds its back-off, 0 selects backoffMax.
+func newBreaker(onOpen func(), longest time.Duration) *breaker {
+	if longest == 0 {
+		longest = backoffMax
+	}
 	return &breaker{onOpen: onOpen, backoff: backoff.NewExponentialBackOff(
-		backoff.WithInitialInterval(backoffInitial), backoff.WithMaxInterval(backoffMax),
+		backoff.WithInitialInterval(min(backoffInitial, longest)), backoff.WithMaxInterval(longest),
 		backoff.WithRandomizationFactor(backoffJitter), backoff.WithMultiplier(backoffFactor),
 		backoff.WithMaxElapsedTime(0))}
 }
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -43,6 +43,9 @@
 	CallTimeout time.Duration
 	// BudgetWait bounds how long a call waits for the budget; 0 selects DefaultBudgetWait.
 	BudgetWait time.Duration
+	// BreakerMax bounds the pause between two tries while the platform does not answer; 0
+	// selects the default.
+	BreakerMax time.Duration
 	// Dial replaces the TCP dialer, for tests.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 	Log  zerolog.Logger
@@ -90,7 +93,7 @@
 	}
 	c := &Client{opt: o, writes: newBudget(o.WritesPerSecond, o.BudgetWait),
 		reads: newBudget(o.ReadsPerSecond, o.BudgetWait), log: o.Log}
-	c.breaker = newBreaker(c.opened)
+	c.breaker = newBreaker(c.opened, o.BreakerMax)
 	c.pool = &http.Transport{
 		DialContext: c.dial, MaxConnsPerHost: maxConnections, MaxIdleConnsPerHost: maxConnections,
 		IdleConnTimeout: idleTimeout, DisableCompression: true,
@@ -123,46 +126,67 @@
 	c.reads.reject(errBreakerOpen)
 }
 
-// call is one call of the protocol.
-type call struct {
-	op     string // for errors and counters
-	prio   Priority
-	write  bool
-	method string
-	path   string
-	query  url.Values
-	in     any // request body, nil for none
-	out    any // answer, filled on status 200
+// Call is one call of a platform's protocol.
+type Call struct {
+	Op     string // for errors and counters
+	Prio   Priority
+	Write  bool
+	Method string
+	Path   string
+	Query  url.Values
+	In     any // request body, encoded as JSON; nil for none
+	Out    any // answer, filled on status 200
+	// Wait is how long the platform may hold the call before it answers; it is added to
+	// the client's time limit.
+	Wait time.Duration
+	// Judge reads an answer of another protocol than the client's own; nil selects its own.
+	Judge func(Answer) Verdict
 }
 
-// do passes a call through the budget and the breaker and sends it.
-func (c *Client) do(ctx context.Context, x call) error {
+// Answer is a whole answer of the platform.
+type Answer struct {
+	Status int
+	Body   []byte
+}
+
+// Verdict is what an answer means.
+type Verdict struct {
+	// Kind is nil for a call that was done, and otherwise one of this package's errors.
+	Kind  error
+	Cause error
+	// Down means that the answer shows the service as not working.
+	Down bool
+}
+
+// Do passes a call through the budget and the breaker and sends it. Errors: those of
+// this package.
+func (c *Client) Do(ctx context.Context, x Call) error {
 	err := c.admitAndSend(ctx, x)
-	countCall(x.op, err)
+	countCall(x.Op, err)
 	return err
 }
 
-func (c *Client) admitAndSend(ctx context.Context, x call) error {
+func (c *Client) admitAndSend(ctx context.Context, x Call) error {
 	var body []byte
-	if x.in != nil {
+	if x.In != nil {
 		var err error
-		if body, err = json.Marshal(x.in); err != nil {
-			return &callError{op: x.op, kind: ErrRejected, cause: err}
+		if body, err = json.Marshal(x.In); err != nil {
+			return &callError{op: x.Op, kind: ErrRejected, cause: err}
 		}
 	}
 	if c.breaker.blocked() {
-		return &callError{op: x.op, kind: ErrBudget, cause: errBreakerOpen}
+		return &callError{op: x.Op, kind: ErrBudget, cause: errBreakerOpen}
 	}
 	b := c.reads
-	if x.write {
+	if x.Write {
 		b = c.writes
 	}
-	if err := b.take(ctx, x.prio); err != nil {
-		return &callError{op: x.op, kind: ErrBudget, cause: err}
+	if err := b.take(ctx, x.Prio); err != nil {
+		return &callError{op: x.Op, kind: ErrBudget, cause: err}
 	}
 	gen, ok := c.breaker.allow()
 	if !ok {
-		return &callError{op: x.op, kind: ErrBudget, cause: errBreakerOpen}
+		return &callError{op: x.Op, kind: ErrBudget, cause: errBreakerOpen}
 	}
 	start := time.Now()
 	h, err := c.send(ctx, x, body)
@@ -172,17 +196,17 @@
 }
 
 // send performs the HTTP exchange and classifies its result.
-func (c *Client) send(parent context.Context, x call, body []byte) (health, error) {
-	ctx, cancel := context.WithTimeout(parent, c.opt.CallTimeout)
+func (c *Client) send(parent context.Context, x Call, body []byte) (health, error) {
+	ctx, cancel := context.WithTimeout(parent, c.opt.CallTimeout+x.Wait)
 	defer cancel()
 	var trace sendTrace
-	u := c.opt.BaseURL + x.path
-	if len(x.query) > 0 {
-		u += "?" + x.query.Encode()
+	u := c.opt.BaseURL + x.Path
+	if len(x.Query) > 0 {
+		u += "?" + x.Query.Encode()
 	}
-	req, err := http.NewRequestWithContext(trace.context(ctx), x.method, u, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(trace.context(ctx), x.Method, u, bytes.NewReader(body))
 	if err != nil {
-		return healthNeutral, &callError{op: x.op, kind: ErrRejected, cause: err}
+		return healthNeutral, &callError{op: x.Op, kind: ErrRejected, cause: err}
 	}
 	req.Header.Set(HeaderClient, c.opt.ClientName)
 	if body != nil {
@@ -197,11 +221,30 @@
 	if err != nil {
 		return c.lost(parent, x, err, false)
 	}
+	if x.Judge != nil {
+		return c.judged(parent, x, Answer{Status: res.StatusCode, Body: data})
+	}
 	return c.answered(parent, x, res, data)
 }
 
+// judged classifies an answer of another protocol.
+func (c *Client) judged(parent context.Context, x Call, a Answer) (health, error) {
+	v := x.Judge(a)
+	switch {
+	case v.Kind == nil:
+		return healthUp, nil
+	case errors.Is(v.Kind, ErrUnknownOutcome):
+		return c.lost(parent, x, v.Cause, false)
+	}
+	h := healthUp
+	if v.Down {
+		h = healthDown
+	}
+	return h, &callError{op: x.Op, kind: v.Kind, cause: v.Cause}
+}
+
 // lost classifies a call without a whole answer.
-func (c *Client) lost(parent context.Context, x call, cause error, nothingSent bool) (health, error) {
+func (c *Client) lost(parent context.Context, x Call, cause error, nothingSent bool) (health, error) {
 	// Other idle connections may be silent like this one; new ones may work.
 	c.pool.CloseIdleConnections()
 	h := healthDown
@@ -209,16 +252,16 @@
 		h = healthNeutral
 	}
 	kind := ErrUnavailable
-	if x.write && !nothingSent {
+	if x.Write && !nothingSent {
 		kind = ErrUnknownOutcome
 	}
-	return h, &callError{op: x.op, kind: kind, cause: cause}
+	return h, &callError{op: x.Op, kind: kind, cause: cause}
 }
 
 // answered classifies a whole answer.
-func (c *Client) answered(parent context.Context, x call, res *http.Response, data []byte) (health, error) {
+func (c *Client) answered(parent context.Context, x Call, res *http.Response, data []byte) (health, error) {
 	if res.StatusCode == http.StatusOK {
-		if err := json.Unmarshal(data, x.out); err != nil {
+		if err := json.Unmarshal(data, x.Out); err != nil {
 			return c.lost(parent, x, errors.Wrap(err, "answer"), false)
 		}
 		return healthUp, nil
@@ -230,18 +273,18 @@
 	cause := errors.Errorf("%s: %s", a.Code, a.Message)
 	switch a.Code {
 	case CodeConflict:
-		return healthUp, &callError{op: x.op, kind: &ConflictError{Rows: a.Rows}, cause: cause}
+		return healthUp, &callError{op: x.Op, kind: &ConflictError{Rows: a.Rows}, cause: cause}
 	case CodeObjectDiffers:
-		return healthUp, &callError{op: x.op, kind: ErrConflict, cause: cause}
+		return healthUp, &callError{op: x.Op, kind: ErrConflict, cause: cause}
 	case CodeNotFound:
-		return healthUp, &callError{op: x.op, kind: ErrNotFound, cause: cause}
+		return healthUp, &callError{op: x.Op, kind: ErrNotFound, cause: cause}
 	case CodeBadRequest:
-		return healthUp, &callError{op: x.op, kind: ErrRejected, cause: cause}
+		return healthUp, &callError{op: x.Op, kind: ErrRejected, cause: cause}
 	case CodeRateLimit:
 		// The service works; the budgets of all clients together exceed its limit.
-		return healthUp, &callError{op: x.op, kind: ErrUnavailable, cause: cause}
+		return healthUp, &callError{op: x.Op, kind: ErrUnavailable, cause: cause}
 	}
-	return healthDown, &callError{op: x.op, kind: ErrUnavailable, cause: cause}
+	return healthDown, &callError{op: x.Op, kind: ErrUnavailable, cause: cause}
 }
 
 // tableClient implements Table.
@@ -249,22 +292,22 @@
 
 func (t tableClient) Get(ctx context.Context, p Priority, key string) (Row, error) {
 	var r Row
-	err := t.c.do(ctx, call{op: "get", prio: p, method: http.MethodGet, path: PathRow,
-		query: url.Values{"key": {key}}, out: &r})
+	err := t.c.Do(ctx, Call{Op: "get", Prio: p, Method: http.MethodGet, Path: PathRow,
+		Query: url.Values{"key": {key}}, Out: &r})
 	return r, err
 }
 
 func (t tableClient) Scan(ctx context.Context, p Priority, prefix string, limit int) ([]Row, error) {
 	var a RowsAnswer
-	err := t.c.do(ctx, call{op: "scan", prio: p, method: http.MethodGet, path: PathRows,
-		query: url.Values{"prefix": {prefix}, "limit": {fmt.Sprint(limit)}}, out: &a})
+	err := t.c.Do(ctx, Call{Op: "scan", Prio: p, Method: http.MethodGet, Path: PathRows,
+		Query: url.Values{"prefix": {prefix}, "limit": {fmt.Sprint(limit)}}, Out: &a})
 	return a.Rows, err
 }
 
 func (t tableClient) Commit(ctx context.Context, p Priority, x Txn) (map[string]uint64, error) {
 	var a TxnAnswer
-	err := t.c.do(ctx, call{op: "commit", prio: p, write: true, method: http.MethodPost, path: PathTxn,
-		in: x, out: &a})
+	err := t.c.Do(ctx, Call{Op: "commit", Prio: p, Write: true, Method: http.MethodPost, Path: PathTxn,
+		In: x, Out: &a})
 	if err != nil {
 		return nil, err
 	}
@@ -277,21 +320,21 @@
 // Put stores an object. ErrConflict means that the name holds other bytes.
 func (o objectsClient) Put(ctx context.Context, p Priority, name string, data []byte) error {
 	var a struct{}
-	return o.c.do(ctx, call{op: "put_object", prio: p, write: true, method: http.MethodPut, path: PathObject,
-		in: Object{Name: name, Data: data}, out: &a})
+	return o.c.Do(ctx, Call{Op: "put_object", Prio: p, Write: true, Method: http.MethodPut, Path: PathObject,
+		In: Object{Name: name, Data: data}, Out: &a})
 }
 
 func (o objectsClient) Get(ctx context.Context, p Priority, name string) ([]byte, error) {
 	var a Object
-	err := o.c.do(ctx, call{op: "get_object", prio: p, method: http.MethodGet, path: PathObject,
-		query: url.Values{"name": {name}}, out: &a})
+	err := o.c.Do(ctx, Call{Op: "get_object", Prio: p, Method: http.MethodGet, Path: PathObject,
+		Query: url.Values{"name": {name}}, Out: &a})
 	return a.Data, err
 }
 
 func (o objectsClient) List(ctx context.Context, p Priority, prefix string) ([]string, error) {
 	var a NamesAnswer
-	err := o.c.do(ctx, call{op: "list_objects", prio: p, method: http.MethodGet, path: PathObjects,
-		query: url.Values{"prefix": {prefix}}, out: &a})
+	err := o.c.Do(ctx, Call{Op: "list_objects", Prio: p, Method: http.MethodGet, Path: PathObjects,
+		Query: url.Values{"prefix": {prefix}}, Out: &a})
 	return a.Names, err
 }
 
@@ -300,7 +343,7 @@
 
 func (v vmsClient) List(ctx context.Context) ([]ListedVM, error) {
 	var a VMsAnswer
-	err := v.c.do(ctx, call{op: "list_vms", prio: PriorityBackground, method: http.MethodGet, path: PathVMs, out: &a})
+	err := v.c.Do(ctx, Call{Op: "list_vms", Prio: PriorityBackground, Method: http.MethodGet, Path: PathVMs, Out: &a})
 	return a.VMs, err
 }
 
@@ -309,13 +352,13 @@
 
 func (v poolsClient) Reboot(ctx context.Context, vm, id string) error {
 	var a RebootAnswer
-	return v.c.do(ctx, call{op: "reboot", prio: PriorityBackground, write: true, method: http.MethodPost, path: PathReboot,
-		in: Reboot{Name: vm, ID: id}, out: &a})
+	return v.c.Do(ctx, Call{Op: "reboot", Prio: PriorityBackground, Write: true, Method: http.MethodPost, Path: PathReboot,
+		In: Reboot{Name: vm, ID: id}, Out: &a})
 }
 
 func (v poolsClient) RebootStatus(ctx context.Context, vm, id string) (RebootState, error) {
 	var a RebootAnswer
-	err := v.c.do(ctx, call{op: "reboot_status", prio: PriorityBackground, method: http.MethodGet, path: PathReboot,
-		query: url.Values{"name": {vm}, "id": {id}}, out: &a})
+	err := v.c.Do(ctx, Call{Op: "reboot_status", Prio: PriorityBackground, Method: http.MethodGet, Path: PathReboot,
+		Query: url.Values{"name": {vm}, "id": {id}}, Out: &a})
 	return a.State, err
 }
--- a/internal/platform/limits_test.go
+++ b/internal/platform/limits_test.go
@@ -88,7 +88,7 @@
 func TestBreakerProbesOneAtATime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		opened := 0
-		b := newBreaker(func() { opened++ })
+		b := newBreaker(func() { opened++ }, 0)
 		failTimes(t, b, breakerThreshold)
 		require.Equal(t, 1, opened)
 		for i := range 20 {
@@ -123,7 +123,7 @@
 // breaker, and against a probe whose caller left and that blocks all later ones.
 func TestBreakerIgnoresStaleResults(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newBreaker(nil)
+		b := newBreaker(nil, 0)
 		old, ok := b.allow()
 		require.True(t, ok)
 		failTimes(t, b, breakerThreshold)
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -74,6 +74,27 @@
 	Commit(ctx context.Context, p Priority, t Txn) (map[string]uint64, error)
 }
 
+// ErrHistoryGone means that changes after the requested version are no longer at hand;
+// the table has to be read again.
+var ErrHistoryGone = errors.New("platform: history no longer at hand")
+
+// Changes are rows that changed after a version, oldest first. A removed row has no value.
+type Changes struct {
+	Rows []Row
+	// Version is where the next call continues.
+	Version uint64
+}
+
+// Feed is the platform's feed of changed rows.
+type Feed interface {
+	// ReadAll returns the rows of a table and the version from which Changes continues.
+	// Errors: ErrUnavailable, ErrBudget.
+	ReadAll(ctx context.Context, p Priority, table string) (Changes, error)
+	// Changes returns the changes of a table after a version. Without any it waits.
+	// Errors: ErrHistoryGone, ErrUnavailable, ErrBudget.
+	Changes(ctx context.Context, p Priority, table string, after uint64, wait time.Duration) (Changes, error)
+}
+
 // Objects is the platform's object store. Objects are written whole and never changed.
 type Objects interface {
 	// Put stores an object; storing the same bytes again is not an error.
--- /dev/null
+++ b/internal/schedule/plan.go
@@ -0,0 +1,79 @@
+package schedule
+
+import (
+	"boragepulley/internal/jobs"
+	"boragepulley/internal/model"
+)
+
+type planner struct {
+	snap      *Snapshot
+	byService map[model.Service][]*Minion
+	plan      Plan
+}
+
+// Make returns the plan for a snapshot. It changes the snapshot's minions and teams.
+func Make(s *Snapshot) Plan {
+	p := planner{snap: s, byService: map[model.Service][]*Minion{}}
+	for i := range s.Minions {
+		m := &s.Minions[i]
+		if m.PerStep == nil {
+			m.PerStep = map[*jobs.StepRun]int{}
+		}
+		p.byService[m.Service] = append(p.byService[m.Service], m)
+	}
+	for _, st := range order(s.Now, s.Steps) {
+		p.start(st)
+	}
+	return p.plan
+}
+
+// start places the waiting tasks of a step as far as there is room.
+func (p *planner) start(s *Step) {
+	minions := p.byService[s.Service]
+	if len(minions) == 0 {
+		p.keep(s, len(s.Waiting), ReasonNoMinion)
+		return
+	}
+	team := p.snap.Teams[s.Team]
+	// A team's limit counts what a task asks for, whether it is reserved or not.
+	need := s.Run.Spec.Need
+	var placed []*Minion
+	for i, t := range s.Waiting {
+		reason := ReasonNoRoom
+		var m *Minion
+		if team.allows(need) {
+			m = choose(minions, s, t)
+		} else {
+			reason = ReasonTeamLimit
+		}
+		if m == nil {
+			if s.Run.Spec.Gang {
+				p.undo(s, team, placed)
+				i = 0
+			}
+			p.keep(s, len(s.Waiting)-i, reason)
+			return
+		}
+		m.put(s)
+		if team != nil {
+			team.Used = team.Used.Add(need)
+		}
+		placed = append(placed, m)
+		p.plan.Start = append(p.plan.Start, Assignment{Task: t, Minion: m.ID})
+	}
+}
+
+// undo takes back what was placed of a gang that does not fit as a whole.
+func (p *planner) undo(s *Step, team *Team, placed []*Minion) {
+	for _, m := range placed {
+		m.takeBack(s)
+		if team != nil {
+			team.Used = team.Used.Sub(s.Run.Spec.Need)
+		}
+	}
+	p.plan.Start = p.plan.Start[:len(p.plan.Start)-len(placed)]
+}
+
+func (p *planner) keep(s *Step, n int, r Reason) {
+	p.plan.Kept = append(p.plan.Kept, Kept{Run: s.Run, Tasks: n, Reason: r})
+}
--- /dev/null
+++ b/internal/schedule/types.go
@@ -0,0 +1,86 @@
+package schedule
+
+import (
+	"time"
+
+	"boragepulley/internal/jobs"
+	"boragepulley/internal/model"
+)
+
+// Snapshot is what a decision is made from. Times are on one steady clock.
+type Snapshot struct {
+	Now     time.Duration
+	Steps   []Step
+	Minions []Minion
+	Teams   map[model.Team]*Team
+}
+
+// Step is a step with tasks that can start now.
+type Step struct {
+	Run     *jobs.StepRun
+	Service model.Service
+	Team    model.Team
+	// Priority 0 comes first.
+	Priority int
+	// Arrived is when the job was accepted, or the occurrence due.
+	Arrived time.Duration
+	// Due is when the job must end to be in time.
+	Due time.Duration
+	// Left is the estimated time from the start of this step to the end of the job.
+	Left time.Duration
+	// Waiting are the tasks to start.
+	Waiting []*jobs.Task
+}
+
+// Minion is a minion that can take work.
+type Minion struct {
+	ID      jobs.Minion
+	Service model.Service
+	Kind    string
+	Rack    model.Rack
+	Room    jobs.Resources
+	// Capacity is the room of an empty minion.
+	Capacity jobs.Resources
+	// Serves counts tasks with a bound on response times, Fills those that use what is left.
+	Serves, Fills int
+	// Suspect minions failed or lost orders lately; they come last.
+	Suspect bool
+	// PerStep counts the tasks of each step run on the minion, for steps with a bound.
+	PerStep map[*jobs.StepRun]int
+}
+
+// Team is a team's use of its limit.
+type Team struct {
+	Weight float64
+	// Limit has 0 for no limit.
+	Limit jobs.Resources
+	Used  jobs.Resources
+}
+
+// Assignment starts a task on a minion.
+type Assignment struct {
+	Task   *jobs.Task
+	Minion jobs.Minion
+}
+
+// Reason says why a step has tasks that keep waiting.
+type Reason string
+
+const (
+	ReasonNoRoom    Reason = "no_room"
+	ReasonTeamLimit Reason = "team_limit"
+	ReasonNoMinion  Reason = "no_minion"
+)
+
+// Kept is a step that keeps waiting.
+type Kept struct {
+	Run    *jobs.StepRun
+	Tasks  int
+	Reason Reason
+}
+
+// Plan is the outcome of a decision.
+type Plan struct {
+	Start []Assignment
+	Kept  []Kept
+}
--- /dev/null
+++ b/internal/settings/site.go
@@ -0,0 +1,85 @@
+package settings
+
+import (
+	"os"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"boragepulley/internal/model"
+	"boragepulley/internal/tomldoc"
+)
+
+// Site are the settings of an entry VM on a platform on which one entry VM at a time
+// coordinates the whole site.
+type Site struct {
+	Name model.EntryVM
+	DC   model.DataCentre
+	// CallerListen, ReadyListen, PeerListen and MetricsListen are "IP:port".
+	CallerListen, ReadyListen, PeerListen, MetricsListen string
+	LogLevel                                             string
+	// StoreURL is the base URL of the platform's store, MachinesAddr the "IP:port" of its
+	// machine service and AdviceAddr that of the advice service; the last may be empty.
+	StoreURL, MachinesAddr, AdviceAddr string
+	// StoreWrites and StoreReads bound the calls of all entry VMs together, a second.
+	StoreWrites, StoreReads float64
+	// Grace is how long the platform waits after SIGTERM before it kills the process.
+	Grace time.Duration
+	// MaxHold is the longest lease that a minion grants its runs.
+	MaxHold time.Duration
+	// MaxStop bounds how long a stopped run may go on.
+	MaxStop time.Duration
+	// DutyGap is how far apart the holders of machine orders must be.
+	DutyGap time.Duration
+	// Retention is how long a job can be asked for after its end.
+	Retention time.Duration
+}
+
+// LoadSite reads and checks the settings file at path. Errors: the file cannot be read,
+// or tomldoc.Faults with all faults of the file.
+func LoadSite(path string) (*Site, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "settings")
+	}
+	return ParseSite(path, string(text))
+}
+
+// ParseSite reads and checks settings; name is the file name that faults show.
+func ParseSite(name, text string) (*Site, error) {
+	var faults tomldoc.Faults
+	t := tomldoc.Parse(name, text, MaxFileBytes, &faults)
+	if t == nil {
+		return nil, faults.Err()
+	}
+	some := tomldoc.StringRule{Required: true, OK: func(s string) bool { return s != "" }, Expected: "a name"}
+	positive := func(field string) time.Duration {
+		return t.Duration(field, tomldoc.DurationRule{Required: true, Min: time.Millisecond, Max: time.Hour})
+	}
+	s := &Site{
+		Name:          model.EntryVM(t.String("name", some)),
+		DC:            model.DataCentre(t.String("data_centre", some)),
+		CallerListen:  t.String("caller_listen", addressRule),
+		ReadyListen:   t.String("ready_listen", addressRule),
+		PeerListen:    t.String("peer_listen", addressRule),
+		MetricsListen: t.String("metrics_listen", addressRule),
+		LogLevel:      t.String("log_level", tomldoc.StringRule{Default: DefaultLogLevel, OK: knownLevel, Expected: "one of " + strings.Join(levels, ", ")}),
+		StoreURL:      t.String("store_url", tomldoc.StringRule{Required: true, OK: validURL, Expected: `a base URL "http://host:port"`}),
+		MachinesAddr:  t.String("machines_address", addressRule),
+		AdviceAddr:    t.String("advice_address", tomldoc.StringRule{}),
+		StoreWrites:   t.Float("store_writes_per_second", tomldoc.FloatRule{Default: DefaultSiteWrites, Min: 1, Max: 100000}),
+		StoreReads:    t.Float("store_reads_per_second", tomldoc.FloatRule{Default: DefaultSiteReads, Min: 1, Max: 100000}),
+		Grace:         positive("grace"),
+		MaxHold:       positive("max_hold"),
+		MaxStop:       positive("max_stop"),
+		DutyGap:       positive("duty_gap"),
+		Retention:     positive("retention"),
+	}
+	t.Done()
+	faults.Sort()
+	if err := faults.Err(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
