coordinator: maintenance waves through the platform

Change: machines of a wave are drained while their service has no waiting task, lasting tasks move within their availability budget, at most as many machines are down as the wave allows, and operators read the state.

--- /dev/null
+++ b/internal/coordinator/evacuate.go
@@ -0,0 +1,41 @@
+package coordinator
+
+import (
+	"boragepulley/internal/holding"
+	"boragepulley/internal/jobs"
+	"boragepulley/internal/model"
+)
+
+// atWork is the progress that a lasting task reports while it serves, in percent.
+const atWork = 100
+
+// mayEnd reports whether a lasting task may be ended by our own doing: so many others of
+// its step must not be away already.
+func mayEnd(x *jobs.Task) bool {
+	spec := x.Step.Spec
+	if !spec.Lasting || spec.MayMiss == 0 {
+		return true
+	}
+	if x.Phase != jobs.Running || x.Percent < atWork {
+		return true // it is away itself
+	}
+	away := 0
+	for _, o := range x.Step.Tasks {
+		if o != x && (o.Phase != jobs.Running || o.Percent < atWork) {
+			away++
+		}
+	}
+	return away < spec.MayMiss
+}
+
+// evacuate ends the lasting tasks of a minion that is closed to new work, as far as their
+// availability budgets allow, and reports whether the minion is empty. Other tasks run to
+// their end.
+func (t *Term) evacuate(m *holding.Minion, why model.Reason) (empty bool) {
+	for x := range m.Tasks {
+		if x.Step.Spec.Lasting && x.Phase == jobs.Running && mayEnd(x) {
+			t.stopRun(x, why)
+		}
+	}
+	return len(m.Tasks) == 0
+}
--- a/internal/coordinator/waves.go
+++ b/internal/coordinator/waves.go
@@ -1,7 +1,390 @@
 package coordinator
 
-type waves struct{}
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
 
-func (w *waves) init() {}
+	"github.com/pkg/errors"
 
-func (t *Term) runWaves() {}
+	"boragepulley/internal/holding"
+	"boragepulley/internal/jobs"
+	"boragepulley/internal/lease"
+	"boragepulley/internal/model"
+	"boragepulley/internal/platform"
+	"boragepulley/internal/site"
+)
+
+const (
+	// waveTable has a row for each wave, so that a successor does not do machines again.
+	waveTable = "wave"
+	// statusPrefix is where operators read the state of a wave.
+	statusPrefix = "status/wave/"
+	// machinesEvery is how often the list of machines is read while one is under way.
+	machinesEvery = 400 * time.Millisecond
+	// machineTimeout bounds a call about machines.
+	machineTimeout = 2 * time.Second
+	// waveRetry is the pause before a refused or lost order is given again.
+	waveRetry = 300 * time.Millisecond
+	// waveReserve is kept of a wave's time: from then on machines are taken whether their
+	// service is busy or not. A machine takes about 2 s to drain and 2 s for maintenance.
+	waveReserve = 5 * time.Second
+)
+
+// duty is how far the maintenance of one machine has come.
+//
+// State machine:
+//
+//	due -> draining -> ordered -> down -> back
+//	                      '-> due (refused)
+type duty uint8
+
+const (
+	dutyDue duty = iota
+	dutyDraining
+	dutyOrdered
+	dutyDown
+	dutyBack
+)
+
+// waveRun is a wave under way.
+type waveRun struct {
+	wave  site.Wave
+	began time.Duration
+	// loaded is set once the row of an earlier coordinator was read.
+	loaded, loading bool
+	machines        map[model.VM]*waveMachine
+	status          site.WaveState
+	statusWriting   bool
+	nextStatus      time.Duration
+}
+
+type waveMachine struct {
+	name    model.VM
+	state   duty
+	calling bool
+	next    time.Duration
+	// minion is the life that ends with the maintenance.
+	minion jobs.Minion
+	since  time.Duration
+	// seenDown is set once the list showed the machine in maintenance.
+	seenDown bool
+}
+
+// waveRow is the stored form of a wave: when it was first seen and what has begun.
+type waveRow struct {
+	Seen  time.Time  `json:"t"`
+	Begun []model.VM `json:"m,omitempty"`
+}
+
+// waves are all waves and the list of machines.
+type waves struct {
+	runs     map[int64]*waveRun
+	machines map[model.VM]site.Machine
+	listed   time.Duration
+	listing  bool
+}
+
+func (w *waves) init() {
+	w.runs, w.machines = map[int64]*waveRun{}, map[model.VM]site.Machine{}
+}
+
+// mayOrderMachines reports whether an earlier holder of machine orders is far enough away.
+func (t *Term) mayOrderMachines() bool {
+	return t.epoch == 1 || t.now > t.began+t.d.Limits.DutyGap+lease.TTL
+}
+
+// runWaves goes on with the maintenance waves.
+func (t *Term) runWaves() {
+	for n, wave := range t.d.Waves() {
+		if t.waves.runs[n] == nil {
+			r := &waveRun{wave: wave, began: t.now, machines: map[model.VM]*waveMachine{}}
+			for _, name := range wave.Machines {
+				r.machines[name] = &waveMachine{name: name}
+			}
+			t.waves.runs[n] = r
+		}
+	}
+	active := false
+	for _, r := range t.waves.runs {
+		active = t.runWave(r) || active
+	}
+	if active && !t.waves.listing && t.now >= t.waves.listed+machinesEvery {
+		t.listMachines()
+	}
+}
+
+func (t *Term) listMachines() {
+	t.waves.listing, t.waves.listed = true, t.now
+	t.async(machineTimeout, func(ctx context.Context) func() {
+		list, err := t.d.Machines.List(ctx)
+		return func() {
+			t.waves.listing = false
+			if err != nil {
+				t.log.Info().Err(err).Msg("Coordinator: machines not listed.")
+				return
+			}
+			t.waves.machines = make(map[model.VM]site.Machine, len(list))
+			for _, m := range list {
+				t.waves.machines[m.Name] = m
+			}
+		}
+	})
+}
+
+// runWave goes on with one wave and reports whether it is not complete.
+func (t *Term) runWave(r *waveRun) bool {
+	if !r.loaded {
+		t.loadWave(r)
+		return true
+	}
+	t.writeStatus(r)
+	if r.status == site.WaveCompleted {
+		return false
+	}
+	down, open := 0, 0
+	for _, x := range r.machines {
+		t.stepMachine(r, x)
+		if x.state == dutyOrdered || x.state == dutyDown {
+			down++
+		}
+		if x.state != dutyBack {
+			open++
+		}
+	}
+	if open == 0 {
+		r.status = site.WaveCompleted
+		r.nextStatus = 0
+		t.log.Info().Int64("wave", r.wave.Number).Dur("after", t.now-r.began).Msg("Coordinator: wave completed.")
+		t.writeStatus(r)
+		return true
+	}
+	if t.mayOrderMachines() {
+		t.takeMachines(r, down)
+	}
+	return true
+}
+
+// takeMachines drains machines and orders their maintenance, at most as many at once as
+// the wave allows.
+func (t *Term) takeMachines(r *waveRun, down int) {
+	draining := 0
+	var due []*waveMachine
+	for _, x := range r.machines {
+		switch x.state {
+		case dutyDraining:
+			draining++
+			if t.drained(x) && down < r.wave.AtOnce && t.now >= x.next {
+				down++
+				t.orderMaintenance(r, x)
+			}
+		case dutyDue:
+			due = append(due, x)
+		}
+	}
+	slices.SortFunc(due, func(a, b *waveMachine) int {
+		return cmp.Or(cmp.Compare(t.tasksOn(a), t.tasksOn(b)), cmp.Compare(a.name, b.name))
+	})
+	urgent := t.now > r.began+r.wave.Duration-waveReserve
+	busy := t.busyServices()
+	for _, x := range due {
+		if draining+down >= r.wave.AtOnce {
+			return
+		}
+		m, ok := t.waves.machines[x.name]
+		if !ok || m.State != site.MachineUp || t.now < x.next || !urgent && busy[m.Pool] {
+			continue
+		}
+		x.state, x.minion, x.since = dutyDraining, m.Minion, t.now
+		if h := t.minions[m.Minion]; h != nil {
+			h.Closed = true
+		}
+		draining++
+	}
+}
+
+// busyServices are the services with tasks that wait for room.
+func (t *Term) busyServices() map[model.Service]bool {
+	out := map[model.Service]bool{}
+	for _, j := range t.book.Open() {
+		q := t.queueOf(j)
+		if out[q.Service] {
+			continue
+		}
+		for _, s := range j.Steps {
+			if !s.Spec.Lasting && len(s.WaitingTasks()) > 0 {
+				out[q.Service] = true
+			}
+		}
+	}
+	return out
+}
+
+func (t *Term) minionOf(x *waveMachine) *holding.Minion {
+	if m, ok := t.waves.machines[x.name]; ok {
+		return t.minions[m.Minion]
+	}
+	return nil
+}
+
+func (t *Term) tasksOn(x *waveMachine) int {
+	if m := t.minionOf(x); m != nil {
+		return len(m.Tasks)
+	}
+	return 0
+}
+
+// drained reports whether nothing runs on a machine any more. A machine whose minion does
+// not answer is not drained before its leases are over.
+func (t *Term) drained(x *waveMachine) bool {
+	m := t.minions[x.minion]
+	if m == nil {
+		return true
+	}
+	m.Closed = true
+	return t.evacuate(m, reasonWave) && m.Looked
+}
+
+func (t *Term) orderMaintenance(r *waveRun, x *waveMachine) {
+	x.state, x.calling = dutyOrdered, true
+	d := site.Duty{Holder: t.d.Self.Entry, Token: t.epoch}
+	t.async(machineTimeout, func(ctx context.Context) func() {
+		err := t.d.Machines.Maintain(ctx, d, x.name, r.wave.Number)
+		return func() { t.maintained(r, x, err) }
+	})
+}
+
+func (t *Term) maintained(r *waveRun, x *waveMachine, err error) {
+	x.calling = false
+	x.next = t.now + waveRetry
+	switch {
+	case err == nil:
+		x.state, x.since = dutyDown, t.now
+		t.log.Info().Int64("wave", r.wave.Number).Str("machine", string(x.name)).Msg("Coordinator: maintenance began.")
+		t.storeWave(r)
+	case site.RefusalOf(err) == site.RefusedWave:
+		t.log.Warn().Int64("wave", r.wave.Number).Str("machine", string(x.name)).Msg("Coordinator: machine is not of the wave.")
+		x.state = dutyBack
+	case errors.Is(err, site.ErrNoAnswer):
+		// It may have begun: the order is given again, which does no harm.
+	default:
+		t.log.Info().Err(err).Int64("wave", r.wave.Number).Str("machine", string(x.name)).Msg("Coordinator: maintenance refused.")
+		t.reopen(x)
+		x.state = dutyDue
+	}
+}
+
+// reopen lets new work go to a machine that was drained in vain.
+func (t *Term) reopen(x *waveMachine) {
+	if m := t.minions[x.minion]; m != nil {
+		m.Closed = false
+		t.dirty = true
+	}
+}
+
+// stepMachine notes the end of a machine's maintenance and repeats a lost order.
+func (t *Term) stepMachine(r *waveRun, x *waveMachine) {
+	m, listed := t.waves.machines[x.name]
+	switch x.state {
+	case dutyOrdered:
+		if !x.calling && t.now >= x.next {
+			t.orderMaintenance(r, x)
+		}
+	case dutyDown:
+		if !listed || t.waves.listed <= x.since {
+			return
+		}
+		x.seenDown = x.seenDown || m.State != site.MachineUp
+		// A machine on standby has no minion, and a minion may come back under its id.
+		if m.State == site.MachineUp && (x.seenDown || m.Minion != x.minion) {
+			x.state = dutyBack
+		}
+	case dutyDraining:
+		if listed && (m.State != site.MachineUp || m.Minion != x.minion) {
+			// It went down, or another life began on it.
+			t.reopen(x)
+			x.state, x.next = dutyDue, t.now+waveRetry
+		}
+	}
+}
+
+func waveKey(n int64) string { return fmt.Sprintf("%s/%d", waveTable, n) }
+
+// loadWave reads what an earlier coordinator has done of a wave.
+func (t *Term) loadWave(r *waveRun) {
+	if r.loading {
+		return
+	}
+	r.loading = true
+	t.async(machineTimeout, func(ctx context.Context) func() {
+		row, err := t.d.Table.Get(ctx, platform.PriorityBackground, waveKey(r.wave.Number))
+		return func() {
+			r.loading = false
+			if err != nil {
+				return // asked again with the next step
+			}
+			var v waveRow
+			if row.Version != 0 {
+				if err := json.Unmarshal(row.Value, &v); err != nil {
+					t.log.Error().Err(err).Str("row", row.Key).Msg("Coordinator: unreadable wave passed over.")
+				}
+			}
+			for _, name := range v.Begun {
+				if x := r.machines[name]; x != nil {
+					x.state = dutyBack
+				}
+			}
+			if !v.Seen.IsZero() {
+				r.began = t.now - min(max(time.Since(v.Seen), 0), r.wave.Duration)
+			}
+			r.loaded, r.status = true, site.WaveRunning
+			t.storeWave(r)
+		}
+	})
+}
+
+// storeWave notes in the next write what has begun.
+func (t *Term) storeWave(r *waveRun) {
+	v := waveRow{Seen: time.Now().Add(r.began - t.now)}
+	for name, x := range r.machines {
+		if x.state == dutyDown || x.state == dutyBack {
+			v.Begun = append(v.Begun, name)
+		}
+	}
+	value, err := json.Marshal(v)
+	if err != nil {
+		t.log.Error().Err(err).Int64("wave", r.wave.Number).Msg("Coordinator: wave not stored.")
+		return
+	}
+	t.journal.waveRows[waveKey(r.wave.Number)] = value
+}
+
+// writeStatus tells operators the state of a wave.
+func (t *Term) writeStatus(r *waveRun) {
+	if r.statusWriting || t.now < r.nextStatus {
+		return
+	}
+	value, err := t.d.Codec.WaveStatus(r.status)
+	if err != nil {
+		t.log.Error().Err(err).Int64("wave", r.wave.Number).Msg("Coordinator: status of the wave not written.")
+		return
+	}
+	r.statusWriting = true
+	key := statusPrefix + fmt.Sprint(r.wave.Number)
+	t.async(machineTimeout, func(ctx context.Context) func() {
+		_, err := t.d.Table.Commit(ctx, platform.PriorityBackground, platform.Txn{Puts: []platform.Put{{Key: key, Value: value}}})
+		return func() {
+			r.statusWriting = false
+			r.nextStatus = t.now + waveRetry
+			if err == nil {
+				r.nextStatus = never
+			}
+		}
+	})
+}
+
+// never is later than all times.
+const never = time.Duration(1<<63 - 1)
