coordinator: a silent minion's lease ends; availability budgets count it

Change: a silent minion gets no longer lease; its tasks count as away for the others of the step and as at work when they are to be ended themselves.

--- a/internal/coordinator/evacuate.go
+++ b/internal/coordinator/evacuate.go
@@ -9,19 +9,27 @@
 // atWork is the progress that a lasting task reports while it serves, in percent.
 const atWork = 100
 
+// away reports whether a lasting task does not serve, as far as is known.
+func (t *Term) away(x *jobs.Task) bool {
+	m := t.minions[x.Minion]
+	return x.Phase != jobs.Running || x.Percent < atWork || m == nil || m.Failures > 0
+}
+
 // mayEnd reports whether a lasting task may be ended by our own doing: so many others of
 // its step must not be away already.
-func mayEnd(x *jobs.Task) bool {
+func (t *Term) mayEnd(x *jobs.Task) bool {
 	spec := x.Step.Spec
 	if !spec.Lasting || spec.MayMiss == 0 {
 		return true
 	}
+	// A task whose minion is silent may be at work: it counts as such here, and as away for
+	// the others.
 	if x.Phase != jobs.Running || x.Percent < atWork {
-		return true // it is away itself
+		return true
 	}
 	away := 0
 	for _, o := range x.Step.Tasks {
-		if o != x && (o.Phase != jobs.Running || o.Percent < atWork) {
+		if o != x && t.away(o) {
 			away++
 		}
 	}
@@ -33,7 +41,7 @@
 // their end.
 func (t *Term) evacuate(m *holding.Minion, why model.Reason) (empty bool) {
 	for x := range m.Tasks {
-		if x.Step.Spec.Lasting && x.Phase == jobs.Running && mayEnd(x) {
+		if x.Step.Spec.Lasting && x.Phase == jobs.Running && t.mayEnd(x) {
 			t.stopRun(x, why)
 		}
 	}
--- a/internal/coordinator/minions.go
+++ b/internal/coordinator/minions.go
@@ -101,7 +101,8 @@
 // look sends one hold. Leases are prolonged only while this entry VM surely coordinates.
 func (t *Term) look(m *holding.Minion) {
 	o := site.HoldOrder{Noted: m.Noted()}
-	if len(m.Tasks) > 0 && m.ClockKnown() && t.leading() {
+	// A silent minion gets no longer lease: its tasks could never be started elsewhere.
+	if len(m.Tasks) > 0 && m.ClockKnown() && m.Failures == 0 && t.leading() {
 		o.LeaseUntil = m.Lease(t.now, leaseSpan)
 	}
 	if len(m.Tasks) > 0 && m.Failures == 0 && m.Looked {
@@ -125,7 +126,8 @@
 		t.notAnswered(m, err)
 		return
 	}
-	if m.Failures > 0 {
+	answersAgain := m.Failures > 0
+	if answersAgain {
 		t.log.Info().Str("minion", string(m.ID)).Dur("silent", t.now-m.Heard).Msg("Coordinator: minion answers again.")
 	}
 	if m.Born != 0 && r.Born != 0 && r.Born != m.Born {
@@ -144,6 +146,9 @@
 	m.Looked = true
 	t.dirty = true
 	m.NextLook = t.now + holdGap
+	if len(m.Tasks) > 0 && answersAgain {
+		m.NextLook = t.now // prolong the leases at once
+	}
 	if len(m.Tasks) == 0 && !m.Unnoted() {
 		m.NextLook = t.now + idleEvery
 	}
--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -48,6 +48,7 @@
 	m.Assign(x)
 	o := &order{minion: m}
 	t.orders[x] = o
+	t.log.Info().Str("task", x.Name()).Int("run", run).Str("minion", string(m.ID)).Dur("waited", t.now-x.Step.Job.Seen).Msg("Coordinator: start.")
 	t.sendStart(x, o)
 }
 
@@ -122,6 +123,7 @@
 	if !x.Active() {
 		return
 	}
+	t.log.Info().Str("task", x.Name()).Int("run", x.Run).Str("minion", string(x.Minion)).Str("reason", string(why)).Msg("Coordinator: stop.")
 	t.book.Stop(x, why, t.now)
 	delete(t.orders, x)
 	if t.stops[x] == nil {
