capacity: machines follow demand, idle ones wait on standby

Change: package capacity plans the machines of each service from what runs, what waits and a forecast by counts of arriving jobs; machines on which nothing runs move, first to the service that lacks most, else to the standby pool. Tasks that last are gathered on few minions, other tasks fill minions up.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -88,20 +88,21 @@
 	// began is when the lease was taken.
 	began time.Duration
 	// valid is when the lease ends as the store has confirmed it.
-	valid   time.Duration
-	loaded  bool
-	book    *jobs.Book
-	minions map[jobs.Minion]*holding.Minion
-	queues  map[model.Queue]site.Queue
-	orders  map[*jobs.Task]*order
-	stops   map[*jobs.Task]*stopping
-	dirty   bool
-	planned time.Duration
-	journal journal
-	members members
-	feeds   feeds
-	waves   waves
-	leaving bool
+	valid    time.Duration
+	loaded   bool
+	book     *jobs.Book
+	minions  map[jobs.Minion]*holding.Minion
+	queues   map[model.Queue]site.Queue
+	orders   map[*jobs.Task]*order
+	stops    map[*jobs.Task]*stopping
+	dirty    bool
+	planned  time.Duration
+	journal  journal
+	members  members
+	feeds    feeds
+	waves    waves
+	machines machines
+	leaving  bool
 }
 
 // View is what other goroutines may know of a term. It is immutable.
@@ -133,6 +134,7 @@
 	t.journal.init()
 	t.members.init()
 	t.waves.init()
+	t.machines.init()
 	t.log.Info().Msg("Coordinator: term began.")
 	t.wg.Go(t.loop)
 	t.wg.Go(t.load)
@@ -229,7 +231,9 @@
 	t.watchMinions()
 	if t.leading() {
 		t.resendOrders()
+		t.listMachines()
 		t.runWaves()
+		t.fitMachines()
 		if t.dirty && t.now-t.planned >= planGap {
 			t.plan()
 		}
--- a/internal/coordinator/evacuate.go
+++ b/internal/coordinator/evacuate.go
@@ -22,9 +22,9 @@
 	if !spec.Lasting || spec.MayMiss == 0 {
 		return true
 	}
-	// A task whose minion is silent may be at work: it counts as such here, and as away for
-	// the others.
-	if x.Phase != jobs.Running || x.Percent < atWork {
+	// A task may have begun to serve since it was last reported, and one whose minion is
+	// silent may serve: it counts as at work here, and as away for the others.
+	if x.Phase != jobs.Running {
 		return true
 	}
 	away := 0
--- /dev/null
+++ b/internal/coordinator/machines.go
@@ -0,0 +1,326 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"boragepulley/internal/capacity"
+	"boragepulley/internal/jobs"
+	"boragepulley/internal/model"
+	"boragepulley/internal/site"
+)
+
+const (
+	// capacityEvery is how often the machines of services are planned.
+	capacityEvery = 100 * time.Millisecond
+	// machinesEvery is how often the list of machines is read.
+	machinesEvery = 400 * time.Millisecond
+	// moveSettle is how long a move may take to show in the list before it is given up.
+	moveSettle = 4 * time.Second
+)
+
+// machines is what the term knows of the platform's machines.
+type machines struct {
+	byName map[model.VM]site.Machine
+	// lives are the minions that the machines have now; nil before the first list.
+	lives   map[jobs.Minion]bool
+	listed  time.Duration
+	listing bool
+	// moves are under way, or not yet in the list.
+	moves  map[model.VM]*move
+	demand map[model.Service]*capacity.Demand
+	// runtime is the mean run time of a queue's tasks as they ended.
+	runtime map[model.Queue]*runtime
+	next    time.Duration
+	// told is when the plan was last logged.
+	told time.Duration
+}
+
+// runtime is a running mean.
+type runtime struct {
+	n    int
+	mean time.Duration
+}
+
+// runtimeWeight is the least weight of a new run time: estimates of callers are off by half
+// to nine tenths, and a queue's tasks change little within a day.
+const runtimeWeight = 0.02
+
+func (r *runtime) add(d time.Duration) {
+	r.n++
+	r.mean += time.Duration(float64(d-r.mean) * max(1/float64(r.n), runtimeWeight))
+}
+
+type move struct {
+	to    model.Service
+	since time.Duration
+	// minion is the life that the move ends.
+	minion  jobs.Minion
+	calling bool
+}
+
+func (s *machines) init() {
+	s.byName, s.moves = map[model.VM]site.Machine{}, map[model.VM]*move{}
+	s.demand, s.runtime = map[model.Service]*capacity.Demand{}, map[model.Queue]*runtime{}
+}
+
+// mayOrderMachines reports whether an earlier holder of machine orders is far enough away.
+func (t *Term) mayOrderMachines() bool {
+	return t.epoch == 1 || t.now > t.began+t.d.Limits.DutyGap+machineTimeout
+}
+
+// listMachines reads the list of machines when it is due.
+func (t *Term) listMachines() {
+	s := &t.machines
+	if s.listing || t.now < s.listed+machinesEvery {
+		return
+	}
+	s.listing, s.listed = true, t.now
+	asked := t.now
+	t.async(machineTimeout, func(ctx context.Context) func() {
+		list, err := t.d.Machines.List(ctx)
+		return func() {
+			s.listing = false
+			if err != nil {
+				t.log.Info().Err(err).Msg("Coordinator: machines not listed.")
+				return
+			}
+			t.takeMachineList(list, asked)
+		}
+	})
+}
+
+func (t *Term) takeMachineList(list []site.Machine, asked time.Duration) {
+	s := &t.machines
+	s.byName = make(map[model.VM]site.Machine, len(list))
+	s.lives = make(map[jobs.Minion]bool, len(list))
+	for _, m := range list {
+		s.byName[m.Name] = m
+		s.lives[m.Minion] = true
+		v := s.moves[m.Name]
+		if v == nil || v.calling || v.since >= asked {
+			continue
+		}
+		if m.Pool == v.to && m.State == site.MachineUp {
+			delete(s.moves, m.Name)
+		} else if t.now > v.since+moveSettle {
+			delete(s.moves, m.Name)
+			t.open(v.minion)
+		}
+	}
+	t.dirty = true
+}
+
+// open lets new work go to a minion again that was closed for an order that did not happen.
+func (t *Term) open(id jobs.Minion) {
+	if m := t.minions[id]; m != nil && m.Closed {
+		m.Closed = false
+		t.dirty = true
+	}
+}
+
+// noteDemand counts the work of a job that was just accepted.
+func (t *Term) noteDemand(j *jobs.Job) {
+	if j.Spec.Lasting() || j.Spec.Repeat > 0 {
+		return
+	}
+	work := 0.0
+	for i := range j.Spec.Steps {
+		s := &j.Spec.Steps[i]
+		work += float64(s.Count) * float64(s.Need.CPU) / 1000 * t.runtimeOf(j.Queue, s).Seconds()
+	}
+	t.demandOf(t.queueOf(j).Service).Add(t.now, work)
+}
+
+// runtimeOf returns how long a task of a step is expected to run: what tasks of its queue
+// took, or the caller's estimate before enough have ended.
+func (t *Term) runtimeOf(q model.Queue, s *jobs.Step) time.Duration {
+	// enough ended tasks make a mean that is better than one estimate.
+	const enough = 5
+	if r := t.machines.runtime[q]; r != nil && r.n >= enough {
+		return r.mean
+	}
+	return max(s.Estimate, defaultEstimate/10)
+}
+
+// noteRuntime learns from a run that ended as done.
+func (t *Term) noteRuntime(x *jobs.Task) {
+	if x.Phase != jobs.Running || x.Step.Spec.Lasting {
+		return
+	}
+	q := x.Step.Job.Queue
+	r := t.machines.runtime[q]
+	if r == nil {
+		r = &runtime{}
+		t.machines.runtime[q] = r
+	}
+	r.add(t.now - x.Since)
+}
+
+func (t *Term) demandOf(svc model.Service) *capacity.Demand {
+	d := t.machines.demand[svc]
+	if d == nil {
+		d = &capacity.Demand{}
+		t.machines.demand[svc] = d
+	}
+	return d
+}
+
+// fitMachines moves machines to where they are needed.
+func (t *Term) fitMachines() {
+	s := &t.machines
+	if t.now < s.next || s.lives == nil || !t.mayOrderMachines() {
+		return
+	}
+	s.next = t.now + capacityEvery
+	snap, ok := t.capacitySnapshot()
+	if !ok {
+		return
+	}
+	p := capacity.Make(snap)
+	for _, v := range p.Moves {
+		t.moveMachine(v)
+	}
+	for _, x := range p.Targets {
+		t.demandOf(x.Service).Wanted(t.now, x.Want)
+	}
+	if t.now >= s.told+tellEvery {
+		s.told = t.now
+		t.log.Info().Interface("services", p.Targets).Msg("Coordinator: machines planned.")
+	}
+}
+
+// tellEvery is how often the plan of machines is logged.
+const tellEvery = time.Second
+
+// capacitySnapshot returns what the plan is made from; ok is unset without a standby pool.
+func (t *Term) capacitySnapshot() (snap capacity.Snapshot, ok bool) {
+	c := t.d.Config()
+	if c == nil {
+		return snap, false
+	}
+	used := map[model.Service]bool{}
+	for _, q := range c.Queues {
+		used[q.Service] = true
+	}
+	for name, svc := range c.Services {
+		if svc.Standby && !used[name] {
+			snap.Standby = name
+		}
+	}
+	if snap.Standby == "" {
+		return snap, false
+	}
+	busy := t.busyByService()
+	for name := range c.Services {
+		if name != snap.Standby && used[name] {
+			snap.Services = append(snap.Services, t.capacityService(name, busy[name]))
+		}
+	}
+	for _, m := range t.machines.byName {
+		snap.Machines = append(snap.Machines, t.capacityMachine(m, snap.Standby))
+	}
+	return snap, true
+}
+
+// load is what the tasks of a service need.
+type load struct {
+	busy, waiting, lasting jobs.Resources
+	// least is how many machines they need because of bounds per minion.
+	least int
+}
+
+func (t *Term) capacityService(name model.Service, l load) capacity.Service {
+	d := t.demandOf(name)
+	return capacity.Service{Name: name, Busy: l.busy, Waiting: l.waiting, Lasting: l.lasting, Least: l.least,
+		Forecast: d.Forecast(t.now), Recent: d.Recent(t.now)}
+}
+
+// busyByService sums what the tasks of each service need that run or could run now.
+func (t *Term) busyByService() map[model.Service]load {
+	out := map[model.Service]load{}
+	for _, j := range t.book.Open() {
+		svc := t.queueOf(j).Service
+		l := out[svc]
+		for _, s := range j.Steps {
+			l.add(s)
+		}
+		out[svc] = l
+	}
+	return out
+}
+
+func (l *load) add(s *jobs.StepRun) {
+	running, waiting := 0, 0
+	for _, x := range s.Tasks {
+		switch {
+		case x.Active():
+			running++
+		case s.Open && x.Phase == jobs.Waiting:
+			waiting++
+		}
+	}
+	each := s.Spec.Reserved()
+	l.busy = l.busy.Add(each.Scale(running))
+	l.waiting = l.waiting.Add(each.Scale(waiting))
+	if s.Spec.Lasting {
+		l.lasting = l.lasting.Add(each.Scale(running + waiting))
+	}
+	if per := s.Spec.PerMinion; per > 0 {
+		l.least = max(l.least, (running+waiting+per-1)/per)
+	}
+}
+
+func (t *Term) capacityMachine(m site.Machine, standby model.Service) capacity.Machine {
+	out := capacity.Machine{Name: m.Name, Pool: m.Pool, Capacity: m.Capacity, Serves: m.State == site.MachineUp}
+	if v := t.machines.moves[m.Name]; v != nil {
+		out.Pool, out.Serves = v.to, true
+		return out
+	}
+	if t.inWave(m.Name) {
+		out.Serves = out.Serves && m.State != site.MachineMaintenance
+		return out
+	}
+	if m.Pool == standby {
+		out.Movable = m.State == site.MachineUp
+		return out
+	}
+	h := t.minions[m.Minion]
+	if h == nil {
+		return out
+	}
+	out.Serves = out.Serves && h.Failures == 0 && !h.Leaving
+	out.Movable = out.Serves && t.usable(h) && len(h.Tasks) == 0
+	out.Idle = t.now - h.EmptySince
+	return out
+}
+
+func (t *Term) moveMachine(v capacity.Move) {
+	m := t.machines.byName[v.Machine]
+	if h := t.minions[m.Minion]; h != nil {
+		h.Closed = true
+	}
+	x := &move{to: v.To, since: t.now, minion: m.Minion, calling: true}
+	t.machines.moves[v.Machine] = x
+	t.log.Info().Str("machine", string(v.Machine)).Str("from", string(m.Pool)).Str("to", string(v.To)).Msg("Coordinator: machine moves.")
+	d := site.Duty{Holder: t.d.Self.Entry, Token: t.epoch}
+	t.async(machineTimeout, func(ctx context.Context) func() {
+		err := t.d.Machines.Move(ctx, d, v.Machine, v.To)
+		return func() { t.moved(v.Machine, x, err) }
+	})
+}
+
+// moved takes the answer of a move. A lost answer is settled by the list.
+func (t *Term) moved(name model.VM, x *move, err error) {
+	x.calling = false
+	if err == nil || errors.Is(err, site.ErrNoAnswer) {
+		return
+	}
+	t.log.Info().Err(err).Str("machine", string(name)).Msg("Coordinator: move refused.")
+	if t.machines.moves[name] == x {
+		delete(t.machines.moves, name)
+		t.open(x.minion)
+	}
+}
--- a/internal/coordinator/minions.go
+++ b/internal/coordinator/minions.go
@@ -51,6 +51,7 @@
 	switch {
 	case m == nil:
 		m = holding.New(e, 0)
+		m.EmptySince = t.now
 		t.minions[e.ID] = m
 	case m.Born != 0 && e.Born != 0 && e.Born < m.Born:
 		return // word of an earlier life
@@ -275,6 +276,9 @@
 	}
 	j := task.Step.Job
 	was := j.State()
+	if x.How == jobs.EndDone && x.Run == task.Run {
+		t.noteRuntime(task)
+	}
 	changed := t.book.Finish(task, x.Run, m.ID, x.How, x.Checkpoint, t.queueOf(j).MaxAttempts, t.now)
 	if changed {
 		m.Keep(x.Number, j, j.Changes())
@@ -283,7 +287,7 @@
 	}
 	if !task.Active() {
 		t.forgetOrders(task)
-		m.Release(task)
+		m.Release(task, t.now)
 	}
 	if x.How != jobs.EndDone && x.How != jobs.EndStopped {
 		t.log.Info().Str("task", x.Task).Int("run", x.Run).Str("minion", string(m.ID)).Str("how", string(x.How)).Msg("Coordinator: run ended.")
@@ -365,7 +369,7 @@
 // over makes a task wait whose run is certainly over.
 func (t *Term) over(x *jobs.Task) {
 	if m := t.minions[x.Minion]; m != nil {
-		m.Release(x)
+		m.Release(x, t.now)
 	}
 	t.forgetOrders(x)
 	t.book.Return(x, t.now)
--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -106,6 +106,9 @@
 		return
 	case reason == site.RefusedRoom:
 		m.AvoidUntil = t.now + roomPause
+	case errors.Is(err, site.ErrNotSent):
+		// Nobody answers at the address: no more work goes there before a look succeeds.
+		m.Failures, m.NextLook = max(m.Failures, 1), t.now
 	default:
 		m.AvoidUntil = t.now + suspectFor
 	}
--- a/internal/coordinator/plan.go
+++ b/internal/coordinator/plan.go
@@ -80,6 +80,9 @@
 		if x.Step.Spec.Fills {
 			out.Fills++
 		}
+		if x.Step.Spec.Lasting {
+			out.Lasting++
+		}
 	}
 	return out
 }
@@ -129,7 +132,7 @@
 // replaced reports whether the platform's machines, listed in this term, have no machine
 // whose life the minion is: a move or maintenance has ended it.
 func (t *Term) replaced(m *holding.Minion) bool {
-	return !m.Listed && t.waves.lives != nil && !t.waves.lives[m.ID]
+	return !m.Listed && t.machines.lives != nil && !t.machines.lives[m.ID]
 }
 
 // teamUse returns what each team has running, with its limit.
--- a/internal/coordinator/recover.go
+++ b/internal/coordinator/recover.go
@@ -169,6 +169,9 @@
 	a.ID = jobs.ID(id)
 	j := t.book.Add(a, t.now)
 	j.Inherited = inherited
+	if !inherited {
+		t.noteDemand(j)
+	}
 	if inherited {
 		// Callers count from their first attempt. The accepting clock may be off, so its
 		// difference to ours is used within bounds.
--- a/internal/coordinator/waves.go
+++ b/internal/coordinator/waves.go
@@ -12,7 +12,6 @@
 
 	"boragepulley/internal/holding"
 	"boragepulley/internal/jobs"
-	"boragepulley/internal/lease"
 	"boragepulley/internal/model"
 	"boragepulley/internal/platform"
 	"boragepulley/internal/site"
@@ -23,8 +22,6 @@
 	waveTable = "wave"
 	// statusPrefix is where operators read the state of a wave.
 	statusPrefix = "status/wave/"
-	// machinesEvery is how often the list of machines is read while one is under way.
-	machinesEvery = 400 * time.Millisecond
 	// machineTimeout bounds a call about machines.
 	machineTimeout = 2 * time.Second
 	// waveRetry is the pause before a refused or lost order is given again.
@@ -80,23 +77,11 @@
 	Begun []model.VM `json:"m,omitempty"`
 }
 
-// waves are all waves and the list of machines.
-type waves struct {
-	runs     map[int64]*waveRun
-	machines map[model.VM]site.Machine
-	// lives are the minions that the machines have now; nil before the first list.
-	lives   map[jobs.Minion]bool
-	listed  time.Duration
-	listing bool
-}
+// waves are all maintenance waves.
+type waves struct{ runs map[int64]*waveRun }
 
 func (w *waves) init() {
-	w.runs, w.machines = map[int64]*waveRun{}, map[model.VM]site.Machine{}
-}
-
-// mayOrderMachines reports whether an earlier holder of machine orders is far enough away.
-func (t *Term) mayOrderMachines() bool {
-	return t.epoch == 1 || t.now > t.began+t.d.Limits.DutyGap+lease.TTL
+	w.runs = map[int64]*waveRun{}
 }
 
 // runWaves goes on with the maintenance waves.
@@ -110,45 +95,30 @@
 			t.waves.runs[n] = r
 		}
 	}
-	active := t.waves.lives == nil
 	for _, r := range t.waves.runs {
-		active = t.runWave(r) || active
-	}
-	if active && !t.waves.listing && t.now >= t.waves.listed+machinesEvery {
-		t.listMachines()
+		t.runWave(r)
 	}
 }
 
-func (t *Term) listMachines() {
-	t.waves.listing, t.waves.listed = true, t.now
-	t.async(machineTimeout, func(ctx context.Context) func() {
-		list, err := t.d.Machines.List(ctx)
-		return func() {
-			t.waves.listing = false
-			if err != nil {
-				t.log.Info().Err(err).Msg("Coordinator: machines not listed.")
-				return
-			}
-			t.waves.machines = make(map[model.VM]site.Machine, len(list))
-			t.waves.lives = make(map[jobs.Minion]bool, len(list))
-			for _, m := range list {
-				t.waves.machines[m.Name] = m
-				t.waves.lives[m.Minion] = true
-			}
-			t.dirty = true
+// inWave reports whether a wave has a machine in its hands.
+func (t *Term) inWave(name model.VM) bool {
+	for _, r := range t.waves.runs {
+		if x := r.machines[name]; x != nil && x.state != dutyDue && x.state != dutyBack {
+			return true
 		}
-	})
+	}
+	return false
 }
 
-// runWave goes on with one wave and reports whether it is not complete.
-func (t *Term) runWave(r *waveRun) bool {
+// runWave goes on with one wave.
+func (t *Term) runWave(r *waveRun) {
 	if !r.loaded {
 		t.loadWave(r)
-		return true
+		return
 	}
 	t.writeStatus(r)
 	if r.status == site.WaveCompleted {
-		return false
+		return
 	}
 	down, open := 0, 0
 	for _, x := range r.machines {
@@ -165,12 +135,11 @@
 		r.nextStatus = 0
 		t.log.Info().Int64("wave", r.wave.Number).Dur("after", t.now-r.began).Msg("Coordinator: wave completed.")
 		t.writeStatus(r)
-		return true
+		return
 	}
 	if t.mayOrderMachines() {
 		t.takeMachines(r, down)
 	}
-	return true
 }
 
 // takeMachines drains machines and orders their maintenance, at most as many at once as
@@ -199,8 +168,8 @@
 		if draining+down >= r.wave.AtOnce {
 			return
 		}
-		m, ok := t.waves.machines[x.name]
-		if !ok || m.State != site.MachineUp || t.now < x.next || !urgent && busy[m.Pool] {
+		m, ok := t.machines.byName[x.name]
+		if !ok || m.State != site.MachineUp || t.now < x.next || t.machines.moves[x.name] != nil || !urgent && busy[m.Pool] {
 			continue
 		}
 		x.state, x.minion, x.since = dutyDraining, m.Minion, t.now
@@ -229,7 +198,7 @@
 }
 
 func (t *Term) minionOf(x *waveMachine) *holding.Minion {
-	if m, ok := t.waves.machines[x.name]; ok {
+	if m, ok := t.machines.byName[x.name]; ok {
 		return t.minions[m.Minion]
 	}
 	return nil
@@ -277,29 +246,21 @@
 		// It may have begun: the order is given again, which does no harm.
 	default:
 		t.log.Info().Err(err).Int64("wave", r.wave.Number).Str("machine", string(x.name)).Msg("Coordinator: maintenance refused.")
-		t.reopen(x)
+		t.open(x.minion)
 		x.state = dutyDue
 	}
 }
 
-// reopen lets new work go to a machine that was drained in vain.
-func (t *Term) reopen(x *waveMachine) {
-	if m := t.minions[x.minion]; m != nil {
-		m.Closed = false
-		t.dirty = true
-	}
-}
-
 // stepMachine notes the end of a machine's maintenance and repeats a lost order.
 func (t *Term) stepMachine(r *waveRun, x *waveMachine) {
-	m, listed := t.waves.machines[x.name]
+	m, listed := t.machines.byName[x.name]
 	switch x.state {
 	case dutyOrdered:
 		if !x.calling && t.now >= x.next {
 			t.orderMaintenance(r, x)
 		}
 	case dutyDown:
-		if !listed || t.waves.listed <= x.since {
+		if !listed || t.machines.listed <= x.since {
 			return
 		}
 		x.seenDown = x.seenDown || m.State != site.MachineUp
@@ -310,7 +271,7 @@
 	case dutyDraining:
 		if listed && (m.State != site.MachineUp || m.Minion != x.minion) {
 			// It went down, or another life began on it.
-			t.reopen(x)
+			t.open(x.minion)
 			x.state, x.next = dutyDue, t.now+waveRetry
 		}
 	}
--- a/internal/holding/holding.go
+++ b/internal/holding/holding.go
@@ -39,6 +39,8 @@
 	// Used is what the tasks in Tasks reserve.
 	Used  jobs.Resources
 	Tasks map[*jobs.Task]struct{}
+	// EmptySince is when the last task left the minion.
+	EmptySince time.Duration
 
 	// Asking is set while a hold is under way; NextLook is when the next one is due.
 	Asking   bool
@@ -106,11 +108,14 @@
 }
 
 // Release takes a task's reservation back.
-func (m *Minion) Release(t *jobs.Task) {
+func (m *Minion) Release(t *jobs.Task, now time.Duration) {
 	if _, ok := m.Tasks[t]; !ok {
 		return
 	}
 	delete(m.Tasks, t)
+	if len(m.Tasks) == 0 {
+		m.EmptySince = now
+	}
 	m.Used = m.Used.Sub(t.Step.Spec.Reserved())
 }
 
--- a/internal/schedule/fit.go
+++ b/internal/schedule/fit.go
@@ -43,10 +43,24 @@
 			return y
 		}
 	}
-	// Even load: a minion that is lost takes little with it.
-	return a.freeShare() > b.freeShare()
+	if spec.Lasting {
+		// Few minions hold the tasks that last, so that the others can be given away; but a
+		// minion that is lost must not take a whole step with it.
+		if x, y := a.joins(), b.joins(); x != y {
+			return x
+		}
+		return a.freeShare() > b.freeShare()
+	}
+	// Full minions first: the others become empty and can be given away.
+	return a.freeShare() < b.freeShare()
 }
 
+// maxLasting is how many tasks that last are gathered on one minion.
+const maxLasting = 4
+
+// joins reports whether a minion has some tasks that last and takes one more.
+func (m *Minion) joins() bool { return m.Lasting > 0 && m.Lasting < maxLasting }
+
 // freeShare is the scarcer of free processor time and memory, as a share of the capacity.
 func (m *Minion) freeShare() float64 {
 	share := 1.0
@@ -72,6 +86,9 @@
 	if spec.Fills {
 		m.Fills++
 	}
+	if spec.Lasting {
+		m.Lasting++
+	}
 }
 
 // takeBack undoes put.
@@ -87,6 +104,9 @@
 	if spec.Fills {
 		m.Fills--
 	}
+	if spec.Lasting {
+		m.Lasting--
+	}
 }
 
 // allows reports whether a team may run so much more.
--- a/internal/schedule/types.go
+++ b/internal/schedule/types.go
@@ -43,6 +43,8 @@
 	Capacity jobs.Resources
 	// Serves counts tasks with a bound on response times, Fills those that use what is left.
 	Serves, Fills int
+	// Lasting counts tasks that last.
+	Lasting int
 	// Suspect minions failed or lost orders lately; they come last.
 	Suspect bool
 	// PerStep counts the tasks of each step run on the minion, for steps with a bound.
