relay, coordinator: store calls through peers; successors order machines at once

Change: a store call that certainly had no effect goes through another entry VM. A machine is noted in the store before its order is sent, and a successor keeps away from the noted ones only. The coordinator tells the version of its lease, so that its age is known when it falls silent; the lease lasts 2 s. Minions whose life an order has ended are dropped at once.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -55,6 +55,8 @@
 	Config func() *site.Config
 	// Waves returns the operators' maintenance waves.
 	Waves func() map[int64]site.Wave
+	// NoteMembers is told the peer addresses of all entry VMs.
+	NoteMembers func(map[model.EntryVM]string)
 	// Dial returns the connection to a peer; it does not block.
 	Dial func(name model.EntryVM, addr string) Remote
 	// Released is set if the lease was given up by its last holder.
@@ -87,8 +89,9 @@
 	now time.Duration
 	// began is when the lease was taken.
 	began time.Duration
-	// valid is when the lease ends as the store has confirmed it.
+	// valid is when the lease ends as the store has confirmed it, version that of its row.
 	valid    time.Duration
+	version  uint64
 	loaded   bool
 	book     *jobs.Book
 	minions  map[jobs.Minion]*holding.Minion
@@ -130,7 +133,7 @@
 		orders: map[*jobs.Task]*order{}, stops: map[*jobs.Task]*stopping{},
 	}
 	t.now = d.Now()
-	t.began, t.valid = t.now, held.Until
+	t.began, t.valid, t.version = t.now, held.Until, held.Version
 	t.journal.init()
 	t.members.init()
 	t.waves.init()
--- a/internal/coordinator/journal.go
+++ b/internal/coordinator/journal.go
@@ -15,7 +15,7 @@
 
 const (
 	// renewEvery is how long the lease goes without a write; three fit into its time.
-	renewEvery = 700 * time.Millisecond
+	renewEvery = 600 * time.Millisecond
 	// lazyEvery is how long progress that nobody waits for may stay unstored. Minions keep
 	// ends for as long; the bound for noting them is 4 s.
 	lazyEvery = 400 * time.Millisecond
@@ -102,6 +102,14 @@
 			break
 		}
 	}
+	if len(t.machines.queued) > 0 {
+		value, sent, err := t.dutyRow()
+		if err != nil {
+			t.log.Error().Err(err).Msg("Coordinator: machine orders not noted.")
+		} else {
+			add(dutyKey, value, sent)
+		}
+	}
 	for key, value := range w.waveRows {
 		if !add(key, value, func() { delete(w.waveRows, key) }) {
 			break
@@ -153,8 +161,11 @@
 		// The write goes on until its outcome is known or the term is over: the next one
 		// depends on the version that it leaves.
 		err := t.held.Commit(t.ctx, puts)
-		until := t.held.Until
-		t.post(func() { t.wrote(err, until, after) })
+		until, version := t.held.Until, t.held.Version
+		t.post(func() {
+			t.version = version
+			t.wrote(err, until, after)
+		})
 	})
 }
 
--- a/internal/coordinator/machines.go
+++ b/internal/coordinator/machines.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -29,8 +31,17 @@
 	listed  time.Duration
 	listing bool
 	// moves are under way, or not yet in the list.
-	moves  map[model.VM]*move
-	demand map[model.Service]*capacity.Demand
+	moves map[model.VM]*move
+	// queued are orders that wait for their note in the store; ordered is when this term
+	// last gave an order for a machine, barred are those that an earlier holder may have
+	// ordered last.
+	queued  []machineOrder
+	ordered map[model.VM]time.Duration
+	barred  map[model.VM]bool
+	demand  map[model.Service]*capacity.Demand
+	// ended are minions whose lives this term's orders have ended; the list of minions names
+	// them for a while.
+	ended map[jobs.Minion]bool
 	// runtime is the mean run time of a queue's tasks as they ended.
 	runtime map[model.Queue]*runtime
 	next    time.Duration
@@ -38,6 +49,12 @@
 	told time.Duration
 }
 
+// machineOrder is an order for a machine.
+type machineOrder struct {
+	machine model.VM
+	send    func()
+}
+
 // runtime is a running mean.
 type runtime struct {
 	n    int
@@ -63,12 +80,71 @@
 
 func (s *machines) init() {
 	s.byName, s.moves = map[model.VM]site.Machine{}, map[model.VM]*move{}
+	s.ordered, s.ended = map[model.VM]time.Duration{}, map[jobs.Minion]bool{}
 	s.demand, s.runtime = map[model.Service]*capacity.Demand{}, map[model.Queue]*runtime{}
 }
 
-// mayOrderMachines reports whether an earlier holder of machine orders is far enough away.
-func (t *Term) mayOrderMachines() bool {
-	return t.epoch == 1 || t.now > t.began+t.d.Limits.DutyGap+machineTimeout
+// dutyKey is the row that lists the machines ordered lately. A machine is in it before its
+// order is sent, so that a successor leaves it alone until the two holders' orders are
+// far enough apart; all others it may order at once.
+const dutyKey = dutyTable + "/recent"
+
+// dutyGap is how far a successor's first order for a machine must be from the takeover: an
+// order that was under way then ends within machineTimeout.
+func (t *Term) dutyGap() time.Duration { return t.d.Limits.DutyGap + machineTimeout }
+
+// mayOrder reports whether an earlier holder's orders for a machine are far enough away.
+func (t *Term) mayOrder(name model.VM) bool {
+	return !t.machines.barred[name] || t.now > t.began+t.dutyGap()
+}
+
+// orderMachine sends an order for a machine once a successor would know of it.
+func (t *Term) orderMachine(name model.VM, send func()) {
+	t.machines.queued = append(t.machines.queued, machineOrder{name, send})
+	t.journal.urgent = true
+}
+
+// dutyRow returns the row for the queued orders, and what to do once it is stored.
+func (t *Term) dutyRow() (value []byte, sent func(), err error) {
+	s := &t.machines
+	orders := s.queued
+	var names []model.VM
+	for name, at := range s.ordered {
+		if t.now < at+t.dutyGap() {
+			names = append(names, name)
+		}
+	}
+	for name := range s.barred {
+		if !t.mayOrder(name) {
+			names = append(names, name)
+		}
+	}
+	for _, o := range orders {
+		names = append(names, o.machine)
+	}
+	slices.Sort(names)
+	value, err = json.Marshal(slices.Compact(names))
+	return value, func() {
+		s.queued = s.queued[len(orders):]
+		for _, o := range orders {
+			s.ordered[o.machine] = t.now
+			o.send()
+		}
+	}, err
+}
+
+// takeDuties reads the row of an earlier holder.
+func (t *Term) takeDuties(value []byte) {
+	var names []model.VM
+	if value != nil {
+		if err := json.Unmarshal(value, &names); err != nil {
+			t.log.Error().Err(err).Msg("Coordinator: unreadable duties passed over.")
+		}
+	}
+	t.machines.barred = make(map[model.VM]bool, len(names))
+	for _, name := range names {
+		t.machines.barred[name] = true
+	}
 }
 
 // listMachines reads the list of machines when it is due.
@@ -113,6 +189,23 @@
 	t.dirty = true
 }
 
+// lifeOver drops a minion whose life an order has ended. Nothing ran on it.
+func (t *Term) lifeOver(id jobs.Minion) {
+	m := t.minions[id]
+	if m == nil {
+		return
+	}
+	for x := range m.Tasks {
+		t.over(x)
+	}
+	if m.Recorded {
+		t.journal.goneMinions[id] = true
+	}
+	delete(t.journal.newMinions, m)
+	delete(t.minions, id)
+	t.machines.ended[id] = true
+}
+
 // open lets new work go to a minion again that was closed for an order that did not happen.
 func (t *Term) open(id jobs.Minion) {
 	if m := t.minions[id]; m != nil && m.Closed {
@@ -171,7 +264,7 @@
 // fitMachines moves machines to where they are needed.
 func (t *Term) fitMachines() {
 	s := &t.machines
-	if t.now < s.next || s.lives == nil || !t.mayOrderMachines() {
+	if t.now < s.next || s.lives == nil {
 		return
 	}
 	s.next = t.now + capacityEvery
@@ -283,6 +376,9 @@
 		out.Serves = out.Serves && m.State != site.MachineMaintenance
 		return out
 	}
+	if !t.mayOrder(m.Name) {
+		return out
+	}
 	if m.Pool == standby {
 		out.Movable = m.State == site.MachineUp
 		return out
@@ -306,15 +402,24 @@
 	t.machines.moves[v.Machine] = x
 	t.log.Info().Str("machine", string(v.Machine)).Str("from", string(m.Pool)).Str("to", string(v.To)).Msg("Coordinator: machine moves.")
 	d := site.Duty{Holder: t.d.Self.Entry, Token: t.epoch}
-	t.async(machineTimeout, func(ctx context.Context) func() {
-		err := t.d.Machines.Move(ctx, d, v.Machine, v.To)
-		return func() { t.moved(v.Machine, x, err) }
+	t.orderMachine(v.Machine, func() {
+		if !t.leading() {
+			t.moved(v.Machine, x, site.ErrNotSent)
+			return
+		}
+		t.async(machineTimeout, func(ctx context.Context) func() {
+			err := t.d.Machines.Move(ctx, d, v.Machine, v.To)
+			return func() { t.moved(v.Machine, x, err) }
+		})
 	})
 }
 
 // moved takes the answer of a move. A lost answer is settled by the list.
 func (t *Term) moved(name model.VM, x *move, err error) {
 	x.calling = false
+	if err == nil {
+		t.lifeOver(x.minion)
+	}
 	if err == nil || errors.Is(err, site.ErrNoAnswer) {
 		return
 	}
--- a/internal/coordinator/members.go
+++ b/internal/coordinator/members.go
@@ -33,11 +33,13 @@
 
 // members are the other entry VMs as the coordinator knows them.
 type members struct {
-	byName  map[model.EntryVM]*memberState
-	known   bool
-	reading bool
-	next    time.Duration
-	viewAt  time.Duration
+	byName map[model.EntryVM]*memberState
+	// addresses are the peer addresses of all entry VMs, for the others.
+	addresses map[model.EntryVM]string
+	known     bool
+	reading   bool
+	next      time.Duration
+	viewAt    time.Duration
 }
 
 type memberState struct {
@@ -107,15 +109,20 @@
 			s.byName[name] = &memberState{row: row, remote: t.d.Dial(name, row.Addr)}
 		}
 	}
-	for name := range s.byName {
+	addresses := map[model.EntryVM]string{t.d.Self.Entry: t.d.Addr}
+	for name, m := range s.byName {
 		if !seen[name] {
 			delete(s.byName, name)
+			continue
 		}
+		addresses[name] = m.row.Addr
 	}
+	s.addresses = addresses
+	t.d.NoteMembers(addresses)
 }
 
 func (t *Term) beat(name model.EntryVM, m *memberState) {
-	msg := &peer.Lead{From: t.d.Self, Epoch: t.epoch, Addr: t.d.Addr, Leaving: t.leaving}
+	msg := &peer.Lead{From: t.d.Self, Epoch: t.epoch, Addr: t.d.Addr, Leaving: t.leaving, Lease: t.version, Members: t.members.addresses}
 	if c := t.d.Config(); c != nil {
 		msg.Config = c.Version
 	}
--- a/internal/coordinator/minions.go
+++ b/internal/coordinator/minions.go
@@ -36,6 +36,7 @@
 // listMinion notes an entry of the platform's list; an unreadable one names no minion.
 func (t *Term) listMinion(id string, value []byte) {
 	if value == nil {
+		delete(t.machines.ended, jobs.Minion(id))
 		if m := t.minions[jobs.Minion(id)]; m != nil && m.Listed {
 			m.Listed = false
 			t.log.Info().Str("minion", id).Int("tasks", len(m.Tasks)).Msg("Coordinator: minion left the list.")
@@ -49,6 +50,8 @@
 	}
 	m := t.minions[e.ID]
 	switch {
+	case m == nil && t.machines.ended[e.ID]:
+		return
 	case m == nil:
 		m = holding.New(e, 0)
 		m.EmptySince = t.now
--- a/internal/coordinator/recover.go
+++ b/internal/coordinator/recover.go
@@ -26,6 +26,8 @@
 	minionTable = "minion"
 	// minionList is the platform's list of minions.
 	minionList = "servers"
+	// dutyTable has one row, see dutyKey.
+	dutyTable = "duty"
 	// MemberTable has a row for each entry VM.
 	MemberTable = "entry"
 )
@@ -59,7 +61,7 @@
 }
 
 // tables are the rows that a term begins with.
-type tables struct{ jobs, progress, recorded, listed platform.Changes }
+type tables struct{ jobs, progress, recorded, listed, duties platform.Changes }
 
 // load reads the tables until it succeeds or the term ends.
 func (t *Term) load() {
@@ -94,6 +96,7 @@
 	read(minionTable, &x.recorded)
 	read(JobTable, &x.jobs)
 	read(progressTable, &x.progress)
+	read(dutyTable, &x.duties)
 	return x, g.Wait()
 }
 
@@ -115,6 +118,9 @@
 // begin takes the tables over.
 func (t *Term) begin(x tables) {
 	unseen := t.unseenUntil()
+	for _, r := range x.duties.Rows {
+		t.takeDuties(r.Value)
+	}
 	for _, r := range x.recorded.Rows {
 		var v minionRow
 		if err := json.Unmarshal(r.Value, &v); err != nil {
--- a/internal/coordinator/waves.go
+++ b/internal/coordinator/waves.go
@@ -137,9 +137,7 @@
 		t.writeStatus(r)
 		return
 	}
-	if t.mayOrderMachines() {
-		t.takeMachines(r, down)
-	}
+	t.takeMachines(r, down)
 }
 
 // takeMachines drains machines and orders their maintenance, at most as many at once as
@@ -169,7 +167,7 @@
 			return
 		}
 		m, ok := t.machines.byName[x.name]
-		if !ok || m.State != site.MachineUp || t.now < x.next || t.machines.moves[x.name] != nil || !urgent && busy[m.Pool] {
+		if !ok || m.State != site.MachineUp || t.now < x.next || t.machines.moves[x.name] != nil || !t.mayOrder(x.name) || !urgent && busy[m.Pool] {
 			continue
 		}
 		x.state, x.minion, x.since = dutyDraining, m.Minion, t.now
@@ -225,9 +223,15 @@
 func (t *Term) orderMaintenance(r *waveRun, x *waveMachine) {
 	x.state, x.calling = dutyOrdered, true
 	d := site.Duty{Holder: t.d.Self.Entry, Token: t.epoch}
-	t.async(machineTimeout, func(ctx context.Context) func() {
-		err := t.d.Machines.Maintain(ctx, d, x.name, r.wave.Number)
-		return func() { t.maintained(r, x, err) }
+	t.orderMachine(x.name, func() {
+		if !t.leading() {
+			t.maintained(r, x, site.ErrNoAnswer)
+			return
+		}
+		t.async(machineTimeout, func(ctx context.Context) func() {
+			err := t.d.Machines.Maintain(ctx, d, x.name, r.wave.Number)
+			return func() { t.maintained(r, x, err) }
+		})
 	})
 }
 
@@ -237,6 +241,7 @@
 	switch {
 	case err == nil:
 		x.state, x.since = dutyDown, t.now
+		t.lifeOver(x.minion)
 		t.log.Info().Int64("wave", r.wave.Number).Str("machine", string(x.name)).Msg("Coordinator: maintenance began.")
 		t.storeWave(r)
 	case site.RefusalOf(err) == site.RefusedWave:
--- a/internal/entry/elect.go
+++ b/internal/entry/elect.go
@@ -122,6 +122,10 @@
 			return
 		}
 		s.known, s.row, s.lease, s.changed = true, row, held, asked
+		if l := n.leader.Load(); l != nil && l.epoch == held.Epoch && l.lease == row.Version {
+			// The coordinator itself told of this version when it was heard last.
+			s.changed = min(asked, l.heard)
+		}
 		n.noteHolder(held)
 	}
 	if n.free(s) {
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -14,6 +14,7 @@
 	"boragepulley/internal/model"
 	"boragepulley/internal/peer"
 	"boragepulley/internal/platform"
+	"boragepulley/internal/relay"
 	"boragepulley/internal/site"
 )
 
@@ -43,6 +44,9 @@
 	waves  atomic.Pointer[map[int64]site.Wave]
 	term   atomic.Pointer[coordinator.Term]
 	leader atomic.Pointer[leaderView]
+	// members are the peer addresses of all entry VMs.
+	members atomic.Pointer[map[model.EntryVM]string]
+	store   *relay.Store
 	// reached is set once the store has answered, leaving when a shutdown has begun.
 	reached, leaving atomic.Bool
 
@@ -62,10 +66,12 @@
 
 // leaderView is what this node knows of the site's coordinator.
 type leaderView struct {
-	name    model.EntryVM
-	addr    string
-	epoch   uint64
-	heard   time.Duration
+	name  model.EntryVM
+	addr  string
+	epoch uint64
+	heard time.Duration
+	// lease is the version of the lease's row that the coordinator wrote last.
+	lease   uint64
 	leaving bool
 	pending map[model.Queue]int
 	load    map[model.Queue]peer.QueueLoad
@@ -74,7 +80,25 @@
 // New returns a node that does nothing until Start.
 func New(d Deps) *Node {
 	ctx, stop := context.WithCancel(context.Background())
-	return &Node{d: d, log: logging.Part(d.Log, "entry"), ctx: ctx, stop: stop, clients: map[string]*peer.Client{}}
+	n := &Node{d: d, log: logging.Part(d.Log, "entry"), ctx: ctx, stop: stop, clients: map[string]*peer.Client{}}
+	n.store = &relay.Store{Self: d.Self, Table: d.Table, Feed: d.Feed, Peers: n.relays, Log: n.log}
+	n.d.Table, n.d.Feed = n.store, n.store
+	return n
+}
+
+// relays returns the other entry VMs as far as they are known.
+func (n *Node) relays() []relay.Peer {
+	known := n.members.Load()
+	if known == nil {
+		return nil
+	}
+	out := make([]relay.Peer, 0, len(*known))
+	for name, addr := range *known {
+		if name != n.d.Self.Entry {
+			out = append(out, n.dial(name, addr))
+		}
+	}
+	return out
 }
 
 // Start begins to follow the configuration and to take part in the election.
@@ -131,8 +155,9 @@
 			}
 			return nil
 		},
-		Dial: func(name model.EntryVM, addr string) coordinator.Remote { return n.dial(name, addr) },
-		Now:  n.d.Now, Log: logging.Part(n.d.Log, "coordinator"), Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		NoteMembers: func(m map[model.EntryVM]string) { n.members.Store(&m) },
+		Dial:        func(name model.EntryVM, addr string) coordinator.Remote { return n.dial(name, addr) },
+		Now:         n.d.Now, Log: logging.Part(n.d.Log, "coordinator"), Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 }
 
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -24,9 +24,12 @@
 			reply.Epoch = old.epoch
 			break
 		}
-		next := &leaderView{name: m.From.Entry, addr: m.Addr, epoch: m.Epoch, heard: n.d.Now(), leaving: m.Leaving, pending: m.Pending, load: m.Load}
+		next := &leaderView{name: m.From.Entry, addr: m.Addr, epoch: m.Epoch, heard: n.d.Now(), lease: m.Lease, leaving: m.Leaving, pending: m.Pending, load: m.Load}
 		if n.leader.CompareAndSwap(old, next) {
 			reply.Epoch = m.Epoch
+			if len(m.Members) > 0 {
+				n.members.Store(&m.Members)
+			}
 			if old == nil || old.epoch != m.Epoch {
 				n.log.Info().Str("coordinator", string(m.From.Entry)).Uint64("epoch", m.Epoch).Msg("Entry: coordinator followed.")
 			}
@@ -68,6 +71,11 @@
 	return &peer.SiteConfig{Version: c.Version, Value: c.value}, nil
 }
 
+// Store implements peer.SiteHandler.
+func (h handler) Store(ctx context.Context, m *peer.StoreCall) (*peer.StoreAnswer, error) {
+	return h.n.store.Serve(ctx, m), nil
+}
+
 // JobOffer implements peer.SiteHandler.
 func (h handler) JobOffer(_ context.Context, m *peer.JobOffer) (*peer.Empty, error) {
 	if t := h.n.term.Load(); t != nil {
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -20,8 +20,8 @@
 
 // TTL is how long a lease lasts after the write that renewed it was sent. A takeover
 // after a power loss takes about as long, and a store that is slow by the factor of 60
-// (0.5 s a write) leaves time for three renewals.
-const TTL = 2500 * time.Millisecond
+// (0.3 s a write) leaves time for two renewals.
+const TTL = 2000 * time.Millisecond
 
 // ErrLost means that another entry VM holds the lease.
 var ErrLost = errors.New("lease: held by another")
@@ -51,9 +51,10 @@
 
 // Held is a lease that this process holds. Its methods are not safe for concurrent use.
 type Held struct {
-	Row     Row
-	table   platform.Table
-	version uint64
+	Row   Row
+	table platform.Table
+	// Version is that of the row as it was written last.
+	Version uint64
 	now     func() time.Duration
 	// Until is when the lease ends, on the clock that counts suspended time.
 	Until time.Duration
@@ -67,7 +68,7 @@
 		return nil, err
 	}
 	by.Epoch, by.Seq = old.Epoch+1, 0
-	h := &Held{Row: by, table: t, version: seen.Version, now: now}
+	h := &Held{Row: by, table: t, Version: seen.Version, now: now}
 	return h, h.Commit(ctx, nil)
 }
 
@@ -83,7 +84,7 @@
 	}
 	sent := h.now()
 	v, err := platform.CommitAndVerify(ctx, h.table, platform.PriorityLease, platform.Txn{
-		Conditions: []platform.Condition{{Key: Key, Version: h.version}},
+		Conditions: []platform.Condition{{Key: Key, Version: h.Version}},
 		Puts:       append([]platform.Put{{Key: Key, Value: value}}, puts...),
 	}, Key, func(r platform.Row) bool {
 		got, err := Decode(r)
@@ -95,7 +96,7 @@
 	if err != nil {
 		return err
 	}
-	h.Row, h.version = next, v[Key]
+	h.Row, h.Version = next, v[Key]
 	h.Until = sent + TTL
 	return nil
 }
--- a/internal/peer/site.go
+++ b/internal/peer/site.go
@@ -16,6 +16,7 @@
 	MethodJobStop    = "JobStop"
 	MethodJobState   = "JobState"
 	MethodSiteConfig = "SiteConfig"
+	MethodStore      = "Store"
 )
 
 // Lead is sent by the site's coordinator to every entry VM. An entry VM that answers it
@@ -34,6 +35,10 @@
 	Load map[model.Queue]QueueLoad `json:"load,omitempty"`
 	// Leaving means that the sender gives the lease up.
 	Leaving bool `json:"leaving,omitempty"`
+	// Lease is the version of the lease's row as the sender wrote it last.
+	Lease uint64 `json:"lease"`
+	// Members are the peer addresses of all entry VMs.
+	Members map[model.EntryVM]string `json:"members,omitempty"`
 }
 
 // QueueLoad is the backlog of a queue as the coordinator sees it.
@@ -84,6 +89,65 @@
 	Value   []byte `json:"value"`
 }
 
+// StoreCall asks an entry VM to make a call of the platform's store for one that the store
+// turns away or that does not reach it. Exactly one of the calls is set.
+type StoreCall struct {
+	From     Sender        `json:"from"`
+	Priority int           `json:"prio"`
+	Get      string        `json:"get,omitempty"`
+	Scan     *StoreScan    `json:"scan,omitempty"`
+	Commit   *StoreTxn     `json:"commit,omitempty"`
+	ReadAll  string        `json:"read_all,omitempty"`
+	Changes  *StoreChanges `json:"changes,omitempty"`
+}
+
+// StoreScan is a reading of rows by prefix.
+type StoreScan struct {
+	Prefix string `json:"prefix"`
+	Limit  int    `json:"limit,omitempty"`
+}
+
+// StoreChanges asks for changes after a version.
+type StoreChanges struct {
+	Table  string `json:"table"`
+	After  uint64 `json:"after"`
+	WaitMS int64  `json:"wait_ms"`
+}
+
+// StoreRow is a row. Removed rows have no value.
+type StoreRow struct {
+	Key     string `json:"k"`
+	Version uint64 `json:"v,omitempty"`
+	Value   []byte `json:"d,omitempty"`
+	Removed bool   `json:"r,omitempty"`
+}
+
+// StoreTxn is a transaction: rows with the versions that they must have, and rows to write.
+type StoreTxn struct {
+	Conditions []StoreRow `json:"if,omitempty"`
+	Puts       []StoreRow `json:"put,omitempty"`
+}
+
+// StoreAnswer is the outcome of a StoreCall.
+type StoreAnswer struct {
+	// Failure is empty if the call was done.
+	Failure StoreFailure `json:"failure,omitempty"`
+	Detail  string       `json:"detail,omitempty"`
+	Rows    []StoreRow   `json:"rows,omitempty"`
+	Version uint64       `json:"version,omitempty"`
+}
+
+// StoreFailure says what is known of a call that was not done.
+type StoreFailure string
+
+const (
+	StoreConflict    StoreFailure = "conflict"
+	StoreUnknown     StoreFailure = "unknown_outcome"
+	StoreUnavailable StoreFailure = "unavailable"
+	StoreHistoryGone StoreFailure = "history_gone"
+)
+
+func (m *StoreCall) sender() Sender     { return m.From }
 func (m *Lead) sender() Sender          { return m.From }
 func (m *JobOffer) sender() Sender      { return m.From }
 func (m *JobAsk) sender() Sender        { return m.From }
@@ -97,6 +161,8 @@
 	JobStop(ctx context.Context, m *JobAsk) (*JobAnswer, error)
 	JobState(ctx context.Context, m *JobAsk) (*JobAnswer, error)
 	SiteConfig(ctx context.Context, m *SiteConfigAsk) (*SiteConfig, error)
+	// Store makes a call of the platform's store for the sender.
+	Store(ctx context.Context, m *StoreCall) (*StoreAnswer, error)
 }
 
 var _ SiteHandler = (*Client)(nil)
@@ -107,6 +173,7 @@
 	MethodJobStop:    bind(SiteHandler.JobStop),
 	MethodJobState:   bind(SiteHandler.JobState),
 	MethodSiteConfig: bind(SiteHandler.SiteConfig),
+	MethodStore:      bind(SiteHandler.Store),
 	MethodPing: bind(func(SiteHandler, context.Context, *Ping) (*Empty, error) {
 		return &Empty{}, nil
 	}),
@@ -141,3 +208,8 @@
 func (c *Client) SiteConfig(ctx context.Context, m *SiteConfigAsk) (*SiteConfig, error) {
 	return call[SiteConfig](ctx, c, MethodSiteConfig, m, shortTimeout, false)
 }
+
+// Store implements SiteHandler.
+func (c *Client) Store(ctx context.Context, m *StoreCall) (*StoreAnswer, error) {
+	return call[StoreAnswer](ctx, c, MethodStore, m, fetchTimeout, false)
+}
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,270 @@
+// Package relay carries store calls through another entry VM when the platform's store
+// turns this one away or cannot be reached from it, while it serves the others. A call
+// goes directly first; only a call that certainly had no effect goes on to a peer, and a
+// peer makes it directly or not at all, so that no call travels twice.
+package relay
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"boragepulley/internal/peer"
+	"boragepulley/internal/platform"
+)
+
+const (
+	// peersAsked is how many peers a call is offered to: on these sites up to a third of the
+	// entry VMs is turned away at the same time, so two miss in one of nine cases.
+	peersAsked = 2
+	// relayTimeout bounds a call through one peer.
+	relayTimeout = 1200 * time.Millisecond
+	// relayedWait is how long the store may hold a relayed call for changes.
+	relayedWait = 300 * time.Millisecond
+)
+
+// Peer makes store calls for others.
+type Peer interface {
+	Store(ctx context.Context, m *peer.StoreCall) (*peer.StoreAnswer, error)
+}
+
+// Store is the platform's store with the way through peers. Errors are those of
+// platform.Table and platform.Feed.
+type Store struct {
+	Self  peer.Sender
+	Table platform.Table
+	Feed  platform.Feed
+	// Peers returns the other entry VMs.
+	Peers func() []Peer
+	Log   zerolog.Logger
+}
+
+var (
+	_ platform.Table = (*Store)(nil)
+	_ platform.Feed  = (*Store)(nil)
+)
+
+// noEffect reports whether a call certainly did nothing and may go another way.
+func noEffect(err error) bool {
+	return errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrBudget)
+}
+
+// via makes a call through a peer. ok is unset if no peer could make it either; the
+// direct error stands then.
+func (s *Store) via(ctx context.Context, m *peer.StoreCall) (a *peer.StoreAnswer, ok bool, err error) {
+	m.From = s.Self
+	peers := s.Peers()
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	for _, p := range peers[:min(len(peers), peersAsked)] {
+		if ctx.Err() != nil {
+			return nil, false, nil
+		}
+		c, cancel := context.WithTimeout(ctx, relayTimeout)
+		a, err := p.Store(c, m)
+		cancel()
+		switch {
+		case err != nil && m.Commit != nil && !notReached(err):
+			return nil, true, errors.Wrap(platform.ErrUnknownOutcome, err.Error())
+		case err != nil || a.Failure == peer.StoreUnavailable:
+			continue
+		}
+		return a, true, failure(a)
+	}
+	return nil, false, nil
+}
+
+// notReached reports whether a message certainly did not arrive.
+func notReached(err error) bool {
+	for _, e := range []error{peer.ErrRefused, peer.ErrNotConnected, peer.ErrTooLarge, peer.ErrBusy} {
+		if errors.Is(err, e) {
+			return true
+		}
+	}
+	return false
+}
+
+// failure turns an answer's failure into an error of the platform's client.
+func failure(a *peer.StoreAnswer) error {
+	switch a.Failure {
+	case "":
+		return nil
+	case peer.StoreConflict:
+		return &platform.ConflictError{Rows: rowsOf(a.Rows)}
+	case peer.StoreHistoryGone:
+		return errors.Wrap(platform.ErrHistoryGone, a.Detail)
+	}
+	return errors.Wrap(platform.ErrUnknownOutcome, a.Detail)
+}
+
+func rowsOf(in []peer.StoreRow) []platform.Row {
+	out := make([]platform.Row, len(in))
+	for i, r := range in {
+		out[i] = platform.Row{Key: r.Key, Version: r.Version, Value: r.Value}
+		if r.Removed {
+			out[i].Value = nil
+		}
+	}
+	return out
+}
+
+// Get implements platform.Table.
+func (s *Store) Get(ctx context.Context, p platform.Priority, key string) (platform.Row, error) {
+	r, err := s.Table.Get(ctx, p, key)
+	if err == nil || !noEffect(err) {
+		return r, err
+	}
+	if a, ok, rerr := s.via(ctx, &peer.StoreCall{Priority: int(p), Get: key}); ok {
+		if rerr != nil || len(a.Rows) != 1 {
+			return r, errors.Wrap(platform.ErrUnavailable, "no row through a peer")
+		}
+		return rowsOf(a.Rows)[0], nil
+	}
+	return r, err
+}
+
+// Scan implements platform.Table.
+func (s *Store) Scan(ctx context.Context, p platform.Priority, prefix string, limit int) ([]platform.Row, error) {
+	r, err := s.Table.Scan(ctx, p, prefix, limit)
+	if err == nil || !noEffect(err) {
+		return r, err
+	}
+	if a, ok, rerr := s.via(ctx, &peer.StoreCall{Priority: int(p), Scan: &peer.StoreScan{Prefix: prefix, Limit: limit}}); ok && rerr == nil {
+		return rowsOf(a.Rows), nil
+	}
+	return r, err
+}
+
+// Commit implements platform.Table.
+func (s *Store) Commit(ctx context.Context, p platform.Priority, t platform.Txn) (map[string]uint64, error) {
+	v, err := s.Table.Commit(ctx, p, t)
+	if err == nil || !noEffect(err) {
+		return v, err
+	}
+	x := &peer.StoreTxn{}
+	for _, c := range t.Conditions {
+		x.Conditions = append(x.Conditions, peer.StoreRow{Key: c.Key, Version: c.Version})
+	}
+	for _, w := range t.Puts {
+		x.Puts = append(x.Puts, peer.StoreRow{Key: w.Key, Value: w.Value, Removed: w.Value == nil})
+	}
+	a, ok, rerr := s.via(ctx, &peer.StoreCall{Priority: int(p), Commit: x})
+	if !ok {
+		return v, err
+	}
+	if rerr != nil {
+		return nil, rerr
+	}
+	versions := make(map[string]uint64, len(a.Rows))
+	for _, r := range a.Rows {
+		versions[r.Key] = r.Version
+	}
+	return versions, nil
+}
+
+// ReadAll implements platform.Feed.
+func (s *Store) ReadAll(ctx context.Context, p platform.Priority, table string) (platform.Changes, error) {
+	c, err := s.Feed.ReadAll(ctx, p, table)
+	if err == nil || !noEffect(err) {
+		return c, err
+	}
+	if a, ok, rerr := s.via(ctx, &peer.StoreCall{Priority: int(p), ReadAll: table}); ok && rerr == nil {
+		return platform.Changes{Rows: rowsOf(a.Rows), Version: a.Version}, nil
+	}
+	return c, err
+}
+
+// Changes implements platform.Feed. Through a peer it waits less.
+func (s *Store) Changes(ctx context.Context, p platform.Priority, table string, after uint64, wait time.Duration) (platform.Changes, error) {
+	c, err := s.Feed.Changes(ctx, p, table, after, wait)
+	if err == nil || !noEffect(err) {
+		return c, err
+	}
+	m := &peer.StoreChanges{Table: table, After: after, WaitMS: min(wait, relayedWait).Milliseconds()}
+	a, ok, rerr := s.via(ctx, &peer.StoreCall{Priority: int(p), Changes: m})
+	switch {
+	case !ok:
+		return c, err
+	case errors.Is(rerr, platform.ErrHistoryGone):
+		return c, rerr
+	case rerr != nil:
+		return c, errors.Wrap(platform.ErrUnavailable, rerr.Error())
+	}
+	return platform.Changes{Rows: rowsOf(a.Rows), Version: a.Version}, nil
+}
+
+// Serve makes a call for a peer, directly.
+func (s *Store) Serve(ctx context.Context, m *peer.StoreCall) *peer.StoreAnswer {
+	var a peer.StoreAnswer
+	var err error
+	p := platform.Priority(m.Priority)
+	switch {
+	case m.Commit != nil:
+		err = s.serveCommit(ctx, p, m.Commit, &a)
+	case m.Scan != nil:
+		var rows []platform.Row
+		rows, err = s.Table.Scan(ctx, p, m.Scan.Prefix, m.Scan.Limit)
+		a.Rows = wire(rows)
+	case m.Changes != nil:
+		var c platform.Changes
+		c, err = s.Feed.Changes(ctx, p, m.Changes.Table, m.Changes.After, time.Duration(m.Changes.WaitMS)*time.Millisecond)
+		a.Rows, a.Version = wire(c.Rows), c.Version
+	case m.ReadAll != "":
+		var c platform.Changes
+		c, err = s.Feed.ReadAll(ctx, p, m.ReadAll)
+		a.Rows, a.Version = wire(c.Rows), c.Version
+	default:
+		var r platform.Row
+		r, err = s.Table.Get(ctx, p, m.Get)
+		a.Rows = wire([]platform.Row{r})
+	}
+	if err != nil {
+		a = peer.StoreAnswer{Failure: kind(err), Detail: err.Error()}
+		var conflict *platform.ConflictError
+		if errors.As(err, &conflict) {
+			a.Rows = wire(conflict.Rows)
+		}
+	}
+	return &a
+}
+
+func (s *Store) serveCommit(ctx context.Context, p platform.Priority, x *peer.StoreTxn, a *peer.StoreAnswer) error {
+	var t platform.Txn
+	for _, c := range x.Conditions {
+		t.Conditions = append(t.Conditions, platform.Condition{Key: c.Key, Version: c.Version})
+	}
+	for _, w := range x.Puts {
+		put := platform.Put{Key: w.Key, Value: w.Value}
+		if w.Removed {
+			put.Value = nil
+		}
+		t.Puts = append(t.Puts, put)
+	}
+	v, err := s.Table.Commit(ctx, p, t)
+	for key, version := range v {
+		a.Rows = append(a.Rows, peer.StoreRow{Key: key, Version: version})
+	}
+	return err
+}
+
+func kind(err error) peer.StoreFailure {
+	switch {
+	case errors.Is(err, platform.ErrConflict):
+		return peer.StoreConflict
+	case errors.Is(err, platform.ErrHistoryGone):
+		return peer.StoreHistoryGone
+	case noEffect(err):
+		return peer.StoreUnavailable
+	}
+	return peer.StoreUnknown
+}
+
+func wire(in []platform.Row) []peer.StoreRow {
+	out := make([]peer.StoreRow, len(in))
+	for i, r := range in {
+		out[i] = peer.StoreRow{Key: r.Key, Version: r.Version, Value: r.Value, Removed: r.Value == nil}
+	}
+	return out
+}
