coordinator: a successor counts machines that may still be down for a wave

Change: machines in the wave's row are down until the list shows them up; machines whose last order may be the predecessor's, and those the list shows in maintenance, count against the bound; nothing is ordered before the list is read.

--- a/internal/coordinator/waves.go
+++ b/internal/coordinator/waves.go
@@ -123,7 +123,7 @@
 	down, open := 0, 0
 	for _, x := range r.machines {
 		t.stepMachine(r, x)
-		if x.state == dutyOrdered || x.state == dutyDown {
+		if t.mayBeDown(x) {
 			down++
 		}
 		if x.state != dutyBack {
@@ -137,7 +137,16 @@
 		t.writeStatus(r)
 		return
 	}
-	t.takeMachines(r, down)
+	if t.machines.lives != nil {
+		t.takeMachines(r, down)
+	}
+}
+
+// mayBeDown reports whether a machine counts against the wave's bound: by this term's
+// orders, by the list, or because an earlier holder may have ordered it last.
+func (t *Term) mayBeDown(x *waveMachine) bool {
+	return x.state == dutyOrdered || x.state == dutyDown || t.machines.byName[x.name].State == site.MachineMaintenance ||
+		x.state != dutyBack && !t.mayOrder(x.name)
 }
 
 // takeMachines drains machines and orders their maintenance, at most as many at once as
@@ -305,7 +314,8 @@
 			}
 			for _, name := range v.Begun {
 				if x := r.machines[name]; x != nil {
-					x.state = dutyBack
+					// It may still be down; the list tells when it is up.
+					x.state, x.since, x.seenDown = dutyDown, t.now, true
 				}
 			}
 			if !v.Seen.IsZero() {
