--- /dev/null
+++ b/internal/capacity/plan_test.go
@@ -0,0 +1,74 @@
+package capacity
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"boragepulley/internal/jobs"
+	"boragepulley/internal/model"
+)
+
+var size = jobs.Resources{CPU: 64000, MemoryMB: 128000}
+
+func machines(pool model.Service, n int, movable bool, idle time.Duration) []Machine {
+	var out []Machine
+	for i := range n {
+		out = append(out, Machine{Name: model.VM(fmt.Sprintf("%s-%d", pool, i)), Pool: pool, Capacity: size, Movable: movable, Idle: idle, Serves: true})
+	}
+	return out
+}
+
+// Guards against a burst that meets one pool while the machines of the others idle.
+func TestBurstGetsStandbyMachinesFirstThenIdleOnes(t *testing.T) {
+	all := append(machines("off", 3, true, 0), machines("cold", 8, true, time.Minute)...)
+	all = append(all, machines("hot", 2, false, 0)...)
+	p := Make(Snapshot{Standby: "off", Machines: all, Services: []Service{{Name: "cold"}, {Name: "hot", Forecast: 400}}})
+	from := map[string]int{}
+	for _, m := range p.Moves {
+		if m.To == "hot" {
+			from[string(m.Machine)[:3]]++
+		}
+	}
+	require.Equal(t, map[string]int{"off": 3, "col": 4}, from)
+}
+
+// Guards against idle machines that stay in a pool because others there have work.
+func TestIdleMachinesGoToStandby(t *testing.T) {
+	all := append(machines("s", 6, true, time.Minute), Machine{Name: "busy", Pool: "s", Capacity: size, Serves: true, Idle: time.Hour})
+	p := Make(Snapshot{Standby: "off", Machines: all, Services: []Service{{Name: "s", Busy: jobs.Resources{CPU: 30000}}}})
+	require.Len(t, p.Moves, 4, "7 machines, 3 wanted")
+	for _, m := range p.Moves {
+		require.Equal(t, model.Service("off"), m.To)
+		require.NotEqual(t, model.VM("busy"), m.Machine)
+	}
+}
+
+// Guards against machines that go and come back within seconds.
+func TestRecentWantsHoldMachines(t *testing.T) {
+	var d Demand
+	d.Wanted(time.Second, 9)
+	d.Wanted(2*time.Second, 3)
+	require.Equal(t, 9, d.Recent(3*time.Second))
+	require.Equal(t, 3, d.Recent(4*time.Second))
+	p := Make(Snapshot{Standby: "off", Machines: machines("s", 9, true, time.Minute), Services: []Service{{Name: "s", Recent: 9}}})
+	require.Empty(t, p.Moves)
+}
+
+// Guards against a forecast that takes two large jobs for a burst, and one that misses a
+// burst in its first second.
+func TestForecastTellsABurstFromAFewJobs(t *testing.T) {
+	var few Demand
+	few.Add(10*time.Second, 200)
+	few.Add(10100*time.Millisecond, 200)
+	require.Less(t, few.Forecast(10200*time.Millisecond), 200.0)
+
+	var burst Demand
+	for i := range 8 {
+		burst.Add(10*time.Second+time.Duration(i)*100*time.Millisecond, 27)
+	}
+	require.Greater(t, burst.Forecast(10800*time.Millisecond), 270.0)
+	require.Zero(t, burst.Forecast(20*time.Second))
+}
--- /dev/null
+++ b/internal/coordinator/harness_test.go
@@ -0,0 +1,125 @@
+package coordinator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"boragepulley/internal/jobs"
+	"boragepulley/internal/lease"
+	"boragepulley/internal/model"
+	"boragepulley/internal/peer"
+	"boragepulley/internal/site"
+	"boragepulley/standins/fleet"
+)
+
+// bench is a site under a fake clock: a store, minions, and terms of entry VMs.
+type bench struct {
+	t        *testing.T
+	store    *fleet.Store
+	minions  *fleet.Minions
+	machines *fleet.Machines
+	config   *site.Config
+	waves    map[int64]site.Wave
+	began    time.Time
+}
+
+const (
+	testQueue   model.Queue   = "q"
+	testService model.Service = "svc"
+	testTeam    model.Team    = "team"
+)
+
+// newBench returns a site with n minions of 4 cores.
+func newBench(t *testing.T, n int) *bench {
+	b := &bench{t: t, store: fleet.NewStore(), minions: fleet.NewMinions(), machines: &fleet.Machines{}, began: time.Now(), waves: map[int64]site.Wave{}}
+	b.config = &site.Config{Version: 1, Services: map[model.Service]site.Service{testService: {Guarded: true}},
+		Teams: map[model.Team]site.Team{testTeam: {Weight: 1}}, Keys: map[string]model.Team{"key": testTeam},
+		Queues: []site.Queue{{Name: testQueue, Host: "h", Prefix: "/q/", Service: testService, MaxAttempts: 3, Stretch: 2, Target: time.Second}}}
+	b.config.Index()
+	for i := range n {
+		b.addMinion(jobs.Minion(fmt.Sprintf("m%d", i)))
+	}
+	return b
+}
+
+func (b *bench) addMinion(id jobs.Minion) {
+	b.minions.Add(site.MinionEntry{ID: id, Service: testService, Addr: string(id), DC: "dc", Rack: model.Rack("rack-" + string(id)),
+		Capacity: jobs.Resources{CPU: 4000, MemoryMB: 4000}})
+	b.list(id)
+}
+
+// list puts a minion's entry into the platform's list.
+func (b *bench) list(id jobs.Minion) { b.store.Put("servers/"+string(id), b.minions.EntryRow(id)) }
+
+func (b *bench) deps(name model.EntryVM, view *fleet.View) Deps {
+	return Deps{
+		Self: peer.Sender{Entry: name, DC: "dc", Incarnation: model.Incarnation(name)}, Addr: "a", Table: view, Feed: view,
+		Minions: b.minions, Machines: b.machines,
+		Codec: Codec{
+			Minion: func(_ string, v []byte) (e site.MinionEntry, err error) { return e, json.Unmarshal(v, &e) },
+			Wave:   func(v []byte) (w site.Wave, err error) { return w, json.Unmarshal(v, &w) },
+			WaveStatus: func(s site.WaveState) ([]byte, error) {
+				return json.Marshal(map[string]string{"state": string(s)})
+			},
+		},
+		Limits:      Limits{Hold: 6 * time.Second, Stop: 400 * time.Millisecond, DutyGap: 3 * time.Second, Retention: time.Minute},
+		Config:      func() *site.Config { return b.config },
+		Waves:       func() map[int64]site.Wave { return b.waves },
+		NoteMembers: func(map[model.EntryVM]string) {},
+		Dial:        func(model.EntryVM, string) Remote { return nil },
+		Now:         func() time.Duration { return time.Hour + time.Since(b.began) },
+		Log:         zerolog.Nop(),
+		Rand:        rand.New(rand.NewPCG(1, 2)),
+	}
+}
+
+// take begins a term of an entry VM, whoever held the lease before.
+func (b *bench) take(name model.EntryVM, fault func(op string) fleet.Fault) *Term {
+	view := &fleet.View{Store: b.store, Fault: fault}
+	d := b.deps(name, view)
+	seen := b.store.Row(lease.Key)
+	held, err := lease.Take(context.Background(), &fleet.View{Store: b.store}, d.Now, seen, lease.Row{Holder: name, Addr: "a", Incarnation: model.Incarnation(name)})
+	require.NoError(b.t, err)
+	// Writes of the term go through the view with faults.
+	return Start(d, held.Through(view))
+}
+
+func end(t *Term) {
+	t.End(ErrNotCoordinating)
+	_ = t.Wait()
+}
+
+// accept stores a job as an entry VM does, and offers it.
+func (b *bench) accept(t *Term, id jobs.ID, steps ...jobs.Step) {
+	a := jobs.Accepted{ID: id, Queue: testQueue, Service: testService, Team: testTeam, At: time.Now(), Spec: jobs.Spec{Payload: "p", Steps: steps}}
+	value, err := json.Marshal(a)
+	require.NoError(b.t, err)
+	b.store.Put(JobKey(id), value)
+	if t != nil {
+		t.Offer(id, value)
+	}
+}
+
+func (b *bench) state(t *Term, id jobs.ID) jobs.State {
+	s, ok, err := t.State(context.Background(), id)
+	require.NoError(b.t, err)
+	require.True(b.t, ok)
+	return s
+}
+
+// step returns a step of n tasks of one core.
+func step(n int, after ...int) jobs.Step {
+	return jobs.Step{Count: n, Need: jobs.Resources{CPU: 1000}, Estimate: 500 * time.Millisecond, After: after}
+}
+
+func (b *bench) clean() { require.Empty(b.t, b.minions.Violations()) }
+
+// sleep passes fake time.
+func sleep(d time.Duration) { time.Sleep(d) }
--- /dev/null
+++ b/internal/coordinator/term_test.go
@@ -0,0 +1,296 @@
+package coordinator
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"boragepulley/internal/jobs"
+	"boragepulley/internal/site"
+	"boragepulley/standins/fleet"
+)
+
+// Guards against a step that starts before the steps that it comes after have ended.
+func TestStepsFollowEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 2)
+		term := b.take("e1", nil)
+		defer end(term)
+		sleep(time.Second)
+		b.accept(term, "0000000000000001", step(3), step(2, 0))
+		sleep(300 * time.Millisecond)
+		require.Len(t, b.minions.Running("0000000000000001.0.0.2"), 1)
+		require.Empty(t, b.minions.Running("0000000000000001.0.1.0"))
+		sleep(500 * time.Millisecond)
+		require.Len(t, b.minions.Running("0000000000000001.0.1.0"), 1)
+		sleep(time.Second)
+		require.Equal(t, jobs.StateCompleted, b.state(term, "0000000000000001"))
+		b.clean()
+	})
+}
+
+// Guards against a final state that is shown before a successor would know of it.
+func TestFinalStateIsShownOnceStored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1)
+		refuse := false
+		term := b.take("e1", func(op string) fleet.Fault {
+			if refuse && op == "commit" {
+				return fleet.Refuse
+			}
+			return fleet.None
+		})
+		defer end(term)
+		sleep(time.Second)
+		b.accept(term, "0000000000000001", step(1))
+		sleep(200 * time.Millisecond)
+		refuse = true
+		sleep(800 * time.Millisecond)
+		require.Equal(t, jobs.StateRunning, b.state(term, "0000000000000001"))
+		refuse = false
+		sleep(500 * time.Millisecond)
+		require.Equal(t, jobs.StateCompleted, b.state(term, "0000000000000001"))
+	})
+}
+
+// Guards against a task that runs twice because a start was under way when its
+// coordinator was killed.
+func TestTakeoverWhileStartsAreInFlight(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 3)
+		b.minions.Work = func(string, int) (time.Duration, jobs.End) { return 4 * time.Second, jobs.EndDone }
+		term := b.take("e1", nil)
+		sleep(time.Second)
+		b.accept(term, "0000000000000001", step(6))
+		sleep(9 * time.Millisecond) // the starts are on their way
+		end(term)
+		next := b.take("e2", nil)
+		defer end(next)
+		sleep(15 * time.Second)
+		require.Equal(t, jobs.StateCompleted, b.state(next, "0000000000000001"))
+		b.clean()
+	})
+}
+
+// Guards against a task that runs twice because its coordinator was killed between an end
+// and its note.
+func TestEndListedButNotNotedWhenTheHolderDies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 2)
+		term := b.take("e1", func(op string) fleet.Fault {
+			if op == "commit" && time.Since(b.began) > 1200*time.Millisecond {
+				return fleet.Refuse
+			}
+			return fleet.None
+		})
+		sleep(time.Second)
+		b.accept(term, "0000000000000001", step(2), step(2, 0))
+		sleep(700 * time.Millisecond) // both ends are listed, none is stored
+		end(term)
+		next := b.take("e2", nil)
+		defer end(next)
+		sleep(3 * time.Second)
+		require.Equal(t, jobs.StateCompleted, b.state(next, "0000000000000001"))
+		require.Equal(t, 1, b.minions.Starts("0000000000000001.0.0.0"))
+		b.clean()
+	})
+}
+
+// Guards against a run that counts as going on after its minion started again under its id.
+func TestMinionRebornUnderItsID(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1)
+		b.minions.Work = func(string, int) (time.Duration, jobs.End) { return 2 * time.Second, jobs.EndDone }
+		term := b.take("e1", nil)
+		defer end(term)
+		sleep(time.Second)
+		b.accept(term, "0000000000000001", step(2))
+		sleep(500 * time.Millisecond)
+		b.minions.Restart("m0")
+		b.list("m0")
+		sleep(4 * time.Second)
+		require.Equal(t, jobs.StateCompleted, b.state(term, "0000000000000001"))
+		require.Equal(t, 2, b.minions.Starts("0000000000000001.0.0.0"))
+		b.clean()
+	})
+}
+
+// Guards against a second run beside one whose start was carried out seconds after it was
+// sent.
+func TestStartsCarriedOutLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 3)
+		n := 0
+		b.minions.Fault = func(op string) fleet.Fault {
+			if n++; op == "start" && n%3 == 0 {
+				return fleet.Late
+			}
+			return fleet.None
+		}
+		term := b.take("e1", nil)
+		defer end(term)
+		sleep(time.Second)
+		b.accept(term, "0000000000000001", step(8), step(4, 0))
+		sleep(12 * time.Second)
+		require.Equal(t, jobs.StateCompleted, b.state(term, "0000000000000001"))
+		b.clean()
+	})
+}
+
+// Guards against a silent minion whose lease is prolonged with each look that it might
+// still hear: its tasks would never start elsewhere.
+func TestSilentMinionIsGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 2)
+		b.minions.Work = func(string, int) (time.Duration, jobs.End) { return 0, "" }
+		term := b.take("e1", nil)
+		defer end(term)
+		sleep(time.Second)
+		lasting := step(1)
+		lasting.Lasting = true
+		b.accept(term, "0000000000000001", lasting)
+		sleep(time.Second)
+		on := b.minions.Running("0000000000000001.0.0.0")
+		require.Len(t, on, 1)
+		b.minions.Change(on[0], func(m *fleet.Minion) { m.Cut = true })
+		sleep(leaseSpan + 2*time.Second)
+		now := b.minions.Running("0000000000000001.0.0.0")
+		require.Len(t, now, 1)
+		require.NotEqual(t, on[0], now[0])
+		b.clean()
+	})
+}
+
+// Guards against a successor that starts tasks which still run on a minion that it cannot
+// reach.
+func TestTakeoverWithAMinionOutOfReach(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 2)
+		b.minions.Work = func(string, int) (time.Duration, jobs.End) { return 0, "" }
+		term := b.take("e1", nil)
+		sleep(time.Second)
+		lasting := step(2)
+		lasting.Lasting = true
+		b.accept(term, "0000000000000001", lasting)
+		sleep(time.Second)
+		for _, id := range []jobs.Minion{"m0", "m1"} {
+			b.minions.Change(id, func(m *fleet.Minion) { m.Cut = true })
+		}
+		b.addMinion("m2")
+		end(term)
+		next := b.take("e2", nil)
+		defer end(next)
+		sleep(10 * time.Second)
+		require.Equal(t, []jobs.Minion{"m2"}, b.minions.Running("0000000000000001.0.0.0"))
+		b.clean()
+	})
+}
+
+// Guards against jobs that are never seen because the store's history was dropped and the
+// entry VM's offer was lost.
+func TestHistoryGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1)
+		term := b.take("e1", nil)
+		defer end(term)
+		sleep(time.Second)
+		b.accept(nil, "0000000000000001", step(1))
+		b.store.Compact()
+		sleep(4 * time.Second)
+		require.Equal(t, jobs.StateCompleted, b.state(term, "0000000000000001"))
+	})
+}
+
+// Guards against more running for a team than its limit, on all minions together.
+func TestTeamLimitHolds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 3)
+		team := b.config.Teams[testTeam]
+		team.Limit.CPU = 5000
+		b.config.Teams[testTeam] = team
+		term := b.take("e1", nil)
+		defer end(term)
+		sleep(time.Second)
+		b.accept(term, "0000000000000001", step(7))
+		b.accept(term, "0000000000000002", step(3))
+		sleep(200 * time.Millisecond)
+		running := 0
+		for _, name := range []string{"1.0.0.0", "1.0.0.1", "1.0.0.2", "1.0.0.3", "1.0.0.4", "1.0.0.5", "1.0.0.6", "2.0.0.0", "2.0.0.1", "2.0.0.2"} {
+			running += len(b.minions.Running("000000000000000" + name))
+		}
+		require.Equal(t, 5, running)
+		sleep(3 * time.Second)
+		require.Equal(t, jobs.StateCompleted, b.state(term, "0000000000000002"))
+		b.clean()
+	})
+}
+
+// Guards against a job that is cancelled and goes on, and a cancelling that is
+// acknowledged before it is stored.
+func TestCancelEndsWhatRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 2)
+		b.minions.Work = func(string, int) (time.Duration, jobs.End) { return time.Minute, jobs.EndDone }
+		term := b.take("e1", nil)
+		sleep(time.Second)
+		b.accept(term, "0000000000000001", step(3))
+		sleep(100 * time.Millisecond)
+		ok, err := term.Cancel(context.Background(), "0000000000000001")
+		require.NoError(t, err)
+		require.True(t, ok)
+		end(term)
+		next := b.take("e2", nil)
+		defer end(next)
+		sleep(time.Second)
+		require.Equal(t, jobs.StateCancelled, b.state(next, "0000000000000001"))
+		require.Empty(t, b.minions.Running("0000000000000001.0.0.0"))
+	})
+}
+
+// Guards against a hopeless job that is tried for ever, and against one that fails for
+// fewer ends than its queue allows because a takeover counts some twice.
+func TestAttemptsAreCountedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 2)
+		b.minions.Work = func(string, int) (time.Duration, jobs.End) { return 300 * time.Millisecond, jobs.EndFailed }
+		term := b.take("e1", nil)
+		sleep(time.Second)
+		b.accept(term, "0000000000000001", step(1))
+		sleep(450 * time.Millisecond) // one run has failed
+		end(term)
+		next := b.take("e2", nil)
+		defer end(next)
+		sleep(3 * time.Second)
+		require.Equal(t, jobs.StateFailed, b.state(next, "0000000000000001"))
+		require.Equal(t, 3, b.minions.Starts("0000000000000001.0.0.0"))
+	})
+}
+
+// Guards against a budget that is broken because a task on a minion with one lost answer
+// counts as away and is ended freely.
+func TestEvacuationKeepsTheBudget(t *testing.T) {
+	term := &Term{minions: nil}
+	s := &jobs.StepRun{Spec: &jobs.Step{Lasting: true, MayMiss: 1}}
+	for range 3 {
+		s.Tasks = append(s.Tasks, &jobs.Task{Step: s, Phase: jobs.Running, Percent: 0})
+	}
+	require.False(t, term.mayEnd(s.Tasks[0]), "two others have not been seen at work")
+}
+
+// Guards against a successor that takes machines down beside those that its predecessor
+// has taken down.
+func TestSuccessorCountsMachinesThatMayBeDown(t *testing.T) {
+	term := &Term{now: time.Hour, began: time.Hour, d: Deps{Limits: Limits{DutyGap: 3 * time.Second}}}
+	term.machines.init()
+	term.takeDuties([]byte(`["m1"]`))
+	require.True(t, term.mayBeDown(&waveMachine{name: "m1"}), "ordered by the predecessor")
+	require.True(t, term.mayBeDown(&waveMachine{name: "m2", state: dutyDown}))
+	require.False(t, term.mayBeDown(&waveMachine{name: "m3"}))
+	term.machines.byName["m3"] = site.Machine{Name: "m3", State: site.MachineMaintenance}
+	require.True(t, term.mayBeDown(&waveMachine{name: "m3"}))
+	term.now += time.Minute
+	require.False(t, term.mayBeDown(&waveMachine{name: "m1"}))
+}
--- /dev/null
+++ b/internal/jobs/book_test.go
@@ -0,0 +1,141 @@
+package jobs
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func accepted(id ID, steps ...Step) Accepted {
+	return Accepted{ID: id, Queue: "q", Spec: Spec{Steps: steps}}
+}
+
+// Guards against a job that fails too early because a successor is told of a failed run
+// that is stored already.
+func TestFailedRunIsCountedOnceAcrossATakeover(t *testing.T) {
+	b := NewBook()
+	j := b.Add(accepted("1", Step{Count: 1}), 0)
+	x := j.Steps[0].Tasks[0]
+	b.Order(x, 1, "m", 0)
+	require.True(t, b.Finish(x, 1, "m", EndFailed, "", 2, 0))
+	value, err := EncodeProgress(j)
+	require.NoError(t, err)
+
+	next := NewBook()
+	k := next.Add(accepted("1", Step{Count: 1}), 0)
+	require.NoError(t, next.Restore(k, value, 0))
+	require.False(t, next.Finish(k.Steps[0].Tasks[0], 1, "m", EndFailed, "", 2, 0), "listed again, not noted yet")
+	require.False(t, k.State().Final())
+	y := k.Steps[0].Tasks[0]
+	require.Equal(t, 2, y.NextRun(1))
+	next.Order(y, 2, "m", 0)
+	next.Finish(y, 2, "m", EndFailed, "", 2, 0)
+	require.Equal(t, StateFailed, k.State())
+}
+
+// Guards against a gang of which one member's end as done leaves the others to run again.
+func TestGangEndsTogether(t *testing.T) {
+	b := NewBook()
+	j := b.Add(accepted("1", Step{Count: 3, Gang: true}), 0)
+	for _, x := range j.Steps[0].Tasks {
+		b.Order(x, 1, "m", 0)
+	}
+	b.Finish(j.Steps[0].Tasks[1], 1, "m", EndDone, "", 1, 0)
+	require.Equal(t, StateCompleted, j.State())
+}
+
+// Guards against a lasting task that is counted as done, or as failed too often.
+func TestLastingTasksWaitAgainHoweverTheyEnd(t *testing.T) {
+	b := NewBook()
+	j := b.Add(accepted("1", Step{Count: 1, Lasting: true}), 0)
+	x := j.Steps[0].Tasks[0]
+	for run, how := range []End{EndDone, EndFailed, EndLapsed, EndStopped, EndFailed} {
+		b.Order(x, run+1, "m", 0)
+		b.Finish(x, run+1, "m", how, "", 1, 0)
+		require.Equal(t, Waiting, x.Phase)
+		require.Equal(t, StateRunning, j.State())
+	}
+}
+
+// Guards against an occurrence that starts before its time.
+func TestOccurrencesOpenAtTheirTimes(t *testing.T) {
+	b := NewBook()
+	first := time.Unix(1000, 0)
+	a := accepted("1", Step{Count: 1})
+	a.Spec.Repeat, a.Spec.FirstRun, a.Spec.Interval = 2, first, 10*time.Second
+	j := b.Add(a, 0)
+	j.OpenSteps(first.Add(-time.Millisecond))
+	require.Empty(t, j.Steps[0].WaitingTasks())
+	j.OpenSteps(first)
+	require.Len(t, j.Steps[0].WaitingTasks(), 1)
+	require.Empty(t, j.Steps[1].WaitingTasks())
+}
+
+// Guards against progress that reads back as something else, whatever happened before.
+func TestProgressSurvivesItsRow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		steps := []Step{{Count: rapid.IntRange(1, 20).Draw(t, "n")}, {Count: rapid.IntRange(1, 9).Draw(t, "m"), After: []int{0}}}
+		b := NewBook()
+		j := b.Add(accepted("abc", steps...), 0)
+		for range rapid.IntRange(0, 60).Draw(t, "events") {
+			s := j.Steps[rapid.IntRange(0, 1).Draw(t, "step")]
+			x := s.Tasks[rapid.IntRange(0, len(s.Tasks)-1).Draw(t, "task")]
+			if x.Phase == Done || j.State().Final() {
+				continue
+			}
+			b.Order(x, x.NextRun(1), "m", 0)
+			how := rapid.SampledFrom([]End{EndDone, EndFailed, EndLapsed}).Draw(t, "how")
+			b.Finish(x, x.Run, "m", how, "", 100, 0)
+		}
+		value, err := EncodeProgress(j)
+		require.NoError(t, err)
+		next := NewBook()
+		k := next.Add(accepted("abc", steps...), 0)
+		require.NoError(t, next.Restore(k, value, 0))
+		require.Equal(t, j.State().Final(), k.State().Final())
+		if j.State().Final() {
+			return
+		}
+		for i, s := range j.Steps {
+			require.Equal(t, s.Ended(), k.Steps[i].Ended())
+			for n, x := range s.Tasks {
+				y := k.Steps[i].Tasks[n]
+				require.Equal(t, x.Phase == Done, y.Phase == Done)
+				require.Equal(t, x.FailedRuns, y.FailedRuns)
+			}
+		}
+	})
+}
+
+// Guards against rows that crash a coordinator when it takes over.
+func FuzzRestore(f *testing.F) {
+	f.Add([]byte(`{"d":["ff",""],"f":{"0.0.1":[1,2]}}`), "a.0.0.1")
+	f.Add([]byte(`{"s":"completed"}`), "....")
+	f.Add([]byte(`{"d":["zz"]}`), "a.-1.0.0")
+	f.Fuzz(func(t *testing.T, value []byte, name string) {
+		b := NewBook()
+		j := b.Add(accepted("a", Step{Count: 3}, Step{Count: 2, After: []int{0}}), 0)
+		_ = b.Restore(j, value, 0) // an error is an answer; a panic is not
+		if n, err := ParseTaskName(name); err == nil {
+			b.Task(n)
+		}
+		_, _ = StoredState(value)
+	})
+}
+
+// Guards against jobs that can never end: contradictions are told when they are handed in.
+func TestSpecCheck(t *testing.T) {
+	for name, s := range map[string]Spec{
+		"no steps":    {},
+		"count 0":     {Steps: []Step{{}}},
+		"after later": {Steps: []Step{{Count: 1, After: []int{1}}, {Count: 1}}},
+		"after self":  {Steps: []Step{{Count: 1, After: []int{0}}}},
+		"negative":    {Steps: []Step{{Count: 1, Need: Resources{CPU: -1}}}},
+		"too many":    {Steps: []Step{{Count: MaxTasks}}, Repeat: 2},
+	} {
+		require.ErrorIs(t, s.Check(), ErrSpec, name)
+	}
+	require.NoError(t, (&Spec{Steps: []Step{{Count: 1}, {Count: 2, After: []int{0}}}}).Check())
+}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -106,3 +106,10 @@
 	h.Row.Holder, h.Row.Addr = "", ""
 	return h.Commit(ctx, nil)
 }
+
+// Through returns the lease with its writes going another way to the store.
+func (h *Held) Through(t platform.Table) *Held {
+	c := *h
+	c.table = t
+	return &c
+}
--- /dev/null
+++ b/internal/lease/lease_test.go
@@ -0,0 +1,73 @@
+package lease
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"boragepulley/internal/platform"
+	"boragepulley/standins/fleet"
+)
+
+func clockFrom(began time.Time) func() time.Duration {
+	return func() time.Duration { return time.Hour + time.Since(began) }
+}
+
+// Guards against two entry VMs that both hold the lease after a race.
+func TestOneTakerWins(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := fleet.NewStore()
+		v := &fleet.View{Store: s}
+		now := clockFrom(time.Now())
+		seen := s.Row(Key)
+		a, err := Take(context.Background(), v, now, seen, Row{Holder: "a", Incarnation: "1"})
+		require.NoError(t, err)
+		_, err = Take(context.Background(), v, now, seen, Row{Holder: "b", Incarnation: "2"})
+		require.ErrorIs(t, err, ErrLost)
+		b, err := Take(context.Background(), v, now, s.Row(Key), Row{Holder: "b", Incarnation: "2"})
+		require.NoError(t, err)
+		require.Equal(t, a.Row.Epoch+1, b.Row.Epoch)
+		require.ErrorIs(t, a.Commit(context.Background(), []platform.Put{{Key: "x/1", Value: []byte("1")}}), ErrLost)
+		require.Zero(t, s.Row("x/1").Version)
+	})
+}
+
+// Guards against an old value that a write, carried out seconds after it was sent, puts
+// back over a newer one.
+func TestLateWriteChangesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := fleet.NewStore()
+		late := false
+		v := &fleet.View{Store: s, Fault: func(op string) fleet.Fault {
+			if late && op == "commit" {
+				late = false
+				return fleet.Late
+			}
+			return fleet.None
+		}}
+		h, err := Take(context.Background(), v, clockFrom(time.Now()), s.Row(Key), Row{Holder: "a", Incarnation: "1"})
+		require.NoError(t, err)
+		late = true
+		require.NoError(t, h.Commit(context.Background(), []platform.Put{{Key: "x/1", Value: []byte("old")}}))
+		require.NoError(t, h.Commit(context.Background(), []platform.Put{{Key: "x/1", Value: []byte("new")}}))
+		time.Sleep(10 * time.Second)
+		require.Equal(t, "new", string(s.Row("x/1").Value))
+	})
+}
+
+// Guards against a lease that is counted from the answer of a slow write instead of from
+// its sending.
+func TestLeaseCountsFromTheSending(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := fleet.NewStore()
+		s.Latency = 800 * time.Millisecond
+		now := clockFrom(time.Now())
+		sent := now()
+		h, err := Take(context.Background(), &fleet.View{Store: s}, now, s.Row(Key), Row{Holder: "a", Incarnation: "1"})
+		require.NoError(t, err)
+		require.Equal(t, sent+TTL, h.Until)
+	})
+}
--- /dev/null
+++ b/internal/schedule/plan_test.go
@@ -0,0 +1,153 @@
+package schedule
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"boragepulley/internal/jobs"
+	"boragepulley/internal/model"
+)
+
+// stepOf returns a step with n waiting tasks.
+func stepOf(id jobs.ID, spec jobs.Step) Step {
+	b := jobs.NewBook()
+	j := b.Add(jobs.Accepted{ID: id, Queue: "q", Team: "t", Spec: jobs.Spec{Steps: []jobs.Step{spec}}}, 0)
+	j.OpenSteps(time.Now())
+	return Step{Run: j.Steps[0], Service: "s", Team: "t", Due: 10 * time.Second, Left: time.Second, Waiting: j.Steps[0].WaitingTasks()}
+}
+
+func minion(id jobs.Minion, cores int64) Minion {
+	r := jobs.Resources{CPU: cores * 1000, MemoryMB: 1000}
+	return Minion{ID: id, Service: "s", Kind: "a", Rack: model.Rack("r" + id), Room: r, Capacity: r}
+}
+
+func need(cores int64) jobs.Resources { return jobs.Resources{CPU: cores * 1000} }
+
+// Guards against a gang of which only some members start.
+func TestGangStartsWholeOrNotAtAll(t *testing.T) {
+	gang := stepOf("1", jobs.Step{Count: 3, Need: need(2), Gang: true})
+	single := stepOf("2", jobs.Step{Count: 1, Need: need(2)})
+	gang.Due, single.Due = time.Second, 2*time.Second // the gang comes first
+	p := Make(&Snapshot{Steps: []Step{gang, single}, Minions: []Minion{minion("a", 2), minion("b", 2)}})
+	require.Len(t, p.Start, 1)
+	require.Equal(t, jobs.ID("2"), p.Start[0].Task.Step.Job.ID)
+	require.Equal(t, []Kept{{Run: gang.Run, Tasks: 3, Reason: ReasonNoRoom}}, p.Kept)
+}
+
+// Guards against work on a minion without the label, of another service, or beyond the
+// bound per minion.
+func TestPlacesOnlyWhereAllowed(t *testing.T) {
+	s := stepOf("1", jobs.Step{Count: 5, Need: need(1), Label: "a", PerMinion: 2})
+	other, kind := minion("x", 9), minion("y", 9)
+	other.Service, kind.Kind = "other", "b"
+	p := Make(&Snapshot{Steps: []Step{s}, Minions: []Minion{other, kind, minion("m", 9)}})
+	require.Len(t, p.Start, 2)
+	for _, a := range p.Start {
+		require.Equal(t, jobs.Minion("m"), a.Minion)
+	}
+}
+
+// Guards against late jobs that hold up those that can still be in time.
+func TestLateJobsComeLast(t *testing.T) {
+	late, inTime := stepOf("1", jobs.Step{Count: 1, Need: need(1)}), stepOf("2", jobs.Step{Count: 1, Need: need(1)})
+	late.Due = time.Second
+	p := Make(&Snapshot{Now: 5 * time.Second, Steps: []Step{late, inTime}, Minions: []Minion{minion("m", 1)}})
+	require.Len(t, p.Start, 1)
+	require.Equal(t, jobs.ID("2"), p.Start[0].Task.Step.Job.ID)
+}
+
+// Guards against a task that goes back to the minion on which it failed.
+func TestAvoidsMinionsOnWhichATaskFailed(t *testing.T) {
+	s := stepOf("1", jobs.Step{Count: 1, Need: need(1)})
+	s.Waiting[0].FailedOn = []jobs.Minion{"a"}
+	p := Make(&Snapshot{Steps: []Step{s}, Minions: []Minion{minion("a", 1), minion("b", 9)}})
+	require.Equal(t, jobs.Minion("b"), p.Start[0].Minion)
+}
+
+// Guards against all tasks that last on one minion, whose loss would take a step whole.
+func TestLastingTasksAreGatheredInFours(t *testing.T) {
+	s := stepOf("1", jobs.Step{Count: 6, Need: need(1), Lasting: true})
+	p := Make(&Snapshot{Steps: []Step{s}, Minions: []Minion{minion("a", 9), minion("b", 9), minion("c", 9)}})
+	count := map[jobs.Minion]int{}
+	for _, a := range p.Start {
+		count[a.Minion]++
+	}
+	require.Len(t, count, 2)
+	for _, n := range count {
+		require.LessOrEqual(t, n, maxLasting)
+	}
+}
+
+// Guards against plans that break a bound, over random snapshots.
+func TestPlanKeepsItsInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		snap := &Snapshot{Teams: map[model.Team]*Team{"t": {Limit: need(rapid.Int64Range(0, 20).Draw(t, "limit"))}}}
+		room := map[jobs.Minion]jobs.Resources{}
+		for i := range rapid.IntRange(0, 5).Draw(t, "minions") {
+			m := minion(jobs.Minion(fmt.Sprint(i)), rapid.Int64Range(0, 8).Draw(t, "cores"))
+			snap.Minions = append(snap.Minions, m)
+			room[m.ID] = m.Room
+		}
+		for i := range rapid.IntRange(0, 6).Draw(t, "steps") {
+			snap.Steps = append(snap.Steps, stepOf(jobs.ID(fmt.Sprint(i)), jobs.Step{
+				Count: rapid.IntRange(1, 6).Draw(t, "count"), Need: need(rapid.Int64Range(1, 4).Draw(t, "need")),
+				Gang: rapid.Bool().Draw(t, "gang"), PerMinion: rapid.IntRange(0, 2).Draw(t, "per"), Lasting: rapid.Bool().Draw(t, "lasting"),
+			}))
+		}
+		limit := snap.Teams["t"].Limit
+		p := Make(snap)
+		used := jobs.Resources{}
+		started := map[*jobs.StepRun]int{}
+		per := map[string]int{}
+		for _, a := range p.Start {
+			spec := a.Task.Step.Spec
+			room[a.Minion] = room[a.Minion].Sub(spec.Need)
+			used = used.Add(spec.Need)
+			started[a.Task.Step]++
+			key := fmt.Sprintf("%p %s", a.Task.Step, a.Minion)
+			per[key]++
+			if spec.PerMinion > 0 {
+				require.LessOrEqual(t, per[key], spec.PerMinion)
+			}
+		}
+		for _, r := range room {
+			require.GreaterOrEqual(t, r.CPU, int64(0))
+		}
+		if limit.CPU > 0 {
+			require.LessOrEqual(t, used.CPU, limit.CPU)
+		}
+		for s, n := range started {
+			if s.Spec.Gang {
+				require.Equal(t, s.Spec.Count, n)
+			}
+		}
+	})
+}
+
+// The plan's time at today's size and at those of the grown sites and the target.
+func BenchmarkMake(b *testing.B) {
+	for _, n := range []int{49, 350, 1200} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for range b.N {
+				b.StopTimer()
+				snap := &Snapshot{Teams: map[model.Team]*Team{"t": {}}}
+				for i := range n {
+					m := minion(jobs.Minion(fmt.Sprint(i)), 64)
+					m.Service = model.Service(fmt.Sprint("s", i%5))
+					snap.Minions = append(snap.Minions, m)
+				}
+				for i := range n {
+					s := stepOf(jobs.ID(fmt.Sprint(i)), jobs.Step{Count: 10, Need: need(4)})
+					s.Service = model.Service(fmt.Sprint("s", i%5))
+					snap.Steps = append(snap.Steps, s)
+				}
+				b.StartTimer()
+				Make(snap)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/standins/fleet/minions.go
@@ -0,0 +1,355 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"boragepulley/internal/jobs"
+	"boragepulley/internal/model"
+	"boragepulley/internal/site"
+)
+
+// maxHold is the longest lease that a minion grants.
+const maxHold = 6 * time.Second
+
+// run is one run of a task on a minion.
+type run struct {
+	task  string
+	no    int
+	began time.Time
+	// ends is when it ends as how; the zero time for a run that lasts.
+	ends time.Time
+	how  jobs.End
+	need jobs.Resources
+}
+
+// Minion is one minion. Its fields are guarded by Minions.mu.
+type Minion struct {
+	Entry site.MinionEntry
+	born  time.Time
+	token uint64
+	lease time.Time
+	runs  map[string]*run
+	ended []site.Ended
+	next  int64
+	noted int64
+	// barred are runs that were stopped or ended, by task: none up to it may start.
+	barred map[string]int
+	// Down minions do not answer and run nothing; Cut ones run on and do not answer.
+	Down, Cut bool
+}
+
+// Minions are all minions of a site. It implements site.Minions.
+type Minions struct {
+	mu  sync.Mutex
+	all map[jobs.Minion]*Minion // guarded by mu
+	// Work returns how long a run of a task takes and how it ends; 0 lasts.
+	Work func(task string, no int) (time.Duration, jobs.End)
+	// Need returns what a task reserves.
+	Need func(task string) jobs.Resources
+	// Fault decides over an order: None, Lose or Late.
+	Fault func(op string) Fault
+	// OrderTimeout is how long a sender waits for a lost answer.
+	OrderTimeout time.Duration
+	// done are tasks with an end as done that was noted.
+	done       map[string]bool // guarded by mu
+	violations []string        // guarded by mu
+	starts     map[string]int  // guarded by mu
+}
+
+var _ site.Minions = (*Minions)(nil)
+
+// NewMinions returns a site without minions.
+func NewMinions() *Minions {
+	return &Minions{all: map[jobs.Minion]*Minion{}, done: map[string]bool{}, starts: map[string]int{}, OrderTimeout: 400 * time.Millisecond,
+		Work: func(string, int) (time.Duration, jobs.End) { return 500 * time.Millisecond, jobs.EndDone },
+		Need: func(string) jobs.Resources { return jobs.Resources{CPU: 1000} }}
+}
+
+// Add starts a minion.
+func (s *Minions) Add(e site.MinionEntry) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.all[e.ID] = newLife(e)
+}
+
+func newLife(e site.MinionEntry) *Minion {
+	now := time.Now()
+	e.Born = now.UnixMilli()
+	return &Minion{Entry: e, born: now, runs: map[string]*run{}, barred: map[string]int{}}
+}
+
+// Change changes a minion, for faults.
+func (s *Minions) Change(id jobs.Minion, f func(*Minion)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m := s.all[id]
+	s.settle(m)
+	f(m)
+	if m.Down {
+		m.runs = map[string]*run{}
+	}
+}
+
+// Restart begins a new life of a minion under its id.
+func (s *Minions) Restart(id jobs.Minion) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.all[id] = newLife(s.all[id].Entry)
+}
+
+// EntryRow returns a minion's row of the platform's list, as a test's codec reads it.
+func (s *Minions) EntryRow(id jobs.Minion) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	data, err := json.Marshal(s.all[id].Entry)
+	if err != nil {
+		panic(err) // a struct of plain fields
+	}
+	return data
+}
+
+// Violations returns what no coordinator may do and this one did: two runs of a task at
+// once, a run after a noted end, more than a minion's room.
+func (s *Minions) Violations() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]string(nil), s.violations...)
+}
+
+// Starts returns how many runs of a task began.
+func (s *Minions) Starts(task string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.starts[task]
+}
+
+// Running returns the minions on which a task runs.
+func (s *Minions) Running(task string) []jobs.Minion {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []jobs.Minion
+	for id, m := range s.all {
+		s.settle(m)
+		if m.runs[task] != nil {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+func (m *Minion) clock(at time.Time) int64 { return at.Sub(m.born).Milliseconds() }
+
+// settle ends the runs whose time or lease is over.
+func (s *Minions) settle(m *Minion) {
+	now := time.Now()
+	for _, r := range m.runs {
+		switch {
+		case !r.ends.IsZero() && !now.Before(r.ends) && !r.ends.After(m.lease):
+			m.end(r, r.how)
+		case now.After(m.lease):
+			m.end(r, jobs.EndLapsed)
+		}
+	}
+}
+
+func (m *Minion) end(r *run, how jobs.End) {
+	delete(m.runs, r.task)
+	m.barred[r.task] = max(m.barred[r.task], r.no)
+	m.next++
+	m.ended = append(m.ended, site.Ended{Number: m.next, Task: r.task, Run: r.no, How: how})
+}
+
+// answer passes an order to its minion, with faults. carry runs under the lock.
+func (s *Minions) answer(ctx context.Context, op string, to site.Receiver, carry func(m *Minion) error) error {
+	f := None
+	if s.Fault != nil {
+		f = s.Fault(op)
+	}
+	if err := pause(ctx, time.Millisecond); err != nil {
+		return errors.Wrap(site.ErrNotSent, err.Error())
+	}
+	if f == Late {
+		time.AfterFunc(lateBy, func() { _ = s.carry(to, carry) })
+	}
+	var err error
+	if f != Late {
+		err = s.carry(to, carry)
+	}
+	if f != None || errors.Is(err, site.ErrNoAnswer) {
+		_ = pause(ctx, s.OrderTimeout)
+		return errors.Wrap(site.ErrNoAnswer, op)
+	}
+	return err
+}
+
+// carry carries an order out.
+func (s *Minions) carry(to site.Receiver, f func(m *Minion) error) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m := s.all[to.ID]
+	if m == nil || m.Down || m.Cut {
+		return errors.WithStack(site.ErrNoAnswer)
+	}
+	s.settle(m)
+	if to.Token < m.token {
+		return &site.RefusedError{Reason: site.RefusedFence}
+	}
+	m.token = to.Token
+	return f(m)
+}
+
+func (m *Minion) prolong(until int64) {
+	at := m.born.Add(time.Duration(until) * time.Millisecond)
+	if latest := time.Now().Add(maxHold); at.After(latest) {
+		at = latest
+	}
+	if at.After(m.lease) {
+		m.lease = at
+	}
+}
+
+// Start implements site.Minions.
+func (s *Minions) Start(ctx context.Context, to site.Receiver, o site.StartOrder) (clock int64, err error) {
+	err = s.answer(ctx, "start", to, func(m *Minion) error {
+		clock = m.clock(time.Now())
+		if r := m.runs[o.Task]; r != nil && r.no == o.Run {
+			return nil
+		}
+		switch {
+		case o.Run <= m.barred[o.Task] || m.runs[o.Task] != nil:
+			return &site.RefusedError{Reason: site.RefusedOld}
+		case o.LeaseUntil <= clock:
+			return &site.RefusedError{Reason: site.RefusedLate}
+		}
+		m.prolong(o.LeaseUntil)
+		s.begin(m, o)
+		return nil
+	})
+	return clock, err
+}
+
+// begin starts a run and notes what must not be.
+func (s *Minions) begin(m *Minion, o site.StartOrder) {
+	now := time.Now()
+	r := &run{task: o.Task, no: o.Run, began: now, need: s.Need(o.Task)}
+	d, how := s.Work(o.Task, o.Run)
+	r.how = how
+	if d > 0 {
+		r.ends = now.Add(d)
+	}
+	used := r.need
+	for _, x := range m.runs {
+		used = used.Add(x.need)
+	}
+	if !used.Fits(m.Entry.Capacity) {
+		s.violations = append(s.violations, fmt.Sprintf("%s brings %s over its capacity", o.Task, m.Entry.ID))
+	}
+	if s.done[o.Task] {
+		s.violations = append(s.violations, o.Task+" starts after its end was noted")
+	}
+	for id, x := range s.all {
+		if x.Down {
+			continue
+		}
+		s.settle(x)
+		if x.runs[o.Task] != nil {
+			s.violations = append(s.violations, fmt.Sprintf("%s runs on %s and %s", o.Task, id, m.Entry.ID))
+		}
+	}
+	m.runs[o.Task] = r
+	s.starts[o.Task]++
+}
+
+// Stop implements site.Minions.
+func (s *Minions) Stop(ctx context.Context, to site.Receiver, o site.StopOrder) error {
+	return s.answer(ctx, "stop", to, func(m *Minion) error {
+		m.barred[o.Task] = max(m.barred[o.Task], o.Run)
+		if r := m.runs[o.Task]; r != nil && r.no <= o.Run {
+			m.end(r, jobs.EndStopped)
+		}
+		return nil
+	})
+}
+
+// Pace implements site.Minions.
+func (s *Minions) Pace(ctx context.Context, to site.Receiver, _ site.PaceOrder) error {
+	return s.answer(ctx, "pace", to, func(*Minion) error { return nil })
+}
+
+// holdPoll is how often a held call looks for an end.
+const holdPoll = 5 * time.Millisecond
+
+// Hold implements site.Minions.
+func (s *Minions) Hold(ctx context.Context, to site.Receiver, o site.HoldOrder) (out site.HoldReport, err error) {
+	until := time.Now().Add(o.Wait)
+	first := true
+	for {
+		look := func(m *Minion) error {
+			if o.LeaseUntil > 0 {
+				m.prolong(o.LeaseUntil)
+			}
+			s.note(m, o.Noted)
+			out = m.report()
+			return nil
+		}
+		if first {
+			err = s.answer(ctx, "hold", to, look)
+		} else {
+			err = s.carry(to, look)
+		}
+		first = false
+		if err != nil || len(out.Ended) > 0 || !time.Now().Before(until) {
+			return out, err
+		}
+		if pause(ctx, holdPoll) != nil {
+			return out, errors.WithStack(site.ErrNoAnswer)
+		}
+	}
+}
+
+// note forgets ends; those as done stand for good.
+func (s *Minions) note(m *Minion, number int64) {
+	kept := m.ended[:0]
+	for _, e := range m.ended {
+		if e.Number > number {
+			kept = append(kept, e)
+			continue
+		}
+		if e.How == jobs.EndDone {
+			s.done[e.Task] = true
+		}
+	}
+	m.ended, m.noted = kept, max(m.noted, number)
+}
+
+func (m *Minion) report() site.HoldReport {
+	out := site.HoldReport{Clock: m.clock(time.Now()), Born: m.Entry.Born, Ended: append([]site.Ended(nil), m.ended...)}
+	for _, r := range m.runs {
+		out.Running = append(out.Running, site.Running{Task: r.task, Run: r.no, Percent: 100})
+	}
+	return out
+}
+
+// Machines is a machine service whose machines never change.
+type Machines struct{ All []site.Machine }
+
+var _ site.Machines = (*Machines)(nil)
+
+// List implements site.Machines.
+func (m *Machines) List(context.Context) ([]site.Machine, error) { return m.All, nil }
+
+// Move implements site.Machines.
+func (m *Machines) Move(context.Context, site.Duty, model.VM, model.Service) error {
+	return &site.RefusedError{Reason: site.RefusedBusy}
+}
+
+// Maintain implements site.Machines.
+func (m *Machines) Maintain(context.Context, site.Duty, model.VM, int64) error {
+	return &site.RefusedError{Reason: site.RefusedBusy}
+}
