coordinator: the duties of a predecessor age

Change: the row has ages, goes with each write while it is not empty, and a successor keeps away from a machine for what is left of the platform's gap.

--- a/internal/coordinator/handover.go
+++ b/internal/coordinator/handover.go
@@ -61,15 +61,17 @@
 // unstored: an end that came in between would be in neither.
 func (t *Term) storeRest(ctx context.Context) ([]platform.Put, error) {
 	for range lastWrites {
-		var puts, last []platform.Put
+		var puts []platform.Put
 		var after func()
+		done := false
 		for busy := true; busy; {
 			if err := t.do(ctx, func() {
 				if busy = t.journal.writing; busy {
 					return
 				}
-				if puts, after = t.batch(); len(puts) == 0 {
-					last = t.handoverRow()
+				puts, after = t.batch()
+				if done = len(t.book.Unsaved()) == 0; done {
+					puts = append(puts, t.handoverRow()...)
 				}
 			}); err != nil {
 				return nil, err
@@ -78,8 +80,8 @@
 				time.Sleep(idlePoll)
 			}
 		}
-		if len(puts) == 0 {
-			return last, nil
+		if done {
+			return puts, nil
 		}
 		if err := t.held.Commit(ctx, puts); err != nil {
 			return nil, errors.Wrap(err, "coordinator: last write")
--- a/internal/coordinator/journal.go
+++ b/internal/coordinator/journal.go
@@ -102,14 +102,7 @@
 			break
 		}
 	}
-	if len(t.machines.queued) > 0 {
-		value, sent, err := t.dutyRow()
-		if err != nil {
-			t.log.Error().Err(err).Msg("Coordinator: machine orders not noted.")
-		} else {
-			add(dutyKey, value, sent)
-		}
-	}
+	t.addDuties(add)
 	for key, value := range w.waveRows {
 		if !add(key, value, func() { delete(w.waveRows, key) }) {
 			break
--- a/internal/coordinator/machines.go
+++ b/internal/coordinator/machines.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -32,13 +31,14 @@
 	listing bool
 	// moves are under way, or not yet in the list.
 	moves map[model.VM]*move
-	// queued are orders that wait for their note in the store; ordered is when this term
-	// last gave an order for a machine, barred are those that an earlier holder may have
-	// ordered last.
-	queued  []machineOrder
-	ordered map[model.VM]time.Duration
-	barred  map[model.VM]bool
-	demand  map[model.Service]*capacity.Demand
+	// queued are orders that wait for their note in the store; ordered is when the answer to
+	// this term's last order for a machine came, barred until when an earlier holder's last
+	// order keeps this term away. dutiesStored is set while the stored row is not empty.
+	queued       []machineOrder
+	ordered      map[model.VM]time.Duration
+	barred       map[model.VM]time.Duration
+	dutiesStored bool
+	demand       map[model.Service]*capacity.Demand
 	// ended are minions whose lives this term's orders have ended; the list of minions names
 	// them for a while.
 	ended map[jobs.Minion]bool
@@ -84,19 +84,19 @@
 	s.demand, s.runtime = map[model.Service]*capacity.Demand{}, map[model.Queue]*runtime{}
 }
 
-// dutyKey is the row that lists the machines ordered lately. A machine is in it before its
-// order is sent, so that a successor leaves it alone until the two holders' orders are
-// far enough apart; all others it may order at once.
+// dutyKey is the row that lists the machines ordered lately, with the age of the last order
+// for each. A machine is in it before its order is sent, so that a successor leaves it
+// alone until the two holders' orders are far enough apart; all others it may order at once.
 const dutyKey = dutyTable + "/recent"
 
-// dutyGap is how far a successor's first order for a machine must be from the takeover: an
-// order that was under way then ends within machineTimeout.
-func (t *Term) dutyGap() time.Duration { return t.d.Limits.DutyGap + machineTimeout }
+// dutyMargin is added to the platform's gap for an order's way and answer.
+const dutyMargin = 500 * time.Millisecond
+
+// dutyGap is how far a successor's order for a machine must be from its predecessor's.
+func (t *Term) dutyGap() time.Duration { return t.d.Limits.DutyGap + dutyMargin }
 
 // mayOrder reports whether an earlier holder's orders for a machine are far enough away.
-func (t *Term) mayOrder(name model.VM) bool {
-	return !t.machines.barred[name] || t.now > t.began+t.dutyGap()
-}
+func (t *Term) mayOrder(name model.VM) bool { return t.now >= t.machines.barred[name] }
 
 // orderMachine sends an order for a machine once a successor would know of it.
 func (t *Term) orderMachine(name model.VM, send func()) {
@@ -104,47 +104,65 @@
 	t.journal.urgent = true
 }
 
-// dutyRow returns the row for the queued orders, and what to do once it is stored.
-func (t *Term) dutyRow() (value []byte, sent func(), err error) {
+// orderAnswered notes that an order's answer has come, or did not come in time.
+func (t *Term) orderAnswered(name model.VM) { t.machines.ordered[name] = t.now }
+
+// duties returns the age of the last order for each machine ordered lately, in milliseconds.
+func (t *Term) duties() map[model.VM]int64 {
 	s := &t.machines
-	orders := s.queued
-	var names []model.VM
-	for name, at := range s.ordered {
-		if t.now < at+t.dutyGap() {
-			names = append(names, name)
+	ages := map[model.VM]int64{}
+	for name, until := range s.barred {
+		if t.now < until {
+			ages[name] = (t.dutyGap() - (until - t.now)).Milliseconds()
 		}
 	}
-	for name := range s.barred {
-		if !t.mayOrder(name) {
-			names = append(names, name)
+	for name, at := range s.ordered {
+		if age := t.now - at; age < t.dutyGap() {
+			ages[name] = age.Milliseconds()
 		}
 	}
-	for _, o := range orders {
-		names = append(names, o.machine)
+	for _, o := range s.queued {
+		ages[o.machine] = 0
 	}
-	slices.Sort(names)
-	value, err = json.Marshal(slices.Compact(names))
-	return value, func() {
+	return ages
+}
+
+// addDuties adds the row of duties to a write while there are any, and once after.
+func (t *Term) addDuties(add func(string, []byte, func()) bool) {
+	s := &t.machines
+	ages, orders := t.duties(), s.queued
+	if len(ages) == 0 && !s.dutiesStored {
+		return
+	}
+	value, err := json.Marshal(ages)
+	if err != nil {
+		t.log.Error().Err(err).Msg("Coordinator: machine orders not noted.")
+		return
+	}
+	add(dutyKey, value, func() {
+		s.dutiesStored = len(ages) > 0
 		s.queued = s.queued[len(orders):]
 		for _, o := range orders {
-			s.ordered[o.machine] = t.now
+			t.orderAnswered(o.machine)
 			o.send()
 		}
-	}, err
+	})
 }
 
-// takeDuties reads the row of an earlier holder.
+// takeDuties reads the row of an earlier holder. The time since it was written counts for
+// nothing, because no clock is shared.
 func (t *Term) takeDuties(value []byte) {
-	var names []model.VM
+	var ages map[model.VM]int64
 	if value != nil {
-		if err := json.Unmarshal(value, &names); err != nil {
+		if err := json.Unmarshal(value, &ages); err != nil {
 			t.log.Error().Err(err).Msg("Coordinator: unreadable duties passed over.")
 		}
 	}
-	t.machines.barred = make(map[model.VM]bool, len(names))
-	for _, name := range names {
-		t.machines.barred[name] = true
+	t.machines.barred = make(map[model.VM]time.Duration, len(ages))
+	for name, age := range ages {
+		t.machines.barred[name] = t.began + t.dutyGap() - time.Duration(age)*time.Millisecond
 	}
+	t.machines.dutiesStored = len(ages) > 0
 }
 
 // listMachines reads the list of machines when it is due.
@@ -417,6 +435,7 @@
 // moved takes the answer of a move. A lost answer is settled by the list.
 func (t *Term) moved(name model.VM, x *move, err error) {
 	x.calling = false
+	t.orderAnswered(name)
 	if err == nil {
 		t.lifeOver(x.minion)
 	}
--- a/internal/coordinator/term_test.go
+++ b/internal/coordinator/term_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"boragepulley/internal/jobs"
+	"boragepulley/internal/model"
 	"boragepulley/internal/site"
 	"boragepulley/standins/fleet"
 )
@@ -189,6 +191,27 @@
 	})
 }
 
+// Guards against a successor that waits for all minions because it is not told where runs
+// are, with orders for machines noted and progress not stored yet.
+func TestHandOverTellsTheRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 2)
+		term := b.take("e1", nil)
+		sleep(time.Second)
+		b.accept(term, "0000000000000001", step(1), step(1, 0))
+		b.accept(term, "0000000000000002", step(1))
+		sleep(650 * time.Millisecond)
+		require.NoError(t, term.do(context.Background(), func() { term.orderAnswered("machine") }))
+		require.NoError(t, term.Release(context.Background()))
+		var h handover
+		require.NoError(t, json.Unmarshal(b.store.Row(handoverKey).Value, &h))
+		require.Len(t, h.Active, 1)
+		require.Len(t, h.Active["0000000000000001"], 1)
+		require.NotZero(t, b.store.Row(ProgressKey("0000000000000002")).Version)
+		require.NotZero(t, b.store.Row(dutyKey).Version)
+	})
+}
+
 // Guards against jobs that are never seen because the store's history was dropped and the
 // entry VM's offer was lost.
 func TestHistoryGone(t *testing.T) {
@@ -285,12 +308,29 @@
 func TestSuccessorCountsMachinesThatMayBeDown(t *testing.T) {
 	term := &Term{now: time.Hour, began: time.Hour, d: Deps{Limits: Limits{DutyGap: 3 * time.Second}}}
 	term.machines.init()
-	term.takeDuties([]byte(`["m1"]`))
+	term.takeDuties([]byte(`{"m1":0,"m4":3400}`))
 	require.True(t, term.mayBeDown(&waveMachine{name: "m1"}), "ordered by the predecessor")
 	require.True(t, term.mayBeDown(&waveMachine{name: "m2", state: dutyDown}))
 	require.False(t, term.mayBeDown(&waveMachine{name: "m3"}))
 	term.machines.byName["m3"] = site.Machine{Name: "m3", State: site.MachineMaintenance}
 	require.True(t, term.mayBeDown(&waveMachine{name: "m3"}))
+	require.True(t, term.mayBeDown(&waveMachine{name: "m4"}))
+	term.now += 200 * time.Millisecond
+	require.False(t, term.mayBeDown(&waveMachine{name: "m4"}), "ordered 3.4 s before the row was written")
+	require.True(t, term.mayBeDown(&waveMachine{name: "m1"}))
 	term.now += time.Minute
 	require.False(t, term.mayBeDown(&waveMachine{name: "m1"}))
 }
+
+// Guards against a successor that keeps away for seconds from machines that its
+// predecessor ordered long ago: the ages in the row are kept up and handed on.
+func TestDutiesAge(t *testing.T) {
+	term := &Term{now: time.Hour, began: time.Hour, d: Deps{Limits: Limits{DutyGap: 3 * time.Second}}}
+	term.machines.init()
+	term.takeDuties([]byte(`{"m1":1000}`))
+	term.machines.ordered["m2"] = time.Hour
+	term.now += 2 * time.Second
+	require.Equal(t, map[model.VM]int64{"m1": 3000, "m2": 2000}, term.duties())
+	term.now += time.Second
+	require.Equal(t, map[model.VM]int64{"m2": 3000}, term.duties())
+}
--- a/internal/coordinator/waves.go
+++ b/internal/coordinator/waves.go
@@ -246,6 +246,7 @@
 
 func (t *Term) maintained(r *waveRun, x *waveMachine, err error) {
 	x.calling = false
+	t.orderAnswered(x.name)
 	x.next = t.now + waveRetry
 	switch {
 	case err == nil:
