--- a/internal/daemon/site.go
+++ b/internal/daemon/site.go
@@ -5,6 +5,7 @@
 	"expvar"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -49,6 +50,9 @@
 	metrics *http.Server
 	peers   *peer.Server
 	lis     map[string]net.Listener
+
+	mu      sync.Mutex
+	clients []*peer.Client // guarded by mu
 }
 
 // NewSite builds an entry VM and opens its listeners. Errors: an address that cannot be
@@ -69,7 +73,14 @@
 		Codec:        coordinator.Codec{Minion: platform.DecodeMinion, Wave: platform.DecodeWave, WaveStatus: platform.EncodeWaveStatus},
 		DecodeConfig: platform.DecodeConfig,
 		Limits:       coordinator.Limits{Hold: set.MaxHold, Stop: set.MaxStop, DutyGap: set.DutyGap, Retention: set.Retention},
-		Now:          clock.SinceBoot, Log: log,
+		Dial: func(name model.EntryVM, addr string) peer.SiteHandler {
+			c := peer.NewClient(self, name, addr, logging.Part(log, "peer"))
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.clients = append(s.clients, c)
+			return c
+		},
+		Now: clock.SinceBoot, Log: log,
 	})
 	s.callers = &http.Server{Handler: platform.Callers(s.node), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle}
 	s.ready = &http.Server{Handler: platform.Readiness(s.node), ReadHeaderTimeout: headerTimeout}
@@ -135,9 +146,18 @@
 	<-notice
 	err := errors.Wrap(s.callers.Shutdown(ctx), "daemon: callers still waiting")
 	s.node.Stop()
+	s.closeClients()
 	s.peers.Close()
 	_ = s.ready.Close()
 	_ = s.metrics.Close()
 	s.log.Info().AnErr("error", err).Msg("Daemon stopped.")
 	return err
 }
+
+func (s *Site) closeClients() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.clients {
+		c.Close()
+	}
+}
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -31,6 +31,8 @@
 	// DecodeConfig reads the operators' configuration.
 	DecodeConfig func(value []byte) (*site.Config, error)
 	Limits       coordinator.Limits
+	// Dial returns the connection to another entry VM; it does not block.
+	Dial func(name model.EntryVM, addr string) peer.SiteHandler
 	// Now is the clock that counts suspended time.
 	Now func() time.Duration
 	Log zerolog.Logger
@@ -51,8 +53,8 @@
 	// reached is set once the store has answered, leaving when a shutdown has begun.
 	reached, leaving atomic.Bool
 
-	mu      sync.Mutex
-	clients map[string]*peer.Client // guarded by mu; by address
+	mu    sync.Mutex
+	peers map[string]peer.SiteHandler // guarded by mu; by address
 
 	ctx  context.Context
 	stop context.CancelFunc
@@ -86,7 +88,7 @@
 // New returns a node that does nothing until Start.
 func New(d Deps) *Node {
 	ctx, stop := context.WithCancel(context.Background())
-	n := &Node{d: d, log: logging.Part(d.Log, "entry"), ctx: ctx, stop: stop, clients: map[string]*peer.Client{}}
+	n := &Node{d: d, log: logging.Part(d.Log, "entry"), ctx: ctx, stop: stop, peers: map[string]peer.SiteHandler{}}
 	n.store = &relay.Store{Self: d.Self, Table: d.Table, Feed: d.Feed, Peers: n.relays, Log: n.log}
 	n.d.Table, n.d.Feed = n.store, n.store
 	return n
@@ -130,21 +132,16 @@
 		t.End(coordinator.ErrNotCoordinating)
 	}
 	n.wg.Wait()
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for _, c := range n.clients {
-		c.Close()
-	}
 }
 
-// dial returns the client of a peer's address.
-func (n *Node) dial(name model.EntryVM, addr string) *peer.Client {
+// dial returns the connection to a peer's address.
+func (n *Node) dial(name model.EntryVM, addr string) peer.SiteHandler {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	c := n.clients[addr]
+	c := n.peers[addr]
 	if c == nil {
-		c = peer.NewClient(n.d.Self, name, addr, logging.Part(n.d.Log, "peer"))
-		n.clients[addr] = c
+		c = n.d.Dial(name, addr)
+		n.peers[addr] = c
 	}
 	return c
 }
--- /dev/null
+++ b/internal/entry/node_test.go
@@ -0,0 +1,314 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"boragepulley/internal/coordinator"
+	"boragepulley/internal/jobs"
+	"boragepulley/internal/lease"
+	"boragepulley/internal/model"
+	"boragepulley/internal/peer"
+	"boragepulley/internal/site"
+	"boragepulley/standins/fleet"
+)
+
+// grid is some entry VMs under a fake clock, with one store and minions.
+type grid struct {
+	t       *testing.T
+	store   *fleet.Store
+	minions *fleet.Minions
+	nodes   map[string]*Node
+	// cut entry VMs neither reach others nor are reached.
+	cut map[string]bool
+	// fault decides over the store calls of an entry VM.
+	fault map[string]func(op string) fleet.Fault
+	began time.Time
+}
+
+func newGrid(t *testing.T, n int) *grid {
+	g := &grid{t: t, store: fleet.NewStore(), minions: fleet.NewMinions(), nodes: map[string]*Node{}, cut: map[string]bool{},
+		fault: map[string]func(string) fleet.Fault{}, began: time.Now()}
+	g.minions.Add(site.MinionEntry{ID: "m", Service: "s", Addr: "m", Capacity: jobs.Resources{CPU: 9000}})
+	g.store.Put("servers/m", g.minions.EntryRow("m"))
+	g.configure(1, "s")
+	for i := range n {
+		g.start(fmt.Sprint("e", i))
+	}
+	return g
+}
+
+// configure writes a configuration with one queue, open to all, on a service.
+func (g *grid) configure(version uint64, svc model.Service) {
+	c := site.Config{Version: version, Services: map[model.Service]site.Service{svc: {}},
+		Queues: []site.Queue{{Name: "q", Host: "h", Prefix: "/q/", Service: svc, MaxAttempts: 2, Stretch: 2, OpenToAll: true}}}
+	value, err := json.Marshal(c)
+	require.NoError(g.t, err)
+	g.store.Put("op/config", value)
+}
+
+func (g *grid) start(name string) *Node {
+	view := &fleet.View{Store: g.store, Fault: func(op string) fleet.Fault {
+		if f := g.fault[name]; f != nil {
+			return f(op)
+		}
+		return fleet.None
+	}}
+	n := New(Deps{
+		Self: peer.Sender{Entry: model.EntryVM(name), DC: "dc", Incarnation: model.NewIncarnation()}, PeerAddr: name, Table: view, Feed: view,
+		Minions: g.minions, Machines: &fleet.Machines{},
+		Codec: coordinator.Codec{Minion: func(_ string, v []byte) (e site.MinionEntry, err error) { return e, json.Unmarshal(v, &e) }},
+		DecodeConfig: func(v []byte) (*site.Config, error) {
+			var c site.Config
+			if err := json.Unmarshal(v, &c); err != nil {
+				return nil, err
+			}
+			c.Index()
+			return &c, nil
+		},
+		Limits: coordinator.Limits{Hold: 6 * time.Second, DutyGap: 3 * time.Second},
+		Dial:   func(to model.EntryVM, _ string) peer.SiteHandler { return link{g, name, string(to)} },
+		Now:    func() time.Duration { return time.Hour + time.Since(g.began) },
+		Log:    zerolog.Nop(),
+	})
+	g.nodes[name] = n
+	n.Start()
+	return n
+}
+
+func (g *grid) stop() {
+	for _, n := range g.nodes {
+		n.Stop()
+	}
+}
+
+// coordinator returns the entry VM that coordinates.
+func (g *grid) coordinator() string {
+	for name, n := range g.nodes {
+		if n.term.Load() != nil {
+			return name
+		}
+	}
+	return ""
+}
+
+func (g *grid) other(than string) *Node {
+	for name, n := range g.nodes {
+		if name != than {
+			return n
+		}
+	}
+	return nil
+}
+
+// link passes messages between entry VMs that are not cut.
+type link struct {
+	g        *grid
+	from, to string
+}
+
+func via[M, R any](l link, ctx context.Context, m M, f func(peer.SiteHandler, context.Context, M) (R, error)) (R, error) {
+	var none R
+	if l.g.cut[l.from] || l.g.cut[l.to] || l.g.nodes[l.to] == nil {
+		<-ctx.Done()
+		return none, errors.Wrap(peer.ErrNoAnswer, "cut")
+	}
+	time.Sleep(time.Millisecond)
+	return f(l.g.nodes[l.to].Handler(), ctx, m)
+}
+
+func (l link) Lead(ctx context.Context, m *peer.Lead) (*peer.LeadReply, error) {
+	return via(l, ctx, m, peer.SiteHandler.Lead)
+}
+func (l link) JobOffer(ctx context.Context, m *peer.JobOffer) (*peer.Empty, error) {
+	return via(l, ctx, m, peer.SiteHandler.JobOffer)
+}
+func (l link) JobStop(ctx context.Context, m *peer.JobAsk) (*peer.JobAnswer, error) {
+	return via(l, ctx, m, peer.SiteHandler.JobStop)
+}
+func (l link) JobState(ctx context.Context, m *peer.JobAsk) (*peer.JobAnswer, error) {
+	return via(l, ctx, m, peer.SiteHandler.JobState)
+}
+func (l link) SiteConfig(ctx context.Context, m *peer.SiteConfigAsk) (*peer.SiteConfig, error) {
+	return via(l, ctx, m, peer.SiteHandler.SiteConfig)
+}
+func (l link) Store(ctx context.Context, m *peer.StoreCall) (*peer.StoreAnswer, error) {
+	return via(l, ctx, m, peer.SiteHandler.Store)
+}
+
+func job(id jobs.ID) jobs.Accepted {
+	return jobs.Accepted{ID: id, Queue: "q", Service: "s", At: time.Now(), Spec: jobs.Spec{Steps: []jobs.Step{{Count: 2, Need: jobs.Resources{CPU: 1000}}}}}
+}
+
+const (
+	id1 jobs.ID = "0000000000000001"
+	id2 jobs.ID = "0000000000000002"
+)
+
+// Guards against a job that is lost or refused because the answer of the write that
+// accepts it is lost.
+func TestAcceptWithALostAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGrid(t, 2)
+		defer g.stop()
+		time.Sleep(2 * time.Second)
+		n := g.other(g.coordinator())
+		lost := false
+		g.fault[string(n.d.Self.Entry)] = func(op string) fleet.Fault {
+			if op == "commit" && !lost {
+				lost = true
+				return fleet.Lose
+			}
+			return fleet.None
+		}
+		require.NoError(t, n.Submit(context.Background(), job(id1)).Err)
+		require.True(t, lost)
+		time.Sleep(2 * time.Second)
+		require.Equal(t, jobs.StateCompleted, n.State(context.Background(), id1).State)
+		require.Equal(t, 1, g.minions.Starts(string(id1)+".0.0.0"))
+	})
+}
+
+// Guards against a refusal that may be untrue: without the store's word the caller has to
+// ask again.
+func TestUnknownOutcomeIsNoRefusal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGrid(t, 2)
+		defer g.stop()
+		time.Sleep(2 * time.Second)
+		n := g.other(g.coordinator())
+		g.fault[string(n.d.Self.Entry)] = func(string) fleet.Fault { return fleet.Lose }
+		g.cut[string(n.d.Self.Entry)] = true // no peer can look either
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		defer cancel()
+		require.ErrorIs(t, n.Submit(ctx, job(id1)).Err, site.ErrOutcomeUnknown)
+		g.fault[string(n.d.Self.Entry)] = nil
+		require.NoError(t, n.Submit(context.Background(), job(id1)).Err)
+	})
+}
+
+// Guards against two jobs under one id that is handed in at two entry VMs at once, and
+// again later.
+func TestOneIDAtTwoEntryVMs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGrid(t, 3)
+		defer g.stop()
+		time.Sleep(2 * time.Second)
+		for _, n := range g.nodes {
+			go func() { require.NoError(t, n.Submit(context.Background(), job(id1)).Err) }()
+		}
+		time.Sleep(3 * time.Second)
+		for _, n := range g.nodes {
+			require.NoError(t, n.Submit(context.Background(), job(id1)).Err)
+			require.Equal(t, jobs.StateCompleted, n.State(context.Background(), id1).State)
+		}
+		require.Equal(t, 1, g.minions.Starts(string(id1)+".0.0.0"))
+		require.ErrorIs(t, g.nodes["e0"].State(context.Background(), id2).Err, site.ErrNoJob)
+	})
+}
+
+// Guards against a site without a coordinator after one is lost, and against two.
+func TestLostCoordinatorIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGrid(t, 3)
+		defer g.stop()
+		time.Sleep(2 * time.Second)
+		first := g.coordinator()
+		g.cut[first] = true
+		g.fault[first] = func(string) fleet.Fault { return fleet.Refuse }
+		// The latest that a take may come: the row may have been written just before the cut.
+		time.Sleep(silentAfter + lease.TTL + takeMargin + readEvery + takeSpread + electEvery)
+		leading := 0
+		for name, n := range g.nodes {
+			if n.term.Load() != nil && name != first {
+				leading++
+			}
+		}
+		require.Equal(t, 1, leading)
+		g.cut[first], g.fault[first] = false, nil
+		time.Sleep(2 * time.Second)
+		require.Nil(t, g.nodes[first].term.Load())
+	})
+}
+
+// Guards against seconds without a coordinator while entry VMs are restarted in turn.
+func TestLeavingCoordinatorNamesItsSuccessor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGrid(t, 3)
+		defer g.stop()
+		time.Sleep(3 * time.Second)
+		first := g.coordinator()
+		g.nodes[first].Leave(context.Background())
+		time.Sleep(150 * time.Millisecond)
+		require.NotEmpty(t, g.coordinator())
+		require.NotEqual(t, first, g.coordinator())
+		require.False(t, g.nodes[first].Ready())
+	})
+}
+
+// Guards against an entry VM that the store turns away and that rejects callers, misses
+// configurations, or loses the lease, while its peers reach the store.
+func TestStoreTurnsOneAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGrid(t, 3)
+		defer g.stop()
+		time.Sleep(3 * time.Second)
+		first := g.coordinator()
+		g.fault[first] = func(string) fleet.Fault { return fleet.Refuse }
+		n := g.nodes[first]
+		require.NoError(t, n.Submit(context.Background(), job(id1)).Err)
+		g.configure(2, "s")
+		time.Sleep(2 * time.Second)
+		require.Equal(t, uint64(2), n.Config().Version)
+		require.Equal(t, jobs.StateCompleted, n.State(context.Background(), id1).State)
+		time.Sleep(5 * time.Second)
+		require.Equal(t, first, g.coordinator())
+	})
+}
+
+// Guards against a configuration that an entry VM goes back from.
+func TestConfigurationNeverReverts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGrid(t, 1)
+		defer g.stop()
+		time.Sleep(time.Second)
+		g.configure(5, "s")
+		time.Sleep(time.Second)
+		g.configure(4, "s")
+		g.store.Compact()
+		time.Sleep(3 * time.Second)
+		require.Equal(t, uint64(5), g.nodes["e0"].Config().Version)
+		g.store.Put("op/config", []byte("not a configuration"))
+		time.Sleep(3 * time.Second)
+		require.Equal(t, uint64(5), g.nodes["e0"].Config().Version)
+	})
+}
+
+// Guards against a cancelling that waits for a coordinator, or that its successor misses.
+func TestCancelWithoutACoordinator(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGrid(t, 3)
+		defer g.stop()
+		g.minions.Work = func(string, int) (time.Duration, jobs.End) { return time.Minute, jobs.EndDone }
+		time.Sleep(3 * time.Second)
+		first := g.coordinator()
+		n := g.other(first)
+		require.NoError(t, n.Submit(context.Background(), job(id1)).Err)
+		time.Sleep(300 * time.Millisecond)
+		g.cut[first] = true
+		g.fault[first] = func(string) fleet.Fault { return fleet.Refuse }
+		time.Sleep(time.Second)
+		require.NoError(t, n.Cancel(context.Background(), id1).Err)
+		time.Sleep(5 * time.Second)
+		require.Equal(t, jobs.StateCancelled, n.State(context.Background(), id1).State)
+		require.Empty(t, g.minions.Running(string(id1)+".0.0.0"))
+	})
+}
