capacity: a task that lasts and finds no room gets one more machine; metrics

Change: a service in which a task that lasts has found no room for 0.3 s gets one machine, and the next one only after that has come. Counters and gauges of the coordinator and the entry VMs by expvar.

--- a/internal/capacity/plan.go
+++ b/internal/capacity/plan.go
@@ -34,6 +34,8 @@
 	Recent int
 	// Least is how many machines its tasks need because of bounds per minion.
 	Least int
+	// Starved is set while a task that lasts finds no room on the machines at hand.
+	Starved bool
 	// Forecast is the cores that arriving work will keep busy.
 	Forecast float64
 }
@@ -48,6 +50,8 @@
 	Movable bool
 	// Idle is how long a movable machine has been empty.
 	Idle time.Duration
+	// Incoming machines are on their way to the pool.
+	Incoming bool
 	// Serves is unset for a machine that is down or does not answer.
 	Serves bool
 }
@@ -148,7 +152,11 @@
 	}
 	byCPU := max(float64(st.Busy.CPU)+backlogShare*float64(st.Waiting.CPU), float64(st.Lasting.CPU)+1000*st.Forecast)*headroom/float64(size.CPU) + reserve
 	byMemory := (float64(st.Busy.MemoryMB)+backlogShare*float64(st.Waiting.MemoryMB))*headroom/float64(size.MemoryMB) + reserve
-	return max(st.Least, int(math.Ceil(max(byCPU, byMemory))))
+	want := max(st.Least, int(math.Ceil(max(byCPU, byMemory))))
+	if st.Starved && !slices.ContainsFunc(st.machines, func(m Machine) bool { return m.Incoming }) {
+		want = max(want, len(st.machines)+1)
+	}
+	return want
 }
 
 func (st *state) lack() int { return max(0, st.want-len(st.machines)) }
--- a/internal/capacity/plan_test.go
+++ b/internal/capacity/plan_test.go
@@ -46,6 +46,16 @@
 	}
 }
 
+// Guards against a large task that waits beside machines that are half empty, because
+// together they have enough room.
+func TestStarvedServiceGetsOneMoreMachine(t *testing.T) {
+	all := append(machines("s", 4, false, 0), machines("off", 2, true, 0)...)
+	p := Make(Snapshot{Standby: "off", Machines: all, Services: []Service{{Name: "s", Starved: true}}})
+	require.Equal(t, []Move{{Machine: "off-0", To: "s"}}, p.Moves)
+	all[4].Pool, all[4].Movable, all[4].Incoming = "s", false, true
+	require.Empty(t, Make(Snapshot{Standby: "off", Machines: all, Services: []Service{{Name: "s", Starved: true}}}).Moves)
+}
+
 // Guards against machines that go and come back within seconds.
 func TestRecentWantsHoldMachines(t *testing.T) {
 	var d Demand
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -111,6 +111,8 @@
 	// handed are the minions with runs of each job when the last coordinator gave the lease
 	// up; nil if it did not tell.
 	handed map[jobs.ID][]jobs.Minion
+	// noRoom are the steps for which the last plan found no room.
+	noRoom map[*jobs.StepRun]bool
 }
 
 // View is what other goroutines may know of a term. It is immutable.
@@ -143,6 +145,7 @@
 	t.members.init()
 	t.waves.init()
 	t.machines.init()
+	counters.Add("terms", 1)
 	t.log.Info().Msg("Coordinator: term began.")
 	t.wg.Go(t.loop)
 	t.wg.Go(t.load)
--- a/internal/coordinator/journal.go
+++ b/internal/coordinator/journal.go
@@ -174,6 +174,7 @@
 		t.End(err)
 	case errors.Is(err, context.Canceled):
 	default:
+		counters.Add("writes_without_effect", 1)
 		w.notBefore, w.urgent = t.now+retryPause, true
 		t.log.Warn().Err(err).Dur("lease_left", t.valid-t.now).Msg("Coordinator: write had no effect.")
 	}
--- a/internal/coordinator/machines.go
+++ b/internal/coordinator/machines.go
@@ -341,11 +341,17 @@
 	busy, waiting, lasting jobs.Resources
 	// least is how many machines they need because of bounds per minion.
 	least int
+	// starved is set while a task that lasts finds no room on the machines at hand.
+	starved bool
 }
 
+// starvedAfter is how long a task that lasts may find no room before its service gets one
+// more machine: large tasks do not fit into what others leave, however much that is.
+const starvedAfter = 300 * time.Millisecond
+
 func (t *Term) capacityService(name model.Service, l load) capacity.Service {
 	d := t.demandOf(name)
-	return capacity.Service{Name: name, Busy: l.busy, Waiting: l.waiting, Lasting: l.lasting, Least: l.least,
+	return capacity.Service{Name: name, Busy: l.busy, Waiting: l.waiting, Lasting: l.lasting, Least: l.least, Starved: l.starved,
 		Forecast: d.Forecast(t.now), Recent: d.Recent(t.now)}
 }
 
@@ -357,12 +363,23 @@
 		l := out[svc]
 		for _, s := range j.Steps {
 			l.add(s)
+			l.starved = l.starved || s.Spec.Lasting && t.noRoom[s] && t.waitsLonger(s, starvedAfter)
 		}
 		out[svc] = l
 	}
 	return out
 }
 
+// waitsLonger reports whether a task of a step waits for longer than a time.
+func (t *Term) waitsLonger(s *jobs.StepRun, d time.Duration) bool {
+	for _, x := range s.Tasks {
+		if x.Phase == jobs.Waiting && t.now > x.Since+d {
+			return true
+		}
+	}
+	return false
+}
+
 func (l *load) add(s *jobs.StepRun) {
 	running, waiting := 0, 0
 	for _, x := range s.Tasks {
@@ -387,7 +404,7 @@
 func (t *Term) capacityMachine(m site.Machine, standby model.Service) capacity.Machine {
 	out := capacity.Machine{Name: m.Name, Pool: m.Pool, Capacity: m.Capacity, Serves: m.State == site.MachineUp}
 	if v := t.machines.moves[m.Name]; v != nil {
-		out.Pool, out.Serves = v.to, true
+		out.Pool, out.Serves, out.Incoming = v.to, true, true
 		return out
 	}
 	if t.inWave(m.Name) {
@@ -416,6 +433,7 @@
 	if h := t.minions[m.Minion]; h != nil {
 		h.Closed = true
 	}
+	counters.Add("moves", 1)
 	x := &move{to: v.To, since: t.now, minion: m.Minion, calling: true}
 	t.machines.moves[v.Machine] = x
 	t.log.Info().Str("machine", string(v.Machine)).Str("from", string(m.Pool)).Str("to", string(v.To)).Msg("Coordinator: machine moves.")
--- a/internal/coordinator/minions.go
+++ b/internal/coordinator/minions.go
@@ -217,6 +217,7 @@
 		t.log.Warn().Str("minion", string(m.ID)).Int("tasks", len(m.Tasks)).Dur("silent", t.now-m.Heard).Msg("Coordinator: leases over, tasks start elsewhere.")
 	}
 	for x := range m.Tasks {
+		counters.Add("runs_given_up", 1)
 		t.over(x)
 	}
 	// Nothing unseen goes on there any more.
@@ -301,6 +302,7 @@
 		m.Keep(x.Number, nil, 0)
 		return
 	}
+	countEnd(x.How)
 	j := task.Step.Job
 	was := j.State()
 	if x.How == jobs.EndDone && x.Run == task.Run {
--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -44,6 +44,7 @@
 // start orders a run of a task.
 func (t *Term) start(x *jobs.Task, m *holding.Minion) {
 	run := x.NextRun(t.firstRun())
+	counters.Add("starts", 1)
 	t.book.Order(x, run, m.ID, t.now)
 	m.Assign(x)
 	o := &order{minion: m}
@@ -96,6 +97,7 @@
 	case errors.Is(err, site.ErrNoAnswer), errors.Is(err, site.ErrNotSent) && o.tries > 1:
 		// It may be carried out, now or seconds later: the task stays with this minion.
 		m.Doubtful[x.Name()] = x.Run
+		counters.Add("starts_unanswered", 1)
 		o.next = t.now + resendEvery
 		m.AvoidUntil = t.now + suspectFor
 		return
@@ -116,6 +118,7 @@
 	default:
 		m.AvoidUntil = t.now + suspectFor
 	}
+	counters.Add("starts_refused", 1)
 	t.log.Info().Err(err).Str("task", x.Name()).Int("run", x.Run).Str("minion", string(m.ID)).Msg("Coordinator: start refused.")
 	if o.tries > 1 && !errors.Is(err, site.ErrOtherBoot) {
 		// An earlier sending may still be carried out; only a stop rules that out.
--- a/internal/coordinator/plan.go
+++ b/internal/coordinator/plan.go
@@ -39,9 +39,16 @@
 	t.dirty, t.planned = false, t.now
 	snap := t.snapshot()
 	if len(snap.Steps) == 0 {
+		t.noRoom = nil
 		return
 	}
 	p := schedule.Make(snap)
+	t.noRoom = map[*jobs.StepRun]bool{}
+	for _, k := range p.Kept {
+		if k.Reason == schedule.ReasonNoRoom || k.Reason == schedule.ReasonNoMinion {
+			t.noRoom[k.Run] = true
+		}
+	}
 	for _, a := range p.Start {
 		if m := t.minions[a.Minion]; m != nil {
 			t.start(a.Task, m)
@@ -173,6 +180,7 @@
 		return
 	}
 	t.members.viewAt = t.now
+	t.gauges()
 	v := &View{Pending: map[model.Queue]int{}, Load: map[model.Queue]peer.QueueLoad{}}
 	for _, j := range t.book.Open() {
 		if !j.Begun() {
--- a/internal/coordinator/waves.go
+++ b/internal/coordinator/waves.go
@@ -251,6 +251,7 @@
 	switch {
 	case err == nil:
 		x.state, x.since = dutyDown, t.now
+		counters.Add("maintenances", 1)
 		t.lifeOver(x.minion)
 		t.log.Info().Int64("wave", r.wave.Number).Str("machine", string(x.name)).Msg("Coordinator: maintenance began.")
 		t.storeWave(r)
--- a/internal/entry/elect.go
+++ b/internal/entry/elect.go
@@ -177,6 +177,7 @@
 		n.log.Info().Err(err).Msg("Entry: lease not taken.")
 		return
 	}
+	counters.Add("leases_taken", 1)
 	n.log.Info().Uint64("epoch", held.Row.Epoch).Str("from", string(s.lease.Holder)).Dur("unchanged", n.d.Now()-s.changed).Msg("Entry: lease taken.")
 	deps := n.termDeps(s.lease)
 	n.leader.Store(&leaderView{name: n.d.Self.Entry, addr: n.d.PeerAddr, epoch: held.Row.Epoch, heard: n.d.Now()})
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -54,15 +54,19 @@
 	switch {
 	case err == nil:
 		n.offer(a.ID, value)
+		counters.Add("accepted", 1)
 		n.log.Info().Str("job", string(a.ID)).Str("queue", string(a.Queue)).Str("team", string(a.Team)).Msg("Entry: job accepted.")
 		return site.Answer{}
 	case errors.Is(err, platform.ErrConflict):
+		counters.Add("accepted_before", 1)
 		n.log.Info().Str("job", string(a.ID)).Msg("Entry: job was accepted before.")
 		return site.Answer{}
 	case errors.Is(err, platform.ErrUnknownOutcome):
+		counters.Add("may_be_stored", 1)
 		n.log.Warn().Err(err).Str("job", string(a.ID)).Msg("Entry: job may be stored.")
 		return site.Answer{Err: errors.Wrap(site.ErrOutcomeUnknown, err.Error())}
 	}
+	counters.Add("store_away", 1)
 	n.log.Info().Err(err).Str("job", string(a.ID)).Msg("Entry: job not accepted, store away.")
 	return site.Answer{Err: errors.Wrap(site.ErrNotNow, err.Error()), RetryAfter: comeBack}
 }
@@ -90,8 +94,10 @@
 // State returns a job's state: from the coordinator, or from the store while there is none.
 func (n *Node) State(ctx context.Context, id jobs.ID) site.Answer {
 	if a, ok := n.askState(ctx, id); ok {
+		counters.Add("state_coordinator", 1)
 		return a
 	}
+	counters.Add("state_store", 1)
 	return n.storedState(ctx, id)
 }
 
@@ -140,6 +146,7 @@
 // Cancel cancels a job and returns once that is stored.
 func (n *Node) Cancel(ctx context.Context, id jobs.ID) site.Answer {
 	if n.askCancel(ctx, id) {
+		counters.Add("cancel_coordinator", 1)
 		return site.Answer{}
 	}
 	row, err := n.d.Table.Get(ctx, platform.PriorityClaim, coordinator.JobKey(id))
@@ -153,6 +160,7 @@
 	if err != nil {
 		return site.Answer{Err: errors.Wrap(site.ErrOutcomeUnknown, err.Error())}
 	}
+	counters.Add("cancel_store", 1)
 	n.log.Info().Str("job", string(id)).Msg("Entry: cancelling stored for the coordinator.")
 	return site.Answer{}
 }
