coordinator: larger entry VMs coordinate; duties that run on every event are bounded

Change: waves every 0.1 s, minions every 4 ms, plans take a tenth of the processor; a reading of a clock has the time of its receipt; an entry VM with fewer cores leaves the lease to larger ones and hands it to them.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -43,8 +43,10 @@
 
 // Deps are the parts that a term works with.
 type Deps struct {
-	Self     peer.Sender
-	Addr     string
+	Self peer.Sender
+	Addr string
+	// Cores is the processor time that this entry VM may use, in cores.
+	Cores    float64
 	Table    platform.Table
 	Feed     platform.Feed
 	Minions  site.Minions
@@ -56,7 +58,7 @@
 	// Waves returns the operators' maintenance waves.
 	Waves func() map[int64]site.Wave
 	// NoteMembers is told the peer addresses of all entry VMs.
-	NoteMembers func(map[model.EntryVM]string)
+	NoteMembers func(map[model.EntryVM]peer.Member)
 	// Dial returns the connection to a peer; it does not block.
 	Dial func(name model.EntryVM, addr string) Remote
 	// Released is set if the lease was given up by its last holder, Ended if that holder
@@ -92,22 +94,24 @@
 	// began is when the lease was taken.
 	began time.Duration
 	// valid is when the lease ends as the store has confirmed it, version that of its row.
-	valid    time.Duration
-	version  uint64
-	loaded   bool
-	book     *jobs.Book
-	minions  map[jobs.Minion]*holding.Minion
-	queues   map[model.Queue]site.Queue
-	orders   map[*jobs.Task]*order
-	stops    map[*jobs.Task]*stopping
-	dirty    bool
-	planned  time.Duration
-	journal  journal
-	members  members
-	feeds    feeds
-	waves    waves
-	machines machines
-	leaving  bool
+	valid   time.Duration
+	version uint64
+	loaded  bool
+	book    *jobs.Book
+	minions map[jobs.Minion]*holding.Minion
+	queues  map[model.Queue]site.Queue
+	orders  map[*jobs.Task]*order
+	stops   map[*jobs.Task]*stopping
+	dirty   bool
+	// nextPlan is when the next plan may be made, nextWatch and nextWaves when minions and
+	// waves are looked at.
+	nextPlan, nextWatch, nextWaves time.Duration
+	journal                        journal
+	members                        members
+	feeds                          feeds
+	waves                          waves
+	machines                       machines
+	leaving                        bool
 	// handed are the minions with runs of each job when the last coordinator gave the lease
 	// up; nil if it did not tell.
 	handed map[jobs.ID][]jobs.Minion
@@ -124,8 +128,14 @@
 const (
 	// tick is the longest pause between two looks at timers.
 	tick = 40 * time.Millisecond
-	// planGap is the least time between two plans: ends come in batches.
-	planGap = 8 * time.Millisecond
+	// planGap is the least time between two plans: ends come in batches. With many jobs it is
+	// planShare times what the last plan took, so that plans take a tenth of the processor.
+	planGap   = 8 * time.Millisecond
+	planShare = 10
+	// watchGap is the least time between two looks at all minions.
+	watchGap = 4 * time.Millisecond
+	// wavesEvery is how often maintenance waves are gone on with; a machine takes 2 s.
+	wavesEvery = 100 * time.Millisecond
 	// viewEvery is how often the counts for callers are made anew; they may be 2 s old.
 	viewEvery = 300 * time.Millisecond
 )
@@ -225,11 +235,17 @@
 
 // drain runs the events that are at hand, so that one plan covers them all.
 func (t *Term) drain() {
-	for range len(t.events) {
+	for i := range len(t.events) {
+		if i%clockEvents == 0 {
+			t.now = t.d.Now()
+		}
 		(<-t.events)()
 	}
 }
 
+// clockEvents is how many events share a reading of the clock.
+const clockEvents = 16
+
 // step does what is due and returns how long to wait for the next event.
 func (t *Term) step() time.Duration {
 	t.now = t.d.Now()
@@ -239,19 +255,27 @@
 		return tick
 	}
 	t.followFeeds()
-	t.watchMinions()
+	if t.now >= t.nextWatch {
+		t.nextWatch = t.now + watchGap
+		t.watchMinions()
+	}
 	if t.leading() {
 		t.resendOrders()
 		t.listMachines()
-		t.runWaves()
+		if t.now >= t.nextWaves {
+			t.nextWaves = t.now + wavesEvery
+			t.runWaves()
+		}
 		t.fitMachines()
-		if t.dirty && t.now-t.planned >= planGap {
+		if t.dirty && t.now >= t.nextPlan {
 			t.plan()
+			took := t.d.Now() - t.now
+			t.nextPlan = t.now + max(planGap, planShare*took)
 		}
 	}
 	t.publish()
 	if t.dirty {
-		return max(t.planned+planGap-t.now, time.Millisecond)
+		return min(max(t.nextPlan-t.now, time.Millisecond), tick)
 	}
 	return tick
 }
--- a/internal/coordinator/handover.go
+++ b/internal/coordinator/handover.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"slices"
@@ -120,19 +121,48 @@
 	return []platform.Put{{Key: handoverKey, Value: value}}
 }
 
-// announce names the successor to the other entry VMs: the one that started last, because
-// a rolling restart is done with it.
+// successor returns the member that should coordinate next: of those that answer, one of
+// the largest, and of these the one that started last, because a rolling restart is done
+// with it.
+func (t *Term) successor() model.EntryVM {
+	var best model.EntryVM
+	for name, m := range t.members.byName {
+		if m.promised <= t.now-silentMember {
+			continue
+		}
+		b := t.members.byName[best]
+		if b == nil || cmp.Or(cmp.Compare(m.row.Cores, b.row.Cores), cmp.Compare(m.since, b.since), cmp.Compare(best, name)) > 0 {
+			best = name
+		}
+	}
+	return best
+}
+
+// yieldAfter is how long a coordinator on a small entry VM waits before it gives the lease
+// to a larger one, so that a larger one that restarts again and again gets it less often.
+const yieldAfter = 3 * time.Second
+
+// Outgrown reports whether a larger entry VM should coordinate instead.
+func (t *Term) Outgrown(ctx context.Context) bool {
+	larger := false
+	if err := t.do(ctx, func() {
+		m := t.members.byName[t.successor()]
+		larger = t.loaded && !t.leaving && t.now > t.began+yieldAfter && m != nil && m.row.Cores > t.d.Cores && t.now > m.since+yieldAfter
+	}); err != nil {
+		return false
+	}
+	return larger
+}
+
+// announce names the successor to the other entry VMs.
 func (t *Term) announce(ctx context.Context) {
 	msg := &peer.Lead{From: t.d.Self, Epoch: t.epoch, Addr: t.d.Addr, Released: true, Lease: t.held.Version}
 	var remotes []Remote
 	if err := t.do(ctx, func() {
-		var last time.Duration = -1
-		for name, m := range t.members.byName {
+		for _, m := range t.members.byName {
 			remotes = append(remotes, m.remote)
-			if m.promised > t.now-silentMember && (m.since > last || m.since == last && name < msg.Successor) {
-				msg.Successor, last = name, m.since
-			}
 		}
+		msg.Successor = t.successor()
 	}); err != nil {
 		return
 	}
--- a/internal/coordinator/harness_test.go
+++ b/internal/coordinator/harness_test.go
@@ -111,7 +111,7 @@
 		Limits:      Limits{Hold: 6 * time.Second, Stop: 400 * time.Millisecond, DutyGap: 3 * time.Second, Retention: time.Minute},
 		Config:      func() *site.Config { return b.config },
 		Waves:       func() map[int64]site.Wave { return b.waves },
-		NoteMembers: func(map[model.EntryVM]string) {},
+		NoteMembers: func(map[model.EntryVM]peer.Member) {},
 		Dial:        func(model.EntryVM, string) Remote { return nil },
 		Now:         func() time.Duration { return time.Hour + time.Since(b.began) },
 		Log:         zerolog.New(&b.log).With().Str("entry", string(name)).Logger().Hook(stamp{b}),
--- a/internal/coordinator/members.go
+++ b/internal/coordinator/members.go
@@ -29,17 +29,19 @@
 	Addr        string            `json:"a"`
 	DC          model.DataCentre  `json:"d"`
 	Incarnation model.Incarnation `json:"i"`
+	// Cores is the processor time that the entry VM may use, in cores.
+	Cores float64 `json:"c,omitempty"`
 }
 
 // members are the other entry VMs as the coordinator knows them.
 type members struct {
 	byName map[model.EntryVM]*memberState
-	// addresses are the peer addresses of all entry VMs, for the others.
-	addresses map[model.EntryVM]string
-	known     bool
-	reading   bool
-	next      time.Duration
-	viewAt    time.Duration
+	// all are the entry VMs with this one, for the others.
+	all     map[model.EntryVM]peer.Member
+	known   bool
+	reading bool
+	next    time.Duration
+	viewAt  time.Duration
 }
 
 type memberState struct {
@@ -111,20 +113,20 @@
 			s.byName[name] = &memberState{row: row, since: t.now, remote: t.d.Dial(name, row.Addr)}
 		}
 	}
-	addresses := map[model.EntryVM]string{t.d.Self.Entry: t.d.Addr}
+	all := map[model.EntryVM]peer.Member{t.d.Self.Entry: {Addr: t.d.Addr, Cores: t.d.Cores}}
 	for name, m := range s.byName {
 		if !seen[name] {
 			delete(s.byName, name)
 			continue
 		}
-		addresses[name] = m.row.Addr
+		all[name] = peer.Member{Addr: m.row.Addr, Cores: m.row.Cores}
 	}
-	s.addresses = addresses
-	t.d.NoteMembers(addresses)
+	s.all = all
+	t.d.NoteMembers(all)
 }
 
 func (t *Term) beat(name model.EntryVM, m *memberState) {
-	msg := &peer.Lead{From: t.d.Self, Epoch: t.epoch, Addr: t.d.Addr, Lease: t.version, Members: t.members.addresses}
+	msg := &peer.Lead{From: t.d.Self, Epoch: t.epoch, Addr: t.d.Addr, Lease: t.version, Members: t.members.all}
 	if c := t.d.Config(); c != nil {
 		msg.Config = c.Version
 	}
--- a/internal/coordinator/minions.go
+++ b/internal/coordinator/minions.go
@@ -122,7 +122,8 @@
 	to, sent := t.receiver(m), t.now
 	t.async(o.Wait+holdTimeout, func(ctx context.Context) func() {
 		r, err := t.d.Minions.Hold(ctx, to, o)
-		return func() { t.looked(m, sent, o.Noted, r, err) }
+		at := t.d.Now()
+		return func() { t.looked(m, sent, at, o.Noted, r, err) }
 	})
 }
 
@@ -145,8 +146,9 @@
 	}
 }
 
-// looked takes the answer of a hold that was sent at a time, with a number as noted.
-func (t *Term) looked(m *holding.Minion, sent time.Duration, noted int64, r site.HoldReport, err error) {
+// looked takes the answer of a hold that was sent and answered at given times, with a
+// number as noted.
+func (t *Term) looked(m *holding.Minion, sent, at time.Duration, noted int64, r site.HoldReport, err error) {
 	m.Asking = false
 	if t.minions[m.ID] != m {
 		return
@@ -172,7 +174,7 @@
 		m.Born = r.Born
 	}
 	m.Failures, m.Heard = 0, t.now
-	m.SetClock(r.Clock, t.now)
+	m.SetClock(r.Clock, at)
 	t.reconcile(m, sent, r)
 	t.barStarts(m)
 	m.Looked = true
--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -67,20 +67,22 @@
 	to := t.receiver(m)
 	t.async(orderTimeout, func(ctx context.Context) func() {
 		clock, err := t.d.Minions.Start(ctx, to, so)
-		return func() { t.startAnswered(x, o, so.Run, clock, err) }
+		at := t.d.Now()
+		return func() { t.startAnswered(x, o, so.Run, clock, at, err) }
 	})
 }
 
-// startAnswered takes the answer of a start.
-func (t *Term) startAnswered(x *jobs.Task, o *order, run int, clock int64, err error) {
+// startAnswered takes the answer of a start, with a reading of the minion's clock that came
+// at a time.
+func (t *Term) startAnswered(x *jobs.Task, o *order, run int, clock int64, at time.Duration, err error) {
 	o.inFlight = false
 	m := o.minion
 	if t.orders[x] != o || x.Run != run {
 		return
 	}
-	if m.SetClock(clock, t.now) {
+	if m.SetClock(clock, at) {
 		t.reborn(m, 0)
-		m.SetClock(clock, t.now)
+		m.SetClock(clock, at)
 	}
 	if err == nil {
 		t.book.Started(x, t.now)
--- a/internal/coordinator/plan.go
+++ b/internal/coordinator/plan.go
@@ -36,7 +36,7 @@
 
 // plan starts waiting tasks as far as there is room.
 func (t *Term) plan() {
-	t.dirty, t.planned = false, t.now
+	t.dirty = false
 	snap := t.snapshot()
 	if len(snap.Steps) == 0 {
 		t.noRoom = nil
--- a/internal/daemon/site.go
+++ b/internal/daemon/site.go
@@ -69,7 +69,7 @@
 	self := peer.Sender{Entry: set.Name, DC: set.DC, Incarnation: model.NewIncarnation()}
 	s := &Site{set: set, log: logging.Part(log, "daemon"), lis: map[string]net.Listener{}}
 	s.node = entry.New(entry.Deps{
-		Self: self, PeerAddr: set.PeerListen, Table: table, Feed: table, Minions: platform.NewMinions(), Machines: platform.NewMachines(set.MachinesAddr),
+		Self: self, PeerAddr: set.PeerListen, Cores: set.Cores, Table: table, Feed: table, Minions: platform.NewMinions(), Machines: platform.NewMachines(set.MachinesAddr),
 		Codec:        coordinator.Codec{Minion: platform.DecodeMinion, Wave: platform.DecodeWave, WaveStatus: platform.EncodeWaveStatus},
 		DecodeConfig: platform.DecodeConfig,
 		Limits:       coordinator.Limits{Hold: set.MaxHold, Stop: set.MaxStop, DutyGap: set.DutyGap, Retention: set.Retention},
--- a/internal/entry/elect.go
+++ b/internal/entry/elect.go
@@ -54,6 +54,7 @@
 				n.endTerm(t)
 				seen = observed{}
 			default:
+				n.yield(t)
 			}
 			continue
 		}
@@ -70,6 +71,36 @@
 	}
 }
 
+// yield gives the lease to a larger entry VM if there is one.
+func (n *Node) yield(t *coordinator.Term) {
+	ctx, cancel := context.WithTimeout(n.ctx, leaseCallTimeout)
+	defer cancel()
+	if !t.Outgrown(ctx) {
+		return
+	}
+	n.log.Info().Float64("cores", n.d.Cores).Msg("Entry: a larger entry VM is to coordinate.")
+	if err := t.Release(ctx); err != nil {
+		n.log.Warn().Err(err).Msg("Entry: lease not given up; it will lapse.")
+	}
+}
+
+// deference is how long a small entry VM leaves a free lease to larger ones.
+const deference = 400 * time.Millisecond
+
+// smaller reports whether a larger entry VM is known.
+func (n *Node) smaller() bool {
+	known := n.members.Load()
+	if known == nil {
+		return false
+	}
+	for _, m := range *known {
+		if m.Cores > n.d.Cores {
+			return true
+		}
+	}
+	return false
+}
+
 func (n *Node) endTerm(t *coordinator.Term) {
 	err := t.Wait()
 	n.term.Store(nil)
@@ -78,7 +109,7 @@
 
 // register writes this node's row, so that the coordinator finds it.
 func (n *Node) register() bool {
-	value, err := json.Marshal(coordinator.MemberRow{Addr: n.d.PeerAddr, DC: n.d.Self.DC, Incarnation: n.d.Self.Incarnation})
+	value, err := json.Marshal(coordinator.MemberRow{Addr: n.d.PeerAddr, DC: n.d.Self.DC, Incarnation: n.d.Self.Incarnation, Cores: n.d.Cores})
 	if err != nil {
 		n.log.Error().Err(err).Msg("Entry: not registered.")
 		return false
@@ -163,7 +194,11 @@
 }
 
 func (n *Node) take(s *observed, named bool) {
-	if !named && !n.sleep(rand.N(takeSpread)) {
+	wait := rand.N(takeSpread)
+	if n.smaller() {
+		wait += deference
+	}
+	if !named && !n.sleep(wait) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(n.ctx, leaseCallTimeout)
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -23,6 +23,8 @@
 type Deps struct {
 	Self     peer.Sender
 	PeerAddr string
+	// Cores is the processor time that this entry VM may use, in cores.
+	Cores    float64
 	Table    platform.Table
 	Feed     platform.Feed
 	Minions  site.Minions
@@ -47,8 +49,8 @@
 	waves  atomic.Pointer[map[int64]site.Wave]
 	term   atomic.Pointer[coordinator.Term]
 	leader atomic.Pointer[leaderView]
-	// members are the peer addresses of all entry VMs.
-	members atomic.Pointer[map[model.EntryVM]string]
+	// members are all entry VMs.
+	members atomic.Pointer[map[model.EntryVM]peer.Member]
 	store   *relay.Store
 	// reached is set once the store has answered, leaving when a shutdown has begun.
 	reached, leaving atomic.Bool
@@ -101,9 +103,9 @@
 		return nil
 	}
 	out := make([]relay.Peer, 0, len(*known))
-	for name, addr := range *known {
+	for name, m := range *known {
 		if name != n.d.Self.Entry {
-			out = append(out, n.dial(name, addr))
+			out = append(out, n.dial(name, m.Addr))
 		}
 	}
 	return out
@@ -153,7 +155,7 @@
 	promised := l != nil && l.epoch == before.Epoch && l.promised
 	return coordinator.Deps{
 		Released: released, Ended: released || promised || before.Holder == n.d.Self.Entry,
-		Self: n.d.Self, Addr: n.d.PeerAddr, Table: n.d.Table, Feed: n.d.Feed, Minions: n.d.Minions, Machines: n.d.Machines,
+		Self: n.d.Self, Addr: n.d.PeerAddr, Cores: n.d.Cores, Table: n.d.Table, Feed: n.d.Feed, Minions: n.d.Minions, Machines: n.d.Machines,
 		Codec: n.d.Codec, Limits: n.d.Limits, Config: n.Config,
 		Waves: func() map[int64]site.Wave {
 			if w := n.waves.Load(); w != nil {
@@ -161,7 +163,7 @@
 			}
 			return nil
 		},
-		NoteMembers: func(m map[model.EntryVM]string) { n.members.Store(&m) },
+		NoteMembers: func(m map[model.EntryVM]peer.Member) { n.members.Store(&m) },
 		Dial:        func(name model.EntryVM, addr string) coordinator.Remote { return n.dial(name, addr) },
 		Now:         n.d.Now, Log: logging.Part(n.d.Log, "coordinator"), Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
--- a/internal/holding/holding.go
+++ b/internal/holding/holding.go
@@ -85,8 +85,9 @@
 // when they are taken.
 const clockSlack = 2 * time.Second
 
-// SetClock notes a reading of the minion's clock that was received at now. It reports
-// whether the clock began anew, which only a new life does.
+// SetClock notes a reading of the minion's clock. now must not be before its receipt: a
+// reading that is taken for an older one makes leases longer than they are believed to be.
+// It reports whether the clock began anew, which only a new life does.
 func (m *Minion) SetClock(ms int64, now time.Duration) (anew bool) {
 	if ms <= 0 {
 		return false
--- a/internal/peer/site.go
+++ b/internal/peer/site.go
@@ -38,8 +38,15 @@
 	Successor model.EntryVM `json:"successor,omitempty"`
 	// Lease is the version of the lease's row as the sender wrote it last.
 	Lease uint64 `json:"lease"`
-	// Members are the peer addresses of all entry VMs.
-	Members map[model.EntryVM]string `json:"members,omitempty"`
+	// Members are all entry VMs.
+	Members map[model.EntryVM]Member `json:"members,omitempty"`
+}
+
+// Member is an entry VM as the coordinator knows it.
+type Member struct {
+	Addr string `json:"a"`
+	// Cores is the processor time that it may use, in cores.
+	Cores float64 `json:"c,omitempty"`
 }
 
 // QueueLoad is the backlog of a queue as the coordinator sees it.
--- a/internal/settings/site.go
+++ b/internal/settings/site.go
@@ -24,6 +24,8 @@
 	StoreURL, MachinesAddr, AdviceAddr string
 	// StoreWrites and StoreReads bound the calls of all entry VMs together, a second.
 	StoreWrites, StoreReads float64
+	// Cores is the processor time that this entry VM may use, in cores.
+	Cores float64
 	// Grace is how long the platform waits after SIGTERM before it kills the process.
 	Grace time.Duration
 	// MaxHold is the longest lease that a minion grants its runs.
@@ -70,6 +72,7 @@
 		AdviceAddr:    t.String("advice_address", tomldoc.StringRule{}),
 		StoreWrites:   t.Float("store_writes_per_second", tomldoc.FloatRule{Default: DefaultSiteWrites, Min: 1, Max: 100000}),
 		StoreReads:    t.Float("store_reads_per_second", tomldoc.FloatRule{Default: DefaultSiteReads, Min: 1, Max: 100000}),
+		Cores:         t.Float("cores", tomldoc.FloatRule{Default: 1, Min: 0.01, Max: 1024}),
 		Grace:         positive("grace"),
 		MaxHold:       positive("max_hold"),
 		MaxStop:       positive("max_stop"),
