--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -175,7 +175,8 @@
 // resendOrders sends starts and stops that are due.
 func (t *Term) resendOrders() {
 	for x, o := range t.orders {
-		if !o.inFlight && t.now >= o.next {
+		// A silent minion gets no start again: each would prolong the lease that it may have.
+		if !o.inFlight && t.now >= o.next && o.minion.Failures == 0 {
 			t.sendStart(x, o)
 		}
 	}
--- a/internal/coordinator/term_test.go
+++ b/internal/coordinator/term_test.go
@@ -166,6 +166,24 @@
 	})
 }
 
+// Guards against a task that waits for ever for an answer to its start because each
+// repetition prolongs the lease of the minion that does not answer.
+func TestUnansweredStartIsGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1)
+		term := b.take("e1", nil)
+		defer end(term)
+		sleep(time.Second)
+		b.minions.Change("m0", func(m *fleet.Minion) { m.Cut = true })
+		b.accept(term, "0000000000000001", step(1))
+		sleep(100 * time.Millisecond)
+		b.addMinion("m1")
+		sleep(leaseSpan + 2*time.Second)
+		require.Equal(t, jobs.StateCompleted, b.state(term, "0000000000000001"))
+		b.clean()
+	})
+}
+
 // Guards against a successor that starts tasks which still run on a minion that it cannot
 // reach.
 func TestTakeoverWithAMinionOutOfReach(t *testing.T) {
