coordinator: jobs that ended long ago are forgotten; leases keep to the platform's bound

Cause: memory, store and takeovers grew with all jobs that ever were; two settings were read and not used, and a lease could have been asked for beyond what minions grant.

Change: rows of jobs are removed 30 s after the time in which they can be asked for; leases last 4 s or the platform's longest, if that is shorter; max_stop is gone.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -33,8 +33,6 @@
 type Limits struct {
 	// Hold is the longest lease that a minion grants.
 	Hold time.Duration
-	// Stop bounds how long a stopped run may go on.
-	Stop time.Duration
 	// DutyGap is how long holders of machine orders must be apart.
 	DutyGap time.Duration
 	// Retention is how long a job's state can be asked for after its end.
@@ -112,6 +110,8 @@
 	waves                          waves
 	machines                       machines
 	leaving                        bool
+	// span is how long a lease on a minion lasts.
+	span time.Duration
 	// handed are the minions with runs of each job when the last coordinator gave the lease
 	// up; nil if it did not tell.
 	handed map[jobs.ID][]jobs.Minion
@@ -147,7 +147,7 @@
 		d: d, held: held, epoch: held.Row.Epoch, events: make(chan func(), 4096), ctx: ctx, stop: stop,
 		log:  d.Log.With().Uint64("epoch", held.Row.Epoch).Logger(),
 		book: jobs.NewBook(), minions: map[jobs.Minion]*holding.Minion{}, queues: map[model.Queue]site.Queue{},
-		orders: map[*jobs.Task]*order{}, stops: map[*jobs.Task]*stopping{},
+		orders: map[*jobs.Task]*order{}, stops: map[*jobs.Task]*stopping{}, span: min(leaseSpan, d.Limits.Hold),
 	}
 	t.now = d.Now()
 	t.began, t.valid, t.version = t.now, held.Until, held.Version
@@ -274,6 +274,7 @@
 		}
 	}
 	t.publish()
+	t.forgetOld()
 	if t.dirty {
 		return min(max(t.nextPlan-t.now, time.Millisecond), tick)
 	}
--- a/internal/coordinator/harness_test.go
+++ b/internal/coordinator/harness_test.go
@@ -108,7 +108,7 @@
 				return json.Marshal(map[string]string{"state": string(s)})
 			},
 		},
-		Limits:      Limits{Hold: 6 * time.Second, Stop: 400 * time.Millisecond, DutyGap: 3 * time.Second, Retention: time.Minute},
+		Limits:      Limits{Hold: 6 * time.Second, DutyGap: 3 * time.Second, Retention: time.Minute},
 		Config:      func() *site.Config { return b.config },
 		Waves:       func() map[int64]site.Wave { return b.waves },
 		NoteMembers: func(map[model.EntryVM]peer.Member) {},
--- a/internal/coordinator/journal.go
+++ b/internal/coordinator/journal.go
@@ -38,12 +38,17 @@
 	goneMinions map[jobs.Minion]bool
 	// waiters are run when a job's state is stored.
 	waiters map[jobs.ID][]func()
+	// oldJobs have ended so long ago that their rows are removed; nextOld is when the next are
+	// looked for.
+	oldJobs map[jobs.ID]bool
+	nextOld time.Duration
 	// waveRows are rows of maintenance waves to write.
 	waveRows map[string][]byte
 }
 
 func (w *journal) init() {
 	w.newMinions, w.goneMinions = map[*holding.Minion]bool{}, map[jobs.Minion]bool{}
+	w.oldJobs = map[jobs.ID]bool{}
 	w.waiters, w.waveRows = map[jobs.ID][]func(){}, map[string][]byte{}
 }
 
@@ -73,6 +78,28 @@
 	t.sendWrite(t.batch())
 }
 
+const (
+	// retentionMargin is how much longer than asked for a job's state is kept.
+	retentionMargin = 30 * time.Second
+	// forgetEvery is how often jobs that ended long ago are looked for.
+	forgetEvery = 10 * time.Second
+)
+
+// forgetOld finds the jobs whose rows can be removed, so that memory, store and the time of
+// a takeover do not grow with all jobs that ever were.
+func (t *Term) forgetOld() {
+	w := &t.journal
+	if t.now < w.nextOld || !t.leading() {
+		return
+	}
+	w.nextOld = t.now + forgetEvery
+	for id, j := range t.book.All() {
+		if j.State().Final() && !j.Unsaved() && t.now > j.Ended+t.d.Limits.Retention+retentionMargin && len(j.Active()) == 0 {
+			w.oldJobs[id] = true
+		}
+	}
+}
+
 // batch collects the rows of the next write.
 func (t *Term) batch() (puts []platform.Put, after func()) {
 	w := &t.journal
@@ -103,6 +130,11 @@
 		}
 	}
 	t.addDuties(add)
+	for id := range w.oldJobs {
+		if !add(JobKey(id), nil, func() { delete(w.oldJobs, id); t.book.Forget(id) }) {
+			break
+		}
+	}
 	for key, value := range w.waveRows {
 		if !add(key, value, func() { delete(w.waveRows, key) }) {
 			break
--- a/internal/coordinator/minions.go
+++ b/internal/coordinator/minions.go
@@ -113,7 +113,7 @@
 	}
 	// A silent minion gets no longer lease: its tasks could never be started elsewhere.
 	if len(m.Tasks) > 0 && m.ClockKnown() && m.Failures == 0 && t.leading() {
-		o.LeaseUntil = m.Lease(t.now, leaseSpan)
+		o.LeaseUntil = m.Lease(t.now, t.span)
 	}
 	if len(m.Tasks) > 0 && m.Failures == 0 && m.Looked {
 		o.Wait = holdWait
@@ -136,7 +136,7 @@
 		if len(m.Tasks) == 0 || m.Failures > 0 || !m.ClockKnown() {
 			continue
 		}
-		to, o := t.receiver(m), site.HoldOrder{LeaseUntil: m.Lease(t.now, leaseSpan), Noted: m.Noted()}
+		to, o := t.receiver(m), site.HoldOrder{LeaseUntil: m.Lease(t.now, t.span), Noted: m.Noted()}
 		t.async(holdTimeout, func(ctx context.Context) func() {
 			if _, err := t.d.Minions.Hold(ctx, to, o); err != nil {
 				t.log.Info().Err(err).Str("minion", string(to.ID)).Msg("Coordinator: lease not prolonged before the hand-over.")
--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -63,7 +63,7 @@
 	m := o.minion
 	o.inFlight = true
 	o.tries++
-	so := site.StartOrder{Task: x.Name(), Run: x.Run, Payload: x.Step.Job.Spec.Payload, LeaseUntil: m.Lease(t.now, leaseSpan), Checkpoint: x.Checkpoint}
+	so := site.StartOrder{Task: x.Name(), Run: x.Run, Payload: x.Step.Job.Spec.Payload, LeaseUntil: m.Lease(t.now, t.span), Checkpoint: x.Checkpoint}
 	to := t.receiver(m)
 	t.async(orderTimeout, func(ctx context.Context) func() {
 		clock, err := t.d.Minions.Start(ctx, to, so)
--- a/internal/coordinator/term_test.go
+++ b/internal/coordinator/term_test.go
@@ -230,6 +230,24 @@
 	})
 }
 
+// Guards against memory, store and takeovers that grow with all jobs that ever were.
+func TestOldJobsAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1)
+		term := b.take("e1", nil)
+		defer end(term)
+		sleep(time.Second)
+		b.accept(term, "0000000000000001", step(1))
+		sleep(50 * time.Second) // the retention is a minute
+		require.Equal(t, jobs.StateCompleted, b.state(term, "0000000000000001"))
+		sleep(time.Minute)
+		_, ok, err := term.State(context.Background(), "0000000000000001")
+		require.NoError(t, err)
+		require.False(t, ok)
+		require.Zero(t, b.store.Row(JobKey("0000000000000001")).Version)
+	})
+}
+
 // Guards against jobs that are never seen because the store's history was dropped and the
 // entry VM's offer was lost.
 func TestHistoryGone(t *testing.T) {
--- a/internal/daemon/site.go
+++ b/internal/daemon/site.go
@@ -72,7 +72,7 @@
 		Self: self, PeerAddr: set.PeerListen, Cores: set.Cores, Table: table, Feed: table, Minions: platform.NewMinions(), Machines: platform.NewMachines(set.MachinesAddr),
 		Codec:        coordinator.Codec{Minion: platform.DecodeMinion, Wave: platform.DecodeWave, WaveStatus: platform.EncodeWaveStatus},
 		DecodeConfig: platform.DecodeConfig,
-		Limits:       coordinator.Limits{Hold: set.MaxHold, Stop: set.MaxStop, DutyGap: set.DutyGap, Retention: set.Retention},
+		Limits:       coordinator.Limits{Hold: set.MaxHold, DutyGap: set.DutyGap, Retention: set.Retention},
 		Dial: func(name model.EntryVM, addr string) peer.SiteHandler {
 			c := peer.NewClient(self, name, addr, logging.Part(log, "peer"))
 			s.mu.Lock()
--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -184,6 +184,9 @@
 // Open returns the jobs in no final state. The map belongs to the book.
 func (b *Book) Open() map[ID]*Job { return b.open }
 
+// All returns all jobs. The map belongs to the book.
+func (b *Book) All() map[ID]*Job { return b.jobs }
+
 // Unsaved returns the jobs with progress that is not stored. The map belongs to the book.
 func (b *Book) Unsaved() map[ID]*Job { return b.unsaved }
 
--- a/internal/settings/site.go
+++ b/internal/settings/site.go
@@ -30,8 +30,6 @@
 	Grace time.Duration
 	// MaxHold is the longest lease that a minion grants its runs.
 	MaxHold time.Duration
-	// MaxStop bounds how long a stopped run may go on.
-	MaxStop time.Duration
 	// DutyGap is how far apart the holders of machine orders must be.
 	DutyGap time.Duration
 	// Retention is how long a job can be asked for after its end.
@@ -75,7 +73,6 @@
 		Cores:         t.Float("cores", tomldoc.FloatRule{Default: 1, Min: 0.01, Max: 1024}),
 		Grace:         positive("grace"),
 		MaxHold:       positive("max_hold"),
-		MaxStop:       positive("max_stop"),
 		DutyGap:       positive("duty_gap"),
 		Retention:     positive("retention"),
 	}
