coordinator: lasting tasks leave a draining minion before its end

Cause: they ran on it until it ended, and were away until they had started elsewhere after that.

Change: they are stopped and started elsewhere while the minion drains, as far as their availability budget allows.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -101,6 +101,8 @@
 	orders  map[*jobs.Task]*order
 	stops   map[*jobs.Task]*stopping
 	dirty   bool
+	// viewed is when the counts for callers were made last.
+	viewed time.Duration
 	// nextPlan is when the next plan may be made, nextWatch and nextWaves when minions and
 	// waves are looked at.
 	nextPlan, nextWatch, nextWaves time.Duration
--- a/internal/coordinator/evacuate.go
+++ b/internal/coordinator/evacuate.go
@@ -36,7 +36,7 @@
 	return away < spec.MayMiss
 }
 
-// evacuate ends the lasting tasks of a minion that is closed to new work, as far as their
+// evacuate ends the lasting tasks of a minion that gets no new work, as far as their
 // availability budgets allow, and reports whether the minion is empty. Other tasks run to
 // their end.
 func (t *Term) evacuate(m *holding.Minion, why model.Reason) (empty bool) {
--- a/internal/coordinator/members.go
+++ b/internal/coordinator/members.go
@@ -41,7 +41,6 @@
 	known   bool
 	reading bool
 	next    time.Duration
-	viewAt  time.Duration
 }
 
 type memberState struct {
--- a/internal/coordinator/minions.go
+++ b/internal/coordinator/minions.go
@@ -97,6 +97,9 @@
 		if m.Listed && !m.Recorded {
 			t.journal.newMinions[m] = true
 		}
+		if m.Leaving && m.Failures == 0 && t.leading() {
+			t.evacuate(m, reasonLeaving)
+		}
 		if !m.Asking && t.now >= m.NextLook {
 			t.look(m)
 		}
@@ -261,7 +264,6 @@
 	reasonCancelled model.Reason = "cancelled_by_caller"
 	reasonFailed    model.Reason = "job_failed"
 	reasonLeaving   model.Reason = "minion_leaves"
-	reasonElsewhere model.Reason = "runs_elsewhere"
 	reasonWave      model.Reason = "maintenance"
 )
 
--- a/internal/coordinator/plan.go
+++ b/internal/coordinator/plan.go
@@ -176,10 +176,10 @@
 
 // publish makes the counts that entry VMs tell callers.
 func (t *Term) publish() {
-	if v := t.view.Load(); v != nil && t.now < t.members.viewAt+viewEvery {
+	if v := t.view.Load(); v != nil && t.now < t.viewed+viewEvery {
 		return
 	}
-	t.members.viewAt = t.now
+	t.viewed = t.now
 	t.gauges()
 	v := &View{Pending: map[model.Queue]int{}, Load: map[model.Queue]peer.QueueLoad{}}
 	for _, j := range t.book.Open() {
--- a/internal/coordinator/term_test.go
+++ b/internal/coordinator/term_test.go
@@ -184,6 +184,30 @@
 	})
 }
 
+// Guards against lasting tasks that wait on a leaving minion for its end, instead of being at
+// work elsewhere before.
+func TestLeavingMinionIsEvacuated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1)
+		b.minions.Work = func(string, int) (time.Duration, jobs.End) { return 0, "" }
+		term := b.take("e1", nil)
+		defer end(term)
+		sleep(time.Second)
+		lasting := step(2)
+		lasting.Lasting, lasting.MayMiss = true, 1
+		b.accept(term, "0000000000000001", lasting)
+		sleep(time.Second)
+		b.addMinion("m1")
+		b.minions.Change("m0", func(m *fleet.Minion) { m.Entry.Leaving = true })
+		b.list("m0")
+		sleep(3 * time.Second)
+		for _, name := range []string{"0000000000000001.0.0.0", "0000000000000001.0.0.1"} {
+			require.Equal(t, []jobs.Minion{"m1"}, b.minions.Running(name))
+		}
+		b.clean()
+	})
+}
+
 // Guards against a successor that starts tasks which still run on a minion that it cannot
 // reach.
 func TestTakeoverWithAMinionOutOfReach(t *testing.T) {
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -91,7 +91,7 @@
 func New(d Deps) *Node {
 	ctx, stop := context.WithCancel(context.Background())
 	n := &Node{d: d, log: logging.Part(d.Log, "entry"), ctx: ctx, stop: stop, peers: map[string]peer.SiteHandler{}}
-	n.store = &relay.Store{Self: d.Self, Table: d.Table, Feed: d.Feed, Peers: n.relays, Log: n.log}
+	n.store = &relay.Store{Self: d.Self, Table: d.Table, Feed: d.Feed, Peers: n.relays}
 	n.d.Table, n.d.Feed = n.store, n.store
 	return n
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/rs/zerolog"
 
 	"boragepulley/internal/peer"
 	"boragepulley/internal/platform"
@@ -39,7 +38,6 @@
 	Feed  platform.Feed
 	// Peers returns the other entry VMs.
 	Peers func() []Peer
-	Log   zerolog.Logger
 }
 
 var (
