tests: random sources and switches of the new tests are safe between goroutines

Change: locks and atomics in the tests; the stand-in changes its work under its own lock. No check is weaker.

--- a/internal/coordinator/soak_test.go
+++ b/internal/coordinator/soak_test.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"os"
 	"strconv"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -57,7 +59,7 @@
 )
 
 func soak(t *testing.T, seed uint64) {
-	r := rand.New(rand.NewPCG(seed, 0))
+	r := &lockedRand{r: rand.New(rand.NewPCG(seed, 0))}
 	b := newBench(t, soakMinions)
 	b.minions.Work = func(task string, run int) (time.Duration, jobs.End) {
 		d := time.Duration(50+len(task)*7+run%3*100) * time.Millisecond
@@ -69,9 +71,9 @@
 	q := b.config.Queues
 	q[0].MaxAttempts = 1000
 	b.config.Index()
-	calm := false
+	var calm atomic.Bool
 	fault := func(share float64, kinds ...fleet.Fault) fleet.Fault {
-		if calm || r.Float64() >= share {
+		if calm.Load() || r.Float64() >= share {
 			return fleet.None
 		}
 		return kinds[r.IntN(len(kinds))]
@@ -107,7 +109,7 @@
 			}
 		}
 	}
-	calm = true
+	calm.Store(true)
 	for n := range soakMinions {
 		b.minions.Change(jobs.Minion(fmt.Sprint("m", n)), func(m *fleet.Minion) { m.Cut = false })
 	}
@@ -124,4 +126,22 @@
 	b.clean()
 }
 
+// lockedRand is a random source that faults draw from in many goroutines.
+type lockedRand struct {
+	mu sync.Mutex
+	r  *rand.Rand // guarded by mu
+}
+
+func (l *lockedRand) Float64() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.r.Float64()
+}
+
+func (l *lockedRand) IntN(n int) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.r.IntN(n)
+}
+
 func entryName(i int) string { return fmt.Sprint("e", i+1) }
--- a/internal/coordinator/term_test.go
+++ b/internal/coordinator/term_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -38,9 +39,9 @@
 func TestFinalStateIsShownOnceStored(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t, 1)
-		refuse := false
+		var refuse atomic.Bool
 		term := b.take("e1", func(op string) fleet.Fault {
-			if refuse && op == "commit" {
+			if refuse.Load() && op == "commit" {
 				return fleet.Refuse
 			}
 			return fleet.None
@@ -49,10 +50,10 @@
 		sleep(time.Second)
 		b.accept(term, "0000000000000001", step(1))
 		sleep(200 * time.Millisecond)
-		refuse = true
+		refuse.Store(true)
 		sleep(800 * time.Millisecond)
 		require.Equal(t, jobs.StateRunning, b.state(term, "0000000000000001"))
-		refuse = false
+		refuse.Store(false)
 		sleep(500 * time.Millisecond)
 		require.Equal(t, jobs.StateCompleted, b.state(term, "0000000000000001"))
 	})
@@ -125,9 +126,9 @@
 func TestStartsCarriedOutLate(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t, 3)
-		n := 0
+		var n atomic.Int64
 		b.minions.Fault = func(op string) fleet.Fault {
-			if n++; op == "start" && n%3 == 0 {
+			if op == "start" && n.Add(1)%3 == 0 {
 				return fleet.Late
 			}
 			return fleet.None
--- a/internal/entry/node_test.go
+++ b/internal/entry/node_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,14 +28,41 @@
 	t       *testing.T
 	store   *fleet.Store
 	minions *fleet.Minions
-	nodes   map[string]*Node
+	began   time.Time
+
+	mu    sync.Mutex
+	nodes map[string]*Node // guarded by mu
 	// cut entry VMs neither reach others nor are reached.
-	cut map[string]bool
+	cut map[string]bool // guarded by mu
 	// fault decides over the store calls of an entry VM.
-	fault map[string]func(op string) fleet.Fault
-	began time.Time
+	fault map[string]func(op string) fleet.Fault // guarded by mu
+}
+
+// disturb sets the fault of an entry VM's store calls, and whether it is cut off.
+func (g *grid) disturb(name string, cut bool, fault func(op string) fleet.Fault) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.cut[name], g.fault[name] = cut, fault
+}
+
+// reach returns an entry VM that is reached from another one, or nil.
+func (g *grid) reach(from, to string) *Node {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.cut[from] || g.cut[to] {
+		return nil
+	}
+	return g.nodes[to]
+}
+
+func (g *grid) faultOf(name string) func(op string) fleet.Fault {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.fault[name]
 }
 
+func refuse(string) fleet.Fault { return fleet.Refuse }
+
 func newGrid(t *testing.T, n int) *grid {
 	g := &grid{t: t, store: fleet.NewStore(), minions: fleet.NewMinions(), nodes: map[string]*Node{}, cut: map[string]bool{},
 		fault: map[string]func(string) fleet.Fault{}, began: time.Now()}
@@ -57,7 +86,7 @@
 
 func (g *grid) start(name string) *Node {
 	view := &fleet.View{Store: g.store, Fault: func(op string) fleet.Fault {
-		if f := g.fault[name]; f != nil {
+		if f := g.faultOf(name); f != nil {
 			return f(op)
 		}
 		return fleet.None
@@ -79,7 +108,9 @@
 		Now:    func() time.Duration { return time.Hour + time.Since(g.began) },
 		Log:    zerolog.Nop(),
 	})
+	g.mu.Lock()
 	g.nodes[name] = n
+	g.mu.Unlock()
 	n.Start()
 	return n
 }
@@ -117,12 +148,13 @@
 
 func via[M, R any](l link, ctx context.Context, m M, f func(peer.SiteHandler, context.Context, M) (R, error)) (R, error) {
 	var none R
-	if l.g.cut[l.from] || l.g.cut[l.to] || l.g.nodes[l.to] == nil {
+	n := l.g.reach(l.from, l.to)
+	if n == nil {
 		<-ctx.Done()
 		return none, errors.Wrap(peer.ErrNoAnswer, "cut")
 	}
 	time.Sleep(time.Millisecond)
-	return f(l.g.nodes[l.to].Handler(), ctx, m)
+	return f(n.Handler(), ctx, m)
 }
 
 func (l link) Lead(ctx context.Context, m *peer.Lead) (*peer.LeadReply, error) {
@@ -161,16 +193,15 @@
 		defer g.stop()
 		time.Sleep(2 * time.Second)
 		n := g.other(g.coordinator())
-		lost := false
-		g.fault[string(n.d.Self.Entry)] = func(op string) fleet.Fault {
-			if op == "commit" && !lost {
-				lost = true
+		var lost atomic.Bool
+		g.disturb(string(n.d.Self.Entry), false, func(op string) fleet.Fault {
+			if op == "commit" && lost.CompareAndSwap(false, true) {
 				return fleet.Lose
 			}
 			return fleet.None
-		}
+		})
 		require.NoError(t, n.Submit(context.Background(), job(id1)).Err)
-		require.True(t, lost)
+		require.True(t, lost.Load())
 		time.Sleep(2 * time.Second)
 		require.Equal(t, jobs.StateCompleted, n.State(context.Background(), id1).State)
 		require.Equal(t, 1, g.minions.Starts(string(id1)+".0.0.0"))
@@ -185,12 +216,12 @@
 		defer g.stop()
 		time.Sleep(2 * time.Second)
 		n := g.other(g.coordinator())
-		g.fault[string(n.d.Self.Entry)] = func(string) fleet.Fault { return fleet.Lose }
-		g.cut[string(n.d.Self.Entry)] = true // no peer can look either
+		// No peer can look either.
+		g.disturb(string(n.d.Self.Entry), true, func(string) fleet.Fault { return fleet.Lose })
 		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 		defer cancel()
 		require.ErrorIs(t, n.Submit(ctx, job(id1)).Err, site.ErrOutcomeUnknown)
-		g.fault[string(n.d.Self.Entry)] = nil
+		g.disturb(string(n.d.Self.Entry), false, nil)
 		require.NoError(t, n.Submit(context.Background(), job(id1)).Err)
 	})
 }
@@ -222,8 +253,7 @@
 		defer g.stop()
 		time.Sleep(2 * time.Second)
 		first := g.coordinator()
-		g.cut[first] = true
-		g.fault[first] = func(string) fleet.Fault { return fleet.Refuse }
+		g.disturb(first, true, refuse)
 		// The latest that a take may come: the row may have been written just before the cut.
 		time.Sleep(silentAfter + lease.TTL + takeMargin + readEvery + takeSpread + electEvery)
 		leading := 0
@@ -233,7 +263,7 @@
 			}
 		}
 		require.Equal(t, 1, leading)
-		g.cut[first], g.fault[first] = false, nil
+		g.disturb(first, false, nil)
 		time.Sleep(2 * time.Second)
 		require.Nil(t, g.nodes[first].term.Load())
 	})
@@ -262,7 +292,7 @@
 		defer g.stop()
 		time.Sleep(3 * time.Second)
 		first := g.coordinator()
-		g.fault[first] = func(string) fleet.Fault { return fleet.Refuse }
+		g.disturb(first, false, refuse)
 		n := g.nodes[first]
 		require.NoError(t, n.Submit(context.Background(), job(id1)).Err)
 		g.configure(2, "s")
@@ -297,14 +327,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := newGrid(t, 3)
 		defer g.stop()
-		g.minions.Work = func(string, int) (time.Duration, jobs.End) { return time.Minute, jobs.EndDone }
+		g.minions.SetWork(func(string, int) (time.Duration, jobs.End) { return time.Minute, jobs.EndDone })
 		time.Sleep(3 * time.Second)
 		first := g.coordinator()
 		n := g.other(first)
 		require.NoError(t, n.Submit(context.Background(), job(id1)).Err)
 		time.Sleep(300 * time.Millisecond)
-		g.cut[first] = true
-		g.fault[first] = func(string) fleet.Fault { return fleet.Refuse }
+		g.disturb(first, true, refuse)
 		time.Sleep(time.Second)
 		require.NoError(t, n.Cancel(context.Background(), id1).Err)
 		time.Sleep(5 * time.Second)
--- a/standins/fleet/minions.go
+++ b/standins/fleet/minions.go
@@ -76,6 +76,13 @@
 		Need: func(string) jobs.Resources { return jobs.Resources{CPU: 1000} }}
 }
 
+// SetWork changes Work while minions run.
+func (s *Minions) SetWork(f func(task string, no int) (time.Duration, jobs.End)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Work = f
+}
+
 // Add starts a minion.
 func (s *Minions) Add(e site.MinionEntry) {
 	s.mu.Lock()
