account: copies are stored whoever holds them, and go on while the store hangs; no attempt just before the deadline

Change: copies have a goroutine of their own; a holder stores the copies of an owner that is silent for 8 s, each word of coverage has its own name, the target returns to the own data centre; nothing is begun in the last 25 ms.

--- a/internal/account/account_test.go
+++ b/internal/account/account_test.go
@@ -20,7 +20,8 @@
 	"boragepulley/internal/platform"
 )
 
-// memory is a fake of the object store and the table that can refuse everything.
+// memory is a fake of the object store and the table that can refuse everything. As in the
+// store, an object never changes.
 type memory struct {
 	mu      sync.Mutex
 	down    bool
@@ -51,6 +52,9 @@
 	if m.down {
 		return platform.ErrUnavailable
 	}
+	if old, ok := m.objects[name]; ok && !bytes.Equal(old, data) {
+		return platform.ErrConflict
+	}
 	m.puts++
 	m.objects[name] = data
 	return nil
@@ -206,6 +210,85 @@
 }
 
 // Guards against a batch that was lost in the middle and goes unnoticed.
+// Guards against copies that wait for ever for word of an owner's end: an entry VM of
+// another data centre, or one that the owner left for another holder, never hears of it.
+func TestHolderStoresTheCopiesOfASilentOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemory()
+		h := NewHolder("peer", memoryObjects{m}, zerolog.Nop())
+		owner := Owner{Entry: "entry", Incarnation: "one"}
+		hold := func(sequence uint64) {
+			b := Batch{Owner: owner, First: sequence, Last: sequence, CoversUntil: time.Now(), Records: []model.Record{accepted("job", time.Now())}}
+			payload, err := b.Encode()
+			require.NoError(t, err)
+			require.NoError(t, h.Hold(sequence, payload))
+		}
+		for sequence := uint64(1); sequence <= 2; sequence++ {
+			hold(sequence)
+			require.NoError(t, h.StoreGone(t.Context()))
+			require.Equal(t, int(sequence-1)*2, m.puts, "the owner was heard just now")
+			time.Sleep(ownerSilent)
+			require.NoError(t, h.StoreGone(t.Context()), "silence number %d", sequence)
+			require.Equal(t, int(sequence)*2, m.puts, "the batch and how far it covers")
+			require.Zero(t, h.bytes)
+		}
+		require.True(t, buildFrom(t, m, nil).Gaps[0].From.After(time.Now().Add(-ownerSilent-2*recordDelay)))
+	})
+}
+
+// Guards against an owner whose copies cannot be stored and that holds up all others.
+func TestHolderGoesOnAfterAnOwnerThatCannotBeStored(t *testing.T) {
+	m := newMemory()
+	h := NewHolder("peer", memoryObjects{m}, zerolog.Nop())
+	for i := range 8 {
+		owner := Owner{Entry: model.EntryVM(fmt.Sprint("entry", i)), Incarnation: model.Incarnation(fmt.Sprint(i))}
+		b := Batch{Owner: owner, First: 1, Last: 1, CoversUntil: time.Now(), Records: []model.Record{accepted("job", time.Now())}}
+		payload, err := b.Encode()
+		require.NoError(t, err)
+		require.NoError(t, h.Hold(1, payload))
+		h.OwnerGone(owner.Incarnation, time.Now())
+		if i == 0 {
+			m.objects[b.ObjectName()] = []byte("other bytes")
+		}
+	}
+	require.ErrorIs(t, h.StoreGone(t.Context()), platform.ErrConflict)
+	require.Len(t, h.held, 1)
+}
+
+// hungObjects never answer.
+type hungObjects struct{ memoryObjects }
+
+func (hungObjects) Put(ctx context.Context, _ platform.Priority, _ string, _ []byte) error {
+	<-ctx.Done()
+	return platform.ErrUnavailable
+}
+
+// Guards against copies that are late because the store does not answer: that is when they
+// are needed.
+func TestCopiesGoOnWhileTheStoreDoesNotAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemory()
+		owner := Owner{Entry: "entry", Incarnation: "one"}
+		h := NewHolder("peer", memoryObjects{m}, zerolog.Nop())
+		s := platform.Services{Table: memoryTable{m}, Objects: hungObjects{memoryObjects{m}}}
+		l := NewLedger(owner, s, holderCopier{holder: h, inc: owner.Incarnation}, zerolog.Nop(), time.Now)
+		ctx, stop := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		defer wg.Wait()
+		defer stop()
+		wg.Go(func() { l.Run(ctx) })
+		for i := range 20 {
+			l.Record(accepted(fmt.Sprint("job", i), time.Now()))
+			time.Sleep(copyInterval)
+			synctest.Wait()
+			h.mu.Lock()
+			covered := h.held[owner.Incarnation].coversUntil
+			h.mu.Unlock()
+			require.Less(t, time.Since(covered), 2*copyInterval)
+		}
+	})
+}
+
 func TestMissingBatchIsAGap(t *testing.T) {
 	now := time.Now()
 	batch := func(n uint64) Batch {
--- a/internal/account/holder.go
+++ b/internal/account/holder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -12,23 +13,29 @@
 	"boragepulley/internal/platform"
 )
 
-// maxHeldBytes bounds the copies that one holder keeps for all owners.
-const maxHeldBytes = 32 << 20
+const (
+	// maxHeldBytes bounds the copies that one holder keeps for all owners.
+	maxHeldBytes = 32 << 20
+	// ownerSilent is how long an owner may send nothing before its copies are stored: eight
+	// copy intervals, above any delay of a busy entry VM. It has chosen another holder, or has ended without this entry VM
+	// seeing it, as one of another data centre does.
+	ownerSilent = 8 * copyInterval
+)
 
 // ErrHolderFull means that the holder has no room for another copy.
 var ErrHolderFull = errors.New("account: holder full")
 
-// Coverage is written by a holder for an owner that is gone.
+// Coverage is written by a holder for an owner that is gone or silent.
 type Coverage struct {
 	Owner
 	Holder      model.EntryVM `json:"holder"`
 	CoversUntil time.Time     `json:"covers_until"`
-	// GoneSeen is when the holder saw that the owner was gone.
+	// GoneSeen is when the holder saw that the owner was gone; zero if it was only silent.
 	GoneSeen time.Time `json:"gone_seen"`
 }
 
 // Holder keeps copies of other entry VMs' unstored batches, and stores them when
-// their owner is gone. Safe for concurrent use.
+// their owner is gone or silent. Safe for concurrent use.
 type Holder struct {
 	self    model.EntryVM
 	objects platform.Objects
@@ -44,6 +51,7 @@
 	coversUntil time.Time
 	batches     map[uint64][]byte
 	goneSeen    time.Time
+	heard       time.Time
 }
 
 // NewHolder returns an empty holder.
@@ -64,6 +72,7 @@
 		c = &heldCopies{owner: b.Owner, batches: make(map[uint64][]byte)}
 		h.held[b.Incarnation] = c
 	}
+	c.heard = time.Now()
 	if sequence != 0 {
 		if h.bytes+len(payload) > maxHeldBytes {
 			return ErrHolderFull
@@ -102,16 +111,20 @@
 	}
 }
 
-// StoreGone stores the copies of owners that are gone. Copies that cannot be stored
-// are kept for the next call.
+// StoreGone stores the copies of owners that are gone or silent. Copies that cannot be
+// stored are kept for the next call; the first error is returned.
 func (h *Holder) StoreGone(ctx context.Context) error {
+	var first error
 	for _, c := range h.gone() {
 		if err := h.storeOwner(ctx, c); err != nil {
-			return err
+			if first == nil {
+				first = err
+			}
+			continue
 		}
-		h.forget(c.owner.Incarnation)
+		h.forget(c)
 	}
-	return nil
+	return first
 }
 
 // Run calls StoreGone once a second until ctx ends.
@@ -135,7 +148,7 @@
 	defer h.mu.Unlock()
 	var out []heldCopies
 	for _, c := range h.held {
-		if c.goneSeen.IsZero() {
+		if c.goneSeen.IsZero() && time.Since(c.heard) < ownerSilent {
 			continue
 		}
 		g := *c
@@ -163,7 +176,8 @@
 	if err != nil {
 		return err
 	}
-	name := coveragePrefix + string(c.owner.Entry) + "/" + string(c.owner.Incarnation) + "/" + string(h.self)
+	// An owner can fall silent more than once: each time has a name of its own.
+	name := fmt.Sprintf("%s%s/%s/%s/%d", coveragePrefix, c.owner.Entry, c.owner.Incarnation, h.self, c.coversUntil.UnixMilli())
 	if err := h.put(ctx, name, data); err != nil {
 		return err
 	}
@@ -178,15 +192,21 @@
 	return errors.Wrapf(h.objects.Put(ctx, platform.PriorityAccount, name, data), "account: store %s", name)
 }
 
-func (h *Holder) forget(inc model.Incarnation) {
+// forget drops the copies that were stored. What the owner sent meanwhile stays.
+func (h *Holder) forget(stored heldCopies) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	c := h.held[inc]
+	c := h.held[stored.owner.Incarnation]
 	if c == nil {
 		return
 	}
-	for _, p := range c.batches {
-		h.bytes -= len(p)
+	for s, p := range stored.batches {
+		if c.batches[s] != nil {
+			h.bytes -= len(p)
+			delete(c.batches, s)
+		}
+	}
+	if len(c.batches) == 0 && !c.coversUntil.After(stored.coversUntil) {
+		delete(h.held, stored.owner.Incarnation)
 	}
-	delete(h.held, inc)
 }
--- a/internal/account/ledger.go
+++ b/internal/account/ledger.go
@@ -22,6 +22,8 @@
 	// object per entry VM every 5 s keeps eight entry VMs at 1.6 store writes a second.
 	storeInterval = 5 * time.Second
 	storeFacts    = 500
+	// storeCheck is how often it is looked whether storing is due.
+	storeCheck = time.Second
 	// maxObjectFacts bounds one object when batches are joined after an outage.
 	maxObjectFacts = 5000
 	// rowInterval is how often the incarnation row is updated.
@@ -69,7 +71,7 @@
 	open    Batch
 	pending []Batch // cut, not yet stored, in sequence order
 
-	// Used by Run's goroutine only: the last sequence copied to copyTarget.
+	// Used by the goroutine that copies only: the last sequence copied to copyTarget.
 	copied     uint64
 	copyTarget model.EntryVM
 
@@ -113,28 +115,40 @@
 	metricFacts.Add(1)
 }
 
-// Run copies and stores until ctx ends. It returns after the current attempt.
+// Run copies and stores until ctx ends. It returns after the current attempts. Copies have
+// a goroutine of their own, because a store that does not answer holds each attempt up for
+// longer than the copy interval.
 func (l *Ledger) Run(ctx context.Context) {
-	tick := time.NewTicker(copyInterval)
-	defer tick.Stop()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { every(ctx, copyInterval, func() { l.copyOpen(ctx) }) })
 	lastStore := l.now()
 	if err := l.announce(ctx); err != nil {
 		l.log.Warn().Err(err).Msg("Incarnation row not written; it will be retried.")
 	}
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
-		l.copyOpen(ctx)
+	every(ctx, storeCheck, func() {
 		if l.pendingFacts() < storeFacts && l.now().Sub(lastStore) < storeInterval {
-			continue
+			return
 		}
 		lastStore = l.now()
+		l.cut()
 		if err := l.storePending(ctx); err != nil {
 			l.log.Warn().Err(err).Msg("Batch not stored; it will be retried.")
 		}
+	})
+}
+
+// every calls f at an interval until ctx ends.
+func every(ctx context.Context, interval time.Duration, f func()) {
+	tick := time.NewTicker(interval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			f()
+		}
 	}
 }
 
--- a/internal/account/merge.go
+++ b/internal/account/merge.go
@@ -121,7 +121,7 @@
 func (g *merger) addCoverage(v Coverage) {
 	c := g.owner(v.Owner)
 	c.known = later(c.known, v.CoversUntil)
-	if c.GoneSeen.IsZero() || v.GoneSeen.Before(c.GoneSeen) {
+	if !v.GoneSeen.IsZero() && (c.GoneSeen.IsZero() || v.GoneSeen.Before(c.GoneSeen)) {
 		c.GoneSeen = v.GoneSeen
 	}
 }
--- a/internal/daemon/links.go
+++ b/internal/daemon/links.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 
 	"github.com/pkg/errors"
 
@@ -99,20 +100,21 @@
 }
 
 // copier copies account batches to another entry VM: one of the own data centre, or of
-// another one if this entry VM is alone in its own. It keeps the target while that is alive.
+// another one while nobody else answers in its own. It keeps the target while that is alive,
+// and comes back to the own data centre, whose entry VMs see at once that it is gone.
 type copier struct {
 	links    *links
 	snapshot func() *control.Snapshot
-	// target is used by the ledger's goroutine only.
-	target model.EntryVM
+
+	mu     sync.Mutex
+	target model.EntryVM // guarded by mu
 }
 
 // Target implements account.Copier.
 func (c *copier) Target() model.EntryVM {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	peers := c.snapshot().Peers
-	if c.target != "" && peers[c.target].Status == control.MemberAlive {
-		return c.target
-	}
 	var near, far []model.EntryVM
 	for name, p := range peers {
 		switch {
@@ -124,6 +126,9 @@
 		}
 	}
 	for _, names := range [][]model.EntryVM{near, far} {
+		if slices.Contains(names, c.target) {
+			return c.target
+		}
 		if len(names) > 0 {
 			// The next name after the own one spreads the copies over the entry VMs.
 			slices.Sort(names)
@@ -136,20 +141,27 @@
 	return ""
 }
 
+func (c *copier) current() model.EntryVM {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.target
+}
+
 // Hold implements account.Copier.
 func (c *copier) Hold(ctx context.Context, sequence uint64, payload []byte) error {
-	to, err := c.links.client(c.target)
+	target := c.current()
+	to, err := c.links.client(target)
 	if err != nil {
 		return err
 	}
 	_, err = to.HoldRecords(ctx, &peer.HoldRecords{From: c.links.self, Batch: sequence, Payload: payload})
-	return errors.Wrapf(err, "daemon: copy records to %s", c.target)
+	return errors.Wrapf(err, "daemon: copy records to %s", target)
 }
 
 // Drop implements account.Copier. A lost message only leaves a copy behind, which the
 // report merges.
 func (c *copier) Drop(ctx context.Context, sequence uint64) {
-	if to, err := c.links.client(c.target); err == nil {
+	if to, err := c.links.client(c.current()); err == nil {
 		_, _ = to.DropRecords(ctx, &peer.DropRecords{From: c.links.self, Batch: sequence})
 	}
 }
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -306,6 +306,38 @@
 	})
 }
 
+// Guards against an attempt that begins when its answer can no longer come in time: the
+// caller was told an unknown outcome although a failed answer was at hand.
+func TestNothingIsBegunJustBeforeTheDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(3)
+		r.minions.fault = failFirst(status500)
+		r.ctl.acquire = func(_ context.Context, a control.Attempt) (rep peer.AcquireReply, handled bool, err error) {
+			if a.Number > 1 {
+				time.Sleep(time.Until(a.Request.Deadline) - leastLeft + time.Millisecond)
+			}
+			return rep, false, nil
+		}
+		in := input("x", true)
+		in.Deadline = time.Second
+		start := time.Now()
+		res := r.Submit(context.Background(), in)
+		require.Less(t, time.Since(start), time.Second)
+		require.Equal(t, model.StateRan, res.State)
+		require.Equal(t, 500, res.Status)
+		require.Len(t, r.minions.calls, 1)
+
+		r.ctl.acquire = func(_ context.Context, a control.Attempt) (rep peer.AcquireReply, handled bool, err error) {
+			time.Sleep(time.Until(a.Request.Deadline) - leastLeft + time.Millisecond)
+			return rep, false, nil
+		}
+		in.Body = []byte("y")
+		res = r.Submit(context.Background(), in)
+		require.Equal(t, model.StateRefused, res.State, "it was not run")
+		require.Equal(t, model.ReasonDeadlineQueued, res.Reason)
+	})
+}
+
 // Guards against a second run of a request that is sent twice at once, and against the
 // answer of another request with the same id.
 func TestParallelDuplicates(t *testing.T) {
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -173,6 +173,10 @@
 	return model.ReasonDeadlineQueued
 }
 
+// leastLeft is the time before its deadline in which a job is not begun any more: a minion's
+// answer takes 5 ms and more, so the caller would be told that the outcome is unknown.
+const leastLeft = 25 * time.Millisecond
+
 // hand marks the request as given away; it must be called before the first byte is
 // sent. check runs last and can still stop it. After hand returns nil, the job can be
 // neither cancelled nor withdrawn until handBack.
@@ -182,6 +186,9 @@
 	if cause := context.Cause(j.ctx); cause != nil {
 		return cause
 	}
+	if time.Until(j.req.Deadline) < leastLeft {
+		return &permitError{reason: model.ReasonDeadlineQueued, last: true}
+	}
 	if !invariant.Check(j.req.Idempotent || (!j.mayHaveRun && j.failedAnswer == nil && !j.handed), invariant.AtMostOnce,
 		"job %s is not idempotent and would be dispatched again", j.req.Job) {
 		return &permitError{reason: model.ReasonAnswerLost, last: true}
