--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -107,6 +107,7 @@
 	// waves are looked at.
 	nextPlan, nextWatch, nextWaves time.Duration
 	journal                        journal
+	rows                           endedRows
 	members                        members
 	feeds                          feeds
 	waves                          waves
@@ -154,6 +155,7 @@
 	t.now = d.Now()
 	t.began, t.valid, t.version = t.now, held.Until, held.Version
 	t.journal.init()
+	t.rows.init()
 	t.members.init()
 	t.waves.init()
 	t.machines.init()
@@ -276,7 +278,9 @@
 		}
 	}
 	t.publish()
-	t.forgetOld()
+	if t.leading() {
+		t.writeEnded()
+	}
 	if t.dirty {
 		return min(max(t.nextPlan-t.now, time.Millisecond), tick)
 	}
--- a/internal/coordinator/feeds.go
+++ b/internal/coordinator/feeds.go
@@ -51,7 +51,7 @@
 // followFeeds asks for changes of the tables that others write.
 func (t *Term) followFeeds() {
 	if t.feeds.jobs.table == "" {
-		t.feeds.jobs.table, t.feeds.jobs.gap, t.feeds.jobs.take = JobTable, jobFeedGap, t.takeJobs
+		t.feeds.jobs.table, t.feeds.jobs.gap, t.feeds.jobs.take = platform.JobTable, jobFeedGap, t.takeJobs
 		t.feeds.minions.table, t.feeds.minions.gap, t.feeds.minions.take = minionList, minionFeedGap, t.takeMinions
 	}
 	for _, f := range []*feed{&t.feeds.jobs, &t.feeds.minions} {
@@ -99,6 +99,7 @@
 		}
 		if base, ok := strings.CutSuffix(id, cancelSuffix); ok {
 			if j := t.book.Get(jobs.ID(base)); j != nil {
+				j.HasCancel = true
 				t.cancel(j)
 			}
 			continue
--- a/internal/coordinator/journal.go
+++ b/internal/coordinator/journal.go
@@ -38,17 +38,15 @@
 	goneMinions map[jobs.Minion]bool
 	// waiters are run when a job's state is stored.
 	waiters map[jobs.ID][]func()
-	// oldJobs have ended so long ago that their rows are removed; nextOld is when the next are
-	// looked for.
-	oldJobs map[jobs.ID]bool
-	nextOld time.Duration
+	// spent are jobs whose progress says nothing more than their row.
+	spent map[jobs.ID]bool
 	// waveRows are rows of maintenance waves to write.
 	waveRows map[string][]byte
 }
 
 func (w *journal) init() {
 	w.newMinions, w.goneMinions = map[*holding.Minion]bool{}, map[jobs.Minion]bool{}
-	w.oldJobs = map[jobs.ID]bool{}
+	w.spent = map[jobs.ID]bool{}
 	w.waiters, w.waveRows = map[jobs.ID][]func(){}, map[string][]byte{}
 }
 
@@ -66,7 +64,7 @@
 		return
 	}
 	due := w.last + renewEvery
-	if len(t.book.Unsaved()) > 0 || len(w.waveRows) > 0 || len(w.goneMinions) > 0 {
+	if len(t.book.Unsaved()) > 0 || len(w.spent) > 0 || len(w.waveRows) > 0 || len(w.goneMinions) > 0 {
 		due = w.last + lazyEvery
 	}
 	if w.urgent || len(w.newMinions) > 0 {
@@ -78,28 +76,6 @@
 	t.sendWrite(t.batch())
 }
 
-const (
-	// retentionMargin is how much longer than asked for a job's state is kept.
-	retentionMargin = 30 * time.Second
-	// forgetEvery is how often jobs that ended long ago are looked for.
-	forgetEvery = 10 * time.Second
-)
-
-// forgetOld finds the jobs whose rows can be removed, so that memory, store and the time of
-// a takeover do not grow with all jobs that ever were.
-func (t *Term) forgetOld() {
-	w := &t.journal
-	if t.now < w.nextOld || !t.leading() {
-		return
-	}
-	w.nextOld = t.now + forgetEvery
-	for id, j := range t.book.All() {
-		if j.State().Final() && !j.Unsaved() && t.now > j.Ended+t.d.Limits.Retention+retentionMargin && len(j.Active()) == 0 {
-			w.oldJobs[id] = true
-		}
-	}
-}
-
 // batch collects the rows of the next write.
 func (t *Term) batch() (puts []platform.Put, after func()) {
 	w := &t.journal
@@ -130,8 +106,8 @@
 		}
 	}
 	t.addDuties(add)
-	for id := range w.oldJobs {
-		if !add(JobKey(id), nil, func() { delete(w.oldJobs, id); t.book.Forget(id) }) {
+	for id := range w.spent {
+		if !add(ProgressKey(id), nil, func() { delete(w.spent, id) }) {
 			break
 		}
 	}
@@ -156,28 +132,15 @@
 				continue
 			}
 			s := saved{j, j.Changes(), j.State()}
-			var value []byte
-			var err error
-			key := ProgressKey(j.ID)
-			if final {
-				key = JobKey(j.ID)
-				value, err = json.Marshal(j.Stub(s.state))
-			} else {
-				j.HasProgress = true
-				value, err = jobs.EncodeProgress(j)
-			}
+			j.HasProgress = true
+			value, err := jobs.EncodeProgress(j)
 			if err != nil {
 				t.log.Error().Err(err).Str("job", string(j.ID)).Msg("Coordinator: progress not stored.")
 				continue
 			}
-			if !add(key, value, func() { t.stored(s) }) {
+			if !add(ProgressKey(j.ID), value, func() { t.stored(s) }) {
 				return
 			}
-			// The progress of a job in a final state says nothing more. If it does not fit into
-			// this write, it stays, and is passed over.
-			if final && j.HasProgress {
-				add(ProgressKey(j.ID), nil, func() {})
-			}
 		}
 	}
 }
@@ -190,6 +153,7 @@
 			f()
 		}
 		delete(t.journal.waiters, s.job.ID)
+		t.endedRow(s.job)
 	}
 }
 
--- a/internal/coordinator/recover.go
+++ b/internal/coordinator/recover.go
@@ -18,8 +18,6 @@
 
 // Tables of the coordinator's rows.
 const (
-	// JobTable has a row for each accepted job, written by the entry VM that accepts it.
-	JobTable = "job"
 	// progressTable has a row for each job with progress.
 	progressTable = "progress"
 	// minionTable has a row for each minion that may run tasks.
@@ -43,7 +41,7 @@
 )
 
 // JobKey returns the key of a job's row.
-func JobKey(id jobs.ID) string { return JobTable + "/" + string(id) }
+func JobKey(id jobs.ID) string { return platform.JobTable + "/" + string(id) }
 
 // ProgressKey returns the key of a job's progress.
 func ProgressKey(id jobs.ID) string { return progressTable + "/" + string(id) }
@@ -96,7 +94,7 @@
 	}
 	read(minionList, &x.listed)
 	read(minionTable, &x.recorded)
-	read(JobTable, &x.jobs)
+	read(platform.JobTable, &x.jobs)
 	read(progressTable, &x.progress)
 	read(dutyTable, &x.duties)
 	read(handoverTable, &x.handover)
@@ -151,14 +149,22 @@
 		t.addRow(id, r.Value, t.epoch > 1)
 	}
 	for _, r := range x.progress.Rows {
-		if j := t.book.Get(jobs.ID(suffix(r.Key))); j != nil {
-			if err := t.book.Restore(j, r.Value); err != nil {
-				t.log.Error().Err(err).Str("job", string(j.ID)).Msg("Coordinator: unreadable progress passed over.")
-			}
+		id := jobs.ID(suffix(r.Key))
+		j := t.book.Get(id)
+		if j == nil {
+			t.journal.spent[id] = true // the job was forgotten
+			continue
+		}
+		if err := t.book.Restore(j, r.Value); err != nil {
+			t.log.Error().Err(err).Str("job", string(id)).Msg("Coordinator: unreadable progress passed over.")
+		}
+		if j.State().Final() {
+			t.endedRow(j)
 		}
 	}
 	for _, id := range cancels {
 		if j := t.book.Get(id); j != nil {
+			j.HasCancel = true
 			t.cancel(j)
 		}
 	}
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -122,25 +122,37 @@
 
 // storedState reads what the store knows of a job.
 func (n *Node) storedState(ctx context.Context, id jobs.ID) site.Answer {
+	notNow := func(err error) site.Answer {
+		return site.Answer{Err: errors.Wrap(site.ErrNotNow, err.Error()), RetryAfter: comeBack}
+	}
+	// Progress goes only after the job's row has the final state, so it is read first.
+	progress, err := n.d.Table.Get(ctx, platform.PriorityClaim, coordinator.ProgressKey(id))
+	if err != nil {
+		return notNow(err)
+	}
 	row, err := n.d.Table.Get(ctx, platform.PriorityClaim, coordinator.JobKey(id))
 	if err != nil {
-		return site.Answer{Err: errors.Wrap(site.ErrNotNow, err.Error()), RetryAfter: comeBack}
+		return notNow(err)
 	}
 	if row.Version == 0 {
 		return site.Answer{Err: errors.WithStack(site.ErrNoJob)}
 	}
 	var a jobs.Accepted
 	if err := json.Unmarshal(row.Value, &a); err != nil {
-		return site.Answer{Err: errors.Wrap(site.ErrNotNow, err.Error()), RetryAfter: comeBack}
+		return notNow(err)
 	}
-	if a.Final.Final() {
-		return site.Answer{State: a.Final}
-	}
-	progress, err := n.d.Table.Get(ctx, platform.PriorityClaim, coordinator.ProgressKey(id))
-	if err != nil {
-		return site.Answer{Err: errors.Wrap(site.ErrNotNow, err.Error()), RetryAfter: comeBack}
+	var p jobs.Progress
+	if progress.Version != 0 {
+		if err := json.Unmarshal(progress.Value, &p); err != nil {
+			return notNow(err)
+		}
 	}
-	if progress.Version == 0 {
+	switch {
+	case a.Final.Final():
+		return site.Answer{State: a.Final}
+	case p.Final.Final():
+		return site.Answer{State: p.Final}
+	case progress.Version == 0:
 		return site.Answer{State: jobs.StateQueued}
 	}
 	return site.Answer{State: jobs.StateRunning}
--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -121,8 +121,9 @@
 	stored State
 	// Ended is when the job reached its final state.
 	Ended time.Duration
-	// HasProgress is set once a row of progress may be stored.
-	HasProgress bool
+	// HasProgress is set once a row of progress may be stored, HasCancel once a row may be
+	// that cancels the job.
+	HasProgress, HasCancel bool
 }
 
 // State returns the state of the job, stored or not.
--- a/internal/jobs/record.go
+++ b/internal/jobs/record.go
@@ -13,9 +13,12 @@
 // ErrRecord means that a stored row cannot be read.
 var ErrRecord = errors.New("jobs: unreadable row")
 
-// Progress is the stored form of what a successor must know about a job in no final state:
-// every end that a minion was told is noted is in it.
+// Progress is the stored form of what a successor must know about a job beside its row:
+// every end that a minion was told is noted is in it. Of a job in a final state it is the
+// state, until the job's row says it.
 type Progress struct {
+	// Final is the job's final state, empty before; nothing else is set then.
+	Final State `json:"e,omitempty"`
 	// Done has a bitmap in hexadecimal for each step run, in the order of Job.Steps.
 	Done []string `json:"d,omitempty"`
 	// Failed lists failed runs by "occurrence.step.index"; a gang's under its first task.
@@ -24,6 +27,9 @@
 
 // EncodeProgress returns the progress of a job.
 func EncodeProgress(j *Job) ([]byte, error) {
+	if j.state.Final() {
+		return json.Marshal(Progress{Final: j.state})
+	}
 	var p Progress
 	for _, s := range j.Steps {
 		p.Done = append(p.Done, s.bitmap())
@@ -62,6 +68,15 @@
 	if err := json.Unmarshal(value, &p); err != nil {
 		return errors.Wrap(ErrRecord, err.Error())
 	}
+	j.HasProgress = true
+	if j.state.Final() {
+		return nil // its row says so already
+	}
+	if p.Final.Final() {
+		j.state, j.stored, j.begun, j.Ended = p.Final, p.Final, true, j.Seen
+		delete(b.open, j.ID)
+		return nil
+	}
 	for i, text := range p.Done {
 		if i >= len(j.Steps) {
 			return errors.Wrap(ErrRecord, "more steps than the job has")
@@ -99,7 +114,6 @@
 	if len(p.Done) > 0 || len(p.Failed) > 0 {
 		j.state, j.begun = StateRunning, true
 	}
-	j.HasProgress = true
 	return nil
 }
 
--- a/internal/jobs/spec.go
+++ b/internal/jobs/spec.go
@@ -177,7 +177,7 @@
 }
 
 // Accepted is the stored form of an accepted job. It changes once: a job in a final state
-// keeps its row, without what only a job that goes on needs.
+// keeps its row, so that its id stays taken, without what only a job that goes on needs.
 type Accepted struct {
 	ID    ID          `json:"-"`
 	Queue model.Queue `json:"q"`
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -55,7 +55,8 @@
 	Value json.RawMessage `json:"value,omitempty"`
 }
 
-// Txn is applied as a whole if every condition holds, and not at all otherwise.
+// Txn is applied as a whole if every condition holds, and not at all otherwise. Its rows are
+// in one shard, see Shard.
 type Txn struct {
 	Conditions []Condition `json:"conditions,omitempty"`
 	Puts       []Put       `json:"puts,omitempty"`
--- a/standins/fleet/store.go
+++ b/standins/fleet/store.go
@@ -184,6 +184,9 @@
 
 // Commit implements platform.Table.
 func (v *View) Commit(ctx context.Context, _ platform.Priority, t platform.Txn) (map[string]uint64, error) {
+	if !t.SameShard() {
+		return nil, errors.Wrap(platform.ErrRejected, "rows of several shards")
+	}
 	f, err := v.begin(ctx, "commit")
 	if err != nil {
 		return nil, err
