coordinator: no transaction has a row twice

The store refuses a row twice; the batch was the same each time, the lease lapsed, and the successor learned the same end and came to the same batch. Found by reading; the stand-in took such transactions. Change: ends after a stored final state are not written, a batch takes a row once, and the stand-in refuses what the store refuses (a row twice, more than 100 entries, rows of several parts).

--- a/internal/coordinator/journal.go
+++ b/internal/coordinator/journal.go
@@ -81,11 +81,16 @@
 	w := &t.journal
 	w.urgent = false
 	var done []func()
+	taken := map[string]bool{}
 	add := func(key string, value []byte, f func()) bool {
 		if len(puts) >= writeBatch {
 			w.urgent = true
 			return false
 		}
+		if taken[key] {
+			return true // the store refuses a transaction with a row twice; it goes with the next
+		}
+		taken[key] = true
 		puts = append(puts, platform.Put{Key: key, Value: value})
 		done = append(done, f)
 		return true
@@ -131,6 +136,11 @@
 			if j.State().Final() != final {
 				continue
 			}
+			if j.Concluded() {
+				// Ends of runs that were still going on add nothing to a final state.
+				t.book.Saved(j, j.Changes(), j.State())
+				continue
+			}
 			s := saved{j, j.Changes(), j.State()}
 			j.HasProgress = true
 			value, err := jobs.EncodeProgress(j)
--- a/internal/coordinator/term_test.go
+++ b/internal/coordinator/term_test.go
@@ -310,6 +310,38 @@
 	})
 }
 
+// Guards against a transaction with a row twice, which the store refuses each time it is
+// sent: a run of a job that had ended was reported while the job's progress was being
+// removed, and from then on no coordinator could write.
+func TestEndAfterTheFinalStateIsNotWritten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1)
+		term := b.take("e1", nil)
+		defer end(term)
+		sleep(time.Second)
+		const id = jobs.ID("0000000000000001")
+		b.accept(term, id, step(1))
+		sleep(50 * time.Millisecond)
+		ok, err := term.Cancel(context.Background(), id)
+		require.NoError(t, err)
+		require.True(t, ok)
+		require.NoError(t, term.do(context.Background(), func() {
+			term.journal.spent[id] = true
+			x := term.book.Get(id).Steps[0].Tasks[0]
+			require.True(t, term.book.Finish(x, x.Run+1, "m0", jobs.EndFailed, "", 3, term.now))
+			puts, _ := term.batch()
+			keys := map[string]int{}
+			for _, p := range puts {
+				keys[p.Key]++
+			}
+			require.Equal(t, 1, keys[ProgressKey(id)])
+			require.Empty(t, term.book.Unsaved())
+		}))
+		sleep(time.Second)
+		require.NoError(t, context.Cause(term.ctx))
+	})
+}
+
 // Guards against a job that a successor runs again because only its progress says that it
 // has ended.
 func TestFinalStateIsTakenOverBeforeItsRowSaysIt(t *testing.T) {
--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -137,6 +137,9 @@
 	return j.state
 }
 
+// Concluded reports whether a successor would read the job's final state.
+func (j *Job) Concluded() bool { return j.stored.Final() }
+
 // Begun reports whether a task of the job was started.
 func (j *Job) Begun() bool { return j.begun }
 
@@ -162,6 +165,22 @@
 	return out
 }
 
+// WorkLeft returns the work of the tasks that have not begun, in core-seconds, by the
+// estimates.
+func (j *Job) WorkLeft() float64 {
+	work := 0.0
+	for _, s := range j.Steps {
+		n := 0
+		for _, t := range s.Tasks {
+			if t.Phase == Waiting {
+				n++
+			}
+		}
+		work += float64(n) * s.Spec.Work()
+	}
+	return work
+}
+
 // Book is the state of all jobs.
 type Book struct {
 	jobs map[ID]*Job
--- a/internal/jobs/spec.go
+++ b/internal/jobs/spec.go
@@ -166,6 +166,18 @@
 	return s.Steps[i].Estimate + after
 }
 
+// Work returns the work of one task of a step in core-seconds, by its estimate.
+func (s *Step) Work() float64 { return float64(s.Need.CPU) / 1000 * s.Estimate.Seconds() }
+
+// Work returns the work of an occurrence in core-seconds, by the estimates.
+func (s *Spec) Work() float64 {
+	work := 0.0
+	for i := range s.Steps {
+		work += float64(s.Steps[i].Count) * s.Steps[i].Work()
+	}
+	return work
+}
+
 // Lasting reports whether the job runs until it is cancelled.
 func (s *Spec) Lasting() bool {
 	for i := range s.Steps {
--- a/standins/fleet/store.go
+++ b/standins/fleet/store.go
@@ -184,8 +184,8 @@
 
 // Commit implements platform.Table.
 func (v *View) Commit(ctx context.Context, _ platform.Priority, t platform.Txn) (map[string]uint64, error) {
-	if !t.SameShard() {
-		return nil, errors.Wrap(platform.ErrRejected, "rows of several shards")
+	if err := check(t); err != nil {
+		return nil, err
 	}
 	f, err := v.begin(ctx, "commit")
 	if err != nil {
@@ -203,6 +203,27 @@
 	return nil, errors.Wrap(platform.ErrUnknownOutcome, "answer lost")
 }
 
+// maxEntries bounds a transaction, as the users' store does.
+const maxEntries = 100
+
+// check refuses what the users' store does not take.
+func check(t platform.Txn) error {
+	if !t.SameShard() {
+		return errors.Wrap(platform.ErrRejected, "rows of several shards")
+	}
+	if len(t.Conditions)+len(t.Puts) > maxEntries {
+		return errors.Wrap(platform.ErrRejected, "too many entries")
+	}
+	written := map[string]bool{}
+	for _, p := range t.Puts {
+		if written[p.Key] {
+			return errors.Wrapf(platform.ErrRejected, "row %s twice", p.Key)
+		}
+		written[p.Key] = true
+	}
+	return nil
+}
+
 // ReadAll implements platform.Feed.
 func (v *View) ReadAll(ctx context.Context, _ platform.Priority, table string) (platform.Changes, error) {
 	if _, err := v.begin(ctx, "read"); err != nil {
