schedule: an overloaded service begins what asks least work for its worth, teams below their share first

One tenant that sends five times its usual had half of all starts. Elsewhere the order is as before.

--- a/internal/capacity/demand.go
+++ b/internal/capacity/demand.go
@@ -47,6 +47,9 @@
 	d.mean += (coreSeconds - d.mean) * max(1/float64(d.n), workWeight)
 }
 
+// Mean returns the mean work of a job in core-seconds, 0 before the first.
+func (d *Demand) Mean() float64 { return d.mean }
+
 // count returns how many jobs arrived in (from, to].
 func (d *Demand) count(from, to time.Duration) int {
 	c := 0
--- a/internal/coordinator/plan.go
+++ b/internal/coordinator/plan.go
@@ -57,7 +57,8 @@
 }
 
 func (t *Term) snapshot() *schedule.Snapshot {
-	s := &schedule.Snapshot{Now: t.now, Teams: t.teamUse()}
+	s := &schedule.Snapshot{Now: t.now}
+	s.Teams, s.InUse = t.teamUse()
 	perStep := t.perStep()
 	for _, m := range t.minions {
 		if !t.usable(m) {
@@ -106,7 +107,7 @@
 		chain := longest(j)
 		out = append(out, schedule.Step{Run: s, Service: q.Service, Team: j.Team, Priority: q.Priority, Arrived: arrived,
 			Due:  arrived + time.Duration(q.Stretch*float64(chain)) + q.Target,
-			Left: max(j.Spec.Chain(s.Index), defaultEstimate/10), Waiting: w})
+			Left: max(j.Spec.Chain(s.Index), defaultEstimate/10), Work: j.WorkLeft(), Worth: t.worth(j, q.Service), Waiting: w})
 	}
 	return out
 }
@@ -139,9 +140,24 @@
 	return !m.Listed && t.machines.lives != nil && !t.machines.lives[m.ID]
 }
 
-// teamUse returns what each team has running, with its limit.
-func (t *Term) teamUse() map[model.Team]*schedule.Team {
+// fixedWorth is the part of a job's worth that does not grow with its work (the users'
+// rules: 0.3 and 0.7 times its work against the mean of its kind).
+const fixedWorth = 0.3
+
+// worth returns what a job is worth to its callers, 1 for one of mean work.
+func (t *Term) worth(j *jobs.Job, svc model.Service) float64 {
+	mean := t.demandOf(svc).Mean()
+	if mean <= 0 {
+		return 1
+	}
+	return fixedWorth + (1-fixedWorth)*j.Spec.Work()/mean
+}
+
+// teamUse returns what each team has running, with its limit, and what it has running on
+// each service, in thousandths of a core.
+func (t *Term) teamUse() (map[model.Team]*schedule.Team, map[model.Service]map[model.Team]int64) {
 	out := map[model.Team]*schedule.Team{}
+	inUse := map[model.Service]map[model.Team]int64{}
 	if c := t.d.Config(); c != nil {
 		for name, team := range c.Teams {
 			out[name] = &schedule.Team{Weight: team.Weight, Limit: team.Limit}
@@ -149,12 +165,17 @@
 	}
 	for _, m := range t.minions {
 		for x := range m.Tasks {
-			if u := out[x.Step.Job.Team]; u != nil {
+			team := x.Step.Job.Team
+			if u := out[team]; u != nil {
 				u.Used = u.Used.Add(x.Step.Spec.Need)
 			}
+			if inUse[m.Service] == nil {
+				inUse[m.Service] = map[model.Team]int64{}
+			}
+			inUse[m.Service][team] += x.Step.Spec.Need.CPU
 		}
 	}
-	return out
+	return out, inUse
 }
 
 // perStep counts the tasks of each step with a bound per minion.
--- a/internal/schedule/doc.go
+++ b/internal/schedule/doc.go
@@ -3,7 +3,8 @@
 //
 // The steps of a decision are a file each: order.go says which step comes first when a
 // queue asks for more than its pool holds, fit.go which minion takes a task, plan.go
-// goes through both.
+// goes through both. overload.go says what holds while a queue asks for more than its pool can
+// serve in time.
 //
 // Invariants of a Plan:
 //   - No minion gets more than its room, no team more than its limit.
--- a/internal/schedule/order.go
+++ b/internal/schedule/order.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"boragepulley/internal/model"
 )
 
 // rank groups steps before their deadlines are compared.
@@ -33,19 +35,28 @@
 	return rankLate
 }
 
-// order puts the steps in the order of starting: by rank, priority, and least time left
-// until the job must start to be in time.
-func order(now time.Duration, steps []Step) []*Step {
+// order puts the steps in the order of starting: by rank and priority, and then by least
+// time left until the job must start to be in time. That order serves all jobs if all can
+// be served; on an overloaded service it would begin each job when it is nearly too late,
+// and most would be late. There, the least work for what a job is worth comes first.
+func order(now time.Duration, steps []Step, under map[model.Service]*pressure) []*Step {
 	out := make([]*Step, len(steps))
 	ranks := make(map[*Step]rank, len(steps))
+	first := map[model.Service]time.Duration{} // the first time at which a job of a service must start
 	for i := range steps {
-		out[i] = &steps[i]
-		ranks[out[i]] = steps[i].rank(now)
+		s := &steps[i]
+		out[i], ranks[s] = s, s.rank(now)
+		if t, ok := first[s.Service]; !ok || s.Due-s.Left < t {
+			first[s.Service] = s.Due - s.Left
+		}
 	}
 	slices.SortStableFunc(out, func(a, b *Step) int {
 		return cmp.Or(
 			cmp.Compare(ranks[a], ranks[b]),
 			cmp.Compare(a.Priority, b.Priority),
+			cmp.Compare(first[a.Service], first[b.Service]),
+			cmp.Compare(a.Service, b.Service),
+			compareUnder(under, a, b),
 			cmp.Compare(a.Due-a.Left, b.Due-b.Left),
 			cmp.Compare(a.Run.Job.ID, b.Run.Job.ID),
 			cmp.Compare(a.Run.Index, b.Run.Index),
@@ -53,3 +64,13 @@
 	})
 	return out
 }
+
+// compareUnder compares two steps of one service, if it is overloaded, by the work that each asks for
+// what it is worth.
+func compareUnder(under map[model.Service]*pressure, a, b *Step) int {
+	p := under[a.Service]
+	if p == nil || !p.overloaded() || a.Worth <= 0 || b.Worth <= 0 {
+		return 0
+	}
+	return cmp.Compare(a.Work/a.Worth, b.Work/b.Worth)
+}
--- a/internal/schedule/plan.go
+++ b/internal/schedule/plan.go
@@ -8,6 +8,7 @@
 type planner struct {
 	snap      *Snapshot
 	byService map[model.Service][]*Minion
+	under     map[model.Service]*pressure
 	plan      Plan
 }
 
@@ -21,7 +22,16 @@
 		}
 		p.byService[m.Service] = append(p.byService[m.Service], m)
 	}
-	for _, st := range order(s.Now, s.Steps) {
+	p.under = pressures(s)
+	var beyond []*Step
+	for _, st := range order(s.Now, s.Steps, p.under) {
+		if u := p.under[st.Service]; u != nil && u.beyondShare(st.Team) && !st.Run.Spec.Lasting {
+			beyond = append(beyond, st) // teams below their share come first
+			continue
+		}
+		p.start(st)
+	}
+	for _, st := range beyond {
 		p.start(st)
 	}
 	return p.plan
@@ -58,6 +68,7 @@
 		if team != nil {
 			team.Used = team.Used.Add(need)
 		}
+		p.under[s.Service].inUse[s.Team] += need.CPU
 		placed = append(placed, m)
 		p.plan.Start = append(p.plan.Start, Assignment{Task: t, Minion: m.ID})
 	}
@@ -70,6 +81,7 @@
 		if team != nil {
 			team.Used = team.Used.Sub(s.Run.Spec.Need)
 		}
+		p.under[s.Service].inUse[s.Team] -= s.Run.Spec.Need.CPU
 	}
 	p.plan.Start = p.plan.Start[:len(p.plan.Start)-len(placed)]
 }
--- a/internal/schedule/types.go
+++ b/internal/schedule/types.go
@@ -13,6 +13,9 @@
 	Steps   []Step
 	Minions []Minion
 	Teams   map[model.Team]*Team
+	// InUse is what each team has running on the minions of a service, in thousandths of a
+	// core.
+	InUse map[model.Service]map[model.Team]int64
 }
 
 // Step is a step with tasks that can start now.
@@ -28,6 +31,10 @@
 	Due time.Duration
 	// Left is the estimated time from the start of this step to the end of the job.
 	Left time.Duration
+	// Work is what is left of the job, in core-seconds, by its estimates.
+	Work float64
+	// Worth is what the whole job is worth to its callers, 1 for a job of mean size.
+	Worth float64
 	// Waiting are the tasks to start.
 	Waiting []*jobs.Task
 }
