entry, store: a small entry VM reads what its link carries, and leaves the lease to larger ones

It read 32 parts of the job table side by side, so none was whole within 0.9 s; it never gave way, because only a coordinator that has read its tables did; and after the power-off it took its own lease again at once.

--- a/internal/coordinator/handover.go
+++ b/internal/coordinator/handover.go
@@ -142,12 +142,13 @@
 // to a larger one, so that a larger one that restarts again and again gets it less often.
 const yieldAfter = 3 * time.Second
 
-// Outgrown reports whether a larger entry VM should coordinate instead.
+// Outgrown reports whether a larger entry VM should coordinate instead. One that has not
+// read the tables yet gives way as well: it may be too small to do so.
 func (t *Term) Outgrown(ctx context.Context) bool {
 	larger := false
 	if err := t.do(ctx, func() {
 		m := t.members.byName[t.successor()]
-		larger = t.loaded && !t.leaving && t.now > t.began+yieldAfter && m != nil && m.row.Cores > t.d.Cores && t.now > m.since+yieldAfter
+		larger = !t.leaving && t.now > t.began+yieldAfter && m != nil && m.row.Cores > t.d.Cores && t.now > m.since+yieldAfter
 	}); err != nil {
 		return false
 	}
--- a/internal/coordinator/members.go
+++ b/internal/coordinator/members.go
@@ -33,6 +33,12 @@
 	Cores float64 `json:"c,omitempty"`
 }
 
+// DecodeMember reads the row of an entry VM.
+func DecodeMember(r platform.Row) (name model.EntryVM, row MemberRow, err error) {
+	err = json.Unmarshal(r.Value, &row)
+	return model.EntryVM(suffix(r.Key)), row, errors.Wrap(err, "coordinator: member")
+}
+
 // members are the other entry VMs as the coordinator knows them.
 type members struct {
 	byName map[model.EntryVM]*memberState
@@ -98,9 +104,8 @@
 	s.known = true
 	seen := map[model.EntryVM]bool{}
 	for _, r := range rows {
-		name := model.EntryVM(suffix(r.Key))
-		var row MemberRow
-		if err := json.Unmarshal(r.Value, &row); err != nil {
+		name, row, err := DecodeMember(r)
+		if err != nil {
 			t.log.Error().Err(err).Str("row", r.Key).Msg("Coordinator: unreadable entry VM passed over.")
 			continue
 		}
--- a/internal/coordinator/term_test.go
+++ b/internal/coordinator/term_test.go
@@ -310,6 +310,26 @@
 	})
 }
 
+// Guards against an entry VM that is too small to read the tables and keeps the lease.
+func TestSmallCoordinatorGivesWayBeforeItHasLoaded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1)
+		term := b.take("e1", func(op string) fleet.Fault {
+			if op == "read" {
+				return fleet.Lose
+			}
+			return fleet.None
+		})
+		defer end(term)
+		sleep(5 * time.Second)
+		require.NoError(t, term.do(context.Background(), func() {
+			require.False(t, term.loaded)
+			term.members.byName["e2"] = &memberState{row: MemberRow{Cores: 1}, asking: true, promised: term.now}
+		}))
+		require.True(t, term.Outgrown(context.Background()))
+	})
+}
+
 // Guards against a transaction with a row twice, which the store refuses each time it is
 // sent: a run of a job that had ended was reported while the job's progress was being
 // removed, and from then on no coordinator could write.
--- a/internal/daemon/site.go
+++ b/internal/daemon/site.go
@@ -65,7 +65,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "daemon")
 	}
-	table := platform.NewStore(store)
+	table := platform.NewStore(store, set.LinkMbps)
 	self := peer.Sender{Entry: set.Name, DC: set.DC, Incarnation: model.NewIncarnation()}
 	s := &Site{set: set, log: logging.Part(log, "daemon"), lis: map[string]net.Listener{}}
 	s.node = entry.New(entry.Deps{
--- a/internal/entry/elect.go
+++ b/internal/entry/elect.go
@@ -10,6 +10,8 @@
 
 	"boragepulley/internal/coordinator"
 	"boragepulley/internal/lease"
+	"boragepulley/internal/model"
+	"boragepulley/internal/peer"
 	"boragepulley/internal/platform"
 )
 
@@ -46,6 +48,7 @@
 	if !n.register() {
 		return
 	}
+	n.readMembers()
 	var seen observed
 	for n.sleep(electEvery) {
 		if t := n.term.Load(); t != nil {
@@ -129,6 +132,28 @@
 	}
 }
 
+// readMembers learns of the other entry VMs from the store: an entry VM that just started
+// and has not heard the coordinator would take the lease though larger ones are there.
+func (n *Node) readMembers() {
+	ctx, cancel := context.WithTimeout(n.ctx, leaseCallTimeout)
+	defer cancel()
+	rows, err := n.d.Table.Scan(ctx, platform.PriorityLease, coordinator.MemberTable+"/", 0)
+	if err != nil {
+		n.log.Info().Err(err).Msg("Entry: other entry VMs not read; the coordinator will name them.")
+		return
+	}
+	known := map[model.EntryVM]peer.Member{}
+	for _, r := range rows {
+		name, row, err := coordinator.DecodeMember(r)
+		if err != nil {
+			n.log.Error().Err(err).Str("row", r.Key).Msg("Entry: unreadable entry VM passed over.")
+			continue
+		}
+		known[name] = peer.Member{Addr: row.Addr, Cores: row.Cores}
+	}
+	n.members.CompareAndSwap(nil, &known)
+}
+
 // silent reports whether the coordinator was not heard of lately.
 func (n *Node) silent(now time.Duration) bool {
 	l := n.leader.Load()
@@ -212,6 +237,14 @@
 		n.log.Info().Err(err).Msg("Entry: lease not taken.")
 		return
 	}
+	if s.lease.Holder == n.d.Self.Entry && n.smaller() {
+		// Nobody else can take the lease of this entry VM's earlier process before its time.
+		n.log.Info().Uint64("epoch", held.Row.Epoch).Float64("cores", n.d.Cores).Msg("Entry: lease of the earlier process is left to a larger entry VM.")
+		if err := held.Release(ctx, nil); err != nil {
+			n.log.Warn().Err(err).Msg("Entry: lease not given up; it will lapse.")
+		}
+		return
+	}
 	counters.Add("leases_taken", 1)
 	n.log.Info().Uint64("epoch", held.Row.Epoch).Str("from", string(s.lease.Holder)).Dur("unchanged", n.d.Now()-s.changed).Msg("Entry: lease taken.")
 	deps := n.termDeps(s.lease)
--- a/internal/entry/node_test.go
+++ b/internal/entry/node_test.go
@@ -36,6 +36,8 @@
 	cut map[string]bool // guarded by mu
 	// fault decides over the store calls of an entry VM.
 	fault map[string]func(op string) fleet.Fault // guarded by mu
+	// cores are the sizes of entry VMs; 0 for all others.
+	cores map[string]float64
 }
 
 // disturb sets the fault of an entry VM's store calls, and whether it is cut off.
@@ -65,7 +67,7 @@
 
 func newGrid(t *testing.T, n int) *grid {
 	g := &grid{t: t, store: fleet.NewStore(), minions: fleet.NewMinions(), nodes: map[string]*Node{}, cut: map[string]bool{},
-		fault: map[string]func(string) fleet.Fault{}, began: time.Now()}
+		fault: map[string]func(string) fleet.Fault{}, cores: map[string]float64{}, began: time.Now()}
 	g.minions.Add(site.MinionEntry{ID: "m", Service: "s", Addr: "m", Capacity: jobs.Resources{CPU: 9000}})
 	g.store.Put("servers/m", g.minions.EntryRow("m"))
 	g.configure(1, "s")
@@ -92,7 +94,7 @@
 		return fleet.None
 	}}
 	n := New(Deps{
-		Self: peer.Sender{Entry: model.EntryVM(name), DC: "dc", Incarnation: model.NewIncarnation()}, PeerAddr: name, Table: view, Feed: view,
+		Self: peer.Sender{Entry: model.EntryVM(name), DC: "dc", Incarnation: model.NewIncarnation()}, PeerAddr: name, Cores: g.cores[name], Table: view, Feed: view,
 		Minions: g.minions, Machines: &fleet.Machines{},
 		Codec: coordinator.Codec{Minion: func(_ string, v []byte) (e site.MinionEntry, err error) { return e, json.Unmarshal(v, &e) }},
 		DecodeConfig: func(v []byte) (*site.Config, error) {
@@ -304,6 +306,26 @@
 	})
 }
 
+// Guards against a small entry VM that coordinates after all have restarted, because its
+// earlier process held the lease and it has not heard of larger ones yet.
+func TestSmallEntryVMLeavesTheLeaseToLargerOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGrid(t, 0)
+		defer func() { g.stop() }()
+		g.cores["e0"], g.cores["e1"] = 0.2, 0.8
+		g.start("e0")
+		time.Sleep(2 * time.Second)
+		require.Equal(t, "e0", g.coordinator())
+		g.start("e1")
+		time.Sleep(300 * time.Millisecond)
+		g.stop()
+		g.start("e0")
+		g.start("e1")
+		time.Sleep(lease.TTL / 2)
+		require.Equal(t, "e1", g.coordinator())
+	})
+}
+
 // Guards against a configuration that an entry VM goes back from.
 func TestConfigurationNeverReverts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
