entry: the count of waiting jobs is that of a coordinator that has counted; members are told once

Change: the message says whether it has counts; older counts are answered until they are 2 s old, then 503. The list of entry VMs goes to each of them once, not every 350 ms (about 3 Mbit/s at 45 entry VMs, computed).

--- a/internal/coordinator/members.go
+++ b/internal/coordinator/members.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"time"
 
 	"github.com/pkg/errors"
@@ -43,7 +44,9 @@
 type members struct {
 	byName map[model.EntryVM]*memberState
 	// all are the entry VMs with this one, for the others.
-	all     map[model.EntryVM]peer.Member
+	all map[model.EntryVM]peer.Member
+	// version counts the changes of all.
+	version int
 	known   bool
 	reading bool
 	next    time.Duration
@@ -59,6 +62,8 @@
 	// promised is when the message was sent that the member answered last: it does not take
 	// the lease for lease.TTL after it.
 	promised time.Duration
+	// told is the version of all entry VMs that the member knows.
+	told int
 }
 
 func (s *members) init() { s.byName = map[model.EntryVM]*memberState{} }
@@ -125,27 +130,35 @@
 		}
 		all[name] = peer.Member{Addr: m.row.Addr, Cores: m.row.Cores}
 	}
+	if maps.Equal(s.all, all) {
+		return
+	}
 	s.all = all
+	s.version++
 	t.d.NoteMembers(all)
 }
 
 func (t *Term) beat(name model.EntryVM, m *memberState) {
-	msg := &peer.Lead{From: t.d.Self, Epoch: t.epoch, Addr: t.d.Addr, Lease: t.version, Members: t.members.all}
+	msg := &peer.Lead{From: t.d.Self, Epoch: t.epoch, Addr: t.d.Addr, Lease: t.version}
+	told := t.members.version
+	if m.told != told {
+		msg.Members = t.members.all
+	}
 	if c := t.d.Config(); c != nil {
 		msg.Config = c.Version
 	}
 	if v := t.view.Load(); v != nil {
-		msg.Pending, msg.Load = v.Pending, v.Load
+		msg.Counted, msg.Pending, msg.Load = true, v.Pending, v.Load
 	}
 	m.asking, m.next = true, t.now+beatEvery
 	sent := t.now
 	t.async(beatTimeout, func(ctx context.Context) func() {
 		r, err := m.remote.Lead(ctx, msg)
-		return func() { t.beatAnswered(name, m, sent, r, err) }
+		return func() { t.beatAnswered(name, m, sent, told, r, err) }
 	})
 }
 
-func (t *Term) beatAnswered(name model.EntryVM, m *memberState, sent time.Duration, r *peer.LeadReply, err error) {
+func (t *Term) beatAnswered(name model.EntryVM, m *memberState, sent time.Duration, told int, r *peer.LeadReply, err error) {
 	m.asking = false
 	switch {
 	case err != nil:
@@ -153,6 +166,6 @@
 		t.log.Warn().Str("entry", string(name)).Uint64("higher", r.Epoch).Msg("Coordinator: another entry VM coordinates.")
 		t.End(errors.Wrapf(lease.ErrLost, "epoch %d is known to %s", r.Epoch, name))
 	default:
-		m.promised = sent
+		m.promised, m.told = sent, told
 	}
 }
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -83,8 +83,10 @@
 	// promised is set once the coordinator was answered: it then needed this node's promise
 	// not to take the lease.
 	promised bool
-	pending  map[model.Queue]int
-	load     map[model.Queue]peer.QueueLoad
+	// counted is when pending and load were told last, 0 if they were not.
+	counted time.Duration
+	pending map[model.Queue]int
+	load    map[model.Queue]peer.QueueLoad
 }
 
 // New returns a node that does nothing until Start.
--- a/internal/entry/node_test.go
+++ b/internal/entry/node_test.go
@@ -326,6 +326,34 @@
 	})
 }
 
+// Guards against a count of waiting jobs that is none at all: a coordinator that has not
+// read its tables yet was understood to say that no job waits.
+func TestPendingIsNotAnsweredFromACoordinatorThatHasNotCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGrid(t, 0)
+		n := g.start("e0")
+		defer g.stop()
+		g.disturb("e0", false, refuse)
+		lead := func(m peer.Lead) {
+			m.From, m.Addr = peer.Sender{Entry: "e1", DC: "dc"}, "e1"
+			_, err := n.Handler().Lead(context.Background(), &m)
+			require.NoError(t, err)
+		}
+		lead(peer.Lead{Epoch: 1})
+		_, ok := n.Pending(context.Background(), "q")
+		require.False(t, ok)
+		lead(peer.Lead{Epoch: 1, Counted: true, Pending: map[model.Queue]int{"q": 7}})
+		lead(peer.Lead{Epoch: 2})
+		waiting, ok := n.Pending(context.Background(), "q")
+		require.True(t, ok)
+		require.Equal(t, 7, waiting)
+		time.Sleep(pendingAge + time.Millisecond)
+		lead(peer.Lead{Epoch: 2})
+		_, ok = n.Pending(context.Background(), "q")
+		require.False(t, ok)
+	})
+}
+
 // Guards against a configuration that an entry VM goes back from.
 func TestConfigurationNeverReverts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -24,7 +24,13 @@
 			reply.Epoch = old.epoch
 			break
 		}
-		next := &leaderView{name: m.From.Entry, addr: m.Addr, epoch: m.Epoch, heard: n.d.Now(), promised: true, lease: m.Lease, released: m.Released, successor: m.Successor == n.d.Self.Entry, pending: m.Pending, load: m.Load}
+		next := &leaderView{name: m.From.Entry, addr: m.Addr, epoch: m.Epoch, heard: n.d.Now(), promised: true, lease: m.Lease, released: m.Released, successor: m.Successor == n.d.Self.Entry}
+		switch {
+		case m.Counted:
+			next.counted, next.pending, next.load = next.heard, m.Pending, m.Load
+		case old != nil:
+			next.counted, next.pending, next.load = old.counted, old.pending, old.load
+		}
 		if n.leader.CompareAndSwap(old, next) {
 			reply.Epoch = m.Epoch
 			if len(m.Members) > 0 {
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -205,7 +205,7 @@
 		return 0, false
 	}
 	l := n.leader.Load()
-	if l == nil || n.d.Now()-l.heard > pendingAge {
+	if l == nil || l.counted == 0 || n.d.Now()-l.counted > pendingAge {
 		return 0, false
 	}
 	return l.pending[q], true
--- a/internal/peer/site.go
+++ b/internal/peer/site.go
@@ -29,6 +29,8 @@
 	Addr string `json:"addr"`
 	// Config is the configuration version that the sender acts on.
 	Config uint64 `json:"config"`
+	// Counted is set once the sender has read its tables; Pending and Load say nothing before.
+	Counted bool `json:"counted,omitempty"`
 	// Pending counts the accepted jobs by queue of which no task has started.
 	Pending map[model.Queue]int `json:"pending,omitempty"`
 	// Load is what entry VMs need to reject at once what would wait too long.
@@ -38,7 +40,7 @@
 	Successor model.EntryVM `json:"successor,omitempty"`
 	// Lease is the version of the lease's row as the sender wrote it last.
 	Lease uint64 `json:"lease"`
-	// Members are all entry VMs.
+	// Members are all entry VMs; empty if they are as told before.
 	Members map[model.EntryVM]Member `json:"members,omitempty"`
 }
 
