coordinator: a start is covered by a row that a successor can read

Change: a job's progress names the minions with runs of it, and a start is sent only when the stored row names its minion. A successor waits for these minions only; a job without progress was never started. The list of runs at a hand-over (handover/last) is no longer needed and gone.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -59,10 +59,9 @@
 	NoteMembers func(map[model.EntryVM]peer.Member)
 	// Dial returns the connection to a peer; it does not block.
 	Dial func(name model.EntryVM, addr string) Remote
-	// Released is set if the lease was given up by its last holder, Ended if that holder
-	// surely gives no more orders: it released the lease, its process is over, or this entry
-	// VM was one of those whose promises it needed.
-	Released, Ended bool
+	// Ended is set if the lease's last holder surely gives no more orders: it released the
+	// lease, its process is over, or this entry VM was one of those whose promises it needed.
+	Ended bool
 	// Now is the clock that counts suspended time.
 	Now  func() time.Duration
 	Log  zerolog.Logger
@@ -115,9 +114,6 @@
 	leaving                        bool
 	// span is how long a lease on a minion lasts.
 	span time.Duration
-	// handed are the minions with runs of each job when the last coordinator gave the lease
-	// up; nil if it did not tell.
-	handed map[jobs.ID][]jobs.Minion
 	// noRoom are the steps for which the last plan found no room.
 	noRoom map[*jobs.StepRun]bool
 }
--- a/internal/coordinator/doc.go
+++ b/internal/coordinator/doc.go
@@ -8,11 +8,11 @@
 // What is written before what:
 //   - A job is stored by the entry VM that accepts it, before the caller is told.
 //   - A minion is recorded before the first order to it, so that a successor asks it.
+//   - A start is sent once the stored progress of its job names the minion, see package jobs.
 //   - An end that changes a job's progress is stored before the minion may forget it.
 //   - A final state is stored before callers are told of it, and a cancelling before it is
 //     acknowledged.
 //
-// Starts are not stored. A successor learns runs from the minions; until every recorded
-// minion that may run a job's tasks has answered, or its leases are certainly over, that
-// job's waiting tasks are not started.
+// A job that was taken over goes on when every minion that its row names has answered, or its
+// leases are certainly over; a job without progress goes on at once.
 package coordinator
--- a/internal/coordinator/handover.go
+++ b/internal/coordinator/handover.go
@@ -3,8 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
-	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -16,10 +14,6 @@
 )
 
 const (
-	// handoverKey is the row that a coordinator writes when it gives the lease up.
-	handoverKey = handoverTable + "/last"
-	// maxHandover bounds the row in bytes, below the 64 KB of a row.
-	maxHandover = 48 << 10
 	// lastWrites bounds the transactions that store what is not stored yet.
 	lastWrites = 5
 	// announceTimeout bounds the word to the other entry VMs.
@@ -28,14 +22,6 @@
 	idlePoll = 3 * time.Millisecond
 )
 
-// handover tells the successor on which minions runs of each open job may be going on, so
-// that it waits for these only.
-type handover struct {
-	// Epoch is that of the coordinator that wrote it.
-	Epoch  uint64                    `json:"e"`
-	Active map[jobs.ID][]jobs.Minion `json:"a"`
-}
-
 // Release gives the lease up in order: no order is given any more, leases on minions are
 // prolonged, progress is stored, and a successor is named.
 func (t *Term) Release(ctx context.Context) error {
@@ -57,22 +43,16 @@
 	return nil
 }
 
-// storeRest waits for the write under way, stores what is left, and returns the rows to
-// give the lease up with. The runs are written down in the same moment in which nothing is
-// unstored: an end that came in between would be in neither.
+// storeRest waits for the write under way, stores what is left but for a last write, and
+// returns its rows, to give the lease up with.
 func (t *Term) storeRest(ctx context.Context) ([]platform.Put, error) {
-	for range lastWrites {
+	for i := range lastWrites {
 		var puts []platform.Put
 		var after func()
-		done := false
 		for busy := true; busy; {
 			if err := t.do(ctx, func() {
-				if busy = t.journal.writing; busy {
-					return
-				}
-				puts, after = t.batch()
-				if done = len(t.book.Unsaved()) == 0; done {
-					puts = append(puts, t.handoverRow()...)
+				if busy = t.journal.writing; !busy {
+					puts, after, _ = t.batch()
 				}
 			}); err != nil {
 				return nil, err
@@ -81,7 +61,7 @@
 				time.Sleep(idlePoll)
 			}
 		}
-		if done {
+		if len(puts) < writeBatch || i == lastWrites-1 {
 			return puts, nil
 		}
 		if err := t.held.Commit(ctx, puts); err != nil {
@@ -91,34 +71,7 @@
 			return nil, err
 		}
 	}
-	return nil, nil // without the runs; the successor waits for all minions
-}
-
-// handoverRow returns the row for the successor; none if it would be too large.
-func (t *Term) handoverRow() []platform.Put {
-	if !t.loaded {
-		return nil // it knows no runs at all
-	}
-	h := handover{Epoch: t.epoch, Active: map[jobs.ID][]jobs.Minion{}}
-	for id, m := range t.minions {
-		for x := range m.Tasks {
-			j := x.Step.Job.ID
-			if !slices.Contains(h.Active[j], id) {
-				h.Active[j] = append(h.Active[j], id)
-			}
-		}
-	}
-	for _, j := range t.book.Open() {
-		if j.Inherited {
-			return nil // this term does not know all its runs itself
-		}
-	}
-	value, err := json.Marshal(h)
-	if err != nil || len(value) > maxHandover {
-		t.log.Warn().Err(err).Int("bytes", len(value)).Msg("Coordinator: handed over without the runs.")
-		return nil
-	}
-	return []platform.Put{{Key: handoverKey, Value: value}}
+	return nil, nil
 }
 
 // successor returns the member that should coordinate next: of those that answer, one of
@@ -189,29 +142,11 @@
 // silentMember is how long ago a member must have answered to be named successor.
 const silentMember = time.Second
 
-// takeHandover reads the row of the coordinator before this one.
-func (t *Term) takeHandover(value []byte) {
-	var h handover
-	if err := json.Unmarshal(value, &h); err != nil {
-		t.log.Error().Err(err).Msg("Coordinator: unreadable hand-over passed over.")
-		return
-	}
-	if t.d.Released && h.Epoch+1 == t.epoch {
-		t.handed = h.Active
-	}
-}
-
 // mayRunUnseen reports whether a run of a job that an earlier coordinator ordered may be
 // going on, on a minion that this one has not heard.
-func (t *Term) mayRunUnseen(j *jobs.Job, now model.Service) bool {
-	for id, m := range t.minions {
-		switch {
-		case m.Looked || t.now > m.Lapses || t.replaced(m):
-		case t.handed != nil:
-			if slices.Contains(t.handed[j.ID], id) {
-				return true
-			}
-		case m.Service == j.Service || m.Service == now:
+func (t *Term) mayRunUnseen(j *jobs.Job) bool {
+	for id := range j.MayRunOn() {
+		if m := t.minions[id]; m != nil && !m.Looked && t.now <= m.Lapses && !t.replaced(m) {
 			return true
 		}
 	}
--- a/internal/coordinator/harness_test.go
+++ b/internal/coordinator/harness_test.go
@@ -121,14 +121,9 @@
 
 // take begins a term of an entry VM after the last holder's process has ended.
 func (b *bench) take(name string, fault func(op string) fleet.Fault) *Term {
-	return b.takeAfter(name, fault, false)
-}
-
-// takeAfter begins a term; released says that the last holder gave the lease up.
-func (b *bench) takeAfter(name string, fault func(op string) fleet.Fault, released bool) *Term {
 	view := &fleet.View{Store: b.store, Fault: fault}
 	d := b.deps(model.EntryVM(name), view)
-	d.Released, d.Ended = released, true
+	d.Ended = true
 	// The take itself meets no fault: an entry VM tries until it succeeds.
 	plain := &fleet.View{Store: b.store}
 	var held *lease.Held
--- a/internal/coordinator/journal.go
+++ b/internal/coordinator/journal.go
@@ -77,7 +77,8 @@
 }
 
 // batch collects the rows of the next write.
-func (t *Term) batch() (puts []platform.Put, after func()) {
+// after notes that they are stored, failed that they are not.
+func (t *Term) batch() (puts []platform.Put, after, failed func()) {
 	w := &t.journal
 	w.urgent = false
 	var done []func()
@@ -121,16 +122,20 @@
 			break
 		}
 	}
-	t.batchJobs(add)
+	writing := t.batchJobs(add)
 	return puts, func() {
-		for _, f := range done {
-			f()
+			for _, f := range done {
+				f()
+			}
+		}, func() {
+			for _, j := range writing {
+				t.book.NotWritten(j)
+			}
 		}
-	}
 }
 
-// batchJobs adds the progress of jobs, those with a final state first.
-func (t *Term) batchJobs(add func(string, []byte, func()) bool) {
+// batchJobs adds the progress of jobs, those with a final state first, and returns the jobs.
+func (t *Term) batchJobs(add func(string, []byte, func()) bool) (writing []*jobs.Job) {
 	for _, final := range []bool{true, false} {
 		for _, j := range t.book.Unsaved() {
 			if j.State().Final() != final {
@@ -149,10 +154,15 @@
 				continue
 			}
 			if !add(ProgressKey(j.ID), value, func() { t.stored(s) }) {
-				return
+				return writing
+			}
+			if !final {
+				t.book.Writing(j, j.MayRunOn())
+				writing = append(writing, j)
 			}
 		}
 	}
+	return writing
 }
 
 // stored notes that a job's progress is in the store.
@@ -167,7 +177,7 @@
 	}
 }
 
-func (t *Term) sendWrite(puts []platform.Put, after func()) {
+func (t *Term) sendWrite(puts []platform.Put, after, failed func()) {
 	w := &t.journal
 	w.writing, w.last = true, t.now
 	t.wg.Go(func() {
@@ -177,12 +187,12 @@
 		until, version := t.held.Until, t.held.Version
 		t.post(func() {
 			t.version = version
-			t.wrote(err, until, after)
+			t.wrote(err, until, after, failed)
 		})
 	})
 }
 
-func (t *Term) wrote(err error, until time.Duration, after func()) {
+func (t *Term) wrote(err error, until time.Duration, after, failed func()) {
 	w := &t.journal
 	w.writing = false
 	switch {
@@ -194,6 +204,7 @@
 		t.End(err)
 	case errors.Is(err, context.Canceled):
 	default:
+		failed()
 		counters.Add("writes_without_effect", 1)
 		w.notBefore, w.urgent = t.now+retryPause, true
 		t.log.Warn().Err(err).Dur("lease_left", t.valid-t.now).Msg("Coordinator: write had no effect.")
--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -50,6 +50,11 @@
 	o := &order{minion: m}
 	t.orders[x] = o
 	t.log.Info().Str("task", x.Name()).Int("run", run).Str("minion", string(m.ID)).Dur("waited", t.now-x.Step.Job.Seen).Msg("Coordinator: start.")
+	if j := x.Step.Job; !j.Covered(m.ID) {
+		t.book.Cover(j)
+		t.journal.urgent = true
+		return // sent once it is stored, see resendOrders
+	}
 	t.sendStart(x, o)
 }
 
@@ -175,8 +180,14 @@
 // resendOrders sends starts and stops that are due.
 func (t *Term) resendOrders() {
 	for x, o := range t.orders {
-		// A silent minion gets no start again: each would prolong the lease that it may have.
-		if !o.inFlight && t.now >= o.next && o.minion.Failures == 0 {
+		silent := o.minion.Failures > 0
+		switch {
+		case o.inFlight || t.now < o.next:
+		case silent && o.tries == 0:
+			t.over(x) // it was never sent
+		case silent:
+			// A silent minion gets no start again: each would prolong the lease that it may have.
+		case o.tries > 0 || x.Step.Job.Covered(o.minion.ID):
 			t.sendStart(x, o)
 		}
 	}
--- a/internal/coordinator/plan.go
+++ b/internal/coordinator/plan.go
@@ -70,7 +70,7 @@
 	for _, j := range t.book.Open() {
 		j.OpenSteps(wall)
 		q := t.queueOf(j)
-		if j.Inherited && !t.settled(j, q.Service) {
+		if j.Inherited && !t.settled(j) {
 			continue
 		}
 		s.Steps = append(s.Steps, t.waitingSteps(j, q)...)
@@ -125,9 +125,9 @@
 }
 
 // settled reports whether all runs of a job that earlier coordinators ordered are known or
-// over. Runs are on minions of the service that the queue had or has.
-func (t *Term) settled(j *jobs.Job, now model.Service) bool {
-	if t.mayRunUnseen(j, now) {
+// over.
+func (t *Term) settled(j *jobs.Job) bool {
+	if t.mayRunUnseen(j) {
 		return false
 	}
 	j.Inherited = false
--- a/internal/coordinator/recover.go
+++ b/internal/coordinator/recover.go
@@ -26,8 +26,6 @@
 	minionList = "servers"
 	// dutyTable has one row, see dutyKey.
 	dutyTable = "duty"
-	// handoverTable has one row, see handoverKey.
-	handoverTable = "handover"
 	// MemberTable has a row for each entry VM.
 	MemberTable = "entry"
 )
@@ -61,7 +59,7 @@
 }
 
 // tables are the rows that a term begins with.
-type tables struct{ jobs, progress, recorded, listed, duties, handover platform.Changes }
+type tables struct{ jobs, progress, recorded, listed, duties platform.Changes }
 
 // load reads the tables until it succeeds or the term ends.
 func (t *Term) load() {
@@ -97,7 +95,6 @@
 	read(platform.JobTable, &x.jobs)
 	read(progressTable, &x.progress)
 	read(dutyTable, &x.duties)
-	read(handoverTable, &x.handover)
 	return x, g.Wait()
 }
 
@@ -119,9 +116,6 @@
 // begin takes the tables over.
 func (t *Term) begin(x tables) {
 	unseen := t.unseenUntil()
-	for _, r := range x.handover.Rows {
-		t.takeHandover(r.Value)
-	}
 	for _, r := range x.duties.Rows {
 		t.takeDuties(r.Value)
 	}
@@ -162,6 +156,10 @@
 			t.endedRow(j)
 		}
 	}
+	for _, j := range t.book.Open() {
+		// Nothing of a job without progress was ever started.
+		j.Inherited = j.Inherited && j.HasProgress
+	}
 	for _, id := range cancels {
 		if j := t.book.Get(id); j != nil {
 			j.HasCancel = true
--- a/internal/coordinator/soak_test.go
+++ b/internal/coordinator/soak_test.go
@@ -92,9 +92,9 @@
 			term = b.take(entryName(i), store)
 		case 1, 2:
 			// A hand-over that fails leaves the lease to lapse.
-			released := term.Release(context.Background()) == nil
+			_ = term.Release(context.Background())
 			_ = term.Wait()
-			term = b.takeAfter(entryName(i), store, released)
+			term = b.take(entryName(i), store)
 		case 3:
 			b.minions.Change(id, func(m *fleet.Minion) { m.Cut = true })
 		case 4:
--- a/internal/coordinator/term_test.go
+++ b/internal/coordinator/term_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -235,8 +236,8 @@
 	})
 }
 
-// Guards against a successor that waits for all minions because it is not told where runs
-// are, with orders for machines noted and progress not stored yet.
+// Guards against a hand-over that leaves out where runs are, progress that was not stored
+// yet, or orders for machines.
 func TestHandOverTellsTheRuns(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t, 2)
@@ -247,15 +248,82 @@
 		sleep(650 * time.Millisecond)
 		require.NoError(t, term.do(context.Background(), func() { term.orderAnswered("machine") }))
 		require.NoError(t, term.Release(context.Background()))
-		var h handover
-		require.NoError(t, json.Unmarshal(b.store.Row(handoverKey).Value, &h))
-		require.Len(t, h.Active, 1)
-		require.Len(t, h.Active["0000000000000001"], 1)
+		var p jobs.Progress
+		require.NoError(t, json.Unmarshal(b.store.Row(ProgressKey("0000000000000001")).Value, &p))
+		require.Len(t, p.On, 1)
 		require.JSONEq(t, `{"e":"completed"}`, string(b.store.Row(ProgressKey("0000000000000002")).Value))
 		require.NotZero(t, b.store.Row(dutyKey).Version)
 	})
 }
 
+// Guards against a start that no successor would look for: the entry VM is killed at any
+// moment, and each run that a minion has must be on a minion that the job's row names.
+func TestStartsAreCovered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 4)
+		var commits atomic.Int64
+		term := b.take("e1", func(op string) fleet.Fault {
+			if op == "commit" && commits.Add(1)%4 == 0 {
+				return fleet.Late
+			}
+			return fleet.None
+		})
+		defer end(term)
+		sleep(time.Second)
+		for i := range 12 {
+			b.accept(term, jobs.ID(fmt.Sprintf("%016x", i)), step(3), step(2, 0), step(4, 1))
+		}
+		seen := 0
+		for range 1500 {
+			sleep(5 * time.Millisecond)
+			for i := range 12 {
+				id := jobs.ID(fmt.Sprintf("%016x", i))
+				var p jobs.Progress
+				if v := b.store.Row(ProgressKey(id)).Value; v != nil {
+					require.NoError(t, json.Unmarshal(v, &p))
+				}
+				for s, n := range []int{3, 2, 4} {
+					for x := range n {
+						for _, m := range b.minions.Running(fmt.Sprintf("%s.0.%d.%d", id, s, x)) {
+							require.Contains(t, p.On, m)
+							seen++
+						}
+					}
+				}
+			}
+		}
+		require.Positive(t, seen)
+	})
+}
+
+// Guards against a successor in which one silent minion holds up every job of its service
+// until the leases are over.
+func TestSuccessorWaitsOnlyForMinionsThatMayRunAJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 2)
+		b.minions.Work = func(string, int) (time.Duration, jobs.End) { return 30 * time.Second, jobs.EndDone }
+		term := b.take("e1", nil)
+		sleep(time.Second)
+		wide := jobs.Step{Count: 1, Need: jobs.Resources{CPU: 3000}, Estimate: time.Second}
+		b.accept(term, "0000000000000001", wide)
+		b.accept(term, "0000000000000002", wide)
+		sleep(time.Second)
+		silent := b.minions.Running("0000000000000001.0.0.0")[0]
+		b.minions.Change(silent, func(m *fleet.Minion) { m.Cut = true })
+		b.accept(nil, "0000000000000003", step(1))
+		end(term)
+		next := b.take("e2", nil)
+		defer end(next)
+		sleep(time.Second)
+		require.Len(t, b.minions.Running("0000000000000003.0.0.0"), 1, "it was never started")
+		require.NoError(t, next.do(context.Background(), func() {
+			require.True(t, next.book.Get("0000000000000001").Inherited)
+			require.False(t, next.book.Get("0000000000000002").Inherited, "it runs elsewhere")
+		}))
+		b.clean()
+	})
+}
+
 // Guards against memory, store and takeovers that grow with all jobs that ever were.
 func TestOldJobsAreForgotten(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -349,7 +417,7 @@
 			term.journal.spent[id] = true
 			x := term.book.Get(id).Steps[0].Tasks[0]
 			require.True(t, term.book.Finish(x, x.Run+1, "m0", jobs.EndFailed, "", 3, term.now))
-			puts, _ := term.batch()
+			puts, _, _ := term.batch()
 			keys := map[string]int{}
 			for _, p := range puts {
 				keys[p.Key]++
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -156,8 +156,8 @@
 	l := n.leader.Load()
 	promised := l != nil && l.epoch == before.Epoch && l.promised
 	return coordinator.Deps{
-		Released: released, Ended: released || promised || before.Holder == n.d.Self.Entry,
-		Self: n.d.Self, Addr: n.d.PeerAddr, Cores: n.d.Cores, Table: n.d.Table, Feed: n.d.Feed, Minions: n.d.Minions, Machines: n.d.Machines,
+		Ended: released || promised || before.Holder == n.d.Self.Entry,
+		Self:  n.d.Self, Addr: n.d.PeerAddr, Cores: n.d.Cores, Table: n.d.Table, Feed: n.d.Feed, Minions: n.d.Minions, Machines: n.d.Machines,
 		Codec: n.d.Codec, Limits: n.d.Limits, Config: n.Config,
 		Waves: func() map[int64]site.Wave {
 			if w := n.waves.Load(); w != nil {
--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -117,8 +117,9 @@
 	begun bool
 	// changes counts changes of the stored progress, saved those that are stored.
 	changes, saved uint64
-	// stored is the state that a successor would read.
-	stored State
+	// stored is what a successor would read, writing the minions of the write under way.
+	stored  storedJob
+	writing map[Minion]bool
 	// Ended is when the job reached its final state.
 	Ended time.Duration
 	// HasProgress is set once a row of progress may be stored, HasCancel once a row may be
@@ -126,19 +127,26 @@
 	HasProgress, HasCancel bool
 }
 
+// storedJob is what the store has of a job beside its specification.
+type storedJob struct {
+	state State
+	// on are the minions on which runs may be going on.
+	on map[Minion]bool
+}
+
 // State returns the state of the job, stored or not.
 func (j *Job) State() State { return j.state }
 
 // Shown returns the state that callers may be told: a final state only once it is stored.
 func (j *Job) Shown() State {
-	if j.state.Final() && !j.stored.Final() {
+	if j.state.Final() && !j.Concluded() {
 		return StateRunning
 	}
 	return j.state
 }
 
 // Concluded reports whether a successor would read the job's final state.
-func (j *Job) Concluded() bool { return j.stored.Final() }
+func (j *Job) Concluded() bool { return j.stored.state.Final() }
 
 // Begun reports whether a task of the job was started.
 func (j *Job) Begun() bool { return j.begun }
@@ -216,11 +224,11 @@
 		return j
 	}
 	if a.Final.Final() {
-		j := &Job{Accepted: a, Seen: now, Ended: now, state: a.Final, stored: a.Final, begun: true}
+		j := &Job{Accepted: a, Seen: now, Ended: now, state: a.Final, stored: storedJob{state: a.Final}, begun: true}
 		b.jobs[a.ID] = j
 		return j
 	}
-	j := &Job{Accepted: a, Seen: now, state: StateQueued, stored: StateQueued}
+	j := &Job{Accepted: a, Seen: now, state: StateQueued, stored: storedJob{state: StateQueued}}
 	for k := range a.Spec.Occurrences() {
 		for i := range j.Spec.Steps {
 			s := &StepRun{Job: j, Occurrence: k, Index: i, Spec: &j.Spec.Steps[i]}
@@ -467,7 +475,10 @@
 func (b *Book) Saved(j *Job, change uint64, s State) {
 	j.saved = max(j.saved, change)
 	if s.Final() {
-		j.stored = s
+		j.stored.state = s
+	}
+	if j.writing != nil {
+		j.stored.on, j.writing = j.writing, nil
 	}
 	if !j.Unsaved() {
 		delete(b.unsaved, j.ID)
--- a/internal/jobs/record.go
+++ b/internal/jobs/record.go
@@ -21,6 +21,8 @@
 	Final State `json:"e,omitempty"`
 	// Done has a bitmap in hexadecimal for each step run, in the order of Job.Steps.
 	Done []string `json:"d,omitempty"`
+	// On are the minions on which runs may be going on.
+	On []Minion `json:"o,omitempty"`
 	// Failed lists failed runs by "occurrence.step.index"; a gang's under its first task.
 	Failed map[string][]int `json:"f,omitempty"`
 }
@@ -30,7 +32,7 @@
 	if j.state.Final() {
 		return json.Marshal(Progress{Final: j.state})
 	}
-	var p Progress
+	p := Progress{On: minionList(j.MayRunOn())}
 	for _, s := range j.Steps {
 		p.Done = append(p.Done, s.bitmap())
 		for _, t := range s.Tasks {
@@ -73,10 +75,14 @@
 		return nil // its row says so already
 	}
 	if p.Final.Final() {
-		j.state, j.stored, j.begun, j.Ended = p.Final, p.Final, true, j.Seen
+		j.state, j.stored.state, j.begun, j.Ended = p.Final, p.Final, true, j.Seen
 		delete(b.open, j.ID)
 		return nil
 	}
+	j.stored.on = map[Minion]bool{}
+	for _, m := range p.On {
+		j.stored.on[m] = true
+	}
 	for i, text := range p.Done {
 		if i >= len(j.Steps) {
 			return errors.Wrap(ErrRecord, "more steps than the job has")
@@ -111,7 +117,7 @@
 			t.Run = max(t.Run, r)
 		}
 	}
-	if len(p.Done) > 0 || len(p.Failed) > 0 {
+	if len(p.Done) > 0 || len(p.Failed) > 0 || len(p.On) > 0 {
 		j.state, j.begun = StateRunning, true
 	}
 	return nil
