coordinator: a successor ends no lasting task at once; waves leave time for all their rounds

Change: no lasting task is ended for 1.5 s after a takeover; the test failed before. Change: the reserve counts rounds.

--- a/internal/coordinator/evacuate.go
+++ b/internal/coordinator/evacuate.go
@@ -1,6 +1,8 @@
 package coordinator
 
 import (
+	"time"
+
 	"boragepulley/internal/holding"
 	"boragepulley/internal/jobs"
 	"boragepulley/internal/model"
@@ -9,6 +11,11 @@
 // atWork is the progress that a lasting task reports while it serves, in percent.
 const atWork = 100
 
+// stopSettle is how long a coordinator that took over ends no lasting tasks: a run that its
+// predecessor had stopped is listed as running until its stop is done, which takes up to
+// 0.9 s (the users' stop_ms), and a stop is on its way for up to orderTimeout.
+const stopSettle = 1500 * time.Millisecond
+
 // away reports whether a lasting task does not serve, as far as is known.
 func (t *Term) away(x *jobs.Task) bool {
 	m := t.minions[x.Minion]
@@ -22,6 +29,9 @@
 	if !spec.Lasting || spec.MayMiss == 0 {
 		return true
 	}
+	if t.epoch > 1 && t.now < t.began+stopSettle {
+		return false
+	}
 	// A task may have begun to serve since it was last reported, and one whose minion is
 	// silent may serve: it counts as at work here, and as away for the others.
 	if x.Phase != jobs.Running {
--- a/internal/coordinator/term_test.go
+++ b/internal/coordinator/term_test.go
@@ -378,6 +378,47 @@
 	})
 }
 
+// Guards against an availability budget that a successor breaks because it takes a run that
+// its predecessor is stopping for one at work.
+func TestSuccessorEndsNoLastingTaskAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 2)
+		b.minions.Work = func(string, int) (time.Duration, jobs.End) { return time.Hour, jobs.EndDone }
+		term := b.take("e1", nil)
+		sleep(time.Second)
+		b.accept(term, "0000000000000001", jobs.Step{Count: 2, Need: jobs.Resources{CPU: 1000}, Lasting: true, MayMiss: 1})
+		sleep(time.Second)
+		mayEnd := func(term *Term) (ok bool) {
+			require.NoError(t, term.do(context.Background(), func() {
+				x := term.book.Get("0000000000000001").Steps[0].Tasks[0]
+				require.Equal(t, jobs.Running, x.Phase)
+				for _, o := range x.Step.Tasks {
+					o.Percent = atWork
+				}
+				ok = term.mayEnd(x)
+			}))
+			return ok
+		}
+		require.True(t, mayEnd(term))
+		end(term)
+		next := b.take("e2", nil)
+		defer end(next)
+		sleep(stopSettle / 2)
+		require.False(t, mayEnd(next))
+		sleep(stopSettle)
+		require.True(t, mayEnd(next))
+	})
+}
+
+// Guards against a wave of several rounds that begins its last round when there is time for
+// one, and is late by all others: at 165 machines, 66 at once, it needs three.
+func TestWaveLeavesTimeForItsRounds(t *testing.T) {
+	require.Equal(t, waveRound+waveMargin, waveNeeds(1, 66))
+	require.Equal(t, waveRound+waveMargin, waveNeeds(66, 66))
+	require.Equal(t, 3*waveRound+waveMargin, waveNeeds(165, 66))
+	require.Equal(t, 4*waveRound+waveMargin, waveNeeds(4, 0))
+}
+
 // Guards against looks that take the whole processor when many minions are busy, and
 // against ends that are seen late on a small site.
 func TestLooksAreBoundedByTheProcessor(t *testing.T) {
--- a/internal/coordinator/waves.go
+++ b/internal/coordinator/waves.go
@@ -26,9 +26,11 @@
 	machineTimeout = 2 * time.Second
 	// waveRetry is the pause before a refused or lost order is given again.
 	waveRetry = 300 * time.Millisecond
-	// waveReserve is kept of a wave's time: from then on machines are taken whether their
-	// service is busy or not. A machine takes about 2 s to drain and 2 s for maintenance.
-	waveReserve = 5 * time.Second
+	// waveRound is the time that as many machines as a wave allows at once take: about 2 s to
+	// drain, 2 s for maintenance, and 0.5 s until the list shows it.
+	waveRound = 4500 * time.Millisecond
+	// waveMargin is kept of a wave's time beyond its rounds.
+	waveMargin = 500 * time.Millisecond
 )
 
 // duty is how far the maintenance of one machine has come.
@@ -169,7 +171,7 @@
 	slices.SortFunc(due, func(a, b *waveMachine) int {
 		return cmp.Or(cmp.Compare(t.tasksOn(a), t.tasksOn(b)), cmp.Compare(a.name, b.name))
 	})
-	urgent := t.now > r.began+r.wave.Duration-waveReserve
+	urgent := t.now > r.began+r.wave.Duration-waveNeeds(len(due)+draining, r.wave.AtOnce)
 	busy := t.busyServices()
 	for _, x := range due {
 		if draining+down >= r.wave.AtOnce {
@@ -187,6 +189,14 @@
 	}
 }
 
+// waveNeeds returns how long machines that are still to be maintained take. From the moment
+// on at which a wave has no more time than this left, machines are taken whether their
+// service is busy or not.
+func waveNeeds(machines, atOnce int) time.Duration {
+	rounds := (machines + max(atOnce, 1) - 1) / max(atOnce, 1)
+	return time.Duration(max(rounds, 1))*waveRound + waveMargin
+}
+
 // busyServices are the services with tasks that wait for room.
 func (t *Term) busyServices() map[model.Service]bool {
 	out := map[model.Service]bool{}
