control: refused connections of the time before a process started do not make it gone

Change: refusals that were sent before the last message of a process are passed over. Measured: the new test failed by reading of the old rule (it would set gone in both cases) and passes; the tests of the package that touch leases and pauses pass.

--- a/internal/control/lease_test.go
+++ b/internal/control/lease_test.go
@@ -31,6 +31,30 @@
 	})
 }
 
+// Guards against a process that is noted as gone for ever because connections were refused
+// just before it started, and word of that came after its first message.
+func TestRefusalsOfTheTimeBeforeAStartSayNothing(t *testing.T) {
+	inBubble(t, map[model.DataCentre]int{"a": 2}, func(cl *cluster) {
+		cl.startAll()
+		cl.coordinator("a", 3*time.Second)
+		cl.wait(time.Second)
+		first, second := cl.nodes[cl.peers[0].Name], cl.peers[1].Name
+		refused := func(after time.Duration) (status MemberStatus) {
+			done := make(chan struct{})
+			first.c.post(func() {
+				m := first.c.byName[second]
+				first.c.onRefused(m, m.heard.Add(after))
+				status = m.status
+				close(done)
+			})
+			<-done
+			return status
+		}
+		require.Equal(t, MemberAlive, refused(-time.Millisecond))
+		require.Equal(t, MemberGone, refused(time.Millisecond))
+	})
+}
+
 // Guards against a coordinator that was paused past its TTL and then grants, or
 // dispatches with a permit that it holds.
 func TestPausedHolderIsRejected(t *testing.T) {
--- a/internal/control/member.go
+++ b/internal/control/member.go
@@ -185,8 +185,7 @@
 				case err == nil:
 					c.onAnswer(m, &r.Heartbeat, sent)
 				case refused:
-					m.goneAt = sent
-					c.setStatus(m, MemberGone, "three new connections refused")
+					c.onRefused(m, sent)
 				default:
 					m.silentProbes++
 					c.onUnanswered(m, sent)
@@ -196,6 +195,17 @@
 	})
 }
 
+// onRefused notes that new connections to m were refused, the last one sent at a time. A
+// process that was heard after it has started since: the refusals are of the time before,
+// and a process that is noted as gone is never listened to again.
+func (c *Control) onRefused(m *member, sent time.Time) {
+	if m.heard.After(sent) {
+		return
+	}
+	m.goneAt = sent
+	c.setStatus(m, MemberGone, "three new connections refused")
+}
+
 // onAnswer handles a heartbeat reply. sent is when the question was sent: the peer
 // was alive after it, however late the reply is read.
 func (c *Control) onAnswer(m *member, hb *peer.Heartbeat, sent time.Time) {
