coordinator: no end is noted before what it builds on is stored

The second end changed nothing and was noted at once, while the first was not stored yet; the coordinator was lost, and the successor started the task again. Change: every end waits for all changes of its job that were made up to it.

--- a/internal/coordinator/minions.go
+++ b/internal/coordinator/minions.go
@@ -348,12 +348,9 @@
 	if x.How == jobs.EndDone && x.Run == task.Run {
 		t.noteRuntime(task)
 	}
-	changed := t.book.Finish(task, x.Run, m.ID, x.How, x.Checkpoint, t.queueOf(j).MaxAttempts, t.now)
-	if changed {
-		m.Keep(x.Number, j, j.Changes())
-	} else {
-		m.Keep(x.Number, nil, 0)
-	}
+	t.book.Finish(task, x.Run, m.ID, x.How, x.Checkpoint, t.queueOf(j).MaxAttempts, t.now)
+	// An end that changes nothing may do so because of another one that is not stored yet.
+	m.Keep(x.Number, j, j.Changes())
 	if !task.Active() {
 		t.forgetOrders(task)
 		m.Release(task, t.now)
