guard: an unexpected error in one message, request or term does not end the process

Cause: nothing recovered from a panic: one in a peer's message, in a row of operators, in the control goroutine or in a call of the coordinator ended the whole process. Requests that failed for their callers left no line that names the job where the product decided nothing. Change: package guard; a peer's message gets an error, a row is passed over, a caller gets 504 (the job may be stored), a term ends and the next one goes on from the store. Violated invariants still go through in tests. Each request that names a job and is refused, cut or slow leaves a line.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"boragepulley/internal/guard"
 	"boragepulley/internal/holding"
 	"boragepulley/internal/jobs"
 	"boragepulley/internal/lease"
@@ -159,8 +160,8 @@
 	t.machines.init()
 	counters.Add("terms", 1)
 	t.log.Info().Msg("Coordinator: term began.")
-	t.wg.Go(t.loop)
-	t.wg.Go(t.load)
+	t.run("term", t.loop)
+	t.run("reading tables", t.load)
 	return t
 }
 
@@ -208,7 +209,7 @@
 // async runs a call outside the term's goroutine; the function that it returns, if any,
 // runs on it.
 func (t *Term) async(timeout time.Duration, call func(ctx context.Context) func()) {
-	t.wg.Go(func() {
+	t.run("call", func() {
 		ctx, cancel := context.WithTimeout(t.ctx, timeout)
 		defer cancel()
 		if f := call(ctx); f != nil {
@@ -217,6 +218,16 @@
 	})
 }
 
+// run runs f in a goroutine of its own. An unexpected error ends the term: what it believes
+// may be wrong, and a successor reads what is stored.
+func (t *Term) run(what string, f func()) {
+	t.wg.Go(func() {
+		if err := guard.Run(t.log, what, f); err != nil {
+			t.End(err)
+		}
+	})
+}
+
 func (t *Term) loop() {
 	timer := time.NewTimer(tick)
 	defer timer.Stop()
--- a/internal/coordinator/journal.go
+++ b/internal/coordinator/journal.go
@@ -213,7 +213,7 @@
 func (t *Term) sendWrite(puts []platform.Put, after, failed func()) {
 	w := &t.journal
 	w.writing, w.last = true, t.now
-	t.wg.Go(func() {
+	t.run("write", func() {
 		// The write goes on until its outcome is known or the term is over: the next one
 		// depends on the version that it leaves.
 		err := t.held.Commit(t.ctx, puts)
--- a/internal/daemon/site.go
+++ b/internal/daemon/site.go
@@ -89,7 +89,7 @@
 		},
 		Now: clock.SinceBoot, Log: log,
 	})
-	s.callers = &http.Server{Handler: platform.Callers(s.node), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle}
+	s.callers = &http.Server{Handler: platform.Callers(s.node, logging.Part(log, "caller")), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle}
 	s.ready = &http.Server{Handler: platform.Readiness(s.node), ReadHeaderTimeout: headerTimeout}
 	s.metrics = &http.Server{Handler: expvar.Handler(), ReadHeaderTimeout: headerTimeout}
 	s.peers = peer.NewSiteServer(s.node.Handler(), logging.Part(log, "peer"))
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"boragepulley/internal/coordinator"
+	"boragepulley/internal/guard"
 	"boragepulley/internal/lease"
 	"boragepulley/internal/logging"
 	"boragepulley/internal/model"
@@ -115,8 +116,25 @@
 
 // Start begins to follow the configuration and to take part in the election.
 func (n *Node) Start() {
-	n.wg.Go(n.watchOperators)
-	n.wg.Go(n.elect)
+	n.keep("following operators", n.watchOperators)
+	n.keep("election", n.elect)
+}
+
+// restartAfter is the pause after an unexpected error in work that goes on all the time.
+const restartAfter = time.Second
+
+// keep runs f in a goroutine of its own, and again after an unexpected error.
+func (n *Node) keep(what string, f func()) {
+	n.wg.Go(func() {
+		for guard.Run(n.log, what, f) != nil && n.sleep(restartAfter) {
+			n.log.Info().Str("doing", what).Msg("Entry: begun again.")
+		}
+	})
+}
+
+// once runs f in a goroutine of its own.
+func (n *Node) once(what string, f func()) {
+	n.wg.Go(func() { _ = guard.Run(n.log, what, f) })
 }
 
 // Leave gives the coordinator role up and turns readiness red.
--- a/internal/entry/node_test.go
+++ b/internal/entry/node_test.go
@@ -77,6 +77,9 @@
 	return g
 }
 
+// poisonVersion is a configuration on which the decoder of these tests panics.
+const poisonVersion = 666
+
 // configure writes a configuration with one queue, open to all, on a service.
 func (g *grid) configure(version uint64, svc model.Service) {
 	c := site.Config{Version: version, Services: map[model.Service]site.Service{svc: {}},
@@ -102,6 +105,9 @@
 			if err := json.Unmarshal(v, &c); err != nil {
 				return nil, err
 			}
+			if c.Version == poisonVersion {
+				panic("a decoder meets what nobody thought of")
+			}
 			c.Index()
 			return &c, nil
 		},
@@ -391,3 +397,19 @@
 		require.Empty(t, g.minions.Running(string(id1)+".0.0.0"))
 	})
 }
+
+// Guards against a row that ends the process, or the following of all later rows.
+func TestPoisonRowIsPassedOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGrid(t, 2)
+		defer g.stop()
+		time.Sleep(4 * time.Second)
+		g.configure(poisonVersion, "s")
+		time.Sleep(2 * time.Second)
+		g.configure(poisonVersion+1, "s")
+		time.Sleep(3 * time.Second)
+		for name, n := range g.nodes {
+			require.EqualValues(t, poisonVersion+1, n.Config().Version, name)
+		}
+	})
+}
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"boragepulley/internal/guard"
 	"boragepulley/internal/platform"
 	"boragepulley/internal/site"
 )
@@ -56,7 +57,7 @@
 		}
 		whole, after = false, max(after, c.Version)
 		for _, r := range c.Rows {
-			n.takeOperatorRow(r)
+			_ = guard.Run(n.log, "row "+r.Key, func() { n.takeOperatorRow(r) }) // the other rows hold
 		}
 		n.reached.Store(true)
 	}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -48,7 +48,7 @@
 	}
 	reply.Config = own
 	if m.Config > own {
-		go n.fetchConfig(m)
+		n.once("fetching a configuration", func() { n.fetchConfig(m) })
 	}
 	return reply, nil
 }
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -82,7 +82,7 @@
 	if l == nil {
 		return
 	}
-	n.wg.Go(func() {
+	n.once("offering a job", func() {
 		ctx, cancel := context.WithTimeout(n.ctx, askTimeout)
 		defer cancel()
 		if _, err := n.dial(l.name, l.addr).JobOffer(ctx, &peer.JobOffer{From: n.d.Self, Job: string(id), Row: row}); err != nil {
--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -26,6 +26,9 @@
 	ConfigNeverReverts ID = "I10"
 )
 
+// Violation is what Check panics with.
+type Violation string
+
 var violations = expvar.NewMap("invariant_violations")
 
 // Check reports a violation of id unless ok holds. The message follows fmt.Sprintf.
@@ -37,7 +40,7 @@
 	msg := fmt.Sprintf(format, args...)
 	log.Error().Str("part", "invariant").Str("id", string(id)).Msg(msg)
 	if Fatal {
-		panic("invariant " + string(id) + " violated: " + msg)
+		panic(Violation("invariant " + string(id) + " violated: " + msg))
 	}
 	return false
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -237,3 +237,12 @@
 		return err == nil
 	}, 5*time.Second, 10*time.Millisecond)
 }
+
+// Guards against one message that ends the process, or the connection that others use.
+func TestPanicInOneMessage(t *testing.T) {
+	c := startClient(t, startServer(t, &testHandler{})) // it has no Usage: the call panics
+	_, err := c.Usage(t.Context(), &Usage{From: testSender})
+	require.ErrorIs(t, err, ErrRemote)
+	_, err = c.Heartbeat(t.Context(), &Heartbeat{From: testSender})
+	require.NoError(t, err)
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"boragepulley/internal/guard"
 	"boragepulley/internal/model"
 )
 
@@ -187,7 +188,11 @@
 	}
 	go func() {
 		defer c.srv.wg.Done()
-		reply, err := c.dispatch(ctx, req, size, busy)
+		var reply any
+		var err error
+		if failed := guard.Run(c.srv.log, "message "+req.Method, func() { reply, err = c.dispatch(ctx, req, size, busy) }); failed != nil {
+			err = failed
+		}
 		if err != nil {
 			_ = conn.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{Code: codeOf(err), Message: err.Error()})
 			return
