store client: only reads find out whether the store is back; Retry-After follows the outage

Callers were asked to come back after 1 s whatever the outage, and used up their tries within it. Change: while the circuit breaker is open only reads that are answered at once go out; an entry VM reads a row for it. Retry-After is what the outage has lasted, 1 to 4 s. Two tests; the first fails without the option, the second with a constant pause.

--- a/internal/daemon/site.go
+++ b/internal/daemon/site.go
@@ -67,7 +67,7 @@
 	}
 	store, err := client.NewClient(client.Options{
 		BaseURL: set.StoreURL, ClientName: string(set.DC) + "/" + string(set.Name), WritesPerSecond: set.StoreWrites / 2,
-		ReadsPerSecond: set.StoreReads / 2, CallTimeout: siteStoreTimeout, BreakerMax: siteBreakerMax, Log: logging.Part(log, "store"),
+		ReadsPerSecond: set.StoreReads / 2, CallTimeout: siteStoreTimeout, BreakerMax: siteBreakerMax, ProbeByReads: true, Log: logging.Part(log, "store"),
 	})
 	if err != nil {
 		return nil, errors.Wrap(err, "daemon")
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -55,6 +55,8 @@
 	store   *relay.Store
 	// reached is set once the store has answered, leaving when a shutdown has begun.
 	reached, leaving atomic.Bool
+	// away is since when the store does not answer, on the node's clock; 0 while it does.
+	away atomic.Int64
 
 	mu    sync.Mutex
 	peers map[string]peer.SiteHandler // guarded by mu; by address
--- a/internal/entry/node_test.go
+++ b/internal/entry/node_test.go
@@ -413,3 +413,44 @@
 		}
 	})
 }
+
+// Guards against callers that use up their tries while the store is away: they are asked to
+// come back after about as long as the outage has lasted.
+func TestComeBackGrowsWithAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGrid(t, 2)
+		defer g.stop()
+		time.Sleep(4 * time.Second)
+		n := g.nodes["e0"]
+		require.Equal(t, leastComeBack, n.comeBack())
+		var away atomic.Bool
+		away.Store(true)
+		for name := range g.nodes {
+			g.disturb(name, false, func(string) fleet.Fault {
+				if away.Load() {
+					return fleet.Refuse
+				}
+				return fleet.None
+			})
+		}
+		began := time.Now()
+		tries := 0
+		for {
+			tries++
+			a := n.Submit(t.Context(), jobs.Accepted{ID: "0000000000000001", Queue: "q", Service: "s", At: began, Spec: jobs.Spec{Steps: []jobs.Step{{Count: 1}}}})
+			if a.Err == nil {
+				break
+			}
+			require.ErrorIs(t, a.Err, site.ErrNotNow)
+			require.GreaterOrEqual(t, a.RetryAfter, leastComeBack)
+			require.LessOrEqual(t, a.RetryAfter, mostComeBack)
+			time.Sleep(a.RetryAfter.Truncate(time.Second) + time.Second)
+			if time.Since(began) > 8*time.Second {
+				away.Store(false)
+			}
+		}
+		require.LessOrEqual(t, tries, 5)
+		time.Sleep(time.Second)
+		require.Equal(t, leastComeBack, n.comeBack())
+	})
+}
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"boragepulley/internal/guard"
+	"boragepulley/internal/lease"
 	"boragepulley/internal/platform"
 	"boragepulley/internal/site"
 )
@@ -47,10 +48,7 @@
 			whole = true
 			continue
 		case err != nil:
-			if n.reached.Load() && n.ctx.Err() == nil {
-				n.log.Debug().Err(err).Msg("Entry: operators' rows not read.")
-			}
-			if !n.sleep(operatorRetry) {
+			if !n.awaitStore() {
 				return
 			}
 			continue
@@ -63,6 +61,52 @@
 	}
 }
 
+// checkTimeout bounds a read that finds out whether the store is back.
+const checkTimeout = 900 * time.Millisecond
+
+// awaitStore returns once the store answers a read; it reports false when the node stops.
+// While the store does not answer, only such reads are sent to it, see ProbeByReads.
+func (n *Node) awaitStore() bool {
+	began := n.d.Now()
+	for n.sleep(operatorRetry) {
+		ctx, cancel := context.WithTimeout(n.ctx, checkTimeout)
+		_, err := n.d.Table.Get(ctx, platform.PriorityConfig, lease.Key)
+		cancel()
+		if err == nil {
+			n.away.Store(0)
+			if took := n.d.Now() - began; took > tellAway {
+				n.log.Info().Dur("away", took).Msg("Entry: store answers again.")
+			}
+			return true
+		}
+		if n.away.CompareAndSwap(0, int64(began)) {
+			n.log.Info().Err(err).Msg("Entry: store does not answer.")
+		}
+	}
+	return false
+}
+
+// tellAway is how long the store must have been away for its return to be logged.
+const tellAway = 500 * time.Millisecond
+
+const (
+	// leastComeBack and mostComeBack bound the pause that callers are asked for while the
+	// store is away. Callers of the users' sheets try five times: with 1, 1, 2 and 4 s they
+	// outlast an outage of 8 s, and the store's return is seen within 4 s.
+	leastComeBack = time.Second
+	mostComeBack  = 4 * time.Second
+)
+
+// comeBack returns when a caller should come back while the store is away: an outage goes on
+// for about as long as it has lasted, as far as anybody can tell.
+func (n *Node) comeBack() time.Duration {
+	since := n.away.Load()
+	if since == 0 {
+		return leastComeBack
+	}
+	return min(max(n.d.Now()-time.Duration(since), leastComeBack), mostComeBack)
+}
+
 func (n *Node) takeOperatorRow(r platform.Row) {
 	switch {
 	case r.Key == configKey && r.Value != nil:
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -23,9 +23,6 @@
 	cancelTimeout = 1200 * time.Millisecond
 	// pendingAge is how old the count of waiting jobs may be (the users' pages).
 	pendingAge = 2 * time.Second
-	// comeBack is the pause that callers are asked for while the store is away: about what
-	// its client waits before it tries again.
-	comeBack = time.Second
 )
 
 // Config returns the configuration in force, or nil.
@@ -68,7 +65,7 @@
 	}
 	counters.Add("store_away", 1)
 	n.log.Info().Err(err).Str("job", string(a.ID)).Msg("Entry: job not accepted, store away.")
-	return site.Answer{Err: errors.Wrap(site.ErrNotNow, err.Error()), RetryAfter: comeBack}
+	return site.Answer{Err: errors.Wrap(site.ErrNotNow, err.Error()), RetryAfter: n.comeBack()}
 }
 
 // offer tells the coordinator of a stored job. A lost offer costs little: the coordinator
@@ -123,7 +120,7 @@
 // storedState reads what the store knows of a job.
 func (n *Node) storedState(ctx context.Context, id jobs.ID) site.Answer {
 	notNow := func(err error) site.Answer {
-		return site.Answer{Err: errors.Wrap(site.ErrNotNow, err.Error()), RetryAfter: comeBack}
+		return site.Answer{Err: errors.Wrap(site.ErrNotNow, err.Error()), RetryAfter: n.comeBack()}
 	}
 	// Progress goes only after the job's row has the final state, so it is read first.
 	progress, err := n.d.Table.Get(ctx, platform.PriorityClaim, coordinator.ProgressKey(id))
@@ -166,7 +163,7 @@
 	}
 	row, err := n.d.Table.Get(ctx, platform.PriorityClaim, coordinator.JobKey(id))
 	if err != nil {
-		return site.Answer{Err: errors.Wrap(site.ErrNotNow, err.Error()), RetryAfter: comeBack}
+		return site.Answer{Err: errors.Wrap(site.ErrNotNow, err.Error()), RetryAfter: n.comeBack()}
 	}
 	if row.Version == 0 {
 		return site.Answer{Err: errors.WithStack(site.ErrNoJob)}
--- a/internal/platform/breaker.go
+++ b/internal/platform/breaker.go
@@ -59,21 +59,22 @@
 		backoff.WithMaxElapsedTime(0))}
 }
 
-// blocked reports whether a call would be rejected now. It reserves nothing.
-func (b *breaker) blocked() bool {
+// blocked reports whether a call would be rejected now. It reserves nothing. mayProbe is
+// unset for a call that is not to try a service that does not answer.
+func (b *breaker) blocked(mayProbe bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.open && (b.probing || time.Now().Before(b.until))
+	return b.open && (!mayProbe || b.probing || time.Now().Before(b.until))
 }
 
 // allow reserves a call, which must be followed by report with the generation.
-func (b *breaker) allow() (gen uint64, ok bool) {
+func (b *breaker) allow(mayProbe bool) (gen uint64, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if !b.open {
 		return b.gen, true
 	}
-	if b.probing || time.Now().Before(b.until) {
+	if !mayProbe || b.probing || time.Now().Before(b.until) {
 		return 0, false
 	}
 	b.probing = true
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -46,6 +46,10 @@
 	// BreakerMax bounds the pause between two tries while the platform does not answer; 0
 	// selects the default.
 	BreakerMax time.Duration
+	// ProbeByReads lets only reads that are answered at once find out whether the platform is
+	// back: the outcome of a write without an answer is unknown, and its caller cannot be told
+	// that nothing was done. The owner of the client has to read while calls fail.
+	ProbeByReads bool
 	// Dial replaces the TCP dialer, for tests.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 	Log  zerolog.Logger
@@ -174,7 +178,8 @@
 			return &callError{op: x.Op, kind: ErrRejected, cause: err}
 		}
 	}
-	if c.breaker.blocked() {
+	mayProbe := !c.opt.ProbeByReads || !x.Write && x.Wait == 0
+	if c.breaker.blocked(mayProbe) {
 		return &callError{op: x.Op, kind: ErrBudget, cause: errBreakerOpen}
 	}
 	b := c.reads
@@ -184,7 +189,7 @@
 	if err := b.take(ctx, x.Prio); err != nil {
 		return &callError{op: x.Op, kind: ErrBudget, cause: err}
 	}
-	gen, ok := c.breaker.allow()
+	gen, ok := c.breaker.allow(mayProbe)
 	if !ok {
 		return &callError{op: x.Op, kind: ErrBudget, cause: errBreakerOpen}
 	}
--- a/internal/platform/limits_test.go
+++ b/internal/platform/limits_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"io"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -78,7 +82,7 @@
 func failTimes(t *testing.T, b *breaker, n int) {
 	t.Helper()
 	for range n {
-		gen, ok := b.allow()
+		gen, ok := b.allow(true)
 		require.True(t, ok)
 		b.report(gen, healthDown)
 	}
@@ -93,7 +97,7 @@
 		require.Equal(t, 1, opened)
 		for i := range 20 {
 			start := time.Now()
-			for b.blocked() {
+			for b.blocked(true) {
 				time.Sleep(time.Millisecond)
 			}
 			wait := time.Since(start)
@@ -102,20 +106,20 @@
 			if i > 5 {
 				require.GreaterOrEqual(t, wait, 2500*time.Millisecond, "the back-off grows")
 			}
-			gen, ok := b.allow()
+			gen, ok := b.allow(true)
 			require.True(t, ok)
-			_, second := b.allow()
+			_, second := b.allow(true)
 			require.False(t, second, "one probe at a time")
 			b.report(gen, healthDown)
 		}
 		time.Sleep(5 * time.Second)
-		gen, ok := b.allow()
+		gen, ok := b.allow(true)
 		require.True(t, ok)
 		b.report(gen, healthUp)
-		require.False(t, b.blocked())
+		require.False(t, b.blocked(true))
 		failTimes(t, b, breakerThreshold)
 		time.Sleep(500 * time.Millisecond)
-		require.False(t, b.blocked(), "the back-off starts again after a success")
+		require.False(t, b.blocked(true), "the back-off starts again after a success")
 	})
 }
 
@@ -124,24 +128,24 @@
 func TestBreakerIgnoresStaleResults(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBreaker(nil, 0)
-		old, ok := b.allow()
+		old, ok := b.allow(true)
 		require.True(t, ok)
 		failTimes(t, b, breakerThreshold)
 		b.report(old, healthUp)
-		require.True(t, b.blocked())
+		require.True(t, b.blocked(true))
 		time.Sleep(time.Second)
-		probe, ok := b.allow()
+		probe, ok := b.allow(true)
 		require.True(t, ok)
 		b.report(old, healthUp)
-		require.True(t, b.blocked(), "only the probe decides")
+		require.True(t, b.blocked(true), "only the probe decides")
 		b.report(probe, healthNeutral)
-		probe, ok = b.allow()
+		probe, ok = b.allow(true)
 		require.True(t, ok, "the next call probes after a cancelled probe")
 		b.report(probe, healthUp)
 		for range breakerThreshold {
 			b.report(old, healthDown)
 		}
-		require.False(t, b.blocked())
+		require.False(t, b.blocked(true))
 	})
 }
 
@@ -179,3 +183,42 @@
 	require.Error(t, err)
 	require.True(t, c.fence(mark), "the connection took no byte")
 }
+
+// Guards against callers' writes that find out whether the platform is back: each one on a
+// platform that does not answer has an unknown outcome, where nothing need have been sent.
+func TestWritesDoNotProbe(t *testing.T) {
+	var silent atomic.Bool
+	silent.Store(true)
+	var writes atomic.Int64
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		if r.Method == http.MethodPost {
+			writes.Add(1)
+		}
+		if silent.Load() {
+			<-r.Context().Done()
+			return
+		}
+		_, _ = io.WriteString(w, "{}")
+	}))
+	defer s.Close()
+	c, err := NewClient(Options{BaseURL: s.URL, WritesPerSecond: 1000, ReadsPerSecond: 1000, CallTimeout: 20 * time.Millisecond, BreakerMax: 10 * time.Millisecond, ProbeByReads: true})
+	require.NoError(t, err)
+	defer c.Close()
+	judge := func(Answer) Verdict { return Verdict{} }
+	write := Call{Op: "write", Write: true, Method: http.MethodPost, Path: "/", In: struct{}{}, Judge: judge}
+	read := Call{Op: "read", Method: http.MethodGet, Path: "/", Judge: judge}
+	for range breakerThreshold {
+		require.ErrorIs(t, c.Do(t.Context(), write), ErrUnknownOutcome)
+	}
+	for range 20 {
+		require.ErrorIs(t, c.Do(t.Context(), write), ErrBudget)
+		require.ErrorIs(t, c.Do(t.Context(), Call{Op: "feed", Method: http.MethodGet, Path: "/", Wait: time.Second, Judge: judge}), ErrBudget)
+		_ = c.Do(t.Context(), read)
+		time.Sleep(2 * time.Millisecond)
+	}
+	require.EqualValues(t, breakerThreshold, writes.Load())
+	silent.Store(false)
+	require.Eventually(t, func() bool { return c.Do(t.Context(), read) == nil }, 5*time.Second, time.Millisecond)
+	require.NoError(t, c.Do(t.Context(), write))
+}
