entry: the coordinator's successor is known before, and follows the lease's row

Change: every beat names the successor, which reads the row all the time and takes the lease when its time is over.

--- a/internal/coordinator/members.go
+++ b/internal/coordinator/members.go
@@ -139,7 +139,7 @@
 }
 
 func (t *Term) beat(name model.EntryVM, m *memberState) {
-	msg := &peer.Lead{From: t.d.Self, Epoch: t.epoch, Addr: t.d.Addr, Lease: t.version}
+	msg := &peer.Lead{From: t.d.Self, Epoch: t.epoch, Addr: t.d.Addr, Lease: t.version, Successor: t.successor()}
 	told := t.members.version
 	if m.told != told {
 		msg.Members = t.members.all
--- a/internal/entry/elect.go
+++ b/internal/entry/elect.go
@@ -63,11 +63,11 @@
 			continue
 		}
 		now := n.d.Now()
-		named := n.named()
-		if n.leaving.Load() || !named && (!n.silent(now) || now < seen.next) {
+		named, next := n.named(), n.next()
+		if n.leaving.Load() || !named && (!next && !n.silent(now) || now < seen.next) {
 			continue
 		}
-		n.observe(&seen, named)
+		n.observe(&seen, named || next)
 	}
 	if t := n.term.Load(); t != nil {
 		t.End(coordinator.ErrNotCoordinating)
@@ -177,6 +177,15 @@
 	return l != nil && l.released && l.successor
 }
 
+// next reports whether this node is to follow a coordinator that is lost. It reads the lease's
+// row all the time, and so knows within readEvery when it was written last: while a loaded
+// coordinator writes many times a second, the others know that only from their first read
+// after it fell silent.
+func (n *Node) next() bool {
+	l := n.leader.Load()
+	return l != nil && !l.released && l.successor
+}
+
 // observe reads the lease's row and takes the lease if it is free or has not changed for
 // its time. A named successor does not leave time for others.
 func (n *Node) observe(s *observed, named bool) {
@@ -204,6 +213,10 @@
 	}
 	if n.free(s) {
 		n.take(s, named)
+		return
+	}
+	if end := s.changed + lease.TTL + takeMargin; end > asked {
+		s.next = min(s.next, end+time.Millisecond) // no later than the lease's end
 	}
 }
 
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -81,7 +81,7 @@
 	// lease is the version of the lease's row that the coordinator wrote last.
 	lease uint64
 	// released is set once the coordinator has given the lease up, successor if this node is
-	// to take it.
+	// to take it, then or when the coordinator is lost.
 	released, successor bool
 	// promised is set once the coordinator was answered: it then needed this node's promise
 	// not to take the lease.
--- a/internal/entry/node_test.go
+++ b/internal/entry/node_test.go
@@ -454,3 +454,44 @@
 		require.Equal(t, leastComeBack, n.comeBack())
 	})
 }
+
+// Guards against seconds without a coordinator when the one of a busy site is lost with its
+// machine: it wrote many times a second, so the row that the others read last is not the one
+// that they were told of, and they waited for the lease's time from their first read.
+func TestLostCoordinatorIsFollowedSoon(t *testing.T) {
+	for seed := range 5 {
+		synctest.Test(t, func(t *testing.T) {
+			g := newGrid(t, 6)
+			defer g.stop()
+			time.Sleep(5*time.Second + time.Duration(seed)*70*time.Millisecond)
+			first := g.coordinator()
+			for i := range 60 {
+				a := g.other(first).Submit(t.Context(), jobs.Accepted{ID: jobs.ID(fmt.Sprintf("%016x", i)), Queue: "q", Service: "s", At: time.Now(),
+					Spec: jobs.Spec{Steps: []jobs.Step{{Count: 1, Need: jobs.Resources{CPU: 100}}}}})
+				require.NoError(t, a.Err)
+				time.Sleep(20 * time.Millisecond)
+			}
+			g.disturb(first, true, refuse)
+			lost := time.Now()
+			for {
+				time.Sleep(10 * time.Millisecond)
+				if name := g.coordinatorBut(first); name != "" {
+					break
+				}
+				require.Less(t, time.Since(lost), 10*time.Second)
+			}
+			// The lease's time, the age of a read, and a read and a take of the row.
+			require.Less(t, time.Since(lost), lease.TTL+takeMargin+readEvery+2*electEvery+50*time.Millisecond)
+		})
+	}
+}
+
+// coordinatorBut returns an entry VM other than one that coordinates.
+func (g *grid) coordinatorBut(not string) string {
+	for name, n := range g.nodes {
+		if name != not && n.term.Load() != nil {
+			return name
+		}
+	}
+	return ""
+}
--- a/internal/peer/site.go
+++ b/internal/peer/site.go
@@ -35,7 +35,8 @@
 	Pending map[model.Queue]int `json:"pending,omitempty"`
 	// Load is what entry VMs need to reject at once what would wait too long.
 	Load map[model.Queue]QueueLoad `json:"load,omitempty"`
-	// Released means that the sender has given the lease up; Successor is to take it at once.
+	// Successor is to follow: at once if Released is set, which means that the sender has given
+	// the lease up, and otherwise when its time is over.
 	Released  bool          `json:"released,omitempty"`
 	Successor model.EntryVM `json:"successor,omitempty"`
 	// Lease is the version of the lease's row as the sender wrote it last.
