coordinator: its successor is in another data centre

Change: of the largest entry VMs one in another data centre is named. The test fails on the old order.

--- a/internal/coordinator/handover.go
+++ b/internal/coordinator/handover.go
@@ -75,8 +75,8 @@
 }
 
 // successor returns the member that should coordinate next: of those that answer, one of
-// the largest, and of these the one that started last, because a rolling restart is done
-// with it.
+// the largest, of these one in another data centre, which is not cut off together with this
+// one, and of these the one that started last, because a rolling restart is done with it.
 func (t *Term) successor() model.EntryVM {
 	var best model.EntryVM
 	for name, m := range t.members.byName {
@@ -84,13 +84,21 @@
 			continue
 		}
 		b := t.members.byName[best]
-		if b == nil || cmp.Or(cmp.Compare(m.row.Cores, b.row.Cores), cmp.Compare(m.since, b.since), cmp.Compare(best, name)) > 0 {
+		if b == nil || cmp.Or(cmp.Compare(m.row.Cores, b.row.Cores), -cmp.Compare(t.near(m), t.near(b)), cmp.Compare(m.since, b.since), cmp.Compare(best, name)) > 0 {
 			best = name
 		}
 	}
 	return best
 }
 
+// near returns 1 for a member in this entry VM's data centre, and 0 for others.
+func (t *Term) near(m *memberState) int {
+	if m.row.DC == t.d.Self.DC {
+		return 1
+	}
+	return 0
+}
+
 // yieldAfter is how long a coordinator on a small entry VM waits before it gives the lease
 // to a larger one, so that a larger one that restarts again and again gets it less often.
 const yieldAfter = 3 * time.Second
--- a/internal/entry/node_test.go
+++ b/internal/entry/node_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -38,6 +39,8 @@
 	fault map[string]func(op string) fleet.Fault // guarded by mu
 	// cores are the sizes of entry VMs; 0 for all others.
 	cores map[string]float64
+	// dcs are the data centres of entry VMs; "dc" for all others.
+	dcs map[string]model.DataCentre
 }
 
 // disturb sets the fault of an entry VM's store calls, and whether it is cut off.
@@ -67,7 +70,7 @@
 
 func newGrid(t *testing.T, n int) *grid {
 	g := &grid{t: t, store: fleet.NewStore(), minions: fleet.NewMinions(), nodes: map[string]*Node{}, cut: map[string]bool{},
-		fault: map[string]func(string) fleet.Fault{}, cores: map[string]float64{}, began: time.Now()}
+		fault: map[string]func(string) fleet.Fault{}, cores: map[string]float64{}, dcs: map[string]model.DataCentre{}, began: time.Now()}
 	g.minions.Add(site.MinionEntry{ID: "m", Service: "s", Addr: "m", Capacity: jobs.Resources{CPU: 9000}})
 	g.store.Put("servers/m", g.minions.EntryRow("m"))
 	g.configure(1, "s")
@@ -97,7 +100,7 @@
 		return fleet.None
 	}}
 	n := New(Deps{
-		Self: peer.Sender{Entry: model.EntryVM(name), DC: "dc", Incarnation: model.NewIncarnation()}, PeerAddr: name, Cores: g.cores[name], Table: view, Feed: view,
+		Self: peer.Sender{Entry: model.EntryVM(name), DC: cmp.Or(g.dcs[name], "dc"), Incarnation: model.NewIncarnation()}, PeerAddr: name, Cores: g.cores[name], Table: view, Feed: view,
 		Minions: g.minions, Machines: &fleet.Machines{},
 		Codec: coordinator.Codec{Minion: func(_ string, v []byte) (e site.MinionEntry, err error) { return e, json.Unmarshal(v, &e) }},
 		DecodeConfig: func(v []byte) (*site.Config, error) {
@@ -495,3 +498,33 @@
 	}
 	return ""
 }
+
+// Guards against a successor that is cut off together with the coordinator: their data centre
+// is lost, and a small entry VM takes over late.
+func TestSuccessorIsInAnotherDataCentre(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGrid(t, 0)
+		defer g.stop()
+		names := []string{"a1", "a2", "b1", "b2", "c-small"}
+		for _, name := range names {
+			g.dcs[name], g.cores[name] = model.DataCentre(name[:1]), 0.8
+		}
+		g.cores["c-small"] = 0.2
+		for _, name := range names {
+			g.start(name)
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(8 * time.Second)
+		first := g.coordinator()
+		require.NotEmpty(t, first)
+		var next []string
+		for name, n := range g.nodes {
+			if name != first && n.next() {
+				next = append(next, name)
+			}
+		}
+		require.Len(t, next, 1)
+		require.NotEqual(t, first[:1], next[0][:1])
+		require.NotEqual(t, "c-small", next[0])
+	})
+}
