account: a process that ended without a row is named by those that heard it

Change: an entry VM that sees a process gone of which it holds nothing stores one object for it, the same for all that saw it; its beginning comes from its id. A failed try to store is repeated at the next check, not 5 s later.

--- a/internal/account/account_test.go
+++ b/internal/account/account_test.go
@@ -188,7 +188,7 @@
 		kill()
 		synctest.Wait()
 		time.Sleep(2 * time.Second)
-		h.OwnerGone(testOwner.Incarnation, time.Now())
+		h.OwnerGone(testOwner, time.Now())
 		require.NoError(t, h.StoreGone(t.Context()))
 		before, err := Load(t.Context(), m.services())
 		require.NoError(t, err)
@@ -246,7 +246,7 @@
 		payload, err := b.Encode()
 		require.NoError(t, err)
 		require.NoError(t, h.Hold(1, payload))
-		h.OwnerGone(owner.Incarnation, time.Now())
+		h.OwnerGone(owner, time.Now())
 		if i == 0 {
 			m.objects[b.ObjectName()] = []byte("other bytes")
 		}
@@ -399,3 +399,28 @@
 	require.True(t, report(finished("j", now, model.StateRefused, model.ReasonBadKey)).OK())
 	require.False(t, report(finished("j", now, model.StateRan, "")).OK())
 }
+
+// Guards against a report without a gap for a process that lived and ended while the store was
+// away: it has no row and no batch, and the holder of its copies ended with it. Those that
+// heard of it name it, with one object.
+func TestProcessWithoutARowIsAGap(t *testing.T) {
+	m := newMemory()
+	owner := Owner{Entry: "entry-a-1", DC: "a", Incarnation: model.NewIncarnation()}
+	began := owner.Incarnation.Began()
+	require.WithinDuration(t, time.Now(), began, time.Minute)
+	gone := began.Add(7 * time.Second)
+	for _, name := range []model.EntryVM{"peer-1", "peer-2"} {
+		h := NewHolder(name, memoryObjects{m}, zerolog.Nop())
+		h.OwnerGone(owner, gone)
+		require.NoError(t, h.StoreGone(t.Context()))
+		require.Empty(t, h.held)
+	}
+	require.Equal(t, 1, len(m.objects))
+	r := buildFrom(t, m, nil)
+	require.Len(t, r.Gaps, 1)
+	g := r.Gaps[0]
+	require.Equal(t, owner, g.Owner)
+	require.Equal(t, GapLost, g.Cause)
+	require.True(t, g.From.Equal(began.Add(-recordDelay)), "%v", g.From)
+	require.True(t, g.To.Equal(gone), "%v", g.To)
+}
--- a/internal/account/holder.go
+++ b/internal/account/holder.go
@@ -102,11 +102,18 @@
 	}
 }
 
-// OwnerGone marks an incarnation as gone at the given time; StoreGone stores its copies.
-func (h *Holder) OwnerGone(inc model.Incarnation, at time.Time) {
+// OwnerGone marks an incarnation as gone at the given time; StoreGone stores its copies. One
+// of which nothing is held is named all the same: it may have lived and ended while the store
+// was away, and nobody else may tell that its facts are missing.
+func (h *Holder) OwnerGone(owner Owner, at time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if c := h.held[inc]; c != nil && c.goneSeen.IsZero() {
+	c := h.held[owner.Incarnation]
+	if c == nil {
+		c = &heldCopies{owner: owner, batches: make(map[uint64][]byte)}
+		h.held[owner.Incarnation] = c
+	}
+	if c.goneSeen.IsZero() {
 		c.goneSeen = at
 	}
 }
@@ -176,6 +183,14 @@
 	if err != nil {
 		return err
 	}
+	if c.coversUntil.IsZero() {
+		// All that heard of the owner say the same; one object is enough.
+		err := h.put(ctx, fmt.Sprintf("%s%s/%s/gone", coveragePrefix, c.owner.Entry, c.owner.Incarnation), data)
+		if errors.Is(err, platform.ErrConflict) {
+			return nil
+		}
+		return err
+	}
 	// An owner can fall silent more than once: each time has a name of its own.
 	name := fmt.Sprintf("%s%s/%s/%s/%d", coveragePrefix, c.owner.Entry, c.owner.Incarnation, h.self, c.coversUntil.UnixMilli())
 	if err := h.put(ctx, name, data); err != nil {
--- a/internal/account/ledger.go
+++ b/internal/account/ledger.go
@@ -130,11 +130,13 @@
 		if l.pendingFacts() < storeFacts && l.now().Sub(lastStore) < storeInterval {
 			return
 		}
-		lastStore = l.now()
 		l.cut()
 		if err := l.storePending(ctx); err != nil {
+			// The next check tries again: the store may be back only for a moment.
 			l.log.Warn().Err(err).Msg("Batch not stored; it will be retried.")
+			return
 		}
+		lastStore = l.now()
 	})
 }
 
--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -20,7 +20,7 @@
 	for {
 		for name, p := range snapshot().Peers {
 			if old := last[name]; old != "" && old != p.Incarnation {
-				h.OwnerGone(old, time.Now())
+				h.OwnerGone(account.Owner{Entry: name, DC: p.DC, Incarnation: old}, time.Now())
 			}
 			last[name] = p.Incarnation
 		}
--- a/internal/model/ids.go
+++ b/internal/model/ids.go
@@ -59,6 +59,16 @@
 	return Incarnation(ulid.MustNew(ulid.Now(), rand.Reader).String())
 }
 
+// Began returns when the process started, to the millisecond, or the zero time for an id that
+// NewIncarnation did not make.
+func (i Incarnation) Began() time.Time {
+	id, err := ulid.ParseStrict(string(i))
+	if err != nil {
+		return time.Time{}
+	}
+	return id.Timestamp()
+}
+
 // Token is a coordinator's fencing token. Tokens are ordered by epoch, then succession.
 type Token struct {
 	// Epoch increases by one with each change of holder in the table.
