--- a/test/integration/integration_test.go
+++ b/test/integration/integration_test.go
@@ -43,6 +43,7 @@
 	{"cut-both", 1},
 	{"store-down", 1},
 	{"config-restart", 1},
+	{"config-restart", 4711}, // a process without a row, whose holder ended with it
 	{"once-faults", 1},
 	{"records-copied", 1},
 	{"rolling-restart", 1},
