coordinator: the lease is looked at just before an order is sent

Cause: a process that is suspended between its decision and the sending gave the order when it woke: timeouts follow the steady clock, which does not count suspended time. Starts and stops are fenced by tokens, orders for machines are not where the platform does not check them. Change: starts, stops, moves and maintenance are sent only while the lease holds by the clock that counts suspended time; held-back ones are counted and decided anew.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -86,6 +86,8 @@
 	stop   context.CancelCauseFunc
 	wg     sync.WaitGroup
 	view   atomic.Pointer[View]
+	// until is when the permission to give orders ends, on the clock of Deps.Now.
+	until atomic.Int64
 
 	// The fields below are owned by the term's goroutine.
 	now time.Duration
@@ -262,6 +264,7 @@
 // step does what is due and returns how long to wait for the next event.
 func (t *Term) step() time.Duration {
 	t.now = t.d.Now()
+	t.permit()
 	t.followMembers()
 	t.writeJournal()
 	if !t.loaded {
@@ -296,6 +299,33 @@
 	return tick
 }
 
+// permit lets other goroutines know until when orders may be given.
+func (t *Term) permit() {
+	until := max(t.valid, t.members.promised())
+	if t.leaving {
+		until = 0
+	}
+	t.until.Store(int64(until))
+}
+
+// permitted reports whether orders may be given at this moment. It is safe for concurrent use,
+// and is asked just before an order is sent: the process may have been paused since the term's
+// goroutine decided on it, and another entry VM may hold the lease.
+func (t *Term) permitted() bool { return int64(t.d.Now()) < t.until.Load() }
+
+// order sends an order outside the term's goroutine, unless the permission for it has ended.
+func (t *Term) order(timeout time.Duration, send func(ctx context.Context) error, answered func(err error)) {
+	t.async(timeout, func(ctx context.Context) func() {
+		err := errors.Wrap(site.ErrNotSent, "lease over")
+		if t.permitted() {
+			err = send(ctx)
+		} else {
+			counters.Add("orders_held_back", 1)
+		}
+		return func() { answered(err) }
+	})
+}
+
 // leading reports whether orders may be given: no other entry VM can hold the lease.
 func (t *Term) leading() bool {
 	return !t.leaving && t.now < max(t.valid, t.members.promised())
--- a/internal/coordinator/machines.go
+++ b/internal/coordinator/machines.go
@@ -439,14 +439,8 @@
 	t.log.Info().Str("machine", string(v.Machine)).Str("from", string(m.Pool)).Str("to", string(v.To)).Msg("Coordinator: machine moves.")
 	d := site.Duty{Holder: t.d.Self.Entry, Token: t.epoch}
 	t.orderMachine(v.Machine, func() {
-		if !t.leading() {
-			t.moved(v.Machine, x, site.ErrNotSent)
-			return
-		}
-		t.async(machineTimeout, func(ctx context.Context) func() {
-			err := t.d.Machines.Move(ctx, d, v.Machine, v.To)
-			return func() { t.moved(v.Machine, x, err) }
-		})
+		t.order(machineTimeout, func(ctx context.Context) error { return t.d.Machines.Move(ctx, d, v.Machine, v.To) },
+			func(err error) { t.moved(v.Machine, x, err) })
 	})
 }
 
--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -71,11 +71,13 @@
 	o.tries++
 	so := site.StartOrder{Task: x.Name(), Run: x.Run, Payload: x.Step.Job.Spec.Payload, LeaseUntil: m.Lease(t.now, t.span), Checkpoint: x.Checkpoint}
 	to := t.receiver(m)
-	t.async(orderTimeout, func(ctx context.Context) func() {
-		clock, err := t.d.Minions.Start(ctx, to, so)
-		at := t.d.Now()
-		return func() { t.startAnswered(x, o, so.Run, clock, at, err) }
-	})
+	var clock int64
+	var at time.Duration
+	t.order(orderTimeout, func(ctx context.Context) (err error) {
+		clock, err = t.d.Minions.Start(ctx, to, so)
+		at = t.d.Now()
+		return err
+	}, func(err error) { t.startAnswered(x, o, so.Run, clock, at, err) })
 }
 
 // startAnswered takes the answer of a start, with a reading of the minion's clock that came
@@ -154,10 +156,8 @@
 func (t *Term) sendStop(x *jobs.Task, s *stopping, m *holding.Minion) {
 	s.inFlight = true
 	to, o := t.receiver(m), site.StopOrder{Task: x.Name(), Run: x.Run}
-	t.async(orderTimeout, func(ctx context.Context) func() {
-		err := t.d.Minions.Stop(ctx, to, o)
-		return func() { t.stopAnswered(x, s, m, err) }
-	})
+	t.order(orderTimeout, func(ctx context.Context) error { return t.d.Minions.Stop(ctx, to, o) },
+		func(err error) { t.stopAnswered(x, s, m, err) })
 }
 
 func (t *Term) stopAnswered(x *jobs.Task, s *stopping, m *holding.Minion, err error) {
--- a/internal/coordinator/waves.go
+++ b/internal/coordinator/waves.go
@@ -243,14 +243,8 @@
 	x.state, x.calling = dutyOrdered, true
 	d := site.Duty{Holder: t.d.Self.Entry, Token: t.epoch}
 	t.orderMachine(x.name, func() {
-		if !t.leading() {
-			t.maintained(r, x, site.ErrNoAnswer)
-			return
-		}
-		t.async(machineTimeout, func(ctx context.Context) func() {
-			err := t.d.Machines.Maintain(ctx, d, x.name, r.wave.Number)
-			return func() { t.maintained(r, x, err) }
-		})
+		t.order(machineTimeout, func(ctx context.Context) error { return t.d.Machines.Maintain(ctx, d, x.name, r.wave.Number) },
+			func(err error) { t.maintained(r, x, err) })
 	})
 }
 
@@ -268,8 +262,8 @@
 	case site.RefusalOf(err) == site.RefusedWave:
 		t.log.Warn().Int64("wave", r.wave.Number).Str("machine", string(x.name)).Msg("Coordinator: machine is not of the wave.")
 		x.state = dutyBack
-	case errors.Is(err, site.ErrNoAnswer):
-		// It may have begun: the order is given again, which does no harm.
+	case errors.Is(err, site.ErrNoAnswer), errors.Is(err, site.ErrNotSent):
+		// It, or an order before it, may have begun: it is given again, which does no harm.
 	default:
 		t.log.Info().Err(err).Int64("wave", r.wave.Number).Str("machine", string(x.name)).Msg("Coordinator: maintenance refused.")
 		t.open(x.minion)
