--- a/internal/coordinator/waves.go
+++ b/internal/coordinator/waves.go
@@ -1,11 +1,9 @@
 package coordinator
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
-	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -154,41 +152,44 @@
 // takeMachines drains machines and orders their maintenance, at most as many at once as
 // the wave allows.
 func (t *Term) takeMachines(r *waveRun, down int) {
-	draining := 0
-	var due []*waveMachine
+	left, draining, slow := 0, 0, max(1, r.wave.AtOnce/slowShare)
+	var due []waveCandidate
+	busy := t.busyServices()
 	for _, x := range r.machines {
 		switch x.state {
 		case dutyDraining:
 			draining++
+			if _, lasting := t.tasksOn(x); lasting > 0 {
+				slow--
+			}
 			if t.drained(x) && down < r.wave.AtOnce && t.now >= x.next {
 				down++
 				t.orderMaintenance(r, x)
 			}
 		case dutyDue:
-			due = append(due, x)
+			left++
+			m, ok := t.machines.byName[x.name]
+			if !ok || m.State != site.MachineUp || t.now < x.next || t.machines.moves[x.name] != nil || !t.mayOrder(x.name) {
+				continue
+			}
+			tasks, lasting := t.tasksOn(x)
+			due = append(due, waveCandidate{x, tasks, lasting, busy[m.Pool]})
 		}
 	}
-	slices.SortFunc(due, func(a, b *waveMachine) int {
-		return cmp.Or(cmp.Compare(t.tasksOn(a), t.tasksOn(b)), cmp.Compare(a.name, b.name))
-	})
-	urgent := t.now > r.began+r.wave.Duration-waveNeeds(len(due)+draining, r.wave.AtOnce)
-	busy := t.busyServices()
-	for _, x := range due {
-		if draining+down >= r.wave.AtOnce {
-			return
-		}
-		m, ok := t.machines.byName[x.name]
-		if !ok || m.State != site.MachineUp || t.now < x.next || t.machines.moves[x.name] != nil || !t.mayOrder(x.name) || !urgent && busy[m.Pool] {
-			continue
-		}
+	urgent := t.now > r.began+r.wave.Duration-waveNeeds(left+draining, r.wave.AtOnce)
+	for _, x := range chooseForWave(due, r.wave.AtOnce-draining-down, slow, urgent) {
+		m := t.machines.byName[x.name]
 		x.state, x.minion, x.since = dutyDraining, m.Minion, t.now
 		if h := t.minions[m.Minion]; h != nil {
 			h.Closed = true
 		}
-		draining++
 	}
 }
 
+// slowShare is the part of a wave's machines at once that may be ones with tasks that last: one
+// in so many. The others drain in a second.
+const slowShare = 2
+
 // waveNeeds returns how long machines that are still to be maintained take. From the moment
 // on at which a wave has no more time than this left, machines are taken whether their
 // service is busy or not.
@@ -221,11 +222,18 @@
 	return nil
 }
 
-func (t *Term) tasksOn(x *waveMachine) int {
-	if m := t.minionOf(x); m != nil {
-		return len(m.Tasks)
+// tasksOn counts the tasks on a machine, and those of them that last.
+func (t *Term) tasksOn(x *waveMachine) (tasks, lasting int) {
+	m := t.minionOf(x)
+	if m == nil {
+		return 0, 0
+	}
+	for y := range m.Tasks {
+		if y.Step.Spec.Lasting {
+			lasting++
+		}
 	}
-	return 0
+	return len(m.Tasks), lasting
 }
 
 // drained reports whether nothing runs on a machine any more. A machine whose minion does
