schedule: jobs that can be of no more use come last

Cause: after an outage the backlog was worked off oldest first, so that jobs ended when their end was worth nothing to their callers (three times the objective), and those behind became so. Change: a rank after the late ones.

--- a/internal/schedule/order.go
+++ b/internal/schedule/order.go
@@ -19,8 +19,15 @@
 	// rankLate: the job is late already; what can be in time goes first, because a queue
 	// that asks for five times its mean would otherwise make every job late.
 	rankLate
+	// rankUseless: the job ends too late to be of use whatever happens. After an outage the oldest
+	// such jobs would otherwise go first, and those behind them would become useless in turn.
+	rankUseless
 )
 
+// lateFactor times its objective after its arrival a job's end is of no more use to its caller
+// (the users' rules).
+const lateFactor = 3
+
 // lateSlack is how far a job may be behind its estimate and still count as in time:
 // estimates are off by half and more.
 const lateSlack = 400 * time.Millisecond
@@ -31,8 +38,10 @@
 		return rankLasting
 	case now+s.Left <= s.Due+lateSlack:
 		return rankInTime
+	case now+s.Left <= s.Arrived+lateFactor*(s.Due-s.Arrived):
+		return rankLate
 	}
-	return rankLate
+	return rankUseless
 }
 
 // order puts the steps in the order of starting: by rank and priority, and then by least
--- a/internal/schedule/overload_test.go
+++ b/internal/schedule/overload_test.go
@@ -19,7 +19,11 @@
 	cores   int64
 	// least puts the steps in order as if no service was overloaded.
 	least bool
-	jobs  []*burstJob
+	// plainLate puts late jobs in order as if each could still be of use.
+	plainLate bool
+	// away is how long nothing can be started at first.
+	away time.Duration
+	jobs []*burstJob
 }
 
 type burstJob struct {
@@ -106,10 +110,16 @@
 			if b.least {
 				st.Worth = 0
 			}
+			if b.plainLate {
+				st.Arrived -= time.Hour
+			}
 			if len(st.Waiting) > 0 {
 				snap.Steps = append(snap.Steps, st)
 			}
 		}
+		if now < b.away {
+			continue
+		}
 		for _, a := range Make(snap).Start {
 			var i int
 			_, _ = fmt.Sscan(string(a.Minion), &i)
@@ -168,3 +178,29 @@
 	t.Log(teams)
 	require.Greater(t, teams["small"], teams["large"])
 }
+
+// served returns the share of the jobs that ended while their end was of use.
+func (b *burst) served() float64 {
+	n := 0
+	for _, j := range b.jobs {
+		if j.ended > 0 && j.ended <= j.at+lateFactor*(j.due()-j.at) {
+			n++
+		}
+	}
+	return float64(n) / float64(len(b.jobs))
+}
+
+// Guards against a backlog that is worked off oldest first after an outage, so that each job
+// ends when it is of no more use to its caller: nothing starts for six seconds, while a queue
+// asks for more than its pool holds.
+func TestBacklogOfAnOutageServesWhatIsOfUse(t *testing.T) {
+	for seed := range uint64(3) {
+		b, plain := turn(seed, 1.5), turn(seed, 1.5)
+		plain.plainLate = true
+		b.away, plain.away = 6*time.Second, 6*time.Second
+		b.play()
+		plain.play()
+		t.Logf("seed %d: %.2f of the jobs served, oldest first %.2f", seed, b.served(), plain.served())
+		require.Greater(t, b.served(), plain.served())
+	}
+}
