standins: a minion that starts again waits for its port

From the logs: vm-9 is ordered to reboot, and its stand-in writes 'bind: address already in use' and stays down; while it was down, an outgoing connection of another process had its port. Change: a host that was up before tries again for up to 30 s.

--- a/standins/serve/serve.go
+++ b/standins/serve/serve.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -24,13 +25,40 @@
 	srv    *http.Server      // guarded by mu; nil while down
 	conns  map[net.Conn]bool // guarded by mu
 	closed bool              // guarded by mu
+	began  bool              // guarded by mu; set with the first start
 }
 
 // NewHost returns a host that is down. The port of addr may be 0.
 func NewHost(addr string) *Host { return &Host{addr: addr, conns: map[net.Conn]bool{}} }
 
-// Start listens and serves h. Errors: the address is in use, or the host is closed.
+const (
+	// portWait is how long a host that starts again waits for its port: while it was down, the
+	// kernel may have given the port to an outgoing connection of another process.
+	portWait = 30 * time.Second
+	// portRetry is the pause between two tries.
+	portRetry = 50 * time.Millisecond
+)
+
+// Start listens and serves h. One that was up before waits for its port. Errors: the address
+// is in use, or the host is closed.
 func (h *Host) Start(handler http.Handler) error {
+	end := time.Now().Add(portWait)
+	for {
+		err := h.start(handler)
+		if !errors.Is(err, syscall.EADDRINUSE) || !h.wasUp() || time.Now().After(end) {
+			return err
+		}
+		time.Sleep(portRetry)
+	}
+}
+
+func (h *Host) wasUp() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.began
+}
+
+func (h *Host) start(handler http.Handler) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.closed || h.srv != nil {
@@ -40,6 +68,7 @@
 	if err != nil {
 		return errors.Wrap(err, "serve: listen")
 	}
+	h.began = true
 	h.addr = ln.Addr().String()
 	srv := &http.Server{Handler: handler, ConnState: h.connState, ReadHeaderTimeout: time.Minute}
 	h.srv = srv
