--- a/standins/serve/serve_test.go
+++ b/standins/serve/serve_test.go
@@ -12,15 +12,13 @@
 // Guards against a host that stays down for good because its port was taken while it was down,
 // as an outgoing connection of another process takes any free one.
 func TestHostWaitsForItsPort(t *testing.T) {
-	h := NewHost("127.0.0.1:0")
-	handler := http.NotFoundHandler()
-	require.NoError(t, h.Start(handler))
-	defer h.Close()
-	h.Stop()
-	other, err := net.Listen("tcp", h.Addr())
+	other, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
+	h := NewHost(other.Addr().String())
+	defer h.Close()
+	h.began = true // it was up, and other has its port now
 	time.AfterFunc(200*time.Millisecond, func() { _ = other.Close() })
-	require.NoError(t, h.Start(handler))
+	require.NoError(t, h.Start(http.NotFoundHandler()))
 	resp, err := http.Get("http://" + h.Addr())
 	require.NoError(t, err)
 	require.NoError(t, resp.Body.Close())
