schedule: tasks that last keep off machines that a wave is about to empty

Change: a machine that is due in a wave is a drawback for tasks that last. The test fails without the rule.

--- a/internal/coordinator/plan.go
+++ b/internal/coordinator/plan.go
@@ -59,12 +59,14 @@
 func (t *Term) snapshot() *schedule.Snapshot {
 	s := &schedule.Snapshot{Now: t.now}
 	s.Teams, s.InUse = t.teamUse()
-	perStep := t.perStep()
+	perStep, departing := t.perStep(), t.departing()
 	for _, m := range t.minions {
 		if !t.usable(m) {
 			continue
 		}
-		s.Minions = append(s.Minions, scheduleMinion(m, t.now, perStep))
+		x := scheduleMinion(m, t.now, perStep)
+		x.Departs = departing[m.ID]
+		s.Minions = append(s.Minions, x)
 	}
 	wall := time.Now()
 	for _, j := range t.book.Open() {
--- a/internal/coordinator/waves.go
+++ b/internal/coordinator/waves.go
@@ -110,6 +110,22 @@
 	return false
 }
 
+// departing returns the minions whose machines are to be maintained and are not drained yet.
+func (t *Term) departing() map[jobs.Minion]bool {
+	out := map[jobs.Minion]bool{}
+	for _, r := range t.waves.runs {
+		if r.status == site.WaveCompleted {
+			continue
+		}
+		for name, x := range r.machines {
+			if x.state == dutyDue {
+				out[t.machines.byName[name].Minion] = true
+			}
+		}
+	}
+	return out
+}
+
 // runWave goes on with one wave.
 func (t *Term) runWave(r *waveRun) {
 	if !r.loaded {
--- a/internal/schedule/choose_test.go
+++ b/internal/schedule/choose_test.go
@@ -28,6 +28,9 @@
 			}
 		}
 		if spec.Lasting {
+			if a.Departs != b.Departs {
+				return b.Departs
+			}
 			if x, y := a.joins(), b.joins(); x != y {
 				return x
 			}
@@ -52,7 +55,7 @@
 		for i := range rapid.IntRange(0, 6).Draw(t, "minions") {
 			m := minion(jobs.Minion(fmt.Sprint(i)), rapid.Int64Range(1, 12).Draw(t, "cores"))
 			m.Room.CPU -= rapid.Int64Range(0, m.Room.CPU/1000).Draw(t, "used") * 1000
-			m.Suspect = rapid.Bool().Draw(t, "suspect")
+			m.Suspect, m.Departs = rapid.Bool().Draw(t, "suspect"), rapid.Bool().Draw(t, "departs")
 			m.Serves, m.Fills, m.Lasting = rapid.IntRange(0, 1).Draw(t, "serves"), rapid.IntRange(0, 1).Draw(t, "fills"), rapid.IntRange(0, 4).Draw(t, "lasting")
 			m.Rack = model.Rack(rapid.SampledFrom([]string{"r1", "r2"}).Draw(t, "rack"))
 			m.PerStep = map[*jobs.StepRun]int{}
--- a/internal/schedule/fit.go
+++ b/internal/schedule/fit.go
@@ -52,10 +52,11 @@
 
 // The drawbacks of a minion for a task: each weighs more than all that follow.
 const (
-	drawbackFailed = 1 << (4 - iota)
+	drawbackFailed = 1 << (5 - iota)
 	drawbackSuspect
 	drawbackDisturbs
 	drawbackFar
+	drawbackDeparts
 	drawbackNotGathered
 )
 
@@ -78,6 +79,9 @@
 	// Full minions first: the others become empty and can be given away.
 	f.share = m.freeShare()
 	if spec.Lasting {
+		if m.Departs {
+			f.drawbacks |= drawbackDeparts
+		}
 		// Few minions hold the tasks that last, so that the others can be given away; but a
 		// minion that is lost must not take a whole step with it.
 		if !m.joins() {
--- a/internal/schedule/plan_test.go
+++ b/internal/schedule/plan_test.go
@@ -82,6 +82,20 @@
 	}
 }
 
+// Guards against tasks that last on a machine that a wave is about to empty, though others have
+// room: they would be stopped twice, and the wave would be late.
+func TestLastingTasksKeepOffDepartingMinions(t *testing.T) {
+	s := stepOf("1", jobs.Step{Count: 3, Need: need(1), Lasting: true})
+	departs := minion("a", 9)
+	departs.Departs, departs.Lasting = true, 1
+	p := Make(&Snapshot{Steps: []Step{s}, Minions: []Minion{departs, minion("b", 2)}})
+	count := map[jobs.Minion]int{}
+	for _, a := range p.Start {
+		count[a.Minion]++
+	}
+	require.Equal(t, map[jobs.Minion]int{"b": 2, "a": 1}, count, "it is used when no other has room")
+}
+
 // Guards against plans that break a bound, over random snapshots.
 func TestPlanKeepsItsInvariants(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/schedule/types.go
+++ b/internal/schedule/types.go
@@ -54,6 +54,9 @@
 	Lasting int
 	// Suspect minions failed or lost orders lately; they come last.
 	Suspect bool
+	// Departs is set while the minion's machine is soon to be maintained: tasks that last would
+	// have to be moved again.
+	Departs bool
 	// PerStep counts the tasks of each step run on the minion, for steps with a bound.
 	PerStep map[*jobs.StepRun]int
 }
