exchange: the connections to minions have a package of their own

Change: package exchange with its own errors, which platform/ turns into those of orders; the shortest limit is an option that the site's daemon sets.

--- a/internal/daemon/site.go
+++ b/internal/daemon/site.go
@@ -39,6 +39,9 @@
 	// siteStoreTimeout bounds a store call; a store that is slow by a factor of 60 answers
 	// in 0.5 s, and a lost answer is noticed only by this bound.
 	siteStoreTimeout = 900 * time.Millisecond
+	// siteSmallTimeout is the shortest time limit of a small store call: the store answers in 5
+	// to 10 ms, and a burst on one part adds 100 ms.
+	siteSmallTimeout = 200 * time.Millisecond
 	// siteBreakerMax bounds the pause between two tries of a store that does not answer:
 	// accepting jobs begins again so long after its return.
 	siteBreakerMax = 400 * time.Millisecond
@@ -67,7 +70,7 @@
 	}
 	store, err := client.NewClient(client.Options{
 		BaseURL: set.StoreURL, ClientName: string(set.DC) + "/" + string(set.Name), WritesPerSecond: set.StoreWrites / 2,
-		ReadsPerSecond: set.StoreReads / 2, CallTimeout: siteStoreTimeout, BreakerMax: siteBreakerMax, ProbeByReads: true, Log: logging.Part(log, "store"),
+		ReadsPerSecond: set.StoreReads / 2, CallTimeout: siteStoreTimeout, SmallTimeout: siteSmallTimeout, BreakerMax: siteBreakerMax, ProbeByReads: true, Log: logging.Part(log, "store"),
 	})
 	if err != nil {
 		return nil, errors.Wrap(err, "daemon")
--- a/platform/exchange.go
+++ b/internal/exchange/exchange.go
@@ -1,4 +1,13 @@
-package platform
+// Package exchange sends HTTP requests to many servers that each answer fast: a request is
+// written and its answer read in the goroutine of the caller. net/http's Transport has two
+// goroutines a connection, whose switches and stacks were a third of a busy coordinator's
+// processor time.
+//
+// Invariants:
+//   - ErrNotSent means that nothing of the request was written.
+//   - A connection on which an answer did not come whole is not used again, nor are the others
+//     that lay unused then: they may be silent like it.
+package exchange
 
 import (
 	"bufio"
@@ -12,31 +21,75 @@
 	"time"
 
 	"github.com/pkg/errors"
+)
 
-	"boragepulley/internal/site"
+// Errors of Send. Callers match them with errors.Is.
+var (
+	// ErrNotSent means that nothing of the request was sent.
+	ErrNotSent = errors.New("exchange: not sent")
+	// ErrNoAnswer means that the request may have arrived; its answer did not, or not whole.
+	ErrNoAnswer = errors.New("exchange: no answer")
 )
 
 const (
 	// dialTimeout bounds a connection attempt; one way takes about 1 ms on these sites, and
 	// a lost opening packet is sent again only after a second.
 	dialTimeout = 400 * time.Millisecond
-	// connectionsPerMinion is how many exchanges one minion has at a time, a look that it holds
-	// back among them; further ones wait, which 18 starts do for 15 ms. A minion accepts 64
-	// connections from all entry VMs, and an entry VM has 4,100 descriptors for 350 minions.
-	connectionsPerMinion = 6
-	// idleLimit is how long a connection may lie unused. A minion is looked at every 2 s.
+	// connectionsPerServer is how many exchanges a server has at a time, a request that it holds
+	// back among them; further ones wait, which 18 starts of tasks do for 15 ms. A minion accepts
+	// 64 connections from all entry VMs, and an entry VM has 4,100 descriptors for 350 minions.
+	connectionsPerServer = 6
+	// maxAnswer bounds an answer in bytes: 500 ends and as many runs take about 100 KB.
+	maxAnswer = 4 << 20
+	// sweepEvery is how often connections are closed that lie unused.
+	sweepEvery = 10 * time.Second
+	// idleLimit is how long a connection may lie unused. Minions are looked at every 2 s.
 	idleLimit = 20 * time.Second
 	// probeAfter is how long a connection must have lain unused to be looked at for an end by
-	// the minion before it is used: an order on an ended one is in doubt, one not sent is not.
+	// the server before it is used: a request on an ended one is in doubt, one not sent is not.
 	probeAfter = 200 * time.Millisecond
 	// connectionBuffer bounds a connection's read buffer in bytes; a look at ten runs is 600.
 	connectionBuffer = 2048
 )
 
-// exchanges has the connections to one minion. It is safe for concurrent use. An exchange
-// reads and writes in the goroutine of its caller: net/http's Transport has two goroutines a
-// connection, whose switches and stacks were a third of a busy coordinator's processor time.
-type exchanges struct {
+// Client sends requests to any number of servers. It is safe for concurrent use.
+type Client struct {
+	mu     sync.Mutex
+	byAddr map[string]*server // guarded by mu
+	swept  time.Time          // guarded by mu
+}
+
+// NewClient returns a client that opens connections with the first request.
+func NewClient() *Client { return &Client{byAddr: map[string]*server{}} }
+
+// Send sends a request to its host, an IP and port, and returns the status and body of the
+// answer. Errors: ErrNotSent, ErrNoAnswer.
+func (c *Client) Send(ctx context.Context, req *http.Request) (status int, body []byte, err error) {
+	return c.at(req.URL.Host).send(ctx, req)
+}
+
+func (c *Client) at(addr string) *server {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now.Sub(c.swept) > sweepEvery {
+		c.swept = now
+		for a, x := range c.byAddr {
+			if !x.sweep(now) {
+				delete(c.byAddr, a)
+			}
+		}
+	}
+	x := c.byAddr[addr]
+	if x == nil {
+		x = &server{addr: addr, slots: make(chan struct{}, connectionsPerServer)}
+		c.byAddr[addr] = x
+	}
+	return x
+}
+
+// server has the connections to one server. It is safe for concurrent use.
+type server struct {
 	addr  string
 	slots chan struct{}
 	mu    sync.Mutex
@@ -50,12 +103,8 @@
 	used time.Time
 }
 
-func newExchanges(addr string) *exchanges {
-	return &exchanges{addr: addr, slots: make(chan struct{}, connectionsPerMinion)}
-}
-
 // closeIdle closes the connections that are not in use.
-func (x *exchanges) closeIdle() {
+func (x *server) closeIdle() {
 	x.mu.Lock()
 	idle := x.idle
 	x.idle = nil
@@ -66,7 +115,7 @@
 }
 
 // closeOld closes the connections that lay unused for too long. The caller holds mu.
-func (x *exchanges) closeOld(now time.Time) {
+func (x *server) closeOld(now time.Time) {
 	for len(x.idle) > 0 && now.Sub(x.idle[0].used) > idleLimit {
 		_ = x.idle[0].Close() // nothing is under way on it
 		x.idle = x.idle[1:]
@@ -74,7 +123,7 @@
 }
 
 // sweep closes connections that lay unused for too long, and reports whether any is left.
-func (x *exchanges) sweep(now time.Time) bool {
+func (x *server) sweep(now time.Time) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.closeOld(now)
@@ -82,8 +131,8 @@
 }
 
 // reuse returns the idle connection that was used last, or nil. It closes those that lay
-// unused for too long, or that the minion has ended.
-func (x *exchanges) reuse() *connection {
+// unused for too long, or that the server has ended.
+func (x *server) reuse() *connection {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	now := time.Now()
@@ -121,7 +170,7 @@
 	return quiet
 }
 
-func (x *exchanges) keep(c *connection) {
+func (x *server) keep(c *connection) {
 	c.used = time.Now()
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -129,7 +178,7 @@
 }
 
 // connect returns a connection that no other exchange uses.
-func (x *exchanges) connect(ctx context.Context) (*connection, error) {
+func (x *server) connect(ctx context.Context) (*connection, error) {
 	if c := x.reuse(); c != nil {
 		return c, nil
 	}
@@ -143,25 +192,23 @@
 // past is a deadline that ends what a connection waits for.
 var past = time.Unix(1, 0)
 
-// send sends a request and returns the status and body of its answer. Its errors are
-// site.ErrNotSent, and site.ErrNoAnswer when the request may have reached the minion.
-func (x *exchanges) send(ctx context.Context, req *http.Request) (status int, body []byte, err error) {
+func (x *server) send(ctx context.Context, req *http.Request) (status int, body []byte, err error) {
 	select {
 	case x.slots <- struct{}{}:
 		defer func() { <-x.slots }()
 	case <-ctx.Done():
-		return 0, nil, errors.Wrap(site.ErrNotSent, "all connections in use")
+		return 0, nil, errors.Wrap(ErrNotSent, "all connections in use")
 	}
 	c, err := x.connect(ctx)
 	if err != nil {
-		return 0, nil, errors.Wrap(site.ErrNotSent, err.Error())
+		return 0, nil, errors.Wrap(ErrNotSent, err.Error())
 	}
 	status, body, again, err := c.exchange(ctx, req)
 	if err != nil {
 		// Other idle connections may be silent like this one.
 		_ = c.Close()
 		x.closeIdle()
-		return 0, nil, errors.Wrap(site.ErrNoAnswer, err.Error())
+		return 0, nil, errors.Wrap(ErrNoAnswer, err.Error())
 	}
 	if again {
 		x.keep(c)
@@ -192,14 +239,14 @@
 		return 0, nil, false, err
 	}
 	defer resp.Body.Close()
-	if resp.ContentLength > maxMinionAnswer {
+	if resp.ContentLength > maxAnswer {
 		return 0, nil, false, errors.Errorf("answer of %d bytes", resp.ContentLength)
 	}
 	if resp.ContentLength >= 0 {
 		body = make([]byte, resp.ContentLength)
 		_, err = io.ReadFull(resp.Body, body)
 	} else {
-		body, err = io.ReadAll(io.LimitReader(resp.Body, maxMinionAnswer))
+		body, err = io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
 	}
-	return resp.StatusCode, body, !resp.Close && c.r.Buffered() == 0 && len(body) < maxMinionAnswer, err
+	return resp.StatusCode, body, !resp.Close && c.r.Buffered() == 0 && len(body) < maxAnswer, err
 }
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -41,6 +42,8 @@
 	// CallTimeout bounds a call from its sending to the end of its answer; 0 selects
 	// DefaultCallTimeout.
 	CallTimeout time.Duration
+	// SmallTimeout is the shortest time limit of a small call; 0 selects CallTimeout.
+	SmallTimeout time.Duration
 	// BudgetWait bounds how long a call waits for the budget; 0 selects DefaultBudgetWait.
 	BudgetWait time.Duration
 	// BreakerMax bounds the pause between two tries while the platform does not answer; 0
@@ -99,7 +102,7 @@
 	c := &Client{opt: o, writes: newBudget(o.WritesPerSecond, o.BudgetWait),
 		reads: newBudget(o.ReadsPerSecond, o.BudgetWait), log: o.Log}
 	c.breaker = newBreaker(c.opened, o.BreakerMax)
-	c.small = &patience{longest: o.CallTimeout}
+	c.small = &patience{least: cmp.Or(o.SmallTimeout, o.CallTimeout), longest: o.CallTimeout}
 	c.pool = &http.Transport{
 		DialContext: c.dial, MaxConnsPerHost: maxConnections, MaxIdleConnsPerHost: maxConnections,
 		IdleConnTimeout: idleTimeout, DisableCompression: true,
--- a/internal/platform/patience.go
+++ b/internal/platform/patience.go
@@ -6,9 +6,6 @@
 )
 
 const (
-	// leastPatience is the shortest time limit of a call: the platform answers in 5 to 10 ms,
-	// and a burst on one part adds 100 ms.
-	leastPatience = 200 * time.Millisecond
 	// The weights of a new sample in the mean and in the deviation, and the deviations that a
 	// limit leaves, are those of TCP's retransmission timer (RFC 6298).
 	meanWeight      = 1.0 / 8
@@ -20,7 +17,8 @@
 // that is lost is then noticed soon, which matters where one call waits for another; while
 // the platform is slow, the limit grows to the client's.
 type patience struct {
-	longest time.Duration
+	// least and longest bound the limit.
+	least, longest time.Duration
 
 	mu        sync.Mutex
 	known     bool          // guarded by mu
@@ -37,7 +35,7 @@
 	if !p.known {
 		return p.longest
 	}
-	out := max(leastPatience, p.mean+deviations*p.deviation)
+	out := max(p.least, p.mean+deviations*p.deviation)
 	for range p.lost {
 		if out *= 2; out >= p.longest {
 			return p.longest
