fencing: no order of a coordinator outlives its lease

Cause: polls, the renewal before a handover, and stops of stale starts and orphans were sent without a check of the lease at the moment of sending; a poll went out for as long as the term lived. A closed connection still delivers what was written to it when a network cut heals. On the product's own path only starts were checked when sent. Change: internal/fencing is the only way from a term to the clients of minions and machines. The lease is checked there and by exchange immediately before the write; calls end with the lease; connections are reset. A handover waits up to 100 ms for the last renewals and ends the other calls. control sends orders to workers through workerOrders. Invariant I11, checked by the stand-in minions and in the soak.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -71,9 +71,11 @@
 	log  zerolog.Logger
 	self peer.Sender
 
-	snap   atomic.Pointer[Snapshot]
-	gate   permitGate
-	events chan func()
+	snap atomic.Pointer[Snapshot]
+	gate permitGate
+	// workers replaces deps.Workers, which is nil after New.
+	workers workerOrders
+	events  chan func()
 	// peerClients is read-only after New.
 	peerClients map[model.EntryVM]PeerClient
 	releases    releaseQueue
@@ -135,6 +137,8 @@
 		remoteDCs:   map[model.DataCentre]*remoteDCState{},
 	}
 	c.gate.init()
+	c.workers = workerOrders{deps.Workers, &c.gate}
+	c.deps.Workers = nil
 	c.releases.init()
 	c.addMembers()
 	c.allot.init()
--- a/internal/control/task.go
+++ b/internal/control/task.go
@@ -191,7 +191,7 @@
 // checkTasks runs the time-dependent work for tasks.
 func (c *Control) checkTasks(now time.Time) {
 	coord := c.coord
-	if coord == nil || c.deps.Workers == nil || c.cfg.index == nil {
+	if coord == nil || c.workers.workers == nil || c.cfg.index == nil {
 		return
 	}
 	ts := &coord.tasks
--- a/internal/control/taskapi.go
+++ b/internal/control/taskapi.go
@@ -21,11 +21,12 @@
 
 func isConflict(err error) bool { return stderrors.Is(err, platform.ErrConflict) }
 
-// isLeader reports whether this entry VM may act as coordinator with token t at now.
-func (g *permitGate) isLeader(t model.Token, now time.Time) bool {
+// leaderUntil returns until when this entry VM may act as coordinator with token t. ok is false if
+// it may not at now.
+func (g *permitGate) leaderUntil(t model.Token, now time.Time) (until time.Time, ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return t == g.token && g.isCoordinator && !now.After(g.authorityUntil)
+	return g.authorityUntil, t == g.token && g.isCoordinator && !now.After(g.authorityUntil)
 }
 
 // OfferTask informs the coordinator about a stored task, in the background.
--- a/internal/control/taskload.go
+++ b/internal/control/taskload.go
@@ -154,12 +154,12 @@
 			continue
 		}
 		tw.renewingUnknown, tw.unknownRenewedAt = true, now
-		addr := w.Addr
+		addr, token := w.Addr, c.following.token
 		c.runAsync(taskLease/2, func(ctx context.Context) func() {
-			list, err := c.deps.Workers.List(ctx, addr)
+			list, err := c.workers.list(ctx, addr)
 			for _, t := range list {
 				if err == nil && !t.State.Final() {
-					_, _ = c.deps.Workers.Renew(ctx, addr, t.ID, t.Attempt, taskLease)
+					_, _ = c.workers.renew(ctx, token, addr, t.ID, t.Attempt)
 				}
 			}
 			return func() { tw.renewingUnknown = false }
--- a/internal/control/taskrun.go
+++ b/internal/control/taskrun.go
@@ -101,14 +101,8 @@
 		Payload: payload, Checkpoint: row.Checkpoint}
 	for try := 1; ; try++ {
 		sent = time.Now()
-		if !c.gate.isLeader(token, sent) {
-			if err != nil {
-				return v, sent, err
-			}
-			return v, sent, errors.Wrap(worker.ErrNotReached, errNoAuthority.Error())
-		}
 		var again error
-		v, again = c.deps.Workers.Start(ctx, addr, s)
+		v, again = c.workers.start(ctx, token, addr, s)
 		if err != nil && worker.CertainlyNotStarted(again) {
 			// An earlier try may have started the attempt, so its error is returned.
 			return v, sent, err
@@ -173,7 +167,7 @@
 	if w == nil {
 		return // its lease is not renewed any more, so the attempt is lost when it expires
 	}
-	coord, job, attempt, addr := c.coord, t.job, t.row.Attempt, w.Addr
+	coord, job, attempt, addr, token := c.coord, t.job, t.row.Attempt, w.Addr, c.following.token
 	// Once the lease may have expired without an answer, no further call must extend it.
 	// Otherwise it would never be certain that the attempt has ended.
 	listOnly := now.Sub(t.lastConfirmed) > taskLease
@@ -185,7 +179,7 @@
 		if listOnly {
 			v, err = c.findAttempt(ctx, addr, job, attempt)
 		} else {
-			v, err = c.deps.Workers.Renew(ctx, addr, job, attempt, taskLease)
+			v, err = c.workers.renew(ctx, token, addr, job, attempt)
 		}
 		return func() {
 			t.renewInFlight = false
@@ -199,7 +193,7 @@
 
 // findAttempt asks a worker for the state of an attempt without renewing its lease.
 func (c *Control) findAttempt(ctx context.Context, addr string, job model.JobID, attempt int) (worker.Task, error) {
-	list, err := c.deps.Workers.List(ctx, addr)
+	list, err := c.workers.list(ctx, addr)
 	if err != nil {
 		return worker.Task{}, err
 	}
@@ -352,7 +346,7 @@
 	if w == nil || t.phase != phaseRunning {
 		return
 	}
-	coord, tw, attempt, addr, job := c.coord, c.coord.tasks.worker(t.row.Worker), t.row.Attempt, w.Addr, t.job
+	coord, tw, attempt, addr, job, token := c.coord, c.coord.tasks.worker(t.row.Worker), t.row.Attempt, w.Addr, t.job, c.following.token
 	percent := 100
 	if slow {
 		percent = throttlePercent
@@ -360,7 +354,7 @@
 	t.throttled, t.wasThrottled = slow, true
 	tw.throttleCalls++
 	c.runAsync(taskLease/2, func(ctx context.Context) func() {
-		_, err := c.deps.Workers.Throttle(ctx, addr, job, attempt, percent)
+		_, err := c.workers.throttle(ctx, token, addr, job, attempt, percent)
 		return func() {
 			if c.coord != coord {
 				return
@@ -390,10 +384,10 @@
 	if w == nil || t.phase != phaseRunning || t.checkpointing {
 		return
 	}
-	coord, attempt, addr, job := c.coord, t.row.Attempt, w.Addr, t.job
+	coord, attempt, addr, job, token := c.coord, t.row.Attempt, w.Addr, t.job, c.following.token
 	t.checkpointing = true
 	c.runAsync(taskLease/2, func(ctx context.Context) func() {
-		v, err := c.deps.Workers.Checkpoint(ctx, addr, job, attempt, true)
+		v, err := c.workers.checkpoint(ctx, token, addr, job, attempt)
 		return func() {
 			if c.coord != coord || t.phase != phaseRunning || t.row.Attempt != attempt {
 				return
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"boragepulley/internal/fencing"
 	"boragepulley/internal/guard"
 	"boragepulley/internal/holding"
 	"boragepulley/internal/jobs"
@@ -46,13 +47,12 @@
 	Self peer.Sender
 	Addr string
 	// Cores is the CPU limit of this entry VM, in cores.
-	Cores    float64
-	Table    platform.Table
-	Feed     platform.Feed
-	Minions  site.Minions
-	Machines site.Machines
-	Codec    Codec
-	Limits   Limits
+	Cores  float64
+	Table  platform.Table
+	Feed   platform.Feed
+	Fleet  fencing.Fleet
+	Codec  Codec
+	Limits Limits
 	// Config returns the active configuration, or nil.
 	Config func() *site.Config
 	// Waves returns the operators' maintenance waves.
@@ -88,8 +88,8 @@
 	stop   context.CancelCauseFunc
 	wg     sync.WaitGroup
 	view   atomic.Pointer[View]
-	// orderDeadline is until when orders may be sent, on the clock of Deps.Now.
-	orderDeadline atomic.Int64
+	// orders sends orders to minions and machines until the lease and all promises have ended.
+	orders *fencing.Sender
 
 	// The fields below are owned by the term's goroutine.
 	now time.Duration
@@ -159,6 +159,7 @@
 	}
 	t.now = d.Now()
 	t.startedAt, t.leaseUntil, t.leaseVersion = t.now, held.ExpiresAt, held.Version
+	t.orders = fencing.NewSender(d.Fleet, d.Self.Entry, t.epoch, d.Now)
 	t.writer.init()
 	t.compactor.init()
 	t.members.init()
@@ -270,6 +271,9 @@
 func (t *Term) runDueWork() time.Duration {
 	t.now = t.deps.Now()
 	t.updateOrderDeadline()
+	if t.endIfStale() {
+		return tick
+	}
 	t.updateMembers()
 	t.writeIfDue()
 	if !t.loaded {
@@ -304,38 +308,41 @@
 	return tick
 }
 
-// updateOrderDeadline publishes to other goroutines until when orders may be sent.
-func (t *Term) updateOrderDeadline() {
-	until := max(t.leaseUntil, t.members.promisedUntil())
-	if t.releasing {
-		until = 0
-	}
-	t.orderDeadline.Store(int64(until))
+// exclusiveUntil returns until when no other entry VM can hold the lease.
+func (t *Term) exclusiveUntil() time.Duration {
+	return max(t.leaseUntil, t.members.promisedUntil())
 }
 
-// ordersAllowed reports whether orders may be sent now. It is safe for concurrent use and is
-// called just before an order is sent: the process may have been suspended since the term's
-// goroutine decided on the order, and another entry VM may hold the lease.
-func (t *Term) ordersAllowed() bool { return int64(t.deps.Now()) < t.orderDeadline.Load() }
+// updateOrderDeadline sets until when orders may be sent.
+func (t *Term) updateOrderDeadline() { t.orders.SetDeadline(t.exclusiveUntil()) }
 
-// sendOrder sends an order in its own goroutine, unless the deadline for orders has passed.
+// staleTermTimeout is how long a term may last after its lease and the other entry VMs' promises
+// have ended. By then all run leases that it granted have expired as well, so its state is of no
+// more use than the stored one. Until then the same entry VM continues if the store returns before
+// another one has acquired the lease.
+const staleTermTimeout = runLeaseTTL + runLeaseTTL/20
+
+// endIfStale ends a term whose lease ended staleTermTimeout ago, and reports whether it did.
+func (t *Term) endIfStale() bool {
+	if t.releasing || t.now <= t.exclusiveUntil()+staleTermTimeout {
+		return false
+	}
+	t.log.Warn().Dur("expired", t.now-t.exclusiveUntil()).Msg("Coordinator: ending the term, its lease expired long ago.")
+	t.End(errors.Wrap(lease.ErrLost, "not renewed in time"))
+	return true
+}
+
+// sendOrder sends an order in its own goroutine.
 func (t *Term) sendOrder(timeout time.Duration, send func(ctx context.Context) error, answered func(err error)) {
 	t.async(timeout, func(ctx context.Context) func() {
-		err := errors.Wrap(site.ErrNotSent, "lease expired")
-		if t.ordersAllowed() {
-			err = send(ctx)
-		} else {
-			counters.Add("orders_held_back", 1)
-		}
+		err := send(ctx)
 		return func() { answered(err) }
 	})
 }
 
 // leading reports whether this term may give orders, because no other entry VM can hold the lease.
-func (t *Term) leading() bool {
-	return !t.releasing && t.now < max(t.leaseUntil, t.members.promisedUntil())
-}
+func (t *Term) leading() bool { return !t.releasing && t.now < t.exclusiveUntil() }
 
-func (t *Term) receiver(m *holding.Minion) site.Receiver {
-	return site.Receiver{ID: m.ID, Addr: m.Addr, Token: t.epoch}
+func addressOf(m *holding.Minion) site.MinionAddress {
+	return site.MinionAddress{ID: m.ID, Addr: m.Addr}
 }
--- a/internal/coordinator/handover.go
+++ b/internal/coordinator/handover.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -16,23 +17,28 @@
 const (
 	// maxFinalWrites limits the transactions that store the remaining rows before a release.
 	maxFinalWrites = 5
+	// finalRenewalTimeout bounds the last renewal of run leases, for which the handover waits.
+	finalRenewalTimeout = 100 * time.Millisecond
 	// announceTimeout bounds the announcement of the successor to the other entry VMs.
 	announceTimeout = 250 * time.Millisecond
 	// writePollInterval is how often the end of a write in progress is checked.
 	writePollInterval = 3 * time.Millisecond
 )
 
-// Release hands over the coordinator role in an orderly way: it renews the leases of all runs,
-// stops sending orders, stores the remaining progress, releases the site's lease and announces a
+// Release hands over the coordinator role in an orderly way: it renews the leases of all runs, stops
+// sending orders and ends the calls in progress, stores the remaining progress, releases the site's lease and announces a
 // successor.
 func (t *Term) Release(ctx context.Context) error {
 	defer t.End(ErrNotCoordinating)
+	var renewals *sync.WaitGroup
 	if err := t.do(ctx, func() {
-		t.renewAllLeases()
+		renewals = t.renewAllLeases()
 		t.releasing = true
 	}); err != nil {
 		return err
 	}
+	renewals.Wait()
+	t.orders.Close()
 	puts, err := t.flush(ctx)
 	if err != nil {
 		return err
--- a/internal/coordinator/harness_test.go
+++ b/internal/coordinator/harness_test.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"boragepulley/internal/fencing"
 	"boragepulley/internal/jobs"
 	"boragepulley/internal/lease"
 	"boragepulley/internal/model"
@@ -100,7 +101,7 @@
 func (s *testSite) deps(name model.EntryVM, view *fleet.View) Deps {
 	return Deps{
 		Self: peer.Sender{Entry: name, DC: "dc", Incarnation: model.Incarnation(name)}, Addr: "a", Table: view, Feed: view,
-		Minions: s.minions, Machines: s.machines,
+		Fleet: fencing.NewFleet(s.minions, s.machines),
 		Codec: Codec{
 			Minion: func(_ string, v []byte) (e site.MinionEntry, err error) { return e, json.Unmarshal(v, &e) },
 			Wave:   func(v []byte) (w site.Wave, err error) { return w, json.Unmarshal(v, &w) },
--- a/internal/coordinator/machines.go
+++ b/internal/coordinator/machines.go
@@ -179,7 +179,7 @@
 	s.listing, s.listedAt = true, t.now
 	requestedAt := t.now
 	t.async(machineCallTimeout, func(ctx context.Context) func() {
-		list, err := t.deps.Machines.List(ctx)
+		list, err := t.orders.ListMachines(ctx)
 		return func() {
 			s.listing = false
 			if err != nil {
@@ -448,9 +448,8 @@
 	pending := &move{to: mv.To, orderedAt: t.now, minion: m.Minion, inFlight: true}
 	t.machines.moves[mv.Machine] = pending
 	t.log.Info().Str("machine", string(mv.Machine)).Str("from", string(m.Pool)).Str("to", string(mv.To)).Msg("Coordinator: moving machine.")
-	fence := site.MachineFence{Holder: t.deps.Self.Entry, Token: t.epoch}
 	t.queueMachineOrder(mv.Machine, func() {
-		t.sendOrder(machineCallTimeout, func(ctx context.Context) error { return t.deps.Machines.Move(ctx, fence, mv.Machine, mv.To) },
+		t.sendOrder(machineCallTimeout, func(ctx context.Context) error { return t.orders.Move(ctx, mv.Machine, mv.To) },
 			func(err error) { t.moveAnswered(mv.Machine, pending, err) })
 	})
 }
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -31,7 +31,7 @@
 		}
 	}
 	setGauge("epoch", int64(t.epoch))
-	setGauge("lease_left_ms", (max(t.leaseUntil, t.members.promisedUntil()) - t.now).Milliseconds())
+	setGauge("lease_left_ms", (t.exclusiveUntil() - t.now).Milliseconds())
 	setGauge("jobs_open", int64(len(t.registry.Open())))
 	setGauge("progress_unstored", int64(len(t.registry.Unsaved())))
 	setGauge("minions", int64(len(t.minions)))
--- a/internal/coordinator/minions.go
+++ b/internal/coordinator/minions.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -114,13 +115,13 @@
 		if m.Leaving && m.FailedPolls == 0 && t.leading() {
 			t.evacuate(m, reasonLeaving)
 		}
-		if !m.Polling && t.now >= m.NextPoll {
+		if !m.Polling && t.now >= m.NextPoll && t.leading() {
 			t.poll(m)
 		}
 	}
 }
 
-// poll sends one poll. It renews leases only while no other entry VM can be coordinator.
+// poll sends one poll, which renews the leases of the minion's runs.
 func (t *Term) poll(m *holding.Minion) {
 	var o site.PollRequest
 	if m.FailedPolls == 0 {
@@ -130,16 +131,17 @@
 	}
 	// The leases of a minion that does not answer are not renewed: otherwise its tasks could never
 	// be started elsewhere.
-	if len(m.Tasks) > 0 && m.ClockKnown() && m.FailedPolls == 0 && t.leading() {
+	if len(m.Tasks) > 0 && m.ClockKnown() && m.FailedPolls == 0 {
 		o.LeaseUntil = m.GrantLease(t.now, t.runLease)
 	}
 	if len(m.Tasks) > 0 && m.FailedPolls == 0 && m.Polled {
-		o.Wait = pollWaitFor(m)
+		// The answer must arrive before the site's lease ends, which also ends the call.
+		o.Wait = max(0, min(pollWaitFor(m), t.exclusiveUntil()-t.now-pollTimeout))
 	}
 	m.Polling = true
-	to, sent := t.receiver(m), t.now
+	to, sent := addressOf(m), t.now
 	t.async(o.Wait+pollTimeout, func(ctx context.Context) func() {
-		r, err := t.deps.Minions.Poll(ctx, to, o)
+		r, err := t.orders.Poll(ctx, to, o)
 		at := t.deps.Now()
 		return func() { t.pollAnswered(m, sent, at, o.Ack, r, err) }
 	})
@@ -166,22 +168,27 @@
 }
 
 // renewAllLeases renews the leases of all runs at once, before the coordinator role is handed over.
-func (t *Term) renewAllLeases() {
+// The returned group is done when all minions have answered or not answered in time.
+func (t *Term) renewAllLeases() *sync.WaitGroup {
+	var pending sync.WaitGroup
 	if !t.leading() {
-		return
+		return &pending
 	}
 	for _, m := range t.minions {
 		if len(m.Tasks) == 0 || m.FailedPolls > 0 || !m.ClockKnown() {
 			continue
 		}
-		to, o := t.receiver(m), site.PollRequest{LeaseUntil: m.GrantLease(t.now, t.runLease), Ack: m.NextAck()}
-		t.async(pollTimeout, func(ctx context.Context) func() {
-			if _, err := t.deps.Minions.Poll(ctx, to, o); err != nil {
+		to, o := addressOf(m), site.PollRequest{LeaseUntil: m.GrantLease(t.now, t.runLease), Ack: m.NextAck()}
+		pending.Add(1)
+		t.async(finalRenewalTimeout, func(ctx context.Context) func() {
+			defer pending.Done()
+			if _, err := t.orders.Poll(ctx, to, o); err != nil {
 				t.log.Info().Err(err).Str("minion", string(to.ID)).Msg("Coordinator: run leases of a minion not renewed before the handover.")
 			}
 			return nil
 		})
 	}
+	return &pending
 }
 
 // pollAnswered handles the answer to a poll, given the times at which it was sent and answered and
@@ -229,6 +236,9 @@
 // pollFailed handles a poll that was refused or not answered.
 func (t *Term) pollFailed(m *holding.Minion, err error) {
 	switch {
+	case errors.Is(err, site.ErrLeaseEnded):
+		m.NextPoll = t.now + silentPollInterval // nothing was sent; it says nothing about the minion
+		return
 	case errors.Is(err, site.ErrOtherIncarnation):
 		// The address belongs to another minion. This one has ended, and so have its runs.
 		t.log.Info().Str("minion", string(m.ID)).Int("tasks", len(m.Tasks)).Msg("Coordinator: another minion uses the address.")
@@ -287,9 +297,9 @@
 		if task := t.taskByName(name); task != nil && task.Minion == m.ID && task.Run == run && task.Active() {
 			continue // this run has been ordered there since
 		}
-		to, o := t.receiver(m), site.StopOrder{Task: name, Run: run}
+		to, o := addressOf(m), site.StopOrder{Task: name, Run: run}
 		t.async(orderTimeout, func(ctx context.Context) func() {
-			err := t.deps.Minions.Stop(ctx, to, o)
+			err := t.orders.Stop(ctx, to, o)
 			return func() {
 				if err == nil && m.StaleStarts[name] == run {
 					delete(m.StaleStarts, name)
@@ -415,9 +425,9 @@
 	if !t.leading() {
 		return
 	}
-	to := t.receiver(m)
+	to := addressOf(m)
 	t.async(orderTimeout, func(ctx context.Context) func() {
-		if err := t.deps.Minions.Stop(ctx, to, site.StopOrder{Task: name, Run: run}); err != nil {
+		if err := t.orders.Stop(ctx, to, site.StopOrder{Task: name, Run: run}); err != nil {
 			t.log.Info().Err(err).Str("task", name).Msg("Coordinator: orphaned run not stopped yet.")
 		}
 		return nil
--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -71,11 +71,11 @@
 	start.inFlight = true
 	start.tries++
 	order := site.StartOrder{Task: task.Name(), Run: task.Run, Payload: task.Step.Job.Spec.Payload, LeaseUntil: m.GrantLease(t.now, t.runLease), Checkpoint: task.Checkpoint}
-	to := t.receiver(m)
+	to := addressOf(m)
 	var clock int64
 	var at time.Duration
 	t.sendOrder(orderTimeout, func(ctx context.Context) (err error) {
-		clock, err = t.deps.Minions.Start(ctx, to, order)
+		clock, err = t.orders.Start(ctx, to, order)
 		at = t.deps.Now()
 		return err
 	}, func(err error) { t.startAnswered(task, start, order.Run, clock, at, err) })
@@ -125,6 +125,9 @@
 		return
 	case reason == site.RefusedRoom:
 		m.AvoidUntil = t.now + noCapacityPause
+	case errors.Is(err, site.ErrLeaseEnded):
+		t.requeue(task)
+		return
 	case errors.Is(err, site.ErrNotSent):
 		// Nothing listens at the address. The minion gets no new work until a poll succeeds.
 		m.FailedPolls, m.NextPoll = max(m.FailedPolls, 1), t.now
@@ -156,8 +159,8 @@
 
 func (t *Term) sendStop(task *jobs.Task, stop *pendingStop, m *holding.Minion) {
 	stop.inFlight = true
-	to, order := t.receiver(m), site.StopOrder{Task: task.Name(), Run: task.Run}
-	t.sendOrder(orderTimeout, func(ctx context.Context) error { return t.deps.Minions.Stop(ctx, to, order) },
+	to, order := addressOf(m), site.StopOrder{Task: task.Name(), Run: task.Run}
+	t.sendOrder(orderTimeout, func(ctx context.Context) error { return t.orders.Stop(ctx, to, order) },
 		func(err error) { t.stopAnswered(task, stop, m, err) })
 }
 
--- a/internal/coordinator/paused_test.go
+++ b/internal/coordinator/paused_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"boragepulley/internal/fencing"
 	"boragepulley/internal/jobs"
 	"boragepulley/internal/lease"
 	"boragepulley/internal/model"
@@ -42,7 +43,7 @@
 		var suspended atomic.Int64
 		view := &fleet.View{Store: ts.store}
 		d := ts.deps("e1", view)
-		d.Machines = machines
+		d.Fleet = fencing.NewFleet(ts.minions, machines)
 		steady := d.Now
 		d.Now = func() time.Duration { return steady() + time.Duration(suspended.Load()) }
 		held, err := lease.Acquire(t.Context(), view, d.Now, ts.store.Row(lease.Key), lease.Row{Holder: "e1", Addr: "a", Incarnation: "e1"})
@@ -64,7 +65,7 @@
 			term.pendingStarts[x] = o
 			term.sendStart(x, o)
 			term.sendOrder(machineCallTimeout, func(ctx context.Context) error {
-				return machines.Move(ctx, site.MachineFence{}, "vm", testService)
+				return term.orders.Move(ctx, "vm", testService)
 			}, func(err error) { require.ErrorIs(t, err, site.ErrNotSent) })
 		}))
 		sleep(10 * time.Millisecond)
--- a/internal/coordinator/soak_test.go
+++ b/internal/coordinator/soak_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -15,7 +16,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"boragepulley/internal/invariant"
 	"boragepulley/internal/jobs"
+	"boragepulley/internal/lease"
 	"boragepulley/standins/fleet"
 )
 
@@ -34,18 +37,31 @@
 // Guards against tasks that run twice and jobs that never end while coordinators are killed and
 // hand over, minions restart, become unreachable and come back, and orders and store writes are
 // lost, refused or carried out late.
-func TestSoak(t *testing.T) {
+func TestSoak(t *testing.T) { runSeeds(t, soakSeeds, runSoak) }
+
+// Guards against the same, and against orders of a coordinator that is cut off from the store while
+// its successor works. Several such cuts overlap, and some heal before the old term has ended.
+func TestSoakWithCutCoordinators(t *testing.T) {
+	runSeeds(t, soakSeeds[:30], func(t *testing.T, seed uint64) { runSoakWithCuts(t, seed, cutShare) })
+}
+
+// cutShare is the share of the steps of TestSoakWithCutCoordinators in which the coordinator is cut
+// off from the store, and healShare that in which all cuts end.
+const cutShare, healShare = 0.15, 0.25
+
+// runSeeds runs a test with the given seeds and the additional ones.
+func runSeeds(t *testing.T, seeds []uint64, run func(t *testing.T, seed uint64)) {
 	extra, err := strconv.Atoi(cmp.Or(os.Getenv(extraSeedsEnv), "0"))
 	require.NoError(t, err)
 	first := rand.Uint64N(1 << 32)
 	t.Logf("additional seeds start at %d", first)
-	seeds := soakSeeds
+	seeds = slices.Clone(seeds)
 	for i := range extra {
 		seeds = append(seeds, first+uint64(i))
 	}
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { runSoak(t, seed) })
+			synctest.Test(t, func(t *testing.T) { run(t, seed) })
 		})
 	}
 }
@@ -58,8 +74,14 @@
 	soakSettleTime = 20 * time.Second
 )
 
-func runSoak(t *testing.T, seed uint64) {
+func runSoak(t *testing.T, seed uint64) { runSoakWithCuts(t, seed, 0) }
+
+// runSoakWithCuts runs the soak of a seed. In a share of its steps the coordinator is cut off from
+// the store and replaced.
+func runSoakWithCuts(t *testing.T, seed uint64, cutShare float64) {
 	r := &lockedRand{r: rand.New(rand.NewPCG(seed, 0))}
+	// The cuts have their own random numbers, so that the other faults of a seed are the same.
+	rc := rand.New(rand.NewPCG(seed, 1))
 	ts := newTestSite(t, soakMinions)
 	ts.minions.Work = func(task string, run int) (time.Duration, jobs.End) {
 		d := time.Duration(50+len(task)*7+run%3*100) * time.Millisecond
@@ -80,21 +102,42 @@
 	}
 	ts.minions.Fault = func(string) fleet.Fault { return fault(0.03, fleet.Lose, fleet.Late) }
 	store := func(string) fleet.Fault { return fault(0.05, fleet.Refuse, fleet.Lose, fleet.Late) }
-	term := ts.startTerm("e0", store)
+	cut := &atomic.Bool{}
+	var replaced []*Term
+	var cuts []*atomic.Bool
+	// start starts a term whose calls of the store can be cut by the current value of cut.
+	start := func(name string) *Term {
+		cut = &atomic.Bool{}
+		cuts = append(cuts, cut)
+		own := cuttable(cut)
+		return ts.startTerm(name, func(op string) fleet.Fault { return cmp.Or(own(op), store(op)) })
+	}
+	term := start("e0")
 	sleep(time.Second)
 	for i := range soakSteps {
 		ts.submitJob(term, jobs.ID(fmt.Sprintf("%016x", i)), step(1+r.IntN(5)), step(1+r.IntN(4), 0))
 		sleep(time.Duration(r.IntN(400)) * time.Millisecond)
 		id := jobs.Minion(fmt.Sprint("m", r.IntN(soakMinions)))
+		if rc.Float64() < cutShare {
+			cut.Store(true)
+			replaced = append(replaced, term)
+			sleep(lease.TTL + 100*time.Millisecond)
+			term = start(entryName(i))
+		}
+		if rc.Float64() < healShare {
+			for _, c := range cuts {
+				c.Store(false)
+			}
+		}
 		switch r.IntN(8) {
 		case 0:
 			endTerm(term)
-			term = ts.startTerm(entryName(i), store)
+			term = start(entryName(i))
 		case 1, 2:
 			// If the handover fails, the lease expires.
 			_ = term.Release(context.Background())
 			_ = term.Wait()
-			term = ts.startTerm(entryName(i), store)
+			term = start(entryName(i))
 		case 3:
 			ts.minions.Change(id, func(m *fleet.Minion) { m.Cut = true })
 		case 4:
@@ -110,6 +153,9 @@
 		}
 	}
 	noFaults.Store(true)
+	for _, old := range replaced {
+		require.Error(t, old.Wait(), "a replaced term ends")
+	}
 	for n := range soakMinions {
 		ts.minions.Change(jobs.Minion(fmt.Sprint("m", n)), func(m *fleet.Minion) { m.Cut = false })
 	}
@@ -124,6 +170,7 @@
 	}
 	endTerm(term)
 	ts.requireNoViolations()
+	require.Zero(t, invariant.Count(invariant.FencingToken))
 }
 
 // lockedRand is a random source that is safe for concurrent use.
--- a/internal/coordinator/waves.go
+++ b/internal/coordinator/waves.go
@@ -269,9 +269,8 @@
 
 func (t *Term) orderMaintenance(r *waveRun, machine *waveMachine) {
 	machine.state, machine.inFlight = maintenanceOrdered, true
-	fence := site.MachineFence{Holder: t.deps.Self.Entry, Token: t.epoch}
 	t.queueMachineOrder(machine.name, func() {
-		t.sendOrder(machineCallTimeout, func(ctx context.Context) error { return t.deps.Machines.Maintain(ctx, fence, machine.name, r.wave.ID) },
+		t.sendOrder(machineCallTimeout, func(ctx context.Context) error { return t.orders.Maintain(ctx, machine.name, r.wave.ID) },
 			func(err error) { t.maintenanceAnswered(r, machine, err) })
 	})
 }
--- a/internal/entry/elect.go
+++ b/internal/entry/elect.go
@@ -241,8 +241,8 @@
 	if seen.lease.Holder == "" {
 		return true
 	}
-	if seen.lease.Holder == n.deps.Self.Entry && seen.lease.Incarnation != n.deps.Self.Incarnation {
-		return true // held by an earlier process of this entry VM, which has ended
+	if seen.lease.Holder == n.deps.Self.Entry {
+		return true // of an earlier process of this entry VM or an earlier term, which has ended
 	}
 	view := n.coordinator.Load()
 	heardRecently := view != nil && view.epoch >= seen.lease.Epoch && now-view.lastHeartbeat < lease.TTL
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"boragepulley/internal/coordinator"
+	"boragepulley/internal/fencing"
 	"boragepulley/internal/guard"
 	"boragepulley/internal/lease"
 	"boragepulley/internal/logging"
@@ -25,12 +26,11 @@
 	Self     peer.Sender
 	PeerAddr string
 	// Cores is the CPU limit of this entry VM, in cores.
-	Cores    float64
-	Table    platform.Table
-	Feed     platform.Feed
-	Minions  site.Minions
-	Machines site.Machines
-	Codec    coordinator.Codec
+	Cores float64
+	Table platform.Table
+	Feed  platform.Feed
+	Fleet fencing.Fleet
+	Codec coordinator.Codec
 	// DecodeConfig decodes the operators' configuration.
 	DecodeConfig func(value []byte) (*site.Config, error)
 	Limits       coordinator.Limits
@@ -179,7 +179,7 @@
 	promised := view != nil && view.epoch == before.Epoch && view.promised
 	return coordinator.Deps{
 		PredecessorStopped: released || promised || before.Holder == n.deps.Self.Entry,
-		Self:               n.deps.Self, Addr: n.deps.PeerAddr, Cores: n.deps.Cores, Table: n.deps.Table, Feed: n.deps.Feed, Minions: n.deps.Minions, Machines: n.deps.Machines,
+		Self:               n.deps.Self, Addr: n.deps.PeerAddr, Cores: n.deps.Cores, Table: n.deps.Table, Feed: n.deps.Feed, Fleet: n.deps.Fleet,
 		Codec: n.deps.Codec, Limits: n.deps.Limits, Config: n.Config,
 		Waves: func() map[int64]site.Wave {
 			if w := n.waves.Load(); w != nil {
--- a/internal/entry/node_test.go
+++ b/internal/entry/node_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"boragepulley/internal/coordinator"
+	"boragepulley/internal/fencing"
 	"boragepulley/internal/jobs"
 	"boragepulley/internal/lease"
 	"boragepulley/internal/model"
@@ -101,7 +102,7 @@
 	}}
 	n := New(Deps{
 		Self: peer.Sender{Entry: model.EntryVM(name), DC: cmp.Or(tc.dcs[name], "dc"), Incarnation: model.NewIncarnation()}, PeerAddr: name, Cores: tc.cores[name], Table: view, Feed: view,
-		Minions: tc.minions, Machines: &fleet.Machines{},
+		Fleet: fencing.NewFleet(tc.minions, &fleet.Machines{}),
 		Codec: coordinator.Codec{Minion: func(_ string, v []byte) (e site.MinionEntry, err error) { return e, json.Unmarshal(v, &e) }},
 		DecodeConfig: func(v []byte) (*site.Config, error) {
 			var c site.Config
@@ -559,3 +560,25 @@
 		require.NotEqual(t, before, designated())
 	})
 }
+
+// Guards against an entry VM that waits for its own lease to expire after its term has ended by
+// itself: nobody coordinates meanwhile.
+func TestEndedTermIsFollowedByOneOfTheSameEntryVM(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tc := newTestCluster(t, 1)
+		defer tc.stop()
+		time.Sleep(2 * time.Second)
+		n := tc.nodes["e0"]
+		first := n.term.Load()
+		require.NotNil(t, first)
+		tc.setFaults("e0", false, refuseAll)
+		<-first.Done()
+		time.Sleep(time.Second)
+		require.Nil(t, n.term.Load())
+		tc.setFaults("e0", false, nil)
+		time.Sleep(lease.TTL / 2)
+		second := n.term.Load()
+		require.NotNil(t, second)
+		require.Greater(t, second.Epoch(), first.Epoch())
+	})
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -7,6 +7,8 @@
 //   - ErrNotSent means that no byte of the request was written.
 //   - A connection that did not deliver a complete response is closed, and so are all idle
 //     connections to the same server, because they may be broken in the same way.
+//   - Connections are reset, not closed: the kernel would go on delivering what was written before
+//     a close, even long after the request was given up.
 package exchange
 
 import (
@@ -27,6 +29,8 @@
 var (
 	// ErrNotSent means that no byte of the request was sent.
 	ErrNotSent = errors.New("exchange: not sent")
+	// ErrLimitReached means that the limit of a request had passed before it was written.
+	ErrLimitReached = errors.New("exchange: limit reached before the request was sent")
 	// ErrNoAnswer means that the request may have arrived, but no complete response came back.
 	ErrNoAnswer = errors.New("exchange: no answer")
 )
@@ -35,11 +39,6 @@
 	// dialTimeout bounds a connection attempt. The one-way latency within a site is about 1 ms;
 	// TCP retransmits a lost SYN only after a second.
 	dialTimeout = 400 * time.Millisecond
-	// connectionsPerServer limits the concurrent requests to one server, including a long poll;
-	// further requests wait. A burst of 18 task starts waits for 15 ms. A minion accepts 64
-	// connections from all entry VMs together, and an entry VM has 4,100 file descriptors for 350
-	// minions.
-	connectionsPerServer = 6
 	// maxResponseBytes limits a response: 500 ended and 500 running tasks take about 100 KB.
 	maxResponseBytes = 4 << 20
 	// sweepInterval is how often idle connections are checked for maxIdleTime.
@@ -57,18 +56,29 @@
 
 // Client sends requests to any number of servers. It is safe for concurrent use.
 type Client struct {
+	// connections limits the concurrent requests to one server; further requests wait.
+	connections int
+
 	mu        sync.Mutex
 	byAddr    map[string]*server // guarded by mu
 	lastSweep time.Time          // guarded by mu
 }
 
-// NewClient returns a client. Connections are opened on demand.
-func NewClient() *Client { return &Client{byAddr: map[string]*server{}} }
+// NewClient returns a client with at most the given number of connections per server, which are
+// opened on demand.
+func NewClient(connectionsPerServer int) *Client {
+	return &Client{connections: connectionsPerServer, byAddr: map[string]*server{}}
+}
+
+// Limit returns how long a request may still be sent and be in progress; 0 or less means that it
+// may not be sent.
+type Limit func() time.Duration
 
 // Send sends a request to its URL's host, which must be "IP:port", and returns the status and
-// body of the response. Errors: ErrNotSent, ErrNoAnswer.
-func (c *Client) Send(ctx context.Context, req *http.Request) (status int, body []byte, err error) {
-	return c.serverFor(req.URL.Host).send(ctx, req)
+// body of the response. limit is read immediately before the request is written; nil means no
+// limit besides ctx. Errors: ErrNotSent, ErrLimitReached, ErrNoAnswer.
+func (c *Client) Send(ctx context.Context, req *http.Request, limit Limit) (status int, body []byte, err error) {
+	return c.serverFor(req.URL.Host).send(ctx, req, limit)
 }
 
 // serverFor returns the connection pool of an address, creating it if necessary. From time to
@@ -87,7 +97,7 @@
 	}
 	s := c.byAddr[addr]
 	if s == nil {
-		s = &server{addr: addr, slots: make(chan struct{}, connectionsPerServer)}
+		s = &server{addr: addr, slots: make(chan struct{}, c.connections)}
 		c.byAddr[addr] = s
 	}
 	return s
@@ -193,13 +203,19 @@
 	if err != nil {
 		return nil, err
 	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		if err := tcp.SetLinger(0); err != nil { // Close resets the connection
+			_ = conn.Close()
+			return nil, err
+		}
+	}
 	return &connection{Conn: conn, r: bufio.NewReaderSize(conn, readBufferSize)}, nil
 }
 
 // expiredDeadline makes pending reads and writes of a connection fail at once.
 var expiredDeadline = time.Unix(1, 0)
 
-func (s *server) send(ctx context.Context, req *http.Request) (status int, body []byte, err error) {
+func (s *server) send(ctx context.Context, req *http.Request, limit Limit) (status int, body []byte, err error) {
 	select {
 	case s.slots <- struct{}{}:
 		defer func() { <-s.slots }()
@@ -210,7 +226,11 @@
 	if err != nil {
 		return 0, nil, errors.Wrap(ErrNotSent, err.Error())
 	}
-	status, body, reuse, err := c.exchange(ctx, req)
+	status, body, reuse, err := c.exchange(ctx, req, limit)
+	if errors.Is(err, ErrLimitReached) {
+		s.putIdle(c) // nothing was written to it
+		return 0, nil, err
+	}
 	if err != nil {
 		// The other idle connections may be broken in the same way.
 		_ = c.Close()
@@ -227,17 +247,26 @@
 
 // exchange writes a request and reads its response. reuse is set if the connection can be used
 // for another request.
-func (c *connection) exchange(ctx context.Context, req *http.Request) (status int, body []byte, reuse bool, err error) {
+func (c *connection) exchange(ctx context.Context, req *http.Request, limit Limit) (status int, body []byte, reuse bool, err error) {
+	var out bytes.Buffer
+	if err := req.Write(&out); err != nil {
+		return 0, nil, false, err
+	}
 	deadline, _ := ctx.Deadline() // the zero time clears the deadline
+	if limit != nil {
+		remaining := limit()
+		if remaining <= 0 {
+			return 0, nil, false, errors.WithStack(ErrLimitReached)
+		}
+		if end := time.Now().Add(remaining); deadline.IsZero() || end.Before(deadline) {
+			deadline = end
+		}
+	}
 	if err := c.SetDeadline(deadline); err != nil {
 		return 0, nil, false, err
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(expiredDeadline) })
 	defer func() { reuse = stop() && reuse }()
-	var out bytes.Buffer
-	if err := req.Write(&out); err != nil {
-		return 0, nil, false, err
-	}
 	if _, err := c.Write(out.Bytes()); err != nil {
 		return 0, nil, false, err
 	}
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -30,6 +30,9 @@
 	return strings.TrimPrefix(s.URL, "http://"), opened, s
 }
 
+// connectionsPerServer is the limit of the clients of these tests.
+const connectionsPerServer = 6
+
 func writeClock(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, `{"clock_ms":7}`) }
 
 func post(t *testing.T, c *Client, addr string, timeout time.Duration) error {
@@ -37,7 +40,7 @@
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/", strings.NewReader("{}"))
 	require.NoError(t, err)
-	_, _, err = c.Send(ctx, req)
+	_, _, err = c.Send(ctx, req, nil)
 	return err
 }
 
@@ -45,7 +48,7 @@
 // another round trip.
 func TestRequestsShareAConnection(t *testing.T) {
 	addr, opened, _ := countingServer(t, writeClock)
-	client := NewClient()
+	client := NewClient(connectionsPerServer)
 	for range 20 {
 		require.NoError(t, post(t, client, addr, time.Second))
 	}
@@ -58,7 +61,7 @@
 		time.Sleep(5 * time.Millisecond)
 		writeClock(w, r)
 	})
-	client := NewClient()
+	client := NewClient(connectionsPerServer)
 	var wg sync.WaitGroup
 	for range 40 {
 		wg.Go(func() { require.NoError(t, post(t, client, addr, 5*time.Second)) })
@@ -75,7 +78,7 @@
 		<-release
 		writeClock(w, r)
 	})
-	client := NewClient()
+	client := NewClient(connectionsPerServer)
 	var wg sync.WaitGroup
 	for range connectionsPerServer {
 		wg.Go(func() { _ = post(t, client, addr, 5*time.Second) })
@@ -90,7 +93,7 @@
 // that the server had already closed.
 func TestClosedConnectionIsNotReused(t *testing.T) {
 	addr, opened, s := countingServer(t, writeClock)
-	client := NewClient()
+	client := NewClient(connectionsPerServer)
 	require.NoError(t, post(t, client, addr, time.Second))
 	s.CloseClientConnections()
 	pool := client.serverFor(addr)
@@ -116,7 +119,7 @@
 		}
 		writeClock(w, r)
 	})
-	client := NewClient()
+	client := NewClient(connectionsPerServer)
 	require.NoError(t, post(t, client, addr, time.Second))
 	silent.Store(true)
 	require.ErrorIs(t, post(t, client, addr, 20*time.Millisecond), ErrNoAnswer)
@@ -154,7 +157,7 @@
 					}()
 				}
 			}()
-			client := NewClient()
+			client := NewClient(connectionsPerServer)
 			err = post(t, client, l.Addr().String(), 2*time.Second)
 			if name != "two responses" {
 				require.ErrorIs(t, err, ErrNoAnswer)
@@ -167,7 +170,7 @@
 // Guards against connections to removed minions that stay open for ever.
 func TestUnusedConnectionsAreClosed(t *testing.T) {
 	addr, _, _ := countingServer(t, writeClock)
-	client := NewClient()
+	client := NewClient(connectionsPerServer)
 	require.NoError(t, post(t, client, addr, time.Second))
 	pool := client.serverFor(addr)
 	require.True(t, pool.sweep(time.Now()))
--- /dev/null
+++ b/internal/fencing/fencing.go
@@ -0,0 +1,134 @@
+// Package fencing sends the orders of a lease holder to minions and machines. It is the only way
+// from a lease holder to their clients.
+//
+// Invariants:
+//   - No order is sent after the deadline. It is checked when an order is passed on and once more by
+//     the client immediately before it writes, because the process may be suspended in between.
+//   - No call lasts beyond the deadline as it was when the call was sent. The client discards what
+//     it has not delivered by then.
+package fencing
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"boragepulley/internal/invariant"
+	"boragepulley/internal/model"
+	"boragepulley/internal/site"
+)
+
+// Fleet holds the clients of minions and machines. Orders can be sent only through a Sender.
+type Fleet struct {
+	minions  site.Minions
+	machines site.Machines
+}
+
+// NewFleet returns a fleet of the given clients.
+func NewFleet(minions site.Minions, machines site.Machines) Fleet { return Fleet{minions, machines} }
+
+// Sender sends the orders of one lease holder under its fencing token. It is safe for concurrent
+// use. Its methods return the errors of site.Minions and site.Machines.
+type Sender struct {
+	fleet  Fleet
+	holder model.EntryVM
+	token  uint64
+	// now reads a monotonic clock that includes the time during which the machine was suspended.
+	now      func() time.Duration
+	deadline atomic.Int64 // on the clock of now
+	ctx      context.Context
+	stop     context.CancelFunc
+}
+
+var _ site.OrderLease = (*Sender)(nil)
+
+// NewSender returns a sender whose deadline has passed.
+func NewSender(f Fleet, holder model.EntryVM, token uint64, now func() time.Duration) *Sender {
+	s := &Sender{fleet: f, holder: holder, token: token, now: now}
+	s.ctx, s.stop = context.WithCancel(context.Background())
+	return s
+}
+
+// SetDeadline sets until when orders may be sent.
+func (s *Sender) SetDeadline(until time.Duration) { s.deadline.Store(int64(until)) }
+
+// Close ends the calls in progress and rejects all further orders.
+func (s *Sender) Close() { s.stop() }
+
+// Remaining implements site.OrderLease.
+func (s *Sender) Remaining() time.Duration {
+	if s.ctx.Err() != nil {
+		return 0
+	}
+	return max(0, time.Duration(s.deadline.Load())-s.now())
+}
+
+// send passes an order on if the deadline allows it, and bounds the call by the deadline.
+func (s *Sender) send(ctx context.Context, call func(ctx context.Context) error) error {
+	remaining := s.Remaining()
+	if remaining == 0 {
+		counters.Add("held_back", 1)
+		return errors.WithStack(site.ErrLeaseEnded)
+	}
+	ctx, cancel := context.WithTimeout(ctx, remaining)
+	defer cancel()
+	defer context.AfterFunc(s.ctx, cancel)()
+	err := call(ctx)
+	switch {
+	case errors.Is(err, site.ErrLeaseEnded):
+		counters.Add("held_back", 1)
+	case errors.Is(err, site.ErrNoAnswer) && s.Remaining() == 0:
+		counters.Add("cut_short", 1)
+	}
+	invariant.Check(site.RefusalOf(err) != site.RefusedFenced || s.Remaining() == 0, invariant.FencingToken,
+		"order with token %d reached a receiver that had seen a higher one, %s before the end of the lease", s.token, s.Remaining())
+	return err
+}
+
+func (s *Sender) receiver(id site.MinionAddress) site.Receiver {
+	return site.Receiver{MinionAddress: id, Token: s.token, Lease: s}
+}
+
+func (s *Sender) fence() site.MachineFence {
+	return site.MachineFence{Holder: s.holder, Token: s.token, Lease: s}
+}
+
+// Start starts a run of a task and returns the minion's clock in milliseconds, 0 if unknown.
+func (s *Sender) Start(ctx context.Context, to site.MinionAddress, o site.StartOrder) (clock int64, err error) {
+	err = s.send(ctx, func(ctx context.Context) (err error) {
+		clock, err = s.fleet.minions.Start(ctx, s.receiver(to), o)
+		return err
+	})
+	return clock, err
+}
+
+// Stop stops a run of a task.
+func (s *Sender) Stop(ctx context.Context, to site.MinionAddress, o site.StopOrder) error {
+	return s.send(ctx, func(ctx context.Context) error { return s.fleet.minions.Stop(ctx, s.receiver(to), o) })
+}
+
+// Poll renews the leases of the runs on a minion and returns its running and ended runs.
+func (s *Sender) Poll(ctx context.Context, to site.MinionAddress, o site.PollRequest) (r site.PollReport, err error) {
+	err = s.send(ctx, func(ctx context.Context) (err error) {
+		r, err = s.fleet.minions.Poll(ctx, s.receiver(to), o)
+		return err
+	})
+	return r, err
+}
+
+// Move moves a machine to another pool.
+func (s *Sender) Move(ctx context.Context, vm model.VM, to model.Service) error {
+	return s.send(ctx, func(ctx context.Context) error { return s.fleet.machines.Move(ctx, s.fence(), vm, to) })
+}
+
+// Maintain orders the maintenance of a machine for a wave.
+func (s *Sender) Maintain(ctx context.Context, vm model.VM, wave int64) error {
+	return s.send(ctx, func(ctx context.Context) error { return s.fleet.machines.Maintain(ctx, s.fence(), vm, wave) })
+}
+
+// ListMachines lists all machines. It is not an order and needs no lease.
+func (s *Sender) ListMachines(ctx context.Context) ([]site.Machine, error) {
+	return s.fleet.machines.List(ctx)
+}
--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -24,6 +24,7 @@
 	NoWorkWhenOutOfService ID = "I8"
 	GracefulStop           ID = "I9"
 	ConfigNeverReverts     ID = "I10"
+	FencingToken           ID = "I11"
 )
 
 // Violation is the value with which Check panics.
--- a/internal/site/fleet.go
+++ b/internal/site/fleet.go
@@ -14,6 +14,9 @@
 var (
 	// ErrNotSent means that an order certainly did not reach its receiver.
 	ErrNotSent = errors.New("site: order not sent")
+	// ErrLeaseEnded means that an order was not sent because the sender's lease had ended. It
+	// matches ErrNotSent.
+	ErrLeaseEnded error = leaseEndedError{}
 	// ErrNoAnswer means that an order may have been carried out, or may still be.
 	ErrNoAnswer = errors.New("site: no answer to order")
 	// ErrOtherIncarnation means that another incarnation of the minion answers at the address.
@@ -24,6 +27,20 @@
 	ErrBusy = errors.New("site: receiver is busy")
 )
 
+type leaseEndedError struct{}
+
+func (leaseEndedError) Error() string { return "site: order not sent: the sender's lease has ended" }
+
+// Is makes errors.Is(err, ErrNotSent) hold.
+func (leaseEndedError) Is(target error) bool { return target == ErrNotSent }
+
+// OrderLease is the permission to send orders. It is safe for concurrent use.
+type OrderLease interface {
+	// Remaining returns how long orders may still be sent, 0 once the permission has ended. A
+	// client reads it immediately before it sends an order, and ends the call when this time is over.
+	Remaining() time.Duration
+}
+
 // Refusal is the reason why a minion or the platform refused an order.
 type Refusal string
 
@@ -78,12 +95,19 @@
 	return label == "" || label == m.Kind || label == string(m.Rack)
 }
 
-// Receiver is the minion to which an order is addressed.
-type Receiver struct {
+// MinionAddress identifies a minion as the receiver of orders. Addr is "IP:port".
+type MinionAddress struct {
 	ID   jobs.Minion
 	Addr string
+}
+
+// Receiver is the minion to which an order is addressed, and the right to send it.
+type Receiver struct {
+	MinionAddress
 	// Token is the coordinator's fencing token.
 	Token uint64
+	// Lease bounds the sending; nil means no bound.
+	Lease OrderLease
 }
 
 // StartOrder starts a run of a task.
@@ -184,6 +208,8 @@
 type MachineFence struct {
 	Holder model.EntryVM
 	Token  uint64
+	// Lease bounds the sending; nil means no bound.
+	Lease OrderLease
 }
 
 // Machines lists, moves and maintains machines. A move or maintenance order ends all runs on its
--- a/standins/fleet/minions.go
+++ b/standins/fleet/minions.go
@@ -34,17 +34,24 @@
 	Entry site.MinionEntry
 	born  time.Time
 	token uint64
-	lease time.Time
-	runs  map[string]*run
-	ended []site.EndReport
-	next  int64
-	noted int64
+	// arrived is the highest token of an order that has arrived, also of one that is carried out
+	// later.
+	arrived uint64
+	lease   time.Time
+	runs    map[string]*run
+	ended   []site.EndReport
+	next    int64
+	noted   int64
 	// void is the last end that was listed when a lease ran out: its note counts no more.
 	void int64
 	// barred are runs that were stopped or ended, by task: none up to it may start.
 	barred map[string]int
 	// Down minions do not answer and run nothing; Cut ones run on and do not answer.
 	Down, Cut bool
+	// HeldTokens delays the arrival of orders with fencing tokens up to this one until it is cleared,
+	// as a network does that delivers what it has buffered. An order whose sender gives up before
+	// never arrives.
+	HeldTokens uint64
 }
 
 // Minions are all minions of a site. It implements site.Minions.
@@ -128,7 +135,8 @@
 }
 
 // Violations returns what no coordinator may do and this one did: two runs of a task at
-// once, a run after a noted end, more than a minion's room.
+// once, a run after a noted end, more than a minion's room, an order with a lower fencing token
+// than an earlier one.
 func (s *Minions) Violations() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -209,6 +217,12 @@
 	if err := pause(ctx, time.Millisecond); err != nil {
 		return errors.Wrap(site.ErrNotSent, err.Error())
 	}
+	for s.held(to) {
+		if err := pause(ctx, heldPoll); err != nil {
+			return errors.Wrap(site.ErrNoAnswer, err.Error())
+		}
+	}
+	s.arrive(op, to)
 	if f == Late {
 		s.carryLater(to, carry)
 	}
@@ -223,6 +237,30 @@
 	return err
 }
 
+// heldPoll is how often a held order checks whether it may arrive.
+const heldPoll = 5 * time.Millisecond
+
+func (s *Minions) held(to site.Receiver) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m := s.all[to.ID]
+	return m != nil && to.Token <= m.HeldTokens
+}
+
+// arrive checks the fencing token of an order that reaches its minion.
+func (s *Minions) arrive(op string, to site.Receiver) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m := s.all[to.ID]
+	if m == nil || m.Down || m.Cut {
+		return
+	}
+	if to.Token < m.arrived {
+		s.violations = append(s.violations, fmt.Sprintf("%s gets a %s with token %d after one with token %d", to.ID, op, to.Token, m.arrived))
+	}
+	m.arrived = max(m.arrived, to.Token)
+}
+
 // carryLater lets a minion leave an order unanswered and carry it out later, if it still
 // lives then: the order waits in its process.
 func (s *Minions) carryLater(to site.Receiver, carry func(m *Minion) error) {
