relay: writes go only to peers that have just answered

Cause: in a data centre that is cut off, the store calls of an entry VM are refused by its circuit breaker and its writes were relayed to peers chosen at random. Most of them are behind the cut; a write that a peer does not answer has an unknown outcome, so callers got 504 for requests of which nothing had been done, and cannot try unsafe requests again. Change: a write is passed only to a peer that answered within 0.2 s or answers a read now; one that did not answer is left out for 0.5 s. The new test fails without the change (the write has an unknown outcome).

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -2,11 +2,16 @@
 // rejects the calls of this one, or cannot be reached from it, but serves others. Each call
 // is tried directly first and is passed to a peer only if it certainly had no effect. The
 // peer makes the call directly or not at all, so that a call is never relayed twice.
+//
+// A write that a peer does not answer has an unknown outcome, so that its caller cannot be told
+// that nothing was done. In a data centre that is cut off, most peers do not answer. A write is
+// therefore passed only to a peer that has just answered, if need be a read made for that purpose.
 package relay
 
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -21,6 +26,13 @@
 	maxPeers = 2
 	// relayTimeout limits a call through one peer.
 	relayTimeout = 1200 * time.Millisecond
+	// contactTTL is for how long after an answer a peer counts as reachable.
+	contactTTL = 200 * time.Millisecond
+	// probeTimeout limits the read that finds out whether a peer can be reached and reaches the
+	// store. It usually takes 10 ms.
+	probeTimeout = 300 * time.Millisecond
+	// silentTTL is for how long no write is passed to a peer that did not answer.
+	silentTTL = 500 * time.Millisecond
 	// maxRelayedWait is how long a relayed request for changes may wait for one at the store. It
 	// must fit into relayTimeout.
 	maxRelayedWait = 300 * time.Millisecond
@@ -37,8 +49,19 @@
 	Self  peer.Sender
 	Table platform.Table
 	Feed  platform.Feed
-	// Peers returns the connections to the other entry VMs.
+	// Peers returns the connections to the other entry VMs. They are comparable.
 	Peers func() []PeerClient
+
+	mu sync.Mutex
+	// contacts holds how each peer answered last.
+	contacts map[PeerClient]contact // guarded by mu
+}
+
+// contact is how a peer answered last.
+type contact struct {
+	at time.Time
+	// ok is set if it answered and could make the call at the store.
+	ok bool
 }
 
 var (
@@ -62,9 +85,10 @@
 		if ctx.Err() != nil {
 			return nil, false, nil
 		}
-		c, cancel := context.WithTimeout(ctx, relayTimeout)
-		a, err := p.Store(c, m)
-		cancel()
+		if m.Commit != nil && !s.reachable(ctx, p, m) {
+			continue
+		}
+		a, err := s.ask(ctx, p, m, relayTimeout)
 		switch {
 		case err != nil && m.Commit != nil && !notHandled(err):
 			return nil, true, errors.Wrap(platform.ErrUnknownOutcome, err.Error())
@@ -76,6 +100,36 @@
 	return nil, false, nil
 }
 
+// ask makes one call through one peer.
+func (s *Store) ask(ctx context.Context, p PeerClient, m *peer.StoreCall, timeout time.Duration) (*peer.StoreReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	a, err := p.Store(ctx, m)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.contacts == nil {
+		s.contacts = map[PeerClient]contact{}
+	}
+	s.contacts[p] = contact{time.Now(), err == nil && a.Failure != peer.StoreUnavailable}
+	return a, err
+}
+
+// reachable reports whether a write may be passed to a peer: it has just answered, or answers a read
+// of the write's first row.
+func (s *Store) reachable(ctx context.Context, p PeerClient, m *peer.StoreCall) bool {
+	s.mu.Lock()
+	last := s.contacts[p]
+	s.mu.Unlock()
+	switch age := time.Since(last.at); {
+	case last.ok && age < contactTTL:
+		return true
+	case !last.ok && age < silentTTL, len(m.Commit.Puts) == 0:
+		return false
+	}
+	a, err := s.ask(ctx, p, &peer.StoreCall{From: m.From, Priority: m.Priority, Get: m.Commit.Puts[0].Key}, probeTimeout)
+	return err == nil && a.Failure != peer.StoreUnavailable
+}
+
 // notHandled reports whether the peer certainly did not handle a message.
 func notHandled(err error) bool {
 	for _, e := range []error{peer.ErrRefused, peer.ErrNotConnected, peer.ErrTooLarge, peer.ErrBusy} {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
@@ -17,15 +18,19 @@
 type fakePeer struct {
 	*Store
 	calls int
-	err   error
+	// err and writeErr are the errors of all calls and of writes.
+	err, writeErr error
 }
 
 type fakePeerClient struct{ s *fakePeer }
 
 func (p fakePeerClient) Store(ctx context.Context, m *peer.StoreCall) (*peer.StoreReply, error) {
 	p.s.calls++
-	if p.s.err != nil {
+	switch {
+	case p.s.err != nil:
 		return nil, p.s.err
+	case m.Commit != nil && p.s.writeErr != nil:
+		return nil, p.s.writeErr
 	}
 	return p.s.Store.Serve(ctx, m), nil
 }
@@ -66,7 +71,7 @@
 		rows.Compact()
 		_, err = s.Changes(ctx, 0, "t", 0, 0)
 		require.ErrorIs(t, err, platform.ErrHistoryGone)
-		require.Equal(t, 6, p.calls)
+		require.Equal(t, 7, p.calls, "one read before the first write")
 	})
 }
 
@@ -86,11 +91,39 @@
 func TestUnansweredPeerCallHasUnknownOutcome(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s, p, _ := newStores(func(string) fleet.Fault { return fleet.Refuse })
-		p.err = errors.Wrap(peer.ErrNoAnswer, "test")
+		p.writeErr = errors.Wrap(peer.ErrNoAnswer, "test")
 		_, err := s.Commit(context.Background(), 0, txn())
 		require.ErrorIs(t, err, platform.ErrUnknownOutcome)
-		p.err = errors.Wrap(peer.ErrRefused, "test")
+		p.writeErr = errors.Wrap(peer.ErrRefused, "test")
+		time.Sleep(silentTTL)
 		_, err = s.Commit(context.Background(), 0, txn())
 		require.ErrorIs(t, err, platform.ErrUnavailable)
 	})
 }
+
+// Guards against an unknown outcome, after which callers cannot try again, for writes that were never
+// made: the load is that of a data centre that is cut off from the store and from the other entry
+// VMs while callers still reach it.
+func TestWritesInACutDataCentreAreKnownToHaveNoEffect(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, p, rows := newStores(func(string) fleet.Fault { return fleet.Refuse })
+		ctx := context.Background()
+		_, err := s.Commit(ctx, 0, txn())
+		require.NoError(t, err)
+		time.Sleep(contactTTL)
+		p.err = errors.Wrap(peer.ErrNoAnswer, "cut off")
+		began := time.Now()
+		for range 100 {
+			_, err := s.Commit(ctx, 0, platform.Txn{Puts: []platform.Put{{Key: "t/2", Value: []byte(`"v"`)}}})
+			require.ErrorIs(t, err, platform.ErrUnavailable)
+			time.Sleep(20 * time.Millisecond)
+		}
+		require.Less(t, p.calls, 10, "peers that do not answer are tried seldom")
+		require.Less(t, time.Since(began), 3*time.Second)
+		p.err = nil
+		time.Sleep(silentTTL)
+		_, err = s.Commit(ctx, 0, platform.Txn{Puts: []platform.Put{{Key: "t/2", Value: []byte(`"v"`)}}})
+		require.NoError(t, err)
+		require.Equal(t, `"v"`, string(rows.Row("t/2").Value))
+	})
+}
