capacity: tell what the machines of a service are held for

Change: a plan of machines splits those that a service has into running work, partly used, moving, target, recent peak and releasing; the line 'machines planned' shows them, and the coordinator counts machine-milliseconds for each. No decision changes.

--- a/internal/capacity/plan.go
+++ b/internal/capacity/plan.go
@@ -55,6 +55,8 @@
 	Incoming bool
 	// Usable is false for a machine that is down or does not answer.
 	Usable bool
+	// Tasks is the number of tasks on the machine.
+	Tasks int
 }
 
 // Snapshot is the input of a plan.
@@ -87,6 +89,7 @@
 	Busy     int64         `json:"busy_cores"`
 	Waiting  int64         `json:"waiting_cores"`
 	Forecast int64         `json:"forecast_cores"`
+	Held     Held          `json:"held"`
 }
 
 // Plan is the moves to make and the targets that led to them.
@@ -122,7 +125,7 @@
 	})
 	var p Plan
 	for _, st := range services {
-		p.Targets = append(p.Targets, Target{st.Name, len(st.machines), st.target, st.Busy.CPU / 1000, st.Waiting.CPU / 1000, int64(st.Forecast)})
+		p.Targets = append(p.Targets, Target{st.Name, len(st.machines), st.target, st.Busy.CPU / 1000, st.Waiting.CPU / 1000, int64(st.Forecast), st.held(largest(s.Machines).CPU)})
 		for range st.shortfall() {
 			m, ok := takeMachine(&standby, services, st)
 			if !ok {
@@ -142,13 +145,19 @@
 	return p
 }
 
-// machinesFor returns how many machines a service should have: as many as CPU or memory require,
-// whichever is more.
-func machinesFor(st *serviceState, all []Machine) int {
+// largest returns the capacity of the largest machine, by resource.
+func largest(all []Machine) jobs.Resources {
 	var size jobs.Resources
 	for _, m := range all {
 		size.CPU, size.MemoryMB = max(size.CPU, m.Capacity.CPU), max(size.MemoryMB, m.Capacity.MemoryMB)
 	}
+	return size
+}
+
+// machinesFor returns how many machines a service should have: as many as CPU or memory require,
+// whichever is more.
+func machinesFor(st *serviceState, all []Machine) int {
+	size := largest(all)
 	if size.CPU == 0 || size.MemoryMB == 0 {
 		return len(st.machines)
 	}
--- a/internal/capacity/plan_test.go
+++ b/internal/capacity/plan_test.go
@@ -83,3 +83,16 @@
 	require.Greater(t, burst.Forecast(10800*time.Millisecond), 270.0)
 	require.Zero(t, burst.Forecast(20*time.Second))
 }
+
+// Guards against figures on what machines are held for that do not add up.
+func TestHeldAddsUp(t *testing.T) {
+	all := append(machines("s", 4, true, time.Minute), machines("in", 2, false, 0)...)
+	for i := range all {
+		all[i].Pool = "s"
+		all[i].Name = model.VM(fmt.Sprint("vm", i))
+	}
+	all[4].Incoming = true
+	all[5].Tasks = 3
+	p := NewPlan(Snapshot{Standby: "off", Machines: all, Services: []Service{{Name: "s", Busy: jobs.Resources{CPU: 16000}, RecentPeak: 5}}})
+	require.Equal(t, Held{Running: 0.25, Partial: 0.75, Moving: 1, Target: 0, RecentPeak: 3, Releasing: 1}, p.Targets[0].Held)
+}
--- a/internal/coordinator/machines.go
+++ b/internal/coordinator/machines.go
@@ -305,6 +305,7 @@
 	}
 	for _, target := range p.Targets {
 		t.demandOf(target.Service).RecordTarget(t.now, target.Want)
+		countHeld(target.Held, capacityInterval)
 	}
 	if t.now >= s.planLoggedAt+planLogInterval {
 		s.planLoggedAt = t.now
@@ -436,6 +437,7 @@
 	out.Usable = out.Usable && minion.FailedPolls == 0 && !minion.Leaving
 	out.Movable = out.Usable && t.usable(minion) && len(minion.Tasks) == 0
 	out.Idle = t.now - minion.EmptySince
+	out.Tasks = len(minion.Tasks)
 	return out
 }
 
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -4,6 +4,7 @@
 	"expvar"
 	"time"
 
+	"boragepulley/internal/capacity"
 	"boragepulley/internal/jobs"
 )
 
@@ -13,6 +14,13 @@
 
 func countEnd(how jobs.End) { counters.Add("ends_"+string(how), 1) }
 
+// countHeld adds to the machine-milliseconds that the machines in pools were held for.
+func countHeld(h capacity.Held, during time.Duration) {
+	for name, machines := range map[string]float64{"running": h.Running, "partial": h.Partial, "moving": h.Moving, "target": h.Target, "recent_peak": h.RecentPeak, "releasing": h.Releasing} {
+		counters.AddFloat("machine_ms_"+name, machines*float64(during.Milliseconds()))
+	}
+}
+
 // setGauge sets a gauge of the current term.
 func setGauge(name string, v int64) {
 	g := new(expvar.Int)
