dispatch: a wait for a permit ends when it is too late to use one

Cause: no attempt begins in the last 25 ms before a deadline, but an entry VM to which a request was forwarded went on waiting for a permit until the deadline. Its refusal arrived in the millisecond of the deadline, and the caller was told that the job might still be running, though both attempts had ended.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -823,3 +823,30 @@
 	ran := model.Result{State: model.StateRan}
 	require.Equal(t, ran, explainUnfinished(ran))
 }
+
+// Guards against a job that ended with a complete error answer and is reported as unknown: its retry
+// was forwarded, no coordinator answered there, and the refusal came in the millisecond of the
+// deadline, when the caller's wait had just ended (minion-all-bad, seed 1).
+func TestForwardThatIsNeverStartedEndsBeforeTheDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := newTestEntryVM(3)
+		b := a.addEntryVM("e3", "b")
+		a.minions.fault = failAlways(status500)
+		a.ctl.acquire = func(_ context.Context, at control.Attempt) (peer.AcquireReply, bool, error) {
+			return peer.AcquireReply{ForwardTo: "b"}, at.Number == 2, nil
+		}
+		b.ctl.acquire = func(ctx context.Context, _ control.Attempt) (peer.AcquireReply, bool, error) {
+			<-ctx.Done()
+			return peer.AcquireReply{}, true, ctx.Err()
+		}
+		in := input("x", true)
+		in.Deadline = time.Second
+		began := time.Now()
+		res := a.Submit(context.Background(), in)
+		require.Equal(t, model.StateRan, res.State)
+		require.Equal(t, 500, res.Status)
+		require.Less(t, time.Since(began), time.Second)
+		a.drainAndCheck(t)
+		b.drainAndCheck(t)
+	})
+}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -115,10 +115,13 @@
 	}
 }
 
-// acquirePermit asks the coordinator for a permit. It returns errDraining if the entry VM
-// begins to shut down meanwhile and the job may be forwarded to another one.
+// acquirePermit asks the coordinator for a permit, until it is too late to use one. It returns
+// errDraining if the entry VM begins to shut down meanwhile and the job may be forwarded to another
+// one.
 func (s *Service) acquirePermit(j *job, number int, avoid []model.VM, mayForward bool) (peer.AcquireReply, error) {
-	ctx, cancel := context.WithCancelCause(j.ctx)
+	inTime, cancelInTime := context.WithDeadline(j.ctx, j.req.Deadline.Add(-minTimeLeft))
+	defer cancelInTime()
+	ctx, cancel := context.WithCancelCause(inTime)
 	defer cancel(nil)
 	if mayForward && j.hops == 0 && s.cfg.Forwarder != nil {
 		stop := context.AfterFunc(s.drain, func() { cancel(errDraining) })
