coordinator, capacity: a returned minion stays recorded; a lasting task gets its machine first

A minion that left the list behind a cut, was given up and listed again could get work while its row was removed, so that a successor started its tasks again (TWICE). A service that lacks one machine for a long-running task lost each free machine to services with a larger shortfall (LOST, 11 s). Change: a minion that is listed again takes back the removal of its row; a machine for a long-running task that fits nowhere is given before the shortfalls.

--- a/internal/capacity/plan.go
+++ b/internal/capacity/plan.go
@@ -77,8 +77,8 @@
 type serviceState struct {
 	Service
 	machines []Machine
-	// target is how many machines the service should have.
-	target int
+	// target is how many machines the service should have, incoming how many the plan moves to it.
+	target, incoming int
 }
 
 // Target is how many machines a service has and should have, and the demand behind it in cores.
@@ -124,14 +124,24 @@
 		return cmp.Or(cmp.Compare(b.shortfall(), a.shortfall()), cmp.Compare(a.Name, b.Name))
 	})
 	var p Plan
+	move := func(st *serviceState) bool {
+		m, ok := takeMachine(&standby, services, st)
+		if ok {
+			p.Moves = append(p.Moves, Move{Machine: m.Name, To: st.Name})
+			st.incoming++
+		}
+		return ok
+	}
+	// One machine for a long-running task that fits nowhere comes before all shortfalls: its service
+	// lacks only this one, and would otherwise wait for as long as others have a burst.
+	for _, st := range services {
+		if st.needsMachineForTask() && st.shortfall() > 0 {
+			move(st)
+		}
+	}
 	for _, st := range services {
 		p.Targets = append(p.Targets, Target{st.Name, len(st.machines), st.target, st.Busy.CPU / 1000, st.Waiting.CPU / 1000, int64(st.Forecast), st.held(largest(s.Machines).CPU)})
-		for range st.shortfall() {
-			m, ok := takeMachine(&standby, services, st)
-			if !ok {
-				break
-			}
-			p.Moves = append(p.Moves, Move{Machine: m.Name, To: st.Name})
+		for st.shortfall() > 0 && move(st) {
 		}
 	}
 	if s.Standby == "" {
@@ -164,13 +174,22 @@
 	byCPU := max(float64(st.Busy.CPU)+backlogShare*float64(st.Waiting.CPU), float64(st.LongRunning.CPU)+1000*st.Forecast)*overprovisioning/float64(size.CPU) + reserveMachines
 	byMemory := (float64(st.Busy.MemoryMB)+backlogShare*float64(st.Waiting.MemoryMB))*overprovisioning/float64(size.MemoryMB) + reserveMachines
 	target := max(st.MinMachines, int(math.Ceil(max(byCPU, byMemory))))
-	if st.Unplaceable && !slices.ContainsFunc(st.machines, func(m Machine) bool { return m.Incoming }) {
+	if st.needsMachineForTask() {
 		target = max(target, len(st.machines)+1)
 	}
 	return target
 }
 
-func (st *serviceState) shortfall() int { return max(0, st.target-len(st.machines)) }
+// needsMachineForTask reports whether a long-running task fits on none of the service's machines and
+// no machine is on its way.
+func (st *serviceState) needsMachineForTask() bool {
+	return st.Unplaceable && !slices.ContainsFunc(st.machines, func(m Machine) bool { return m.Incoming })
+}
+
+// shortfall returns how many machines the service lacks, besides those that the plan moves to it.
+func (st *serviceState) shortfall() int {
+	return max(0, st.target-len(st.machines)-st.incoming)
+}
 
 // surplus returns the machines to move to the standby pool: machines that have been empty for at
 // least minIdle, longest first, as many as the service has above its target and its recent peak.
--- a/internal/capacity/plan_test.go
+++ b/internal/capacity/plan_test.go
@@ -96,3 +96,17 @@
 	p := NewPlan(Snapshot{Standby: "off", Machines: all, Services: []Service{{Name: "s", Busy: jobs.Resources{CPU: 16000}, RecentPeak: 5}}})
 	require.Equal(t, Held{Running: 0.25, Partial: 0.75, Moving: 1, Target: 0, RecentPeak: 3, Releasing: 1}, p.Targets[0].Held)
 }
+
+// Guards against a long-running task that waits for seconds because its service lacks one machine
+// while another one has a burst and gets each machine that becomes free (LOST on trouble-2 of a small
+// site: a task waited 11 s beside a shortfall of 14).
+func TestUnplaceableTaskComesBeforeABurst(t *testing.T) {
+	all := append(machines("hot", 2, false, 0), machines("lasting", 4, false, 0)...)
+	all = append(all, machines("off", 1, true, 0)...)
+	s := Snapshot{Standby: "off", Machines: all, Services: []Service{{Name: "hot", Forecast: 900}, {Name: "lasting", Unplaceable: true}}}
+	require.Equal(t, []Move{{Machine: "off-0", To: "lasting"}}, NewPlan(s).Moves)
+	s.Machines = append(s.Machines, Machine{Name: "off-1", Pool: "off", Capacity: machineSize, Movable: true, Usable: true})
+	moves := NewPlan(s).Moves
+	require.Len(t, moves, 2)
+	require.Equal(t, model.Service("hot"), moves[1].To, "the rest goes to the largest shortfall")
+}
--- a/internal/coordinator/minions.go
+++ b/internal/coordinator/minions.go
@@ -32,6 +32,8 @@
 		m = holding.New(e, 0)
 		m.EmptySince = t.now
 		t.minions[e.ID] = m
+		// The removal of the minion's row may still be due. It would follow the new record.
+		delete(t.writer.goneMinions, e.ID)
 	case m.Incarnation != 0 && e.Incarnation != 0 && e.Incarnation < m.Incarnation:
 		return // entry of an earlier incarnation
 	default:
--- a/internal/coordinator/term_test.go
+++ b/internal/coordinator/term_test.go
@@ -633,3 +633,36 @@
 	term.now += time.Second
 	require.Equal(t, map[model.VM]int64{"m2": 3000}, term.recentOrderAges())
 }
+
+// Guards against a minion that gets work although its row is removed: it left the list while its data
+// centre was cut off, was given up, and came back before the removal of its row was written. A
+// successor does not know of it and starts its tasks again (TWICE on scale-1 of a small site).
+func TestReturnedMinionStaysRecorded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ts := newTestSite(t, 1)
+		ts.addMinion("back")
+		term := ts.startTerm("e1", nil)
+		defer endTerm(term)
+		sleep(time.Second)
+		require.NotZero(t, ts.store.Row(minionKey("back")).Version)
+		ts.minions.Change("back", func(m *fleet.Minion) { m.Cut = true })
+		entry := ts.minions.EntryRow("back")
+		require.NoError(t, term.do(t.Context(), func() { term.applyMinionEntry("back", nil) }))
+		known := true
+		for known {
+			sleep(time.Millisecond)
+			require.NoError(t, term.do(t.Context(), func() {
+				m := term.minions["back"]
+				if known = m != nil; known && term.now > m.RunsExpireAt-50*time.Millisecond {
+					term.writer.notBefore = term.now + 100*time.Millisecond // a write takes this long
+				}
+			}))
+		}
+		ts.minions.Change("back", func(m *fleet.Minion) { m.Cut = false })
+		require.NoError(t, term.do(t.Context(), func() { term.applyMinionEntry("back", entry) }))
+		sleep(3 * time.Second)
+		row := ts.store.Row(minionKey("back"))
+		require.NotZero(t, row.Version)
+		require.NotNil(t, row.Value, "the row of a minion that may get work is removed")
+	})
+}
