relay: a caller that gives up says nothing about a peer

Change: such a call is not recorded. Measured: the new test fails without the change; tests of the package pass.

--- a/internal/coordinator/handover.go
+++ b/internal/coordinator/handover.go
@@ -26,8 +26,8 @@
 )
 
 // Release hands over the coordinator role in an orderly way: it renews the leases of all runs, stops
-// sending orders and ends the calls in progress, stores the remaining progress, releases the site's lease and announces a
-// successor.
+// sending orders and ends the calls in progress, stores the remaining progress, releases the site's
+// lease and announces a successor.
 func (t *Term) Release(ctx context.Context) error {
 	defer t.End(ErrNotCoordinating)
 	var renewals *sync.WaitGroup
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -100,11 +100,15 @@
 	return nil, false, nil
 }
 
-// ask makes one call through one peer.
+// ask makes one call through one peer, and records how the peer answered. A call that its own caller
+// ended says nothing about the peer.
 func (s *Store) ask(ctx context.Context, p PeerClient, m *peer.StoreCall, timeout time.Duration) (*peer.StoreReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	bounded, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	a, err := p.Store(ctx, m)
+	a, err := p.Store(bounded, m)
+	if err != nil && ctx.Err() != nil {
+		return a, err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.contacts == nil {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -127,3 +127,19 @@
 		require.Equal(t, `"v"`, string(rows.Row("t/2").Value))
 	})
 }
+
+// Guards against a peer that is left out because a caller gave up: its deadline says nothing about the
+// peer.
+func TestImpatientCallerDoesNotLeaveOutAPeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, p, _ := newStores(func(string) fleet.Fault { return fleet.Refuse })
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		p.err = errors.Wrap(peer.ErrNoAnswer, "the caller gave up")
+		_, err := s.ask(ctx, fakePeerClient{p}, &peer.StoreCall{Get: "t/1"}, time.Second)
+		require.Error(t, err)
+		p.err = nil
+		_, err = s.Commit(context.Background(), 0, txn())
+		require.NoError(t, err)
+	})
+}
