--- a/internal/exchange/limit_test.go
+++ b/internal/exchange/limit_test.go
@@ -38,9 +38,8 @@
 	}
 }
 
-// Guards against an order that arrives after the lease of its sender has ended: a network that
-// delivers nothing for a while makes the kernel of the sender keep what was written, and a close
-// would let it deliver that as soon as the network recovers.
+// Guards against a write that goes on after its limit, while the receiver takes nothing: the request
+// would arrive whole after the lease of its sender has ended.
 func TestRequestCutShortByItsLimitIsNotDeliveredLater(t *testing.T) {
 	addr, readAll := slowReader(t)
 	req, err := http.NewRequest(http.MethodPost, "http://"+addr+"/", bytes.NewReader(make([]byte, largeBody)))
@@ -52,9 +51,9 @@
 	require.Less(t, len(readAll()), largeBody, "the whole request arrived after its sender had given it up")
 }
 
-// Guards against a request whose answer is missing but that is delivered in full after the caller
-// has given up, as in TestRequestCutShortByItsLimitIsNotDeliveredLater. The written part fits into
-// the sender's buffer here, so that the write itself succeeds.
+// Guards against a request that is delivered after its sender has given it up: a network that delivers
+// nothing for a while makes the sender's kernel keep what was written, and a close would let it
+// deliver that as soon as the network recovers. A reset discards it.
 func TestGivenUpRequestIsResetNotClosed(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
