coordinator: tell why a long-running task has no run

Cause: after "stop" nothing was logged about a long-running task until its next start, so a missing place, a silent minion and a stop without a known end looked the same. Change: once a second a line for each step with long-running tasks that have not been running for 0.5 s: their phases, and what keeps each minion of the service from taking one; at most 20 lines, the rest counted. Gauges of the number and the longest wait.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -108,16 +108,17 @@
 	needsPlan     bool
 	// lastView is when the published counts were last updated.
 	lastView time.Duration
-	// nextPlan, nextMinionCheck and nextWaves are the earliest times of the next scheduling run,
-	// check of all minions and processing of maintenance waves.
-	nextPlan, nextMinionCheck, nextWaves time.Duration
-	writer                               storeWriter
-	compactor                            rowCompactor
-	members                              members
-	feeds                                feeds
-	waves                                waves
-	machines                             machines
-	releasing                            bool
+	// nextPlan, nextMinionCheck, nextWaves and nextWaitReport are the earliest times of the next
+	// scheduling run, check of all minions, processing of maintenance waves and report of waits.
+	nextPlan, nextMinionCheck, nextWaves, nextWaitReport time.Duration
+
+	writer    storeWriter
+	compactor rowCompactor
+	members   members
+	feeds     feeds
+	waves     waves
+	machines  machines
+	releasing bool
 	// pollGap is the pause between two polls of a minion, see pollGapFor.
 	pollGap time.Duration
 	// runLease is the duration of the leases that minions are granted for their runs.
@@ -298,6 +299,7 @@
 			t.nextPlan = t.now + max(minPlanInterval, planTimeFactor*took)
 		}
 	}
+	t.reportWaits()
 	t.publishView()
 	if t.leading() {
 		t.compactRows()
