--- a/internal/coordinator/harness_test.go
+++ b/internal/coordinator/harness_test.go
@@ -147,7 +147,12 @@
 
 // submitJob stores a job as an entry VM does and informs the term, if one is given.
 func (s *testSite) submitJob(t *Term, id jobs.ID, steps ...jobs.Step) {
-	a := jobs.Accepted{ID: id, Queue: testQueue, Service: testService, Team: testTeam, AcceptedAt: time.Now(), Spec: jobs.Spec{Payload: "p", Steps: steps}}
+	s.submitTo(t, testQueue, testService, id, steps...)
+}
+
+// submitTo is submitJob for a queue and its service.
+func (s *testSite) submitTo(t *Term, queue model.Queue, svc model.Service, id jobs.ID, steps ...jobs.Step) {
+	a := jobs.Accepted{ID: id, Queue: queue, Service: svc, Team: testTeam, AcceptedAt: time.Now(), Spec: jobs.Spec{Payload: "p", Steps: steps}}
 	value, err := json.Marshal(a)
 	require.NoError(s.t, err)
 	s.store.Put(JobKey(id), value)
