schedule: hold capacity for long-running tasks that fit nowhere yet

Callers saw: a large long-running task without a run for as long as its service has many small tasks. Cause: each gap that an ended task leaves is filled at once by a smaller one, so no gap is ever large enough; coming first in the order does not help a task that fits nowhere. Change: capacity is held for such a task on the minion that can take it soonest; smaller tasks use what is left besides. A task that no minion of the service can ever take is told apart (no_minion). The plan can also find places for running tasks that are to be stopped; nothing uses that yet.

--- a/internal/coordinator/plan.go
+++ b/internal/coordinator/plan.go
@@ -93,6 +93,7 @@
 		}
 		if task.Step.Spec.LongRunning {
 			out.LongRunning++
+			out.LongRunningUse = out.LongRunningUse.Add(task.Step.Spec.Reserved())
 		}
 	}
 	return out
--- a/internal/schedule/choose_test.go
+++ b/internal/schedule/choose_test.go
@@ -81,7 +81,7 @@
 				if got == nil {
 					break
 				}
-				got.reserve(&s)
+				got.Reserve(s.StepRun)
 			}
 		}
 	})
--- a/internal/schedule/doc.go
+++ b/internal/schedule/doc.go
@@ -2,6 +2,8 @@
 // from a Snapshot and keeps no state between calls.
 //
 // order.go sorts the steps, fit.go chooses the minion for a task, and plan.go combines both.
+// relocate.go finds places for running long-running tasks that are to be stopped, and holds capacity
+// for those that fit nowhere yet.
 // overload.go detects services whose waiting work exceeds what their minions can do in time, and
 // computes the fair shares of the teams on them.
 //
--- a/internal/schedule/fit.go
+++ b/internal/schedule/fit.go
@@ -9,8 +9,13 @@
 // accepts reports whether a minion meets a step's constraints and has free capacity for one more
 // of its tasks.
 func (m *Minion) accepts(s *Step) bool {
+	return s.StepRun.Spec.Reserved().Fits(m.Free) && m.allows(s)
+}
+
+// allows reports whether a minion meets a step's constraints, regardless of its capacity.
+func (m *Minion) allows(s *Step) bool {
 	spec := s.StepRun.Spec
-	if m.Service != s.Service || !spec.Reserved().Fits(m.Free) {
+	if m.Service != s.Service {
 		return false
 	}
 	if spec.Label != "" && spec.Label != m.Kind && spec.Label != string(m.Rack) {
@@ -82,7 +87,7 @@
 	// other pools.
 	sc.freeShare = m.freeShare()
 	if spec.LongRunning {
-		if m.MaintenanceDue {
+		if m.MaintenanceDue || m.Draining {
 			sc.penalties |= penaltyMaintenanceDue
 		}
 		// Long-running tasks are packed on few minions, so that the other machines can move to
@@ -113,12 +118,15 @@
 	return share
 }
 
-// reserve counts one task of a step on the minion.
-func (m *Minion) reserve(s *Step) {
-	spec := s.StepRun.Spec
+// Reserve counts one task of a step on the minion.
+func (m *Minion) Reserve(s *jobs.StepRun) {
+	spec := s.Spec
 	m.Free = m.Free.Sub(spec.Reserved())
 	if spec.MaxPerMinion > 0 {
-		m.TasksPerStep[s.StepRun]++
+		if m.TasksPerStep == nil {
+			m.TasksPerStep = map[*jobs.StepRun]int{}
+		}
+		m.TasksPerStep[s]++
 	}
 	if spec.TailTarget > 0 {
 		m.Serving++
@@ -128,10 +136,11 @@
 	}
 	if spec.LongRunning {
 		m.LongRunning++
+		m.LongRunningUse = m.LongRunningUse.Add(spec.Reserved())
 	}
 }
 
-// release undoes reserve.
+// release undoes Reserve.
 func (m *Minion) release(s *Step) {
 	spec := s.StepRun.Spec
 	m.Free = m.Free.Add(spec.Reserved())
@@ -146,6 +155,7 @@
 	}
 	if spec.LongRunning {
 		m.LongRunning--
+		m.LongRunningUse = m.LongRunningUse.Sub(spec.Reserved())
 	}
 }
 
--- a/internal/schedule/plan.go
+++ b/internal/schedule/plan.go
@@ -30,9 +30,20 @@
 		p.byService[m.Service] = append(p.byService[m.Service], m)
 	}
 	p.loads = serviceLoads(s)
+	sorted := sortSteps(s.Now, s.Steps, p.loads)
+	// All steps of long-running tasks come before the others in this order. Their tasks without a
+	// run get a place before those that only change theirs.
+	longRunning := 0
+	for longRunning < len(sorted) && sorted[longRunning].StepRun.Spec.LongRunning {
+		p.placeStep(sorted[longRunning])
+		longRunning++
+	}
+	for _, st := range sorted[:longRunning] {
+		p.relocateStep(st)
+	}
 	var deferred []*Step
-	for _, st := range sortSteps(s.Now, s.Steps, p.loads) {
-		if l := p.loads[st.Service]; l != nil && l.exceedsFairShare(st.Team) && !st.StepRun.Spec.LongRunning {
+	for _, st := range sorted[longRunning:] {
+		if l := p.loads[st.Service]; l != nil && l.exceedsFairShare(st.Team) {
 			deferred = append(deferred, st) // teams within their fair share come first
 			continue
 		}
@@ -48,6 +59,9 @@
 // as a whole is not placed at all.
 func (p *planner) placeStep(s *Step) {
 	minions := p.byService[s.Service]
+	if len(s.Waiting) == 0 {
+		return
+	}
 	if len(minions) == 0 {
 		p.leaveWaiting(s, len(s.Waiting), ReasonNoMinion)
 		return
@@ -70,10 +84,14 @@
 				p.undoGang(s, team, placed)
 				i = 0
 			}
+			if reason == ReasonNoCapacity && s.StepRun.Spec.LongRunning {
+				p.holdCapacity(s, len(s.Waiting)-i, minions)
+				return
+			}
 			p.leaveWaiting(s, len(s.Waiting)-i, reason)
 			return
 		}
-		m.reserve(s)
+		m.Reserve(s.StepRun)
 		if team != nil {
 			team.Used = team.Used.Add(need)
 		}
--- /dev/null
+++ b/internal/schedule/relocate.go
@@ -0,0 +1,60 @@
+package schedule
+
+import "cmp"
+
+// relocateStep finds a place for each long-running task of a step that is to be stopped. The places
+// are on minions that are not being drained themselves.
+func (p *planner) relocateStep(s *Step) {
+	var targets []*Minion
+	for _, m := range p.byService[s.Service] {
+		if !m.Draining {
+			targets = append(targets, m)
+		}
+	}
+	for i, t := range s.Relocating {
+		m := choose(targets, s, t)
+		if m == nil {
+			p.holdCapacity(s, len(s.Relocating)-i, targets)
+			return
+		}
+		m.Reserve(s.StepRun)
+		p.plan.Relocate = append(p.plan.Relocate, Assignment{Task: t, Minion: m.ID})
+	}
+}
+
+// holdCapacity reserves capacity for n long-running tasks that fit nowhere yet, on minions that can
+// take them once other tasks have ended. Without it, a task larger than the gaps that others leave
+// would wait for as long as smaller ones fill each gap. It records the tasks as not placed.
+func (p *planner) holdCapacity(s *Step, n int, minions []*Minion) {
+	for ; n > 0; n-- {
+		m := minionToHold(s, minions)
+		if m == nil {
+			p.leaveWaiting(s, n, ReasonNoMinion)
+			return
+		}
+		m.Reserve(s.StepRun)
+		p.leaveWaiting(s, 1, ReasonNoCapacity)
+	}
+}
+
+// minionToHold returns the minion that can take a task of a step soonest: the one with the most free
+// capacity among those that long-running tasks leave enough of. Draining ones are the last choice.
+func minionToHold(s *Step, minions []*Minion) *Minion {
+	var best *Minion
+	for _, m := range minions {
+		if !m.allows(s) || !s.StepRun.Spec.Reserved().Fits(m.Capacity.Sub(m.LongRunningUse)) {
+			continue
+		}
+		if best == nil || m.freesUpBefore(best) {
+			best = m
+		}
+	}
+	return best
+}
+
+func (m *Minion) freesUpBefore(o *Minion) bool {
+	if m.Draining != o.Draining {
+		return o.Draining
+	}
+	return cmp.Or(cmp.Compare(o.freeShare(), m.freeShare()), cmp.Compare(m.ID, o.ID)) < 0
+}
--- a/internal/schedule/types.go
+++ b/internal/schedule/types.go
@@ -37,6 +37,9 @@
 	Value float64
 	// Waiting lists the tasks that can start now.
 	Waiting []*jobs.Task
+	// Relocating lists the running long-running tasks that are to be stopped once there is a place
+	// for their next run.
+	Relocating []*jobs.Task
 }
 
 // Minion is a minion that accepts new tasks.
@@ -51,8 +54,11 @@
 	// Serving counts the tasks with a latency target, Scavengers those that use only
 	// processor time left over by others.
 	Serving, Scavengers int
-	// LongRunning counts the long-running tasks.
-	LongRunning int
+	// LongRunning counts the long-running tasks, LongRunningUse is what they reserve.
+	LongRunning    int
+	LongRunningUse jobs.Resources
+	// Draining minions are to lose their long-running tasks: no task is relocated to them.
+	Draining bool
 	// Suspect minions recently refused an order or did not answer it; they are used last.
 	Suspect bool
 	// MaintenanceDue is set if the minion's machine will be maintained soon: long-running tasks
@@ -81,9 +87,11 @@
 type Reason string
 
 const (
+	// ReasonNoCapacity: a minion can take the task once others on it have ended.
 	ReasonNoCapacity Reason = "no_room"
 	ReasonTeamLimit  Reason = "team_limit"
-	ReasonNoMinion   Reason = "no_minion"
+	// ReasonNoMinion: no minion of the service may take the task, or long-running tasks use them all.
+	ReasonNoMinion Reason = "no_minion"
 )
 
 // Unplaced is a step of which some tasks were not placed.
@@ -93,8 +101,10 @@
 	Reason  Reason
 }
 
-// Plan lists the tasks to start and the steps with tasks that keep waiting.
+// Plan lists the tasks to start, the running tasks to stop with the minion that is to run them
+// next, and the steps with tasks that keep waiting or could not be relocated.
 type Plan struct {
 	Start    []Assignment
+	Relocate []Assignment
 	Unplaced []Unplaced
 }
