coordinator, capacity: no planned stop of a long-running task without a place for its next run

Cause: a wave stopped a task before there was a place for it. Where its step allows one task less at a time, the drained machines kept the other tasks, took no work and stayed so, while the stopped task had no other minion: each waited for the other until another service's burst ended. Nothing could break it, because only empty machines are moved, a machine of a burst is never empty, and the plan counted draining machines as empty machines of the service. Change: (1) a long-running task on a draining or leaving minion is stopped once the plan has reserved a place for it on a minion that is not draining. (2) For a task that no minion of its service can take, a machine of the service with the most is emptied (no task is stopped for it) and moved. (3) Draining machines are no capacity in the plan of machines. (4) A machine whose draining makes no progress takes short tasks again. (5) An urgent wave stops without a place only what empties a machine at once; a leaving minion loses its tasks 1.2 s before its end.

--- a/internal/capacity/doc.go
+++ b/internal/capacity/doc.go
@@ -6,6 +6,7 @@
 // A plan is a pure function of a Snapshot; the history of demand is kept by one Demand per service.
 //
 // Invariants of a plan:
-//   - Only machines on which nothing runs are moved.
+//   - Only machines on which nothing runs are moved. Others are emptied first, and only for a service
+//     whose long-running tasks have no place; no task is stopped for it.
 //   - No service loses machines that it needs for its current demand and its reserve.
 package capacity
--- a/internal/capacity/plan.go
+++ b/internal/capacity/plan.go
@@ -35,8 +35,10 @@
 	RecentPeak int
 	// MinMachines is how many machines its tasks need because of limits per minion.
 	MinMachines int
-	// Unplaceable is set while a long-running task fits on none of the service's machines.
-	Unplaceable bool
+	// Unplaceable is how many machines the service needs for long-running tasks that fit on none of
+	// its machines now. Stranded is the part for those that will not fit there either once other
+	// tasks have ended.
+	Unplaceable, Stranded int
 	// Forecast is the number of cores that arriving jobs will need.
 	Forecast float64
 }
@@ -55,8 +57,12 @@
 	Incoming bool
 	// Usable is false for a machine that is down or does not answer.
 	Usable bool
-	// Tasks is the number of tasks on the machine.
-	Tasks int
+	// Tasks is the number of tasks on the machine, LongRunning that of the long-running ones.
+	Tasks, LongRunning int
+	// Reclaimable machines may be emptied for another service.
+	Reclaimable bool
+	// ReclaimedFor is the service for which the machine is being emptied, or empty.
+	ReclaimedFor model.Service
 }
 
 // Snapshot is the input of a plan.
@@ -77,8 +83,9 @@
 type serviceState struct {
 	Service
 	machines []Machine
-	// target is how many machines the service should have, incoming how many the plan moves to it.
-	target, incoming int
+	// target is how many machines the service should have, incoming how many the plan moves to it,
+	// and reclaiming how many are being emptied for it.
+	target, incoming, reclaiming int
 }
 
 // Target is how many machines a service has and should have, and the demand behind it in cores.
@@ -94,7 +101,11 @@
 
 // Plan is the moves to make and the targets that led to them.
 type Plan struct {
-	Moves   []Move
+	Moves []Move
+	// Reclaim lists the machines to empty for another service, Release those that are being emptied
+	// and are no longer needed there.
+	Reclaim []Move
+	Release []model.VM
 	Targets []Target
 }
 
@@ -108,6 +119,8 @@
 	var standby []Machine
 	for _, m := range s.Machines {
 		switch st := byName[m.Pool]; {
+		case m.ReclaimedFor != "":
+			// belongs to nobody until it is moved or released
 		case m.Pool == s.Standby && m.Movable:
 			standby = append(standby, m)
 		case st != nil && m.Usable:
@@ -124,6 +137,7 @@
 		return cmp.Or(cmp.Compare(b.shortfall(), a.shortfall()), cmp.Compare(a.Name, b.Name))
 	})
 	var p Plan
+	p.finishReclaims(s.Machines, byName)
 	move := func(st *serviceState) bool {
 		m, ok := takeMachine(&standby, services, st)
 		if ok {
@@ -132,11 +146,10 @@
 		}
 		return ok
 	}
-	// One machine for a long-running task that fits nowhere comes before all shortfalls: its service
-	// lacks only this one, and would otherwise wait for as long as others have a burst.
+	// Machines for long-running tasks that fit nowhere come before all shortfalls: their service lacks
+	// only these, and would otherwise wait for as long as others have a burst.
 	for _, st := range services {
-		if st.needsMachineForTask() && st.shortfall() > 0 {
-			move(st)
+		for st.lacking(st.Unplaceable) > 0 && move(st) {
 		}
 	}
 	for _, st := range services {
@@ -144,6 +157,9 @@
 		for st.shortfall() > 0 && move(st) {
 		}
 	}
+	for _, st := range services {
+		p.reclaim(services, st)
+	}
 	if s.Standby == "" {
 		return p
 	}
@@ -174,16 +190,20 @@
 	byCPU := max(float64(st.Busy.CPU)+backlogShare*float64(st.Waiting.CPU), float64(st.LongRunning.CPU)+1000*st.Forecast)*overprovisioning/float64(size.CPU) + reserveMachines
 	byMemory := (float64(st.Busy.MemoryMB)+backlogShare*float64(st.Waiting.MemoryMB))*overprovisioning/float64(size.MemoryMB) + reserveMachines
 	target := max(st.MinMachines, int(math.Ceil(max(byCPU, byMemory))))
-	if st.needsMachineForTask() {
-		target = max(target, len(st.machines)+1)
+	if lacking := st.lacking(st.Unplaceable); lacking > 0 {
+		target = max(target, len(st.machines)+lacking)
 	}
 	return target
 }
 
-// needsMachineForTask reports whether a long-running task fits on none of the service's machines and
-// no machine is on its way.
-func (st *serviceState) needsMachineForTask() bool {
-	return st.Unplaceable && !slices.ContainsFunc(st.machines, func(m Machine) bool { return m.Incoming })
+// lacking returns how many of n machines that the service needs in addition are not on their way.
+func (st *serviceState) lacking(n int) int {
+	for _, m := range st.machines {
+		if m.Incoming {
+			n--
+		}
+	}
+	return max(0, n-st.incoming-st.reclaiming)
 }
 
 // shortfall returns how many machines the service lacks, besides those that the plan moves to it.
--- a/internal/capacity/plan_test.go
+++ b/internal/capacity/plan_test.go
@@ -51,10 +51,10 @@
 // all machines together would be enough.
 func TestUnplaceableTaskGetsOneMoreMachine(t *testing.T) {
 	all := append(machines("s", 4, false, 0), machines("off", 2, true, 0)...)
-	p := NewPlan(Snapshot{Standby: "off", Machines: all, Services: []Service{{Name: "s", Unplaceable: true}}})
+	p := NewPlan(Snapshot{Standby: "off", Machines: all, Services: []Service{{Name: "s", Unplaceable: 1}}})
 	require.Equal(t, []Move{{Machine: "off-0", To: "s"}}, p.Moves)
 	all[4].Pool, all[4].Movable, all[4].Incoming = "s", false, true
-	require.Empty(t, NewPlan(Snapshot{Standby: "off", Machines: all, Services: []Service{{Name: "s", Unplaceable: true}}}).Moves)
+	require.Empty(t, NewPlan(Snapshot{Standby: "off", Machines: all, Services: []Service{{Name: "s", Unplaceable: 1}}}).Moves)
 }
 
 // Guards against machines that are moved to standby and back within seconds.
@@ -103,7 +103,7 @@
 func TestUnplaceableTaskComesBeforeABurst(t *testing.T) {
 	all := append(machines("hot", 2, false, 0), machines("lasting", 4, false, 0)...)
 	all = append(all, machines("off", 1, true, 0)...)
-	s := Snapshot{Standby: "off", Machines: all, Services: []Service{{Name: "hot", Forecast: 900}, {Name: "lasting", Unplaceable: true}}}
+	s := Snapshot{Standby: "off", Machines: all, Services: []Service{{Name: "hot", Forecast: 900}, {Name: "lasting", Unplaceable: 1}}}
 	require.Equal(t, []Move{{Machine: "off-0", To: "lasting"}}, NewPlan(s).Moves)
 	s.Machines = append(s.Machines, Machine{Name: "off-1", Pool: "off", Capacity: machineSize, Movable: true, Usable: true})
 	moves := NewPlan(s).Moves
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -123,8 +123,10 @@
 	pollGap time.Duration
 	// runLease is the duration of the leases that minions are granted for their runs.
 	runLease time.Duration
-	// noCapacity contains the steps for which the last plan found no free capacity.
-	noCapacity map[*jobs.StepRun]bool
+	// unplaced are the steps with tasks for which the last plan found no place.
+	unplaced map[*jobs.StepRun]unplacedStep
+	// reservedPlaces holds, by task that is being relocated, the minion that is to run it next.
+	reservedPlaces map[*jobs.Task]jobs.Minion
 }
 
 // View is a snapshot of a term's counts for other goroutines. It is immutable.
@@ -156,7 +158,7 @@
 		deps: d, held: held, epoch: held.Row.Epoch, events: make(chan func(), 4096), ctx: ctx, stop: stop,
 		log:      d.Log.With().Uint64("epoch", held.Row.Epoch).Logger(),
 		registry: jobs.NewRegistry(), minions: map[jobs.Minion]*holding.Minion{}, queues: map[model.Queue]site.Queue{},
-		pendingStarts: map[*jobs.Task]*pendingStart{}, pendingStops: map[*jobs.Task]*pendingStop{}, runLease: min(runLeaseTTL, d.Limits.MaxMinionLease), pollGap: minPollGap,
+		pendingStarts: map[*jobs.Task]*pendingStart{}, pendingStops: map[*jobs.Task]*pendingStop{}, reservedPlaces: map[*jobs.Task]jobs.Minion{}, runLease: min(runLeaseTTL, d.Limits.MaxMinionLease), pollGap: minPollGap,
 	}
 	t.now = d.Now()
 	t.startedAt, t.leaseUntil, t.leaseVersion = t.now, held.ExpiresAt, held.Version
--- a/internal/coordinator/evacuate.go
+++ b/internal/coordinator/evacuate.go
@@ -1,11 +1,14 @@
 package coordinator
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"boragepulley/internal/holding"
 	"boragepulley/internal/jobs"
 	"boragepulley/internal/model"
+	"boragepulley/internal/schedule"
 )
 
 // servingPercent is the progress, in percent, that a long-running task reports while it is
@@ -48,14 +51,98 @@
 	return unavailable < spec.MaxUnavailable
 }
 
-// evacuate evicts the long-running tasks of a minion that gets no new work, as far as their
-// availability budgets allow, and reports whether the minion is empty. Other tasks run to
-// completion.
-func (t *Term) evacuate(m *holding.Minion, reason model.Reason) (empty bool) {
+// evictionMargin is how long before a leaving minion is gone its long-running tasks are evicted
+// without a place for their next run: a stop takes up to 0.9 s (the platform's stop_ms).
+const evictionMargin = 1200 * time.Millisecond
+
+// evict evicts the long-running tasks of a minion, as far as their availability budgets allow,
+// whether or not there is a place for their next run.
+func (t *Term) evict(m *holding.Minion, reason model.Reason) {
 	for task := range m.Tasks {
 		if task.Step.Spec.LongRunning && task.Phase == jobs.Running && t.mayEvict(task) {
 			t.stopRun(task, reason)
 		}
 	}
-	return len(m.Tasks) == 0
+}
+
+// mayEvictAll reports whether all long-running tasks of a minion may be evicted at once.
+func (t *Term) mayEvictAll(m *holding.Minion) bool {
+	perStep := map[*jobs.StepRun]int{}
+	for task := range m.Tasks {
+		if !task.Step.Spec.LongRunning {
+			continue
+		}
+		perStep[task.Step]++
+		if !t.mayEvict(task) || task.Step.Spec.MaxUnavailable > 0 && perStep[task.Step] > 1 {
+			return false
+		}
+	}
+	return true
+}
+
+// relocating returns, by step, the long-running tasks that are to run elsewhere because their minion
+// is draining or leaving, and that may be evicted now. The plan finds places for them.
+func (t *Term) relocating() map[*jobs.StepRun][]*jobs.Task {
+	out := map[*jobs.StepRun][]*jobs.Task{}
+	if !t.leading() {
+		return out
+	}
+	for _, m := range t.minions {
+		if !m.Draining && !m.Leaving || m.FailedPolls > 0 {
+			continue
+		}
+		for task := range m.Tasks {
+			if task.Step.Spec.LongRunning && task.Phase == jobs.Running && t.mayEvict(task) {
+				out[task.Step] = append(out[task.Step], task)
+			}
+		}
+	}
+	for _, tasks := range out {
+		slices.SortFunc(tasks, func(a, b *jobs.Task) int { return cmp.Compare(a.Index, b.Index) })
+	}
+	return out
+}
+
+// relocate evicts a task whose next run has a place on a minion. The place is reserved until the
+// task has stopped.
+func (t *Term) relocate(task *jobs.Task, to jobs.Minion) {
+	m := t.minions[task.Minion]
+	if m == nil || !t.mayEvict(task) {
+		return
+	}
+	reason := reasonWave
+	if m.Leaving {
+		reason = reasonLeaving
+	}
+	counters.Add("relocations", 1)
+	t.stopRun(task, reason)
+	t.reservedPlaces[task] = to
+}
+
+// reservePlaces subtracts the places of tasks that are being relocated from the minions of a
+// snapshot. Once a task has stopped it is placed like any other waiting task.
+func (t *Term) reservePlaces(minions []schedule.Minion) {
+	byMinion := map[jobs.Minion][]*jobs.Task{}
+	for task, to := range t.reservedPlaces {
+		if task.Phase != jobs.Stopping {
+			delete(t.reservedPlaces, task)
+			continue
+		}
+		byMinion[to] = append(byMinion[to], task)
+	}
+	for i := range minions {
+		for _, task := range byMinion[minions[i].ID] {
+			minions[i].Reserve(task.Step)
+		}
+	}
+}
+
+// hasReservedPlace reports whether a minion is to run a task that is being relocated.
+func (t *Term) hasReservedPlace(id jobs.Minion) bool {
+	for task, to := range t.reservedPlaces {
+		if to == id && task.Phase == jobs.Stopping {
+			return true
+		}
+	}
+	return false
 }
--- a/internal/coordinator/machineorders.go
+++ b/internal/coordinator/machineorders.go
@@ -117,6 +117,7 @@
 	if minion := t.minions[m.Minion]; minion != nil {
 		minion.Cordoned = true
 	}
+	delete(t.machines.reclaims, mv.Machine)
 	counters.Add("moves", 1)
 	pending := &move{to: mv.To, orderedAt: t.now, minion: m.Minion, inFlight: true}
 	t.machines.moves[mv.Machine] = pending
--- a/internal/coordinator/machines.go
+++ b/internal/coordinator/machines.go
@@ -28,6 +28,11 @@
 	listing        bool
 	// moves are in progress or not yet visible in the list.
 	moves map[model.VM]*move
+	// reclaims are the machines that are being emptied for another service.
+	reclaims map[model.VM]reclaim
+	// unlistedSince is, by minion of a machine that is up, since when it has not been in the list of
+	// minions.
+	unlistedSince map[jobs.Minion]time.Duration
 	// queuedOrders wait until recentOrdersKey is stored with their machines. lastOrder is when this
 	// term's last order for a machine was sent or answered; blockedUntil is until when an earlier
 	// coordinator's last order keeps this term from ordering the machine. orderRowStored is set
@@ -48,7 +53,7 @@
 }
 
 func (s *machines) init() {
-	s.byName, s.moves = map[model.VM]site.Machine{}, map[model.VM]*move{}
+	s.byName, s.moves, s.reclaims = map[model.VM]site.Machine{}, map[model.VM]*move{}, map[model.VM]reclaim{}
 	s.lastOrder, s.endedMinions = map[model.VM]time.Duration{}, map[jobs.Minion]bool{}
 	s.demand, s.runTimes = map[model.Service]*capacity.Demand{}, map[model.Queue]*runTimeMean{}
 }
@@ -80,9 +85,16 @@
 	s := &t.machines
 	s.byName = make(map[model.VM]site.Machine, len(list))
 	s.currentMinions = make(map[jobs.Minion]bool, len(list))
+	unlisted := map[jobs.Minion]time.Duration{}
 	for _, m := range list {
 		s.byName[m.Name] = m
 		s.currentMinions[m.Minion] = true
+		if m.State == site.MachineUp && m.Minion != "" && t.minions[m.Minion] == nil {
+			unlisted[m.Minion] = t.now
+			if since, ok := s.unlistedSince[m.Minion]; ok {
+				unlisted[m.Minion] = since
+			}
+		}
 		mv := s.moves[m.Name]
 		if mv == nil || mv.inFlight || mv.orderedAt >= requestedAt {
 			continue
@@ -94,6 +106,7 @@
 			t.uncordon(mv.minion)
 		}
 	}
+	s.unlistedSince = unlisted
 	t.needsPlan = true
 }
 
@@ -118,8 +131,8 @@
 // uncordon allows new work on a minion again after the order for which it was cordoned was not
 // carried out.
 func (t *Term) uncordon(id jobs.Minion) {
-	if m := t.minions[id]; m != nil && m.Cordoned {
-		m.Cordoned = false
+	if m := t.minions[id]; m != nil && (m.Cordoned || m.Draining) {
+		m.Cordoned, m.Draining = false, false
 		t.needsPlan = true
 	}
 }
--- a/internal/coordinator/minions.go
+++ b/internal/coordinator/minions.go
@@ -30,13 +30,16 @@
 		return
 	case m == nil:
 		m = holding.New(e, 0)
-		m.EmptySince = t.now
+		m.EmptySince, m.LeavesAt = t.now, t.now+e.Remaining
 		t.minions[e.ID] = m
 		// The removal of the minion's row may still be due. It would follow the new record.
 		delete(t.writer.goneMinions, e.ID)
 	case m.Incarnation != 0 && e.Incarnation != 0 && e.Incarnation < m.Incarnation:
 		return // entry of an earlier incarnation
 	default:
+		if e.Leaving {
+			m.LeavesAt = t.now + e.Remaining
+		}
 		if e.Leaving && !m.Leaving {
 			t.log.Info().Str("minion", id).Int("tasks", len(m.Tasks)).Dur("remaining", e.Remaining).Msg("Coordinator: minion is leaving.")
 		}
@@ -79,8 +82,8 @@
 		if m.Listed && !m.Recorded {
 			t.writer.newMinions[m] = true
 		}
-		if m.Leaving && m.FailedPolls == 0 && t.leading() {
-			t.evacuate(m, reasonLeaving)
+		if m.Leaving && m.FailedPolls == 0 && t.leading() && t.now >= m.LeavesAt-evictionMargin {
+			t.evict(m, reasonLeaving)
 		}
 		if !m.Polling && t.now >= m.NextPoll && t.leading() {
 			t.poll(m)
--- a/internal/coordinator/plan.go
+++ b/internal/coordinator/plan.go
@@ -40,21 +40,50 @@
 	t.needsPlan = false
 	snap := t.snapshot()
 	if len(snap.Steps) == 0 {
-		t.noCapacity = nil
+		t.unplaced = nil
 		return
 	}
 	p := schedule.NewPlan(snap)
-	t.noCapacity = map[*jobs.StepRun]bool{}
-	for _, unplaced := range p.Unplaced {
-		if unplaced.Reason == schedule.ReasonNoCapacity || unplaced.Reason == schedule.ReasonNoMinion {
-			t.noCapacity[unplaced.StepRun] = true
-		}
-	}
+	t.recordUnplaced(p.Unplaced)
 	for _, assignment := range p.Start {
 		if m := t.minions[assignment.Minion]; m != nil {
 			t.startTask(assignment.Task, m)
 		}
 	}
+	for _, assignment := range p.Relocate {
+		t.relocate(assignment.Task, assignment.Minion)
+	}
+}
+
+// unplacedStep tells of a step with tasks that found no place in the last plan.
+type unplacedStep struct {
+	// since is when a plan first found no place for any of them.
+	since time.Duration
+	// tasks found no place. For noMinion of them there is none on the service's minions, even once
+	// other tasks have ended there.
+	tasks, noMinion int
+}
+
+func (t *Term) recordUnplaced(all []schedule.Unplaced) {
+	before := t.unplaced
+	t.unplaced = map[*jobs.StepRun]unplacedStep{}
+	for _, u := range all {
+		if u.Reason == schedule.ReasonTeamLimit {
+			continue
+		}
+		x, ok := t.unplaced[u.StepRun]
+		if !ok {
+			x.since = t.now
+			if b, ok := before[u.StepRun]; ok {
+				x.since = b.since
+			}
+		}
+		x.tasks += u.Tasks
+		if u.Reason == schedule.ReasonNoMinion {
+			x.noMinion += u.Tasks
+		}
+		t.unplaced[u.StepRun] = x
+	}
 }
 
 func (t *Term) snapshot() *schedule.Snapshot {
@@ -69,6 +98,8 @@
 		minion.MaintenanceDue = maintenanceDue[m.ID]
 		s.Minions = append(s.Minions, minion)
 	}
+	t.reservePlaces(s.Minions)
+	relocating := t.relocating()
 	wall := time.Now()
 	for _, j := range t.registry.Open() {
 		j.OpenSteps(wall)
@@ -76,14 +107,14 @@
 		if j.Inherited && !t.inheritedRunsKnown(j) {
 			continue
 		}
-		s.Steps = append(s.Steps, t.waitingSteps(j, q)...)
+		s.Steps = append(s.Steps, t.waitingSteps(j, q, relocating)...)
 	}
 	return s
 }
 
 func minionSnapshot(m *holding.Minion, now time.Duration, perStep map[jobs.Minion]map[*jobs.StepRun]int) schedule.Minion {
 	out := schedule.Minion{ID: m.ID, Service: m.Service, Kind: m.Kind, Rack: m.Rack, Free: m.Capacity.Sub(m.Used), Capacity: m.Capacity,
-		Suspect: now < m.AvoidUntil, TasksPerStep: perStep[m.ID]}
+		Suspect: now < m.AvoidUntil, Draining: m.Draining, TasksPerStep: perStep[m.ID]}
 	for task := range m.Tasks {
 		if task.Step.Spec.TailTarget > 0 {
 			out.Serving++
@@ -99,19 +130,19 @@
 	return out
 }
 
-// waitingSteps returns the steps of a job with tasks to start.
-func (t *Term) waitingSteps(j *jobs.Job, q site.Queue) []schedule.Step {
+// waitingSteps returns the steps of a job with tasks to start or to relocate.
+func (t *Term) waitingSteps(j *jobs.Job, q site.Queue, relocating map[*jobs.StepRun][]*jobs.Task) []schedule.Step {
 	var out []schedule.Step
 	for _, s := range j.Steps {
 		waiting := s.WaitingTasks()
-		if len(waiting) == 0 {
+		if len(waiting) == 0 && len(relocating[s]) == 0 {
 			continue
 		}
 		arrived := j.LearnedAt
 		chain := longestChain(j)
 		out = append(out, schedule.Step{StepRun: s, Service: q.Service, Team: j.Team, Priority: q.Priority, Arrived: arrived,
 			Deadline:      arrived + time.Duration(q.Stretch*float64(chain)) + q.Target,
-			RemainingTime: max(j.Spec.CriticalPath(s.Index), defaultEstimate/10), RemainingWork: j.WorkLeft(), Value: t.jobValue(j, q.Service), Waiting: waiting})
+			RemainingTime: max(j.Spec.CriticalPath(s.Index), defaultEstimate/10), RemainingWork: j.WorkLeft(), Value: t.jobValue(j, q.Service), Waiting: waiting, Relocating: relocating[s]})
 	}
 	return out
 }
--- a/internal/coordinator/rebalance.go
+++ b/internal/coordinator/rebalance.go
@@ -83,9 +83,15 @@
 		return
 	}
 	p := capacity.NewPlan(snap)
+	for _, name := range p.Release {
+		t.releaseMachine(name)
+	}
 	for _, mv := range p.Moves {
 		t.moveMachine(mv)
 	}
+	for _, mv := range p.Reclaim {
+		t.reclaimMachine(mv)
+	}
 	for _, target := range p.Targets {
 		t.demandOf(target.Service).RecordTarget(t.now, target.Want)
 		countHeld(target.Held, capacityInterval)
@@ -134,9 +140,38 @@
 	busy, waiting, longRunning jobs.Resources
 	// minMachines is how many machines they need because of limits on tasks per minion.
 	minMachines int
-	// unplaceable is set while a long-running task finds no free capacity on the service's
-	// machines.
-	unplaceable bool
+	// unplaceable and stranded are the long-running tasks that find no place on the service's
+	// machines now, and those that will not find one there either once other tasks have ended.
+	unplaceable, stranded unplacedTasks
+}
+
+// unplacedTasks sums long-running tasks without a place.
+type unplacedTasks struct {
+	need jobs.Resources
+	// machines is the most machines that any of their steps needs because of its limit per minion.
+	machines int
+}
+
+func (u *unplacedTasks) add(s *jobs.Step, tasks int) {
+	u.need = u.need.Add(s.Reserved().Scale(tasks))
+	if tasks > 0 {
+		u.machines = max(u.machines, 1)
+	}
+	if s.MaxPerMinion > 0 {
+		u.machines = max(u.machines, (tasks+s.MaxPerMinion-1)/s.MaxPerMinion)
+	}
+}
+
+// machinesOf returns how many machines of the given size the tasks need.
+func (u *unplacedTasks) machinesOf(size jobs.Resources) int {
+	n := int64(u.machines)
+	if size.CPU > 0 {
+		n = max(n, (u.need.CPU+size.CPU-1)/size.CPU)
+	}
+	if size.MemoryMB > 0 {
+		n = max(n, (u.need.MemoryMB+size.MemoryMB-1)/size.MemoryMB)
+	}
+	return int(n)
 }
 
 // unplaceableAfter is how long a long-running task may find no free capacity before its service
@@ -146,7 +181,12 @@
 
 func (t *Term) serviceSnapshot(name model.Service, l serviceLoad) capacity.Service {
 	d := t.demandOf(name)
-	return capacity.Service{Name: name, Busy: l.busy, Waiting: l.waiting, LongRunning: l.longRunning, MinMachines: l.minMachines, Unplaceable: l.unplaceable,
+	var size jobs.Resources
+	for _, m := range t.machines.byName {
+		size.CPU, size.MemoryMB = max(size.CPU, m.Capacity.CPU), max(size.MemoryMB, m.Capacity.MemoryMB)
+	}
+	return capacity.Service{Name: name, Busy: l.busy, Waiting: l.waiting, LongRunning: l.longRunning, MinMachines: l.minMachines,
+		Unplaceable: l.unplaceable.machinesOf(size), Stranded: l.stranded.machinesOf(size),
 		Forecast: d.Forecast(t.now), RecentPeak: d.RecentPeak(t.now)}
 }
 
@@ -158,23 +198,16 @@
 		l := out[svc]
 		for _, s := range j.Steps {
 			l.add(s)
-			l.unplaceable = l.unplaceable || s.Spec.LongRunning && t.noCapacity[s] && t.waitsLonger(s, unplaceableAfter)
+			if u, ok := t.unplaced[s]; ok && s.Spec.LongRunning && t.now > u.since+unplaceableAfter {
+				l.unplaceable.add(s.Spec, u.tasks)
+				l.stranded.add(s.Spec, u.noMinion)
+			}
 		}
 		out[svc] = l
 	}
 	return out
 }
 
-// waitsLonger reports whether a task of a step has been waiting for longer than d.
-func (t *Term) waitsLonger(s *jobs.StepRun, d time.Duration) bool {
-	for _, task := range s.Tasks {
-		if task.Phase == jobs.Waiting && t.now > task.PhaseSince+d {
-			return true
-		}
-	}
-	return false
-}
-
 func (l *serviceLoad) add(s *jobs.StepRun) {
 	running, waiting := 0, 0
 	for _, task := range s.Tasks {
@@ -203,7 +236,7 @@
 		return out
 	}
 	if t.inMaintenance(m.Name) {
-		out.Usable = out.Usable && m.State != site.MachineMaintenance
+		out.Usable = false // it takes no new work, and will be down
 		return out
 	}
 	if !t.mayOrderMachine(m.Name) {
@@ -215,11 +248,57 @@
 	}
 	minion := t.minions[m.Minion]
 	if minion == nil {
+		since, unlisted := t.machines.unlistedSince[m.Minion]
+		out.Incoming = unlisted && !t.machines.endedMinions[m.Minion] && t.now < since+joinTimeout
 		return out
 	}
 	out.Usable = out.Usable && minion.FailedPolls == 0 && !minion.Leaving
-	out.Movable = out.Usable && t.usable(minion) && len(minion.Tasks) == 0
 	out.Idle = t.now - minion.EmptySince
 	out.Tasks = len(minion.Tasks)
+	for task := range minion.Tasks {
+		if task.Step.Spec.LongRunning {
+			out.LongRunning++
+		}
+	}
+	if r := t.machines.reclaims[m.Name]; r.minion == m.Minion {
+		out.ReclaimedFor = r.to
+	} else {
+		delete(t.machines.reclaims, m.Name) // the machine runs a new incarnation of its minion
+	}
+	usable := out.Usable && (t.usable(minion) || out.ReclaimedFor != "" && minion.Polled) && !t.hasReservedPlace(minion.ID)
+	out.Movable = usable && len(minion.Tasks) == 0
+	out.Reclaimable = usable && out.ReclaimedFor == ""
 	return out
 }
+
+// joinTimeout is how long a machine that is up counts as joining its pool until its minion is in the
+// list of minions.
+const joinTimeout = 2 * time.Second
+
+// reclaim is a machine that is being emptied for a service.
+type reclaim struct {
+	to model.Service
+	// minion is the minion incarnation that was cordoned.
+	minion jobs.Minion
+}
+
+// reclaimMachine begins to empty a machine for another service: it gets no new work, and is moved
+// once its tasks have ended.
+func (t *Term) reclaimMachine(mv capacity.Move) {
+	m := t.machines.byName[mv.Machine]
+	minion := t.minions[m.Minion]
+	if minion == nil {
+		return
+	}
+	minion.Cordoned = true
+	t.machines.reclaims[mv.Machine] = reclaim{mv.To, m.Minion}
+	counters.Add("reclaims", 1)
+	t.log.Info().Str("machine", string(mv.Machine)).Str("from", string(m.Pool)).Str("to", string(mv.To)).Int("tasks", len(minion.Tasks)).Msg("Coordinator: emptying machine for another service.")
+}
+
+// releaseMachine returns a machine that was being emptied to its service.
+func (t *Term) releaseMachine(name model.VM) {
+	delete(t.machines.reclaims, name)
+	t.uncordon(t.machines.byName[name].Minion)
+	t.log.Info().Str("machine", string(name)).Msg("Coordinator: machine no longer needed by the other service.")
+}
--- a/internal/coordinator/waiting_test.go
+++ b/internal/coordinator/waiting_test.go
@@ -88,6 +88,11 @@
 	sleep(500 * time.Millisecond)
 }
 
+// begin announces a maintenance wave to the term.
+func (s *burstSite) begin(w site.Wave) {
+	require.NoError(s.t, s.term.do(s.t.Context(), func() { s.waves[w.ID] = w }))
+}
+
 // longRunningStep returns a step of n long-running tasks of half a core, at most one on each minion,
 // of which one may be made unavailable at a time.
 func longRunningStep(n int) jobs.Step {
@@ -134,7 +139,7 @@
 		s.submitJob(s.term, "0000000000000002", longRunningStep(4))
 		sleep(2 * time.Second)
 		running := append(taskNames("0000000000000001", 3), taskNames("0000000000000002", 3)...)
-		s.waves[1] = site.Wave{ID: 1, Machines: []model.VM{"s1", "s2"}, Duration: 30 * time.Second, MaxDown: 2}
+		s.begin(site.Wave{ID: 1, Machines: []model.VM{"s1", "s2"}, Duration: 30 * time.Second, MaxDown: 2})
 		longest, without := s.watch(25*time.Second, running...)
 		require.Less(t, longest, maxWait, "without a run at the end: %v", without)
 		s.requireNoViolations()
@@ -149,7 +154,7 @@
 		s.start()
 		s.submitJob(s.term, "0000000000000001", longRunningStep(2))
 		sleep(2 * time.Second)
-		s.waves[1] = site.Wave{ID: 1, Machines: []model.VM{"s0", "s1"}, Duration: 30 * time.Second, MaxDown: 1}
+		s.begin(site.Wave{ID: 1, Machines: []model.VM{"s0", "s1"}, Duration: 30 * time.Second, MaxDown: 1})
 		longest, without := s.watch(25*time.Second, taskNames("0000000000000001", 2)...)
 		require.Less(t, longest, plannedWait, "without a run at the end: %v", without)
 		require.Equal(t, []int{1, 1}, []int{s.moving.Maintained("s0"), s.moving.Maintained("s1")})
--- a/internal/coordinator/waves.go
+++ b/internal/coordinator/waves.go
@@ -71,6 +71,9 @@
 	since  time.Duration
 	// seenDown is set once the list of machines has shown the machine as not up.
 	seenDown bool
+	// longRunning is the number of long-running tasks at the last look, lessSince when it last fell.
+	longRunning int
+	lessSince   time.Duration
 }
 
 // waveRow is the stored state of a wave: when it was first seen, and the machines whose maintenance
@@ -175,6 +178,7 @@
 	remaining, draining, longRunningSlots := 0, 0, max(1, r.wave.MaxDown/longRunningShare)
 	var due []waveCandidate
 	busy := t.busyServices()
+	urgent := t.waveIsUrgent(r)
 	for _, machine := range r.machines {
 		switch machine.state {
 		case maintenanceDraining:
@@ -182,30 +186,43 @@
 			if _, longRunning := t.countTasks(machine); longRunning > 0 {
 				longRunningSlots--
 			}
-			if t.drained(machine) && down < r.wave.MaxDown && t.now >= machine.nextTry {
+			if t.drained(machine, urgent) && down < r.wave.MaxDown && t.now >= machine.nextTry {
 				down++
 				t.orderMaintenance(r, machine)
 			}
 		case maintenanceDue:
 			remaining++
 			m, ok := t.machines.byName[machine.name]
-			if !ok || m.State != site.MachineUp || t.now < machine.nextTry || t.machines.moves[machine.name] != nil || !t.mayOrderMachine(machine.name) {
+			if !ok || m.State != site.MachineUp || t.now < machine.nextTry || t.machines.moves[machine.name] != nil || t.machines.reclaims[machine.name].to != "" || !t.mayOrderMachine(machine.name) {
 				continue
 			}
 			tasks, longRunning := t.countTasks(machine)
 			due = append(due, waveCandidate{machine, tasks, longRunning, busy[m.Pool]})
 		}
 	}
-	urgent := t.now > r.startedAt+r.wave.Duration-waveTimeNeeded(remaining+draining, r.wave.MaxDown)
 	for _, machine := range chooseMachinesToDrain(due, r.wave.MaxDown-draining-down, longRunningSlots, urgent) {
 		m := t.machines.byName[machine.name]
 		machine.state, machine.minion, machine.since = maintenanceDraining, m.Minion, t.now
+		_, machine.longRunning = t.countTasks(machine)
+		machine.lessSince = t.now
 		if minion := t.minions[m.Minion]; minion != nil {
-			minion.Cordoned = true
+			minion.Cordoned, minion.Draining = true, true
 		}
+		t.log.Info().Int64("wave", r.wave.ID).Str("machine", string(machine.name)).Str("minion", string(m.Minion)).Int("long_running", machine.longRunning).Msg("Coordinator: draining machine.")
 	}
 }
 
+// waveIsUrgent reports whether a wave has no more time left than its remaining machines need.
+func (t *Term) waveIsUrgent(r *waveRun) bool {
+	remaining := 0
+	for _, machine := range r.machines {
+		if machine.state == maintenanceDue || machine.state == maintenanceDraining {
+			remaining++
+		}
+	}
+	return t.now > r.startedAt+r.wave.Duration-waveTimeNeeded(remaining, r.wave.MaxDown)
+}
+
 // longRunningShare limits how many of the machines that a wave takes at once may have long-running
 // tasks: one in longRunningShare. The others drain in a second.
 const longRunningShare = 2
@@ -256,15 +273,32 @@
 	return len(m.Tasks), longRunning
 }
 
-// drained evacuates a machine and reports whether nothing runs on it any more. A machine whose
-// minion does not answer is not drained before its leases have expired.
-func (t *Term) drained(machine *waveMachine) bool {
+// stuckAfter is how long a machine may be draining without losing a long-running task until it takes
+// other work again: a stop takes up to 0.9 s. A service whose machines all wait for a place for
+// their long-running tasks would otherwise do no work.
+const stuckAfter = 1200 * time.Millisecond
+
+// drained reports whether nothing runs on a draining machine any more, and cordons its minion while
+// it loses tasks. Long-running tasks are stopped once they have a place elsewhere; in an urgent wave
+// also if that empties the machine at once, as it is then back before long. A machine whose minion
+// does not answer is not drained before its leases have expired.
+func (t *Term) drained(machine *waveMachine, urgent bool) bool {
 	m := t.minions[machine.minion]
 	if m == nil {
 		return true
 	}
-	m.Cordoned = true
-	return t.evacuate(m, reasonWave) && m.Polled
+	_, longRunning := t.countTasks(machine)
+	if longRunning < machine.longRunning {
+		machine.lessSince = t.now
+	}
+	machine.longRunning = longRunning
+	stuck := longRunning > 0 && t.now > machine.lessSince+stuckAfter
+	if stuck && urgent && t.mayEvictAll(m) {
+		t.evict(m, reasonWave)
+	}
+	m.Draining, m.Cordoned = true, !stuck || len(m.Tasks) == 0
+	t.needsPlan = t.needsPlan || longRunning > 0
+	return len(m.Tasks) == 0 && m.Polled
 }
 
 func (t *Term) orderMaintenance(r *waveRun, machine *waveMachine) {
--- a/internal/holding/holding.go
+++ b/internal/holding/holding.go
@@ -59,6 +59,11 @@
 	// Cordoned minions get no new work, because their machine is about to move to another pool or
 	// to be maintained.
 	Cordoned bool
+	// Draining minions are to lose their long-running tasks, because their machine is to be
+	// maintained. They get new work only while that makes no progress, see Cordoned.
+	Draining bool
+	// LeavesAt is when a minion that is leaving may be gone.
+	LeavesAt time.Duration
 
 	// UnconfirmedStarts holds, by task name, the runs of start orders to this incarnation that were
 	// not answered and may be carried out late; StaleStarts holds those sent to earlier incarnations.
