logging: bounded writes of whole lines

Operators saw: requests and tasks without any line in the logs. Cause: the writer joined all queued lines into one write, of up to a megabyte after a pause. Change: at most 4 KiB a write, which a pipe never splits; whole lines; a longer line by itself.

--- a/internal/logging/async.go
+++ b/internal/logging/async.go
@@ -10,6 +10,10 @@
 // the log of a busy entry VM, at about 300 bytes per line.
 const maxQueuedLines = 4096
 
+// maxWriteBytes limits a write of several lines. POSIX guarantees that a write of up to 4 KiB to a
+// pipe is not split or mixed with others (PIPE_BUF on Linux); collectors may cut longer ones.
+const maxWriteBytes = 4096
+
 // dropped counts lines lost because the queue was full, and failed writes.
 var dropped = expvar.NewInt("log_lines_dropped")
 
@@ -39,21 +43,30 @@
 	return len(p), nil
 }
 
-// run writes all lines queued at a time with a single call.
+// run writes the queued lines, several in one write of at most maxWriteBytes. A longer line is
+// written by itself.
 func (a *AsyncWriter) run() {
 	defer close(a.done)
-	for line := range a.lines {
-		for range len(a.lines) {
-			next, ok := <-a.lines
-			if !ok {
-				break
-			}
-			line = append(line, next...)
+	var batch []byte
+	flush := func() {
+		if len(batch) == 0 {
+			return
 		}
-		if _, err := a.w.Write(line); err != nil {
+		if _, err := a.w.Write(batch); err != nil {
 			dropped.Add(1)
 		}
+		batch = batch[:0]
+	}
+	for line := range a.lines {
+		if len(batch)+len(line) > maxWriteBytes {
+			flush()
+		}
+		batch = append(batch, line...)
+		if len(a.lines) == 0 {
+			flush()
+		}
 	}
+	flush()
 }
 
 // Close writes the queued lines and stops the goroutine. Write must not be called after it.
