siteplatform, sitefaults: the site path as real processes on loopback

Cause: the platform's wire was spoken only by small fakes in tests of platform/, so what happened on machines of the users could not be tried. Change: a stand-in of the store, the list of minions, machines and minions over HTTP, a fault proxy that lets dials time out and resets connections, and a harness with three entry VMs.

--- a/bench/cluster/ports.go
+++ b/bench/cluster/ports.go
@@ -74,3 +74,15 @@
 		_ = l.Close()
 	}
 }
+
+// Ports hands out loopback addresses to experiments that are no cluster.
+type Ports struct{ p *portPicker }
+
+// NewPorts returns a source of addresses that no other experiment has.
+func NewPorts() Ports { return Ports{newPortPicker()} }
+
+// Next returns an address that can be listened on now. Error: ErrNoPorts.
+func (p Ports) Next() (string, error) { return p.p.next() }
+
+// Close gives the addresses back.
+func (p Ports) Close() { p.p.close() }
--- /dev/null
+++ b/bench/sitefaults/checker.go
@@ -0,0 +1,330 @@
+package sitefaults
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"boragepulley/internal/jobs"
+	"boragepulley/standins/fleet"
+)
+
+// Bounds of the users' rules.
+const (
+	// restartBound is how long a long-running task may stay without a run, and calmFor how long
+	// no disturbance may have been before that counts.
+	restartBound = 6 * time.Second
+	calmFor      = 4 * time.Second
+	// contact is how long an entry VM is undisturbed before its answers count.
+	contact = 3 * time.Second
+	// visibleAfter is how long after its acceptance a job must be known everywhere.
+	visibleAfter = 3 * time.Second
+	// cancelBound is how long after an acknowledged cancelling a task of the job may start, with
+	// stopTime until it may no longer run.
+	cancelBound = 3 * time.Second
+	// capacityFactor is how often a waiting task must fit before its wait counts.
+	capacityFactor = 2
+	// stalledTick is a pause of this process that counts as a disturbance: the entry VMs, which
+	// share the machine, had no processor then either.
+	stalledTick = 300 * time.Millisecond
+)
+
+// taskState is what minions saw of a task.
+type taskState struct {
+	running int
+	began   int
+	// free is since when it has no run: its last end, or the acceptance of its job.
+	free     time.Time
+	reported bool
+	// doneRuns are runs that ended as done.
+	done     time.Time
+	doneSeen bool // that end was acknowledged
+	late     []string
+}
+
+type jobState struct {
+	spec                                  *jobSpec
+	acceptedAt, cancelSentAt, cancelledAt time.Time
+	final                                 string
+	refusedOnly                           bool
+	answers                               int
+	lost                                  bool
+}
+
+// checker judges what callers and minions saw. It is safe for concurrent use.
+type checker struct {
+	began time.Time
+	note  func(format string, args ...any)
+	all   *catalogue
+
+	mu    sync.Mutex
+	jobs  map[string]*jobState  // guarded by mu
+	tasks map[string]*taskState // guarded by mu
+	// calmSince is when the last disturbance ended; disturbances are those in force.
+	calmSince    time.Time            // guarded by mu
+	disturbances int                  // guarded by mu
+	roomSince    map[string]time.Time // guarded by mu; by service, zero while there is no room
+	lastTick     time.Time            // guarded by mu
+	stalls       int                  // guarded by mu
+	faults       []string             // guarded by mu
+	// longest is the longest time of a long-running task without a run, all told and in calm.
+	longest, longestCalm time.Duration
+	restarts             int // guarded by mu; of long-running tasks
+}
+
+func newChecker(all *catalogue) *checker {
+	now := time.Now()
+	return &checker{began: now, all: all, jobs: map[string]*jobState{}, tasks: map[string]*taskState{}, calmSince: now, roomSince: map[string]time.Time{}, lastTick: now,
+		note: func(string, ...any) {}}
+}
+
+// fault requires mu.
+func (c *checker) fault(format string, args ...any) {
+	text := fmt.Sprintf(format, args...)
+	if !slices.Contains(c.faults, text) {
+		c.faults = append(c.faults, fmt.Sprintf("%6.2f s: %s", time.Since(c.began).Seconds(), text))
+		c.note("FAULT %s", text)
+	}
+}
+
+func (c *checker) report(format string, args ...any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.fault(format, args...)
+}
+
+func (c *checker) disturbanceBegins() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.disturbances++
+}
+
+func (c *checker) disturbanceEnds() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.disturbances--
+	c.calmSince = time.Now()
+}
+
+// taskOf requires mu.
+func (c *checker) taskOf(name string) *taskState {
+	s := c.tasks[name]
+	if s == nil {
+		s = &taskState{}
+		c.tasks[name] = s
+	}
+	return s
+}
+
+// event takes note of what happened to a run.
+func (c *checker) event(e fleet.Event) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.taskOf(e.Task)
+	switch e.Kind {
+	case fleet.RunBegan:
+		c.runBegan(s, e)
+	case fleet.RunEnded:
+		s.running--
+		if s.running == 0 {
+			s.free, s.reported = e.At, false
+		}
+		if e.How == jobs.EndDone && s.done.IsZero() {
+			s.done = e.At
+		}
+	case fleet.EndNoted:
+		if e.How == jobs.EndDone {
+			s.doneSeen = true
+		}
+	}
+}
+
+func (c *checker) runBegan(s *taskState, e fleet.Event) {
+	spec := c.all.ofTask(e.Task)
+	if spec == nil {
+		c.fault("UNASKED: %s was started, nobody handed it in", e.Task)
+		return
+	}
+	j := c.jobs[spec.ID]
+	s.running++
+	s.began++
+	if s.running > 1 {
+		c.fault("TWICE: %s run %d begins on %s while another run of it is on a live minion", e.Task, e.Run, e.Minion)
+	}
+	if !s.done.IsZero() {
+		s.late = append(s.late, fmt.Sprintf("%s run %d begins on %s %v after its end as done", e.Task, e.Run, e.Minion, e.At.Sub(s.done).Round(time.Millisecond)))
+	}
+	if j != nil && !j.cancelledAt.IsZero() && c.disturbances == 0 && e.At.Sub(later(j.cancelledAt, c.calmSince)) > cancelBound {
+		c.fault("UNASKED: %s begins on %s %v after its cancelling", e.Task, e.Minion, e.At.Sub(j.cancelledAt).Round(time.Millisecond))
+	}
+	if spec.Long && s.began > 1 {
+		c.restarts++
+		c.longest = max(c.longest, e.At.Sub(s.free))
+		if c.disturbances == 0 && s.free.After(c.calmSince) {
+			c.longestCalm = max(c.longestCalm, e.At.Sub(s.free))
+		}
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func (c *checker) handedIn(j *jobSpec) {
+	c.all.add(j)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.jobs[j.ID] = &jobState{spec: j, refusedOnly: true}
+}
+
+func (c *checker) submitAnswered(j *jobSpec, status int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.jobs[j.ID]
+	s.answers++
+	if status != http.StatusTooManyRequests && status != http.StatusServiceUnavailable {
+		s.refusedOnly = false
+	}
+	if status != 0 && status/100 != 5 && status != http.StatusTooManyRequests {
+		c.fault("job %s is answered with %d", j.ID, status)
+	}
+}
+
+func (c *checker) accepted(j *jobSpec) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	c.jobs[j.ID].acceptedAt, c.jobs[j.ID].refusedOnly = now, false
+	for _, name := range j.tasks() {
+		if s := c.taskOf(name); s.free.IsZero() {
+			s.free = now
+		}
+	}
+	c.note("job %s accepted", j.ID)
+}
+
+// stateAnswered takes note of a job's state and reports whether the job has ended.
+func (c *checker) stateAnswered(j *jobSpec, a answer) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.jobs[j.ID]
+	now := time.Now()
+	switch {
+	case a.status == http.StatusGone && now.Sub(s.acceptedAt) > visibleAfter && a.from.inTouch(now):
+		c.fault("LOST: job %s is answered 410 by %s, %v after its acceptance", j.ID, a.from.name, now.Sub(s.acceptedAt).Round(time.Millisecond))
+	case a.status == http.StatusOK && (a.state == "completed" || a.state == "failed" || a.state == "cancelled"):
+		s.final = a.state
+		if a.state == "failed" || a.state == "cancelled" && s.cancelSentAt.IsZero() || a.state == "completed" && j.Long {
+			c.fault("LOST: job %s is shown as %s", j.ID, a.state)
+		}
+		if a.state == "completed" {
+			for _, name := range j.tasks() {
+				if c.taskOf(name).done.IsZero() {
+					c.fault("MIXED: job %s is shown as completed, %s has not ended as done", j.ID, name)
+				}
+			}
+		}
+		return true
+	}
+	return false
+}
+
+func (c *checker) cancelSent(j *jobSpec) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.jobs[j.ID].cancelSentAt = time.Now()
+	c.note("job %s: cancelling is sent", j.ID)
+}
+
+func (c *checker) cancelled(j *jobSpec) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.jobs[j.ID].cancelledAt = time.Now()
+}
+
+// tick looks for long-running tasks that should run. free returns the unused capacity of the
+// machines of a service.
+func (c *checker) tick(free func(service string) map[string]jobs.Resources) {
+	room := map[string]int64{}
+	for _, s := range services {
+		for _, r := range free(s) {
+			room[s] += r.CPU / longCPU
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	if gap := now.Sub(c.lastTick); gap > stalledTick {
+		c.stalls++
+		c.calmSince = now
+		c.note("this process stood still for %v", gap)
+	}
+	c.lastTick = now
+	for _, s := range services {
+		switch {
+		case room[s] < capacityFactor:
+			c.roomSince[s] = time.Time{}
+		case c.roomSince[s].IsZero():
+			c.roomSince[s] = now
+		}
+	}
+	for _, j := range c.jobs {
+		if !j.spec.Long || j.acceptedAt.IsZero() || !j.cancelSentAt.IsZero() {
+			continue
+		}
+		since := c.roomSince[j.spec.Service]
+		calm := c.disturbances == 0 && now.Sub(c.calmSince) > calmFor && !since.IsZero() && now.Sub(since) > calmFor
+		for _, name := range j.spec.tasks() {
+			s := c.taskOf(name)
+			if s.running > 0 || s.reported {
+				continue
+			}
+			if wait := now.Sub(s.free); calm && wait > restartBound {
+				s.reported = true
+				c.fault("LOST: %s has no run for %v (%d runs so far), calm for %v, room for %d", name, wait.Round(time.Millisecond), s.began, now.Sub(c.calmSince).Round(time.Millisecond), room[j.spec.Service])
+			}
+		}
+	}
+}
+
+// open returns the accepted short jobs that have not been seen to end.
+func (c *checker) open() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []string
+	for id, j := range c.jobs {
+		if !j.spec.Long && !j.acceptedAt.IsZero() && j.final == "" {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// finish judges what only the end shows.
+func (c *checker) finish() {
+	for _, id := range c.open() {
+		c.report("LOST: job %s has not ended", id)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for name, s := range c.tasks {
+		if s.doneSeen {
+			for _, text := range s.late {
+				c.fault("TWICE: %s, and that end was acknowledged", text)
+			}
+		}
+		j := c.jobs[c.all.ofTask(name).ID]
+		if s.began > 0 && j.refusedOnly && j.answers > 0 {
+			c.fault("REFUSED: %s was started, its job was refused each time", name)
+		}
+		if s.running > 0 && !j.cancelledAt.IsZero() && c.disturbances == 0 && time.Since(later(j.cancelledAt, c.calmSince)) > cancelBound+stopTime {
+			c.fault("UNASKED: %s runs on %v after its cancelling", name, time.Since(j.cancelledAt).Round(time.Millisecond))
+		}
+	}
+}
--- /dev/null
+++ b/bench/sitefaults/faults.go
@@ -0,0 +1,164 @@
+package sitefaults
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"boragepulley/standins/faultproxy"
+)
+
+// faultKind is a fault that is injected.
+type faultKind string
+
+const (
+	// dialTimeouts resets a minion's connections, and then lets new ones go unanswered.
+	dialTimeouts faultKind = "dial-timeouts"
+	// slowConnects resets a minion's connections and delays the data on new ones by slowConnect.
+	slowConnects faultKind = "slow-connects"
+	// resets resets a minion's connections several times.
+	resets faultKind = "resets"
+	// silence lets a minion receive and answer nothing.
+	silence faultKind = "silence"
+	// pauseEntry, killEntry and restartEntry concern an entry VM.
+	pauseEntry   faultKind = "pause"
+	killEntry    faultKind = "kill"
+	restartEntry faultKind = "restart"
+)
+
+const (
+	slowConnect = time.Second
+	resetPause  = 200 * time.Millisecond
+	// termGrace is how long a process may take to stop, a little more than its settings say.
+	termGrace = 8 * time.Second
+)
+
+// fault is one fault of a schedule.
+type fault struct {
+	at, lasts time.Duration
+	kind      faultKind
+	// target is the number of a machine or of an entry VM; holder replaces the entry VM by the
+	// coordinator.
+	target int
+	holder bool
+}
+
+func (f fault) String() string {
+	return fmt.Sprintf("%.1f s: %s of %d for %.1f s, coordinator %v", f.at.Seconds(), f.kind, f.target, f.lasts.Seconds(), f.holder)
+}
+
+const (
+	// faultsFrom is when the faults begin, after the jobs have started.
+	faultsFrom = 3 * time.Second
+	// faultSpell is how long the faults of one spell take to begin, calmSpell how long the pause
+	// before the next spell is: the longest fault, and the time after which the checks count.
+	faultSpell  = 3 * time.Second
+	calmSpell   = 14 * time.Second
+	longestLast = 4 * time.Second
+)
+
+// schedule draws the faults of a run.
+func schedule(rng *rand.Rand, machines, entries int, d time.Duration) []fault {
+	kinds := []faultKind{dialTimeouts, dialTimeouts, slowConnects, slowConnects, resets, silence, silence, pauseEntry, killEntry, restartEntry}
+	var out []fault
+	for from := faultsFrom; from+faultSpell <= d || len(out) == 0; from += faultSpell + calmSpell {
+		entryFault := false
+		for range 2 + rng.IntN(4) {
+			f := fault{at: from + time.Duration(rng.Int64N(int64(faultSpell))), lasts: 500*time.Millisecond + time.Duration(rng.Int64N(int64(longestLast))),
+				kind: kinds[rng.IntN(len(kinds))], target: rng.IntN(machines), holder: rng.IntN(2) == 0}
+			if f.kind == pauseEntry || f.kind == killEntry || f.kind == restartEntry {
+				if entryFault {
+					continue // one entry VM at a time
+				}
+				entryFault = true
+				f.target = rng.IntN(entries)
+			}
+			out = append(out, f)
+		}
+	}
+	return out
+}
+
+// inject injects a fault and returns when it is over.
+func (r *run) inject(ctx context.Context, f fault) {
+	r.check.disturbanceBegins()
+	defer r.check.disturbanceEnds()
+	defer r.platform.Note("FAULT-OVER %v", f)
+	switch f.kind {
+	case pauseEntry, killEntry, restartEntry:
+		r.entryFault(ctx, f)
+	default:
+		r.minionFault(ctx, f)
+	}
+}
+
+func (r *run) minionFault(ctx context.Context, f fault) {
+	name := machineSpecs()[f.target].Name
+	link := r.proxy.Link(name)
+	r.platform.Note("FAULT-BEGINS %v, machine %s", f, name)
+	var err error
+	switch f.kind {
+	case dialTimeouts:
+		err = link.Stall()
+		link.ResetOpen()
+	case slowConnects:
+		link.SetConnectDelay(slowConnect)
+		link.ResetOpen()
+	case resets:
+		for end := time.Now().Add(f.lasts); time.Now().Before(end) && sleep(ctx, resetPause); {
+			link.ResetOpen()
+		}
+		return
+	case silence:
+		err = link.Blackhole()
+	}
+	if err != nil {
+		r.platform.Note("fault failed: %v", err)
+	}
+	sleep(ctx, f.lasts)
+	r.healLink(link)
+}
+
+func (r *run) healLink(link *faultproxy.Link) {
+	if err := link.Heal(); err != nil {
+		r.check.report("harness: %v", err)
+	}
+}
+
+func (r *run) entryFault(ctx context.Context, f fault) {
+	e := r.entries[f.target]
+	if f.holder {
+		if holder := r.coordinator(); holder != nil {
+			e = holder
+		}
+	}
+	r.platform.Note("FAULT-BEGINS %v, entry VM %s", f, e.name)
+	e.disturb(time.Now().Add(f.lasts + termGrace))
+	p := e.process()
+	switch f.kind {
+	case pauseEntry:
+		if err := p.Pause(); err != nil {
+			r.check.report("harness: %v", err)
+		}
+		sleep(ctx, f.lasts)
+		if err := p.Resume(); err != nil {
+			r.check.report("harness: %v", err)
+		}
+	case killEntry:
+		p.Kill()
+		sleep(ctx, f.lasts)
+		r.restart(e)
+	case restartEntry:
+		if err := p.Terminate(termGrace); err != nil {
+			r.check.report("shutdown of %s: %v", e.name, err)
+		}
+		r.restart(e)
+	}
+}
+
+func (r *run) restart(e *entryVM) {
+	if err := e.start(); err != nil {
+		r.check.report("harness: %v", err)
+	}
+}
--- /dev/null
+++ b/bench/sitefaults/run.go
@@ -0,0 +1,325 @@
+package sitefaults
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"boragepulley/bench/cluster"
+	"boragepulley/internal/jobs"
+	"boragepulley/standins/faultproxy"
+	"boragepulley/standins/siteplatform"
+)
+
+// Options configure a run.
+type Options struct {
+	// Bin is the folder of the programs, Dir that of logs and settings.
+	Bin, Dir string
+	Seed     uint64
+	// Duration is the time in which faults are injected and checked.
+	Duration time.Duration
+	// NoFaults leaves the faults out.
+	NoFaults bool
+}
+
+// Result is the verdict of a run.
+type Result struct {
+	Seed uint64
+	// Faults are the broken rules.
+	Faults []string
+	// Injected counts the injected faults, Stalls the times at which this process stood still.
+	Injected, Stalls int
+	Accepted, Runs   int
+	// Restarts counts runs of long-running tasks after their first.
+	Restarts int
+	// Longest is the longest time of a long-running task without a run, LongestCalm that
+	// without any disturbance near.
+	Longest, LongestCalm time.Duration
+	Wave                 string
+}
+
+// OK reports whether no rule was broken.
+func (r Result) OK() bool { return len(r.Faults) == 0 }
+
+func (r Result) String() string {
+	verdict := "ok"
+	if !r.OK() {
+		verdict = fmt.Sprintf("%d broken", len(r.Faults))
+	}
+	return fmt.Sprintf("seed %d: %s; %d faults injected, %d jobs, %d runs, %d restarts of long-running tasks, longest without a run %.1f s (%.1f s in calm), wave %s, stood still %d times",
+		r.Seed, verdict, r.Injected, r.Accepted, r.Runs, r.Restarts, r.Longest.Seconds(), r.LongestCalm.Seconds(), r.Wave, r.Stalls)
+}
+
+const (
+	entryVMs = 3
+	// longJobs and longTasks are the long-running jobs of each service and their tasks.
+	longJobs  = 4
+	longTasks = 5
+	longCPU   = 6000
+	shortCPU  = 3500
+	// shortTasks is the width of a step of a short job, shortPause the mean time between two of
+	// them.
+	shortTasks = 6
+	shortPause = 150 * time.Millisecond
+	// waveAfter is when the maintenance wave is asked for, waveCap how many of its machines may
+	// be down at once, and waveSeconds its time.
+	waveAfter   = 2 * time.Second
+	waveCap     = 2
+	waveSeconds = 40
+	tickEvery   = 50 * time.Millisecond
+	// finishWithin is how long jobs may take to end after the traffic has.
+	finishWithin = 14 * time.Second
+	machineCPU   = 64000
+	machineMB    = 131072
+)
+
+// run is one run.
+type run struct {
+	o        Options
+	platform *siteplatform.Platform
+	proxy    *faultproxy.Proxy
+	entries  []*entryVM
+	check    *checker
+	callers  *callers
+	wg       sync.WaitGroup
+}
+
+// Run runs the site once. Error: a process or address that could not be had.
+func Run(ctx context.Context, o Options) (Result, error) {
+	if err := os.MkdirAll(o.Dir, 0o755); err != nil {
+		return Result{}, errors.Wrap(err, "sitefaults")
+	}
+	ports := cluster.NewPorts()
+	defer ports.Close()
+	all := &catalogue{byID: map[string]*jobSpec{}}
+	r := &run{o: o, proxy: faultproxy.New(), check: newChecker(all)}
+	defer r.proxy.Close()
+	p, err := siteplatform.Start(siteplatform.Site{
+		Capacity: jobs.Resources{CPU: machineCPU, MemoryMB: machineMB}, Machines: machineSpecs(), Config: config(), MoveTime: moveTime, UpkeepTime: upkeepTime,
+		Heartbeat: heartbeat, StopTime: stopTime, Work: all.work, Need: all.need, OnEvent: r.check.event,
+		Route: func(name, addr string) (string, error) {
+			listen, err := ports.Next()
+			if err != nil {
+				return "", err
+			}
+			l, err := r.proxy.Add(faultproxy.LinkSpec{Name: name, Listen: listen, Target: addr})
+			if err != nil {
+				return "", err
+			}
+			return l.Addr(), nil
+		},
+		OnMachine: func(name string, up bool) {
+			if l := r.proxy.Link(name); !up {
+				l.Cut()
+			} else {
+				r.healLink(l)
+			}
+		},
+	})
+	if err != nil {
+		return Result{}, err
+	}
+	defer p.Close()
+	r.platform, r.check.note = p, p.Note
+	if err := r.startEntries(ctx, ports); err != nil {
+		return Result{}, err
+	}
+	defer r.stopEntries()
+	return r.play(ctx), errors.Wrap(os.WriteFile(filepath.Join(o.Dir, "story.log"), []byte(p.Story()), 0o600), "sitefaults: story")
+}
+
+func (r *run) startEntries(ctx context.Context, ports cluster.Ports) error {
+	for i := range entryVMs {
+		e, err := newEntry("entry-"+strconv.Itoa(i+1), []string{"hall", "bay"}[i%2], ports, r.platform.StoreAddr(), r.platform.MachinesAddr(), r.o)
+		if err != nil {
+			return err
+		}
+		r.entries = append(r.entries, e)
+		if err := e.start(); err != nil {
+			return err
+		}
+	}
+	for _, e := range r.entries {
+		if err := e.awaitReady(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *run) stopEntries() {
+	for _, e := range r.entries {
+		if p := e.process(); p != nil && p.Running() {
+			p.Kill()
+		}
+	}
+}
+
+// coordinator returns the entry VM that holds the site's lease, or nil.
+func (r *run) coordinator() *entryVM {
+	var v struct {
+		Holder string `json:"h"`
+	}
+	if json.Unmarshal(r.platform.Row("lease/site"), &v) != nil {
+		return nil
+	}
+	i := slices.IndexFunc(r.entries, func(e *entryVM) bool { return e.name == v.Holder })
+	if i < 0 {
+		return nil
+	}
+	return r.entries[i]
+}
+
+// play runs load, wave, faults and checks.
+func (r *run) play(parent context.Context) Result {
+	ctx, cancel := context.WithCancel(parent)
+	defer cancel()
+	rng := rand.New(rand.NewPCG(r.o.Seed, 1))
+	faults := schedule(rng, len(machineSpecs()), entryVMs, r.o.Duration)
+	if r.o.NoFaults {
+		faults = nil
+	}
+	r.check.began = time.Now()
+	r.check.lastTick, r.check.calmSince = r.check.began, r.check.began
+	ticking, stopTicks := context.WithCancel(ctx)
+	r.wg.Go(func() {
+		for sleep(ticking, tickEvery) {
+			r.check.tick(r.platform.Free)
+		}
+	})
+	r.callers = newCallers(r.entries, r.check)
+	long := r.handInLong(ctx, rng)
+	for _, f := range faults {
+		r.wg.Go(func() {
+			if sleep(ctx, f.at) {
+				r.inject(ctx, f)
+			}
+		})
+	}
+	r.wg.Go(func() { r.wave(ctx) })
+	r.traffic(ctx, rng, r.o.Duration)
+	r.awaitEnds(ctx)
+	stopTicks()
+	for i, j := range long {
+		r.wg.Go(func() { r.callers.cancel(ctx, j, r.o.Seed+uint64(i)) })
+	}
+	sleep(ctx, cancelBound+2*stopTime)
+	for _, e := range r.entries {
+		if err := e.checkAlive(); err != nil {
+			r.check.report("%v", err)
+		}
+	}
+	r.check.finish()
+	cancel()
+	r.wg.Wait()
+	r.callers.wg.Wait()
+	return r.result(len(faults))
+}
+
+func (r *run) result(injected int) Result {
+	c := r.check
+	out := Result{Seed: r.o.Seed, Injected: injected, Wave: r.platform.WaveState(waveNumber)}
+	violations := r.platform.Violations()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out.Faults = append(slices.Clone(c.faults), violations...)
+	out.Stalls, out.Restarts, out.Longest, out.LongestCalm = c.stalls, c.restarts, c.longest, c.longestCalm
+	for _, s := range c.tasks {
+		out.Runs += s.began
+	}
+	for _, j := range c.jobs {
+		if !j.acceptedAt.IsZero() {
+			out.Accepted++
+		}
+	}
+	return out
+}
+
+const waveNumber = 1
+
+// wave asks for the upkeep of half of the machines.
+func (r *run) wave(ctx context.Context) {
+	if !sleep(ctx, waveAfter) {
+		return
+	}
+	w := siteplatform.Wave{Wave: waveNumber, DurationS: waveSeconds, Cap: waveCap}
+	for i, m := range machineSpecs() {
+		if i%2 == 0 {
+			w.Machines = append(w.Machines, m.Name)
+		}
+	}
+	r.platform.Note("wave asked for: %v", w.Machines)
+	if err := r.platform.AskWave(w); err != nil {
+		r.check.report("harness: %v", err)
+	}
+}
+
+// handInLong hands in the long-running jobs.
+func (r *run) handInLong(ctx context.Context, rng *rand.Rand) []*jobSpec {
+	var out []*jobSpec
+	for _, s := range services {
+		for range longJobs {
+			j := newJob(rng, s, true, longTasks, longCPU, 1)
+			out = append(out, j)
+			r.handIn(ctx, j, rng.Uint64())
+		}
+	}
+	return out
+}
+
+func (r *run) handIn(ctx context.Context, j *jobSpec, seed uint64) {
+	r.callers.wg.Go(func() { r.callers.handIn(ctx, j, seed) })
+}
+
+// traffic hands in short jobs for a time.
+func (r *run) traffic(ctx context.Context, rng *rand.Rand, d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		r.handIn(ctx, newJob(rng, services[rng.IntN(len(services))], false, shortTasks, shortCPU, 1+rng.IntN(2)), rng.Uint64())
+		if !sleep(ctx, time.Duration(rng.Int64N(int64(2*shortPause)))) {
+			return
+		}
+	}
+}
+
+// awaitEnds waits for the short jobs, at most until finishWithin after the last disturbance.
+func (r *run) awaitEnds(ctx context.Context) {
+	for {
+		r.check.mu.Lock()
+		late := r.check.disturbances == 0 && time.Since(r.check.calmSince) > finishWithin
+		r.check.mu.Unlock()
+		if late && len(r.check.open()) > 0 && time.Since(r.check.began) > r.o.Duration+finishWithin || len(r.check.open()) == 0 || !sleep(ctx, tickEvery) {
+			return
+		}
+	}
+}
+
+// newJob draws a job.
+func newJob(rng *rand.Rand, service string, long bool, count int, cpu int64, steps int) *jobSpec {
+	j := &jobSpec{ID: fmt.Sprintf("%016x", rng.Uint64()), Service: service, Long: long, Count: count, CPU: cpu, Steps: steps}
+	var list []map[string]any
+	for i := range steps {
+		s := map[string]any{"count": count, "cpu": cpu, "mem_mb": taskMemoryMB, "estimate_ms": shortRun.Milliseconds()}
+		if long {
+			s["long_running"], s["may_miss"], s["image"] = true, 1, "img"
+		}
+		if i > 0 {
+			s["after"] = []int{i - 1}
+		}
+		list = append(list, s)
+	}
+	body, err := json.Marshal(map[string]any{"spec": "payload", "steps": list})
+	if err != nil {
+		panic(err) // plain fields
+	}
+	j.body = body
+	return j
+}
--- /dev/null
+++ b/bench/sitefaults/site.go
@@ -0,0 +1,144 @@
+package sitefaults
+
+import (
+	"hash/fnv"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"boragepulley/internal/jobs"
+	"boragepulley/standins/siteplatform"
+)
+
+// Times of the stand-in, as on the users' sites.
+const (
+	moveTime   = 1500 * time.Millisecond
+	upkeepTime = 2 * time.Second
+	heartbeat  = 1500 * time.Millisecond
+	stopTime   = 400 * time.Millisecond
+)
+
+const (
+	apiKey = "key-1"
+	// shortRun is the mean run time of a short task.
+	shortRun = 800 * time.Millisecond
+	// machinesPerService and spareMachines make up the site.
+	machinesPerService = 4
+	spareMachines      = 2
+)
+
+// services run tasks; machines that neither needs are in sparePool.
+var services = []string{"svc-a", "svc-b"}
+
+const sparePool = "svc-spare"
+
+// jobSpec is a job as a caller hands it in.
+type jobSpec struct {
+	ID      string
+	Service string
+	Long    bool
+	Count   int
+	CPU     int64
+	Steps   int
+	body    []byte
+}
+
+func (j *jobSpec) host() string { return "jobs.example" }
+
+func (j *jobSpec) path() string {
+	kind := "short"
+	if j.Long {
+		kind = "long"
+	}
+	return "/" + j.Service + "/" + kind + "/" + j.ID
+}
+
+// tasks returns the names of a job's tasks.
+func (j *jobSpec) tasks() []string {
+	var out []string
+	for s := range j.Steps {
+		for i := range j.Count {
+			out = append(out, j.ID+".0."+strconv.Itoa(s)+"."+strconv.Itoa(i))
+		}
+	}
+	return out
+}
+
+// catalogue holds all jobs by id.
+type catalogue struct {
+	mu   sync.Mutex
+	byID map[string]*jobSpec // guarded by mu
+}
+
+func (c *catalogue) add(j *jobSpec) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.byID[j.ID] = j
+}
+
+func (c *catalogue) ofTask(task string) *jobSpec {
+	id, _, _ := strings.Cut(task, ".")
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.byID[id]
+}
+
+func (c *catalogue) need(task string) jobs.Resources {
+	if j := c.ofTask(task); j != nil {
+		return jobs.Resources{CPU: j.CPU, MemoryMB: taskMemoryMB}
+	}
+	return jobs.Resources{}
+}
+
+const (
+	taskMemoryMB = 256
+	// failingRuns of hundred runs of a long-running task fail after 2 to 12 s.
+	failingRuns = 15
+)
+
+// work decides how long a run takes, by its name alone, so that a seed repeats it.
+func (c *catalogue) work(task string, run int) (time.Duration, jobs.End) {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(task + "/" + strconv.Itoa(run))) // never fails
+	n := h.Sum32()
+	j := c.ofTask(task)
+	if j != nil && j.Long {
+		if n%100 < failingRuns {
+			return 2*time.Second + time.Duration(n/100%10000)*time.Millisecond, jobs.EndFailed
+		}
+		return 0, jobs.EndDone
+	}
+	return shortRun/2 + time.Duration(n%uint32(shortRun.Milliseconds()))*time.Millisecond, jobs.EndDone
+}
+
+// machineSpecs returns the machines of the site: two racks in each of two zones.
+func machineSpecs() []siteplatform.MachineSpec {
+	var out []siteplatform.MachineSpec
+	add := func(pool string, n int) {
+		for range n {
+			i := len(out)
+			out = append(out, siteplatform.MachineSpec{Name: "m" + strconv.Itoa(i), Pool: pool, Rack: []string{"hall-1", "bay-1", "hall-2", "bay-2"}[i%4]})
+		}
+	}
+	for _, s := range services {
+		add(s, machinesPerService)
+	}
+	add(sparePool, spareMachines)
+	return out
+}
+
+// config returns the operators' configuration.
+func config() map[string]any {
+	var routes, pools []map[string]any
+	for _, s := range services {
+		for _, kind := range []string{"short", "long"} {
+			routes = append(routes, map[string]any{"name": s + "-" + kind, "host": "jobs.example", "prefix": "/" + s + "/" + kind + "/", "service": s,
+				"priority": 1, "max_attempts": 3, "stretch": 2, "target_duration_ms": 2500})
+		}
+		pools = append(pools, map[string]any{"name": s, "rejects_overload": true})
+	}
+	pools = append(pools, map[string]any{"name": sparePool, "rejects_overload": true})
+	return map[string]any{"version": 7, "routes": routes, "services": pools, "limits": map[string]any{"max_body_bytes": 262144},
+		"tenants": []map[string]any{{"name": "t1", "api_keys": []string{apiKey}, "weight": 50, "cap": map[string]int64{}}}}
+}
--- a/cmd/bpbench/main.go
+++ b/cmd/bpbench/main.go
@@ -14,12 +14,14 @@
 	"time"
 
 	"github.com/alecthomas/kong"
+	"github.com/pkg/errors"
 
 	"boragepulley/bench/demo"
 	"boragepulley/bench/measure"
 	"boragepulley/bench/poolmodel"
 	"boragepulley/bench/prove"
 	"boragepulley/bench/prove/mutants"
+	"boragepulley/bench/sitefaults"
 	"boragepulley/bench/up"
 )
 
@@ -33,6 +35,8 @@
 	Prove proveCmd `cmd:"" help:"Show the invariants under injected faults."`
 	Pools poolsCmd `cmd:"" help:"Compare policies for moves between pools in a model of both sites."`
 
+	SiteFaults siteFaultsCmd `cmd:"" help:"Run the site path against a stand-in of the users' platform under faults."`
+
 	Measure measureCmd `cmd:"" help:"Measure the system and its packages."`
 	Mutants mutantsCmd `cmd:"" help:"Show that the scenarios notice a daemon with a broken rule."`
 }
@@ -86,6 +90,34 @@
 	return nil
 }
 
+type siteFaultsCmd struct {
+	Duration time.Duration `default:"60s" help:"Duration of the traffic and the faults."`
+	Runs     int           `default:"1" help:"Runs, with consecutive seeds."`
+	NoFaults bool          `help:"Inject no faults."`
+}
+
+func (s siteFaultsCmd) Run(ctx context.Context, c *cli) error {
+	broken := 0
+	for i := range s.Runs {
+		seed := c.Seed + uint64(i)
+		r, err := sitefaults.Run(ctx, sitefaults.Options{Bin: c.Bin, Dir: filepath.Join(c.Dir, fmt.Sprint("seed-", seed)), Seed: seed, Duration: s.Duration, NoFaults: s.NoFaults})
+		if err != nil {
+			return err
+		}
+		fmt.Println(r)
+		for _, f := range r.Faults {
+			fmt.Println("   ", f)
+		}
+		if !r.OK() {
+			broken++
+		}
+	}
+	if broken > 0 {
+		return errors.Errorf("%d of %d runs broke a rule", broken, s.Runs)
+	}
+	return nil
+}
+
 type poolsCmd struct {
 	Site   string `default:"both" enum:"alexandria,aarhus,both" help:"Site: alexandria, aarhus or both."`
 	Tuning bool   `help:"Run the profile that the policy's constants are tried on in place of the reported ones."`
--- a/standins/faultproxy/link.go
+++ b/standins/faultproxy/link.go
@@ -58,7 +58,8 @@
 type Link struct {
 	name, target string
 
-	delay atomic.Int64 // nanoseconds in each direction
+	delay        atomic.Int64 // nanoseconds in each direction
+	connectDelay atomic.Int64 // nanoseconds before a new connection is forwarded
 
 	mu         sync.Mutex
 	addr       string         // guarded by mu; fixed after the first listen
@@ -67,6 +68,7 @@
 	targetDown bool           // guarded by mu
 	conns      map[*pair]bool // guarded by mu
 	closed     bool           // guarded by mu
+	stall      *stall         // guarded by mu; nil unless the link is stalled
 	done       chan struct{}  // closed with the link
 }
 
@@ -104,6 +106,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.mode = ModeCut
+	l.endStall()
 	l.refuse()
 	for p := range l.conns {
 		p.reset()
@@ -130,10 +133,26 @@
 // SetDelay delays the data of each direction.
 func (l *Link) SetDelay(d time.Duration) { l.delay.Store(int64(d)) }
 
+// SetConnectDelay delays the forwarding of new connections.
+func (l *Link) SetConnectDelay(d time.Duration) { l.connectDelay.Store(int64(d)) }
+
+// ResetOpen resets all open connections; new ones work.
+func (l *Link) ResetOpen() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for p := range l.conns {
+		p.reset()
+	}
+}
+
 // Heal lets new connections work without delay. Silent connections stay silent.
 // Error: the address is in use by another process.
 func (l *Link) Heal() error {
 	l.delay.Store(0)
+	l.connectDelay.Store(0)
+	l.mu.Lock()
+	l.endStall()
+	l.mu.Unlock()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.mode = ModeUp
@@ -196,6 +215,7 @@
 		if err != nil {
 			return // closed by refuse
 		}
+		l.awaitStallEnd()
 		go l.serve(c.(*net.TCPConn))
 	}
 }
@@ -212,6 +232,10 @@
 		_, _ = io.Copy(io.Discard, client)
 		return
 	}
+	if d := time.Duration(l.connectDelay.Load()); d > 0 && (!p.waitDue(time.Now().Add(d)) || failed(client)) {
+		p.reset()
+		return
+	}
 	server, err := net.DialTimeout("tcp", l.target, dialTimeout)
 	if err != nil {
 		p.reset()
--- a/standins/fleet/minions.go
+++ b/standins/fleet/minions.go
@@ -29,6 +29,29 @@
 	need jobs.Resources
 }
 
+// EventKind is what happened to a run.
+type EventKind string
+
+const (
+	RunBegan EventKind = "began"
+	RunEnded EventKind = "ended"
+	// EndNoted is an end that a coordinator acknowledged.
+	EndNoted EventKind = "noted"
+)
+
+// Event is one event of a run.
+type Event struct {
+	At     time.Time
+	Kind   EventKind
+	Task   string
+	Run    int
+	Minion jobs.Minion
+	// How is how the run ended. It is empty if its minion ended with it.
+	How jobs.End
+	// Token is the fencing token of the order that caused the event.
+	Token uint64
+}
+
 // Minion is one minion. Its fields are guarded by Minions.mu.
 type Minion struct {
 	Entry site.MinionEntry
@@ -66,6 +89,13 @@
 	Fault func(op string) Fault
 	// OrderTimeout is how long a sender waits for a lost answer.
 	OrderTimeout time.Duration
+	// RejectsOverload lets minions refuse a start that exceeds their capacity.
+	RejectsOverload bool
+	// StopTime is how long a stopped run takes to end.
+	StopTime time.Duration
+	// OnEvent, if set before the first order, is called with each event while the minions are
+	// locked.
+	OnEvent func(Event)
 	// done are tasks with an end as done that was noted.
 	done       map[string]bool // guarded by mu
 	violations []string        // guarded by mu
@@ -111,8 +141,85 @@
 	s.settle(m)
 	f(m)
 	if m.Down {
-		m.runs = map[string]*run{}
+		s.endAll(m)
+	}
+}
+
+// endAll ends the runs of a minion that ends; nobody learns of it.
+func (s *Minions) endAll(m *Minion) {
+	for _, r := range m.runs {
+		s.event(Event{At: time.Now(), Kind: RunEnded, Task: r.task, Run: r.no, Minion: m.Entry.ID})
+	}
+	m.runs = map[string]*run{}
+}
+
+func (s *Minions) event(e Event) {
+	if s.OnEvent != nil {
+		s.OnEvent(e)
+	}
+}
+
+// Remove ends a minion for good, with all its runs.
+func (s *Minions) Remove(id jobs.Minion) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m := s.all[id]
+	if m == nil {
+		return
+	}
+	s.settle(m)
+	s.tell("%s ends", id)
+	s.endAll(m)
+	delete(s.all, id)
+}
+
+// Settle ends the runs whose time or lease is over, so that OnEvent learns of them.
+func (s *Minions) Settle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, m := range s.all {
+		s.settle(m)
+	}
+}
+
+// Free returns the unused capacity of a minion, and false if there is no such minion.
+func (s *Minions) Free(id jobs.Minion) (jobs.Resources, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m := s.all[id]
+	if m == nil || m.Down || m.Cut {
+		return jobs.Resources{}, false
+	}
+	s.settle(m)
+	return m.Entry.Capacity.Sub(m.used()), true
+}
+
+func (m *Minion) used() jobs.Resources {
+	var used jobs.Resources
+	for _, r := range m.runs {
+		used = used.Add(r.need)
 	}
+	return used
+}
+
+// Born returns the incarnation of a minion, 0 if there is no such minion.
+func (s *Minions) Born(id jobs.Minion) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if m := s.all[id]; m != nil {
+		return m.Entry.Incarnation
+	}
+	return 0
+}
+
+// Clock returns the clock of a minion, in milliseconds.
+func (s *Minions) Clock(id jobs.Minion) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if m := s.all[id]; m != nil {
+		return m.clock(time.Now())
+	}
+	return 0
 }
 
 // Restart begins a new life of a minion under its id.
@@ -120,6 +227,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.tell("%s restarts", id)
+	s.endAll(s.all[id])
 	s.all[id] = newLife(s.all[id].Entry)
 }
 
@@ -190,9 +298,9 @@
 	for _, r := range m.runs {
 		switch {
 		case !r.ends.IsZero() && !now.Before(r.ends) && !r.ends.After(m.lease):
-			s.end(m, r, r.how)
+			s.end(m, r, r.how, r.ends)
 		case now.After(m.lease):
-			s.end(m, r, jobs.EndLeaseExpired)
+			s.end(m, r, jobs.EndLeaseExpired, m.lease)
 		}
 	}
 	if now.After(m.lease) {
@@ -200,7 +308,8 @@
 	}
 }
 
-func (s *Minions) end(m *Minion, r *run, how jobs.End) {
+func (s *Minions) end(m *Minion, r *run, how jobs.End, at time.Time) {
+	s.event(Event{At: at, Kind: RunEnded, Task: r.task, Run: r.no, Minion: m.Entry.ID, How: how})
 	s.tell("%s run %d ends on %s: %s", r.task, r.no, m.Entry.ID, how)
 	delete(m.runs, r.task)
 	m.barred[r.task] = max(m.barred[r.task], r.no)
@@ -317,6 +426,9 @@
 			return &site.RefusedError{Reason: site.RefusedLeaseExpired}
 		}
 		m.prolong(o.LeaseUntil)
+		if s.RejectsOverload && !m.used().Add(s.Need(o.Task)).Fits(m.Entry.Capacity) {
+			return &site.RefusedError{Reason: site.RefusedRoom}
+		}
 		s.begin(m, o)
 		return nil
 	})
@@ -332,11 +444,7 @@
 	if d > 0 {
 		r.ends = now.Add(d)
 	}
-	used := r.need
-	for _, x := range m.runs {
-		used = used.Add(x.need)
-	}
-	if !used.Fits(m.Entry.Capacity) {
+	if !m.used().Add(r.need).Fits(m.Entry.Capacity) {
 		s.violations = append(s.violations, fmt.Sprintf("%s brings %s over its capacity", o.Task, m.Entry.ID))
 	}
 	if s.done[o.Task] {
@@ -353,6 +461,7 @@
 	}
 	m.runs[o.Task] = r
 	s.starts[o.Task]++
+	s.event(Event{At: now, Kind: RunBegan, Task: o.Task, Run: o.Run, Minion: m.Entry.ID, Token: m.token})
 	s.tell("%s run %d begins on %s by %d, lease until %d", o.Task, o.Run, m.Entry.ID, m.token, m.lease.Sub(s.began).Milliseconds())
 }
 
@@ -361,12 +470,23 @@
 	return s.answer(ctx, "stop", to, func(m *Minion) error {
 		m.barred[o.Task] = max(m.barred[o.Task], o.Run)
 		if r := m.runs[o.Task]; r != nil && r.no <= o.Run {
-			s.end(m, r, jobs.EndStopped)
+			s.stop(m, r)
 		}
 		return nil
 	})
 }
 
+// stop lets a run end after StopTime.
+func (s *Minions) stop(m *Minion, r *run) {
+	if s.StopTime == 0 {
+		s.end(m, r, jobs.EndStopped, time.Now())
+		return
+	}
+	if at := time.Now().Add(s.StopTime); r.ends.IsZero() || r.ends.After(at) {
+		r.ends, r.how = at, jobs.EndStopped
+	}
+}
+
 // Throttle implements site.Minions.
 func (s *Minions) Throttle(ctx context.Context, to site.Receiver, _ site.ThrottleOrder) error {
 	return s.answer(ctx, "pace", to, func(*Minion) error { return nil })
@@ -413,6 +533,7 @@
 		}
 		if e.Outcome == jobs.EndDone && e.Seq > m.void {
 			s.done[e.Task] = true
+			s.event(Event{At: time.Now(), Kind: EndNoted, Task: e.Task, Run: e.Run, Minion: m.Entry.ID, How: e.Outcome, Token: m.token})
 			s.tell("%s run %d on %s is noted, by %d", e.Task, e.Run, m.Entry.ID, m.token)
 		}
 	}
