sitefaults: waves in turn, more faults, overload; an unseen end is not a noted one

Cause: the check on starts after an end took any later acknowledged end of the task for the first one. Change: ends are followed by run. Also repeated waves, two machines at once, slow links, silent connections, and capacity counted as the rule does, in use or not.

--- a/bench/sitefaults/checker.go
+++ b/bench/sitefaults/checker.go
@@ -9,6 +9,7 @@
 
 	"boragepulley/internal/jobs"
 	"boragepulley/standins/fleet"
+	"boragepulley/standins/siteplatform"
 )
 
 // Bounds of the users' rules.
@@ -35,13 +36,21 @@
 type taskState struct {
 	running int
 	began   int
+	minion  jobs.Minion // of the last run
 	// free is since when it has no run: its last end, or the acceptance of its job.
 	free     time.Time
 	reported bool
-	// doneRuns are runs that ended as done.
-	done     time.Time
-	doneSeen bool // that end was acknowledged
-	late     []string
+	// done are the runs that ended as done, by number.
+	done map[int]*doneRun
+}
+
+// doneRun is a run that ended as done.
+type doneRun struct {
+	at time.Time
+	// noted is set once the end was acknowledged, before the minion's leases ran out.
+	noted bool
+	// laterStarts are starts of the task after it.
+	laterStarts []string
 }
 
 type jobState struct {
@@ -112,7 +121,7 @@
 func (c *checker) taskOf(name string) *taskState {
 	s := c.tasks[name]
 	if s == nil {
-		s = &taskState{}
+		s = &taskState{done: map[int]*doneRun{}}
 		c.tasks[name] = s
 	}
 	return s
@@ -131,12 +140,12 @@
 		if s.running == 0 {
 			s.free, s.reported = e.At, false
 		}
-		if e.How == jobs.EndDone && s.done.IsZero() {
-			s.done = e.At
+		if e.How == jobs.EndDone {
+			s.done[e.Run] = &doneRun{at: e.At}
 		}
 	case fleet.EndNoted:
-		if e.How == jobs.EndDone {
-			s.doneSeen = true
+		if d := s.done[e.Run]; d != nil {
+			d.noted = true
 		}
 	}
 }
@@ -150,11 +159,12 @@
 	j := c.jobs[spec.ID]
 	s.running++
 	s.began++
+	s.minion = e.Minion
 	if s.running > 1 {
 		c.fault("TWICE: %s run %d begins on %s while another run of it is on a live minion", e.Task, e.Run, e.Minion)
 	}
-	if !s.done.IsZero() {
-		s.late = append(s.late, fmt.Sprintf("%s run %d begins on %s %v after its end as done", e.Task, e.Run, e.Minion, e.At.Sub(s.done).Round(time.Millisecond)))
+	for _, d := range s.done {
+		d.laterStarts = append(d.laterStarts, fmt.Sprintf("%s run %d begins on %s %v after an end as done", e.Task, e.Run, e.Minion, e.At.Sub(d.at).Round(time.Millisecond)))
 	}
 	if j != nil && !j.cancelledAt.IsZero() && c.disturbances == 0 && e.At.Sub(later(j.cancelledAt, c.calmSince)) > cancelBound {
 		c.fault("UNASKED: %s begins on %s %v after its cancelling", e.Task, e.Minion, e.At.Sub(j.cancelledAt).Round(time.Millisecond))
@@ -224,7 +234,7 @@
 		}
 		if a.state == "completed" {
 			for _, name := range j.tasks() {
-				if c.taskOf(name).done.IsZero() {
+				if len(c.taskOf(name).done) == 0 {
 					c.fault("MIXED: job %s is shown as completed, %s has not ended as done", j.ID, name)
 				}
 			}
@@ -247,15 +257,31 @@
 	c.jobs[j.ID].cancelledAt = time.Now()
 }
 
-// tick looks for long-running tasks that should run. free returns the unused capacity of the
-// machines of a service.
-func (c *checker) tick(free func(service string) map[string]jobs.Resources) {
-	room := map[string]int64{}
-	for _, s := range services {
-		for _, r := range free(s) {
-			room[s] += r.CPU / longCPU
+// busiest returns the machine on which most long-running tasks run, or other if there are none.
+func (c *checker) busiest(other string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	counts := map[string]int{}
+	for name, s := range c.tasks {
+		if spec := c.all.ofTask(name); s.running > 0 && spec != nil && spec.Long {
+			counts[siteplatform.MachineOf(s.minion)]++
 		}
 	}
+	for _, m := range machineSpecs() {
+		if counts[m.Name] > counts[other] {
+			other = m.Name
+		}
+	}
+	return other
+}
+
+// tick looks for long-running tasks that should run. up returns how many machines of a service
+// are up. The rule counts capacity whether it is in use or not.
+func (c *checker) tick(up func(service string) int) {
+	room := map[string]int{}
+	for _, s := range services {
+		room[s] = up(s) * (machineCPU / longCPU)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
@@ -314,9 +340,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for name, s := range c.tasks {
-		if s.doneSeen {
-			for _, text := range s.late {
-				c.fault("TWICE: %s, and that end was acknowledged", text)
+		for _, d := range s.done {
+			for _, text := range d.laterStarts {
+				if d.noted {
+					c.fault("TWICE: %s, and that end was acknowledged", text)
+				}
 			}
 		}
 		j := c.jobs[c.all.ofTask(name).ID]
--- a/bench/sitefaults/faults.go
+++ b/bench/sitefaults/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"boragepulley/standins/faultproxy"
@@ -21,6 +22,10 @@
 	resets faultKind = "resets"
 	// silence lets a minion receive and answer nothing.
 	silence faultKind = "silence"
+	// silentConns silences a minion's open connections for good; new ones work.
+	silentConns faultKind = "silent-connections"
+	// slowLink delays all data from and to a minion.
+	slowLink faultKind = "slow-link"
 	// pauseEntry, killEntry and restartEntry concern an entry VM.
 	pauseEntry   faultKind = "pause"
 	killEntry    faultKind = "kill"
@@ -30,6 +35,9 @@
 const (
 	slowConnect = time.Second
 	resetPause  = 200 * time.Millisecond
+	// slowLinkDelay is for each direction: an answer takes twice as long, more than the time that
+	// the coordinator waits for one.
+	slowLinkDelay = 250 * time.Millisecond
 	// termGrace is how long a process may take to stop, a little more than its settings say.
 	termGrace = 8 * time.Second
 )
@@ -38,14 +46,16 @@
 type fault struct {
 	at, lasts time.Duration
 	kind      faultKind
-	// target is the number of a machine or of an entry VM; holder replaces the entry VM by the
-	// coordinator.
+	// target is the number of a machine or of an entry VM. chosen replaces the entry VM by the
+	// coordinator, and the machine by the one with the most long-running tasks.
 	target int
-	holder bool
+	chosen bool
+	// both lets a fault hit the next machine too.
+	both bool
 }
 
 func (f fault) String() string {
-	return fmt.Sprintf("%.1f s: %s of %d for %.1f s, coordinator %v", f.at.Seconds(), f.kind, f.target, f.lasts.Seconds(), f.holder)
+	return fmt.Sprintf("%.1f s: %s of %d for %.1f s, chosen %v, both %v", f.at.Seconds(), f.kind, f.target, f.lasts.Seconds(), f.chosen, f.both)
 }
 
 const (
@@ -54,19 +64,19 @@
 	// faultSpell is how long the faults of one spell take to begin, calmSpell how long the pause
 	// before the next spell is: the longest fault, and the time after which the checks count.
 	faultSpell  = 3 * time.Second
-	calmSpell   = 14 * time.Second
-	longestLast = 4 * time.Second
+	calmSpell   = 17 * time.Second
+	longestLast = 6 * time.Second
 )
 
 // schedule draws the faults of a run.
 func schedule(rng *rand.Rand, machines, entries int, d time.Duration) []fault {
-	kinds := []faultKind{dialTimeouts, dialTimeouts, slowConnects, slowConnects, resets, silence, silence, pauseEntry, killEntry, restartEntry}
+	kinds := []faultKind{dialTimeouts, dialTimeouts, dialTimeouts, slowConnects, slowConnects, resets, silence, silence, silentConns, slowLink, pauseEntry, killEntry, restartEntry}
 	var out []fault
 	for from := faultsFrom; from+faultSpell <= d || len(out) == 0; from += faultSpell + calmSpell {
 		entryFault := false
 		for range 2 + rng.IntN(4) {
 			f := fault{at: from + time.Duration(rng.Int64N(int64(faultSpell))), lasts: 500*time.Millisecond + time.Duration(rng.Int64N(int64(longestLast))),
-				kind: kinds[rng.IntN(len(kinds))], target: rng.IntN(machines), holder: rng.IntN(2) == 0}
+				kind: kinds[rng.IntN(len(kinds))], target: rng.IntN(machines), chosen: rng.IntN(2) == 0, both: rng.IntN(3) == 0}
 			if f.kind == pauseEntry || f.kind == killEntry || f.kind == restartEntry {
 				if entryFault {
 					continue // one entry VM at a time
@@ -94,10 +104,30 @@
 }
 
 func (r *run) minionFault(ctx context.Context, f fault) {
-	name := machineSpecs()[f.target].Name
-	link := r.proxy.Link(name)
-	r.platform.Note("FAULT-BEGINS %v, machine %s", f, name)
-	var err error
+	specs := machineSpecs()
+	names := []string{specs[f.target].Name}
+	if f.chosen {
+		names[0] = r.check.busiest(names[0])
+	}
+	if f.both {
+		names = append(names, specs[(f.target+1)%len(specs)].Name)
+	}
+	r.platform.Note("FAULT-BEGINS %v, machines %v", f, names)
+	var wg sync.WaitGroup
+	for _, name := range names {
+		wg.Go(func() {
+			link := r.proxy.Link(name)
+			if err := r.linkFault(ctx, f, link); err != nil {
+				r.platform.Note("fault failed: %v", err)
+			}
+			r.healLink(link)
+		})
+	}
+	wg.Wait()
+}
+
+// linkFault injects a fault on one link for its time.
+func (r *run) linkFault(ctx context.Context, f fault, link *faultproxy.Link) (err error) {
 	switch f.kind {
 	case dialTimeouts:
 		err = link.Stall()
@@ -109,15 +139,17 @@
 		for end := time.Now().Add(f.lasts); time.Now().Before(end) && sleep(ctx, resetPause); {
 			link.ResetOpen()
 		}
-		return
+		return nil
 	case silence:
 		err = link.Blackhole()
-	}
-	if err != nil {
-		r.platform.Note("fault failed: %v", err)
+	case silentConns:
+		link.SilenceOpen()
+		return nil
+	case slowLink:
+		link.SetDelay(slowLinkDelay)
 	}
 	sleep(ctx, f.lasts)
-	r.healLink(link)
+	return err
 }
 
 func (r *run) healLink(link *faultproxy.Link) {
@@ -128,7 +160,7 @@
 
 func (r *run) entryFault(ctx context.Context, f fault) {
 	e := r.entries[f.target]
-	if f.holder {
+	if f.chosen {
 		if holder := r.coordinator(); holder != nil {
 			e = holder
 		}
--- a/bench/sitefaults/run.go
+++ b/bench/sitefaults/run.go
@@ -29,6 +29,8 @@
 	Duration time.Duration
 	// NoFaults leaves the faults out.
 	NoFaults bool
+	// Overload lets each service in turn be asked for more than its machines can run.
+	Overload bool
 }
 
 // Result is the verdict of a run.
@@ -44,7 +46,8 @@
 	// Longest is the longest time of a long-running task without a run, LongestCalm that
 	// without any disturbance near.
 	Longest, LongestCalm time.Duration
-	Wave                 string
+	// Waves are the states of the maintenance waves.
+	Waves []string
 }
 
 // OK reports whether no rule was broken.
@@ -55,8 +58,8 @@
 	if !r.OK() {
 		verdict = fmt.Sprintf("%d broken", len(r.Faults))
 	}
-	return fmt.Sprintf("seed %d: %s; %d faults injected, %d jobs, %d runs, %d restarts of long-running tasks, longest without a run %.1f s (%.1f s in calm), wave %s, stood still %d times",
-		r.Seed, verdict, r.Injected, r.Accepted, r.Runs, r.Restarts, r.Longest.Seconds(), r.LongestCalm.Seconds(), r.Wave, r.Stalls)
+	return fmt.Sprintf("seed %d: %s; %d faults injected, %d jobs, %d runs, %d restarts of long-running tasks, longest without a run %.1f s (%.1f s in calm), waves %v, stood still %d times",
+		r.Seed, verdict, r.Injected, r.Accepted, r.Runs, r.Restarts, r.Longest.Seconds(), r.LongestCalm.Seconds(), r.Waves, r.Stalls)
 }
 
 const (
@@ -70,9 +73,14 @@
 	// them.
 	shortTasks = 6
 	shortPause = 150 * time.Millisecond
-	// waveAfter is when the maintenance wave is asked for, waveCap how many of its machines may
-	// be down at once, and waveSeconds its time.
+	// overloadPause is the mean time between two short jobs under overload, and overloadTurn how
+	// long all of them are for one service.
+	overloadPause = 45 * time.Millisecond
+	overloadTurn  = 9 * time.Second
+	// waveAfter is when the first maintenance wave is asked for and waveEvery the time between
+	// two, waveCap how many machines of a wave may be down at once, and waveSeconds its time.
 	waveAfter   = 2 * time.Second
+	waveEvery   = 20 * time.Second
 	waveCap     = 2
 	waveSeconds = 40
 	tickEvery   = 50 * time.Millisecond
@@ -193,7 +201,7 @@
 	ticking, stopTicks := context.WithCancel(ctx)
 	r.wg.Go(func() {
 		for sleep(ticking, tickEvery) {
-			r.check.tick(r.platform.Free)
+			r.check.tick(r.platform.Up)
 		}
 	})
 	r.callers = newCallers(r.entries, r.check)
@@ -205,7 +213,7 @@
 			}
 		})
 	}
-	r.wg.Go(func() { r.wave(ctx) })
+	r.wg.Go(func() { r.requestWaves(ctx) })
 	r.traffic(ctx, rng, r.o.Duration)
 	r.awaitEnds(ctx)
 	stopTicks()
@@ -227,7 +235,7 @@
 
 func (r *run) result(injected int) Result {
 	c := r.check
-	out := Result{Seed: r.o.Seed, Injected: injected, Wave: r.platform.WaveState(waveNumber)}
+	out := Result{Seed: r.o.Seed, Injected: injected, Waves: r.platform.Waves()}
 	violations := r.platform.Violations()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -244,22 +252,21 @@
 	return out
 }
 
-const waveNumber = 1
-
-// wave asks for the upkeep of half of the machines.
-func (r *run) wave(ctx context.Context) {
-	if !sleep(ctx, waveAfter) {
-		return
-	}
-	w := siteplatform.Wave{Wave: waveNumber, DurationS: waveSeconds, Cap: waveCap}
-	for i, m := range machineSpecs() {
-		if i%2 == 0 {
-			w.Machines = append(w.Machines, m.Name)
+// requestWaves asks for the upkeep of every second machine, and of the others in the next wave.
+func (r *run) requestWaves(ctx context.Context) {
+	pause := waveAfter
+	for n := int64(1); time.Since(r.check.began)+pause < r.o.Duration && sleep(ctx, pause); n++ {
+		w := siteplatform.Wave{Wave: n, DurationS: waveSeconds, Cap: waveCap}
+		for i, m := range machineSpecs() {
+			if i%2 == int(n%2) {
+				w.Machines = append(w.Machines, m.Name)
+			}
 		}
-	}
-	r.platform.Note("wave asked for: %v", w.Machines)
-	if err := r.platform.AskWave(w); err != nil {
-		r.check.report("harness: %v", err)
+		r.platform.Note("wave %d asked for: %v", n, w.Machines)
+		if err := r.platform.AskWave(w); err != nil {
+			r.check.report("harness: %v", err)
+		}
+		pause = waveEvery
 	}
 }
 
@@ -283,13 +290,27 @@
 // traffic hands in short jobs for a time.
 func (r *run) traffic(ctx context.Context, rng *rand.Rand, d time.Duration) {
 	for end := time.Now().Add(d); time.Now().Before(end); {
-		r.handIn(ctx, newJob(rng, services[rng.IntN(len(services))], false, shortTasks, shortCPU, 1+rng.IntN(2)), rng.Uint64())
-		if !sleep(ctx, time.Duration(rng.Int64N(int64(2*shortPause)))) {
+		r.handIn(ctx, newJob(rng, r.busyService(rng), false, shortTasks, shortCPU, 1+rng.IntN(2)), rng.Uint64())
+		pause := shortPause
+		if r.o.Overload {
+			pause = overloadPause
+		}
+		if !sleep(ctx, time.Duration(rng.Int64N(int64(2*pause)))) {
 			return
 		}
 	}
 }
 
+// busyService draws the service of a short job.
+func (r *run) busyService(rng *rand.Rand) string {
+	any := services[rng.IntN(len(services))]
+	if !r.o.Overload {
+		return any
+	}
+	turn := int(time.Since(r.check.began) / overloadTurn)
+	return services[turn%len(services)]
+}
+
 // awaitEnds waits for the short jobs, at most until finishWithin after the last disturbance.
 func (r *run) awaitEnds(ctx context.Context) {
 	for {
--- a/cmd/bpbench/main.go
+++ b/cmd/bpbench/main.go
@@ -94,13 +94,14 @@
 	Duration time.Duration `default:"60s" help:"Duration of the traffic and the faults."`
 	Runs     int           `default:"1" help:"Runs, with consecutive seeds."`
 	NoFaults bool          `help:"Inject no faults."`
+	Overload bool          `help:"Ask each service in turn for more than its machines can run."`
 }
 
 func (s siteFaultsCmd) Run(ctx context.Context, c *cli) error {
 	broken := 0
 	for i := range s.Runs {
 		seed := c.Seed + uint64(i)
-		r, err := sitefaults.Run(ctx, sitefaults.Options{Bin: c.Bin, Dir: filepath.Join(c.Dir, fmt.Sprint("seed-", seed)), Seed: seed, Duration: s.Duration, NoFaults: s.NoFaults})
+		r, err := sitefaults.Run(ctx, sitefaults.Options{Bin: c.Bin, Dir: filepath.Join(c.Dir, fmt.Sprint("seed-", seed)), Seed: seed, Duration: s.Duration, NoFaults: s.NoFaults, Overload: s.Overload})
 		if err != nil {
 			return err
 		}
--- a/standins/fleet/minions.go
+++ b/standins/fleet/minions.go
@@ -182,18 +182,6 @@
 	}
 }
 
-// Free returns the unused capacity of a minion, and false if there is no such minion.
-func (s *Minions) Free(id jobs.Minion) (jobs.Resources, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	m := s.all[id]
-	if m == nil || m.Down || m.Cut {
-		return jobs.Resources{}, false
-	}
-	s.settle(m)
-	return m.Entry.Capacity.Sub(m.used()), true
-}
-
 func (m *Minion) used() jobs.Resources {
 	var used jobs.Resources
 	for _, r := range m.runs {
--- a/standins/siteplatform/platform.go
+++ b/standins/siteplatform/platform.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -211,34 +212,44 @@
 	return nil
 }
 
-// WaveState returns what the system says about a wave, "" if nothing. It records a wave that
-// is said to be completed while a machine has not begun its upkeep.
-func (p *Platform) WaveState(n int64) string {
-	var v struct {
-		State string `json:"state"`
-	}
-	if row := p.rows.Row(fmt.Sprintf("status/wave/%d", n)); row.Version == 0 || json.Unmarshal(row.Value, &v) != nil {
-		return ""
-	}
+// Waves returns what the system says about each wave, in their order, "" if nothing. It records
+// a wave that is said to be completed while a machine has not begun its upkeep.
+func (p *Platform) Waves() []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if w := p.waves[n]; v.State == "completed" && len(w.begun) < len(w.Machines) {
-		p.violation("wave %d is completed, %d of %d machines had their upkeep", n, len(w.begun), len(w.Machines))
+	var out []string
+	for n := int64(1); p.waves[n] != nil; n++ {
+		var v struct {
+			State string `json:"state"`
+		}
+		if row := p.rows.Row(fmt.Sprintf("status/wave/%d", n)); row.Version != 0 && json.Unmarshal(row.Value, &v) != nil {
+			p.violation("status of wave %d cannot be read: %s", n, row.Value)
+		}
+		if w := p.waves[n]; v.State == "completed" && len(w.begun) < len(w.Machines) {
+			p.violation("wave %d is completed, %d of %d machines had their upkeep", n, len(w.begun), len(w.Machines))
+		}
+		out = append(out, v.State)
 	}
-	return v.State
+	return out
 }
 
-// Free returns the unused capacity of each minion of a service that is up, by machine.
-func (p *Platform) Free(service string) map[string]jobs.Resources {
+// Up returns how many machines of a service are up.
+func (p *Platform) Up(service string) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	out := map[string]jobs.Resources{}
+	n := 0
 	for _, m := range p.machines {
-		if free, ok := p.minions.Free(m.minion); ok && m.pool == service && m.state == stateUp {
-			out[m.name] = free
+		if m.pool == service && m.state == stateUp {
+			n++
 		}
 	}
-	return out
+	return n
+}
+
+// MachineOf returns the machine of a minion.
+func MachineOf(id jobs.Minion) string {
+	name, _, _ := strings.Cut(strings.TrimPrefix(string(id), "i-"), "-")
+	return name
 }
 
 // Row returns the value of a row of the store, by "table/key"; nil if there is none.
