coordinator: a suspended scheduling run no longer holds up the next one for ten times as long

Callers saw: long-running tasks whose last run was stopped for maintenance, and steps of short jobs, without a run for 8.4 s although minions answered and had room, with one coordinator going on and no log line that says why. Cause: the pause after a scheduling run is ten times its duration, and the duration is read from a clock that also counts the time for which the process was suspended or waited for a processor. A run that is interrupted for 0.84 s delays every start of the site until 8.4 s after its beginning. Class: a pause derived from a measured duration without an upper bound. Change: the pause after a run is bounded by 0.5 s, and a run of more than 100 ms is logged and counted (plans_slow). Measured: the package's tests pass.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -137,9 +137,13 @@
 	tick = 40 * time.Millisecond
 	// minPlanInterval is the least time between two scheduling runs, because ends of runs arrive in
 	// batches. With many jobs the interval is planTimeFactor times the duration of the last run, so
-	// that scheduling takes a tenth of the processor.
+	// that scheduling takes a tenth of the processor. maxPlanInterval bounds it, because the
+	// duration contains the time for which the process was suspended or waited for a processor.
 	minPlanInterval = 8 * time.Millisecond
+	maxPlanInterval = 500 * time.Millisecond
 	planTimeFactor  = 10
+	// slowPlanThreshold is the duration from which a scheduling run is logged as slow.
+	slowPlanThreshold = 100 * time.Millisecond
 	// minionCheckInterval is the least time between two checks of all minions.
 	minionCheckInterval = 4 * time.Millisecond
 	// waveInterval is how often maintenance waves are advanced; a machine's maintenance takes 2 s.
@@ -294,8 +298,7 @@
 		t.rebalanceMachines()
 		if t.needsPlan && t.now >= t.nextPlan {
 			t.plan()
-			took := t.deps.Now() - t.now
-			t.nextPlan = t.now + max(minPlanInterval, planTimeFactor*took)
+			t.scheduleNextPlan(t.deps.Now())
 		}
 	}
 	t.publishView()
@@ -308,6 +311,17 @@
 	return tick
 }
 
+// scheduleNextPlan sets the earliest time of the next scheduling run, after one that ended at the
+// given time.
+func (t *Term) scheduleNextPlan(ended time.Duration) {
+	took := ended - t.now
+	if took > slowPlanThreshold {
+		counters.Add("plans_slow", 1)
+		t.log.Info().Dur("took", took).Msg("Coordinator: slow scheduling run.")
+	}
+	t.nextPlan = min(t.now+max(minPlanInterval, planTimeFactor*took), ended+maxPlanInterval)
+}
+
 // exclusiveUntil returns until when no other entry VM can hold the lease.
 func (t *Term) exclusiveUntil() time.Duration {
 	return max(t.leaseUntil, t.members.promisedUntil())
