exchange: close only connections that are not known to work

Each failed request closed all idle connections to its server. Where one request in a few fails (resets, or answers later than a request may take), every failure made the client open all of them again, and opening one needs a round trip that may be lost as well.

A request without an answer now closes the idle connections that have delivered nothing since it was written: those may be as silent as its own. The others have shown that they work. After a reset or a malformed response only its own connection is closed; the next use of another one probes it for having been closed by the server, however recently it was used. The connection of the failed request is reset in all cases, as before.

Before: TestUnansweredRequestKeepsConnectionsThatWork (3 connections opened, expected 2) and TestResetConnectionKeepsTheOthers (4, expected 3) failed. TestSilentConnectionsAreReplaced holds as before. The package passes 30 times with -race.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -7,8 +7,10 @@
 //   - ErrNotSent means that no byte of the request was written.
 //   - A connection attempt belongs to no request. A request that gives up leaves its attempt to the
 //     next one.
-//   - A connection that did not deliver a complete response is closed, and so are all idle
-//     connections to the same server, because they may be broken in the same way.
+//   - A connection that did not deliver a complete response is closed. Idle connections to the same
+//     server are kept only if they are known to work: after a request without an answer those that
+//     have delivered a response since it was written, after another failure those that the server
+//     has not closed.
 //   - Connections are reset, not closed: the kernel would go on delivering what was written before
 //     a close, even long after the request was given up.
 package exchange
@@ -20,6 +22,8 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -115,6 +119,9 @@
 	idle    []*connection // guarded by mu; ordered by lastUsed, the most recent at the end
 	dials   []*dialing    // guarded by mu; connection attempts in progress, the oldest first
 	waiters []waiter      // guarded by mu; requests that wait for a connection, the oldest first
+	// probeUsedBefore is when a connection to the server last failed. Connections that were used
+	// before are probed however short the time since.
+	probeUsedBefore time.Time // guarded by mu
 }
 
 type connection struct {
@@ -124,15 +131,24 @@
 	lastUsed time.Time
 }
 
-// closeIdle closes all idle connections.
-func (s *server) closeIdle() {
+// closeUnproven closes the idle connections that have delivered nothing since the given time.
+func (s *server) closeUnproven(since time.Time) {
 	s.mu.Lock()
-	idle := s.idle
-	s.idle = nil
-	s.mu.Unlock()
-	for _, c := range idle {
+	defer s.mu.Unlock()
+	s.idle = slices.DeleteFunc(s.idle, func(c *connection) bool {
+		if !c.lastUsed.Before(since) {
+			return false
+		}
 		_ = c.Close() // no request is in progress on it
-	}
+		return true
+	})
+}
+
+// probeIdle makes takeIdle probe all connections that have delivered nothing since now.
+func (s *server) probeIdle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.probeUsedBefore = time.Now()
 }
 
 // closeExpired closes the connections that have been idle for longer than maxIdleTime. The
@@ -162,7 +178,7 @@
 	for len(s.idle) > 0 {
 		c := s.idle[len(s.idle)-1]
 		s.idle = s.idle[:len(s.idle)-1]
-		if now.Sub(c.lastUsed) < probeAfter || c.reusable() {
+		if !c.lastUsed.Before(s.probeUsedBefore) && now.Sub(c.lastUsed) < probeAfter || c.reusable() {
 			return c
 		}
 		_ = c.Close()
@@ -215,15 +231,19 @@
 	if err != nil {
 		return 0, nil, errors.Wrap(ErrNotSent, err.Error())
 	}
+	began := time.Now()
 	status, body, reuse, err := c.exchange(ctx, req, limit)
 	if errors.Is(err, ErrLimitReached) {
 		s.putIdle(c) // nothing was written to it
 		return 0, nil, err
 	}
 	if err != nil {
-		// The other idle connections may be broken in the same way.
 		_ = c.Close()
-		s.closeIdle()
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			s.closeUnproven(began) // they may be as silent as this one
+		} else {
+			s.probeIdle()
+		}
 		return 0, nil, errors.Wrap(ErrNoAnswer, err.Error())
 	}
 	if reuse {
