coordinator: poll a minion at once when a start gets no answer

A start without an answer is sent again until a poll shows that the minion does not answer, and each one carries a new lease, which the coordinator has to wait for. A minion without tasks is polled every 2 s only, so a task whose first start went to a dead idle minion could wait for the rest of that interval and for a lease granted at its end.

The first unanswered start now makes the next poll due.

--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -123,6 +123,7 @@
 			start.nextSend = t.now + resendInterval
 		}
 		m.AvoidUntil = t.now + suspectDuration
+		m.NextPoll = t.now // a minion without tasks would be polled seconds later
 		return
 	case reason == site.RefusedFenced:
 		t.End(errors.Wrap(err, "coordinator: replaced"))
--- a/standins/fleet/minions.go
+++ b/standins/fleet/minions.go
@@ -62,8 +62,11 @@
 	Work func(task string, no int) (time.Duration, jobs.End)
 	// Need returns what a task reserves.
 	Need func(task string) jobs.Resources
-	// Fault decides over an order: None, Lose or Late.
+	// Fault decides over an order: None, Lose, Late, Reset or Connecting.
 	Fault func(op string) Fault
+	// Delay returns the round-trip time of an order to a minion, without the minion's own time; nil
+	// or 0 means the usual millisecond. What has been sent arrives also if its sender gives up.
+	Delay func(op string, to jobs.Minion) time.Duration
 	// OrderTimeout is how long a sender waits for a lost answer.
 	OrderTimeout time.Duration
 	// done are tasks with an end as done that was noted.
@@ -90,6 +93,20 @@
 	s.Work = f
 }
 
+// SetDelay changes Delay while orders are sent.
+func (s *Minions) SetDelay(f func(op string, to jobs.Minion) time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Delay = f
+}
+
+// SetFault changes Fault while orders are sent.
+func (s *Minions) SetFault(f func(op string) Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Fault = f
+}
+
 // Add starts a minion.
 func (s *Minions) Add(e site.MinionEntry) {
 	s.mu.Lock()
@@ -211,8 +228,11 @@
 // answer passes an order to its minion, with faults. carry runs under the lock.
 func (s *Minions) answer(ctx context.Context, op string, to site.Receiver, carry func(m *Minion) error) error {
 	f := None
-	if s.Fault != nil {
-		f = s.Fault(op)
+	s.mu.Lock()
+	fault := s.Fault
+	s.mu.Unlock()
+	if fault != nil {
+		f = fault(op)
 	}
 	if err := pause(ctx, time.Millisecond); err != nil {
 		return errors.Wrap(site.ErrNotSent, err.Error())
@@ -222,6 +242,13 @@
 			return errors.Wrap(site.ErrNoAnswer, err.Error())
 		}
 	}
+	switch f {
+	case Reset:
+		return errors.Wrap(site.ErrNoAnswer, "connection reset")
+	case Connecting:
+		<-ctx.Done()
+		return errors.Wrap(site.ErrNotSent, ctx.Err().Error())
+	}
 	s.arrive(op, to)
 	if f == Late {
 		s.carryLater(to, carry)
@@ -237,6 +264,38 @@
 	return err
 }
 
+// delayed carries out a call to a minion whose request and answer take half of its Delay each.
+func delayed[T any](ctx context.Context, s *Minions, op string, to site.Receiver, call func(ctx context.Context) (T, error)) (T, error) {
+	var d time.Duration
+	s.mu.Lock()
+	delay := s.Delay
+	s.mu.Unlock()
+	if delay != nil {
+		d = delay(op, to.ID)
+	}
+	if d == 0 {
+		return call(ctx)
+	}
+	type result struct {
+		value T
+		err   error
+	}
+	answer := make(chan result, 1)
+	go func() {
+		time.Sleep(d / 2)
+		v, err := call(context.WithoutCancel(ctx))
+		time.Sleep(d / 2)
+		answer <- result{v, err}
+	}()
+	select {
+	case r := <-answer:
+		return r.value, r.err
+	case <-ctx.Done():
+		var none T
+		return none, errors.Wrap(site.ErrNoAnswer, op)
+	}
+}
+
 // heldPoll is how often a held order checks whether it may arrive.
 const heldPoll = 5 * time.Millisecond
 
@@ -304,7 +363,11 @@
 }
 
 // Start implements site.Minions.
-func (s *Minions) Start(ctx context.Context, to site.Receiver, o site.StartOrder) (clock int64, err error) {
+func (s *Minions) Start(ctx context.Context, to site.Receiver, o site.StartOrder) (int64, error) {
+	return delayed(ctx, s, "start", to, func(ctx context.Context) (int64, error) { return s.start(ctx, to, o) })
+}
+
+func (s *Minions) start(ctx context.Context, to site.Receiver, o site.StartOrder) (clock int64, err error) {
 	err = s.answer(ctx, "start", to, func(m *Minion) error {
 		clock = m.clock(time.Now())
 		if r := m.runs[o.Task]; r != nil && r.no == o.Run {
@@ -358,6 +421,11 @@
 
 // Stop implements site.Minions.
 func (s *Minions) Stop(ctx context.Context, to site.Receiver, o site.StopOrder) error {
+	_, err := delayed(ctx, s, "stop", to, func(ctx context.Context) (struct{}, error) { return struct{}{}, s.stop(ctx, to, o) })
+	return err
+}
+
+func (s *Minions) stop(ctx context.Context, to site.Receiver, o site.StopOrder) error {
 	return s.answer(ctx, "stop", to, func(m *Minion) error {
 		m.barred[o.Task] = max(m.barred[o.Task], o.Run)
 		if r := m.runs[o.Task]; r != nil && r.no <= o.Run {
@@ -376,7 +444,11 @@
 const holdPoll = 5 * time.Millisecond
 
 // Poll implements site.Minions.
-func (s *Minions) Poll(ctx context.Context, to site.Receiver, o site.PollRequest) (out site.PollReport, err error) {
+func (s *Minions) Poll(ctx context.Context, to site.Receiver, o site.PollRequest) (site.PollReport, error) {
+	return delayed(ctx, s, "hold", to, func(ctx context.Context) (site.PollReport, error) { return s.poll(ctx, to, o) })
+}
+
+func (s *Minions) poll(ctx context.Context, to site.Receiver, o site.PollRequest) (out site.PollReport, err error) {
 	until := time.Now().Add(o.Wait)
 	first := true
 	for {
--- a/standins/fleet/store.go
+++ b/standins/fleet/store.go
@@ -12,7 +12,7 @@
 	"boragepulley/internal/platform"
 )
 
-// Fault is what happens to a call of the store.
+// Fault is what happens to a call of the store or of a minion.
 type Fault int
 
 const (
@@ -24,6 +24,10 @@
 	Lose
 	// Late: the answer is lost, and the call is carried out later.
 	Late
+	// Reset: the connection is reset before the call arrives. Only for minions.
+	Reset
+	// Connecting: no connection is open before the call ends. Only for minions.
+	Connecting
 )
 
 // lateBy is how much later a call with fault Late is carried out.
