coordinator: timeouts of polls and orders follow the minions' latency

Polls and orders were given up after 300 ms. While answers take longer than that, from a slow network, a busy minion or a busy entry VM, no poll ever succeeds: every minion counts as silent, no lease is renewed, runs end when their leases do, and nothing starts anywhere, since no minion is usable. Ends of runs are not seen either, so work that was done is done again.

Package latency derives the timeout of a call from earlier ones as TCP does for retransmissions: mean and deviation of the answer times, doubled for each timeout in a row. It stays between 300 ms, as before, and 1.5 s: a minion that answers that slowly still gets its renewals within the lease of 4 s, and its clock readings are within the 2 s that a late reading may lag. Retries therefore outlast any latency up to the bound. A minion that answers slowly is made to wait less for an end of a run, so that the renewal is not delayed by both. Orders that were not sent, or whose connection broke before the timeout, change nothing. Leases are as long as before.

--- a/internal/coordinator/minions.go
+++ b/internal/coordinator/minions.go
@@ -121,13 +121,11 @@
 			continue // this run has been ordered there since
 		}
 		to, o := addressOf(m), site.StopOrder{Task: name, Run: run}
-		t.async(orderTimeout, func(ctx context.Context) func() {
-			err := t.orders.Stop(ctx, to, o)
-			return func() {
+		t.sendToMinion(m, func(ctx context.Context) error { return t.orders.Stop(ctx, to, o) },
+			func(err error) {
 				if err == nil && m.StaleStarts[name] == run {
 					delete(m.StaleStarts, name)
 				}
-			}
-		})
+			})
 	}
 }
--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -13,8 +13,6 @@
 )
 
 const (
-	// orderTimeout bounds an order. An answer takes 2 to 10 ms, on a busy entry VM 100 ms.
-	orderTimeout = 300 * time.Millisecond
 	// resendInterval is the pause before an unanswered order is sent again; the first retry is
 	// immediate. Starts and stops are idempotent: a minion carries out each run of a task once.
 	resendInterval = 100 * time.Millisecond
@@ -84,13 +82,39 @@
 	to := addressOf(m)
 	var clock int64
 	var at time.Duration
-	t.sendOrder(orderTimeout, func(ctx context.Context) (err error) {
+	t.sendToMinion(m, func(ctx context.Context) (err error) {
 		clock, err = t.orders.Start(ctx, to, order)
 		at = t.deps.Now()
 		return err
 	}, func(err error) { t.startAnswered(task, start, order.Run, clock, at, err) })
 }
 
+// sendToMinion sends an order in its own goroutine, for as long as the minion may take to answer.
+func (t *Term) sendToMinion(m *holding.Minion, send func(ctx context.Context) error, answered func(err error)) {
+	timeout := m.Latency.Timeout()
+	t.async(timeout, func(ctx context.Context) func() {
+		sent := t.deps.Now()
+		err := send(ctx)
+		took := t.deps.Now() - sent
+		return func() {
+			observeLatency(m, took, timeout, err)
+			answered(err)
+		}
+	})
+}
+
+// observeLatency records how long a minion took to answer, or that it did not answer in time. An
+// order that was not sent, or whose connection broke, tells neither.
+func observeLatency(m *holding.Minion, took, timeout time.Duration, err error) {
+	switch {
+	case errors.Is(err, site.ErrNotSent):
+	case !errors.Is(err, site.ErrNoAnswer):
+		m.Latency.Answered(took)
+	case took >= timeout:
+		m.Latency.TimedOut(timeout)
+	}
+}
+
 // startAnswered handles the answer to a start. clock is the minion's clock as read at time at.
 func (t *Term) startAnswered(task *jobs.Task, start *pendingStart, run int, clock int64, at time.Duration, err error) {
 	start.inFlight = false
@@ -171,7 +195,7 @@
 func (t *Term) sendStop(task *jobs.Task, stop *pendingStop, m *holding.Minion) {
 	stop.inFlight = true
 	to, order := addressOf(m), site.StopOrder{Task: task.Name(), Run: task.Run}
-	t.sendOrder(orderTimeout, func(ctx context.Context) error { return t.orders.Stop(ctx, to, order) },
+	t.sendToMinion(m, func(ctx context.Context) error { return t.orders.Stop(ctx, to, order) },
 		func(err error) { t.stopAnswered(task, stop, m, err) })
 }
 
--- a/internal/coordinator/polls.go
+++ b/internal/coordinator/polls.go
@@ -23,8 +23,6 @@
 	// runs are then seen later by this wait plus the timeout.
 	pollWait            = 300 * time.Millisecond
 	longRunningPollWait = 700 * time.Millisecond
-	// pollTimeout is added to the wait. An answer takes 2 to 10 ms, on a busy entry VM 100 ms.
-	pollTimeout = 300 * time.Millisecond
 	// minPollGap is the least time between two polls of a minion, so that runs that end together
 	// are reported by one poll. With many minions the gap is longer, see pollGapFor.
 	minPollGap = 25 * time.Millisecond
@@ -52,16 +50,25 @@
 	if len(m.Tasks) > 0 && m.ClockKnown() && m.FailedPolls == 0 {
 		o.LeaseUntil = m.GrantLease(t.now, t.runLease)
 	}
+	timeout := m.Latency.Timeout()
 	if len(m.Tasks) > 0 && m.FailedPolls == 0 && m.Polled {
-		// The answer must arrive before the site's lease ends, which also ends the call.
-		o.Wait = max(0, min(pollWaitFor(m), t.exclusiveUntil()-t.now-pollTimeout))
+		// The answer must arrive before the site's lease ends, which also ends the call. A minion that
+		// answers slowly is not made to wait as well, because its leases must be renewed in time.
+		slowness := timeout - m.Latency.Least
+		o.Wait = max(0, min(pollWaitFor(m)-slowness, t.exclusiveUntil()-t.now-timeout)).Truncate(time.Millisecond)
 	}
 	m.Polling = true
 	to, sent := addressOf(m), t.now
-	t.async(o.Wait+pollTimeout, func(ctx context.Context) func() {
+	t.async(o.Wait+timeout, func(ctx context.Context) func() {
+		began := t.deps.Now()
 		r, err := t.orders.Poll(ctx, to, o)
 		at := t.deps.Now()
-		return func() { t.pollAnswered(m, sent, at, o.Ack, r, err) }
+		return func() {
+			if took := at - began - o.Wait; took >= 0 { // the minion may answer before the wait is over
+				observeLatency(m, took, timeout, err)
+			}
+			t.pollAnswered(m, sent, at, o.Ack, r, err)
+		}
 	})
 }
 
--- a/internal/coordinator/reports.go
+++ b/internal/coordinator/reports.go
@@ -118,12 +118,12 @@
 		return
 	}
 	to := addressOf(m)
-	t.async(orderTimeout, func(ctx context.Context) func() {
-		if err := t.orders.Stop(ctx, to, site.StopOrder{Task: name, Run: run}); err != nil {
-			t.log.Info().Err(err).Str("task", name).Msg("Coordinator: orphaned run not stopped yet.")
-		}
-		return nil
-	})
+	t.sendToMinion(m, func(ctx context.Context) error { return t.orders.Stop(ctx, to, site.StopOrder{Task: name, Run: run}) },
+		func(err error) {
+			if err != nil {
+				t.log.Info().Err(err).Str("task", name).Msg("Coordinator: orphaned run not stopped yet.")
+			}
+		})
 }
 
 // runUnlisted handles a task that its minion reports neither as running nor as ended.
--- a/internal/holding/holding.go
+++ b/internal/holding/holding.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"boragepulley/internal/jobs"
+	"boragepulley/internal/latency"
 	"boragepulley/internal/site"
 )
 
@@ -20,6 +21,12 @@
 	clockSlowness = 0.02
 	// readingMargin covers the time from a minion's reading of its clock to the receipt here.
 	readingMargin = 150 * time.Millisecond
+	// minAnswerTimeout and maxAnswerTimeout bound the time in which a minion has to answer. An answer
+	// takes 2 to 10 ms, on a busy entry VM 100 ms. A minion that answers as slowly as the upper bound
+	// still gets a renewal in time: its runs have leases of 4 s, and a clock reading of that age is
+	// within clockSlack.
+	minAnswerTimeout = 300 * time.Millisecond
+	maxAnswerTimeout = 1500 * time.Millisecond
 )
 
 // Minion is the coordinator's known state of a minion.
@@ -53,6 +60,8 @@
 	// FailedPolls counts consecutive polls without a reply; LastReply is when the last reply came.
 	FailedPolls int
 	LastReply   time.Duration
+	// Latency is how long the minion takes to answer.
+	Latency latency.Estimator
 	// AvoidUntil is until when the minion counts as suspect, after it refused an order or did not
 	// answer one.
 	AvoidUntil time.Duration
@@ -83,7 +92,7 @@
 // New returns the state of a minion of which only the entry in the platform's list is known.
 // unseenUntil is when runs that earlier coordinators ordered there have certainly ended.
 func New(e site.MinionEntry, unseenUntil time.Duration) *Minion {
-	return &Minion{MinionEntry: e, RunsExpireAt: unseenUntil, Tasks: map[*jobs.Task]struct{}{}, UnconfirmedStarts: map[string]int{}, StaleStarts: map[string]int{}}
+	return &Minion{MinionEntry: e, RunsExpireAt: unseenUntil, Latency: latency.Estimator{Least: minAnswerTimeout, Longest: maxAnswerTimeout}, Tasks: map[*jobs.Task]struct{}{}, UnconfirmedStarts: map[string]int{}, StaleStarts: map[string]int{}}
 }
 
 // ClockKnown reports whether leases can be expressed on the minion's clock.
