coordinator: wait for leases that were meant for an earlier incarnation

A minion may restart under its id. An order that was sent before the coordinator knew of it carries the end of a lease on the earlier process's clock, which has run for longer, so the new process grants as much as it ever grants: 6 s or 10 s by its settings (max_hold_ms). The coordinator counted on 4.2 s. If the minion then became unreachable, its task was started elsewhere while the first run went on.

When a restart becomes known, by a clock reading, by the incarnation in a reply or by the platform's list, leases on the minion are now taken to last for the longest lease from then on, with the time that an order may still be in flight. Only a minion that restarted and then falls silent is affected: its tasks wait for up to 7.8 s (11.9 s where leases of 10 s are granted) before they start elsewhere.

Not covered: an unanswered start on a new incarnation that no message of the platform ever shows.

--- a/internal/coordinator/minions.go
+++ b/internal/coordinator/minions.go
@@ -106,7 +106,7 @@
 // starts, so these are rejected by stop orders, see rejectStaleStarts.
 func (t *Term) minionRestarted(m *holding.Minion, incarnation int64) {
 	t.log.Info().Str("minion", string(m.ID)).Int("tasks", len(m.Tasks)).Int64("born", incarnation).Msg("Coordinator: minion restarted.")
-	m.Restarted(incarnation)
+	m.Restarted(incarnation, t.now, t.deps.Limits.MaxMinionLease)
 	m.NextPoll = t.now
 }
 
--- a/internal/coordinator/silent_test.go
+++ b/internal/coordinator/silent_test.go
@@ -51,6 +51,9 @@
 
 func taskOfSlowJob(i int) string { return fmt.Sprintf("%s.0.0.%d", slowJob, i) }
 
+// minionEntryInterval is how often a minion writes its entry of the platform's list.
+const minionEntryInterval = 1500 * time.Millisecond
+
 // startLongRunning starts a term and n long-running tasks on the given number of minions.
 func startLongRunning(t *testing.T, minions, n int) (*testSite, *Term) {
 	ts := newTestSite(t, minions)
@@ -185,3 +188,34 @@
 		})
 	}
 }
+
+// Guards against a second run of a task whose minion restarted under its id: an order that was meant
+// for its earlier process carries a lease on that one's clock, which the new one grants in full.
+func TestLeaseMeantForAnEarlierIncarnationIsWaitedFor(t *testing.T) {
+	for name, answered := range map[string]bool{"answered": true, "not answered": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ts := newTestSite(t, 1)
+				ts.minions.Work = runForever
+				term := ts.startTerm("e1", nil)
+				defer endTerm(term)
+				sleep(30 * time.Second)
+				if !answered {
+					ts.minions.SetFault(func(string) fleet.Fault { return fleet.Lose })
+				}
+				ts.minions.Restart("m0")
+				ts.submitJob(term, slowJob, longRunningStep(1))
+				sleep(100 * time.Millisecond)
+				require.Len(t, ts.minions.Running(taskOfSlowJob(0)), 1)
+				ts.minions.Change("m0", func(m *fleet.Minion) { m.Cut = true })
+				ts.minions.SetFault(nil)
+				ts.addMinion("m1")
+				sleep(minionEntryInterval)
+				ts.list("m0")
+				sleep(slowNetworkTime)
+				require.Equal(t, []jobs.Minion{"m1"}, ts.minions.Running(taskOfSlowJob(0)))
+				ts.requireNoViolations()
+			})
+		})
+	}
+}
--- a/internal/holding/holding_test.go
+++ b/internal/holding/holding_test.go
@@ -52,7 +52,7 @@
 	m.AckDelivered(2)
 	require.Zero(t, m.NextAck())
 	require.False(t, m.IsNewEnd(2))
-	m.Restarted(7)
+	m.Restarted(7, 0, time.Second)
 	require.True(t, m.IsNewEnd(1))
 }
 
