--- a/internal/coordinator/minions.go
+++ b/internal/coordinator/minions.go
@@ -109,7 +109,7 @@
 // starts, so these are rejected by stop orders, see rejectStaleStarts.
 func (t *Term) minionRestarted(m *holding.Minion, incarnation int64) {
 	t.log.Info().Str("minion", string(m.ID)).Int("tasks", len(m.Tasks)).Int64("born", incarnation).Msg("Coordinator: minion restarted.")
-	m.Restarted(incarnation)
+	m.Restarted(incarnation, t.now, t.deps.Limits.MaxMinionLease)
 	m.NextPoll = t.now
 }
 
@@ -124,13 +124,11 @@
 			continue // this run has been ordered there since
 		}
 		to, o := addressOf(m), site.StopOrder{Task: name, Run: run}
-		t.async(orderTimeout, func(ctx context.Context) func() {
-			err := t.orders.Stop(ctx, to, o)
-			return func() {
+		t.sendToMinion(m, func(ctx context.Context) error { return t.orders.Stop(ctx, to, o) },
+			func(err error) {
 				if err == nil && m.StaleStarts[name] == run {
 					delete(m.StaleStarts, name)
 				}
-			}
-		})
+			})
 	}
 }
--- a/internal/holding/holding.go
+++ b/internal/holding/holding.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"boragepulley/internal/jobs"
+	"boragepulley/internal/latency"
 	"boragepulley/internal/site"
 )
 
@@ -20,6 +21,12 @@
 	clockSlowness = 0.02
 	// readingMargin covers the time from a minion's reading of its clock to the receipt here.
 	readingMargin = 150 * time.Millisecond
+	// minAnswerTimeout and maxAnswerTimeout bound the time in which a minion has to answer. An answer
+	// takes 2 to 10 ms, on a busy entry VM 100 ms. A minion that answers as slowly as the upper bound
+	// still gets a renewal in time: its runs have leases of 4 s, and a clock reading of that age is
+	// within clockSlack.
+	minAnswerTimeout = 300 * time.Millisecond
+	maxAnswerTimeout = 1500 * time.Millisecond
 )
 
 // Minion is the coordinator's known state of a minion.
@@ -40,6 +47,8 @@
 	// was taken into account.
 	clock   int64
 	clockAt time.Duration
+	// granted is the end of the last lease that this incarnation was granted, on its clock, or 0.
+	granted int64
 
 	// Used is the sum of the resources that Tasks reserve.
 	Used  jobs.Resources
@@ -53,6 +62,8 @@
 	// FailedPolls counts consecutive polls without a reply; LastReply is when the last reply came.
 	FailedPolls int
 	LastReply   time.Duration
+	// Latency is how long the minion takes to answer.
+	Latency latency.Estimator
 	// AvoidUntil is until when the minion counts as suspect, after it refused an order or did not
 	// answer one.
 	AvoidUntil time.Duration
@@ -88,7 +99,7 @@
 // New returns the state of a minion of which only the entry in the platform's list is known.
 // unseenUntil is when runs that earlier coordinators ordered there have certainly ended.
 func New(e site.MinionEntry, unseenUntil time.Duration) *Minion {
-	return &Minion{MinionEntry: e, RunsExpireAt: unseenUntil, Tasks: map[*jobs.Task]struct{}{}, UnconfirmedStarts: map[string]int{}, StaleStarts: map[string]int{}}
+	return &Minion{MinionEntry: e, RunsExpireAt: unseenUntil, Latency: latency.Estimator{Least: minAnswerTimeout, Longest: maxAnswerTimeout}, Tasks: map[*jobs.Task]struct{}{}, UnconfirmedStarts: map[string]int{}, StaleStarts: map[string]int{}}
 }
 
 // ClockKnown reports whether leases can be expressed on the minion's clock.
@@ -121,15 +132,27 @@
 	// A slow clock reaches the end of the lease later.
 	left := time.Duration(float64(now-m.clockAt+duration) * (1 + clockSlowness))
 	m.RunsExpireAt = max(m.RunsExpireAt, m.clockAt+left+readingMargin)
+	m.granted = max(m.granted, until)
 	return until
 }
 
+// GrantedLease returns the end of the last lease that was granted to this incarnation, in
+// milliseconds on its clock, or 0. It can be sent again without a change of RunsExpireAt.
+func (m *Minion) GrantedLease() int64 { return m.granted }
+
 // Restarted resets the state for a new incarnation under the same id. Ends that the previous
-// incarnation reported can no longer be acknowledged.
-func (m *Minion) Restarted(incarnation int64) {
+// incarnation reported can no longer be acknowledged. maxLease is the longest lease that a minion
+// grants.
+func (m *Minion) Restarted(incarnation int64, now, maxLease time.Duration) {
 	m.Incarnation = incarnation
+	if m.granted > 0 {
+		// A lease that was meant for the previous incarnation is on that one's clock. The new one may
+		// have granted as much of it as it ever grants, or does so when the order arrives.
+		left := time.Duration(float64(maxLease) * (1 + clockSlowness))
+		m.RunsExpireAt = max(m.RunsExpireAt, now+maxAnswerTimeout+left+readingMargin)
+	}
 	m.lastEnd, m.ackable, m.acked, m.unackedEnds = 0, 0, 0, nil
-	m.clock, m.clockAt = 0, 0
+	m.clock, m.clockAt, m.granted = 0, 0, 0
 	maps.Copy(m.StaleStarts, m.UnconfirmedStarts)
 	m.UnconfirmedStarts = map[string]int{}
 }
