--- a/internal/coordinator/waiting_test.go
+++ b/internal/coordinator/waiting_test.go
@@ -93,9 +93,9 @@
 	require.NoError(s.t, s.term.do(s.t.Context(), func() { s.waves[w.ID] = w }))
 }
 
-// longRunningStep returns a step of n long-running tasks of half a core, at most one on each minion,
+// spreadStep returns a step of n long-running tasks of half a core, at most one on each minion,
 // of which one may be made unavailable at a time.
-func longRunningStep(n int) jobs.Step {
+func spreadStep(n int) jobs.Step {
 	return jobs.Step{Count: n, Need: jobs.Resources{CPU: 500}, LongRunning: true, MaxPerMinion: 1, MaxUnavailable: 1}
 }
 
@@ -134,9 +134,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newBurstSite(t, 3, 5)
 		s.start()
-		s.submitJob(s.term, "0000000000000001", longRunningStep(3))
+		s.submitJob(s.term, "0000000000000001", spreadStep(3))
 		// One task of this job has no place from the beginning, so none of the others may be stopped.
-		s.submitJob(s.term, "0000000000000002", longRunningStep(4))
+		s.submitJob(s.term, "0000000000000002", spreadStep(4))
 		sleep(2 * time.Second)
 		running := append(taskNames("0000000000000001", 3), taskNames("0000000000000002", 3)...)
 		s.begin(site.Wave{ID: 1, Machines: []model.VM{"s1", "s2"}, Duration: 30 * time.Second, MaxDown: 2})
@@ -152,7 +152,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newBurstSite(t, 2, 5)
 		s.start()
-		s.submitJob(s.term, "0000000000000001", longRunningStep(2))
+		s.submitJob(s.term, "0000000000000001", spreadStep(2))
 		sleep(2 * time.Second)
 		s.begin(site.Wave{ID: 1, Machines: []model.VM{"s0", "s1"}, Duration: 30 * time.Second, MaxDown: 1})
 		longest, without := s.watch(25*time.Second, taskNames("0000000000000001", 2)...)
@@ -167,7 +167,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newBurstSite(t, 2, 5)
 		s.start()
-		s.submitJob(s.term, "0000000000000001", longRunningStep(2))
+		s.submitJob(s.term, "0000000000000001", spreadStep(2))
 		sleep(2 * time.Second)
 		lost := s.moving.MinionOf("s1")
 		s.minions.Change(lost, func(m *fleet.Minion) { m.Down = true })
--- a/standins/fleet/minions.go
+++ b/standins/fleet/minions.go
@@ -526,14 +526,14 @@
 	return s.answer(ctx, "stop", to, func(m *Minion) error {
 		m.barred[o.Task] = max(m.barred[o.Task], o.Run)
 		if r := m.runs[o.Task]; r != nil && r.no <= o.Run {
-			s.stop(m, r)
+			s.endStopped(m, r)
 		}
 		return nil
 	})
 }
 
-// stop lets a run end after StopTime.
-func (s *Minions) stop(m *Minion, r *run) {
+// endStopped lets a run end after StopTime.
+func (s *Minions) endStopped(m *Minion, r *run) {
 	if s.StopTime == 0 {
 		s.end(m, r, jobs.EndStopped, time.Now())
 		return
