coordinator: wait for long leases only where a start may have reached the new incarnation

That is needed only if the new incarnation may run something: if a start was sent since the poll that the previous one answered last, or is in flight. Otherwise every run there has ended with the previous process, and the leases that it was granted bound the wait as before.

Before: TestNoTaskWaitsForASilentMinion/restarted_out_of_reach, added here, failed ("7.86s" is not less than or equal to "6.2s").

--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -78,6 +78,8 @@
 	m := start.minion
 	start.inFlight = true
 	start.tries++
+	m.LastStart = t.now
+	m.StartsInFlight++
 	order := site.StartOrder{Task: task.Name(), Run: task.Run, Payload: task.Step.Job.Spec.Payload, LeaseUntil: m.GrantLease(t.now, t.runLease), Checkpoint: task.Checkpoint}
 	to := addressOf(m)
 	var clock int64
@@ -119,6 +121,7 @@
 func (t *Term) startAnswered(task *jobs.Task, start *pendingStart, run int, clock int64, at time.Duration, err error) {
 	start.inFlight = false
 	m := start.minion
+	defer func() { m.StartsInFlight-- }()
 	if t.pendingStarts[task] != start || task.Run != run {
 		return
 	}
--- a/internal/coordinator/polls.go
+++ b/internal/coordinator/polls.go
@@ -147,7 +147,7 @@
 	if r.Incarnation != 0 {
 		m.Incarnation = r.Incarnation
 	}
-	m.FailedPolls, m.LastReply = 0, t.now
+	m.FailedPolls, m.LastReply, m.LastReported = 0, t.now, sent
 	m.ObserveClock(r.Clock, at)
 	t.reconcile(m, sent, r)
 	t.rejectStaleStarts(m)
--- a/internal/coordinator/silent_test.go
+++ b/internal/coordinator/silent_test.go
@@ -74,11 +74,17 @@
 
 // Guards against a long-running task that stays without a run for longer than its lease and a
 // restart, while its minion does not answer and other minions have free capacity: also one that was
-// being stopped, or whose start was not answered, when the minion fell silent.
+// being stopped when the minion fell silent, or whose minion has restarted since and is out of reach.
 func TestNoTaskWaitsForASilentMinion(t *testing.T) {
-	for name, before := range map[string]func(ts *testSite, term *Term){
-		"running": func(*testSite, *Term) {},
-		"being stopped": func(_ *testSite, term *Term) {
+	for name, then := range map[string]func(ts *testSite, silent jobs.Minion, term *Term){
+		"running": func(*testSite, jobs.Minion, *Term) {},
+		"restarted out of reach": func(ts *testSite, silent jobs.Minion, _ *Term) {
+			sleep(time.Second)
+			ts.minions.Restart(silent)
+			ts.minions.Change(silent, func(m *fleet.Minion) { m.Cut = true })
+			ts.list(silent)
+		},
+		"being stopped": func(_ *testSite, _ jobs.Minion, term *Term) {
 			_ = term.do(context.Background(), func() {
 				for _, task := range term.registry.Get(slowJob).Active() {
 					term.stopRun(task, reasonLeaving)
@@ -91,7 +97,7 @@
 				ts, term := startLongRunning(t, 4, 4)
 				silent := ts.minions.Running(taskOfSlowJob(0))[0]
 				ts.minions.Change(silent, func(m *fleet.Minion) { m.Down = true })
-				before(ts, term)
+				then(ts, silent, term)
 				require.LessOrEqual(t, ts.watchGaps(4, slowNetworkTime), runLeaseTTL+runLeaseTTL/20+restartTime)
 				ts.requireNoViolations()
 			})
--- a/internal/holding/holding.go
+++ b/internal/holding/holding.go
@@ -62,6 +62,11 @@
 	// FailedPolls counts consecutive polls without a reply; LastReply is when the last reply came.
 	FailedPolls int
 	LastReply   time.Duration
+	// LastStart is when the last start order was sent, LastReported when the last poll was sent that
+	// this incarnation answered.
+	LastStart, LastReported time.Duration
+	// StartsInFlight counts start orders that are neither answered nor given up.
+	StartsInFlight int
 	// Latency is how long the minion takes to answer.
 	Latency latency.Estimator
 	// AvoidUntil is until when the minion counts as suspect, after it refused an order or did not
@@ -140,9 +145,9 @@
 // grants.
 func (m *Minion) Restarted(incarnation int64, now, maxLease time.Duration) {
 	m.Incarnation = incarnation
-	if m.granted > 0 {
-		// A lease that was meant for the previous incarnation is on that one's clock. The new one may
-		// have granted as much of it as it ever grants, or does so when the order arrives.
+	if m.StartsInFlight > 0 || m.LastStart > 0 && m.LastStart >= m.LastReported {
+		// The new incarnation may have received a start that was meant for the previous one. The lease
+		// in it is on that one's clock, so the new one grants as much as it ever grants.
 		left := time.Duration(float64(maxLease) * (1 + clockSlowness))
 		m.RunsExpireAt = max(m.RunsExpireAt, now+maxAnswerTimeout+left+readingMargin)
 	}
