Revert "coordinator: send the last lease again to a minion that does not answer"

The retry after a failed poll is the order that most likely reaches a new process under the minion's id, and the lease in it is on the earlier process's clock: the new one would grant the longest lease that it ever grants, 6 or 10 s, while the coordinator counts on 4.2 s. A lease has to follow an answer that shows which incarnation is there.

--- a/internal/coordinator/polls.go
+++ b/internal/coordinator/polls.go
@@ -45,14 +45,10 @@
 		// beginning again, and an old number would acknowledge ends that nobody has seen.
 		o.Ack = m.NextAck()
 	}
-	// A minion that does not answer is granted no new lease: otherwise its tasks could never be
-	// started elsewhere. The last one is sent again, as it may not have arrived.
-	switch {
-	case len(m.Tasks) == 0 || !m.ClockKnown():
-	case m.FailedPolls == 0:
+	// The leases of a minion that does not answer are not renewed: otherwise its tasks could never
+	// be started elsewhere.
+	if len(m.Tasks) > 0 && m.ClockKnown() && m.FailedPolls == 0 {
 		o.LeaseUntil = m.GrantLease(t.now, t.runLease)
-	default:
-		o.LeaseUntil = m.GrantedLease()
 	}
 	timeout := m.Latency.Timeout()
 	if len(m.Tasks) > 0 && m.FailedPolls == 0 && m.Polled {
--- a/internal/holding/holding.go
+++ b/internal/holding/holding.go
@@ -47,8 +47,6 @@
 	// was taken into account.
 	clock   int64
 	clockAt time.Duration
-	// granted is the end of the last lease that this incarnation was granted, on its clock, or 0.
-	granted int64
 
 	// Used is the sum of the resources that Tasks reserve.
 	Used  jobs.Resources
@@ -132,14 +130,9 @@
 	// A slow clock reaches the end of the lease later.
 	left := time.Duration(float64(now-m.clockAt+duration) * (1 + clockSlowness))
 	m.RunsExpireAt = max(m.RunsExpireAt, m.clockAt+left+readingMargin)
-	m.granted = max(m.granted, until)
 	return until
 }
 
-// GrantedLease returns the end of the last lease that was granted to this incarnation, in
-// milliseconds on its clock, or 0. It can be sent again without a change of RunsExpireAt.
-func (m *Minion) GrantedLease() int64 { return m.granted }
-
 // Restarted resets the state for a new incarnation under the same id. Ends that the previous
 // incarnation reported can no longer be acknowledged. maxLease is the longest lease that a minion
 // grants.
@@ -152,7 +145,7 @@
 		m.RunsExpireAt = max(m.RunsExpireAt, now+maxAnswerTimeout+left+readingMargin)
 	}
 	m.lastEnd, m.ackable, m.acked, m.unackedEnds = 0, 0, 0, nil
-	m.clock, m.clockAt, m.granted = 0, 0, 0
+	m.clock, m.clockAt = 0, 0
 	maps.Copy(m.StaleStarts, m.UnconfirmedStarts)
 	m.UnconfirmedStarts = map[string]int{}
 }
