--- a/internal/holding/holding.go
+++ b/internal/holding/holding.go
@@ -47,8 +47,6 @@
 	// was taken into account.
 	clock   int64
 	clockAt time.Duration
-	// granted is the end of the last lease that this incarnation was granted, on its clock, or 0.
-	granted int64
 
 	// Used is the sum of the resources that Tasks reserve.
 	Used  jobs.Resources
@@ -62,6 +60,11 @@
 	// FailedPolls counts consecutive polls without a reply; LastReply is when the last reply came.
 	FailedPolls int
 	LastReply   time.Duration
+	// LastStart is when the last start order was sent, LastReported when the last poll was sent that
+	// this incarnation answered.
+	LastStart, LastReported time.Duration
+	// StartsInFlight counts start orders that are neither answered nor given up.
+	StartsInFlight int
 	// Latency is how long the minion takes to answer.
 	Latency latency.Estimator
 	// AvoidUntil is until when the minion counts as suspect, after it refused an order or did not
@@ -132,27 +135,22 @@
 	// A slow clock reaches the end of the lease later.
 	left := time.Duration(float64(now-m.clockAt+duration) * (1 + clockSlowness))
 	m.RunsExpireAt = max(m.RunsExpireAt, m.clockAt+left+readingMargin)
-	m.granted = max(m.granted, until)
 	return until
 }
 
-// GrantedLease returns the end of the last lease that was granted to this incarnation, in
-// milliseconds on its clock, or 0. It can be sent again without a change of RunsExpireAt.
-func (m *Minion) GrantedLease() int64 { return m.granted }
-
 // Restarted resets the state for a new incarnation under the same id. Ends that the previous
 // incarnation reported can no longer be acknowledged. maxLease is the longest lease that a minion
 // grants.
 func (m *Minion) Restarted(incarnation int64, now, maxLease time.Duration) {
 	m.Incarnation = incarnation
-	if m.granted > 0 {
-		// A lease that was meant for the previous incarnation is on that one's clock. The new one may
-		// have granted as much of it as it ever grants, or does so when the order arrives.
+	if m.StartsInFlight > 0 || m.LastStart > 0 && m.LastStart >= m.LastReported {
+		// The new incarnation may have received a start that was meant for the previous one. The lease
+		// in it is on that one's clock, so the new one grants as much as it ever grants.
 		left := time.Duration(float64(maxLease) * (1 + clockSlowness))
 		m.RunsExpireAt = max(m.RunsExpireAt, now+maxAnswerTimeout+left+readingMargin)
 	}
 	m.lastEnd, m.ackable, m.acked, m.unackedEnds = 0, 0, 0, nil
-	m.clock, m.clockAt, m.granted = 0, 0, 0
+	m.clock, m.clockAt = 0, 0
 	maps.Copy(m.StaleStarts, m.UnconfirmedStarts)
 	m.UnconfirmedStarts = map[string]int{}
 }
