--- a/bench/proc/usage.go
+++ b/bench/proc/usage.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"time"
@@ -13,6 +14,24 @@
 // clockTicks is the kernel's USER_HZ, the unit of processor times in /proc.
 const clockTicks = 100
 
+// AtWork reports whether one of the process's threads runs or waits for a processor.
+func (p *Process) AtWork() bool {
+	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.PID()))
+	if err != nil {
+		return false
+	}
+	for _, name := range threads {
+		stat, err := os.ReadFile(name)
+		if err != nil {
+			continue // the thread has ended
+		}
+		if i := strings.LastIndexByte(string(stat), ')'); i >= 0 && strings.HasPrefix(string(stat[i+1:]), " R") {
+			return true
+		}
+	}
+	return false
+}
+
 // Usage reads the processor time and memory of a running process from /proc.
 func (p *Process) Usage() (Usage, error) {
 	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.PID()))
--- a/bench/sitefaults/checker.go
+++ b/bench/sitefaults/checker.go
@@ -74,6 +74,7 @@
 	// calmSince is when the last disturbance ended; disturbances are those in force.
 	calmSince    time.Time            // guarded by mu
 	disturbances int                  // guarded by mu
+	lastShort    time.Time            // guarded by mu; the last start of a short task
 	roomSince    map[string]time.Time // guarded by mu; by service, zero while there is no room
 	lastTick     time.Time            // guarded by mu
 	stalls       int                  // guarded by mu
@@ -169,6 +170,9 @@
 	if j != nil && !j.cancelledAt.IsZero() && c.disturbances == 0 && e.At.Sub(later(j.cancelledAt, c.calmSince)) > cancelBound {
 		c.fault("UNASKED: %s begins on %s %v after its cancelling", e.Task, e.Minion, e.At.Sub(j.cancelledAt).Round(time.Millisecond))
 	}
+	if !spec.Long {
+		c.lastShort = e.At
+	}
 	if spec.Long && s.began > 1 {
 		c.restarts++
 		c.longest = max(c.longest, e.At.Sub(s.free))
@@ -318,6 +322,13 @@
 	}
 }
 
+// quietFor reports whether no disturbance was and no short task began for a time.
+func (c *checker) quietFor(d time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.disturbances == 0 && time.Since(later(c.calmSince, c.lastShort)) > d
+}
+
 // open returns the accepted short jobs that have not been seen to end.
 func (c *checker) open() []string {
 	c.mu.Lock()
