capacity, coordinator: empty no machine for a task that it can not host

Callers saw: one job of long-running tasks that need more than any machine has, or a label or accelerators that no other machine has, took the machines of all other services, one after the other. Cause: a task without a place counted by its sum of CPU and memory alone. A machine that came and was of no use left the task without a place, so the next one was emptied, for as long as the job was open. Evidence: TestNoMachineIsTakenForATaskThatItCanNotRun fails on: after 15 s the service with the burst has 0 of 6 machines for a task with too much CPU or memory, 5 of 6 for a label or accelerators. Change: a task without a place counts only while a machine of another pool can host it, by capacity and labels, and only such machines are taken from standby, moved or emptied for it. Measured: the test passes, as do those of the capacity and coordinator packages (14 s).

--- a/internal/capacity/plan.go
+++ b/internal/capacity/plan.go
@@ -39,16 +39,28 @@
 	// its machines now. Stranded is the part for those that will not fit there either once other
 	// tasks have ended.
 	Unplaceable, Stranded int
+	// Needs is what these tasks need. Without any, each machine is of use for them.
+	Needs []Need
 	// Forecast is the number of cores that arriving jobs will need.
 	Forecast float64
 }
 
+// Need is what a task needs of a machine.
+type Need struct {
+	Resources jobs.Resources
+	// Label is the label that the machine must have; empty for none.
+	Label string
+}
+
 // Machine is a machine of the platform.
 type Machine struct {
 	Name model.VM
 	// Pool is the service to which the machine belongs or is being moved.
 	Pool     model.Service
 	Capacity jobs.Resources
+	// Kind and Rack are the machine's labels.
+	Kind string
+	Rack model.Rack
 	// Movable machines are up, empty, and not part of a maintenance wave.
 	Movable bool
 	// Idle is how long a movable machine has been empty.
@@ -138,8 +150,8 @@
 	})
 	var p Plan
 	p.finishReclaims(s.Machines, byName)
-	move := func(st *serviceState) bool {
-		m, ok := takeMachine(&standby, services, st)
+	move := func(st *serviceState, suits func(*Machine) bool) bool {
+		m, ok := takeMachine(&standby, services, st, suits)
 		if ok {
 			p.Moves = append(p.Moves, Move{Machine: m.Name, To: st.Name})
 			st.incoming++
@@ -149,12 +161,12 @@
 	// Machines for long-running tasks that fit nowhere come before all shortfalls: their service lacks
 	// only these, and would otherwise wait for as long as others have a burst.
 	for _, st := range services {
-		for st.lacking(st.Unplaceable) > 0 && move(st) {
+		for st.lacking(st.Unplaceable) > 0 && move(st, st.suits) {
 		}
 	}
 	for _, st := range services {
 		p.Targets = append(p.Targets, Target{st.Name, len(st.machines), st.target, st.Busy.CPU / 1000, st.Waiting.CPU / 1000, int64(st.Forecast), st.held(largest(s.Machines).CPU)})
-		for st.shortfall() > 0 && move(st) {
+		for st.shortfall() > 0 && move(st, func(*Machine) bool { return true }) {
 		}
 	}
 	for _, st := range services {
@@ -226,20 +238,31 @@
 	return idle[:min(len(idle), max(0, len(st.machines)-max(st.target, st.RecentPeak)))]
 }
 
-// takeMachine removes and returns a machine for a service: one from standby, or else a movable one
-// of a service that has more machines than its target.
-func takeMachine(standby *[]Machine, services []*serviceState, to *serviceState) (Machine, bool) {
-	if len(*standby) > 0 {
-		m := (*standby)[0]
-		*standby = (*standby)[1:]
-		return m, true
+// CanHost reports whether a task can run on the machine once it is empty.
+func (m *Machine) CanHost(n Need) bool {
+	return n.Resources.Fits(m.Capacity) && (n.Label == "" || n.Label == m.Kind || n.Label == string(m.Rack))
+}
+
+// suits reports whether a machine can host one of the tasks that have no place.
+func (st *serviceState) suits(m *Machine) bool {
+	return len(st.Needs) == 0 || slices.ContainsFunc(st.Needs, m.CanHost)
+}
+
+// takeMachine removes and returns a suitable machine for a service: one from standby, or else a
+// movable one of a service that has more machines than its target.
+func takeMachine(standby *[]Machine, services []*serviceState, to *serviceState, suits func(*Machine) bool) (Machine, bool) {
+	for i := range *standby {
+		if m := (*standby)[i]; suits(&m) {
+			*standby = slices.Delete(*standby, i, i+1)
+			return m, true
+		}
 	}
 	for _, st := range services {
 		if st == to || len(st.machines) <= st.target {
 			continue
 		}
 		for i, m := range st.machines {
-			if m.Movable {
+			if m.Movable && suits(&m) {
 				st.machines = slices.Delete(st.machines, i, i+1)
 				return m, true
 			}
--- a/internal/capacity/reclaim.go
+++ b/internal/capacity/reclaim.go
@@ -46,7 +46,7 @@
 		}
 		best := -1
 		for i, m := range st.machines {
-			if m.Incoming || m.LongRunning > 0 || !m.Reclaimable {
+			if m.Incoming || m.LongRunning > 0 || !m.Reclaimable || !to.suits(&m) {
 				continue
 			}
 			if best < 0 || m.Tasks < st.machines[best].Tasks {
--- a/internal/coordinator/rebalance.go
+++ b/internal/coordinator/rebalance.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"slices"
 	"time"
 
 	"boragepulley/internal/capacity"
@@ -143,6 +144,8 @@
 	// unplaceable and stranded are the long-running tasks that find no place on the service's
 	// machines now, and those that will not find one there either once other tasks have ended.
 	unplaceable, stranded unplacedTasks
+	// needs is what these tasks need.
+	needs []capacity.Need
 }
 
 // unplacedTasks sums long-running tasks without a place.
@@ -187,7 +190,7 @@
 	}
 	return capacity.Service{Name: name, Busy: l.busy, Waiting: l.waiting, LongRunning: l.longRunning, MinMachines: l.minMachines,
 		Unplaceable: l.unplaceable.machinesOf(size), Stranded: l.stranded.machinesOf(size),
-		Forecast: d.Forecast(t.now), RecentPeak: d.RecentPeak(t.now)}
+		Needs: l.needs, Forecast: d.Forecast(t.now), RecentPeak: d.RecentPeak(t.now)}
 }
 
 // loadByService sums the resource needs of the tasks of each service that run or could run now.
@@ -199,8 +202,15 @@
 		for _, s := range j.Steps {
 			l.add(s)
 			if u, ok := t.unplaced[s]; ok && s.Spec.LongRunning && t.now > u.since+unplaceableAfter {
+				need := capacity.Need{Resources: s.Spec.Reserved(), Label: s.Spec.Label}
+				if !t.hostedElsewhere(svc, need) {
+					continue
+				}
 				l.unplaceable.add(s.Spec, u.tasks)
 				l.stranded.add(s.Spec, u.noMinion)
+				if !slices.Contains(l.needs, need) {
+					l.needs = append(l.needs, need)
+				}
 			}
 		}
 		out[svc] = l
@@ -208,6 +218,17 @@
 	return out
 }
 
+// hostedElsewhere reports whether any machine of another pool could host a task. Without one, no
+// further machine helps a task without a place, however many its service gets.
+func (t *Term) hostedElsewhere(svc model.Service, n capacity.Need) bool {
+	for _, m := range t.machines.byName {
+		if x := (capacity.Machine{Capacity: m.Capacity, Kind: m.Kind, Rack: m.Rack}); m.Pool != svc && x.CanHost(n) {
+			return true
+		}
+	}
+	return false
+}
+
 func (l *serviceLoad) add(s *jobs.StepRun) {
 	running, waiting := 0, 0
 	for _, task := range s.Tasks {
@@ -230,7 +251,7 @@
 }
 
 func (t *Term) machineSnapshot(m site.Machine, standby model.Service) capacity.Machine {
-	out := capacity.Machine{Name: m.Name, Pool: m.Pool, Capacity: m.Capacity, Usable: m.State == site.MachineUp}
+	out := capacity.Machine{Name: m.Name, Pool: m.Pool, Capacity: m.Capacity, Kind: m.Kind, Rack: m.Rack, Usable: m.State == site.MachineUp}
 	if mv := t.machines.moves[m.Name]; mv != nil {
 		out.Pool, out.Usable, out.Incoming = mv.to, true, true
 		return out
