schedule: hold capacity for long-running tasks only within their team's limit

Callers saw: a job with more long-running tasks than its team may run held the capacity of its service for all of them, so that other teams' tasks waited, and took machines of other services for them. Cause: the limit was checked for the first task without a place; all others of the step were held for, and all tasks of a service without minions counted as in need of a machine. Change: tasks that wait for a place count against their team's limit, over all its jobs; the others wait for the limit.

--- a/internal/coordinator/reclaim_test.go
+++ b/internal/coordinator/reclaim_test.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"encoding/json"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -8,6 +9,8 @@
 	"github.com/stretchr/testify/require"
 
 	"boragepulley/internal/jobs"
+	"boragepulley/internal/model"
+	"boragepulley/internal/site"
 )
 
 // Guards against machines that are emptied and moved one after the other, until the other services
@@ -32,3 +35,27 @@
 		})
 	}
 }
+
+// Guards against machines that are taken from other services for tasks which their team's limit does
+// not let run.
+func TestNoMachineIsTakenForTasksAboveTheTeamLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBurstSite(t, 2, 6)
+		b.config.Teams["capped"] = site.Team{Weight: 1, Limit: jobs.Resources{CPU: 1500}}
+		b.start()
+		b.submitAs(b.term, "capped", "0000000000000001", jobs.Step{Count: 50, Need: jobs.Resources{CPU: 500}, LongRunning: true, MaxPerMinion: 1})
+		for range 300 {
+			sleep(50 * time.Millisecond)
+			require.GreaterOrEqual(t, len(b.moving.Pool(burstService)), 5, "three tasks may run, and two machines are there")
+		}
+	})
+}
+
+// submitAs is submitJob for a team.
+func (s *testSite) submitAs(t *Term, team model.Team, id jobs.ID, steps ...jobs.Step) {
+	a := jobs.Accepted{ID: id, Queue: testQueue, Service: testService, Team: team, AcceptedAt: time.Now(), Spec: jobs.Spec{Payload: "p", Steps: steps}}
+	value, err := json.Marshal(a)
+	require.NoError(s.t, err)
+	s.store.Put(JobKey(id), value)
+	t.JobStored(id, value)
+}
--- a/internal/schedule/fit.go
+++ b/internal/schedule/fit.go
@@ -165,7 +165,24 @@
 	if t == nil {
 		return true
 	}
-	ok := func(used, need, limit int64) bool { return limit == 0 || used+need <= limit }
-	return ok(t.Used.CPU, need.CPU, t.Limit.CPU) && ok(t.Used.MemoryMB, need.MemoryMB, t.Limit.MemoryMB) &&
-		ok(t.Used.Accelerators, need.Accelerators, t.Limit.Accelerators)
+	return t.fits(t.Used.Add(need))
+}
+
+// hold counts a task that waits for a place against the team's limit, and reports whether it is
+// within it. It does not keep other tasks of the team from starting.
+func (t *Team) hold(need jobs.Resources) bool {
+	if t == nil {
+		return true
+	}
+	if !t.fits(t.Used.Add(t.held).Add(need)) {
+		return false
+	}
+	t.held = t.held.Add(need)
+	return true
+}
+
+// fits reports whether a use is within the team's limit.
+func (t *Team) fits(use jobs.Resources) bool {
+	ok := func(use, limit int64) bool { return limit == 0 || use <= limit }
+	return ok(use.CPU, t.Limit.CPU) && ok(use.MemoryMB, t.Limit.MemoryMB) && ok(use.Accelerators, t.Limit.Accelerators)
 }
--- a/internal/schedule/plan.go
+++ b/internal/schedule/plan.go
@@ -62,11 +62,11 @@
 	if len(s.Waiting) == 0 {
 		return
 	}
+	team := p.snap.Teams[s.Team]
 	if len(minions) == 0 {
-		p.leaveWaiting(s, len(s.Waiting), ReasonNoMinion)
+		p.waitForPlace(s, team, len(s.Waiting), minions)
 		return
 	}
-	team := p.snap.Teams[s.Team]
 	// A team's limit counts what a task needs, also the CPU that a scavenger task does not reserve.
 	need := s.StepRun.Spec.Need
 	var placed []*Minion
@@ -85,7 +85,7 @@
 				i = 0
 			}
 			if reason == ReasonNoCapacity && s.StepRun.Spec.LongRunning {
-				p.holdCapacity(s, len(s.Waiting)-i, minions)
+				p.waitForPlace(s, team, len(s.Waiting)-i, minions)
 				return
 			}
 			p.leaveWaiting(s, len(s.Waiting)-i, reason)
--- a/internal/schedule/relocate.go
+++ b/internal/schedule/relocate.go
@@ -22,6 +22,23 @@
 	}
 }
 
+// waitForPlace leaves n tasks of a step waiting, and holds capacity for long-running ones as far as
+// their team's limit lets them run.
+func (p *planner) waitForPlace(s *Step, team *Team, n int, minions []*Minion) {
+	if !s.StepRun.Spec.LongRunning {
+		p.leaveWaiting(s, n, ReasonNoMinion)
+		return
+	}
+	within := 0
+	for need := s.StepRun.Spec.Need; within < n && team.hold(need); {
+		within++
+	}
+	p.holdCapacity(s, within, minions)
+	if within < n {
+		p.leaveWaiting(s, n-within, ReasonTeamLimit)
+	}
+}
+
 // holdCapacity reserves capacity for n long-running tasks that fit nowhere yet, on minions that can
 // take them once other tasks have ended. Without it, a task larger than the gaps that others leave
 // would wait for as long as smaller ones fill each gap. It records the tasks as not placed.
--- a/internal/schedule/types.go
+++ b/internal/schedule/types.go
@@ -75,6 +75,8 @@
 	// Limit bounds the resources of running tasks; a field of 0 means no limit.
 	Limit jobs.Resources
 	Used  jobs.Resources
+	// held is the part of the limit for long-running tasks that wait for a place.
+	held jobs.Resources
 }
 
 // Assignment starts a task on a minion.
