capacity: leave no service with fewer machines than the one they are emptied for

Callers saw: one job with many long-running tasks, at most one on each minion, took all machines of the other services; two services with tasks that fit nowhere emptied each other's machines in turn. Cause: a machine was taken from the service with the most, without a bound on what it keeps. Change: a machine is taken only if its service keeps at least as many as the other one then has. Each such move makes the two more equal, so a sequence of them ends.

--- a/internal/capacity/reclaim.go
+++ b/internal/capacity/reclaim.go
@@ -38,10 +38,12 @@
 }
 
 // machineToReclaim returns the machine with the fewest tasks of the service with the most machines,
-// as its owner and index there, or nil. Machines with long-running tasks stay where they are.
+// as its owner and index there, or nil. Machines with long-running tasks stay where they are, and no
+// service is left with fewer machines than the one that gets them: a caller may ask for any number
+// of long-running tasks, and services that take from each other would never come to rest.
 func machineToReclaim(services []*serviceState, to *serviceState) (from *serviceState, index int) {
 	for _, st := range services {
-		if st == to || from != nil && len(st.machines) <= len(from.machines) {
+		if st == to || from != nil && len(st.machines) <= len(from.machines) || len(st.machines)-1 < len(to.machines)+to.incoming+to.reclaiming+1 {
 			continue
 		}
 		best := -1
--- a/internal/coordinator/reclaim_test.go
+++ b/internal/coordinator/reclaim_test.go
@@ -51,6 +51,19 @@
 	})
 }
 
+// Guards against one job of long-running tasks that takes the machines of all other services.
+func TestOneJobDoesNotTakeTheWholeFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBurstSite(t, 2, 8)
+		b.start()
+		b.submitJob(b.term, "0000000000000001", jobs.Step{Count: 200, Need: jobs.Resources{CPU: 500}, LongRunning: true, MaxPerMinion: 1})
+		for range 400 {
+			sleep(50 * time.Millisecond)
+			require.GreaterOrEqual(t, len(b.moving.Pool(burstService)), len(b.moving.Pool(testService)))
+		}
+	})
+}
+
 // submitAs is submitJob for a team.
 func (s *testSite) submitAs(t *Term, team model.Team, id jobs.ID, steps ...jobs.Step) {
 	a := jobs.Accepted{ID: id, Queue: testQueue, Service: testService, Team: team, AcceptedAt: time.Now(), Spec: jobs.Spec{Payload: "p", Steps: steps}}
