coordinator: soak test with a slow network

No test combined slow answers, resets and connections that do not open with lost and late orders, restarts and cuts. TestSoakWithSlowNetwork does, with max_attempts 1, so that a run that did not fail and counts as a failed attempt shows as well. The stand-in now resets a delayed order whose minion's process has ended meanwhile, as TCP does; before, such an order reached the next process.

--- a/internal/coordinator/slownet_test.go
+++ b/internal/coordinator/slownet_test.go
@@ -1,6 +1,8 @@
 package coordinator
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -94,3 +96,66 @@
 		})
 	}
 }
+
+// Guards against tasks that run twice and jobs that never end while answers take up to a second,
+// connections are reset or do not open, orders are lost or carried out late, and minions restart or
+// are cut off.
+func TestSoakWithSlowNetwork(t *testing.T) { runSeeds(t, soakSeeds[:30], runSlowSoak) }
+
+func runSlowSoak(t *testing.T, seed uint64) {
+	r := &lockedRand{r: rand.New(rand.NewPCG(seed, 2))}
+	ts := newTestSite(t, soakMinions)
+	ts.minions.Work = func(task string, run int) (time.Duration, jobs.End) {
+		return time.Duration(50+len(task)*7+run%3*100) * time.Millisecond, jobs.EndDone
+	}
+	ts.config.Queues[0].MaxAttempts = 1
+	ts.config.Index()
+	term := ts.startTerm("e1", nil)
+	defer endTerm(term)
+	sleep(time.Second)
+	var slowest, faulty atomic.Int64 // round trip in ms, and share of faults in percent
+	ts.minions.SetDelay(func(string, jobs.Minion) time.Duration {
+		return time.Duration(r.IntN(int(slowest.Load())+1)) * time.Millisecond
+	})
+	ts.minions.SetFault(func(string) fleet.Fault {
+		if int64(r.IntN(100)) >= faulty.Load() {
+			return fleet.None
+		}
+		return []fleet.Fault{fleet.Lose, fleet.Late, fleet.Reset, fleet.Connecting}[r.IntN(4)]
+	})
+	ids := make([]jobs.Minion, soakMinions)
+	for n := range ids {
+		ids[n] = jobs.Minion(fmt.Sprint("m", n))
+	}
+	for i := range soakSteps {
+		ts.submitJob(term, jobs.ID(fmt.Sprintf("%016x", i)), step(1+r.IntN(5)), step(1+r.IntN(4), 0))
+		slowest.Store(int64(r.IntN(3) * r.IntN(500)))
+		faulty.Store(int64(r.IntN(2) * r.IntN(40)))
+		sleep(time.Duration(r.IntN(1500)) * time.Millisecond)
+		id := ids[r.IntN(soakMinions)]
+		switch r.IntN(6) {
+		case 0:
+			ts.minions.Change(id, func(m *fleet.Minion) { m.Cut = true })
+		case 1:
+			ts.minions.Change(id, func(m *fleet.Minion) { m.Down = true })
+			sleep(time.Duration(100+r.IntN(900)) * time.Millisecond)
+			ts.minions.Restart(id)
+			ts.list(id)
+		}
+		if r.IntN(4) == 0 {
+			for _, id := range ids {
+				ts.minions.Change(id, func(m *fleet.Minion) { m.Cut = false })
+			}
+		}
+	}
+	slowest.Store(0)
+	faulty.Store(0)
+	for _, id := range ids {
+		ts.minions.Change(id, func(m *fleet.Minion) { m.Cut = false })
+	}
+	sleep(soakSettleTime)
+	for i := range soakSteps {
+		require.Equal(t, jobs.StateCompleted, ts.state(term, jobs.ID(fmt.Sprintf("%016x", i))), "job %d", i)
+	}
+	ts.requireNoViolations()
+}
--- a/standins/fleet/minions.go
+++ b/standins/fleet/minions.go
@@ -226,14 +226,7 @@
 }
 
 // answer passes an order to its minion, with faults. carry runs under the lock.
-func (s *Minions) answer(ctx context.Context, op string, to site.Receiver, carry func(m *Minion) error) error {
-	f := None
-	s.mu.Lock()
-	fault := s.Fault
-	s.mu.Unlock()
-	if fault != nil {
-		f = fault(op)
-	}
+func (s *Minions) answer(ctx context.Context, op string, to site.Receiver, f Fault, carry func(m *Minion) error) error {
 	if err := pause(ctx, time.Millisecond); err != nil {
 		return errors.Wrap(site.ErrNotSent, err.Error())
 	}
@@ -242,12 +235,8 @@
 			return errors.Wrap(site.ErrNoAnswer, err.Error())
 		}
 	}
-	switch f {
-	case Reset:
+	if f == Reset {
 		return errors.Wrap(site.ErrNoAnswer, "connection reset")
-	case Connecting:
-		<-ctx.Done()
-		return errors.Wrap(site.ErrNotSent, ctx.Err().Error())
 	}
 	s.arrive(op, to)
 	if f == Late {
@@ -264,26 +253,39 @@
 	return err
 }
 
-// delayed carries out a call to a minion whose request and answer take half of its Delay each.
-func delayed[T any](ctx context.Context, s *Minions, op string, to site.Receiver, call func(ctx context.Context) (T, error)) (T, error) {
-	var d time.Duration
+// send carries out a call to a minion, whose request and answer take half of its Delay each.
+func send[T any](ctx context.Context, s *Minions, op string, to site.Receiver, call func(ctx context.Context, f Fault) (T, error)) (T, error) {
 	s.mu.Lock()
-	delay := s.Delay
+	delay, fault := s.Delay, s.Fault
 	s.mu.Unlock()
+	f, d := None, time.Duration(0)
+	if fault != nil {
+		f = fault(op)
+	}
 	if delay != nil {
 		d = delay(op, to.ID)
 	}
+	if f == Connecting {
+		<-ctx.Done()
+		var none T
+		return none, errors.Wrap(site.ErrNotSent, ctx.Err().Error())
+	}
 	if d == 0 {
-		return call(ctx)
+		return call(ctx, f)
 	}
 	type result struct {
 		value T
 		err   error
 	}
 	answer := make(chan result, 1)
+	life := s.life(to.ID)
 	go func() {
 		time.Sleep(d / 2)
-		v, err := call(context.WithoutCancel(ctx))
+		if s.life(to.ID) != life {
+			answer <- result{err: errors.Wrap(site.ErrNoAnswer, "connection reset")}
+			return
+		}
+		v, err := call(context.WithoutCancel(ctx), f)
 		time.Sleep(d / 2)
 		answer <- result{v, err}
 	}()
@@ -296,6 +298,13 @@
 	}
 }
 
+// life returns the present process of a minion. A connection ends with the process.
+func (s *Minions) life(id jobs.Minion) *Minion {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.all[id]
+}
+
 // heldPoll is how often a held order checks whether it may arrive.
 const heldPoll = 5 * time.Millisecond
 
@@ -364,11 +373,11 @@
 
 // Start implements site.Minions.
 func (s *Minions) Start(ctx context.Context, to site.Receiver, o site.StartOrder) (int64, error) {
-	return delayed(ctx, s, "start", to, func(ctx context.Context) (int64, error) { return s.start(ctx, to, o) })
+	return send(ctx, s, "start", to, func(ctx context.Context, f Fault) (int64, error) { return s.start(ctx, to, f, o) })
 }
 
-func (s *Minions) start(ctx context.Context, to site.Receiver, o site.StartOrder) (clock int64, err error) {
-	err = s.answer(ctx, "start", to, func(m *Minion) error {
+func (s *Minions) start(ctx context.Context, to site.Receiver, f Fault, o site.StartOrder) (clock int64, err error) {
+	err = s.answer(ctx, "start", to, f, func(m *Minion) error {
 		clock = m.clock(time.Now())
 		if r := m.runs[o.Task]; r != nil && r.no == o.Run {
 			return nil
@@ -421,12 +430,12 @@
 
 // Stop implements site.Minions.
 func (s *Minions) Stop(ctx context.Context, to site.Receiver, o site.StopOrder) error {
-	_, err := delayed(ctx, s, "stop", to, func(ctx context.Context) (struct{}, error) { return struct{}{}, s.stop(ctx, to, o) })
+	_, err := send(ctx, s, "stop", to, func(ctx context.Context, f Fault) (struct{}, error) { return struct{}{}, s.stop(ctx, to, f, o) })
 	return err
 }
 
-func (s *Minions) stop(ctx context.Context, to site.Receiver, o site.StopOrder) error {
-	return s.answer(ctx, "stop", to, func(m *Minion) error {
+func (s *Minions) stop(ctx context.Context, to site.Receiver, f Fault, o site.StopOrder) error {
+	return s.answer(ctx, "stop", to, f, func(m *Minion) error {
 		m.barred[o.Task] = max(m.barred[o.Task], o.Run)
 		if r := m.runs[o.Task]; r != nil && r.no <= o.Run {
 			s.end(m, r, jobs.EndStopped)
@@ -437,7 +446,10 @@
 
 // Throttle implements site.Minions.
 func (s *Minions) Throttle(ctx context.Context, to site.Receiver, _ site.ThrottleOrder) error {
-	return s.answer(ctx, "pace", to, func(*Minion) error { return nil })
+	_, err := send(ctx, s, "pace", to, func(ctx context.Context, f Fault) (struct{}, error) {
+		return struct{}{}, s.answer(ctx, "pace", to, f, func(*Minion) error { return nil })
+	})
+	return err
 }
 
 // holdPoll is how often a held call looks for an end.
@@ -445,10 +457,10 @@
 
 // Poll implements site.Minions.
 func (s *Minions) Poll(ctx context.Context, to site.Receiver, o site.PollRequest) (site.PollReport, error) {
-	return delayed(ctx, s, "hold", to, func(ctx context.Context) (site.PollReport, error) { return s.poll(ctx, to, o) })
+	return send(ctx, s, "hold", to, func(ctx context.Context, f Fault) (site.PollReport, error) { return s.poll(ctx, to, f, o) })
 }
 
-func (s *Minions) poll(ctx context.Context, to site.Receiver, o site.PollRequest) (out site.PollReport, err error) {
+func (s *Minions) poll(ctx context.Context, to site.Receiver, f Fault, o site.PollRequest) (out site.PollReport, err error) {
 	until := time.Now().Add(o.Wait)
 	first := true
 	for {
@@ -461,7 +473,7 @@
 			return nil
 		}
 		if first {
-			err = s.answer(ctx, "hold", to, look)
+			err = s.answer(ctx, "hold", to, f, look)
 		} else {
 			err = s.carry(to, look)
 		}
