--- a/bench/proc/usage.go
+++ b/bench/proc/usage.go
@@ -32,6 +32,29 @@
 	return false
 }
 
+// QueueWait returns for how long each thread of the process has waited for a processor since its
+// start, by thread id.
+func (p *Process) QueueWait() map[string]time.Duration {
+	out := map[string]time.Duration{}
+	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", p.PID()))
+	if err != nil {
+		return out
+	}
+	for _, name := range threads {
+		stat, err := os.ReadFile(name)
+		if err != nil {
+			continue // the thread has ended
+		}
+		const waited = 1 // the fields are the times on a processor and waiting, in nanoseconds, and a count
+		if fields := strings.Fields(string(stat)); len(fields) > waited {
+			if ns, err := strconv.ParseInt(fields[waited], 10, 64); err == nil {
+				out[name] = time.Duration(ns)
+			}
+		}
+	}
+	return out
+}
+
 // Usage reads the processor time and memory of a running process from /proc.
 func (p *Process) Usage() (Usage, error) {
 	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.PID()))
--- a/bench/sitefaults/entries.go
+++ b/bench/sitefaults/entries.go
@@ -27,6 +27,8 @@
 	proc *proc.Process // guarded by mu; nil while down
 	// disturbed is until when answers of this entry VM do not count against it.
 	disturbed time.Time // guarded by mu
+	// waits are the threads' waiting times for a processor at the last look.
+	waits map[string]time.Duration
 }
 
 // newEntry chooses addresses and writes the settings, with the fields of
@@ -111,3 +113,20 @@
 	}
 	return nil
 }
+
+// starved returns the longest time for which a thread of the process has waited for a processor
+// since the last call.
+func (e *entryVM) starved() time.Duration {
+	p := e.process()
+	if p == nil || !p.Running() {
+		return 0
+	}
+	now, longest := p.QueueWait(), time.Duration(0)
+	for thread, waited := range now {
+		if before, ok := e.waits[thread]; ok {
+			longest = max(longest, waited-before)
+		}
+	}
+	e.waits = now
+	return longest
+}
