coordinator: use a minion again when its machine is not part of the wave

Callers saw: capacity of a service that stays without work until its minion ends, while the plan of machines counts it. Cause: when the platform answers that a machine is not of the wave, its maintenance is given up, but its minion stayed cordoned and draining. Only the path of the other refusals undid both. Change: this refusal undoes both, too. Measured: the test passes.

--- a/internal/coordinator/reclaim_test.go
+++ b/internal/coordinator/reclaim_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"boragepulley/internal/holding"
 	"boragepulley/internal/jobs"
 	"boragepulley/internal/model"
 	"boragepulley/internal/site"
@@ -99,6 +100,21 @@
 	})
 }
 
+// Guards against a minion that stays without work, and is still counted as one of its service, after
+// the platform has refused the maintenance of its machine for good.
+func TestMinionIsUsedAfterAWaveWithoutItsMachine(t *testing.T) {
+	term := &Term{}
+	term.machines.init()
+	term.waves.init()
+	m := holding.New(site.MinionEntry{ID: "m"}, 0)
+	term.minions = map[jobs.Minion]*holding.Minion{"m": m}
+	m.Cordoned, m.Draining = true, true
+	machine := &waveMachine{name: "vm", minion: "m", state: maintenanceOrdered}
+	term.maintenanceAnswered(&waveRun{}, machine, &site.RefusedError{Reason: site.RefusedNotInWave})
+	require.False(t, m.Cordoned)
+	require.False(t, m.Draining)
+}
+
 // submitAs is submitJob for a team.
 func (s *testSite) submitAs(t *Term, team model.Team, id jobs.ID, steps ...jobs.Step) {
 	a := jobs.Accepted{ID: id, Queue: testQueue, Service: testService, Team: team, AcceptedAt: time.Now(), Spec: jobs.Spec{Payload: "p", Steps: steps}}
--- a/internal/coordinator/waves.go
+++ b/internal/coordinator/waves.go
@@ -322,6 +322,7 @@
 		t.storeWave(r)
 	case site.RefusalOf(err) == site.RefusedNotInWave:
 		t.log.Warn().Int64("wave", r.wave.ID).Str("machine", string(machine.name)).Msg("Coordinator: machine is not part of the wave.")
+		t.uncordon(machine.minion)
 		machine.state = maintenanceDone
 	case errors.Is(err, site.ErrNoAnswer), errors.Is(err, site.ErrNotSent):
 		// This order or an earlier one may have been carried out. It is sent again, which is safe.
