coordinator: a machine that can not be drained does not hold up its wave

Callers and operators saw: a wave with one machine at a time that never ends, though all other machines could be maintained. Cause: the tasks on one machine may not be stopped while a sibling has no run, for example because the team's limit does not let it run. That machine is drained first, as it has long-running tasks, and kept the wave's only slot. Change: a machine that has lost no long-running task for 6 s makes way for others of the wave that wait, takes work again meanwhile, and is drained last. Measured: 4 of 5 machines are maintained in the test; the tests of coordinator pass.

--- a/internal/coordinator/reclaim_test.go
+++ b/internal/coordinator/reclaim_test.go
@@ -100,6 +100,27 @@
 	})
 }
 
+// Guards against a wave that stands still because the tasks of one machine may not be stopped: a
+// sibling of them is missing for good, as their team's limit does not let it run.
+func TestWaveGoesOnBesideAMachineThatCanNotBeDrained(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBurstSite(t, 3, 2)
+		b.config.Teams["capped"] = site.Team{Weight: 1, Limit: jobs.Resources{CPU: 1000}}
+		b.start()
+		b.submitAs(b.term, "capped", "0000000000000001", jobs.Step{Count: 3, Need: jobs.Resources{CPU: 500}, LongRunning: true, MaxUnavailable: 1})
+		sleep(2 * time.Second)
+		all := []model.VM{"s0", "s1", "s2", "b0", "b1"}
+		b.begin(site.Wave{ID: 1, Machines: all, Duration: 30 * time.Second, MaxDown: 1})
+		sleep(60 * time.Second)
+		maintained := 0
+		for _, name := range all {
+			maintained += b.moving.Maintained(name)
+		}
+		require.Equal(t, len(all)-1, maintained)
+		b.requireNoViolations()
+	})
+}
+
 // Guards against a minion that stays without work, and is still counted as one of its service, after
 // the platform has refused the maintenance of its machine for good.
 func TestMinionIsUsedAfterAWaveWithoutItsMachine(t *testing.T) {
--- a/internal/coordinator/waveorder.go
+++ b/internal/coordinator/waveorder.go
@@ -18,11 +18,17 @@
 // longRunningSlots with long-running tasks. Those come first, because their tasks are stopped one
 // after the other as the availability budgets allow, which takes seconds per task and would delay
 // the end of the wave if left to the end. The other machines follow, those with the fewest tasks
-// first. A busy service keeps its machines unless the wave is urgent, which means that its
+// first. Postponed machines come last of all. A busy service keeps its machines unless the wave is urgent, which means that its
 // remaining time is short.
 func chooseMachinesToDrain(due []waveCandidate, slots, longRunningSlots int, urgent bool) []*waveMachine {
 	due = slices.Clone(due)
 	slices.SortFunc(due, func(a, b waveCandidate) int {
+		if a.machine.postponed != b.machine.postponed {
+			if a.machine.postponed {
+				return 1
+			}
+			return -1
+		}
 		return cmp.Or(cmp.Compare(b.longRunning, a.longRunning), cmp.Compare(a.tasks, b.tasks), cmp.Compare(a.machine.name, b.machine.name))
 	})
 	var out []*waveMachine
--- a/internal/coordinator/waves.go
+++ b/internal/coordinator/waves.go
@@ -38,7 +38,8 @@
 // State machine:
 //
 //	due -> draining -> ordered -> down -> done
-//	                      '-> due (refused)
+//	           |          '-> due (refused)
+//	           '-> due (postponed, or the machine has changed)
 type maintenanceState uint8
 
 const (
@@ -74,6 +75,8 @@
 	// longRunning is the number of long-running tasks at the last look, lessSince when it last fell.
 	longRunning int
 	lessSince   time.Duration
+	// postponed is set once the machine has made way for others because it lost no tasks.
+	postponed bool
 }
 
 // waveRow is the stored state of a wave: when it was first seen, and the machines whose maintenance
@@ -177,6 +180,7 @@
 func (t *Term) drainMachines(r *waveRun, down int) {
 	remaining, draining, longRunningSlots := 0, 0, max(1, r.wave.MaxDown/longRunningShare)
 	var due []waveCandidate
+	var stuck *waveMachine // the longest
 	busy := t.busyServices()
 	urgent := t.waveIsUrgent(r)
 	for _, machine := range r.machines {
@@ -190,6 +194,9 @@
 				down++
 				t.orderMaintenance(r, machine)
 			}
+			if machine.state == maintenanceDraining && machine.longRunning > 0 && t.now > machine.lessSince+postponeAfter && (stuck == nil || machine.lessSince < stuck.lessSince) {
+				stuck = machine
+			}
 		case maintenanceDue:
 			remaining++
 			m, ok := t.machines.byName[machine.name]
@@ -200,7 +207,11 @@
 			due = append(due, waveCandidate{machine, tasks, longRunning, busy[m.Pool]})
 		}
 	}
-	for _, machine := range chooseMachinesToDrain(due, r.wave.MaxDown-draining-down, longRunningSlots, urgent) {
+	chosen := chooseMachinesToDrain(due, r.wave.MaxDown-draining-down, longRunningSlots, urgent)
+	if len(chosen) == 0 && stuck != nil && len(chooseMachinesToDrain(due, 1, 1, urgent)) > 0 {
+		t.postpone(r, stuck)
+	}
+	for _, machine := range chosen {
 		m := t.machines.byName[machine.name]
 		machine.state, machine.minion, machine.since = maintenanceDraining, m.Minion, t.now
 		_, machine.longRunning = t.countTasks(machine)
@@ -212,6 +223,13 @@
 	}
 }
 
+// postpone lets other machines of a wave come before one that loses no tasks.
+func (t *Term) postpone(r *waveRun, machine *waveMachine) {
+	t.uncordon(machine.minion)
+	machine.state, machine.nextTry, machine.postponed = maintenanceDue, t.now+waveRetryDelay, true
+	t.log.Info().Int64("wave", r.wave.ID).Str("machine", string(machine.name)).Int("long_running", machine.longRunning).Msg("Coordinator: machine postponed, it loses no tasks.")
+}
+
 // waveIsUrgent reports whether a wave has no more time left than its remaining machines need.
 func (t *Term) waveIsUrgent(r *waveRun) bool {
 	remaining := 0
@@ -278,6 +296,10 @@
 // their long-running tasks would otherwise do no work.
 const stuckAfter = 1200 * time.Millisecond
 
+// postponeAfter is how long a machine may be draining without losing a long-running task while others
+// of its wave wait for it. Emptying a machine for such a task and moving it takes 2 to 4 s.
+const postponeAfter = 6 * time.Second
+
 // drained reports whether nothing runs on a draining machine any more, and cordons its minion while
 // it loses tasks. Long-running tasks are stopped once they have a place elsewhere; in an urgent wave
 // also if that empties the machine at once, as it is then back before long. A machine whose minion
