--- a/internal/coordinator/reclaim_test.go
+++ b/internal/coordinator/reclaim_test.go
@@ -2,15 +2,18 @@
 
 import (
 	"encoding/json"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"boragepulley/internal/holding"
 	"boragepulley/internal/jobs"
 	"boragepulley/internal/model"
 	"boragepulley/internal/site"
+	"boragepulley/standins/fleet"
 )
 
 // Guards against machines that are emptied and moved one after the other, until the other services
@@ -64,6 +67,75 @@
 	})
 }
 
+// Guards against a wave that takes the machine on which a place is reserved while the task that is
+// to run there is being stopped.
+func TestMachineWithAReservedPlaceIsNotMaintained(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBurstSite(t, 2, 5)
+		// A stop takes up to 0.9 s.
+		var stopsAt atomic.Pointer[time.Time]
+		b.minions.Fault = func(op string) fleet.Fault {
+			if at := stopsAt.Load(); op == "stop" && at != nil {
+				time.Sleep(time.Until(*at))
+			}
+			return fleet.None
+		}
+		b.start()
+		b.submitJob(b.term, "0000000000000001", longRunningStep(1))
+		sleep(2 * time.Second)
+		task := taskNames("0000000000000001", 1)[0]
+		from, other := model.VM("s0"), model.VM("s1")
+		if b.minions.Running(task)[0] != b.moving.MinionOf(from) {
+			from, other = other, from
+		}
+		at := time.Now().Add(900 * time.Millisecond)
+		stopsAt.Store(&at)
+		b.begin(site.Wave{ID: 1, Machines: []model.VM{from}, Duration: 30 * time.Second, MaxDown: 1})
+		sleep(300 * time.Millisecond)
+		b.begin(site.Wave{ID: 2, Machines: []model.VM{other}, Duration: 30 * time.Second, MaxDown: 1})
+		longest, without := b.watch(10*time.Second, task)
+		require.Less(t, longest, plannedWait, "without a run at the end: %v", without)
+		require.Equal(t, []int{1, 1}, []int{b.moving.Maintained(from), b.moving.Maintained(other)})
+		b.requireNoViolations()
+	})
+}
+
+// Guards against a wave that stands still because the tasks of one machine may not be stopped: a
+// sibling of them is missing for good, as their team's limit does not let it run.
+func TestWaveGoesOnBesideAMachineThatCanNotBeDrained(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBurstSite(t, 3, 2)
+		b.config.Teams["capped"] = site.Team{Weight: 1, Limit: jobs.Resources{CPU: 1000}}
+		b.start()
+		b.submitAs(b.term, "capped", "0000000000000001", jobs.Step{Count: 3, Need: jobs.Resources{CPU: 500}, LongRunning: true, MaxUnavailable: 1})
+		sleep(2 * time.Second)
+		all := []model.VM{"s0", "s1", "s2", "b0", "b1"}
+		b.begin(site.Wave{ID: 1, Machines: all, Duration: 30 * time.Second, MaxDown: 1})
+		sleep(60 * time.Second)
+		maintained := 0
+		for _, name := range all {
+			maintained += b.moving.Maintained(name)
+		}
+		require.Equal(t, len(all)-1, maintained)
+		b.requireNoViolations()
+	})
+}
+
+// Guards against a minion that stays without work, and is still counted as one of its service, after
+// the platform has refused the maintenance of its machine for good.
+func TestMinionIsUsedAfterAWaveWithoutItsMachine(t *testing.T) {
+	term := &Term{}
+	term.machines.init()
+	term.waves.init()
+	m := holding.New(site.MinionEntry{ID: "m"}, 0)
+	term.minions = map[jobs.Minion]*holding.Minion{"m": m}
+	m.Cordoned, m.Draining = true, true
+	machine := &waveMachine{name: "vm", minion: "m", state: maintenanceOrdered}
+	term.maintenanceAnswered(&waveRun{}, machine, &site.RefusedError{Reason: site.RefusedNotInWave})
+	require.False(t, m.Cordoned)
+	require.False(t, m.Draining)
+}
+
 // submitAs is submitJob for a team.
 func (s *testSite) submitAs(t *Term, team model.Team, id jobs.ID, steps ...jobs.Step) {
 	a := jobs.Accepted{ID: id, Queue: testQueue, Service: testService, Team: team, AcceptedAt: time.Now(), Spec: jobs.Spec{Payload: "p", Steps: steps}}
