--- a/standins/siteplatform/machines.go
+++ b/standins/siteplatform/machines.go
@@ -133,11 +133,11 @@
 	time.AfterFunc(d, func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		m.state = stateUp
-		p.startMinion(m)
 		if p.site.OnMachine != nil {
-			p.site.OnMachine(m.name, true)
+			p.site.OnMachine(m.name, true) // a minion is listed once it can be reached
 		}
+		m.state = stateUp
+		p.startMinion(m)
 	})
 }
 
