standins: an order carried out late writes to no result of its caller

Cause: a call with the fault Late returns after the order timeout, and the stand-in carries the order out later. Both wrote the same result variable, the late one under the minions' lock and the returning one without it. Change: an order returns its result as a value; that of an order carried out late is dropped.

--- a/standins/fleet/minions.go
+++ b/standins/fleet/minions.go
@@ -322,32 +322,32 @@
 	m.ended = append(m.ended, site.EndReport{Seq: m.next, Task: r.task, Run: r.no, Outcome: how})
 }
 
-// answer passes an order to its minion, with faults. carry runs under the lock.
-func (s *Minions) answer(ctx context.Context, op string, to site.Receiver, f Fault, carry func(m *Minion) error) error {
+// answer passes an order to its minion, with faults. order runs under the lock.
+func answer[T any](ctx context.Context, s *Minions, op string, to site.Receiver, f Fault, order func(m *Minion) (T, error)) (T, error) {
+	var none T
 	if err := pause(ctx, time.Millisecond); err != nil {
-		return errors.Wrap(site.ErrNotSent, err.Error())
+		return none, errors.Wrap(site.ErrNotSent, err.Error())
 	}
 	for s.held(to) {
 		if err := pause(ctx, heldPoll); err != nil {
-			return errors.Wrap(site.ErrNoAnswer, err.Error())
+			return none, errors.Wrap(site.ErrNoAnswer, err.Error())
 		}
 	}
 	if f == Reset {
-		return errors.Wrap(site.ErrNoAnswer, "connection reset")
+		return none, errors.Wrap(site.ErrNoAnswer, "connection reset")
 	}
 	s.arrive(op, to)
+	value, err := none, error(nil)
 	if f == Late {
-		s.carryLater(to, carry)
-	}
-	var err error
-	if f != Late {
-		err = s.carry(to, carry)
+		carryLater(s, to, order)
+	} else {
+		value, err = carry(s, to, order)
 	}
 	if f != None || errors.Is(err, site.ErrNoAnswer) {
 		_ = pause(ctx, s.OrderTimeout)
-		return errors.Wrap(site.ErrNoAnswer, op)
+		return none, errors.Wrap(site.ErrNoAnswer, op)
 	}
-	return err
+	return value, err
 }
 
 // send carries out a call to a minion, whose request and answer take half of its Delay each.
@@ -428,34 +428,34 @@
 
 // carryLater lets a minion leave an order unanswered and carry it out later, if it still
 // lives then: the order waits in its process.
-func (s *Minions) carryLater(to site.Receiver, carry func(m *Minion) error) {
+func carryLater[T any](s *Minions, to site.Receiver, order func(m *Minion) (T, error)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	life := s.all[to.ID]
 	time.AfterFunc(lateBy, func() {
-		_ = s.carry(to, func(m *Minion) error {
+		_, _ = carry(s, to, func(m *Minion) (none T, err error) {
 			if m != life {
-				return nil
+				return none, nil
 			}
-			return carry(m)
+			return order(m)
 		})
 	})
 }
 
 // carry carries an order out.
-func (s *Minions) carry(to site.Receiver, f func(m *Minion) error) error {
+func carry[T any](s *Minions, to site.Receiver, order func(m *Minion) (T, error)) (none T, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	m := s.all[to.ID]
 	if m == nil || m.Down || m.Cut {
-		return errors.WithStack(site.ErrNoAnswer)
+		return none, errors.WithStack(site.ErrNoAnswer)
 	}
 	s.settle(m)
 	if to.Token < m.token {
-		return &site.RefusedError{Reason: site.RefusedFenced}
+		return none, &site.RefusedError{Reason: site.RefusedFenced}
 	}
 	m.token = to.Token
-	return f(m)
+	return order(m)
 }
 
 func (m *Minion) prolong(until int64) {
@@ -473,26 +473,25 @@
 	return send(ctx, s, "start", to, func(ctx context.Context, f Fault) (int64, error) { return s.start(ctx, to, f, o) })
 }
 
-func (s *Minions) start(ctx context.Context, to site.Receiver, f Fault, o site.StartOrder) (clock int64, err error) {
-	err = s.answer(ctx, "start", to, f, func(m *Minion) error {
-		clock = m.clock(time.Now())
+func (s *Minions) start(ctx context.Context, to site.Receiver, f Fault, o site.StartOrder) (int64, error) {
+	return answer(ctx, s, "start", to, f, func(m *Minion) (int64, error) {
+		clock := m.clock(time.Now())
 		if r := m.runs[o.Task]; r != nil && r.no == o.Run {
-			return nil
+			return clock, nil
 		}
 		switch {
 		case o.Run <= m.barred[o.Task] || m.runs[o.Task] != nil:
-			return &site.RefusedError{Reason: site.RefusedStale}
+			return clock, &site.RefusedError{Reason: site.RefusedStale}
 		case o.LeaseUntil <= clock:
-			return &site.RefusedError{Reason: site.RefusedLeaseExpired}
+			return clock, &site.RefusedError{Reason: site.RefusedLeaseExpired}
 		}
 		m.prolong(o.LeaseUntil)
 		if s.RejectsOverload && !m.used().Add(s.Need(o.Task)).Fits(m.Entry.Capacity) {
-			return &site.RefusedError{Reason: site.RefusedRoom}
+			return clock, &site.RefusedError{Reason: site.RefusedRoom}
 		}
 		s.begin(m, o)
-		return nil
+		return clock, nil
 	})
-	return clock, err
 }
 
 // begin starts a run and notes what must not be.
@@ -527,17 +526,17 @@
 
 // Stop implements site.Minions.
 func (s *Minions) Stop(ctx context.Context, to site.Receiver, o site.StopOrder) error {
-	_, err := send(ctx, s, "stop", to, func(ctx context.Context, f Fault) (struct{}, error) { return struct{}{}, s.stop(ctx, to, f, o) })
+	_, err := send(ctx, s, "stop", to, func(ctx context.Context, f Fault) (struct{}, error) { return s.stop(ctx, to, f, o) })
 	return err
 }
 
-func (s *Minions) stop(ctx context.Context, to site.Receiver, f Fault, o site.StopOrder) error {
-	return s.answer(ctx, "stop", to, f, func(m *Minion) error {
+func (s *Minions) stop(ctx context.Context, to site.Receiver, f Fault, o site.StopOrder) (struct{}, error) {
+	return answer(ctx, s, "stop", to, f, func(m *Minion) (done struct{}, err error) {
 		m.barred[o.Task] = max(m.barred[o.Task], o.Run)
 		if r := m.runs[o.Task]; r != nil && r.no <= o.Run {
 			s.endStopped(m, r)
 		}
-		return nil
+		return done, nil
 	})
 }
 
@@ -555,7 +554,7 @@
 // Throttle implements site.Minions.
 func (s *Minions) Throttle(ctx context.Context, to site.Receiver, _ site.ThrottleOrder) error {
 	_, err := send(ctx, s, "pace", to, func(ctx context.Context, f Fault) (struct{}, error) {
-		return struct{}{}, s.answer(ctx, "pace", to, f, func(*Minion) error { return nil })
+		return answer(ctx, s, "pace", to, f, func(*Minion) (done struct{}, err error) { return done, nil })
 	})
 	return err
 }
@@ -572,18 +571,17 @@
 	until := time.Now().Add(o.Wait)
 	first := true
 	for {
-		look := func(m *Minion) error {
+		look := func(m *Minion) (site.PollReport, error) {
 			if o.LeaseUntil > 0 {
 				m.prolong(o.LeaseUntil)
 			}
 			s.note(m, o.Ack)
-			out = m.report()
-			return nil
+			return m.report(), nil
 		}
 		if first {
-			err = s.answer(ctx, "hold", to, f, look)
+			out, err = answer(ctx, s, "hold", to, f, look)
 		} else {
-			err = s.carry(to, look)
+			out, err = carry(s, to, look)
 		}
 		first = false
 		if err != nil || len(out.Ended) > 0 || !time.Now().Before(until) {
