standins: no race between a late order and the return of its sender

Cause: an order that is carried out late writes the result of a call that has returned, or is returning. Both use a named result of the call without a lock. Change: the result is a variable of its own, read under the lock under which the order is carried out.

--- a/standins/fleet/minions.go
+++ b/standins/fleet/minions.go
@@ -473,8 +473,9 @@
 	return send(ctx, s, "start", to, func(ctx context.Context, f Fault) (int64, error) { return s.start(ctx, to, f, o) })
 }
 
-func (s *Minions) start(ctx context.Context, to site.Receiver, f Fault, o site.StartOrder) (clock int64, err error) {
-	err = s.answer(ctx, "start", to, f, func(m *Minion) error {
+func (s *Minions) start(ctx context.Context, to site.Receiver, f Fault, o site.StartOrder) (int64, error) {
+	var clock int64 // guarded by mu: an order may be carried out after its sender has given up
+	err := s.answer(ctx, "start", to, f, func(m *Minion) error {
 		clock = m.clock(time.Now())
 		if r := m.runs[o.Task]; r != nil && r.no == o.Run {
 			return nil
@@ -492,6 +493,8 @@
 		s.begin(m, o)
 		return nil
 	})
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	return clock, err
 }
 
@@ -568,30 +571,32 @@
 	return send(ctx, s, "hold", to, func(ctx context.Context, f Fault) (site.PollReport, error) { return s.poll(ctx, to, f, o) })
 }
 
-func (s *Minions) poll(ctx context.Context, to site.Receiver, f Fault, o site.PollRequest) (out site.PollReport, err error) {
+func (s *Minions) poll(ctx context.Context, to site.Receiver, f Fault, o site.PollRequest) (site.PollReport, error) {
 	until := time.Now().Add(o.Wait)
-	first := true
-	for {
-		look := func(m *Minion) error {
-			if o.LeaseUntil > 0 {
-				m.prolong(o.LeaseUntil)
-			}
-			s.note(m, o.Ack)
-			out = m.report()
-			return nil
+	var last site.PollReport // guarded by mu: an order may be carried out after its sender has given up
+	report := func() site.PollReport {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return last
+	}
+	look := func(m *Minion) error {
+		if o.LeaseUntil > 0 {
+			m.prolong(o.LeaseUntil)
 		}
-		if first {
-			err = s.answer(ctx, "hold", to, f, look)
-		} else {
-			err = s.carry(to, look)
-		}
-		first = false
+		s.note(m, o.Ack)
+		last = m.report()
+		return nil
+	}
+	err := s.answer(ctx, "hold", to, f, look)
+	for {
+		out := report()
 		if err != nil || len(out.Ended) > 0 || !time.Now().Before(until) {
 			return out, err
 		}
 		if pause(ctx, holdPoll) != nil {
 			return out, errors.WithStack(site.ErrNoAnswer)
 		}
+		err = s.carry(to, look)
 	}
 }
 
