coordinator: an urgent wave stops a task once, when its machine is otherwise empty

Callers saw: a wave whose time is short, and a long-running task with no other place, as each machine has as many of its step as allowed. The task is stopped and starts on the same machine again, ten times a second, and the wave never ends. One of two tasks had 86 runs in 25 s. Cause: a machine that lost no task for 1.2 s takes work again. The urgent wave stopped its tasks and left it so; the next scheduling run, 8 ms after the end, placed the task there before the wave, which looks every 100 ms, could see the machine empty. Short tasks filled it as well, so that the task would have waited for these, too. Change: a machine takes no work while an urgent wave may stop all its long-running tasks, or one of them is being stopped. They are stopped once nothing else runs there, and such a machine is not postponed. Evidence: both tests, TestUrgentWaveStopsATaskOnce and TestUrgentWaveOnBusyMachinesStopsATaskOnce, fail without the change: none of two machines is maintained in a minute.

--- /dev/null
+++ b/internal/coordinator/standstill_test.go
@@ -0,0 +1,57 @@
+package coordinator
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"boragepulley/internal/jobs"
+	"boragepulley/internal/model"
+	"boragepulley/internal/site"
+)
+
+// Guards against a wave whose time is short and that stops a task which starts on the same machine
+// again, over and over, because there is no other place for it; the wave never ends.
+func TestUrgentWaveStopsATaskOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newBurstSite(t, 2, 2)
+		s.start()
+		s.submitJob(s.term, "0000000000000001", spreadStep(2))
+		sleep(2 * time.Second)
+		s.begin(site.Wave{ID: 1, Machines: []model.VM{"s0", "s1"}, Duration: 10 * time.Second, MaxDown: 1})
+		s.requireMaintainedOnce("s0", "s1")
+	})
+}
+
+// Guards against the same where short tasks fill the gaps of the machines, and against an urgent wave
+// that stops a long-running task long before the machine is empty.
+func TestUrgentWaveOnBusyMachinesStopsATaskOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newBurstSite(t, 0, 2)
+		work := s.minions.Work
+		s.minions.Work = func(task string, run int) (time.Duration, jobs.End) {
+			d, end := work(task, run)
+			return 10 * d, end // 4 to 10 s
+		}
+		s.start()
+		s.submitTo(s.term, burstQueue, burstService, "0000000000000001", spreadStep(2))
+		sleep(12 * time.Second)
+		s.begin(site.Wave{ID: 1, Machines: []model.VM{"b0", "b1"}, Duration: 20 * time.Second, MaxDown: 1})
+		s.requireMaintainedOnce("b0", "b1")
+	})
+}
+
+// requireMaintainedOnce watches the two tasks of a job for a minute in which each of two machines has
+// to be maintained once.
+func (s *burstSite) requireMaintainedOnce(a, b model.VM) {
+	tasks := taskNames("0000000000000001", 2)
+	longest, without := s.watch(time.Minute, tasks...)
+	require.Less(s.t, longest, maxWait, "without a run at the end: %v", without)
+	require.Equal(s.t, []int{1, 1}, []int{s.moving.Maintained(a), s.moving.Maintained(b)})
+	for _, task := range tasks {
+		require.LessOrEqual(s.t, s.minions.Starts(task), 3, "each wave of two machines may stop a task twice: %s", s.minions.Story(task))
+	}
+	s.requireNoViolations()
+}
--- a/internal/coordinator/waves.go
+++ b/internal/coordinator/waves.go
@@ -75,6 +75,8 @@
 	// longRunning is the number of long-running tasks at the last look, lessSince when it last fell.
 	longRunning int
 	lessSince   time.Duration
+	// evicting is set while the machine is emptied of all its tasks, with or without a place for them.
+	evicting bool
 	// postponed is set once the machine has made way for others because it lost no tasks.
 	postponed bool
 }
@@ -194,7 +196,7 @@
 				down++
 				t.orderMaintenance(r, machine)
 			}
-			if machine.state == maintenanceDraining && machine.longRunning > 0 && t.now > machine.lessSince+postponeAfter && (stuck == nil || machine.lessSince < stuck.lessSince) {
+			if machine.state == maintenanceDraining && machine.longRunning > 0 && !machine.evicting && t.now > machine.lessSince+postponeAfter && (stuck == nil || machine.lessSince < stuck.lessSince) {
 				stuck = machine
 			}
 		case maintenanceDue:
@@ -302,7 +304,7 @@
 
 // drained reports whether nothing runs on a draining machine any more, and cordons its minion while
 // it loses tasks. Long-running tasks are stopped once they have a place elsewhere; in an urgent wave
-// also if that empties the machine at once, as it is then back before long. A machine whose minion
+// also once that empties the machine, as it is then back before long. A machine whose minion
 // does not answer is not drained before its leases have expired.
 func (t *Term) drained(machine *waveMachine, urgent bool) bool {
 	m := t.minions[machine.minion]
@@ -315,14 +317,26 @@
 	}
 	machine.longRunning = longRunning
 	stuck := longRunning > 0 && t.now > machine.lessSince+stuckAfter
-	if stuck && urgent && t.mayEvictAll(m) {
+	machine.evicting = stuck && urgent && t.mayEvictAll(m)
+	if machine.evicting && longRunning == len(m.Tasks) {
 		t.evict(m, reasonWave)
 	}
-	m.Draining, m.Cordoned = true, !stuck || len(m.Tasks) == 0
+	// A task that is being stopped must not start here again.
+	m.Draining, m.Cordoned = true, !stuck || machine.evicting || t.stopsLongRunning(m)
 	t.needsPlan = t.needsPlan || longRunning > 0
 	return len(m.Tasks) == 0 && m.Polled
 }
 
+// stopsLongRunning reports whether a long-running task on a minion is being stopped.
+func (t *Term) stopsLongRunning(m *holding.Minion) bool {
+	for task := range m.Tasks {
+		if task.Step.Spec.LongRunning && task.Phase == jobs.Stopping {
+			return true
+		}
+	}
+	return false
+}
+
 func (t *Term) orderMaintenance(r *waveRun, machine *waveMachine) {
 	machine.state, machine.inFlight = maintenanceOrdered, true
 	t.queueMachineOrder(machine.name, func() {
