coordinator: a machine without a minion is no capacity of its service

Callers saw: with the burst of another service, a long-running task of a lost minion without a run until the end of a test of 30 s, though the other service has twice as many machines. Cause: a machine that the platform shows as up counted as one of its service also when its minion had left the list for good. The bound on emptying machines, that no service keeps fewer than the one that gets them, counted it: 3 machines beside 4, of which one was dead. Evidence: TestMachineWithoutAMinionIsNoCapacity fails on (29.98 s without a run). Change: such a machine counts only for as long as its minion may be about to join. Measured: the test passes.

--- a/internal/coordinator/rebalance.go
+++ b/internal/coordinator/rebalance.go
@@ -271,6 +271,7 @@
 	if minion == nil {
 		since, unlisted := t.machines.unlistedSince[m.Minion]
 		out.Incoming = unlisted && !t.machines.endedMinions[m.Minion] && t.now < since+joinTimeout
+		out.Usable = out.Usable && out.Incoming
 		return out
 	}
 	out.Usable = out.Usable && minion.FailedPolls == 0 && !minion.Leaving
--- a/internal/coordinator/standstill_test.go
+++ b/internal/coordinator/standstill_test.go
@@ -10,6 +10,7 @@
 	"boragepulley/internal/jobs"
 	"boragepulley/internal/model"
 	"boragepulley/internal/site"
+	"boragepulley/standins/fleet"
 )
 
 // Guards against a wave whose time is short and that stops a task which starts on the same machine
@@ -55,3 +56,20 @@
 	}
 	s.requireNoViolations()
 }
+
+// Guards against a machine that is up, but whose minion has ended for good, and that counts as one of
+// its service: the service then seems too large to get another machine for a task without a place.
+func TestMachineWithoutAMinionIsNoCapacity(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newBurstSite(t, 3, 4)
+		s.start()
+		s.submitJob(s.term, "0000000000000001", spreadStep(3))
+		sleep(2 * time.Second)
+		lost := s.moving.MinionOf("s1")
+		s.minions.Change(lost, func(m *fleet.Minion) { m.Down = true })
+		s.store.Put("servers/"+string(lost), nil)
+		longest, without := s.watch(20*time.Second, taskNames("0000000000000001", 3)...)
+		require.Less(t, longest, unplannedWait, "without a run at the end: %v", without)
+		s.requireNoViolations()
+	})
+}
