coordinator: plan machines for services of open jobs, with or without a queue

Callers saw: after a change of the configuration that removes a queue, or its service, a long-running task of an accepted job stays without a run once its machine is lost, to the end of a test of 20 s. Free machines, and those of other services, were not given to its service, not even from standby. Cause: the plan of machines knew only the services to which the configuration sends a queue. Jobs of a removed queue go on, on the machines that their service happens to have. Change: services with open jobs are planned, too.

--- a/internal/coordinator/rebalance.go
+++ b/internal/coordinator/rebalance.go
@@ -125,8 +125,11 @@
 		return snap, false
 	}
 	loads := t.loadByService()
-	for name := range c.Services {
-		if name != snap.Standby && used[name] {
+	for name := range loads { // jobs outlive their queue and their service in the configuration
+		used[name] = true
+	}
+	for name := range used {
+		if name != snap.Standby {
 			snap.Services = append(snap.Services, t.serviceSnapshot(name, loads[name]))
 		}
 	}
--- a/internal/coordinator/standstill_test.go
+++ b/internal/coordinator/standstill_test.go
@@ -1,6 +1,8 @@
 package coordinator
 
 import (
+	"maps"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -73,3 +75,32 @@
 		s.requireNoViolations()
 	})
 }
+
+// Guards against a service that gets no machine any more once its queue, or the service itself, has
+// left the configuration, while its jobs are still running.
+func TestJobsOfARemovedQueueGetMachines(t *testing.T) {
+	for name, remove := range map[string]func(*site.Config){
+		"queue":             func(*site.Config) {},
+		"queue and service": func(c *site.Config) { delete(c.Services, testService) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newBurstSite(t, 2, 5)
+				s.start()
+				s.submitJob(s.term, "0000000000000001", spreadStep(2))
+				sleep(2 * time.Second)
+				next := *s.config
+				next.Services = maps.Clone(next.Services)
+				next.Queues = slices.DeleteFunc(slices.Clone(next.Queues), func(q site.Queue) bool { return q.Name == testQueue })
+				remove(&next)
+				next.Index()
+				require.NoError(t, s.term.do(t.Context(), func() { s.config = &next }))
+				lost := s.moving.MinionOf("s1")
+				s.minions.Change(lost, func(m *fleet.Minion) { m.Down = true })
+				longest, without := s.watch(20*time.Second, taskNames("0000000000000001", 2)...)
+				require.Less(t, longest, unplannedWait, "without a run at the end: %v", without)
+				s.requireNoViolations()
+			})
+		})
+	}
+}
