capacity, coordinator: empty another machine when one does not become empty

Callers saw: with the burst of another service, a long-running task of a lost machine without a run to the end of a test of 20 s, because the one machine that is emptied for it has a task that takes long or stands still. The machine with the fewest tasks is chosen, which such a task makes likely. Cause: a machine that is being emptied counted as on its way, however long it took. Change: after 2 s another machine is emptied as well; the one that is empty first is moved, the others are released. All of them count for the bound that no service keeps fewer machines than the one that gets them.

--- a/internal/capacity/plan.go
+++ b/internal/capacity/plan.go
@@ -75,6 +75,8 @@
 	Reclaimable bool
 	// ReclaimedFor is the service for which the machine is being emptied, or empty.
 	ReclaimedFor model.Service
+	// ReclaimOverdue is set once that takes longer than usual.
+	ReclaimOverdue bool
 }
 
 // Snapshot is the input of a plan.
@@ -96,8 +98,8 @@
 	Service
 	machines []Machine
 	// target is how many machines the service should have, incoming how many the plan moves to it,
-	// and reclaiming how many are being emptied for it.
-	target, incoming, reclaiming int
+	// reclaiming how many are being emptied for it, and overdue how many of those take long.
+	target, incoming, reclaiming, overdue int
 }
 
 // Target is how many machines a service has and should have, and the demand behind it in cores.
@@ -215,7 +217,7 @@
 			n--
 		}
 	}
-	return max(0, n-st.incoming-st.reclaiming)
+	return max(0, n-st.incoming-st.reclaiming+st.overdue)
 }
 
 // shortfall returns how many machines the service lacks, besides those that the plan moves to it.
--- a/internal/capacity/reclaim.go
+++ b/internal/capacity/reclaim.go
@@ -18,6 +18,9 @@
 			st.incoming++
 		default:
 			st.reclaiming++
+			if m.ReclaimOverdue {
+				st.overdue++ // another machine may be empty before it
+			}
 		}
 	}
 }
--- a/internal/capacity/reclaim_test.go
+++ b/internal/capacity/reclaim_test.go
@@ -82,3 +82,22 @@
 	p := NewPlan(Snapshot{Standby: "off", Machines: busyMachines("hot", 5), Services: overloaded(2)})
 	require.Equal(t, []Move{{Machine: "hot-0", To: "lasting"}, {Machine: "hot-1", To: "lasting"}}, p.Reclaim)
 }
+
+// Guards against a service that waits for one machine with a task that takes long or stands still.
+func TestAnotherMachineIsEmptiedForOneThatTakesLong(t *testing.T) {
+	hot := busyMachines("hot", 5)
+	hot[0].ReclaimedFor, hot[0].Reclaimable, hot[0].ReclaimOverdue = "lasting", false, true
+	p := NewPlan(Snapshot{Standby: "off", Machines: hot, Services: overloaded(1)})
+	require.Equal(t, []Move{{Machine: "hot-1", To: "lasting"}}, p.Reclaim)
+	require.Empty(t, p.Release)
+
+	hot[1].ReclaimedFor, hot[1].Reclaimable = "lasting", false
+	p = NewPlan(Snapshot{Standby: "off", Machines: hot, Services: overloaded(1)})
+	require.Empty(t, p.Reclaim, "another one is being emptied")
+
+	for i := range hot[:3] {
+		hot[i].ReclaimedFor, hot[i].Reclaimable, hot[i].ReclaimOverdue = "lasting", false, true
+	}
+	p = NewPlan(Snapshot{Standby: "off", Machines: hot, Services: overloaded(1)})
+	require.Empty(t, p.Reclaim, "no service is left with fewer machines than are emptied")
+}
--- a/internal/coordinator/rebalance.go
+++ b/internal/coordinator/rebalance.go
@@ -286,7 +286,7 @@
 		}
 	}
 	if r := t.machines.reclaims[m.Name]; r.minion == m.Minion {
-		out.ReclaimedFor = r.to
+		out.ReclaimedFor, out.ReclaimOverdue = r.to, t.now > r.since+reclaimOverdueAfter
 	} else {
 		delete(t.machines.reclaims, m.Name) // the machine runs a new incarnation of its minion
 	}
@@ -305,8 +305,14 @@
 	to model.Service
 	// minion is the minion incarnation that was cordoned.
 	minion jobs.Minion
+	since  time.Duration
 }
 
+// reclaimOverdueAfter is how long a machine may take to become empty until another one is emptied as
+// well. One with a task that takes long, or stands still, would otherwise hold up the service. A move
+// takes 2 s more, and a long-running task must have a run again after 6 s.
+const reclaimOverdueAfter = 2 * time.Second
+
 // reclaimMachine begins to empty a machine for another service: it gets no new work, and is moved
 // once its tasks have ended.
 func (t *Term) reclaimMachine(mv capacity.Move) {
@@ -316,7 +322,7 @@
 		return
 	}
 	minion.Cordoned = true
-	t.machines.reclaims[mv.Machine] = reclaim{mv.To, m.Minion}
+	t.machines.reclaims[mv.Machine] = reclaim{mv.To, m.Minion, t.now}
 	counters.Add("reclaims", 1)
 	t.log.Info().Str("machine", string(mv.Machine)).Str("from", string(m.Pool)).Str("to", string(mv.To)).Int("tasks", len(minion.Tasks)).Msg("Coordinator: emptying machine for another service.")
 }
--- a/internal/coordinator/standstill_test.go
+++ b/internal/coordinator/standstill_test.go
@@ -104,3 +104,28 @@
 		})
 	}
 }
+
+// Guards against a task that waits for one machine to become empty, on which a task takes long or
+// stands still, while others would be empty within a second.
+func TestReclaimDoesNotWaitForOneSlowTask(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const slow jobs.ID = "ffffffffffffffff"
+		s := newBurstSite(t, 2, 6)
+		work := s.minions.Work
+		s.minions.Work = func(task string, run int) (time.Duration, jobs.End) {
+			if task == taskNames(slow, 1)[0] {
+				return time.Hour, jobs.EndDone
+			}
+			return work(task, run)
+		}
+		// It fills its machine, which thus has the fewest tasks.
+		s.submitTo(nil, burstQueue, burstService, slow, jobs.Step{Count: 1, Need: jobs.Resources{CPU: 4000}, Estimate: 700 * time.Millisecond})
+		s.start()
+		s.submitJob(s.term, "0000000000000001", spreadStep(2))
+		sleep(2 * time.Second)
+		s.minions.Change(s.moving.MinionOf("s1"), func(m *fleet.Minion) { m.Down = true })
+		longest, without := s.watch(20*time.Second, taskNames("0000000000000001", 2)...)
+		require.Less(t, longest, unplannedWait, "without a run at the end: %v", without)
+		s.requireNoViolations()
+	})
+}
