schedule: start a long-running task in capacity that is held for another one

Callers would see: a small long-running task without a run although a minion has free capacity for it, for as long as the short tasks of its service take. Cause: capacity is held for long-running tasks that fit nowhere yet, so that short tasks do not fill each gap. Other long-running tasks, which come later in the order, could not use it either. Evidence: in TestSmallLongRunningTaskStartsInHeldCapacity no task starts without the change: 1 core is free and held for a task of 3 cores, and tasks of half a core wait. Change: a long-running task that finds no other place takes one in what is held. Measured: the test and the others of the package pass.

--- a/internal/schedule/fit.go
+++ b/internal/schedule/fit.go
@@ -27,12 +27,21 @@
 // fitsAny reports whether a step has no constraint but the resources that its tasks need.
 func (s *Step) fitsAny() bool { return s.StepRun.Spec.Label == "" && s.StepRun.Spec.MaxPerMinion == 0 }
 
+// acceptsInHeld is accepts for a task that may also use what is held for others.
+func (m *Minion) acceptsInHeld(s *Step) bool {
+	return s.StepRun.Spec.Reserved().Fits(m.Free.Add(m.held)) && m.allows(s)
+}
+
 // choose returns the minion with the best score for a task, or nil if none accepts it.
 func choose(minions []*Minion, s *Step, t *jobs.Task) *Minion {
+	return chooseAmong(minions, s, t, (*Minion).accepts)
+}
+
+func chooseAmong(minions []*Minion, s *Step, t *jobs.Task, accepts func(*Minion, *Step) bool) *Minion {
 	var best *Minion
 	var bestScore score
 	for _, m := range minions {
-		if !m.accepts(s) {
+		if !accepts(m, s) {
 			continue
 		}
 		if sc := m.score(s, t); best == nil || sc.betterThan(bestScore) {
--- a/internal/schedule/hold_test.go
+++ b/internal/schedule/hold_test.go
@@ -30,3 +30,17 @@
 	p := NewPlan(&Snapshot{Teams: teams, Steps: []Step{a, b}})
 	require.Equal(t, []Unplaced{{a.StepRun, 2, ReasonNoMinion}, {b.StepRun, 1, ReasonNoMinion}, {b.StepRun, 1, ReasonTeamLimit}}, p.Unplaced)
 }
+
+// Guards against a small long-running task that waits, although there is free capacity for it, because
+// that is held for a larger one.
+func TestSmallLongRunningTaskStartsInHeldCapacity(t *testing.T) {
+	large, small := longRunningStep(3000, 0, 2, 0), longRunningStep(500, 0, 3, 0)
+	large.StepRun.Job.ID, small.StepRun.Job.ID = "1", "2"
+	p := NewPlan(&Snapshot{Minions: []Minion{minionWith("a", 1000), minionWith("b", 400)}, Steps: []Step{large, small, smallStep(5)}})
+	require.Equal(t, []Assignment{{small.Waiting[0], "a"}, {small.Waiting[1], "a"}}, p.Start, "and no other task starts")
+
+	large = longRunningStep(3000, 0, 1, 0)
+	large.StepRun.Job.ID = "1"
+	p = NewPlan(&Snapshot{Minions: []Minion{minionWith("a", 1000), minionWith("b", 500)}, Steps: []Step{large, small}})
+	require.Equal(t, jobs.Minion("b"), p.Start[0].Minion, "capacity that is not held comes first")
+}
--- a/internal/schedule/plan.go
+++ b/internal/schedule/plan.go
@@ -76,6 +76,10 @@
 		var m *Minion
 		if team.withinLimit(need) {
 			m = p.choose(minions, s, t)
+			if m == nil && s.StepRun.Spec.LongRunning {
+				// What is held is of no use yet to the tasks for which it is.
+				m = chooseAmong(minions, s, t, (*Minion).acceptsInHeld)
+			}
 		} else {
 			reason = ReasonTeamLimit
 		}
--- a/internal/schedule/relocate.go
+++ b/internal/schedule/relocate.go
@@ -50,6 +50,7 @@
 			return
 		}
 		m.Reserve(s.StepRun)
+		m.held = m.held.Add(s.StepRun.Spec.Reserved())
 		p.leaveWaiting(s, 1, ReasonNoCapacity)
 	}
 }
--- a/internal/schedule/types.go
+++ b/internal/schedule/types.go
@@ -66,6 +66,8 @@
 	MaintenanceDue bool
 	// TasksPerStep counts the minion's tasks of each step that has a MaxPerMinion.
 	TasksPerStep map[*jobs.StepRun]int
+	// held is what is held for tasks that can not start yet. It is not part of Free.
+	held jobs.Resources
 }
 
 // Team holds a team's weight, its resource limit and the use of it.
