--- /dev/null
+++ b/internal/coordinator/standstill_test.go
@@ -0,0 +1,131 @@
+package coordinator
+
+import (
+	"maps"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"boragepulley/internal/jobs"
+	"boragepulley/internal/model"
+	"boragepulley/internal/site"
+	"boragepulley/standins/fleet"
+)
+
+// Guards against a wave whose time is short and that stops a task which starts on the same machine
+// again, over and over, because there is no other place for it; the wave never ends.
+func TestUrgentWaveStopsATaskOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newBurstSite(t, 2, 2)
+		s.start()
+		s.submitJob(s.term, "0000000000000001", spreadStep(2))
+		sleep(2 * time.Second)
+		s.begin(site.Wave{ID: 1, Machines: []model.VM{"s0", "s1"}, Duration: 10 * time.Second, MaxDown: 1})
+		s.requireMaintainedOnce("s0", "s1")
+	})
+}
+
+// Guards against the same where short tasks fill the gaps of the machines, and against an urgent wave
+// that stops a long-running task long before the machine is empty.
+func TestUrgentWaveOnBusyMachinesStopsATaskOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newBurstSite(t, 0, 2)
+		work := s.minions.Work
+		s.minions.Work = func(task string, run int) (time.Duration, jobs.End) {
+			d, end := work(task, run)
+			return 10 * d, end // 4 to 10 s
+		}
+		s.start()
+		s.submitTo(s.term, burstQueue, burstService, "0000000000000001", spreadStep(2))
+		sleep(12 * time.Second)
+		s.begin(site.Wave{ID: 1, Machines: []model.VM{"b0", "b1"}, Duration: 20 * time.Second, MaxDown: 1})
+		s.requireMaintainedOnce("b0", "b1")
+	})
+}
+
+// requireMaintainedOnce watches the two tasks of a job for a minute in which each of two machines has
+// to be maintained once.
+func (s *burstSite) requireMaintainedOnce(a, b model.VM) {
+	tasks := taskNames("0000000000000001", 2)
+	longest, without := s.watch(time.Minute, tasks...)
+	require.Less(s.t, longest, maxWait, "without a run at the end: %v", without)
+	require.Equal(s.t, []int{1, 1}, []int{s.moving.Maintained(a), s.moving.Maintained(b)})
+	for _, task := range tasks {
+		require.LessOrEqual(s.t, s.minions.Starts(task), 3, "each wave of two machines may stop a task twice: %s", s.minions.Story(task))
+	}
+	s.requireNoViolations()
+}
+
+// Guards against a machine that is up, but whose minion has ended for good, and that counts as one of
+// its service: the service then seems too large to get another machine for a task without a place.
+func TestMachineWithoutAMinionIsNoCapacity(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newBurstSite(t, 3, 4)
+		s.start()
+		s.submitJob(s.term, "0000000000000001", spreadStep(3))
+		sleep(2 * time.Second)
+		lost := s.moving.MinionOf("s1")
+		s.minions.Change(lost, func(m *fleet.Minion) { m.Down = true })
+		s.store.Put("servers/"+string(lost), nil)
+		longest, without := s.watch(20*time.Second, taskNames("0000000000000001", 3)...)
+		require.Less(t, longest, unplannedWait, "without a run at the end: %v", without)
+		s.requireNoViolations()
+	})
+}
+
+// Guards against a service that gets no machine any more once its queue, or the service itself, has
+// left the configuration, while its jobs are still running.
+func TestJobsOfARemovedQueueGetMachines(t *testing.T) {
+	for name, remove := range map[string]func(*site.Config){
+		"queue":             func(*site.Config) {},
+		"queue and service": func(c *site.Config) { delete(c.Services, testService) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newBurstSite(t, 2, 5)
+				s.start()
+				s.submitJob(s.term, "0000000000000001", spreadStep(2))
+				sleep(2 * time.Second)
+				next := *s.config
+				next.Services = maps.Clone(next.Services)
+				next.Queues = slices.DeleteFunc(slices.Clone(next.Queues), func(q site.Queue) bool { return q.Name == testQueue })
+				remove(&next)
+				next.Index()
+				require.NoError(t, s.term.do(t.Context(), func() { s.config = &next }))
+				lost := s.moving.MinionOf("s1")
+				s.minions.Change(lost, func(m *fleet.Minion) { m.Down = true })
+				longest, without := s.watch(20*time.Second, taskNames("0000000000000001", 2)...)
+				require.Less(t, longest, unplannedWait, "without a run at the end: %v", without)
+				s.requireNoViolations()
+			})
+		})
+	}
+}
+
+// Guards against a task that waits for one machine to become empty, on which a task takes long or
+// stands still, while others would be empty within a second.
+func TestReclaimDoesNotWaitForOneSlowTask(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const slow jobs.ID = "ffffffffffffffff"
+		s := newBurstSite(t, 2, 6)
+		work := s.minions.Work
+		s.minions.Work = func(task string, run int) (time.Duration, jobs.End) {
+			if task == taskNames(slow, 1)[0] {
+				return time.Hour, jobs.EndDone
+			}
+			return work(task, run)
+		}
+		// It fills its machine, which thus has the fewest tasks.
+		s.submitTo(nil, burstQueue, burstService, slow, jobs.Step{Count: 1, Need: jobs.Resources{CPU: 4000}, Estimate: 700 * time.Millisecond})
+		s.start()
+		s.submitJob(s.term, "0000000000000001", spreadStep(2))
+		sleep(2 * time.Second)
+		s.minions.Change(s.moving.MinionOf("s1"), func(m *fleet.Minion) { m.Down = true })
+		longest, without := s.watch(20*time.Second, taskNames("0000000000000001", 2)...)
+		require.Less(t, longest, unplannedWait, "without a run at the end: %v", without)
+		s.requireNoViolations()
+	})
+}
