account: copies of records in another data centre too

What was seen: when all entry VMs of a data centre are killed at once while the store is down, the records of everything since the outage began are lost into a gap, also of jobs whose callers had their answer. Cause: copies of a process's records went to one peer, and to another data centre only from an entry VM that was alone in its own. Change: records are copied to two peers, one in the own data centre and one in another, each by its own goroutine, so that one that cannot be reached delays neither the other nor the writes to the store. It costs one more message a second for each entry VM across data centres. TestCopierTarget asked for no copy in another data centre while a neighbour is alive; it now asks for one in each.

--- a/bench/prove/records.go
+++ b/bench/prove/records.go
@@ -15,6 +15,8 @@
 func recordScenarios() []Scenario {
 	return []Scenario{
 		{Name: "records-copied", Shows: "account: an entry VM is killed while the store is down; its peer stores its records", Run: recordsCopied},
+		{Name: "data-centre-killed", Shows: "account: kill -9 of all entry VMs of a data centre at once", Run: dataCentreKilled},
+		{Name: "data-centre-killed-store-down", Shows: "account: kill -9 of all entry VMs of a data centre at once while the store is down", Run: dataCentreKilledStoreDown},
 	}
 }
 
@@ -49,6 +51,50 @@
 	return e.judgeCopies(ctx, n, killed)
 }
 
+func dataCentreKilled(ctx context.Context, e *Env) error {
+	stop := e.Load(ctx, defaultMix())
+	defer stop()
+	// At any moment between two writes of the account to the store.
+	e.Wait(ctx, 3*time.Second+time.Duration(e.Rand.Int64N(int64(5*time.Second))))
+	return e.killDataCentre(ctx, stop)
+}
+
+func dataCentreKilledStoreDown(ctx context.Context, e *Env) error {
+	stop := e.Load(ctx, defaultMix())
+	defer stop()
+	e.Wait(ctx, 2*time.Second)
+	e.Say("The store is down.")
+	if err := e.PlatformFaults(platform.Faults{Outage: platform.OutageRefuse}); err != nil {
+		return err
+	}
+	e.Wait(ctx, 6*time.Second)
+	return e.killDataCentre(ctx, stop)
+}
+
+// killDataCentre kills all entry VMs of a data centre at once, heals the site, and requires that at
+// most the last copy interval of their accounts is lost.
+func (e *Env) killDataCentre(ctx context.Context, stopLoad func()) error {
+	dc := e.target()
+	killed := map[model.EntryVM]time.Time{}
+	for _, n := range e.Entries() {
+		if e.Entry(n).DC == dc {
+			killed[n] = time.Now()
+			e.KillEntry(n)
+		}
+	}
+	e.Wait(ctx, 3*time.Second)
+	stopLoad()
+	if err := e.Heal(ctx); err != nil {
+		return err
+	}
+	for n, at := range killed {
+		if err := e.judgeCopies(ctx, n, at); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // judgeCopies reads the report until the peer has stored its copies, which waits for its
 // circuit breaker and its next round, at most for settleWithin.
 func (e *Env) judgeCopies(ctx context.Context, n model.EntryVM, killed time.Time) error {
--- a/internal/account/account_test.go
+++ b/internal/account/account_test.go
@@ -148,7 +148,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		m := newMemoryStore()
 		replicas := NewReplicaStore("entry-a-2", memoryObjects{m}, zerolog.Nop())
-		l := NewLedger(testOwner, m.services(), directReplicator{replicas, testOwner.Incarnation}, zerolog.Nop(), time.Now)
+		l := NewLedger(testOwner, m.services(), []Replicator{directReplicator{replicas, testOwner.Incarnation}}, zerolog.Nop(), time.Now)
 		ctx, cancel := context.WithCancel(t.Context())
 		go l.Run(ctx)
 		m.setDown(true)
@@ -178,7 +178,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		m := newMemoryStore()
 		replicas := NewReplicaStore("entry-a-2", memoryObjects{m}, zerolog.Nop())
-		l := NewLedger(testOwner, m.services(), directReplicator{replicas, testOwner.Incarnation}, zerolog.Nop(), time.Now)
+		l := NewLedger(testOwner, m.services(), []Replicator{directReplicator{replicas, testOwner.Incarnation}}, zerolog.Nop(), time.Now)
 		ctx, kill := context.WithCancel(t.Context())
 		go l.Run(ctx)
 		l.Record(accepted("job-ran", time.Now()))
@@ -264,6 +264,71 @@
 	return platform.ErrUnavailable
 }
 
+// hangingReplicator has a peer that cannot be reached.
+type hangingReplicator struct{}
+
+func (hangingReplicator) Target() model.EntryVM { return "unreachable" }
+func (hangingReplicator) Hold(ctx context.Context, _ uint64, _ []byte) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+func (hangingReplicator) Drop(ctx context.Context, _ uint64) { <-ctx.Done() }
+
+// Guards against facts that are lost with all entry VMs of a data centre while the store is down: the
+// replicas in another data centre are stored once it is back.
+func TestFactsOutliveADataCentre(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemoryStore()
+		m.setDown(true)
+		near := NewReplicaStore("entry-a-2", memoryObjects{m}, zerolog.Nop())
+		far := NewReplicaStore("entry-b-1", memoryObjects{m}, zerolog.Nop())
+		l := NewLedger(testOwner, m.services(), []Replicator{directReplicator{near, testOwner.Incarnation}, directReplicator{far, testOwner.Incarnation}}, zerolog.Nop(), time.Now)
+		ctx, kill := context.WithCancel(t.Context())
+		go l.Run(ctx)
+		for i := range 30 {
+			id := fmt.Sprintf("job-%d", i)
+			l.Record(accepted(id, time.Now()))
+			l.Record(finished(id, time.Now(), model.StateRan, ""))
+			time.Sleep(time.Second)
+		}
+		time.Sleep(replicateInterval)
+		lost := time.Now()
+		kill() // near is lost as well
+		synctest.Wait()
+		time.Sleep(ownerSilenceTimeout)
+		m.setDown(false)
+		require.NoError(t, far.StoreOrphaned(t.Context()))
+		r := buildFrom(t, m, nil)
+		require.Equal(t, Counts{Accepted: 30, Ran: 30}, r.Total)
+		require.Len(t, r.Gaps, 1)
+		require.LessOrEqual(t, lost.Sub(r.Gaps[0].From), replicateInterval+maxRecordDelay)
+	})
+}
+
+// Guards against a peer that cannot be reached and that delays replication to the other peer, or the
+// writes to the store.
+func TestUnreachablePeerDelaysNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemoryStore()
+		replicas := NewReplicaStore("entry-a-2", memoryObjects{m}, zerolog.Nop())
+		l := NewLedger(testOwner, m.services(), []Replicator{directReplicator{replicas, testOwner.Incarnation}, hangingReplicator{}}, zerolog.Nop(), time.Now)
+		ctx, cancel := context.WithCancel(t.Context())
+		go l.Run(ctx)
+		time.Sleep(replicateInterval / 2) // between two rounds
+		for i := range 20 {
+			l.Record(accepted(fmt.Sprint("job-", i), time.Now()))
+			time.Sleep(replicateInterval)
+			replicas.mu.Lock()
+			covered := replicas.byIncarnation[testOwner.Incarnation].coversUntil
+			replicas.mu.Unlock()
+			require.Less(t, time.Since(covered), 2*replicateInterval)
+			require.LessOrEqual(t, len(l.Unstored()), int((storeInterval+2*storeCheckInterval)/replicateInterval)+1)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // Guards against replication that is delayed by an unresponsive store, which is when the
 // replicas are needed.
 func TestReplicationContinuesWhileStoreHangs(t *testing.T) {
@@ -272,7 +337,7 @@
 		owner := Owner{Entry: "entry", Incarnation: "one"}
 		replicas := NewReplicaStore("peer", memoryObjects{m}, zerolog.Nop())
 		s := platform.Services{Table: memoryTable{m}, Objects: hangingObjects{memoryObjects{m}}}
-		l := NewLedger(owner, s, directReplicator{store: replicas, inc: owner.Incarnation}, zerolog.Nop(), time.Now)
+		l := NewLedger(owner, s, []Replicator{directReplicator{store: replicas, inc: owner.Incarnation}}, zerolog.Nop(), time.Now)
 		ctx, stop := context.WithCancel(t.Context())
 		var wg sync.WaitGroup
 		defer wg.Wait()
--- a/internal/account/ledger.go
+++ b/internal/account/ledger.go
@@ -50,7 +50,8 @@
 	return incarnationRowPrefix + string(o.Entry) + "/" + string(o.Incarnation)
 }
 
-// Replicator keeps replicas of unstored batches at another entry VM.
+// Replicator keeps replicas of unstored batches at another entry VM. A ledger has one for each
+// failure domain in which replicas are kept.
 type Replicator interface {
 	// Target returns the peer that currently receives the replicas; empty if there is none.
 	Target() model.EntryVM
@@ -60,23 +61,27 @@
 	Drop(ctx context.Context, sequence uint64)
 }
 
-// Ledger collects the facts of one process, replicates them to a peer and stores them.
+// replica is what a replicator's current peer has. It is owned by the goroutine that replicates.
+type replica struct {
+	Replicator
+	target model.EntryVM
+	// through is the last sequence number that target has.
+	through uint64
+}
+
+// Ledger collects the facts of one process, replicates them to peers and stores them.
 // Record and Event never block on the network. It is safe for concurrent use.
 type Ledger struct {
-	owner      Owner
-	services   platform.Services
-	replicator Replicator
-	log        zerolog.Logger
-	now        func() time.Time
+	owner    Owner
+	services platform.Services
+	replicas []*replica
+	log      zerolog.Logger
+	now      func() time.Time
 
 	mu        sync.Mutex // guards the fields below
 	openBatch Batch
 	pending   []Batch // closed but not yet stored, in sequence order
 
-	// Owned by the replicating goroutine: the last sequence number that replicaTarget has.
-	replicatedThrough uint64
-	replicaTarget     model.EntryVM
-
 	storeMu      sync.Mutex // serializes storing; guards the fields below
 	row          IncarnationRow
 	rowWrittenAt time.Time
@@ -94,8 +99,11 @@
 )
 
 // NewLedger returns the ledger of this process. now is the source of time.
-func NewLedger(owner Owner, s platform.Services, c Replicator, log zerolog.Logger, now func() time.Time) *Ledger {
-	l := &Ledger{owner: owner, services: s, replicator: c, log: log, now: now}
+func NewLedger(owner Owner, s platform.Services, replicators []Replicator, log zerolog.Logger, now func() time.Time) *Ledger {
+	l := &Ledger{owner: owner, services: s, log: log, now: now}
+	for _, r := range replicators {
+		l.replicas = append(l.replicas, &replica{Replicator: r})
+	}
 	l.openBatch = Batch{Owner: owner, First: 1, Last: 1}
 	l.row = IncarnationRow{Owner: owner, Started: now()}
 	return l
@@ -118,12 +126,15 @@
 }
 
 // Run replicates and stores batches until ctx ends. It returns after the attempts in
-// progress. Replication has its own goroutine, because each attempt to write to an
-// unresponsive store takes longer than the replication interval.
+// progress. Replication to each peer has its own goroutine, because each attempt to write to an
+// unresponsive store takes longer than the replication interval, and so does a call to a peer that
+// cannot be reached.
 func (l *Ledger) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	wg.Go(func() { every(ctx, replicateInterval, func() { l.replicate(ctx) }) })
+	for _, r := range l.replicas {
+		wg.Go(func() { every(ctx, replicateInterval, func() { l.replicate(ctx, r) }) })
+	}
 	lastStore := l.now()
 	if err := l.writeInitialRow(ctx); err != nil {
 		l.log.Warn().Err(err).Msg("Incarnation row not written; retrying.")
@@ -222,49 +233,50 @@
 	return n
 }
 
-// replicate sends every batch that the current peer does not have yet, or only the covered
+// replicate sends every batch that the replicator's peer does not have yet, or only the covered
 // time if there is none.
-func (l *Ledger) replicate(ctx context.Context) {
+func (l *Ledger) replicate(ctx context.Context, r *replica) {
 	open, _ := l.closeBatch()
-	target := l.replicator.Target()
+	target := r.Target()
 	if target == "" {
 		return
 	}
-	if target != l.replicaTarget {
-		l.replicaTarget, l.replicatedThrough = target, 0
+	if target != r.target {
+		r.target, r.through = target, 0
 	}
 	ctx, cancel := context.WithTimeout(ctx, replicateInterval)
 	defer cancel()
-	batches := l.unreplicated()
+	batches := l.pendingAfter(r.through)
 	if len(batches) == 0 {
-		l.replicateBatch(ctx, 0, open)
+		l.replicateBatch(ctx, r, 0, open)
 		return
 	}
 	for _, b := range batches {
-		if !l.replicateBatch(ctx, b.Last, b) {
+		if !l.replicateBatch(ctx, r, b.Last, b) {
 			return
 		}
-		l.replicatedThrough = b.Last
+		r.through = b.Last
 	}
 }
 
-func (l *Ledger) unreplicated() []Batch {
+// pendingAfter returns the closed batches that are not stored and end after a sequence number.
+func (l *Ledger) pendingAfter(sequence uint64) []Batch {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	i := 0
-	for i < len(l.pending) && l.pending[i].Last <= l.replicatedThrough {
+	for i < len(l.pending) && l.pending[i].Last <= sequence {
 		i++
 	}
 	return append([]Batch(nil), l.pending[i:]...)
 }
 
-func (l *Ledger) replicateBatch(ctx context.Context, sequence uint64, b Batch) bool {
+func (l *Ledger) replicateBatch(ctx context.Context, r *replica, sequence uint64, b Batch) bool {
 	payload, err := b.Encode()
 	if err != nil {
 		l.log.Error().Err(err).Msg("Batch could not be encoded.")
 		return false
 	}
-	if err := l.replicator.Hold(ctx, sequence, payload); err != nil {
+	if err := r.Hold(ctx, sequence, payload); err != nil {
 		metricCopyFailures.Add(1)
 		l.log.Debug().Err(err).Msg("Batch not replicated to a peer.")
 		return false
@@ -297,7 +309,7 @@
 		l.removeStored(b.Last)
 		l.row.LastSequence, l.row.StoredUntil = b.Last, b.CoversUntil
 		metricStored.Add(1)
-		l.replicator.Drop(ctx, b.Last)
+		l.dropReplicas(ctx, b.Last)
 	}
 	if now := l.now(); l.allStored() {
 		l.row.StoredUntil = now
@@ -308,6 +320,18 @@
 	return l.writeRow(ctx)
 }
 
+// dropReplicas tells all peers which batches are stored. A peer that cannot be reached does not hold
+// up the next write for longer than a replication interval.
+func (l *Ledger) dropReplicas(ctx context.Context, through uint64) {
+	ctx, cancel := context.WithTimeout(ctx, replicateInterval)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, r := range l.replicas {
+		wg.Go(func() { r.Drop(ctx, through) })
+	}
+	wg.Wait()
+}
+
 func (l *Ledger) allStored() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -91,7 +91,8 @@
 	d.links = &links{self: d.self, clients: make(map[model.EntryVM]*peer.Client)}
 	owner := account.Owner{Entry: d.self.Entry, DC: d.self.DC, Incarnation: d.self.Incarnation}
 	snapshot := func() *control.Snapshot { return d.control.Snapshot() }
-	d.ledger = account.NewLedger(owner, d.Services, &copier{links: d.links, snapshot: snapshot}, logging.Part(log, "account"), time.Now)
+	copiers := []account.Replicator{&copier{links: d.links, snapshot: snapshot}, &copier{links: d.links, snapshot: snapshot, far: true}}
+	d.ledger = account.NewLedger(owner, d.Services, copiers, logging.Part(log, "account"), time.Now)
 	d.holder = account.NewReplicaStore(d.self.Entry, d.Objects, logging.Part(log, "account"))
 	d.minions = upstream.New(upstream.Options{})
 	d.workers = worker.NewClient(worker.Options{})
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -22,29 +22,39 @@
 	"boragepulley/internal/settings"
 )
 
-// Guards against record copies that stay with an entry VM that is gone, or that go to
-// another data centre while a neighbour is alive.
+// Guards against record copies that stay with an entry VM that is gone, and against copies that are
+// all in one data centre.
 func TestCopierTarget(t *testing.T) {
 	peers := map[model.EntryVM]control.PeerState{
 		"a-1": {DC: "a", Status: control.MemberAlive},
 		"a-3": {DC: "a", Status: control.MemberAlive},
 		"b-1": {DC: "b", Status: control.MemberAlive},
+		"c-1": {DC: "c", Status: control.MemberAlive},
+	}
+	snapshot := func() *control.Snapshot { return &control.Snapshot{Peers: peers} }
+	l := &links{self: peer.Sender{Entry: "a-2", DC: "a"}}
+	near, far := &copier{links: l, snapshot: snapshot}, &copier{links: l, snapshot: snapshot, far: true}
+	requireTargets := func(n, f model.EntryVM, why string) {
+		t.Helper()
+		require.Equal(t, n, near.Target(), why)
+		require.Equal(t, f, far.Target(), why)
 	}
-	c := &copier{links: &links{self: peer.Sender{Entry: "a-2", DC: "a"}},
-		snapshot: func() *control.Snapshot { return &control.Snapshot{Peers: peers} }}
 	set := func(n model.EntryVM, s control.MemberStatus) {
 		peers[n] = control.PeerState{DC: peers[n].DC, Status: s}
 	}
-	require.Equal(t, model.EntryVM("a-3"), c.Target())
+	requireTargets("a-3", "c-1", "all alive")
 	set("a-3", control.MemberSuspect)
-	require.Equal(t, model.EntryVM("a-1"), c.Target())
+	set("c-1", control.MemberSuspect)
+	requireTargets("a-1", "b-1", "a target that is not alive is replaced")
 	set("a-3", control.MemberAlive)
-	require.Equal(t, model.EntryVM("a-1"), c.Target(), "a living target is kept")
+	set("c-1", control.MemberAlive)
+	requireTargets("a-1", "b-1", "a living target is kept")
 	set("a-1", control.MemberGone)
 	set("a-3", control.MemberGone)
-	require.Equal(t, model.EntryVM("b-1"), c.Target())
+	requireTargets("", "b-1", "alone in its data centre")
 	set("b-1", control.MemberGone)
-	require.Empty(t, c.Target())
+	set("c-1", control.MemberGone)
+	requireTargets("", "", "alone")
 }
 
 // Guards against a forward that may have arrived being taken for one that did not.
--- a/internal/daemon/links.go
+++ b/internal/daemon/links.go
@@ -99,12 +99,14 @@
 	return nil
 }
 
-// copier copies account batches to another entry VM: one of the own data centre, or of
-// another one while nobody else answers in its own. It keeps the target while that is alive,
-// and comes back to the own data centre, whose entry VMs see at once that it is gone.
+// copier copies account batches to another entry VM. It keeps the target while that is alive.
+// Copies in the own data centre are stored as soon as this process ends, because its entry VMs see
+// that at once; copies in another one outlive the loss of the whole data centre.
 type copier struct {
 	links    *links
 	snapshot func() *control.Snapshot
+	// far selects an entry VM of another data centre.
+	far bool
 
 	mu     sync.Mutex
 	target model.EntryVM // guarded by mu
@@ -114,31 +116,26 @@
 func (c *copier) Target() model.EntryVM {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	peers := c.snapshot().Peers
-	var near, far []model.EntryVM
-	for name, p := range peers {
-		switch {
-		case p.Status != control.MemberAlive:
-		case p.DC == c.links.self.DC:
-			near = append(near, name)
-		default:
-			far = append(far, name)
+	var candidates []model.EntryVM
+	own := []model.EntryVM{c.links.self.Entry} // of the own data centre
+	for name, p := range c.snapshot().Peers {
+		if p.DC == c.links.self.DC {
+			own = append(own, name)
 		}
-	}
-	for _, names := range [][]model.EntryVM{near, far} {
-		if slices.Contains(names, c.target) {
-			return c.target
-		}
-		if len(names) > 0 {
-			// The next name after the own one spreads the copies over the entry VMs.
-			slices.Sort(names)
-			i, _ := slices.BinarySearch(names, c.links.self.Entry)
-			c.target = names[i%len(names)]
-			return c.target
+		if p.Status == control.MemberAlive && (p.DC != c.links.self.DC) == c.far {
+			candidates = append(candidates, name)
 		}
 	}
+	if slices.Contains(candidates, c.target) {
+		return c.target
+	}
 	c.target = ""
-	return ""
+	if len(candidates) > 0 {
+		slices.Sort(candidates)
+		slices.Sort(own)
+		c.target = candidates[slices.Index(own, c.links.self.Entry)%len(candidates)]
+	}
+	return c.target
 }
 
 func (c *copier) current() model.EntryVM {
--- a/internal/daemon/reports_test.go
+++ b/internal/daemon/reports_test.go
@@ -53,13 +53,6 @@
 	return names, nil
 }
 
-// noCopies is an entry VM without a peer.
-type noCopies struct{}
-
-func (noCopies) Target() model.EntryVM                      { return "" }
-func (noCopies) Hold(context.Context, uint64, []byte) error { return nil }
-func (noCopies) Drop(context.Context, uint64)               {}
-
 // Guards against a report that misses, without a gap, the records that an entry VM
 // stores while the report is made.
 func TestReportWhileRecordsAreStored(t *testing.T) {
@@ -67,7 +60,7 @@
 	services := platform.Services{Table: fakeTable{}, Objects: store}
 	self := peer.Sender{Entry: "e1", DC: "a", Incarnation: model.NewIncarnation()}
 	ledger := account.NewLedger(account.Owner{Entry: self.Entry, DC: self.DC, Incarnation: self.Incarnation},
-		services, noCopies{}, zerolog.Nop(), time.Now)
+		services, nil, zerolog.Nop(), time.Now)
 	d := &Daemon{log: zerolog.Nop(), self: self, Services: services, ledger: ledger, links: &links{self: self}}
 	job := model.NewJobID(time.Now(), self.Entry)
 	ledger.Record(model.Record{Job: job, Time: time.Now(), Entry: self.Entry, State: model.StateRan, Queue: "q"})
--- a/test/integration/integration_test.go
+++ b/test/integration/integration_test.go
@@ -46,6 +46,8 @@
 	{"config-restart", 4711}, // a process without a row, whose holder ended with it
 	{"once-faults", 1},
 	{"records-copied", 1},
+	{"data-centre-killed-store-down", 1},
+	{"data-centre-killed", 1},
 	{"rolling-restart", 1},
 	{"coordinator-paused", 1},
 	{"drain-cut", 1},
