upstream: a connection counts against the minion's bound until the minion has closed it

Cause: a connection stopped counting when this side closed it. The minion keeps it open while nothing of the close arrives (silent connections), while a run that was given up goes on, and, after a reset of an idle one, until it has noticed. Calls replaced it at once. Change: this side closes its half and counts the connection until the minion's close or reset arrives, a new connection is refused, or the minion's own timeout is over (60 s; 65 s here, from the deadline of a run that was given up). ETIMEDOUT from the kernel is no close. The bound is the whole part of an entry VM (32 of 64 for two); as before, at most slots plus 4 are open at once. A minion with all places silenced gets no request from that entry VM until the timeout is over. Ports of ended connections are in TIME_WAIT again. The timeout is an assumption about the users' minions, now in their contract. The stand-in has it too: it kept silent connections for ever, a bound that no client can keep. Not known to the successor of a killed entry VM: the silent connections of its predecessor.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -197,7 +197,7 @@
 	for {
 		if site := d.control.Snapshot().Site; site != nil && site.Version != version {
 			version = site.Version
-			byAddr := make(map[string]int, len(site.VMs))
+			byAddr := make(map[string]upstream.Limit, len(site.VMs))
 			for _, vm := range site.VMs {
 				byAddr[vm.Addr] = connectionBound(vm, entries)
 			}
@@ -215,9 +215,10 @@
 // polls and for connections that are about to be replaced.
 const spareConnections = 4
 
-// connectionBound is how many connections this entry VM may open to a minion: an equal
-// part of the minion's, but not more than it can use, because a minion counts a closed
-// connection until it has noticed the end.
-func connectionBound(vm config.VM, entries int) int {
-	return min(vm.Connections/entries, vm.Slots+spareConnections)
+// connectionBound is how many connections this entry VM may have to a minion: an equal part
+// of the minion's, and open at once no more than it can use. The rest is for connections that
+// went silent, which the minion counts until its own timeout.
+func connectionBound(vm config.VM, entries int) upstream.Limit {
+	share := vm.Connections / entries
+	return upstream.Limit{Open: min(share, vm.Slots+spareConnections), Total: share}
 }
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -20,6 +20,7 @@
 	"boragepulley/internal/peer"
 	"boragepulley/internal/platform"
 	"boragepulley/internal/settings"
+	"boragepulley/internal/upstream"
 )
 
 // Guards against record copies that stay with an entry VM that is gone, or that go to
@@ -139,7 +140,7 @@
 // against entry VMs that together open more than the minion has.
 func TestConnectionBound(t *testing.T) {
 	vm := config.VM{Slots: 8, Connections: 64}
-	require.Equal(t, 12, connectionBound(vm, 2))
-	require.Equal(t, 8, connectionBound(vm, 8))
-	require.Equal(t, 4, connectionBound(config.VM{Slots: 8, Connections: 8}, 2))
+	require.Equal(t, upstream.Limit{Open: 12, Total: 32}, connectionBound(vm, 2))
+	require.Equal(t, upstream.Limit{Open: 8, Total: 8}, connectionBound(vm, 8))
+	require.Equal(t, upstream.Limit{Open: 4, Total: 4}, connectionBound(config.VM{Slots: 8, Connections: 8}, 2))
 }
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -24,6 +24,9 @@
 	DefaultLateAnswer = 2 * time.Second
 	// DefaultStatusTimeout limits one status request, including a retry.
 	DefaultStatusTimeout = time.Second
+	// DefaultSilentTimeout is above the 60 s after which a minion closes a connection on which
+	// no request arrives (docs/design.md, "Minion and worker contracts").
+	DefaultSilentTimeout = 65 * time.Second
 	// DefaultMaxAnswer limits the body of an answer, in bytes.
 	DefaultMaxAnswer = 16 << 20
 
@@ -33,6 +36,15 @@
 	maxStatus = 1 << 20
 )
 
+// Limit bounds the connections of this entry VM to one minion.
+type Limit struct {
+	// Open bounds the connections in use, idle and being opened.
+	Open int
+	// Total bounds these together with the ones that this side has closed and the minion may
+	// not have: this entry VM's part of the connections that the minion accepts.
+	Total int
+}
+
 // Options configure a Client. Zero values select the defaults.
 type Options struct {
 	// Connections limits the connections to one minion: the number that the minion accepts
@@ -42,6 +54,9 @@
 	IdleTimeout   time.Duration
 	LateAnswer    time.Duration
 	StatusTimeout time.Duration
+	// SilentTimeout is how long after the last sign of life of this side a minion has closed a
+	// connection. Until then a silent connection counts against Connections.
+	SilentTimeout time.Duration
 	// MaxAnswer limits the body of an answer, in bytes.
 	MaxAnswer int64
 	// Dial opens a connection to "IP:port"; nil uses TCP.
@@ -56,7 +71,7 @@
 
 	mu     sync.Mutex // guards the fields below
 	limit  int
-	limits map[string]int
+	limits map[string]Limit
 	pools  map[string]*pool
 	closed bool
 }
@@ -70,6 +85,7 @@
 	setDefault(&o.IdleTimeout, DefaultIdleTimeout)
 	setDefault(&o.LateAnswer, DefaultLateAnswer)
 	setDefault(&o.StatusTimeout, DefaultStatusTimeout)
+	setDefault(&o.SilentTimeout, DefaultSilentTimeout)
 	setDefault(&o.MaxAnswer, DefaultMaxAnswer)
 	if o.Dial == nil {
 		o.Dial = dialTCP
@@ -87,7 +103,7 @@
 // SetLimits changes the limit on connections per minion: byAddr is keyed by "IP:port",
 // and general applies to all other minions. Values below 1 count as 1. Connections above
 // a lowered limit are closed when their call ends.
-func (c *Client) SetLimits(general int, byAddr map[string]int) {
+func (c *Client) SetLimits(general int, byAddr map[string]Limit) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.limit, c.limits = general, byAddr
@@ -96,12 +112,12 @@
 	}
 }
 
-func (c *Client) limitLocked(addr string) int {
-	n, ok := c.limits[addr]
+func (c *Client) limitLocked(addr string) Limit {
+	l, ok := c.limits[addr]
 	if !ok {
-		n = c.limit
+		l = Limit{Open: c.limit, Total: c.limit}
 	}
-	return max(n, 1)
+	return Limit{Open: max(l.Open, 1), Total: max(l.Total, 1)}
 }
 
 // Close closes all idle connections; connections in use are closed when their call ends.
@@ -146,6 +162,7 @@
 			return Answer{}, newCallError(ErrNotReached, err)
 		}
 	}
+	cn.busyUntil = call.Deadline
 	resp, err := cn.exchange(ctx, exchange{
 		head:  runRequestHead(call),
 		body:  call.Body,
@@ -156,6 +173,7 @@
 		p.put(cn, false)
 		return Answer{}, err
 	}
+	cn.busyUntil = time.Time{}
 	a, err := verifyAnswer(call, resp)
 	p.put(cn, resp.reusable && !errors.Is(err, ErrAnswerIncomplete))
 	return a, err
--- a/internal/upstream/metrics.go
+++ b/internal/upstream/metrics.go
@@ -10,11 +10,13 @@
 	"github.com/pkg/errors"
 )
 
-// Metrics published by expvar: calls by outcome, connections opened, latencies in microseconds.
+// Metrics published by expvar: calls by outcome, connections opened, connections whose close
+// the minion did not confirm, latencies in microseconds.
 var (
 	runOutcomes       = expvar.NewMap("upstream_runs")
 	statusOutcomes    = expvar.NewMap("upstream_status")
 	connectionsOpened = expvar.NewInt("upstream_connections_opened")
+	connectionsSilent = expvar.NewInt("upstream_connections_silent")
 	runLatency        = newLatency("upstream_run_latency_us")
 	statusLatency     = newLatency("upstream_status_latency_us")
 )
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -38,17 +38,20 @@
 	addr string
 	opt  *Options
 
-	mu      sync.Mutex // guards the fields below
-	limit   int
-	open    int     // connections that are in use, idle or being opened
-	runs    int     // connections in use or being opened for runs
-	idle    []*conn // least recently used first
+	mu    sync.Mutex // guards the fields below
+	limit Limit
+	open  int     // connections that are in use, idle or being opened
+	runs  int     // connections in use or being opened for runs
+	idle  []*conn // least recently used first
+	// closing holds connections that this side has closed and the minion, as far as this side
+	// knows, has not. They count against the limit.
+	closing map[*conn]struct{}
 	changed chan struct{}
 	closed  bool
 }
 
-func newPool(addr string, limit int, o *Options) *pool {
-	return &pool{addr: addr, opt: o, limit: limit, changed: make(chan struct{})}
+func newPool(addr string, limit Limit, o *Options) *pool {
+	return &pool{addr: addr, opt: o, limit: limit, closing: map[*conn]struct{}{}, changed: make(chan struct{})}
 }
 
 // acquire returns a connection, waiting until one is free; the caller returns it with put.
@@ -76,7 +79,7 @@
 
 // takeLocked returns an idle connection, or reports whether the caller may open a new one.
 func (p *pool) takeLocked(w connOptions) (cn *conn, dial bool) {
-	if p.closed || (!w.status && p.runs >= p.runLimitLocked()) {
+	if p.closed || (!w.status && !p.runAllowedLocked()) {
 		return nil, false
 	}
 	for len(p.idle) > 0 && !w.fresh && cn == nil {
@@ -87,13 +90,14 @@
 			cn.reused = true
 			continue
 		}
-		last.discard()
 		p.open--
+		p.closeLocked(last)
 	}
-	if cn == nil && p.open >= p.limit && len(p.idle) > 0 {
-		p.closeOldestLocked()
-	}
-	if cn == nil && p.open >= p.limit {
+	if cn == nil && p.fullLocked() {
+		// The place is free once the minion has closed its end, too.
+		if len(p.idle) > 0 {
+			p.closeOldestLocked()
+		}
 		return nil, false
 	}
 	if cn == nil {
@@ -111,15 +115,25 @@
 	oldest := p.idle[0]
 	p.idle = p.idle[1:]
 	oldest.timer.Stop()
-	oldest.discard()
 	p.open--
+	p.closeLocked(oldest)
 }
 
-func (p *pool) runLimitLocked() int {
-	if p.limit > statusReserve {
-		return p.limit - statusReserve
+// fullLocked reports whether no further connection may be opened.
+func (p *pool) fullLocked() bool {
+	return p.open >= p.limit.Open || p.open+len(p.closing) >= p.limit.Total
+}
+
+// runAllowedLocked reports whether one more run leaves the connections for status requests.
+func (p *pool) runAllowedLocked() bool {
+	return p.runs < withoutReserve(p.limit.Open) && p.runs+len(p.closing) < withoutReserve(p.limit.Total)
+}
+
+func withoutReserve(limit int) int {
+	if limit > statusReserve {
+		return limit - statusReserve
 	}
-	return p.limit
+	return limit
 }
 
 func (p *pool) dial(ctx context.Context, w connOptions) (*conn, error) {
@@ -129,6 +143,9 @@
 	if err != nil {
 		p.mu.Lock()
 		defer p.mu.Unlock()
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			p.minionEndedLocked()
+		}
 		p.dropLocked(w.status)
 		return nil, err
 	}
@@ -140,9 +157,9 @@
 func (p *pool) put(cn *conn, reusable bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !reusable || p.closed || p.open > p.limit || cn.br.Buffered() > 0 {
-		cn.Close()
+	if !reusable || p.closed || p.open > p.limit.Open || cn.br.Buffered() > 0 {
 		p.dropLocked(cn.status)
+		p.closeLocked(cn)
 		return
 	}
 	if !cn.status {
@@ -160,9 +177,8 @@
 	for i, c := range p.idle {
 		if c == cn {
 			p.idle = append(p.idle[:i:i], p.idle[i+1:]...)
-			cn.discard()
 			p.open--
-			p.notifyLocked()
+			p.closeLocked(cn)
 			return
 		}
 	}
@@ -181,11 +197,11 @@
 	p.changed = make(chan struct{})
 }
 
-func (p *pool) setLimit(n int) {
+func (p *pool) setLimit(l Limit) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.limit = n
-	for p.open > p.limit && len(p.idle) > 0 {
+	p.limit = l
+	for p.open > p.limit.Open && len(p.idle) > 0 {
 		p.closeOldestLocked()
 	}
 	p.notifyLocked()
@@ -198,6 +214,7 @@
 	for len(p.idle) > 0 {
 		p.closeOldestLocked()
 	}
+	p.minionEndedLocked()
 	p.notifyLocked()
 }
 
@@ -208,7 +225,11 @@
 	br     *bufio.Reader
 	status bool
 	reused bool
-	timer  *time.Timer // closes the connection while idle; guarded by the pool's lock
+	// busyUntil is when the minion is expected to have ended the last run at the latest.
+	busyUntil time.Time
+	// lost means that the kernel gave up the connection because the minion's side is silent.
+	lost  bool
+	timer *time.Timer // closes the connection while idle; guarded by the pool's lock
 }
 
 func newConn(nc net.Conn, status bool) *conn {
@@ -216,16 +237,6 @@
 	return &conn{Conn: nc, lr: lr, br: bufio.NewReader(lr), status: status}
 }
 
-// discard closes an idle connection with a TCP reset. No data is in flight on it. After a
-// normal close the local port would stay in TIME_WAIT for a minute, and many short-lived
-// connections to one minion would exhaust the ports.
-func (c *conn) discard() {
-	if tc, ok := c.Conn.(*net.TCPConn); ok {
-		_ = tc.SetLinger(0)
-	}
-	c.Close()
-}
-
 // usable reports whether an idle connection is still open and has no unexpected bytes to
 // read. It does not block.
 func (c *conn) usable() bool {
@@ -242,6 +253,7 @@
 		var b [1]byte
 		_, _, rerr := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		open = rerr == syscall.EAGAIN
+		c.noteError(rerr)
 		return true
 	})
 	return err == nil && open
--- a/internal/upstream/wire.go
+++ b/internal/upstream/wire.go
@@ -90,6 +90,7 @@
 	}
 	n, werr := bufs.WriteTo(c.Conn)
 	if werr != nil {
+		c.noteError(werr)
 		if n == 0 {
 			return response{}, newCallError(ErrNotReached, werr)
 		}
@@ -100,6 +101,7 @@
 	}
 	c.lr.N = maxHeader + x.limit
 	resp, err := readResponse(c, x.limit)
+	c.noteError(err)
 	if werr != nil {
 		resp.reusable = false
 		if err != nil {
--- a/standins/minion/minion.go
+++ b/standins/minion/minion.go
@@ -23,6 +23,9 @@
 	DefaultConnections = 64
 	// DefaultRun is the run time of a request that gives none.
 	DefaultRun = 20 * time.Millisecond
+	// DefaultIdleTimeout is after how long a minion closes a connection on which no request
+	// arrives.
+	DefaultIdleTimeout = time.Minute
 	// maxBody bounds a request body, in bytes.
 	maxBody = 32 << 20
 )
@@ -44,6 +47,7 @@
 	Slots       int
 	Connections int
 	Run         time.Duration
+	IdleTimeout time.Duration
 	Seed        uint64
 	// tags is shared by the minions of a fleet.
 	tags *tagGauge
@@ -137,10 +141,14 @@
 	if o.Run == 0 {
 		o.Run = DefaultRun
 	}
+	if o.IdleTimeout == 0 {
+		o.IdleTimeout = DefaultIdleTimeout
+	}
 	if o.tags == nil {
 		o.tags = newTagGauge()
 	}
 	m := &Minion{opt: o, host: serve.NewHost(o.Addr), runs: runs.NewLog(), faults: newFaultState(o.Seed), tags: o.tags}
+	m.host.IdleTimeout = o.IdleTimeout
 	m.host.OnConnections = func(open int) {
 		if open > o.Connections {
 			m.connViolations.Add(1)
--- a/standins/serve/serve.go
+++ b/standins/serve/serve.go
@@ -19,17 +19,19 @@
 	// OnConnections, if set before Start, is called with the number of open connections
 	// after each new one.
 	OnConnections func(open int)
+	// IdleTimeout, if set before Start, closes a connection on which no request arrives; 0 keeps it.
+	IdleTimeout time.Duration
 
 	mu     sync.Mutex
-	addr   string            // guarded by mu; fixed after the first start
-	srv    *http.Server      // guarded by mu; nil while down
-	conns  map[net.Conn]bool // guarded by mu
-	closed bool              // guarded by mu
-	began  bool              // guarded by mu; set with the first start
+	addr   string       // guarded by mu; fixed after the first start
+	srv    *http.Server // guarded by mu; nil while down
+	open   int          // guarded by mu; open connections
+	closed bool         // guarded by mu
+	began  bool         // guarded by mu; set with the first start
 }
 
 // NewHost returns a host that is down. The port of addr may be 0.
-func NewHost(addr string) *Host { return &Host{addr: addr, conns: map[net.Conn]bool{}} }
+func NewHost(addr string) *Host { return &Host{addr: addr} }
 
 const (
 	// portWait is how long a host that starts again waits for its port: while it was down, the
@@ -70,9 +72,9 @@
 	}
 	h.began = true
 	h.addr = ln.Addr().String()
-	srv := &http.Server{Handler: handler, ConnState: h.connState, ReadHeaderTimeout: time.Minute}
+	srv := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute, IdleTimeout: h.IdleTimeout}
 	h.srv = srv
-	go func() { _ = srv.Serve(ln) }() // ends with ErrServerClosed after Stop
+	go func() { _ = srv.Serve(countedListener{ln, h}) }() // ends with ErrServerClosed after Stop
 	return nil
 }
 
@@ -102,18 +104,40 @@
 	h.Stop()
 }
 
-func (h *Host) connState(c net.Conn, s http.ConnState) {
-	h.mu.Lock()
-	var open int
-	switch s {
-	case http.StateNew:
-		h.conns[c] = true
-		open = len(h.conns)
-	case http.StateClosed, http.StateHijacked:
-		delete(h.conns, c)
+// countedListener counts the connections that it accepts until they are closed.
+type countedListener struct {
+	net.Listener
+	h *Host
+}
+
+func (l countedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
 	}
+	l.h.count(1)
+	return &countedConn{TCPConn: c.(*net.TCPConn), h: l.h}, nil
+}
+
+// countedConn is out of the count before its close reaches the client, which may then open
+// another connection at once.
+type countedConn struct {
+	*net.TCPConn
+	h    *Host
+	once sync.Once
+}
+
+func (c *countedConn) Close() error {
+	c.once.Do(func() { c.h.count(-1) })
+	return c.TCPConn.Close()
+}
+
+func (h *Host) count(n int) {
+	h.mu.Lock()
+	h.open += n
+	open := h.open
 	h.mu.Unlock()
-	if open > 0 && h.OnConnections != nil {
+	if n > 0 && h.OnConnections != nil {
 		h.OnConnections(open)
 	}
 }
