bench/proc: the log and the errors say how a process ended

Change: every end adds a line to the process's log: exit code or signal, and whether the bench had sent it. The error of a call to an ended process has the same text. TestEndIsReported: exit codes, signals of others and of the bench, also to a paused process; before, none of them left a line.

--- a/bench/proc/proc.go
+++ b/bench/proc/proc.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"fmt"
 	"io"
 	"os"
 	"os/exec"
@@ -15,6 +16,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
 )
 
 // Errors of this package.
@@ -46,8 +48,10 @@
 	log  *os.File
 	done chan struct{}
 
-	mu  sync.Mutex
-	err error // result of Wait, valid once done is closed
+	mu   sync.Mutex
+	err  error  // result of Wait, valid once done is closed
+	end  string // how the process ended, valid once done is closed
+	sent string // the last signal sent from here that ends a process
 }
 
 // Start starts a process and waits for its ready line if the spec asks for one.
@@ -112,11 +116,42 @@
 	err := p.cmd.Wait()
 	p.mu.Lock()
 	p.err = err
+	p.end = describeEnd(p.cmd.ProcessState, err, p.sent)
+	p.writeEnd(p.end)
 	p.mu.Unlock()
 	_ = p.log.Close()
 	close(p.done)
 }
 
+// describeEnd says how a process ended, and whether a signal from here was meant to end it.
+func describeEnd(state *os.ProcessState, err error, sent string) string {
+	how := fmt.Sprint(err)
+	if state != nil {
+		how = state.String()
+	}
+	if sent == "" {
+		return how + ", not ended from here"
+	}
+	return how + ", after " + sent + " from here"
+}
+
+// writeEnd adds the end of the process to its log.
+func (p *Process) writeEnd(end string) {
+	log := zerolog.New(p.log)
+	log.Info().Str("part", "bench").Str("process", p.spec.Name).Int("pid", p.cmd.Process.Pid).
+		Int64("time", time.Now().UnixMilli()).Msg("process ended: " + end)
+}
+
+// End says how the process ended; empty while it runs.
+func (p *Process) End() string {
+	if p.Running() {
+		return ""
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.end
+}
+
 func (p *Process) awaitReady(first <-chan []byte) error {
 	select {
 	case line := <-first:
@@ -125,7 +160,7 @@
 		}
 		return errors.Wrapf(json.Unmarshal(line, p.spec.Ready), "proc: ready line of %s", p.spec.Name)
 	case <-p.done:
-		return errors.Wrapf(ErrNotReady, "%s ended: %v", p.spec.Name, p.err)
+		return errors.Wrapf(ErrNotReady, "%s ended: %s", p.spec.Name, p.End())
 	case <-time.After(p.spec.ReadyWithin):
 		p.Kill()
 		return errors.Wrapf(ErrNotReady, "%s: no ready line", p.spec.Name)
@@ -150,7 +185,7 @@
 
 // Kill ends the process at once (SIGKILL) and waits for its end.
 func (p *Process) Kill() {
-	_ = p.cmd.Process.Signal(syscall.SIGKILL)
+	_ = p.signal(syscall.SIGKILL) // fails if it has ended
 	<-p.done
 }
 
@@ -178,7 +213,12 @@
 
 func (p *Process) signal(s syscall.Signal) error {
 	if !p.Running() {
-		return errors.Errorf("proc: %s has ended", p.spec.Name)
+		return errors.Errorf("proc: %s has ended: %s", p.spec.Name, p.End())
+	}
+	if s == syscall.SIGKILL || s == syscall.SIGTERM {
+		p.mu.Lock()
+		p.sent = s.String()
+		p.mu.Unlock()
 	}
 	return errors.Wrapf(p.cmd.Process.Signal(s), "proc: signal %s", p.spec.Name)
 }
--- a/bench/proc/proc_test.go
+++ b/bench/proc/proc_test.go
@@ -55,3 +55,35 @@
 	_, err = os.Stat(dir + "/false.log")
 	require.NoError(t, err)
 }
+
+// Guards against a process whose end leaves no trace: every end is in the log of the process and
+// in the error of the next call, with the exit code or the signal and who sent it.
+func TestEndIsReported(t *testing.T) {
+	for name, tc := range map[string]struct {
+		script string
+		end    func(p *Process)
+		want   string
+	}{
+		"exit code":           {"exit 3", nil, "exit status 3, not ended from here"},
+		"regular end":         {"exit 0", nil, "exit status 0, not ended from here"},
+		"signal of another":   {"kill -KILL $$", nil, "signal: killed, not ended from here"},
+		"hung up":             {"kill -HUP $$", nil, "signal: hangup, not ended from here"},
+		"killed while paused": {"echo up; exec sleep 60", func(p *Process) { _ = p.Pause(); p.Kill() }, "signal: killed, after killed from here"},
+		"terminated":          {"echo up; exec sleep 60", func(p *Process) { _ = p.Terminate(10 * time.Second) }, "signal: terminated, after terminated from here"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			dir := t.TempDir()
+			p, err := Start(Spec{Name: "child", Path: "/bin/sh", Args: []string{"-c", tc.script}, LogDir: dir})
+			require.NoError(t, err)
+			if tc.end != nil {
+				tc.end(p)
+			}
+			require.Eventually(t, func() bool { return !p.Running() }, time.Minute, time.Millisecond)
+			require.Equal(t, tc.want, p.End())
+			log, err := os.ReadFile(dir + "/child.log")
+			require.NoError(t, err)
+			require.Contains(t, string(log), "process ended: "+tc.want)
+			require.ErrorContains(t, p.Resume(), tc.want)
+		})
+	}
+}
