account: a job whose record is held up is in the gap of its process

Evidence: TestHeldUpFactIsInTheGap fails without the announcements; TestJobIDHasTheTimeOfTheAcceptance fails without the change (id 300 ms before the end of the body). Change: the id is made when the body is there. Whoever takes the time of a record or an id announces it (Recorder.Begin) until the record is added, and a batch covers no later time. dispatch's fake recorder panics on a record that was not announced.

--- a/internal/account/account_test.go
+++ b/internal/account/account_test.go
@@ -428,3 +428,29 @@
 	require.True(t, g.From.Equal(began.Add(-maxRecordDelay)), "%v", g.From)
 	require.True(t, g.To.Equal(gone), "%v", g.To)
 }
+
+// Guards against a job that is missing outside any gap: its process was held up between taking the
+// time of its id and adding its record, its batches were copied meanwhile, and then it was killed.
+func TestHeldUpFactIsInTheGap(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemoryStore()
+		replicas := NewReplicaStore("entry-a-2", memoryObjects{m}, zerolog.Nop())
+		l := NewLedger(testOwner, m.services(), directReplicator{replicas, testOwner.Incarnation}, zerolog.Nop(), time.Now)
+		require.NoError(t, l.writeInitialRow(t.Context()))
+		l.Record(accepted("job-1", time.Now()))
+		time.Sleep(5 * time.Second)
+		done := l.Begin()
+		at := time.Now()
+		time.Sleep(550 * time.Millisecond)
+		require.NoError(t, l.Flush(t.Context()))
+		l.replicate(t.Context())
+		l.Record(accepted("job-2", at))
+		done()
+		replicas.MarkOwnerGone(testOwner, time.Now()) // killed before its next copy
+		require.NoError(t, replicas.StoreOrphaned(t.Context()))
+		r := buildFrom(t, m, nil)
+		require.Len(t, r.Gaps, 1)
+		require.False(t, at.Before(r.Gaps[0].From), "job-2 was accepted in the gap")
+		require.Less(t, at.Sub(r.Gaps[0].From), time.Second, "the gap is not longer than it has to be")
+	})
+}
--- a/internal/account/gaps.go
+++ b/internal/account/gaps.go
@@ -8,8 +8,8 @@
 	"boragepulley/internal/model"
 )
 
-// maxRecordDelay is the maximum delay between the time of a fact and its addition to a
-// batch. Gaps start this much before the time up to which the batches are complete.
+// maxRecordDelay is the maximum delay between the time of a fact that was not announced with
+// Begin and its addition to a batch. Gaps start this much before the time up to which the batches are complete.
 const maxRecordDelay = 100 * time.Millisecond
 
 // Gap is a period in which facts of one process may be missing.
--- a/internal/account/ledger.go
+++ b/internal/account/ledger.go
@@ -71,7 +71,9 @@
 
 	mu        sync.Mutex // guards the fields below
 	openBatch Batch
-	pending   []Batch // closed but not yet stored, in sequence order
+	pending   []Batch              // closed but not yet stored, in sequence order
+	begun     map[uint64]time.Time // when the facts that are announced and not added were begun
+	lastBegun uint64
 
 	// Owned by the replicating goroutine: the last sequence number that replicaTarget has.
 	replicatedThrough uint64
@@ -95,12 +97,37 @@
 
 // NewLedger returns the ledger of this process. now is the source of time.
 func NewLedger(owner Owner, s platform.Services, c Replicator, log zerolog.Logger, now func() time.Time) *Ledger {
-	l := &Ledger{owner: owner, services: s, replicator: c, log: log, now: now}
+	l := &Ledger{owner: owner, services: s, replicator: c, log: log, now: now, begun: map[uint64]time.Time{}}
 	l.openBatch = Batch{Owner: owner, First: 1, Last: 1}
 	l.row = IncarnationRow{Owner: owner, Started: now()}
 	return l
 }
 
+// Begin implements Recorder.
+func (l *Ledger) Begin() (done func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lastBegun++
+	n := l.lastBegun
+	l.begun[n] = l.now()
+	return func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		delete(l.begun, n)
+	}
+}
+
+// coveredLocked returns the time up to which the batches contain every fact.
+func (l *Ledger) coveredLocked() time.Time {
+	until := l.now()
+	for _, t := range l.begun {
+		if t.Before(until) {
+			until = t
+		}
+	}
+	return until
+}
+
 // Record adds one fact about a job.
 func (l *Ledger) Record(r model.Record) {
 	l.mu.Lock()
@@ -189,7 +216,7 @@
 	defer l.mu.Unlock()
 	out := append([]Batch(nil), l.pending...)
 	open := l.openBatch
-	open.CoversUntil = l.now()
+	open.CoversUntil = l.coveredLocked()
 	open.Records = append([]model.Record(nil), open.Records...)
 	open.Events = append([]model.FleetEvent(nil), open.Events...)
 	return append(out, open)
@@ -200,7 +227,7 @@
 func (l *Ledger) closeBatch() (b Batch, hasFacts bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.openBatch.CoversUntil = l.now()
+	l.openBatch.CoversUntil = l.coveredLocked()
 	if l.openBatch.FactCount() == 0 {
 		return l.openBatch, false
 	}
@@ -299,8 +326,8 @@
 		metricStored.Add(1)
 		l.replicator.Drop(ctx, b.Last)
 	}
-	if now := l.now(); l.allStored() {
-		l.row.StoredUntil = now
+	if until, ok := l.allStored(); ok {
+		l.row.StoredUntil = until
 	}
 	if l.rowWritten && l.now().Sub(l.rowWrittenAt) < rowInterval {
 		return nil
@@ -308,10 +335,11 @@
 	return l.writeRow(ctx)
 }
 
-func (l *Ledger) allStored() bool {
+// allStored reports whether no fact is unstored, and the time up to which that holds.
+func (l *Ledger) allStored() (until time.Time, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.openBatch.FactCount() == 0 && len(l.pending) == 0
+	return l.coveredLocked(), l.openBatch.FactCount() == 0 && len(l.pending) == 0
 }
 
 func (l *Ledger) storeBatch(ctx context.Context, b Batch) error {
--- a/internal/caller/requests.go
+++ b/internal/caller/requests.go
@@ -20,7 +20,7 @@
 func (s *Server) postRequest(c echo.Context) error {
 	r := c.Request()
 	in, async, err := parseHeaders(r.Header)
-	in.Job, in.Queue = s.cfg.Dispatcher.NewJobID(), model.Queue(c.Param("queue"))
+	in.Queue = model.Queue(c.Param("queue"))
 	if err != nil {
 		return s.refuse(c, in, earlyRefusal{http.StatusBadRequest, model.ReasonBadRequest, err.Error()})
 	}
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -31,7 +31,6 @@
 
 // Dispatcher is the part of dispatch.Service that this package uses.
 type Dispatcher interface {
-	NewJobID() model.JobID
 	Precheck(dispatch.Submission) (maxBody int64, refused model.Result, ok bool)
 	Refuse(in dispatch.Submission, reason model.Reason, detail string) model.Result
 	Submit(ctx context.Context, in dispatch.Submission) model.Result
--- a/internal/caller/server_test.go
+++ b/internal/caller/server_test.go
@@ -17,6 +17,7 @@
 	"testing"
 	"time"
 
+	"github.com/oklog/ulid/v2"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
@@ -55,6 +56,7 @@
 }
 func (f *fakeControl) CheckPermit(*model.Permit, string) model.Reason { return model.ReasonNone }
 func (f *fakeControl) Release(*model.Permit, peer.AttemptResult)      {}
+func (f *fakeControl) Begin() func()                                  { return func() {} }
 func (f *fakeControl) Record(model.Record)                            {}
 func (f *fakeControl) Event(model.FleetEvent)                         {}
 
@@ -175,6 +177,31 @@
 	require.Equal(t, "SADDLE", body)
 }
 
+// Guards against a job id whose time is before the acceptance: gaps in the report are told by the
+// time of the id, and the record of a job whose body took long is added only once it is there.
+func TestJobIDHasTheTimeOfTheAcceptance(t *testing.T) {
+	s := newTestAPI(t, minion, nil)
+	r, w := io.Pipe()
+	var complete time.Time
+	go func() {
+		_, _ = io.WriteString(w, "sad")
+		time.Sleep(300 * time.Millisecond)
+		complete = time.Now()
+		_, _ = io.WriteString(w, "dle")
+		_ = w.Close()
+	}()
+	req, err := http.NewRequest("POST", s.url+"/v1/queues/quotes/requests", r)
+	require.NoError(t, err)
+	req.Header.Set("Authorization", "Bearer "+goodKey)
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	require.Equal(t, 200, resp.StatusCode)
+	id, err := ulid.ParseStrict(strings.TrimSuffix(resp.Header.Get("X-Job-Id"), "-e1"))
+	require.NoError(t, err)
+	require.GreaterOrEqual(t, id.Time(), ulid.Timestamp(complete))
+}
+
 // Guards against refusals with the wrong status or reason, or without the outcome "not
 // run".
 func TestRefusals(t *testing.T) {
--- a/internal/control/fakes_test.go
+++ b/internal/control/fakes_test.go
@@ -351,6 +351,8 @@
 	return upstream.Status{Slots: 8, Busy: len(cl.running[addr]), Jobs: append([]upstream.RunningJob(nil), cl.running[addr]...)}, nil
 }
 
+func (cl *cluster) Begin() func() { return func() {} }
+
 func (cl *cluster) Record(r model.Record) {
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
--- a/internal/dispatch/auth.go
+++ b/internal/dispatch/auth.go
@@ -54,6 +54,7 @@
 // make the entry VM read a body. It returns the maximum body size of the queue in bytes.
 // A refusal is recorded and returned with ok false.
 func (s *Service) Precheck(in Submission) (maxBody int64, refused model.Result, ok bool) {
+	defer s.beginJob(&in)()
 	snap := s.cfg.Control.Snapshot()
 	j, r := s.validate(snap, in)
 	if r == nil && s.isDraining() {
--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -55,6 +55,7 @@
 	out      map[string]bool // outstanding permits
 	released []peer.AttemptResult
 	records  []model.Record
+	begun    int // facts announced and not added
 }
 
 func (f *fakeControl) Snapshot() *control.Snapshot {
@@ -107,9 +108,23 @@
 	f.released = append(f.released, r)
 }
 
+func (f *fakeControl) Begin() func() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.begun++
+	return func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.begun--
+	}
+}
+
 func (f *fakeControl) Record(r model.Record) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.begun == 0 {
+		panic("a record that was not begun: " + r.Job)
+	}
 	f.records = append(f.records, r)
 }
 func (f *fakeControl) Event(model.FleetEvent) {}
--- a/internal/dispatch/record.go
+++ b/internal/dispatch/record.go
@@ -30,6 +30,7 @@
 // recordStep applies a state change to a job: it checks the invariants, keeps the step,
 // passes it to the recorder and logs it with its reason.
 func (s *Service) recordStep(j *job, st step) {
+	defer s.cfg.Recorder.Begin()()
 	rec := model.Record{
 		Job: j.req.Job, Time: time.Now(), Entry: s.cfg.Entry, State: st.state, Reason: st.reason,
 		Queue: j.req.Queue, Team: j.req.Team, RequestID: j.req.RequestID,
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -95,6 +95,16 @@
 // NewJobID returns a new job id that names this entry VM as the one that accepted the job.
 func (s *Service) NewJobID() model.JobID { return model.NewJobID(time.Now(), s.cfg.Entry) }
 
+// beginJob gives a submission its job id if it has none. The caller records the acceptance or
+// the refusal and then calls done, so that no report takes the time of the id for complete before.
+func (s *Service) beginJob(in *Submission) (done func()) {
+	done = s.cfg.Recorder.Begin()
+	if in.Job == "" {
+		in.Job = s.NewJobID()
+	}
+	return done
+}
+
 // Submit processes a request and returns its result, at its deadline at the latest. If
 // ctx ends first, the request is cancelled if it was not dispatched yet; a dispatched
 // one runs to completion and its answer is kept.
@@ -130,12 +140,14 @@
 // Refuse records a request that was refused before Submit, for example because its body
 // was not received, and returns its result.
 func (s *Service) Refuse(in Submission, reason model.Reason, detail string) model.Result {
+	defer s.beginJob(&in)()
 	snap := s.cfg.Control.Snapshot()
 	j, _ := s.validate(snap, in)
 	return s.refuse(j.req, snap, refusal{reason, detail})
 }
 
 func (s *Service) refuse(req model.Request, snap *control.Snapshot, r refusal) model.Result {
+	defer s.cfg.Recorder.Begin()()
 	rec := model.Record{
 		Job: req.Job, Time: time.Now(), Entry: s.cfg.Entry, State: model.StateRefused, Reason: r.reason,
 		Queue: req.Queue, Team: req.Team, RequestID: req.RequestID, Config: version(snap), Detail: r.detail,
@@ -164,9 +176,7 @@
 // earlier request with the same request id. If the job is nil, the request was refused
 // with the returned result.
 func (s *Service) accept(in Submission, async bool) (*job, model.Result) {
-	if in.Job == "" {
-		in.Job = s.NewJobID()
-	}
+	defer s.beginJob(&in)()
 	snap := s.cfg.Control.Snapshot()
 	j, r := s.validate(snap, in)
 	if r != nil {
