entry: reject no job that an earlier attempt has or may have stored

Callers saw: 503, which says that a job never runs, for a job that then ran. Its first attempt, at the same or another entry VM, had ended with 504 or a broken connection; the next one met a store that did not answer. Cause: each attempt was judged by its own write alone. A known job is answered 200, an uncertain one 504. Open: an entry VM that ended or is cut off before it could tell.

--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -53,6 +53,8 @@
 	// members are all entry VMs.
 	members atomic.Pointer[map[model.EntryVM]peer.Member]
 	store   *relay.Store
+	// attempts are recent attempts to store jobs.
+	attempts attempts
 	// synced is set once the operators' rows have been read from the store, stopping once a shutdown
 	// has begun.
 	synced, stopping atomic.Bool
--- a/internal/entry/node_test.go
+++ b/internal/entry/node_test.go
@@ -182,6 +182,9 @@
 func (l link) JobState(ctx context.Context, m *peer.JobRequest) (*peer.JobReply, error) {
 	return forward(l, ctx, m, peer.SiteHandler.JobState)
 }
+func (l link) JobUncertain(ctx context.Context, m *peer.JobRequest) (*peer.Empty, error) {
+	return forward(l, ctx, m, peer.SiteHandler.JobUncertain)
+}
 func (l link) SiteConfig(ctx context.Context, m *peer.SiteConfigGet) (*peer.SiteConfig, error) {
 	return forward(l, ctx, m, peer.SiteHandler.SiteConfig)
 }
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -91,6 +91,12 @@
 	return &peer.Empty{}, nil
 }
 
+// JobUncertain implements peer.SiteHandler.
+func (h handler) JobUncertain(_ context.Context, m *peer.JobRequest) (*peer.Empty, error) {
+	h.n.attempts.record(jobs.ID(m.Job), false, h.n.deps.Now())
+	return &peer.Empty{}, nil
+}
+
 // JobState implements peer.SiteHandler.
 func (h handler) JobState(ctx context.Context, m *peer.JobRequest) (*peer.JobReply, error) {
 	t := h.n.term.Load()
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -38,37 +39,55 @@
 func (n *Node) Ready() bool { return n.config.Load() != nil && n.synced.Load() && !n.stopping.Load() }
 
 // Submit stores a job, on condition that its row does not exist: an id stands for one job, no
-// matter how often and at which entry VMs it is submitted.
+// matter how often and at which entry VMs it is submitted. It rejects a job only if no attempt with
+// its id is known that has or may have stored it.
 func (n *Node) Submit(ctx context.Context, a jobs.Accepted) site.Answer {
 	value, err := json.Marshal(a)
 	if err != nil {
 		return site.Answer{Err: errors.Wrap(site.ErrOutcomeUnknown, err.Error())}
 	}
 	key := coordinator.JobKey(a.ID)
-	_, err = platform.CommitAndVerify(ctx, n.deps.Table, platform.PriorityClaim, platform.Txn{
+	table := uncertainTable{n.deps.Table, sync.OnceFunc(func() { n.recordUncertain(a.ID) })}
+	_, err = platform.CommitAndVerify(ctx, table, platform.PriorityClaim, platform.Txn{
 		Conditions: []platform.Condition{{Key: key}},
 		Puts:       []platform.Put{{Key: key, Value: value}},
 	}, key, func(r platform.Row) bool { return bytes.Equal(r.Value, value) })
 	switch {
 	case err == nil:
+		n.attempts.record(a.ID, true, n.deps.Now())
 		n.announceJob(a.ID, value)
 		counters.Add("accepted", 1)
 		n.log.Info().Str("job", string(a.ID)).Str("queue", string(a.Queue)).Str("team", string(a.Team)).Msg("Entry: job accepted.")
 		return site.Answer{}
 	case errors.Is(err, platform.ErrConflict):
-		counters.Add("accepted_before", 1)
-		n.log.Info().Str("job", string(a.ID)).Msg("Entry: job was accepted before.")
-		return site.Answer{}
+		return n.acceptedBefore(a.ID)
 	case errors.Is(err, platform.ErrUnknownOutcome):
-		counters.Add("may_be_stored", 1)
-		n.log.Warn().Err(err).Str("job", string(a.ID)).Msg("Entry: job may be stored.")
-		return site.Answer{Err: errors.Wrap(site.ErrOutcomeUnknown, err.Error())}
+		return n.mayBeStored(a.ID, err)
+	}
+	switch stored, mayBe := n.earlierAttempt(ctx, a.ID); {
+	case stored:
+		return n.acceptedBefore(a.ID)
+	case mayBe:
+		return n.mayBeStored(a.ID, errors.WithMessage(err, "earlier attempt with unknown outcome"))
 	}
 	counters.Add("store_away", 1)
 	n.log.Info().Err(err).Str("job", string(a.ID)).Msg("Entry: job not accepted, store away.")
 	return site.Answer{Err: errors.Wrap(site.ErrUnavailable, err.Error()), RetryAfter: n.retryAfter()}
 }
 
+func (n *Node) acceptedBefore(id jobs.ID) site.Answer {
+	n.attempts.record(id, true, n.deps.Now())
+	counters.Add("accepted_before", 1)
+	n.log.Info().Str("job", string(id)).Msg("Entry: job was accepted before.")
+	return site.Answer{}
+}
+
+func (n *Node) mayBeStored(id jobs.ID, err error) site.Answer {
+	counters.Add("may_be_stored", 1)
+	n.log.Warn().Err(err).Str("job", string(id)).Msg("Entry: job may be stored.")
+	return site.Answer{Err: errors.Wrap(site.ErrOutcomeUnknown, err.Error())}
+}
+
 // announceJob informs the coordinator of a stored job. A lost announcement only causes a delay,
 // because the coordinator reads new rows as well.
 func (n *Node) announceJob(id jobs.ID, row []byte) {
--- a/internal/peer/site.go
+++ b/internal/peer/site.go
@@ -15,6 +15,7 @@
 	MethodJobOffer             = "JobOffer"
 	MethodJobStop              = "JobStop"
 	MethodJobState             = "JobState"
+	MethodJobUncertain         = "JobUncertain"
 	MethodSiteConfig           = "SiteConfig"
 	MethodStore                = "Store"
 )
@@ -77,7 +78,7 @@
 	Row json.RawMessage `json:"row"`
 }
 
-// JobRequest identifies the job to cancel or whose state to return.
+// JobRequest identifies the job of a request.
 type JobRequest struct {
 	From Sender `json:"from"`
 	Job  string `json:"job"`
@@ -177,6 +178,9 @@
 	// JobStop cancels a job and returns once the cancellation is stored.
 	JobStop(ctx context.Context, m *JobRequest) (*JobReply, error)
 	JobState(ctx context.Context, m *JobRequest) (*JobReply, error)
+	// JobUncertain informs another entry VM that the sender does not know whether it has stored a
+	// job. The receiver then does not reject later requests with that id.
+	JobUncertain(ctx context.Context, m *JobRequest) (*Empty, error)
 	SiteConfig(ctx context.Context, m *SiteConfigGet) (*SiteConfig, error)
 	// Store calls the platform's store on behalf of the sender.
 	Store(ctx context.Context, m *StoreCall) (*StoreReply, error)
@@ -189,6 +193,7 @@
 	MethodJobOffer:             bind(SiteHandler.JobOffer),
 	MethodJobStop:              bind(SiteHandler.JobStop),
 	MethodJobState:             bind(SiteHandler.JobState),
+	MethodJobUncertain:         bind(SiteHandler.JobUncertain),
 	MethodSiteConfig:           bind(SiteHandler.SiteConfig),
 	MethodStore:                bind(SiteHandler.Store),
 	MethodPing: bind(func(SiteHandler, context.Context, *Ping) (*Empty, error) {
@@ -222,6 +227,11 @@
 	return call[JobReply](ctx, c, MethodJobState, m, shortTimeout, false)
 }
 
+// JobUncertain implements SiteHandler.
+func (c *Client) JobUncertain(ctx context.Context, m *JobRequest) (*Empty, error) {
+	return call[Empty](ctx, c, MethodJobUncertain, m, shortTimeout, false)
+}
+
 // SiteConfig implements SiteHandler.
 func (c *Client) SiteConfig(ctx context.Context, m *SiteConfigGet) (*SiteConfig, error) {
 	return call[SiteConfig](ctx, c, MethodSiteConfig, m, shortTimeout, false)
