platform: one line of decision for each request, with the id that its caller knows

Cause: all three had reached an entry VM, and it logged a line; but callers name an attempt by the header Request-Id, which was not logged, and requests that were accepted or polled had no such line at all.

--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -125,6 +125,7 @@
 		n.log.Error().Err(err).Str("source", source).Msg("Entry: ignoring unreadable configuration.")
 		return
 	}
+	c.AppliedAt = time.Now()
 	next := &storedConfig{c, value}
 	for {
 		old := n.config.Load()
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -57,35 +57,40 @@
 		n.attempts.record(a.ID, true, n.deps.Now())
 		n.announceJob(a.ID, value)
 		counters.Add("accepted", 1)
-		n.log.Info().Str("job", string(a.ID)).Str("queue", string(a.Queue)).Str("team", string(a.Team)).Msg("Entry: job accepted.")
-		return site.Answer{}
+		return site.Answer{Reason: site.ReasonAccepted}
 	case errors.Is(err, platform.ErrConflict):
 		return n.acceptedBefore(a.ID)
 	case errors.Is(err, platform.ErrUnknownOutcome):
-		return n.mayBeStored(a.ID, err)
+		return n.mayBeStored(err)
 	}
 	switch stored, mayBe := n.earlierAttempt(ctx, a.ID); {
 	case stored:
 		return n.acceptedBefore(a.ID)
 	case mayBe:
-		return n.mayBeStored(a.ID, errors.WithMessage(err, "earlier attempt with unknown outcome"))
+		return n.mayBeStored(errors.WithMessage(err, "earlier attempt with unknown outcome"))
 	}
 	counters.Add("store_away", 1)
-	n.log.Info().Err(err).Str("job", string(a.ID)).Msg("Entry: job not accepted, store away.")
-	return site.Answer{Err: errors.Wrap(site.ErrUnavailable, err.Error()), RetryAfter: n.retryAfter()}
+	return n.unavailable(err)
+}
+
+// unavailable is the answer to a request that needs the store, which does not answer.
+func (n *Node) unavailable(err error) site.Answer {
+	a := site.Answer{Err: errors.Wrap(site.ErrUnavailable, err.Error()), RetryAfter: n.retryAfter(), Reason: site.ReasonStoreUnavailable}
+	if since := n.outageSince.Load(); since != 0 {
+		a.Age = n.deps.Now() - time.Duration(since)
+	}
+	return a
 }
 
 func (n *Node) acceptedBefore(id jobs.ID) site.Answer {
 	n.attempts.record(id, true, n.deps.Now())
 	counters.Add("accepted_before", 1)
-	n.log.Info().Str("job", string(id)).Msg("Entry: job was accepted before.")
-	return site.Answer{}
+	return site.Answer{Reason: site.ReasonAcceptedBefore}
 }
 
-func (n *Node) mayBeStored(id jobs.ID, err error) site.Answer {
+func (n *Node) mayBeStored(err error) site.Answer {
 	counters.Add("may_be_stored", 1)
-	n.log.Warn().Err(err).Str("job", string(id)).Msg("Entry: job may be stored.")
-	return site.Answer{Err: errors.Wrap(site.ErrOutcomeUnknown, err.Error())}
+	return site.Answer{Err: errors.Wrap(site.ErrOutcomeUnknown, err.Error()), Reason: site.ReasonMayBeStored}
 }
 
 // announceJob informs the coordinator of a stored job. A lost announcement only causes a delay,
@@ -126,7 +131,7 @@
 	defer cancel()
 	if t := n.term.Load(); t != nil {
 		s, known, err := t.State(ctx, id)
-		return site.Answer{State: s}, err == nil && known
+		return site.Answer{State: s, Reason: site.ReasonCoordinator}, err == nil && known
 	}
 	view := n.coordinator.Load()
 	if view == nil || n.coordinatorSilent(n.deps.Now()) {
@@ -136,68 +141,64 @@
 	if err != nil || !r.Coordinates || !r.Known {
 		return a, false
 	}
-	return site.Answer{State: jobs.State(r.State)}, true
+	return site.Answer{State: jobs.State(r.State), Reason: site.ReasonCoordinator}, true
 }
 
 // stateFromStore derives a job's state from its rows in the store.
 func (n *Node) stateFromStore(ctx context.Context, id jobs.ID) site.Answer {
-	unavailable := func(err error) site.Answer {
-		return site.Answer{Err: errors.Wrap(site.ErrUnavailable, err.Error()), RetryAfter: n.retryAfter()}
-	}
 	// The progress is removed only after the job's row holds the final state. It is read first, so
 	// that a final state cannot be missed in both.
 	progress, err := n.deps.Table.Get(ctx, platform.PriorityClaim, coordinator.ProgressKey(id))
 	if err != nil {
-		return unavailable(err)
+		return n.unavailable(err)
 	}
 	row, err := n.deps.Table.Get(ctx, platform.PriorityClaim, coordinator.JobKey(id))
 	if err != nil {
-		return unavailable(err)
+		return n.unavailable(err)
 	}
 	if row.Version == 0 {
-		return site.Answer{Err: errors.WithStack(site.ErrJobNotFound)}
+		return site.Answer{Err: errors.WithStack(site.ErrJobNotFound), Reason: site.ReasonStore}
 	}
 	var a jobs.Accepted
 	if err := json.Unmarshal(row.Value, &a); err != nil {
-		return unavailable(err)
+		return n.unavailable(err)
 	}
 	var p jobs.Progress
 	if progress.Version != 0 {
 		if err := json.Unmarshal(progress.Value, &p); err != nil {
-			return unavailable(err)
+			return n.unavailable(err)
 		}
 	}
 	switch {
 	case a.Final.Final():
-		return site.Answer{State: a.Final}
+		return site.Answer{State: a.Final, Reason: site.ReasonStore}
 	case p.Final.Final():
-		return site.Answer{State: p.Final}
+		return site.Answer{State: p.Final, Reason: site.ReasonStore}
 	case progress.Version == 0:
-		return site.Answer{State: jobs.StateQueued}
+		return site.Answer{State: jobs.StateQueued, Reason: site.ReasonStore}
 	}
-	return site.Answer{State: jobs.StateRunning}
+	return site.Answer{State: jobs.StateRunning, Reason: site.ReasonStore}
 }
 
 // Cancel cancels a job and returns once the cancellation is stored.
 func (n *Node) Cancel(ctx context.Context, id jobs.ID) site.Answer {
 	if n.cancelAtCoordinator(ctx, id) {
 		counters.Add("cancel_coordinator", 1)
-		return site.Answer{}
+		return site.Answer{Reason: site.ReasonCoordinator}
 	}
 	row, err := n.deps.Table.Get(ctx, platform.PriorityClaim, coordinator.JobKey(id))
 	if err != nil {
-		return site.Answer{Err: errors.Wrap(site.ErrUnavailable, err.Error()), RetryAfter: n.retryAfter()}
+		return n.unavailable(err)
 	}
 	if row.Version == 0 {
-		return site.Answer{Err: errors.WithStack(site.ErrJobNotFound)}
+		return site.Answer{Err: errors.WithStack(site.ErrJobNotFound), Reason: site.ReasonStore}
 	}
 	_, err = n.deps.Table.Commit(ctx, platform.PriorityClaim, platform.Txn{Puts: []platform.Put{{Key: coordinator.CancelKey(id), Value: []byte("{}")}}})
 	if err != nil {
-		return site.Answer{Err: errors.Wrap(site.ErrOutcomeUnknown, err.Error())}
+		return site.Answer{Err: errors.Wrap(site.ErrOutcomeUnknown, err.Error()), Reason: site.ReasonStore}
 	}
 	counters.Add("cancel_store", 1)
-	n.log.Info().Str("job", string(id)).Msg("Entry: cancellation stored for the coordinator.")
-	return site.Answer{}
+	return site.Answer{Reason: site.ReasonStore}
 }
 
 // cancelAtCoordinator asks the coordinator to cancel a job, and reports whether the cancellation is
--- a/internal/site/answer.go
+++ b/internal/site/answer.go
@@ -22,6 +22,35 @@
 	ErrOutcomeUnknown = errors.New("site: outcome unknown")
 )
 
+// Reason tells what decided a request.
+type Reason string
+
+const (
+	// ReasonAccepted: the job is stored now. ReasonAcceptedBefore: it was stored by an earlier
+	// attempt. ReasonMayBeStored: the outcome of this attempt, or of an earlier one, is unknown.
+	ReasonAccepted       Reason = "accepted"
+	ReasonAcceptedBefore Reason = "accepted_before"
+	ReasonMayBeStored    Reason = "may_be_stored"
+	// ReasonStoreUnavailable: the store did not answer, neither directly nor through peers.
+	ReasonStoreUnavailable Reason = "store_unavailable"
+	// ReasonCoordinator and ReasonStore: the coordinator's or the store's knowledge of the job.
+	ReasonCoordinator Reason = "coordinator"
+	ReasonStore       Reason = "store"
+	// ReasonPending and ReasonPendingUnknown: the coordinator's count of waiting jobs.
+	ReasonPending        Reason = "pending"
+	ReasonPendingUnknown Reason = "pending_unknown"
+	// The others concern the form of the request or the configuration in force.
+	ReasonNoConfiguration Reason = "no_configuration"
+	ReasonNoQueue         Reason = "no_queue"
+	ReasonUnknownKey      Reason = "unknown_key"
+	ReasonInvalidID       Reason = "invalid_id"
+	ReasonMethod          Reason = "method_not_allowed"
+	ReasonBodyUnreadable  Reason = "body_unreadable"
+	ReasonBodyTooLarge    Reason = "body_too_large"
+	ReasonMalformed       Reason = "malformed_job"
+	ReasonPanic           Reason = "panic"
+)
+
 // Answer is the result of a caller's request.
 type Answer struct {
 	// State is set if the request asked for the state of a job.
@@ -29,4 +58,9 @@
 	// RetryAfter is the delay before the caller retries, set with ErrOverloaded and ErrUnavailable.
 	RetryAfter time.Duration
 	Err        error
+	// Reason and Age are for the log. Age is how old the information behind Reason was: the time
+	// since the coordinator's last heartbeat, or since the store stopped answering; 0 if it was read
+	// for this request.
+	Reason Reason
+	Age    time.Duration
 }
--- a/internal/site/config.go
+++ b/internal/site/config.go
@@ -18,6 +18,8 @@
 	Keys map[string]model.Team
 	// MaxBody is the largest request body of a caller, in bytes.
 	MaxBody int64
+	// AppliedAt is when this process put the version in force.
+	AppliedAt time.Time `json:"-"`
 
 	byName map[model.Queue]*Queue
 	byHost map[string][]*Queue
