platform client: log when the store answers again

Operators saw: the line that the circuit breaker opened without one that it closed, so that an entry VM seemed to have lost the store for 20 s when it had lost it twice. Cause: only the opening was logged. 'Entry: store answers again' is written for outages that the entry VM's own reads meet; shorter ones had no end. Change: one line with how long the breaker was open.

--- a/internal/platform/breaker.go
+++ b/internal/platform/breaker.go
@@ -37,12 +37,14 @@
 // State machine: closed -> open (failures in a row) -> probing (one call after the
 // back-off) -> closed (the probe succeeded) | open (it failed, longer back-off).
 type breaker struct {
-	onOpen func() // called without the lock when the breaker opens
+	onOpen  func()                   // called without the lock when the breaker opens
+	onClose func(away time.Duration) // called without the lock when it closes, with how long it was open
 
 	mu      sync.Mutex
 	gen     uint64                      // guarded by mu; results of calls of an earlier generation are ignored
 	fails   int                         // guarded by mu
 	open    bool                        // guarded by mu
+	since   time.Time                   // guarded by mu; when the breaker opened
 	probing bool                        // guarded by mu
 	until   time.Time                   // guarded by mu; end of the back-off
 	backoff *backoff.ExponentialBackOff // guarded by mu
@@ -83,21 +85,25 @@
 
 // report ends a call.
 func (b *breaker) report(gen uint64, h health) {
-	if b.settle(gen, h) && b.onOpen != nil {
+	opened, closed, away := b.settle(gen, h)
+	if opened && b.onOpen != nil {
 		b.onOpen()
 	}
+	if closed && b.onClose != nil {
+		b.onClose(away)
+	}
 }
 
-// settle reports whether the breaker opened.
-func (b *breaker) settle(gen uint64, h health) bool {
+// settle reports whether the breaker opened or closed, and how long it was open.
+func (b *breaker) settle(gen uint64, h health) (opened, closed bool, away time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if gen != b.gen {
-		return false
+		return false, false, 0
 	}
 	if b.open {
 		b.endProbe(h)
-		return false
+		return false, !b.open, time.Since(b.since)
 	}
 	switch h {
 	case healthUp:
@@ -106,11 +112,12 @@
 		if b.fails++; b.fails >= breakerThreshold {
 			b.open = true
 			b.gen++
-			b.until = time.Now().Add(b.backoff.NextBackOff())
-			return true
+			b.since = time.Now()
+			b.until = b.since.Add(b.backoff.NextBackOff())
+			return true, false, 0
 		}
 	}
-	return false
+	return false, false, 0
 }
 
 // endProbe requires mu. After a neutral result the next call may probe at once.
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -103,6 +103,9 @@
 	c := &Client{opt: o, writes: newBudget(o.WritesPerSecond, o.RateLimitWait),
 		reads: newBudget(o.ReadsPerSecond, o.RateLimitWait), log: o.Log}
 	c.breaker = newBreaker(c.opened, o.MaxBreakerBackoff)
+	c.breaker.onClose = func(away time.Duration) {
+		c.log.Info().Dur("away", away).Msg("platform answers again; circuit breaker closed")
+	}
 	c.small = &patience{least: cmp.Or(o.MinSmallCallTimeout, o.CallTimeout), longest: o.CallTimeout}
 	c.pool = &http.Transport{
 		DialContext: c.dial, MaxConnsPerHost: maxConnections, MaxIdleConnsPerHost: maxConnections,
