explain: the story of a job or request from collected logs

Cause: 'boragepulley explain' knew only the product's own account; on the users' platform the logs of the entry VMs are all there is. Change: package explain reads JSON lines of many entry VMs in any order, with or without a collector's prefix, finds the job of a Request-Id, its tasks and minions and the changes of the store and the coordinator around them, and names outcome and causes. 'boragepulley explain ID LOG...' prints them as text or JSON; - is standard input, exit code 1 means that no line has the id. Open: starts of a task in two epochs are reported as unexplained, as a line is missing.

--- a/cmd/boragepulley/commands.go
+++ b/cmd/boragepulley/commands.go
@@ -230,10 +230,14 @@
 }
 
 type explainCmd struct {
-	Job string `arg:"" help:"Job id, as answers show it in X-Job-Id."`
+	Job  string   `arg:"" help:"Job id, as answers show it in X-Job-Id. With logs, also the Request-Id of a caller."`
+	Logs []string `arg:"" optional:"" help:"Files with the log lines of entry VMs, in any order; - is standard input. Without them, a server is asked." placeholder:"LOG"`
 }
 
 func (c *explainCmd) Run(a *app) error {
+	if len(c.Logs) > 0 {
+		return c.fromLogs(a)
+	}
 	id := model.JobID(c.Job)
 	if _, err := id.Entry(); err != nil {
 		return usageError{err}
--- a/cmd/boragepulley/main.go
+++ b/cmd/boragepulley/main.go
@@ -49,7 +49,7 @@
 	Apply   applyCmd   `cmd:"" help:"Apply files as a whole and wait until they are in force everywhere."`
 	Status  statusCmd  `cmd:"" help:"Show the configuration, coordinators, entry VMs, VMs, waves and teams."`
 	Jobs    jobsCmd    `cmd:"" help:"List jobs that a server knows, newest first."`
-	Explain explainCmd `cmd:"" help:"Show every recorded step of a job."`
+	Explain explainCmd `cmd:"" help:"Show every recorded step of a job, from a server or from collected logs."`
 	Report  reportCmd  `cmd:"" help:"Print the account of the site."`
 	Version versionCmd `cmd:"" help:"Print the version of the tool, and of the server if one is given."`
 	Key     struct {
@@ -60,6 +60,7 @@
 // app is what commands use. It lives for one run of the tool.
 type app struct {
 	ctx context.Context
+	in  io.Reader
 	out io.Writer
 	// json is set for --output json.
 	json    bool
@@ -96,7 +97,7 @@
 		_, _ = fmt.Fprintf(errOut, "boragepulley: %v\nRun \"boragepulley --help\" for the usage.\n", err)
 		return exitUsage
 	}
-	a := &app{ctx: ctx, out: out, json: c.Output == "json", servers: c.Server, token: c.Token}
+	a := &app{ctx: ctx, in: os.Stdin, out: out, json: c.Output == "json", servers: c.Server, token: c.Token}
 	if err := k.Run(a); err != nil {
 		code = codeOf(err)
 		a.printError(errOut, err, code)
--- /dev/null
+++ b/internal/explain/cause.go
@@ -0,0 +1,221 @@
+package explain
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// lateStart is the wait from which the start of a task needs a cause.
+const lateStart = time.Second
+
+// judge names the outcome and its causes.
+func (b *builder) judge() {
+	if !b.Known {
+		b.Outcome = "no line names this id"
+		b.cause("it reached no entry VM of these logs, or the process ended before it decided; the starts of processes are listed")
+		return
+	}
+	var accepted, last, ended *Line
+	for i := range b.own {
+		l := &b.own[i]
+		switch {
+		case l.has("Caller: answered") && l.text("method") == "POST":
+			if accepted == nil && strings.HasPrefix(l.text("reason"), "accepted") {
+				accepted = l
+			}
+			last = l
+		case l.has("job ended"):
+			ended = l
+		}
+	}
+	started := slices.ContainsFunc(b.own, func(l Line) bool { return isStart(&l) })
+	switch {
+	case ended != nil:
+		b.Outcome = fmt.Sprintf("%s %.0f ms after it was accepted", ended.text("state"), ended.number("after"))
+	case accepted != nil || started:
+		b.Outcome = "accepted; these logs have no end of it"
+	case last != nil:
+		b.Outcome = fmt.Sprintf("not accepted: the last of its requests got %.0f (%s)", last.number("status"), last.text("reason"))
+	default:
+		b.Outcome = "no request that hands it in is in these logs"
+	}
+	b.requests()
+	b.takeovers()
+	b.starts()
+	if len(b.Causes) == 0 {
+		b.cause("nothing unusual: no failed request, takeover, late start or lost run")
+	}
+}
+
+func (b *builder) cause(format string, args ...any) {
+	b.Causes = append(b.Causes, fmt.Sprintf(format, args...))
+}
+
+// requests explains requests that were not answered with success.
+func (b *builder) requests() {
+	for i := range b.own {
+		l := &b.own[i]
+		if !l.has("Caller: answered") {
+			continue
+		}
+		status, at := l.number("status"), stamp(l.Time)
+		what := fmt.Sprintf("%s at %s, request %s at %s, got %.0f", l.text("method"), at, l.text("request"), l.VM, status)
+		if cut, _ := l.Fields["cut"].(bool); cut {
+			what += " after its caller had left"
+		}
+		switch reason := l.text("reason"); {
+		case status < 400 && !strings.Contains(what, "had left"):
+		case reason == "store_unavailable":
+			b.cause("%s: %s", what, b.storeOutage(l))
+		case reason == "may_be_stored":
+			b.cause("%s: it is not known whether the job was stored (%s)", what, l.text("error"))
+		case reason == "no_configuration":
+			b.cause("%s: the process had no configuration yet", what)
+		case status == 401 || status == 404:
+			b.cause("%s: %s by configuration %.0f, in force there for %.0f ms", what, reason, l.number("config"), l.number("config_age"))
+		default:
+			b.cause("%s: %s %s", what, reason, l.text("error"))
+		}
+	}
+}
+
+// outageSpread is the time within which all entry VMs notice that the store is away.
+const outageSpread = time.Second
+
+// storeOutage tells since when, and for which entry VMs, the store did not answer.
+func (b *builder) storeOutage(at *Line) string {
+	lost, since, vms := map[string]bool{}, time.Time{}, map[string]bool{}
+	for i := range b.all {
+		l := &b.all[i]
+		vms[l.VM] = true
+		regained := l.has("store answers again") || l.has("circuit breaker closed") || l.has("Daemon started")
+		isLost := l.has("circuit breaker opened") || l.has("store does not answer")
+		switch {
+		case l.Time.After(at.Time.Add(outageSpread)):
+		case isLost:
+			if l.VM == at.VM && !lost[l.VM] && !l.Time.After(at.Time) {
+				since = l.Time
+			}
+			lost[l.VM] = true
+		case regained && !l.Time.After(at.Time):
+			delete(lost, l.VM)
+		}
+	}
+	text := "the store did not answer"
+	if !since.IsZero() {
+		text += fmt.Sprintf(" (%s lost it at %s)", at.VM, stamp(since))
+	}
+	switch len(lost) {
+	case 0:
+		return text + "; no entry VM logged its loss"
+	case len(vms):
+		return text + fmt.Sprintf("; all %d entry VMs had lost it within 1 s, so it was away", len(vms))
+	}
+	return text + fmt.Sprintf("; %d of %d entry VMs had lost it (%s), so these were cut off or turned away", len(lost), len(vms), strings.Join(sortedKeys(lost), ", "))
+}
+
+// takeovers explains changes of the coordinator while the job was open.
+func (b *builder) takeovers() {
+	accepted, _ := b.times()
+	if accepted.IsZero() {
+		return
+	}
+	restarted := map[string]bool{}
+	for i := range b.Lines {
+		l := &b.Lines[i]
+		if l.has("Daemon started") && l.Time.After(accepted) && !l.Time.After(b.to) {
+			restarted[l.VM] = true
+		}
+	}
+	if len(restarted) > 0 {
+		b.cause("processes started again while the job was open: %s", strings.Join(sortedKeys(restarted), ", "))
+	}
+	for i := range b.Lines {
+		l := &b.Lines[i]
+		if l.has("lease taken") && l.Time.After(accepted) && !l.Time.After(b.to) {
+			b.cause("takeover at %s: %s became coordinator with epoch %.0f, %.0f ms after the job was accepted", stamp(l.Time), l.VM, l.number("epoch"), ms(l.Time.Sub(accepted)))
+		}
+	}
+}
+
+// starts explains starts that came late and tasks that started more than once.
+func (b *builder) starts() {
+	first := map[string]*Line{} // the last start of each task
+	ends := map[string]string{} // what ended the last run of each task
+	silent := map[string]*Line{}
+	late := map[string]*Line{} // the latest late start of each step
+	again, count := map[string]int{}, 0
+	for i := range b.Lines {
+		l := &b.Lines[i]
+		task := l.text("task")
+		switch {
+		case isStart(l):
+			if w := l.number("waited"); w >= ms(lateStart) {
+				if step := stepOf(task); late[step] == nil || w > late[step].number("waited") {
+					late[step] = l
+				}
+			}
+			if prev := first[task]; prev != nil {
+				why := ends[task]
+				if lost := silent[prev.text("minion")]; why == "" && lost != nil && lost.Time.After(prev.Time) {
+					why = fmt.Sprintf("minion %s: %s", lost.text("minion"), strings.TrimPrefix(strings.TrimSuffix(lost.Message, "."), "Coordinator: "))
+				}
+				if why == "" {
+					b.cause("task %s was started twice (runs %.0f and %.0f) and nothing in these logs ends the first run: keep the logs and report it as a fault", task, prev.number("run"), l.number("run"))
+				} else {
+					again[why]++
+				}
+				count++
+			}
+			first[task] = l
+			delete(ends, task)
+		case isEnd(l):
+			ends[task] = strings.TrimSpace(strings.TrimPrefix(strings.TrimSuffix(l.Message, "."), "Coordinator: ") + " " + l.text("how") + l.text("reason"))
+		case l.has("leases over"), l.has("removed from the list"):
+			silent[l.text("minion")] = l
+		}
+	}
+	for _, why := range sortedKeys(again) {
+		b.cause("%d starts of tasks that had run before: %s", again[why], why)
+	}
+	for _, step := range sortedKeys(late) {
+		l := late[step]
+		b.cause("step %s: a task started at %s after it had waited %.0f ms%s", step, stamp(l.Time), l.number("waited"), b.shortage(l.Time))
+	}
+}
+
+// shortage tells what the last plan of machines before a time had for the job's service.
+func (b *builder) shortage(at time.Time) string {
+	text := ""
+	for i := range b.Lines {
+		l := &b.Lines[i]
+		if l.has("machines planned") && !l.Time.After(at) {
+			text = fmt.Sprintf("; service %s had %.0f machines and wanted %.0f, %.0f cores of work waited", l.text("service"), l.number("have"), l.number("want"), l.number("waiting_cores"))
+		}
+	}
+	return text
+}
+
+// stepOf returns the step of a task "JOB.OCCURRENCE.STEP.INDEX", as "OCCURRENCE.STEP".
+func stepOf(task string) string {
+	parts := strings.Split(task, ".")
+	if len(parts) != 4 {
+		return task
+	}
+	return parts[1] + "." + parts[2]
+}
+
+func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+func stamp(t time.Time) string { return t.Format("15:04:05.000") }
+
+func sortedKeys[V any](m map[string]V) []string {
+	out := make([]string, 0, len(m))
+	for k := range m {
+		out = append(out, k)
+	}
+	slices.Sort(out)
+	return out
+}
--- /dev/null
+++ b/internal/explain/doc.go
@@ -0,0 +1,2 @@
+// Package explain tells the story of one job or request from the log lines of entry VMs.
+package explain
