coordinator: log why a task is started again

Operators saw: two starts of a task, within one epoch or across a takeover, without a line that tells why the first run was over; the logs could not tell this from a task that runs twice. Cause: starts that were never sent, tasks of minions that an order had ended, acknowledged stops of runs that are not listed, and the successor's knowledge of earlier runs had no line; a start that waits for its minion's record looked like one that was sent. Change: 'task requeued' with its reason, 'held' in the line of a start, and 'earlier runs of job are known' for each inherited job (200 a second); package explain reads them.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -15,6 +15,7 @@
 	"boragepulley/internal/holding"
 	"boragepulley/internal/jobs"
 	"boragepulley/internal/lease"
+	"boragepulley/internal/logging"
 	"boragepulley/internal/model"
 	"boragepulley/internal/peer"
 	"boragepulley/internal/platform"
@@ -91,6 +92,9 @@
 	// orders sends orders to minions and machines until the lease and all promises have ended.
 	orders *fencing.Sender
 
+	// inheritedLog bounds the lines about inherited jobs: a site may have thousands.
+	inheritedLog *logging.Limiter
+
 	// The fields below are owned by the term's goroutine.
 	now time.Duration
 	// startedAt is when the lease was acquired.
@@ -164,6 +168,7 @@
 		registry: jobs.NewRegistry(), minions: map[jobs.Minion]*holding.Minion{}, queues: map[model.Queue]site.Queue{},
 		pendingStarts: map[*jobs.Task]*pendingStart{}, pendingStops: map[*jobs.Task]*pendingStop{}, reservedPlaces: map[*jobs.Task]jobs.Minion{}, runLease: min(runLeaseTTL, d.Limits.MaxMinionLease), pollGap: minPollGap,
 	}
+	t.inheritedLog = logging.NewLimiter(200, 500)
 	t.now = d.Now()
 	t.startedAt, t.leaseUntil, t.leaseVersion = t.now, held.ExpiresAt, held.Version
 	t.orders = fencing.NewSender(d.Fleet, d.Self.Entry, t.epoch, d.Now)
--- a/internal/coordinator/machines.go
+++ b/internal/coordinator/machines.go
@@ -118,7 +118,7 @@
 		return
 	}
 	for task := range m.Tasks {
-		t.requeue(task)
+		t.requeueBecause(task, "minion_ended_by_order")
 	}
 	if m.Recorded {
 		t.writer.goneMinions[id] = true
--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -58,8 +58,10 @@
 	m.Assign(task)
 	start := &pendingStart{minion: m}
 	t.pendingStarts[task] = start
-	t.log.Info().Str("task", task.Name()).Int("run", run).Str("minion", string(m.ID)).Dur("waited", t.now-task.Step.Job.LearnedAt).Msg("Coordinator: start.")
-	if j := task.Step.Job; !j.RecordedOn(m.ID) {
+	j := task.Step.Job
+	held := !j.RecordedOn(m.ID)
+	t.log.Info().Str("task", task.Name()).Int("run", run).Str("minion", string(m.ID)).Dur("waited", t.now-j.LearnedAt).Bool("held", held).Msg("Coordinator: start.")
+	if held {
 		t.registry.MarkUnsaved(j)
 		t.writer.heldStarts[j], t.writer.urgent = true, true
 		return // resendOrders sends it once the minion is in the stored progress
@@ -164,7 +166,7 @@
 	case reason == site.RefusedRoom:
 		m.AvoidUntil = t.now + noCapacityPause
 	case errors.Is(err, site.ErrLeaseEnded):
-		t.requeue(task)
+		t.requeueBecause(task, "start_not_sent_lease_ended")
 		return
 	case errors.Is(err, site.ErrNotSent):
 		// Nothing listens at the address. The minion gets no new work until a poll succeeds.
@@ -214,7 +216,7 @@
 		stop.nextSend = t.now + stopRepeatInterval
 		m.NextPoll = min(m.NextPoll, t.now+t.pollGap)
 	case errors.Is(err, site.ErrOtherIncarnation):
-		t.requeue(task)
+		t.requeueBecause(task, "minion_restarted")
 	case site.RefusalOf(err) == site.RefusedFenced:
 		t.End(errors.Wrap(err, "coordinator: replaced"))
 	default:
@@ -229,7 +231,7 @@
 		switch {
 		case start.inFlight || t.now < start.nextSend:
 		case unresponsive && start.tries == 0:
-			t.requeue(task) // the start was never sent
+			t.requeueBecause(task, "start_not_sent_minion_silent")
 		case unresponsive:
 			// A start is not sent again to a minion that does not answer: each one would extend the
 			// lease that the minion may hold.
@@ -243,7 +245,7 @@
 		}
 		m := t.minions[task.Minion]
 		if m == nil {
-			t.requeue(task)
+			t.requeueBecause(task, "minion_gone")
 			continue
 		}
 		t.sendStop(task, stop, m)
--- a/internal/coordinator/plan.go
+++ b/internal/coordinator/plan.go
@@ -166,6 +166,10 @@
 		return false
 	}
 	j.Inherited = false
+	if suppressed, ok := t.inheritedLog.Allow(); ok {
+		t.log.Info().Str("job", string(j.ID)).Int("minions", len(j.MayRunOn())).Int("running", len(j.Active())).Dur("after", t.now-t.startedAt).
+			Int64("suppressed", suppressed).Msg("Coordinator: earlier runs of job are known.")
+	}
 	return true
 }
 
--- a/internal/coordinator/reports.go
+++ b/internal/coordinator/reports.go
@@ -134,11 +134,17 @@
 		t.requeue(task)
 	case task.Phase == jobs.Stopping:
 		if s := t.pendingStops[task]; s != nil && s.answered != 0 && s.answered < sent {
-			t.requeue(task)
+			t.requeueBecause(task, "stopped_run_not_listed")
 		}
 	}
 }
 
+// requeueBecause requeues a task and logs the reason, for reasons that no other line tells.
+func (t *Term) requeueBecause(task *jobs.Task, reason string) {
+	t.log.Info().Str("task", task.Name()).Int("run", task.Run).Str("minion", string(task.Minion)).Str("reason", reason).Msg("Coordinator: task requeued.")
+	t.requeue(task)
+}
+
 // requeue returns a task whose run has certainly ended to the waiting tasks.
 func (t *Term) requeue(task *jobs.Task) {
 	if m := t.minions[task.Minion]; m != nil {
--- a/internal/coordinator/soak_test.go
+++ b/internal/coordinator/soak_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -16,6 +17,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"boragepulley/internal/explain"
 	"boragepulley/internal/invariant"
 	"boragepulley/internal/jobs"
 	"boragepulley/internal/lease"
@@ -170,9 +172,30 @@
 	}
 	endTerm(term)
 	ts.requireNoViolations()
+	ts.requireRestartsExplained(soakSteps)
 	require.Zero(t, invariant.Count(invariant.FencingToken))
 }
 
+// requireRestartsExplained fails if the log has two starts of a task without a line that tells why
+// the first run had ended or could not exist.
+func (s *testSite) requireRestartsExplained(n int) {
+	var logs explain.Logs
+	for _, text := range s.log.lines {
+		l := explain.Line{Fields: map[string]any{}}
+		require.NoError(s.t, json.Unmarshal([]byte(text), &l.Fields))
+		l.Message, _ = l.Fields["message"].(string)
+		l.VM, _ = l.Fields["entry"].(string)
+		at, _ := l.Fields["at"].(float64)
+		l.Time = time.UnixMilli(int64(at))
+		logs.Lines = append(logs.Lines, l)
+	}
+	for i := range n {
+		for _, cause := range logs.Tell(fmt.Sprintf("%016x", i)).Causes {
+			require.NotContains(s.t, cause, "was started twice")
+		}
+	}
+}
+
 // lockedRand is a random source that is safe for concurrent use.
 type lockedRand struct {
 	mu sync.Mutex
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -142,43 +142,30 @@
 
 // starts explains starts that came late and tasks that started more than once.
 func (b *builder) starts() {
-	first := map[string]*Line{} // the last start of each task
-	ends := map[string]string{} // what ended the last run of each task
-	silent := map[string]*Line{}
+	runs := runHistory{last: map[string]*Line{}, ends: map[string]string{}, silent: map[string]*Line{}, known: map[float64]bool{}}
 	late := map[string]*Line{} // the latest late start of each step
-	again, count := map[string]int{}, 0
+	again := map[string]int{}
 	for i := range b.Lines {
 		l := &b.Lines[i]
 		task := l.text("task")
-		switch {
-		case isStart(l):
+		if isStart(l) {
 			if w := l.number("waited"); w >= ms(lateStart) {
 				if step := stepOf(task); late[step] == nil || w > late[step].number("waited") {
 					late[step] = l
 				}
 			}
-			if prev := first[task]; prev != nil {
-				why := ends[task]
-				if lost := silent[prev.text("minion")]; why == "" && lost != nil && lost.Time.After(prev.Time) {
-					why = fmt.Sprintf("minion %s: %s", lost.text("minion"), strings.TrimPrefix(strings.TrimSuffix(lost.Message, "."), "Coordinator: "))
-				}
-				if why == "" {
-					b.cause("task %s was started twice (runs %.0f and %.0f) and nothing in these logs ends the first run: keep the logs and report it as a fault", task, prev.number("run"), l.number("run"))
-				} else {
+			if prev := runs.last[task]; prev != nil {
+				if why := runs.endOf(prev, l); why != "" {
 					again[why]++
+				} else {
+					b.cause("task %s was started twice (runs %.0f and %.0f) and nothing in these logs ends the first run: keep the logs and report it as a fault", task, prev.number("run"), l.number("run"))
 				}
-				count++
 			}
-			first[task] = l
-			delete(ends, task)
-		case isEnd(l):
-			ends[task] = strings.TrimSpace(strings.TrimPrefix(strings.TrimSuffix(l.Message, "."), "Coordinator: ") + " " + l.text("how") + l.text("reason"))
-		case l.has("leases over"), l.has("removed from the list"):
-			silent[l.text("minion")] = l
 		}
+		runs.add(l)
 	}
 	for _, why := range sortedKeys(again) {
-		b.cause("%d starts of tasks that had run before: %s", again[why], why)
+		b.cause("%d tasks were started again: %s", again[why], why)
 	}
 	for _, step := range sortedKeys(late) {
 		l := late[step]
@@ -186,6 +173,52 @@
 	}
 }
 
+// runHistory is what the lines so far tell about the runs of a job.
+type runHistory struct {
+	// last is the last start of each task, ends what has ended its run since.
+	last map[string]*Line
+	ends map[string]string
+	// silent are the last lines that gave a minion's runs up.
+	silent map[string]*Line
+	// known holds the epochs whose coordinator knew all earlier runs of the job.
+	known map[float64]bool
+}
+
+func (r *runHistory) add(l *Line) {
+	task := l.text("task")
+	switch {
+	case isStart(l):
+		r.last[task] = l
+		delete(r.ends, task)
+	case isEnd(l):
+		r.ends[task] = strings.TrimSpace(strings.TrimPrefix(strings.TrimSuffix(l.Message, "."), "Coordinator: ") + " " + l.text("how") + l.text("reason"))
+	case l.has("earlier runs of job are known"):
+		r.known[l.number("epoch")] = true
+	case l.has("leases over"), l.has("removed from the list"):
+		r.silent[l.text("minion")] = l
+	}
+}
+
+// endOf tells why the run of an earlier start could not be in progress at the next one, or "".
+func (r *runHistory) endOf(prev, next *Line) string {
+	if why := r.ends[prev.text("task")]; why != "" {
+		return why
+	}
+	if lost := r.silent[prev.text("minion")]; lost != nil && !lost.Time.Before(prev.Time) {
+		return fmt.Sprintf("minion %s: %s", lost.text("minion"), strings.TrimPrefix(strings.TrimSuffix(lost.Message, "."), "Coordinator: "))
+	}
+	if next.number("epoch") <= prev.number("epoch") {
+		return ""
+	}
+	if r.known[next.number("epoch")] {
+		return "the next coordinator had asked the minions that could run them, or their leases were over"
+	}
+	if held, _ := prev.Fields["held"].(bool); held {
+		return "the first start was held until its minion was stored and was not sent, as the coordinator ended before"
+	}
+	return ""
+}
+
 // shortage tells what the last plan of machines before a time had for the job's service.
 func (b *builder) shortage(at time.Time) string {
 	text := ""
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -52,7 +52,7 @@
 		require.Equal(t, "completed 6000 ms after it was accepted", s.Outcome)
 		text := strings.Join(s.Causes, "\n")
 		require.Contains(t, text, "a became coordinator with epoch 2, 3000 ms after")
-		require.Contains(t, text, "1 starts of tasks that had run before: minion m1: leases over")
+		require.Contains(t, text, "1 tasks were started again: minion m1: leases over")
 		require.Contains(t, text, "waited 2000 ms; service s had 2 machines and wanted 5, 77 cores of work waited")
 		for _, l := range s.Lines {
 			require.NotEqual(t, "r9", l.text("request"), "a read that succeeded explains nothing")
@@ -69,6 +69,20 @@
 	require.NotContains(t, strings.Join(s.Causes, "\n"), "was started twice")
 }
 
+// Guards against a takeover that is taken for a fault: the successor tells that it knows the earlier runs,
+// or the first start was never sent.
+func TestStartsOfTwoEpochs(t *testing.T) {
+	known := `7.0 a {"part":"coordinator","epoch":2,"job":"00000000000000bb","time":7050,"message":"Coordinator: earlier runs of job are known."}`
+	s := tell(t, "00000000000000bb", accepted, started, taken, known, startedAgain, jobEnded)
+	require.Contains(t, strings.Join(s.Causes, "\n"), "1 tasks were started again: the next coordinator had asked")
+	held := strings.Replace(started, `"run":1`, `"run":1,"held":true`, 1)
+	s = tell(t, "00000000000000bb", accepted, held, taken, startedAgain, jobEnded)
+	require.Contains(t, strings.Join(s.Causes, "\n"), "1 tasks were started again: the first start was held")
+	sameEpoch := strings.Replace(startedAgain, `"epoch":2`, `"epoch":1`, 1)
+	s = tell(t, "00000000000000bb", accepted, held, known, sameEpoch, jobEnded)
+	require.Contains(t, strings.Join(s.Causes, "\n"), "was started twice")
+}
+
 // Guards against an id that is called unexplained although it is in no log.
 func TestUnknownID(t *testing.T) {
 	s := tell(t, "r7", accepted, otherStarted)
--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -171,5 +171,5 @@
 
 // isEnd reports whether a line allows another start of its task.
 func isEnd(l *Line) bool {
-	return l.has("run ended") || l.has("run is gone") || l.has("Coordinator: stop.") || l.has("start refused")
+	return l.has("run ended") || l.has("run is gone") || l.has("Coordinator: stop.") || l.has("start refused") || l.has("task requeued")
 }
