siteplatform: an address of the store for a single client, and a configuration that changes

Change: Platform.AddStoreClient opens a further address with the faults of fleet.View. A transaction whose answer is lost ends its connection without an answer: a 503 would say that nothing was done. Platform.Configure writes op/config. The event of a start names the minion's service. proc.HangUp sends SIGHUP. Measured: TestStoreFaultsOfOneClient passes with the race detector: what is refused is not carried out, what is lost is, and the other address is served meanwhile.

--- a/bench/proc/proc.go
+++ b/bench/proc/proc.go
@@ -160,6 +160,9 @@
 // Resume continues a paused process (SIGCONT).
 func (p *Process) Resume() error { return p.signal(syscall.SIGCONT) }
 
+// HangUp sends SIGHUP.
+func (p *Process) HangUp() error { return p.signal(syscall.SIGHUP) }
+
 // Terminate asks the process to stop gracefully (SIGTERM) and waits for its end.
 // Errors: ErrStillRunning after the time, or the exit status if it is not 0.
 func (p *Process) Terminate(within time.Duration) error {
--- a/standins/fleet/minions.go
+++ b/standins/fleet/minions.go
@@ -46,6 +46,8 @@
 	Task   string
 	Run    int
 	Minion jobs.Minion
+	// Service is that of the minion, for RunBegan.
+	Service model.Service
 	// How is how the run ended. It is empty if its minion ended with it.
 	How jobs.End
 	// Token is the fencing token of the order that caused the event.
@@ -521,7 +523,7 @@
 	}
 	m.runs[o.Task] = r
 	s.starts[o.Task]++
-	s.event(Event{At: now, Kind: RunBegan, Task: o.Task, Run: o.Run, Minion: m.Entry.ID, Token: m.token})
+	s.event(Event{At: now, Kind: RunBegan, Task: o.Task, Run: o.Run, Minion: m.Entry.ID, Service: m.Entry.Service, Token: m.token})
 	s.tell("%s run %d begins on %s by %d, lease until %d", o.Task, o.Run, m.Entry.ID, m.token, m.lease.Sub(s.began).Milliseconds())
 }
 
--- a/standins/siteplatform/platform.go
+++ b/standins/siteplatform/platform.go
@@ -81,11 +81,13 @@
 	events  *story
 
 	storeHost, machinesHost *serve.Host
+	parts                   *partNames
 	stop                    chan struct{}
 	stopped                 sync.WaitGroup
 
 	mu         sync.Mutex
-	machines   []*machine // guarded by mu
+	clients    []*serve.Host // guarded by mu; the store's addresses for single clients
+	machines   []*machine    // guarded by mu
 	waves      map[int64]*Wave
 	violations []string // guarded by mu
 }
@@ -95,7 +97,7 @@
 
 // Start starts a platform on loopback. Error: an address that cannot be listened on.
 func Start(s Site) (*Platform, error) {
-	p := &Platform{site: s, rows: fleet.NewStore(), minions: fleet.NewMinions(), events: &story{began: time.Now()}, waves: map[int64]*Wave{},
+	p := &Platform{site: s, rows: fleet.NewStore(), minions: fleet.NewMinions(), events: &story{began: time.Now()}, waves: map[int64]*Wave{}, parts: &partNames{byKey: map[string]string{}},
 		storeHost: serve.NewHost("127.0.0.1:0"), machinesHost: serve.NewHost("127.0.0.1:0"), stop: make(chan struct{})}
 	p.minions.Work, p.minions.Need, p.minions.RejectsOverload, p.minions.StopTime = s.Work, s.Need, true, s.StopTime
 	p.minions.OnEvent = func(e fleet.Event) {
@@ -104,12 +106,10 @@
 			s.OnEvent(e)
 		}
 	}
-	config, err := json.Marshal(s.Config)
-	if err != nil {
-		return nil, errors.Wrap(err, "siteplatform: configuration")
+	if err := p.Configure(s.Config); err != nil {
+		return nil, err
 	}
-	p.rows.Put("op/config", config)
-	for host, h := range map[*serve.Host]http.Handler{p.storeHost: newStore(p.rows).handler(), p.machinesHost: p.machineHandler()} {
+	for host, h := range map[*serve.Host]http.Handler{p.storeHost: p.storeFor(nil).handler(), p.machinesHost: p.machineHandler()} {
 		if err := host.Start(h); err != nil {
 			return nil, err
 		}
@@ -194,6 +194,33 @@
 	}
 }
 
+func (p *Platform) storeFor(fault func(op string) fleet.Fault) *store {
+	return &store{view: &fleet.View{Store: p.rows, Fault: fault}, parts: p.parts, began: p.events.began}
+}
+
+// AddStoreClient returns a further address of the store. fault decides over the calls that arrive
+// there, as in fleet.View. Error: an address that cannot be listened on.
+func (p *Platform) AddStoreClient(fault func(op string) fleet.Fault) (string, error) {
+	host := serve.NewHost("127.0.0.1:0")
+	if err := host.Start(p.storeFor(fault).handler()); err != nil {
+		return "", err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.clients = append(p.clients, host)
+	return host.Addr(), nil
+}
+
+// Configure writes op/config, as the operator does. Error: a value that cannot be encoded.
+func (p *Platform) Configure(config any) error {
+	value, err := json.Marshal(config)
+	if err != nil {
+		return errors.Wrap(err, "siteplatform: configuration")
+	}
+	p.rows.Put("op/config", value)
+	return nil
+}
+
 // StoreAddr and MachinesAddr return the addresses of the store and the machine service.
 func (p *Platform) StoreAddr() string    { return p.storeHost.Addr() }
 func (p *Platform) MachinesAddr() string { return p.machinesHost.Addr() }
@@ -288,6 +315,9 @@
 	for _, m := range p.machines {
 		m.host.Close()
 	}
+	for _, h := range p.clients {
+		h.Close()
+	}
 }
 
 // story is a list of events.
--- a/standins/siteplatform/platform_test.go
+++ b/standins/siteplatform/platform_test.go
@@ -10,6 +10,7 @@
 	client "boragepulley/internal/platform"
 	"boragepulley/internal/site"
 	"boragepulley/platform"
+	"boragepulley/standins/fleet"
 	"boragepulley/standins/siteplatform"
 )
 
@@ -51,6 +52,30 @@
 	require.Nil(t, changes.Rows[0].Value)
 }
 
+// Guards against faults of the store for one client that the product's client takes for others: a
+// refused transaction is not carried out, one without an answer is, and other clients are served.
+func TestStoreFaultsOfOneClient(t *testing.T) {
+	p := start(t)
+	fault := fleet.None
+	addr, err := p.AddStoreClient(func(string) fleet.Fault { return fault })
+	require.NoError(t, err)
+	commit := func(addr, key string) error {
+		c, err := client.NewClient(client.Options{BaseURL: "http://" + addr, WritesPerSecond: 100, ReadsPerSecond: 100})
+		require.NoError(t, err)
+		_, err = platform.NewStore(c, 100).Commit(t.Context(), 0, client.Txn{Puts: []client.Put{{Key: key, Value: []byte("1")}}})
+		return err
+	}
+	require.NoError(t, commit(addr, "minion/a"))
+	fault = fleet.Refuse
+	require.ErrorIs(t, commit(addr, "minion/b"), client.ErrUnavailable)
+	require.Nil(t, p.Row("minion/b"))
+	fault = fleet.Lose
+	require.ErrorIs(t, commit(addr, "minion/c"), client.ErrUnknownOutcome)
+	require.Equal(t, "1", string(p.Row("minion/c")))
+	require.NoError(t, commit(p.StoreAddr(), "minion/d"))
+	require.Equal(t, "1", string(p.Row("minion/d")))
+}
+
 // Guards against minions and machines that the product's clients misread: refusals, runs, another
 // minion at the address, the end of runs by an upkeep.
 func TestMinionsAndMachinesSpeakTheProductsWire(t *testing.T) {
--- a/standins/siteplatform/store.go
+++ b/standins/siteplatform/store.go
@@ -56,17 +56,17 @@
 // maxPageRows bounds an answer of rows-get.
 const maxPageRows = 500
 
-// store serves a fleet.Store over the wire.
+// store serves a fleet.Store over the wire, to one client or to all.
 type store struct {
 	view  *fleet.View
+	parts *partNames
 	began time.Time
-
-	mu    sync.Mutex
-	parts map[string]string // guarded by mu; part of each row by its key
 }
 
-func newStore(s *fleet.Store) *store {
-	return &store{view: &fleet.View{Store: s}, began: time.Now(), parts: map[string]string{}}
+// partNames holds the part of each row by its key.
+type partNames struct {
+	mu    sync.Mutex
+	byKey map[string]string // guarded by mu
 }
 
 func (s *store) handler() http.Handler {
@@ -123,11 +123,11 @@
 			return
 		}
 	}
-	s.mu.Lock()
+	s.parts.mu.Lock()
 	for _, n := range names {
-		s.parts[n.key()] = n.Part
+		s.parts.byKey[n.key()] = n.Part
 	}
-	s.mu.Unlock()
+	s.parts.mu.Unlock()
 	versions, err := s.view.Commit(r.Context(), 0, t)
 	switch {
 	case errors.Is(err, table.ErrConflict):
@@ -140,6 +140,8 @@
 		s.answer(w, http.StatusPreconditionFailed, a)
 	case errors.Is(err, table.ErrRejected):
 		http.Error(w, err.Error(), http.StatusBadRequest)
+	case errors.Is(err, table.ErrUnknownOutcome):
+		panic(http.ErrAbortHandler) // the connection ends without an answer
 	case err != nil:
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 	default:
@@ -154,9 +156,9 @@
 // wireRow returns a row under the store's name.
 func (s *store) wireRow(row table.Row) storedRow {
 	name, rest, _ := strings.Cut(row.Key, "/")
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return storedRow{rowName: rowName{Table: name, Part: s.parts[row.Key], Key: rest}, Value: row.Value, Version: row.Version, Removed: row.Value == nil}
+	s.parts.mu.Lock()
+	defer s.parts.mu.Unlock()
+	return storedRow{rowName: rowName{Table: name, Part: s.parts.byKey[row.Key], Key: rest}, Value: row.Value, Version: row.Version, Removed: row.Value == nil}
 }
 
 func (s *store) get(w http.ResponseWriter, r *http.Request) {
