sitefaults: faults of the store, of processes in series, and changes of the configuration

Change: a second group of kinds, drawn by default: the store is down, turns one entry VM away, is slow, or loses answers of transactions that it carries out at once or 2 s later; an entry VM is paused and killed; two are restarted in turn; SIGHUP; the next configuration, which withdraws a key and a queue, adds others and sends a third queue's tasks to another service. Both groups overlap. Callers keep connections open until a stopping process is gone, one of them within a request; it has grace_s to stop, 6 s in place of 8. An answer counts from contact_ms after a disturbance has ended, not from 8 s and its length later.

--- a/bench/sitefaults/callers.go
+++ b/bench/sitefaults/callers.go
@@ -6,10 +6,15 @@
 	"encoding/json"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"boragepulley/bench/proc"
 )
 
 const (
@@ -20,6 +25,7 @@
 	retryPause     = 100 * time.Millisecond
 	refusalPause   = time.Second
 	statePause     = 700 * time.Millisecond
+	heldPause      = 20 * time.Millisecond
 )
 
 // callers hand jobs in and ask for their states.
@@ -27,48 +33,89 @@
 	entries []*entryVM
 	client  *http.Client
 	check   *checker
+	configs *configs
 	wg      sync.WaitGroup
 }
 
-// reply is an answer to a caller; Status is 0 if there was none.
+// answer is an answer to a caller; status is 0 if there was none.
 type answer struct {
 	status int
 	state  string
 	from   *entryVM
+	// sent is when the call began.
+	sent time.Time
+}
+
+func newClient() *http.Client {
+	return &http.Client{Timeout: callerDeadline + callerSlack, Transport: &http.Transport{MaxIdleConnsPerHost: 16}}
 }
 
-func newCallers(entries []*entryVM, check *checker) *callers {
-	return &callers{entries: entries, check: check, client: &http.Client{Timeout: callerDeadline + callerSlack, Transport: &http.Transport{MaxIdleConnsPerHost: 16}}}
+func newCallers(entries []*entryVM, check *checker, configs *configs) *callers {
+	return &callers{entries: entries, check: check, client: newClient(), configs: configs}
 }
 
 func (c *callers) call(ctx context.Context, rng *rand.Rand, method string, j *jobSpec) answer {
-	e := c.entries[rng.IntN(len(c.entries))]
-	var body io.Reader
+	var body []byte
 	if method == http.MethodPost {
-		body = bytes.NewReader(j.body)
+		body = j.body
 	}
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+e.caller+j.path(), body)
+	return c.ask(ctx, c.client, c.entries[rng.IntN(len(c.entries))], method, j.path(), apiKey, body)
+}
+
+// ask sends a request to an entry VM. It reports a request that was sent in full and cut off later
+// than cutSlack after that, though neither the entry VM nor the store was disturbed.
+func (c *callers) ask(ctx context.Context, client *http.Client, e *entryVM, method, path, key string, body []byte) answer {
+	a := answer{from: e, sent: time.Now()}
+	var written atomic.Int64
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: func(info httptrace.WroteRequestInfo) {
+		if info.Err == nil {
+			written.Store(time.Now().UnixNano())
+		}
+	}})
+	req, err := http.NewRequestWithContext(traced, method, "http://"+e.caller+path, bytes.NewReader(body))
 	if err != nil {
-		return answer{from: e}
+		return a
 	}
-	req.Host = j.host()
-	req.Header.Set("Api-Key", apiKey)
+	req.Host = jobsHost
+	req.Header.Set("Api-Key", key)
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("X-Boragepulley-Deadline-Ms", strconv.Itoa(int(callerDeadline.Milliseconds())))
-	res, err := c.client.Do(req)
-	if err != nil {
-		return answer{from: e}
+	res, err := client.Do(req)
+	var data []byte
+	if err == nil {
+		data, err = io.ReadAll(res.Body)
+		_ = res.Body.Close()
 	}
-	defer res.Body.Close()
-	data, err := io.ReadAll(res.Body)
 	if err != nil {
-		return answer{from: e}
+		if at := written.Load(); at != 0 && ctx.Err() == nil {
+			c.check.cutOff(a, method+" "+path, time.Unix(0, at), err)
+		}
+		return a
 	}
 	var v struct {
 		State string `json:"state"`
 	}
 	_ = json.Unmarshal(data, &v) // most answers have no body
-	return answer{status: res.StatusCode, state: v.State, from: e}
+	a.status, a.state = res.StatusCode, v.State
+	return a
+}
+
+// holdConnections keeps connections to an entry VM open until its process is gone: one that sends
+// nothing, one that stops within a request, and one on which requests go on as long as it lasts.
+func (c *callers) holdConnections(ctx context.Context, e *entryVM, p *proc.Process) {
+	for _, text := range []string{"", "GET / HTTP/1.1\r\nHost: "} {
+		conn, err := net.DialTimeout("tcp", e.caller, callerDeadline)
+		if err != nil {
+			continue // the process does not listen yet or any more
+		}
+		defer conn.Close()
+		_, _ = conn.Write([]byte(text)) // fails once the process has ended it
+	}
+	client := newClient()
+	defer client.CloseIdleConnections()
+	for p.Running() && sleep(ctx, heldPause) {
+		c.ask(ctx, client, e, http.MethodGet, "/"+services[0]+"/short/", apiKey, nil)
+	}
 }
 
 // handIn hands a job in until it is accepted, and asks for its state until it has ended.
--- a/bench/sitefaults/checker.go
+++ b/bench/sitefaults/checker.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"boragepulley/internal/jobs"
 	"boragepulley/standins/fleet"
 	"boragepulley/standins/siteplatform"
@@ -25,6 +28,14 @@
 	// cancelBound is how long after an acknowledged cancelling a task of the job may start, with
 	// stopTime until it may no longer run.
 	cancelBound = 3 * time.Second
+	// configApply is how long after the operator's write requests and starts may follow an older
+	// configuration. An entry VM that has followed the newer one may go back for rollbackSlack, and
+	// slowedFactor times that if it is slowed down.
+	configApply   = 2 * time.Second
+	rollbackSlack = 250 * time.Millisecond
+	slowedFactor  = 8
+	// cutSlack is how long after its last byte a request may be cut off.
+	cutSlack = 200 * time.Millisecond
 	// capacityFactor is how often a waiting task must fit before its wait counts.
 	capacityFactor = 2
 	// stalledTick is a time without a processor, of this process or of an entry VM, that counts as a
@@ -66,6 +77,8 @@
 	began time.Time
 	note  func(format string, args ...any)
 	all   *catalogue
+	// configs are the configurations so far.
+	configs *configs
 
 	mu    sync.Mutex
 	jobs  map[string]*jobState  // guarded by mu
@@ -84,9 +97,9 @@
 	restarts             int // guarded by mu; of long-running tasks
 }
 
-func newChecker(all *catalogue) *checker {
+func newChecker(all *catalogue, configs *configs) *checker {
 	now := time.Now()
-	return &checker{began: now, all: all, jobs: map[string]*jobState{}, tasks: map[string]*taskState{}, calmSince: now, roomSince: map[string]time.Time{}, lastTick: now,
+	return &checker{began: now, all: all, configs: configs, jobs: map[string]*jobState{}, tasks: map[string]*taskState{}, calmSince: now, roomSince: map[string]time.Time{}, lastTick: now,
 		note: func(string, ...any) {}}
 }
 
@@ -158,6 +171,9 @@
 		return
 	}
 	j := c.jobs[spec.ID]
+	if newest := c.configs.newest(); string(e.Service) != serviceOf(spec.Service, newest.n) {
+		c.otherService(e, spec, newest)
+	}
 	s.running++
 	s.began++
 	s.minion = e.Minion
@@ -182,6 +198,27 @@
 	}
 }
 
+// otherService judges a start on a minion of a service that the newest configuration does not
+// send the queue to. It requires mu.
+func (c *checker) otherService(e fleet.Event, spec *jobSpec, newest configuration) {
+	if spec.Service != roaming || !slices.Contains(services, string(e.Service)) {
+		c.fault("ROUTE: %s run %d begins on %s of %s, no configuration sends its queue there", e.Task, e.Run, e.Minion, e.Service)
+	}
+	if since := e.At.Sub(newest.acked); since > configApply && c.disturbances == 0 && e.At.Sub(later(c.calmSince, c.lastStall)) > contact {
+		c.fault("CONFIG: %s run %d begins on %s of %s, %v after configuration %d sends its queue elsewhere", e.Task, e.Run, e.Minion, e.Service, since.Round(time.Millisecond), newest.n)
+	}
+}
+
+// cutOff takes note of a request that got no answer.
+func (c *checker) cutOff(a answer, request string, written time.Time, err error) {
+	waited := time.Since(written)
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() || waited <= cutSlack || a.from.mayCutOff(a.sent) || c.stalledSince(a.sent.Add(-contact)) {
+		return
+	}
+	c.report("LOST: %s is cut off by %s %v after it was sent: %v", request, a.from.name, waited.Round(time.Millisecond), err)
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -229,7 +266,7 @@
 	s := c.jobs[j.ID]
 	now := time.Now()
 	switch {
-	case a.status == http.StatusGone && now.Sub(s.acceptedAt) > visibleAfter && a.from.inTouch(now):
+	case a.status == http.StatusGone && now.Sub(s.acceptedAt) > visibleAfter && a.from.inTouch(a.sent):
 		c.fault("LOST: job %s is answered 410 by %s, %v after its acceptance", j.ID, a.from.name, now.Sub(s.acceptedAt).Round(time.Millisecond))
 	case a.status == http.StatusOK && (a.state == "completed" || a.state == "failed" || a.state == "cancelled"):
 		s.final = a.state
--- a/bench/sitefaults/entries.go
+++ b/bench/sitefaults/entries.go
@@ -8,12 +8,14 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"boragepulley/bench/cluster"
 	"boragepulley/bench/proc"
+	"boragepulley/standins/fleet"
 )
 
 // readyWithin bounds the start of an entry VM.
@@ -25,29 +27,36 @@
 
 	mu   sync.Mutex
 	proc *proc.Process // guarded by mu; nil while down
-	// disturbed is until when answers of this entry VM do not count against it.
-	disturbed time.Time // guarded by mu
+	// disturbed holds the times in which its answers do not count, unplanned those in which it may
+	// cut off requests.
+	disturbed, unplanned span // guarded by mu
+	// began is when the present process was started.
+	began time.Time // guarded by mu
+	// faulty is held while a fault acts on the process.
+	faulty sync.Mutex
+	// treatment is what the store does with its calls.
+	treatment atomic.Int32
+	calls     atomic.Int64 // of the store, for lostAnswers
 	// waits are the threads' waiting times for a processor at the last look.
 	waits map[string]time.Duration
 }
 
-// newEntry chooses addresses and writes the settings, with the fields of
+// writeSettings chooses addresses and writes the settings, with the fields of
 // deploy/settings.toml.tmpl.
-func newEntry(name, zone string, ports cluster.Ports, storeAddr, machinesAddr string, o Options) (*entryVM, error) {
-	e := &entryVM{name: name, zone: zone, settings: filepath.Join(o.Dir, name+".toml"), logs: o.Dir, bin: o.Bin}
+func (e *entryVM) writeSettings(ports cluster.Ports, storeAddr, machinesAddr string) error {
 	var peer, metrics string
 	for _, addr := range []*string{&e.caller, &e.ready, &peer, &metrics} {
 		var err error
 		if *addr, err = ports.Next(); err != nil {
-			return nil, err
+			return err
 		}
 	}
 	var b strings.Builder
-	fmt.Fprintf(&b, "name = %q\ndata_centre = %q\ncaller_listen = %q\nready_listen = %q\npeer_listen = %q\nmetrics_listen = %q\n", name, zone, e.caller, e.ready, peer, metrics)
+	fmt.Fprintf(&b, "name = %q\ndata_centre = %q\ncaller_listen = %q\nready_listen = %q\npeer_listen = %q\nmetrics_listen = %q\n", e.name, e.zone, e.caller, e.ready, peer, metrics)
 	fmt.Fprintf(&b, "log_level = \"info\"\nstore_url = \"http://%s\"\nstore_writes_per_second = 600\nstore_reads_per_second = 2000\n", storeAddr)
 	fmt.Fprintf(&b, "machines_address = %q\nadvice_address = \"\"\ncores = 0.4\nlink_mbps = 1000\nmemory_mb = 284\n", machinesAddr)
 	b.WriteString("grace = \"6s\"\nmax_hold = \"6000ms\"\nduty_gap = \"3000ms\"\nretention = \"120s\"\n")
-	return e, errors.Wrap(os.WriteFile(e.settings, []byte(b.String()), 0o600), "sitefaults: settings")
+	return errors.Wrap(os.WriteFile(e.settings, []byte(b.String()), 0o600), "sitefaults: settings")
 }
 
 func (e *entryVM) start() error {
@@ -57,30 +66,85 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.proc = p
+	e.proc, e.began = p, time.Now()
 	return nil
 }
 
+func (e *entryVM) startedAt() time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.began
+}
+
 func (e *entryVM) process() *proc.Process {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.proc
 }
 
-// disturb lets answers not count until contact after the given time.
-func (e *entryVM) disturb(until time.Time) {
+// span is a time that overlapping causes begin and end.
+type span struct {
+	causes int
+	ended  time.Time
+}
+
+// clear reports whether the last cause ended before contact before the given time.
+func (s span) clear(since time.Time) bool { return s.causes == 0 && since.Sub(s.ended) > contact }
+
+// disturb begins a disturbance and returns its end. A planned one cuts off no requests.
+func (e *entryVM) disturb(planned bool) (end func()) {
+	spans := []*span{&e.disturbed}
+	if !planned {
+		spans = append(spans, &e.unplanned)
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if until = until.Add(contact); until.After(e.disturbed) {
-		e.disturbed = until
+	for _, s := range spans {
+		s.causes++
+	}
+	return func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		for _, s := range spans {
+			s.causes--
+			s.ended = time.Now()
+		}
 	}
 }
 
-// inTouch reports whether answers count.
-func (e *entryVM) inTouch(at time.Time) bool {
+// inTouch reports whether the answer to a request sent then counts.
+func (e *entryVM) inTouch(sent time.Time) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return at.After(e.disturbed)
+	return e.disturbed.clear(sent)
+}
+
+// mayCutOff reports whether an unplanned disturbance lets it cut off a request sent then.
+func (e *entryVM) mayCutOff(sent time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.unplanned.clear(sent)
+}
+
+// Treatments of an entry VM's calls by the store.
+const (
+	served = iota
+	turnedAway
+	lostAnswers
+)
+
+// storeCall decides over a call of the store. Of three transactions with lostAnswers one is answered,
+// one is carried out at once and one later.
+func (e *entryVM) storeCall(op string) fleet.Fault {
+	switch e.treatment.Load() {
+	case turnedAway:
+		return fleet.Refuse
+	case lostAnswers:
+		if op == "commit" {
+			return []fleet.Fault{fleet.None, fleet.Lose, fleet.Late}[e.calls.Add(1)%3]
+		}
+	}
+	return fleet.None
 }
 
 // awaitReady waits until the entry VM says it is ready.
--- a/bench/sitefaults/faults.go
+++ b/bench/sitefaults/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,13 +27,43 @@
 	silentConns faultKind = "silent-connections"
 	// slowLink delays all data from and to a minion.
 	slowLink faultKind = "slow-link"
-	// pauseEntry, killEntry and restartEntry concern an entry VM.
+	// pauseEntry, killEntry and restartEntry concern an entry VM. Callers keep their connections open
+	// until a process that is restarted is gone.
 	pauseEntry   faultKind = "pause"
 	killEntry    faultKind = "kill"
 	restartEntry faultKind = "restart"
 	// stutterEntry lets an entry VM stand still again and again while it is at work, as one does
 	// that gets too little of a processor.
 	stutterEntry faultKind = "stutter"
+	// pauseKill kills an entry VM that is paused, restartTwo restarts one and at once the next, hangUp
+	// sends SIGHUP several times.
+	pauseKill  faultKind = "pause-kill"
+	restartTwo faultKind = "restart-two"
+	hangUp     faultKind = "hang-up"
+	// storeDown lets the store serve nobody, and storeAway all but one entry VM: it refuses calls, or
+	// does not answer if the fault hits both. storeSlow delays its answers. storeLost carries
+	// transactions out, at once or later, and answers few of them.
+	storeDown faultKind = "store-down"
+	storeAway faultKind = "store-away"
+	storeSlow faultKind = "store-slow"
+	storeLost faultKind = "store-lost"
+	// changeConfig writes the next configuration.
+	changeConfig faultKind = "configuration"
+)
+
+// Groups of kinds that Options.Only takes, too.
+const (
+	// SingleFaults are those of links to minions and of one entry VM at a time.
+	SingleFaults = "single"
+	// SeriesFaults are those of the store, of processes in series, and changes of the configuration.
+	SeriesFaults = "series"
+)
+
+var (
+	singleKinds = []faultKind{dialTimeouts, dialTimeouts, dialTimeouts, slowConnects, slowConnects, resets, silence, silence, silentConns, slowLink, pauseEntry, killEntry, restartEntry, stutterEntry, stutterEntry}
+	seriesKinds = []faultKind{storeDown, storeAway, storeAway, storeSlow, storeLost, storeLost, pauseKill, restartTwo, restartTwo, hangUp, changeConfig, changeConfig, changeConfig}
+	storeKinds  = []faultKind{storeDown, storeAway, storeSlow, storeLost}
+	entryKinds  = []faultKind{pauseEntry, killEntry, restartEntry, stutterEntry, pauseKill, restartTwo}
 )
 
 const (
@@ -41,8 +72,9 @@
 	// slowLinkDelay is for each direction: an answer takes twice as long, more than the time that
 	// the coordinator waits for one.
 	slowLinkDelay = 250 * time.Millisecond
-	// termGrace is how long a process may take to stop, a little more than its settings say.
-	termGrace = 8 * time.Second
+	// termGrace is how long a process may take to stop until the platform kills it.
+	termGrace = 6 * time.Second
+	hangUps   = 3
 	// shortestStandstill and longestStandstill bound the pauses of stutterEntry, which lets the
 	// process run for stutterRun in between.
 	shortestStandstill = 200 * time.Millisecond
@@ -77,25 +109,41 @@
 	longestLast = 6 * time.Second
 )
 
-// schedule draws the faults of a run.
-func schedule(rng *rand.Rand, machines, entries int, d time.Duration, only faultKind) []fault {
-	kinds := []faultKind{dialTimeouts, dialTimeouts, dialTimeouts, slowConnects, slowConnects, resets, silence, silence, silentConns, slowLink, pauseEntry, killEntry, restartEntry, stutterEntry, stutterEntry}
-	if only != "" {
-		kinds = []faultKind{only}
+// schedule draws the faults of a run, the two groups of kinds from sequences of their own.
+func schedule(single *rand.Rand, seed uint64, machines, entries int, d time.Duration, only string) []fault {
+	series := rand.New(rand.NewPCG(seed, 4))
+	switch only {
+	case "":
+		return append(draw(single, singleKinds, machines, entries, d), draw(series, seriesKinds, machines, entries, d)...)
+	case SingleFaults:
+		return draw(single, singleKinds, machines, entries, d)
+	case SeriesFaults:
+		return draw(series, seriesKinds, machines, entries, d)
 	}
+	return draw(single, []faultKind{faultKind(only)}, machines, entries, d)
+}
+
+// draw draws faults, at most one of an entry VM and one of the store in a spell.
+func draw(rng *rand.Rand, kinds []faultKind, machines, entries int, d time.Duration) []fault {
 	var out []fault
 	for from := faultsFrom; from+faultSpell <= d || len(out) == 0; from += faultSpell + calmSpell {
-		entryFault := false
+		entryFault, storeFault := false, false
 		for range 2 + rng.IntN(4) {
 			f := fault{at: from + time.Duration(rng.Int64N(int64(faultSpell))), lasts: 500*time.Millisecond + time.Duration(rng.Int64N(int64(longestLast))),
 				kind: kinds[rng.IntN(len(kinds))], target: rng.IntN(machines), chosen: rng.IntN(2) == 0, both: rng.IntN(3) == 0}
-			if f.kind == pauseEntry || f.kind == killEntry || f.kind == restartEntry || f.kind == stutterEntry {
+			if slices.Contains(entryKinds, f.kind) {
 				if entryFault {
 					continue // one entry VM at a time
 				}
 				entryFault = true
 				f.target = rng.IntN(entries)
 			}
+			if slices.Contains(storeKinds, f.kind) {
+				if storeFault {
+					continue
+				}
+				storeFault = true
+			}
 			out = append(out, f)
 		}
 	}
@@ -104,12 +152,25 @@
 
 // inject injects a fault and returns when it is over.
 func (r *run) inject(ctx context.Context, f fault) {
+	// A change of the configuration and SIGHUP are no disturbance.
+	switch f.kind {
+	case changeConfig:
+		if err := r.configs.change(r.platform); err != nil {
+			r.check.report("harness: %v", err)
+		}
+		return
+	case hangUp:
+		r.hangUp(ctx, f)
+		return
+	}
 	r.check.disturbanceBegins()
 	defer r.check.disturbanceEnds()
 	defer r.platform.Note("FAULT-OVER %v", f)
-	switch f.kind {
-	case pauseEntry, killEntry, restartEntry, stutterEntry:
+	switch {
+	case slices.Contains(entryKinds, f.kind):
 		r.entryFault(ctx, f)
+	case slices.Contains(storeKinds, f.kind):
+		r.storeFault(ctx, f)
 	default:
 		r.minionFault(ctx, f)
 	}
@@ -171,14 +232,11 @@
 }
 
 func (r *run) entryFault(ctx context.Context, f fault) {
-	e := r.entries[f.target]
-	if f.chosen {
-		if holder := r.coordinator(); holder != nil {
-			e = holder
-		}
-	}
+	e := r.entries[r.entryOf(f)]
+	e.faulty.Lock()
+	defer e.faulty.Unlock()
 	r.platform.Note("FAULT-BEGINS %v, entry VM %s", f, e.name)
-	e.disturb(time.Now().Add(f.lasts + termGrace))
+	defer e.disturb(f.kind == restartEntry || f.kind == restartTwo)()
 	p := e.process()
 	switch f.kind {
 	case pauseEntry:
@@ -195,18 +253,95 @@
 		p.Kill()
 		sleep(ctx, f.lasts)
 		r.restart(e)
+	case pauseKill:
+		if err := p.Pause(); err != nil {
+			r.check.report("harness: %v", err)
+		}
+		sleep(ctx, f.lasts)
+		p.Kill()
+		r.restart(e)
 	case restartEntry:
-		began := time.Now()
-		if err := p.Terminate(termGrace); err != nil && !r.check.stalledSince(began) {
-			r.check.report("shutdown of %s: %v", e.name, err)
+		r.terminate(ctx, e)
+	case restartTwo:
+		r.terminate(ctx, e)
+		next := r.entries[(slices.Index(r.entries, e)+1)%len(r.entries)]
+		next.faulty.Lock()
+		defer next.faulty.Unlock()
+		defer next.disturb(true)()
+		r.terminate(ctx, next)
+	}
+}
+
+func (r *run) hangUp(ctx context.Context, f fault) {
+	e := r.entries[r.entryOf(f)]
+	e.faulty.Lock()
+	defer e.faulty.Unlock()
+	r.platform.Note("FAULT-BEGINS %v, entry VM %s", f, e.name)
+	for range hangUps {
+		if err := e.process().HangUp(); err != nil {
+			r.check.report("harness: %v", err)
 		}
-		if p.Running() {
-			p.Kill() // as the platform does
+		sleep(ctx, f.lasts/hangUps)
+	}
+}
+
+// entryOf returns the number of the entry VM that a fault hits.
+func (r *run) entryOf(f fault) int {
+	if holder := r.coordinator(); f.chosen && holder != nil {
+		return slices.Index(r.entries, holder)
+	}
+	return f.target % len(r.entries)
+}
+
+// terminate stops an entry VM as the platform does and starts it again.
+func (r *run) terminate(ctx context.Context, e *entryVM) {
+	p, began := e.process(), time.Now()
+	r.wg.Go(func() { r.callers.holdConnections(ctx, e, p) })
+	if err := p.Terminate(termGrace); err != nil && !r.check.stalledSince(began) {
+		r.check.report("shutdown of %s: %v", e.name, err)
+	}
+	if p.Running() {
+		p.Kill() // as the platform does
+	}
+	r.restart(e)
+}
+
+// storeFault injects a fault of the store.
+func (r *run) storeFault(ctx context.Context, f fault) {
+	hit := r.entries
+	if f.kind == storeAway {
+		hit = []*entryVM{r.entries[r.entryOf(f)]}
+	}
+	for _, e := range r.entries {
+		defer e.disturb(false)() // the rules count a store in disorder against nobody
+	}
+	r.platform.Note("FAULT-BEGINS %v, entry VMs hit %d, first %s", f, len(hit), hit[0].name)
+	for _, e := range hit {
+		link := r.proxy.Link(storeLink(e.name))
+		link.ResetOpen()
+		switch {
+		case f.kind == storeSlow:
+			link.SetDelay(slowLinkDelay)
+		case f.kind == storeLost:
+			e.treatment.Store(lostAnswers)
+		case !f.both:
+			e.treatment.Store(turnedAway)
+		default:
+			if err := link.Blackhole(); err != nil {
+				r.check.report("harness: %v", err)
+			}
 		}
-		r.restart(e)
+	}
+	sleep(ctx, f.lasts)
+	for _, e := range hit {
+		e.treatment.Store(served)
+		r.healLink(r.proxy.Link(storeLink(e.name)))
 	}
 }
 
+// storeLink names the link from an entry VM to the store.
+func storeLink(entry string) string { return "store/" + entry }
+
 // stutter pauses an entry VM whenever it is at work.
 func (r *run) stutter(ctx context.Context, e *entryVM, f fault) {
 	p := e.process()
--- a/bench/sitefaults/run.go
+++ b/bench/sitefaults/run.go
@@ -29,7 +29,7 @@
 	Duration time.Duration
 	// NoFaults leaves the faults out.
 	NoFaults bool
-	// Only restricts the faults to one kind.
+	// Only restricts the faults to one kind, or to SingleFaults or SeriesFaults.
 	Only string
 	// Overload lets each service in turn be asked for more than its machines can run.
 	Overload bool
@@ -75,6 +75,8 @@
 	// them.
 	shortTasks = 6
 	shortPause = 150 * time.Millisecond
+	// roamingPause is the time between two jobs of the queue whose service changes.
+	roamingPause = 400 * time.Millisecond
 	// overloadPause is the mean time between two short jobs under overload, and overloadTurn how
 	// long all of them are for one service, and the rest after that.
 	overloadPause = 45 * time.Millisecond
@@ -101,6 +103,7 @@
 	proxy    *faultproxy.Proxy
 	entries  []*entryVM
 	check    *checker
+	configs  *configs
 	callers  *callers
 	wg       sync.WaitGroup
 }
@@ -113,22 +116,13 @@
 	ports := cluster.NewPorts()
 	defer ports.Close()
 	all := &catalogue{byID: map[string]*jobSpec{}}
-	r := &run{o: o, proxy: faultproxy.New(), check: newChecker(all)}
+	configs := &configs{}
+	r := &run{o: o, proxy: faultproxy.New(), check: newChecker(all, configs), configs: configs}
 	defer r.proxy.Close()
 	p, err := siteplatform.Start(siteplatform.Site{
-		Capacity: jobs.Resources{CPU: machineCPU, MemoryMB: machineMB}, Machines: machineSpecs(), Config: config(), MoveTime: moveTime, UpkeepTime: upkeepTime,
+		Capacity: jobs.Resources{CPU: machineCPU, MemoryMB: machineMB}, Machines: machineSpecs(), Config: config(0), MoveTime: moveTime, UpkeepTime: upkeepTime,
 		Heartbeat: heartbeat, StopTime: stopTime, Work: all.work, Need: all.need, OnEvent: r.check.event,
-		Route: func(name, addr string) (string, error) {
-			listen, err := ports.Next()
-			if err != nil {
-				return "", err
-			}
-			l, err := r.proxy.Add(faultproxy.LinkSpec{Name: name, Listen: listen, Target: addr})
-			if err != nil {
-				return "", err
-			}
-			return l.Addr(), nil
-		},
+		Route: func(name, addr string) (string, error) { return r.route(ports, name, addr) },
 		OnMachine: func(name string, up bool) {
 			if l := r.proxy.Link(name); !up {
 				l.Cut()
@@ -149,14 +143,38 @@
 	return r.play(ctx), errors.Wrap(os.WriteFile(filepath.Join(o.Dir, "story.log"), []byte(p.Story()), 0o600), "sitefaults: story")
 }
 
+// route adds a link to an address and returns its own.
+func (r *run) route(ports cluster.Ports, name, addr string) (string, error) {
+	listen, err := ports.Next()
+	if err != nil {
+		return "", err
+	}
+	l, err := r.proxy.Add(faultproxy.LinkSpec{Name: name, Listen: listen, Target: addr})
+	if err != nil {
+		return "", err
+	}
+	return l.Addr(), nil
+}
+
+func (r *run) startEntry(name, zone string, ports cluster.Ports) error {
+	e := &entryVM{name: name, zone: zone, settings: filepath.Join(r.o.Dir, name+".toml"), logs: r.o.Dir, bin: r.o.Bin}
+	store, err := r.platform.AddStoreClient(e.storeCall)
+	if err != nil {
+		return err
+	}
+	if store, err = r.route(ports, storeLink(name), store); err != nil {
+		return err
+	}
+	if err := e.writeSettings(ports, store, r.platform.MachinesAddr()); err != nil {
+		return err
+	}
+	r.entries = append(r.entries, e)
+	return e.start()
+}
+
 func (r *run) startEntries(ctx context.Context, ports cluster.Ports) error {
 	for i := range entryVMs {
-		e, err := newEntry("entry-"+strconv.Itoa(i+1), []string{"hall", "bay"}[i%2], ports, r.platform.StoreAddr(), r.platform.MachinesAddr(), r.o)
-		if err != nil {
-			return err
-		}
-		r.entries = append(r.entries, e)
-		if err := e.start(); err != nil {
+		if err := r.startEntry("entry-"+strconv.Itoa(i+1), []string{"hall", "bay"}[i%2], ports); err != nil {
 			return err
 		}
 	}
@@ -196,7 +214,7 @@
 	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
 	rng := rand.New(rand.NewPCG(r.o.Seed, 1))
-	faults := schedule(rng, len(machineSpecs()), entryVMs, r.o.Duration, faultKind(r.o.Only))
+	faults := schedule(rng, r.o.Seed, len(machineSpecs()), entryVMs, r.o.Duration, r.o.Only)
 	if r.o.NoFaults {
 		faults = nil
 	}
@@ -212,7 +230,11 @@
 			r.check.tick(r.platform.Up, starved)
 		}
 	})
-	r.callers = newCallers(r.entries, r.check)
+	r.callers = newCallers(r.entries, r.check, r.configs)
+	r.configs.begin(r.check.began)
+	for _, e := range r.entries {
+		r.wg.Go(func() { r.callers.probeConfig(ctx, e) })
+	}
 	long := r.handInLong(ctx, rng)
 	for _, f := range faults {
 		r.wg.Go(func() {
@@ -222,6 +244,7 @@
 		})
 	}
 	r.wg.Go(func() { r.requestWaves(ctx) })
+	r.wg.Go(func() { r.roamingTraffic(ctx, r.o.Duration) })
 	r.traffic(ctx, rng, r.o.Duration)
 	r.awaitEnds(ctx)
 	r.awaitRunning(ctx)
@@ -310,6 +333,14 @@
 	}
 }
 
+// roamingTraffic hands in short jobs whose service the configuration changes.
+func (r *run) roamingTraffic(ctx context.Context, d time.Duration) {
+	rng := rand.New(rand.NewPCG(r.o.Seed, 5))
+	for end := time.Now().Add(d); time.Now().Before(end) && sleep(ctx, roamingPause); {
+		r.handIn(ctx, newJob(rng, roaming, false, 1, shortCPU, 1), rng.Uint64())
+	}
+}
+
 // busyService draws the service of a short job.
 func (r *run) busyService(rng *rand.Rand) string {
 	any := services[rng.IntN(len(services))]
--- a/bench/sitefaults/site.go
+++ b/bench/sitefaults/site.go
@@ -20,7 +20,8 @@
 )
 
 const (
-	apiKey = "key-1"
+	apiKey   = "key-1"
+	jobsHost = "jobs.example"
 	// shortRun is the mean run time of a short task.
 	shortRun = 800 * time.Millisecond
 	// machinesPerService and spareMachines make up the site.
@@ -44,9 +45,10 @@
 	body    []byte
 }
 
-func (j *jobSpec) host() string { return "jobs.example" }
-
 func (j *jobSpec) path() string {
+	if j.Service == roaming {
+		return roamingPrefix + j.ID
+	}
 	kind := "short"
 	if j.Long {
 		kind = "long"
@@ -128,17 +130,36 @@
 	return out
 }
 
-// config returns the operators' configuration.
-func config() map[string]any {
+// roaming stands for the service of the queue that each configuration sends elsewhere.
+const roaming, roamingPrefix = "roaming", "/roaming/"
+
+// Each configuration withdraws the key and the queue that the one before it added.
+func addedKey(n int) string    { return "key-added-" + strconv.Itoa(n) }
+func addedPrefix(n int) string { return "/added-" + strconv.Itoa(n) + "/" }
+
+// serviceOf returns the service that runs the tasks of jobs for service in configuration n.
+func serviceOf(service string, n int) string {
+	if service == roaming {
+		return services[n%len(services)]
+	}
+	return service
+}
+
+// config returns the operators' configuration n.
+func config(n int) map[string]any {
 	var routes, pools []map[string]any
+	for _, prefix := range []string{roamingPrefix, addedPrefix(n)} {
+		routes = append(routes, map[string]any{"name": strings.Trim(prefix, "/"), "host": jobsHost, "prefix": prefix, "service": serviceOf(roaming, n),
+			"priority": 1, "max_attempts": 3, "stretch": 2, "target_duration_ms": 2500})
+	}
 	for _, s := range services {
 		for _, kind := range []string{"short", "long"} {
-			routes = append(routes, map[string]any{"name": s + "-" + kind, "host": "jobs.example", "prefix": "/" + s + "/" + kind + "/", "service": s,
+			routes = append(routes, map[string]any{"name": s + "-" + kind, "host": jobsHost, "prefix": "/" + s + "/" + kind + "/", "service": s,
 				"priority": 1, "max_attempts": 3, "stretch": 2, "target_duration_ms": 2500})
 		}
 		pools = append(pools, map[string]any{"name": s, "rejects_overload": true})
 	}
 	pools = append(pools, map[string]any{"name": sparePool, "rejects_overload": true})
-	return map[string]any{"version": 7, "routes": routes, "services": pools, "limits": map[string]any{"max_body_bytes": 262144},
-		"tenants": []map[string]any{{"name": "t1", "api_keys": []string{apiKey}, "weight": 50, "cap": map[string]int64{}}}}
+	return map[string]any{"version": 7 + 3*n, "routes": routes, "services": pools, "limits": map[string]any{"max_body_bytes": 262144},
+		"tenants": []map[string]any{{"name": "t1", "api_keys": []string{apiKey, addedKey(n)}, "weight": 50, "cap": map[string]int64{}}}}
 }
--- a/test/integration/sitefaults_test.go
+++ b/test/integration/sitefaults_test.go
@@ -14,15 +14,25 @@
 
 // Guards against rules of the users' platform that entry VMs break as real processes: while dials
 // to minions time out, connections are reset and entry VMs stand still, no task runs twice and no
-// long-running task stays without a run.
+// long-running task stays without a run; while the store turns one of them away, the configuration
+// changes and two are restarted, no request is cut off and no withdrawn key is accepted.
 func TestSiteFaults(t *testing.T) {
 	if testing.Short() {
 		t.Skip("needs seconds")
 	}
-	const seed, duration = 2, 8 * time.Second
+	for _, x := range []struct {
+		seed  uint64
+		kinds string
+	}{{2, sitefaults.SingleFaults}, {1, sitefaults.SeriesFaults}} {
+		t.Run(x.kinds, func(t *testing.T) { runSiteFaults(t, x.seed, x.kinds) })
+	}
+}
+
+func runSiteFaults(t *testing.T, seed uint64, kinds string) {
+	const duration = 8 * time.Second
 	dir, err := os.MkdirTemp("", "integration-sitefaults-")
 	require.NoError(t, err)
-	r, err := sitefaults.Run(t.Context(), sitefaults.Options{Bin: bin, Dir: dir, Seed: seed, Duration: duration})
+	r, err := sitefaults.Run(t.Context(), sitefaults.Options{Bin: bin, Dir: dir, Seed: seed, Duration: duration, Only: kinds})
 	require.NoError(t, err)
 	t.Log(r)
 	if r.OK() {
