--- a/internal/coordinator/standstill_test.go
+++ b/internal/coordinator/standstill_test.go
@@ -15,6 +15,9 @@
 	"boragepulley/standins/fleet"
 )
 
+// leaveNotice is how long before its end a leaving minion says so.
+const leaveNotice = 4500 * time.Millisecond
+
 // Guards against a wave whose time is short and that stops a task which starts on the same machine
 // again, over and over, because there is no other place for it; the wave never ends.
 func TestUrgentWaveStopsATaskOnce(t *testing.T) {
@@ -142,3 +145,69 @@
 		require.Contains(t, s.log.linesWith("long-running step waits"), `"over_team_limit":3`)
 	})
 }
+
+// Guards against a service without a machine that takes work, because all of them wait for a place for
+// their long-running tasks.
+func TestMachinesThatCanNotBeDrainedDoOtherWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newBurstSite(t, 2, 1)
+		work := s.minions.Work
+		s.minions.Work = func(task string, run int) (time.Duration, jobs.End) {
+			if task == taskNames("000000000000000a", 1)[0] {
+				return time.Second, jobs.EndDone
+			}
+			return work(task, run)
+		}
+		s.start()
+		s.submitJob(s.term, "0000000000000001", spreadStep(2))
+		sleep(2 * time.Second)
+		s.begin(site.Wave{ID: 1, Machines: []model.VM{"s0", "s1"}, Duration: time.Minute, MaxDown: 4})
+		sleep(3 * time.Second)
+		s.submitJob(s.term, "000000000000000a", step(1))
+		sleep(3 * time.Second)
+		require.Equal(t, jobs.StateCompleted, s.state(s.term, "000000000000000a"))
+	})
+}
+
+// Guards against a reserved place that other tasks take while the task that is to run there is being
+// stopped.
+func TestReservedPlaceIsKeptDuringAStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newBurstSite(t, 0, 2)
+		work := s.minions.Work
+		s.minions.Work = func(task string, run int) (time.Duration, jobs.End) {
+			d, end := work(task, run)
+			return 3 * d, end
+		}
+		s.minions.StopTime = 900 * time.Millisecond
+		s.start()
+		s.submitTo(s.term, burstQueue, burstService, "0000000000000001", jobs.Step{Count: 1, Need: jobs.Resources{CPU: 3000}, LongRunning: true})
+		sleep(8 * time.Second)
+		task := taskNames("0000000000000001", 1)
+		from := model.VM("b0")
+		if s.minions.Running(task[0])[0] != s.moving.MinionOf(from) {
+			from = "b1"
+		}
+		s.begin(site.Wave{ID: 1, Machines: []model.VM{from}, Duration: 30 * time.Second, MaxDown: 1})
+		longest, without := s.watch(15*time.Second, task...)
+		require.Less(t, longest, plannedWait/2, "without a run at the end: %v", without)
+		require.Equal(t, 1, s.moving.Maintained(from))
+	})
+}
+
+// Guards against a task that runs until its leaving minion ends, without a place for its next run: its
+// unsaved work is lost, and its next run waits for the end of its lease.
+func TestLeavingMinionLosesItsTasksBeforeItEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newBurstSite(t, 2, 2)
+		s.start()
+		s.submitJob(s.term, "0000000000000001", spreadStep(2))
+		sleep(2 * time.Second)
+		minion := s.moving.MinionOf("s0")
+		s.moving.Leave("s0", leaveNotice, 3*time.Second)
+		longest, without := s.watch(15*time.Second, taskNames("0000000000000001", 2)...)
+		require.Less(t, longest, maxWait, "without a run at the end: %v", without)
+		require.Contains(t, s.minions.Story("0000000000000001"), "ends on "+string(minion)+": stopped")
+		s.requireNoViolations()
+	})
+}
--- a/standins/fleet/machines.go
+++ b/standins/fleet/machines.go
@@ -41,11 +41,7 @@
 
 // Add adds a machine that is up.
 func (s *MovingMachines) Add(name model.VM, pool model.Service, capacity jobs.Resources) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	m := &site.Machine{Name: name, Pool: pool, State: site.MachineUp, DC: "dc", Rack: model.Rack("rack-" + string(name)), Capacity: capacity}
-	s.all[name] = m
-	s.join(m)
+	s.AddLabelled(name, pool, capacity, "", model.Rack("rack-"+string(name)))
 }
 
 // join starts a minion on a machine. The caller holds mu.
@@ -56,7 +52,7 @@
 	}
 	s.lives++
 	m.Minion = jobs.Minion(fmt.Sprintf("%s-%d", m.Name, s.lives))
-	s.Minions.Add(site.MinionEntry{ID: m.Minion, Service: m.Pool, Addr: string(m.Minion), DC: m.DC, Rack: m.Rack, Capacity: m.Capacity})
+	s.Minions.Add(site.MinionEntry{ID: m.Minion, Service: m.Pool, Addr: string(m.Minion), DC: m.DC, Kind: m.Kind, Rack: m.Rack, Capacity: m.Capacity})
 	s.Store.Put("servers/"+string(m.Minion), s.Minions.EntryRow(m.Minion))
 }
 
@@ -131,3 +127,60 @@
 	})
 	return nil
 }
+
+// Lose ends the minion of a machine without notice. Its entry stays in the list for the given time. A
+// new minion joins after back, unless back is 0.
+func (s *MovingMachines) Lose(name model.VM, listed, back time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if m := s.all[name]; m.State == site.MachineUp && m.Minion != "" {
+		s.endMinion(m, listed, back)
+	}
+}
+
+// Leave announces that a machine's minion ends after notice, and ends it then. A new minion joins after
+// back.
+func (s *MovingMachines) Leave(name model.VM, notice, back time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m := s.all[name]
+	if m.State != site.MachineUp || m.Minion == "" {
+		return
+	}
+	s.Minions.Change(m.Minion, func(x *Minion) { x.Entry.Leaving, x.Entry.Remaining = true, notice })
+	s.Store.Put("servers/"+string(m.Minion), s.Minions.EntryRow(m.Minion))
+	leaving := m.Minion
+	time.AfterFunc(notice, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if m.Minion == leaving && m.State == site.MachineUp {
+			s.endMinion(m, 0, back)
+		}
+	})
+}
+
+// endMinion ends the minion of a machine. The caller holds mu.
+func (s *MovingMachines) endMinion(m *site.Machine, listed, back time.Duration) {
+	lost := m.Minion
+	s.Minions.Change(lost, func(x *Minion) { x.Down = true })
+	time.AfterFunc(listed, func() { s.Store.Put("servers/"+string(lost), nil) })
+	if back == 0 {
+		return
+	}
+	time.AfterFunc(back, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if m.Minion == lost && m.State == site.MachineUp {
+			s.join(m)
+		}
+	})
+}
+
+// AddLabelled adds a machine that is up, with a kind and a rack.
+func (s *MovingMachines) AddLabelled(name model.VM, pool model.Service, capacity jobs.Resources, kind string, rack model.Rack) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m := &site.Machine{Name: name, Pool: pool, State: site.MachineUp, DC: "dc", Kind: kind, Rack: rack, Capacity: capacity}
+	s.all[name] = m
+	s.join(m)
+}
