control: a panic restarts the control state, not the process

Cause: the control goroutine and the calls that it starts were not guarded; one message whose handling panics ended the process, and with it all callers of the entry VM. Change: after a panic the entry VM gives up the coordinator role, drops what it knows of the table's rows and reads them again; calls in flight have no effect any more and pending ones are answered. It keeps the token, the configuration in force and the permits in use, and leaves the lease to others for 2 x TTL (docs/design.md, D2). A call on the control goroutine that panics returns ErrUnexpected. TestRandomFaultsAndPanics (20 seeds) and TestLimitUnderFaultsAndPanics (4 seeds) pass: the random faults as before plus a panic in one of 12 steps. Open: the goroutine of one request (internal/dispatch) is not guarded.

--- a/internal/control/allotments_test.go
+++ b/internal/control/allotments_test.go
@@ -54,10 +54,15 @@
 
 // Guards against a limit that is exceeded while parts are transferred during partitions,
 // lost store answers and deaths of coordinators.
-func TestLimitUnderFaults(t *testing.T) {
+func TestLimitUnderFaults(t *testing.T) { playLimitUnderFaults(t, 0) }
+
+// Guards against the same when control goroutines panic as well.
+func TestLimitUnderFaultsAndPanics(t *testing.T) { playLimitUnderFaults(t, 12) }
+
+func playLimitUnderFaults(t *testing.T, panicEvery int) {
 	for seed := range uint64(4) {
 		inBubble(t, map[model.DataCentre]int{"a": 2, "b": 2, "c": 1}, func(cl *cluster) {
-			rng := rand.New(rand.NewPCG(seed, 7))
+			rng, panics := rand.New(rand.NewPCG(seed, 7)), rand.New(rand.NewPCG(seed, 8))
 			var mu sync.Mutex
 			cl.startServing(8, 12)
 			cl.store.mu.Lock()
@@ -73,6 +78,9 @@
 				mu.Lock()
 				entry, what := cl.peers[rng.IntN(len(cl.peers))].Name, rng.IntN(20)
 				mu.Unlock()
+				if panicEvery > 0 && panics.IntN(panicEvery) == 0 {
+					cl.nodes[entry].panicOnLoop()
+				}
 				switch {
 				case what == 0:
 					cl.setDropMessages(func(from, to model.EntryVM) bool { return from[0] != to[0] })
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -12,6 +12,7 @@
 
 	"boragepulley/internal/account"
 	"boragepulley/internal/config"
+	"boragepulley/internal/guard"
 	"boragepulley/internal/logging"
 	"boragepulley/internal/model"
 	"boragepulley/internal/peer"
@@ -26,6 +27,8 @@
 	ErrStopped = errors.New("control: stopped")
 	// ErrNoConfig means that no configuration is known yet.
 	ErrNoConfig = errors.New("control: no configuration")
+	// ErrUnexpected means that the operation panicked; it may have had a part of its effect.
+	ErrUnexpected = errors.New("control: unexpected error")
 )
 
 // PeerClient sends messages to one other entry VM. peer.Client implements it.
@@ -72,7 +75,9 @@
 	self peer.Sender
 
 	snap atomic.Pointer[Snapshot]
-	gate permitGate
+	// restarts counts the times that the control state was discarded; see restart.
+	restarts atomic.Uint64
+	gate     permitGate
 	// workers replaces deps.Workers, which is nil after New.
 	workers workerOrders
 	events  chan func()
@@ -91,6 +96,7 @@
 	timers        []*timer
 	snapshotStale bool
 	shuttingDown  bool
+	shutdownCalls map[chan struct{}]struct{} // calls of BeginShutdown that have not returned
 	following     following
 	lease         leaseState
 	takeover      *takeover
@@ -135,6 +141,8 @@
 		byName:      map[model.EntryVM]*member{},
 		vms:         map[model.VM]model.VMState{},
 		remoteDCs:   map[model.DataCentre]*remoteDCState{},
+
+		shutdownCalls: map[chan struct{}]struct{}{},
 	}
 	c.gate.init()
 	c.workers = workerOrders{deps.Workers, &c.gate}
@@ -200,22 +208,22 @@
 			c.failWaiters()
 			return
 		case ev := <-c.events:
-			ev()
+			c.guarded("event", ev)
 		case <-wake.C:
 		}
-		c.finishEvent()
+		c.guarded("end of event", c.finishEvent)
 		now := time.Now()
 		next := now.Add(time.Second)
 		for _, t := range c.timers {
 			if !now.Before(t.due) {
 				t.due = now.Add(c.jitter(t.interval))
-				t.run(now)
+				c.guarded("timer", func() { t.run(now) })
 			}
 			if t.due.Before(next) {
 				next = t.due
 			}
 		}
-		c.finishEvent()
+		c.guarded("end of timers", c.finishEvent)
 		wake.Reset(time.Until(next))
 	}
 }
@@ -251,8 +259,10 @@
 	var zero R
 	select {
 	case c.events <- func() {
+		x := result{err: ErrUnexpected}
+		defer func() { ch <- x }()
 		r, err := f()
-		ch <- result{r, err}
+		x = result{r, err}
 	}:
 	case <-ctx.Done():
 		return zero, ctx.Err()
@@ -270,15 +280,24 @@
 }
 
 // runAsync runs io in a new goroutine with a timeout. If io returns a function, that
-// function is then run on the control goroutine.
+// function is then run on the control goroutine, unless the control state that it is about
+// has been discarded.
 func (c *Control) runAsync(timeout time.Duration, io func(ctx context.Context) func()) {
+	restarts := c.restarts.Load()
 	c.wg.Add(1)
 	go func() {
 		defer c.wg.Done()
 		ctx, cancel := context.WithTimeout(c.ctx, timeout)
 		defer cancel()
-		if ev := io(ctx); ev != nil {
-			c.post(ev)
+		var ev func()
+		if err := guard.Recover(c.log, "call", func() { ev = io(ctx) }); err != nil {
+			c.post(func() { c.restart(restarts, err) })
+		} else if ev != nil {
+			c.post(func() {
+				if c.restarts.Load() == restarts {
+					ev()
+				}
+			})
 		}
 	}()
 }
--- a/internal/control/coordinator.go
+++ b/internal/control/coordinator.go
@@ -89,7 +89,17 @@
 	c := h.c
 	ch := make(chan acquireResult, 1)
 	key := permitKey{m.Request.Job, m.Attempt}
-	if !c.post(func() { c.submit(m, key, ch) }) {
+	submit := func() {
+		submitted := false
+		defer func() {
+			if !submitted { // it panicked; the caller asks the next coordinator
+				fail(ch)
+			}
+		}()
+		c.submit(m, key, ch)
+		submitted = true
+	}
+	if !c.post(submit) {
 		return nil, ErrStopped
 	}
 	select {
@@ -170,12 +180,20 @@
 	setGauge("waiting_calls", int64(len(coord.waiters)))
 }
 
+// fail answers a pending call with ErrNotCoordinator, unless it was answered before.
+func fail(ch chan<- acquireResult) {
+	select {
+	case ch <- acquireResult{err: peer.ErrNotCoordinator}:
+	default:
+	}
+}
+
 // failWaiters answers all pending calls with ErrNotCoordinator.
 func (c *Control) failWaiters() {
 	if c.coord != nil {
 		for _, list := range c.coord.waiters {
 			for _, ch := range list {
-				ch <- acquireResult{err: peer.ErrNotCoordinator}
+				fail(ch)
 			}
 		}
 		clear(c.coord.waiters)
--- a/internal/control/faults_test.go
+++ b/internal/control/faults_test.go
@@ -13,11 +13,19 @@
 
 // Guards against minions with more jobs than slots and teams above their limit in random
 // sequences of pauses, kills, restarts, store outages and jobs that end on their own.
-func TestRandomFaults(t *testing.T) {
+func TestRandomFaults(t *testing.T) { playRandomFaults(t, 0) }
+
+// Guards against the same, and against a data centre that does not recover, when control
+// goroutines panic as well.
+func TestRandomFaultsAndPanics(t *testing.T) { playRandomFaults(t, 12) }
+
+// playRandomFaults lets the control goroutine of the entry VM of a step panic in one of panicEvery
+// steps, or never if it is 0.
+func playRandomFaults(t *testing.T, panicEvery int) {
 	const slots, limit = 3, 5
 	for seed := range uint64(20) {
 		inBubble(t, map[model.DataCentre]int{"a": 4}, func(cl *cluster) {
-			rng := rand.New(rand.NewPCG(seed, 11))
+			rng, panics := rand.New(rand.NewPCG(seed, 11)), rand.New(rand.NewPCG(seed, 12))
 			cl.startServing(slots, limit)
 			held := map[*model.Permit]model.EntryVM{}
 			granted, down := 0, 0
@@ -25,6 +33,9 @@
 				entry := cl.peers[rng.IntN(len(cl.peers))].Name
 				n := cl.nodes[entry]
 				out := n.isDead() || n.isPaused()
+				if panicEvery > 0 && !out && panics.IntN(panicEvery) == 0 {
+					n.panicOnLoop()
+				}
 				switch what := rng.IntN(24); {
 				case what == 0 && !out && down < 2:
 					n.pause()
--- a/internal/control/permits.go
+++ b/internal/control/permits.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"boragepulley/internal/guard"
 	"boragepulley/internal/model"
 	"boragepulley/internal/peer"
 )
@@ -201,7 +202,7 @@
 			if !ok {
 				break
 			}
-			c.sendRelease(r)
+			_ = guard.Recover(c.log, "release", func() { c.sendRelease(r) })
 			c.releases.finish(r)
 		}
 	}
--- a/internal/control/shutdown.go
+++ b/internal/control/shutdown.go
@@ -24,7 +24,16 @@
 	}
 }
 
+// endShutdownCall lets a call of BeginShutdown return.
+func (c *Control) endShutdownCall(done chan struct{}) {
+	if _, ok := c.shutdownCalls[done]; ok {
+		delete(c.shutdownCalls, done)
+		close(done)
+	}
+}
+
 func (c *Control) beginShutdown(done chan struct{}) {
+	c.shutdownCalls[done] = struct{}{}
 	if !c.shuttingDown {
 		c.shuttingDown, c.snapshotStale = true, true
 		c.log.Info().Msg("graceful shutdown begins")
@@ -36,7 +45,7 @@
 	if !c.hasSuccessor() {
 		// If the role were given up, the waiting requests could not start any more.
 		c.log.Info().Msg("no other entry VM can take the coordinator role; keeping it until the process stops")
-		close(done)
+		c.endShutdownCall(done)
 		return
 	}
 	c.releaseLease(done)
@@ -71,14 +80,14 @@
 		return
 	}
 	if c.lease.row.Holder != c.self.Entry || c.lease.row.Incarnation != c.self.Incarnation {
-		close(done)
+		c.endShutdownCall(done)
 		return
 	}
 	v := leaseRow{Epoch: c.lease.row.Epoch, Seq: c.lease.row.Seq + 1}
 	c.writeLease(v, func(ok bool) {
 		c.log.Info().Bool("cleared", ok).Msg("coordinator lease released")
 		leaseOps.Add("released", 1)
-		close(done)
+		c.endShutdownCall(done)
 	})
 }
 
