exchange: bound the header of an answer

Callers would see: an entry VM, the coordinator most of all, that ends for want of memory while one minion answers with a header that does not end. Cause: http.ReadResponse reads a header of any length; the body was bounded, the header only by the call's time limit, at 1 Gbit/s for up to a second. Evidence: TestEndlessHeaderIsNoAnswer: 2.0 GB allocated for one answer on the code before. Change: at most 64 KB of header, and as much for what the encoding adds to the body. Measured: the test passes (below 32 MB); FuzzAnswer, new, ran for 60 s with one worker (65,478 inputs), no failure; the tests of exchange pass with -race.

--- a/internal/exchange/dial.go
+++ b/internal/exchange/dial.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"slices"
 	"time"
@@ -130,7 +131,8 @@
 		s.handOver(dialed{err: err})
 		return
 	}
-	c := &connection{Conn: conn, r: bufio.NewReaderSize(conn, readBufferSize), lastUsed: time.Now()}
+	limit := &io.LimitedReader{R: conn}
+	c := &connection{Conn: conn, limit: limit, r: bufio.NewReaderSize(limit, readBufferSize), lastUsed: time.Now()}
 	if !s.handOver(dialed{c: c}) {
 		if len(s.idle)+len(s.slots) >= cap(s.slots) {
 			_ = c.Close() // no request was written to it
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -44,6 +44,8 @@
 const (
 	// maxResponseBytes limits a response: 500 ended and 500 running tasks take about 100 KB.
 	maxResponseBytes = 4 << 20
+	// maxHeaderBytes limits the header of a response, and what the encoding adds to its body.
+	maxHeaderBytes = 64 << 10
 	// sweepInterval is how often idle connections are checked for maxIdleTime.
 	sweepInterval = 10 * time.Second
 	// maxIdleTime is how long an idle connection is kept. Minions are polled every 2 s.
@@ -126,7 +128,9 @@
 
 type connection struct {
 	net.Conn
-	r *bufio.Reader
+	// limit bounds what r reads from the connection for one response.
+	limit *io.LimitedReader
+	r     *bufio.Reader
 	// lastUsed is when the last request on the connection completed, or when it was opened.
 	lastUsed time.Time
 }
@@ -280,6 +284,7 @@
 	if _, err := c.Write(out.Bytes()); err != nil {
 		return 0, nil, false, err
 	}
+	c.limit.N = maxHeaderBytes
 	resp, err := http.ReadResponse(c.r, req)
 	if err != nil {
 		return 0, nil, false, err
@@ -288,6 +293,7 @@
 	if resp.ContentLength > maxResponseBytes {
 		return 0, nil, false, errors.Errorf("response too large: %d bytes", resp.ContentLength)
 	}
+	c.limit.N = maxResponseBytes + maxHeaderBytes
 	if resp.ContentLength >= 0 {
 		body = make([]byte, resp.ContentLength)
 		_, err = io.ReadFull(resp.Body, body)
