standins/fleet: a call that is carried out late does not write to its caller's answer

Seen: go test -race ./internal/coordinator fails with data races in TestSoakWithSlowNetwork. Cause: the stand-in's start and poll fill the answer in a callback, which also runs for an order that is left unanswered and carried out 2 s later, while the caller reads it. Not a fault of the product. Change: the clock is read under the stand-in's lock, and a poll without an answer returns an empty report. The soak's check of its log takes the log's lock.

--- a/internal/coordinator/soak_test.go
+++ b/internal/coordinator/soak_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -180,7 +181,7 @@
 // the first run had ended or could not exist.
 func (s *testSite) requireRestartsExplained(n int) {
 	var logs explain.Logs
-	for _, text := range s.log.lines {
+	for _, text := range strings.Split(strings.TrimSpace(s.log.linesWith("{")), "\n") {
 		l := explain.Line{Fields: map[string]any{}}
 		require.NoError(s.t, json.Unmarshal([]byte(text), &l.Fields))
 		l.Message, _ = l.Fields["message"].(string)
--- a/standins/fleet/minions.go
+++ b/standins/fleet/minions.go
@@ -473,8 +473,9 @@
 	return send(ctx, s, "start", to, func(ctx context.Context, f Fault) (int64, error) { return s.start(ctx, to, f, o) })
 }
 
-func (s *Minions) start(ctx context.Context, to site.Receiver, f Fault, o site.StartOrder) (clock int64, err error) {
-	err = s.answer(ctx, "start", to, f, func(m *Minion) error {
+func (s *Minions) start(ctx context.Context, to site.Receiver, f Fault, o site.StartOrder) (int64, error) {
+	var clock int64 // guarded by s.mu: an order that is carried out late writes it after the answer
+	err := s.answer(ctx, "start", to, f, func(m *Minion) error {
 		clock = m.clock(time.Now())
 		if r := m.runs[o.Task]; r != nil && r.no == o.Run {
 			return nil
@@ -492,6 +493,8 @@
 		s.begin(m, o)
 		return nil
 	})
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	return clock, err
 }
 
@@ -568,10 +571,12 @@
 	return send(ctx, s, "hold", to, func(ctx context.Context, f Fault) (site.PollReport, error) { return s.poll(ctx, to, f, o) })
 }
 
-func (s *Minions) poll(ctx context.Context, to site.Receiver, f Fault, o site.PollRequest) (out site.PollReport, err error) {
+func (s *Minions) poll(ctx context.Context, to site.Receiver, f Fault, o site.PollRequest) (site.PollReport, error) {
 	until := time.Now().Add(o.Wait)
 	first := true
 	for {
+		var out site.PollReport
+		var err error
 		look := func(m *Minion) error {
 			if o.LeaseUntil > 0 {
 				m.prolong(o.LeaseUntil)
@@ -586,11 +591,14 @@
 			err = s.carry(to, look)
 		}
 		first = false
-		if err != nil || len(out.Ended) > 0 || !time.Now().Before(until) {
-			return out, err
+		if err != nil {
+			return site.PollReport{}, err // a poll that is carried out late still writes out
+		}
+		if len(out.Ended) > 0 || !time.Now().Before(until) {
+			return out, nil
 		}
 		if pause(ctx, holdPoll) != nil {
-			return out, errors.WithStack(site.ErrNoAnswer)
+			return site.PollReport{}, errors.WithStack(site.ErrNoAnswer)
 		}
 	}
 }
