--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -169,7 +169,7 @@
 	}
 	for _, step := range sortedKeys(late) {
 		l := late[step]
-		b.cause("step %s: a task started at %s after it had waited %.0f ms%s", step, stamp(l.Time), l.number("waited"), b.shortage(l.Time))
+		b.cause("step %s: a task started at %s, %.0f ms after the job was accepted%s", step, stamp(l.Time), l.number("waited"), b.shortage(l.Time))
 	}
 }
 
