entry: no refusal of a cancellation that the coordinator may have carried out

Callers saw: 503 to a DELETE, which says that nothing was done, while the job was cancelled. Cause: when the coordinator did not answer, or had not stored the cancellation in time, the entry VM asked the store, and answered for the store alone when that did not answer either. Evidence: TestCancelWithALostAnswerIsNoRefusal fails on the code before: 'temporarily unavailable', and the job is cancelled. Change: the outcome is unknown (504) in that case. The coordinator tells a cancellation that is not stored yet from one that it does not make. Measured: the test passes; entry and daemon pass with -race.

--- a/internal/entry/attempts_test.go
+++ b/internal/entry/attempts_test.go
@@ -83,6 +83,29 @@
 	})
 }
 
+// Guards against a caller that is told that its job was not cancelled although the coordinator did it and
+// only its answer was lost.
+func TestCancelWithALostAnswerIsNoRefusal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tc := newTestCluster(t, 3)
+		defer tc.stop()
+		tc.minions.SetWork(func(string, int) (time.Duration, jobs.End) { return time.Minute, jobs.EndDone })
+		time.Sleep(4 * time.Second)
+		n := tc.otherThan(tc.coordinator())
+		name := string(n.deps.Self.Entry)
+		require.NoError(t, n.Submit(context.Background(), newJob(id1)).Err)
+		time.Sleep(500 * time.Millisecond)
+		tc.setFaults(name, false, refuseAll)
+		tc.mu.Lock()
+		tc.answersLost[name] = true
+		tc.mu.Unlock()
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		defer cancel()
+		require.ErrorIs(t, n.Cancel(ctx, id1).Err, site.ErrOutcomeUnknown)
+		require.Equal(t, jobs.StateCancelled, tc.nodes[tc.coordinator()].State(context.Background(), id1).State, "it was cancelled")
+	})
+}
+
 // Guards against attempts that are forgotten too early or never.
 func TestAttemptsAreRememberedForAWhile(t *testing.T) {
 	var a attempts
--- a/internal/entry/node_test.go
+++ b/internal/entry/node_test.go
@@ -36,6 +36,8 @@
 	nodes map[string]*Node // guarded by mu
 	// partitioned entry VMs can neither reach others nor be reached.
 	partitioned map[string]bool // guarded by mu
+	// answersLost entry VMs get no answers from others, which handle their messages.
+	answersLost map[string]bool // guarded by mu
 	// fault returns the fault to apply to a store call, by entry VM.
 	fault map[string]func(op string) fleet.Fault // guarded by mu
 	// cores are the sizes of entry VMs; the default is 0.
@@ -70,7 +72,7 @@
 func refuseAll(string) fleet.Fault { return fleet.Refuse }
 
 func newTestCluster(t *testing.T, n int) *testCluster {
-	tc := &testCluster{t: t, store: fleet.NewStore(), minions: fleet.NewMinions(), nodes: map[string]*Node{}, partitioned: map[string]bool{},
+	tc := &testCluster{t: t, store: fleet.NewStore(), minions: fleet.NewMinions(), nodes: map[string]*Node{}, partitioned: map[string]bool{}, answersLost: map[string]bool{},
 		fault: map[string]func(string) fleet.Fault{}, cores: map[string]float64{}, dcs: map[string]model.DataCentre{}, startedAt: time.Now()}
 	tc.minions.Add(site.MinionEntry{ID: "m", Service: "s", Addr: "m", Capacity: jobs.Resources{CPU: 9000}})
 	tc.store.Put("servers/m", tc.minions.EntryRow("m"))
@@ -167,7 +169,15 @@
 		return none, errors.Wrap(peer.ErrNoAnswer, "partitioned")
 	}
 	time.Sleep(time.Millisecond)
-	return f(n.Handler(), ctx, m)
+	r, err := f(n.Handler(), ctx, m)
+	l.tc.mu.Lock()
+	lost := l.tc.answersLost[l.from]
+	l.tc.mu.Unlock()
+	if lost {
+		<-ctx.Done()
+		return none, errors.Wrap(peer.ErrNoAnswer, "answer lost")
+	}
+	return r, err
 }
 
 func (l link) CoordinatorHeartbeat(ctx context.Context, m *peer.CoordinatorHeartbeat) (*peer.CoordinatorHeartbeatReply, error) {
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -117,7 +117,10 @@
 		return &peer.JobReply{}, nil
 	}
 	ok, err := t.Cancel(ctx, jobs.ID(m.Job))
-	if err != nil {
+	switch {
+	case err != nil && ok:
+		return nil, err // the job was cancelled, but that is not stored yet
+	case err != nil:
 		return &peer.JobReply{}, nil
 	}
 	return &peer.JobReply{Coordinates: true, Known: ok}, nil
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -182,12 +182,16 @@
 
 // Cancel cancels a job and returns once the cancellation is stored.
 func (n *Node) Cancel(ctx context.Context, id jobs.ID) site.Answer {
-	if n.cancelAtCoordinator(ctx, id) {
+	done, mayBeDone := n.cancelAtCoordinator(ctx, id)
+	if done {
 		counters.Add("cancel_coordinator", 1)
 		return site.Answer{Reason: site.ReasonCoordinator}
 	}
 	row, err := n.deps.Table.Get(ctx, platform.PriorityClaim, coordinator.JobKey(id))
-	if err != nil {
+	switch {
+	case err != nil && mayBeDone:
+		return site.Answer{Err: errors.Wrap(site.ErrOutcomeUnknown, err.Error()), Reason: site.ReasonCoordinator}
+	case err != nil:
 		return n.unavailable(err)
 	}
 	if row.Version == 0 {
@@ -201,21 +205,25 @@
 	return site.Answer{Reason: site.ReasonStore}
 }
 
-// cancelAtCoordinator asks the coordinator to cancel a job, and reports whether the cancellation is
-// stored.
-func (n *Node) cancelAtCoordinator(ctx context.Context, id jobs.ID) bool {
+// cancelAtCoordinator asks the coordinator to cancel a job. done is set if the cancellation is stored,
+// mayBeDone if the
+// coordinator did not answer, or had not stored it in time.
+func (n *Node) cancelAtCoordinator(ctx context.Context, id jobs.ID) (done, mayBeDone bool) {
 	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
 	defer cancel()
 	if t := n.term.Load(); t != nil {
 		ok, err := t.Cancel(ctx, id)
-		return ok && err == nil
+		return ok && err == nil, err != nil && (ok || !errors.Is(err, coordinator.ErrNotCoordinating))
 	}
 	view := n.coordinator.Load()
 	if view == nil || n.coordinatorSilent(n.deps.Now()) {
-		return false
+		return false, false
 	}
 	r, err := n.dial(view.name, view.addr).JobStop(ctx, &peer.JobRequest{From: n.deps.Self, Job: string(id)})
-	return err == nil && r.Coordinates && r.Known
+	if err != nil {
+		return false, errors.Is(err, peer.ErrNoAnswer) || errors.Is(err, peer.ErrRemote)
+	}
+	return r.Coordinates && r.Known, false
 }
 
 // Pending returns how many accepted jobs of a queue have not started, and false if no recent count
