--- a/standins/fleet/minions.go
+++ b/standins/fleet/minions.go
@@ -473,8 +473,9 @@
 	return send(ctx, s, "start", to, func(ctx context.Context, f Fault) (int64, error) { return s.start(ctx, to, f, o) })
 }
 
-func (s *Minions) start(ctx context.Context, to site.Receiver, f Fault, o site.StartOrder) (clock int64, err error) {
-	err = s.answer(ctx, "start", to, f, func(m *Minion) error {
+func (s *Minions) start(ctx context.Context, to site.Receiver, f Fault, o site.StartOrder) (int64, error) {
+	var clock int64
+	err := s.answer(ctx, "start", to, f, func(m *Minion) error {
 		clock = m.clock(time.Now())
 		if r := m.runs[o.Task]; r != nil && r.no == o.Run {
 			return nil
@@ -492,6 +493,9 @@
 		s.begin(m, o)
 		return nil
 	})
+	if errors.Is(err, site.ErrNoAnswer) {
+		return 0, err // the clock is still to be set by an order that is carried out later
+	}
 	return clock, err
 }
 
@@ -568,8 +572,10 @@
 	return send(ctx, s, "hold", to, func(ctx context.Context, f Fault) (site.PollReport, error) { return s.poll(ctx, to, f, o) })
 }
 
-func (s *Minions) poll(ctx context.Context, to site.Receiver, f Fault, o site.PollRequest) (out site.PollReport, err error) {
+func (s *Minions) poll(ctx context.Context, to site.Receiver, f Fault, o site.PollRequest) (site.PollReport, error) {
 	until := time.Now().Add(o.Wait)
+	var out site.PollReport
+	var err error
 	first := true
 	for {
 		look := func(m *Minion) error {
@@ -586,11 +592,14 @@
 			err = s.carry(to, look)
 		}
 		first = false
+		if errors.Is(err, site.ErrNoAnswer) {
+			return site.PollReport{}, err // the report is still to be set by a poll that is carried out later
+		}
 		if err != nil || len(out.Ended) > 0 || !time.Now().Before(until) {
 			return out, err
 		}
 		if pause(ctx, holdPoll) != nil {
-			return out, errors.WithStack(site.ErrNoAnswer)
+			return site.PollReport{}, errors.WithStack(site.ErrNoAnswer)
 		}
 	}
 }
