coordinator: go on emptying a machine while the task that it is for is stopped

Cause: a leaving minion loses its long-running tasks 1.2 s before it is gone, place or not. While such a task is being stopped it was neither among the tasks to relocate nor among those that wait, so the plan of machines counted no machine as lacking and gave the one that was being emptied back to its service, where it was filled again. Once the run had ended another machine was emptied from the beginning. Change: a task that is being stopped for maintenance or because its minion leaves, and has no reserved place, stays in the plan: a place that becomes free is kept for it, and without one the machine is still lacking. Test: TestMachineIsEmptiedOnWhileItsTaskStops failed before the change (the machine was given back 0.1 s after the stop) and passes with it. Before the change its bound on the wait (6 s) held as well; the check of the log line is what failed.

--- a/internal/coordinator/evacuate.go
+++ b/internal/coordinator/evacuate.go
@@ -119,6 +119,22 @@
 	t.reservedPlaces[task] = to
 }
 
+// stoppingWithoutPlace returns the long-running tasks of a step that are being stopped for
+// maintenance or because their minion leaves, and for whose next run no place is reserved.
+func (t *Term) stoppingWithoutPlace(s *jobs.StepRun) []*jobs.Task {
+	if !s.Spec.LongRunning || !s.Open {
+		return nil
+	}
+	var out []*jobs.Task
+	for _, task := range s.Tasks {
+		planned := task.StopReason == reasonWave || task.StopReason == reasonLeaving
+		if _, reserved := t.reservedPlaces[task]; task.Phase == jobs.Stopping && planned && !reserved {
+			out = append(out, task)
+		}
+	}
+	return out
+}
+
 // reservePlaces subtracts the places of tasks that are being relocated from the minions of a
 // snapshot. Once a task has stopped it is placed like any other waiting task.
 func (t *Term) reservePlaces(minions []schedule.Minion) {
--- a/internal/coordinator/plan.go
+++ b/internal/coordinator/plan.go
@@ -130,19 +130,21 @@
 	return out
 }
 
-// waitingSteps returns the steps of a job with tasks to start or to relocate.
+// waitingSteps returns the steps of a job with tasks to start, to relocate or to find a place for
+// while they stop.
 func (t *Term) waitingSteps(j *jobs.Job, q site.Queue, relocating map[*jobs.StepRun][]*jobs.Task) []schedule.Step {
 	var out []schedule.Step
 	for _, s := range j.Steps {
 		waiting := s.WaitingTasks()
-		if len(waiting) == 0 && len(relocating[s]) == 0 {
+		stopping := t.stoppingWithoutPlace(s)
+		if len(waiting) == 0 && len(relocating[s]) == 0 && len(stopping) == 0 {
 			continue
 		}
 		arrived := j.LearnedAt
 		chain := longestChain(j)
 		out = append(out, schedule.Step{StepRun: s, Service: q.Service, Team: j.Team, Priority: q.Priority, Arrived: arrived,
 			Deadline:      arrived + time.Duration(q.Stretch*float64(chain)) + q.Target,
-			RemainingTime: max(j.Spec.CriticalPath(s.Index), defaultEstimate/10), RemainingWork: j.WorkLeft(), Value: t.jobValue(j, q.Service), Waiting: waiting, Relocating: relocating[s]})
+			RemainingTime: max(j.Spec.CriticalPath(s.Index), defaultEstimate/10), RemainingWork: j.WorkLeft(), Value: t.jobValue(j, q.Service), Waiting: waiting, Relocating: relocating[s], Stopping: stopping})
 	}
 	return out
 }
--- a/internal/coordinator/reclaim_test.go
+++ b/internal/coordinator/reclaim_test.go
@@ -144,3 +144,33 @@
 	s.store.Put(JobKey(id), value)
 	t.JobStored(id, value)
 }
+
+// Guards against a machine that is given back to its service, and filled again, while the task for
+// which it is being emptied is stopped: the minion of the task is gone before the machine is empty.
+func TestMachineIsEmptiedOnWhileItsTaskStops(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBurstSite(t, 2, 5)
+		b.minions.Work = func(task string, _ int) (time.Duration, jobs.End) {
+			if task[0] == 'f' { // a job of the burst
+				return 4*time.Second + time.Duration(fnvOf(task)%4000)*time.Millisecond, jobs.EndDone
+			}
+			return 0, ""
+		}
+		b.minions.Fault = func(op string) fleet.Fault {
+			if op == "stop" {
+				time.Sleep(800 * time.Millisecond)
+			}
+			return fleet.None
+		}
+		b.start()
+		b.submitJob(b.term, "0000000000000001", spreadStep(2))
+		sleep(2 * time.Second)
+		leaving := b.moving.MinionOf("s1")
+		b.minions.Change(leaving, func(m *fleet.Minion) { m.Entry.Leaving, m.Entry.Remaining = true, 4*time.Second })
+		b.list(leaving)
+		longest, without := b.watch(20*time.Second, taskNames("0000000000000001", 2)...)
+		require.Less(t, longest, maxWait, "without a run at the end: %v", without)
+		require.Empty(t, b.log.linesWith("no longer needed"))
+		b.requireNoViolations()
+	})
+}
--- a/internal/schedule/plan.go
+++ b/internal/schedule/plan.go
@@ -38,6 +38,9 @@
 		p.placeStep(sorted[longRunning])
 		longRunning++
 	}
+	for _, st := range sorted[:longRunning] {
+		p.reservePlaces(st, st.Stopping)
+	}
 	for _, st := range sorted[:longRunning] {
 		p.relocateStep(st)
 	}
--- a/internal/schedule/relocate.go
+++ b/internal/schedule/relocate.go
@@ -1,25 +1,36 @@
 package schedule
 
-import "cmp"
+import (
+	"cmp"
 
-// relocateStep finds a place for each long-running task of a step that is to be stopped. The places
-// are on minions that are not being drained themselves.
+	"boragepulley/internal/jobs"
+)
+
+// relocateStep finds a place for each long-running task of a step that is to be stopped.
 func (p *planner) relocateStep(s *Step) {
+	p.plan.Relocate = append(p.plan.Relocate, p.reservePlaces(s, s.Relocating)...)
+}
+
+// reservePlaces reserves a place for the next run of each of the tasks as far as there is one, and
+// holds capacity for the others. The places are on minions that are not being drained themselves.
+func (p *planner) reservePlaces(s *Step, tasks []*jobs.Task) []Assignment {
+	var out []Assignment
 	var targets []*Minion
 	for _, m := range p.byService[s.Service] {
 		if !m.Draining {
 			targets = append(targets, m)
 		}
 	}
-	for i, t := range s.Relocating {
+	for i, t := range tasks {
 		m := choose(targets, s, t)
 		if m == nil {
-			p.holdCapacity(s, len(s.Relocating)-i, targets)
-			return
+			p.holdCapacity(s, len(tasks)-i, targets)
+			break
 		}
 		m.Reserve(s.StepRun)
-		p.plan.Relocate = append(p.plan.Relocate, Assignment{Task: t, Minion: m.ID})
+		out = append(out, Assignment{Task: t, Minion: m.ID})
 	}
+	return out
 }
 
 // waitForPlace leaves n tasks of a step waiting, and holds capacity for long-running ones as far as
--- a/internal/schedule/relocate_test.go
+++ b/internal/schedule/relocate_test.go
@@ -82,3 +82,17 @@
 	require.Len(t, p.Start, 1)
 	require.Empty(t, p.Relocate)
 }
+
+// Guards against a place that is lost while a task which was stopped without one is being stopped:
+// others take it, or the service's lack of a machine is forgotten.
+func TestStoppingTaskKeepsItsPlace(t *testing.T) {
+	stopping := longRunningStep(2000, 0, 0, 1)
+	stopping.Stopping, stopping.Relocating = stopping.Relocating, nil
+	p := NewPlan(&Snapshot{Minions: []Minion{minionWith("b", 2000)}, Steps: []Step{stopping, smallStep(2)}})
+	require.Empty(t, p.Start)
+	require.Empty(t, p.Relocate)
+	full := minionWith("b", 0)
+	full.LongRunning, full.LongRunningUse = 1, jobs.Resources{CPU: 4000}
+	p = NewPlan(&Snapshot{Minions: []Minion{full}, Steps: []Step{stopping}})
+	require.Equal(t, []Unplaced{{stopping.StepRun, 1, ReasonNoMinion}}, p.Unplaced)
+}
--- a/internal/schedule/types.go
+++ b/internal/schedule/types.go
@@ -40,6 +40,9 @@
 	// Relocating lists the running long-running tasks that are to be stopped once there is a place
 	// for their next run.
 	Relocating []*jobs.Task
+	// Stopping lists the long-running tasks that are being stopped without a place for their next
+	// run. They keep what the plan found for them while they ran.
+	Stopping []*jobs.Task
 }
 
 // Minion is a minion that accepts new tasks.
