explain: cancelled jobs, and outages that end with the answer

Evidence: TestCancelledJob and TestOutageEndsWithTheAnswer fail on the code before. Change: a cancelled job says so; the answering entry VM's loss is judged at the time when the request came. Measured: the tests pass.

--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -17,7 +17,7 @@
 		b.cause("it reached no entry VM of these logs, or the process ended before it decided; the starts of processes are listed")
 		return
 	}
-	var accepted, last, ended *Line
+	var accepted, last, ended, cancelled *Line
 	for i := range b.own {
 		l := &b.own[i]
 		switch {
@@ -28,12 +28,18 @@
 			last = l
 		case l.has("job ended"):
 			ended = l
+		case l.has("job cancelled"):
+			cancelled = l
 		}
 	}
 	started := slices.ContainsFunc(b.own, func(l Line) bool { return isStart(&l) })
 	switch {
 	case ended != nil:
 		b.Outcome = fmt.Sprintf("%s %.0f ms after it was accepted", ended.text("state"), ended.number("after"))
+	case cancelled != nil && accepted != nil:
+		b.Outcome = fmt.Sprintf("cancelled %.0f ms after it was accepted", ms(cancelled.Time.Sub(accepted.Time)))
+	case cancelled != nil:
+		b.Outcome = "cancelled"
 	case accepted != nil || started:
 		b.Outcome = "accepted; these logs have no end of it"
 	case last != nil:
@@ -87,6 +93,8 @@
 // storeOutage tells since when, and for which entry VMs, the store did not answer.
 func (b *builder) storeOutage(at *Line) string {
 	lost, since, vms := map[string]bool{}, time.Time{}, map[string]bool{}
+	// The line was written after the request had waited; the store may have come back with its answer.
+	asked := at.Time.Add(-time.Duration(at.number("took") * float64(time.Millisecond)))
 	for i := range b.all {
 		l := &b.all[i]
 		vms[l.VM] = true
@@ -99,7 +107,10 @@
 				since = l.Time
 			}
 			lost[l.VM] = true
-		case regained && !l.Time.After(at.Time):
+		case regained && l.VM == at.VM && !l.Time.After(asked):
+			delete(lost, l.VM)
+			since = time.Time{}
+		case regained && l.VM != at.VM && !l.Time.After(at.Time):
 			delete(lost, l.VM)
 		}
 	}
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -69,6 +69,25 @@
 	require.NotContains(t, strings.Join(s.Causes, "\n"), "was started twice")
 }
 
+// Guards against a cancelled job that looks as if it had been forgotten.
+func TestCancelledJob(t *testing.T) {
+	cancelled := `5.5 b {"part":"coordinator","epoch":1,"job":"00000000000000bb","running":1,"time":5500,"message":"Coordinator: job cancelled."}`
+	s := tell(t, "00000000000000bb", accepted, started, cancelled, otherStarted)
+	require.Equal(t, "cancelled 2500 ms after it was accepted", s.Outcome)
+}
+
+// Guards against a loss of the store that is denied because it was over when the answer was logged, or
+// that is dated by an earlier one.
+func TestOutageEndsWithTheAnswer(t *testing.T) {
+	back := `1.9 a {"part":"store","time":1900,"message":"platform answers again; circuit breaker closed"}`
+	lostAgain := `1.95 a {"part":"store","time":1950,"message":"platform does not answer; circuit breaker opened"}`
+	slow := strings.Replace(rejected, `"age":900.5`, `"took":200`, 1)
+	s := tell(t, "r1", storeLost, back, slow, otherStarted)
+	require.Contains(t, s.Causes[0], "1 of 2 entry VMs had lost it (a)")
+	s = tell(t, "r1", storeLost, back, lostAgain, rejected, otherStarted)
+	require.Contains(t, s.Causes[0], "a lost it at 00:00:01.950")
+}
+
 // Guards against a takeover that is taken for a fault: the successor tells that it knows the earlier runs,
 // or the first start was never sent.
 func TestStartsOfTwoEpochs(t *testing.T) {
