prove: one place for an outage of the store that records wait for

Cause: two scenarios of the account had the same six lines. Change: awaitUnstoredRecords; no scenario plays other than before. Not measured: the scenarios run in the test command.

--- a/bench/prove/records.go
+++ b/bench/prove/records.go
@@ -30,12 +30,9 @@
 func recordsCopied(ctx context.Context, e *Env) error {
 	stop := e.Load(ctx, defaultMix())
 	defer stop()
-	e.Wait(ctx, 2*time.Second)
-	e.Say("The store is down.")
-	if err := e.PlatformFaults(platform.Faults{Outage: platform.OutageRefuse}); err != nil {
+	if err := e.awaitUnstoredRecords(ctx); err != nil {
 		return err
 	}
-	e.Wait(ctx, 6*time.Second)
 	n := e.pickEntries(1)[0]
 	killed := time.Now()
 	e.KillEntry(n)
@@ -62,12 +59,9 @@
 func dataCentreKilledStoreDown(ctx context.Context, e *Env) error {
 	stop := e.Load(ctx, defaultMix())
 	defer stop()
-	e.Wait(ctx, 2*time.Second)
-	e.Say("The store is down.")
-	if err := e.PlatformFaults(platform.Faults{Outage: platform.OutageRefuse}); err != nil {
+	if err := e.awaitUnstoredRecords(ctx); err != nil {
 		return err
 	}
-	e.Wait(ctx, 6*time.Second)
 	return e.killDataCentre(ctx, stop)
 }
 
@@ -95,6 +89,17 @@
 	return nil
 }
 
+// awaitUnstoredRecords ends the writes to the store and waits until records have piled up.
+func (e *Env) awaitUnstoredRecords(ctx context.Context) error {
+	e.Wait(ctx, 2*time.Second)
+	e.Say("The store is down.")
+	if err := e.PlatformFaults(platform.Faults{Outage: platform.OutageRefuse}); err != nil {
+		return err
+	}
+	e.Wait(ctx, 6*time.Second)
+	return nil
+}
+
 // judgeCopies reads the report until the peer has stored its copies, which waits for its
 // circuit breaker and its next round, at most for settleWithin.
 func (e *Env) judgeCopies(ctx context.Context, n model.EntryVM, killed time.Time) error {
