boragepulleyd: signals are handled before the settings are read

A SIGHUP in that time would have ended the process, and nothing would have started it again. Cause: runSite installed its handlers after it had read the settings and opened the log, so until then the default action of the signals held. Evidence: TestSignalsWhileStarting lets the daemon wait for its settings: "signal: hangup" before the change, three of three passed with the race detector since. Remains: the time before main runs, in which no process of this kind can handle a signal.

--- a/cmd/boragepulleyd/main.go
+++ b/cmd/boragepulleyd/main.go
@@ -30,6 +30,10 @@
 
 // runSite runs an entry VM on the users' platform. Its log lines go to standard output.
 func runSite(c cli) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
 	set, err := settings.LoadSite(c.Settings)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -45,10 +49,6 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 2
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
 	go func() {
 		for range hup {
 			log.Info().Msg("Daemon: SIGHUP; settings are read at start only, nothing was reloaded.")
