--- a/internal/coordinator/harness_test.go
+++ b/internal/coordinator/harness_test.go
@@ -152,7 +152,12 @@
 
 // submitTo is submitJob for a queue and its service.
 func (s *testSite) submitTo(t *Term, queue model.Queue, svc model.Service, id jobs.ID, steps ...jobs.Step) {
-	a := jobs.Accepted{ID: id, Queue: queue, Service: svc, Team: testTeam, AcceptedAt: time.Now(), Spec: jobs.Spec{Payload: "p", Steps: steps}}
+	s.submitTeam(t, testTeam, queue, svc, id, steps...)
+}
+
+// submitTeam is submitTo for a team.
+func (s *testSite) submitTeam(t *Term, team model.Team, queue model.Queue, svc model.Service, id jobs.ID, steps ...jobs.Step) {
+	a := jobs.Accepted{ID: id, Queue: queue, Service: svc, Team: team, AcceptedAt: time.Now(), Spec: jobs.Spec{Payload: "p", Steps: steps}}
 	value, err := json.Marshal(a)
 	require.NoError(s.t, err)
 	s.store.Put(JobKey(id), value)
--- a/internal/coordinator/reclaim_test.go
+++ b/internal/coordinator/reclaim_test.go
@@ -1,7 +1,6 @@
 package coordinator
 
 import (
-	"encoding/json"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -138,9 +137,5 @@
 
 // submitAs is submitJob for a team.
 func (s *testSite) submitAs(t *Term, team model.Team, id jobs.ID, steps ...jobs.Step) {
-	a := jobs.Accepted{ID: id, Queue: testQueue, Service: testService, Team: team, AcceptedAt: time.Now(), Spec: jobs.Spec{Payload: "p", Steps: steps}}
-	value, err := json.Marshal(a)
-	require.NoError(s.t, err)
-	s.store.Put(JobKey(id), value)
-	t.JobStored(id, value)
+	s.submitTeam(t, team, testQueue, testService, id, steps...)
 }
--- a/standins/fleet/minions.go
+++ b/standins/fleet/minions.go
@@ -295,6 +295,33 @@
 	return out
 }
 
+// State is what a minion is and runs.
+type State struct {
+	Entry site.MinionEntry
+	// Reachable minions answer.
+	Reachable bool
+	Running   []string
+}
+
+// States returns the states of all minions that are not down, in no order.
+func (s *Minions) States() []State {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []State
+	for _, m := range s.all {
+		if m.Down {
+			continue
+		}
+		s.settle(m)
+		x := State{Entry: m.Entry, Reachable: !m.Cut}
+		for task := range m.runs {
+			x.Running = append(x.Running, task)
+		}
+		out = append(out, x)
+	}
+	return out
+}
+
 func (m *Minion) clock(at time.Time) int64 { return at.Sub(m.born).Milliseconds() }
 
 // settle ends the runs whose time or lease is over.
