sitefaults: a process that can not handle a signal yet has no callers

Before main runs no program handles a signal, and nothing listens, so no request can be cut off. Change: an end by SIGTERM itself is accepted only of a process to which callers could not connect just before the signal; one that listened has to shut down within grace_s as before. SIGHUP is sent once the process listens.

--- a/bench/sitefaults/entries.go
+++ b/bench/sitefaults/entries.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -70,6 +71,16 @@
 	return nil
 }
 
+// listens reports whether callers can connect.
+func (e *entryVM) listens() bool {
+	conn, err := net.DialTimeout("tcp", e.caller, callerDeadline)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
 func (e *entryVM) startedAt() time.Time {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/bench/sitefaults/faults.go
+++ b/bench/sitefaults/faults.go
@@ -4,10 +4,14 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"os/exec"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"boragepulley/standins/faultproxy"
 )
 
@@ -277,6 +281,8 @@
 	e.faulty.Lock()
 	defer e.faulty.Unlock()
 	r.platform.Note("FAULT-BEGINS %v, entry VM %s", f, e.name)
+	for !e.listens() && sleep(ctx, tickEvery) { // a process can not handle a signal before main runs
+	}
 	for range hangUps {
 		if err := e.process().HangUp(); err != nil {
 			r.check.report("harness: %v", err)
@@ -295,9 +301,11 @@
 
 // terminate stops an entry VM as the platform does and starts it again.
 func (r *run) terminate(ctx context.Context, e *entryVM) {
-	p, began := e.process(), time.Now()
+	p, began, listened := e.process(), time.Now(), e.listens()
 	r.wg.Go(func() { r.callers.holdConnections(ctx, e, p) })
-	if err := p.Terminate(termGrace); err != nil && !r.check.stalledSince(began) {
+	err := p.Terminate(termGrace)
+	// A process can not handle a signal before main runs; it has no callers then.
+	if early := !listened && endedBy(err, syscall.SIGTERM); err != nil && !early && !r.check.stalledSince(began) {
 		r.check.report("shutdown of %s: %v", e.name, err)
 	}
 	if p.Running() {
@@ -306,6 +314,16 @@
 	r.restart(e)
 }
 
+// endedBy reports whether a signal ended the process that err is about.
+func endedBy(err error, s syscall.Signal) bool {
+	var exit *exec.ExitError
+	if !errors.As(err, &exit) {
+		return false
+	}
+	status, ok := exit.Sys().(syscall.WaitStatus)
+	return ok && status.Signaled() && status.Signal() == s
+}
+
 // storeFault injects a fault of the store.
 func (r *run) storeFault(ctx context.Context, f fault) {
 	hit := r.entries
