coordinator: a reserved place stays reserved until the plan after the task's stop

Cause: a place counted as reserved only while its task was being stopped. Waves are advanced before the scheduling run that places the task, so one that was due in the moment after the stop drained the machine of the place, and the task waited for the maintenance to end. Change: the place counts until that scheduling run, which removes the reservation.

--- a/internal/coordinator/evacuate.go
+++ b/internal/coordinator/evacuate.go
@@ -153,10 +153,11 @@
 	}
 }
 
-// hasReservedPlace reports whether a minion is to run a task that is being relocated.
+// hasReservedPlace reports whether a minion is to run a task that is being relocated. The place stays
+// reserved until the plan that follows the end of the task's run.
 func (t *Term) hasReservedPlace(id jobs.Minion) bool {
 	for task, to := range t.reservedPlaces {
-		if to == id && task.Phase == jobs.Stopping {
+		if to == id && (task.Phase == jobs.Stopping || task.Phase == jobs.Waiting) {
 			return true
 		}
 	}
