--- a/bench/prove/config.go
+++ b/bench/prove/config.go
@@ -10,6 +10,7 @@
 
 	"boragepulley/bench/cluster"
 	"boragepulley/internal/model"
+	"boragepulley/internal/operator"
 	"boragepulley/standins/faultproxy"
 	"boragepulley/standins/platform"
 )
@@ -292,6 +293,9 @@
 	for i := range burstLength {
 		through := e.Entries()[i%len(e.Entries())]
 		x := a.apply(ctx, "operator-1", base, a.distinct(nil), through)
+		for errors.Is(x.err, operator.ErrNotApplied) && time.Since(start) < settleWithin {
+			x = a.apply(ctx, "operator-1", base, a.distinct(nil), through) // as an operator does after this answer
+		}
 		if x.err != nil {
 			return errors.Wrapf(x.err, "prove: apply %d of the burst", i+1)
 		}
