capacity: a machine that takes long to empty is not released for a later one

What was seen: in the whole test run TestMachineIsEmptiedOnWhileItsTaskStops failed: with tasks of 4 to 8 s machines were emptied for another service for 2 s each and given back, over and over, and the long-running task never got one. Cause: once emptying takes 2 s another machine is emptied as well. The plan went through the machines that are being emptied in no particular order, so the later one could count as enough, and the earlier one was released. Change: empty machines come first, then those that take long, then the others.

--- a/internal/capacity/reclaim.go
+++ b/internal/capacity/reclaim.go
@@ -1,14 +1,16 @@
 package capacity
 
-import "boragepulley/internal/model"
+import (
+	"cmp"
+	"slices"
+
+	"boragepulley/internal/model"
+)
 
 // finishReclaims moves machines that have been emptied for a service, counts those that are being
 // emptied, and releases those that the service no longer needs.
 func (p *Plan) finishReclaims(all []Machine, byName map[model.Service]*serviceState) {
-	for _, m := range all {
-		if m.ReclaimedFor == "" {
-			continue
-		}
+	for _, m := range reclaimedMachines(all) {
 		st := byName[m.ReclaimedFor]
 		switch {
 		case st == nil || !m.Usable || st.lacking(st.Stranded) == 0:
@@ -25,6 +27,30 @@
 	}
 }
 
+// reclaimedMachines returns the machines that are being emptied: first those that are empty, which make
+// others unnecessary, then those that take long, which must not be released for a later one.
+func reclaimedMachines(all []Machine) []Machine {
+	var out []Machine
+	for _, m := range all {
+		if m.ReclaimedFor != "" {
+			out = append(out, m)
+		}
+	}
+	rank := func(m Machine) int {
+		switch {
+		case m.Movable:
+			return 0
+		case m.ReclaimOverdue:
+			return 1
+		}
+		return 2
+	}
+	slices.SortFunc(out, func(a, b Machine) int {
+		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a.Name, b.Name))
+	})
+	return out
+}
+
 // reclaim chooses machines of other services to empty for a service whose long-running tasks have no
 // place. While another service has a burst, none of its machines is ever empty: each is filled again
 // as soon as a task ends. Its work only gets later; a long-running task has no other place.
--- a/internal/capacity/reclaim_test.go
+++ b/internal/capacity/reclaim_test.go
@@ -101,3 +101,23 @@
 	p = NewPlan(Snapshot{Standby: "off", Machines: hot, Services: overloaded(1)})
 	require.Empty(t, p.Reclaim, "no service is left with fewer machines than are emptied")
 }
+
+// Guards against a machine that is released because another one is being emptied as well, or moved
+// late because one that is not empty comes first: with tasks of more than the time after which
+// another one is emptied, none would ever be empty.
+func TestMachineThatTakesLongIsEmptiedOn(t *testing.T) {
+	hot := busyMachines("hot", 5)
+	for i := range hot[:3] {
+		hot[i].ReclaimedFor, hot[i].Reclaimable = "lasting", false
+	}
+	hot[1].ReclaimOverdue = true
+	hot[2].ReclaimOverdue = true
+	p := NewPlan(Snapshot{Standby: "off", Machines: hot, Services: overloaded(1)})
+	require.Empty(t, p.Release)
+	require.Empty(t, p.Reclaim)
+
+	hot[2].Movable, hot[2].Tasks = true, 0
+	p = NewPlan(Snapshot{Standby: "off", Machines: hot, Services: overloaded(1)})
+	require.Equal(t, []Move{{Machine: "hot-2", To: "lasting"}}, p.Moves)
+	require.ElementsMatch(t, []model.VM{"hot-0", "hot-1"}, p.Release)
+}
