coordinator: no use of results that a late call assigns; a late cancellation is no refusal

Callers saw: a cancellation that a busy coordinator carried out after its caller had given up could be refused with 503, as if nothing had been done, when the store was away as well. State and Cancel also read variables that the term assigned later, a data race. Cause: Term.do returned when the context ended, while its function could still run; JobStop answered 'does not coordinate' for any error before the cancellation was known to have begun. Change: ask returns results through a channel; JobStop passes on every error but ErrNotCoordinating.

--- a/internal/coordinator/api.go
+++ b/internal/coordinator/api.go
@@ -17,50 +17,52 @@
 
 // State returns a job's state as callers may see it. ok is false for an unknown job.
 func (t *Term) State(ctx context.Context, id jobs.ID) (s jobs.State, ok bool, err error) {
-	loaded := false
-	err = t.do(ctx, func() {
-		loaded = t.loaded
+	type answer struct {
+		loaded, known bool
+		state         jobs.State
+	}
+	a, err := ask(ctx, t, func() answer {
 		if j := t.registry.Get(id); j != nil {
-			s, ok = j.VisibleState(), true
+			return answer{t.loaded, true, j.VisibleState()}
 		}
+		return answer{loaded: t.loaded}
 	})
-	if err == nil && !loaded {
+	if err == nil && !a.loaded {
 		err = ErrNotCoordinating
 	}
-	return s, ok, err
+	return a.state, a.known, err
 }
 
 // Cancel cancels a job and returns once the cancellation is stored. ok is false for an unknown job.
+// Errors: ErrNotCoordinating with ok false means that nothing was done; after any other one, or with
+// ok true, the job may be cancelled.
 func (t *Term) Cancel(ctx context.Context, id jobs.ID) (ok bool, err error) {
-	done := make(chan struct{})
-	loaded := false
-	err = t.do(ctx, func() {
-		if loaded = t.loaded; !loaded {
-			return
-		}
+	stored := make(chan struct{})
+	type answer struct{ loaded, known bool }
+	a, err := ask(ctx, t, func() answer {
 		j := t.registry.Get(id)
-		if j == nil {
-			return
+		if !t.loaded || j == nil {
+			return answer{loaded: t.loaded}
 		}
-		ok = true
 		t.cancel(j)
 		if !j.Unsaved() {
-			close(done)
-			return
+			close(stored)
+		} else {
+			t.writer.urgent = true
+			t.writer.waiters[id] = append(t.writer.waiters[id], func() { close(stored) })
 		}
-		t.writer.urgent = true
-		t.writer.waiters[id] = append(t.writer.waiters[id], func() { close(done) })
+		return answer{true, true}
 	})
 	switch {
 	case err != nil:
-		return ok, err
-	case !loaded:
+		return false, err
+	case !a.loaded:
 		return false, ErrNotCoordinating
-	case !ok:
+	case !a.known:
 		return false, nil
 	}
 	select {
-	case <-done:
+	case <-stored:
 		return true, nil
 	case <-ctx.Done():
 		return true, ctx.Err()
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -214,17 +214,26 @@
 	}
 }
 
-// do runs f on the term's goroutine and waits for it.
+// do runs f on the term's goroutine and waits for it. If it returns an error, f may still be running
+// or run later, so the caller must not use what f assigns; see ask.
 func (t *Term) do(ctx context.Context, f func()) error {
-	done := make(chan struct{})
-	t.post(func() { f(); close(done) })
+	_, err := ask(ctx, t, func() struct{} { f(); return struct{}{} })
+	return err
+}
+
+// ask runs f on the term's goroutine and returns its result. Errors: that of ctx, and then f may
+// still run later; ErrNotCoordinating if the term is over.
+func ask[R any](ctx context.Context, t *Term, f func() R) (R, error) {
+	var none R
+	done := make(chan R, 1)
+	t.post(func() { done <- f() })
 	select {
-	case <-done:
-		return nil
+	case r := <-done:
+		return r, nil
 	case <-ctx.Done():
-		return ctx.Err()
+		return none, ctx.Err()
 	case <-t.ctx.Done():
-		return ErrNotCoordinating
+		return none, ErrNotCoordinating
 	}
 }
 
--- a/internal/entry/attempts_test.go
+++ b/internal/entry/attempts_test.go
@@ -106,6 +106,33 @@
 	})
 }
 
+// Guards against a refusal of a cancellation that a busy coordinator carries out after its caller
+// has given up.
+func TestLateCancelIsNoRefusal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tc := newTestCluster(t, 3)
+		defer tc.stop()
+		tc.minions.SetWork(func(string, int) (time.Duration, jobs.End) { return time.Minute, jobs.EndDone })
+		time.Sleep(4 * time.Second)
+		n := tc.otherThan(tc.coordinator())
+		require.NoError(t, n.Submit(context.Background(), newJob(id1)).Err)
+		time.Sleep(500 * time.Millisecond)
+		tc.store.Put("servers/"+slowMinion, tc.minions.EntryRow("m"))
+		time.Sleep(50 * time.Millisecond)
+		for name := range tc.nodes {
+			tc.setFaults(name, false, refuseAll)
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		defer cancel()
+		require.ErrorIs(t, n.Cancel(ctx, id1).Err, site.ErrOutcomeUnknown)
+		for name := range tc.nodes {
+			tc.setFaults(name, false, nil)
+		}
+		time.Sleep(slowDecoding)
+		require.Equal(t, jobs.StateCancelled, tc.nodes[tc.coordinator()].State(context.Background(), id1).State, "it was cancelled")
+	})
+}
+
 // Guards against attempts that are forgotten too early or never.
 func TestAttemptsAreRememberedForAWhile(t *testing.T) {
 	var a attempts
--- a/internal/entry/node_test.go
+++ b/internal/entry/node_test.go
@@ -83,6 +83,12 @@
 	return tc
 }
 
+// slowMinion is the id of a minion whose entry keeps a coordinator busy for slowDecoding.
+const (
+	slowMinion   = "slow"
+	slowDecoding = 1500 * time.Millisecond
+)
+
 // panicVersion is the version of a configuration on which the decoder of these tests panics.
 const panicVersion = 666
 
@@ -105,7 +111,12 @@
 	n := New(Deps{
 		Self: peer.Sender{Entry: model.EntryVM(name), DC: cmp.Or(tc.dcs[name], "dc"), Incarnation: model.NewIncarnation()}, PeerAddr: name, Cores: tc.cores[name], Table: view, Feed: view,
 		Fleet: fencing.NewFleet(tc.minions, &fleet.Machines{}),
-		Codec: coordinator.Codec{Minion: func(_ string, v []byte) (e site.MinionEntry, err error) { return e, json.Unmarshal(v, &e) }},
+		Codec: coordinator.Codec{Minion: func(id string, v []byte) (e site.MinionEntry, err error) {
+			if id == slowMinion {
+				time.Sleep(slowDecoding)
+			}
+			return e, json.Unmarshal(v, &e)
+		}},
 		DecodeConfig: func(v []byte) (*site.Config, error) {
 			var c site.Config
 			if err := json.Unmarshal(v, &c); err != nil {
@@ -177,6 +188,9 @@
 		<-ctx.Done()
 		return none, errors.Wrap(peer.ErrNoAnswer, "answer lost")
 	}
+	if err != nil && ctx.Err() != nil {
+		return none, errors.Wrap(peer.ErrNoAnswer, err.Error())
+	}
 	return r, err
 }
 
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -118,8 +118,8 @@
 	}
 	ok, err := t.Cancel(ctx, jobs.ID(m.Job))
 	switch {
-	case err != nil && ok:
-		return nil, err // the job was cancelled, but that is not stored yet
+	case mayBeCancelled(ok, err):
+		return nil, err // an answer would say that nothing was done
 	case err != nil:
 		return &peer.JobReply{}, nil
 	}
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -206,14 +206,13 @@
 }
 
 // cancelAtCoordinator asks the coordinator to cancel a job. done is set if the cancellation is stored,
-// mayBeDone if the
-// coordinator did not answer, or had not stored it in time.
+// mayBeDone if the coordinator did not answer, or had not stored it in time.
 func (n *Node) cancelAtCoordinator(ctx context.Context, id jobs.ID) (done, mayBeDone bool) {
 	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
 	defer cancel()
 	if t := n.term.Load(); t != nil {
 		ok, err := t.Cancel(ctx, id)
-		return ok && err == nil, err != nil && (ok || !errors.Is(err, coordinator.ErrNotCoordinating))
+		return ok && err == nil, mayBeCancelled(ok, err)
 	}
 	view := n.coordinator.Load()
 	if view == nil || n.coordinatorSilent(n.deps.Now()) {
@@ -226,6 +225,11 @@
 	return r.Coordinates && r.Known, false
 }
 
+// mayBeCancelled reports whether a job may be cancelled although Term.Cancel returned an error.
+func mayBeCancelled(ok bool, err error) bool {
+	return err != nil && (ok || !errors.Is(err, coordinator.ErrNotCoordinating))
+}
+
 // Pending returns how many accepted jobs of a queue have not started, and false if no recent count
 // is known.
 func (n *Node) Pending(_ context.Context, q model.Queue) (int, bool) {
