sitestatus: live status of entry VMs and jobs on the users' platform

Cause: on this path nothing but logs told who coordinates under which token, how old its view of minions is, and why a task waits.

--- a/cmd/boragepulley/commands.go
+++ b/cmd/boragepulley/commands.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"boragepulley/internal/config"
+	"boragepulley/internal/jobs"
 	"boragepulley/internal/model"
 	"boragepulley/internal/operator"
 )
@@ -191,9 +192,14 @@
 	}
 }
 
-type statusCmd struct{}
+type statusCmd struct {
+	Entry []string `help:"Metrics address HOST:PORT of an entry VM on the users' platform; repeat it to ask several. No token is needed." placeholder:"HOST:PORT"`
+}
 
-func (*statusCmd) Run(a *app) error {
+func (c *statusCmd) Run(a *app) error {
+	if len(c.Entry) > 0 {
+		return siteStatus(a, c.Entry)
+	}
 	cl, err := a.client()
 	if err != nil {
 		return err
@@ -230,11 +236,18 @@
 }
 
 type explainCmd struct {
-	Job  string   `arg:"" help:"Job id, as answers show it in X-Job-Id. With logs, also the Request-Id of a caller."`
-	Logs []string `arg:"" optional:"" help:"Files with the log lines of entry VMs, in any order; - is standard input. Without them, a server is asked." placeholder:"LOG"`
+	Job   string   `arg:"" help:"Job id, as answers show it in X-Job-Id. With logs, also the Request-Id of a caller."`
+	Logs  []string `arg:"" optional:"" help:"Files with the log lines of entry VMs, in any order; - is standard input. Without them, a server is asked." placeholder:"LOG"`
+	Entry []string `help:"Metrics address HOST:PORT of an entry VM on the users' platform; repeat it to ask several. Shows what the coordinator knows of the job now." placeholder:"HOST:PORT"`
 }
 
 func (c *explainCmd) Run(a *app) error {
+	if len(c.Entry) > 0 && len(c.Logs) > 0 {
+		return usageError{errors.New("--entry asks the live system and can not be combined with logs")}
+	}
+	if len(c.Entry) > 0 {
+		return siteJob(a, c.Entry, jobs.ID(c.Job))
+	}
 	if len(c.Logs) > 0 {
 		return c.fromLogs(a)
 	}
--- a/cmd/boragepulley/main.go
+++ b/cmd/boragepulley/main.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"boragepulley/internal/operator"
+	"boragepulley/internal/sitestatus"
 )
 
 // exitCode is the exit status of the tool.
@@ -128,7 +129,7 @@
 		return status.code
 	case errors.Is(err, operator.ErrOutcomeUnknown):
 		return exitUnknown
-	case errors.Is(err, operator.ErrUnreachable):
+	case errors.Is(err, operator.ErrUnreachable), errors.Is(err, sitestatus.ErrUnreachable):
 		return exitUnreachable
 	case errors.As(err, &p) && p.Type == operator.TypeConflict:
 		return exitConflict
--- a/internal/daemon/site.go
+++ b/internal/daemon/site.go
@@ -21,6 +21,7 @@
 	"boragepulley/internal/peer"
 	client "boragepulley/internal/platform"
 	"boragepulley/internal/settings"
+	"boragepulley/internal/sitestatus"
 	"boragepulley/platform"
 )
 
@@ -95,7 +96,7 @@
 	})
 	s.callers = &http.Server{Handler: platform.CallerHandler(s.node, logging.Part(log, "caller")), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle}
 	s.ready = &http.Server{Handler: platform.ReadinessHandler(s.node), ReadHeaderTimeout: headerTimeout}
-	s.metrics = &http.Server{Handler: expvar.Handler(), ReadHeaderTimeout: headerTimeout}
+	s.metrics = &http.Server{Handler: sitestatus.Handler(s.node, expvar.Handler()), ReadHeaderTimeout: headerTimeout}
 	s.peers = peer.NewSiteServer(s.node.Handler(), logging.Part(log, "peer"))
 	return s, s.listen()
 }
