coordinator: an end that a minion does not list yet is not a lost run

A minion lists at most 500 ends at a time, the oldest first, and the next ones once these are acknowledged. While the store is away or slow nothing is acknowledged.

A report now tells that further ends may follow. Such a minion's short runs that are not listed are left as they are, and after a takeover the minion counts as known only once it has listed all. Long-running tasks are requeued as before: they never end as done.

The stand-in lists 500 ends at a time, as the platform does; it listed all of them, so no soak could see this.

--- a/internal/coordinator/polls.go
+++ b/internal/coordinator/polls.go
@@ -148,7 +148,8 @@
 	m.ObserveClock(r.Clock, at)
 	t.reconcile(m, sent, r)
 	t.rejectStaleStarts(m)
-	m.Polled = true
+	// A task whose end as done is not listed yet must not start again.
+	m.Polled = m.Polled || !r.MoreEnds
 	t.needsPlan = true
 	m.NextPoll = t.now + t.pollGap
 	if len(m.Tasks) > 0 && answersAgain {
--- a/internal/coordinator/reports.go
+++ b/internal/coordinator/reports.go
@@ -22,7 +22,7 @@
 	}
 	for x := range m.Tasks {
 		if !seen[x] {
-			t.runUnlisted(x, sent)
+			t.runUnlisted(x, sent, r.MoreEnds)
 		}
 	}
 }
@@ -129,9 +129,11 @@
 		})
 }
 
-// runUnlisted handles a task that its minion reports neither as running nor as ended.
-func (t *Term) runUnlisted(task *jobs.Task, sent time.Duration) {
+// runUnlisted handles a task that its minion reports neither as running nor as ended. If the minion
+// has more ends than it lists, the run may have ended as done, which a long-running one never does.
+func (t *Term) runUnlisted(task *jobs.Task, sent time.Duration, moreEnds bool) {
 	switch {
+	case moreEnds && !task.Step.Spec.LongRunning:
 	case task.Phase == jobs.Running && task.PhaseSince < sent:
 		t.log.Warn().Str("task", task.Name()).Int("run", task.Run).Str("minion", string(task.Minion)).Msg("Coordinator: run is gone.")
 		t.requeue(task)
--- a/internal/holding/holding.go
+++ b/internal/holding/holding.go
@@ -36,8 +36,8 @@
 	Listed bool
 	// Recorded is set once the minion is stored, so that a new coordinator knows of it.
 	Recorded bool
-	// Polled is set once this coordinator knows what runs on the minion: the minion listed it in a
-	// poll reply, or all its leases expired.
+	// Polled is set once this coordinator knows what runs on the minion and what has ended there: the
+	// minion listed all of it in a poll reply, or all its leases expired.
 	Polled bool
 	// RunsExpireAt is when the leases of all runs have expired, including those of runs that this
 	// coordinator does not know of.
--- a/internal/site/fleet.go
+++ b/internal/site/fleet.go
@@ -171,6 +171,8 @@
 	Incarnation int64
 	Running     []RunReport
 	Ended       []EndReport
+	// MoreEnds is set if the minion may have further ends, which it lists once these are acknowledged.
+	MoreEnds bool
 }
 
 // Minions sends orders to minions. Errors: ErrNotSent, ErrNoAnswer, ErrOtherIncarnation, ErrBusy,
--- a/standins/fleet/minions.go
+++ b/standins/fleet/minions.go
@@ -18,6 +18,9 @@
 // maxHold is the longest lease that a minion grants.
 const maxHold = 6 * time.Second
 
+// maxListedEnds is the most ends that a minion lists at a time; the oldest come first.
+const maxListedEnds = 500
+
 // run is one run of a task on a minion.
 type run struct {
 	task  string
@@ -640,7 +643,8 @@
 }
 
 func (m *Minion) report() site.PollReport {
-	out := site.PollReport{Clock: m.clock(time.Now()), Incarnation: m.Entry.Incarnation, Ended: append([]site.EndReport(nil), m.ended...)}
+	listed := m.ended[:min(len(m.ended), maxListedEnds)]
+	out := site.PollReport{Clock: m.clock(time.Now()), Incarnation: m.Entry.Incarnation, Ended: append([]site.EndReport(nil), listed...), MoreEnds: len(listed) == maxListedEnds}
 	for _, r := range m.runs {
 		out.Running = append(out.Running, site.RunReport{Task: r.task, Run: r.no, Percent: 100})
 	}
