coordinator: a task does not return to a minion that rejects each start

A minion that is not healthy answers a start with 429 or 503. It then counted as suspect and was chosen last, but before the minions on which the task had failed. A task that had failed on all others was started on it again after each rejection, many times a second, and never ran for as long as the minion was unhealthy.

From three rejected starts in a row on, and for as long as the minion counts as suspect, it comes after all others. It is tried again once that time is over.

Before: TestTaskDoesNotReturnToAMinionThatRejectsIt, a long-running task without a run for 9.98 s, which is the whole test, beside two minions with free capacity. Now it passes.

--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -24,6 +24,9 @@
 	noCapacityPause = 150 * time.Millisecond
 	// suspectDuration is how long a minion that refused or lost an order is chosen last.
 	suspectDuration = time.Second
+	// rejectingAfter is how many starts a minion must have rejected one after another for tasks to go to
+	// minions on which they failed before instead.
+	rejectingAfter = 3
 )
 
 // Reasons of stop orders, for logs.
@@ -132,6 +135,7 @@
 		m.ObserveClock(clock, at)
 	}
 	if err == nil {
+		m.RejectedStarts = 0
 		t.registry.Started(task, t.now)
 		delete(t.pendingStarts, task)
 		m.NextPoll = min(m.NextPoll, t.now+t.pollGap)
@@ -173,6 +177,7 @@
 		m.FailedPolls, m.NextPoll = max(m.FailedPolls, 1), t.now
 	default:
 		m.AvoidUntil = t.now + suspectDuration
+		m.RejectedStarts++
 	}
 	counters.Add("starts_refused", 1)
 	t.log.Info().Err(err).Str("task", task.Name()).Int("run", task.Run).Str("minion", string(m.ID)).Msg("Coordinator: start refused.")
--- a/internal/coordinator/plan.go
+++ b/internal/coordinator/plan.go
@@ -115,7 +115,7 @@
 
 func minionSnapshot(m *holding.Minion, now time.Duration, perStep map[jobs.Minion]map[*jobs.StepRun]int) schedule.Minion {
 	out := schedule.Minion{ID: m.ID, Service: m.Service, Kind: m.Kind, Rack: m.Rack, Free: m.Capacity.Sub(m.Used).Sub(m.Orphaned), Capacity: m.Capacity,
-		Suspect: now < m.AvoidUntil, Draining: m.Draining, TasksPerStep: perStep[m.ID]}
+		Suspect: now < m.AvoidUntil, Rejecting: now < m.AvoidUntil && m.RejectedStarts >= rejectingAfter, Draining: m.Draining, TasksPerStep: perStep[m.ID]}
 	for task := range m.Tasks {
 		if task.Step.Spec.TailTarget > 0 {
 			out.Serving++
--- /dev/null
+++ b/internal/coordinator/unhealthy_test.go
@@ -0,0 +1,36 @@
+package coordinator
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"boragepulley/internal/jobs"
+	"boragepulley/internal/site"
+)
+
+// Guards against a task that is started over and over on a minion that rejects it, because it has
+// failed on all the others before.
+func TestTaskDoesNotReturnToAMinionThatRejectsIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ts, term := startLongRunning(t, 3, 1)
+		var unhealthy atomic.Bool
+		ts.minions.Refuse = func(op string, to jobs.Minion) error {
+			if unhealthy.Load() && op == "start" && to == "m2" {
+				return site.ErrBusy
+			}
+			return nil
+		}
+		unhealthy.Store(true)
+		require.NoError(t, term.do(context.Background(), func() {
+			task := term.taskByName(taskOfSlowJob(0))
+			task.FailedOn = []jobs.Minion{"m0", "m1"}
+			term.stopRun(task, reasonWave)
+		}))
+		require.Less(t, ts.watchGaps(1, 10*time.Second), restartTime)
+	})
+}
--- a/internal/schedule/fit.go
+++ b/internal/schedule/fit.go
@@ -68,7 +68,8 @@
 
 // Penalties of a minion for a task, as bits: each outweighs all that follow.
 const (
-	penaltyFailedBefore = 1 << (5 - iota)
+	penaltyRejecting = 1 << (6 - iota)
+	penaltyFailedBefore
 	penaltySuspect
 	penaltyInterference
 	penaltyRemoteData
@@ -79,6 +80,9 @@
 func (m *Minion) score(s *Step, t *jobs.Task) score {
 	spec := s.StepRun.Spec
 	var sc score
+	if m.Rejecting {
+		sc.penalties |= penaltyRejecting
+	}
 	if slices.Contains(t.FailedOn, m.ID) {
 		sc.penalties |= penaltyFailedBefore
 	}
--- a/internal/schedule/types.go
+++ b/internal/schedule/types.go
@@ -64,6 +64,9 @@
 	Draining bool
 	// Suspect minions recently refused an order or did not answer it; they are used last.
 	Suspect bool
+	// Rejecting minions have recently rejected several starts one after another; they are used only
+	// if no other can take the task.
+	Rejecting bool
 	// MaintenanceDue is set if the minion's machine will be maintained soon: long-running tasks
 	// started on it would have to move again.
 	MaintenanceDue bool
--- a/standins/fleet/minions.go
+++ b/standins/fleet/minions.go
@@ -95,6 +95,9 @@
 	// Delay returns the round-trip time of an order to a minion, without the minion's own time; nil
 	// or 0 means the usual millisecond. What has been sent arrives also if its sender gives up.
 	Delay func(op string, to jobs.Minion) time.Duration
+	// Refuse, if set, decides over an order that has reached its minion: the minion does nothing and
+	// answers with the error, or carries the order out if it is nil.
+	Refuse func(op string, to jobs.Minion) error
 	// OrderTimeout is how long a sender waits for a lost answer.
 	OrderTimeout time.Duration
 	// RejectsOverload lets minions refuse a start that exceeds their capacity.
@@ -369,6 +372,11 @@
 		return none, errors.Wrap(site.ErrNoAnswer, "connection reset")
 	}
 	s.arrive(op, to)
+	if s.Refuse != nil {
+		if err := s.Refuse(op, to.ID); err != nil {
+			return none, errors.WithStack(err)
+		}
+	}
 	value, err := none, error(nil)
 	if f == Late {
 		carryLater(s, to, order)
