coordinator: a stop without a listed end is over once it is acknowledged

What callers saw: a long-running task without a run for as long as its minion lives, beside minions with free capacity, with one coordinator that goes on; several tasks of one service at a time, because these are packed on few minions.

Cause: a stopped run that never began (its start had no answer, and was rejected when it was sent again), or that belonged to an earlier incarnation of the minion, has no end in the minion's list. Such a stop is over once a poll that was sent after its acknowledgement does not list the run. An acknowledged stop is repeated every 600 ms, and each acknowledgement replaced the time of the one before. A minion with long-running tasks only delays its answer to a poll by 700 ms, so that every report was older than the last acknowledgement. The task stayed in phase stopping, and the leases of its minion were renewed.

The time of the first acknowledgement counts: from then on the run cannot begin there. While a task is being stopped, its minion delays its answer by no more than 300 ms.

--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -49,7 +49,8 @@
 type pendingStop struct {
 	inFlight bool
 	nextSend time.Duration
-	// answered is when the minion last acknowledged the stop, or 0.
+	// answered is when the minion first acknowledged the stop, or 0. From then on the run can't begin
+	// there, so it is over once a poll that was sent later does not list it.
 	answered time.Duration
 }
 
@@ -217,7 +218,9 @@
 	}
 	switch {
 	case err == nil:
-		stop.answered = t.now
+		if stop.answered == 0 {
+			stop.answered = t.now
+		}
 		stop.nextSend = t.now + stopRepeatInterval
 		m.NextPoll = min(m.NextPoll, t.now+t.pollGap)
 	case errors.Is(err, site.ErrOtherIncarnation):
--- a/internal/coordinator/polls.go
+++ b/internal/coordinator/polls.go
@@ -19,9 +19,9 @@
 	// on a failed rack. Minions grant leases of 6 s and more.
 	runLeaseTTL = 4000 * time.Millisecond
 	// pollWait is how long a minion with tasks may delay its answer to a poll until a run ends;
-	// longRunningPollWait applies if all its tasks are long-running. When one answer in twenty is
-	// lost, as in the users' test scenarios, a busy minion loses about one per second, and ends of
-	// runs are then seen later by this wait plus the timeout.
+	// longRunningPollWait applies if all its tasks are long-running and none is being stopped. When
+	// one answer in twenty is lost, as in the users' test scenarios, a busy minion loses about one per
+	// second, and ends of runs are then seen later by this wait plus the timeout.
 	pollWait            = 300 * time.Millisecond
 	longRunningPollWait = 700 * time.Millisecond
 	// minPollGap is the least time between two polls of a minion, so that runs that end together
@@ -83,10 +83,11 @@
 // minCores is the lower bound for the configured cores of an entry VM.
 const minCores = 0.05
 
-// pollWaitFor returns how long a minion may delay its answer to a poll.
+// pollWaitFor returns how long a minion may delay its answer to a poll. Of a run that never began there
+// is no end to answer with, so that the end of its stop is seen only after this time.
 func pollWaitFor(m *holding.Minion) time.Duration {
 	for task := range m.Tasks {
-		if !task.Step.Spec.LongRunning {
+		if !task.Step.Spec.LongRunning || task.Phase == jobs.Stopping {
 			return pollWait
 		}
 	}
--- a/internal/coordinator/unhealthy_test.go
+++ b/internal/coordinator/unhealthy_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,14 +17,12 @@
 func TestTaskDoesNotReturnToAMinionThatRejectsIt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ts, term := startLongRunning(t, 3, 1)
-		var unhealthy atomic.Bool
-		ts.minions.Refuse = func(op string, to jobs.Minion) error {
-			if unhealthy.Load() && op == "start" && to == "m2" {
+		ts.minions.SetRefuse(func(op string, to jobs.Minion) error {
+			if op == "start" && to == "m2" {
 				return site.ErrBusy
 			}
 			return nil
-		}
-		unhealthy.Store(true)
+		})
 		require.NoError(t, term.do(context.Background(), func() {
 			task := term.taskByName(taskOfSlowJob(0))
 			task.FailedOn = []jobs.Minion{"m0", "m1"}
--- a/standins/fleet/minions.go
+++ b/standins/fleet/minions.go
@@ -94,10 +94,8 @@
 	Fault func(op string) Fault
 	// Delay returns the round-trip time of an order to a minion, without the minion's own time; nil
 	// or 0 means the usual millisecond. What has been sent arrives also if its sender gives up.
-	Delay func(op string, to jobs.Minion) time.Duration
-	// Refuse, if set, decides over an order that has reached its minion: the minion does nothing and
-	// answers with the error, or carries the order out if it is nil.
-	Refuse func(op string, to jobs.Minion) error
+	Delay  func(op string, to jobs.Minion) time.Duration
+	refuse func(op string, to jobs.Minion) error // guarded by mu
 	// OrderTimeout is how long a sender waits for a lost answer.
 	OrderTimeout time.Duration
 	// RejectsOverload lets minions refuse a start that exceeds their capacity.
@@ -145,6 +143,14 @@
 	s.Fault = f
 }
 
+// SetRefuse sets what decides over an order that has reached its minion: the minion does nothing and
+// answers with the error, or carries the order out if it is nil.
+func (s *Minions) SetRefuse(f func(op string, to jobs.Minion) error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refuse = f
+}
+
 // Add starts a minion.
 func (s *Minions) Add(e site.MinionEntry) {
 	s.mu.Lock()
@@ -372,8 +378,11 @@
 		return none, errors.Wrap(site.ErrNoAnswer, "connection reset")
 	}
 	s.arrive(op, to)
-	if s.Refuse != nil {
-		if err := s.Refuse(op, to.ID); err != nil {
+	s.mu.Lock()
+	refuse := s.refuse
+	s.mu.Unlock()
+	if refuse != nil {
+		if err := refuse(op, to.ID); err != nil {
 			return none, errors.WithStack(err)
 		}
 	}
