coordinator: a task leaves a minion that answers polls and no start

A start without an answer keeps its task with the minion, because it may be carried out late, and is sent again every 100 ms while polls are answered. Polls renew the leases there, so a task whose starts never arrive (each connection for them is reset, or they are not answered in time) stayed without a run for as long as that lasted, whatever capacity there was elsewhere.

A start is now given up if a poll that was sent 1 s after the first attempt ended does not list the run: the run is stopped, which rules it out on that minion, and the task starts elsewhere.

Before: TestTaskLeavesAMinionThatAnswersNoStart, four of six long-running tasks without a run for 20 s, which is the whole test. Now it passes 100 times.

--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -24,6 +24,13 @@
 	noCapacityPause = 150 * time.Millisecond
 	// suspectDuration is how long a minion that refused or lost an order is chosen last.
 	suspectDuration = time.Second
+	// startGiveUpAfter is how long a start may remain without an answer although its minion answers polls
+	// and does not list the run. The task is then stopped there, and starts elsewhere: a long-running
+	// task must have a run again after 6 s.
+	startGiveUpAfter = time.Second
+	// givenUpAvoidance is how long a minion is chosen last after a start on it was given up. It exceeds
+	// the time that the stop of the start takes.
+	givenUpAvoidance = 5 * time.Second
 	// rejectingAfter is how many starts a minion must have rejected one after another for tasks to go to
 	// minions on which they failed before instead.
 	rejectingAfter = 3
@@ -43,6 +50,8 @@
 	inFlight bool
 	nextSend time.Duration
 	tries    int
+	// unansweredSince is when the first attempt was given up without an answer, or 0.
+	unansweredSince time.Duration
 }
 
 // pendingStop is a stop order whose run is not known to have ended.
@@ -153,10 +162,13 @@
 		// minion.
 		m.UnconfirmedStarts[task.Name()] = task.Run
 		counters.Add("starts_unanswered", 1)
+		if start.unansweredSince == 0 {
+			start.unansweredSince = t.now
+		}
 		if start.tries > 1 {
 			start.nextSend = t.now + resendInterval
 		}
-		m.AvoidUntil = t.now + suspectDuration
+		m.AvoidUntil = max(m.AvoidUntil, t.now+suspectDuration)
 		m.NextPoll = t.now // a minion without tasks would be polled seconds later
 		return
 	case reason == site.RefusedFenced:
@@ -169,7 +181,7 @@
 		m.NextPoll = t.now
 		return
 	case reason == site.RefusedRoom:
-		m.AvoidUntil = t.now + noCapacityPause
+		m.AvoidUntil = max(m.AvoidUntil, t.now+noCapacityPause)
 	case errors.Is(err, site.ErrLeaseEnded):
 		t.requeueBecause(task, "start_not_sent_lease_ended")
 		return
@@ -177,7 +189,7 @@
 		// Nothing listens at the address. The minion gets no new work until a poll succeeds.
 		m.FailedPolls, m.NextPoll = max(m.FailedPolls, 1), t.now
 	default:
-		m.AvoidUntil = t.now + suspectDuration
+		m.AvoidUntil = max(m.AvoidUntil, t.now+suspectDuration)
 		m.RejectedStarts++
 	}
 	counters.Add("starts_refused", 1)
@@ -243,6 +255,10 @@
 		case unresponsive:
 			// A start is not sent again to a minion that does not answer: each one would extend the
 			// lease that the minion may hold.
+		case start.unansweredSince != 0 && start.minion.LastReported > start.unansweredSince+startGiveUpAfter:
+			counters.Add("starts_given_up", 1)
+			start.minion.AvoidUntil = t.now + givenUpAvoidance
+			t.stopRun(task, model.ReasonWorkerNotStarted)
 		case start.tries > 0 || task.Step.Job.RecordedOn(start.minion.ID):
 			t.sendStart(task, start)
 		}
--- a/internal/coordinator/unhealthy_test.go
+++ b/internal/coordinator/unhealthy_test.go
@@ -31,3 +31,26 @@
 		require.Less(t, ts.watchGaps(1, 10*time.Second), restartTime)
 	})
 }
+
+// Guards against a task that stays with a minion that answers polls and no start, without a run and for
+// as long as that lasts.
+func TestTaskLeavesAMinionThatAnswersNoStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ts := newTestSite(t, 2)
+		ts.minions.Work = runForever
+		need := jobs.Resources{CPU: 500}
+		ts.minions.Need = func(string) jobs.Resources { return need }
+		ts.minions.SetRefuse(func(op string, to jobs.Minion) error {
+			if op == "start" && to == "m0" {
+				return site.ErrNoAnswer
+			}
+			return nil
+		})
+		term := ts.startTerm("e1", nil)
+		defer endTerm(term)
+		sleep(time.Second)
+		ts.submitJob(term, slowJob, jobs.Step{Count: 6, Need: need, LongRunning: true})
+		require.Less(t, ts.watchGaps(6, 20*time.Second), maxWait)
+		ts.requireNoViolations()
+	})
+}
