coordinator: tests of ends that are not listed do not race with the stand-in

The work of the stand-in's tasks was replaced while minions were running. It is set before the first order now. Measured: the tests of ends_test.go pass three times with -race, which reported the race before.

--- a/internal/coordinator/ends_test.go
+++ b/internal/coordinator/ends_test.go
@@ -16,11 +16,21 @@
 // manyEnds is the number of tasks of a job with more ends than a minion lists at a time.
 const manyEnds = 1500
 
+const (
+	lastingJob  jobs.ID = "0000000000000002"
+	lastingTask         = "0000000000000002.0.0.0"
+)
+
 // newSiteWithManyEnds returns a site with one minion and a term whose writes fail while the returned
 // flag is set, and a job of manyEnds short tasks that has just begun.
 func newSiteWithManyEnds(t *testing.T) (ts *testSite, term *Term, away *atomic.Bool) {
 	ts, away = newTestSite(t, 1), &atomic.Bool{}
-	ts.minions.Work = func(string, int) (time.Duration, jobs.End) { return 20 * time.Millisecond, jobs.EndDone }
+	ts.minions.Work = func(task string, _ int) (time.Duration, jobs.End) {
+		if task == lastingTask {
+			return 0, ""
+		}
+		return 20 * time.Millisecond, jobs.EndDone
+	}
 	need := jobs.Resources{CPU: 50}
 	ts.minions.Need = func(string) jobs.Resources { return need }
 	term = ts.startTerm("e1", func(op string) fleet.Fault {
@@ -83,22 +93,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		ts, term, away := newSiteWithManyEnds(t)
 		defer endTerm(term)
-		const lasting jobs.ID = "0000000000000002"
-		work := ts.minions.Work
-		ts.minions.Work = func(task string, run int) (time.Duration, jobs.End) {
-			if task == taskNames(lasting, 1)[0] {
-				return 0, ""
-			}
-			return work(task, run)
-		}
-		ts.submitJob(term, lasting, jobs.Step{Count: 1, Need: jobs.Resources{CPU: 50}, LongRunning: true})
+		ts.submitJob(term, lastingJob, jobs.Step{Count: 1, Need: jobs.Resources{CPU: 50}, LongRunning: true})
 		sleep(200 * time.Millisecond)
 		away.Store(true)
 		sleep(1500 * time.Millisecond)
-		task := taskNames(lasting, 1)[0]
-		require.Len(t, ts.minions.Running(task), 1)
-		require.NoError(t, term.do(context.Background(), func() { term.stopRun(term.taskByName(task), reasonWave) }))
+		require.Len(t, ts.minions.Running(lastingTask), 1)
+		require.NoError(t, term.do(context.Background(), func() { term.stopRun(term.taskByName(lastingTask), reasonWave) }))
 		sleep(200 * time.Millisecond)
-		require.Equal(t, 2, ts.minions.Starts(task))
+		require.Equal(t, 2, ts.minions.Starts(lastingTask))
 	})
 }
