--- a/internal/holding/holding.go
+++ b/internal/holding/holding.go
@@ -36,8 +36,8 @@
 	Listed bool
 	// Recorded is set once the minion is stored, so that a new coordinator knows of it.
 	Recorded bool
-	// Polled is set once this coordinator knows what runs on the minion: the minion listed it in a
-	// poll reply, or all its leases expired.
+	// Polled is set once this coordinator knows what runs on the minion and what has ended there: the
+	// minion listed all of it in a poll reply, or all its leases expired.
 	Polled bool
 	// RunsExpireAt is when the leases of all runs have expired, including those of runs that this
 	// coordinator does not know of.
@@ -72,6 +72,9 @@
 	// AvoidUntil is until when the minion counts as suspect, after it refused an order or did not
 	// answer one.
 	AvoidUntil time.Duration
+	// RejectedStarts counts consecutive starts that the minion rejected for another reason than its
+	// capacity.
+	RejectedStarts int
 	// Cordoned minions get no new work, because their machine is about to move to another pool or
 	// to be maintained.
 	Cordoned bool
--- a/standins/fleet/minions.go
+++ b/standins/fleet/minions.go
@@ -18,6 +18,9 @@
 // maxHold is the longest lease that a minion grants.
 const maxHold = 6 * time.Second
 
+// maxListedEnds is the most ends that a minion lists at a time; the oldest come first.
+const maxListedEnds = 500
+
 // run is one run of a task on a minion.
 type run struct {
 	task  string
@@ -91,7 +94,8 @@
 	Fault func(op string) Fault
 	// Delay returns the round-trip time of an order to a minion, without the minion's own time; nil
 	// or 0 means the usual millisecond. What has been sent arrives also if its sender gives up.
-	Delay func(op string, to jobs.Minion) time.Duration
+	Delay  func(op string, to jobs.Minion) time.Duration
+	refuse func(op string, to jobs.Minion) error // guarded by mu
 	// OrderTimeout is how long a sender waits for a lost answer.
 	OrderTimeout time.Duration
 	// RejectsOverload lets minions refuse a start that exceeds their capacity.
@@ -139,6 +143,14 @@
 	s.Fault = f
 }
 
+// SetRefuse sets what decides over an order that has reached its minion: the minion does nothing and
+// answers with the error, or carries the order out if it is nil.
+func (s *Minions) SetRefuse(f func(op string, to jobs.Minion) error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refuse = f
+}
+
 // Add starts a minion.
 func (s *Minions) Add(e site.MinionEntry) {
 	s.mu.Lock()
@@ -366,6 +378,14 @@
 		return none, errors.Wrap(site.ErrNoAnswer, "connection reset")
 	}
 	s.arrive(op, to)
+	s.mu.Lock()
+	refuse := s.refuse
+	s.mu.Unlock()
+	if refuse != nil {
+		if err := refuse(op, to.ID); err != nil {
+			return none, errors.WithStack(err)
+		}
+	}
 	value, err := none, error(nil)
 	if f == Late {
 		carryLater(s, to, order)
@@ -640,7 +660,8 @@
 }
 
 func (m *Minion) report() site.PollReport {
-	out := site.PollReport{Clock: m.clock(time.Now()), Incarnation: m.Entry.Incarnation, Ended: append([]site.EndReport(nil), m.ended...)}
+	listed := m.ended[:min(len(m.ended), maxListedEnds)]
+	out := site.PollReport{Clock: m.clock(time.Now()), Incarnation: m.Entry.Incarnation, Ended: append([]site.EndReport(nil), listed...), MoreEnds: len(listed) == maxListedEnds}
 	for _, r := range m.runs {
 		out.Running = append(out.Running, site.RunReport{Task: r.task, Run: r.no, Percent: 100})
 	}
