jobs, coordinator: a scheduling run does not look at each task that waits

Cause: each scheduling run collected the waiting tasks of every open job in new slices, counted the work left task by task, walked the chains of steps and copied the queue's settings; the plan of machines and the check for busy services did the same every 100 ms.

Change: a step counts its tasks by phase and keeps the list of those that wait until one changes; a job keeps the length of its chains and its work; steps are looked at for opening only after a task has ended.

--- /dev/null
+++ b/internal/coordinator/backlog_test.go
@@ -0,0 +1,90 @@
+package coordinator
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"boragepulley/internal/holding"
+	"boragepulley/internal/jobs"
+	"boragepulley/internal/model"
+	"boragepulley/internal/schedule"
+	"boragepulley/internal/site"
+)
+
+// backlogTerm returns a term that is not running, with full minions of five services and a backlog of
+// n jobs, each with two steps of ten tasks.
+func backlogTerm(tb testing.TB, minions, n int) *Term {
+	c := &site.Config{Version: 1, Services: map[model.Service]site.Service{}, Teams: map[model.Team]site.Team{}}
+	for i := range 5 {
+		svc := model.Service(fmt.Sprint("svc", i))
+		c.Services[svc] = site.Service{}
+		c.Queues = append(c.Queues, site.Queue{Name: model.Queue(fmt.Sprint("q", i)), Host: "h", Prefix: fmt.Sprintf("/q%d/", i), Service: svc, MaxAttempts: 3, Stretch: 2, Target: time.Second})
+	}
+	for i := range 20 {
+		c.Teams[model.Team(fmt.Sprint("team", i))] = site.Team{Weight: 1}
+	}
+	c.Index()
+	now := time.Hour
+	t := &Term{deps: Deps{Config: func() *site.Config { return c }}, registry: jobs.NewRegistry(), minions: map[jobs.Minion]*holding.Minion{}, queues: map[model.Queue]site.Queue{}, now: now, startedAt: now - time.Minute, loaded: true, leaseUntil: now + time.Minute,
+		pendingStarts: map[*jobs.Task]*pendingStart{}, pendingStops: map[*jobs.Task]*pendingStop{}, reservedPlaces: map[*jobs.Task]jobs.Minion{}}
+	t.writer.init()
+	t.compactor.init()
+	t.members.init()
+	t.waves.init()
+	t.machines.init()
+	for i := range minions {
+		e := site.MinionEntry{ID: jobs.Minion(fmt.Sprint("m", i)), Service: model.Service(fmt.Sprint("svc", i%5)), Capacity: jobs.Resources{CPU: 64000, MemoryMB: 256000}}
+		m := holding.New(e, 0)
+		m.Listed, m.Recorded, m.Polled = true, true, true
+		m.ObserveClock(1000, now)
+		m.Orphaned = e.Capacity
+		t.minions[e.ID] = m
+	}
+	for i := range n {
+		k := i % 5
+		a := jobs.Accepted{Queue: model.Queue(fmt.Sprint("q", k)), Service: model.Service(fmt.Sprint("svc", k)), Team: model.Team(fmt.Sprint("team", i%20)), AcceptedAt: time.Now(),
+			Spec: jobs.Spec{Payload: "p", Steps: []jobs.Step{{Count: 10, Need: jobs.Resources{CPU: int64(3000 + i%7*500)}, Estimate: time.Duration(500+i%300) * time.Millisecond}, {Count: 10, Need: jobs.Resources{CPU: 4000}, Estimate: 600 * time.Millisecond, After: []int{0}}}}}
+		value, err := json.Marshal(a)
+		require.NoError(tb, err)
+		t.now = now - time.Duration(n-i)*time.Millisecond
+		require.NotNil(tb, t.addJobRow(fmt.Sprintf("%016x", i*7919%1000003), value, false))
+	}
+	t.now = now
+	return t
+}
+
+// BenchmarkPlanOfBacklog measures a scheduling run that starts nothing.
+func BenchmarkPlanOfBacklog(b *testing.B) {
+	for _, n := range []int{500, 6000} {
+		b.Run(fmt.Sprint("jobs=", n), func(b *testing.B) {
+			t := backlogTerm(b, 350, n)
+			b.Run("snapshot", func(b *testing.B) {
+				for range b.N {
+					t.snapshot()
+				}
+			})
+			b.Run("plan", func(b *testing.B) {
+				for range b.N {
+					b.StopTimer()
+					s := t.snapshot()
+					b.StartTimer()
+					schedule.NewPlan(s)
+				}
+			})
+			b.Run("capacity", func(b *testing.B) {
+				for range b.N {
+					t.loadByService()
+				}
+			})
+			b.Run("busy", func(b *testing.B) {
+				for range b.N {
+					t.busyServices()
+				}
+			})
+		})
+	}
+}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -19,6 +19,7 @@
 	"boragepulley/internal/model"
 	"boragepulley/internal/peer"
 	"boragepulley/internal/platform"
+	"boragepulley/internal/schedule"
 	"boragepulley/internal/site"
 )
 
@@ -101,12 +102,15 @@
 	startedAt time.Duration
 	// leaseUntil is when the lease expires, as confirmed by the store. leaseVersion is the version
 	// of its row.
-	leaseUntil    time.Duration
-	leaseVersion  uint64
-	loaded        bool
-	registry      *jobs.Registry
-	minions       map[jobs.Minion]*holding.Minion
+	leaseUntil   time.Duration
+	leaseVersion uint64
+	loaded       bool
+	registry     *jobs.Registry
+	minions      map[jobs.Minion]*holding.Minion
+	// queues are the queues as last configured, queuesFrom is the configuration that they were last
+	// read from.
 	queues        map[model.Queue]site.Queue
+	queuesFrom    *site.Config
 	pendingStarts map[*jobs.Task]*pendingStart
 	pendingStops  map[*jobs.Task]*pendingStop
 	needsPlan     bool
@@ -127,6 +131,8 @@
 	pollGap time.Duration
 	// runLease is the duration of the leases that minions are granted for their runs.
 	runLease time.Duration
+	// planSteps is the memory of the last plan's steps, for the next one.
+	planSteps []schedule.Step
 	// unplaced are the steps with tasks for which the last plan found no place.
 	unplaced map[*jobs.StepRun]unplacedStep
 	// teamLimited counts the tasks that the limit of their team did not let start in the last plan.
--- a/internal/coordinator/plan.go
+++ b/internal/coordinator/plan.go
@@ -14,10 +14,10 @@
 // queueOf returns the queue of a job from the configuration, or as last configured if the queue has
 // been removed.
 func (t *Term) queueOf(j *jobs.Job) site.Queue {
-	if c := t.deps.Config(); c != nil {
-		if q := c.Queue(j.Queue); q != nil {
-			t.queues[j.Queue] = *q
-			return *q
+	if c := t.deps.Config(); c != nil && c != t.queuesFrom {
+		t.queuesFrom = c
+		for _, q := range c.Queues {
+			t.queues[q.Name] = q
 		}
 	}
 	if q, ok := t.queues[j.Queue]; ok {
@@ -88,7 +88,7 @@
 }
 
 func (t *Term) snapshot() *schedule.Snapshot {
-	s := &schedule.Snapshot{Now: t.now}
+	s := &schedule.Snapshot{Now: t.now, Steps: t.planSteps[:0]}
 	s.Teams, s.InUse = t.teamUsage()
 	perStep, maintenanceDue := t.tasksPerStep(), t.minionsDueForMaintenance()
 	for _, m := range t.minions {
@@ -104,12 +104,12 @@
 	wall := time.Now()
 	for _, j := range t.registry.Open() {
 		j.OpenSteps(wall)
-		q := t.queueOf(j)
 		if j.Inherited && !t.inheritedRunsKnown(j) {
 			continue
 		}
-		s.Steps = append(s.Steps, t.waitingSteps(j, q, relocating)...)
+		s.Steps = t.addWaitingSteps(s.Steps, j, relocating)
 	}
+	t.planSteps = s.Steps
 	return s
 }
 
@@ -131,35 +131,29 @@
 	return out
 }
 
-// waitingSteps returns the steps of a job with tasks to start, to relocate or to find a place for
-// while they stop.
-func (t *Term) waitingSteps(j *jobs.Job, q site.Queue, relocating map[*jobs.StepRun][]*jobs.Task) []schedule.Step {
-	var out []schedule.Step
+// addWaitingSteps adds the steps of a job with tasks to start, to relocate or to find a place for while
+// they stop.
+func (t *Term) addWaitingSteps(to []schedule.Step, j *jobs.Job, relocating map[*jobs.StepRun][]*jobs.Task) []schedule.Step {
 	for _, s := range j.Steps {
-		waiting := s.WaitingTasks()
-		stopping := t.stoppingWithoutPlace(s)
-		if len(waiting) == 0 && len(relocating[s]) == 0 && len(stopping) == 0 {
+		step := schedule.Step{StepRun: s, Waiting: s.WaitingTasks()}
+		if s.Spec.LongRunning {
+			step.Relocating, step.Stopping = relocating[s], t.stoppingWithoutPlace(s)
+		}
+		if len(step.Waiting) == 0 && len(step.Relocating) == 0 && len(step.Stopping) == 0 {
 			continue
 		}
-		arrived := j.LearnedAt
-		chain := longestChain(j)
-		out = append(out, schedule.Step{StepRun: s, Service: q.Service, Team: j.Team, Priority: q.Priority, Arrived: arrived,
-			Deadline:      arrived + time.Duration(q.Stretch*float64(chain)) + q.Target,
-			RemainingTime: max(j.Spec.CriticalPath(s.Index), defaultEstimate/10), RemainingWork: j.WorkLeft(), Value: t.jobValue(j, q.Service), Waiting: waiting, Relocating: relocating[s], Stopping: stopping})
-	}
-	return out
-}
-
-// longestChain returns the longest dependency chain of a job, by the estimates.
-func longestChain(j *jobs.Job) time.Duration {
-	var out time.Duration
-	for i := range j.Spec.Steps {
-		out = max(out, j.Spec.CriticalPath(i))
-	}
-	if out == 0 {
-		out = defaultEstimate
+		q := t.queueOf(j)
+		chain := j.LongestChain()
+		if chain == 0 {
+			chain = defaultEstimate
+		}
+		step.Service, step.Team, step.Priority, step.Arrived = q.Service, j.Team, q.Priority, j.LearnedAt
+		step.Deadline = j.LearnedAt + time.Duration(q.Stretch*float64(chain)) + q.Target
+		step.RemainingTime = max(j.CriticalPath(s.Index), defaultEstimate/10)
+		step.RemainingWork, step.Value = j.WorkLeft(), t.jobValue(j, q.Service)
+		to = append(to, step)
 	}
-	return out
+	return to
 }
 
 // inheritedRunsKnown reports whether every run that earlier coordinators ordered for a job is known
@@ -192,7 +186,7 @@
 	if mean <= 0 {
 		return 1
 	}
-	return fixedValue + (1-fixedValue)*j.Spec.Work()/mean
+	return fixedValue + (1-fixedValue)*j.Work()/mean
 }
 
 // teamUsage returns the usage and limit of each team, and the cores that each team uses per
--- a/internal/coordinator/rebalance.go
+++ b/internal/coordinator/rebalance.go
@@ -233,14 +233,9 @@
 }
 
 func (l *serviceLoad) add(s *jobs.StepRun) {
-	running, waiting := 0, 0
-	for _, task := range s.Tasks {
-		switch {
-		case task.Active():
-			running++
-		case s.Open && task.Phase == jobs.Waiting:
-			waiting++
-		}
+	running, waiting := s.Active(), 0
+	if s.Open {
+		waiting = s.Count(jobs.Waiting)
 	}
 	each := s.Spec.Reserved()
 	l.busy = l.busy.Add(each.Scale(running))
--- a/internal/coordinator/waves.go
+++ b/internal/coordinator/waves.go
@@ -264,7 +264,7 @@
 			continue
 		}
 		for _, s := range j.Steps {
-			if !s.Spec.LongRunning && len(s.WaitingTasks()) > 0 {
+			if !s.Spec.LongRunning && s.Open && s.Count(jobs.Waiting) > 0 {
 				out[q.Service] = true
 			}
 		}
--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -97,8 +97,10 @@
 	Index      int
 	Spec       *Step
 	Tasks      []*Task
-	// doneTasks counts the tasks in phase done.
-	doneTasks int
+	// byPhase counts the tasks by phase, so that a scheduling run need not look at each of them.
+	byPhase [Done + 1]int
+	// waiting lists the tasks in phase waiting, nil if it has to be collected again.
+	waiting []*Task
 	// Open is set once the occurrence is due and all steps that this one depends on have ended.
 	Open bool
 	// FailedRuns lists the failed runs of a gang.
@@ -114,7 +116,14 @@
 	// it may have runs that this process does not know of.
 	Inherited bool
 	Steps     []*StepRun
-	state     State
+	// criticalPaths holds Spec.CriticalPath of each step, longestChain the longest of them.
+	criticalPaths []time.Duration
+	longestChain  time.Duration
+	// work is Spec.Work.
+	work  float64
+	state State
+	// stepsChecked is set if no task has ended since OpenSteps last looked at the steps.
+	stepsChecked bool
 	// started is set once a task of the job was started.
 	started bool
 	// lastChange is the number of the last change of the job's progress, savedChange that of the
@@ -169,6 +178,9 @@
 func (j *Job) Active() []*Task {
 	var out []*Task
 	for _, s := range j.Steps {
+		if s.Active() == 0 {
+			continue
+		}
 		for _, t := range s.Tasks {
 			if t.Active() {
 				out = append(out, t)
@@ -182,17 +194,20 @@
 func (j *Job) WorkLeft() float64 {
 	work := 0.0
 	for _, s := range j.Steps {
-		n := 0
-		for _, t := range s.Tasks {
-			if t.Phase == Waiting {
-				n++
-			}
-		}
-		work += float64(n) * s.Spec.Work()
+		work += float64(s.Count(Waiting)) * s.Spec.Work()
 	}
 	return work
 }
 
+// Work returns the estimated work of one occurrence, in core-seconds.
+func (j *Job) Work() float64 { return j.work }
+
+// CriticalPath returns the estimated time from the start of a step to the end of an occurrence.
+func (j *Job) CriticalPath(step int) time.Duration { return j.criticalPaths[step] }
+
+// LongestChain returns the longest dependency chain of the job, by the estimates.
+func (j *Job) LongestChain() time.Duration { return j.longestChain }
+
 // Registry holds all jobs of the coordinator and changes their state.
 type Registry struct {
 	jobs map[ID]*Job
@@ -233,9 +248,15 @@
 		return j
 	}
 	j := &Job{Accepted: a, LearnedAt: now, state: StateQueued, stored: storedJob{state: StateQueued}}
+	j.work = j.Spec.Work()
+	for i := range j.Spec.Steps {
+		j.criticalPaths = append(j.criticalPaths, j.Spec.CriticalPath(i))
+		j.longestChain = max(j.longestChain, j.criticalPaths[i])
+	}
 	for k := range a.Spec.Occurrences() {
 		for i := range j.Spec.Steps {
 			s := &StepRun{Job: j, Occurrence: k, Index: i, Spec: &j.Spec.Steps[i]}
+			s.byPhase[Waiting] = s.Spec.Count
 			tasks := make([]Task, s.Spec.Count)
 			s.Tasks = make([]*Task, s.Spec.Count)
 			for n := range tasks {
@@ -280,6 +301,10 @@
 
 // OpenSteps opens the steps of a job that have become ready. now is the wall-clock time.
 func (j *Job) OpenSteps(now time.Time) {
+	if j.stepsChecked && j.Spec.Repeat == 0 {
+		return
+	}
+	j.stepsChecked = true
 	for _, s := range j.Steps {
 		if s.Open || (s.Occurrence > 0 || j.Spec.Repeat > 0) && now.Before(j.Spec.Due(s.Occurrence)) {
 			continue
@@ -294,20 +319,43 @@
 }
 
 // Ended reports whether all tasks of the step are done.
-func (s *StepRun) Ended() bool { return s.doneTasks == len(s.Tasks) }
+func (s *StepRun) Ended() bool { return s.byPhase[Done] == len(s.Tasks) }
 
-// WaitingTasks returns the tasks that can be started now.
+// Count returns the number of the step's tasks in a phase.
+func (s *StepRun) Count(p Phase) int { return s.byPhase[p] }
+
+// Active returns the number of tasks of which a run may be in progress.
+func (s *StepRun) Active() int { return s.byPhase[Ordered] + s.byPhase[Running] + s.byPhase[Stopping] }
+
+// WaitingTasks returns the tasks that can be started now. The slice must not be modified; it stays as
+// it is when the tasks change.
 func (s *StepRun) WaitingTasks() []*Task {
-	if !s.Open || s.Ended() {
+	if !s.Open || s.byPhase[Waiting] == 0 {
 		return nil
 	}
-	var out []*Task
-	for _, t := range s.Tasks {
-		if t.Phase == Waiting {
-			out = append(out, t)
+	if s.waiting == nil {
+		s.waiting = make([]*Task, 0, s.byPhase[Waiting])
+		for _, t := range s.Tasks {
+			if t.Phase == Waiting {
+				s.waiting = append(s.waiting, t)
+			}
 		}
 	}
-	return out
+	return s.waiting
+}
+
+// setPhase changes the phase of a task.
+func (t *Task) setPhase(p Phase) {
+	s := t.Step
+	if t.Phase == Waiting || p == Waiting {
+		s.waiting = nil
+	}
+	s.byPhase[t.Phase]--
+	s.byPhase[p]++
+	if p == Done {
+		s.Job.stepsChecked = false
+	}
+	t.Phase = p
 }
 
 // NextRun returns the number of the task's next run. lowest is the lowest number that the current
@@ -316,7 +364,8 @@
 
 // Order records that a start order for a task is about to be sent.
 func (r *Registry) Order(t *Task, run int, m Minion, now time.Duration) {
-	t.Phase, t.Run, t.Minion, t.Percent, t.PhaseSince = Ordered, run, m, 0, now
+	t.setPhase(Ordered)
+	t.Run, t.Minion, t.Percent, t.PhaseSince = run, m, 0, now
 	j := t.Step.Job
 	j.started = true
 	if j.state == StateQueued {
@@ -327,7 +376,8 @@
 // Started records that a minion runs an ordered task.
 func (r *Registry) Started(t *Task, now time.Duration) {
 	if t.Phase == Ordered {
-		t.Phase, t.PhaseSince = Running, now
+		t.setPhase(Running)
+		t.PhaseSince = now
 	}
 }
 
@@ -343,7 +393,8 @@
 // Stop records that the current run of a task is to be stopped.
 func (r *Registry) Stop(t *Task, reason model.Reason, now time.Duration) {
 	if t.Phase == Ordered || t.Phase == Running {
-		t.Phase, t.PhaseSince, t.StopReason = Stopping, now, reason
+		t.setPhase(Stopping)
+		t.PhaseSince, t.StopReason = now, reason
 	}
 }
 
@@ -352,7 +403,8 @@
 	if t.Phase == Done {
 		return
 	}
-	t.Phase, t.Minion, t.PhaseSince, t.StopReason = Waiting, "", now, ""
+	t.setPhase(Waiting)
+	t.Minion, t.PhaseSince, t.StopReason = "", now, ""
 }
 
 // End tells how a run ended.
@@ -411,8 +463,8 @@
 	}
 	for _, x := range members {
 		if x.Phase != Done {
-			x.Phase, x.Minion, x.PhaseSince = Done, "", now
-			t.Step.doneTasks++
+			x.setPhase(Done)
+			x.Minion, x.PhaseSince = "", now
 		}
 	}
 	r.markChanged(t.Step.Job)
--- a/internal/jobs/book_test.go
+++ b/internal/jobs/book_test.go
@@ -139,3 +139,75 @@
 	}
 	require.NoError(t, (&Spec{Steps: []Step{{Count: 1}, {Count: 2, After: []int{0}}}}).Check())
 }
+
+// Guards against counts of tasks by phase that differ from the tasks' phases: the scheduler starts what
+// they say is waiting.
+func TestPhaseCountsMatchTheTasks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := NewRegistry()
+		j := b.Add(accepted("1", Step{Count: 4, Gang: rapid.Bool().Draw(t, "gang"), LongRunning: rapid.Bool().Draw(t, "long-running")}, Step{Count: 2, After: []int{0}}), 0)
+		for i := range rapid.IntRange(1, 40).Draw(t, "changes") {
+			s := j.Steps[rapid.IntRange(0, 1).Draw(t, "step")]
+			x := s.Tasks[rapid.IntRange(0, len(s.Tasks)-1).Draw(t, "task")]
+			outcome := rapid.SampledFrom([]End{EndDone, EndFailed, EndStopped, EndLeaseExpired}).Draw(t, "outcome")
+			switch rapid.IntRange(0, 6).Draw(t, "change") {
+			case 0:
+				if x.Phase == Waiting {
+					b.Order(x, i+1, "m", 0)
+				}
+			case 1:
+				b.Started(x, 0)
+			case 2:
+				b.Stop(x, "r", 0)
+			case 3:
+				b.Requeue(x, 0)
+			case 4:
+				b.Finish(x, x.Run, "m", outcome, "", 100, 0)
+			case 5:
+				b.Adopt(x, i+1, "m", "", 0)
+			case 6:
+				value, err := EncodeProgress(j)
+				require.NoError(t, err)
+				if !j.State().Final() {
+					b = NewRegistry()
+					j = b.Add(j.Accepted, 0)
+					require.NoError(t, b.Restore(j, value))
+				}
+			}
+			j.OpenSteps(time.Now())
+			work := 0.0
+			for _, s := range j.Steps {
+				count := [Done + 1]int{}
+				var waiting []*Task
+				for _, x := range s.Tasks {
+					count[x.Phase]++
+					if x.Phase == Waiting && s.Open {
+						waiting = append(waiting, x)
+					}
+				}
+				require.Equal(t, count, s.byPhase)
+				require.Equal(t, len(waiting), len(s.WaitingTasks()))
+				for i, x := range s.WaitingTasks() {
+					require.Same(t, waiting[i], x)
+				}
+				require.Equal(t, count[Done] == len(s.Tasks), s.Ended())
+				work += float64(count[Waiting]) * s.Spec.Work()
+			}
+			require.InDelta(t, work, j.WorkLeft(), 1e-9)
+		}
+	})
+}
+
+// Guards against a scheduling run whose cost grows with the tasks that wait and do not change: each of
+// them was looked at and copied in each run.
+func TestWaitingTasksAreNotCollectedAgain(t *testing.T) {
+	b := NewRegistry()
+	j := b.Add(accepted("1", Step{Count: 1000}), 0)
+	j.OpenSteps(time.Now())
+	s := j.Steps[0]
+	before := s.WaitingTasks()
+	require.Zero(t, testing.AllocsPerRun(10, func() { s.WaitingTasks() }))
+	b.Order(s.Tasks[0], 1, "m", 0)
+	require.Len(t, s.WaitingTasks(), 999)
+	require.Len(t, before, 1000, "a plan may still use what it was given")
+}
--- a/internal/jobs/cover.go
+++ b/internal/jobs/cover.go
@@ -31,6 +31,9 @@
 		}
 	}
 	for _, s := range j.Steps {
+		if s.Active() == 0 {
+			continue
+		}
 		for _, t := range s.Tasks {
 			if t.Active() {
 				out[t.Minion] = true
--- a/internal/jobs/record.go
+++ b/internal/jobs/record.go
@@ -54,7 +54,7 @@
 
 // bitmap returns the done tasks as a hexadecimal bitmap, or "" if there are none.
 func (s *StepRun) bitmap() string {
-	if s.doneTasks == 0 {
+	if s.Count(Done) == 0 {
 		return ""
 	}
 	bits := make([]byte, (len(s.Tasks)+7)/8)
@@ -96,8 +96,7 @@
 		s := j.Steps[i]
 		for n, t := range s.Tasks {
 			if n/8 < len(bits) && bits[n/8]&(1<<(n%8)) != 0 && t.Phase != Done {
-				t.Phase = Done
-				s.doneTasks++
+				t.setPhase(Done)
 			}
 		}
 	}
--- a/internal/jobs/spec.go
+++ b/internal/jobs/spec.go
@@ -48,6 +48,11 @@
 	return Resources{CPU: r.CPU * int64(n), MemoryMB: r.MemoryMB * int64(n), Accelerators: r.Accelerators * int64(n)}
 }
 
+// Max returns the larger value of each resource.
+func (r Resources) Max(o Resources) Resources {
+	return Resources{CPU: max(r.CPU, o.CPU), MemoryMB: max(r.MemoryMB, o.MemoryMB), Accelerators: max(r.Accelerators, o.Accelerators)}
+}
+
 // Fits reports whether no resource of r exceeds that of o.
 func (r Resources) Fits(o Resources) bool {
 	return r.CPU <= o.CPU && r.MemoryMB <= o.MemoryMB && r.Accelerators <= o.Accelerators
