schedule: a plan costs what can start, not what waits

Cause: each plan sorted all steps that wait, with several map lookups for each comparison, and tried each of them on its service, also when no minion of that had anything free.

Change: the steps are in a heap with computed keys, and those that need more than any minion of their service has free are dropped after the first, second, fourth, ... failure. The order and the choice are the same (compared with a plain plan over random sites).

--- a/internal/schedule/plan.go
+++ b/internal/schedule/plan.go
@@ -16,12 +16,15 @@
 	// lastBest is the minion chosen for the previous task of the step, or nil. It stays the best
 	// choice while it accepts tasks, because the fullest minion is now fuller still.
 	lastBest *Minion
+	queue    *stepQueue
+	// failures counts, by service, the steps of which a task found no place.
+	failures map[model.Service]int
 	plan     Plan
 }
 
 // NewPlan computes the plan for a snapshot. It modifies the snapshot's minions and teams.
 func NewPlan(s *Snapshot) Plan {
-	p := planner{snap: s, byService: map[model.Service][]*Minion{}, unplaceable: map[model.Service]jobs.Resources{}}
+	p := planner{snap: s, byService: map[model.Service][]*Minion{}, unplaceable: map[model.Service]jobs.Resources{}, failures: map[model.Service]int{}}
 	for i := range s.Minions {
 		m := &s.Minions[i]
 		if m.TasksPerStep == nil {
@@ -30,34 +33,64 @@
 		p.byService[m.Service] = append(p.byService[m.Service], m)
 	}
 	p.loads = serviceLoads(s)
-	sorted := sortSteps(s.Now, s.Steps, p.loads)
+	p.queue = newStepQueue(s.Now, s.Steps, p.loads)
 	// All steps of long-running tasks come before the others in this order. Their tasks without a
 	// run get a place before those that only change theirs.
-	longRunning := 0
-	for longRunning < len(sorted) && sorted[longRunning].StepRun.Spec.LongRunning {
-		p.placeStep(sorted[longRunning])
-		longRunning++
+	var longRunning []*Step
+	for first := p.queue.peek(); first != nil && first.StepRun.Spec.LongRunning; first = p.queue.peek() {
+		st := p.queue.pop().Step
+		longRunning = append(longRunning, st)
+		p.placeStep(st)
 	}
-	for _, st := range sorted[:longRunning] {
+	for _, st := range longRunning {
 		p.reservePlaces(st, st.Stopping)
 	}
-	for _, st := range sorted[:longRunning] {
+	for _, st := range longRunning {
 		p.relocateStep(st)
 	}
 	var deferred []*Step
-	for _, st := range sorted[longRunning:] {
-		if l := p.loads[st.Service]; l != nil && l.exceedsFairShare(st.Team) {
-			deferred = append(deferred, st) // teams within their fair share come first
+	for p.queue.peek() != nil {
+		st := p.queue.pop()
+		if st.load != nil && st.load.exceedsFairShare(st.Team) {
+			deferred = append(deferred, st.Step) // teams within their fair share come first
 			continue
 		}
-		p.placeStep(st)
+		p.placeOthers(st.Step)
 	}
 	for _, st := range deferred {
 		p.placeStep(st)
 	}
+	p.plan.Compared = p.queue.compared
 	return p.plan
 }
 
+// placeOthers places the waiting tasks of a step that are not long-running. When one finds no place,
+// the steps of its service that need more than any minion has free are no longer tried: capacity only
+// shrinks during a plan. That is looked at after the first, second, fourth, ... failure.
+func (p *planner) placeOthers(s *Step) {
+	unplaced := len(p.plan.Unplaced)
+	p.placeStep(s)
+	if len(p.plan.Unplaced) == unplaced || p.plan.Unplaced[unplaced].Reason == ReasonTeamLimit {
+		return
+	}
+	p.failures[s.Service]++
+	if n := p.failures[s.Service]; n&(n-1) != 0 {
+		return
+	}
+	var free jobs.Resources
+	reason := ReasonNoMinion
+	for _, m := range p.byService[s.Service] {
+		free, reason = free.Max(m.Free), ReasonNoCapacity
+	}
+	p.queue.remove(func(other *Step) bool {
+		if other.Service != s.Service || other.StepRun.Spec.Reserved().Fits(free) {
+			return false
+		}
+		p.leaveWaiting(other, len(other.Waiting), reason)
+		return true
+	})
+}
+
 // placeStep places the waiting tasks of a step until one does not fit. A gang that does not fit
 // as a whole is not placed at all.
 func (p *planner) placeStep(s *Step) {
@@ -65,6 +98,7 @@
 	if len(s.Waiting) == 0 {
 		return
 	}
+	p.plan.Tried++
 	team := p.snap.Teams[s.Team]
 	if len(minions) == 0 {
 		p.waitForPlace(s, team, len(s.Waiting), minions)
--- a/internal/schedule/types.go
+++ b/internal/schedule/types.go
@@ -114,4 +114,7 @@
 	Start    []Assignment
 	Relocate []Assignment
 	Unplaced []Unplaced
+	// Tried counts the steps for which a place was searched, Compared the comparisons of two steps to
+	// find out which comes first.
+	Tried, Compared int
 }
