coordinator: each write stores some of the oldest unsaved progress

Cause: a write took starts first, then final states, then other progress, in the random order of a map.

Change: jobs with unsaved progress are kept in the order of their oldest unsaved change. Starts and final states take at most 71 of the 95 rows of a write as long as there is older progress; within a class the oldest comes first.

--- a/internal/coordinator/backlog_test.go
+++ b/internal/coordinator/backlog_test.go
@@ -11,6 +11,7 @@
 	"boragepulley/internal/holding"
 	"boragepulley/internal/jobs"
 	"boragepulley/internal/model"
+	"boragepulley/internal/platform"
 	"boragepulley/internal/schedule"
 	"boragepulley/internal/site"
 )
@@ -88,3 +89,72 @@
 		})
 	}
 }
+
+// Guards against progress that is never stored because starts and final states fill each write: the
+// ends in it are not acknowledged, and minions list them in each report. In an overload 42,721 of
+// 142,754 ends were not acknowledged within 6 s.
+func TestOldestProgressIsStoredBesideStartsAndFinalStates(t *testing.T) {
+	const ends, starts = 200, 300
+	term := backlogTerm(t, 1, ends+starts)
+	var all []*jobs.Job
+	for _, j := range term.registry.Open() {
+		all = append(all, j)
+	}
+	for _, j := range all[:ends] {
+		term.registry.Finish(j.Steps[0].Tasks[0], 1, "m0", jobs.EndDone, "", 3, term.now)
+	}
+	unsaved := func() (n int) {
+		for _, j := range all[:ends] {
+			if j.Unsaved() {
+				n++
+			}
+		}
+		return n
+	}
+	writes := 0
+	for ; unsaved() > 0; writes++ {
+		require.Less(t, writes, 2*ends/oldestRows, "the number of writes is bounded")
+		for i, j := range all[ends:] { // each of them is changed again before each write
+			term.registry.MarkUnsaved(j)
+			if term.writer.heldStarts[j] = true; i == starts-1 && writes == 0 {
+				term.registry.Cancel(j, term.now)
+			}
+		}
+		term.now += urgentInterval
+		puts, stored, _ := term.collectBatch()
+		require.LessOrEqual(t, len(puts), maxBatchRows)
+		requireDistinctKeys(t, puts)
+		stored()
+	}
+	require.GreaterOrEqual(t, writes, ends/maxBatchRows, "some are stored by each write")
+}
+
+func requireDistinctKeys(t *testing.T, puts []platform.Put) {
+	seen := map[string]bool{}
+	for _, p := range puts {
+		require.False(t, seen[p.Key], p.Key)
+		seen[p.Key] = true
+	}
+}
+
+// Guards against progress that is overtaken again and again by later changes: a minion's ends are
+// acknowledged in their order.
+func TestProgressIsStoredInTheOrderOfItsChanges(t *testing.T) {
+	term := backlogTerm(t, 1, 400)
+	var order []string
+	for _, j := range term.registry.Open() {
+		term.registry.Finish(j.Steps[0].Tasks[0], 1, "m0", jobs.EndDone, "", 3, term.now)
+		order = append(order, ProgressKey(j.ID))
+	}
+	var got []string
+	for len(got) < len(order) {
+		term.now += lazyInterval
+		puts, stored, _ := term.collectBatch()
+		require.NotEmpty(t, puts)
+		for _, p := range puts {
+			got = append(got, p.Key)
+		}
+		stored()
+	}
+	require.Equal(t, order, got)
+}
--- a/internal/coordinator/journal.go
+++ b/internal/coordinator/journal.go
@@ -24,6 +24,10 @@
 	urgentInterval = 25 * time.Millisecond
 	// maxBatchRows leaves space for the lease's row in a transaction of at most 100 rows.
 	maxBatchRows = 95
+	// oldestRows of them are for the progress that has been unsaved for longest, whoever waits for it:
+	// minions list ended runs in each report until their progress is stored, and a minion's ends are
+	// acknowledged in their order.
+	oldestRows = 24
 	// slowWriteThreshold is the duration from which a write is logged as slow. A write usually
 	// takes 10 ms.
 	slowWriteThreshold = 250 * time.Millisecond
@@ -60,26 +64,6 @@
 	w.waiters, w.waveRows = map[jobs.ID][]func(){}, map[string][]byte{}
 }
 
-// writeClass orders the progress of jobs within a write by who waits for it.
-type writeClass int
-
-const (
-	writeStarts writeClass = iota
-	writeFinal
-	writeLazy
-)
-
-// classOf returns the write class of a job's progress.
-func (t *Term) classOf(j *jobs.Job) writeClass {
-	switch {
-	case j.State().Final():
-		return writeFinal
-	case t.writer.heldStarts[j]:
-		return writeStarts
-	}
-	return writeLazy
-}
-
 // progressVersion is the version of a job's progress that a write contains.
 type progressVersion struct {
 	job    *jobs.Job
@@ -94,7 +78,7 @@
 		return
 	}
 	due := w.lastSent + renewInterval
-	if len(t.registry.Unsaved()) > 0 || len(w.obsoleteProgress) > 0 || len(w.waveRows) > 0 || len(w.goneMinions) > 0 {
+	if t.registry.UnsavedCount() > 0 || len(w.obsoleteProgress) > 0 || len(w.waveRows) > 0 || len(w.goneMinions) > 0 {
 		due = w.lastSent + lazyInterval
 	}
 	if w.urgent || len(w.newMinions) > 0 {
@@ -165,41 +149,78 @@
 }
 
 // addProgress adds the progress of jobs to a write and returns the jobs in no final state. Progress
-// that a start waits for comes first, then what a caller waits for, then what only a successor
-// would read: in a burst there is more of the last than fits into one write.
+// that a start waits for comes first, then what a caller waits for, then all other in the order in
+// which it changed. Not more than maxBatchRows-oldestRows rows are added before the oldest.
 func (t *Term) addProgress(add func(string, []byte, func()) bool) (writing []*jobs.Job) {
 	lazy := t.releasing || t.now >= t.writer.nextLazy
 	if lazy {
 		t.writer.nextLazy = t.now + lazyInterval
 	}
-	for _, class := range []writeClass{writeStarts, writeFinal, writeLazy} {
-		for _, j := range t.registry.Unsaved() {
-			if t.classOf(j) != class || class == writeLazy && !lazy {
-				continue
-			}
-			if j.FinalStateStored() {
-				// The ends of runs that outlived the job add nothing to its final state.
-				t.registry.Saved(j, j.LastChange(), j.State())
-				continue
-			}
-			s := progressVersion{j, j.LastChange(), j.State()}
-			j.HasProgress = true
-			value, err := jobs.EncodeProgress(j)
-			if err != nil {
-				t.log.Error().Err(err).Str("job", string(j.ID)).Msg("Coordinator: progress could not be encoded.")
-				continue
-			}
-			if !add(ProgressKey(j.ID), value, func() { t.progressStored(s) }) {
-				t.writer.nextLazy = t.now
-				return writing
-			}
-			if !s.state.Final() {
-				t.registry.WriteStarted(j, j.MayRunOn())
-				writing = append(writing, j)
-			}
+	b := progressBatch{term: t, add: add, seen: map[*jobs.Job]bool{}}
+	unsaved := t.registry.Unsaved()
+	isStart := func(j *jobs.Job) bool { return !j.State().Final() && t.writer.heldStarts[j] }
+	isFinal := func(j *jobs.Job) bool { return j.State().Final() }
+	full := !b.addAll(unsaved, isStart, maxBatchRows-oldestRows) || !b.addAll(unsaved, isFinal, maxBatchRows-oldestRows) ||
+		!b.addAll(unsaved, func(j *jobs.Job) bool { return lazy || isStart(j) || isFinal(j) }, maxBatchRows)
+	if full {
+		t.writer.nextLazy = t.now
+	}
+	return b.writing
+}
+
+// progressBatch collects the progress of jobs for one write.
+type progressBatch struct {
+	term *Term
+	add  func(key string, value []byte, stored func()) bool
+	// seen are the jobs that were added or need no row, rows counts those added.
+	seen map[*jobs.Job]bool
+	rows int
+	// writing are the added jobs in no final state.
+	writing []*jobs.Job
+}
+
+// addAll adds the progress of jobs for which f returns true, as long as the batch has fewer than the
+// given number of rows. It returns false if the write is full.
+func (b *progressBatch) addAll(unsaved []*jobs.Job, f func(*jobs.Job) bool, rows int) bool {
+	for _, j := range unsaved {
+		if b.rows >= rows && rows < maxBatchRows {
+			return true
+		}
+		if b.seen[j] || !f(j) {
+			continue
+		}
+		if !b.addJob(j) {
+			return false
 		}
 	}
-	return writing
+	return true
+}
+
+// addJob adds the progress of a job. It returns false if the write is full.
+func (b *progressBatch) addJob(j *jobs.Job) bool {
+	t := b.term
+	b.seen[j] = true
+	if j.FinalStateStored() {
+		// The ends of runs that outlived the job add nothing to its final state.
+		t.registry.Saved(j, j.LastChange(), j.State())
+		return true
+	}
+	s := progressVersion{j, j.LastChange(), j.State()}
+	j.HasProgress = true
+	value, err := jobs.EncodeProgress(j)
+	if err != nil {
+		t.log.Error().Err(err).Str("job", string(j.ID)).Msg("Coordinator: progress could not be encoded.")
+		return true
+	}
+	if !b.add(ProgressKey(j.ID), value, func() { t.progressStored(s) }) {
+		return false
+	}
+	b.rows++
+	if !s.state.Final() {
+		t.registry.WriteStarted(j, j.MayRunOn())
+		b.writing = append(b.writing, j)
+	}
+	return true
 }
 
 // progressStored marks a version of a job's progress as stored.
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -41,7 +41,7 @@
 	setGauge("epoch", int64(t.epoch))
 	setGauge("lease_left_ms", (t.exclusiveUntil() - t.now).Milliseconds())
 	setGauge("jobs_open", int64(len(t.registry.Open())))
-	setGauge("progress_unstored", int64(len(t.registry.Unsaved())))
+	setGauge("progress_unstored", int64(t.registry.UnsavedCount()))
 	setGauge("minions", int64(len(t.minions)))
 	setGauge("minions_silent", int64(silent))
 	setGauge("oldest_word_of_a_minion_ms", oldest.Milliseconds())
--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -129,6 +129,8 @@
 	// lastChange is the number of the last change of the job's progress, savedChange that of the
 	// last stored one.
 	lastChange, savedChange uint64
+	// unsavedSince numbers the jobs with unsaved progress in the order of their oldest unsaved change.
+	unsavedSince uint64
 	// stored is the state in the store; pendingMinions are the minions named by the write in
 	// flight, or nil.
 	stored         storedJob
@@ -213,8 +215,19 @@
 	jobs map[ID]*Job
 	// open holds the jobs that are not in a final state.
 	open map[ID]*Job
-	// unsaved holds the jobs with progress that is not stored.
-	unsaved map[ID]*Job
+	// unsaved holds the jobs with progress that is not stored, unsavedOrder the same in the order of
+	// their oldest unsaved change. Entries of jobs that have been saved since are dropped later.
+	unsaved      map[ID]*Job
+	unsavedOrder []unsavedEntry
+	unsavedCount uint64
+	// unsavedJobs is the memory of the last result of Unsaved.
+	unsavedJobs []*Job
+}
+
+// unsavedEntry is a job in Registry.unsavedOrder. It is out of date if the job's unsavedSince differs.
+type unsavedEntry struct {
+	job   *Job
+	since uint64
 }
 
 // NewRegistry returns an empty registry.
@@ -234,8 +247,32 @@
 // All returns all jobs. The map belongs to the registry.
 func (r *Registry) All() map[ID]*Job { return r.jobs }
 
-// Unsaved returns the jobs with progress that is not stored. The map belongs to the registry.
-func (r *Registry) Unsaved() map[ID]*Job { return r.unsaved }
+// UnsavedCount returns the number of jobs with progress that is not stored.
+func (r *Registry) UnsavedCount() int { return len(r.unsaved) }
+
+// Unsaved returns the jobs with progress that is not stored, those with the oldest unsaved change
+// first. The slice is valid until the next call.
+func (r *Registry) Unsaved() []*Job {
+	kept := r.unsavedOrder[:0]
+	r.unsavedJobs = r.unsavedJobs[:0]
+	for _, e := range r.unsavedOrder {
+		if e.job.unsavedSince == e.since {
+			kept = append(kept, e)
+			r.unsavedJobs = append(r.unsavedJobs, e.job)
+		}
+	}
+	clear(r.unsavedOrder[len(kept):])
+	r.unsavedOrder = kept
+	return r.unsavedJobs
+}
+
+// queueUnsaved puts a job with unsaved progress behind all others.
+func (r *Registry) queueUnsaved(j *Job) {
+	r.unsaved[j.ID] = j
+	r.unsavedCount++
+	j.unsavedSince = r.unsavedCount
+	r.unsavedOrder = append(r.unsavedOrder, unsavedEntry{j, j.unsavedSince})
+}
 
 // Add adds an accepted job and returns it. A job that exists already is returned unchanged.
 func (r *Registry) Add(a Accepted, now time.Duration) *Job {
@@ -274,7 +311,10 @@
 func (r *Registry) Remove(id ID) {
 	delete(r.jobs, id)
 	delete(r.open, id)
-	delete(r.unsaved, id)
+	if j := r.unsaved[id]; j != nil {
+		delete(r.unsaved, id)
+		j.unsavedSince = 0
+	}
 }
 
 // Step returns the step of an occurrence, or nil.
@@ -529,7 +569,9 @@
 // markChanged counts a change of the job's progress, which then has to be stored.
 func (r *Registry) markChanged(j *Job) {
 	j.lastChange++
-	r.unsaved[j.ID] = j
+	if r.unsaved[j.ID] == nil {
+		r.queueUnsaved(j)
+	}
 }
 
 // Saved records that a job's progress up to the given change is stored, with the given state.
@@ -541,7 +583,13 @@
 	if j.pendingMinions != nil {
 		j.stored.minions, j.pendingMinions = j.pendingMinions, nil
 	}
-	if !j.Unsaved() {
-		delete(r.unsaved, j.ID)
+	if r.unsaved[j.ID] == nil {
+		return
+	}
+	if j.Unsaved() {
+		r.queueUnsaved(j) // what changed before is stored
+		return
 	}
+	delete(r.unsaved, j.ID)
+	j.unsavedSince = 0
 }
