coordinator: ordering starts puts off no scheduling run

Cause: the pause after a scheduling run was ten times its duration, up to 0.5 s, and the duration contained the orders of the tasks that it started: the more idle capacity a run found, the longer what became free after it stayed idle.

Change: the pause is ten times what it took to decide, and at most 0.1 s; the line on slow runs says how long that was, how many steps waited, were tried and how many tasks started. Steps without a place are recorded only for long-running tasks, the only ones for which that is read.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -133,9 +133,9 @@
 	runLease time.Duration
 	// planSteps is the memory of the last plan's steps, for the next one.
 	planSteps []schedule.Step
-	// unplaced are the steps with tasks for which the last plan found no place.
+	// unplaced are the long-running steps with tasks for which the last plan found no place.
 	unplaced map[*jobs.StepRun]unplacedStep
-	// teamLimited counts the tasks that the limit of their team did not let start in the last plan.
+	// teamLimited counts their tasks that the limit of their team did not let start in the last plan.
 	teamLimited map[*jobs.StepRun]int
 	// reservedPlaces holds, by task that is being relocated, the minion that is to run it next.
 	reservedPlaces map[*jobs.Task]jobs.Minion
@@ -151,11 +151,13 @@
 	// tick is the longest pause between two checks of the timers.
 	tick = 40 * time.Millisecond
 	// minPlanInterval is the least time between two scheduling runs, because ends of runs arrive in
-	// batches. With many jobs the interval is planTimeFactor times the duration of the last run, so
-	// that scheduling takes a tenth of the processor. maxPlanInterval bounds it, because the
-	// duration contains the time for which the process was suspended or waited for a processor.
+	// batches. With many jobs the interval is planTimeFactor times what the last run took to decide, so
+	// that deciding takes a tenth of the processor. The time in which it orders the starts does not
+	// count: each of them uses capacity that was idle. maxPlanInterval bounds the interval, because the
+	// duration contains the time for which the process was suspended or waited for a processor, and
+	// capacity that becomes free meanwhile is idle: a task takes about a second.
 	minPlanInterval = 8 * time.Millisecond
-	maxPlanInterval = 500 * time.Millisecond
+	maxPlanInterval = 100 * time.Millisecond
 	planTimeFactor  = 10
 	// slowPlanThreshold is the duration from which a scheduling run is logged as slow.
 	slowPlanThreshold = 100 * time.Millisecond
@@ -313,8 +315,7 @@
 		}
 		t.rebalanceMachines()
 		if t.needsPlan && t.now >= t.nextPlan {
-			t.plan()
-			t.scheduleNextPlan(t.deps.Now())
+			t.runPlan()
 		}
 	}
 	t.reportWaits()
@@ -328,15 +329,15 @@
 	return tick
 }
 
-// scheduleNextPlan sets the earliest time of the next scheduling run, after one that ended at the
-// given time.
-func (t *Term) scheduleNextPlan(ended time.Duration) {
-	took := ended - t.now
-	if took > slowPlanThreshold {
+// runPlan does a scheduling run and sets the earliest time of the next one.
+func (t *Term) runPlan() {
+	r := t.plan()
+	ended := t.deps.Now()
+	if took := ended - t.now; took > slowPlanThreshold {
 		counters.Add("plans_slow", 1)
-		t.log.Info().Dur("took", took).Msg("Coordinator: slow scheduling run.")
+		t.log.Info().Dur("took", took).Dur("decided_after", r.decidedAt-t.now).Int("steps", r.steps).Int("tried", r.tried).Int("starts", r.starts).Msg("Coordinator: slow scheduling run.")
 	}
-	t.nextPlan = min(t.now+max(minPlanInterval, planTimeFactor*took), ended+maxPlanInterval)
+	t.nextPlan = min(t.now+max(minPlanInterval, planTimeFactor*(r.decidedAt-t.now)), ended+maxPlanInterval)
 }
 
 // exclusiveUntil returns until when no other entry VM can hold the lease.
--- a/internal/coordinator/plan.go
+++ b/internal/coordinator/plan.go
@@ -35,16 +35,25 @@
 	defaultEstimate = time.Second
 )
 
+// planResult tells what a scheduling run did.
+type planResult struct {
+	// decidedAt is when it was decided what to start.
+	decidedAt time.Duration
+	// steps have tasks that wait, for tried of them a place was searched; starts is the number of tasks
+	// that were started.
+	steps, tried, starts int
+}
+
 // plan starts waiting tasks as far as there is free capacity.
-func (t *Term) plan() {
+func (t *Term) plan() planResult {
 	t.needsPlan = false
 	snap := t.snapshot()
-	if len(snap.Steps) == 0 {
-		t.unplaced, t.teamLimited = nil, nil
-		return
+	var p schedule.Plan
+	if len(snap.Steps) > 0 {
+		p = schedule.NewPlan(snap)
 	}
-	p := schedule.NewPlan(snap)
 	t.recordUnplaced(p.Unplaced)
+	r := planResult{decidedAt: t.deps.Now(), steps: len(snap.Steps), tried: p.Tried, starts: len(p.Start)}
 	for _, assignment := range p.Start {
 		if m := t.minions[assignment.Minion]; m != nil {
 			t.startTask(assignment.Task, m)
@@ -53,9 +62,10 @@
 	for _, assignment := range p.Relocate {
 		t.relocate(assignment.Task, assignment.Minion)
 	}
+	return r
 }
 
-// unplacedStep tells of a step with tasks that found no place in the last plan.
+// unplacedStep tells of a long-running step with tasks that found no place in the last plan.
 type unplacedStep struct {
 	// since is when a plan first found no place for any of them.
 	since time.Duration
@@ -68,6 +78,9 @@
 	before := t.unplaced
 	t.unplaced, t.teamLimited = map[*jobs.StepRun]unplacedStep{}, map[*jobs.StepRun]int{}
 	for _, u := range all {
+		if !u.StepRun.Spec.LongRunning {
+			continue // other tasks run once their turn has come
+		}
 		if u.Reason == schedule.ReasonTeamLimit {
 			t.teamLimited[u.StepRun] += u.Tasks
 			continue
--- a/internal/coordinator/suspended_test.go
+++ b/internal/coordinator/suspended_test.go
@@ -49,3 +49,34 @@
 		ts.requireNoViolations()
 	})
 }
+
+// Guards against a pause in scheduling that grows with the number of tasks that were started: the more
+// capacity a run finds, the longer the next one was put off, for up to half a second.
+func TestOrderingManyStartsDelaysNoNextRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const starting = 400 * time.Millisecond
+		ts := newTestSite(t, 2)
+		var passed atomic.Int64
+		view := &fleet.View{Store: ts.store}
+		d := ts.deps("e1", view)
+		steady := d.Now
+		d.Now = func() time.Duration { return steady() + time.Duration(passed.Load()) }
+		d.Log = d.Log.Hook(zerolog.HookFunc(func(_ *zerolog.Event, _ zerolog.Level, text string) {
+			if text == "Coordinator: start." && passed.Load() < int64(starting) {
+				passed.Add(int64(starting / 4))
+			}
+		}))
+		d.PredecessorStopped = true
+		held, err := lease.Acquire(t.Context(), view, d.Now, ts.store.Row(lease.Key), lease.Row{Holder: "e1", Addr: "a", Incarnation: "e1"})
+		require.NoError(t, err)
+		term := Start(d, held)
+		defer endTerm(term)
+		sleep(time.Second)
+		ts.submitJob(term, "0000000000000001", step(4))
+		sleep(20 * time.Millisecond)
+		require.Equal(t, int64(starting), passed.Load(), "the four starts took their time")
+		ts.submitJob(term, "0000000000000002", step(1))
+		sleep(80 * time.Millisecond) // its row is written meanwhile
+		require.Equal(t, 1, ts.minions.Starts("0000000000000002.0.0.0"))
+	})
+}
