control: a reboot that was performed is not repeated after an outage of the store

Change: the id of the reboot in the row is kept while the VM is drained again, and the reboot is ordered with it, so that the platform does not perform it twice; only for the same wave, and if it was ordered after the start of the wave.

--- a/internal/control/vmrows.go
+++ b/internal/control/vmrows.go
@@ -33,7 +33,8 @@
 	Wave  string      `json:"wave,omitempty"`
 	Since time.Time   `json:"since"`
 	Token model.Token `json:"token"`
-	// Request is the id of the reboot while the VM is in state rebooting.
+	// Request is the id of the reboot while the VM is in state rebooting, or that of a reboot
+	// that may have been performed already while the VM is drained again (mergeVMState).
 	Request string `json:"request,omitempty"`
 	// Failed is when the VM last failed. It is kept after the repair, so that a new
 	// coordinator knows why waves are paused.
@@ -154,7 +155,8 @@
 // whether the state here was reported by a coordinator or determined by this one. A change
 // that takes capacity away is written before it takes effect, so the row applies. A change
 // that returns capacity takes effect before it is written. Whether the state here is newer
-// than the row is then not known, so the VM is drained again.
+// than the row is then not known, so the VM is drained again. A reboot of the row is then
+// repeated with the same id, which does not repeat one that was performed.
 func mergeVMState(current model.VMState, currentKnown bool, row model.VMState) model.VMState {
 	switch {
 	case !currentKnown || current == row:
@@ -197,7 +199,7 @@
 		if state != v.State {
 			// The state here differs, so the row will be written again.
 			c.setVMState(name, state, "differs from the row, which says "+string(v.State))
-			rec.current.Failed, rec.current.Wave = v.Failed, v.Wave
+			rec.current.Failed, rec.current.Wave, rec.current.Request = v.Failed, v.Wave, v.Request
 		} else {
 			c.setVMState(name, state, "read from the table")
 			rec.current = v
--- a/internal/control/waves.go
+++ b/internal/control/waves.go
@@ -148,7 +148,7 @@
 		case step.Kind == maintenance.StepEmpty:
 			c.setVMState(step.VM, model.VMEmpty, reason)
 		case step.Kind == maintenance.StepReboot:
-			next.State, next.Request = model.VMRebooting, string(model.NewIncarnation())
+			next.State, next.Request = model.VMRebooting, c.rebootID(step, r)
 			planned = append(planned, plannedChange{step.VM, next, reason})
 		case step.Kind == maintenance.StepMove:
 			next.State, next.Pool, next.Wave = model.VMServing, c.cfg.index.VM(step.VM).Pool, ""
@@ -166,6 +166,20 @@
 	return planned
 }
 
+// rebootID returns the id of a reboot that the row named before the VM was drained again, if it
+// was ordered for the same wave, and otherwise a new one.
+func (c *Control) rebootID(step *maintenance.Step, r *vmRecord) string {
+	if step.Reason == maintenance.ReasonWave && step.Detail == r.current.Wave {
+		for i := range c.cfg.index.Waves {
+			w := &c.cfg.index.Waves[i]
+			if w.Name == r.current.Wave && !model.Incarnation(r.current.Request).StartedAt().Before(w.Start) {
+				return r.current.Request
+			}
+		}
+	}
+	return string(model.NewIncarnation())
+}
+
 // returnVM returns a VM to service and records it as done in the given waves.
 func (c *Control) returnVM(step *maintenance.Step, r *vmRecord, reason string, now time.Time) {
 	for _, name := range step.Waves {
--- a/internal/control/waves_test.go
+++ b/internal/control/waves_test.go
@@ -171,6 +171,50 @@
 	})
 }
 
+// Guards against a VM that is rebooted twice in a wave: its first reboot had ended and it served
+// again when the store went down, before the row said so.
+func TestRebootIsNotRepeatedAfterAnOutage(t *testing.T) {
+	for _, killed := range []bool{false, true} {
+		t.Run(map[bool]string{false: "same coordinator", true: "its successor"}[killed], func(t *testing.T) {
+			inBubble(t, map[model.DataCentre]int{"a": 2}, func(cl *cluster) {
+				entry := cl.startServingWithWave()
+				down := false
+				cl.store.mu.Lock()
+				cl.store.writeDelay = func(x platform.Txn) time.Duration {
+					if cl.rebootCount() == 1 && slices.ContainsFunc(x.Puts, returnsVM) {
+						cl.store.mu.Lock()
+						defer cl.store.mu.Unlock()
+						cl.store.down, cl.store.dropWrites, down = true, true, true
+					}
+					return 0
+				}
+				cl.store.mu.Unlock()
+				cl.eventually(20*time.Second, func() bool {
+					cl.store.mu.Lock()
+					defer cl.store.mu.Unlock()
+					return down
+				}, "no VM returns")
+				cl.advance(time.Second) // the followers hear that it serves
+				if killed {
+					cl.nodes[entry].kill()
+				}
+				cl.advance(5 * time.Second)
+				cl.store.mu.Lock()
+				cl.store.down, cl.store.dropWrites, cl.store.writeDelay = false, false, nil
+				cl.store.mu.Unlock()
+				cl.awaitWave(time.Minute, 2)
+				require.Equal(t, 2, cl.rebootCount())
+			})
+		})
+	}
+}
+
+// returnsVM reports whether a put says that a VM of a wave serves again.
+func returnsVM(p platform.Put) bool {
+	var row vmRow
+	return strings.HasPrefix(p.Key, vmPrefix) && json.Unmarshal(p.Value, &row) == nil && row.State == model.VMServing
+}
+
 func (cl *cluster) allVMsUp() bool {
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
