account: the report reads the batches after the coverages that speak of them

The report listed the batches before and the coverages after, so it believed that all facts up to the coverage were stored. Change: coverages are read before batches, like the rows. Measured: TestReplicasStoredWhileTheReportIsRead fails without the change (the gap begins 9.9 s after the missing job) and passes with it.

--- a/internal/account/account_test.go
+++ b/internal/account/account_test.go
@@ -494,6 +494,41 @@
 	require.True(t, g.To.Equal(gone), "%v", g.To)
 }
 
+// Guards against a job that is missing outside any gap: its holder of replicas stores them while
+// the report is read.
+func TestReplicasStoredWhileTheReportIsRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemoryStore()
+		replicas := NewReplicaStore("entry-a-2", memoryObjects{m}, zerolog.Nop())
+		l := NewLedger(testOwner, m.services(), []Replicator{directReplicator{replicas, testOwner.Incarnation}}, zerolog.Nop(), time.Now)
+		require.NoError(t, l.writeInitialRow(t.Context()))
+		at := time.Now()
+		time.Sleep(10 * time.Second)
+		l.Record(accepted("job-1", at))
+		l.replicate(t.Context(), l.replicas[0])
+		replicas.MarkOwnerGone(testOwner, time.Now())
+		once := sync.OnceFunc(func() { require.NoError(t, replicas.StoreOrphaned(t.Context())) })
+		in, err := Load(t.Context(), platform.Services{Table: memoryTable{m}, Objects: changingObjects{memoryObjects{m}, once}})
+		require.NoError(t, err)
+		in.Now = time.Now()
+		r := Build(in)
+		require.Len(t, r.Gaps, 1)
+		require.True(t, r.Job("job-1") != nil || !at.Before(r.Gaps[0].From), "job-1 is missing before the gap, which begins at %v", r.Gaps[0].From)
+		require.NotEqual(t, GapBatchMissing, r.Gaps[0].Cause)
+	})
+}
+
+// changingObjects calls change after each list, before the next one.
+type changingObjects struct {
+	memoryObjects
+	change func()
+}
+
+func (c changingObjects) List(ctx context.Context, p platform.Priority, prefix string) ([]string, error) {
+	defer c.change()
+	return c.memoryObjects.List(ctx, p, prefix)
+}
+
 // Guards against a job that is missing outside any gap: its process was held up between taking the
 // time of its id and adding its record, its batches were copied meanwhile, and then it was killed.
 func TestHeldUpFactIsInTheGap(t *testing.T) {
--- a/internal/account/report.go
+++ b/internal/account/report.go
@@ -231,11 +231,13 @@
 	if err != nil {
 		return ReportInput{}, err
 	}
-	batches, err := loadObjects(ctx, s.Objects, objectPrefix, DecodeBatch)
+	// Rows and coverages say that batches exist, which are stored before them. Batches are read
+	// last, so that none is stored unseen between the two reads.
+	coverages, err := loadObjects(ctx, s.Objects, coveragePrefix, decodeCoverage)
 	if err != nil {
 		return ReportInput{}, err
 	}
-	coverages, err := loadObjects(ctx, s.Objects, coveragePrefix, decodeCoverage)
+	batches, err := loadObjects(ctx, s.Objects, objectPrefix, DecodeBatch)
 	if err != nil {
 		return ReportInput{}, err
 	}
