account: a coverage says which batches exist, not only up to which time they reach

Cause: a holder of replicas that was restarted gets only the batches that its predecessor under the same name had not received, or none of them; its coverage was believed to prove that everything up to its time is stored. Change: the coverage names the last sequence number that exists. If a batch up to it is not stored, the report shows the gap from the last batch before it on.

--- a/internal/account/account_test.go
+++ b/internal/account/account_test.go
@@ -494,6 +494,34 @@
 	require.True(t, g.To.Equal(gone), "%v", g.To)
 }
 
+// Guards against a job that is missing outside any gap: the peer that had its replica ended, and
+// the next process under the peer's name heard only up to which time the replicas reach.
+func TestCoverageWithoutReplicasIsAGap(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemoryStore()
+		first := NewReplicaStore("entry-b-1", memoryObjects{m}, zerolog.Nop())
+		next := NewReplicaStore("entry-b-1", memoryObjects{m}, zerolog.Nop())
+		l := NewLedger(testOwner, m.services(), []Replicator{directReplicator{first, testOwner.Incarnation}}, zerolog.Nop(), time.Now)
+		require.NoError(t, l.writeInitialRow(t.Context()))
+		m.setDown(true)
+		at := time.Now()
+		l.Record(accepted("job-1", at))
+		l.replicate(t.Context(), l.replicas[0])
+		time.Sleep(replicateInterval)
+		open, hasFacts := l.closeBatch()
+		require.False(t, hasFacts)
+		payload, err := open.Encode()
+		require.NoError(t, err)
+		require.NoError(t, next.Hold(0, payload))
+		m.setDown(false)
+		next.MarkOwnerGone(testOwner, time.Now())
+		require.NoError(t, next.StoreOrphaned(t.Context()))
+		r := buildFrom(t, m, nil)
+		require.Len(t, r.Gaps, 1)
+		require.False(t, at.Before(r.Gaps[0].From), "job-1 was accepted in the gap, not before %v", r.Gaps[0].From)
+	})
+}
+
 // Guards against a job that is missing outside any gap: its holder of replicas stores them while
 // the report is read.
 func TestReplicasStoredWhileTheReportIsRead(t *testing.T) {
--- a/internal/account/holder.go
+++ b/internal/account/holder.go
@@ -32,6 +32,9 @@
 	Owner
 	StoredBy    model.EntryVM `json:"holder"`
 	CoversUntil time.Time     `json:"covers_until"`
+	// LastSequence is the last sequence number that is known to exist. The holder need not have all
+	// batches up to it: an earlier process under its name may have received them.
+	LastSequence uint64 `json:"last_sequence,omitempty"`
 	// GoneSeen is when the entry VM StoredBy noticed that the owner had ended; zero if the
 	// owner was only silent.
 	GoneSeen time.Time `json:"gone_seen"`
@@ -53,6 +56,7 @@
 type ownerReplicas struct {
 	owner        Owner
 	coversUntil  time.Time
+	lastSequence uint64
 	batches      map[uint64][]byte
 	goneSeen     time.Time
 	lastReceived time.Time
@@ -88,6 +92,11 @@
 	if b.CoversUntil.After(c.coversUntil) {
 		c.coversUntil = b.CoversUntil
 	}
+	last := sequence
+	if sequence == 0 {
+		last = b.First - 1 // the batch is open, all before it are closed
+	}
+	c.lastSequence = max(c.lastSequence, last)
 	return nil
 }
 
@@ -184,7 +193,7 @@
 			return err
 		}
 	}
-	coverage := Coverage{Owner: c.owner, StoredBy: r.self, CoversUntil: c.coversUntil, GoneSeen: c.goneSeen}
+	coverage := Coverage{Owner: c.owner, StoredBy: r.self, CoversUntil: c.coversUntil, LastSequence: c.lastSequence, GoneSeen: c.goneSeen}
 	data, err := encode(coverage)
 	if err != nil {
 		return err
--- a/internal/account/merge.go
+++ b/internal/account/merge.go
@@ -121,6 +121,7 @@
 func (m *merger) addCoverage(v Coverage) {
 	c := m.ownerCoverage(v.Owner)
 	c.confirmedUntil = laterOf(c.confirmedUntil, v.CoversUntil)
+	c.lastSequence = max(c.lastSequence, v.LastSequence)
 	if !v.GoneSeen.IsZero() && (c.GoneSeen.IsZero() || v.GoneSeen.Before(c.GoneSeen)) {
 		c.GoneSeen = v.GoneSeen
 	}
