account: a peer that is restarted under its name gets all replicas again

The owner noted what the name had received, not the process, and an entry VM of another data centre does not notice the restart. Change: the reply to HoldRecords names the process that holds the replica. When another one answers than before, all batches that are not stored are sent again, at once. Measured: TestRestartedHolderGetsAllReplicas has 1 of 4 and 0 of 3 jobs without the change, all with it.

--- a/bench/prove/mutants/list.go
+++ b/bench/prove/mutants/list.go
@@ -102,7 +102,7 @@
 		},
 		{
 			Name: "records are not copied", Scenario: "records-copied", Seed: 1, Expect: prove.FaultGapLong,
-			Edits: []Edit{{"internal/daemon/links.go", "_, err = to.HoldRecords(ctx, &peer.HoldRecords{From: c.links.self, Batch: sequence, Payload: payload})", "_ = to"}},
+			Edits: []Edit{{"internal/daemon/links.go", "reply, err := to.HoldRecords(ctx, &peer.HoldRecords{From: c.links.self, Batch: sequence, Payload: payload})", "reply := peer.HoldRecordsReply{}; _ = to"}},
 		},
 		{
 			Name: "copies of records are dropped but count as covered", Scenario: "records-copied", Seed: 1, Expect: load.FaultReportMissing,
--- a/internal/account/account_test.go
+++ b/internal/account/account_test.go
@@ -119,8 +119,8 @@
 }
 
 func (c directReplicator) Target() model.EntryVM { return c.store.self }
-func (c directReplicator) Hold(_ context.Context, seq uint64, p []byte) error {
-	return c.store.Hold(seq, p)
+func (c directReplicator) Hold(_ context.Context, seq uint64, p []byte) (model.Incarnation, error) {
+	return "holder", c.store.Hold(seq, p)
 }
 func (c directReplicator) Drop(_ context.Context, seq uint64) { c.store.Drop(c.inc, seq) }
 
@@ -268,9 +268,9 @@
 type hangingReplicator struct{}
 
 func (hangingReplicator) Target() model.EntryVM { return "unreachable" }
-func (hangingReplicator) Hold(ctx context.Context, _ uint64, _ []byte) error {
+func (hangingReplicator) Hold(ctx context.Context, _ uint64, _ []byte) (model.Incarnation, error) {
 	<-ctx.Done()
-	return ctx.Err()
+	return "", ctx.Err()
 }
 func (hangingReplicator) Drop(ctx context.Context, _ uint64) { <-ctx.Done() }
 
@@ -522,6 +522,49 @@
 	})
 }
 
+// restartedReplicator replicates to a peer that is restarted under the same name.
+type restartedReplicator struct {
+	directReplicator
+	holder *model.Incarnation
+}
+
+func (c restartedReplicator) Hold(_ context.Context, seq uint64, p []byte) (model.Incarnation, error) {
+	return *c.holder, c.store.Hold(seq, p)
+}
+
+// Guards against facts that are lost because the peer that had their replicas was restarted under
+// the same name: the new process gets all batches that are not stored, also if there are no new ones.
+func TestRestartedHolderGetsAllReplicas(t *testing.T) {
+	for name, newFacts := range map[string]bool{"new facts": true, "no new facts": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := newMemoryStore()
+				m.setDown(true)
+				replicas := NewReplicaStore("entry-b-1", memoryObjects{m}, zerolog.Nop())
+				holder := model.Incarnation("first")
+				l := NewLedger(testOwner, m.services(), []Replicator{restartedReplicator{directReplicator{replicas, testOwner.Incarnation}, &holder}}, zerolog.Nop(), time.Now)
+				for i := range 3 {
+					l.Record(accepted(fmt.Sprint("job-", i), time.Now()))
+					l.replicate(t.Context(), l.replicas[0])
+					time.Sleep(replicateInterval)
+				}
+				holder = "second"
+				replicas.byIncarnation = map[model.Incarnation]*ownerReplicas{}
+				if newFacts {
+					l.Record(accepted("job-3", time.Now()))
+				}
+				l.replicate(t.Context(), l.replicas[0])
+				m.setDown(false)
+				replicas.MarkOwnerGone(testOwner, time.Now())
+				require.NoError(t, replicas.StoreOrphaned(t.Context()))
+				r := buildFrom(t, m, nil)
+				require.Equal(t, map[bool]int{true: 4, false: 3}[newFacts], r.Total.Accepted)
+				require.Equal(t, GapLost, r.Gaps[0].Cause)
+			})
+		})
+	}
+}
+
 // Guards against a job that is missing outside any gap: its holder of replicas stores them while
 // the report is read.
 func TestReplicasStoredWhileTheReportIsRead(t *testing.T) {
--- a/internal/account/ledger.go
+++ b/internal/account/ledger.go
@@ -55,8 +55,9 @@
 type Replicator interface {
 	// Target returns the peer that currently receives the replicas; empty if there is none.
 	Target() model.EntryVM
-	// Hold sends an encoded batch to the peer. Sequence 0 only extends the covered time.
-	Hold(ctx context.Context, sequence uint64, payload []byte) error
+	// Hold sends an encoded batch to the peer and returns the process that holds it. Sequence 0
+	// only extends the covered time.
+	Hold(ctx context.Context, sequence uint64, payload []byte) (model.Incarnation, error)
 	// Drop tells the peer to remove the replicas up to and including sequence.
 	Drop(ctx context.Context, sequence uint64)
 }
@@ -65,7 +66,9 @@
 type replica struct {
 	Replicator
 	target model.EntryVM
-	// through is the last sequence number that target has.
+	// holder is the process at target that confirmed the last replica.
+	holder model.Incarnation
+	// through is the last sequence number that holder has.
 	through uint64
 }
 
@@ -269,21 +272,42 @@
 		return
 	}
 	if target != r.target {
-		r.target, r.through = target, 0
+		r.target, r.holder, r.through = target, "", 0
 	}
 	ctx, cancel := context.WithTimeout(ctx, replicateInterval)
 	defer cancel()
+	if replaced := l.replicatePending(ctx, r, open); replaced {
+		l.replicatePending(ctx, r, open)
+	}
+}
+
+// replicatePending sends the batches that the holder does not have. It reports whether another
+// process answered at the target, which has none of the batches before.
+func (l *Ledger) replicatePending(ctx context.Context, r *replica, open Batch) (replaced bool) {
 	batches := l.pendingAfter(r.through)
+	sequences := make([]uint64, len(batches))
+	for i := range batches {
+		sequences[i] = batches[i].Last
+	}
 	if len(batches) == 0 {
-		l.replicateBatch(ctx, r, 0, open)
-		return
+		batches, sequences = []Batch{open}, []uint64{0}
 	}
-	for _, b := range batches {
-		if !l.replicateBatch(ctx, r, b.Last, b) {
-			return
+	for i, b := range batches {
+		holder, err := l.replicateBatch(ctx, r, sequences[i], b)
+		if err != nil {
+			return false
+		}
+		if holder != r.holder {
+			replaced = r.holder != ""
+			r.holder = holder
+			if replaced {
+				r.through = 0
+				return true
+			}
 		}
-		r.through = b.Last
+		r.through = max(r.through, sequences[i])
 	}
+	return false
 }
 
 // pendingAfter returns the closed batches that are not stored and end after a sequence number.
@@ -297,18 +321,17 @@
 	return append([]Batch(nil), l.pending[i:]...)
 }
 
-func (l *Ledger) replicateBatch(ctx context.Context, r *replica, sequence uint64, b Batch) bool {
+func (l *Ledger) replicateBatch(ctx context.Context, r *replica, sequence uint64, b Batch) (holder model.Incarnation, err error) {
 	payload, err := b.Encode()
 	if err != nil {
 		l.log.Error().Err(err).Msg("Batch could not be encoded.")
-		return false
+		return "", err
 	}
-	if err := r.Hold(ctx, sequence, payload); err != nil {
+	if holder, err = r.Hold(ctx, sequence, payload); err != nil {
 		metricCopyFailures.Add(1)
 		l.log.Debug().Err(err).Msg("Batch not replicated to a peer.")
-		return false
 	}
-	return true
+	return holder, err
 }
 
 // writeInitialRow writes the incarnation row before the first fact is stored.
--- a/internal/daemon/inbox.go
+++ b/internal/daemon/inbox.go
@@ -52,8 +52,8 @@
 	return &peer.JobGetReply{Found: true, Result: res}, nil
 }
 
-func (b *inbox) HoldRecords(_ context.Context, m *peer.HoldRecords) (*peer.Empty, error) {
-	return &peer.Empty{}, b.holder.Hold(m.Batch, m.Payload)
+func (b *inbox) HoldRecords(_ context.Context, m *peer.HoldRecords) (*peer.HoldRecordsReply, error) {
+	return &peer.HoldRecordsReply{From: b.self}, b.holder.Hold(m.Batch, m.Payload)
 }
 
 func (b *inbox) DropRecords(_ context.Context, m *peer.DropRecords) (*peer.Empty, error) {
--- a/internal/daemon/links.go
+++ b/internal/daemon/links.go
@@ -145,14 +145,17 @@
 }
 
 // Hold implements account.Replicator.
-func (c *copier) Hold(ctx context.Context, sequence uint64, payload []byte) error {
+func (c *copier) Hold(ctx context.Context, sequence uint64, payload []byte) (model.Incarnation, error) {
 	target := c.current()
 	to, err := c.links.client(target)
 	if err != nil {
-		return err
+		return "", err
 	}
-	_, err = to.HoldRecords(ctx, &peer.HoldRecords{From: c.links.self, Batch: sequence, Payload: payload})
-	return errors.Wrapf(err, "daemon: copy records to %s", target)
+	reply, err := to.HoldRecords(ctx, &peer.HoldRecords{From: c.links.self, Batch: sequence, Payload: payload})
+	if err != nil {
+		return "", errors.Wrapf(err, "daemon: copy records to %s", target)
+	}
+	return reply.From.Incarnation, nil
 }
 
 // Drop implements account.Replicator. A lost message only leaves a copy behind, which the
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -393,8 +393,8 @@
 }
 
 // HoldRecords implements RecordHandler.
-func (c *Client) HoldRecords(ctx context.Context, m *HoldRecords) (*Empty, error) {
-	return call[Empty](ctx, c, MethodHoldRecords, m, fetchTimeout, false)
+func (c *Client) HoldRecords(ctx context.Context, m *HoldRecords) (*HoldRecordsReply, error) {
+	return call[HoldRecordsReply](ctx, c, MethodHoldRecords, m, fetchTimeout, false)
 }
 
 // DropRecords implements RecordHandler.
--- a/internal/peer/handler.go
+++ b/internal/peer/handler.go
@@ -45,7 +45,7 @@
 
 // RecordHandler handles the messages about account records. Client implements it too.
 type RecordHandler interface {
-	HoldRecords(ctx context.Context, m *HoldRecords) (*Empty, error)
+	HoldRecords(ctx context.Context, m *HoldRecords) (*HoldRecordsReply, error)
 	DropRecords(ctx context.Context, m *DropRecords) (*Empty, error)
 	PullRecords(ctx context.Context, m *PullRecords) (*PullRecordsReply, error)
 }
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -245,6 +245,13 @@
 	Payload []byte `json:"payload"`
 }
 
+// HoldRecordsReply confirms a replica.
+type HoldRecordsReply struct {
+	// From identifies the process that holds the replica. Another one under the same name does not
+	// have what was sent to the one before.
+	From Sender `json:"from"`
+}
+
 // DropRecords discards the replicas of all batches up to and including Batch.
 type DropRecords struct {
 	From  Sender `json:"from"`
