status: a wave is not done while the progress of a data centre is not known

The status summed done and total of the data centres that answered, and both were 12. Change: VMs of a wave in data centres whose progress is not known count in its total. That is also so for a coordinator that has just taken over and has made no plan.

--- a/internal/control/sitestatus.go
+++ b/internal/control/sitestatus.go
@@ -22,6 +22,9 @@
 	VMs          map[model.VM]peer.VMStatus
 	// Waves holds the progress of each wave, summed over all data centres that answered.
 	Waves []peer.WaveStatus
+	// WavesFrom holds the data centres that are part of the progress of each wave. A coordinator
+	// that has just taken over does not know it yet.
+	WavesFrom map[string][]model.DataCentre
 }
 
 // DCCoordinator identifies the coordinator of one data centre.
@@ -93,6 +96,7 @@
 	}
 	out := SiteStatus{
 		Running: make(map[model.Team]int), Waiting: make(map[model.Team]int), VMs: make(map[model.VM]peer.VMStatus),
+		WavesFrom: make(map[string][]model.DataCentre),
 	}
 	for _, dc := range dcs {
 		r := best[dc]
@@ -124,6 +128,7 @@
 			i = len(s.Waves)
 			s.Waves = append(s.Waves, peer.WaveStatus{Name: w.Name})
 		}
+		s.WavesFrom[w.Name] = append(s.WavesFrom[w.Name], dc)
 		x := &s.Waves[i]
 		x.Done, x.Active, x.Total = x.Done+w.Done, x.Active+w.Active, x.Total+w.Total
 		if w.Paused != "" {
--- a/internal/control/sitestatus_test.go
+++ b/internal/control/sitestatus_test.go
@@ -31,3 +31,15 @@
 		{DC: "c"},
 	}, s.Coordinators)
 }
+
+// Guards against progress of a wave that seems to include a data centre whose coordinator does not
+// know it yet.
+func TestMergeStatusNamesTheDataCentresOfAWave(t *testing.T) {
+	s := mergeStatus([]model.DataCentre{"a", "b", "c"}, []*peer.DCStatusReply{
+		{From: peer.Sender{Entry: "a-1", DC: "a"}, Coordinator: true, Waves: []peer.WaveStatus{{Name: "w", Done: 1, Total: 2}}},
+		{From: peer.Sender{Entry: "b-1", DC: "b"}, Coordinator: true},
+		{From: peer.Sender{Entry: "c-1", DC: "c"}, Coordinator: true, Waves: []peer.WaveStatus{{Name: "w", Done: 2, Total: 2}}},
+	})
+	require.Equal(t, []peer.WaveStatus{{Name: "w", Done: 3, Total: 4}}, s.Waves)
+	require.Equal(t, []model.DataCentre{"a", "c"}, s.WavesFrom["w"])
+}
--- a/internal/daemon/operate.go
+++ b/internal/daemon/operate.go
@@ -85,9 +85,7 @@
 	if snap.Site != nil {
 		out.VMs = vmStatus(snap.Site, site)
 		out.Teams = teamStatus(snap.Site, site)
-		for _, w := range site.Waves {
-			out.Waves = append(out.Waves, operator.WaveStatus{Name: w.Name, Done: w.Done, Active: w.Active, Total: w.Total, Paused: w.Paused})
-		}
+		out.Waves = waveStatus(snap.Site, site)
 	}
 	return out, nil
 }
@@ -156,6 +154,28 @@
 	}
 }
 
+// waveStatus returns the progress of the waves. VMs of data centres whose progress is not known
+// count as not done, so that no wave looks finished while a data centre has no coordinator.
+func waveStatus(site *config.Index, st control.SiteStatus) []operator.WaveStatus {
+	var out []operator.WaveStatus
+	for _, w := range st.Waves {
+		x := operator.WaveStatus{Name: w.Name, Done: w.Done, Active: w.Active, Total: w.Total, Paused: w.Paused}
+		for i := range site.Waves {
+			if site.Waves[i].Name != w.Name {
+				continue
+			}
+			for j := range site.VMs {
+				v := &site.VMs[j]
+				if slices.Contains(site.Waves[i].Pools, v.Pool) && !slices.Contains(st.WavesFrom[w.Name], v.DC) {
+					x.Total++
+				}
+			}
+		}
+		out = append(out, x)
+	}
+	return out
+}
+
 func vmStatus(site *config.Index, st control.SiteStatus) []operator.VMStatus {
 	out := make([]operator.VMStatus, 0, len(site.VMs))
 	for _, vm := range site.VMs {
