--- a/internal/account/account_test.go
+++ b/internal/account/account_test.go
@@ -119,8 +119,8 @@
 }
 
 func (c directReplicator) Target() model.EntryVM { return c.store.self }
-func (c directReplicator) Hold(_ context.Context, seq uint64, p []byte) error {
-	return c.store.Hold(seq, p)
+func (c directReplicator) Hold(_ context.Context, seq uint64, p []byte) (model.Incarnation, error) {
+	return "holder", c.store.Hold(seq, p)
 }
 func (c directReplicator) Drop(_ context.Context, seq uint64) { c.store.Drop(c.inc, seq) }
 
@@ -268,9 +268,9 @@
 type hangingReplicator struct{}
 
 func (hangingReplicator) Target() model.EntryVM { return "unreachable" }
-func (hangingReplicator) Hold(ctx context.Context, _ uint64, _ []byte) error {
+func (hangingReplicator) Hold(ctx context.Context, _ uint64, _ []byte) (model.Incarnation, error) {
 	<-ctx.Done()
-	return ctx.Err()
+	return "", ctx.Err()
 }
 func (hangingReplicator) Drop(ctx context.Context, _ uint64) { <-ctx.Done() }
 
@@ -494,6 +494,112 @@
 	require.True(t, g.To.Equal(gone), "%v", g.To)
 }
 
+// Guards against a job that is missing outside any gap: the peer that had its replica ended, and
+// the next process under the peer's name heard only up to which time the replicas reach.
+func TestCoverageWithoutReplicasIsAGap(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemoryStore()
+		first := NewReplicaStore("entry-b-1", memoryObjects{m}, zerolog.Nop())
+		next := NewReplicaStore("entry-b-1", memoryObjects{m}, zerolog.Nop())
+		l := NewLedger(testOwner, m.services(), []Replicator{directReplicator{first, testOwner.Incarnation}}, zerolog.Nop(), time.Now)
+		require.NoError(t, l.writeInitialRow(t.Context()))
+		m.setDown(true)
+		at := time.Now()
+		l.Record(accepted("job-1", at))
+		l.replicate(t.Context(), l.replicas[0])
+		time.Sleep(replicateInterval)
+		open, hasFacts := l.closeBatch()
+		require.False(t, hasFacts)
+		payload, err := open.Encode()
+		require.NoError(t, err)
+		require.NoError(t, next.Hold(0, payload))
+		m.setDown(false)
+		next.MarkOwnerGone(testOwner, time.Now())
+		require.NoError(t, next.StoreOrphaned(t.Context()))
+		r := buildFrom(t, m, nil)
+		require.Len(t, r.Gaps, 1)
+		require.False(t, at.Before(r.Gaps[0].From), "job-1 was accepted in the gap, not before %v", r.Gaps[0].From)
+	})
+}
+
+// restartedReplicator replicates to a peer that is restarted under the same name.
+type restartedReplicator struct {
+	directReplicator
+	holder *model.Incarnation
+}
+
+func (c restartedReplicator) Hold(_ context.Context, seq uint64, p []byte) (model.Incarnation, error) {
+	return *c.holder, c.store.Hold(seq, p)
+}
+
+// Guards against facts that are lost because the peer that had their replicas was restarted under
+// the same name: the new process gets all batches that are not stored, also if there are no new ones.
+func TestRestartedHolderGetsAllReplicas(t *testing.T) {
+	for name, newFacts := range map[string]bool{"new facts": true, "no new facts": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := newMemoryStore()
+				m.setDown(true)
+				replicas := NewReplicaStore("entry-b-1", memoryObjects{m}, zerolog.Nop())
+				holder := model.Incarnation("first")
+				l := NewLedger(testOwner, m.services(), []Replicator{restartedReplicator{directReplicator{replicas, testOwner.Incarnation}, &holder}}, zerolog.Nop(), time.Now)
+				for i := range 3 {
+					l.Record(accepted(fmt.Sprint("job-", i), time.Now()))
+					l.replicate(t.Context(), l.replicas[0])
+					time.Sleep(replicateInterval)
+				}
+				holder = "second"
+				replicas.byIncarnation = map[model.Incarnation]*ownerReplicas{}
+				if newFacts {
+					l.Record(accepted("job-3", time.Now()))
+				}
+				l.replicate(t.Context(), l.replicas[0])
+				m.setDown(false)
+				replicas.MarkOwnerGone(testOwner, time.Now())
+				require.NoError(t, replicas.StoreOrphaned(t.Context()))
+				r := buildFrom(t, m, nil)
+				require.Equal(t, map[bool]int{true: 4, false: 3}[newFacts], r.Total.Accepted)
+				require.Equal(t, GapLost, r.Gaps[0].Cause)
+			})
+		})
+	}
+}
+
+// Guards against a job that is missing outside any gap: its holder of replicas stores them while
+// the report is read.
+func TestReplicasStoredWhileTheReportIsRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemoryStore()
+		replicas := NewReplicaStore("entry-a-2", memoryObjects{m}, zerolog.Nop())
+		l := NewLedger(testOwner, m.services(), []Replicator{directReplicator{replicas, testOwner.Incarnation}}, zerolog.Nop(), time.Now)
+		require.NoError(t, l.writeInitialRow(t.Context()))
+		at := time.Now()
+		time.Sleep(10 * time.Second)
+		l.Record(accepted("job-1", at))
+		l.replicate(t.Context(), l.replicas[0])
+		replicas.MarkOwnerGone(testOwner, time.Now())
+		once := sync.OnceFunc(func() { require.NoError(t, replicas.StoreOrphaned(t.Context())) })
+		in, err := Load(t.Context(), platform.Services{Table: memoryTable{m}, Objects: changingObjects{memoryObjects{m}, once}})
+		require.NoError(t, err)
+		in.Now = time.Now()
+		r := Build(in)
+		require.Len(t, r.Gaps, 1)
+		require.True(t, r.Job("job-1") != nil || !at.Before(r.Gaps[0].From), "job-1 is missing before the gap, which begins at %v", r.Gaps[0].From)
+		require.NotEqual(t, GapBatchMissing, r.Gaps[0].Cause)
+	})
+}
+
+// changingObjects calls change after each list, before the next one.
+type changingObjects struct {
+	memoryObjects
+	change func()
+}
+
+func (c changingObjects) List(ctx context.Context, p platform.Priority, prefix string) ([]string, error) {
+	defer c.change()
+	return c.memoryObjects.List(ctx, p, prefix)
+}
+
 // Guards against a job that is missing outside any gap: its process was held up between taking the
 // time of its id and adding its record, its batches were copied meanwhile, and then it was killed.
 func TestHeldUpFactIsInTheGap(t *testing.T) {
