faultproxy: hold back one direction of a link, for all clients or for one

Cause: a link could be silent, slow or reset only in both directions, and only for all its clients. Change: Hold keeps back the data of one direction until Release or Heal, as a network that loses its packets; what a sender gave up by a reset meanwhile never arrives. SourceOf tells clients apart by their first data.

--- a/standins/faultproxy/link.go
+++ b/standins/faultproxy/link.go
@@ -69,11 +69,13 @@
 	conns      map[*pair]bool // guarded by mu
 	closed     bool           // guarded by mu
 	stall      *stall         // guarded by mu; nil unless the link is stalled
-	done       chan struct{}  // closed with the link
+	holds      []hold         // guarded by mu
+	sourceOf   func(data []byte) string
+	done       chan struct{} // closed with the link
 }
 
-func newLink(name, listen, target string) (*Link, error) {
-	l := &Link{name: name, target: target, addr: listen, mode: ModeUp,
+func newLink(s LinkSpec) (*Link, error) {
+	l := &Link{name: s.Name, target: s.Target, addr: s.Listen, mode: ModeUp, sourceOf: s.SourceOf,
 		conns: map[*pair]bool{}, done: make(chan struct{})}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -153,6 +155,7 @@
 	l.mu.Lock()
 	l.endStall()
 	l.mu.Unlock()
+	l.release(func(hold) bool { return true })
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.mode = ModeUp
@@ -248,8 +251,8 @@
 		return
 	}
 	var wg sync.WaitGroup
-	wg.Go(func() { p.forward(p.client, p.server) })
-	wg.Go(func() { p.forward(p.server, p.client) })
+	wg.Go(func() { p.forward(ToTarget, p.client, p.server) })
+	wg.Go(func() { p.forward(ToClient, p.server, p.client) })
 	wg.Wait()
 }
 
--- a/standins/faultproxy/pair.go
+++ b/standins/faultproxy/pair.go
@@ -12,6 +12,8 @@
 type pair struct {
 	link   *Link
 	silent atomic.Bool // data and closes are swallowed; never unset
+	source atomic.Pointer[string]
+	broken [2]atomic.Bool // the sender of a direction has reset its connection
 
 	mu     sync.Mutex
 	client *net.TCPConn
@@ -66,11 +68,11 @@
 
 // forward copies one direction until its end or an error of either side. It does not
 // close a silent pair, so that the other side does not learn that this one has ended.
-func (p *pair) forward(src, dst *net.TCPConn) {
+func (p *pair) forward(d Direction, src, dst *net.TCPConn) {
 	queue := make(chan chunk, chunkQueue)
-	go p.read(src, queue)
+	go p.read(d, src, queue)
 	for c := range queue {
-		if !p.waitDue(c.due) {
+		if !p.waitDue(c.due) || !p.awaitRelease(d) {
 			continue // drain the queue, so that read can end
 		}
 		if p.silent.Load() {
@@ -91,11 +93,15 @@
 }
 
 // read passes the data of src to the queue and closes it at the end of the stream.
-func (p *pair) read(src *net.TCPConn, queue chan<- chunk) {
+func (p *pair) read(d Direction, src *net.TCPConn, queue chan<- chunk) {
 	defer close(queue)
 	for {
 		buf := make([]byte, chunkBytes)
 		n, err := src.Read(buf)
+		if d == ToTarget {
+			p.identify(buf[:n])
+		}
+		p.broken[d].Store(err != nil && err != io.EOF)
 		due := time.Now().Add(time.Duration(p.link.delay.Load()))
 		if n > 0 {
 			queue <- chunk{data: buf[:n], due: due}
--- a/standins/faultproxy/proxy.go
+++ b/standins/faultproxy/proxy.go
@@ -17,6 +17,9 @@
 	Name   string `json:"name"`
 	Listen string `json:"listen"`
 	Target string `json:"target"`
+	// SourceOf, if set, returns the name of a connection's client, given the first data that it sent,
+	// or an empty text.
+	SourceOf func(data []byte) string `json:"-"`
 }
 
 // Action is what to do with links.
@@ -58,7 +61,7 @@
 	if _, ok := p.links[s.Name]; ok {
 		return nil, errors.Errorf("faultproxy: link %s exists", s.Name)
 	}
-	l, err := newLink(s.Name, s.Listen, s.Target)
+	l, err := newLink(s)
 	if err != nil {
 		return nil, err
 	}
