--- a/internal/daemon/site.go
+++ b/internal/daemon/site.go
@@ -80,7 +80,7 @@
 	self := peer.Sender{Entry: set.Name, DC: set.DC, Incarnation: model.NewIncarnation()}
 	s := &Site{set: set, log: logging.Part(log, "daemon"), lis: map[string]net.Listener{}}
 	s.node = entry.New(entry.Deps{
-		Self: self, PeerAddr: set.PeerListen, Cores: set.Cores, Table: table, Feed: table, Fleet: fencing.NewFleet(platform.NewMinions(), platform.NewMachines(set.MachinesAddr)),
+		Self: self, PeerAddr: set.PeerAddr, Cores: set.Cores, Table: table, Feed: table, Fleet: fencing.NewFleet(platform.NewMinions(), platform.NewMachines(set.MachinesAddr)),
 		Codec:        coordinator.Codec{Minion: platform.DecodeMinion, Wave: platform.DecodeWave, WaveStatus: platform.EncodeWaveStatus},
 		DecodeConfig: platform.DecodeConfig,
 		Limits:       coordinator.Limits{MaxMinionLease: set.MaxMinionLease, MachineOrderGap: set.MachineOrderGap, Retention: set.Retention},
--- a/internal/settings/site.go
+++ b/internal/settings/site.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"boragepulley/internal/config"
 	"boragepulley/internal/model"
 	"boragepulley/internal/tomldoc"
 )
@@ -18,7 +19,9 @@
 	DC   model.DataCentre
 	// CallerListen, ReadyListen, PeerListen and MetricsListen are "IP:port".
 	CallerListen, ReadyListen, PeerListen, MetricsListen string
-	LogLevel                                             string
+	// PeerAddr is the "IP:port" at which other entry VMs reach PeerListen.
+	PeerAddr string
+	LogLevel string
 	// StoreURL is the base URL of the platform's store. MachinesAddr and AdviceAddr are the
 	// "IP:port" of its machine service and advice service; AdviceAddr may be empty.
 	StoreURL, MachinesAddr, AdviceAddr string
@@ -83,6 +86,7 @@
 		MachineOrderGap:  requiredDuration("duty_gap"),
 		Retention:        requiredDuration("retention"),
 	}
+	s.PeerAddr = t.String("peer_address", tomldoc.StringRule{Default: s.PeerListen, OK: config.ValidAddress, Expected: addressRule.Expected})
 	t.RejectUnknownFields()
 	faults.Sort()
 	if err := faults.Err(); err != nil {
