sitestatus: waiting tasks are counted from the steps

Cause: the term records steps without a place for long-running tasks only since scheduling runs no longer look at all that wait. Change: a service's waiting tasks are the sum over its open steps; a waiting task is explained by what keeps each minion of its service from taking it.

--- a/internal/coordinator/status.go
+++ b/internal/coordinator/status.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"slices"
-	"time"
 
 	"boragepulley/internal/holding"
 	"boragepulley/internal/jobs"
@@ -84,8 +83,12 @@
 	for _, mv := range t.machines.moves {
 		of(mv.to).Moving++
 	}
-	for step, u := range t.unplaced {
-		of(t.queueOf(step.Job).Service).WaitingTasks += u.tasks
+	for _, j := range t.registry.Open() {
+		for _, step := range j.Steps {
+			if step.Open {
+				of(t.queueOf(j).Service).WaitingTasks += step.Count(jobs.Waiting)
+			}
+		}
 	}
 	out := make([]sitestatus.Service, 0, len(services))
 	for _, s := range services {
@@ -165,12 +168,7 @@
 	case t.teamLimited[s] > 0:
 		return "limit of the team"
 	}
-	blockers := t.placementBlockersOf(s, t.queueOf(s.Job).Service)
-	u, ok := t.unplaced[s]
-	if !ok {
-		return "next scheduling run; " + blockers.String()
-	}
-	return fmt.Sprintf("no place for %s; %s", (t.now - u.since).Round(time.Millisecond), blockers)
+	return t.placementBlockersOf(s, t.queueOf(s.Job).Service).String()
 }
 
 // String lists the numbers of minions that are not 0.
--- a/internal/coordinator/status_test.go
+++ b/internal/coordinator/status_test.go
@@ -31,8 +31,7 @@
 			phases[task.Phase]++
 		}
 		require.Equal(t, map[string]int{"running": 8, "waiting": 2}, phases)
-		require.Contains(t, j.Tasks[8].Waits, "no place for ")
-		require.Contains(t, j.Tasks[8].Waits, "full 2")
+		require.Equal(t, "minions of the service: full 2", j.Tasks[8].Waits)
 		require.Contains(t, j.Tasks[9].Waits, "earlier steps")
 
 		s.minions.Change("m0", func(m *fleet.Minion) { m.Cut = true })
--- a/internal/sitestatus/status.go
+++ b/internal/sitestatus/status.go
@@ -77,7 +77,7 @@
 	Minions int `json:"minions"`
 	Usable  int `json:"usable"`
 	Moving  int `json:"moving"`
-	// WaitingTasks could run and have no place.
+	// WaitingTasks belong to steps whose turn has come, and have not been started.
 	WaitingTasks int `json:"waiting_tasks"`
 }
 
