coordinator: a machine's next minion may have the id of the one before

A move or maintenance ends the minion of its machine, whose entry stays in the list for a while. The coordinator passed over this id until the entry had left the list. A minion may start again under its id, and if it does before the entry expires, the entry only changes: its machine took no work any more, for as long as the term lasted, and did not count as capacity either.

The incarnation that an order has ended is remembered with its id; an entry of a later one is accepted.

--- a/internal/coordinator/machines.go
+++ b/internal/coordinator/machines.go
@@ -42,9 +42,9 @@
 	blockedUntil   map[model.VM]time.Duration
 	orderRowStored bool
 	demand         map[model.Service]*capacity.Demand
-	// endedMinions are minions that this term's machine orders have ended. The list of minions
-	// still contains them for a while.
-	endedMinions map[jobs.Minion]bool
+	// endedMinions are the incarnations of minions that this term's machine orders have ended, 0 if not
+	// known. The list of minions still contains them for a while.
+	endedMinions map[jobs.Minion]int64
 	// runTimes is the mean run time of completed tasks by queue.
 	runTimes      map[model.Queue]*runTimeMean
 	nextRebalance time.Duration
@@ -54,7 +54,7 @@
 
 func (s *machines) init() {
 	s.byName, s.moves, s.reclaims = map[model.VM]site.Machine{}, map[model.VM]*move{}, map[model.VM]reclaim{}
-	s.lastOrder, s.endedMinions = map[model.VM]time.Duration{}, map[jobs.Minion]bool{}
+	s.lastOrder, s.endedMinions = map[model.VM]time.Duration{}, map[jobs.Minion]int64{}
 	s.demand, s.runTimes = map[model.Service]*capacity.Demand{}, map[model.Queue]*runTimeMean{}
 }
 
@@ -125,7 +125,7 @@
 	}
 	delete(t.writer.newMinions, m)
 	delete(t.minions, id)
-	t.machines.endedMinions[id] = true
+	t.machines.endedMinions[id] = m.Incarnation
 }
 
 // uncordon allows new work on a minion again after the order for which it was cordoned was not
--- a/internal/coordinator/minions.go
+++ b/internal/coordinator/minions.go
@@ -26,7 +26,7 @@
 	}
 	m := t.minions[e.ID]
 	switch {
-	case m == nil && t.machines.endedMinions[e.ID]:
+	case m == nil && t.endedByOrder(e):
 		return
 	case m == nil:
 		m = holding.New(e, 0)
@@ -54,6 +54,13 @@
 	t.needsPlan = true
 }
 
+// endedByOrder reports whether an entry is of a minion that an order for its machine has ended, and not
+// of a later incarnation under the same id.
+func (t *Term) endedByOrder(e site.MinionEntry) bool {
+	incarnation, ended := t.machines.endedMinions[e.ID]
+	return ended && (incarnation == 0 || e.Incarnation <= incarnation)
+}
+
 // usable reports whether new work may be assigned to a minion.
 func (t *Term) usable(m *holding.Minion) bool {
 	return m.Listed && !m.Leaving && !m.Cordoned && m.Recorded && m.Polled && m.FailedPolls == 0 && m.ClockKnown()
--- a/internal/coordinator/rebalance.go
+++ b/internal/coordinator/rebalance.go
@@ -273,7 +273,8 @@
 	minion := t.minions[m.Minion]
 	if minion == nil {
 		since, unlisted := t.machines.unlistedSince[m.Minion]
-		out.Incoming = unlisted && !t.machines.endedMinions[m.Minion] && t.now < since+joinTimeout
+		_, ended := t.machines.endedMinions[m.Minion]
+		out.Incoming = unlisted && !ended && t.now < since+joinTimeout
 		out.Usable = out.Usable && out.Incoming
 		return out
 	}
--- a/internal/coordinator/waiting_test.go
+++ b/internal/coordinator/waiting_test.go
@@ -73,6 +73,15 @@
 
 // start begins a term and fills all machines of the burst for the rest of the test.
 func (s *burstSite) start() {
+	s.startWithoutBurst()
+	for i := range 20 {
+		s.submitTo(s.term, burstQueue, burstService, jobs.ID(fmt.Sprintf("f%015d", i)), jobs.Step{Count: 100, Need: jobs.Resources{CPU: 1000}, Estimate: 700 * time.Millisecond})
+	}
+	sleep(500 * time.Millisecond)
+}
+
+// startWithoutBurst begins a term.
+func (s *burstSite) startWithoutBurst() {
 	view := &fleet.View{Store: s.store}
 	d := s.deps("e1", view)
 	d.Fleet = fencing.NewFleet(s.minions, s.moving)
@@ -82,10 +91,6 @@
 	s.term = Start(d, held.WithTable(view))
 	s.t.Cleanup(func() { endTerm(s.term) })
 	sleep(time.Second)
-	for i := range 20 {
-		s.submitTo(s.term, burstQueue, burstService, jobs.ID(fmt.Sprintf("f%015d", i)), jobs.Step{Count: 100, Need: jobs.Resources{CPU: 1000}, Estimate: 700 * time.Millisecond})
-	}
-	sleep(500 * time.Millisecond)
 }
 
 // begin announces a maintenance wave to the term.
--- a/standins/fleet/machines.go
+++ b/standins/fleet/machines.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"boragepulley/internal/jobs"
 	"boragepulley/internal/model"
 	"boragepulley/internal/site"
@@ -25,10 +27,17 @@
 	// MoveTime and MaintenanceTime are how long a machine is down.
 	MoveTime, MaintenanceTime time.Duration
 
+	// KeepIDs lets a machine's next minion have the id of the one before, whose entry in the list stays
+	// until then.
+	KeepIDs bool
+	// ListFails, if set, decides whether the list of machines is not available.
+	ListFails func() bool
+
 	mu         sync.Mutex
 	all        map[model.VM]*site.Machine // guarded by mu
 	lives      int                        // guarded by mu; numbers the minions
 	maintained map[model.VM]int           // guarded by mu; completed maintenance by machine
+	lastIDs    map[model.VM]jobs.Minion   // guarded by mu; ids of the last minions
 }
 
 var _ site.Machines = (*MovingMachines)(nil)
@@ -36,7 +45,7 @@
 // NewMovingMachines returns a service without machines, with the platform's usual times.
 func NewMovingMachines(minions *Minions, store *Store, standby model.Service) *MovingMachines {
 	return &MovingMachines{Minions: minions, Store: store, Standby: standby, MoveTime: 1500 * time.Millisecond, MaintenanceTime: 2 * time.Second,
-		all: map[model.VM]*site.Machine{}, maintained: map[model.VM]int{}}
+		all: map[model.VM]*site.Machine{}, maintained: map[model.VM]int{}, lastIDs: map[model.VM]jobs.Minion{}}
 }
 
 // Add adds a machine that is up.
@@ -52,6 +61,10 @@
 	}
 	s.lives++
 	m.Minion = jobs.Minion(fmt.Sprintf("%s-%d", m.Name, s.lives))
+	if last, ok := s.lastIDs[m.Name]; ok && s.KeepIDs {
+		m.Minion = last
+	}
+	s.lastIDs[m.Name] = m.Minion
 	s.Minions.Add(site.MinionEntry{ID: m.Minion, Service: m.Pool, Addr: string(m.Minion), DC: m.DC, Kind: m.Kind, Rack: m.Rack, Capacity: m.Capacity})
 	s.Store.Put("servers/"+string(m.Minion), s.Minions.EntryRow(m.Minion))
 }
@@ -86,6 +99,9 @@
 
 // List implements site.Machines.
 func (s *MovingMachines) List(context.Context) ([]site.Machine, error) {
+	if s.ListFails != nil && s.ListFails() {
+		return nil, errors.Wrap(site.ErrNoAnswer, "list of machines")
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var out []site.Machine
@@ -116,7 +132,9 @@
 	}
 	if m.Minion != "" {
 		s.Minions.Change(m.Minion, func(x *Minion) { x.Down = true })
-		s.Store.Put("servers/"+string(m.Minion), nil)
+		if !s.KeepIDs {
+			s.Store.Put("servers/"+string(m.Minion), nil)
+		}
 	}
 	change(m)
 	m.State = state
