coordinator: machines that are being emptied are released without a standby pool

A machine that is emptied for another service takes no new work until it is moved or released, which the plan of machines does. Without a standby pool in the configuration there is no such plan. If a new configuration removed the pool meanwhile, the machine stayed without work for good.

All such machines are released if there is no plan.

Before: TestEmptiedMachinesAreReleasedWithoutAStandbyPool, one cordoned minion 5 s after the change, and nothing would have released it. A constant of ends_test.go gets its type (staticcheck SA9004).

--- a/internal/coordinator/ends_test.go
+++ b/internal/coordinator/ends_test.go
@@ -18,7 +18,7 @@
 
 const (
 	lastingJob  jobs.ID = "0000000000000002"
-	lastingTask         = "0000000000000002.0.0.0"
+	lastingTask string  = "0000000000000002.0.0.0"
 )
 
 // newSiteWithManyEnds returns a site with one minion and a term whose writes fail while the returned
--- a/internal/coordinator/rebalance.go
+++ b/internal/coordinator/rebalance.go
@@ -81,6 +81,9 @@
 	s.nextRebalance = t.now + capacityInterval
 	snap, ok := t.capacitySnapshot()
 	if !ok {
+		for name := range s.reclaims {
+			t.releaseMachine(name)
+		}
 		return
 	}
 	p := capacity.NewPlan(snap)
