coordinator, platform: a job keeps its queue's number of attempts

A job's row has only the name and the service of its queue.

The row now has the number of attempts, the stretch and the target at the time of acceptance as well. They apply once the queue has left the configuration; rows without them get the defaults as before.

Before: TestJobOfARemovedQueueKeepsItsAttempts, failed after two of four attempts; now completed with the fourth. That the three failed jobs of the users' record had this cause is not shown: their coordinator had epoch 1, and would have known the queue unless it left before the first of their jobs was looked at.

--- a/internal/coordinator/harness_test.go
+++ b/internal/coordinator/harness_test.go
@@ -158,6 +158,9 @@
 // submitTeam is submitTo for a team.
 func (s *testSite) submitTeam(t *Term, team model.Team, queue model.Queue, svc model.Service, id jobs.ID, steps ...jobs.Step) {
 	a := jobs.Accepted{ID: id, Queue: queue, Service: svc, Team: team, AcceptedAt: time.Now(), Spec: jobs.Spec{Payload: "p", Steps: steps}}
+	if q := s.config.Queue(queue); q != nil {
+		a.MaxAttempts, a.Stretch, a.Target = q.MaxAttempts, q.Stretch, q.Target
+	}
 	value, err := json.Marshal(a)
 	require.NoError(s.t, err)
 	s.store.Put(JobKey(id), value)
--- a/internal/coordinator/plan.go
+++ b/internal/coordinator/plan.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"cmp"
 	"time"
 
 	"boragepulley/internal/holding"
@@ -23,12 +24,12 @@
 	if q, ok := t.queues[j.Queue]; ok {
 		return q
 	}
-	return site.Queue{Name: j.Queue, Service: j.Service, MaxAttempts: defaultAttempts, Stretch: defaultStretch}
+	return site.Queue{Name: j.Queue, Service: j.Service, MaxAttempts: cmp.Or(j.MaxAttempts, defaultAttempts), Stretch: cmp.Or(j.Stretch, defaultStretch), Target: j.Target}
 }
 
 const (
 	// defaultAttempts and defaultStretch apply to a job whose queue this process has never seen in
-	// a configuration.
+	// a configuration, if the job's row does not have its own.
 	defaultAttempts = 2
 	defaultStretch  = 2
 	// defaultEstimate is the estimate of a task without one.
--- a/internal/jobs/spec.go
+++ b/internal/jobs/spec.go
@@ -196,6 +196,11 @@
 	Queue model.Queue `json:"q"`
 	// Service is the service of the queue at the time of acceptance.
 	Service model.Service `json:"v"`
+	// MaxAttempts, Stretch and Target are those of the queue at the time of acceptance; 0 in rows that
+	// do not have them. They apply once the queue has left the configuration.
+	MaxAttempts int           `json:"n,omitempty"`
+	Stretch     float64       `json:"s,omitempty"`
+	Target      time.Duration `json:"g,omitempty"`
 	// Team is empty for a queue that is open to all.
 	Team model.Team `json:"t,omitempty"`
 	// AcceptedAt is when the entry VM accepted the job, by the entry VM's clock.
@@ -208,5 +213,6 @@
 // Tombstone returns the row to keep for a job in the given final state.
 func (a Accepted) Tombstone(s State) Accepted {
 	a.Spec, a.Final = Spec{}, s
+	a.MaxAttempts, a.Stretch, a.Target = 0, 0, 0
 	return a
 }
