control: planned steps wait until each serving VM has answered or is suspect

What was known of the VMs' health is dropped with the role, but the time since which all are polled often was kept. Change: no planned step is written before every serving VM has answered a poll of this term or is suspect. Measured: TestTakeoverKnowsNoVMThatHasNotAnswered fails without the change for a process that takes over again (2 VMs out, budget 1) and passes with it. Its case of a successor passes either way.

--- a/internal/control/vmhealth.go
+++ b/internal/control/vmhealth.go
@@ -135,6 +135,22 @@
 	return !c.fleet.frequentPollsSince.IsZero() && now.Sub(c.fleet.frequentPollsSince) >= preWavePolling
 }
 
+// healthKnown reports whether each serving VM has answered a poll of this term or is suspect. A
+// coordinator that has just taken over does not know which VMs do not answer.
+func (c *Control) healthKnown() bool {
+	for i := range c.cfg.index.VMs {
+		v := &c.cfg.index.VMs[i]
+		if v.DC != c.self.DC {
+			continue
+		}
+		r := c.vmRecord(v.Name)
+		if r.current.State == model.VMServing && r.lastAnswered.IsZero() && r.suspectSince.IsZero() {
+			return false
+		}
+	}
+	return true
+}
+
 func (c *Control) healthInterval(r *vmRecord) time.Duration {
 	if r.missed > 0 || r.lastAnswered.IsZero() || !c.fleet.frequentPollsSince.IsZero() {
 		return healthPollInterval
--- a/internal/control/waves.go
+++ b/internal/control/waves.go
@@ -48,7 +48,7 @@
 	c.fleet.plan = plan
 	c.recordPlanHolds(&plan)
 	planned := c.applySteps(&s, &plan, now)
-	if len(planned) > 0 && !c.polledOftenEnough(now) {
+	if len(planned) > 0 && (!c.polledOftenEnough(now) || !c.healthKnown()) {
 		for _, p := range planned {
 			c.recordHold(p.vm, holdHealthNotFresh, "the step waits for fresh polls of all minions")
 		}
--- a/internal/control/waves_test.go
+++ b/internal/control/waves_test.go
@@ -20,11 +20,15 @@
 // startServingWithWave is startServing plus a configuration with a wave over the pool and a
 // fleet budget of one VM.
 func (cl *cluster) startServingWithWave() model.EntryVM {
+	return cl.startServingWithWaveAfter(time.Second)
+}
+
+func (cl *cluster) startServingWithWaveAfter(d time.Duration) model.EntryVM {
 	entry := cl.startServing(8, 100)
 	cl.addSite("v2", 8, map[model.Team]int{"t": 100})
 	s := cl.sites["v2"]
 	s.Budgets = []config.Budget{{Service: "quotes", Scope: config.ScopeFleet, MaxUnavailable: 1}}
-	s.Waves = []config.Wave{{Name: "w", Pools: []model.Pool{"quotes"}, Start: time.Now().Add(time.Second), DrainTimeout: time.Minute, Cooldown: time.Minute}}
+	s.Waves = []config.Wave{{Name: "w", Pools: []model.Pool{"quotes"}, Start: time.Now().Add(d), DrainTimeout: time.Minute, Cooldown: time.Minute}}
 	_, err := cl.apply(entry, "v2", 1)
 	require.NoError(cl.t, err)
 	return entry
@@ -145,6 +149,38 @@
 	}
 }
 
+// Guards against a wave that takes a VM out of service beside one that does not answer, because the
+// coordinator has just taken over, or taken over again, and has not polled it often enough to suspect it.
+func TestTakeoverKnowsNoVMThatHasNotAnswered(t *testing.T) {
+	for _, again := range []bool{false, true} {
+		t.Run(map[bool]string{false: "successor", true: "same process again"}[again], func(t *testing.T) {
+			inBubble(t, map[model.DataCentre]int{"a": 2}, func(cl *cluster) {
+				entry := cl.startServingWithWaveAfter(10 * time.Second)
+				cl.mu.Lock()
+				cl.downMinions["a-vm-2"] = true
+				cl.mu.Unlock()
+				cl.advance(9 * time.Second)
+				require.True(t, cl.vmStatus("a", "a-vm-2").Suspect)
+				requireBudget := func(d time.Duration) {
+					for end := time.Now().Add(d); time.Now().Before(end); {
+						cl.advance(50 * time.Millisecond)
+						require.LessOrEqual(t, len(cl.unavailableVMs()), 1, "%v", cl.unavailableVMs())
+					}
+				}
+				if !again {
+					cl.nodes[entry].kill()
+					requireBudget(8 * time.Second)
+					return
+				}
+				requireBudget(1500 * time.Millisecond)
+				n := cl.nodes[entry].control
+				n.post(func() { n.fleet.reset(); n.loadFleet() })
+				requireBudget(8 * time.Second)
+			})
+		})
+	}
+}
+
 // Guards against planned steps that start without the table, and against steps in progress
 // that do not finish without it.
 func TestNoPlannedStepWithoutTable(t *testing.T) {
