fleet, siteplatform: slow clocks, minions that crash or leave, late answers, a feed without history

Cause: the stand-in of the site path had right clocks only, minions that ended only by orders, and a store whose answers were never out of date and whose history was complete. Change: a rate for each minion's clock; Crash, after which the minion starts again under its id with a wall clock that is wrong; Leave; answers that are held up after their call was carried out; ForgetHistory.

--- a/bench/sitefaults/run.go
+++ b/bench/sitefaults/run.go
@@ -158,7 +158,7 @@
 
 func (r *run) startEntry(name, zone string, ports cluster.Ports) error {
 	e := &entryVM{name: name, zone: zone, settings: filepath.Join(r.o.Dir, name+".toml"), logs: r.o.Dir, bin: r.o.Bin}
-	store, err := r.platform.AddStoreClient(e.storeCall)
+	store, err := r.platform.AddStoreClient(e.storeCall, nil)
 	if err != nil {
 		return err
 	}
--- a/standins/fleet/minions.go
+++ b/standins/fleet/minions.go
@@ -58,6 +58,8 @@
 type Minion struct {
 	Entry site.MinionEntry
 	born  time.Time
+	// rate is how fast the minion's clock runs.
+	rate  float64
 	token uint64
 	// arrived is the highest token of an order that has arrived, also of one that is carried out
 	// later.
@@ -98,6 +100,8 @@
 	RejectsOverload bool
 	// StopTime is how long a stopped run takes to end.
 	StopTime time.Duration
+	// ClockRate, if set before the first minion, returns how fast a minion's clock runs: 1 is right.
+	ClockRate func(id jobs.Minion) float64
 	// OnEvent, if set before the first order, is called with each event while the minions are
 	// locked.
 	OnEvent func(Event)
@@ -143,13 +147,18 @@
 func (s *Minions) Add(e site.MinionEntry) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.all[e.ID] = newLife(e)
+	s.all[e.ID] = s.newLife(e, 0)
 }
 
-func newLife(e site.MinionEntry) *Minion {
+// newLife returns a minion that starts now, on a machine whose wall clock is wrong by step.
+func (s *Minions) newLife(e site.MinionEntry, step time.Duration) *Minion {
 	now := time.Now()
-	e.Incarnation = now.UnixMilli()
-	return &Minion{Entry: e, born: now, runs: map[string]*run{}, barred: map[string]int{}}
+	e.Incarnation = now.Add(step).UnixMilli()
+	m := &Minion{Entry: e, born: now, rate: 1, runs: map[string]*run{}, barred: map[string]int{}}
+	if s.ClockRate != nil {
+		m.rate = s.ClockRate(e.ID)
+	}
+	return m
 }
 
 // Change changes a minion, for faults.
@@ -230,12 +239,16 @@
 }
 
 // Restart begins a new life of a minion under its id.
-func (s *Minions) Restart(id jobs.Minion) {
+func (s *Minions) Restart(id jobs.Minion) { s.RestartAt(id, 0) }
+
+// RestartAt is Restart on a machine whose wall clock is wrong by step, so that the new incarnation may
+// be lower than the one before.
+func (s *Minions) RestartAt(id jobs.Minion, step time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.tell("%s restarts", id)
 	s.endAll(s.all[id])
-	s.all[id] = newLife(s.all[id].Entry)
+	s.all[id] = s.newLife(s.all[id].Entry, step)
 }
 
 // EntryRow returns a minion's row of the platform's list, as a test's codec reads it.
@@ -324,7 +337,9 @@
 	return out
 }
 
-func (m *Minion) clock(at time.Time) int64 { return at.Sub(m.born).Milliseconds() }
+func (m *Minion) clock(at time.Time) int64 {
+	return time.Duration(float64(at.Sub(m.born)) * m.rate).Milliseconds()
+}
 
 // settle ends the runs whose time or lease is over.
 func (s *Minions) settle(m *Minion) {
@@ -487,9 +502,14 @@
 	return order(m)
 }
 
+// onOwnClock returns how long it takes until the minion's clock has advanced by d.
+func (m *Minion) onOwnClock(d time.Duration) time.Duration {
+	return time.Duration(float64(d) / m.rate)
+}
+
 func (m *Minion) prolong(until int64) {
-	at := m.born.Add(time.Duration(until) * time.Millisecond)
-	if latest := time.Now().Add(maxHold); at.After(latest) {
+	at := m.born.Add(m.onOwnClock(time.Duration(until) * time.Millisecond))
+	if latest := time.Now().Add(m.onOwnClock(maxHold)); at.After(latest) {
 		at = latest
 	}
 	if at.After(m.lease) {
--- a/standins/siteplatform/machines.go
+++ b/standins/siteplatform/machines.go
@@ -89,7 +89,7 @@
 	switch {
 	case m.state == stateMoving && m.pool == o.Pool, m.state == stateUp && m.pool == o.Pool:
 		return ""
-	case m.state != stateUp:
+	case m.state != stateUp || m.leaving:
 		return "busy"
 	}
 	m.pool = o.Pool
@@ -104,7 +104,7 @@
 		return "wave"
 	case wave.begun[m.name]:
 		return ""
-	case m.state != stateUp:
+	case m.state != stateUp || m.leaving:
 		return "busy"
 	}
 	down := 0
@@ -126,21 +126,23 @@
 	p.events.add("machine %s: %s, pool %s, minion %s ends", m.name, state, m.pool, m.minion)
 	p.minions.Remove(m.minion)
 	p.rows.Put("servers/"+string(m.minion), nil)
-	m.state, m.minion = state, ""
-	if p.site.OnMachine != nil {
-		p.site.OnMachine(m.name, false)
-	}
+	m.state, m.minion, m.crashed, m.leaving = state, "", false, false
+	p.reachable(m, false)
 	time.AfterFunc(d, func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		if p.site.OnMachine != nil {
-			p.site.OnMachine(m.name, true) // a minion is listed once it can be reached
-		}
+		p.reachable(m, true) // a minion is listed once it can be reached
 		m.state = stateUp
 		p.startMinion(m)
 	})
 }
 
+func (p *Platform) reachable(m *machine, up bool) {
+	if p.site.OnMachine != nil {
+		p.site.OnMachine(m.name, up)
+	}
+}
+
 func (m *machine) labels() []string { return []string{"kind-a", m.rack} }
 
 // zoneOf returns the zone of a rack, with which its name begins.
--- a/standins/siteplatform/platform.go
+++ b/standins/siteplatform/platform.go
@@ -23,6 +23,7 @@
 	stateUp     = "up"
 	stateMoving = "moving"
 	stateUpkeep = "upkeep"
+	stateDown   = "down"
 )
 
 // MachineSpec is one machine of a site.
@@ -40,6 +41,8 @@
 	MoveTime, UpkeepTime, Heartbeat time.Duration
 	// StopTime is how long a stopped run takes to end.
 	StopTime time.Duration
+	// ClockRate, if set, returns how fast a minion's clock runs: 1 is right.
+	ClockRate func(jobs.Minion) float64
 	// Work returns how long a run of a task takes and how it ends; 0 lasts. Need returns what a
 	// task reserves.
 	Work func(task string, run int) (time.Duration, jobs.End)
@@ -71,6 +74,11 @@
 	lives                         int
 	holder                        string // of the last order
 	token                         uint64 // of the last order
+	// crashed machines are up and their minion's process is down.
+	crashed bool
+	// leaving is set while the minion drains, and gone is when it ends.
+	leaving bool
+	gone    time.Time
 }
 
 // Platform is a running stand-in.
@@ -100,6 +108,7 @@
 	p := &Platform{site: s, rows: fleet.NewStore(), minions: fleet.NewMinions(), events: &story{began: time.Now()}, waves: map[int64]*Wave{}, parts: &partNames{byKey: map[string]string{}},
 		storeHost: serve.NewHost("127.0.0.1:0"), machinesHost: serve.NewHost("127.0.0.1:0"), stop: make(chan struct{})}
 	p.minions.Work, p.minions.Need, p.minions.RejectsOverload, p.minions.StopTime = s.Work, s.Need, true, s.StopTime
+	p.minions.ClockRate = s.ClockRate
 	p.minions.OnEvent = func(e fleet.Event) {
 		p.events.add("task %s run %d %s on %s, %s, token %d, at %d", e.Task, e.Run, e.Kind, e.Minion, e.How, e.Token, e.At.Sub(p.events.began).Milliseconds())
 		if s.OnEvent != nil {
@@ -157,11 +166,15 @@
 
 // writeEntry writes a minion's row of the list. The caller holds mu.
 func (p *Platform) writeEntry(m *machine, sequence int) {
-	if m.minion == "" {
+	if m.minion == "" || m.crashed {
 		return
 	}
-	value, err := json.Marshal(map[string]any{"service": m.pool, "address": m.listed, "zone": m.zone, "version": "v1", "slots": 8, "state": "ready",
-		"capacity": wireResources(p.site.Capacity), "labels": m.labels(), "sequence": sequence, "born": p.minions.Born(m.minion)})
+	row := map[string]any{"service": m.pool, "address": m.listed, "zone": m.zone, "version": "v1", "slots": 8, "state": "ready",
+		"capacity": wireResources(p.site.Capacity), "labels": m.labels(), "sequence": sequence, "born": p.minions.Born(m.minion)}
+	if m.leaving {
+		row["state"], row["remaining_ms"] = "draining", max(0, time.Until(m.gone).Milliseconds())
+	}
+	value, err := json.Marshal(row)
 	if err != nil {
 		panic(err) // plain fields
 	}
@@ -198,11 +211,17 @@
 	return &store{view: &fleet.View{Store: p.rows, Fault: fault}, parts: p.parts, began: p.events.began}
 }
 
+// ForgetHistory lets the store forget the history of its feed.
+func (p *Platform) ForgetHistory() { p.rows.Compact() }
+
 // AddStoreClient returns a further address of the store. fault decides over the calls that arrive
-// there, as in fleet.View. Error: an address that cannot be listened on.
-func (p *Platform) AddStoreClient(fault func(op string) fleet.Fault) (string, error) {
+// there, as in fleet.View, and late returns how long the answer to one is held up after it was carried
+// out. Error: an address that cannot be listened on.
+func (p *Platform) AddStoreClient(fault func(op string) fleet.Fault, late func() time.Duration) (string, error) {
 	host := serve.NewHost("127.0.0.1:0")
-	if err := host.Start(p.storeFor(fault).handler()); err != nil {
+	s := p.storeFor(fault)
+	s.late = late
+	if err := host.Start(s.handler()); err != nil {
 		return "", err
 	}
 	p.mu.Lock()
--- a/standins/siteplatform/platform_test.go
+++ b/standins/siteplatform/platform_test.go
@@ -60,7 +60,7 @@
 func TestStoreFaultsOfOneClient(t *testing.T) {
 	p := start(t)
 	fault := fleet.None
-	addr, err := p.AddStoreClient(func(string) fleet.Fault { return fault })
+	addr, err := p.AddStoreClient(func(string) fleet.Fault { return fault }, nil)
 	require.NoError(t, err)
 	commit := func(addr, key string) error {
 		c, err := client.NewClient(client.Options{BaseURL: "http://" + addr, WritesPerSecond: 100, ReadsPerSecond: 100, CallTimeout: testCallTimeout})
@@ -120,3 +120,70 @@
 	require.NoError(t, machines.Maintain(t.Context(), site.MachineFence{Holder: "e2", Token: 2}, "m0", 1))
 	require.NotEmpty(t, p.Violations(), "a lower token after a higher one, and two orders below an older token")
 }
+
+// Guards against a minion that is lost or leaves and never comes back, one that leaves without saying so
+// first, and a start in the past that is not shown as one.
+func TestMinionsCrashAndLeave(t *testing.T) {
+	p := start(t)
+	machines := platform.NewMachines(p.MachinesAddr())
+	state := func() site.Machine {
+		list, err := machines.List(t.Context())
+		require.NoError(t, err)
+		return list[0]
+	}
+	entry := func() site.MinionEntry {
+		id := state().Minion
+		e, err := platform.DecodeMinion(string(id), p.Row("servers/"+string(id)))
+		require.NoError(t, err)
+		return e
+	}
+	before := entry()
+	require.True(t, p.Crash("m0", time.Millisecond, -time.Minute))
+	require.False(t, p.Crash("m0", time.Millisecond, 0) && state().Minion == "")
+	require.Eventually(t, func() bool { return entry().Incarnation < before.Incarnation }, time.Minute, time.Millisecond)
+	require.Equal(t, before.ID, entry().ID)
+
+	require.Equal(t, before.ID, p.Leave("m0", time.Second, time.Millisecond))
+	require.Empty(t, p.Leave("m0", 0, 0))
+	require.True(t, entry().Leaving)
+	require.NotZero(t, entry().Remaining)
+	require.Equal(t, site.RefusedBusy, site.RefusalOf(machines.Move(t.Context(), site.MachineFence{Holder: "e1", Token: 3}, "m0", "other")))
+	require.Eventually(t, func() bool { m := state(); return m.State == site.MachineUp && m.Minion != before.ID }, time.Minute, time.Millisecond)
+	require.False(t, entry().Leaving)
+}
+
+// Guards against a store that never answers with rows that have changed meanwhile, and one that keeps
+// the history that it should forget.
+func TestStoreAnswersLateAndForgets(t *testing.T) {
+	p := start(t)
+	answering := make(chan struct{})
+	late := time.Duration(0)
+	addr, err := p.AddStoreClient(nil, func() time.Duration {
+		if late > 0 {
+			close(answering)
+		}
+		return late
+	})
+	require.NoError(t, err)
+	c, err := client.NewClient(client.Options{BaseURL: "http://" + addr, WritesPerSecond: 100, ReadsPerSecond: 100, CallTimeout: testCallTimeout})
+	require.NoError(t, err)
+	s := platform.NewStore(c, 100)
+	old, err := s.ReadAll(t.Context(), 0, "op")
+	require.NoError(t, err)
+	late = 200 * time.Millisecond
+	go func() {
+		<-answering
+		_ = p.Configure(map[string]any{"version": 2})
+	}()
+	got, err := s.ReadAll(t.Context(), 0, "op")
+	require.NoError(t, err)
+	require.Equal(t, old.Rows, got.Rows)
+	late = 0
+	require.Eventually(t, func() bool {
+		got, err := s.ReadAll(t.Context(), 0, "op")
+		return err == nil && got.Version > old.Version
+	}, time.Minute, time.Millisecond)
+	p.ForgetHistory()
+	_, err = s.Changes(t.Context(), 0, "op", old.Version, time.Second)
+	require.ErrorIs(t, err, client.ErrHistoryGone)
+}
--- a/standins/siteplatform/store.go
+++ b/standins/siteplatform/store.go
@@ -61,6 +61,8 @@
 	view  *fleet.View
 	parts *partNames
 	began time.Time
+	// late, if set, returns how long an answer is held up after its call was carried out.
+	late func() time.Duration
 }
 
 // partNames holds the part of each row by its key.
@@ -80,6 +82,9 @@
 
 func (s *store) answer(w http.ResponseWriter, status int, a rowsAnswer) {
 	a.NowMS = time.Since(s.began).Milliseconds()
+	if s.late != nil {
+		time.Sleep(s.late())
+	}
 	if a.Rows == nil {
 		a.Rows = []storedRow{}
 	}
