sitefaults: cuts in one direction and between entry VMs, clocks, signals in series, malformed messages

Cause: the soak of real processes had no links that are cut in one direction, nothing between entry VMs, right clocks, a store with a complete history, and signals one at a time. Change: three further groups of faults. network: lost requests or answers between an entry VM and minions, the store, the machine service and other entry VMs, through a proxy before each peer port, and a hand-over meanwhile. clocks: minions' clocks up to 2 % slow (always), minions that crash and start again under their id with a wrong wall clock or leave, a store that forgets its history or answers late, a coordinator paused beyond its lease. overlap: kills during a shutdown, several signals in a row, two restarts in a row, SIGHUP during a takeover, malformed messages to all four ports.

--- a/bench/proc/proc.go
+++ b/bench/proc/proc.go
@@ -167,6 +167,13 @@
 	}
 }
 
+// Ended reports whether a signal from here was to end the process.
+func (p *Process) Ended() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.sent != ""
+}
+
 // Name returns the name of the process.
 func (p *Process) Name() string { return p.spec.Name }
 
@@ -201,9 +208,14 @@
 // Terminate asks the process to stop gracefully (SIGTERM) and waits for its end.
 // Errors: ErrStillRunning after the time, or the exit status if it is not 0.
 func (p *Process) Terminate(within time.Duration) error {
-	if err := p.signal(syscall.SIGTERM); err != nil {
+	if err := p.SendTerminate(); err != nil {
 		return err
 	}
+	return p.Await(within)
+}
+
+// Await waits for the end of the process. Errors are those of Terminate.
+func (p *Process) Await(within time.Duration) error {
 	select {
 	case <-p.done:
 		p.mu.Lock()
@@ -214,6 +226,9 @@
 	}
 }
 
+// SendTerminate sends SIGTERM and does not wait.
+func (p *Process) SendTerminate() error { return p.signal(syscall.SIGTERM) }
+
 func (p *Process) signal(s syscall.Signal) error {
 	if !p.Running() {
 		return errors.Errorf("proc: %s has ended: %s", p.spec.Name, p.End())
--- a/bench/sitefaults/callers.go
+++ b/bench/sitefaults/callers.go
@@ -26,6 +26,8 @@
 	refusalPause   = time.Second
 	statePause     = 700 * time.Millisecond
 	heldPause      = 20 * time.Millisecond
+	// endedPause is the time between two questions about a job that has ended.
+	endedPause = 2 * time.Second
 )
 
 // callers hand jobs in and ask for their states.
@@ -137,7 +139,10 @@
 		}
 	}
 	c.check.accepted(j)
-	for sleep(ctx, statePause) {
+	for pause := statePause; sleep(ctx, pause); {
+		if c.check.ended(j) {
+			pause = endedPause
+		}
 		a := c.call(ctx, rng, http.MethodGet, j)
 		if c.check.stateAnswered(j, a) {
 			return
--- a/bench/sitefaults/checker.go
+++ b/bench/sitefaults/checker.go
@@ -31,7 +31,9 @@
 	// configApply is how long after the operator's write requests and starts may follow an older
 	// configuration. An entry VM that has followed the newer one may go back for rollbackSlack, and
 	// slowedFactor times that if it is slowed down.
-	configApply   = 2 * time.Second
+	configApply = 2 * time.Second
+	// drainBound is how long after it said that it leaves tasks may start on a minion.
+	drainBound    = 2 * time.Second
 	rollbackSlack = 250 * time.Millisecond
 	slowedFactor  = 8
 	// cutSlack is how long after its last byte a request may be cut off.
@@ -68,8 +70,10 @@
 	spec                                  *jobSpec
 	acceptedAt, cancelSentAt, cancelledAt time.Time
 	final                                 string
-	refusedOnly                           bool
-	answers                               int
+	// finalAt is when it was first shown as ended.
+	finalAt     time.Time
+	refusedOnly bool
+	answers     int
 }
 
 // checker judges what callers and minions saw. It is safe for concurrent use.
@@ -94,12 +98,13 @@
 	faults       []string             // guarded by mu
 	// longest is the longest time of a long-running task without a run, all told and in calm.
 	longest, longestCalm time.Duration
-	restarts             int // guarded by mu; of long-running tasks
+	restarts             int                       // guarded by mu; of long-running tasks
+	leaves               map[jobs.Minion]time.Time // guarded by mu; when a minion said that it leaves
 }
 
 func newChecker(all *catalogue, configs *configs) *checker {
 	now := time.Now()
-	return &checker{began: now, all: all, configs: configs, jobs: map[string]*jobState{}, tasks: map[string]*taskState{}, calmSince: now, roomSince: map[string]time.Time{}, lastTick: now,
+	return &checker{began: now, all: all, configs: configs, jobs: map[string]*jobState{}, tasks: map[string]*taskState{}, calmSince: now, roomSince: map[string]time.Time{}, lastTick: now, leaves: map[jobs.Minion]time.Time{},
 		note: func(string, ...any) {}}
 }
 
@@ -118,6 +123,16 @@
 	c.fault(format, args...)
 }
 
+// leaving takes note of a minion that says that it leaves.
+func (c *checker) leaving(id jobs.Minion) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leaves[id] = time.Now()
+}
+
+// othersDisturb returns how many disturbances there are but the given number. It requires mu.
+func (c *checker) othersDisturb(own int) int { return max(0, c.disturbances-own) }
+
 func (c *checker) disturbanceBegins() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -186,6 +201,9 @@
 	if j != nil && !j.cancelledAt.IsZero() && c.disturbances == 0 && e.At.Sub(later(j.cancelledAt, c.calmSince)) > cancelBound {
 		c.fault("UNASKED: %s begins on %s %v after its cancelling", e.Task, e.Minion, e.At.Sub(j.cancelledAt).Round(time.Millisecond))
 	}
+	if at, ok := c.leaves[e.Minion]; ok && c.othersDisturb(1) == 0 && e.At.Sub(later(later(at, c.calmSince), c.lastStall)) > drainBound {
+		c.fault("DRAIN: %s run %d begins on %s, %v after it said that it leaves", e.Task, e.Run, e.Minion, e.At.Sub(at).Round(time.Millisecond))
+	}
 	if !spec.Long {
 		c.lastShort = e.At
 	}
@@ -259,17 +277,25 @@
 	c.note("job %s accepted", j.ID)
 }
 
-// stateAnswered takes note of a job's state and reports whether the job has ended.
+// stateAnswered takes note of a job's state and reports whether nobody needs to ask again: its
+// retention is over.
 func (c *checker) stateAnswered(j *jobSpec, a answer) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.jobs[j.ID]
 	now := time.Now()
+	if s.final != "" {
+		return c.endedAnswered(s, a)
+	}
+	if end := c.endOf(s); a.status == http.StatusGone && !end.IsZero() && now.Sub(end) > retention {
+		s.final = "forgotten" // its retention ended while nobody could be asked
+		return true
+	}
 	switch {
 	case a.status == http.StatusGone && now.Sub(s.acceptedAt) > visibleAfter && a.from.inTouch(a.sent):
 		c.fault("LOST: job %s is answered 410 by %s, %v after its acceptance", j.ID, a.from.name, now.Sub(s.acceptedAt).Round(time.Millisecond))
 	case a.status == http.StatusOK && (a.state == "completed" || a.state == "failed" || a.state == "cancelled"):
-		s.final = a.state
+		s.final, s.finalAt = a.state, now
 		if a.state == "failed" || a.state == "cancelled" && s.cancelSentAt.IsZero() || a.state == "completed" && j.Long {
 			c.fault("LOST: job %s is shown as %s", j.ID, a.state)
 		}
@@ -280,11 +306,52 @@
 				}
 			}
 		}
-		return true
 	}
 	return false
 }
 
+// endedAnswered judges an answer about a job that was shown as ended, and reports whether its
+// retention is over. It requires mu.
+func (c *checker) endedAnswered(s *jobState, a answer) bool {
+	after := a.sent.Sub(s.finalAt)
+	switch {
+	case a.status == http.StatusGone && a.sent.Sub(c.endOf(s)) < retention && a.from.inTouch(a.sent):
+		c.fault("LOST: job %s is answered 410 by %s, %v after it was shown as %s", s.spec.ID, a.from.name, after.Round(time.Millisecond), s.final)
+	case a.status == http.StatusOK && a.state != s.final:
+		c.fault("MIXED: job %s is shown as %s by %s, %v after it was shown as %s", s.spec.ID, a.state, a.from.name, after.Round(time.Millisecond), s.final)
+	}
+	return after > retention
+}
+
+// endOf returns a time before which the job had not ended, as minions and callers saw it, zero if it
+// has not. It requires mu.
+func (c *checker) endOf(s *jobState) time.Time {
+	if !s.cancelSentAt.IsZero() {
+		return s.cancelSentAt
+	}
+	var last time.Time
+	for _, name := range s.spec.tasks() {
+		var first time.Time
+		for _, d := range c.taskOf(name).done {
+			if first.IsZero() || d.at.Before(first) {
+				first = d.at
+			}
+		}
+		if first.IsZero() {
+			return first
+		}
+		last = later(last, first)
+	}
+	return last
+}
+
+// ended reports whether a job was shown as ended.
+func (c *checker) ended(j *jobSpec) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.jobs[j.ID].final != ""
+}
+
 func (c *checker) cancelSent(j *jobSpec) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/bench/sitefaults/entries.go
+++ b/bench/sitefaults/entries.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -24,7 +25,7 @@
 
 // entryVM is one entry VM.
 type entryVM struct {
-	name, zone, caller, ready, settings, logs, bin string
+	name, zone, caller, ready, peer, metrics, settings, logs, bin string
 
 	mu   sync.Mutex
 	proc *proc.Process // guarded by mu; nil while down
@@ -37,26 +38,31 @@
 	faulty sync.Mutex
 	// treatment is what the store does with its calls.
 	treatment atomic.Int32
-	calls     atomic.Int64 // of the store, for lostAnswers
+	// late holds the store's answers up.
+	late  atomic.Bool
+	calls atomic.Int64 // of the store, for lostAnswers
 	// waits are the threads' waiting times for a processor at the last look.
 	waits map[string]time.Duration
 }
 
 // writeSettings chooses addresses and writes the settings, with the fields of
 // deploy/settings.toml.tmpl.
-func (e *entryVM) writeSettings(ports cluster.Ports, storeAddr, machinesAddr string) error {
-	var peer, metrics string
-	for _, addr := range []*string{&e.caller, &e.ready, &peer, &metrics} {
+func (e *entryVM) writeSettings(ports cluster.Ports, storeAddr, machinesAddr string, route func(name, addr string) (string, error)) error {
+	for _, addr := range []*string{&e.caller, &e.ready, &e.peer, &e.metrics} {
 		var err error
 		if *addr, err = ports.Next(); err != nil {
 			return err
 		}
 	}
+	announced, err := route(peerLink(e.name), e.peer)
+	if err != nil {
+		return err
+	}
 	var b strings.Builder
-	fmt.Fprintf(&b, "name = %q\ndata_centre = %q\ncaller_listen = %q\nready_listen = %q\npeer_listen = %q\nmetrics_listen = %q\n", e.name, e.zone, e.caller, e.ready, peer, metrics)
+	fmt.Fprintf(&b, "name = %q\ndata_centre = %q\ncaller_listen = %q\nready_listen = %q\npeer_listen = %q\npeer_address = %q\nmetrics_listen = %q\n", e.name, e.zone, e.caller, e.ready, e.peer, announced, e.metrics)
 	fmt.Fprintf(&b, "log_level = \"info\"\nstore_url = \"http://%s\"\nstore_writes_per_second = 600\nstore_reads_per_second = 2000\n", storeAddr)
 	fmt.Fprintf(&b, "machines_address = %q\nadvice_address = \"\"\ncores = 0.4\nlink_mbps = 1000\nmemory_mb = 284\n", machinesAddr)
-	b.WriteString("grace = \"6s\"\nmax_hold = \"6000ms\"\nduty_gap = \"3000ms\"\nretention = \"120s\"\n")
+	b.WriteString("grace = \"6s\"\nmax_hold = \"6000ms\"\nduty_gap = \"3000ms\"\nretention = \"" + retention.String() + "\"\n")
 	return errors.Wrap(os.WriteFile(e.settings, []byte(b.String()), 0o600), "sitefaults: settings")
 }
 
@@ -181,10 +187,22 @@
 	}
 }
 
+// longestLate bounds how long an answer of the store is held up. The entry VM gives calls up after
+// 0.9 s at most.
+const longestLate = 800 * time.Millisecond
+
+// holdUp returns how long an answer of the store is held up.
+func (e *entryVM) holdUp() time.Duration {
+	if !e.late.Load() || e.calls.Add(1)%3 == 0 {
+		return 0
+	}
+	return rand.N(longestLate)
+}
+
 // checkAlive reports an error if the process ended although nobody ended it.
 func (e *entryVM) checkAlive() error {
-	if p := e.process(); p != nil && !p.Running() {
-		return errors.Errorf("process of %s ended by itself", e.name)
+	if p := e.process(); p != nil && !p.Running() && !p.Ended() {
+		return errors.Errorf("process of %s ended by itself: %s", e.name, p.End())
 	}
 	return nil
 }
--- a/bench/sitefaults/faults.go
+++ b/bench/sitefaults/faults.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"os/exec"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -53,6 +54,43 @@
 	storeLost faultKind = "store-lost"
 	// changeConfig writes the next configuration.
 	changeConfig faultKind = "configuration"
+	// requestsLost cuts the direction to a minion, answersLost the one from it: what was sent arrives
+	// once the link is healed, unless its sender gave it up. New connections time out. storeRequestsLost
+	// and storeAnswersLost do it between an entry VM and the store.
+	requestsLost      faultKind = "requests-lost"
+	answersLost       faultKind = "answers-lost"
+	storeRequestsLost faultKind = "store-requests-lost"
+	storeAnswersLost  faultKind = "store-answers-lost"
+	// peersSilent cuts an entry VM off from another one, or from all if the fault hits both; peersOneWay
+	// loses only what it sends, peersDeaf only what it is sent. peersSlow delays all data between entry
+	// VMs. cutHandOver stops an entry VM while it is cut off from another one, in one direction if the
+	// fault hits both.
+	peersSilent faultKind = "peers-silent"
+	peersOneWay faultKind = "peers-one-way"
+	peersDeaf   faultKind = "peers-deaf"
+	peersSlow   faultKind = "peers-slow"
+	cutHandOver faultKind = "cut-hand-over"
+	// machinesAway lets the machine service receive and answer nothing.
+	machinesAway faultKind = "machines-away"
+	// crashMinion ends a minion's process, which starts again under its id with a wall clock that is
+	// wrong by seconds, in either direction. leaveMinion lets a minion drain and go.
+	crashMinion faultKind = "minion-crash"
+	leaveMinion faultKind = "minion-leaves"
+	// historyGone lets the store forget its history, lateReads holds its answers up after a call was
+	// carried out.
+	historyGone faultKind = "history-gone"
+	lateReads   faultKind = "late-reads"
+	// longPause pauses an entry VM for longer than its lease while it is at work.
+	longPause faultKind = "long-pause"
+	// killStopping kills an entry VM that shuts down, restartTwice restarts one and again as soon as it
+	// runs, signals sends SIGHUP and SIGTERM several times, hangUpTakeover kills an entry VM and sends
+	// SIGHUP to the others meanwhile.
+	killStopping   faultKind = "kill-stopping"
+	restartTwice   faultKind = "restart-twice"
+	signals        faultKind = "signals"
+	hangUpTakeover faultKind = "hang-up-takeover"
+	// malformed sends malformed messages to all ports of an entry VM.
+	malformed faultKind = "malformed"
 )
 
 // Groups of kinds that Options.Only takes, too.
@@ -61,15 +99,35 @@
 	SingleFaults = "single"
 	// SeriesFaults are those of the store, of processes in series, and changes of the configuration.
 	SeriesFaults = "series"
+	// NetworkFaults are cuts in one direction, and those between entry VMs.
+	NetworkFaults = "network"
+	// ClockFaults are those of clocks, of minions that end, and of a store that forgets or answers late.
+	ClockFaults = "clocks"
+	// OverlapFaults are signals in series and malformed messages.
+	OverlapFaults = "overlap"
 )
 
 var (
-	singleKinds = []faultKind{dialTimeouts, dialTimeouts, dialTimeouts, slowConnects, slowConnects, resets, silence, silence, silentConns, slowLink, pauseEntry, killEntry, restartEntry, stutterEntry, stutterEntry}
-	seriesKinds = []faultKind{storeDown, storeAway, storeAway, storeSlow, storeLost, storeLost, pauseKill, restartTwo, restartTwo, hangUp, changeConfig, changeConfig, changeConfig}
-	storeKinds  = []faultKind{storeDown, storeAway, storeSlow, storeLost}
-	entryKinds  = []faultKind{pauseEntry, killEntry, restartEntry, stutterEntry, pauseKill, restartTwo}
+	singleKinds  = []faultKind{dialTimeouts, dialTimeouts, dialTimeouts, slowConnects, slowConnects, resets, silence, silence, silentConns, slowLink, pauseEntry, killEntry, restartEntry, stutterEntry, stutterEntry}
+	seriesKinds  = []faultKind{storeDown, storeAway, storeAway, storeSlow, storeLost, storeLost, pauseKill, restartTwo, restartTwo, hangUp, changeConfig, changeConfig, changeConfig}
+	networkKinds = []faultKind{requestsLost, requestsLost, answersLost, answersLost, storeRequestsLost, storeAnswersLost, storeAnswersLost, peersSilent, peersSilent, peersOneWay, peersOneWay, peersDeaf, peersDeaf, peersSlow, cutHandOver, cutHandOver, machinesAway}
+	clockKinds   = []faultKind{crashMinion, crashMinion, crashMinion, leaveMinion, leaveMinion, historyGone, historyGone, lateReads, lateReads, longPause, longPause}
+	overlapKinds = []faultKind{killStopping, restartTwice, signals, hangUpTakeover, restartTwo, restartEntry, malformed, malformed, malformed}
+	storeKinds   = []faultKind{storeDown, storeAway, storeSlow, storeLost, storeRequestsLost, storeAnswersLost, lateReads}
+	entryKinds   = []faultKind{pauseEntry, killEntry, restartEntry, stutterEntry, pauseKill, restartTwo, longPause, killStopping, restartTwice, signals, hangUpTakeover, cutHandOver}
+	peerKinds    = []faultKind{peersSilent, peersOneWay, peersDeaf, peersSlow}
 )
 
+// groups are the kinds of each group and the number of its sequence of random numbers, so that the
+// schedules of one group do not depend on the others.
+var groups = map[string]struct {
+	kinds    []faultKind
+	sequence uint64
+}{SeriesFaults: {seriesKinds, 4}, NetworkFaults: {networkKinds, 6}, ClockFaults: {clockKinds, 7}, OverlapFaults: {overlapKinds, 8}}
+
+// groupOrder is the order in which groups are drawn.
+var groupOrder = []string{SingleFaults, SeriesFaults, NetworkFaults, ClockFaults, OverlapFaults}
+
 const (
 	slowConnect = time.Second
 	resetPause  = 200 * time.Millisecond
@@ -113,18 +171,23 @@
 	longestLast = 6 * time.Second
 )
 
-// schedule draws the faults of a run, the two groups of kinds from sequences of their own.
+// schedule draws the faults of a run. only names groups or kinds, separated by commas; empty means all.
 func schedule(single *rand.Rand, seed uint64, machines, entries int, d time.Duration, only string) []fault {
-	series := rand.New(rand.NewPCG(seed, 4))
-	switch only {
-	case "":
-		return append(draw(single, singleKinds, machines, entries, d), draw(series, seriesKinds, machines, entries, d)...)
-	case SingleFaults:
-		return draw(single, singleKinds, machines, entries, d)
-	case SeriesFaults:
-		return draw(series, seriesKinds, machines, entries, d)
+	names := groupOrder
+	if only != "" {
+		names = strings.Split(only, ",")
+	}
+	var out []fault
+	for _, name := range names {
+		rng, kinds := single, singleKinds
+		if g, ok := groups[name]; ok {
+			rng, kinds = rand.New(rand.NewPCG(seed, g.sequence)), g.kinds
+		} else if name != SingleFaults {
+			kinds = []faultKind{faultKind(name)}
+		}
+		out = append(out, draw(rng, kinds, machines, entries, d)...)
 	}
-	return draw(single, []faultKind{faultKind(only)}, machines, entries, d)
+	return out
 }
 
 // draw draws faults, at most one of an entry VM and one of the store in a spell.
@@ -166,6 +229,13 @@
 	case hangUp:
 		r.hangUp(ctx, f)
 		return
+	case malformed:
+		r.sendMalformed(ctx, f)
+		return
+	case historyGone:
+		r.platform.Note("FAULT-BEGINS %v", f)
+		r.platform.ForgetHistory()
+		return
 	}
 	r.check.disturbanceBegins()
 	defer r.check.disturbanceEnds()
@@ -175,6 +245,12 @@
 		r.entryFault(ctx, f)
 	case slices.Contains(storeKinds, f.kind):
 		r.storeFault(ctx, f)
+	case slices.Contains(peerKinds, f.kind):
+		r.peerFault(ctx, f)
+	case f.kind == machinesAway:
+		r.machinesFault(ctx, f)
+	case f.kind == crashMinion || f.kind == leaveMinion:
+		r.minionEnds(ctx, f)
 	default:
 		r.minionFault(ctx, f)
 	}
@@ -224,6 +300,12 @@
 		return nil
 	case slowLink:
 		link.SetDelay(slowLinkDelay)
+	case requestsLost:
+		link.Hold(faultproxy.ToTarget, "")
+		err = link.Stall()
+	case answersLost:
+		link.Hold(faultproxy.ToClient, "")
+		err = link.Stall()
 	}
 	sleep(ctx, f.lasts)
 	return err
@@ -240,7 +322,7 @@
 	e.faulty.Lock()
 	defer e.faulty.Unlock()
 	r.platform.Note("FAULT-BEGINS %v, entry VM %s", f, e.name)
-	defer e.disturb(f.kind == restartEntry || f.kind == restartTwo)()
+	defer e.disturb(slices.Contains(plannedKinds, f.kind))()
 	p := e.process()
 	switch f.kind {
 	case pauseEntry:
@@ -273,6 +355,8 @@
 		defer next.faulty.Unlock()
 		defer next.disturb(true)()
 		r.terminate(ctx, next)
+	default:
+		r.processFault(ctx, f, e)
 	}
 }
 
@@ -301,9 +385,19 @@
 
 // terminate stops an entry VM as the platform does and starts it again.
 func (r *run) terminate(ctx context.Context, e *entryVM) {
+	r.stop(ctx, e, func() {
+		if err := e.process().SendTerminate(); err != nil {
+			r.check.report("harness: %v", err)
+		}
+	})
+}
+
+// stop stops an entry VM by signals and starts it again.
+func (r *run) stop(ctx context.Context, e *entryVM, signal func()) {
 	p, began, listened := e.process(), time.Now(), e.listens()
 	r.wg.Go(func() { r.callers.holdConnections(ctx, e, p) })
-	err := p.Terminate(termGrace)
+	signal()
+	err := p.Await(termGrace)
 	// A process can not handle a signal before main runs; it has no callers then.
 	if early := !listened && endedBy(err, syscall.SIGTERM); err != nil && !early && !r.check.stalledSince(began) {
 		r.check.report("shutdown of %s: %v", e.name, err)
@@ -327,7 +421,7 @@
 // storeFault injects a fault of the store.
 func (r *run) storeFault(ctx context.Context, f fault) {
 	hit := r.entries
-	if f.kind == storeAway {
+	if f.kind == storeAway || (f.kind == storeRequestsLost || f.kind == storeAnswersLost) && !f.both {
 		hit = []*entryVM{r.entries[r.entryOf(f)]}
 	}
 	for _, e := range r.entries {
@@ -336,8 +430,17 @@
 	r.platform.Note("FAULT-BEGINS %v, entry VMs hit %d, first %s", f, len(hit), hit[0].name)
 	for _, e := range hit {
 		link := r.proxy.Link(storeLink(e.name))
-		link.ResetOpen()
+		if f.kind != storeRequestsLost && f.kind != storeAnswersLost && f.kind != lateReads {
+			link.ResetOpen()
+		}
 		switch {
+		case f.kind == storeRequestsLost, f.kind == storeAnswersLost:
+			link.Hold(map[faultKind]faultproxy.Direction{storeRequestsLost: faultproxy.ToTarget, storeAnswersLost: faultproxy.ToClient}[f.kind], "")
+			if err := link.Stall(); err != nil {
+				r.platform.Note("fault failed: %v", err)
+			}
+		case f.kind == lateReads:
+			e.late.Store(true)
 		case f.kind == storeSlow:
 			link.SetDelay(slowLinkDelay)
 		case f.kind == storeLost:
@@ -353,6 +456,7 @@
 	sleep(ctx, f.lasts)
 	for _, e := range hit {
 		e.treatment.Store(served)
+		e.late.Store(false)
 		r.healLink(r.proxy.Link(storeLink(e.name)))
 	}
 }
--- a/bench/sitefaults/run.go
+++ b/bench/sitefaults/run.go
@@ -29,7 +29,7 @@
 	Duration time.Duration
 	// NoFaults leaves the faults out.
 	NoFaults bool
-	// Only restricts the faults to one kind, or to SingleFaults or SeriesFaults.
+	// Only restricts the faults to kinds and groups, separated by commas.
 	Only string
 	// Overload lets each service in turn be asked for more than its machines can run.
 	Overload bool
@@ -121,7 +121,7 @@
 	defer r.proxy.Close()
 	p, err := siteplatform.Start(siteplatform.Site{
 		Capacity: jobs.Resources{CPU: machineCPU, MemoryMB: machineMB}, Machines: machineSpecs(), Config: config(0), MoveTime: moveTime, UpkeepTime: upkeepTime,
-		Heartbeat: heartbeat, StopTime: stopTime, Work: all.work, Need: all.need, OnEvent: r.check.event,
+		Heartbeat: heartbeat, StopTime: stopTime, Work: all.work, Need: all.need, ClockRate: clockRate(o.Seed), OnEvent: r.check.event,
 		Route: func(name, addr string) (string, error) { return r.route(ports, name, addr) },
 		OnMachine: func(name string, up bool) {
 			if l := r.proxy.Link(name); !up {
@@ -136,6 +136,9 @@
 	}
 	defer p.Close()
 	r.platform, r.check.note = p, p.Note
+	if _, err := r.route(ports, machinesLink, p.MachinesAddr()); err != nil {
+		return Result{}, err
+	}
 	if err := r.startEntries(ctx, ports); err != nil {
 		return Result{}, err
 	}
@@ -149,7 +152,7 @@
 	if err != nil {
 		return "", err
 	}
-	l, err := r.proxy.Add(faultproxy.LinkSpec{Name: name, Listen: listen, Target: addr})
+	l, err := r.proxy.Add(faultproxy.LinkSpec{Name: name, Listen: listen, Target: addr, SourceOf: peerOf})
 	if err != nil {
 		return "", err
 	}
@@ -158,14 +161,14 @@
 
 func (r *run) startEntry(name, zone string, ports cluster.Ports) error {
 	e := &entryVM{name: name, zone: zone, settings: filepath.Join(r.o.Dir, name+".toml"), logs: r.o.Dir, bin: r.o.Bin}
-	store, err := r.platform.AddStoreClient(e.storeCall, nil)
+	store, err := r.platform.AddStoreClient(e.storeCall, e.holdUp)
 	if err != nil {
 		return err
 	}
 	if store, err = r.route(ports, storeLink(name), store); err != nil {
 		return err
 	}
-	if err := e.writeSettings(ports, store, r.platform.MachinesAddr()); err != nil {
+	if err := e.writeSettings(ports, store, r.proxy.Link(machinesLink).Addr(), func(name, addr string) (string, error) { return r.route(ports, name, addr) }); err != nil {
 		return err
 	}
 	r.entries = append(r.entries, e)
@@ -226,6 +229,9 @@
 			var starved time.Duration
 			for _, e := range r.entries {
 				starved = max(starved, e.starved())
+				if err := e.checkAlive(); err != nil {
+					r.check.report("%v", err)
+				}
 			}
 			r.check.tick(r.platform.Up, starved)
 		}
--- a/bench/sitefaults/site.go
+++ b/bench/sitefaults/site.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"math/rand/v2"
 	"strconv"
 	"strings"
 	"sync"
@@ -19,6 +20,25 @@
 	stopTime   = 400 * time.Millisecond
 )
 
+// retention is how long an entry VM answers for a job after its end, short enough to end within a run.
+const retention = 15 * time.Second
+
+// slowestClock is the lowest rate of a minion's clock.
+const slowestClock = 0.98
+
+// clockRate draws how fast the minions' clocks run: half of them are right.
+func clockRate(seed uint64) func(jobs.Minion) float64 {
+	return func(id jobs.Minion) float64 {
+		h := fnv.New64a()
+		_, _ = h.Write([]byte(id)) // never fails
+		rng := rand.New(rand.NewPCG(seed, h.Sum64()))
+		if rng.IntN(2) == 0 {
+			return 1
+		}
+		return 1 - (1-slowestClock)*rng.Float64()
+	}
+}
+
 const (
 	apiKey   = "key-1"
 	jobsHost = "jobs.example"
--- a/cmd/bpbench/main.go
+++ b/cmd/bpbench/main.go
@@ -94,7 +94,7 @@
 	Duration time.Duration `default:"60s" help:"Duration of the traffic and the faults."`
 	Runs     int           `default:"1" help:"Runs, with consecutive seeds."`
 	NoFaults bool          `help:"Inject no faults."`
-	Only     string        `help:"Inject only this kind of fault, or those of one group: single or series."`
+	Only     string        `help:"Inject only these kinds of faults, or those of groups: single, series, network, clocks, overlap."`
 	Overload bool          `help:"Ask each service in turn for more than its machines can run."`
 }
 
