coordinator: a long-running task does not wait for tasks that take long

Capacity is held for a long-running task on a machine of its service until other tasks have ended there. Such a task did not count as one without a place, so that no machine of another service was emptied for it, however long those tasks took.

Once capacity has been held for 1.5 s, the task counts as one without a place on its service's machines.

What remains: if all machines of all services are full of tasks that take long, the task waits for them.

--- a/internal/capacity/plan.go
+++ b/internal/capacity/plan.go
@@ -37,7 +37,7 @@
 	MinMachines int
 	// Unplaceable is how many machines the service needs for long-running tasks that fit on none of
 	// its machines now. Stranded is the part for those that will not fit there either once other
-	// tasks have ended.
+	// tasks have ended, or not soon.
 	Unplaceable, Stranded int
 	// Needs is what these tasks need. Without any, each machine is of use for them.
 	Needs []Need
--- a/internal/coordinator/rebalance.go
+++ b/internal/coordinator/rebalance.go
@@ -148,7 +148,8 @@
 	// minMachines is how many machines they need because of limits on tasks per minion.
 	minMachines int
 	// unplaceable and stranded are the long-running tasks that find no place on the service's
-	// machines now, and those that will not find one there either once other tasks have ended.
+	// machines now, and those that will not find one there either once other tasks have ended, or not
+	// soon.
 	unplaceable, stranded unplacedTasks
 	// needs is what these tasks need.
 	needs []capacity.Need
@@ -188,6 +189,11 @@
 // fragments, however many there are.
 const unplaceableAfter = 300 * time.Millisecond
 
+// heldTooLongAfter is how long capacity may be held for a long-running task, until other tasks have ended
+// there, before it counts as one for which there is no place on its service's machines. A machine of another
+// service takes about 3 s to be emptied and moved, and the task must have a run again after 6 s.
+const heldTooLongAfter = 1500 * time.Millisecond
+
 func (t *Term) serviceSnapshot(name model.Service, l serviceLoad) capacity.Service {
 	d := t.demandOf(name)
 	var size jobs.Resources
@@ -213,7 +219,11 @@
 					continue
 				}
 				l.unplaceable.add(s.Spec, u.tasks)
-				l.stranded.add(s.Spec, u.noMinion)
+				stranded := u.noMinion
+				if t.now > u.since+heldTooLongAfter {
+					stranded = u.tasks
+				}
+				l.stranded.add(s.Spec, stranded)
 				if !slices.Contains(l.needs, need) {
 					l.needs = append(l.needs, need)
 				}
