account: a missing acceptance is excused only by a gap of its entry VM at its time

Cause: the report's check "has its acceptance on record, or lies in a gap" passed for every job as soon as there was any gap. Change: the time and the entry VM in the job's id must lie in a gap. A report of a period is checked against the gaps of the whole account, because the acceptance may be older than the period. Measured: TestMissingAcceptanceMustLieInAGapOfItsEntryVM: with the old condition the cases before the gap and of another entry VM fail; all pass now.

--- a/internal/account/account_test.go
+++ b/internal/account/account_test.go
@@ -469,6 +469,33 @@
 	require.False(t, report(finished("j", now, model.StateRan, "")).OK())
 }
 
+// Guards against a report that passes although the acceptance of a job is missing outside any gap,
+// because there is a gap elsewhere; and against one of a period that fails because the gap with the
+// acceptance lies before it.
+func TestMissingAcceptanceMustLieInAGapOfItsEntryVM(t *testing.T) {
+	now := time.Now()
+	lost := Owner{Entry: "entry-a-2", DC: "a", Incarnation: "inc-2"}
+	row := IncarnationRow{Owner: lost, Started: now.Add(-time.Hour), StoredUntil: now.Add(-time.Minute)}
+	for name, tc := range map[string]struct {
+		accepted time.Time
+		entry    model.EntryVM
+		ok       bool
+	}{
+		"in the gap":          {now.Add(-30 * time.Second), lost.Entry, true},
+		"before the gap":      {now.Add(-2 * time.Minute), lost.Entry, false},
+		"of another entry VM": {now.Add(-30 * time.Second), testOwner.Entry, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			rec := finished(string(model.NewJobID(tc.accepted, tc.entry)), now.Add(-time.Second), model.StateRan, "")
+			r := Build(ReportInput{Batches: []Batch{{Owner: testOwner, First: 1, Last: 1, Records: []model.Record{rec}}}, Rows: []IncarnationRow{row},
+				Coverages: []Coverage{{Owner: lost, GoneSeen: now.Add(-20 * time.Second)}}, Now: now, Live: map[model.Incarnation]bool{testOwner.Incarnation: true}})
+			require.Len(t, r.Gaps, 1)
+			require.Equal(t, tc.ok, r.OK(), "%+v", r.Checks)
+			require.Equal(t, tc.ok, r.Between(now.Add(-10*time.Second), time.Time{}).OK())
+		})
+	}
+}
+
 // Guards against a report without a gap for a process that started and ended while the store
 // was unavailable. Such a process has no row and no batch, and the peer with its replicas may
 // have ended too. The entry VMs that noticed its end record it in a single object.
--- a/internal/account/check.go
+++ b/internal/account/check.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"time"
 
 	"boragepulley/internal/model"
 )
@@ -17,7 +19,8 @@
 	CheckAccepted        = "every job was refused on arrival, has its acceptance on record, or lies in a gap"
 )
 
-func (r *Report) runChecks() {
+// runChecks checks the report. gaps are those of the whole account, also if the report is of a part.
+func (r *Report) runChecks(gaps []Gap) {
 	r.Checks = []Check{
 		r.checkEachJobOnce(),
 		{Name: CheckTotalsAddUp, OK: r.Total.consistent() && r.Total.Accepted == len(r.All)},
@@ -25,7 +28,7 @@
 		r.checkReasons(),
 		r.checkEachJob(CheckNoContradiction, func(j *Job) bool { return !j.Contradictory }),
 		r.checkEachJob(CheckReasonGiven, hasReason),
-		r.checkEachJob(CheckAccepted, func(j *Job) bool { return len(r.Gaps) > 0 || hasAcceptance(j) }),
+		r.checkEachJob(CheckAccepted, func(j *Job) bool { return hasAcceptance(j) || inGap(gaps, j) }),
 	}
 }
 
@@ -82,6 +85,20 @@
 	return true
 }
 
+// inGap reports whether the job was accepted in a gap of its entry VM. Its id has the time of the
+// acceptance in whole milliseconds.
+func inGap(gaps []Gap, j *Job) bool {
+	entry, err := j.ID.Entry()
+	if err != nil {
+		return false
+	}
+	from := j.ID.AcceptedAt()
+	to := from.Add(time.Millisecond)
+	return slices.ContainsFunc(gaps, func(g Gap) bool {
+		return g.Entry == entry && !to.Before(g.From) && !from.After(g.To)
+	})
+}
+
 // hasAcceptance reports whether the records of a job include its beginning: either its
 // acceptance, or nothing but a refusal on arrival.
 func hasAcceptance(j *Job) bool {
--- a/internal/account/report.go
+++ b/internal/account/report.go
@@ -151,7 +151,7 @@
 	}
 	r.countJobs()
 	r.Gaps = FindGaps(m.Owners, in)
-	r.runChecks()
+	r.runChecks(r.Gaps)
 	return r
 }
 
@@ -180,7 +180,7 @@
 		}
 	}
 	out.countJobs()
-	out.runChecks()
+	out.runChecks(r.Gaps)
 	return out
 }
 
--- a/internal/model/ids.go
+++ b/internal/model/ids.go
@@ -54,6 +54,17 @@
 	return EntryVM(tail), nil
 }
 
+// AcceptedAt returns when the job was accepted, to the millisecond, or the zero time for a malformed
+// id.
+func (j JobID) AcceptedAt() time.Time {
+	head, _, _ := strings.Cut(string(j), "-")
+	id, err := ulid.ParseStrict(head)
+	if err != nil {
+		return time.Time{}
+	}
+	return id.Timestamp()
+}
+
 // NewIncarnation returns the id of this process start.
 func NewIncarnation() Incarnation {
 	return Incarnation(ulid.MustNew(ulid.Now(), rand.Reader).String())
