account: an incarnation whose end could not be written stays open

Cause: Close noted "closed" before the row was written. After a failed write a later one would have said that the process stored everything and ended, though facts may have been added since. Change: the note is taken back when the write fails. Measured: TestFailedCloseLeavesTheIncarnationOpen fails without the change (no gap) and passes with it.

--- a/internal/account/account_test.go
+++ b/internal/account/account_test.go
@@ -496,6 +496,22 @@
 	}
 }
 
+// Guards against a process that is reported as complete although its end could not be written, because
+// a later write of its row says closed and facts were added between.
+func TestFailedCloseLeavesTheIncarnationOpen(t *testing.T) {
+	m := newMemoryStore()
+	l := NewLedger(testOwner, m.services(), nil, zerolog.Nop(), time.Now)
+	require.NoError(t, l.writeInitialRow(t.Context()))
+	m.setDown(true) // nothing is left to be stored but the end
+	require.Error(t, l.Close(t.Context()))
+	m.setDown(false)
+	l.Record(accepted("job-1", time.Now()))
+	require.NoError(t, l.writeInitialRow(t.Context()))
+	require.Len(t, buildFrom(t, m, nil).Gaps, 1)
+	require.NoError(t, l.Close(t.Context()))
+	require.Empty(t, buildFrom(t, m, nil).Gaps)
+}
+
 // Guards against a report without a gap for a process that started and ended while the store
 // was unavailable. Such a process has no row and no batch, and the peer with its replicas may
 // have ended too. The entry VMs that noticed its end record it in a single object.
--- a/internal/account/ledger.go
+++ b/internal/account/ledger.go
@@ -213,7 +213,11 @@
 	l.storeMu.Lock()
 	defer l.storeMu.Unlock()
 	l.row.Closed = true
-	return l.writeRow(ctx)
+	if err := l.writeRow(ctx); err != nil {
+		l.row.Closed = false // a fact that is added after may be stored with the row
+		return err
+	}
+	return nil
 }
 
 // CoversUntil returns the time up to which the stored batches contain every fact of this
