account: a replica that is sent again needs no second space

Cause: the check of the space compared the sum with the new replica and did not subtract the one that it replaces, so that a nearly full store refused repetitions. Change: the size after the replacement is compared. Measured: TestRepeatedReplicaCountsOnce fails without the change (replica store full) and passes with it.

--- a/internal/account/account_test.go
+++ b/internal/account/account_test.go
@@ -512,6 +512,21 @@
 	require.Empty(t, buildFrom(t, m, nil).Gaps)
 }
 
+// Guards against a replica store that counts a replica that is sent again twice, and then refuses
+// replicas while it has space.
+func TestRepeatedReplicaCountsOnce(t *testing.T) {
+	m := newMemoryStore()
+	replicas := NewReplicaStore("peer", memoryObjects{m}, zerolog.Nop())
+	b := Batch{Owner: testOwner, First: 1, Last: 1, Records: []model.Record{accepted("job", time.Now())}}
+	payload, err := b.Encode()
+	require.NoError(t, err)
+	require.NoError(t, replicas.Hold(1, payload))
+	replicas.size = maxReplicaBytes // as if the rest were taken
+	require.NoError(t, replicas.Hold(1, payload))
+	require.Equal(t, maxReplicaBytes, replicas.size)
+	require.ErrorIs(t, replicas.Hold(2, payload), ErrReplicaStoreFull)
+}
+
 // Guards against a report without a gap for a process that started and ended while the store
 // was unavailable. Such a process has no row and no batch, and the peer with its replicas may
 // have ended too. The entry VMs that noticed its end record it in a single object.
--- a/internal/account/holder.go
+++ b/internal/account/holder.go
@@ -83,10 +83,11 @@
 	}
 	c.lastReceived = time.Now()
 	if sequence != 0 {
-		if r.size+len(payload) > maxReplicaBytes {
+		size := r.size + len(payload) - len(c.batches[sequence])
+		if size > maxReplicaBytes {
 			return ErrReplicaStoreFull
 		}
-		r.size += len(payload) - len(c.batches[sequence])
+		r.size = size
 		c.batches[sequence] = payload
 	}
 	if b.CoversUntil.After(c.coversUntil) {
