--- a/internal/account/account_test.go
+++ b/internal/account/account_test.go
@@ -469,6 +469,64 @@
 	require.False(t, report(finished("j", now, model.StateRan, "")).OK())
 }
 
+// Guards against a report that passes although the acceptance of a job is missing outside any gap,
+// because there is a gap elsewhere; and against one of a period that fails because the gap with the
+// acceptance lies before it.
+func TestMissingAcceptanceMustLieInAGapOfItsEntryVM(t *testing.T) {
+	now := time.Now()
+	lost := Owner{Entry: "entry-a-2", DC: "a", Incarnation: "inc-2"}
+	row := IncarnationRow{Owner: lost, Started: now.Add(-time.Hour), StoredUntil: now.Add(-time.Minute)}
+	for name, tc := range map[string]struct {
+		accepted time.Time
+		entry    model.EntryVM
+		ok       bool
+	}{
+		"in the gap":          {now.Add(-30 * time.Second), lost.Entry, true},
+		"before the gap":      {now.Add(-2 * time.Minute), lost.Entry, false},
+		"of another entry VM": {now.Add(-30 * time.Second), testOwner.Entry, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			rec := finished(string(model.NewJobID(tc.accepted, tc.entry)), now.Add(-time.Second), model.StateRan, "")
+			r := Build(ReportInput{Batches: []Batch{{Owner: testOwner, First: 1, Last: 1, Records: []model.Record{rec}}}, Rows: []IncarnationRow{row},
+				Coverages: []Coverage{{Owner: lost, GoneSeen: now.Add(-20 * time.Second)}}, Now: now, Live: map[model.Incarnation]bool{testOwner.Incarnation: true}})
+			require.Len(t, r.Gaps, 1)
+			require.Equal(t, tc.ok, r.OK(), "%+v", r.Checks)
+			require.Equal(t, tc.ok, r.Between(now.Add(-10*time.Second), time.Time{}).OK())
+		})
+	}
+}
+
+// Guards against a process that is reported as complete although its end could not be written, because
+// a later write of its row says closed and facts were added between.
+func TestFailedCloseLeavesTheIncarnationOpen(t *testing.T) {
+	m := newMemoryStore()
+	l := NewLedger(testOwner, m.services(), nil, zerolog.Nop(), time.Now)
+	require.NoError(t, l.writeInitialRow(t.Context()))
+	m.setDown(true) // nothing is left to be stored but the end
+	require.Error(t, l.Close(t.Context()))
+	m.setDown(false)
+	l.Record(accepted("job-1", time.Now()))
+	require.NoError(t, l.writeInitialRow(t.Context()))
+	require.Len(t, buildFrom(t, m, nil).Gaps, 1)
+	require.NoError(t, l.Close(t.Context()))
+	require.Empty(t, buildFrom(t, m, nil).Gaps)
+}
+
+// Guards against a replica store that counts a replica that is sent again twice, and then refuses
+// replicas while it has space.
+func TestRepeatedReplicaCountsOnce(t *testing.T) {
+	m := newMemoryStore()
+	replicas := NewReplicaStore("peer", memoryObjects{m}, zerolog.Nop())
+	b := Batch{Owner: testOwner, First: 1, Last: 1, Records: []model.Record{accepted("job", time.Now())}}
+	payload, err := b.Encode()
+	require.NoError(t, err)
+	require.NoError(t, replicas.Hold(1, payload))
+	replicas.size = maxReplicaBytes // as if the rest were taken
+	require.NoError(t, replicas.Hold(1, payload))
+	require.Equal(t, maxReplicaBytes, replicas.size)
+	require.ErrorIs(t, replicas.Hold(2, payload), ErrReplicaStoreFull)
+}
+
 // Guards against a report without a gap for a process that started and ended while the store
 // was unavailable. Such a process has no row and no batch, and the peer with its replicas may
 // have ended too. The entry VMs that noticed its end record it in a single object.
