sitefaults: tests of the new checks, and of the sequences of all groups

Cause: TestEachGroupOfKindsHasItsOwnSequence took all kinds to be two groups, and the checks of retention and of minions that leave had no test. Three tests of checks and of the sender of a message.

--- a/bench/sitefaults/checker_test.go
+++ b/bench/sitefaults/checker_test.go
@@ -1,6 +1,7 @@
 package sitefaults
 
 import (
+	"encoding/json"
 	"math/rand/v2"
 	"net/http"
 	"testing"
@@ -9,7 +10,9 @@
 	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 
+	"boragepulley/internal/jobs"
 	"boragepulley/internal/model"
+	"boragepulley/internal/peer"
 	"boragepulley/standins/fleet"
 )
 
@@ -92,9 +95,77 @@
 
 // Guards against kinds added later that change the faults of recorded seeds.
 func TestEachGroupOfKindsHasItsOwnSequence(t *testing.T) {
-	both := schedule(rand.New(rand.NewPCG(2, 1)), 2, 10, entryVMs, time.Minute, "")
+	draw := func(only string) []fault {
+		return schedule(rand.New(rand.NewPCG(2, 1)), 2, 10, entryVMs, time.Minute, only)
+	}
+	both := draw("single,series")
 	single := schedule(rand.New(rand.NewPCG(2, 1)), 2, 10, entryVMs, time.Minute, SingleFaults)
 	series := schedule(nil, 2, 10, entryVMs, time.Minute, SeriesFaults)
 	require.Equal(t, both, append(single, series...))
+	all := both
+	for _, only := range []string{NetworkFaults, ClockFaults, OverlapFaults} {
+		all = append(all, schedule(nil, 2, 10, entryVMs, time.Minute, only)...)
+	}
+	require.Equal(t, all, draw(""))
 	require.Equal(t, "3.2 s: resets of 0 for 3.2 s, chosen true, both false", single[0].String())
 }
+
+// Guards against a soak that passes while a job is forgotten before its retention ends, or its state
+// changes after its end, and against one that asks for longer.
+func TestReportsJobsThatAreForgotten(t *testing.T) {
+	for _, x := range []struct {
+		name     string
+		ended    time.Duration // ago
+		status   int
+		state    string
+		reported bool
+		over     bool
+	}{
+		{"same state", retention / 2, http.StatusOK, "completed", false, false},
+		{"other state", retention / 2, http.StatusOK, "running", true, false},
+		{"forgotten too early", retention / 2, http.StatusGone, "", true, false},
+		{"no answer", retention / 2, 0, "", false, false},
+		{"forgotten in time", 2 * retention, http.StatusGone, "", false, true},
+	} {
+		c, e := newTestChecker(&configs{}), &entryVM{name: "entry-1"}
+		now := time.Now()
+		j := newJob(rand.New(rand.NewPCG(1, 1)), services[0], false, 1, shortCPU, 1)
+		c.handedIn(j)
+		c.jobs[j.ID].acceptedAt = now.Add(-x.ended - time.Minute)
+		c.event(fleet.Event{At: now.Add(-x.ended), Kind: fleet.RunEnded, Task: j.tasks()[0], Run: 1, How: jobs.EndDone})
+		c.jobs[j.ID].final, c.jobs[j.ID].finalAt = "completed", now.Add(-x.ended)
+		require.Equal(t, x.over, c.stateAnswered(j, answer{status: x.status, state: x.state, from: e, sent: now}), x.name)
+		require.Equal(t, x.reported, len(c.faults) == 1, "%s: %v", x.name, c.faults)
+		c.jobs[j.ID].final = "" // its end was not seen
+		if x.status == http.StatusGone {
+			over := c.stateAnswered(j, answer{status: x.status, from: e, sent: now})
+			require.Equal(t, x.over, over, x.name)
+		}
+	}
+}
+
+// Guards against a soak that passes while tasks start on a minion that leaves.
+func TestReportsStartsOnMinionsThatLeave(t *testing.T) {
+	for _, x := range []struct {
+		ago          time.Duration
+		disturbances int
+		reported     bool
+	}{{drainBound / 2, 1, false}, {2 * drainBound, 1, true}, {2 * drainBound, 2, false}} {
+		c := newTestChecker(&configs{})
+		j := newJob(rand.New(rand.NewPCG(1, 1)), services[0], false, 1, shortCPU, 1)
+		c.handedIn(j)
+		now := time.Now()
+		c.leaves["i-m0-1"], c.disturbances = now.Add(-x.ago), x.disturbances
+		c.event(fleet.Event{At: now, Kind: fleet.RunBegan, Task: j.tasks()[0], Run: 1, Minion: "i-m0-1", Service: model.Service(services[0])})
+		require.Equal(t, x.reported, len(c.faults) == 1, "%v: %v", x, c.faults)
+	}
+}
+
+// Guards against a cut between two entry VMs that concerns all of them, because the sender of a message
+// is not found.
+func TestFindsTheSenderOfAMessage(t *testing.T) {
+	data, err := json.Marshal(peer.CoordinatorHeartbeat{From: peer.Sender{Entry: "entry-2"}, Members: map[model.EntryVM]peer.Member{"entry-1": {}}})
+	require.NoError(t, err)
+	require.Equal(t, "entry-2", peerOf(data))
+	require.Empty(t, peerOf([]byte("{}")))
+}
