coordinator: notice the restart of a minion whose wall clock was set back

What was seen: a minion that starts again under its id numbers its lives by its wall clock. When that was set back meanwhile, each of its answers was taken for one of an earlier process and passed over, for ever: its tasks counted as running, were not started again, and their job never ended. Cause: a lower number always counted as older. That holds only for an answer to a poll that was sent before the higher number was known; a process that answers a later poll is not older than one that was known when it was sent. Change: the time at which a number became known is kept, and an answer to a later poll with another number is a restart. Measured: TestMinionRebornWithAClockSetBack failed before (job still running, both cases) and passes; TestMinionReborn* and go test ./internal/holding pass.

--- a/internal/coordinator/minions.go
+++ b/internal/coordinator/minions.go
@@ -30,12 +30,14 @@
 		return
 	case m == nil:
 		m = holding.New(e, 0)
-		m.EmptySince, m.LeavesAt = t.now, t.now+e.Remaining
+		m.EmptySince, m.LeavesAt, m.IncarnationAt = t.now, t.now+e.Remaining, t.now
 		t.minions[e.ID] = m
 		// The removal of the minion's row may still be due. It would follow the new record.
 		delete(t.writer.goneMinions, e.ID)
 	case m.Incarnation != 0 && e.Incarnation != 0 && e.Incarnation < m.Incarnation:
-		return // entry of an earlier incarnation
+		// Of an earlier incarnation, or of one that started after the wall clock was set back, which the
+		// next poll tells.
+		return
 	default:
 		if e.Leaving {
 			m.LeavesAt = t.now + e.Remaining
@@ -47,6 +49,9 @@
 			t.minionRestarted(m, e.Incarnation)
 		}
 		incarnation := m.Incarnation
+		if incarnation == 0 {
+			m.IncarnationAt = t.now
+		}
 		m.MinionEntry = e
 		m.Incarnation = max(incarnation, e.Incarnation)
 	}
--- a/internal/coordinator/polls.go
+++ b/internal/coordinator/polls.go
@@ -133,7 +133,9 @@
 		t.log.Info().Str("minion", string(m.ID)).Dur("silent", t.now-m.LastReply).Msg("Coordinator: minion answers again.")
 	}
 	if m.Incarnation != 0 && r.Incarnation != 0 && r.Incarnation != m.Incarnation {
-		if r.Incarnation < m.Incarnation {
+		// A lower one is of an earlier process, unless the poll was sent to a process that was known then:
+		// the wall clock by which incarnations are numbered may have been set back.
+		if r.Incarnation < m.Incarnation && sent < m.IncarnationAt {
 			m.NextPoll = t.now + silentPollInterval
 			return
 		}
@@ -141,8 +143,8 @@
 	} else {
 		m.AckDelivered(acked)
 	}
-	if r.Incarnation != 0 {
-		m.Incarnation = r.Incarnation
+	if m.Incarnation == 0 && r.Incarnation != 0 {
+		m.Incarnation, m.IncarnationAt = r.Incarnation, t.now
 	}
 	m.FailedPolls, m.LastReply, m.LastReported = 0, t.now, sent
 	m.ObserveClock(r.Clock, at)
--- a/internal/coordinator/term_test.go
+++ b/internal/coordinator/term_test.go
@@ -124,6 +124,32 @@
 	})
 }
 
+// Guards against a minion whose restart is never noticed because its machine's wall clock was set back:
+// its tasks would never start again.
+func TestMinionRebornWithAClockSetBack(t *testing.T) {
+	for name, listed := range map[string]bool{"listed": true, "not listed yet": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ts := newTestSite(t, 1)
+				ts.minions.Work = func(string, int) (time.Duration, jobs.End) { return 2 * time.Second, jobs.EndDone }
+				term := ts.startTerm("e1", nil)
+				defer endTerm(term)
+				sleep(time.Second)
+				ts.submitJob(term, "0000000000000001", step(2))
+				sleep(500 * time.Millisecond)
+				ts.minions.RestartAt("m0", -time.Minute)
+				if listed {
+					ts.list("m0")
+				}
+				sleep(4 * time.Second)
+				require.Equal(t, jobs.StateCompleted, ts.state(term, "0000000000000001"))
+				require.Equal(t, 2, ts.minions.Starts("0000000000000001.0.0.0"))
+				ts.requireNoViolations()
+			})
+		})
+	}
+}
+
 // Guards against a second run in parallel with one whose start was carried out seconds after it was
 // sent.
 func TestStartsCarriedOutLate(t *testing.T) {
--- a/internal/holding/holding.go
+++ b/internal/holding/holding.go
@@ -32,6 +32,8 @@
 // Minion is the coordinator's known state of a minion.
 type Minion struct {
 	site.MinionEntry
+	// IncarnationAt is when Incarnation became known.
+	IncarnationAt time.Duration
 	// Listed is set while the platform's list names the minion.
 	Listed bool
 	// Recorded is set once the minion is stored, so that a new coordinator knows of it.
@@ -144,7 +146,7 @@
 // incarnation reported can no longer be acknowledged. maxLease is the longest lease that a minion
 // grants.
 func (m *Minion) Restarted(incarnation int64, now, maxLease time.Duration) {
-	m.Incarnation = incarnation
+	m.Incarnation, m.IncarnationAt = incarnation, now
 	if m.StartsInFlight > 0 || m.LastStart > 0 && m.LastStart >= m.LastReported {
 		// The new incarnation may have received a start that was meant for the previous one. The lease
 		// in it is on that one's clock, so the new one grants as much as it ever grants.
