entry: a coordinator whose lease has ended does not answer from its memory

Cause: a term lives for 4.2 s after its lease, learns of new jobs from the store's feed, and its states were taken for those of the coordinator, at its own entry VM and at others. Change: a state that is not final counts only until the end of the lease or of the other entry VMs' promises; after that the store is asked, and the memory is used only if the store does not answer. That a job is known still counts. Measured: TestStaleCoordinatorDoesNotAnswerFromItsMemory failed before (queued) and passes; go test ./internal/entry ./internal/peer passes.

--- a/internal/coordinator/api.go
+++ b/internal/coordinator/api.go
@@ -17,17 +17,25 @@
 
 // State returns a job's state as callers may see it. ok is false for an unknown job.
 func (t *Term) State(ctx context.Context, id jobs.ID) (s jobs.State, ok bool, err error) {
+	s, ok, _, err = t.CurrentState(ctx, id)
+	return s, ok, err
+}
+
+// CurrentState is State, and reports whether the state is current: while another entry VM may
+// coordinate, only a final state is.
+func (t *Term) CurrentState(ctx context.Context, id jobs.ID) (s jobs.State, ok, current bool, err error) {
 	loaded := false
 	err = t.do(ctx, func() {
 		loaded = t.loaded
 		if j := t.registry.Get(id); j != nil {
 			s, ok = j.VisibleState(), true
+			current = s.Final() || t.now < t.exclusiveUntil()
 		}
 	})
 	if err == nil && !loaded {
 		err = ErrNotCoordinating
 	}
-	return s, ok, err
+	return s, ok, current, err
 }
 
 // Cancel cancels a job and returns once the cancellation is stored. ok is false for an unknown job.
--- a/internal/entry/attempts.go
+++ b/internal/entry/attempts.go
@@ -63,7 +63,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, attemptCheckTimeout)
 	defer cancel()
-	_, stored = n.stateFromCoordinator(ctx, id)
+	_, stored, _ = n.stateFromCoordinator(ctx, id)
 	return stored, mayBe || stored
 }
 
--- a/internal/entry/node_test.go
+++ b/internal/entry/node_test.go
@@ -595,3 +595,35 @@
 		require.Greater(t, second.Epoch(), first.Epoch())
 	})
 }
+
+// Guards against a state that goes back: a coordinator whose lease has ended answers from its memory
+// while another one has completed the job.
+func TestStaleCoordinatorDoesNotAnswerFromItsMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tc := newTestCluster(t, 3)
+		defer tc.stop()
+		time.Sleep(2 * time.Second)
+		stale := tc.nodes[tc.coordinator()]
+		name := string(stale.deps.Self.Entry)
+		tc.setFaults(name, true, func(op string) fleet.Fault {
+			if op == "commit" {
+				return fleet.Refuse
+			}
+			return fleet.None
+		})
+		other := tc.otherThan(name)
+		time.Sleep(3500 * time.Millisecond) // a successor has the lease, the term of the other one has not ended
+		require.NoError(t, other.Submit(t.Context(), newJob(id1)).Err)
+		time.Sleep(1500 * time.Millisecond)
+		require.Equal(t, jobs.StateCompleted, other.State(t.Context(), id1).State)
+		require.NotNil(t, stale.term.Load())
+		require.Equal(t, jobs.StateCompleted, stale.State(t.Context(), id1).State)
+		reply, err := stale.Handler().JobState(t.Context(), &peer.JobRequest{Job: string(id1)})
+		require.NoError(t, err)
+		require.False(t, reply.Coordinates)
+
+		// Without the store its memory is all there is.
+		tc.setFaults(name, true, refuseAll)
+		require.NoError(t, stale.State(t.Context(), id1).Err)
+	})
+}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -103,11 +103,11 @@
 	if t == nil {
 		return &peer.JobReply{}, nil
 	}
-	s, ok, err := t.State(ctx, jobs.ID(m.Job))
+	s, ok, current, err := t.CurrentState(ctx, jobs.ID(m.Job))
 	if err != nil {
 		return &peer.JobReply{}, nil
 	}
-	return &peer.JobReply{Coordinates: true, Known: ok, State: string(s)}, nil
+	return &peer.JobReply{Coordinates: current || !ok, Known: ok, State: string(s)}, nil
 }
 
 // JobStop implements peer.SiteHandler.
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -116,32 +116,37 @@
 // State returns a job's state, from the coordinator or, if it does not know the job or does not
 // answer, from the store.
 func (n *Node) State(ctx context.Context, id jobs.ID) site.Answer {
-	if a, ok := n.stateFromCoordinator(ctx, id); ok {
+	fromCoordinator, known, current := n.stateFromCoordinator(ctx, id)
+	if known && current {
 		counters.Add("state_coordinator", 1)
-		return a
+		return fromCoordinator
 	}
 	counters.Add("state_store", 1)
-	return n.stateFromStore(ctx, id)
+	a := n.stateFromStore(ctx, id)
+	if known && errors.Is(a.Err, site.ErrUnavailable) {
+		return fromCoordinator // older, and all that is known here
+	}
+	return a
 }
 
-// stateFromCoordinator asks the coordinator for a job's state. ok is false if the coordinator does
-// not know the job or does not answer.
-func (n *Node) stateFromCoordinator(ctx context.Context, id jobs.ID) (a site.Answer, ok bool) {
+// stateFromCoordinator asks the coordinator for a job's state. known is false if the coordinator does
+// not know the job or does not answer, current is false if another entry VM may coordinate meanwhile.
+func (n *Node) stateFromCoordinator(ctx context.Context, id jobs.ID) (a site.Answer, known, current bool) {
 	ctx, cancel := context.WithTimeout(ctx, coordinatorCallTimeout)
 	defer cancel()
 	if t := n.term.Load(); t != nil {
-		s, known, err := t.State(ctx, id)
-		return site.Answer{State: s, Reason: site.ReasonCoordinator}, err == nil && known
+		s, known, current, err := t.CurrentState(ctx, id)
+		return site.Answer{State: s, Reason: site.ReasonCoordinator}, err == nil && known, current
 	}
 	view := n.coordinator.Load()
 	if view == nil || n.coordinatorSilent(n.deps.Now()) {
-		return a, false
+		return a, false, false
 	}
 	r, err := n.dial(view.name, view.addr).JobState(ctx, &peer.JobRequest{From: n.deps.Self, Job: string(id)})
-	if err != nil || !r.Coordinates || !r.Known {
-		return a, false
+	if err != nil || !r.Known {
+		return a, false, false
 	}
-	return site.Answer{State: jobs.State(r.State), Reason: site.ReasonCoordinator}, true
+	return site.Answer{State: jobs.State(r.State), Reason: site.ReasonCoordinator}, true, r.Coordinates
 }
 
 // stateFromStore derives a job's state from its rows in the store.
--- a/internal/peer/site.go
+++ b/internal/peer/site.go
@@ -86,7 +86,8 @@
 
 // JobReply is the state of a job at the coordinator.
 type JobReply struct {
-	// Coordinates is false if the receiver is not, or not yet, coordinator of the site.
+	// Coordinates is false if the receiver is not, or not yet, coordinator of the site, or if another
+	// entry VM may have become it.
 	Coordinates bool `json:"coordinates,omitempty"`
 	Known       bool `json:"known,omitempty"`
 	// State is the job's state as reported to callers.
