--- a/internal/coordinator/api.go
+++ b/internal/coordinator/api.go
@@ -17,20 +17,37 @@
 
 // State returns a job's state as callers may see it. ok is false for an unknown job.
 func (t *Term) State(ctx context.Context, id jobs.ID) (s jobs.State, ok bool, err error) {
+	states, _, err := t.States(ctx, []jobs.ID{id})
+	if err != nil {
+		return "", false, err
+	}
+	return states[0], states[0] != "", nil
+}
+
+// States returns the states of jobs as callers may see them, empty for unknown jobs. While another
+// entry VM may coordinate, leads is false, and only final states are certain. Errors:
+// ErrNotCoordinating if the term is over or has not loaded its state; that of ctx.
+func (t *Term) States(ctx context.Context, ids []jobs.ID) (states []jobs.State, leads bool, err error) {
 	type answer struct {
-		loaded, known bool
-		state         jobs.State
+		loaded, leads bool
+		states        []jobs.State
 	}
 	a, err := ask(ctx, t, func() answer {
-		if j := t.registry.Get(id); j != nil {
-			return answer{t.loaded, true, j.VisibleState()}
+		a := answer{loaded: t.loaded, leads: t.now < t.exclusiveUntil(), states: make([]jobs.State, len(ids))}
+		for i, id := range ids {
+			if j := t.registry.Get(id); j != nil {
+				a.states[i] = j.VisibleState()
+			}
 		}
-		return answer{loaded: t.loaded}
+		return a
 	})
-	if err == nil && !a.loaded {
-		err = ErrNotCoordinating
+	switch {
+	case err != nil:
+		return nil, false, err
+	case !a.loaded:
+		return nil, false, ErrNotCoordinating
 	}
-	return a.state, a.known, err
+	return a.states, a.leads, nil
 }
 
 // Cancel cancels a job and returns once the cancellation is stored. ok is false for an unknown job.
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -103,11 +103,11 @@
 	if t == nil {
 		return &peer.JobReply{}, nil
 	}
-	s, ok, err := t.State(ctx, jobs.ID(m.Job))
+	states, leads, err := t.States(ctx, []jobs.ID{jobs.ID(m.Job)})
 	if err != nil {
 		return &peer.JobReply{}, nil
 	}
-	return &peer.JobReply{Coordinates: true, Known: ok, State: string(s)}, nil
+	return &peer.JobReply{Coordinates: leads, Known: states[0] != "", State: string(states[0])}, nil
 }
 
 // JobStop implements peer.SiteHandler.
