coordinator: at most 256 starts are in progress at a time

Cause: in a burst the coordinator ordered 3,000 starts at once. Each goroutine then waited 50 to 100 ms for the processor, a write 0.3 to 0.5 s, so that two or three writes of 95 rows a second held up all starts and acknowledgements. Minions listed 20,000 to 58,000 ends a second that were not acknowledged, which kept the processor busy, also when the backlog was gone: the state sustained itself.

Change: a plan starts as many tasks as lead to 256 starts in progress, and is done again as they are answered. Long-running tasks are not bounded, starts without an answer for a second do not count, and while a write takes more than a second there is no bound.

--- a/internal/coordinator/backlog_test.go
+++ b/internal/coordinator/backlog_test.go
@@ -32,6 +32,7 @@
 	now := time.Hour
 	t := &Term{deps: Deps{Config: func() *site.Config { return c }}, registry: jobs.NewRegistry(), minions: map[jobs.Minion]*holding.Minion{}, queues: map[model.Queue]site.Queue{}, now: now, startedAt: now - time.Minute, loaded: true, leaseUntil: now + time.Minute,
 		pendingStarts: map[*jobs.Task]*pendingStart{}, pendingStops: map[*jobs.Task]*pendingStop{}, reservedPlaces: map[*jobs.Task]jobs.Minion{}}
+	t.deps.Now = func() time.Duration { return t.now }
 	t.writer.init()
 	t.compactor.init()
 	t.members.init()
@@ -198,3 +199,32 @@
 	m.Polled = false
 	require.True(t, answer(site.PollReport{Clock: 1000}))
 }
+
+// Guards against thousands of orders at once, behind which each write waits for the processor: three
+// writes a second then hold up all starts and acknowledgements, also long after the burst.
+func TestStartsInProgressAreBounded(t *testing.T) {
+	term := backlogTerm(t, 350, 1000)
+	for _, m := range term.minions {
+		m.Orphaned = jobs.Resources{}
+	}
+	term.plan()
+	require.Len(t, term.pendingStarts, maxPendingStarts)
+	term.plan()
+	require.Len(t, term.pendingStarts, maxPendingStarts, "until some are answered")
+	require.True(t, term.startsBounded)
+	for x := range term.pendingStarts {
+		delete(term.pendingStarts, x)
+		if len(term.pendingStarts) == maxPendingStarts/2 {
+			break
+		}
+	}
+	term.plan()
+	require.Len(t, term.pendingStarts, maxPendingStarts)
+	term.now += stuckStart
+	term.plan()
+	require.Len(t, term.pendingStarts, 2*maxPendingStarts, "starts without an answer for a second hold up no others")
+	term.writer.writing, term.writer.lastSent = true, term.now
+	term.now += stuckWrite + time.Millisecond
+	term.plan()
+	require.False(t, term.startsBounded, "a store that is away holds up no start that does not need it")
+}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -114,6 +114,8 @@
 	pendingStarts map[*jobs.Task]*pendingStart
 	pendingStops  map[*jobs.Task]*pendingStop
 	needsPlan     bool
+	// startsBounded is set if the last plan was kept from starting more tasks by those in progress.
+	startsBounded bool
 	// ordersChanged is set if a pending order may be due, nextOrderCheck is when all are looked at in
 	// any case.
 	ordersChanged  bool
--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -134,6 +134,7 @@
 		t.minionRestarted(m, 0)
 		m.ObserveClock(clock, at)
 	}
+	t.needsPlan = t.needsPlan || t.startsBounded
 	if err == nil {
 		t.registry.Started(task, t.now)
 		delete(t.pendingStarts, task)
--- a/internal/coordinator/plan.go
+++ b/internal/coordinator/plan.go
@@ -48,11 +48,13 @@
 func (t *Term) plan() planResult {
 	t.needsPlan = false
 	snap := t.snapshot()
+	snap.MaxStarts = t.maxStarts()
 	var p schedule.Plan
 	if len(snap.Steps) > 0 {
 		p = schedule.NewPlan(snap)
 	}
 	t.recordUnplaced(p.Unplaced)
+	t.startsBounded = p.Bounded
 	r := planResult{decidedAt: t.deps.Now(), steps: len(snap.Steps), tried: p.Tried, starts: len(p.Start)}
 	for _, assignment := range p.Start {
 		if m := t.minions[assignment.Minion]; m != nil {
@@ -65,6 +67,33 @@
 	return r
 }
 
+// maxPendingStarts is the number of starts in progress at which no further tasks are started. A start
+// takes 60 ms, with the write that it waits for, so that this allows 4,000 a second. When thousands
+// were ordered at once, each write waited for the processor behind them for 0.3 to 0.5 s, so that
+// three writes a second held up all starts and acknowledgements.
+const maxPendingStarts = 256
+
+// stuckStart is the age at which a start no longer counts as in progress, and stuckWrite the duration
+// of a write from which starts that do not need it are not held up by those that do.
+const stuckStart, stuckWrite = time.Second, time.Second
+
+// maxStarts returns how many tasks the next plan may start, for Snapshot.MaxStarts.
+func (t *Term) maxStarts() int {
+	if t.writer.writing && t.now > t.writer.lastSent+stuckWrite {
+		return 0
+	}
+	n := 0
+	for task, start := range t.pendingStarts {
+		if start.tries <= 1 && start.minion.FailedPolls == 0 && t.now < task.PhaseSince+stuckStart {
+			n++
+		}
+	}
+	if n >= maxPendingStarts {
+		return -1
+	}
+	return maxPendingStarts - n
+}
+
 // unplacedStep tells of a long-running step with tasks that found no place in the last plan.
 type unplacedStep struct {
 	// since is when a plan first found no place for any of them.
--- a/internal/schedule/plan.go
+++ b/internal/schedule/plan.go
@@ -19,7 +19,9 @@
 	queue    *stepQueue
 	// failures counts, by service, the steps of which a task found no place.
 	failures map[model.Service]int
-	plan     Plan
+	// starts counts the tasks in plan.Start that are not long-running.
+	starts int
+	plan   Plan
 }
 
 // NewPlan computes the plan for a snapshot. It modifies the snapshot's minions and teams.
@@ -49,7 +51,7 @@
 		p.relocateStep(st)
 	}
 	var deferred []*Step
-	for p.queue.peek() != nil {
+	for p.queue.peek() != nil && !p.reachedBound() {
 		st := p.queue.pop()
 		if st.load != nil && st.load.exceedsFairShare(st.Team) {
 			deferred = append(deferred, st.Step) // teams within their fair share come first
@@ -58,12 +60,24 @@
 		p.placeOthers(st.Step)
 	}
 	for _, st := range deferred {
+		if p.reachedBound() {
+			break
+		}
 		p.placeStep(st)
 	}
 	p.plan.Compared = p.queue.compared
 	return p.plan
 }
 
+// reachedBound reports whether no more tasks may start, other than long-running ones.
+func (p *planner) reachedBound() bool {
+	most := p.snap.MaxStarts
+	if most != 0 && p.starts >= most {
+		p.plan.Bounded = true
+	}
+	return p.plan.Bounded
+}
+
 // placeOthers places the waiting tasks of a step that are not long-running. When one finds no place,
 // the steps of its service that need more than any minion has free are no longer tried: capacity only
 // shrinks during a plan. That is looked at after the first, second, fourth, ... failure.
@@ -111,6 +125,9 @@
 	for i, t := range s.Waiting {
 		reason := ReasonNoCapacity
 		var m *Minion
+		if !s.StepRun.Spec.LongRunning && !s.StepRun.Spec.Gang && p.reachedBound() {
+			return
+		}
 		if team.withinLimit(need) {
 			m = p.choose(minions, s, t)
 			if m == nil && s.StepRun.Spec.LongRunning {
@@ -139,6 +156,9 @@
 		p.loads[s.Service].inUse[s.Team] += need.CPU
 		placed = append(placed, m)
 		p.plan.Start = append(p.plan.Start, Assignment{Task: t, Minion: m.ID})
+		if !s.StepRun.Spec.LongRunning {
+			p.starts++
+		}
 	}
 }
 
@@ -178,6 +198,9 @@
 		p.loads[s.Service].inUse[s.Team] -= s.StepRun.Spec.Need.CPU
 	}
 	p.plan.Start = p.plan.Start[:len(p.plan.Start)-len(placed)]
+	if !s.StepRun.Spec.LongRunning {
+		p.starts -= len(placed)
+	}
 	delete(p.unplaceable, s.Service) // capacity was freed
 }
 
--- a/internal/schedule/queue_test.go
+++ b/internal/schedule/queue_test.go
@@ -140,3 +140,19 @@
 	require.Empty(t, p.Start)
 	require.Equal(t, 1, p.Tried)
 }
+
+// Guards against a plan that starts more than it may: thousands of orders at once keep each of them
+// waiting for the processor. Long-running tasks start in any case, and a gang starts as a whole.
+func TestPlanStartsAsManyTasksAsItMay(t *testing.T) {
+	snap := func(most int) *Snapshot {
+		gang, long := stepOf("2", jobs.Step{Count: 3, Need: need(1), Gang: true}), stepOf("4", jobs.Step{Count: 2, Need: need(1), LongRunning: true})
+		first, last := stepOf("1", jobs.Step{Count: 4, Need: need(1)}), stepOf("3", jobs.Step{Count: 4, Need: need(1)})
+		first.Deadline, gang.Deadline, last.Deadline = time.Second, 2*time.Second, 3*time.Second
+		return &Snapshot{MaxStarts: most, Steps: []Step{last, gang, first, long}, Minions: []Minion{minion("a", 20)}}
+	}
+	for most, want := range map[int]int{-1: 2, 1: 3, 4: 6, 5: 9, 7: 9, 8: 10, 10: 12, 11: 13, 0: 13} {
+		p := NewPlan(snap(most))
+		require.Len(t, p.Start, want, "at most %d", most)
+		require.Equal(t, want < 13, p.Bounded, "at most %d", most)
+	}
+}
--- a/internal/schedule/types.go
+++ b/internal/schedule/types.go
@@ -13,6 +13,9 @@
 	Steps   []Step
 	Minions []Minion
 	Teams   map[model.Team]*Team
+	// MaxStarts bounds the tasks that the plan starts, other than long-running ones and further members
+	// of a gang; 0 means no bound, a negative number that none may start.
+	MaxStarts int
 	// InUse is the CPU that each team's running tasks use on the minions of a service, in
 	// thousandths of a core.
 	InUse map[model.Service]map[model.Team]int64
@@ -114,6 +117,8 @@
 	Start    []Assignment
 	Relocate []Assignment
 	Unplaced []Unplaced
+	// Bounded is set if Snapshot.MaxStarts kept tasks from being placed.
+	Bounded bool
 	// Tried counts the steps for which a place was searched, Compared the comparisons of two steps to
 	// find out which comes first.
 	Tried, Compared int
