--- a/internal/coordinator/api.go
+++ b/internal/coordinator/api.go
@@ -33,6 +33,7 @@
 		states        []jobs.State
 	}
 	a, err := ask(ctx, t, func() answer {
+		t.load.queries += len(ids)
 		a := answer{loaded: t.loaded, leads: t.now < t.exclusiveUntil(), states: make([]jobs.State, len(ids))}
 		for i, id := range ids {
 			if j := t.registry.Get(id); j != nil {
--- a/internal/coordinator/backlog_test.go
+++ b/internal/coordinator/backlog_test.go
@@ -32,6 +32,7 @@
 	now := time.Hour
 	t := &Term{deps: Deps{Config: func() *site.Config { return c }}, registry: jobs.NewRegistry(), minions: map[jobs.Minion]*holding.Minion{}, queues: map[model.Queue]site.Queue{}, now: now, startedAt: now - time.Minute, loaded: true, leaseUntil: now + time.Minute,
 		pendingStarts: map[*jobs.Task]*pendingStart{}, pendingStops: map[*jobs.Task]*pendingStop{}, reservedPlaces: map[*jobs.Task]jobs.Minion{}}
+	t.deps.Now = func() time.Duration { return t.now }
 	t.writer.init()
 	t.compactor.init()
 	t.members.init()
@@ -158,3 +159,72 @@
 	}
 	require.Equal(t, order, got)
 }
+
+// Guards against a loop that looks at all pending orders after each event: in a burst 3,000 starts wait
+// for a write while 1,000 events a second arrive.
+func TestPendingOrdersAreNotLookedAtAfterEachEvent(t *testing.T) {
+	const pending = 1000
+	term := backlogTerm(t, 1, pending)
+	for _, j := range term.registry.Open() {
+		x := j.Steps[0].Tasks[0]
+		term.registry.Order(x, 1, "m0", term.now)
+		term.pendingStarts[x] = &pendingStart{minion: term.minions["m0"]}
+	}
+	for range 50 {
+		term.resendOrders()
+	}
+	require.Equal(t, pending, term.load.orderChecks)
+	term.ordersChanged = true // a write may let them go
+	term.resendOrders()
+	require.Equal(t, 2*pending, term.load.orderChecks)
+	term.now += orderCheckInterval
+	term.resendOrders()
+	require.Equal(t, 3*pending, term.load.orderChecks)
+}
+
+// Guards against a scheduling run after each answer to a poll: most of them change nothing, and each run
+// takes a millisecond on a site of 350 minions.
+func TestPollWithoutNewsAsksForNoSchedulingRun(t *testing.T) {
+	term := backlogTerm(t, 1, 0)
+	m := term.minions["m0"]
+	m.Orphaned = jobs.Resources{}
+	answer := func(r site.PollReport) bool {
+		term.needsPlan = false
+		term.pollAnswered(m, term.now, term.now, 0, r, nil)
+		return term.needsPlan
+	}
+	require.False(t, answer(site.PollReport{Clock: 1000}))
+	m.FailedPolls = 1
+	require.True(t, answer(site.PollReport{Clock: 1000}), "its capacity can be used again")
+	m.Polled = false
+	require.True(t, answer(site.PollReport{Clock: 1000}))
+}
+
+// Guards against thousands of orders at once, behind which each write waits for the processor: three
+// writes a second then hold up all starts and acknowledgements, also long after the burst.
+func TestStartsInProgressAreBounded(t *testing.T) {
+	term := backlogTerm(t, 350, 1000)
+	for _, m := range term.minions {
+		m.Orphaned = jobs.Resources{}
+	}
+	term.plan()
+	require.Len(t, term.pendingStarts, maxPendingStarts)
+	term.plan()
+	require.Len(t, term.pendingStarts, maxPendingStarts, "until some are answered")
+	require.True(t, term.startsBounded)
+	for x := range term.pendingStarts {
+		delete(term.pendingStarts, x)
+		if len(term.pendingStarts) == maxPendingStarts/2 {
+			break
+		}
+	}
+	term.plan()
+	require.Len(t, term.pendingStarts, maxPendingStarts)
+	term.now += stuckStart
+	term.plan()
+	require.Len(t, term.pendingStarts, 2*maxPendingStarts, "starts without an answer for a second hold up no others")
+	term.writer.writing, term.writer.lastSent = true, term.now
+	term.now += stuckWrite + time.Millisecond
+	term.plan()
+	require.False(t, term.startsBounded, "a store that is away holds up no start that does not need it")
+}
