dispatch: a claim whose row cannot be decoded is not released for ever

Cause: the release read the row, failed to decode it, and was tried again without end. Service.Wait waited for it at each shutdown until the drain timeout. Change: a malformed row is logged and the release ends. The row stays, so the request id remains claimed and nothing can run a second time. Measured: TestReleaseOfAMalformedRowEnds fails without the change (flush ends with its deadline) and passes with it.

--- a/internal/dispatch/claims.go
+++ b/internal/dispatch/claims.go
@@ -36,6 +36,9 @@
 	maxReleases = 10_000
 )
 
+// errClaimMalformed means that a row in place of a claim cannot be decoded.
+var errClaimMalformed = errors.New("malformed claim")
+
 var errClaimUnknown = errors.New("it is not known whether the claim was stored")
 
 // claimRow is the value of the table row "claim/<team>/<hash of id>".
@@ -244,7 +247,7 @@
 	}
 	var v claimRow
 	if err := json.Unmarshal(row.Value, &v); err != nil {
-		return row, v, errors.Wrapf(err, "row %s", key)
+		return row, v, errors.Wrapf(errClaimMalformed, "row %s: %v", key, err)
 	}
 	return row, v, nil
 }
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -510,6 +510,25 @@
 	})
 }
 
+// Guards against a release that is retried for ever because the row of the claim cannot be decoded;
+// the shutdown would wait for it until its timeout.
+func TestReleaseOfAMalformedRowEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newTestEntryVM(3)
+		bad := platform.Row{Version: 1, Value: []byte(`[1`)}
+		r.table.rows["claim/red/bad"] = bad
+		other := claimRow{Job: "job-e1"}
+		r.table.rows["claim/red/other"] = platform.Row{Version: 1, Value: other.encode()}
+		r.claims.release(claim{key: "claim/red/bad", row: other})
+		r.claims.release(claim{key: "claim/red/other", row: other})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		require.NoError(t, r.claims.flush(ctx))
+		require.Equal(t, bad, r.table.rows["claim/red/bad"])
+		require.Contains(t, string(r.table.rows["claim/red/other"].Value), "void")
+	})
+}
+
 // Guards against a claim that misses the next transaction although it arrives before that
 // transaction may start.
 func TestClaimJoinsNextTransaction(t *testing.T) {
--- a/internal/dispatch/voids.go
+++ b/internal/dispatch/voids.go
@@ -114,6 +114,12 @@
 	for _, v := range batch {
 		if v.version == 0 {
 			row, cur, err := c.get(v.key)
+			if errors.Is(err, errClaimMalformed) {
+				// No claim of this process: those are well-formed. With the row in place a delayed
+				// write of the claim fails.
+				c.log.Error().Err(err).Str("job", string(v.row.Job)).Msg("claim not released; its request id remains claimed")
+				continue
+			}
 			if err != nil {
 				failed = append(failed, v)
 				continue
