admission: requests of a lost entry VM are not refused as disconnected callers

Cause: when an entry VM counts as gone its waiting requests were refused with caller_disconnected, which the logs and, if it was alive after all, its callers' reports then showed as the callers' doing. A comment gave the lease's TTL as 1.5 s; it is 1.3 s. Change: the reason is entry_vm_lost, which moves from account to model. A forwarded request that is refused so is tried elsewhere, as before. Measured: TestLostAttemptKeepsSlot (holder gone) fails with the old reason and passes now; the tests of admission, account and dispatch pass.

--- a/internal/account/account_test.go
+++ b/internal/account/account_test.go
@@ -199,7 +199,7 @@
 		require.Equal(t, Counts{Accepted: 2, Ran: 1, Open: 1}, open.Total)
 		r := buildFrom(t, m, nil)
 		require.Equal(t, Counts{Accepted: 2, Ran: 1, Unknown: 1}, r.Total)
-		require.Equal(t, ReasonEntryLost, r.Job("job-open").Reason)
+		require.Equal(t, model.ReasonEntryLost, r.Job("job-open").Reason)
 		require.Len(t, r.Gaps, 1)
 		g := r.Gaps[0]
 		require.Equal(t, GapLost, g.Cause)
--- a/internal/account/gaps.go
+++ b/internal/account/gaps.go
@@ -122,13 +122,10 @@
 		}
 		j.Lost = true
 		j.State = model.StateUnknown
-		j.Reason = ReasonEntryLost
+		j.Reason = model.ReasonEntryLost
 	}
 }
 
-// ReasonEntryLost marks jobs whose entry VM was lost before their outcome was stored.
-const ReasonEntryLost model.Reason = "entry_vm_lost"
-
 // isStoredTask reports whether the job is a task whose row was stored. Such a task continues
 // after the process that accepted it has ended.
 func (j *Job) isStoredTask() bool {
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -77,7 +77,8 @@
 			case "lost":
 				require.Empty(t, a.Release(now, release(p, peer.AttemptLost)))
 			case "holder gone":
-				requireOne(t, a.RemoveHolder(now, "e0"), EffectRefuse)
+				refused := requireOne(t, a.RemoveHolder(now, "e0"), EffectRefuse)
+				require.Equal(t, model.ReasonEntryLost, refused.Reason, "its caller did not disconnect")
 				q := acquire(2, 0, "q0", time.Minute)
 				q.From.Entry = "e1"
 				require.Empty(t, a.Submit(now, q))
--- a/internal/admission/params.go
+++ b/internal/admission/params.go
@@ -5,7 +5,7 @@
 // Params holds the tunable parameters of admission.
 type Params struct {
 	// StartWithin is how long after receipt of a permit its dispatch may start. It must be
-	// shorter than the coordinator's lease TTL (1.5 s).
+	// shorter than the coordinator's lease TTL (1.3 s).
 	StartWithin time.Duration
 	// PollGap is the minimum time between two status polls that together prove that a job has
 	// ended: a dispatch in transit at the first poll has arrived by the second.
--- a/internal/admission/status.go
+++ b/internal/admission/status.go
@@ -121,7 +121,7 @@
 	slices.SortFunc(waiting, func(x, y *request) int { return cmp.Compare(x.seq, y.seq) })
 	for _, r := range waiting {
 		a.dequeue(r)
-		out = append(out, refuseEffect(r, model.ReasonCallerDisconnected, "the entry VM that sent the request is no longer available"))
+		out = append(out, refuseEffect(r, model.ReasonEntryLost, "the entry VM that sent the request is no longer available"))
 	}
 	for _, p := range a.permits {
 		if p.Holder == holder && p.state == permitOutstanding {
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -179,7 +179,7 @@
 	j.clearInFlight(false)
 	switch r.Reason {
 	// Here, the caller of the other entry VM is this one: their connection was lost.
-	case model.ReasonCallerDisconnected, model.ReasonShuttingDown, model.ReasonQueueFull, model.ReasonNoMinion, model.ReasonNoCoordinator, model.ReasonConfigUnconfirmed:
+	case model.ReasonCallerDisconnected, model.ReasonEntryLost, model.ReasonShuttingDown, model.ReasonQueueFull, model.ReasonNoMinion, model.ReasonNoCoordinator, model.ReasonConfigUnconfirmed:
 		s.recordStep(j, step{state: model.StateQueued, reason: r.Reason, detail: detail})
 		return false, r.Reason == model.ReasonShuttingDown
 	}
--- a/internal/model/job.go
+++ b/internal/model/job.go
@@ -99,6 +99,9 @@
 	ReasonCancelled          Reason = "cancelled_by_caller"
 	ReasonCallerDisconnected Reason = "caller_disconnected"
 	ReasonShuttingDown       Reason = "entry_vm_shutting_down"
+	// ReasonEntryLost: the entry VM that accepted the job was lost before its outcome was stored,
+	// or counted as lost while the job waited.
+	ReasonEntryLost          Reason = "entry_vm_lost"
 	ReasonRetryBudget        Reason = "retry_budget_exhausted"
 	ReasonAttemptsExhausted  Reason = "attempts_exhausted"
 	ReasonFailsOnEveryMinion Reason = "fails_on_every_minion"
