coordinator: a wave ends although a machine was never seen down

The maintenance of a machine counted as over once a list of machines had shown it down and then up, or up with another minion. A machine on standby has no minion. If the list could not be read while it was being maintained, the machine stayed in phase down for good: the wave was never completed, and the machine counted against the most that may be down, so that the others of the wave were not maintained either.

A list that was requested 4 s after the order was confirmed, and that shows the machine as up, now ends its maintenance as well. The time of a list is that of the one which is in use, not of the latest request.

--- a/internal/coordinator/machines.go
+++ b/internal/coordinator/machines.go
@@ -25,6 +25,7 @@
 	// currentMinions are the minions that run on the machines; nil before the first list.
 	currentMinions map[jobs.Minion]bool
 	listedAt       time.Duration // when the last list was requested
+	knownAt        time.Duration // when the list in byName was requested
 	listing        bool
 	// moves are in progress or not yet visible in the list.
 	moves map[model.VM]*move
@@ -83,6 +84,7 @@
 // moves that the list shows, and drops those that have not appeared in time.
 func (t *Term) applyMachineList(list []site.Machine, requestedAt time.Duration) {
 	s := &t.machines
+	s.knownAt = requestedAt
 	s.byName = make(map[model.VM]site.Machine, len(list))
 	s.currentMinions = make(map[jobs.Minion]bool, len(list))
 	unlisted := map[jobs.Minion]time.Duration{}
--- a/internal/coordinator/waves.go
+++ b/internal/coordinator/waves.go
@@ -29,6 +29,9 @@
 	// the wave allows at once: about 2 s for draining, 2 s for maintenance, and 0.5 s until the
 	// list of machines shows the result.
 	waveRound = 4500 * time.Millisecond
+	// unseenAfter is how old the answer to an order of maintenance must be for a list that shows the
+	// machine as up to mean that the maintenance is over, although no list has shown it as down.
+	unseenAfter = 4 * time.Second
 	// waveMargin is the reserve added to the time that a wave's rounds need.
 	waveMargin = 500 * time.Millisecond
 )
@@ -379,13 +382,15 @@
 			t.orderMaintenance(r, machine)
 		}
 	case maintenanceDown:
-		if !listed || t.machines.listedAt <= machine.since {
+		if !listed || t.machines.knownAt <= machine.since {
 			return
 		}
 		machine.seenDown = machine.seenDown || m.State != site.MachineUp
 		// The minion alone does not show the end of the maintenance: a machine on standby has none,
-		// and a minion may return under the same id.
-		if m.State == site.MachineUp && (machine.seenDown || m.Minion != machine.minion) {
+		// and a minion may return under the same id. Nobody has seen the machine down if the list could
+		// not be read meanwhile.
+		seen := machine.seenDown || m.Minion != machine.minion || t.machines.knownAt > machine.since+unseenAfter
+		if m.State == site.MachineUp && seen {
 			machine.state = maintenanceDone
 		}
 	case maintenanceDraining:
