coordinator: a machine that is being emptied is not given back when its minion is silent for a moment

What was seen: in a test in which each minion of a burst is silent for 0.7 s of every 1.8 s the log has four lines 'emptying machine', each followed by 'no longer needed by the other service' after 0.6 to 0.9 s, and a long-running task whose minion was lost had no run for 12.2 s. Cause: one poll without an answer made the machine unusable, the plan of machines released it, and its service filled it again; the next machine was emptied from the beginning. Change: a machine that is being emptied stays so until its minion has been silent for the lease of a run, and another one is emptied meanwhile, as for one that takes long. Of several, those with the fewest tasks are kept. A machine without a minion no longer counts as being emptied, or no wave would take it.

--- a/internal/capacity/plan.go
+++ b/internal/capacity/plan.go
@@ -75,7 +75,7 @@
 	Reclaimable bool
 	// ReclaimedFor is the service for which the machine is being emptied, or empty.
 	ReclaimedFor model.Service
-	// ReclaimOverdue is set once that takes longer than usual.
+	// ReclaimOverdue is set once that takes longer than usual, and while the machine does not answer.
 	ReclaimOverdue bool
 }
 
--- a/internal/capacity/reclaim.go
+++ b/internal/capacity/reclaim.go
@@ -28,7 +28,8 @@
 }
 
 // reclaimedMachines returns the machines that are being emptied: first those that are empty, which make
-// others unnecessary, then those that take long, which must not be released for a later one.
+// others unnecessary, then those that take long or do not answer, which must not be released for a
+// later one, then the others, first those with the fewest tasks.
 func reclaimedMachines(all []Machine) []Machine {
 	var out []Machine
 	for _, m := range all {
@@ -46,7 +47,7 @@
 		return 2
 	}
 	slices.SortFunc(out, func(a, b Machine) int {
-		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a.Tasks, b.Tasks), cmp.Compare(a.Name, b.Name))
 	})
 	return out
 }
--- a/internal/coordinator/rebalance.go
+++ b/internal/coordinator/rebalance.go
@@ -272,12 +272,15 @@
 	}
 	minion := t.minions[m.Minion]
 	if minion == nil {
+		delete(t.machines.reclaims, m.Name) // it has ended, or another one has not joined yet
 		since, unlisted := t.machines.unlistedSince[m.Minion]
 		out.Incoming = unlisted && !t.machines.endedMinions[m.Minion] && t.now < since+joinTimeout
 		out.Usable = out.Usable && out.Incoming
 		return out
 	}
-	out.Usable = out.Usable && minion.FailedPolls == 0 && !minion.Leaving
+	answers := minion.FailedPolls == 0
+	up := out.Usable && !minion.Leaving
+	out.Usable = up && answers
 	out.Idle = t.now - minion.EmptySince
 	out.Tasks = len(minion.Tasks)
 	for task := range minion.Tasks {
@@ -286,11 +289,14 @@
 		}
 	}
 	if r := t.machines.reclaims[m.Name]; r.minion == m.Minion {
-		out.ReclaimedFor, out.ReclaimOverdue = r.to, t.now > r.since+reclaimOverdueAfter
+		// A minion that is silent for a moment goes on losing tasks. If the machine were given back, it
+		// would be filled again, and where many are silent now and then none would ever be empty.
+		out.Usable = up && (answers || minion.Listed && t.now < minion.LastReply+runLeaseTTL)
+		out.ReclaimedFor, out.ReclaimOverdue = r.to, !answers || t.now > r.since+reclaimOverdueAfter
 	} else {
 		delete(t.machines.reclaims, m.Name) // the machine runs a new incarnation of its minion
 	}
-	usable := out.Usable && (t.usable(minion) || out.ReclaimedFor != "" && minion.Polled) && !t.hasReservedPlace(minion.ID)
+	usable := out.Usable && answers && (t.usable(minion) || out.ReclaimedFor != "" && minion.Polled) && !t.hasReservedPlace(minion.ID)
 	out.Movable = usable && len(minion.Tasks) == 0
 	out.Reclaimable = usable && out.ReclaimedFor == ""
 	return out
