schedule: a long-running task starts on a draining minion only if no other one has a place

What was seen: in one run of the package tests TestNoTaskWaitsBesideCapacity failed with 'task is stopped over and over': runs 3007 to 3011 of a task began and were stopped on one minion within 0.25 s. A test with the same pattern was built from reading. Cause of that pattern: a drain without progress for 1.2 s lets the machine take tasks again. Once another minion has a place the task is stopped for it. But where the task failed before on that minion, or it is suspect, has scavengers beside a latency-sensitive task, is far from the data or due for maintenance, the draining one was the better choice: the task started there again and was stopped again. Waves cordon the machine again only every 100 ms. Change: draining outweighs all other penalties of a minion for a long-running task.

--- a/internal/schedule/fit.go
+++ b/internal/schedule/fit.go
@@ -68,7 +68,8 @@
 
 // Penalties of a minion for a task, as bits: each outweighs all that follow.
 const (
-	penaltyFailedBefore = 1 << (5 - iota)
+	penaltyDraining = 1 << (6 - iota)
+	penaltyFailedBefore
 	penaltySuspect
 	penaltyInterference
 	penaltyRemoteData
@@ -96,7 +97,12 @@
 	// other pools.
 	sc.freeShare = m.freeShare()
 	if spec.LongRunning {
-		if m.MaintenanceDue || m.Draining {
+		// A draining minion comes last: the task would be stopped as soon as another one has a place,
+		// however unsuitable, and start here again.
+		if m.Draining {
+			sc.penalties |= penaltyDraining
+		}
+		if m.MaintenanceDue {
 			sc.penalties |= penaltyMaintenanceDue
 		}
 		// Long-running tasks are packed on few minions, so that the other machines can move to
--- a/internal/schedule/relocate_test.go
+++ b/internal/schedule/relocate_test.go
@@ -96,3 +96,30 @@
 	p = NewPlan(&Snapshot{Minions: []Minion{full}, Steps: []Step{stopping}})
 	require.Equal(t, []Unplaced{{stopping.StepRun, 1, ReasonNoMinion}}, p.Unplaced)
 }
+
+// Guards against a task that is stopped on a draining minion because another one has a place, and then
+// started on the draining one again because it is preferred to the other one.
+func TestRelocatedTaskIsNotPlacedOnTheDrainingMinionAgain(t *testing.T) {
+	for name, makeWorse := range map[string]func(m *Minion, s *Step){
+		"failed before":   func(m *Minion, s *Step) { s.StepRun.Tasks[0].FailedOn = []jobs.Minion{m.ID} },
+		"suspect":         func(m *Minion, _ *Step) { m.Suspect = true },
+		"scavengers":      func(m *Minion, s *Step) { m.Scavengers, s.StepRun.Spec.TailTarget = 1, 1 },
+		"data elsewhere":  func(_ *Minion, s *Step) { s.StepRun.Spec.DataRack = "near" },
+		"maintenance due": func(m *Minion, _ *Step) { m.MaintenanceDue = true },
+		"not packed":      func(m *Minion, _ *Step) { m.LongRunning = maxPacked },
+	} {
+		t.Run(name, func(t *testing.T) {
+			plan := func(waiting, relocating int) Plan {
+				draining, other := minionWith("a", 4000), minionWith("b", 1000)
+				draining.Draining, draining.Rack, draining.LongRunning = true, "near", 1
+				s := longRunningStep(500, 0, waiting, relocating)
+				makeWorse(&other, &s)
+				return NewPlan(&Snapshot{Minions: []Minion{draining, other}, Steps: []Step{s}})
+			}
+			relocate, start := plan(0, 1).Relocate, plan(1, 0).Start
+			require.Len(t, relocate, 1)
+			require.Len(t, start, 1)
+			require.Equal(t, relocate[0].Minion, start[0].Minion)
+		})
+	}
+}
