schedule: no task is relocated to a minion that rejects starts

Cause: two changes met: a minion that rejects each start comes after a draining one, and a task on a draining minion is stopped once any other minion has a place. With a place on a rejecting minion only, the task would be stopped, start on the draining one and be stopped again. Change: a minion that rejects starts is no place for a task that is to be stopped. Measured: TestTaskIsNotRelocatedToAMinionThatRejectsStarts failed before.

--- a/internal/schedule/relocate.go
+++ b/internal/schedule/relocate.go
@@ -12,12 +12,13 @@
 }
 
 // reservePlaces reserves a place for the next run of each of the tasks as far as there is one, and
-// holds capacity for the others. The places are on minions that are not being drained themselves.
+// holds capacity for the others. The places are on minions that are not being drained themselves and
+// do not reject starts.
 func (p *planner) reservePlaces(s *Step, tasks []*jobs.Task) []Assignment {
 	var out []Assignment
 	var targets []*Minion
 	for _, m := range p.byService[s.Service] {
-		if !m.Draining {
+		if !m.Draining && !m.Rejecting {
 			targets = append(targets, m)
 		}
 	}
--- a/internal/schedule/relocate_test.go
+++ b/internal/schedule/relocate_test.go
@@ -123,3 +123,12 @@
 		})
 	}
 }
+
+// Guards against a task that is stopped on a draining minion although the only other place is on a
+// minion that rejects each start: it would start on the draining one again and be stopped again.
+func TestTaskIsNotRelocatedToAMinionThatRejectsStarts(t *testing.T) {
+	draining, rejecting := minionWith("a", 4000), minionWith("b", 4000)
+	draining.Draining, rejecting.Rejecting = true, true
+	p := NewPlan(&Snapshot{Minions: []Minion{draining, rejecting}, Steps: []Step{longRunningStep(500, 0, 0, 1)}})
+	require.Empty(t, p.Relocate)
+}
