--- a/internal/coordinator/rebalance.go
+++ b/internal/coordinator/rebalance.go
@@ -291,12 +291,7 @@
 	up := out.Usable && !minion.Leaving
 	out.Usable = up && answers
 	out.Idle = t.now - minion.EmptySince
-	out.Tasks = len(minion.Tasks)
-	for task := range minion.Tasks {
-		if task.Step.Spec.LongRunning {
-			out.LongRunning++
-		}
-	}
+	out.Tasks, out.LongRunning = len(minion.Tasks), minion.Kinds.LongRunning
 	if r := t.machines.reclaims[m.Name]; r.minion == m.Minion {
 		// A minion that is silent for a moment goes on losing tasks. If the machine were given back, it
 		// would be filled again, and where many are silent now and then none would ever be empty.
