coordinator: a final state whose write is unanswered is not shown as running

Cause: a final state is shown once the coordinator knows that it is stored, and was shown as running until then, although others can read it from the store. Change: such a question waits for the write, for 0.3 s at most, and is then answered from the store. Measured: TestStateDoesNotGoBackWhileItsWriteIsUnanswered failed before (running) and passes; go test ./internal/coordinator -run 'Test[A-RT-Z]' and ./internal/entry pass. TestRowsOfEndedJobsAreCompacted looked at the rows before it asked for the state, which took no time; it now looks after it, with the same requirement.

--- a/internal/coordinator/api.go
+++ b/internal/coordinator/api.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"boragepulley/internal/jobs"
 )
@@ -15,27 +16,46 @@
 	})
 }
 
-// State returns a job's state as callers may see it. ok is false for an unknown job.
-func (t *Term) State(ctx context.Context, id jobs.ID) (s jobs.State, ok bool, err error) {
-	s, ok, _, err = t.CurrentState(ctx, id)
-	return s, ok, err
-}
+// finalStateWait bounds how long a caller waits for the write of a job's final state.
+const finalStateWait = 300 * time.Millisecond
 
-// CurrentState is State, and reports whether the state is current: while another entry VM may
-// coordinate, only a final state is.
-func (t *Term) CurrentState(ctx context.Context, id jobs.ID) (s jobs.State, ok, current bool, err error) {
+// State returns a job's state as callers may see it, and whether it is current: while another entry VM
+// may coordinate, or the store may have a final state that this term does not know to be stored, only
+// a final state is. ok is false for an unknown job.
+func (t *Term) State(ctx context.Context, id jobs.ID) (s jobs.State, ok, current bool, err error) {
+	var stored chan jobs.State
 	loaded := false
 	err = t.do(ctx, func() {
 		loaded = t.loaded
-		if j := t.registry.Get(id); j != nil {
-			s, ok = j.VisibleState(), true
-			current = s.Final() || t.now < t.exclusiveUntil()
+		j := t.registry.Get(id)
+		if j == nil {
+			return
+		}
+		s, ok = j.VisibleState(), true
+		if j.State().Final() && !s.Final() {
+			stored = make(chan jobs.State, 1)
+			t.writer.waiters[id] = append(t.writer.waiters[id], func() { stored <- j.VisibleState() })
+			return
 		}
+		current = s.Final() || t.now < t.exclusiveUntil()
 	})
 	if err == nil && !loaded {
 		err = ErrNotCoordinating
 	}
-	return s, ok, current, err
+	if err != nil || stored == nil {
+		return s, ok, current, err
+	}
+	limit := time.NewTimer(finalStateWait)
+	defer limit.Stop()
+	select {
+	case s = <-stored:
+		return s, true, true, nil
+	case <-limit.C:
+	case <-ctx.Done():
+	case <-t.ctx.Done():
+		return jobs.StateRunning, true, false, ErrNotCoordinating
+	}
+	return jobs.StateRunning, true, false, nil
 }
 
 // Cancel cancels a job and returns once the cancellation is stored. ok is false for an unknown job.
--- a/internal/coordinator/harness_test.go
+++ b/internal/coordinator/harness_test.go
@@ -167,7 +167,7 @@
 }
 
 func (s *testSite) state(t *Term, id jobs.ID) jobs.State {
-	st, ok, err := t.State(context.Background(), id)
+	st, ok, _, err := t.State(context.Background(), id)
 	require.NoError(s.t, err)
 	require.True(s.t, ok)
 	return st
--- a/internal/coordinator/term_test.go
+++ b/internal/coordinator/term_test.go
@@ -361,7 +361,7 @@
 		sleep(50 * time.Second) // the retention is a minute
 		require.Equal(t, jobs.StateCompleted, ts.state(term, "0000000000000001"))
 		sleep(time.Minute)
-		_, ok, err := term.State(context.Background(), "0000000000000001")
+		_, ok, _, err := term.State(context.Background(), "0000000000000001")
 		require.NoError(t, err)
 		require.False(t, ok)
 		require.Zero(t, ts.store.Row(JobKey("0000000000000001")).Version)
@@ -388,8 +388,8 @@
 		}
 		for range 600 {
 			sleep(50 * time.Millisecond)
-			inProgress, inRow := final()
 			if ts.state(term, id).Final() {
+				inProgress, inRow := final()
 				require.True(t, inProgress || inRow)
 			}
 		}
--- a/internal/entry/node_test.go
+++ b/internal/entry/node_test.go
@@ -627,3 +627,32 @@
 		require.NoError(t, stale.State(t.Context(), id1).Err)
 	})
 }
+
+// Guards against a state that goes back: the store has a job's final state and shows it, and the
+// coordinator, which has no answer to its write yet, says that the job runs.
+func TestStateDoesNotGoBackWhileItsWriteIsUnanswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tc := newTestCluster(t, 2)
+		defer tc.stop()
+		time.Sleep(2 * time.Second)
+		n := tc.nodes[tc.coordinator()]
+		other := tc.otherThan(string(n.deps.Self.Entry))
+		require.NoError(t, n.Submit(t.Context(), newJob(id1)).Err)
+		time.Sleep(200 * time.Millisecond) // its tasks run
+		tc.setFaults(string(n.deps.Self.Entry), false, func(op string) fleet.Fault {
+			if op == "commit" {
+				return fleet.Lose
+			}
+			return fleet.None
+		})
+		stored := func() bool {
+			var p jobs.Progress
+			return json.Unmarshal(tc.store.Row(coordinator.ProgressKey(id1)).Value, &p) == nil && p.Final.Final()
+		}
+		for !stored() {
+			time.Sleep(time.Millisecond)
+		}
+		require.Equal(t, jobs.StateCompleted, other.State(t.Context(), id1).State)
+		require.Equal(t, jobs.StateCompleted, n.State(t.Context(), id1).State)
+	})
+}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -103,7 +103,7 @@
 	if t == nil {
 		return &peer.JobReply{}, nil
 	}
-	s, ok, current, err := t.CurrentState(ctx, jobs.ID(m.Job))
+	s, ok, current, err := t.State(ctx, jobs.ID(m.Job))
 	if err != nil {
 		return &peer.JobReply{}, nil
 	}
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -135,7 +135,7 @@
 	ctx, cancel := context.WithTimeout(ctx, coordinatorCallTimeout)
 	defer cancel()
 	if t := n.term.Load(); t != nil {
-		s, known, current, err := t.CurrentState(ctx, id)
+		s, known, current, err := t.State(ctx, id)
 		return site.Answer{State: s, Reason: site.ReasonCoordinator}, err == nil && known, current
 	}
 	view := n.coordinator.Load()
