jobs: a successor counts a job's retention from when it read it, not from its acceptance

Cause: a job whose final state was read from its progress counted as ended when it was accepted, which is taken to be at most a minute ago. With a retention of 120 s and the margin of 30 s it could be forgotten 30 s too soon. Change: it counts as ended when the successor learned of it, as a job whose row has the final state does already. Measured: TestSuccessorKeepsAJobThatTookLong failed before and passes.

--- a/internal/coordinator/term_test.go
+++ b/internal/coordinator/term_test.go
@@ -404,6 +404,29 @@
 	})
 }
 
+// Guards against a job that took long and is forgotten as soon as a successor reads it, because its
+// retention is counted from its acceptance.
+func TestSuccessorKeepsAJobThatTookLong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const id = jobs.ID("0000000000000001")
+		ts := newTestSite(t, 1)
+		ts.minions.Work = func(string, int) (time.Duration, jobs.End) { return 10 * time.Minute, jobs.EndDone }
+		term := ts.startTerm("e1", nil)
+		sleep(time.Second)
+		ts.submitJob(term, id, step(1))
+		for !strings.Contains(string(ts.store.Row(ProgressKey(id)).Value), `"completed"`) {
+			sleep(10 * time.Millisecond)
+		}
+		endTerm(term)
+		require.NotContains(t, string(ts.store.Row(JobKey(id)).Value), `"completed"`, "the row is not compacted yet")
+		next := ts.startTerm("e2", nil)
+		defer endTerm(next)
+		sleep(ts.deps("e2", nil).Limits.Retention - time.Second)
+		require.Equal(t, jobs.StateCompleted, ts.state(next, id))
+		require.NotEmpty(t, ts.store.Row(JobKey(id)).Value)
+	})
+}
+
 // Guards against a successor that violates an availability budget because it counts a run that its
 // predecessor is stopping as available.
 func TestSuccessorDelaysEvictions(t *testing.T) {
--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -124,7 +124,8 @@
 	// flight, or nil.
 	stored         storedJob
 	pendingMinions map[Minion]bool
-	// EndedAt is when the job reached its final state.
+	// EndedAt is when the job reached its final state, or, if that was before, when this process learned
+	// of the job.
 	EndedAt time.Duration
 	// HasProgress is set if the store may have a progress row of the job, HasCancel if it may
 	// have a row that requests its cancellation.
@@ -232,7 +233,7 @@
 		r.jobs[a.ID] = j
 		return j
 	}
-	j := &Job{Accepted: a, LearnedAt: now, state: StateQueued, stored: storedJob{state: StateQueued}}
+	j := &Job{Accepted: a, LearnedAt: now, EndedAt: now, state: StateQueued, stored: storedJob{state: StateQueued}}
 	for k := range a.Spec.Occurrences() {
 		for i := range j.Spec.Steps {
 			s := &StepRun{Job: j, Occurrence: k, Index: i, Spec: &j.Spec.Steps[i]}
--- a/internal/jobs/record.go
+++ b/internal/jobs/record.go
@@ -77,7 +77,7 @@
 		return nil // the job's row has the final state already
 	}
 	if p.Final.Final() {
-		j.state, j.stored.state, j.started, j.EndedAt = p.Final, p.Final, true, j.LearnedAt
+		j.state, j.stored.state, j.started = p.Final, p.Final, true
 		delete(r.open, j.ID)
 		return nil
 	}
