--- a/internal/coordinator/api.go
+++ b/internal/coordinator/api.go
@@ -15,40 +15,49 @@
 	})
 }
 
-// State returns a job's state as callers may see it. ok is false for an unknown job.
-func (t *Term) State(ctx context.Context, id jobs.ID) (s jobs.State, ok bool, err error) {
-	states, _, err := t.States(ctx, []jobs.ID{id})
+// JobState is a job's state as callers may see it.
+type JobState struct {
+	// State is empty for an unknown job.
+	State jobs.State
+	// Current is set unless another entry VM may know a later state: one that coordinates meanwhile, or
+	// one that reads a final state from the store of which this term does not know that it is stored.
+	Current bool
+}
+
+// State returns a job's state. Errors are those of States.
+func (t *Term) State(ctx context.Context, id jobs.ID) (JobState, error) {
+	states, err := t.States(ctx, []jobs.ID{id})
 	if err != nil {
-		return "", false, err
+		return JobState{}, err
 	}
-	return states[0], states[0] != "", nil
+	return states[0], nil
 }
 
-// States returns the states of jobs as callers may see them, empty for unknown jobs. While another
-// entry VM may coordinate, leads is false, and only final states are certain. Errors:
-// ErrNotCoordinating if the term is over or has not loaded its state; that of ctx.
-func (t *Term) States(ctx context.Context, ids []jobs.ID) (states []jobs.State, leads bool, err error) {
-	type answer struct {
-		loaded, leads bool
-		states        []jobs.State
-	}
-	a, err := ask(ctx, t, func() answer {
+// States returns the states of jobs, in their order. Errors: ErrNotCoordinating if the term is over or
+// has not loaded its state; that of ctx.
+func (t *Term) States(ctx context.Context, ids []jobs.ID) ([]JobState, error) {
+	states, err := ask(ctx, t, func() []JobState {
 		t.load.queries += len(ids)
-		a := answer{loaded: t.loaded, leads: t.now < t.exclusiveUntil(), states: make([]jobs.State, len(ids))}
+		if !t.loaded {
+			return nil
+		}
+		out := make([]JobState, len(ids))
 		for i, id := range ids {
 			if j := t.registry.Get(id); j != nil {
-				a.states[i] = j.VisibleState()
+				out[i] = t.visibleState(j)
 			}
 		}
-		return a
+		return out
 	})
-	switch {
-	case err != nil:
-		return nil, false, err
-	case !a.loaded:
-		return nil, false, ErrNotCoordinating
+	if err == nil && states == nil {
+		err = ErrNotCoordinating
 	}
-	return a.states, a.leads, nil
+	return states, err
+}
+
+func (t *Term) visibleState(j *jobs.Job) JobState {
+	s := j.VisibleState()
+	return JobState{s, s.Final() || t.now < t.exclusiveUntil() && !j.FinalStateSent}
 }
 
 // Cancel cancels a job and returns once the cancellation is stored. ok is false for an unknown job.
--- a/internal/coordinator/harness_test.go
+++ b/internal/coordinator/harness_test.go
@@ -170,10 +170,10 @@
 }
 
 func (s *testSite) state(t *Term, id jobs.ID) jobs.State {
-	st, ok, err := t.State(context.Background(), id)
+	st, err := t.State(context.Background(), id)
 	require.NoError(s.t, err)
-	require.True(s.t, ok)
-	return st
+	require.NotEmpty(s.t, st.State)
+	return st.State
 }
 
 // step returns a step of n tasks of one core.
--- a/internal/coordinator/journal.go
+++ b/internal/coordinator/journal.go
@@ -216,7 +216,9 @@
 		return false
 	}
 	b.rows++
-	if !s.state.Final() {
+	if s.state.Final() {
+		j.FinalStateSent = true
+	} else {
 		t.registry.WriteStarted(j, j.MayRunOn())
 		b.writing = append(b.writing, j)
 	}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -107,13 +107,16 @@
 	for _, id := range m.More {
 		ids = append(ids, jobs.ID(id))
 	}
-	states, leads, err := t.States(ctx, ids)
+	states, err := t.States(ctx, ids)
 	if err != nil {
 		return &peer.JobReply{}, nil
 	}
-	r := &peer.JobReply{Coordinates: leads, Known: states[0] != "", State: string(states[0])}
-	for _, s := range states[1:] {
-		r.More = append(r.More, string(s))
+	r := &peer.JobReply{Coordinates: states[0].Current, Known: states[0].State != "", State: string(states[0].State)}
+	for i, s := range states[1:] {
+		r.More = append(r.More, string(s.State))
+		if !s.Current {
+			r.MoreNotCurrent = append(r.MoreNotCurrent, i)
+		}
 	}
 	return r, nil
 }
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -135,11 +135,11 @@
 	ctx, cancel := context.WithTimeout(ctx, coordinatorCallTimeout)
 	defer cancel()
 	if t := n.term.Load(); t != nil {
-		states, leads, err := t.States(ctx, []jobs.ID{id})
-		if err != nil || states[0] == "" {
+		s, err := t.State(ctx, id)
+		if err != nil || s.State == "" {
 			return a, false, false
 		}
-		return site.Answer{State: states[0], Reason: site.ReasonCoordinator}, true, leads || states[0].Final()
+		return site.Answer{State: s.State, Reason: site.ReasonCoordinator}, true, s.Current
 	}
 	view := n.coordinator.Load()
 	if view == nil || n.coordinatorSilent(n.deps.Now()) {
--- a/internal/entry/statequeries.go
+++ b/internal/entry/statequeries.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -115,5 +116,5 @@
 		return r
 	}
 	state := r.More[i-1]
-	return &peer.JobReply{Coordinates: r.Coordinates, Known: state != "", State: state}
+	return &peer.JobReply{Coordinates: !slices.Contains(r.MoreNotCurrent, i-1), Known: state != "", State: state}
 }
--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -135,7 +135,10 @@
 	// flight, or nil.
 	stored         storedJob
 	pendingMinions map[Minion]bool
-	// EndedAt is when the job reached its final state.
+	// FinalStateSent is set once a write with the job's final state may have reached the store.
+	FinalStateSent bool
+	// EndedAt is when the job reached its final state, or, if that was before, when this process learned
+	// of the job.
 	EndedAt time.Duration
 	// HasProgress is set if the store may have a progress row of the job, HasCancel if it may
 	// have a row that requests its cancellation.
@@ -284,7 +287,7 @@
 		r.jobs[a.ID] = j
 		return j
 	}
-	j := &Job{Accepted: a, LearnedAt: now, state: StateQueued, stored: storedJob{state: StateQueued}}
+	j := &Job{Accepted: a, LearnedAt: now, EndedAt: now, state: StateQueued, stored: storedJob{state: StateQueued}}
 	j.work = j.Spec.Work()
 	for i := range j.Spec.Steps {
 		j.criticalPaths = append(j.criticalPaths, j.Spec.CriticalPath(i))
--- a/internal/peer/site.go
+++ b/internal/peer/site.go
@@ -89,7 +89,8 @@
 // JobReply is the state of a job at the coordinator.
 type JobReply struct {
 	// Coordinates is false if the receiver is not, or not yet, coordinator of the site, or if another
-	// entry VM may have become it.
+	// entry VM may know a later state of the job: one that may have become coordinator, or that reads
+	// a final state from the store of which the receiver does not know yet that it is stored.
 	Coordinates bool `json:"coordinates,omitempty"`
 	Known       bool `json:"known,omitempty"`
 	// State is the job's state as reported to callers.
@@ -97,6 +98,9 @@
 	// More are the states of JobRequest.More in its order, empty for unknown jobs. A receiver of an
 	// earlier version leaves it out.
 	More []string `json:"more,omitempty"`
+	// MoreNotCurrent are the positions in More of states that may be outdated, as Coordinates says of
+	// the first job.
+	MoreNotCurrent []int `json:"more_not_current,omitempty"`
 }
 
 // SiteConfigGet requests the configuration that the receiver uses.
