logging: lines written after Close are dropped and counted, each line of a failed write too

Cause: a goroutine that logs after the shutdown, as the one that answers SIGHUP can, ended the process with a panic (send on closed channel), and a failed write of several lines counted as one. Change: Close and Write share a lock; what comes after Close counts as dropped, and so does each line of a failed write.

--- a/internal/logging/async.go
+++ b/internal/logging/async.go
@@ -1,6 +1,7 @@
 package logging
 
 import (
+	"bytes"
 	"expvar"
 	"io"
 	"sync"
@@ -14,7 +15,7 @@
 // pipe is not split or mixed with others (PIPE_BUF on Linux); collectors may cut longer ones.
 const maxWriteBytes = 4096
 
-// dropped counts lines lost because the queue was full, and failed writes.
+// dropped counts lines lost because the queue was full, the writer was closed, or a write failed.
 var dropped = expvar.NewInt("log_lines_dropped")
 
 // AsyncWriter writes log lines in a separate goroutine, so that a slow output never blocks
@@ -23,7 +24,9 @@
 	w     io.Writer
 	lines chan []byte
 	done  chan struct{}
-	once  sync.Once
+
+	mu     sync.RWMutex // guards closed, and that nothing is sent to lines after it is closed
+	closed bool
 }
 
 // NewAsyncWriter returns an AsyncWriter that writes to w. Close stops its goroutine.
@@ -35,6 +38,12 @@
 
 // Write queues a copy of one line. It never returns an error.
 func (a *AsyncWriter) Write(p []byte) (int, error) {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	if a.closed {
+		dropped.Add(1)
+		return len(p), nil
+	}
 	select {
 	case a.lines <- append([]byte(nil), p...):
 	default:
@@ -53,7 +62,7 @@
 			return
 		}
 		if _, err := a.w.Write(batch); err != nil {
-			dropped.Add(1)
+			dropped.Add(int64(bytes.Count(batch, []byte{'\n'})))
 		}
 		batch = batch[:0]
 	}
@@ -69,8 +78,14 @@
 	flush()
 }
 
-// Close writes the queued lines and stops the goroutine. Write must not be called after it.
+// Close writes the queued lines and stops the goroutine. Lines written after it are dropped and
+// counted: goroutines that outlive the shutdown may still log.
 func (a *AsyncWriter) Close() {
-	a.once.Do(func() { close(a.lines) })
+	a.mu.Lock()
+	if !a.closed {
+		a.closed = true
+		close(a.lines)
+	}
+	a.mu.Unlock()
 	<-a.done
 }
--- a/internal/logging/async_test.go
+++ b/internal/logging/async_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"strings"
 	"sync"
 	"testing"
@@ -50,3 +51,39 @@
 	require.Equal(t, want.String(), string(bytes.Join(out.all, nil)))
 	require.Less(t, len(out.all), 500, "lines are written together")
 }
+
+// Guards against a panic during the shutdown when a goroutine logs after the writer was closed, and
+// against lines that are lost without being counted.
+func TestLinesAfterCloseAreCounted(t *testing.T) {
+	w := NewAsyncWriter(io.Discard)
+	w.Close()
+	before := dropped.Value()
+	var wg sync.WaitGroup
+	for range 10 {
+		wg.Go(func() {
+			n, err := w.Write([]byte("line\n"))
+			require.NoError(t, err)
+			require.Equal(t, 5, n)
+		})
+	}
+	wg.Wait()
+	w.Close()
+	require.EqualValues(t, 10, dropped.Value()-before)
+}
+
+// failingOutput fails every write.
+type failingOutput struct{}
+
+func (failingOutput) Write([]byte) (int, error) { return 0, io.ErrClosedPipe }
+
+// Guards against a failed write of several lines that counts as one lost line.
+func TestEachLineOfAFailedWriteCounts(t *testing.T) {
+	before := dropped.Value()
+	w := NewAsyncWriter(failingOutput{})
+	for range 100 {
+		_, err := w.Write([]byte("line\n"))
+		require.NoError(t, err)
+	}
+	w.Close()
+	require.EqualValues(t, 100, dropped.Value()-before)
+}
