control: a transfer that a takeover overtook leaves newer reservations alone

Cause: a coordinator that lost its role and took over again between the reservation of a part of a limit and its transfer looked the team up again and released the reservation of its new state, which can belong to another transfer; the part could then be spent here and given away. Change: the transfer goes on only with the state that it was reserved in.

--- a/internal/control/allotments.go
+++ b/internal/control/allotments.go
@@ -332,6 +332,7 @@
 func (h handler) AllotmentAsk(ctx context.Context, m *peer.AllotmentAsk) (*peer.AllotmentAskReply, error) {
 	c := h.c
 	type reservation struct {
+		in    *teamAllotment
 		n     int
 		since time.Time
 	}
@@ -342,7 +343,7 @@
 				c.sendHeartbeat(p)
 			}
 		}
-		return reservation{n, time.Now()}, err
+		return reservation{c.allot.teams[m.Team], n, time.Now()}, err
 	})
 	if err != nil || reserved.n == 0 {
 		return &peer.AllotmentAskReply{}, err
@@ -350,7 +351,7 @@
 	informed := c.awaitFollowers(reserved.since)
 	type outcome struct{ version uint64 }
 	ch := make(chan outcome, 1)
-	c.post(func() { c.transfer(m, reserved.n, informed, func(v uint64) { ch <- outcome{v} }) })
+	c.post(func() { c.transfer(m, reserved.in, reserved.n, informed, func(v uint64) { ch <- outcome{v} }) })
 	select {
 	case o := <-ch:
 		if o.version == 0 {
@@ -409,13 +410,13 @@
 	return false
 }
 
-// transfer moves the reserved n to the data centre that asked, or to the unassigned part of
-// the limit if none did. done is called with the new version of the row, or with 0 if
+// transfer moves the amount reserved in a to the data centre that asked, or to the unassigned part
+// of the limit if none did. done is called with the new version of the row, or with 0 if
 // nothing was moved.
-func (c *Control) transfer(m *peer.AllotmentAsk, amount int, informed bool, done func(version uint64)) {
-	a := c.allot.teams[m.Team]
-	if a == nil {
-		// A takeover began after the capacity was reserved; nothing was written.
+func (c *Control) transfer(m *peer.AllotmentAsk, a *teamAllotment, amount int, informed bool, done func(version uint64)) {
+	if a == nil || c.allot.teams[m.Team] != a {
+		// A takeover began after the capacity was reserved; nothing was written. What is reserved
+		// since then belongs to another transfer.
 		done(0)
 		return
 	}
@@ -470,7 +471,7 @@
 		msg := &peer.AllotmentAsk{Team: t.Name, Want: n}
 		c.runAsync(2*storeTimeout, func(context.Context) func() {
 			informed := c.awaitFollowers(now)
-			return func() { c.transfer(msg, n, informed, func(uint64) {}) }
+			return func() { c.transfer(msg, a, n, informed, func(uint64) {}) }
 		})
 	}
 }
--- a/internal/control/allotments_test.go
+++ b/internal/control/allotments_test.go
@@ -306,6 +306,19 @@
 	c := &Control{}
 	c.allot.init()
 	version := uint64(1)
-	c.transfer(&peer.AllotmentAsk{Team: "t", Want: 2}, 2, true, func(v uint64) { version = v })
+	ask := &peer.AllotmentAsk{Team: "t", Want: 2}
+	c.transfer(ask, &teamAllotment{}, 2, true, func(v uint64) { version = v })
 	require.Zero(t, version, "nothing was moved")
+
+	// The reservation of a transfer that began after the takeover stays.
+	before, after := &teamAllotment{}, c.allot.team("t")
+	for _, a := range []*teamAllotment{before, after} {
+		a.inFlight = true
+		a.Reserve(2)
+	}
+	version = 1
+	c.transfer(ask, before, 2, true, func(v uint64) { version = v })
+	require.Zero(t, version, "nothing was moved")
+	require.Equal(t, 2, after.Reserved())
+	require.True(t, after.inFlight)
 }
