dispatch: an unexpected error ends one request and not the process

The goroutine of a request was not guarded: a panic in it ended the process, with all other requests of its entry VM (docs/platform.md listed this as a known limit).

It is now caught. The request ends with the reason unexpected_error: as unknown if it was in flight, else as refused, with its claim released. The permit of the attempt is given back in any case, so that the slot does not stay in use. The cancelling of a forwarded request runs in a goroutine that is guarded as well.

The checks of the package's stand-ins panicked with plain strings; these are violations of invariants now, which the guard passes on, so that they end a test as before.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"boragepulley/internal/control"
+	"boragepulley/internal/invariant"
 	"boragepulley/internal/model"
 	"boragepulley/internal/peer"
 	"boragepulley/internal/platform"
@@ -196,10 +197,10 @@
 		"disconnect": {func(_ *testEntryVM, cancel func(), _ model.JobID) { cancel() }, model.StateCancelled, model.ReasonCallerDisconnected},
 		"cancel": {func(r *testEntryVM, _ func(), id model.JobID) {
 			if _, err := r.Cancel(id, "blue"); !errors.Is(err, ErrNotOwner) {
-				panic(err)
+				panic(invariant.Violation(err.Error()))
 			}
 			if _, err := r.Cancel(id, "red"); err != nil {
-				panic(err)
+				panic(invariant.Violation(err.Error()))
 			}
 		}, model.StateCancelled, model.ReasonCancelled},
 	} {
--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -16,6 +16,7 @@
 
 	"boragepulley/internal/config"
 	"boragepulley/internal/control"
+	"boragepulley/internal/invariant"
 	"boragepulley/internal/model"
 	"boragepulley/internal/peer"
 	"boragepulley/internal/platform"
@@ -81,7 +82,7 @@
 		}
 		key := fmt.Sprint(a.Request.Job, a.Number)
 		if f.out[key] {
-			panic("attempt number used twice: " + key)
+			panic(invariant.Violation("attempt number used twice: " + key))
 		}
 		f.out[key] = true
 		return peer.AcquireReply{Permit: &model.Permit{Job: a.Request.Job, Attempt: a.Number, Team: a.Request.Team,
@@ -102,7 +103,7 @@
 	defer f.mu.Unlock()
 	key := fmt.Sprint(p.Job, p.Attempt)
 	if !f.out[key] {
-		panic("permit released twice: " + key)
+		panic(invariant.Violation("permit released twice: " + key))
 	}
 	delete(f.out, key)
 	f.released = append(f.released, r)
@@ -123,7 +124,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.begun == 0 {
-		panic("a record that was not begun: " + r.Job)
+		panic(invariant.Violation("a record that was not begun: " + r.Job))
 	}
 	f.records = append(f.records, r)
 }
@@ -186,7 +187,7 @@
 	f.calls = append(f.calls, c)
 	attempt := fmt.Sprint(c.Addr[:1], c.Job, c.Attempt)
 	if f.used[attempt] {
-		panic("attempt number used twice in a data centre: " + attempt)
+		panic(invariant.Violation("attempt number used twice in a data centre: " + attempt))
 	}
 	f.used[attempt] = true
 	if kind != notSent && kind != notStarted && kind != lostBeforeRun {
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -219,6 +219,25 @@
 	j.mayHaveRun = j.mayHaveRun || mayHaveRun
 }
 
+// interrupt marks a job whose processing has panicked as one that may have run if it was in flight, and
+// reports whether it is in no final state.
+func (j *job) interrupt() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.mayHaveRun = j.mayHaveRun || j.inFlight
+	j.inFlight = false
+	return !j.res.State.Final()
+}
+
+// setClaimed reports to callers that the claim is decided. Only the job's goroutine calls it.
+func (j *job) setClaimed() {
+	select {
+	case <-j.claimed:
+	default:
+		close(j.claimed)
+	}
+}
+
 // cancelUnlessInFlight returns a context that ends if the job's context ends before the
 // job is in flight. An attempt in flight is not interrupted.
 func (j *job) cancelUnlessInFlight() (context.Context, func()) {
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"boragepulley/internal/control"
+	"boragepulley/internal/guard"
 	"boragepulley/internal/invariant"
 	"boragepulley/internal/model"
 	"boragepulley/internal/peer"
@@ -26,18 +27,34 @@
 
 func (e *permitError) Error() string { return "permit not usable: " + string(e.reason) }
 
-// run is the job's goroutine. It processes the job from acceptance to its final state.
+// run is the job's goroutine. It processes the job from acceptance to its final state. A panic ends
+// this job only.
 func (s *Service) run(j *job) {
 	defer s.finishJob(j)
 	defer j.cancel(nil)
+	if err := guard.Recover(s.log, "request", func() { s.process(j) }); err != nil {
+		_ = guard.Recover(s.log, "end of a request", func() { s.endInterrupted(j, err) })
+		j.setClaimed()
+	}
+}
+
+// endInterrupted ends a job whose processing has panicked.
+func (s *Service) endInterrupted(j *job, err error) {
+	if j.interrupt() {
+		s.endJob(j, model.ReasonUnexpectedError, err.Error())
+	}
+	s.releaseUnusedClaim(j)
+}
+
+func (s *Service) process(j *job) {
 	ok := s.claimJob(j)
 	if ok && j.isTask() {
 		s.storeTask(j)
 		s.releaseUnusedClaim(j)
-		close(j.claimed)
+		j.setClaimed()
 		return
 	}
-	close(j.claimed)
+	j.setClaimed()
 	if !ok {
 		return
 	}
@@ -142,10 +159,18 @@
 		s.endJob(j, model.ReasonNoCoordinator, "the coordinator granted a permit for another job")
 		return false
 	}
+	released := false
+	release := func(r peer.AttemptResult) {
+		if !released {
+			released = true
+			s.cfg.Control.Release(p, r)
+		}
+	}
+	defer release(peer.AttemptLost) // after a panic
 	answer, err := s.send(j, p, len(fails.avoid) > 0)
 	if unused, pe := isPermitUnused(j, err); unused {
 		j.clearInFlight(false)
-		s.cfg.Control.Release(p, peer.AttemptUnused)
+		release(peer.AttemptUnused)
 		return s.handleUnusedPermit(j, pe)
 	}
 	class := classify(answer, err)
@@ -153,7 +178,7 @@
 		j.setFailedAnswer(answerResult(j, p, answer))
 	}
 	j.clearInFlight(class.mayHaveRun())
-	s.cfg.Control.Release(p, attemptResult(class))
+	release(attemptResult(class))
 	if class == failNone {
 		res := answerResult(j, p, answer)
 		s.recordStep(j, step{state: model.StateRan, minion: p.Minion, attempt: p.Attempt, answer: &res})
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -10,6 +10,7 @@
 
 	"boragepulley/internal/account"
 	"boragepulley/internal/control"
+	"boragepulley/internal/guard"
 	"boragepulley/internal/model"
 	"boragepulley/internal/platform"
 	"boragepulley/internal/upstream"
@@ -245,7 +246,9 @@
 			return s.awaitTaskResult(ctx, j, s.callerResult(j))
 		case <-ctx.Done():
 			if forwardedTo := j.removeCaller(); forwardedTo != "" {
-				go func() { _ = s.cancelForwarded(forwardedTo, j) }()
+				go func() {
+					_ = guard.Recover(s.log, "cancel of a forwarded request", func() { _ = s.cancelForwarded(forwardedTo, j) })
+				}()
 			}
 			return j.result()
 		case <-timer.C:
--- a/internal/model/job.go
+++ b/internal/model/job.go
@@ -113,6 +113,7 @@
 	ReasonStaleToken         Reason = "stale_coordinator_token"
 	ReasonPermitExpired      Reason = "permit_expired"
 	ReasonAnswerExpired      Reason = "answer_expired"
+	ReasonUnexpectedError    Reason = "unexpected_error"
 )
 
 // Priority is the caller's priority class.
