coordinator: regression test of a stopped task whose minion restarts

A planned stop ends a run as stopped, the answers to the stop and to polls are lost, and the minion restarts under its id before it has listed the end.

--- a/internal/coordinator/neverrun_test.go
+++ b/internal/coordinator/neverrun_test.go
@@ -59,3 +59,26 @@
 		require.Len(t, ts.minions.Running(taskOfSlowJob(0)), 1, ts.log.linesWith(taskOfSlowJob(0)))
 	})
 }
+
+// Guards against a task that stays without a run after a planned stop: its run has ended as stopped, all
+// answers were lost, and the minion restarted under its id before it could list the end. Whether the task
+// was stuck depended on when the first answer came, so that many times are tried.
+func TestStoppedRunOfARestartedMinionIsOver(t *testing.T) {
+	for lost := 100 * time.Millisecond; lost < 700*time.Millisecond; lost += 10 * time.Millisecond {
+		t.Run(lost.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ts, term := startLongRunning(t, 1, 3)
+				ts.minions.SetFault(func(string) fleet.Fault { return fleet.Lose })
+				sleep(800 * time.Millisecond)
+				require.NoError(t, term.do(t.Context(), func() { term.stopRun(term.taskByName(taskOfSlowJob(0)), reasonWave) }))
+				sleep(lost)
+				require.Empty(t, ts.minions.Running(taskOfSlowJob(0)))
+				ts.minions.Restart("m0")
+				ts.list("m0")
+				ts.minions.SetFault(nil)
+				sleep(restartTime)
+				require.Len(t, ts.minions.Running(taskOfSlowJob(0)), 1, ts.log.linesWith(taskOfSlowJob(0)))
+			})
+		})
+	}
+}
