coordinator: only a minion that is not healthy counts as one that rejects starts

A start can be rejected because of the task as well: its step needs a ticket, or its lease is over. Such rejections say nothing about the minion and no longer count towards those after which it comes last.

--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -190,7 +190,9 @@
 		m.FailedPolls, m.NextPoll = max(m.FailedPolls, 1), t.now
 	default:
 		m.AvoidUntil = max(m.AvoidUntil, t.now+suspectDuration)
-		m.RejectedStarts++
+		if errors.Is(err, site.ErrBusy) {
+			m.RejectedStarts++
+		}
 	}
 	counters.Add("starts_refused", 1)
 	t.log.Info().Err(err).Str("task", task.Name()).Int("run", task.Run).Str("minion", string(m.ID)).Msg("Coordinator: start refused.")
--- a/internal/holding/holding.go
+++ b/internal/holding/holding.go
@@ -72,8 +72,7 @@
 	// AvoidUntil is until when the minion counts as suspect, after it refused an order or did not
 	// answer one.
 	AvoidUntil time.Duration
-	// RejectedStarts counts consecutive starts that the minion rejected for another reason than its
-	// capacity.
+	// RejectedStarts counts consecutive starts that the minion rejected because it is not healthy.
 	RejectedStarts int
 	// Cordoned minions get no new work, because their machine is about to move to another pool or
 	// to be maintained.
