--- a/bench/sitefaults/callers.go
+++ b/bench/sitefaults/callers.go
@@ -156,10 +156,11 @@
 	c.check.cancelSent(j)
 	for {
 		a := c.call(ctx, rng, http.MethodDelete, j)
-		if a.status/100 == 2 || a.status == http.StatusGone {
+		if a.status/100 == 2 {
 			c.check.cancelled(j)
 			return
 		}
+		c.check.cancelAnswered(j, a)
 		if !sleep(ctx, retryPause) {
 			return
 		}
--- a/bench/sitefaults/checker.go
+++ b/bench/sitefaults/checker.go
@@ -248,7 +248,9 @@
 	c.all.add(j)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.jobs[j.ID] = &jobState{spec: j, refusedOnly: true}
+	if c.jobs[j.ID] == nil {
+		c.jobs[j.ID] = &jobState{spec: j, refusedOnly: true}
+	}
 }
 
 func (c *checker) submitAnswered(j *jobSpec, status int) {
@@ -359,6 +361,23 @@
 	c.note("job %s: cancelling is sent", j.ID)
 }
 
+// cancelAnswered judges an answer to a cancelling that is no success. The job was accepted.
+func (c *checker) cancelAnswered(j *jobSpec, a answer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.jobs[j.ID]
+	if since := a.sent.Sub(s.acceptedAt); a.status == http.StatusGone && s.final == "" && since > visibleAfter && a.from.inTouch(a.sent) {
+		c.fault("LOST: the cancelling of job %s is answered 410 by %s, %v after its acceptance", j.ID, a.from.name, since.Round(time.Millisecond))
+	}
+}
+
+// isAccepted reports whether a job was accepted.
+func (c *checker) isAccepted(j *jobSpec) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.jobs[j.ID].acceptedAt.IsZero()
+}
+
 func (c *checker) cancelled(j *jobSpec) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/bench/sitefaults/run.go
+++ b/bench/sitefaults/run.go
@@ -77,6 +77,10 @@
 	shortPause = 150 * time.Millisecond
 	// roamingPause is the time between two jobs of the queue whose service changes.
 	roamingPause = 400 * time.Millisecond
+	// cancelPause is the time between two jobs that are cancelled, longestUncancelled the longest time
+	// from their acceptance to that.
+	cancelPause        = 800 * time.Millisecond
+	longestUncancelled = 2 * time.Second
 	// overloadPause is the mean time between two short jobs under overload, and overloadTurn how
 	// long all of them are for one service, and the rest after that.
 	overloadPause = 45 * time.Millisecond
@@ -251,6 +255,7 @@
 	}
 	r.wg.Go(func() { r.requestWaves(ctx) })
 	r.wg.Go(func() { r.roamingTraffic(ctx, r.o.Duration) })
+	r.wg.Go(func() { r.cancelTraffic(ctx, r.o.Duration) })
 	r.traffic(ctx, rng, r.o.Duration)
 	r.awaitEnds(ctx)
 	r.awaitRunning(ctx)
@@ -347,6 +352,26 @@
 	}
 }
 
+// cancelTraffic hands in jobs of two steps and cancels each one soon after it was accepted.
+func (r *run) cancelTraffic(ctx context.Context, d time.Duration) {
+	rng := rand.New(rand.NewPCG(r.o.Seed, 9))
+	for end := time.Now().Add(d); time.Now().Before(end) && sleep(ctx, cancelPause); {
+		j, after, seed := newJob(rng, services[rng.IntN(len(services))], false, shortTasks, shortCPU, 2), time.Duration(rng.Int64N(int64(longestUncancelled))), rng.Uint64()
+		r.check.handedIn(j)
+		r.handIn(ctx, j, seed)
+		r.callers.wg.Go(func() {
+			for !r.check.isAccepted(j) {
+				if !sleep(ctx, tickEvery) {
+					return
+				}
+			}
+			if sleep(ctx, after) {
+				r.callers.cancel(ctx, j, seed)
+			}
+		})
+	}
+}
+
 // busyService draws the service of a short job.
 func (r *run) busyService(rng *rand.Rand) string {
 	any := services[rng.IntN(len(services))]
--- a/cmd/bpbench/main.go
+++ b/cmd/bpbench/main.go
@@ -96,6 +96,7 @@
 	NoFaults bool          `help:"Inject no faults."`
 	Only     string        `help:"Inject only these kinds of faults, or those of groups: single, series, network, clocks, overlap."`
 	Overload bool          `help:"Ask each service in turn for more than its machines can run."`
+	Failed   bool          `help:"Play the seeds that once broke a rule, with their options, in place of --seed and --runs."`
 }
 
 // maxPrinted bounds the broken rules that are printed of a run.
@@ -103,9 +104,19 @@
 
 func (s siteFaultsCmd) Run(ctx context.Context, c *cli) error {
 	broken := 0
+	var all []sitefaults.Options
 	for i := range s.Runs {
-		seed := c.Seed + uint64(i)
-		r, err := sitefaults.Run(ctx, sitefaults.Options{Bin: c.Bin, Dir: filepath.Join(c.Dir, fmt.Sprint("seed-", seed)), Seed: seed, Duration: s.Duration, NoFaults: s.NoFaults, Overload: s.Overload, Only: s.Only})
+		all = append(all, sitefaults.Options{Seed: c.Seed + uint64(i), NoFaults: s.NoFaults, Overload: s.Overload, Only: s.Only})
+	}
+	if s.Failed {
+		all = nil
+		for _, x := range sitefaults.Regressions {
+			all = append(all, sitefaults.Options{Seed: x.Seed, Overload: x.Overload, Only: x.Only})
+		}
+	}
+	for _, o := range all {
+		o.Bin, o.Dir, o.Duration = c.Bin, filepath.Join(c.Dir, fmt.Sprint("seed-", o.Seed)), s.Duration
+		r, err := sitefaults.Run(ctx, o)
 		if err != nil {
 			return err
 		}
@@ -122,7 +133,7 @@
 		}
 	}
 	if broken > 0 {
-		return errors.Errorf("%d of %d runs broke a rule", broken, s.Runs)
+		return errors.Errorf("%d of %d runs broke a rule", broken, len(all))
 	}
 	return nil
 }
