prove: entry-killed requires that at most the copy interval of each killed process is lost

Cause: only records-copied and the two data-centre-killed scenarios checked how much of the end of an account is lost; in entry-killed, where the store is up, a gap of any length passed. Change: each kill is judged by judgeCopies, as there (2 s: the copy interval and the time of a copy). The gap is that of the process that was killed, not the first one of the entry VM's name.

--- a/bench/prove/records.go
+++ b/bench/prove/records.go
@@ -109,7 +109,7 @@
 		if err != nil {
 			return err
 		}
-		g, ok := gapOf(r, n)
+		g, ok := gapOf(r, n, killed)
 		if !ok {
 			return errors.Errorf("prove: the report shows no gap of %s, which was killed", n)
 		}
@@ -126,9 +126,10 @@
 	}
 }
 
-func gapOf(r *account.Report, n model.EntryVM) (account.Gap, bool) {
+// gapOf returns the gap of the process of an entry VM that was killed at a time.
+func gapOf(r *account.Report, n model.EntryVM, killed time.Time) (account.Gap, bool) {
 	for _, g := range r.Gaps {
-		if g.Entry == n {
+		if g.Entry == n && !g.From.After(killed.Add(copyWithin)) && !g.To.Before(killed) {
 			return g, true
 		}
 	}
--- a/bench/prove/scenarios.go
+++ b/bench/prove/scenarios.go
@@ -155,9 +155,15 @@
 func entryKilled(ctx context.Context, e *Env) error {
 	stop := e.Load(ctx, defaultMix())
 	defer stop()
+	type kill struct {
+		entry model.EntryVM
+		at    time.Time
+	}
+	var kills []kill
 	for range 2 {
 		e.Wait(ctx, 1500*time.Millisecond)
 		n := e.Entries()[e.Rand.IntN(len(e.Entries()))]
+		kills = append(kills, kill{n, time.Now()})
 		e.KillEntry(n)
 		e.Wait(ctx, time.Duration(500+e.Rand.IntN(2500))*time.Millisecond)
 		if err := e.StartEntry(n); err != nil {
@@ -165,6 +171,12 @@
 		}
 	}
 	e.Wait(ctx, 2*time.Second)
+	stop()
+	for _, k := range kills {
+		if err := e.judgeCopies(ctx, k.entry, k.at); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
