control: a VM's failure is counted across the terms of a coordinator that loses its role

The coordinators lost their leases every 5 to 10 s, and each term began to count the 3 missed polls and the 10 s anew, so that the VMs never counted as failed. A successor on another entry VM still begins anew.

--- a/internal/control/vmhealth.go
+++ b/internal/control/vmhealth.go
@@ -31,6 +31,9 @@
 	// (docs/design.md, D11).
 	suspectAfterPolls = 3
 	failSuspectAfter  = 10 * time.Second
+	// healthKeptFor is how recent the last missed poll of a suspect VM must be for a new term of
+	// the same process to go on counting from it.
+	healthKeptFor = suspectAfterPolls * healthPollInterval
 )
 
 // health holds the results of the periodic polls of a VM's minion.
@@ -39,8 +42,9 @@
 	inFlight bool
 	// missed counts consecutive polls without an answer.
 	missed int
-	// suspectSince is when the VM became suspect; zero if it is not suspect.
-	suspectSince time.Time
+	// suspectSince is when the VM became suspect; zero if it is not suspect. lastMissed is when the
+	// last poll without an answer ended.
+	suspectSince, lastMissed time.Time
 	// lastAnswered is the send time of the latest answered poll.
 	lastAnswered time.Time
 	// idle is set once a poll of the draining VM found no busy slot and was sent while
@@ -196,6 +200,7 @@
 func (c *Control) onPollFailed(r *vmRecord, v *config.VM, err error) {
 	r.missed++
 	now := time.Now()
+	r.lastMissed = now
 	if r.missed < suspectAfterPolls || r.current.State == model.VMRebooting || r.current.State == model.VMFailed {
 		return
 	}
--- a/internal/control/vmrows.go
+++ b/internal/control/vmrows.go
@@ -95,6 +95,9 @@
 type fleetState struct {
 	vms   map[model.VM]*vmRecord
 	waves map[string]*waveRecord
+	// suspects holds the health of the VMs that were suspect when the last term ended. Otherwise a
+	// coordinator that loses its role again and again would never find a VM failed.
+	suspects map[model.VM]health
 	// writeInFlight is set while a transaction is in flight, so that two transactions of
 	// this process never conflict. reload is set while the versions of the rows are not
 	// known.
@@ -130,6 +133,15 @@
 
 // reset drops the state of earlier terms. The fields that track calls in flight stay.
 func (f *fleetState) reset() {
+	if f.suspects == nil {
+		f.suspects = map[model.VM]health{}
+	}
+	for vm, r := range f.vms {
+		f.suspects[vm] = health{missed: r.missed, suspectSince: r.suspectSince, lastMissed: r.lastMissed}
+	}
+	maps.DeleteFunc(f.suspects, func(_ model.VM, h health) bool {
+		return h.suspectSince.IsZero() || time.Since(h.lastMissed) > healthKeptFor
+	})
 	f.vms, f.waves, f.budgets = map[model.VM]*vmRecord{}, map[string]*waveRecord{}, map[model.Service]*budgetShare{}
 	f.effective, f.effectiveBase, f.poolOverrides, f.plan, f.loadedTerm = nil, nil, nil, maintenance.Plan{}, 0
 	f.loggedPauses, f.loggedHolds = map[string]string{}, map[model.VM]string{}
@@ -140,7 +152,7 @@
 func (c *Control) vmRecord(vm model.VM) *vmRecord {
 	r := c.fleet.vms[vm]
 	if r == nil {
-		r = &vmRecord{current: vmRow{State: c.vmState(vm), Since: time.Now()}}
+		r = &vmRecord{current: vmRow{State: c.vmState(vm), Since: time.Now()}, health: c.fleet.suspects[vm]}
 		if p, ok := c.poolOverrides[vm]; ok {
 			r.current.Pool = p
 		} else if c.cfg.index != nil && c.cfg.index.VM(vm) != nil {
--- a/internal/control/waves_test.go
+++ b/internal/control/waves_test.go
@@ -181,6 +181,24 @@
 	}
 }
 
+// Guards against a VM that does not answer and never counts as failed, because its coordinator loses
+// its role and takes it again before the time is over.
+func TestFailureIsFoundAcrossTerms(t *testing.T) {
+	inBubble(t, map[model.DataCentre]int{"a": 1}, func(cl *cluster) {
+		entry := cl.startServing(8, 100)
+		cl.mu.Lock()
+		cl.downMinions["a-vm-1"] = true
+		cl.mu.Unlock()
+		cl.eventually(8*time.Second, func() bool { return cl.vmStatus("a", "a-vm-1").Suspect }, "not suspect")
+		n := cl.nodes[entry].control
+		for range 3 {
+			cl.advance(4 * time.Second)
+			n.post(func() { n.fleet.reset(); n.fleet.reset(); n.loadFleet() }) // a takeover that fails, and another
+		}
+		cl.eventually(2*time.Second, func() bool { return cl.vmStatus("a", "a-vm-1").State != model.VMServing }, "not failed")
+	})
+}
+
 // Guards against planned steps that start without the table, and against steps in progress
 // that do not finish without it.
 func TestNoPlannedStepWithoutTable(t *testing.T) {
