coordinator: a start is given up only while its minion answers all polls

With half of all orders lost, giving a start up needs three further answers (stop, poll, next start), where sending it again needs one.

A start is now given up only if no poll of the minion has failed since its first attempt.

--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -24,9 +24,9 @@
 	noCapacityPause = 150 * time.Millisecond
 	// suspectDuration is how long a minion that refused or lost an order is chosen last.
 	suspectDuration = time.Second
-	// startGiveUpAfter is how long a start may remain without an answer although its minion answers polls
-	// and does not list the run. The task is then stopped there, and starts elsewhere: a long-running
-	// task must have a run again after 6 s.
+	// startGiveUpAfter is how long a start may remain without an answer although its minion answers all
+	// polls and does not list the run. The task is then stopped there, and starts elsewhere: a
+	// long-running task must have a run again after 6 s.
 	startGiveUpAfter = time.Second
 	// givenUpAvoidance is how long a minion is chosen last after a start on it was given up. It exceeds
 	// the time that the stop of the start takes.
@@ -54,6 +54,12 @@
 	unansweredSince time.Duration
 }
 
+// giveUp reports whether the start is to be given up, because only starts do not reach the minion. Where
+// polls fail as well, a stop would have no better chance to arrive than the start.
+func (s *pendingStart) giveUp() bool {
+	return s.unansweredSince != 0 && s.minion.LastPollFailure < s.unansweredSince && s.minion.LastReported > s.unansweredSince+startGiveUpAfter
+}
+
 // pendingStop is a stop order whose run is not known to have ended.
 type pendingStop struct {
 	inFlight bool
@@ -257,7 +263,7 @@
 		case unresponsive:
 			// A start is not sent again to a minion that does not answer: each one would extend the
 			// lease that the minion may hold.
-		case start.unansweredSince != 0 && start.minion.LastReported > start.unansweredSince+startGiveUpAfter:
+		case start.giveUp():
 			counters.Add("starts_given_up", 1)
 			start.minion.AvoidUntil = t.now + givenUpAvoidance
 			t.stopRun(task, model.ReasonWorkerNotStarted)
--- a/internal/holding/holding.go
+++ b/internal/holding/holding.go
@@ -62,6 +62,8 @@
 	// FailedPolls counts consecutive polls without a reply; LastReply is when the last reply came.
 	FailedPolls int
 	LastReply   time.Duration
+	// LastPollFailure is when a poll last failed.
+	LastPollFailure time.Duration
 	// LastStart is when the last start order was sent, LastReported when the last poll was sent that
 	// this incarnation answered.
 	LastStart, LastReported time.Duration
