daemon: a hand-over without the store's answers leaves time for callers

Cause: the listener was closed only after the hand-over, and both had one deadline. Change: the hand-over goes on beside the notice to the balancer and the callers' last answers, and is waited for after them. Measured: TestHandOverWithoutTheStoreLeavesTimeForCallers failed before (callers still waiting) and passes; go test ./internal/daemon passes.

--- a/internal/daemon/site.go
+++ b/internal/daemon/site.go
@@ -16,6 +16,7 @@
 	"boragepulley/internal/coordinator"
 	"boragepulley/internal/entry"
 	"boragepulley/internal/fencing"
+	"boragepulley/internal/guard"
 	"boragepulley/internal/logging"
 	"boragepulley/internal/model"
 	"boragepulley/internal/peer"
@@ -153,9 +154,15 @@
 	ctx, cancel := context.WithTimeout(context.Background(), s.set.TerminationGrace-siteCloseMargin)
 	defer cancel()
 	notice := time.After(min(balancerNotice, (s.set.TerminationGrace-siteCloseMargin)/2))
-	s.node.BeginShutdown(ctx)
+	// The hand-over waits for the store's answers, for the whole time if there are none.
+	handedOver := make(chan struct{})
+	go func() {
+		defer close(handedOver)
+		_ = guard.Recover(s.log, "the hand-over", func() { s.node.BeginShutdown(ctx) }) // logged there
+	}()
 	<-notice
 	err := errors.Wrap(s.callers.Shutdown(ctx), "daemon: callers still waiting")
+	<-handedOver
 	s.node.Stop()
 	s.closeClients()
 	s.peers.Close()
