dispatch: a test waits for its request before it takes its faults back

Cause: the test replaced the fakes' functions while the asynchronous request that it had submitted could still call them. Change: it waits until that request has ended; what it requires is unchanged.

--- a/internal/dispatch/panic_test.go
+++ b/internal/dispatch/panic_test.go
@@ -45,6 +45,7 @@
 				require.Equal(t, model.ReasonUnexpectedError, res.Reason)
 				async := r.SubmitAsync(t.Context(), withID(input("y", false), "id2"))
 				require.NotEmpty(t, async.Job)
+				synctest.Wait() // it has ended before its faults are taken back
 				r.ctl.acquire, r.minions.fault = acquire, fault
 				require.Equal(t, model.StateRan, r.Submit(t.Context(), input("z", true)).State)
 				if c.want == model.StateRefused {
