control: a running entry VM that was taken for gone returns

Cause: three refused connections mark a member as gone, and the messages of an incarnation that is gone are ignored for good. The last refusal was compared with the last message, so that refusals from before and just after the first message of a new process still counted: log of entry-1-1, "from gone to alive, new incarnation" at .977, "from alive to gone, three new connections refused" at 1.006. A delayed message of the process before had the same effect.

Change: all three attempts have to be made after the last message, and an answer to a message that was sent after the decision withdraws it.

The three tests fail without the change: "gone" instead of "alive", "running entry VM still taken for gone", and deadline_passed_in_queue.

--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -261,7 +261,7 @@
 		return "no holder"
 	case row.Holder == c.self.Entry:
 		return "own row of an earlier term"
-	case m != nil && m.endedIncarnations[row.Incarnation]:
+	case m != nil && m.isEnded(row.Incarnation):
 		return "holder is gone"
 	case m != nil && m.status == MemberGone && m.goneAt.After(c.lease.changedAt):
 		return "holder is gone"
--- a/internal/control/lease_test.go
+++ b/internal/control/lease_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"context"
 	"encoding/json"
 	"strings"
 	"testing"
@@ -31,27 +32,68 @@
 	})
 }
 
-// Guards against an entry VM that stays marked as gone for ever. Connections are refused
-// just before its process starts, and the refusals are handled after its first message.
+// Guards against an entry VM that is marked as gone while it runs. Connections are refused
+// just before its process starts, and the refusals are handled after its first message; the last
+// attempts can still be refused after that message.
 func TestRefusalBeforeRestartIsIgnored(t *testing.T) {
 	inBubble(t, map[model.DataCentre]int{"a": 2}, func(cl *cluster) {
 		cl.startAll()
 		cl.awaitCoordinator("a", 3*time.Second)
 		cl.advance(time.Second)
 		first, second := cl.nodes[cl.peers[0].Name], cl.peers[1].Name
-		refused := func(after time.Duration) (status MemberStatus) {
+		refused := func(from, to time.Duration) (status MemberStatus) {
 			done := make(chan struct{})
 			first.control.post(func() {
 				m := first.control.byName[second]
-				first.control.onRefused(m, m.lastMessage.Add(after))
+				first.control.onRefused(m, m.lastMessage.Add(from), m.lastMessage.Add(to))
 				status = m.status
 				close(done)
 			})
 			<-done
 			return status
 		}
-		require.Equal(t, MemberAlive, refused(-time.Millisecond))
-		require.Equal(t, MemberGone, refused(time.Millisecond))
+		require.Equal(t, MemberAlive, refused(-100*time.Millisecond, -time.Millisecond))
+		require.Equal(t, MemberAlive, refused(-time.Millisecond, 99*time.Millisecond))
+		require.Equal(t, MemberGone, refused(time.Millisecond, 101*time.Millisecond))
+	})
+}
+
+// Guards against a running entry VM whose messages are ignored for ever, so that its requests
+// wait until their deadlines, because connections to it were refused for a moment.
+func TestRefusedEntryVMReturns(t *testing.T) {
+	inBubble(t, map[model.DataCentre]int{"a": 2}, func(cl *cluster) {
+		coord := cl.startServing(8, 100)
+		other := cl.peers[0].Name
+		if other == coord {
+			other = cl.peers[1].Name
+		}
+		status := func() MemberStatus { return cl.nodes[coord].control.Snapshot().Peers[other].Status }
+		cl.nodes[other].setDead(true)
+		cl.eventually(3*time.Second, func() bool { return status() == MemberGone }, "refused entry VM not marked as gone")
+		cl.nodes[other].setDead(false)
+		cl.eventually(time.Second, func() bool { return status() == MemberAlive }, "running entry VM still taken for gone")
+		p, reason := cl.acquire(other, "t", time.Second)
+		require.NotNil(t, p, reason)
+	})
+}
+
+// Guards against the loss of a restarted entry VM because a delayed message of the process
+// before it arrives after its first one.
+func TestDelayedMessageOfEarlierProcess(t *testing.T) {
+	inBubble(t, map[model.DataCentre]int{"a": 2}, func(cl *cluster) {
+		coord := cl.startServing(8, 100)
+		other := cl.peers[0].Name
+		if other == coord {
+			other = cl.peers[1].Name
+		}
+		inc := func() model.Incarnation { return cl.nodes[coord].control.Snapshot().Peers[other].Incarnation }
+		running := inc()
+		hb := peer.Heartbeat{From: peer.Sender{Entry: other, DC: "a", Incarnation: "earlier"}}
+		_, err := cl.nodes[coord].control.Handler().Heartbeat(context.Background(), &hb)
+		require.NoError(t, err)
+		cl.eventually(2*time.Second, func() bool { return inc() == running }, "messages of the running process are ignored")
+		p, reason := cl.acquire(other, "t", time.Second)
+		require.NotNil(t, p, reason)
 	})
 }
 
--- a/internal/control/member.go
+++ b/internal/control/member.go
@@ -18,9 +18,9 @@
 	client      PeerClient
 	status      MemberStatus
 	incarnation model.Incarnation
-	// endedIncarnations holds the incarnations that are known to have ended. Late messages
-	// of them are ignored.
-	endedIncarnations map[model.Incarnation]bool
+	// endedIncarnations holds the incarnations that are taken for ended, and since when. Late
+	// messages of them are ignored. An answer to a later message withdraws the entry.
+	endedIncarnations map[model.Incarnation]time.Time
 	// lastMessage is when its last message or reply arrived.
 	lastMessage time.Time
 	// answered is the send time of the latest message that it has answered.
@@ -60,7 +60,7 @@
 		if p.Name == c.self.Entry {
 			continue
 		}
-		m := &member{Peer: p, client: c.deps.Dial(p), status: MemberUnknown, endedIncarnations: map[model.Incarnation]bool{}}
+		m := &member{Peer: p, client: c.deps.Dial(p), status: MemberUnknown, endedIncarnations: map[model.Incarnation]time.Time{}}
 		c.members = append(c.members, m)
 		c.byName[p.Name] = m
 		c.peerClients[p.Name] = m.client
@@ -176,6 +176,7 @@
 	m.probing = true
 	hb := c.newHeartbeat()
 	c.runAsync(refusalsUntilGone*heartbeatTimeout, func(ctx context.Context) func() {
+		first := time.Now()
 		for n := 1; ; n++ {
 			sent := time.Now()
 			pctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
@@ -192,7 +193,7 @@
 				case err == nil:
 					c.onAnswer(m, &r.Heartbeat, sent)
 				case refused:
-					c.onRefused(m, sent)
+					c.onRefused(m, first, sent)
 				default:
 					m.silentProbes++
 					c.onUnanswered(m, sent)
@@ -202,21 +203,22 @@
 	})
 }
 
-// onRefused marks m as gone after new connections to it were refused; the last attempt
-// was made at sent. If a message of m arrived after that, a new process has started since
-// and the refusals say nothing about it. Marking it as gone would be wrong, because the
-// messages of an incarnation that is gone are ignored for good.
-func (c *Control) onRefused(m *member, sent time.Time) {
-	if m.lastMessage.After(sent) {
+// onRefused marks m as gone after new connections to it were refused; the attempts were made
+// between first and last. If a message of m arrived after the first one, a process is or was
+// running since, and the refusals do not prove that it has ended; m is probed again.
+func (c *Control) onRefused(m *member, first, last time.Time) {
+	if m.lastMessage.After(first) {
+		c.probe(m)
 		return
 	}
-	m.goneAt = sent
+	m.goneAt = last
 	c.setStatus(m, MemberGone, "three new connections refused")
 }
 
 // onAnswer handles a heartbeat reply. sent is when the heartbeat was sent: the peer was
 // alive at some time after it, however late the reply is read.
 func (c *Control) onAnswer(m *member, hb *peer.Heartbeat, sent time.Time) {
+	c.withdrawEnd(m, hb.From.Incarnation, sent)
 	if !c.acceptSender(hb.From) {
 		return
 	}
@@ -253,17 +255,30 @@
 	m.confirmationWaived = false
 }
 
+// withdrawEnd no longer takes an incarnation of m for ended if it has answered a message that
+// was sent after that decision. The decision is wrong if connections to a running process are
+// refused, or if a delayed message of the process before it arrives.
+func (c *Control) withdrawEnd(m *member, inc model.Incarnation, sent time.Time) {
+	at, ended := m.endedIncarnations[inc]
+	if !ended || !sent.After(at) {
+		return
+	}
+	delete(m.endedIncarnations, inc)
+	c.log.Warn().Str("peer", string(m.Name)).Str("incarnation", string(inc)).Dur("after", time.Since(at)).
+		Msg("entry VM taken for gone has answered")
+}
+
 // acceptSender records that a message arrived and reports whether it comes from the newest
 // known incarnation of its sender. Other messages must be ignored.
 func (c *Control) acceptSender(from peer.Sender) bool {
 	m := c.byName[from.Entry]
-	if m == nil || m.endedIncarnations[from.Incarnation] {
+	if m == nil || m.isEnded(from.Incarnation) {
 		return false
 	}
 	m.lastMessage = time.Now()
 	if m.incarnation != from.Incarnation {
 		if m.incarnation != "" {
-			m.endedIncarnations[m.incarnation] = true
+			m.endedIncarnations[m.incarnation] = time.Now()
 			c.onIncarnationEnd(m, "new incarnation")
 		}
 		m.incarnation = from.Incarnation
@@ -274,6 +289,12 @@
 	return true
 }
 
+// isEnded reports whether an incarnation of m is taken for ended.
+func (m *member) isEnded(inc model.Incarnation) bool {
+	_, ended := m.endedIncarnations[inc]
+	return ended
+}
+
 // onHeartbeat applies the content of a heartbeat or a heartbeat reply.
 func (c *Control) onHeartbeat(m *member, hb *peer.Heartbeat) {
 	m.configVersion = max(m.configVersion, hb.Config)
@@ -335,7 +356,7 @@
 	switch {
 	case s == MemberGone:
 		if m.incarnation != "" {
-			m.endedIncarnations[m.incarnation] = true
+			m.endedIncarnations[m.incarnation] = time.Now()
 			m.incarnation = ""
 		}
 		c.onIncarnationEnd(m, reason)
