account: a gap ends when the process ended, not when it was once taken for gone

Cause: the entry VM was taken for gone while it ran, 50 ms after its start. The first notice of an end was kept for good, by the entry VM that noticed it, in the single object of all notices, and by the report, which takes the earliest. Jobs accepted later lay behind the gap's end.

Change: an entry VM withdraws its notice when the process returns, and a notice that replaces an earlier one is stored under its own name. The report takes the latest notice of each entry VM, and of these the earliest that is not contradicted by a later sign of life.

--- a/internal/account/account_test.go
+++ b/internal/account/account_test.go
@@ -552,6 +552,47 @@
 	require.True(t, g.To.Equal(gone), "%v", g.To)
 }
 
+// Guards against a job that is missing outside any gap, because its entry VM was once taken for
+// gone while it was running and the gap ends at that time.
+func TestGapEndsWhenTheProcessEnded(t *testing.T) {
+	owner := Owner{Entry: "entry-a-1", DC: "a", Incarnation: model.NewIncarnation()}
+	began := owner.Incarnation.StartedAt()
+	at := func(s int) time.Time { return began.Add(time.Duration(s) * time.Second) }
+
+	t.Run("noticed again by the same entry VM", func(t *testing.T) {
+		m := newMemoryStore()
+		replicas := NewReplicaStore("peer-1", memoryObjects{m}, zerolog.Nop())
+		replicas.MarkOwnerGone(owner, at(1))
+		require.NoError(t, replicas.StoreOrphaned(t.Context()))
+		replicas.WithdrawOwnerGone(owner.Incarnation)
+		replicas.MarkOwnerGone(owner, at(7))
+		require.NoError(t, replicas.StoreOrphaned(t.Context()))
+		r := buildFrom(t, m, nil)
+		require.Len(t, r.Gaps, 1)
+		require.True(t, r.Gaps[0].To.Equal(at(7)), "%v", r.Gaps[0].To)
+	})
+	t.Run("noticed again before the first was stored", func(t *testing.T) {
+		m := newMemoryStore()
+		replicas := NewReplicaStore("peer-1", memoryObjects{m}, zerolog.Nop())
+		replicas.MarkOwnerGone(owner, at(1))
+		replicas.WithdrawOwnerGone(owner.Incarnation)
+		require.NoError(t, replicas.StoreOrphaned(t.Context()))
+		require.Empty(t, m.objects, "a running process is stored as ended")
+		replicas.MarkOwnerGone(owner, at(7))
+		require.NoError(t, replicas.StoreOrphaned(t.Context()))
+		r := buildFrom(t, m, nil)
+		require.Len(t, r.Gaps, 1)
+		require.True(t, r.Gaps[0].To.Equal(at(7)), "%v", r.Gaps[0].To)
+	})
+	t.Run("contradicted by a later sign of life", func(t *testing.T) {
+		r := Build(ReportInput{Rows: []IncarnationRow{{Owner: owner, Started: began, StoredUntil: at(5)}}, Now: at(20),
+			Coverages: []Coverage{{Owner: owner, StoredBy: "peer-1", GoneSeen: at(1)}, {Owner: owner, StoredBy: "peer-2", GoneSeen: at(7)},
+				{Owner: owner, StoredBy: "peer-3", GoneSeen: at(9)}}})
+		require.Len(t, r.Gaps, 1)
+		require.True(t, r.Gaps[0].To.Equal(at(7)), "%v", r.Gaps[0].To)
+	})
+}
+
 // Guards against a job that is missing outside any gap: the peer that had its replica ended, and
 // the next process under the peer's name heard only up to which time the replicas reach.
 func TestCoverageWithoutReplicasIsAGap(t *testing.T) {
--- a/internal/account/holder.go
+++ b/internal/account/holder.go
@@ -51,6 +51,8 @@
 	mu            sync.Mutex // guards the fields below
 	byIncarnation map[model.Incarnation]*ownerReplicas
 	size          int
+	// withdrawn holds the incarnations that were reported as gone and then seen alive.
+	withdrawn map[model.Incarnation]bool
 }
 
 type ownerReplicas struct {
@@ -64,7 +66,8 @@
 
 // NewReplicaStore returns an empty replica store.
 func NewReplicaStore(self model.EntryVM, o platform.Objects, log zerolog.Logger) *ReplicaStore {
-	return &ReplicaStore{self: self, objects: o, log: log, byIncarnation: make(map[model.Incarnation]*ownerReplicas)}
+	return &ReplicaStore{self: self, objects: o, log: log, byIncarnation: make(map[model.Incarnation]*ownerReplicas),
+		withdrawn: make(map[model.Incarnation]bool)}
 }
 
 // Hold keeps one replica. Sequence 0 only extends the covered time. Errors: ErrMalformed,
@@ -134,6 +137,22 @@
 	}
 }
 
+// WithdrawOwnerGone undoes MarkOwnerGone for an incarnation that turned out to be running. If the
+// end is stored already, a later MarkOwnerGone replaces it in the report.
+func (r *ReplicaStore) WithdrawOwnerGone(inc model.Incarnation) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.withdrawn[inc] = true
+	c := r.byIncarnation[inc]
+	switch {
+	case c == nil:
+	case len(c.batches) == 0 && c.coversUntil.IsZero():
+		delete(r.byIncarnation, inc)
+	default:
+		c.goneSeen, c.lastReceived = time.Time{}, time.Now()
+	}
+}
+
 // StoreOrphaned stores the replicas of owners that have ended or are silent. Replicas that
 // cannot be stored are kept for the next call; the first error is returned.
 func (r *ReplicaStore) StoreOrphaned(ctx context.Context) error {
@@ -200,8 +219,13 @@
 		return err
 	}
 	if c.coversUntil.IsZero() {
-		// Every entry VM that noticed the end would store the same fact; one object is enough.
-		err := r.put(ctx, fmt.Sprintf("%s%s/%s/gone", coveragePrefix, c.owner.Entry, c.owner.Incarnation), data)
+		// Every entry VM that noticed the end would store the same fact; one object is enough. An
+		// end that replaces an earlier one is another fact.
+		name := fmt.Sprintf("%s%s/%s/gone", coveragePrefix, c.owner.Entry, c.owner.Incarnation)
+		if r.wasWithdrawn(c.owner.Incarnation) {
+			name = fmt.Sprintf("%s/%s/%d", name, r.self, c.goneSeen.UnixMilli())
+		}
+		err := r.put(ctx, name, data)
 		if errors.Is(err, platform.ErrConflict) {
 			return nil
 		}
@@ -217,6 +241,12 @@
 	return nil
 }
 
+func (r *ReplicaStore) wasWithdrawn(inc model.Incarnation) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.withdrawn[inc]
+}
+
 func (r *ReplicaStore) put(ctx context.Context, name string, data []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
--- a/internal/account/merge.go
+++ b/internal/account/merge.go
@@ -54,7 +54,11 @@
 	lastSequence uint64
 	Started      time.Time
 	Closed       bool
-	GoneSeen     time.Time
+	// GoneSeen is when the end of the process was noticed; zero if it was not.
+	GoneSeen time.Time
+	// goneSeenBy holds the latest time at which each entry VM noticed the end. A later notice by
+	// the same entry VM replaces one that was wrong.
+	goneSeenBy map[model.EntryVM]time.Time
 }
 
 type seqRange struct {
@@ -104,7 +108,7 @@
 func (m *merger) ownerCoverage(o Owner) *OwnerCoverage {
 	c := m.merged.Owners[o.Incarnation]
 	if c == nil {
-		c = &OwnerCoverage{Owner: o, Started: o.Incarnation.StartedAt()}
+		c = &OwnerCoverage{Owner: o, Started: o.Incarnation.StartedAt(), goneSeenBy: make(map[model.EntryVM]time.Time)}
 		m.merged.Owners[o.Incarnation] = c
 	}
 	return c
@@ -122,11 +126,28 @@
 	c := m.ownerCoverage(v.Owner)
 	c.confirmedUntil = laterOf(c.confirmedUntil, v.CoversUntil)
 	c.lastSequence = max(c.lastSequence, v.LastSequence)
-	if !v.GoneSeen.IsZero() && (c.GoneSeen.IsZero() || v.GoneSeen.Before(c.GoneSeen)) {
-		c.GoneSeen = v.GoneSeen
+	if v.GoneSeen.After(c.goneSeenBy[v.StoredBy]) {
+		c.goneSeenBy[v.StoredBy] = v.GoneSeen
 	}
 }
 
+// firstGoneSeen returns the earliest notice of the process's end. Notices from before the last sign
+// of life are used only if there is no other: they were wrong, or a clock is set wrong.
+func (c *OwnerCoverage) firstGoneSeen() time.Time {
+	alive := c.confirmedUntil
+	for _, r := range c.ranges {
+		alive = laterOf(alive, r.coversUntil)
+	}
+	var first, latest time.Time
+	for _, t := range c.goneSeenBy {
+		latest = laterOf(latest, t)
+		if !t.Before(alive) && (first.IsZero() || t.Before(first)) {
+			first = t
+		}
+	}
+	return timeOr(first, latest)
+}
+
 func (m *merger) addBatch(b Batch) {
 	c := m.ownerCoverage(b.Owner)
 	if b.FactCount() > 0 {
@@ -165,6 +186,9 @@
 }
 
 func (m *merger) finalize() {
+	for _, c := range m.merged.Owners {
+		c.GoneSeen = c.firstGoneSeen()
+	}
 	for _, j := range m.merged.Jobs {
 		j.deriveState()
 	}
