exchange: connections being opened count against a server's limit

Cause: three ways to more connections than allowed, or to a needless one. (1) A new connection that no request waited for was closed if all slots were taken, although one of the slots belonged to a request that had just returned its connection; the next request opened another one. This is what TestConnectionsPerServerAreBounded saw: in 7 of 7 traced failures each connection above the six followed such a close, at most six were open at a time. (2) Attempts were bounded by themselves, not together with the open connections: an attempt beside a slow one could open a seventh connection. A cancelled attempt was not counted, though it may still open. (3) A pool without connections was removed while a request that had looked it up was about to use it, which gave the server two pools.

Change: a pool counts its open connections and its attempts, cancelled ones until they have ended, and begins an attempt only below the limit. No new connection is closed as superfluous any more. Requests count as users of their pool.

--- a/internal/exchange/dial.go
+++ b/internal/exchange/dial.go
@@ -28,6 +28,8 @@
 	// redundant is set if there were enough attempts without this one, all of them older than
 	// redialAfter.
 	redundant bool
+	// cancelled is set once cancel was called. The attempt may still open a connection.
+	cancelled bool
 }
 
 // waiter is a request that waits for a connection. It receives a connection or an error, once.
@@ -96,19 +98,26 @@
 }
 
 // dialAsNeeded begins connection attempts until there is one for each waiter that is younger than
-// redialAfter. The caller holds mu.
+// redialAfter, or no further connection is allowed. An old attempt is not given up for a new one: a
+// server whose connections take longer to open than redialAfter would not be reached. The caller
+// holds mu.
 func (s *server) dialAsNeeded() {
 	now := time.Now()
-	recent := 0
+	all, recent := 0, 0
 	for _, d := range s.dials {
+		if d.cancelled {
+			continue
+		}
+		all++
 		if now.Sub(d.startedAt) < redialAfter {
 			recent++
 		}
 	}
-	for ; recent < len(s.waiters) && len(s.dials) < cap(s.slots); recent++ {
+	for ; recent < len(s.waiters) && s.open+len(s.dials) < cap(s.slots); recent++ {
 		ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
-		d := &dialing{startedAt: now, cancel: cancel, redundant: len(s.dials) >= len(s.waiters)}
+		d := &dialing{startedAt: now, cancel: cancel, redundant: all >= len(s.waiters)}
 		s.dials = append(s.dials, d)
+		all++
 		go func() {
 			defer cancel()
 			conn, err := s.dial(ctx, s.addr)
@@ -131,14 +140,11 @@
 		s.handOver(dialed{err: err})
 		return
 	}
+	s.open++
 	limit := &io.LimitedReader{R: conn}
 	c := &connection{Conn: conn, limit: limit, r: bufio.NewReaderSize(limit, readBufferSize), lastUsed: time.Now()}
 	if !s.handOver(dialed{c: c}) {
-		if len(s.idle)+len(s.slots) >= cap(s.slots) {
-			_ = c.Close() // no request was written to it
-		} else {
-			s.idle = append(s.idle, c)
-		}
+		s.idle = append(s.idle, c)
 	}
 	if len(s.waiters) == 0 {
 		s.cancelRedundant()
@@ -148,13 +154,12 @@
 // cancelRedundant ends the attempts that are not needed once the server is reached again. The
 // caller holds mu.
 func (s *server) cancelRedundant() {
-	s.dials = slices.DeleteFunc(s.dials, func(d *dialing) bool {
-		redundant := d.redundant || time.Since(d.startedAt) >= redialAfter
-		if redundant {
+	for _, d := range s.dials {
+		if d.redundant || time.Since(d.startedAt) >= redialAfter {
+			d.cancelled = true
 			d.cancel()
 		}
-		return redundant
-	})
+	}
 }
 
 // handOver passes a connection or an error to the longest waiting request, and reports whether
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -5,6 +5,7 @@
 //
 // Invariants:
 //   - ErrNotSent means that no byte of the request was written.
+//   - The connections to a server that are open or being opened never exceed the client's limit.
 //   - A connection attempt belongs to no request. A request that gives up leaves its attempt to the
 //     next one.
 //   - A connection that did not deliver a complete response is closed. Idle connections to the same
@@ -25,6 +26,7 @@
 	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -61,7 +63,8 @@
 
 // Client sends requests to any number of servers. It is safe for concurrent use.
 type Client struct {
-	// connections limits the concurrent requests to one server; further requests wait.
+	// connections limits the concurrent requests to one server, and the connections to it; further
+	// requests wait.
 	connections int
 
 	// dial opens a TCP connection.
@@ -86,19 +89,28 @@
 // body of the response. limit is read immediately before the request is written; nil means no
 // limit besides ctx. Errors: ErrNotSent, ErrLimitReached, ErrNoAnswer.
 func (c *Client) Send(ctx context.Context, req *http.Request, limit Limit) (status int, body []byte, err error) {
-	return c.serverFor(req.URL.Host).send(ctx, req, limit)
+	s := c.enter(req.URL.Host)
+	defer s.users.Add(-1)
+	return s.send(ctx, req, limit)
 }
 
-// serverFor returns the connection pool of an address, creating it if necessary. From time to
-// time it also removes pools without connections.
-func (c *Client) serverFor(addr string) *server {
-	now := time.Now()
+// enter counts a request as a user of the connection pool of an address, and returns the pool.
+func (c *Client) enter(addr string) *server {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	s := c.poolOf(addr)
+	s.users.Add(1)
+	return s
+}
+
+// poolOf returns the connection pool of an address, creating it if necessary. From time to time it
+// also removes pools without users and connections. The caller holds mu.
+func (c *Client) poolOf(addr string) *server {
+	now := time.Now()
 	if now.Sub(c.lastSweep) > sweepInterval {
 		c.lastSweep = now
 		for key, s := range c.byAddr {
-			if !s.sweep(now) {
+			if s.users.Load() == 0 && !s.sweep(now) {
 				delete(c.byAddr, key)
 			}
 		}
@@ -116,8 +128,11 @@
 	addr  string
 	dial  func(ctx context.Context, addr string) (net.Conn, error)
 	slots chan struct{} // holds one element per request in progress
+	// users counts the requests that use the pool or wait for a slot.
+	users atomic.Int64
 
 	mu      sync.Mutex
+	open    int           // guarded by mu; connections that are idle or in use
 	idle    []*connection // guarded by mu; ordered by lastUsed, the most recent at the end
 	dials   []*dialing    // guarded by mu; connection attempts in progress, the oldest first
 	waiters []waiter      // guarded by mu; requests that wait for a connection, the oldest first
@@ -143,7 +158,7 @@
 		if !c.lastUsed.Before(since) {
 			return false
 		}
-		_ = c.Close() // no request is in progress on it
+		s.close(c) // no request is in progress on it
 		return true
 	})
 }
@@ -159,7 +174,7 @@
 // caller holds mu.
 func (s *server) closeExpired(now time.Time) {
 	for len(s.idle) > 0 && now.Sub(s.idle[0].lastUsed) > maxIdleTime {
-		_ = s.idle[0].Close() // no request is in progress on it
+		s.close(s.idle[0]) // no request is in progress on it
 		s.idle = s.idle[1:]
 	}
 }
@@ -185,11 +200,25 @@
 		if !c.lastUsed.Before(s.probeUsedBefore) && now.Sub(c.lastUsed) < probeAfter || c.reusable() {
 			return c
 		}
-		_ = c.Close()
+		s.close(c)
 	}
 	return nil
 }
 
+// close closes a connection that is neither idle nor in use any more. The caller holds mu.
+func (s *server) close(c *connection) {
+	_ = c.Close() // nothing can be done about an error
+	s.open--
+}
+
+// discard closes a connection after a request that used it.
+func (s *server) discard(c *connection) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.close(c)
+	s.dialAsNeeded()
+}
+
 // reusable reports whether the server has neither closed the connection nor sent unexpected data.
 func (c *connection) reusable() bool {
 	tcp, ok := c.Conn.(*net.TCPConn)
@@ -242,7 +271,7 @@
 		return 0, nil, err
 	}
 	if err != nil {
-		_ = c.Close()
+		s.discard(c)
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			s.closeUnproven(began) // they may be as silent as this one
 		} else {
@@ -254,7 +283,7 @@
 		c.lastUsed = time.Now()
 		s.putIdle(c)
 	} else {
-		_ = c.Close()
+		s.discard(c)
 	}
 	return status, body, nil
 }
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -33,6 +33,13 @@
 // connectionsPerServer is the limit of the clients of these tests.
 const connectionsPerServer = 6
 
+// serverFor returns the connection pool of an address.
+func (c *Client) serverFor(addr string) *server {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.poolOf(addr)
+}
+
 func writeClock(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, `{"clock_ms":7}`) }
 
 func post(t *testing.T, c *Client, addr string, timeout time.Duration) error {
--- a/internal/exchange/slow_test.go
+++ b/internal/exchange/slow_test.go
@@ -29,6 +29,8 @@
 	opened  int        // guarded by mu
 	pending int        // guarded by mu
 	peak    int        // guarded by mu; the highest value of pending
+	live    int        // guarded by mu; pending dials and connections that are not closed
+	most    int        // guarded by mu; the highest value of live
 	servers []net.Conn // guarded by mu
 }
 
@@ -63,6 +65,8 @@
 	n.dials++
 	n.pending++
 	n.peak = max(n.peak, n.pending)
+	n.live++
+	n.most = max(n.most, n.live)
 	takes := n.connectTime(n.dials)
 	n.mu.Unlock()
 	defer func() {
@@ -73,6 +77,7 @@
 	select {
 	case <-time.After(takes):
 	case <-ctx.Done():
+		n.ended()
 		return nil, ctx.Err()
 	}
 	n.mu.Lock()
@@ -84,7 +89,15 @@
 	return client, nil
 }
 
+// ended counts a dial that failed, or a connection that was closed.
+func (n *pipeNetwork) ended() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.live--
+}
+
 func (n *pipeNetwork) serve(c net.Conn, number int) {
+	defer n.ended()
 	r := bufio.NewReader(c)
 	for i := 1; ; i++ {
 		req, err := http.ReadRequest(r)
@@ -107,6 +120,13 @@
 	return n.opened, n.pending, n.peak
 }
 
+// mostAtOnce returns how many connections were open or being opened at a time at most.
+func (n *pipeNetwork) mostAtOnce() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.most
+}
+
 // serverAddr is the address of the server in tests with a pipeNetwork.
 const serverAddr = "10.0.0.1:80"
 
