exchange: a server that comes back is reached before old attempts have ended

Callers see: a minion or the store that was unreachable and returns gets no connection for up to 2 s.

Cause: once all places of a server were taken by attempts that got no answer, no new one began until they ended after 2 s. TestAttemptsToAnUnreachableServerAreBounded let the server come back at the very moment at which they end, so that it seldom failed.

Change: while no connection is open, an attempt in the last place ends after 200 ms and makes room for the next one. The other places keep long attempts, for servers that are slow to answer. The test lets the server come back at 41 times between 19 s and 21 s; its bound is unchanged.

--- a/internal/exchange/dial.go
+++ b/internal/exchange/dial.go
@@ -18,6 +18,10 @@
 	// redialAfter is the age of a connection attempt at which another one is made beside it. Its SYN
 	// may have been lost; the one-way latency within a site is about 1 ms.
 	redialAfter = 400 * time.Millisecond
+	// probeTimeout bounds the attempt in the last free place of a server without a connection. It
+	// makes room for the next one, so that a server that comes back is reached before the other
+	// attempts have ended.
+	probeTimeout = 200 * time.Millisecond
 )
 
 // dialing is a connection attempt. It belongs to no request: a request that gives up leaves it to
@@ -99,8 +103,8 @@
 
 // dialAsNeeded begins connection attempts until there is one for each waiter that is younger than
 // redialAfter, or no further connection is allowed. An old attempt is not given up for a new one: a
-// server whose connections take longer to open than redialAfter would not be reached. The caller
-// holds mu.
+// server whose connections take longer to open than redialAfter would not be reached. Only the last
+// place is for short attempts while no connection is open. The caller holds mu.
 func (s *server) dialAsNeeded() {
 	now := time.Now()
 	all, recent := 0, 0
@@ -113,8 +117,16 @@
 			recent++
 		}
 	}
-	for ; recent < len(s.waiters) && s.open+len(s.dials) < cap(s.slots); recent++ {
-		ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	for ; len(s.waiters) > 0 && s.open+len(s.dials) < cap(s.slots); recent++ {
+		probe := s.open == 0 && len(s.dials) > 0 && len(s.dials) == cap(s.slots)-1
+		if recent >= len(s.waiters) && !probe {
+			break
+		}
+		timeout := dialTimeout
+		if probe {
+			timeout = probeTimeout
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
 		d := &dialing{startedAt: now, cancel: cancel, redundant: all >= len(s.waiters)}
 		s.dials = append(s.dials, d)
 		all++
--- a/internal/exchange/slow_test.go
+++ b/internal/exchange/slow_test.go
@@ -221,40 +221,44 @@
 // Guards against attempts to connect to an unreachable server that add up without a bound, and
 // against a server that comes back and is not reached before old attempts have ended.
 func TestAttemptsToAnUnreachableServerAreBounded(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		n := newPipeNetwork(t)
-		var reachable atomic.Bool
-		n.connectTime = func(int) time.Duration {
-			if reachable.Load() {
-				return time.Millisecond
-			}
-			return never
-		}
-		c := n.client(connectionsPerServer)
-		var wg sync.WaitGroup
-		for range 2 * connectionsPerServer {
-			wg.Go(func() {
-				for !reachable.Load() {
-					if err := post(t, c, serverAddr, callLimit); !reachable.Load() {
-						require.ErrorIs(t, err, ErrNotSent)
+	for away := 19 * time.Second; away <= 21*time.Second; away += 50 * time.Millisecond {
+		t.Run(away.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := newPipeNetwork(t)
+				var reachable atomic.Bool
+				n.connectTime = func(int) time.Duration {
+					if reachable.Load() {
+						return time.Millisecond
 					}
+					return never
+				}
+				c := n.client(connectionsPerServer)
+				var wg sync.WaitGroup
+				for range 2 * connectionsPerServer {
+					wg.Go(func() {
+						for !reachable.Load() {
+							if err := post(t, c, serverAddr, callLimit); !reachable.Load() {
+								require.ErrorIs(t, err, ErrNotSent)
+							}
+							time.Sleep(callPause)
+						}
+					})
+				}
+				time.Sleep(away)
+				reachable.Store(true)
+				began := time.Now()
+				for post(t, c, serverAddr, callLimit) != nil {
 					time.Sleep(callPause)
 				}
+				require.LessOrEqual(t, time.Since(began), callLimit+callPause)
+				wg.Wait()
+				time.Sleep(10 * time.Second)
+				_, pending, peak := n.counts()
+				require.LessOrEqual(t, peak, connectionsPerServer)
+				require.Zero(t, pending)
 			})
-		}
-		time.Sleep(20 * time.Second)
-		reachable.Store(true)
-		began := time.Now()
-		for post(t, c, serverAddr, callLimit) != nil {
-			time.Sleep(callPause)
-		}
-		require.LessOrEqual(t, time.Since(began), callLimit+callPause)
-		wg.Wait()
-		time.Sleep(10 * time.Second)
-		_, pending, peak := n.counts()
-		require.LessOrEqual(t, peak, connectionsPerServer)
-		require.Zero(t, pending)
-	})
+		})
+	}
 }
 
 // Guards against a request that waits until its limit for a server that refuses connections.
