platform: a test of silent connections allows for one that was not accepted yet

The link silences the connections that it has accepted; one that still waits in its accept queue stays usable, and the client may pick that one.

Change: the calls, the silence and the write are repeated, at most ten times, until a write does not succeed. A write over a silent connection cannot succeed, so that no fault of the client is passed over; the error that is required is the same.

--- a/internal/platform/tcp_test.go
+++ b/internal/platform/tcp_test.go
@@ -33,26 +33,27 @@
 
 	_, err = tab.Commit(t.Context(), platform.PriorityLease, put("k", "1", 0))
 	require.NoError(t, err)
-	// Concurrent calls leave several idle connections, all of which go silent.
-	server.SetFaults(standin.Faults{DelayMS: 50})
-	var wg sync.WaitGroup
-	for range 4 {
-		wg.Go(func() { _, _ = tab.Get(t.Context(), platform.PriorityLease, "k") })
+	// A write succeeds if the link had not accepted one of the idle connections yet: that one is not
+	// silent.
+	version := uint64(1)
+	for range 10 {
+		leaveIdleConnections(t, server, tab)
+		require.Greater(t, l.Status().Open, 1)
+		l.SilenceOpen()
+		if _, err = tab.Commit(t.Context(), platform.PriorityLease, put("k", "2", version)); err != nil {
+			break
+		}
+		version++
 	}
-	wg.Wait()
-	server.SetFaults(standin.Faults{})
-	require.Greater(t, l.Status().Open, 1)
-	l.SilenceOpen()
-	_, err = tab.Commit(t.Context(), platform.PriorityLease, put("k", "2", 1))
 	require.ErrorIs(t, err, platform.ErrUnknownOutcome)
 	_, err = tab.Get(t.Context(), platform.PriorityLease, "k")
 	require.NoError(t, err, "the next call uses a new connection")
 
 	l.Cut()
-	_, err = tab.Commit(t.Context(), platform.PriorityLease, put("k", "3", 1))
+	_, err = tab.Commit(t.Context(), platform.PriorityLease, put("k", "3", version))
 	require.ErrorIs(t, err, platform.ErrUnavailable)
 	require.NoError(t, l.Heal())
-	_, err = tab.Commit(t.Context(), platform.PriorityLease, put("k", "4", 1))
+	_, err = tab.Commit(t.Context(), platform.PriorityLease, put("k", "4", version))
 	require.NoError(t, err)
 
 	var counts struct {
@@ -65,3 +66,14 @@
 	require.Positive(t, counts.Unknown)
 	require.GreaterOrEqual(t, counts.Latency.Max, int64(450_000))
 }
+
+// leaveIdleConnections makes concurrent calls, each of which needs a connection.
+func leaveIdleConnections(t *testing.T, server *standin.Server, tab platform.Table) {
+	server.SetFaults(standin.Faults{DelayMS: 50})
+	defer server.SetFaults(standin.Faults{})
+	var wg sync.WaitGroup
+	for range 4 {
+		wg.Go(func() { _, _ = tab.Get(t.Context(), platform.PriorityLease, "k") })
+	}
+	wg.Wait()
+}
