--- a/cmd/boragepulleyd/main.go
+++ b/cmd/boragepulleyd/main.go
@@ -1,6 +1,6 @@
 // Command boragepulleyd is the daemon that runs on every entry VM. It reads its
 // settings, serves callers, operators and peers, and shuts down gracefully on SIGTERM
-// or SIGINT.
+// or SIGINT. SIGHUP is logged and reloads nothing.
 //
 // Exit codes: 0 after a graceful shutdown, 1 if it failed or could not finish in time,
 // 2 for faults in the settings.
@@ -14,6 +14,7 @@
 	"syscall"
 
 	"github.com/alecthomas/kong"
+	"github.com/rs/zerolog"
 
 	"boragepulley/internal/daemon"
 	"boragepulley/internal/logging"
@@ -32,8 +33,7 @@
 func runSite(c cli) int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
+	hup := keepOnHangUp()
 	set, err := settings.LoadSite(c.Settings)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -49,11 +49,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 2
 	}
-	go func() {
-		for range hup {
-			log.Info().Msg("Daemon: SIGHUP; settings are read at start only, nothing was reloaded.")
-		}
-	}()
+	go logHangUps(hup, log)
 	s, err := daemon.NewSite(set, log)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -65,6 +61,20 @@
 	return 0
 }
 
+// keepOnHangUp keeps the process from ending on SIGHUP, which it would by default, also when
+// the terminal or the supervisor that started it ends.
+func keepOnHangUp() <-chan os.Signal {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	return hup
+}
+
+func logHangUps(hup <-chan os.Signal, log zerolog.Logger) {
+	for range hup {
+		log.Info().Msg("Daemon: SIGHUP; settings are read at start only, nothing was reloaded.")
+	}
+}
+
 func main() {
 	var c cli
 	kong.Parse(&c, kong.Name("boragepulleyd"),
@@ -83,6 +93,9 @@
 	if c.Site {
 		return runSite(c)
 	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	hup := keepOnHangUp()
 	set, err := settings.Load(c.Settings)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -96,8 +109,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 2
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+	go logHangUps(hup, log)
 	d, err := daemon.New(set, log)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
