dispatch: the permit is checked again immediately before the first byte

The check of the permit was followed by the record of the dispatch: the lock of the records, a log line, the encoding of the request. Change: upstream.Call has LastCheck, which runs after all that, just before the write; dispatch checks permit and key there once more. A permit that has become invalid is returned as unused, and the job asks for another one.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -68,6 +69,49 @@
 	}
 }
 
+// Guards against a request that is sent with a permit that became invalid after the dispatch was
+// recorded, because the process was held up before the first byte: the next coordinator has counted
+// the slot as free. A job that is not idempotent may use another permit, because nothing was sent.
+func TestPermitIsCheckedAfterTheRecord(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			r := newTestEntryVM(1)
+			r.ctl.check = func(p *model.Permit) model.Reason {
+				if p.Attempt == 1 && slices.ContainsFunc(r.ctl.recorded(), func(x model.Record) bool { return x.State == model.StateDispatched }) {
+					return model.ReasonNoCoordinator
+				}
+				return model.ReasonNone
+			}
+			res := r.Submit(context.Background(), input("body", idempotent))
+			require.Equal(t, model.StateRan, res.State)
+			require.Len(t, r.minions.calls, 1)
+			require.Equal(t, 2, r.minions.calls[0].Attempt)
+			require.Equal(t, []peer.AttemptResult{peer.AttemptUnused, peer.AttemptOK}, r.ctl.released)
+			r.drainAndCheck(t)
+		})
+	}
+}
+
+// Guards against a job that is shown as possibly run although its key was withdrawn between the
+// record of the dispatch and the first byte.
+func TestKeyWithdrawnAfterTheRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newTestEntryVM(3)
+		r.ctl.check = func(*model.Permit) model.Reason {
+			if len(r.ctl.recorded()) > 2 { // accepted, queued, dispatched
+				return model.ReasonKeyWithdrawn
+			}
+			return model.ReasonNone
+		}
+		res := r.Submit(context.Background(), input("body", true))
+		require.Equal(t, model.StateRefused, res.State)
+		require.Equal(t, model.ReasonKeyWithdrawn, res.Reason)
+		require.Equal(t, model.StateRefused, r.ctl.recordedState(res.Job))
+		require.Empty(t, r.minions.calls)
+		r.drainAndCheck(t)
+	})
+}
+
 // Guards against reporting a key as unknown that was withdrawn after the entry VM had
 // checked it, while the request waited for a coordinator.
 func TestKeyWithdrawnBeforeAcquire(t *testing.T) {
--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -130,6 +130,13 @@
 }
 func (f *fakeControl) Event(model.FleetEvent) {}
 
+// recorded returns the records so far.
+func (f *fakeControl) recorded() []model.Record {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.records)
+}
+
 // recordedState returns the state that the report would show for a job: that of the record
 // with the highest rank.
 func (f *fakeControl) recordedState(id model.JobID) model.State {
@@ -183,6 +190,9 @@
 	if err := c.BeforeSend(); err != nil {
 		return upstream.Answer{}, fmt.Errorf("%w: %w", upstream.ErrNotReached, err)
 	}
+	if err := c.LastCheck(); err != nil {
+		return upstream.Answer{}, fmt.Errorf("%w: %w", upstream.ErrNotReached, err)
+	}
 	f.mu.Lock()
 	f.calls = append(f.calls, c)
 	attempt := fmt.Sprint(c.Addr[:1], c.Job, c.Attempt)
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -188,8 +188,9 @@
 	return s.handleFailedAttempt(j, p, class, fails, err)
 }
 
-// send dispatches the job to the minion over HTTP. The permit and the key are checked
-// again immediately before the first byte is sent.
+// send dispatches the job to the minion over HTTP. The permit and the key are checked before the
+// dispatch is recorded, and again immediately before the first byte is sent: the process may be
+// held up in between until the permit is no longer valid.
 func (s *Service) send(j *job, p *model.Permit, failedBefore bool) (upstream.Answer, error) {
 	ctx, cancel := j.cancelUnlessInFlight()
 	defer cancel()
@@ -199,6 +200,12 @@
 			deadline = d
 		}
 	}
+	check := func() error {
+		if r := s.cfg.Control.CheckPermit(p, j.req.KeyID); r != model.ReasonNone {
+			return &permitError{reason: r, permanent: r == model.ReasonKeyWithdrawn || r == model.ReasonConfigUnconfirmed}
+		}
+		return nil
+	}
 	return s.cfg.Minions.Run(ctx, upstream.Call{
 		Job: p.Job, Attempt: p.Attempt, Queue: p.Queue, Minion: p.Minion, Addr: p.Addr,
 		ContentType: j.contentType, Body: j.body,
@@ -206,13 +213,9 @@
 		// non-idempotent job unknown; a new connection costs one round trip.
 		FreshConnection: failedBefore || !j.req.Idempotent,
 		Deadline:        deadline,
+		LastCheck:       check,
 		BeforeSend: func() error {
-			err := j.markInFlight(func() error {
-				if r := s.cfg.Control.CheckPermit(p, j.req.KeyID); r != model.ReasonNone {
-					return &permitError{reason: r, permanent: r == model.ReasonKeyWithdrawn || r == model.ReasonConfigUnconfirmed}
-				}
-				return nil
-			})
+			err := j.markInFlight(check)
 			if err == nil {
 				s.recordStep(j, step{state: model.StateDispatched, reason: model.ReasonGranted, minion: p.Minion, attempt: p.Attempt})
 			}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -168,6 +168,7 @@
 		body:  call.Body,
 		until: call.Deadline.Add(c.opt.LateAnswer),
 		limit: c.opt.MaxAnswer,
+		check: call.LastCheck,
 	})
 	if err != nil {
 		p.put(cn, false)
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -176,6 +176,25 @@
 	require.Equal(t, 1, dials, "an unused connection stays in the pool")
 }
 
+// Guards against a request that is sent although the last check fails, and against a check that runs
+// before the connection is open and the call was announced.
+func TestLastCheck(t *testing.T) {
+	addr, _ := rawMinion(t, func(c net.Conn, _ *http.Request, _ int) bool { goodAnswer(c); return true })
+	cl := New(Options{})
+	defer cl.Close()
+	stop := errors.New("stop")
+	for _, want := range []error{stop, nil} {
+		var steps []string
+		call := testCall(addr)
+		call.BeforeSend = func() error { steps = append(steps, "announced"); return nil }
+		call.LastCheck = func() error { steps = append(steps, "checked"); return want }
+		_, err := cl.Run(context.Background(), call)
+		require.ErrorIs(t, err, want)
+		require.Equal(t, want != nil, errors.Is(err, ErrNotReached))
+		require.Equal(t, []string{"announced", "checked"}, steps)
+	}
+}
+
 // Guards against reporting ErrNotReached after part of a request was sent, and against
 // losing the rejection of a minion that answers before it has read the body.
 func TestPartlyWrittenRequest(t *testing.T) {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -35,9 +35,13 @@
 	FreshConnection bool
 	// Deadline is when the caller stops waiting for the answer.
 	Deadline time.Time
-	// BeforeSend, if set, is called once a connection is available, immediately before the
-	// first byte is written; if it returns an error, the call fails with ErrNotReached.
+	// BeforeSend, if set, is called once a connection is available; if it returns an error,
+	// the call fails with ErrNotReached.
 	BeforeSend func() error
+	// LastCheck, if set, is called after BeforeSend, as the last step before the first byte is
+	// written; if it returns an error, the call fails with ErrNotReached. It must be quick: what
+	// it has checked may change until the write.
+	LastCheck func() error
 }
 
 // Answer is a complete, verified answer of a minion.
--- a/internal/upstream/wire.go
+++ b/internal/upstream/wire.go
@@ -65,6 +65,8 @@
 	until time.Time
 	// limit is the maximum size of the answer's body, in bytes.
 	limit int64
+	// check, if set, runs immediately before the request is written, and can prevent it.
+	check func() error
 }
 
 // response is an HTTP response whose body was read completely.
@@ -88,6 +90,11 @@
 	if len(x.body) > 0 {
 		bufs = append(bufs, x.body)
 	}
+	if x.check != nil {
+		if err := x.check(); err != nil {
+			return response{}, newCallError(ErrNotReached, err)
+		}
+	}
 	n, werr := bufs.WriteTo(c.Conn)
 	if werr != nil {
 		c.noteError(werr)
