control: a successor goes on counting towards the failure of a VM

Change: the row of a VM says since when it is suspect. A successor adopts that time if it is at most a minute old and the VM has not answered it; the VM fails once it has left three polls of the successor unanswered and the 10 s are over.

--- a/internal/control/vmhealth.go
+++ b/internal/control/vmhealth.go
@@ -34,6 +34,10 @@
 	// healthKeptFor is how recent the last missed poll of a suspect VM must be for a new term of
 	// the same process to go on counting from it.
 	healthKeptFor = suspectAfterPolls * healthPollInterval
+	// suspectKeptFor is how long after a VM became suspect a successor goes on counting from that
+	// time. It covers failSuspectAfter and several takeovers; the row of a VM that became suspect
+	// earlier is out of date.
+	suspectKeptFor = time.Minute
 )
 
 // health holds the results of the periodic polls of a VM's minion.
@@ -155,6 +159,22 @@
 	return true
 }
 
+// adoptSuspect goes on counting from the time since when, according to the row, a VM does not answer
+// polls, unless this term knows better. The VM fails only if it leaves polls of this term unanswered
+// as well, as many as make a VM suspect.
+func (c *Control) adoptSuspect(vm model.VM, r *vmRecord, since time.Time) {
+	now := time.Now()
+	if since.IsZero() || !r.suspectSince.IsZero() || !r.lastAnswered.IsZero() || now.Sub(since) > suspectKeptFor ||
+		r.current.State == model.VMFailed || r.current.State == model.VMRebooting {
+		return
+	}
+	if since.After(now) {
+		since = now // by the clock of the earlier coordinator
+	}
+	r.suspectSince = since
+	c.log.Warn().Str("vm", string(vm)).Time("since", since).Msg("vm is suspect: it did not answer polls of the earlier coordinator")
+}
+
 func (c *Control) healthInterval(r *vmRecord) time.Duration {
 	if r.missed > 0 || r.lastAnswered.IsZero() || !c.fleet.frequentPollsSince.IsZero() {
 		return healthPollInterval
--- a/internal/control/vmrows.go
+++ b/internal/control/vmrows.go
@@ -39,14 +39,18 @@
 	// Failed is when the VM last failed. It is kept after the repair, so that a new
 	// coordinator knows why waves are paused.
 	Failed time.Time `json:"failed,omitzero"`
+	// Suspect is since when the VM does not answer polls, so that a new coordinator goes on
+	// counting towards its failure.
+	Suspect time.Time `json:"suspect,omitzero"`
 }
 
 // equalExceptToken reports whether two rows are equal except for the token of their writer.
 func (r vmRow) equalExceptToken(o vmRow) bool {
 	r.Token, o.Token = model.Token{}, model.Token{}
-	sinceEqual, failedEqual := r.Since.Equal(o.Since), r.Failed.Equal(o.Failed)
-	r.Since, o.Since, r.Failed, o.Failed = time.Time{}, time.Time{}, time.Time{}, time.Time{}
-	return r == o && sinceEqual && failedEqual
+	timesEqual := r.Since.Equal(o.Since) && r.Failed.Equal(o.Failed) && r.Suspect.Equal(o.Suspect)
+	r.Since, r.Failed, r.Suspect = time.Time{}, time.Time{}, time.Time{}
+	o.Since, o.Failed, o.Suspect = time.Time{}, time.Time{}, time.Time{}
+	return r == o && timesEqual
 }
 
 // vmRecord holds the coordinator's state of one VM of its data centre.
@@ -72,6 +76,13 @@
 	holdReason, holdDetail string
 }
 
+// row returns the row that is to be stored.
+func (r *vmRecord) row() vmRow {
+	row := r.current
+	row.Suspect = r.suspectSince
+	return row
+}
+
 // waveRow is the value of the table row "wave/<name>/<dc>".
 type waveRow struct {
 	// Start distinguishes the wave from an earlier one of the same name.
@@ -218,6 +229,7 @@
 		}
 		rec.current.Pool = pool
 		rec.rebootRequested, rec.rebootDoneAt = false, time.Time{}
+		c.adoptSuspect(name, rec, v.Suspect)
 	}
 }
 
@@ -301,8 +313,8 @@
 	t.planned = planned
 	for _, vm := range slices.Sorted(maps.Keys(c.fleet.vms)) {
 		r := c.fleet.vms[vm]
-		if v := c.cfg.index.VM(vm); v != nil && v.DC == c.self.DC && !r.current.equalExceptToken(r.stored) {
-			t.addVM(vm, r.current)
+		if v := c.cfg.index.VM(vm); v != nil && v.DC == c.self.DC && !r.row().equalExceptToken(r.stored) {
+			t.addVM(vm, r.row())
 		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(c.fleet.waves)) {
@@ -342,7 +354,7 @@
 	if _, ok := t.vms[vm]; ok || len(t.txn.Puts) >= maxRowsPerWrite {
 		return
 	}
-	row.Token = t.c.following.token
+	row.Token, row.Suspect = t.c.following.token, t.c.vmRecord(vm).suspectSince
 	t.vms[vm] = row
 	t.put(vmPrefix+string(vm), t.c.fleet.vms[vm].storedVersion, row)
 }
--- a/internal/control/waves_test.go
+++ b/internal/control/waves_test.go
@@ -199,6 +199,65 @@
 	})
 }
 
+// Guards against a VM that does not answer and never counts as failed, because each successor on
+// another entry VM begins to count anew; and against one that fails without leaving a poll of the
+// successor unanswered, or that a row which is out of date makes suspect.
+func TestSuccessorGoesOnCountingTowardsAFailure(t *testing.T) {
+	const takeover = 3 * time.Second // with the first polls of the successor
+	start := func(cl *cluster) (entry model.EntryVM, suspect time.Time) {
+		entry = cl.startServing(8, 100)
+		cl.mu.Lock()
+		cl.downMinions["a-vm-1"] = true
+		cl.mu.Unlock()
+		cl.eventually(6*time.Second, func() bool { return cl.vmStatus("a", "a-vm-1").Suspect }, "not suspect")
+		suspect = time.Now()
+		cl.advance(failSuspectAfter - takeover - 2*time.Second)
+		return entry, suspect
+	}
+	t.Run("down", func(t *testing.T) {
+		inBubble(t, map[model.DataCentre]int{"a": 2}, func(cl *cluster) {
+			entry, suspect := start(cl)
+			cl.nodes[entry].kill()
+			cl.eventually(time.Until(suspect.Add(failSuspectAfter+takeover)), func() bool {
+				return cl.vmStatus("a", "a-vm-1").State != model.VMServing
+			}, "not failed")
+			require.Greater(t, time.Since(suspect), failSuspectAfter-time.Second)
+		})
+	})
+	t.Run("up again", func(t *testing.T) {
+		inBubble(t, map[model.DataCentre]int{"a": 2}, func(cl *cluster) {
+			entry, _ := start(cl)
+			cl.nodes[entry].kill()
+			cl.mu.Lock()
+			cl.downMinions["a-vm-1"] = false
+			cl.mu.Unlock()
+			cl.awaitCoordinator("a", 6*time.Second)
+			for range 400 {
+				cl.advance(50 * time.Millisecond)
+				require.Equal(t, model.VMServing, cl.vmStatus("a", "a-vm-1").State)
+			}
+			require.False(t, cl.vmStatus("a", "a-vm-1").Suspect)
+			var row vmRow
+			require.NoError(t, json.Unmarshal(cl.store.row("vm/a-vm-1").Value, &row))
+			require.Zero(t, row.Suspect)
+		})
+	})
+	t.Run("old row", func(t *testing.T) {
+		inBubble(t, map[model.DataCentre]int{"a": 1}, func(cl *cluster) {
+			n := cl.nodes[cl.startServing(8, 100)].control
+			for _, age := range []time.Duration{suspectKeptFor / 2, 2 * suspectKeptFor} {
+				done := make(chan bool)
+				n.post(func() {
+					r := &vmRecord{current: vmRow{State: model.VMServing}}
+					n.adoptSuspect("a-vm-1", r, time.Now().Add(-age))
+					done <- !r.suspectSince.IsZero()
+				})
+				require.Equal(t, age < suspectKeptFor, <-done)
+			}
+		})
+	})
+}
+
 // Guards against planned steps that start without the table, and against steps in progress
 // that do not finish without it.
 func TestNoPlannedStepWithoutTable(t *testing.T) {
