prove: wave-faults waits for a coordinator before it pauses it

The coordinator of dc-2 had stepped down 0.1 s after its messages had been left unanswered for 1 s, because all processes were held up at that moment; the scenario asked once, in the time before the next one. A coordinator that does not run for longer than its lease has to give its role up, and no promise says that there is one at every instant. Change: loseCoordinators waits for a coordinator, as the scenarios of limits do before they pause or kill one; it fails if there is none within settleWithin.

--- a/bench/prove/waves.go
+++ b/bench/prove/waves.go
@@ -486,18 +486,18 @@
 func (e *Env) loseCoordinators(ctx context.Context) error {
 	dcs := e.Site.DataCentres
 	first, second := dcs[0].Name, dcs[1].Name
-	old, err := e.Coordinator(ctx, first)
-	if err != nil || old == "" {
-		return errors.Errorf("prove: no coordinator in %s: %v", first, err)
+	old, err := e.coordinator(ctx, first)
+	if err != nil {
+		return err
 	}
 	start := time.Now()
 	e.KillEntry(old)
 	if _, err := e.awaitCoordinator(ctx, first, old, start); err != nil {
 		return err
 	}
-	old, err = e.Coordinator(ctx, second)
-	if err != nil || old == "" {
-		return errors.Errorf("prove: no coordinator in %s: %v", second, err)
+	old, err = e.coordinator(ctx, second)
+	if err != nil {
+		return err
 	}
 	e.Say("Pausing %s.", old)
 	e.killed[old] = true
