coordinator: a start whose lease has expired no longer keeps its task

Cause: a task whose start got no answer left its minion only with an acknowledged stop, or with the end of all leases of the minion. Where no order reaches a minion and its polls are answered, neither ever comes; if some polls fail, the start was not even given up. A run that was stopped, known to have run, and gone with a restart of its minion waited for the acknowledgement as well. Found by reading, shown by TestTaskLeavesAMinionThatNoOrderReaches and TestStoppedTaskLeavesARestartedMinionThatNoOrderReaches: 20 s without a run, the whole test, in all four cases.

Change: all attempts of a start have one lease, which polls renew. Once it has expired no attempt can be carried out, so the run is over if a poll that was sent later does not list it; the same holds at once for a run that was running. A start is given up after 2 s also if some polls fail. A minion that loses a stop is chosen last for a second, as one that loses a start.

--- a/internal/coordinator/minions.go
+++ b/internal/coordinator/minions.go
@@ -123,6 +123,16 @@
 	t.log.Info().Str("minion", string(m.ID)).Int("tasks", len(m.Tasks)).Int64("born", incarnation).Msg("Coordinator: minion restarted.")
 	m.Restarted(incarnation, t.now, t.deps.Limits.MaxMinionLease)
 	m.NextPoll = t.now
+	// A start of which nothing is known may reach the new incarnation. The lease in it is on the clock of
+	// the one before.
+	for task := range m.Tasks {
+		if start := t.pendingStarts[task]; start != nil {
+			start.leaseUntil, start.expiresAt = 0, max(start.expiresAt, m.RunsExpireAt)
+		}
+		if stop := t.pendingStops[task]; stop != nil && stop.begunOrNever > t.now {
+			stop.begunOrNever = max(stop.begunOrNever, m.RunsExpireAt)
+		}
+	}
 }
 
 // rejectStaleStarts sends stop orders for starts that were sent to an earlier incarnation of a
--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -30,6 +30,8 @@
 	// polls and does not list the run. The task is then stopped there, and starts elsewhere: a
 	// long-running task must have a run again after 6 s.
 	startGiveUpAfter = time.Second
+	// startGiveUpAtLatest is the same for a minion that answers some polls.
+	startGiveUpAtLatest = 2 * time.Second
 	// givenUpAvoidance is how long a minion is chosen last after a start on it was given up. It exceeds
 	// the time that the stop of the start takes.
 	givenUpAvoidance = 5 * time.Second
@@ -54,21 +56,43 @@
 	tries    int
 	// unansweredSince is when the first attempt was given up without an answer, or 0.
 	unansweredSince time.Duration
+	// leaseUntil is the end of the lease in all attempts, on the minion's clock, or 0 before the first one
+	// to the present incarnation. expiresAt is when the leases in all attempts have expired: the minion
+	// rejects a start that arrives after that.
+	leaseUntil int64
+	expiresAt  time.Duration
 }
 
-// giveUp reports whether the start is to be given up, because only starts do not reach the minion. Where
-// polls fail as well, a stop would have no better chance to arrive than the start.
+// giveUp reports whether the start is to be given up, because starts do not reach the minion and polls do.
+// Where polls fail as well, a stop has no better chance to arrive than the start, but the task must not wait
+// for either without a bound.
 func (s *pendingStart) giveUp() bool {
-	return s.unansweredSince != 0 && s.minion.LastPollFailure < s.unansweredSince && s.minion.LastReported > s.unansweredSince+startGiveUpAfter
+	after := startGiveUpAfter
+	if s.minion.LastPollFailure >= s.unansweredSince {
+		after = startGiveUpAtLatest
+	}
+	return s.unansweredSince != 0 && s.minion.LastReported > s.unansweredSince+after
 }
 
 // pendingStop is a stop order whose run is not known to have ended.
 type pendingStop struct {
 	inFlight bool
 	nextSend time.Duration
-	// answered is when the minion first acknowledged the stop, or 0. From then on the run can't begin
-	// there, so it is over once a poll that was sent later does not list it.
-	answered time.Duration
+	// begunOrNever is from when on the run has begun or can't begin any more: it was running, the minion
+	// has acknowledged the stop, or the leases in its starts have expired. It is over once a poll that was
+	// sent later does not list it.
+	begunOrNever time.Duration
+}
+
+// newPendingStop returns the stop of a task's run, which start orders if its outcome is not known.
+func (t *Term) newPendingStop(task *jobs.Task, start *pendingStart) *pendingStop {
+	switch {
+	case task.Phase == jobs.Running:
+		return &pendingStop{begunOrNever: task.PhaseSince}
+	case start != nil:
+		return &pendingStop{begunOrNever: max(t.now, start.expiresAt)}
+	}
+	return &pendingStop{begunOrNever: never}
 }
 
 // startTask assigns a task to a minion and orders a run of it.
@@ -104,7 +128,13 @@
 	start.tries++
 	m.LastStart = t.now
 	m.StartsInFlight++
-	order := site.StartOrder{Task: task.Name(), Run: task.Run, Payload: task.Step.Job.Spec.Payload, LeaseUntil: m.GrantLease(t.now, t.runLease), Checkpoint: task.Checkpoint}
+	if start.leaseUntil == 0 {
+		// Polls renew it. A new lease in each attempt would extend the time for which an attempt may be
+		// carried out late.
+		start.leaseUntil = m.GrantLease(t.now, t.runLease)
+		start.expiresAt = max(start.expiresAt, m.RunsExpireAt)
+	}
+	order := site.StartOrder{Task: task.Name(), Run: task.Run, Payload: task.Step.Job.Spec.Payload, LeaseUntil: start.leaseUntil, Checkpoint: task.Checkpoint}
 	to := addressOf(m)
 	var clock int64
 	var at time.Duration
@@ -222,12 +252,12 @@
 		return
 	}
 	t.log.Info().Str("task", task.Name()).Int("run", task.Run).Str("minion", string(task.Minion)).Str("reason", string(reason)).Msg("Coordinator: stop.")
-	t.registry.Stop(task, reason, t.now)
-	delete(t.pendingStarts, task)
 	if t.pendingStops[task] == nil {
-		t.pendingStops[task] = &pendingStop{}
+		t.pendingStops[task] = t.newPendingStop(task, t.pendingStarts[task])
 		t.ordersChanged = true
 	}
+	t.registry.Stop(task, reason, t.now)
+	delete(t.pendingStarts, task)
 }
 
 func (t *Term) sendStop(task *jobs.Task, stop *pendingStop, m *holding.Minion) {
@@ -245,9 +275,7 @@
 	}
 	switch {
 	case err == nil:
-		if stop.answered == 0 {
-			stop.answered = t.now
-		}
+		stop.begunOrNever = min(stop.begunOrNever, t.now)
 		stop.nextSend = t.now + stopRepeatInterval
 		m.NextPoll = min(m.NextPoll, t.now+t.pollGap)
 	case errors.Is(err, site.ErrOtherIncarnation):
@@ -255,6 +283,7 @@
 	case site.RefusalOf(err) == site.RefusedFenced:
 		t.End(errors.Wrap(err, "coordinator: replaced"))
 	default:
+		m.AvoidUntil = max(m.AvoidUntil, t.now+suspectDuration)
 		t.log.Info().Err(err).Str("task", task.Name()).Str("minion", string(m.ID)).Msg("Coordinator: stop not acknowledged yet.")
 	}
 }
--- a/internal/coordinator/reports.go
+++ b/internal/coordinator/reports.go
@@ -95,6 +95,9 @@
 	switch {
 	case task.Active() && task.Minion == m.ID && task.Run == run.Run:
 		seen[task] = true
+		if stop := t.pendingStops[task]; stop != nil {
+			stop.begunOrNever = min(stop.begunOrNever, t.now)
+		}
 		task.Percent = run.Percent
 		if run.Checkpoint != "" {
 			task.Checkpoint = run.Checkpoint
@@ -142,7 +145,7 @@
 		t.log.Warn().Str("task", task.Name()).Int("run", task.Run).Str("minion", string(task.Minion)).Msg("Coordinator: run is gone.")
 		t.requeue(task)
 	case task.Phase == jobs.Stopping:
-		if s := t.pendingStops[task]; s != nil && s.answered != 0 && s.answered < sent {
+		if s := t.pendingStops[task]; s != nil && s.begunOrNever < sent {
 			t.requeueBecause(task, "stopped_run_not_listed")
 		}
 	}
