coordinator: no start is sent again before the clock of a restarted minion is known

Cause: the list of minions tells of a restart under the same id; the clock of the new incarnation is then unknown until its next poll. A start without an answer was sent again meanwhile, with a lease computed from a clock of 0. If the minion does not answer then, or at any time before that, its tasks stay without a run all the while, although other minions have capacity.

Change: such a start waits for the clock. The poll that tells it is due at once; if it fails, the minion counts as silent and the end of its leases is known.

--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -302,6 +302,9 @@
 		case start.inFlight || t.now < start.nextSend:
 		case unresponsive && start.tries == 0:
 			t.requeueBecause(task, "start_not_sent_minion_silent")
+		case !start.minion.ClockKnown():
+			// It has restarted. The next poll, which is due, tells its clock, without which no lease can be
+			// granted.
 		case unresponsive:
 			// A start is not sent again to a minion that does not answer: each one would extend the
 			// lease that the minion may hold.
--- /dev/null
+++ b/internal/coordinator/unknownclock_test.go
@@ -0,0 +1,46 @@
+package coordinator
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"boragepulley/internal/jobs"
+	"boragepulley/internal/site"
+	"boragepulley/standins/fleet"
+)
+
+// Guards against a task that waits for a minion for a share of the coordinator's uptime: the list of
+// minions tells of a restart, a start is sent again before the clock of the new incarnation is known, and
+// the minion falls silent. The lease in that start must not be computed from a clock that is not known.
+func TestNoLeaseIsGrantedOnAnUnknownClock(t *testing.T) {
+	for after := 20 * time.Millisecond; after <= 900*time.Millisecond; after += 40 * time.Millisecond {
+		t.Run(after.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ts := newTestSite(t, 1)
+				ts.minions.Work = runForever
+				term := ts.startTerm("e1", nil)
+				defer endTerm(term)
+				sleep(time.Second)
+				ts.minions.SetRefuse(func(op string, _ jobs.Minion) error {
+					if op == "start" {
+						return site.ErrNoAnswer
+					}
+					return nil
+				})
+				ts.submitJob(term, slowJob, longRunningStep(1))
+				sleep(after)
+				ts.minions.Restart("m0")
+				ts.minions.Change("m0", func(m *fleet.Minion) { m.Cut = true })
+				ts.list("m0")
+				ts.addMinion("m1")
+				ts.minions.SetRefuse(nil)
+				left := time.Duration(float64(6*time.Second)*1.02) + 1650*time.Millisecond
+				require.LessOrEqual(t, ts.watchGaps(1, 30*time.Second), left+restartTime)
+				ts.requireNoViolations()
+			})
+		})
+	}
+}
--- a/internal/holding/holding.go
+++ b/internal/holding/holding.go
@@ -185,7 +185,7 @@
 }
 
 // GrantLease returns the end of a lease that lasts for duration from now, in milliseconds on the
-// minion's clock, and extends RunsExpireAt to it.
+// minion's clock, and extends RunsExpireAt to it. The clock must be known.
 func (m *Minion) GrantLease(now, duration time.Duration) int64 {
 	until := m.clock + (now - m.clockAt + duration).Milliseconds()
 	// A slow clock reaches the end of the lease later.
