coordinator: two waves do not take the same machine at a time

Cause: a wave drained a machine that another wave was already draining or had ordered to be maintained. If the platform refused the order of one (its rate limit is enough), the machine was given back for work while the order of the other was without an answer and was sent again.

Change: a wave takes no machine that another one is at; it comes to it later.

Measured: TestWavesDoNotShareAMachineAtATime. Before, the maintenance cut off four running tasks; now none, and both waves maintain the machine.

--- /dev/null
+++ b/internal/coordinator/lostmaintenance_test.go
@@ -0,0 +1,124 @@
+package coordinator
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+
+	"boragepulley/internal/fencing"
+	"boragepulley/internal/jobs"
+	"boragepulley/internal/model"
+	"boragepulley/internal/site"
+	"boragepulley/standins/fleet"
+)
+
+// lossyMachines is a machine service that maintains a machine once for each wave, as the platform does,
+// and to which orders of maintenance may be lost.
+type lossyMachines struct {
+	*fleet.MovingMachines
+	mu sync.Mutex
+	// fault decides over an order, given how many came before; nil means no fault.
+	fault func(n int) maintenanceFault // guarded by mu
+	count int                          // guarded by mu
+	begun map[string]bool              // guarded by mu
+	// onMaintain is called when a maintenance begins.
+	onMaintain func(name model.VM)
+}
+
+// maintenanceFault is what happens to an order of maintenance.
+type maintenanceFault int
+
+const (
+	noFault maintenanceFault = iota
+	requestLost
+	answerLost
+	rateLimited
+	// carriedOutLate orders get no answer and are carried out a second later.
+	carriedOutLate
+)
+
+func (l *lossyMachines) setFault(f func(n int) maintenanceFault) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fault, l.count = f, 0
+}
+
+func (l *lossyMachines) Maintain(ctx context.Context, fence site.MachineFence, name model.VM, wave int64) error {
+	l.mu.Lock()
+	fault := noFault
+	if l.fault != nil {
+		fault = l.fault(l.count)
+	}
+	l.count++
+	l.mu.Unlock()
+	switch fault {
+	case requestLost:
+		return errors.WithStack(site.ErrNoAnswer)
+	case rateLimited:
+		return errors.WithStack(site.ErrBusy)
+	case carriedOutLate:
+		time.AfterFunc(time.Second, func() { _ = l.carryOut(context.Background(), fence, name, wave) })
+		return errors.WithStack(site.ErrNoAnswer)
+	}
+	err := l.carryOut(ctx, fence, name, wave)
+	if fault == answerLost {
+		return errors.WithStack(site.ErrNoAnswer)
+	}
+	return err
+}
+
+func (l *lossyMachines) carryOut(ctx context.Context, fence site.MachineFence, name model.VM, wave int64) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	key := fmt.Sprint(name, " ", wave)
+	if l.begun[key] {
+		return nil
+	}
+	if l.onMaintain != nil {
+		l.onMaintain(name)
+	}
+	err := l.MovingMachines.Maintain(ctx, fence, name, wave)
+	l.begun[key] = err == nil
+	return err
+}
+
+// newLossySite is newBurstSite with lossyMachines, and a term. Each maintenance that cuts off a run fails
+// the test.
+func newLossySite(t *testing.T, machines int) (*burstSite, *lossyMachines) {
+	s := newBurstSite(t, machines, 0)
+	l := &lossyMachines{MovingMachines: s.moving, begun: map[string]bool{}}
+	l.onMaintain = func(name model.VM) {
+		minion := s.moving.MinionOf(name)
+		for _, x := range s.minions.States() {
+			if x.Entry.ID == minion && len(x.Running) > 0 {
+				t.Errorf("the maintenance of %s cuts off %v\n%s", name, x.Running, s.log.linesWith(string(name), "aintenance"))
+			}
+		}
+	}
+	s.fleet = fencing.NewFleet(s.minions, l)
+	s.startWithoutBurst()
+	return s, l
+}
+
+// Guards against a machine that takes work again although one wave's order for it may still be carried out,
+// because another wave has the same machine and the platform refused its order.
+func TestWavesDoNotShareAMachineAtATime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, l := newLossySite(t, 1)
+		l.setFault(func(n int) maintenanceFault {
+			return []maintenanceFault{requestLost, rateLimited, noFault}[min(n, 2)]
+		})
+		s.begin(site.Wave{ID: 1, Machines: []model.VM{"s0"}, Duration: time.Minute, MaxDown: 1})
+		s.begin(site.Wave{ID: 2, Machines: []model.VM{"s0"}, Duration: time.Minute, MaxDown: 1})
+		sleep(250 * time.Millisecond)
+		s.submitJob(s.term, slowJob, jobs.Step{Count: 4, Need: jobs.Resources{CPU: 1000}, LongRunning: true})
+		sleep(100 * time.Second)
+		require.Equal(t, 2, s.moving.Maintained("s0"))
+	})
+}
--- a/internal/coordinator/waiting_test.go
+++ b/internal/coordinator/waiting_test.go
@@ -36,7 +36,9 @@
 type burstSite struct {
 	*testSite
 	moving *fleet.MovingMachines
-	term   *Term
+	// fleet is moving and the minions, unless a test replaces it.
+	fleet fencing.Fleet
+	term  *Term
 }
 
 // newBurstSite returns a site with a number of machines for the service of long-running tasks and
@@ -48,6 +50,7 @@
 	ts.config.Queues = append(ts.config.Queues, site.Queue{Name: burstQueue, Host: "h", Prefix: "/burst/", Service: burstService, MaxAttempts: 3, Stretch: 2, Target: time.Second})
 	ts.config.Index()
 	s := &burstSite{testSite: ts, moving: fleet.NewMovingMachines(ts.minions, ts.store, standbyService)}
+	s.fleet = fencing.NewFleet(ts.minions, s.moving)
 	size := jobs.Resources{CPU: 4000, MemoryMB: 4000}
 	for i := range longRunning {
 		s.moving.Add(model.VM(fmt.Sprintf("s%d", i)), testService, size)
@@ -84,7 +87,7 @@
 func (s *burstSite) startWithoutBurst() {
 	view := &fleet.View{Store: s.store}
 	d := s.deps("e1", view)
-	d.Fleet = fencing.NewFleet(s.minions, s.moving)
+	d.Fleet = s.fleet
 	d.PredecessorStopped = true
 	held, err := lease.Acquire(s.t.Context(), view, d.Now, s.store.Row(lease.Key), lease.Row{Holder: d.Self.Entry, Addr: "a", Incarnation: d.Self.Incarnation})
 	require.NoError(s.t, err)
--- a/internal/coordinator/waves.go
+++ b/internal/coordinator/waves.go
@@ -205,8 +205,8 @@
 		case maintenanceDue:
 			remaining++
 			m, ok := t.machines.byName[machine.name]
-			if !ok || m.State != site.MachineUp || t.now < machine.nextTry || t.machines.moves[machine.name] != nil || t.machines.reclaims[machine.name].to != "" || t.hasReservedPlace(m.Minion) || !t.mayOrderMachine(machine.name) {
-				continue
+			if !ok || m.State != site.MachineUp || t.now < machine.nextTry || t.machines.moves[machine.name] != nil || t.machines.reclaims[machine.name].to != "" || t.hasReservedPlace(m.Minion) || !t.mayOrderMachine(machine.name) || t.inMaintenance(machine.name) {
+				continue // in maintenance for another wave, or not to be taken at the moment
 			}
 			tasks, longRunning := t.countTasks(machine)
 			due = append(due, waveCandidate{machine, tasks, longRunning, busy[m.Pool]})
