coordinator: a repeated order of maintenance does not end the runs of the machine's next minion

Cause: an order without an answer was sent again, as often as needed, whatever had become of the machine. If its minion had ended meanwhile, the next one took work, because only the one before was cordoned, and the order that arrived at last cut its runs off.

Change: an order is sent again only if a list of machines that was requested after it shows the machine unchanged. If it shows the maintenance, that has begun; if it shows another minion or state, the machine is drained again.

Measured: TestRepeatedMaintenanceCutsOffNoRun, with eight orders that do not arrive. The package passes with -race.

--- a/internal/coordinator/lostmaintenance_test.go
+++ b/internal/coordinator/lostmaintenance_test.go
@@ -106,6 +106,27 @@
 	return s, l
 }
 
+// Guards against an order of maintenance that is sent again, because its answer was lost, to a machine
+// whose minion has ended meanwhile, and cuts off the runs of the next one.
+func TestRepeatedMaintenanceCutsOffNoRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, l := newLossySite(t, 2)
+		l.setFault(func(n int) maintenanceFault {
+			if n < 8 {
+				return requestLost
+			}
+			return noFault
+		})
+		s.begin(site.Wave{ID: 1, Machines: []model.VM{"s0"}, Duration: 20 * time.Second, MaxDown: 1})
+		sleep(500 * time.Millisecond)
+		s.moving.Lose("s0", 0, 500*time.Millisecond)
+		s.submitJob(s.term, slowJob, jobs.Step{Count: 8, Need: jobs.Resources{CPU: 1000}, LongRunning: true})
+		sleep(60 * time.Second)
+		require.Equal(t, 1, s.moving.Maintained("s0"))
+		require.Contains(t, s.log.linesWith("wave completed"), "wave completed")
+	})
+}
+
 // Guards against a machine that takes work again although one wave's order for it may still be carried out,
 // because another wave has the same machine and the platform refused its order.
 func TestWavesDoNotShareAMachineAtATime(t *testing.T) {
--- a/internal/coordinator/waves.go
+++ b/internal/coordinator/waves.go
@@ -41,7 +41,7 @@
 // State machine:
 //
 //	due -> draining -> ordered -> down -> done
-//	           |          '-> due (refused)
+//	           |          '-> due (refused, or the machine has changed)
 //	           '-> due (postponed, or the machine has changed)
 type maintenanceState uint8
 
@@ -73,6 +73,8 @@
 	// minion is the minion incarnation that the maintenance ends.
 	minion jobs.Minion
 	since  time.Duration
+	// answeredAt is when the last order was answered or given up.
+	answeredAt time.Duration
 	// seenDown is set once the list of machines has shown the machine as not up.
 	seenDown bool
 	// longRunning is the number of long-running tasks at the last look, lessSince when it last fell.
@@ -346,20 +348,16 @@
 func (t *Term) maintenanceAnswered(r *waveRun, machine *waveMachine, err error) {
 	machine.inFlight = false
 	t.machineOrderAnswered(machine.name)
-	machine.nextTry = t.now + waveRetryDelay
+	machine.nextTry, machine.answeredAt = t.now+waveRetryDelay, t.now
 	switch {
 	case err == nil:
-		machine.state, machine.since = maintenanceDown, t.now
-		counters.Add("maintenances", 1)
-		t.removeMinion(machine.minion)
-		t.log.Info().Int64("wave", r.wave.ID).Str("machine", string(machine.name)).Msg("Coordinator: maintenance began.")
-		t.storeWave(r)
+		t.maintenanceBegan(r, machine)
 	case site.RefusalOf(err) == site.RefusedNotInWave:
 		t.log.Warn().Int64("wave", r.wave.ID).Str("machine", string(machine.name)).Msg("Coordinator: machine is not part of the wave.")
 		t.uncordon(machine.minion)
 		machine.state = maintenanceDone
 	case errors.Is(err, site.ErrNoAnswer), errors.Is(err, site.ErrNotSent):
-		// This order or an earlier one may have been carried out. It is sent again, which is safe.
+		// This order or an earlier one may have been carried out. It is sent again, see repeatMaintenance.
 	default:
 		t.log.Info().Err(err).Int64("wave", r.wave.ID).Str("machine", string(machine.name)).Msg("Coordinator: maintenance refused.")
 		t.uncordon(machine.minion)
@@ -367,14 +365,43 @@
 	}
 }
 
+func (t *Term) maintenanceBegan(r *waveRun, machine *waveMachine) {
+	machine.state, machine.since = maintenanceDown, t.now
+	counters.Add("maintenances", 1)
+	t.removeMinion(machine.minion)
+	t.log.Info().Int64("wave", r.wave.ID).Str("machine", string(machine.name)).Msg("Coordinator: maintenance began.")
+	t.storeWave(r)
+}
+
+// repeatMaintenance sends an order without an answer again, if a list of machines that was requested after
+// it shows the machine unchanged. The machine's next minion is not cordoned: an order would cut off its runs.
+func (t *Term) repeatMaintenance(r *waveRun, machine *waveMachine) {
+	m, listed := t.machines.byName[machine.name]
+	switch {
+	case !listed || t.machines.knownAt <= machine.answeredAt:
+	case m.State == site.MachineMaintenance:
+		t.maintenanceBegan(r, machine)
+	case m.State != site.MachineUp || m.Minion != machine.minion:
+		t.drainAgain(machine)
+	case t.now >= machine.nextTry:
+		t.orderMaintenance(r, machine)
+	}
+}
+
+// drainAgain makes a machine due that went down, or runs a new incarnation of its minion.
+func (t *Term) drainAgain(machine *waveMachine) {
+	t.uncordon(machine.minion)
+	machine.state, machine.nextTry = maintenanceDue, t.now+waveRetryDelay
+}
+
 // advanceMachine detects the end of a machine's maintenance, repeats a lost order, and stops
 // draining a machine that has changed meanwhile.
 func (t *Term) advanceMachine(r *waveRun, machine *waveMachine) {
 	m, listed := t.machines.byName[machine.name]
 	switch machine.state {
 	case maintenanceOrdered:
-		if !machine.inFlight && t.now >= machine.nextTry {
-			t.orderMaintenance(r, machine)
+		if !machine.inFlight {
+			t.repeatMaintenance(r, machine)
 		}
 	case maintenanceDown:
 		if !listed || t.machines.knownAt <= machine.since {
@@ -390,9 +417,7 @@
 		}
 	case maintenanceDraining:
 		if listed && (m.State != site.MachineUp || m.Minion != machine.minion) {
-			// The machine went down, or runs a new incarnation of its minion.
-			t.uncordon(machine.minion)
-			machine.state, machine.nextTry = maintenanceDue, t.now+waveRetryDelay
+			t.drainAgain(machine)
 		}
 	}
 }
