coordinator: a refused order gives no machine back while an earlier one has no answer

Cause: after an order of maintenance without an answer, a refusal of the next attempt (a rate limit, say) counted for both: the machine was given back for work. The first order may be carried out later.

Change: such a machine stays cordoned and the order is sent again, until it is carried out, or the list of machines shows another minion or state.

Measured: TestRefusalAfterALostAnswerGivesNoMachineBack, with an order that is carried out a second late. The package passes with -race.

--- a/internal/coordinator/lostmaintenance_test.go
+++ b/internal/coordinator/lostmaintenance_test.go
@@ -127,6 +127,22 @@
 	})
 }
 
+// Guards against a machine that takes work again although an order of maintenance without an answer may
+// still be carried out, because the platform's rate limit refused the next attempt.
+func TestRefusalAfterALostAnswerGivesNoMachineBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, l := newLossySite(t, 1)
+		l.setFault(func(n int) maintenanceFault {
+			return []maintenanceFault{carriedOutLate, rateLimited, rateLimited, noFault}[min(n, 3)]
+		})
+		s.begin(site.Wave{ID: 1, Machines: []model.VM{"s0"}, Duration: time.Minute, MaxDown: 1})
+		sleep(200 * time.Millisecond)
+		s.submitJob(s.term, slowJob, jobs.Step{Count: 4, Need: jobs.Resources{CPU: 1000}, LongRunning: true})
+		sleep(30 * time.Second)
+		require.Equal(t, 1, s.moving.Maintained("s0"))
+	})
+}
+
 // Guards against a machine that takes work again although one wave's order for it may still be carried out,
 // because another wave has the same machine and the platform refused its order.
 func TestWavesDoNotShareAMachineAtATime(t *testing.T) {
--- a/internal/coordinator/waves.go
+++ b/internal/coordinator/waves.go
@@ -73,8 +73,10 @@
 	// minion is the minion incarnation that the maintenance ends.
 	minion jobs.Minion
 	since  time.Duration
-	// answeredAt is when the last order was answered or given up.
+	// answeredAt is when the last order was answered or given up. unanswered is set if an order got no
+	// answer since the machine was drained: it may be carried out yet.
 	answeredAt time.Duration
+	unanswered bool
 	// seenDown is set once the list of machines has shown the machine as not up.
 	seenDown bool
 	// longRunning is the number of long-running tasks at the last look, lessSince when it last fell.
@@ -356,8 +358,10 @@
 		t.log.Warn().Int64("wave", r.wave.ID).Str("machine", string(machine.name)).Msg("Coordinator: machine is not part of the wave.")
 		t.uncordon(machine.minion)
 		machine.state = maintenanceDone
-	case errors.Is(err, site.ErrNoAnswer), errors.Is(err, site.ErrNotSent):
-		// This order or an earlier one may have been carried out. It is sent again, see repeatMaintenance.
+	case errors.Is(err, site.ErrNoAnswer), errors.Is(err, site.ErrNotSent), machine.unanswered:
+		// This order or an earlier one may have been carried out, or may yet be. It is sent again, see
+		// repeatMaintenance.
+		machine.unanswered = machine.unanswered || errors.Is(err, site.ErrNoAnswer)
 	default:
 		t.log.Info().Err(err).Int64("wave", r.wave.ID).Str("machine", string(machine.name)).Msg("Coordinator: maintenance refused.")
 		t.uncordon(machine.minion)
@@ -391,7 +395,7 @@
 // drainAgain makes a machine due that went down, or runs a new incarnation of its minion.
 func (t *Term) drainAgain(machine *waveMachine) {
 	t.uncordon(machine.minion)
-	machine.state, machine.nextTry = maintenanceDue, t.now+waveRetryDelay
+	machine.state, machine.nextTry, machine.unanswered = maintenanceDue, t.now+waveRetryDelay, false
 }
 
 // advanceMachine detects the end of a machine's maintenance, repeats a lost order, and stops
