coordinator: a minion that did not end with an order for its machine gets work again

Cause: the platform answers a repeated order of maintenance as carried out. A new coordinator that repeats one, because the answer to its predecessor was lost, counted the machine's present minion as ended and passed over its entries in the list of minions for the rest of its term.

Measured: TestMachineIsUsedAfterARepeatedMaintenance.

--- a/internal/coordinator/lostmaintenance_test.go
+++ b/internal/coordinator/lostmaintenance_test.go
@@ -127,6 +127,31 @@
 	})
 }
 
+// Guards against an order that a new coordinator sends again and that is answered as one that has been
+// carried out before, which keeps the machine's present minion without work for the rest of the term.
+func TestMachineIsUsedAfterARepeatedMaintenance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, l := newLossySite(t, 1)
+		l.setFault(func(int) maintenanceFault { return answerLost })
+		s.begin(site.Wave{ID: 1, Machines: []model.VM{"s0"}, Duration: time.Minute, MaxDown: 1})
+		for s.moving.Maintained("s0") == 0 {
+			sleep(10 * time.Millisecond)
+		}
+		endTerm(s.term)
+		sleep(4 * time.Second) // the machine's next minion has joined
+		l.setFault(nil)
+		s.startWithoutBurst()
+		for end := time.Now().Add(15 * time.Second); time.Now().Before(end); sleep(time.Second) {
+			s.list(s.moving.MinionOf("s0")) // a minion writes its entry all the time
+		}
+		s.submitJob(s.term, "f000000000000001", step(1))
+		sleep(3 * time.Second)
+		require.Equal(t, jobs.StateCompleted, s.state(s.term, "f000000000000001"), s.log.linesWith("aintenance", "wave"))
+		require.Equal(t, 1, s.moving.Maintained("s0"))
+		require.Contains(t, s.log.linesWith("wave completed"), "wave completed")
+	})
+}
+
 // Guards against a machine that takes work again although an order of maintenance without an answer may
 // still be carried out, because the platform's rate limit refused the next attempt.
 func TestRefusalAfterALostAnswerGivesNoMachineBack(t *testing.T) {
--- a/internal/coordinator/machines.go
+++ b/internal/coordinator/machines.go
@@ -96,6 +96,7 @@
 			if since, ok := s.unlistedSince[m.Minion]; ok {
 				unlisted[m.Minion] = since
 			}
+			t.keepMinion(m, requestedAt)
 		}
 		mv := s.moves[m.Name]
 		if mv == nil || mv.inFlight || mv.orderedAt >= requestedAt {
@@ -130,6 +131,15 @@
 	t.machines.endedMinions[id] = m.Incarnation
 }
 
+// keepMinion uses a minion again that did not end with the order that was thought to have ended it: an order
+// that was carried out before, by an earlier coordinator, is answered like one that is carried out now.
+func (t *Term) keepMinion(m site.Machine, requestedAt time.Duration) {
+	if _, ended := t.machines.endedMinions[m.Minion]; ended && requestedAt > t.machines.lastOrder[m.Name]+unseenAfter {
+		delete(t.machines.endedMinions, m.Minion) // its next entry in the list of minions adds it
+		t.log.Info().Str("machine", string(m.Name)).Str("minion", string(m.Minion)).Msg("Coordinator: minion did not end with the order for its machine.")
+	}
+}
+
 // uncordon allows new work on a minion again after the order for which it was cordoned was not
 // carried out.
 func (t *Term) uncordon(id jobs.Minion) {
