coordinator: a move counts as failed 4 s after its order was sent, not after it was decided

Cause: the order for a machine is sent once the store has its row. While the store was away for longer than moveTimeout and the other entry VMs' promises let the term go on, the time was over before the order was sent. If its answer was lost, the next list of machines gave the machine back for work, and the order that was still being carried out cut that off.

Change: the time begins with the sending.

Measured: TestMoveThatWaitedForTheStoreCutsOffNoRun, with a move that is carried out a second late. The package passes with -race.

--- a/internal/coordinator/machineorders.go
+++ b/internal/coordinator/machineorders.go
@@ -20,7 +20,8 @@
 }
 
 type move struct {
-	to        model.Service
+	to model.Service
+	// orderedAt is when the order was sent, or queued before that.
 	orderedAt time.Duration
 	// minion is the minion incarnation that the move ends.
 	minion   jobs.Minion
@@ -123,6 +124,7 @@
 	t.machines.moves[mv.Machine] = pending
 	t.log.Info().Str("machine", string(mv.Machine)).Str("from", string(m.Pool)).Str("to", string(mv.To)).Msg("Coordinator: moving machine.")
 	t.queueMachineOrder(mv.Machine, func() {
+		pending.orderedAt = t.now
 		t.sendOrder(machineCallTimeout, func(ctx context.Context) error { return t.orders.Move(ctx, mv.Machine, mv.To) },
 			func(err error) { t.moveAnswered(mv.Machine, pending, err) })
 	})
