coordinator: an order that waited for the store is dropped if the machine runs another minion

Cause: a move or a maintenance is decided for a machine that is empty and cordoned, and sent once the store has its row. If the machine's minion ended meanwhile, the next one was not cordoned and took work as soon as the store was back, and the order that was sent then cut its runs off.

Change: before it is sent, the order is compared with the list of machines. If the machine runs another minion, the move is given up, or the machine is drained again.

Measured: TestOrderThatWaitedForTheStoreCutsOffNoRun, with orders that are carried out a second late. Before, the moves and the maintenance of several machines cut off four tasks each; now none. The package passes with -race.

--- a/internal/coordinator/lostmove_test.go
+++ b/internal/coordinator/lostmove_test.go
@@ -81,3 +81,41 @@
 		sleep(10 * time.Second)
 	})
 }
+
+// Guards against an order for a machine that waits for the store while the machine's minion ends, and cuts
+// off the runs of the next one.
+func TestOrderThatWaitedForTheStoreCutsOffNoRun(t *testing.T) {
+	for order, wave := range map[string]bool{"move": false, "maintenance": true} {
+		t.Run(order, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newBurstSite(t, 2, 4)
+				l := &lossyMachines{MovingMachines: s.moving, begun: map[string]bool{}, onMaintain: func(name model.VM) { s.requireNothingRunsOn(name, "maintenance") }}
+				l.setFault(func(int) maintenanceFault { return carriedOutLate })
+				machines := site.Machines(l)
+				if !wave {
+					machines = &lateMoves{MovingMachines: s.moving, after: time.Second, onMove: func(name model.VM) { s.requireNothingRunsOn(name, "move") }}
+				}
+				var cut atomic.Bool
+				s.startOnPromises(machines, &cut)
+				if wave {
+					s.submitTo(s.term, burstQueue, burstService, "f000000000000000", jobs.Step{Count: 16, Need: jobs.Resources{CPU: 1000}, Estimate: time.Second})
+					sleep(200 * time.Millisecond)
+					s.begin(site.Wave{ID: 1, Machines: []model.VM{"b0", "b1", "b2", "b3"}, Duration: 15 * time.Second, MaxDown: 4})
+					s.waitForLine("draining machine")
+				}
+				cut.Store(true)
+				if !wave {
+					s.waitForLine("moving machine")
+				}
+				sleep(1500 * time.Millisecond)
+				for _, name := range []model.VM{"b0", "b1", "b2", "b3"} {
+					s.moving.Lose(name, 0, 500*time.Millisecond)
+				}
+				sleep(2 * time.Second)
+				s.submitTo(s.term, burstQueue, burstService, "f000000000000001", jobs.Step{Count: 100, Need: jobs.Resources{CPU: 1000}, Estimate: 700 * time.Millisecond})
+				cut.Store(false)
+				sleep(10 * time.Second)
+			})
+		})
+	}
+}
--- a/internal/coordinator/machineorders.go
+++ b/internal/coordinator/machineorders.go
@@ -16,7 +16,11 @@
 // machineOrder is a queued order for a machine.
 type machineOrder struct {
 	machine model.VM
-	send    func()
+	// minion is the minion incarnation that the order ends, which takes no new work.
+	minion jobs.Minion
+	send   func()
+	// drop is called in place of send if the machine runs another minion by then.
+	drop func()
 }
 
 type move struct {
@@ -44,12 +48,24 @@
 // for a machine.
 func (t *Term) mayOrderMachine(name model.VM) bool { return t.now >= t.machines.blockedUntil[name] }
 
-// queueMachineOrder queues an order for a machine. It is sent once it is recorded for a successor.
-func (t *Term) queueMachineOrder(name model.VM, send func()) {
-	t.machines.queuedOrders = append(t.machines.queuedOrders, machineOrder{name, send})
+// queueMachineOrder queues an order for a machine. It is sent once it is recorded for a successor, which
+// may be long after, because the store is away.
+func (t *Term) queueMachineOrder(o machineOrder) {
+	t.machines.queuedOrders = append(t.machines.queuedOrders, o)
 	t.writer.urgent = true
 }
 
+// sendMachineOrder sends a queued order, or drops it.
+func (t *Term) sendMachineOrder(o machineOrder) {
+	if t.machines.byName[o.machine].Minion != o.minion {
+		t.log.Info().Str("machine", string(o.machine)).Str("minion", string(o.minion)).Msg("Coordinator: order dropped, the machine runs another minion.")
+		o.drop()
+		return
+	}
+	t.machineOrderAnswered(o.machine)
+	o.send()
+}
+
 // machineOrderAnswered records the time at which an order was sent, was answered or timed out.
 func (t *Term) machineOrderAnswered(name model.VM) { t.machines.lastOrder[name] = t.now }
 
@@ -91,8 +107,7 @@
 		s.orderRowStored = len(ages) > 0
 		s.queuedOrders = s.queuedOrders[len(orders):]
 		for _, o := range orders {
-			t.machineOrderAnswered(o.machine)
-			o.send()
+			t.sendMachineOrder(o)
 		}
 	})
 }
@@ -123,11 +138,12 @@
 	pending := &move{to: mv.To, orderedAt: t.now, minion: m.Minion, inFlight: true}
 	t.machines.moves[mv.Machine] = pending
 	t.log.Info().Str("machine", string(mv.Machine)).Str("from", string(m.Pool)).Str("to", string(mv.To)).Msg("Coordinator: moving machine.")
-	t.queueMachineOrder(mv.Machine, func() {
+	send := func() {
 		pending.orderedAt = t.now
 		t.sendOrder(machineCallTimeout, func(ctx context.Context) error { return t.orders.Move(ctx, mv.Machine, mv.To) },
 			func(err error) { t.moveAnswered(mv.Machine, pending, err) })
-	})
+	}
+	t.queueMachineOrder(machineOrder{mv.Machine, pending.minion, send, func() { delete(t.machines.moves, mv.Machine) }})
 }
 
 // moveAnswered handles the answer to a move order. If the answer was lost, the list of machines
--- a/internal/coordinator/waves.go
+++ b/internal/coordinator/waves.go
@@ -341,10 +341,15 @@
 
 func (t *Term) orderMaintenance(r *waveRun, machine *waveMachine) {
 	machine.state, machine.inFlight = maintenanceOrdered, true
-	t.queueMachineOrder(machine.name, func() {
+	send := func() {
 		t.sendOrder(machineCallTimeout, func(ctx context.Context) error { return t.orders.Maintain(ctx, machine.name, r.wave.ID) },
 			func(err error) { t.maintenanceAnswered(r, machine, err) })
-	})
+	}
+	drop := func() {
+		machine.inFlight = false
+		t.drainAgain(machine)
+	}
+	t.queueMachineOrder(machineOrder{machine.name, machine.minion, send, drop})
 }
 
 func (t *Term) maintenanceAnswered(r *waveRun, machine *waveMachine, err error) {
