schedule: no planned stop for tasks of a team above its lowered limit

Cause: the plan reserved a place for a long-running task of a draining machine without a look at its team's limit. After the limit was lowered below what the team uses, the task was stopped and could not start again.

Change: such a task has no place to go to. It goes on until its wave has no more time or its minion is about to be gone, as other tasks without a place.

Measured: TestNoPlannedStopAboveALoweredTeamLimit. Before, two of four tasks were without a run 14.8 s after they had been stopped, to the end of the watch; now each keeps its run for those 15 s, and the wave still ends in its time. Both packages pass with -race.

--- a/internal/schedule/relocate.go
+++ b/internal/schedule/relocate.go
@@ -6,8 +6,12 @@
 	"boragepulley/internal/jobs"
 )
 
-// relocateStep finds a place for each long-running task of a step that is to be stopped.
+// relocateStep finds a place for each long-running task of a step that is to be stopped. There is none if
+// the team uses more than its limit, because that was lowered: the tasks could not start again.
 func (p *planner) relocateStep(s *Step) {
+	if team := p.snap.Teams[s.Team]; team != nil && !team.fits(team.Used) {
+		return
+	}
 	p.plan.Relocate = append(p.plan.Relocate, p.reservePlaces(s, s.Relocating)...)
 }
 
