account: an unexpected error in a copy of records does not end the process

Cause: the goroutines that copy records to the peers, and the one that tells them what is stored, had no guard: a panic in one ended the process with all its callers.

Change: each round has a guard. A round that panics fails, the next one is on time, and the other peers and the store get their records.

Measured: TestUnexpectedErrorInReplicationEndsNothingElse ended the test process before; now it passes. The package passes with -race.

--- a/internal/account/account_test.go
+++ b/internal/account/account_test.go
@@ -274,6 +274,41 @@
 }
 func (hangingReplicator) Drop(ctx context.Context, _ uint64) { <-ctx.Done() }
 
+// panickingReplicator fails unexpectedly on each call.
+type panickingReplicator struct{}
+
+func (panickingReplicator) Target() model.EntryVM { return "broken" }
+func (panickingReplicator) Hold(context.Context, uint64, []byte) (model.Incarnation, error) {
+	panic("hold")
+}
+func (panickingReplicator) Drop(context.Context, uint64) { panic("drop") }
+
+// Guards against an unexpected error in the copy of records to one peer that ends the process, or the
+// storing of records and their copy to the other peers.
+func TestUnexpectedErrorInReplicationEndsNothingElse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemoryStore()
+		replicas := NewReplicaStore("entry-a-2", memoryObjects{m}, zerolog.Nop())
+		l := NewLedger(testOwner, m.services(), []Replicator{panickingReplicator{}, directReplicator{replicas, testOwner.Incarnation}}, zerolog.Nop(), time.Now)
+		ctx, cancel := context.WithCancel(t.Context())
+		go l.Run(ctx)
+		for i := range 5 {
+			l.Record(accepted(fmt.Sprint("job-", i), time.Now()))
+			l.Record(finished(fmt.Sprint("job-", i), time.Now(), model.StateRan, ""))
+			time.Sleep(storeInterval)
+		}
+		cancel()
+		synctest.Wait()
+		replicas.mu.Lock()
+		covered := replicas.byIncarnation[testOwner.Incarnation].coversUntil
+		replicas.mu.Unlock()
+		require.Less(t, time.Since(covered), 2*replicateInterval)
+		require.Less(t, time.Since(l.CoversUntil()), 2*storeInterval)
+		require.NoError(t, l.Close(t.Context()))
+		require.Equal(t, Counts{Accepted: 5, Ran: 5}, buildFrom(t, m, nil).Total)
+	})
+}
+
 // Guards against facts that are lost with all entry VMs of a data centre while the store is down: the
 // replicas in another data centre are stored once it is back.
 func TestFactsOutliveADataCentre(t *testing.T) {
--- a/internal/account/ledger.go
+++ b/internal/account/ledger.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"boragepulley/internal/guard"
 	"boragepulley/internal/model"
 	"boragepulley/internal/platform"
 )
@@ -163,13 +164,15 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	for _, r := range l.replicas {
-		wg.Go(func() { every(ctx, replicateInterval, func() { l.replicate(ctx, r) }) })
+		wg.Go(func() { l.every(ctx, replicateInterval, "replicating records", func() { l.replicate(ctx, r) }) })
 	}
 	lastStore := l.now()
-	if err := l.writeInitialRow(ctx); err != nil {
-		l.log.Warn().Err(err).Msg("Incarnation row not written; retrying.")
-	}
-	every(ctx, storeCheckInterval, func() {
+	_ = guard.Recover(l.log, "writing the incarnation row", func() {
+		if err := l.writeInitialRow(ctx); err != nil {
+			l.log.Warn().Err(err).Msg("Incarnation row not written; retrying.")
+		}
+	})
+	l.every(ctx, storeCheckInterval, "storing records", func() {
 		if l.pendingFacts() < storeFactCount && l.now().Sub(lastStore) < storeInterval {
 			return
 		}
@@ -183,8 +186,8 @@
 	})
 }
 
-// every calls f once per interval until ctx ends.
-func every(ctx context.Context, interval time.Duration, f func()) {
+// every calls f once per interval until ctx ends. A call that panics fails; the next one is on time.
+func (l *Ledger) every(ctx context.Context, interval time.Duration, what string, f func()) {
 	tick := time.NewTicker(interval)
 	defer tick.Stop()
 	for {
@@ -192,7 +195,7 @@
 		case <-ctx.Done():
 			return
 		case <-tick.C:
-			f()
+			_ = guard.Recover(l.log, what, f) // logged there
 		}
 	}
 }
@@ -381,7 +384,9 @@
 	defer cancel()
 	var wg sync.WaitGroup
 	for _, r := range l.replicas {
-		wg.Go(func() { r.Drop(ctx, through) })
+		wg.Go(func() {
+			_ = guard.Recover(l.log, "dropping replicas", func() { r.Drop(ctx, through) }) // logged there
+		})
 	}
 	wg.Wait()
 }
