coordinator: a new coordinator gives no work to a minion that its predecessor's order may end

Cause: a successor knew from duty/recent which machines it may not order for 3.5 s, and started tasks there at once. An order of its predecessor that the platform was still carrying out cut them off; an orderly handover takes 20 to 40 ms.

Change: while an order for a minion's machine is queued or has no answer, the minion's row says so. The row is written in the transaction that puts the machine into duty/recent. A successor gives such a minion no new work for as long as it does not order the machine, then clears the row. Minions whose order was answered are not held up.

Measured: TestOrderOfAPredecessorCutsOffNoRun, with orders that are carried out a second late and a handover 0.2 s after. The package passes with -race.

--- a/internal/coordinator/lostmove_test.go
+++ b/internal/coordinator/lostmove_test.go
@@ -119,3 +119,34 @@
 		})
 	}
 }
+
+// Guards against a new coordinator that starts tasks on a machine for which its predecessor has sent an order
+// that is still being carried out.
+func TestOrderOfAPredecessorCutsOffNoRun(t *testing.T) {
+	for order, wave := range map[string]bool{"move": false, "maintenance": true} {
+		t.Run(order, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newBurstSite(t, 2, 4)
+				l := &lossyMachines{MovingMachines: s.moving, begun: map[string]bool{}, onMaintain: func(name model.VM) { s.requireNothingRunsOn(name, "maintenance") }}
+				l.setFault(func(int) maintenanceFault { return carriedOutLate })
+				s.fleet = fencing.NewFleet(s.minions, l)
+				if !wave {
+					s.fleet = fencing.NewFleet(s.minions, &lateMoves{MovingMachines: s.moving, after: time.Second, onMove: func(name model.VM) { s.requireNothingRunsOn(name, "move") }})
+				}
+				s.startWithoutBurst()
+				if wave {
+					s.begin(site.Wave{ID: 1, Machines: []model.VM{"b0", "b1", "b2", "b3"}, Duration: 30 * time.Second, MaxDown: 4})
+					s.waitForLine("draining machine")
+				} else {
+					s.waitForLine("moving machine")
+				}
+				sleep(200 * time.Millisecond)
+				require.NoError(t, s.term.Release(t.Context()))
+				s.submitTo(nil, burstQueue, burstService, "f000000000000001", jobs.Step{Count: 100, Need: jobs.Resources{CPU: 1000}, Estimate: 700 * time.Millisecond})
+				s.startWithoutBurst()
+				sleep(20 * time.Second)
+				require.Equal(t, jobs.StateCompleted, s.state(s.term, "f000000000000001"))
+			})
+		})
+	}
+}
--- a/internal/coordinator/machineorders.go
+++ b/internal/coordinator/machineorders.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"boragepulley/internal/capacity"
+	"boragepulley/internal/holding"
 	"boragepulley/internal/jobs"
 	"boragepulley/internal/model"
 	"boragepulley/internal/site"
@@ -53,6 +54,20 @@
 func (t *Term) queueMachineOrder(o machineOrder) {
 	t.machines.queuedOrders = append(t.machines.queuedOrders, o)
 	t.writer.urgent = true
+	if m := t.minions[o.minion]; m != nil {
+		t.setOrdered(m, true)
+	}
+}
+
+// setOrdered records that an order that ends a minion may be carried out, or may not any more.
+func (t *Term) setOrdered(m *holding.Minion, ordered bool) {
+	if m.Ordered == ordered && m.OrderedUntil == 0 {
+		return
+	}
+	m.Ordered, m.OrderedUntil = ordered, 0
+	if m.Recorded {
+		t.writer.newMinions[m] = true
+	}
 }
 
 // sendMachineOrder sends a queued order, or drops it.
@@ -143,7 +158,10 @@
 		t.sendOrder(machineCallTimeout, func(ctx context.Context) error { return t.orders.Move(ctx, mv.Machine, mv.To) },
 			func(err error) { t.moveAnswered(mv.Machine, pending, err) })
 	}
-	t.queueMachineOrder(machineOrder{mv.Machine, pending.minion, send, func() { delete(t.machines.moves, mv.Machine) }})
+	t.queueMachineOrder(machineOrder{mv.Machine, pending.minion, send, func() {
+		delete(t.machines.moves, mv.Machine)
+		t.uncordon(pending.minion)
+	}})
 }
 
 // moveAnswered handles the answer to a move order. If the answer was lost, the list of machines
--- a/internal/coordinator/machines.go
+++ b/internal/coordinator/machines.go
@@ -143,7 +143,14 @@
 // uncordon allows new work on a minion again after the order for which it was cordoned was not
 // carried out.
 func (t *Term) uncordon(id jobs.Minion) {
-	if m := t.minions[id]; m != nil && (m.Cordoned || m.Draining) {
+	m := t.minions[id]
+	if m == nil {
+		return
+	}
+	if m.Ordered {
+		t.setOrdered(m, false)
+	}
+	if m.Cordoned || m.Draining {
 		m.Cordoned, m.Draining = false, false
 		t.needsPlan = true
 	}
--- a/internal/coordinator/minions.go
+++ b/internal/coordinator/minions.go
@@ -68,7 +68,7 @@
 
 // usable reports whether new work may be assigned to a minion.
 func (t *Term) usable(m *holding.Minion) bool {
-	return m.Listed && !m.Leaving && !m.Cordoned && m.Recorded && m.Polled && m.FailedPolls == 0 && m.ClockKnown()
+	return m.Listed && !m.Leaving && !m.Cordoned && t.now >= m.OrderedUntil && m.Recorded && m.Polled && m.FailedPolls == 0 && m.ClockKnown()
 }
 
 // checkMinions polls each minion that is due, and requeues the tasks of minions whose leases have
@@ -94,6 +94,9 @@
 		if m.Listed && !m.Recorded {
 			t.writer.newMinions[m] = true
 		}
+		if m.OrderedUntil != 0 && t.now >= m.OrderedUntil {
+			t.setOrdered(m, m.Ordered)
+		}
 		if m.Leaving && m.FailedPolls == 0 && t.leading() && t.now >= m.LeavesAt-evictionMargin {
 			t.evict(m, reasonLeaving)
 		}
--- a/internal/coordinator/recover.go
+++ b/internal/coordinator/recover.go
@@ -61,11 +61,13 @@
 	// ones.
 	LeasesLeft int64  `json:"l,omitempty"`
 	Epoch      uint64 `json:"e,omitempty"`
+	// Ordered is set while an order for the minion's machine, which ends the minion, may be carried out.
+	Ordered bool `json:"o,omitempty"`
 }
 
 // minionRowOf returns the row of a minion.
 func (t *Term) minionRowOf(m *holding.Minion) minionRow {
-	row := minionRow{Addr: m.Addr, Service: m.Service}
+	row := minionRow{Addr: m.Addr, Service: m.Service, Ordered: m.Ordered || t.now < m.OrderedUntil}
 	if t.releasing && m.FailedPolls > 0 {
 		row.LeasesLeft, row.Epoch = max(1, (m.RunsExpireAt-t.now).Milliseconds()+1), t.epoch
 	}
@@ -150,6 +152,9 @@
 		id := jobs.Minion(rowID(r.Key))
 		m := holding.New(site.MinionEntry{ID: id, Addr: v.Addr, Service: v.Service}, t.unseenUntilOn(v))
 		m.Recorded = true
+		if v.Ordered {
+			m.OrderedUntil = t.startedAt + t.machineOrderGap()
+		}
 		t.minions[id] = m
 	}
 	for _, r := range rows.listed.Rows {
--- a/internal/holding/holding.go
+++ b/internal/holding/holding.go
@@ -89,6 +89,10 @@
 	Draining bool
 	// LeavesAt is when a minion that is leaving may be gone.
 	LeavesAt time.Duration
+	// Ordered is set while an order that ends the minion may be carried out. OrderedUntil is until when one of
+	// an earlier coordinator may be; before that the minion gets no new work.
+	Ordered      bool
+	OrderedUntil time.Duration
 
 	// UnconfirmedStarts holds, by task name, the runs of start orders to this incarnation that were
 	// not answered and may be carried out late; StaleStarts holds those sent to earlier incarnations.
