daemon: unexpected errors in queries, reports and background tasks do not end the process

Cause: the parts of the operators' status, the collection of unstored records for a report, and three background tasks (replicas, members, limits) ran in goroutines without a guard.

Change: a status whose part panics fails as a whole, since half of it would not say so. An entry VM whose records could not be collected counts as one that did not answer.

The goroutines of internal/control that ask all entry VMs for their status have no guard yet.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -161,9 +161,11 @@
 	d.wg.Go(func() { failed <- d.peers.Serve(d.listeners.peer) })
 	d.control.Start()
 	d.wg.Go(func() { d.ledger.Run(background) })
-	d.wg.Go(func() { d.holder.Run(background) })
-	d.wg.Go(func() { watchMembers(background, d.control.Snapshot, d.holder) })
-	d.wg.Go(func() { d.watchLimits(background) })
+	d.wg.Go(func() { runUntilDone(background, d.log, "replicas of other entry VMs", d.holder.Run) })
+	d.wg.Go(func() {
+		runUntilDone(background, d.log, "watching entry VMs", func(ctx context.Context) { watchMembers(ctx, d.control.Snapshot, d.holder) })
+	})
+	d.wg.Go(func() { runUntilDone(background, d.log, "watching limits", d.watchLimits) })
 	d.wg.Go(func() { failed <- d.callers.Serve(d.listeners.caller) })
 	d.wg.Go(func() { failed <- d.serveOperators() })
 	d.log.Info().Str("entry", string(d.self.Entry)).Str("dc", string(d.self.DC)).
--- a/internal/daemon/operate.go
+++ b/internal/daemon/operate.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"slices"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -74,11 +73,13 @@
 	out := operator.Status{Entry: s.self.Entry, DC: s.self.DC, Time: time.Now()}
 	var site control.SiteStatus
 	// Each part may wait for an entry VM that does not answer, so they wait together.
-	var wg sync.WaitGroup
-	wg.Go(func() { out.Configuration = s.configuration(ctx, snap) })
-	wg.Go(func() { out.Peers = s.peerStatus(ctx, snap) })
-	wg.Go(func() { site = s.control.SiteStatus(ctx) })
-	wg.Wait()
+	parts := parallel{log: s.log}
+	parts.run("status of the configuration", func() { out.Configuration = s.configuration(ctx, snap) })
+	parts.run("status of the entry VMs", func() { out.Peers = s.peerStatus(ctx, snap) })
+	parts.run("status of the site", func() { site = s.control.SiteStatus(ctx) })
+	if err := parts.wait(); err != nil {
+		return operator.Status{}, err
+	}
 	for _, c := range site.Coordinators {
 		out.Coordinators = append(out.Coordinators, operator.CoordinatorStatus{DC: c.DC, Entry: c.Entry, Token: c.Token, Local: c.Local})
 	}
--- a/internal/daemon/reports.go
+++ b/internal/daemon/reports.go
@@ -42,13 +42,14 @@
 	batches := d.ledger.Unstored()
 	live := map[model.Incarnation]bool{d.self.Incarnation: true}
 	gone := map[model.EntryVM]bool{d.self.Entry: true}
-	var wg sync.WaitGroup
+	pulls := parallel{log: d.log}
 	for name, c := range d.links.clients {
-		wg.Go(func() {
+		pulls.run("collecting unstored records", func() {
 			got, from, complete, err := pull(ctx, c, d.self)
 			if err != nil {
+				ended := d.certainlyGone(name)
 				mu.Lock()
-				gone[name] = d.certainlyGone(name)
+				gone[name] = ended
 				mu.Unlock()
 				d.log.Warn().Err(err).Msg("Unstored records of an entry VM are missing from the report.")
 				return
@@ -60,7 +61,7 @@
 			gone[name] = true
 		})
 	}
-	wg.Wait()
+	_ = pulls.wait() // an entry VM whose records could not be collected is in neither map
 	return batches, live, gone
 }
 
