coordinator: a test of the loss of a minion that had restarted

TestLossOfAMinionThatHadRestartedIsNoticedInTime: the minion restarts while a start has no answer, works on, and is lost 16 s later.

--- a/internal/coordinator/unknownclock_test.go
+++ b/internal/coordinator/unknownclock_test.go
@@ -44,3 +44,38 @@
 		})
 	}
 }
+
+// Guards against the same if the minion goes on answering and is lost later: its tasks must not wait longer
+// than for any other lost minion.
+func TestLossOfAMinionThatHadRestartedIsNoticedInTime(t *testing.T) {
+	for after := 20 * time.Millisecond; after <= 900*time.Millisecond; after += 40 * time.Millisecond {
+		t.Run(after.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ts := newTestSite(t, 1)
+				ts.minions.Work = runForever
+				term := ts.startTerm("e1", nil)
+				defer endTerm(term)
+				sleep(time.Second)
+				ts.minions.SetRefuse(func(op string, _ jobs.Minion) error {
+					if op == "start" {
+						return site.ErrNoAnswer
+					}
+					return nil
+				})
+				ts.submitJob(term, slowJob, longRunningStep(1))
+				sleep(after)
+				ts.minions.Restart("m0")
+				ts.list("m0")
+				sleep(100 * time.Millisecond)
+				ts.minions.SetRefuse(nil)
+				sleep(15 * time.Second)
+				require.Equal(t, []jobs.Minion{"m0"}, ts.minions.Running(taskOfSlowJob(0)))
+				ts.addMinion("m1")
+				sleep(time.Second)
+				ts.minions.Change("m0", func(m *fleet.Minion) { m.Down = true })
+				require.LessOrEqual(t, ts.watchGaps(1, 30*time.Second), runLeaseTTL+runLeaseTTL/20+restartTime)
+				ts.requireNoViolations()
+			})
+		})
+	}
+}
