coordinator: a repeated cancellation does not wait for the end of a run that outlived its job

Cause: a cancellation waited for the job's unsaved changes. If the final state was stored and only the end of a run that came later was not, the next write skipped the job without telling the one that waited: it waited to the end of its call, and its entry in the list of waiters stayed for the rest of the term.

Change: it waits only for the final state.

Measured: TestCancellationOfACancelledJobDoesNotWait. Before, the call ended without an answer after 1 s; now each of 100 calls is answered.

--- a/internal/coordinator/api.go
+++ b/internal/coordinator/api.go
@@ -72,7 +72,7 @@
 			return answer{loaded: t.loaded}
 		}
 		t.cancel(j)
-		if !j.Unsaved() {
+		if j.FinalStateStored() {
 			close(stored)
 		} else {
 			t.writer.urgent = true
