--- a/internal/coordinator/minions.go
+++ b/internal/coordinator/minions.go
@@ -68,7 +68,7 @@
 
 // usable reports whether new work may be assigned to a minion.
 func (t *Term) usable(m *holding.Minion) bool {
-	return m.Listed && !m.Leaving && !m.Cordoned && m.Recorded && m.Polled && m.FailedPolls == 0 && m.ClockKnown()
+	return m.Listed && !m.Leaving && !m.Cordoned && t.now >= m.OrderedUntil && m.Recorded && m.Polled && m.FailedPolls == 0 && m.ClockKnown()
 }
 
 // checkMinions polls each minion that is due, and requeues the tasks of minions whose leases have
@@ -94,6 +94,9 @@
 		if m.Listed && !m.Recorded {
 			t.writer.newMinions[m] = true
 		}
+		if m.OrderedUntil != 0 && t.now >= m.OrderedUntil {
+			t.setOrdered(m, m.Ordered)
+		}
 		if m.Leaving && m.FailedPolls == 0 && t.leading() && t.now >= m.LeavesAt-evictionMargin {
 			t.evict(m, reasonLeaving)
 		}
@@ -123,6 +126,16 @@
 	t.log.Info().Str("minion", string(m.ID)).Int("tasks", len(m.Tasks)).Int64("born", incarnation).Msg("Coordinator: minion restarted.")
 	m.Restarted(incarnation, t.now, t.deps.Limits.MaxMinionLease)
 	m.NextPoll = t.now
+	// A start of which nothing is known may reach the new incarnation. The lease in it is on the clock of
+	// the one before.
+	for task := range m.Tasks {
+		if start := t.pendingStarts[task]; start != nil {
+			start.leaseUntil, start.expiresAt = 0, max(start.expiresAt, m.RunsExpireAt)
+		}
+		if stop := t.pendingStops[task]; stop != nil && stop.begunOrNever > t.now {
+			stop.begunOrNever = max(stop.begunOrNever, m.RunsExpireAt)
+		}
+	}
 }
 
 // rejectStaleStarts sends stop orders for starts that were sent to an earlier incarnation of a
