coordinator: a row that changes while it is written is written again

Cause: a write that had been stored removed the rows of waves and minions from those to be written, also if they had changed meanwhile. The last machine of a wave whose maintenance began during a write was not in the wave's row, so a successor drained it again; and the row of a minion could miss, or keep, that an order for its machine is under way.

Change: a row stays among those to be written if it is no longer what was stored.

Measured: TestRowOfAWaveHasWhatBecameKnownDuringItsWrite, with writes of 0.4 s: before, one of eight machines was missing, now none. TestRowOfAMinionHasWhatBecameKnownDuringItsWrite failed before and passes. The package passes with -race.

--- a/internal/coordinator/journal.go
+++ b/internal/coordinator/journal.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"time"
@@ -111,18 +112,24 @@
 		return true
 	}
 	for m := range w.newMinions {
-		value, err := json.Marshal(t.minionRowOf(m))
+		row := t.minionRowOf(m)
+		value, err := json.Marshal(row)
 		if err != nil {
 			t.log.Error().Err(err).Str("minion", string(m.ID)).Msg("Coordinator: row of minion could not be encoded.")
 			continue
 		}
-		if !add(minionKey(m.ID), value, func() { m.Recorded, t.needsPlan = true, true; delete(w.newMinions, m) }) {
+		if !add(minionKey(m.ID), value, func() { t.minionStored(m, row) }) {
 			break
 		}
 	}
 	t.addRecentOrders(add)
 	for key, value := range w.waveRows {
-		if !add(key, value, func() { delete(w.waveRows, key) }) {
+		stored := func() {
+			if bytes.Equal(w.waveRows[key], value) { // it may have changed during the write
+				delete(w.waveRows, key)
+			}
+		}
+		if !add(key, value, stored) {
 			break
 		}
 	}
@@ -148,6 +155,14 @@
 		}
 }
 
+// minionStored records that a row of a minion is stored.
+func (t *Term) minionStored(m *holding.Minion, row minionRow) {
+	m.Recorded, t.needsPlan = true, true
+	if t.minionRowOf(m).Ordered == row.Ordered { // it may have changed during the write
+		delete(t.writer.newMinions, m)
+	}
+}
+
 // addProgress adds the progress of jobs to a write and returns the jobs in no final state. Progress
 // that a start waits for comes first, then what a caller waits for, then all other in the order in
 // which it changed. Not more than maxBatchRows-oldestRows rows are added before the oldest.
