coordinator: a wave that ends during a write of its state is shown as completed

Cause: the answer to a write of the state "running" stopped further writes, also if the wave had completed meanwhile. Operators then saw it as running for ever.

Change: writes go on until the present state is stored.

Measured: TestWaveIsShownAsCompletedIfItEndsDuringAWrite, with a write of 1.9 s: "running" 10 s later before, "completed" now. The package passes with -race.

--- a/internal/coordinator/lostupdate_test.go
+++ b/internal/coordinator/lostupdate_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -15,6 +16,7 @@
 	"boragepulley/internal/holding"
 	"boragepulley/internal/jobs"
 	"boragepulley/internal/model"
+	"boragepulley/internal/platform"
 	"boragepulley/internal/site"
 	"boragepulley/standins/fleet"
 )
@@ -97,3 +99,42 @@
 		require.False(t, row.Ordered)
 	})
 }
+
+// slowStatus is a table in which the first write of a wave's state takes almost as long as a call may.
+type slowStatus struct {
+	platform.Table
+	writes *atomic.Int64
+}
+
+func (s slowStatus) Commit(ctx context.Context, p platform.Priority, x platform.Txn) (map[string]uint64, error) {
+	if len(x.Puts) > 0 && strings.HasPrefix(x.Puts[0].Key, waveStatusPrefix) && s.writes.Add(1) == 1 {
+		time.Sleep(machineCallTimeout - 100*time.Millisecond)
+	}
+	return s.Table.Commit(ctx, p, x)
+}
+
+// foreignMachines is a machine service for which no machine is part of a wave.
+type foreignMachines struct{ *fleet.MovingMachines }
+
+func (foreignMachines) Maintain(context.Context, site.MachineFence, model.VM, int64) error {
+	return &site.RefusedError{Reason: site.RefusedNotInWave}
+}
+
+// Guards against a wave that operators never see as completed, because it was during the write of its state
+// before.
+func TestWaveIsShownAsCompletedIfItEndsDuringAWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newBurstSite(t, 1, 0)
+		d := s.deps("e1", &fleet.View{Store: s.store})
+		d.Fleet, d.PredecessorStopped = fencing.NewFleet(s.minions, foreignMachines{s.moving}), true
+		held := s.acquire(d).WithTable(d.Table)
+		d.Table = slowStatus{d.Table, &atomic.Int64{}}
+		s.term = Start(d, held)
+		defer endTerm(s.term)
+		sleep(time.Second)
+		s.begin(site.Wave{ID: 1, Machines: []model.VM{"s0"}, Duration: time.Minute, MaxDown: 1})
+		sleep(10 * time.Second)
+		require.Contains(t, s.log.linesWith("wave completed"), "wave completed")
+		require.Contains(t, string(s.store.Row(waveStatusPrefix+"1").Value), string(site.WaveCompleted))
+	})
+}
--- a/internal/coordinator/waves.go
+++ b/internal/coordinator/waves.go
@@ -494,13 +494,14 @@
 		return
 	}
 	r.statusWriting = true
+	state := r.status
 	key := waveStatusPrefix + fmt.Sprint(r.wave.ID)
 	t.async(machineCallTimeout, func(ctx context.Context) func() {
 		_, err := t.deps.Table.Commit(ctx, platform.PriorityBackground, platform.Txn{Puts: []platform.Put{{Key: key, Value: value}}})
 		return func() {
 			r.statusWriting = false
 			r.nextStatus = t.now + waveRetryDelay
-			if err == nil {
+			if err == nil && r.status == state { // it may have changed during the write
 				r.nextStatus = never
 			}
 		}
