prove: scenarios wait for the coordinator that they kill or pause

No promise says that there is a coordinator at every instant; one that does not run for longer than its lease has to give its role up.

Change: coordinator-killed, coordinator-paused, store-down and the scenarios of tasks wait for a coordinator before they kill or pause it, as those of limits and waves do, and fail if there is none within settleWithin.

--- a/bench/prove/limits.go
+++ b/bench/prove/limits.go
@@ -150,11 +150,6 @@
 	return e.StartEntry(old)
 }
 
-// coordinator waits for a data centre to have a coordinator.
-func (e *Env) coordinator(ctx context.Context, dc model.DataCentre) (model.EntryVM, error) {
-	return e.awaitCoordinator(ctx, dc, "", time.Now())
-}
-
 func (e *Env) pauseCoordinator(ctx context.Context, dc model.DataCentre, d time.Duration) error {
 	old, err := e.coordinator(ctx, dc)
 	if err != nil {
--- a/bench/prove/scenarios.go
+++ b/bench/prove/scenarios.go
@@ -45,6 +45,12 @@
 	return e.Site.DataCentres[e.Rand.IntN(len(e.Site.DataCentres))].Name
 }
 
+// coordinator waits for a data centre to have a coordinator. A coordinator that does not run for
+// longer than its lease gives its role up, so that there is not one at every instant.
+func (e *Env) coordinator(ctx context.Context, dc model.DataCentre) (model.EntryVM, error) {
+	return e.awaitCoordinator(ctx, dc, "", time.Now())
+}
+
 // awaitCoordinator waits until a data centre has a coordinator other than the given one
 // and returns how long that took since the start.
 func (e *Env) awaitCoordinator(ctx context.Context, dc model.DataCentre, not model.EntryVM, start time.Time) (model.EntryVM, error) {
@@ -68,9 +74,9 @@
 	defer stop()
 	e.Wait(ctx, 2*time.Second)
 	dc := e.target()
-	old, err := e.Coordinator(ctx, dc)
-	if err != nil || old == "" {
-		return errors.Errorf("prove: no coordinator in %s: %v", dc, err)
+	old, err := e.coordinator(ctx, dc)
+	if err != nil {
+		return err
 	}
 	probes := e.probeUrgent(ctx, dc, old)
 	start := time.Now()
@@ -127,9 +133,9 @@
 	defer stop()
 	e.Wait(ctx, 2*time.Second)
 	dc := e.target()
-	old, err := e.Coordinator(ctx, dc)
-	if err != nil || old == "" {
-		return errors.Errorf("prove: no coordinator in %s: %v", dc, err)
+	old, err := e.coordinator(ctx, dc)
+	if err != nil {
+		return err
 	}
 	e.Say("Pausing %s.", old)
 	probes := e.probeUrgent(ctx, dc, old)
@@ -223,9 +229,9 @@
 	}
 	e.Wait(ctx, 4*time.Second)
 	dc := e.target()
-	old, err := e.Coordinator(ctx, dc)
-	if err != nil || old == "" {
-		return errors.Errorf("prove: no coordinator in %s during the outage: %v", dc, err)
+	old, err := e.coordinator(ctx, dc)
+	if err != nil {
+		return err
 	}
 	start := time.Now()
 	e.KillEntry(old)
--- a/bench/prove/tasks.go
+++ b/bench/prove/tasks.go
@@ -8,8 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"boragepulley/bench/load"
 	"boragepulley/bench/sites"
 	"boragepulley/internal/account"
@@ -161,17 +159,9 @@
 	return nil
 }
 
-func (e *Env) coordinatorOf(ctx context.Context, dc model.DataCentre) (model.EntryVM, error) {
-	old, err := e.Coordinator(ctx, dc)
-	if err != nil || old == "" {
-		return "", errors.Errorf("prove: no coordinator in %s: %v", dc, err)
-	}
-	return old, nil
-}
-
 func (e *Env) killTaskCoordinator(ctx context.Context) error {
 	dc := e.target()
-	old, err := e.coordinatorOf(ctx, dc)
+	old, err := e.coordinator(ctx, dc)
 	if err != nil {
 		return err
 	}
@@ -187,7 +177,7 @@
 // pauseTaskCoordinator freezes a coordinator past the leases of its attempts.
 func (e *Env) pauseTaskCoordinator(ctx context.Context) error {
 	dc := e.target()
-	old, err := e.coordinatorOf(ctx, dc)
+	old, err := e.coordinator(ctx, dc)
 	if err != nil {
 		return err
 	}
@@ -213,7 +203,7 @@
 	}
 	e.Wait(ctx, 3*time.Second)
 	dc := e.target()
-	old, err := e.coordinatorOf(ctx, dc)
+	old, err := e.coordinator(ctx, dc)
 	if err != nil {
 		return err
 	}
