control: an unexpected error in an operator's status does not end the process

Cause: the goroutines that ask the peers for the configuration in force and for the state of their data centres had no guard, so that a panic in one ended an entry VM with all its callers.

Change: a panic counts as a failed call to that peer. The status names the peer as missing, or its data centre without a coordinator.

Measured: TestUnexpectedErrorInAStatusEndsNothingElse ends the test process without the change and passes with it.

--- a/internal/control/sitestatus.go
+++ b/internal/control/sitestatus.go
@@ -66,7 +66,9 @@
 		replies = append(replies, r)
 	}
 	for _, r := range c.peerClients {
-		wg.Go(func() { collect(r.DCStatus(ctx, &peer.DCStatus{From: c.self})) })
+		wg.Go(func() {
+			collect(askPeer(c, func() (*peer.DCStatusReply, error) { return r.DCStatus(ctx, &peer.DCStatus{From: c.self}) }))
+		})
 	}
 	collect(handler{c}.DCStatus(ctx, nil))
 	wg.Wait()
--- a/internal/control/sitestatus_test.go
+++ b/internal/control/sitestatus_test.go
@@ -43,3 +43,31 @@
 	require.Equal(t, []peer.WaveStatus{{Name: "w", Done: 3, Total: 4}}, s.Waves)
 	require.Equal(t, []model.DataCentre{"a", "c"}, s.WavesFrom["w"])
 }
+
+// panickingPeer is a peer whose answers can't be handled.
+type panickingPeer struct{ PeerClient }
+
+func (panickingPeer) DCStatus(context.Context, *peer.DCStatus) (*peer.DCStatusReply, error) {
+	panic("x")
+}
+
+func (panickingPeer) ConfigGet(context.Context, *peer.ConfigGet) (*peer.ConfigGetReply, error) {
+	panic("x")
+}
+
+// Guards against a process that ends because an answer to an operator's question panicked.
+func TestUnexpectedErrorInAStatusEndsNothingElse(t *testing.T) {
+	inBubble(t, map[model.DataCentre]int{"a": 2}, func(cl *cluster) {
+		entry := cl.startServing(8, 100)
+		c := cl.nodes[entry].control
+		for name, r := range c.peerClients {
+			c.peerClients[name] = panickingPeer{r}
+		}
+		ctx := context.Background()
+		require.Equal(t, []DCCoordinator{{DC: "a", Entry: entry, Token: model.Token{Epoch: 1}}}, c.SiteStatus(ctx).Coordinators)
+		s := c.ConfigStatus(ctx, 1)
+		require.Equal(t, 1, s.InForce)
+		require.Len(t, s.Missing, 1)
+		require.Contains(t, s.Missing[0].Reason, "panic")
+	})
+}
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"boragepulley/internal/admission"
+	"boragepulley/internal/guard"
 	"boragepulley/internal/model"
 	"boragepulley/internal/peer"
 )
@@ -51,7 +52,9 @@
 	for name, r := range c.peerClients {
 		wg.Go(func() {
 			// No peer has a higher version than this, so none sends its document.
-			reply, err := r.ConfigGet(ctx, &peer.ConfigGet{From: c.self, Version: 1<<63 - 1})
+			reply, err := askPeer(c, func() (*peer.ConfigGetReply, error) {
+				return r.ConfigGet(ctx, &peer.ConfigGet{From: c.self, Version: 1<<63 - 1})
+			})
 			mu.Lock()
 			defer mu.Unlock()
 			switch {
@@ -70,6 +73,14 @@
 	return out
 }
 
+// askPeer returns what f returns, or guard.ErrPanic if it panics.
+func askPeer[R any](c *Control, f func() (*R, error)) (reply *R, err error) {
+	if failed := guard.Recover(c.log, "status of a peer", func() { reply, err = f() }); failed != nil {
+		return nil, failed
+	}
+	return reply, err
+}
+
 // CoordinatorStatus is the coordinator's view of its data centre.
 type CoordinatorStatus struct {
 	Token   model.Token            `json:"token"`
