faultproxy: held data of a reset connection is dropped also if the hold ends at once

The proxy read the data during the hold and then the reset; if the hold ended before the forwarding goroutine looked at it, the data counted as never held and was delivered. A soak would have seen an order that its sender had given up.

Change: a chunk says whether its direction was held when it was read.

The package passes.

--- a/standins/faultproxy/hold.go
+++ b/standins/faultproxy/hold.go
@@ -66,27 +66,28 @@
 	}
 }
 
+// held returns a channel that is closed at the end of a hold on a direction of the pair, or nil.
+func (p *pair) held(d Direction) <-chan struct{} {
+	source := ""
+	if s := p.source.Load(); s != nil {
+		source = *s
+	}
+	return p.link.held(d, source)
+}
+
 // awaitRelease reports false if the pair ended, or its sender reset the connection while data was
-// held back: that data never arrives.
-func (p *pair) awaitRelease(d Direction) bool {
-	waited := false
-	for {
-		source := ""
-		if s := p.source.Load(); s != nil {
-			source = *s
-		}
-		over := p.link.held(d, source)
-		if over == nil {
-			break
-		}
-		waited = true
+// held back: that data never arrives. held says whether the data was read during a hold, which may
+// have ended since.
+func (p *pair) awaitRelease(d Direction, held bool) bool {
+	for over := p.held(d); over != nil; over = p.held(d) {
+		held = true
 		select {
 		case <-over:
 		case <-p.gone:
 			return false
 		}
 	}
-	if waited && p.broken[d].Load() {
+	if held && p.broken[d].Load() {
 		p.reset()
 		return false
 	}
--- a/standins/faultproxy/pair.go
+++ b/standins/faultproxy/pair.go
@@ -63,6 +63,7 @@
 type chunk struct {
 	data  []byte
 	due   time.Time
+	held  bool // the direction was held when the data was read
 	reset bool // the stream ended with an error
 }
 
@@ -72,7 +73,7 @@
 	queue := make(chan chunk, chunkQueue)
 	go p.read(d, src, queue)
 	for c := range queue {
-		if !p.waitDue(c.due) || !p.awaitRelease(d) {
+		if !p.waitDue(c.due) || !p.awaitRelease(d, c.held) {
 			continue // drain the queue, so that read can end
 		}
 		if p.silent.Load() {
@@ -104,7 +105,7 @@
 		p.broken[d].Store(err != nil && err != io.EOF)
 		due := time.Now().Add(time.Duration(p.link.delay.Load()))
 		if n > 0 {
-			queue <- chunk{data: buf[:n], due: due}
+			queue <- chunk{data: buf[:n], due: due, held: p.held(d) != nil}
 		}
 		if err != nil {
 			queue <- chunk{due: due, reset: err != io.EOF}
