coordinator: a minion under the id that a move ended takes work if the move's answer was lost

Cause: a move without an answer is confirmed by the list of machines, and then forgotten. The minion that it ended stayed cordoned. If the machine's next minion has the same id, it is the same entry here, and it took no work for the rest of the term.

Change: once the list shows the move, the minion that it ended is removed, as after an answer. If a later incarnation under the id is known, that one may take work.

--- a/internal/coordinator/machines.go
+++ b/internal/coordinator/machines.go
@@ -104,6 +104,7 @@
 		}
 		if m.Pool == mv.to && m.State == site.MachineUp {
 			delete(s.moves, m.Name)
+			t.moveSeen(mv)
 		} else if t.now > mv.orderedAt+moveTimeout {
 			delete(s.moves, m.Name)
 			t.uncordon(mv.minion)
@@ -113,6 +114,16 @@
 	t.needsPlan = true
 }
 
+// moveSeen ends the minion of a move that the list of machines shows, unless a later incarnation under its
+// id is known: that one takes work.
+func (t *Term) moveSeen(mv *move) {
+	if m := t.minions[mv.minion]; m != nil && m.IncarnationAt > mv.orderedAt {
+		t.uncordon(mv.minion)
+		return
+	}
+	t.removeMinion(mv.minion)
+}
+
 // removeMinion removes a minion that a machine order has ended. Tasks that are still assigned to it
 // are requeued.
 func (t *Term) removeMinion(id jobs.Minion) {
