fleet: a delayed order reaches no later process of its minion

The stand-in compared the process when a delayed order arrived and carried it out 1 ms later on whichever process there was, and a long poll went on in the next one. The platform's minions answer 421 to an order for another boot, and a connection ends with its process.

Change: an order is carried out only by the process that it was sent to. No check is changed.

The failure itself was not repeated on the code before.

--- a/standins/fleet/minions.go
+++ b/standins/fleet/minions.go
@@ -378,9 +378,11 @@
 	m.ended = append(m.ended, site.EndReport{Seq: m.next, Task: r.task, Run: r.no, Outcome: how})
 }
 
-// answer passes an order to its minion, with faults. order runs under the lock.
+// answer passes an order to its minion, with faults. order runs under the lock. The connection ends with
+// the process that the order was sent to.
 func answer[T any](ctx context.Context, s *Minions, op string, to site.Receiver, f Fault, order func(m *Minion) (T, error)) (T, error) {
 	var none T
+	life := s.addressee(ctx, to.ID)
 	if err := pause(ctx, time.Millisecond); err != nil {
 		return none, errors.Wrap(site.ErrNotSent, err.Error())
 	}
@@ -403,9 +405,10 @@
 	}
 	value, err := none, error(nil)
 	if f == Late {
-		carryLater(s, to, order)
+		// The order waits in the process.
+		time.AfterFunc(lateBy, func() { _, _ = carry(s, to, life, order) })
 	} else {
-		value, err = carry(s, to, order)
+		value, err = carry(s, to, life, order)
 	}
 	if f != None || errors.Is(err, site.ErrNoAnswer) {
 		_ = pause(ctx, s.OrderTimeout)
@@ -446,7 +449,7 @@
 			answer <- result{err: errors.Wrap(site.ErrNoAnswer, "connection reset")}
 			return
 		}
-		v, err := call(context.WithoutCancel(ctx), f)
+		v, err := call(context.WithValue(context.WithoutCancel(ctx), lifeKey{}, life), f)
 		time.Sleep(d / 2)
 		answer <- result{v, err}
 	}()
@@ -459,6 +462,17 @@
 	}
 }
 
+// lifeKey is the context key of the process that a delayed call was sent to.
+type lifeKey struct{}
+
+// addressee returns the process that a call was sent to: the present one, unless the call was delayed.
+func (s *Minions) addressee(ctx context.Context, id jobs.Minion) *Minion {
+	if life, ok := ctx.Value(lifeKey{}).(*Minion); ok {
+		return life
+	}
+	return s.life(id)
+}
+
 // life returns the present process of a minion. A connection ends with the process.
 func (s *Minions) life(id jobs.Minion) *Minion {
 	s.mu.Lock()
@@ -490,28 +504,12 @@
 	m.arrived = max(m.arrived, to.Token)
 }
 
-// carryLater lets a minion leave an order unanswered and carry it out later, if it still
-// lives then: the order waits in its process.
-func carryLater[T any](s *Minions, to site.Receiver, order func(m *Minion) (T, error)) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	life := s.all[to.ID]
-	time.AfterFunc(lateBy, func() {
-		_, _ = carry(s, to, func(m *Minion) (none T, err error) {
-			if m != life {
-				return none, nil
-			}
-			return order(m)
-		})
-	})
-}
-
-// carry carries an order out.
-func carry[T any](s *Minions, to site.Receiver, order func(m *Minion) (T, error)) (none T, err error) {
+// carry carries an order out, unless the process that it was sent to has ended.
+func carry[T any](s *Minions, to site.Receiver, life *Minion, order func(m *Minion) (T, error)) (none T, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	m := s.all[to.ID]
-	if m == nil || m.Down || m.Cut {
+	if m == nil || m != life || m.Down || m.Cut {
 		return none, errors.WithStack(site.ErrNoAnswer)
 	}
 	s.settle(m)
@@ -638,6 +636,7 @@
 
 func (s *Minions) poll(ctx context.Context, to site.Receiver, f Fault, o site.PollRequest) (out site.PollReport, err error) {
 	until := time.Now().Add(o.Wait)
+	life := s.addressee(ctx, to.ID)
 	first := true
 	for {
 		look := func(m *Minion) (site.PollReport, error) {
@@ -650,7 +649,7 @@
 		if first {
 			out, err = answer(ctx, s, "hold", to, f, look)
 		} else {
-			out, err = carry(s, to, look)
+			out, err = carry(s, to, life, look)
 		}
 		first = false
 		if err != nil || len(out.Ended) > 0 || !time.Now().Before(until) {
