--- a/review/stage/cases.go
+++ b/review/stage/cases.go
@@ -249,44 +249,37 @@
 	}
 }
 
-// playGang hands in a gang of four tasks while six of ten minions are full with other work and one of the
-// other four answers starts with 503 for 5.5 s, and then waits for it for 60 s.
+// playGang hands in a gang of four tasks of 4 s. With the trouble the minion of one of them is lost for good
+// while they work. The other nine minions have room for the gang several times over.
 func playGang(recordFile string, trouble bool) error {
 	s, err := open(recordFile, 10, 0)
 	if err != nil {
 		return err
 	}
 	defer s.close()
-	for i := range 6 {
-		j := job{ID: jobID(3000 + i), Spec: "run 110000 ms", Steps: []step{{Count: 1, CPU: 16000, MemMB: 1024, Estimate: 110000}}}
-		if !s.submit(j) {
-			return errors.New("a job was not accepted")
-		}
-	}
-	time.Sleep(2 * time.Second)
-	free := s.minions.free()
-	if len(free) != 4 {
-		return errors.New("the minions are not full")
-	}
-	if trouble {
-		s.rec.say("%s begins to answer starts with 503", free[0].id)
-		free[0].unhealthy.Store(true)
-	}
-	gang := job{ID: jobID(1000), Spec: "run 500 ms", Steps: []step{{Count: 4, CPU: 9000, MemMB: 1024, Estimate: 500, Gang: true}}}
+	gang := job{ID: jobID(1000), Spec: "run 4000 ms", Steps: []step{{Count: 4, CPU: 4000, MemMB: 1024, Estimate: 4000, Gang: true, Max: 1}}}
 	if !s.submit(gang) {
 		return errors.New("the gang was not accepted")
 	}
 	accepted := time.Now()
-	time.Sleep(5500 * time.Millisecond)
-	healthy := time.Now()
-	free[0].unhealthy.Store(false)
-	s.rec.say("all minions are healthy again; %d starts were answered with 503", s.minions.refusals())
-	for end := time.Now().Add(60 * time.Second); time.Now().Before(end) && s.state(gang.ID) != "completed"; {
+	time.Sleep(1500 * time.Millisecond)
+	if n, _ := s.minions.running(); n != 4 {
+		return errors.New("the gang did not begin")
+	}
+	lost := time.Now()
+	if trouble {
+		m := s.minions.busy()[0]
+		s.rec.say("%s is lost for good", m.id)
+		m.lose()
+	}
+	for end := time.Now().Add(75 * time.Second); time.Now().Before(end) && s.state(gang.ID) != "completed"; {
 		time.Sleep(500 * time.Millisecond)
 	}
-	alone, late := s.minions.aloneAfter(healthy.Add(contactMS + gangTimeout))
-	s.rec.say("the gang's job is %s %.1f s after its acceptance; %d runs ended alone, %d of them of runs that began over %.0f s after all were healthy again",
-		s.state(gang.ID), time.Since(accepted).Seconds(), alone, late, (contactMS + gangTimeout).Seconds())
+	// The runs of the lost minion are over when their leases are, max_hold_ms later at most.
+	calm := lost.Add(maxHold + contactMS + gangTimeout)
+	alone, late := s.minions.aloneAfter(calm)
+	s.rec.say("the gang's job is %s %.1f s after its acceptance; %d runs ended alone, %d of them of runs that began over %.0f s after the loss",
+		s.state(gang.ID), time.Since(accepted).Seconds(), alone, late, calm.Sub(lost).Seconds())
 	if late > 0 {
 		return fmt.Errorf("GANG: %w", errBroken)
 	}
--- a/review/stage/minions.go
+++ b/review/stage/minions.go
@@ -53,6 +53,8 @@
 	// silent minions run on and answer nothing, as behind a partition; unhealthy ones answer starts
 	// with 503 and have then done nothing.
 	silent, unhealthy atomic.Bool
+	// lost minions have ended for good.
+	lost atomic.Bool
 
 	mu     sync.Mutex
 	token  uint64
@@ -141,7 +143,43 @@
 	}
 }
 
+// lose ends a minion for good, as a machine that loses power: its runs are gone, the other members of their
+// gangs break, it answers nothing and reports no more. Its entry is removed after three heartbeats.
+func (m *minion) lose() {
+	m.silent.Store(true)
+	m.lost.Store(true)
+	m.mu.Lock()
+	gone := m.runs
+	m.runs = map[string]*taskRun{}
+	m.mu.Unlock()
+	for _, r := range gone {
+		m.all.rec.line("%s: %s run %d is gone with its minion", m.id, r.task, r.attempt)
+		m.all.breakGang(r)
+	}
+	time.AfterFunc(3*heartbeat, func() { m.all.store.remove(rowName{Table: "servers", Key: m.id}) })
+}
+
+// breakGang ends the other members of a run's gang, if they work with it.
+func (a *minions) breakGang(r *taskRun) {
+	if r.gang == 0 || r.ends.IsZero() {
+		return
+	}
+	id, _, _ := strings.Cut(r.task, ".")
+	for _, m := range a.list {
+		m.mu.Lock()
+		for _, x := range m.runs {
+			if strings.HasPrefix(x.task, id+".") && x.attempt == r.attempt {
+				m.end(x, "broken")
+			}
+		}
+		m.mu.Unlock()
+	}
+}
+
 func (m *minion) report(n int) {
+	if m.lost.Load() {
+		return
+	}
 	m.all.store.put(rowName{Table: "servers", Key: m.id}, map[string]any{"service": m.service, "address": m.addr, "zone": m.zone, "version": "v1", "slots": 8,
 		"state": "ready", "cold_left_ms": 0, "sequence": n, "born": m.born.UnixMilli(), "labels": []string{"a", m.rack},
 		"capacity": map[string]int64{"cpu": m.capacity.cpu, "mem_mb": m.capacity.mem, "gpu": 0}})
@@ -212,18 +250,13 @@
 				w.WriteHeader(http.StatusBadRequest)
 				return
 			}
-			for m.silent.Load() { // the request has not arrived yet
-				select {
-				case <-r.Context().Done():
-					panic(http.ErrAbortHandler)
-				case <-time.After(5 * time.Millisecond):
-				}
-			}
+			m.awaitPath(r)
 			if want := r.Header.Get("X-Boragepulley-Expect-Instance"); want != "" && want != m.id {
 				w.WriteHeader(http.StatusMisdirectedRequest)
 				return
 			}
 			status, body := f(o)
+			m.awaitPath(r) // an answer that is on its way when the minion falls silent is not delivered
 			if body == nil {
 				w.WriteHeader(status)
 				return
@@ -234,6 +267,18 @@
 	return mux
 }
 
+// awaitPath waits while the minion is silent, as what is sent to it or from it does not arrive. It ends the
+// request once its sender has given up.
+func (m *minion) awaitPath(r *http.Request) {
+	for m.silent.Load() {
+		select {
+		case <-r.Context().Done():
+			panic(http.ErrAbortHandler)
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
+
 // fenced requires mu.
 func (m *minion) fenced(o order) bool {
 	m.settle()
@@ -359,11 +404,14 @@
 	return out
 }
 
-// free returns the minions on which nothing runs.
-func (a *minions) free() (out []*minion) {
+// free returns the minions on which nothing runs, busy the others.
+func (a *minions) free() []*minion { return a.which(true) }
+func (a *minions) busy() []*minion { return a.which(false) }
+
+func (a *minions) which(idle bool) (out []*minion) {
 	for _, m := range a.list {
 		m.mu.Lock()
-		if len(m.runs) == 0 {
+		if (len(m.runs) == 0) == idle {
 			out = append(out, m)
 		}
 		m.mu.Unlock()
@@ -408,7 +456,11 @@
 	mux.HandleFunc("GET /-/machines", func(w http.ResponseWriter, _ *http.Request) {
 		out := []map[string]any{}
 		for i, m := range a.list {
-			out = append(out, map[string]any{"machine": fmt.Sprintf("m%d", i+1), "pool": m.service, "state": "up", "zone": m.zone, "labels": []string{"a", m.rack},
+			state := "up"
+			if m.lost.Load() {
+				state = "down"
+			}
+			out = append(out, map[string]any{"machine": fmt.Sprintf("m%d", i+1), "pool": m.service, "state": state, "zone": m.zone, "labels": []string{"a", m.rack},
 				"capacity": map[string]int64{"cpu": m.capacity.cpu, "mem_mb": m.capacity.mem, "gpu": 0}, "id": m.id})
 		}
 		writeJSON(w, http.StatusOK, map[string]any{"machines": out, "next_token": nil})
--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -321,6 +321,7 @@
 	Estimate int64 `json:"estimate_ms"`
 	After    []int `json:"after,omitempty"`
 	Gang     bool  `json:"gang,omitempty"`
+	Max      int   `json:"max_per_server,omitempty"`
 }
 
 type job struct {
--- a/review/stage/store.go
+++ b/review/stage/store.go
@@ -61,6 +61,15 @@
 	s.wake()
 }
 
+func (s *store) remove(n rowName) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	delete(s.rows, n)
+	s.log = append(s.log, storeRow{rowName: n, Version: s.version, Tombstone: true})
+	s.wake()
+}
+
 // set and wake require mu.
 func (s *store) set(n rowName, value []byte) {
 	r := storeRow{rowName: n, Value: value, Version: s.version}
