--- a/review/stage/cases.go
+++ b/review/stage/cases.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -200,8 +199,8 @@
 	return s.judgeLost(accepted)
 }
 
-// playHour hands in hourly jobs of four steps that repeat 4,000 times and are all due at the same time, two
-// seconds later: 25 with the trouble, otherwise ten.
+// playHour hands in hourly jobs of four steps that repeat 4,000 times, one a second, which are all due at the
+// same time after that: 25 with the trouble, otherwise ten.
 func playHour(recordFile string, trouble bool) error {
 	s, err := open(recordFile, 12, 0)
 	if err != nil {
@@ -212,7 +211,7 @@
 	if trouble {
 		count = 25
 	}
-	due := time.Now().Add(2 * time.Second)
+	due := time.Now().Add(28 * time.Second)
 	taken := 0
 	for i := range count {
 		hourly := job{ID: jobID(1000 + i), Spec: "run 300 ms", Repeat: 4000, FirstRun: due.UnixMilli(), Interval: time.Hour.Milliseconds()}
@@ -226,6 +225,7 @@
 		if s.submit(hourly) {
 			taken++
 		}
+		time.Sleep(time.Second)
 	}
 	s.rec.say("%d hourly jobs are accepted", taken)
 	time.Sleep(time.Until(due.Add(2 * time.Second)))
@@ -346,6 +346,7 @@
 		if s.submit(hourly) {
 			taken++
 		}
+		time.Sleep(500 * time.Millisecond)
 	}
 	s.rec.say("%d hourly jobs are accepted", taken)
 	accepted := s.submitPlain(1, 20, 200*time.Millisecond)
@@ -396,7 +397,14 @@
 		}
 		ids = append(ids, j.ID)
 	}
-	time.Sleep(visibleMS + 2*time.Second + 100*time.Millisecond)
+	accepted := time.Now()
+	time.Sleep(4 * time.Second)
+	states := []string{}
+	for _, id := range ids {
+		states = append(states, s.state(id))
+	}
+	s.rec.say("4 s later their states are: %s; starts answered with 503: %d", strings.Join(states, " "), s.minions.refusals())
+	time.Sleep(time.Until(accepted.Add(visibleMS + 2*time.Second + 100*time.Millisecond)))
 	broken := 0
 	for _, e := range s.entries {
 		waiting := 0
@@ -418,11 +426,6 @@
 			broken++
 		}
 	}
-	states := []string{}
-	for _, id := range ids {
-		states = append(states, s.state(id))
-	}
-	s.rec.say("their states: %s; starts answered with 503: %s", strings.Join(states, " "), strconv.Itoa(s.minions.refusals()))
 	free[0].unhealthy.Store(false)
 	if broken > 0 {
 		return fmt.Errorf("MIXED: %w", errBroken)
