--- a/review/stage/cases.go
+++ b/review/stage/cases.go
@@ -28,6 +28,7 @@
 	for i := range minionCount {
 		zone := fmt.Sprintf("zone-%d", i%3+1)
 		if err := s.minions.add(fmt.Sprintf("i-%d", i+1), service, zone, zone+"-r1", need{16000, 32768}); err != nil {
+			s.close()
 			return nil, err
 		}
 	}
@@ -80,30 +81,57 @@
 	return out
 }
 
-// judgeLost applies the rule LOST to plain jobs, once finish_s has passed after the end of the traffic: a
-// job isn't known or gets no answer, or it had nothing running for 3 s while its tasks' turn had come and
-// there was capacity for it. Its tenant has no cap. Nothing else ran for the 3 s before now, as the record
-// shows: that the minions are idle is checked here.
-func (s *stage) judgeLost(jobs []owed) error {
-	runs, used := s.minions.running()
-	var capacity int64
+// lostSpan is how long a job may have nothing running while it could run, by the rule LOST.
+const lostSpan = 3 * time.Second
+
+// stuckJobs looks at the jobs for a little longer than lostSpan and returns those that had nothing running all
+// the while, though a task's turn had come, there was capacity for the job twice over and under half of the
+// service's capacity was in use. All tasks of these jobs may start at once, and their tenant has no cap.
+func (s *stage) stuckJobs(jobs []owed) map[string]bool {
+	stuck := map[string]bool{}
+	for _, j := range jobs {
+		stuck[j.id] = true
+	}
+	var capacity need
 	for _, m := range s.minions.list {
-		capacity += m.capacity.cpu
+		capacity.cpu, capacity.mem = capacity.cpu+m.capacity.cpu, capacity.mem+m.capacity.mem
+	}
+	most := need{}
+	for end := time.Now().Add(lostSpan + 200*time.Millisecond); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		active, used := s.minions.activeJobs()
+		most.cpu, most.mem = max(most.cpu, used.cpu), max(most.mem, used.mem)
+		for _, j := range jobs {
+			var whole need
+			tasks := 0
+			for _, x := range plain(0).Steps {
+				whole.cpu, whole.mem = whole.cpu+int64(x.Count)*x.CPU, whole.mem+int64(x.Count)*x.MemMB
+				tasks += x.Count
+			}
+			room := used.cpu+2*whole.cpu <= capacity.cpu && used.mem+2*whole.mem <= capacity.mem
+			half := 2*used.cpu < capacity.cpu && 2*used.mem < capacity.mem
+			if active[j.id] || s.minions.doneOf(j.id) >= tasks || !room || !half {
+				delete(stuck, j.id)
+			}
+		}
 	}
-	s.rec.say("minions run %d tasks, which use %d of %d thousandths of a core", runs, used.cpu, capacity)
-	states, never, notKnown := map[string]int{}, 0, 0
+	s.rec.say("for %.1f s the minions used at most %d of %d thousandths of a core; %d of %d jobs had nothing running and could run all the while", lostSpan.Seconds(), most.cpu, capacity.cpu, len(stuck), len(jobs))
+	return stuck
+}
+
+// judgeLost applies the rule LOST to plain jobs, once finish_s has passed after the end of the traffic: one isn't
+// known or gets no answer in time, or one is stuck.
+func (s *stage) judgeLost(jobs []owed) error {
+	stuck := s.stuckJobs(jobs)
+	states, notKnown := map[string]int{}, 0
 	for _, j := range jobs {
 		state := s.state(j.id)
 		states[state]++
 		if state == "" || state == "410" {
 			notKnown++
 		}
-		if state != "completed" && len(s.minions.startsOf(j.id)) == 0 {
-			never++
-		}
 	}
-	s.rec.say("%d accepted jobs; states %v; %d not known or without an answer; %d neither completed nor ever started", len(jobs), states, notKnown, never)
-	if notKnown > 0 || never > 0 && used.cpu*2 < capacity {
+	s.rec.say("%d accepted jobs; states %v; %d not known or without an answer; %d stuck", len(jobs), states, notKnown, len(stuck))
+	if notKnown > 0 || len(stuck) > 0 {
 		return fmt.Errorf("LOST: %w", errBroken)
 	}
 	if states["completed"] != len(jobs) {
@@ -299,6 +327,7 @@
 	defer s.close()
 	kills := map[string]int{}
 	peak := map[string]int{}
+	taken := 0 // guarded by mu
 	var mu sync.Mutex
 	stop := make(chan struct{})
 	var watch sync.WaitGroup
@@ -313,6 +342,9 @@
 					s.rec.line("%s: process ends by itself, at %d MB of %d", e.name, mb, memoryMB)
 					s.kill(e)
 					mu.Lock()
+					if len(kills) == 0 {
+						s.rec.say("the first end of a process, with %d hourly jobs accepted", taken)
+					}
 					kills[e.name]++
 					mu.Unlock()
 					time.Sleep(500 * time.Millisecond)
@@ -333,7 +365,6 @@
 	if trouble {
 		count = 60
 	}
-	taken := 0
 	for i := range count {
 		hourly := job{ID: jobID(1000 + i), Spec: "run 40 ms", Repeat: 5000, FirstRun: time.Now().Add(7 * 24 * time.Hour).UnixMilli(), Interval: time.Hour.Milliseconds()}
 		for k := range 4 {
@@ -344,7 +375,9 @@
 			hourly.Steps = append(hourly.Steps, x)
 		}
 		if s.submit(hourly) {
+			mu.Lock()
 			taken++
+			mu.Unlock()
 		}
 		time.Sleep(500 * time.Millisecond)
 	}
@@ -369,12 +402,12 @@
 
 // playPending fills all minions but one, which answers starts with 503, and asks how many jobs are pending.
 func playPending(recordFile string, trouble bool) error {
-	s, err := open(recordFile, 10, 0)
+	s, err := open(recordFile, 12, 0)
 	if err != nil {
 		return err
 	}
 	defer s.close()
-	for i := range 9 {
+	for i := range 11 {
 		j := job{ID: jobID(3000 + i), Spec: "run 40000 ms", Steps: []step{{Count: 1, CPU: 16000, MemMB: 1024, Estimate: 40000}}}
 		if !s.submit(j) {
 			return errors.New("a job was not accepted")
--- a/review/stage/minions.go
+++ b/review/stage/minions.go
@@ -83,6 +83,7 @@
 	mu      sync.Mutex
 	starts  []startEvent // guarded by mu
 	refused int          // guarded by mu; starts answered with 503
+	done    map[string]int // guarded by mu; ends as done, by job
 	alone   []time.Time  // guarded by mu; when the runs began that ended alone
 }
 
@@ -210,6 +211,12 @@
 	m.barred[r.task] = max(m.barred[r.task], r.attempt)
 	m.last++
 	m.ended = append(m.ended, finishedRun{m.last, r.task, r.attempt, how})
+	if how == "done" {
+		id, _, _ := strings.Cut(r.task, ".")
+		m.all.mu.Lock()
+		m.all.done[id]++
+		m.all.mu.Unlock()
+	}
 	m.all.rec.line("%s: %s run %d ends: %s", m.id, r.task, r.attempt, how)
 }
 
@@ -350,6 +357,7 @@
 		return m.refuse("fence")
 	}
 	m.barred[o.Task] = max(m.barred[o.Task], o.Attempt)
+	m.all.rec.line("%s: stop of %s run %d, token %d", m.id, o.Task, o.Attempt, o.Token)
 	if r := m.runs[o.Task]; r != nil && r.attempt <= o.Attempt {
 		if at := time.Now().Add(stopTime); r.ends.IsZero() || r.ends.After(at) {
 			r.ends, r.how = at, "stopped"
@@ -438,6 +446,30 @@
 	return len(a.alone), late
 }
 
+// doneOf returns how many runs of a job ended as done.
+func (a *minions) doneOf(job string) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.done[job]
+}
+
+// activeJobs returns the jobs of which a task runs, and what all runs use.
+func (a *minions) activeJobs() (active map[string]bool, used need) {
+	active = map[string]bool{}
+	for _, m := range a.list {
+		m.mu.Lock()
+		m.settle()
+		for task := range m.runs {
+			id, _, _ := strings.Cut(task, ".")
+			active[id] = true
+		}
+		u := m.used()
+		used.cpu, used.mem = used.cpu+u.cpu, used.mem+u.mem
+		m.mu.Unlock()
+	}
+	return active, used
+}
+
 // running returns the number of runs and what they use, on all minions.
 func (a *minions) running() (n int, used need) {
 	for _, m := range a.list {
--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -116,7 +116,7 @@
 	}
 	s := &stage{rec: rec, dir: dir, store: newStore(rec), run: strings.Fields(string(found[1])), needs: map[string][]need{}, gangs: map[string]int{},
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 32}}}
-	s.minions = &minions{store: s.store, rec: rec, needOf: s.needOf, gangOf: s.gangOf}
+	s.minions = &minions{store: s.store, rec: rec, needOf: s.needOf, gangOf: s.gangOf, done: map[string]int{}}
 	s.store.put(rowName{Table: "op", Key: "config"}, config)
 	return s, nil
 }
@@ -226,6 +226,10 @@
 	e.mu.Lock()
 	cmd, done := e.cmd, e.done
 	e.mu.Unlock()
+	if cmd == nil {
+		return // it was never started
+	}
+	s.rec.line("%s: process gets SIGKILL", e.name)
 	_ = cmd.Process.Kill()
 	<-done
 }
@@ -370,6 +374,7 @@
 	if err != nil {
 		panic(err)
 	}
+	s.rec.line("body of job %s: %s", j.ID, body)
 	for try := range 5 {
 		status, _ := s.call(s.entries[try%len(s.entries)], http.MethodPost, "/q/"+j.ID, body)
 		if status/100 == 2 {
--- a/review/stage/store.go
+++ b/review/stage/store.go
@@ -43,6 +43,19 @@
 	refused map[string]int       // guarded by mu; by reason
 	began   time.Time
 	rec     *record
+	holder  string // guarded by mu; the entry VM named in the row that each conditional write renews
+}
+
+// noteHolder records a change of the entry VM that coordinates. It requires mu.
+func (s *store) noteHolder(n rowName, value []byte) {
+	var v struct {
+		Holder string `json:"h"`
+	}
+	if n.Table != "lease" || json.Unmarshal(value, &v) != nil || v.Holder == s.holder {
+		return
+	}
+	s.holder = v.Holder
+	s.rec.line("store: the lease is now held by %q", v.Holder)
 }
 
 func newStore(rec *record) *store {
@@ -180,6 +193,7 @@
 	s.version++
 	for _, c := range x.Writes {
 		s.set(c.rowName, append([]byte{}, c.Value...))
+		s.noteHolder(c.rowName, c.Value)
 	}
 	for _, n := range x.Remove {
 		delete(s.rows, n)
