--- a/review/stage/cases.go
+++ b/review/stage/cases.go
@@ -394,7 +394,7 @@
 			thrice++
 		}
 	}
-	if thrice >= 2 {
+	if !errors.Is(err, errBroken) && thrice >= 2 {
 		return fmt.Errorf("Fault: %w", errBroken)
 	}
 	return err
--- a/review/stage/minions.go
+++ b/review/stage/minions.go
@@ -81,10 +81,10 @@
 	gangOf func(job string) int
 
 	mu      sync.Mutex
-	starts  []startEvent // guarded by mu
-	refused int          // guarded by mu; starts answered with 503
+	starts  []startEvent   // guarded by mu
+	refused int            // guarded by mu; starts answered with 503
 	done    map[string]int // guarded by mu; ends as done, by job
-	alone   []time.Time  // guarded by mu; when the runs began that ended alone
+	alone   []time.Time    // guarded by mu; when the runs began that ended alone
 }
 
 func (a *minions) add(id, service, zone, rack string, capacity need) error {
