jobs: the cost of a job's steps is linear in its body

Cause: Spec.CriticalPath called itself for each later step that names a step and kept no results: 2^n calls for n such steps, in the goroutine of control state, at each Registry.Add. A new coordinator loads the job and does the same. On related paths: each end of a task looked at all steps to see if the job has ended, each scheduling run looked at all steps of all jobs and, for each waiting step, once more at all steps for the work that is left. Change: CriticalPaths takes one pass from the last step; sums of estimates saturate. A step counts the entries of its `after` that have not ended, so that a step that ends touches only its dependents. The steps that are open or have runs are kept in a list, the work left and the ended steps are counted.

--- a/internal/coordinator/plan.go
+++ b/internal/coordinator/plan.go
@@ -168,7 +168,7 @@
 // addWaitingSteps adds the steps of a job with tasks to start, to relocate or to find a place for while
 // they stop.
 func (t *Term) addWaitingSteps(to []schedule.Step, j *jobs.Job, relocating map[*jobs.StepRun][]*jobs.Task) []schedule.Step {
-	for _, s := range j.Steps {
+	for _, s := range j.CurrentSteps() {
 		step := schedule.Step{StepRun: s, Waiting: s.WaitingTasks()}
 		if s.Spec.LongRunning {
 			step.Relocating, step.Stopping = relocating[s], t.stoppingWithoutPlace(s)
--- a/internal/coordinator/rebalance.go
+++ b/internal/coordinator/rebalance.go
@@ -211,7 +211,7 @@
 	for _, j := range t.registry.Open() {
 		svc := t.queueOf(j).Service
 		l := out[svc]
-		for _, s := range j.Steps {
+		for _, s := range j.CurrentSteps() {
 			l.add(s)
 			if u, ok := t.unplaced[s]; ok && s.Spec.LongRunning && t.now > u.since+unplaceableAfter {
 				need := capacity.Need{Resources: s.Spec.Reserved(), Label: s.Spec.Label}
--- a/internal/coordinator/status.go
+++ b/internal/coordinator/status.go
@@ -84,7 +84,7 @@
 		of(mv.to).Moving++
 	}
 	for _, j := range t.registry.Open() {
-		for _, step := range j.Steps {
+		for _, step := range j.CurrentSteps() {
 			if step.Open {
 				of(t.queueOf(j).Service).WaitingTasks += step.Count(jobs.Waiting)
 			}
--- a/internal/coordinator/waiting.go
+++ b/internal/coordinator/waiting.go
@@ -117,7 +117,7 @@
 		if !j.Spec.LongRunning() {
 			continue
 		}
-		for _, s := range j.Steps {
+		for _, s := range j.CurrentSteps() {
 			if !s.Spec.LongRunning || !s.Open {
 				continue
 			}
--- a/internal/coordinator/waves.go
+++ b/internal/coordinator/waves.go
@@ -270,7 +270,7 @@
 		if out[q.Service] {
 			continue
 		}
-		for _, s := range j.Steps {
+		for _, s := range j.CurrentSteps() {
 			if !s.Spec.LongRunning && s.Open && s.Count(jobs.Waiting) > 0 {
 				out[q.Service] = true
 			}
--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -103,6 +103,10 @@
 	waiting []*Task
 	// Open is set once the occurrence is due and all steps that this one depends on have ended.
 	Open bool
+	// blockers counts the entries of Spec.After whose steps have not ended.
+	blockers int
+	// current is set while the step is in Job.current.
+	current bool
 	// FailedRuns lists the failed runs of a gang.
 	FailedRuns []int
 }
@@ -116,14 +120,20 @@
 	// it may have runs that this process does not know of.
 	Inherited bool
 	Steps     []*StepRun
-	// criticalPaths holds Spec.CriticalPath of each step, longestChain the longest of them.
+	// criticalPaths are Spec.CriticalPaths, longestChain is the longest of them.
 	criticalPaths []time.Duration
 	longestChain  time.Duration
-	// work is Spec.Work.
-	work  float64
-	state State
-	// stepsChecked is set if no task has ended since OpenSteps last looked at the steps.
-	stepsChecked bool
+	// dependents lists, by step, the later steps that name it in After, once for each mention.
+	dependents [][]int32
+	// unblocked are the steps that are not open although all steps that they depend on have ended.
+	unblocked []*StepRun
+	// current are the steps that are open or have active tasks, and steps that were so before.
+	current []*StepRun
+	// endedSteps counts the steps that have ended.
+	endedSteps int
+	// work is Spec.Work, workLeft the part of it in tasks that wait.
+	work, workLeft float64
+	state          State
 	// started is set once a task of the job was started.
 	started bool
 	// lastChange is the number of the last change of the job's progress, savedChange that of the
@@ -182,7 +192,7 @@
 // Active returns the tasks of which a run may be in progress.
 func (j *Job) Active() []*Task {
 	var out []*Task
-	for _, s := range j.Steps {
+	for _, s := range j.CurrentSteps() {
 		if s.Active() == 0 {
 			continue
 		}
@@ -195,15 +205,31 @@
 	return out
 }
 
-// WorkLeft returns the estimated work of the job's waiting tasks, in core-seconds.
-func (j *Job) WorkLeft() float64 {
-	work := 0.0
-	for _, s := range j.Steps {
-		work += float64(s.Count(Waiting)) * s.Spec.Work()
+// CurrentSteps returns the steps that are open and have not ended, and those with active tasks. The
+// slice is valid until a step of the job opens or the phase of a task changes.
+func (j *Job) CurrentSteps() []*StepRun {
+	kept := j.current[:0]
+	for _, s := range j.current {
+		if s.current = s.Open && !s.Ended() || s.Active() > 0; s.current {
+			kept = append(kept, s)
+		}
+	}
+	clear(j.current[len(kept):])
+	j.current = kept
+	return kept
+}
+
+// addCurrent adds a step to Job.current.
+func (j *Job) addCurrent(s *StepRun) {
+	if !s.current {
+		s.current = true
+		j.current = append(j.current, s)
 	}
-	return work
 }
 
+// WorkLeft returns the estimated work of the job's waiting tasks, in core-seconds.
+func (j *Job) WorkLeft() float64 { return j.workLeft }
+
 // Work returns the estimated work of one occurrence, in core-seconds.
 func (j *Job) Work() float64 { return j.work }
 
@@ -289,13 +315,17 @@
 	}
 	j := &Job{Accepted: a, LearnedAt: now, EndedAt: now, state: StateQueued, stored: storedJob{state: StateQueued}}
 	j.work = j.Spec.Work()
-	for i := range j.Spec.Steps {
-		j.criticalPaths = append(j.criticalPaths, j.Spec.CriticalPath(i))
-		j.longestChain = max(j.longestChain, j.criticalPaths[i])
+	j.workLeft = j.work * float64(a.Spec.Occurrences())
+	j.criticalPaths, j.dependents = j.Spec.CriticalPaths(), j.Spec.dependents()
+	for _, p := range j.criticalPaths {
+		j.longestChain = max(j.longestChain, p)
 	}
 	for k := range a.Spec.Occurrences() {
 		for i := range j.Spec.Steps {
-			s := &StepRun{Job: j, Occurrence: k, Index: i, Spec: &j.Spec.Steps[i]}
+			s := &StepRun{Job: j, Occurrence: k, Index: i, Spec: &j.Spec.Steps[i], blockers: len(j.Spec.Steps[i].After)}
+			if s.blockers == 0 {
+				j.unblocked = append(j.unblocked, s)
+			}
 			s.byPhase[Waiting] = s.Spec.Count
 			tasks := make([]Task, s.Spec.Count)
 			s.Tasks = make([]*Task, s.Spec.Count)
@@ -344,19 +374,29 @@
 
 // OpenSteps opens the steps of a job that have become ready. now is the wall-clock time.
 func (j *Job) OpenSteps(now time.Time) {
-	if j.stepsChecked && j.Spec.Repeat == 0 {
-		return
-	}
-	j.stepsChecked = true
-	for _, s := range j.Steps {
-		if s.Open || (s.Occurrence > 0 || j.Spec.Repeat > 0) && now.Before(j.Spec.Due(s.Occurrence)) {
-			continue
+	kept := j.unblocked[:0]
+	for _, s := range j.unblocked {
+		switch {
+		case s.blockers > 0 || s.Open:
+		case j.Spec.Repeat > 0 && now.Before(j.Spec.Due(s.Occurrence)):
+			kept = append(kept, s)
+		default:
+			s.Open = true
+			j.addCurrent(s)
 		}
-		s.Open = true
-		for _, a := range s.Spec.After {
-			if !j.Step(s.Occurrence, a).Ended() {
-				s.Open = false
-			}
+	}
+	clear(j.unblocked[len(kept):])
+	j.unblocked = kept
+}
+
+// stepEnded is called when all tasks of a step have become done, with n = 1, and when that is no
+// longer so, with n = -1.
+func (j *Job) stepEnded(s *StepRun, n int) {
+	j.endedSteps += n
+	for _, i := range j.dependents[s.Index] {
+		d := j.Step(s.Occurrence, int(i))
+		if d.blockers -= n; d.blockers == 0 {
+			j.unblocked = append(j.unblocked, d)
 		}
 	}
 }
@@ -393,12 +433,23 @@
 	if t.Phase == Waiting || p == Waiting {
 		s.waiting = nil
 	}
-	s.byPhase[t.Phase]--
+	before, ended := t.Phase, s.Ended()
+	s.byPhase[before]--
 	s.byPhase[p]++
-	if p == Done {
-		s.Job.stepsChecked = false
-	}
 	t.Phase = p
+	j := s.Job
+	if before == Waiting {
+		j.workLeft -= s.Spec.Work()
+	}
+	if p == Waiting {
+		j.workLeft += s.Spec.Work()
+	}
+	if t.Active() {
+		j.addCurrent(s)
+	}
+	if now := s.Ended(); now != ended {
+		j.stepEnded(s, map[bool]int{true: 1, false: -1}[now])
+	}
 }
 
 // NextRun returns the number of the task's next run. lowest is the lowest number that the current
@@ -547,12 +598,9 @@
 
 // completeIfEnded completes a job of which all steps have ended.
 func (r *Registry) completeIfEnded(j *Job, now time.Duration) {
-	for _, s := range j.Steps {
-		if !s.Ended() {
-			return
-		}
+	if j.endedSteps == len(j.Steps) {
+		r.setFinal(j, StateCompleted, now)
 	}
-	r.setFinal(j, StateCompleted, now)
 }
 
 // Cancel cancels a job and reports whether it did; it does not if the job is in a final state.
--- a/internal/jobs/cover.go
+++ b/internal/jobs/cover.go
@@ -30,15 +30,8 @@
 			out[m] = true
 		}
 	}
-	for _, s := range j.Steps {
-		if s.Active() == 0 {
-			continue
-		}
-		for _, t := range s.Tasks {
-			if t.Active() {
-				out[t.Minion] = true
-			}
-		}
+	for _, t := range j.Active() {
+		out[t.Minion] = true
 	}
 	return out
 }
--- a/internal/jobs/spec.go
+++ b/internal/jobs/spec.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"math"
 	"time"
 
 	"github.com/pkg/errors"
@@ -158,18 +159,37 @@
 	return nil
 }
 
-// CriticalPath returns the estimated time from the start of step i to the end of an occurrence,
-// along the longest chain of dependent steps.
-func (s *Spec) CriticalPath(i int) time.Duration {
-	var after time.Duration
-	for j := i + 1; j < len(s.Steps); j++ {
-		for _, a := range s.Steps[j].After {
-			if a == i {
-				after = max(after, s.CriticalPath(j))
-			}
+// CriticalPaths returns, by step, the estimated time from its start to the end of an occurrence, along
+// the longest chain of dependent steps. It takes time in proportion to the steps and their After.
+func (s *Spec) CriticalPaths() []time.Duration {
+	paths := make([]time.Duration, len(s.Steps))
+	for i := len(s.Steps) - 1; i >= 0; i-- {
+		// All steps that depend on this one come later: paths[i] is the longest of theirs.
+		paths[i] = addSaturating(paths[i], s.Steps[i].Estimate)
+		for _, a := range s.Steps[i].After {
+			paths[a] = max(paths[a], paths[i])
+		}
+	}
+	return paths
+}
+
+// addSaturating returns a + b, or the longest duration if that is longer. Both must be at least 0.
+func addSaturating(a, b time.Duration) time.Duration {
+	if a > math.MaxInt64-b {
+		return math.MaxInt64
+	}
+	return a + b
+}
+
+// dependents lists, by step, the later steps that name it in After, once for each mention.
+func (s *Spec) dependents() [][]int32 {
+	out := make([][]int32, len(s.Steps))
+	for i := range s.Steps {
+		for _, a := range s.Steps[i].After {
+			out[a] = append(out[a], int32(i))
 		}
 	}
-	return s.Steps[i].Estimate + after
+	return out
 }
 
 // Work returns the estimated work of one task of the step, in core-seconds.
