coordinator: the rows of a few jobs no longer stop all writes

A valid job of 260 steps with long `after` lists was answered with 503 each time, for good. Cause: a job's progress held three bytes for each step of each occurrence, begun or not (60,007 bytes for 5,000 occurrences of four steps). A write was bounded by rows, not by bytes, so that 25 of them exceeded the 1 MB of a transaction. The store's refusal was handled like a store that is away, and the next write held the same rows. A job's own row above row_bytes was refused as well and answered as if the store were away. Change: progress lists ranges of ended occurrences and only what has begun of the others; many failed runs are bitmaps. Writes are bounded by bytes too. A write that is refused for good (400, 413) is halved until the row is found, which is logged with its size, left out and tried again after 30 s; the starts that wait for it are taken back. Rows of ended jobs and the last write before a handover are handled the same way.

--- a/internal/coordinator/backlog_test.go
+++ b/internal/coordinator/backlog_test.go
@@ -122,10 +122,11 @@
 			}
 		}
 		term.now += urgentInterval
-		puts, stored, _ := term.collectBatch()
+		b := term.collectBatch()
+		puts := b.puts
 		require.LessOrEqual(t, len(puts), maxBatchRows)
 		requireDistinctKeys(t, puts)
-		stored()
+		b.stored()
 	}
 	require.GreaterOrEqual(t, writes, ends/maxBatchRows, "some are stored by each write")
 }
@@ -150,12 +151,13 @@
 	var got []string
 	for len(got) < len(order) {
 		term.now += lazyInterval
-		puts, stored, _ := term.collectBatch()
+		b := term.collectBatch()
+		puts := b.puts
 		require.NotEmpty(t, puts)
 		for _, p := range puts {
 			got = append(got, p.Key)
 		}
-		stored()
+		b.stored()
 	}
 	require.Equal(t, order, got)
 }
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"sync"
@@ -42,8 +43,13 @@
 	MachineOrderGap time.Duration
 	// Retention is how long a job's state can be queried after its end.
 	Retention time.Duration
+	// RowBytes is the largest value of a row that the store takes; 0 selects jobs.DefaultRowBytes.
+	RowBytes int
 }
 
+// MaxRowBytes returns RowBytes or its default.
+func (l Limits) MaxRowBytes() int { return cmp.Or(l.RowBytes, jobs.DefaultRowBytes) }
+
 // Deps are the dependencies of a term.
 type Deps struct {
 	Self peer.Sender
--- a/internal/coordinator/endedrows.go
+++ b/internal/coordinator/endedrows.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"boragepulley/internal/jobs"
 	"boragepulley/internal/platform"
 )
@@ -35,13 +37,15 @@
 	// due contains the jobs whose rows have to be compacted, by shard.
 	due     map[int]map[jobs.ID]*jobs.Job
 	writing map[int]bool
+	// oneByOne are the shards of which the store refused a transaction: each job is then written alone.
+	oneByOne map[int]bool
 	// nextRun is the time of the next compaction, nextExpiry that of the next search for expired
 	// jobs.
 	nextRun, nextExpiry time.Duration
 }
 
 func (c *rowCompactor) init() {
-	c.due, c.writing = map[int]map[jobs.ID]*jobs.Job{}, map[int]bool{}
+	c.due, c.writing, c.oneByOne = map[int]map[jobs.ID]*jobs.Job{}, map[int]bool{}, map[int]bool{}
 }
 
 // queueCompaction schedules the compaction of a job whose final state is stored.
@@ -83,11 +87,16 @@
 func (t *Term) compactShard(shard int) {
 	var puts []platform.Put
 	var done []func()
-	n := 0
+	most, n := compactBatch, 0
+	if t.compactor.oneByOne[shard] {
+		most = 1
+	}
+	var last *jobs.Job
 	for id, j := range t.compactor.due[shard] {
-		if n++; n > compactBatch {
+		if n++; n > most {
 			break
 		}
+		last = j
 		var value []byte
 		remove := t.expired(j)
 		if !remove {
@@ -109,6 +118,10 @@
 		_, err := t.deps.Table.Commit(ctx, platform.PriorityBackground, platform.Txn{Puts: puts})
 		return func() {
 			t.compactor.writing[shard] = false
+			if errors.Is(err, platform.ErrRejected) {
+				t.compactionRefused(shard, last, len(done), err)
+				return
+			}
 			if err != nil {
 				t.log.Info().Err(err).Int("shard", shard).Int("jobs", len(done)).Msg("Coordinator: rows of ended jobs could not be compacted; will retry.")
 				return
@@ -116,10 +129,25 @@
 			for _, f := range done {
 				f()
 			}
+			if len(t.compactor.due[shard]) == 0 {
+				delete(t.compactor.oneByOne, shard)
+			}
 		}
 	})
 }
 
+// compactionRefused handles a transaction that the store refuses for good. The jobs are then written one by
+// one, and one whose rows it does not take is left as it is: a successor reads its final state in its
+// progress.
+func (t *Term) compactionRefused(shard int, j *jobs.Job, n int, err error) {
+	t.compactor.oneByOne[shard] = true
+	counters.Add("writes_refused", 1)
+	if n == 1 {
+		delete(t.compactor.due[shard], j.ID)
+	}
+	t.log.Error().Err(err).Int("shard", shard).Int("jobs", n).Str("job", string(j.ID)).Msg("Coordinator: the store refused rows of ended jobs.")
+}
+
 func (t *Term) rowsCompacted(shard int, j *jobs.Job, removed, hasCancel bool) {
 	delete(t.compactor.due[shard], j.ID)
 	if hasCancel {
--- a/internal/coordinator/handover.go
+++ b/internal/coordinator/handover.go
@@ -49,7 +49,13 @@
 	if err != nil {
 		return err
 	}
-	if err := t.held.Release(ctx, puts); err != nil {
+	err = t.held.Release(ctx, puts)
+	if errors.Is(err, platform.ErrRejected) && len(puts) > 0 {
+		// The ends in these rows are not acknowledged, so that minions report them to the successor.
+		t.log.Warn().Err(err).Int("rows", len(puts)).Msg("Coordinator: the store refused the final write; releasing without it.")
+		err = t.held.Release(ctx, nil)
+	}
+	if err != nil {
 		return err
 	}
 	t.announceSuccessor(ctx)
@@ -60,12 +66,11 @@
 // it returns to be written together with the release of the lease.
 func (t *Term) flush(ctx context.Context) ([]platform.Put, error) {
 	for i := range maxFinalWrites {
-		var puts []platform.Put
-		var onStored func()
+		var b *batch
 		for writing := true; writing; {
 			if err := t.do(ctx, func() {
 				if writing = t.writer.writing; !writing {
-					puts, onStored, _ = t.collectBatch()
+					b = t.collectBatch()
 				}
 			}); err != nil {
 				return nil, err
@@ -74,13 +79,13 @@
 				time.Sleep(writePollInterval)
 			}
 		}
-		if len(puts) < maxBatchRows || i == maxFinalWrites-1 {
-			return puts, nil
+		if !b.full || i == maxFinalWrites-1 {
+			return b.puts, nil
 		}
-		if err := t.held.Commit(ctx, puts); err != nil {
+		if err := t.held.Commit(ctx, b.puts); err != nil {
 			return nil, errors.Wrap(err, "coordinator: final write")
 		}
-		if err := t.do(ctx, onStored); err != nil {
+		if err := t.do(ctx, b.stored); err != nil {
 			return nil, err
 		}
 	}
--- a/internal/coordinator/journal.go
+++ b/internal/coordinator/journal.go
@@ -29,6 +29,11 @@
 	// minions list ended runs in each report until their progress is stored, and a minion's ends are
 	// acknowledged in their order.
 	oldestRows = 24
+	// maxBatchBytes bounds the values of a write; a single row may be larger. The store takes 1 MB, and
+	// the link of a small entry VM carries 10 Mbit/s: a write must not delay the renewal of the lease.
+	maxBatchBytes = 256 << 10
+	// refusedRetry is when a row that the store refuses is tried again, unless its value is smaller by then.
+	refusedRetry = 30 * time.Second
 	// slowWriteThreshold is the duration from which a write is logged as slow. A write usually
 	// takes 10 ms.
 	slowWriteThreshold = 250 * time.Millisecond
@@ -57,12 +62,24 @@
 	obsoleteProgress map[jobs.ID]bool
 	// waveRows are the rows of maintenance waves to be written, by key.
 	waveRows map[string][]byte
+	// maxRows bounds the rows of the next write. It is lower than maxBatchRows while a row is searched
+	// for because of which the store refused a write.
+	maxRows int
+	// refused are the rows that the store does not take.
+	refused map[string]refusedRow
+}
+
+// refusedRow is a row that the store does not take, other than because it is away.
+type refusedRow struct {
+	size  int
+	until time.Duration
 }
 
 func (w *storeWriter) init() {
 	w.newMinions, w.goneMinions = map[*holding.Minion]bool{}, map[jobs.Minion]bool{}
 	w.obsoleteProgress, w.heldStarts = map[jobs.ID]bool{}, map[*jobs.Job]bool{}
 	w.waiters, w.waveRows = map[jobs.ID][]func(){}, map[string][]byte{}
+	w.maxRows, w.refused = maxBatchRows, map[string]refusedRow{}
 }
 
 // progressVersion is the version of a job's progress that a write contains.
@@ -91,26 +108,93 @@
 	t.sendWrite(t.collectBatch())
 }
 
-// collectBatch collects the rows of the next write. The caller calls onStored once they are stored,
-// or onFailed if the write had no effect.
-func (t *Term) collectBatch() (puts []platform.Put, onStored, onFailed func()) {
+// batch collects the rows of a write.
+type batch struct {
+	term  *Term
+	puts  []platform.Put
+	done  []func()
+	keys  map[string]bool
+	bytes int
+	// full is set if a row had no space.
+	full bool
+	// writing are the jobs whose progress is in the batch.
+	writing []*jobs.Job
+}
+
+// addResult tells what became of a row that was to be added to a write.
+type addResult int
+
+const (
+	// rowAdded: the row is in the write, or the next one has it.
+	rowAdded addResult = iota
+	// rowRefused: the store does not take the row.
+	rowRefused
+	// batchFull: the write has no space left.
+	batchFull
+)
+
+// add adds a row; done is called once it is stored.
+func (b *batch) add(key string, value []byte, done func()) addResult {
+	w := &b.term.writer
+	if b.term.isRefused(key, len(value)) {
+		return rowRefused
+	}
+	if len(b.puts) >= w.maxRows || len(b.puts) > 0 && b.bytes+len(key)+len(value) > maxBatchBytes {
+		w.urgent, b.full = true, true
+		return batchFull
+	}
+	if b.keys[key] {
+		return rowAdded // the store rejects a transaction with two writes of one row; the next write has it
+	}
+	b.keys[key] = true
+	b.puts, b.done, b.bytes = append(b.puts, platform.Put{Key: key, Value: value}), append(b.done, done), b.bytes+len(key)+len(value)
+	return rowAdded
+}
+
+// isRefused reports whether the store does not take a row of the given size.
+func (t *Term) isRefused(key string, size int) bool {
 	w := &t.writer
-	w.urgent = false
-	var done []func()
-	keys := map[string]bool{}
-	add := func(key string, value []byte, f func()) bool {
-		if len(puts) >= maxBatchRows {
-			w.urgent = true
-			return false
-		}
-		if keys[key] {
-			return true // the store rejects a transaction with two writes of one row; the next write has it
+	if r, ok := w.refused[key]; ok {
+		if t.now < r.until && size >= r.size {
+			return true
 		}
-		keys[key] = true
-		puts = append(puts, platform.Put{Key: key, Value: value})
-		done = append(done, f)
+		delete(w.refused, key)
+	}
+	if size > t.deps.Limits.MaxRowBytes() {
+		t.refuseRow(key, size, nil)
 		return true
 	}
+	return false
+}
+
+// refuseRow records that the store does not take a row, because of its size or for the reason in err.
+func (t *Term) refuseRow(key string, size int, err error) {
+	t.writer.refused[key] = refusedRow{size, t.now + refusedRetry}
+	counters.Add("rows_refused", 1)
+	t.log.Error().Err(err).Str("row", key).Int("bytes", size).Int("limit", t.deps.Limits.MaxRowBytes()).Msg("Coordinator: the store does not take a row; it is left out of writes.")
+}
+
+// writeRefused handles a write that the store refuses for good, because of one of its rows or because
+// of all together. The next write has half of the rows, until the row is found; it is then left out.
+func (t *Term) writeRefused(b *batch, err error) {
+	w := &t.writer
+	w.urgent, w.notBefore = true, t.now
+	t.log.Warn().Err(err).Int("rows", len(b.puts)).Int("bytes", b.bytes).Msg("Coordinator: the store refused a write.")
+	switch {
+	case len(b.puts) == 0: // the row of the lease alone
+		w.notBefore = t.now + writeRetryDelay
+	case len(b.puts) == 1:
+		t.refuseRow(b.puts[0].Key, len(b.puts[0].Value), err)
+	default:
+		w.maxRows = len(b.puts) / 2
+	}
+}
+
+// collectBatch collects the rows of the next write.
+func (t *Term) collectBatch() *batch {
+	w := &t.writer
+	w.urgent = false
+	b := &batch{term: t, keys: map[string]bool{}}
 	for m := range w.newMinions {
 		row := t.minionRowOf(m)
 		value, err := json.Marshal(row)
@@ -118,42 +202,49 @@
 			t.log.Error().Err(err).Str("minion", string(m.ID)).Msg("Coordinator: row of minion could not be encoded.")
 			continue
 		}
-		if !add(minionKey(m.ID), value, func() { t.minionStored(m, row) }) {
+		if b.add(minionKey(m.ID), value, func() { t.minionStored(m, row) }) == batchFull {
 			break
 		}
 	}
-	t.addRecentOrders(add)
+	t.addRecentOrders(b)
 	for key, value := range w.waveRows {
 		stored := func() {
 			if bytes.Equal(w.waveRows[key], value) { // it may have changed during the write
 				delete(w.waveRows, key)
 			}
 		}
-		if !add(key, value, stored) {
+		if b.add(key, value, stored) == batchFull {
 			break
 		}
 	}
-	writing := t.addProgress(add)
+	t.addProgress(b)
 	for id := range w.goneMinions {
-		if !add(minionKey(id), nil, func() { delete(w.goneMinions, id) }) {
+		if b.add(minionKey(id), nil, func() { delete(w.goneMinions, id) }) == batchFull {
 			break
 		}
 	}
 	for id := range w.obsoleteProgress {
-		if !add(ProgressKey(id), nil, func() { delete(w.obsoleteProgress, id) }) {
+		if b.add(ProgressKey(id), nil, func() { delete(w.obsoleteProgress, id) }) == batchFull {
 			break
 		}
 	}
-	return puts, func() {
-			for _, f := range done {
-				f()
-			}
-		}, func() {
-			for _, j := range writing {
-				t.registry.WriteFailed(j)
-				j.FinalStateSent = false // no other write is in progress
-			}
-		}
+	return b
+}
+
+// stored is called once the rows are stored.
+func (b *batch) stored() {
+	for _, f := range b.done {
+		f()
+	}
+	b.term.writer.maxRows = min(maxBatchRows, 2*b.term.writer.maxRows)
+}
+
+// failed is called if the write had no effect.
+func (b *batch) failed() {
+	for _, j := range b.writing {
+		b.term.registry.WriteFailed(j)
+		j.FinalStateSent = false // no other write is in progress
+	}
 }
 
 // minionStored records that a row of a minion is stored.
@@ -167,12 +258,12 @@
 // addProgress adds the progress of jobs to a write and returns the added jobs. Progress that a start
 // waits for comes first, then what a caller waits for, then all other in the order in which it
 // changed. Not more than maxBatchRows-oldestRows rows are added before the oldest.
-func (t *Term) addProgress(add func(string, []byte, func()) bool) (writing []*jobs.Job) {
+func (t *Term) addProgress(to *batch) {
 	lazy := t.releasing || t.now >= t.writer.nextLazy
 	if lazy {
 		t.writer.nextLazy = t.now + lazyInterval
 	}
-	b := progressBatch{term: t, add: add, seen: map[*jobs.Job]bool{}}
+	b := progressBatch{batch: to, seen: map[*jobs.Job]bool{}}
 	unsaved := t.registry.Unsaved()
 	isStart := func(j *jobs.Job) bool { return !j.State().Final() && t.writer.heldStarts[j] }
 	isFinal := func(j *jobs.Job) bool { return j.State().Final() }
@@ -181,18 +272,14 @@
 	if full {
 		t.writer.nextLazy = t.now
 	}
-	return b.writing
 }
 
-// progressBatch collects the progress of jobs for one write.
+// progressBatch adds the progress of jobs to a write.
 type progressBatch struct {
-	term *Term
-	add  func(key string, value []byte, stored func()) bool
+	*batch
 	// seen are the jobs that were added or need no row, rows counts those added.
 	seen map[*jobs.Job]bool
 	rows int
-	// writing are the added jobs.
-	writing []*jobs.Job
 }
 
 // addAll adds the progress of jobs for which f returns true, as long as the batch has fewer than the
@@ -221,16 +308,23 @@
 		t.registry.Saved(j, j.LastChange(), j.State())
 		return true
 	}
+	if !j.State().Final() && t.startsRefused(j) {
+		return true // not encoded again before the next try
+	}
 	s := progressVersion{j, j.LastChange(), j.State()}
-	j.HasProgress = true
 	value, err := jobs.EncodeProgress(j)
 	if err != nil {
 		t.log.Error().Err(err).Str("job", string(j.ID)).Msg("Coordinator: progress could not be encoded.")
 		return true
 	}
-	if !b.add(ProgressKey(j.ID), value, func() { t.progressStored(s) }) {
+	switch b.add(ProgressKey(j.ID), value, func() { t.progressStored(s) }) {
+	case batchFull:
 		return false
+	case rowRefused:
+		t.dropHeldStarts(j)
+		return true
 	}
+	j.HasProgress = true
 	b.rows++
 	b.writing = append(b.writing, j)
 	if s.state.Final() {
@@ -241,6 +335,23 @@
 	return true
 }
 
+// dropHeldStarts takes back the starts of a job that wait for a row which the store does not take. Its
+// tasks wait until that is tried again; the minions are free for those of other jobs.
+func (t *Term) dropHeldStarts(j *jobs.Job) {
+	delete(t.writer.heldStarts, j)
+	for _, task := range j.Active() {
+		if start := t.pendingStarts[task]; start != nil && start.tries == 0 {
+			t.requeueBecause(task, "start_not_sent_progress_refused")
+		}
+	}
+}
+
+// startsRefused reports whether no task of a job may start, because the store does not take its progress.
+func (t *Term) startsRefused(j *jobs.Job) bool {
+	r, ok := t.writer.refused[ProgressKey(j.ID)]
+	return ok && t.now < r.until
+}
+
 // progressStored marks a version of a job's progress as stored.
 func (t *Term) progressStored(s progressVersion) {
 	t.registry.Saved(s.job, s.change, s.state)
@@ -256,25 +367,25 @@
 	}
 }
 
-func (t *Term) sendWrite(puts []platform.Put, onStored, onFailed func()) {
+func (t *Term) sendWrite(b *batch) {
 	w := &t.writer
 	w.writing, w.lastSent = true, t.now
 	t.load.writes++
-	t.load.rows += len(puts)
+	t.load.rows += len(b.puts)
 	t.run("write", func() {
 		// The write has no timeout of its own: the next write is conditional on the row version
 		// that this one leaves, so its outcome must be known unless the term ends.
-		err := t.held.Commit(t.ctx, puts)
+		err := t.held.Commit(t.ctx, b.puts)
 		until, version := t.held.ExpiresAt, t.held.Version
 		t.post(func() {
 			t.leaseVersion = version
-			t.writeFinished(err, until, onStored, onFailed)
+			t.writeFinished(b, err, until)
 		})
 	})
 }
 
 // writeFinished handles the outcome of a write. until is the new end of the lease.
-func (t *Term) writeFinished(err error, until time.Duration, onStored, onFailed func()) {
+func (t *Term) writeFinished(b *batch, err error, until time.Duration) {
 	w := &t.writer
 	w.writing = false
 	t.load.writing += t.now - w.lastSent
@@ -284,14 +395,18 @@
 	switch {
 	case err == nil:
 		t.leaseUntil = until
-		onStored()
+		b.stored()
 		t.ordersChanged = true // starts were held until now
 	case errors.Is(err, lease.ErrLost):
 		t.log.Warn().Err(err).Msg("Coordinator: lease lost.")
 		t.End(err)
 	case errors.Is(err, context.Canceled):
+	case errors.Is(err, platform.ErrRejected):
+		b.failed()
+		counters.Add("writes_refused", 1)
+		t.writeRefused(b, err)
 	default:
-		onFailed()
+		b.failed()
 		counters.Add("writes_without_effect", 1)
 		w.notBefore, w.urgent = t.now+writeRetryDelay, true
 		t.log.Warn().Err(err).Dur("lease_left", t.leaseUntil-t.now).Msg("Coordinator: write had no effect.")
--- a/internal/coordinator/machineorders.go
+++ b/internal/coordinator/machineorders.go
@@ -107,7 +107,7 @@
 
 // addRecentOrders adds the row of recent orders to a write while there are any, and once more to
 // clear the row.
-func (t *Term) addRecentOrders(add func(string, []byte, func()) bool) {
+func (t *Term) addRecentOrders(b *batch) {
 	s := &t.machines
 	ages, orders := t.recentOrderAges(), s.queuedOrders
 	if len(ages) == 0 && !s.orderRowStored {
@@ -118,7 +118,7 @@
 		t.log.Error().Err(err).Msg("Coordinator: recent machine orders could not be encoded.")
 		return
 	}
-	add(recentOrdersKey, value, func() {
+	b.add(recentOrdersKey, value, func() {
 		s.orderRowStored = len(ages) > 0
 		s.queuedOrders = s.queuedOrders[len(orders):]
 		for _, o := range orders {
--- a/internal/coordinator/plan.go
+++ b/internal/coordinator/plan.go
@@ -149,7 +149,7 @@
 	wall := time.Now()
 	for _, j := range t.registry.Open() {
 		j.OpenSteps(wall)
-		if j.Inherited && !t.inheritedRunsKnown(j) {
+		if j.Inherited && !t.inheritedRunsKnown(j) || t.startsRefused(j) {
 			continue
 		}
 		s.Steps = t.addWaitingSteps(s.Steps, j, relocating)
--- a/internal/coordinator/recover.go
+++ b/internal/coordinator/recover.go
@@ -205,8 +205,11 @@
 	if j := t.registry.Get(jobs.ID(id)); j != nil {
 		return j
 	}
-	var a jobs.Accepted
-	if err := json.Unmarshal(value, &a); err != nil || !a.Final.Final() && a.Spec.Check() != nil {
+	a, err := jobs.DecodeAccepted(value)
+	if err == nil && !a.Final.Final() {
+		err = a.Spec.Check()
+	}
+	if err != nil {
 		t.log.Error().Err(err).Str("job", id).Msg("Coordinator: ignoring unreadable job row.")
 		return nil
 	}
--- a/internal/coordinator/term_test.go
+++ b/internal/coordinator/term_test.go
@@ -523,7 +523,7 @@
 			term.writer.obsoleteProgress[id] = true
 			x := term.registry.Get(id).Steps[0].Tasks[0]
 			require.True(t, term.registry.Finish(x, x.Run+1, "m0", jobs.EndFailed, "", 3, term.now))
-			puts, _, _ := term.collectBatch()
+			puts := term.collectBatch().puts
 			keys := map[string]int{}
 			for _, p := range puts {
 				keys[p.Key]++
--- a/internal/daemon/site.go
+++ b/internal/daemon/site.go
@@ -85,7 +85,7 @@
 		Self: self, PeerAddr: set.PeerAddr, Cores: set.Cores, Table: table, Feed: table, Fleet: fencing.NewFleet(platform.NewMinions(), platform.NewMachines(set.MachinesAddr)),
 		Codec:        coordinator.Codec{Minion: platform.DecodeMinion, Wave: platform.DecodeWave, WaveStatus: platform.EncodeWaveStatus},
 		DecodeConfig: platform.DecodeConfig,
-		Limits:       coordinator.Limits{MaxMinionLease: set.MaxMinionLease, MachineOrderGap: set.MachineOrderGap, Retention: set.Retention},
+		Limits:       coordinator.Limits{MaxMinionLease: set.MaxMinionLease, MachineOrderGap: set.MachineOrderGap, Retention: set.Retention, RowBytes: set.StoreRowBytes},
 		Dial: func(name model.EntryVM, addr string) peer.SiteHandler {
 			c := peer.NewClient(self, name, addr, logging.Part(log, "peer"))
 			s.mu.Lock()
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -42,9 +42,10 @@
 // matter how often and at which entry VMs it is submitted. It rejects a job only if no attempt with
 // its id is known that has or may have stored it.
 func (n *Node) Submit(ctx context.Context, a jobs.Accepted) site.Answer {
-	value, err := json.Marshal(a)
+	value, err := jobs.EncodeAccepted(a, n.deps.Limits.MaxRowBytes())
 	if err != nil {
-		return site.Answer{Err: errors.Wrap(site.ErrOutcomeUnknown, err.Error())}
+		counters.Add("too_large", 1)
+		return site.Answer{Err: errors.Wrap(site.ErrNotStorable, err.Error()), Reason: site.ReasonTooLarge}
 	}
 	key := coordinator.JobKey(a.ID)
 	table := uncertainTable{n.deps.Table, sync.OnceFunc(func() { n.recordUncertain(a.ID) })}
@@ -68,6 +69,9 @@
 		return n.acceptedBefore(a.ID)
 	case mayBe:
 		return n.mayBeStored(errors.WithMessage(err, "earlier attempt with unknown outcome"))
+	case errors.Is(err, platform.ErrRejected):
+		counters.Add("refused_by_store", 1)
+		return site.Answer{Err: errors.Wrap(site.ErrNotStorable, err.Error()), Reason: site.ReasonRefusedByStore}
 	}
 	counters.Add("store_away", 1)
 	return n.unavailable(err)
@@ -183,8 +187,8 @@
 	case row.Version == 0:
 		return site.Answer{Err: errors.WithStack(site.ErrJobNotFound), Reason: site.ReasonStore}
 	}
-	var a jobs.Accepted
-	if err := json.Unmarshal(row.Value, &a); err != nil {
+	a, err := jobs.DecodeAccepted(row.Value)
+	if err != nil {
 		return n.unavailable(err)
 	}
 	switch {
--- a/internal/jobs/record.go
+++ b/internal/jobs/record.go
@@ -1,9 +1,12 @@
 package jobs
 
 import (
+	"bytes"
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -15,55 +18,167 @@
 
 // Progress is the stored progress of a job, from which a new coordinator continues. It contains
 // every end of a run that was acknowledged to a minion. For a job in a final state it holds only
-// that state, until the job's own row does.
+// that state, until the job's own row does. Its size depends on the occurrences and tasks that have
+// begun and not ended, not on those that have ended.
 type Progress struct {
 	// Final is the job's final state, or empty. If it is set, the other fields are empty.
 	Final State `json:"e,omitempty"`
-	// Done has one hexadecimal bitmap of done tasks for each StepRun, in the order of Job.Steps.
+	// Done has one bitmap of done tasks for each step of occurrence 0; missing ones are empty. In rows of
+	// earlier versions the steps of further occurrences follow.
 	Done []string `json:"d,omitempty"`
+	// Ended lists ranges of ended occurrences as pairs: the first one, and the one after the last.
+	Ended []int `json:"r,omitempty"`
+	// Partial has the same as Done for each other occurrence with done tasks that has not ended.
+	Partial map[int][]string `json:"p,omitempty"`
 	// On lists the minions on which runs may be in progress.
 	On []Minion `json:"o,omitempty"`
 	// Failed holds the failed runs by task, as "occurrence.step.index"; those of a gang are under
 	// its first task.
 	Failed map[string][]int `json:"f,omitempty"`
+	// FailedBits replaces Failed in rows with more than maxFailedTasks of them: by step, as
+	// "occurrence.step", and run number, a bitmap of the tasks of which that run failed.
+	FailedBits map[string]map[int]string `json:"b,omitempty"`
 }
 
+// maxFailedTasks is the number of tasks with failed runs up to which they are listed one by one.
+const maxFailedTasks = 256
+
 // EncodeProgress returns the stored form of a job's progress.
 func EncodeProgress(j *Job) ([]byte, error) {
 	if j.state.Final() {
 		return json.Marshal(Progress{Final: j.state})
 	}
 	p := Progress{On: sortedMinions(j.MayRunOn())}
-	for _, s := range j.Steps {
-		p.Done = append(p.Done, s.bitmap())
+	var failed failures
+	n := len(j.Spec.Steps)
+	for k := range j.Spec.Occurrences() {
+		steps := j.Steps[k*n : (k+1)*n]
+		if !slices.ContainsFunc(steps, func(s *StepRun) bool { return !s.Ended() }) {
+			p.addEnded(k)
+			continue
+		}
+		p.addDone(k, steps)
+		for _, s := range steps {
+			failed.add(s)
+		}
+	}
+	failed.addTo(&p)
+	return json.Marshal(p)
+}
+
+// addEnded adds an occurrence that has ended. Occurrences are added in ascending order.
+func (p *Progress) addEnded(k int) {
+	if last := len(p.Ended) - 1; last > 0 && p.Ended[last] == k {
+		p.Ended[last] = k + 1
+		return
+	}
+	p.Ended = append(p.Ended, k, k+1)
+}
+
+// addDone adds the done tasks of an occurrence.
+func (p *Progress) addDone(k int, steps []*StepRun) {
+	var done []string
+	for i, s := range steps {
+		if b := s.bitmap(func(t *Task) bool { return t.Phase == Done }); b != "" {
+			done = append(done, make([]string, i-len(done))...)
+			done = append(done, b)
+		}
+	}
+	switch {
+	case done == nil:
+	case k == 0:
+		p.Done = done
+	default:
+		if p.Partial == nil {
+			p.Partial = map[int][]string{}
+		}
+		p.Partial[k] = done
+	}
+}
+
+// failures collects the failed runs of a job.
+type failures struct {
+	// steps are the steps with failed runs, tasks is the number of tasks with any.
+	steps []*StepRun
+	tasks int
+}
+
+func (f *failures) add(s *StepRun) {
+	n := 0
+	if s.Spec.Gang {
+		n = min(1, len(s.FailedRuns))
+	} else {
 		for _, t := range s.Tasks {
-			runs := t.FailedRuns
-			if s.Spec.Gang && t.Index == 0 {
-				runs = s.FailedRuns
-			}
-			if len(runs) > 0 {
-				if p.Failed == nil {
-					p.Failed = map[string][]int{}
+			n += min(1, len(t.FailedRuns))
+		}
+	}
+	if n > 0 {
+		f.steps, f.tasks = append(f.steps, s), f.tasks+n
+	}
+}
+
+func (f *failures) addTo(p *Progress) {
+	if f.tasks == 0 {
+		return
+	}
+	p.Failed = map[string][]int{}
+	for _, s := range f.steps {
+		name := fmt.Sprintf("%d.%d", s.Occurrence, s.Index)
+		switch {
+		case s.Spec.Gang:
+			p.Failed[name+".0"] = s.FailedRuns
+		case f.tasks <= maxFailedTasks:
+			for _, t := range s.Tasks {
+				if len(t.FailedRuns) > 0 {
+					p.Failed[name+"."+strconv.Itoa(t.Index)] = t.FailedRuns
 				}
-				p.Failed[fmt.Sprintf("%d.%d.%d", s.Occurrence, s.Index, t.Index)] = runs
 			}
+		default:
+			if p.FailedBits == nil {
+				p.FailedBits = map[string]map[int]string{}
+			}
+			p.FailedBits[name] = s.failedBits()
 		}
 	}
-	return json.Marshal(p)
 }
 
-// bitmap returns the done tasks as a hexadecimal bitmap, or "" if there are none.
-func (s *StepRun) bitmap() string {
-	if s.Count(Done) == 0 {
-		return ""
+// failedBits returns, by run number, a bitmap of the tasks of which that run failed.
+func (s *StepRun) failedBits() map[int]string {
+	out := map[int]string{}
+	for _, t := range s.Tasks {
+		for _, run := range t.FailedRuns {
+			if out[run] == "" {
+				out[run] = s.bitmap(func(t *Task) bool { return slices.Contains(t.FailedRuns, run) })
+			}
+		}
 	}
+	return out
+}
+
+// bitmap returns the tasks for which f returns true as a hexadecimal bitmap without trailing zeros;
+// "" if there are none.
+func (s *StepRun) bitmap(f func(*Task) bool) string {
 	bits := make([]byte, (len(s.Tasks)+7)/8)
 	for i, t := range s.Tasks {
-		if t.Phase == Done {
+		if f(t) {
 			bits[i/8] |= 1 << (i % 8)
 		}
 	}
-	return hex.EncodeToString(bits)
+	return hex.EncodeToString(bytes.TrimRight(bits, "\x00"))
+}
+
+// fromBitmap calls f for the tasks in a bitmap. Error: ErrRecord.
+func (s *StepRun) fromBitmap(text string, f func(*Task)) error {
+	bits, err := hex.DecodeString(text)
+	if err != nil {
+		return errors.Wrap(ErrRecord, err.Error())
+	}
+	for n, t := range s.Tasks {
+		if n/8 < len(bits) && bits[n/8]&(1<<(n%8)) != 0 {
+			f(t)
+		}
+	}
+	return nil
 }
 
 // Restore applies stored progress to a job that was just added. Error: ErrRecord.
@@ -85,21 +200,70 @@
 	for _, m := range p.On {
 		j.stored.minions[m] = true
 	}
-	for i, text := range p.Done {
-		if i >= len(j.Steps) {
-			return errors.Wrap(ErrRecord, "progress has more steps than the job")
+	if err := j.restoreDone(&p); err != nil {
+		return err
+	}
+	if err := r.restoreFailed(j, &p); err != nil {
+		return err
+	}
+	if len(p.Done)+len(p.Ended)+len(p.Partial)+len(p.Failed)+len(p.FailedBits)+len(p.On) > 0 {
+		j.state, j.started = StateRunning, true
+	}
+	return nil
+}
+
+// restoreDone marks the done tasks. Error: ErrRecord.
+func (j *Job) restoreDone(p *Progress) error {
+	n := len(j.Spec.Steps)
+	if err := j.restoreBitmaps(0, p.Done); err != nil {
+		return err
+	}
+	for k, done := range p.Partial {
+		if k < 0 || k >= j.Spec.Occurrences() || len(done) > n {
+			return errors.Wrapf(ErrRecord, "progress of occurrence %d does not match the job", k)
 		}
-		bits, err := hex.DecodeString(text)
-		if err != nil {
-			return errors.Wrap(ErrRecord, err.Error())
+		if err := j.restoreBitmaps(k*n, done); err != nil {
+			return err
 		}
-		s := j.Steps[i]
-		for n, t := range s.Tasks {
-			if n/8 < len(bits) && bits[n/8]&(1<<(n%8)) != 0 && t.Phase != Done {
-				t.setPhase(Done)
+	}
+	if len(p.Ended)%2 != 0 {
+		return errors.Wrap(ErrRecord, "a range of ended occurrences has no end")
+	}
+	for i := 0; i < len(p.Ended); i += 2 {
+		first, end := p.Ended[i], p.Ended[i+1]
+		if first < 0 || first >= end || end > j.Spec.Occurrences() {
+			return errors.Wrapf(ErrRecord, "ended occurrences %d to %d: the job has %d", first, end, j.Spec.Occurrences())
+		}
+		for _, s := range j.Steps[first*n : end*n] {
+			for _, t := range s.Tasks {
+				t.markDone()
 			}
 		}
 	}
+	return nil
+}
+
+// restoreBitmaps marks the done tasks of consecutive steps, beginning with j.Steps[first].
+func (j *Job) restoreBitmaps(first int, done []string) error {
+	for i, text := range done {
+		if first < 0 || first+i >= len(j.Steps) {
+			return errors.Wrap(ErrRecord, "progress has more steps than the job")
+		}
+		if err := j.Steps[first+i].fromBitmap(text, (*Task).markDone); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (t *Task) markDone() {
+	if t.Phase != Done {
+		t.setPhase(Done)
+	}
+}
+
+// restoreFailed adds the failed runs to the tasks. Error: ErrRecord.
+func (r *Registry) restoreFailed(j *Job, p *Progress) error {
 	for name, runs := range p.Failed {
 		n, err := ParseTaskName(string(j.ID) + "." + name)
 		if err != nil {
@@ -118,8 +282,24 @@
 			t.Run = max(t.Run, run)
 		}
 	}
-	if len(p.Done) > 0 || len(p.Failed) > 0 || len(p.On) > 0 {
-		j.state, j.started = StateRunning, true
+	for name, byRun := range p.FailedBits {
+		n, err := ParseTaskName(string(j.ID) + "." + name + ".0")
+		if err != nil {
+			return err
+		}
+		s := j.Step(n.Occurrence, n.Step)
+		if s == nil {
+			return errors.Wrapf(ErrRecord, "the job has no step %q", name)
+		}
+		for _, run := range slices.Sorted(maps.Keys(byRun)) {
+			err := s.fromBitmap(byRun[run], func(t *Task) {
+				t.FailedRuns = append(t.FailedRuns, run)
+				t.Run = max(t.Run, run)
+			})
+			if err != nil {
+				return err
+			}
+		}
 	}
 	return nil
 }
--- a/internal/settings/site.go
+++ b/internal/settings/site.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"boragepulley/internal/config"
+	"boragepulley/internal/jobs"
 	"boragepulley/internal/model"
 	"boragepulley/internal/tomldoc"
 )
@@ -27,6 +28,8 @@
 	StoreURL, MachinesAddr, AdviceAddr string
 	// StoreWrites and StoreReads limit the store requests of all entry VMs together, per second.
 	StoreWrites, StoreReads float64
+	// StoreRowBytes is the largest value of a row that the store takes, in bytes.
+	StoreRowBytes int
 	// Cores is the processor time that this entry VM may use, in cores.
 	Cores float64
 	// MemoryMB is the memory that this entry VM may use, in MB; 0 means no limit.
@@ -78,6 +81,7 @@
 		AdviceAddr:       t.String("advice_address", tomldoc.StringRule{}),
 		StoreWrites:      t.Float("store_writes_per_second", tomldoc.FloatRule{Default: DefaultSiteWrites, Min: 1, Max: 100000}),
 		StoreReads:       t.Float("store_reads_per_second", tomldoc.FloatRule{Default: DefaultSiteReads, Min: 1, Max: 100000}),
+		StoreRowBytes:    int(t.Int("store_row_bytes", tomldoc.IntRule{Default: jobs.DefaultRowBytes, Min: 4 << 10, Max: 1 << 20})),
 		Cores:            t.Float("cores", tomldoc.FloatRule{Default: 1, Min: 0.01, Max: 1024}),
 		MemoryMB:         t.Float("memory_mb", tomldoc.FloatRule{Default: 0, Min: 0, Max: 1e6}),
 		LinkMbps:         t.Float("link_mbps", tomldoc.FloatRule{Default: 1000, Min: 0.1, Max: 1e6}),
--- a/internal/site/answer.go
+++ b/internal/site/answer.go
@@ -15,6 +15,8 @@
 	// ErrOverloaded means that the job was not accepted and never runs: it could not
 	// finish in time on the available capacity.
 	ErrOverloaded = errors.New("site: overloaded, job cannot finish in time")
+	// ErrNotStorable means that the job was not accepted and never will be: the store does not take it.
+	ErrNotStorable = errors.New("site: job cannot be stored")
 	// ErrUnavailable means that nothing was done, because a part of the system that it needs does not
 	// answer.
 	ErrUnavailable = errors.New("site: temporarily unavailable")
@@ -33,6 +35,10 @@
 	ReasonMayBeStored    Reason = "may_be_stored"
 	// ReasonStoreUnavailable: the store did not answer, neither directly nor through peers.
 	ReasonStoreUnavailable Reason = "store_unavailable"
+	// ReasonTooLarge: the job's row exceeds what the store takes. ReasonRefusedByStore: the store called
+	// the row invalid.
+	ReasonTooLarge       Reason = "job_too_large"
+	ReasonRefusedByStore Reason = "refused_by_store"
 	// ReasonCoordinator and ReasonStore: the coordinator's or the store's knowledge of the job.
 	ReasonCoordinator Reason = "coordinator"
 	ReasonStore       Reason = "store"
--- a/standins/fleet/store.go
+++ b/standins/fleet/store.go
@@ -45,6 +45,8 @@
 	Latency time.Duration
 	// CallTimeout is how long a caller waits for a lost answer.
 	CallTimeout time.Duration
+	// Refuses, if set, tells of which rows the store refuses each transaction that writes them.
+	Refuses func(p platform.Put) bool
 }
 
 // NewStore returns an empty store.
@@ -191,6 +193,9 @@
 	if err := check(t); err != nil {
 		return nil, err
 	}
+	if v.Refuses != nil && slices.ContainsFunc(t.Puts, v.Refuses) {
+		return nil, errors.Wrap(platform.ErrRejected, "row refused")
+	}
 	f, err := v.begin(ctx, "commit")
 	if err != nil {
 		return nil, err
@@ -207,8 +212,12 @@
 	return nil, errors.Wrap(platform.ErrUnknownOutcome, "answer lost")
 }
 
-// maxEntries bounds a transaction, as the users' store does.
-const maxEntries = 100
+// Bounds of a transaction and of a row's value, as the users' store has them.
+const (
+	maxEntries  = 100
+	maxTxBytes  = 1 << 20
+	maxRowBytes = 64 << 10
+)
 
 // check refuses what the users' store does not take.
 func check(t platform.Txn) error {
@@ -218,8 +227,14 @@
 	if len(t.Conditions)+len(t.Puts) > maxEntries {
 		return errors.Wrap(platform.ErrRejected, "too many entries")
 	}
-	written := map[string]bool{}
+	written, size := map[string]bool{}, 0
 	for _, p := range t.Puts {
+		if len(p.Value) > maxRowBytes {
+			return errors.Wrapf(platform.ErrRejected, "row %s of %d bytes", p.Key, len(p.Value))
+		}
+		if size += len(p.Value); size > maxTxBytes {
+			return errors.Wrap(platform.ErrRejected, "too many bytes")
+		}
 		if written[p.Key] {
 			return errors.Wrapf(platform.ErrRejected, "row %s twice", p.Key)
 		}
