jobs: occurrences and tasks exist in memory once they can begin

Cause: Registry.Add built each task of each occurrence when the job was accepted, however far away its time, and each scheduling run looked at all of their steps. A past first_run_ms or one step of 20,000 tasks has the same effect. Change: an occurrence exists in memory from when it is due until it has ended; ended ones are ranges of numbers. A job whose next occurrence is not due waits in a heap that scheduling runs look at only for what is due. A job has at most 256 tasks in occurrences of which none has begun, and 2,048 in all that have not ended (one occurrence always). The tasks of a step are created as scheduling runs need them, 256 at a time. The objective of an occurrence counts from its due time. Jobs whose tasks times occurrences, times or needs overflow are rejected, numbers of milliseconds saturate.

--- a/cmd/boragepulley/site.go
+++ b/cmd/boragepulley/site.go
@@ -157,6 +157,12 @@
 func (p *printer) siteJob(j *sitestatus.Job) {
 	p.line("job %s: %s%s, queue %s, team %s, known to %s (epoch %d) for %s", j.Job, j.State, choose(j.Stored, "", " (not stored yet)"),
 		j.Queue, orDash(j.Team), j.Entry, j.Epoch, ms(j.KnownMS))
+	if j.Occurrences > 1 {
+		p.line("%d of %d occurrences have ended", j.EndedOccurrences, j.Occurrences)
+	}
+	if j.NotListed > 0 {
+		p.line("%d further tasks wait and have never begun", j.NotListed)
+	}
 	p.table(func(t *printer) {
 		t.line("task\tphase\tfor\trun\tminion\tminion is\tfailed runs\tdetail")
 		for _, x := range j.Tasks {
--- a/internal/coordinator/evacuate.go
+++ b/internal/coordinator/evacuate.go
@@ -42,7 +42,7 @@
 	if task.Phase != jobs.Running {
 		return true
 	}
-	unavailable := 0
+	unavailable := task.Step.Unseen()
 	for _, other := range task.Step.Tasks {
 		if other != task && t.unavailable(other) {
 			unavailable++
--- a/internal/coordinator/plan.go
+++ b/internal/coordinator/plan.go
@@ -37,6 +37,14 @@
 	defaultEstimate = time.Second
 )
 
+// maxObjective bounds the time in which a job should end, so that deadlines do not overflow.
+const maxObjective = 10 * 365 * 24 * time.Hour
+
+// stretched returns a duration times a factor, at most maxObjective.
+func stretched(d time.Duration, factor float64) time.Duration {
+	return time.Duration(min(float64(d)*factor, float64(maxObjective)))
+}
+
 // planResult tells what a scheduling run did.
 type planResult struct {
 	// decidedAt is when it was decided what to start.
@@ -147,8 +155,9 @@
 	t.reservePlaces(s.Minions)
 	relocating := t.relocating()
 	wall := time.Now()
-	for _, j := range t.registry.Open() {
-		j.OpenSteps(wall)
+	t.registry.CreateDue(wall, t.now)
+	for _, j := range t.registry.Live() {
+		j.OpenSteps(wall, t.now)
 		if j.Inherited && !t.inheritedRunsKnown(j) || t.startsRefused(j) {
 			continue
 		}
@@ -181,10 +190,10 @@
 		if chain == 0 {
 			chain = defaultEstimate
 		}
-		step.Service, step.Team, step.Priority, step.Arrived = q.Service, j.Team, q.Priority, j.LearnedAt
-		step.Deadline = j.LearnedAt + time.Duration(q.Stretch*float64(chain)) + q.Target
-		step.RemainingTime = max(j.CriticalPath(s.Index), defaultEstimate/10)
-		step.RemainingWork, step.Value = j.WorkLeft(), t.jobValue(j, q.Service)
+		step.Service, step.Team, step.Priority, step.Arrived = q.Service, j.Team, q.Priority, max(j.LearnedAt, s.DueAt())
+		step.Deadline = step.Arrived + stretched(chain, q.Stretch) + min(q.Target, maxObjective)
+		step.RemainingTime = min(max(j.CriticalPath(s.Index), defaultEstimate/10), maxObjective)
+		step.RemainingWork, step.Value = s.WorkLeft(), t.jobValue(j, q.Service)
 		to = append(to, step)
 	}
 	return to
--- a/internal/coordinator/status.go
+++ b/internal/coordinator/status.go
@@ -83,7 +83,7 @@
 	for _, mv := range t.machines.moves {
 		of(mv.to).Moving++
 	}
-	for _, j := range t.registry.Open() {
+	for _, j := range t.registry.Live() {
 		for _, step := range j.CurrentSteps() {
 			if step.Open {
 				of(t.queueOf(j).Service).WaitingTasks += step.Count(jobs.Waiting)
@@ -130,10 +130,17 @@
 	return *job, true
 }
 
+// maxStatusTasks bounds the tasks in a job's status that wait and have never begun.
+const maxStatusTasks = 1000
+
 func (t *Term) jobStatus(j *jobs.Job) *sitestatus.Job {
 	out := &sitestatus.Job{Job: j.ID, Entry: t.deps.Self.Entry, Epoch: t.epoch, State: j.State(), Stored: !j.Unsaved(),
-		Queue: j.Queue, Team: j.Team, KnownMS: (t.now - j.LearnedAt).Milliseconds()}
-	for _, s := range j.Steps {
+		Queue: j.Queue, Team: j.Team, KnownMS: (t.now - j.LearnedAt).Milliseconds(), Occurrences: j.Spec.Occurrences(), EndedOccurrences: j.EndedOccurrences()}
+	for _, s := range j.LiveSteps() {
+		if more := min(s.Spec.Count, maxStatusTasks-len(out.Tasks)); more > len(s.Tasks) {
+			s.Task(more - 1)
+		}
+		out.NotListed += s.Unseen()
 		for _, task := range s.Tasks {
 			x := sitestatus.Task{Name: task.Name(), Phase: task.Phase.String(), Run: task.Run, SinceMS: (t.now - task.PhaseSince).Milliseconds(),
 				FailedRuns: max(len(task.FailedRuns), len(s.FailedRuns)), Waits: t.waitsFor(task)}
--- a/internal/coordinator/waiting.go
+++ b/internal/coordinator/waiting.go
@@ -85,7 +85,10 @@
 
 // stepWaitOf returns the wait of an open long-running step.
 func (t *Term) stepWaitOf(s *jobs.StepRun) stepWait {
-	var w stepWait
+	w := stepWait{waiting: s.Unseen()}
+	if w.waiting > 0 {
+		w.longest = t.now - s.DueAt()
+	}
 	for _, task := range s.Tasks {
 		if m := t.minions[task.Minion]; m != nil && m.FailedPolls > 0 {
 			w.silent++
@@ -113,7 +116,7 @@
 	}
 	t.nextWaitReport = t.now + waitLogInterval
 	tasks, lines, longest := 0, 0, time.Duration(0)
-	for _, j := range t.registry.Open() {
+	for _, j := range t.registry.Live() {
 		if !j.Spec.LongRunning() {
 			continue
 		}
--- a/internal/coordinator/waves.go
+++ b/internal/coordinator/waves.go
@@ -265,7 +265,7 @@
 // ones.
 func (t *Term) busyServices() map[model.Service]bool {
 	out := map[model.Service]bool{}
-	for _, j := range t.registry.Open() {
+	for _, j := range t.registry.Live() {
 		q := t.queueOf(j)
 		if out[q.Service] {
 			continue
--- a/internal/holding/holding.go
+++ b/internal/holding/holding.go
@@ -221,6 +221,7 @@
 		return
 	}
 	m.Tasks[t] = struct{}{}
+	t.Hold()
 	m.Used = m.Used.Add(t.Step.Spec.Reserved())
 	m.Kinds.count(t.Step, 1)
 }
@@ -236,6 +237,7 @@
 	}
 	m.Used = m.Used.Sub(t.Step.Spec.Reserved())
 	m.Kinds.count(t.Step, -1)
+	t.Release()
 }
 
 // IsNewEnd reports whether an end is reported for the first time, and records its sequence number.
--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"boragepulley/internal/model"
@@ -96,7 +97,12 @@
 	Occurrence int
 	Index      int
 	Spec       *Step
-	Tasks      []*Task
+	// Tasks are the tasks that were looked at so far, in their order. The others wait and have never
+	// begun.
+	Tasks []*Task
+	// of is the occurrence, since is when it was created.
+	of    *occurrence
+	since time.Duration
 	// byPhase counts the tasks by phase, so that a scheduling run need not look at each of them.
 	byPhase [Done + 1]int
 	// waiting lists the tasks in phase waiting, nil if it has to be collected again.
@@ -119,7 +125,21 @@
 	// Inherited is set for a job that was accepted before this process became coordinator, while
 	// it may have runs that this process does not know of.
 	Inherited bool
-	Steps     []*StepRun
+	registry  *Registry
+	// live are the occurrences in memory in ascending order, ended those that have ended. next is the
+	// lowest occurrence that may be neither.
+	live  []*occurrence
+	ended ranges
+	next  int
+	// idle counts the occurrences in memory of which no task has begun.
+	idle int
+	// nextDue is when the next occurrence of a job without any in memory is due, waitingAt is one more
+	// than its place in Registry.waiting, or 0.
+	nextDue   time.Time
+	waitingAt int
+	// tasks is the number of tasks of one occurrence; longRunning is Spec.LongRunning.
+	tasks       int
+	longRunning bool
 	// criticalPaths are Spec.CriticalPaths, longestChain is the longest of them.
 	criticalPaths []time.Duration
 	longestChain  time.Duration
@@ -129,11 +149,9 @@
 	unblocked []*StepRun
 	// current are the steps that are open or have active tasks, and steps that were so before.
 	current []*StepRun
-	// endedSteps counts the steps that have ended.
-	endedSteps int
-	// work is Spec.Work, workLeft the part of it in tasks that wait.
-	work, workLeft float64
-	state          State
+	// work is Spec.Work.
+	work  float64
+	state State
 	// started is set once a task of the job was started.
 	started bool
 	// lastChange is the number of the last change of the job's progress, savedChange that of the
@@ -227,9 +245,6 @@
 	}
 }
 
-// WorkLeft returns the estimated work of the job's waiting tasks, in core-seconds.
-func (j *Job) WorkLeft() float64 { return j.workLeft }
-
 // Work returns the estimated work of one occurrence, in core-seconds.
 func (j *Job) Work() float64 { return j.work }
 
@@ -242,8 +257,10 @@
 // Registry holds all jobs of the coordinator and changes their state.
 type Registry struct {
 	jobs map[ID]*Job
-	// open holds the jobs that are not in a final state.
-	open map[ID]*Job
+	// open holds the jobs that are not in a final state, live those of them with an occurrence in memory,
+	// waiting the others.
+	open, live map[ID]*Job
+	waiting    waitingJobs
 	// unsaved holds the jobs with progress that is not stored, unsavedOrder the same in the order of
 	// their oldest unsaved change. Entries of jobs that have been saved since are dropped later.
 	unsaved      map[ID]*Job
@@ -261,7 +278,7 @@
 
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
-	return &Registry{jobs: map[ID]*Job{}, open: map[ID]*Job{}, unsaved: map[ID]*Job{}}
+	return &Registry{jobs: map[ID]*Job{}, open: map[ID]*Job{}, live: map[ID]*Job{}, unsaved: map[ID]*Job{}}
 }
 
 // Get returns a job, or nil.
@@ -273,6 +290,10 @@
 // Open returns the jobs that are not in a final state. The map belongs to the registry.
 func (r *Registry) Open() map[ID]*Job { return r.open }
 
+// Live returns the jobs that are not in a final state and have an occurrence in memory: all but those
+// that wait for their time. The map belongs to the registry.
+func (r *Registry) Live() map[ID]*Job { return r.live }
+
 // All returns all jobs. The map belongs to the registry.
 func (r *Registry) All() map[ID]*Job { return r.jobs }
 
@@ -313,72 +334,103 @@
 		r.jobs[a.ID] = j
 		return j
 	}
-	j := &Job{Accepted: a, LearnedAt: now, EndedAt: now, state: StateQueued, stored: storedJob{state: StateQueued}}
+	j := &Job{Accepted: a, LearnedAt: now, EndedAt: now, state: StateQueued, stored: storedJob{state: StateQueued}, registry: r, longRunning: a.Spec.LongRunning()}
 	j.work = j.Spec.Work()
-	j.workLeft = j.work * float64(a.Spec.Occurrences())
-	j.criticalPaths, j.dependents = j.Spec.CriticalPaths(), j.Spec.dependents()
+	for i := range j.Spec.Steps {
+		j.tasks += j.Spec.Steps[i].Count
+	}
+	j.criticalPaths = j.Spec.CriticalPaths()
 	for _, p := range j.criticalPaths {
 		j.longestChain = max(j.longestChain, p)
 	}
-	for k := range a.Spec.Occurrences() {
-		for i := range j.Spec.Steps {
-			s := &StepRun{Job: j, Occurrence: k, Index: i, Spec: &j.Spec.Steps[i], blockers: len(j.Spec.Steps[i].After)}
-			if s.blockers == 0 {
-				j.unblocked = append(j.unblocked, s)
-			}
-			s.byPhase[Waiting] = s.Spec.Count
-			tasks := make([]Task, s.Spec.Count)
-			s.Tasks = make([]*Task, s.Spec.Count)
-			for n := range tasks {
-				tasks[n] = Task{Step: s, Index: n, PhaseSince: now}
-				s.Tasks[n] = &tasks[n]
-			}
-			j.Steps = append(j.Steps, s)
-		}
-	}
 	r.jobs[a.ID], r.open[a.ID] = j, j
+	if a.Spec.Repeat == 0 {
+		j.create(0, now)
+		j.next = 1
+	} else {
+		r.waitForDue(j)
+	}
 	return j
 }
 
 // Remove removes a job whose rows were deleted from the store.
 func (r *Registry) Remove(id ID) {
+	if j := r.jobs[id]; j != nil {
+		r.stopWaiting(j)
+	}
 	delete(r.jobs, id)
 	delete(r.open, id)
+	delete(r.live, id)
 	if j := r.unsaved[id]; j != nil {
 		delete(r.unsaved, id)
 		j.unsavedSince = 0
 	}
 }
 
-// Step returns the step of an occurrence, or nil.
+// Step returns the step of an occurrence that has not ended, or nil. An occurrence that is not due yet
+// is added: an earlier coordinator may have begun it.
 func (j *Job) Step(occurrence, index int) *StepRun {
-	n := len(j.Spec.Steps)
-	if index < 0 || index >= n || occurrence < 0 || occurrence >= j.Spec.Occurrences() {
+	if index < 0 || index >= len(j.Spec.Steps) || occurrence < 0 || occurrence >= j.Spec.Occurrences() {
 		return nil
 	}
-	return j.Steps[occurrence*n+index]
+	o := j.liveOccurrence(occurrence)
+	if o == nil {
+		if j.ended.contains(occurrence) && !j.state.Final() {
+			return nil
+		}
+		if j.registry != nil {
+			j.registry.stopWaiting(j)
+		}
+		o = j.create(occurrence, j.LearnedAt)
+	}
+	return o.steps[index]
 }
 
-// Task returns the named task, or nil.
+// Task returns the named task, or nil if there is none.
 func (r *Registry) Task(n TaskName) *Task {
 	j := r.jobs[n.Job]
-	if j == nil {
+	if j == nil || n.Step < 0 || n.Step >= len(j.Spec.Steps) || n.Index < 0 || n.Index >= j.Spec.Steps[n.Step].Count ||
+		n.Occurrence < 0 || n.Occurrence >= j.Spec.Occurrences() {
 		return nil
 	}
 	s := j.Step(n.Occurrence, n.Step)
-	if s == nil || n.Index < 0 || n.Index >= len(s.Tasks) {
-		return nil
+	if s == nil {
+		return j.doneTask(n)
+	}
+	return s.Task(n.Index)
+}
+
+// Task returns a task of the step.
+func (s *StepRun) Task(index int) *Task {
+	if more := index + 1 - len(s.Tasks); more > 0 {
+		tasks := make([]Task, more)
+		for i := range tasks {
+			tasks[i] = Task{Step: s, Index: len(s.Tasks), PhaseSince: s.since}
+			s.Tasks = append(s.Tasks, &tasks[i])
+		}
+		s.waiting = nil
 	}
-	return s.Tasks[n.Index]
+	return s.Tasks[index]
 }
 
-// OpenSteps opens the steps of a job that have become ready. now is the wall-clock time.
-func (j *Job) OpenSteps(now time.Time) {
+// AllTasks returns all tasks of the step.
+func (s *StepRun) AllTasks() []*Task {
+	s.Task(s.Spec.Count - 1)
+	return s.Tasks
+}
+
+// Unseen returns the number of tasks that are not in Tasks.
+func (s *StepRun) Unseen() int { return max(0, s.Spec.Count-len(s.Tasks)) }
+
+// OpenSteps adds the occurrences of a job that are due and opens the steps that have become ready. wall
+// is the time of day.
+func (j *Job) OpenSteps(wall time.Time, now time.Duration) {
+	j.createDue(wall, now)
 	kept := j.unblocked[:0]
 	for _, s := range j.unblocked {
 		switch {
 		case s.blockers > 0 || s.Open:
-		case j.Spec.Repeat > 0 && now.Before(j.Spec.Due(s.Occurrence)):
+		case j.Spec.Repeat > 0 && wall.Before(j.Spec.Due(s.Occurrence)):
 			kept = append(kept, s)
 		default:
 			s.Open = true
@@ -389,20 +441,8 @@
 	j.unblocked = kept
 }
 
-// stepEnded is called when all tasks of a step have become done, with n = 1, and when that is no
-// longer so, with n = -1.
-func (j *Job) stepEnded(s *StepRun, n int) {
-	j.endedSteps += n
-	for _, i := range j.dependents[s.Index] {
-		d := j.Step(s.Occurrence, int(i))
-		if d.blockers -= n; d.blockers == 0 {
-			j.unblocked = append(j.unblocked, d)
-		}
-	}
-}
-
 // Ended reports whether all tasks of the step are done.
-func (s *StepRun) Ended() bool { return s.byPhase[Done] == len(s.Tasks) }
+func (s *StepRun) Ended() bool { return s.byPhase[Done] == s.Spec.Count }
 
 // Count returns the number of the step's tasks in a phase.
 func (s *StepRun) Count(p Phase) int { return s.byPhase[p] }
@@ -410,14 +450,23 @@
 // Active returns the number of tasks of which a run may be in progress.
 func (s *StepRun) Active() int { return s.byPhase[Ordered] + s.byPhase[Running] + s.byPhase[Stopping] }
 
-// WaitingTasks returns the tasks that can be started now. The slice must not be modified; it stays as
-// it is when the tasks change.
+// WaitingTasks returns the tasks that can be started now, of a step that is neither long-running nor a
+// gang not many more than maxWaitingTasks. The slice must not be modified; it stays as it is when the
+// tasks change.
 func (s *StepRun) WaitingTasks() []*Task {
 	if !s.Open || s.byPhase[Waiting] == 0 {
 		return nil
 	}
+	seen := s.byPhase[Waiting] - s.Unseen()
+	switch {
+	case s.Unseen() == 0:
+	case s.Spec.LongRunning || s.Spec.Gang:
+		s.AllTasks()
+	case seen < maxWaitingTasks:
+		s.Task(min(s.Spec.Count, len(s.Tasks)+maxWaitingTasks) - 1)
+	}
 	if s.waiting == nil {
-		s.waiting = make([]*Task, 0, s.byPhase[Waiting])
+		s.waiting = make([]*Task, 0, s.byPhase[Waiting]-s.Unseen())
 		for _, t := range s.Tasks {
 			if t.Phase == Waiting {
 				s.waiting = append(s.waiting, t)
@@ -427,6 +476,10 @@
 	return s.waiting
 }
 
+// maxWaitingTasks is the number of tasks of a step that a scheduling run looks at, at least. It starts no
+// more at a time.
+const maxWaitingTasks = 256
+
 // setPhase changes the phase of a task.
 func (t *Task) setPhase(p Phase) {
 	s := t.Step
@@ -437,18 +490,22 @@
 	s.byPhase[before]--
 	s.byPhase[p]++
 	t.Phase = p
-	j := s.Job
+	o := s.of
+	if o == nil {
+		return
+	}
 	if before == Waiting {
-		j.workLeft -= s.Spec.Work()
+		o.workLeft -= s.Spec.Work()
+		o.taskBegun()
 	}
 	if p == Waiting {
-		j.workLeft += s.Spec.Work()
+		o.workLeft += s.Spec.Work()
 	}
 	if t.Active() {
-		j.addCurrent(s)
+		s.Job.addCurrent(s)
 	}
 	if now := s.Ended(); now != ended {
-		j.stepEnded(s, map[bool]int{true: 1, false: -1}[now])
+		o.stepEnded(s, map[bool]int{true: 1, false: -1}[now])
 	}
 }
 
@@ -477,6 +534,9 @@
 
 // Adopt records a run that a minion reports and this process did not order.
 func (r *Registry) Adopt(t *Task, run int, m Minion, checkpoint string, now time.Duration) {
+	if t.Phase == Done && !t.Step.Job.state.Final() {
+		return
+	}
 	r.Order(t, run, m, now)
 	r.Started(t, now)
 	if checkpoint != "" {
@@ -499,6 +559,9 @@
 	}
 	t.setPhase(Waiting)
 	t.Minion, t.PhaseSince, t.StopReason = "", now, ""
+	if o := t.Step.of; o != nil {
+		t.Step.Job.forget(o)
+	}
 }
 
 // End tells how a run ended.
@@ -553,7 +616,7 @@
 func (r *Registry) completeTask(t *Task, now time.Duration) {
 	members := []*Task{t}
 	if t.Step.Spec.Gang {
-		members = t.Step.Tasks
+		members = t.Step.AllTasks()
 	}
 	for _, x := range members {
 		if x.Phase != Done {
@@ -598,7 +661,7 @@
 
 // completeIfEnded completes a job of which all steps have ended.
 func (r *Registry) completeIfEnded(j *Job, now time.Duration) {
-	if j.endedSteps == len(j.Steps) {
+	if j.ended.count() == j.Spec.Occurrences() {
 		r.setFinal(j, StateCompleted, now)
 	}
 }
@@ -612,11 +675,21 @@
 		return false
 	}
 	j.state, j.EndedAt = s, now
-	delete(r.open, j.ID)
+	r.closed(j)
 	r.markChanged(j)
 	return true
 }
 
+// closed removes what a job in a final state does not need any more.
+func (r *Registry) closed(j *Job) {
+	delete(r.open, j.ID)
+	delete(r.live, j.ID)
+	r.stopWaiting(j)
+	for _, o := range slices.Clone(j.live) {
+		j.forget(o)
+	}
+}
+
 // markChanged counts a change of the job's progress, which then has to be stored.
 func (r *Registry) markChanged(j *Job) {
 	j.lastChange++
--- a/internal/jobs/record.go
+++ b/internal/jobs/record.go
@@ -50,15 +50,13 @@
 	}
 	p := Progress{On: sortedMinions(j.MayRunOn())}
 	var failed failures
-	n := len(j.Spec.Steps)
-	for k := range j.Spec.Occurrences() {
-		steps := j.Steps[k*n : (k+1)*n]
-		if !slices.ContainsFunc(steps, func(s *StepRun) bool { return !s.Ended() }) {
-			p.addEnded(k)
+	p.Ended = j.ended
+	for _, o := range j.live {
+		if o.ended() {
 			continue
 		}
-		p.addDone(k, steps)
-		for _, s := range steps {
+		p.addDone(o.index, o.steps)
+		for _, s := range o.steps {
 			failed.add(s)
 		}
 	}
@@ -66,15 +64,6 @@
 	return json.Marshal(p)
 }
 
-// addEnded adds an occurrence that has ended. Occurrences are added in ascending order.
-func (p *Progress) addEnded(k int) {
-	if last := len(p.Ended) - 1; last > 0 && p.Ended[last] == k {
-		p.Ended[last] = k + 1
-		return
-	}
-	p.Ended = append(p.Ended, k, k+1)
-}
-
 // addDone adds the done tasks of an occurrence.
 func (p *Progress) addDone(k int, steps []*StepRun) {
 	var done []string
@@ -158,6 +147,9 @@
 // bitmap returns the tasks for which f returns true as a hexadecimal bitmap without trailing zeros;
 // "" if there are none.
 func (s *StepRun) bitmap(f func(*Task) bool) string {
+	if s.byPhase[Waiting] == s.Spec.Count && len(s.Tasks) == 0 {
+		return ""
+	}
 	bits := make([]byte, (len(s.Tasks)+7)/8)
 	for i, t := range s.Tasks {
 		if f(t) {
@@ -173,9 +165,9 @@
 	if err != nil {
 		return errors.Wrap(ErrRecord, err.Error())
 	}
-	for n, t := range s.Tasks {
-		if n/8 < len(bits) && bits[n/8]&(1<<(n%8)) != 0 {
-			f(t)
+	for n := range min(8*len(bits), s.Spec.Count) {
+		if bits[n/8]&(1<<(n%8)) != 0 {
+			f(s.Task(n))
 		}
 	}
 	return nil
@@ -193,7 +185,7 @@
 	}
 	if p.Final.Final() {
 		j.state, j.stored.state, j.started = p.Final, p.Final, true
-		delete(r.open, j.ID)
+		r.closed(j)
 		return nil
 	}
 	j.stored.minions = map[Minion]bool{}
@@ -209,50 +201,60 @@
 	if len(p.Done)+len(p.Ended)+len(p.Partial)+len(p.Failed)+len(p.FailedBits)+len(p.On) > 0 {
 		j.state, j.started = StateRunning, true
 	}
+	r.completeIfEnded(j, j.LearnedAt)
 	return nil
 }
 
-// restoreDone marks the done tasks. Error: ErrRecord.
+// restoreDone marks the done tasks and the ended occurrences. Error: ErrRecord.
 func (j *Job) restoreDone(p *Progress) error {
-	n := len(j.Spec.Steps)
-	if err := j.restoreBitmaps(0, p.Done); err != nil {
-		return err
+	if !ranges(p.Ended).valid(j.Spec.Occurrences()) {
+		return errors.Wrapf(ErrRecord, "ended occurrences %v: the job has %d", p.Ended, j.Spec.Occurrences())
 	}
-	for k, done := range p.Partial {
-		if k < 0 || k >= j.Spec.Occurrences() || len(done) > n {
-			return errors.Wrapf(ErrRecord, "progress of occurrence %d does not match the job", k)
-		}
-		if err := j.restoreBitmaps(k*n, done); err != nil {
-			return err
+	for _, o := range slices.Clone(j.live) { // occurrence 0 of a job that runs once
+		if ranges(p.Ended).contains(o.index) {
+			for _, s := range o.steps {
+				for _, t := range s.AllTasks() {
+					t.markDone()
+				}
+			}
 		}
 	}
-	if len(p.Ended)%2 != 0 {
-		return errors.Wrap(ErrRecord, "a range of ended occurrences has no end")
+	j.ended = p.Ended
+	if len(j.live) == 0 && len(j.ended) > 0 {
+		j.registry.stopWaiting(j)
+		j.registry.waitForDue(j)
 	}
-	for i := 0; i < len(p.Ended); i += 2 {
-		first, end := p.Ended[i], p.Ended[i+1]
-		if first < 0 || first >= end || end > j.Spec.Occurrences() {
-			return errors.Wrapf(ErrRecord, "ended occurrences %d to %d: the job has %d", first, end, j.Spec.Occurrences())
+	n := len(j.Spec.Steps)
+	for i := 0; i < len(p.Done); i += n {
+		if err := j.restoreOccurrence(i/n, p.Done[i:min(i+n, len(p.Done))]); err != nil {
+			return err
 		}
-		for _, s := range j.Steps[first*n : end*n] {
-			for _, t := range s.Tasks {
-				t.markDone()
-			}
+	}
+	for k, done := range p.Partial {
+		if err := j.restoreOccurrence(k, done); err != nil {
+			return err
 		}
 	}
 	return nil
 }
 
-// restoreBitmaps marks the done tasks of consecutive steps, beginning with j.Steps[first].
-func (j *Job) restoreBitmaps(first int, done []string) error {
+// restoreOccurrence marks the done tasks of an occurrence. Error: ErrRecord.
+func (j *Job) restoreOccurrence(k int, done []string) error {
 	for i, text := range done {
-		if first < 0 || first+i >= len(j.Steps) {
-			return errors.Wrap(ErrRecord, "progress has more steps than the job")
+		if text == "" {
+			continue
+		}
+		s := j.Step(k, i)
+		if s == nil {
+			return errors.Wrapf(ErrRecord, "progress of occurrence %d does not match the job", k)
 		}
-		if err := j.Steps[first+i].fromBitmap(text, (*Task).markDone); err != nil {
+		if err := s.fromBitmap(text, (*Task).markDone); err != nil {
 			return err
 		}
 	}
+	if o := j.liveOccurrence(k); o != nil && o.ended() {
+		j.forget(o)
+	}
 	return nil
 }
 
--- a/internal/jobs/spec.go
+++ b/internal/jobs/spec.go
@@ -19,8 +19,13 @@
 	// MaxTasks is the maximum number of tasks of a job, so that one job cannot exhaust the memory
 	// of an entry VM. The widest known job has about 160.
 	MaxTasks = 20000
+	// MaxNeed bounds each resource of a task, so that sums over all tasks of a site do not overflow.
+	MaxNeed = 1e10
 )
 
+// lastDue is the latest time at which an occurrence may be due: rows hold times of four-digit years.
+var lastDue = time.Date(9999, 1, 1, 0, 0, 0, 0, time.UTC)
+
 // ID identifies a job. Callers choose it.
 type ID string
 
@@ -134,8 +139,8 @@
 	if len(s.Steps) == 0 {
 		return errors.Wrap(ErrSpec, "steps: found none, expected at least one")
 	}
-	if s.Repeat < 0 || s.Interval < 0 {
-		return errors.Wrap(ErrSpec, "repetition: found a negative count or interval")
+	if err := s.checkRepetition(); err != nil {
+		return err
 	}
 	tasks := 0
 	for i := range s.Steps {
@@ -146,15 +151,32 @@
 		if st.Need.CPU < 0 || st.Need.MemoryMB < 0 || st.Need.Accelerators < 0 || st.Estimate < 0 || st.MaxPerMinion < 0 || st.MaxUnavailable < 0 {
 			return errors.Wrapf(ErrSpec, "steps.%d: found a negative number", i)
 		}
+		if !st.Need.Fits(Resources{MaxNeed, MaxNeed, MaxNeed}) {
+			return errors.Wrapf(ErrSpec, "steps.%d: found a need above %d", i, int64(MaxNeed))
+		}
 		for _, a := range st.After {
 			if a < 0 || a >= i {
 				return errors.Wrapf(ErrSpec, "steps.%d.after: found %d, expected an earlier step", i, a)
 			}
 		}
-		tasks += st.Count
+		if tasks += st.Count; s.Occurrences() > MaxTasks/tasks {
+			return errors.Wrapf(ErrSpec, "found over %d tasks in %d occurrences, expected at most that", MaxTasks, s.Occurrences())
+		}
 	}
-	if tasks*s.Occurrences() > MaxTasks {
-		return errors.Wrapf(ErrSpec, "found %d tasks, expected at most %d", tasks*s.Occurrences(), MaxTasks)
+	return nil
+}
+
+// checkRepetition validates the times of the occurrences.
+func (s *Spec) checkRepetition() error {
+	switch {
+	case s.Repeat < 0 || s.Interval < 0:
+		return errors.Wrap(ErrSpec, "repetition: found a negative count or interval")
+	case s.Repeat == 0:
+		return nil
+	case s.FirstRun.Year() < 0 || s.FirstRun.After(lastDue),
+		s.Interval > 0 && int64(s.Repeat-1) > int64(math.MaxInt64/s.Interval),
+		s.Due(s.Repeat-1).After(lastDue):
+		return errors.Wrap(ErrSpec, "repetition: found a time that cannot be represented")
 	}
 	return nil
 }
--- a/internal/sitestatus/status.go
+++ b/internal/sitestatus/status.go
@@ -127,8 +127,14 @@
 	Queue  model.Queue `json:"queue"`
 	Team   model.Team  `json:"team"`
 	// KnownMS is for how long this coordinator has known the job.
-	KnownMS int64  `json:"known_ms"`
-	Tasks   []Task `json:"tasks"`
+	KnownMS int64 `json:"known_ms"`
+	// Occurrences is how many times the job's steps run, EndedOccurrences how many of them have ended.
+	Occurrences      int `json:"occurrences"`
+	EndedOccurrences int `json:"ended_occurrences"`
+	// Tasks are those of occurrences that are due and have not ended. Where there are many that wait and
+	// have never begun, NotListed counts the others of these.
+	Tasks     []Task `json:"tasks"`
+	NotListed int    `json:"not_listed,omitempty"`
 }
 
 // Task is the coordinator's view of a task.
