coordinator: the members of a gang are always runs of one number

Cause: startTask took the next run number of each member alone, and a member was started whenever it had no run. The members of a gang work only in runs of one number. On related paths: starts refused with 503 or 409 or given up, a takeover between two members' orders, a member whose start waited for the store while the others began, and checkpoints, of which each member kept its own. Change: a gang is started when all members wait, with one number above those of all their runs and one checkpoint; none of its starts is sent before the minions of all members are recorded. A gang of which a member has no run is stopped, and starts again as a whole. A member that is done with the others leaves its minion also if that is lost. The stand-in of the minions has gangs: members wait for others of their number, break, end alone, and list checkpoints of their own.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -150,6 +150,8 @@
 	runLease time.Duration
 	// planSteps is the memory of the last plan's steps, for the next one.
 	planSteps []schedule.Step
+	// incompleteGangs are the gangs that the scheduling run in progress has to stop.
+	incompleteGangs []*jobs.StepRun
 	// unplaced are the long-running steps with tasks for which the last plan found no place.
 	unplaced map[*jobs.StepRun]unplacedStep
 	// teamLimited counts their tasks that the limit of their team did not let start in the last plan.
--- a/internal/coordinator/minions.go
+++ b/internal/coordinator/minions.go
@@ -114,6 +114,7 @@
 	for task := range m.Tasks {
 		counters.Add("runs_given_up", 1)
 		t.requeue(task)
+		m.Unassign(task, t.now) // a task that is done has no minion any more
 	}
 	// No unreported run can be in progress there any more.
 	m.Polled = true
--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -96,8 +96,7 @@
 }
 
 // startTask assigns a task to a minion and orders a run of it.
-func (t *Term) startTask(task *jobs.Task, m *holding.Minion) {
-	run := task.NextRun(t.firstRun())
+func (t *Term) startTask(task *jobs.Task, run int, m *holding.Minion) {
 	counters.Add("starts", 1)
 	t.load.starts++
 	t.registry.Order(task, run, m.ID, t.now)
@@ -110,6 +109,9 @@
 	if held {
 		t.registry.MarkUnsaved(j)
 		t.writer.heldStarts[j], t.writer.urgent = true, true
+	}
+	if held || task.Step.Spec.Gang {
+		t.ordersChanged = true
 		return // resendOrders sends it once the minion is in the stored progress
 	}
 	t.sendStart(task, start)
@@ -296,6 +298,7 @@
 	}
 	t.ordersChanged, t.nextOrderCheck = false, t.now+orderCheckInterval
 	t.load.orderChecks += len(t.pendingStarts) + len(t.pendingStops)
+	gangs := map[*jobs.StepRun]bool{}
 	for task, start := range t.pendingStarts {
 		unresponsive := start.minion.FailedPolls > 0
 		switch {
@@ -312,7 +315,7 @@
 			counters.Add("starts_given_up", 1)
 			start.minion.AvoidUntil = t.now + givenUpAvoidance
 			t.stopRun(task, model.ReasonWorkerNotStarted)
-		case start.tries > 0 || task.Step.Job.RecordedOn(start.minion.ID):
+		case start.tries > 0 || t.startRecorded(task, start, gangs):
 			t.sendStart(task, start)
 		}
 	}
--- a/internal/coordinator/plan.go
+++ b/internal/coordinator/plan.go
@@ -66,11 +66,15 @@
 	t.recordUnplaced(p.Unplaced)
 	t.startsBounded = p.Bounded
 	r := planResult{decidedAt: t.deps.Now(), steps: len(snap.Steps), tried: p.Tried, starts: len(p.Start)}
+	runs := runNumbers{lowest: t.firstRun()}
 	for _, assignment := range p.Start {
 		if m := t.minions[assignment.Minion]; m != nil {
-			t.startTask(assignment.Task, m)
+			t.startTask(assignment.Task, runs.next(assignment.Task), m)
 		}
 	}
+	if len(runs.gangs) > 0 {
+		t.resendOrders()
+	}
 	for _, assignment := range p.Relocate {
 		t.relocate(assignment.Task, assignment.Minion)
 	}
@@ -155,6 +159,7 @@
 	t.reservePlaces(s.Minions)
 	relocating := t.relocating()
 	wall := time.Now()
+	t.incompleteGangs = t.incompleteGangs[:0]
 	t.registry.CreateDue(wall, t.now)
 	for _, j := range t.registry.Live() {
 		j.OpenSteps(wall, t.now)
@@ -163,6 +168,9 @@
 		}
 		s.Steps = t.addWaitingSteps(s.Steps, j, relocating)
 	}
+	for _, step := range t.incompleteGangs {
+		t.stopGang(step)
+	}
 	t.planSteps = s.Steps
 	return s
 }
@@ -175,10 +183,16 @@
 }
 
 // addWaitingSteps adds the steps of a job with tasks to start, to relocate or to find a place for while
-// they stop.
+// they stop. It collects the gangs to be stopped.
 func (t *Term) addWaitingSteps(to []schedule.Step, j *jobs.Job, relocating map[*jobs.StepRun][]*jobs.Task) []schedule.Step {
 	for _, s := range j.CurrentSteps() {
-		step := schedule.Step{StepRun: s, Waiting: s.WaitingTasks()}
+		step := schedule.Step{StepRun: s}
+		switch {
+		case mayBeginGang(s):
+			step.Waiting = s.WaitingTasks()
+		case incompleteGang(s):
+			t.incompleteGangs = append(t.incompleteGangs, s)
+		}
 		if s.Spec.LongRunning {
 			step.Relocating, step.Stopping = relocating[s], t.stoppingWithoutPlace(s)
 		}
--- a/internal/coordinator/reports.go
+++ b/internal/coordinator/reports.go
@@ -24,7 +24,11 @@
 		t.runReported(m, x, seen)
 	}
 	for x := range m.Tasks {
-		if !seen[x] {
+		switch {
+		case seen[x]:
+		case x.Phase == jobs.Done && x.PhaseSince < sent:
+			m.Unassign(x, t.now) // of a gang, another member of which has ended
+		default:
 			t.runUnlisted(x, sent, r.MoreEnds)
 		}
 	}
@@ -99,9 +103,7 @@
 			stop.begunOrNever = min(stop.begunOrNever, t.now)
 		}
 		task.Percent = run.Percent
-		if run.Checkpoint != "" {
-			task.Checkpoint = run.Checkpoint
-		}
+		task.Checkpointed(run.Run, run.Checkpoint)
 		t.registry.Started(task, t.now)
 		delete(t.pendingStarts, task)
 	case task.Phase == jobs.Waiting && !task.Step.Job.State().Final():
--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -107,6 +107,10 @@
 	byPhase [Done + 1]int
 	// waiting lists the tasks in phase waiting, nil if it has to be collected again.
 	waiting []*Task
+	// gangCheckpoint is the last checkpoint that any member of a gang reported, of the run numbered
+	// gangCheckpointRun.
+	gangCheckpoint    string
+	gangCheckpointRun int
 	// Open is set once the occurrence is due and all steps that this one depends on have ended.
 	Open bool
 	// blockers counts the entries of Spec.After whose steps have not ended.
@@ -513,9 +517,49 @@
 // coordinator may use; it exceeds all numbers of earlier coordinators, known or not.
 func (t *Task) NextRun(lowest int) int { return max(t.Run+1, lowest) }
 
+// NextRun returns the number of the next run of a gang, which all members have in common: it exceeds the
+// numbers of all their runs so far. lowest is as in Task.NextRun.
+func (s *StepRun) NextRun(lowest int) int {
+	for _, t := range s.AllTasks() {
+		lowest = t.NextRun(lowest)
+	}
+	return lowest
+}
+
+// Whole reports whether all members of a gang are in one run, as far as is known.
+func (s *StepRun) Whole() bool {
+	if s.byPhase[Ordered]+s.byPhase[Running] != s.Spec.Count {
+		return false
+	}
+	for _, t := range s.Tasks {
+		if t.Run != s.Tasks[0].Run {
+			return false
+		}
+	}
+	return true
+}
+
+// Checkpointed records the checkpoint that a run has reported, for the next run. The members of a gang have
+// one in common.
+func (t *Task) Checkpointed(run int, checkpoint string) {
+	s := t.Step
+	switch {
+	case checkpoint == "":
+	case !s.Spec.Gang:
+		t.Checkpoint = checkpoint
+	case run >= s.gangCheckpointRun:
+		s.gangCheckpoint, s.gangCheckpointRun = checkpoint, run
+	}
+}
+
 // Order records that a start order for a task is about to be sent.
 func (r *Registry) Order(t *Task, run int, m Minion, now time.Duration) {
 	t.setPhase(Ordered)
+	if t.Step.Spec.Gang {
+		// Fixed with the order: members of one run must not start from different checkpoints, also if
+		// one of their starts is sent later than the others.
+		t.Checkpoint = t.Step.gangCheckpoint
+	}
 	t.Run, t.Minion, t.Percent, t.PhaseSince = run, m, 0, now
 	j := t.Step.Job
 	j.started = true
@@ -539,9 +583,7 @@
 	}
 	r.Order(t, run, m, now)
 	r.Started(t, now)
-	if checkpoint != "" {
-		t.Checkpoint = checkpoint
-	}
+	t.Checkpointed(run, checkpoint)
 }
 
 // Stop records that the current run of a task is to be stopped.
@@ -587,8 +629,8 @@
 	if run > t.Run {
 		t.Run = run
 	}
-	if checkpoint != "" && run == t.Run {
-		t.Checkpoint = checkpoint
+	if run == t.Run {
+		t.Checkpointed(run, checkpoint)
 	}
 	current := run == t.Run && (t.Minion == m || t.Minion == "")
 	lasting := t.Step.Spec.LongRunning
--- a/standins/fleet/minions.go
+++ b/standins/fleet/minions.go
@@ -30,6 +30,10 @@
 	ends time.Time
 	how  jobs.End
 	need jobs.Resources
+	// gang is the name of the run's gang, or ""; complete is when all of its members ran.
+	gang       string
+	complete   time.Time
+	checkpoint string
 }
 
 // EventKind is what happened to a run.
@@ -115,6 +119,7 @@
 	starts     map[string]int  // guarded by mu
 	story      []string        // guarded by mu
 	began      time.Time
+	gangs      gangs // guarded by mu
 }
 
 var _ site.Minions = (*Minions)(nil)
@@ -190,7 +195,13 @@
 	for _, r := range m.runs {
 		s.event(Event{At: time.Now(), Kind: RunEnded, Task: r.task, Run: r.no, Minion: m.Entry.ID})
 	}
+	ended := m.runs
 	m.runs = map[string]*run{}
+	for _, r := range ended {
+		if r.gang != "" {
+			s.gangEnded(r, time.Now())
+		}
+	}
 }
 
 func (s *Minions) event(e Event) {
@@ -362,6 +373,8 @@
 			s.end(m, r, r.how, r.ends)
 		case now.After(m.lease):
 			s.end(m, r, jobs.EndLeaseExpired, m.lease)
+		case s.waitsTooLong(r, now):
+			s.end(m, r, jobs.EndGangIncomplete, now)
 		}
 	}
 	if now.After(m.lease) {
@@ -375,7 +388,10 @@
 	delete(m.runs, r.task)
 	m.barred[r.task] = max(m.barred[r.task], r.no)
 	m.next++
-	m.ended = append(m.ended, site.EndReport{Seq: m.next, Task: r.task, Run: r.no, Outcome: how})
+	m.ended = append(m.ended, site.EndReport{Seq: m.next, Task: r.task, Run: r.no, Outcome: how, Checkpoint: s.checkpointOf(r, at)})
+	if r.gang != "" && how != jobs.EndDone {
+		s.gangEnded(r, at)
+	}
 }
 
 // answer passes an order to its minion, with faults. order runs under the lock. The connection ends with
@@ -564,7 +580,7 @@
 // begin starts a run and notes what must not be.
 func (s *Minions) begin(m *Minion, o site.StartOrder) {
 	now := time.Now()
-	r := &run{task: o.Task, no: o.Run, began: now, need: s.Need(o.Task)}
+	r := &run{task: o.Task, no: o.Run, began: now, need: s.Need(o.Task), gang: s.gangOf(o.Task), checkpoint: o.Checkpoint}
 	d, how := s.Work(o.Task, o.Run)
 	r.how = how
 	if d > 0 {
@@ -586,6 +602,9 @@
 		}
 	}
 	m.runs[o.Task] = r
+	if r.gang != "" {
+		s.gangBegan(r, d)
+	}
 	s.starts[o.Task]++
 	s.event(Event{At: now, Kind: RunBegan, Task: o.Task, Run: o.Run, Minion: m.Entry.ID, Service: m.Entry.Service, Token: m.token})
 	s.tell("%s run %d begins on %s by %d, lease until %d", o.Task, o.Run, m.Entry.ID, m.token, m.lease.Sub(s.began).Milliseconds())
@@ -644,7 +663,7 @@
 				m.prolong(o.LeaseUntil)
 			}
 			s.note(m, o.Ack)
-			return m.report(), nil
+			return s.report(m), nil
 		}
 		if first {
 			out, err = answer(ctx, s, "hold", to, f, look)
@@ -671,6 +690,9 @@
 		}
 		if e.Outcome == jobs.EndDone && e.Seq > m.void {
 			s.done[e.Task] = true
+			for _, member := range s.gangTasks(e.Task) {
+				s.done[member] = true // one end represents all members
+			}
 			s.event(Event{At: time.Now(), Kind: EndNoted, Task: e.Task, Run: e.Run, Minion: m.Entry.ID, How: e.Outcome, Token: m.token})
 			s.tell("%s run %d on %s is noted, by %d", e.Task, e.Run, m.Entry.ID, m.token)
 		}
@@ -678,11 +700,11 @@
 	m.ended, m.noted = kept, max(m.noted, number)
 }
 
-func (m *Minion) report() site.PollReport {
+func (s *Minions) report(m *Minion) site.PollReport {
 	listed := m.ended[:min(len(m.ended), maxListedEnds)]
 	out := site.PollReport{Clock: m.clock(time.Now()), Incarnation: m.Entry.Incarnation, Ended: append([]site.EndReport(nil), listed...), MoreEnds: len(listed) == maxListedEnds}
 	for _, r := range m.runs {
-		out.Running = append(out.Running, site.RunReport{Task: r.task, Run: r.no, Percent: 100})
+		out.Running = append(out.Running, site.RunReport{Task: r.task, Run: r.no, Percent: 100, Checkpoint: s.checkpointOf(r, time.Now())})
 	}
 	return out
 }
