--- a/internal/coordinator/machines.go
+++ b/internal/coordinator/machines.go
@@ -133,6 +133,7 @@
 	}
 	for task := range m.Tasks {
 		t.requeueBecause(task, "minion_ended_by_order")
+		m.Unassign(task, t.now) // a task that is done has no minion any more
 	}
 	if m.Recorded {
 		t.writer.goneMinions[id] = true
--- a/internal/coordinator/minions.go
+++ b/internal/coordinator/minions.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"time"
 
 	"boragepulley/internal/holding"
 	"boragepulley/internal/jobs"
 	"boragepulley/internal/site"
 )
 
+// maxRemaining bounds the time that a leaving minion says it has left.
+const maxRemaining = 24 * time.Hour
+
 // applyMinionEntry applies an entry of the platform's list of minions. An unreadable entry is
 // ignored; a nil value means that the entry was removed.
 func (t *Term) applyMinionEntry(id string, value []byte) {
@@ -30,7 +34,7 @@
 		return
 	case m == nil:
 		m = holding.New(e, 0)
-		m.EmptySince, m.LeavesAt, m.IncarnationAt = t.now, t.now+e.Remaining, t.now
+		m.EmptySince, m.LeavesAt, m.IncarnationAt = t.now, t.now+min(e.Remaining, maxRemaining), t.now
 		t.minions[e.ID] = m
 		// The removal of the minion's row may still be due. It would follow the new record.
 		delete(t.writer.goneMinions, e.ID)
@@ -40,7 +44,7 @@
 		return
 	default:
 		if e.Leaving {
-			m.LeavesAt = t.now + e.Remaining
+			m.LeavesAt = t.now + min(e.Remaining, maxRemaining)
 		}
 		if e.Leaving && !m.Leaving {
 			t.log.Info().Str("minion", id).Int("tasks", len(m.Tasks)).Dur("remaining", e.Remaining).Msg("Coordinator: minion is leaving.")
--- a/internal/jobs/spec.go
+++ b/internal/jobs/spec.go
@@ -175,7 +175,7 @@
 		return nil
 	case s.FirstRun.Year() < 0 || s.FirstRun.After(lastDue),
 		s.Interval > 0 && int64(s.Repeat-1) > int64(math.MaxInt64/s.Interval),
-		s.Due(s.Repeat-1).After(lastDue):
+		s.Due(s.Repeat - 1).After(lastDue):
 		return errors.Wrap(ErrSpec, "repetition: found a time that cannot be represented")
 	}
 	return nil
