coordinator: a job that fails in the control goroutine is set aside

Cause: a panic in the work for one job ended the term. The same held for the decoder of an entry of the list of minions. A row of a job that could not be read had its progress removed, so that a version that reads it would run done tasks again. Change: scheduling, reports, restoring, encoding and sums over jobs run isolated by job. A job that panics is removed from the state of the term, logged with the stack and counted (jobs_set_aside); its rows stay, its runs are stopped. A panicking decoder is an error of its entry. The progress of an unreadable job row is kept. An end of a job that was set aside is acknowledged without being stored, since the minion's other ends wait behind it: a next term can run that task again. Result: TestJobThatFailsInsideTheCoordinatorIsIsolated and TestEntryThatItsDecoderFailsOnIsIgnored pass; before, such a panic ended the term, which TestUnexpectedErrorEndsTheTermOnly required of a decoder. That test now panics in a part that is not work for one job or entry, and requires the same of it.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -150,6 +150,8 @@
 	runLease time.Duration
 	// planSteps is the memory of the last plan's steps, for the next one.
 	planSteps []schedule.Step
+	// asideJobs are the jobs that were set aside, see isolated.
+	asideJobs map[jobs.ID]bool
 	// incompleteGangs are the gangs that the scheduling run in progress has to stop.
 	incompleteGangs []*jobs.StepRun
 	// unplaced are the long-running steps with tasks for which the last plan found no place.
@@ -201,7 +203,7 @@
 		deps: d, held: held, epoch: held.Row.Epoch, events: make(chan func(), 4096), ctx: ctx, stop: stop,
 		log:      d.Log.With().Uint64("epoch", held.Row.Epoch).Logger(),
 		registry: jobs.NewRegistry(), minions: map[jobs.Minion]*holding.Minion{}, queues: map[model.Queue]site.Queue{},
-		pendingStarts: map[*jobs.Task]*pendingStart{}, pendingStops: map[*jobs.Task]*pendingStop{}, reservedPlaces: map[*jobs.Task]jobs.Minion{}, runLease: min(runLeaseTTL, d.Limits.MaxMinionLease), pollGap: minPollGap,
+		pendingStarts: map[*jobs.Task]*pendingStart{}, pendingStops: map[*jobs.Task]*pendingStop{}, reservedPlaces: map[*jobs.Task]jobs.Minion{}, asideJobs: map[jobs.ID]bool{}, runLease: min(runLeaseTTL, d.Limits.MaxMinionLease), pollGap: minPollGap,
 	}
 	t.inheritedLog = logging.NewLimiter(200, 500)
 	t.now = d.Now()
--- a/internal/coordinator/journal.go
+++ b/internal/coordinator/journal.go
@@ -312,7 +312,11 @@
 		return true // not encoded again before the next try
 	}
 	s := progressVersion{j, j.LastChange(), j.State()}
-	value, err := jobs.EncodeProgress(j)
+	var value []byte
+	var err error
+	if !t.isolated(j, "encoding the progress of a job", func() { value, err = jobs.EncodeProgress(j) }) {
+		return true
+	}
 	if err != nil {
 		t.log.Error().Err(err).Str("job", string(j.ID)).Msg("Coordinator: progress could not be encoded.")
 		return true
--- a/internal/coordinator/minions.go
+++ b/internal/coordinator/minions.go
@@ -23,7 +23,7 @@
 		}
 		return
 	}
-	e, err := t.deps.Codec.Minion(id, value)
+	e, err := t.decodeMinion(id, value)
 	if err != nil {
 		t.log.Warn().Err(err).Str("minion", id).Msg("Coordinator: ignoring unreadable minion entry.")
 		return
--- a/internal/coordinator/plan.go
+++ b/internal/coordinator/plan.go
@@ -161,13 +161,13 @@
 	wall := time.Now()
 	t.incompleteGangs = t.incompleteGangs[:0]
 	t.registry.CreateDue(wall, t.now)
-	for _, j := range t.registry.Live() {
+	t.eachLive("scheduling a job", func(j *jobs.Job) {
 		j.OpenSteps(wall, t.now)
 		if j.Inherited && !t.inheritedRunsKnown(j) || t.startsRefused(j) {
-			continue
+			return
 		}
-		s.Steps = t.addWaitingSteps(s.Steps, j, relocating)
-	}
+		s.Steps = t.addWaitingSteps(s.Steps, j, relocating) // all of them, or none if it panics
+	})
 	for _, step := range t.incompleteGangs {
 		t.stopGang(step)
 	}
@@ -185,13 +185,14 @@
 // addWaitingSteps adds the steps of a job with tasks to start, to relocate or to find a place for while
 // they stop. It collects the gangs to be stopped.
 func (t *Term) addWaitingSteps(to []schedule.Step, j *jobs.Job, relocating map[*jobs.StepRun][]*jobs.Task) []schedule.Step {
+	var gangs []*jobs.StepRun
 	for _, s := range j.CurrentSteps() {
 		step := schedule.Step{StepRun: s}
 		switch {
 		case mayBeginGang(s):
 			step.Waiting = s.WaitingTasks()
 		case incompleteGang(s):
-			t.incompleteGangs = append(t.incompleteGangs, s)
+			gangs = append(gangs, s)
 		}
 		if s.Spec.LongRunning {
 			step.Relocating, step.Stopping = relocating[s], t.stoppingWithoutPlace(s)
@@ -210,6 +211,7 @@
 		step.RemainingWork, step.Value = s.WorkLeft(), t.jobValue(j, q.Service)
 		to = append(to, step)
 	}
+	t.incompleteGangs = append(t.incompleteGangs, gangs...)
 	return to
 }
 
--- a/internal/coordinator/rebalance.go
+++ b/internal/coordinator/rebalance.go
@@ -208,7 +208,7 @@
 // loadByService sums the resource needs of the tasks of each service that run or could run now.
 func (t *Term) loadByService() map[model.Service]serviceLoad {
 	out := map[model.Service]serviceLoad{}
-	for _, j := range t.registry.Live() {
+	t.eachLive("summing up the load of a job", func(j *jobs.Job) {
 		svc := t.queueOf(j).Service
 		l := out[svc]
 		for _, s := range j.CurrentSteps() {
@@ -230,7 +230,7 @@
 			}
 		}
 		out[svc] = l
-	}
+	})
 	return out
 }
 
--- a/internal/coordinator/recover.go
+++ b/internal/coordinator/recover.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"boragepulley/internal/guard"
 	"boragepulley/internal/holding"
 	"boragepulley/internal/jobs"
 	"boragepulley/internal/lease"
@@ -173,10 +174,16 @@
 		id := jobs.ID(rowID(r.Key))
 		j := t.registry.Get(id)
 		if j == nil {
-			t.writer.obsoleteProgress[id] = true // the job's own row has been removed
+			if !t.asideJobs[id] {
+				t.writer.obsoleteProgress[id] = true // the job's own row has been removed
+			}
 			continue
 		}
-		if err := t.registry.Restore(j, r.Value); err != nil {
+		var err error
+		if !t.isolated(j, "restoring the progress of a job", func() { err = t.registry.Restore(j, r.Value) }) {
+			continue
+		}
+		if err != nil {
 			t.log.Error().Err(err).Str("job", string(id)).Msg("Coordinator: ignoring unreadable progress row.")
 		}
 		if j.State().Final() {
@@ -202,7 +209,7 @@
 // addJobRow adds an accepted job from its row. inherited is set for a job that was accepted under
 // an earlier coordinator.
 func (t *Term) addJobRow(id string, value []byte, inherited bool) *jobs.Job {
-	if j := t.registry.Get(jobs.ID(id)); j != nil {
+	if j := t.registry.Get(jobs.ID(id)); j != nil || t.asideJobs[jobs.ID(id)] {
 		return j
 	}
 	a, err := jobs.DecodeAccepted(value)
@@ -211,10 +218,17 @@
 	}
 	if err != nil {
 		t.log.Error().Err(err).Str("job", id).Msg("Coordinator: ignoring unreadable job row.")
+		t.asideJobs[jobs.ID(id)] = true // its progress is kept for a version that reads the row
 		return nil
 	}
 	a.ID = jobs.ID(id)
-	j := t.registry.Add(a, t.now)
+	var j *jobs.Job
+	if failed := guard.Recover(t.log, "adding a job", func() { j = t.registry.Add(a, t.now) }); failed != nil {
+		t.asideJobs[a.ID] = true
+		t.registry.Remove(a.ID)
+		counters.Add("jobs_set_aside", 1)
+		return nil
+	}
 	if j.State().Final() {
 		return j
 	}
--- a/internal/coordinator/reports.go
+++ b/internal/coordinator/reports.go
@@ -18,10 +18,10 @@
 	t.load.ends += len(r.Ended)
 	t.load.running += len(r.Running)
 	for _, x := range r.Ended {
-		t.runEnded(m, x, seen)
+		t.isolatedTask(x.Task, "handling the end of a run", func() { t.runEnded(m, x, seen) })
 	}
 	for _, x := range r.Running {
-		t.runReported(m, x, seen)
+		t.isolatedTask(x.Task, "handling a reported run", func() { t.runReported(m, x, seen) })
 	}
 	for x := range m.Tasks {
 		switch {
--- a/internal/coordinator/status.go
+++ b/internal/coordinator/status.go
@@ -83,13 +83,13 @@
 	for _, mv := range t.machines.moves {
 		of(mv.to).Moving++
 	}
-	for _, j := range t.registry.Live() {
+	t.eachLive("counting the waiting tasks of a job", func(j *jobs.Job) {
 		for _, step := range j.CurrentSteps() {
 			if step.Open {
 				of(t.queueOf(j).Service).WaitingTasks += step.Count(jobs.Waiting)
 			}
 		}
-	}
+	})
 	out := make([]sitestatus.Service, 0, len(services))
 	for _, s := range services {
 		out = append(out, *s)
--- a/internal/coordinator/waiting.go
+++ b/internal/coordinator/waiting.go
@@ -116,9 +116,9 @@
 	}
 	t.nextWaitReport = t.now + waitLogInterval
 	tasks, lines, longest := 0, 0, time.Duration(0)
-	for _, j := range t.registry.Live() {
+	t.eachLive("reporting the waits of a job", func(j *jobs.Job) {
 		if !j.Spec.LongRunning() {
-			continue
+			return
 		}
 		for _, s := range j.CurrentSteps() {
 			if !s.Spec.LongRunning || !s.Open {
@@ -134,7 +134,7 @@
 				t.logWait(s, w)
 			}
 		}
-	}
+	})
 	if lines > maxWaitLines {
 		t.log.Info().Int("steps", lines-maxWaitLines).Msg("Coordinator: further long-running steps wait.")
 	}
--- a/internal/coordinator/waves.go
+++ b/internal/coordinator/waves.go
@@ -265,17 +265,17 @@
 // ones.
 func (t *Term) busyServices() map[model.Service]bool {
 	out := map[model.Service]bool{}
-	for _, j := range t.registry.Live() {
+	t.eachLive("looking for waiting tasks of a job", func(j *jobs.Job) {
 		q := t.queueOf(j)
 		if out[q.Service] {
-			continue
+			return
 		}
 		for _, s := range j.CurrentSteps() {
 			if !s.Spec.LongRunning && s.Open && s.Count(jobs.Waiting) > 0 {
 				out[q.Service] = true
 			}
 		}
-	}
+	})
 	return out
 }
 
--- a/internal/holding/holding.go
+++ b/internal/holding/holding.go
@@ -240,6 +240,19 @@
 	t.Release()
 }
 
+// DropJob removes the tasks of a job, whose state may be inconsistent, and counts the others again.
+func (m *Minion) DropJob(j *jobs.Job) {
+	m.Used, m.Kinds = jobs.Resources{}, Kinds{}
+	for t := range m.Tasks {
+		if t.Step.Job == j {
+			delete(m.Tasks, t)
+			continue
+		}
+		m.Used = m.Used.Add(t.Step.Spec.Reserved())
+		m.Kinds.count(t.Step, 1)
+	}
+}
+
 // IsNewEnd reports whether an end is reported for the first time, and records its sequence number.
 func (m *Minion) IsNewEnd(seq int64) bool {
 	if seq <= m.lastEnd {
