platform, coordinator: a new coordinator loads large rows over a slow link

Cause: a page of 60 rows is sized for jobs of 3 KB. Rows may take 64 KB, 88 KB in base64: a page then fills the 1 MB of an answer, which takes longer on a link of 10 Mbit/s than the 0.9 s of a call, each time. A load that does not end within 8 s began again from the start, also each time. Not measured on a slow link.

--- a/internal/coordinator/recover.go
+++ b/internal/coordinator/recover.go
@@ -35,6 +35,8 @@
 	// loadTimeout bounds one attempt to read the tables. Jobs in a final state have small rows, so
 	// 500 open jobs of 3 KB and 5,000 others take 2 MB, which is 2 s on a link of 10 Mbit/s.
 	loadTimeout = 8 * time.Second
+	// maxLoadTimeout bounds a later attempt, each of which may take twice as long as the one before.
+	maxLoadTimeout = 2 * time.Minute
 	// loadRetryDelay is the pause after a failed attempt.
 	loadRetryDelay = 200 * time.Millisecond
 )
@@ -90,15 +92,15 @@
 
 // loadTables reads the tables, with retries until it succeeds or the term ends.
 func (t *Term) loadTables() {
-	for t.ctx.Err() == nil {
-		ctx, cancel := context.WithTimeout(t.ctx, loadTimeout)
+	for timeout := loadTimeout; t.ctx.Err() == nil; timeout = min(2*timeout, maxLoadTimeout) {
+		ctx, cancel := context.WithTimeout(t.ctx, timeout)
 		rows, err := t.readTables(ctx)
 		cancel()
 		if err == nil {
 			t.post(func() { t.restore(rows) })
 			return
 		}
-		t.log.Warn().Err(err).Msg("Coordinator: tables could not be loaded yet.")
+		t.log.Warn().Err(err).Dur("timeout", timeout).Msg("Coordinator: tables could not be loaded yet.")
 		select {
 		case <-time.After(loadRetryDelay):
 		case <-t.ctx.Done():
