coordinator: a job counts as waiting until one of its runs has begun

Cause: Registry.Order set the state `running`, and the mark that takes a job out of the count, when a start was about to be sent, and nothing took that back. The same for starts that are not answered or wait for the store, and for each job whose restored progress named a minion. Change: a job has begun once a minion has accepted a start, lists a run of it or lists its end. A job that was restored with minions that may run it is still shown as running, because callers may have been told so, but counts as waiting.

--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -220,7 +220,7 @@
 		return
 	case reason == site.RefusedStale:
 		// The run has already ended, or the next poll reports it as running.
-		t.registry.Started(task, t.now)
+		t.registry.AwaitReport(task, t.now)
 		delete(t.pendingStarts, task)
 		m.NextPoll = t.now
 		return
--- a/internal/coordinator/plan.go
+++ b/internal/coordinator/plan.go
@@ -281,7 +281,7 @@
 	t.updateGauges()
 	v := &View{Pending: map[model.Queue]int{}, Load: map[model.Queue]peer.QueueLoad{}}
 	for _, j := range t.registry.Open() {
-		if !j.HasStarted() {
+		if !j.HasBegun() {
 			v.Pending[j.Queue]++
 		}
 	}
--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -156,8 +156,8 @@
 	// work is Spec.Work.
 	work  float64
 	state State
-	// started is set once a task of the job was started.
-	started bool
+	// begun is set once a run of the job is known to have begun.
+	begun bool
 	// lastChange is the number of the last change of the job's progress, savedChange that of the
 	// last stored one.
 	lastChange, savedChange uint64
@@ -199,8 +199,16 @@
 // reads it.
 func (j *Job) FinalStateStored() bool { return j.stored.state.Final() }
 
-// HasStarted reports whether any task of the job was started.
-func (j *Job) HasStarted() bool { return j.started }
+// HasBegun reports whether any run of the job is known to have begun.
+func (j *Job) HasBegun() bool { return j.begun }
+
+// markBegun records that a run of the job has begun.
+func (j *Job) markBegun() {
+	j.begun = true
+	if j.state == StateQueued {
+		j.state = StateRunning
+	}
+}
 
 // Unsaved reports whether some change of the job's progress is not stored.
 func (j *Job) Unsaved() bool { return j.lastChange > j.savedChange }
@@ -334,7 +342,7 @@
 		return j
 	}
 	if a.Final.Final() {
-		j := &Job{Accepted: a, LearnedAt: now, EndedAt: now, state: a.Final, stored: storedJob{state: a.Final}, started: true}
+		j := &Job{Accepted: a, LearnedAt: now, EndedAt: now, state: a.Final, stored: storedJob{state: a.Final}, begun: true}
 		r.jobs[a.ID] = j
 		return j
 	}
@@ -561,15 +569,17 @@
 		t.Checkpoint = t.Step.gangCheckpoint
 	}
 	t.Run, t.Minion, t.Percent, t.PhaseSince = run, m, 0, now
-	j := t.Step.Job
-	j.started = true
-	if j.state == StateQueued {
-		j.state = StateRunning
-	}
 }
 
 // Started records that a minion runs an ordered task.
 func (r *Registry) Started(t *Task, now time.Duration) {
+	t.Step.Job.markBegun()
+	r.AwaitReport(t, now)
+}
+
+// AwaitReport records that the start of an ordered task needs no further attempt: whether a minion runs it
+// is known from its next report.
+func (r *Registry) AwaitReport(t *Task, now time.Duration) {
 	if t.Phase == Ordered {
 		t.setPhase(Running)
 		t.PhaseSince = now
@@ -626,6 +636,7 @@
 	if t.Phase == Done {
 		return false
 	}
+	t.Step.Job.markBegun()
 	if run > t.Run {
 		t.Run = run
 	}
--- a/internal/jobs/record.go
+++ b/internal/jobs/record.go
@@ -184,7 +184,7 @@
 		return nil // the job's row has the final state already
 	}
 	if p.Final.Final() {
-		j.state, j.stored.state, j.started = p.Final, p.Final, true
+		j.state, j.stored.state, j.begun = p.Final, p.Final, true
 		r.closed(j)
 		return nil
 	}
@@ -198,8 +198,11 @@
 	if err := r.restoreFailed(j, &p); err != nil {
 		return err
 	}
-	if len(p.Done)+len(p.Ended)+len(p.Partial)+len(p.Failed)+len(p.FailedBits)+len(p.On) > 0 {
-		j.state, j.started = StateRunning, true
+	j.begun = len(p.Done)+len(p.Ended)+len(p.Partial)+len(p.Failed)+len(p.FailedBits) > 0
+	if j.begun || len(p.On) > 0 {
+		// Of runs on the minions in the row it is not known yet whether they have begun. Callers may have
+		// been told that the job is running.
+		j.state = StateRunning
 	}
 	r.completeIfEnded(j, j.LearnedAt)
 	return nil
