entry, coordinator: no further job is accepted while the backlog takes all memory

Cause: nothing bounded the sum of accepted jobs that have not ended. Found by reading. Change: the coordinator adds up about what the specifications of jobs that have not ended take (gauge jobs_open_bytes). Above 0.15 of memory_mb its heartbeats say so, and each entry VM rejects new jobs with 429 and Retry-After until some have ended; a job that was or may have been accepted before is not rejected.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -43,6 +43,9 @@
 	MachineOrderGap time.Duration
 	// Retention is how long a job's state can be queried after its end.
 	Retention time.Duration
+	// JobMemory is how many bytes of memory accepted jobs may take that have not ended; while they take more,
+	// no further job is accepted. 0 means no limit.
+	JobMemory int64
 	// RowBytes is the largest value of a row that the store takes; 0 selects jobs.DefaultRowBytes.
 	RowBytes int
 }
@@ -166,6 +169,8 @@
 type View struct {
 	Pending map[model.Queue]int
 	Load    map[model.Queue]peer.QueueLoad
+	// Full is set while no further job is to be accepted, see Limits.JobMemory.
+	Full bool
 }
 
 const (
--- a/internal/coordinator/members.go
+++ b/internal/coordinator/members.go
@@ -151,7 +151,7 @@
 		msg.Config = c.Version
 	}
 	if v := t.view.Load(); v != nil {
-		msg.HasCounts, msg.Pending, msg.Load = true, v.Pending, v.Load
+		msg.HasCounts, msg.Pending, msg.Load, msg.Full = true, v.Pending, v.Load, v.Full
 	}
 	m.inFlight, m.nextHeartbeat = true, t.now+heartbeatInterval
 	sent := t.now
--- a/internal/coordinator/plan.go
+++ b/internal/coordinator/plan.go
@@ -285,5 +285,10 @@
 			v.Pending[j.Queue]++
 		}
 	}
+	setGauge("jobs_open_bytes", t.registry.MemoryBytes())
+	v.Full = t.deps.Limits.JobMemory > 0 && t.registry.MemoryBytes() > t.deps.Limits.JobMemory
+	if before := t.view.Load(); v.Full != (before != nil && before.Full) {
+		t.log.Warn().Bool("full", v.Full).Int64("bytes", t.registry.MemoryBytes()).Int64("limit", t.deps.Limits.JobMemory).Int("jobs", len(t.registry.Open())).Msg("Coordinator: acceptance of jobs changes, because of the memory of those that have not ended.")
+	}
 	t.view.Store(v)
 }
--- a/internal/daemon/site.go
+++ b/internal/daemon/site.go
@@ -33,6 +33,9 @@
 	// heapShare of the memory is where the garbage collector begins to work harder; stacks,
 	// buffers of the kernel and the program need the rest.
 	heapShare = 0.5
+	// jobShare of the memory is for accepted jobs that have not ended. A coordinator that loads them needs
+	// two to three times as much for a moment, beside the heap of a busy one.
+	jobShare = 0.15
 	// siteCloseMargin is kept of the platform's grace for the end of the process.
 	siteCloseMargin = 800 * time.Millisecond
 	// headerTimeout bounds how long a caller may take for a request's header, and
@@ -85,7 +88,7 @@
 		Self: self, PeerAddr: set.PeerAddr, Cores: set.Cores, Table: table, Feed: table, Fleet: fencing.NewFleet(platform.NewMinions(), platform.NewMachines(set.MachinesAddr)),
 		Codec:        coordinator.Codec{Minion: platform.DecodeMinion, Wave: platform.DecodeWave, WaveStatus: platform.EncodeWaveStatus},
 		DecodeConfig: platform.DecodeConfig,
-		Limits:       coordinator.Limits{MaxMinionLease: set.MaxMinionLease, MachineOrderGap: set.MachineOrderGap, Retention: set.Retention, RowBytes: set.StoreRowBytes},
+		Limits:       coordinator.Limits{MaxMinionLease: set.MaxMinionLease, MachineOrderGap: set.MachineOrderGap, Retention: set.Retention, RowBytes: set.StoreRowBytes, JobMemory: int64(set.MemoryMB * jobShare * (1 << 20))},
 		Dial: func(name model.EntryVM, addr string) peer.SiteHandler {
 			c := peer.NewClient(self, name, addr, logging.Part(log, "peer"))
 			s.mu.Lock()
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -95,6 +95,8 @@
 	countedAt time.Duration
 	pending   map[model.Queue]int
 	load      map[model.Queue]peer.QueueLoad
+	// full is set while no further job is to be accepted.
+	full bool
 }
 
 // New returns a node. It does nothing until Start.
--- a/internal/entry/node_test.go
+++ b/internal/entry/node_test.go
@@ -31,6 +31,7 @@
 	store     *fleet.Store
 	minions   *fleet.Minions
 	startedAt time.Time
+	jobMemory int64
 	// stateCalls counts the calls that ask another entry VM for states of jobs.
 	stateCalls atomic.Int64
 
@@ -73,8 +74,11 @@
 
 func refuseAll(string) fleet.Fault { return fleet.Refuse }
 
-func newTestCluster(t *testing.T, n int) *testCluster {
-	tc := &testCluster{t: t, store: fleet.NewStore(), minions: fleet.NewMinions(), nodes: map[string]*Node{}, partitioned: map[string]bool{}, answersLost: map[string]bool{},
+func newTestCluster(t *testing.T, n int) *testCluster { return newLimitedCluster(t, n, 0) }
+
+// newLimitedCluster is newTestCluster with a limit of the memory for accepted jobs, in bytes.
+func newLimitedCluster(t *testing.T, n int, jobMemory int64) *testCluster {
+	tc := &testCluster{t: t, jobMemory: jobMemory, store: fleet.NewStore(), minions: fleet.NewMinions(), nodes: map[string]*Node{}, partitioned: map[string]bool{}, answersLost: map[string]bool{},
 		fault: map[string]func(string) fleet.Fault{}, cores: map[string]float64{}, dcs: map[string]model.DataCentre{}, startedAt: time.Now()}
 	tc.minions.Add(site.MinionEntry{ID: "m", Service: "s", Addr: "m", Capacity: jobs.Resources{CPU: 9000}})
 	tc.store.Put("servers/m", tc.minions.EntryRow("m"))
@@ -130,7 +134,7 @@
 			c.Index()
 			return &c, nil
 		},
-		Limits: coordinator.Limits{MaxMinionLease: 6 * time.Second, MachineOrderGap: 3 * time.Second},
+		Limits: coordinator.Limits{MaxMinionLease: 6 * time.Second, MachineOrderGap: 3 * time.Second, JobMemory: tc.jobMemory},
 		Dial:   func(to model.EntryVM, _ string) peer.SiteHandler { return link{tc, name, string(to)} },
 		Now:    func() time.Duration { return time.Hour + time.Since(tc.startedAt) },
 		Log:    zerolog.Nop(),
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -28,9 +28,9 @@
 		next := &coordinatorView{name: m.From.Entry, addr: m.Addr, epoch: m.Epoch, lastHeartbeat: n.deps.Now(), promised: true, leaseVersion: m.Lease, released: m.Released, successor: m.Successor == n.deps.Self.Entry}
 		switch {
 		case m.HasCounts:
-			next.countedAt, next.pending, next.load = next.lastHeartbeat, m.Pending, m.Load
+			next.countedAt, next.pending, next.load, next.full = next.lastHeartbeat, m.Pending, m.Load, m.Full
 		case old != nil:
-			next.countedAt, next.pending, next.load = old.countedAt, old.pending, old.load
+			next.countedAt, next.pending, next.load, next.full = old.countedAt, old.pending, old.load, old.full
 		}
 		if n.coordinator.CompareAndSwap(old, next) {
 			reply.Epoch = m.Epoch
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -47,6 +47,9 @@
 		counters.Add("too_large", 1)
 		return site.Answer{Err: errors.Wrap(site.ErrNotStorable, err.Error()), Reason: site.ReasonTooLarge}
 	}
+	if n.backlogFull() {
+		return n.refuseForBacklog(ctx, a.ID)
+	}
 	key := coordinator.JobKey(a.ID)
 	table := uncertainTable{n.deps.Table, sync.OnceFunc(func() { n.recordUncertain(a.ID) })}
 	_, err = platform.CommitAndVerify(ctx, table, platform.PriorityClaim, platform.Txn{
@@ -77,6 +80,28 @@
 	return n.unavailable(err)
 }
 
+// backlogFull reports whether no further job is to be accepted, by a recent count of the coordinator.
+func (n *Node) backlogFull() bool {
+	if t := n.term.Load(); t != nil {
+		v := t.View()
+		return v != nil && v.Full
+	}
+	view := n.coordinator.Load()
+	return view != nil && view.full && n.deps.Now()-view.countedAt <= maxPendingAge
+}
+
+// refuseForBacklog rejects a job because of the backlog, unless an earlier attempt has or may have stored it.
+func (n *Node) refuseForBacklog(ctx context.Context, id jobs.ID) site.Answer {
+	switch stored, mayBe := n.earlierAttempt(ctx, id); {
+	case stored:
+		return n.acceptedBefore(id)
+	case mayBe:
+		return n.mayBeStored(errors.New("earlier attempt with unknown outcome"))
+	}
+	counters.Add("refused_backlog", 1)
+	return site.Answer{Err: errors.Wrap(site.ErrOverloaded, "the jobs that have not ended take all memory"), RetryAfter: maxRetryAfter, Reason: site.ReasonFull}
+}
+
 // unavailable is the answer to a request that needs the store, which does not answer.
 func (n *Node) unavailable(err error) site.Answer {
 	a := site.Answer{Err: errors.Wrap(site.ErrUnavailable, err.Error()), RetryAfter: n.retryAfter(), Reason: site.ReasonStoreUnavailable}
--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -153,6 +153,8 @@
 	unblocked []*StepRun
 	// current are the steps that are open or have active tasks, and steps that were so before.
 	current []*StepRun
+	// memory is Spec.MemoryBytes.
+	memory int64
 	// work is Spec.Work.
 	work  float64
 	state State
@@ -273,6 +275,8 @@
 	// waiting the others.
 	open, live map[ID]*Job
 	waiting    waitingJobs
+	// memory is the sum of Spec.MemoryBytes of the open jobs.
+	memory int64
 	// unsaved holds the jobs with progress that is not stored, unsavedOrder the same in the order of
 	// their oldest unsaved change. Entries of jobs that have been saved since are dropped later.
 	unsaved      map[ID]*Job
@@ -356,6 +360,8 @@
 		j.longestChain = max(j.longestChain, p)
 	}
 	r.jobs[a.ID], r.open[a.ID] = j, j
+	j.memory = a.Spec.MemoryBytes()
+	r.memory += j.memory
 	if a.Spec.Repeat == 0 {
 		j.create(0, now)
 		j.next = 1
@@ -369,9 +375,9 @@
 func (r *Registry) Remove(id ID) {
 	if j := r.jobs[id]; j != nil {
 		r.stopWaiting(j)
+		r.dropOpen(j)
 	}
 	delete(r.jobs, id)
-	delete(r.open, id)
 	delete(r.live, id)
 	if j := r.unsaved[id]; j != nil {
 		delete(r.unsaved, id)
@@ -735,7 +741,7 @@
 
 // closed removes what a job in a final state does not need any more.
 func (r *Registry) closed(j *Job) {
-	delete(r.open, j.ID)
+	r.dropOpen(j)
 	delete(r.live, j.ID)
 	r.stopWaiting(j)
 	for _, o := range slices.Clone(j.live) {
@@ -743,6 +749,18 @@
 	}
 }
 
+// dropOpen removes a job from the open ones.
+func (r *Registry) dropOpen(j *Job) {
+	if r.open[j.ID] == j {
+		delete(r.open, j.ID)
+		r.memory -= j.memory
+	}
+}
+
+// MemoryBytes returns about how much memory the jobs take that are not in a final state, without their
+// occurrences that are due.
+func (r *Registry) MemoryBytes() int64 { return r.memory }
+
 // markChanged counts a change of the job's progress, which then has to be stored.
 func (r *Registry) markChanged(j *Job) {
 	j.lastChange++
--- a/internal/jobs/spec.go
+++ b/internal/jobs/spec.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"time"
+	"unsafe"
 
 	"github.com/pkg/errors"
 
@@ -214,6 +215,25 @@
 	return out
 }
 
+// Sizes in memory, in bytes: of a job and a step without what they refer to, and of an entry of After and
+// the same entry as a dependent.
+const (
+	jobSize   = int64(unsafe.Sizeof(Job{})) + 2*64 // with its entries in maps
+	stepSize  = int64(unsafe.Sizeof(Step{}))
+	afterSize = int64(unsafe.Sizeof(int(0)) + unsafe.Sizeof(int32(0)))
+)
+
+// MemoryBytes returns about how much memory a job with this specification takes while none of its
+// occurrences is due.
+func (s *Spec) MemoryBytes() int64 {
+	n := jobSize + int64(len(s.Payload)) + stepSize*int64(len(s.Steps))
+	for i := range s.Steps {
+		st := &s.Steps[i]
+		n += afterSize*int64(len(st.After)) + int64(len(st.Label)+len(st.DataRack)+len(st.Image))
+	}
+	return n
+}
+
 // Work returns the estimated work of one task of the step, in core-seconds.
 func (s *Step) Work() float64 { return float64(s.Need.CPU) / 1000 * s.Estimate.Seconds() }
 
--- a/internal/peer/site.go
+++ b/internal/peer/site.go
@@ -33,6 +33,8 @@
 	// HasCounts is set once the sender has read its tables. Before that, Pending and Load are
 	// meaningless.
 	HasCounts bool `json:"counted,omitempty"`
+	// Full is set while no further job is to be accepted.
+	Full bool `json:"full,omitempty"`
 	// Pending counts the accepted jobs by queue of which no task has started.
 	Pending map[model.Queue]int `json:"pending,omitempty"`
 	// Load is the load of each queue, by which entry VMs reject jobs that would wait too long.
--- a/internal/site/answer.go
+++ b/internal/site/answer.go
@@ -35,6 +35,8 @@
 	ReasonMayBeStored    Reason = "may_be_stored"
 	// ReasonStoreUnavailable: the store did not answer, neither directly nor through peers.
 	ReasonStoreUnavailable Reason = "store_unavailable"
+	// ReasonFull: the jobs that have not ended take all the memory that a coordinator has for them.
+	ReasonFull Reason = "backlog_full"
 	// ReasonTooLarge: the job's row exceeds what the store takes. ReasonRefusedByStore: the store called
 	// the row invalid.
 	ReasonTooLarge       Reason = "job_too_large"
