coordinator: an inherited job's objective counts from its arrival

Cause: with occurrences that exist once they are due, the time in which a job should end counted from when this process created its occurrence. After a takeover that was the takeover, also for jobs that run once. Change: a job that runs once counts from when it was handed in, an occurrence from its due time or the job's acceptance. Result: TestObjectiveCountsFromTheArrival fails without the change (0 s in place of 10 s) and passes with it.

--- a/internal/coordinator/plan.go
+++ b/internal/coordinator/plan.go
@@ -205,7 +205,7 @@
 		if chain == 0 {
 			chain = defaultEstimate
 		}
-		step.Service, step.Team, step.Priority, step.Arrived = q.Service, j.Team, q.Priority, max(j.LearnedAt, s.DueAt())
+		step.Service, step.Team, step.Priority, step.Arrived = q.Service, j.Team, q.Priority, arrival(j, s)
 		step.Deadline = step.Arrived + stretched(chain, q.Stretch) + min(q.Target, maxObjective)
 		step.RemainingTime = min(max(j.CriticalPath(s.Index), defaultEstimate/10), maxObjective)
 		step.RemainingWork, step.Value = s.WorkLeft(), t.jobValue(j, q.Service)
@@ -215,6 +215,15 @@
 	return to
 }
 
+// arrival returns when the time in which a step's occurrence should end begins: when the job was handed in,
+// or when the occurrence was due.
+func arrival(j *jobs.Job, s *jobs.StepRun) time.Duration {
+	if j.Spec.Repeat == 0 {
+		return j.LearnedAt
+	}
+	return max(j.LearnedAt, s.DueAt())
+}
+
 // inheritedRunsKnown reports whether every run that earlier coordinators ordered for a job is known
 // or has ended. The job then no longer counts as inherited.
 func (t *Term) inheritedRunsKnown(j *jobs.Job) bool {
--- a/internal/coordinator/schedules_test.go
+++ b/internal/coordinator/schedules_test.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -9,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"boragepulley/internal/jobs"
+	"boragepulley/internal/logging"
 	"boragepulley/standins/fleet"
 )
 
@@ -76,3 +78,24 @@
 		ts.requireNoViolations()
 	})
 }
+
+// Guards against an objective that begins anew at a takeover, or that counts from when a job was accepted
+// though its occurrence was due later.
+func TestObjectiveCountsFromTheArrival(t *testing.T) {
+	term := backlogTerm(t, 1, 0)
+	term.inheritedLog = logging.NewLimiter(1, 1)
+	add := func(id string, spec jobs.Spec) *jobs.Job {
+		spec.Steps = []jobs.Step{step(1)}
+		value, err := json.Marshal(jobs.Accepted{Queue: "q0", Service: "svc0", AcceptedAt: time.Now().Add(-10 * time.Second), Spec: spec})
+		require.NoError(t, err)
+		return term.addJobRow(id, value, true)
+	}
+	once := add("0000000000000001", jobs.Spec{})
+	timed := add("0000000000000002", jobs.Spec{Repeat: 2, FirstRun: time.Now().Add(-3 * time.Second), Interval: time.Hour})
+	arrived := map[*jobs.Job]time.Duration{}
+	for _, s := range term.snapshot().Steps {
+		arrived[s.StepRun.Job] = term.now - s.Arrived
+	}
+	require.InDelta(t, 10, arrived[once].Seconds(), 1)
+	require.InDelta(t, 3, arrived[timed].Seconds(), 1)
+}
--- a/internal/jobs/book_test.go
+++ b/internal/jobs/book_test.go
@@ -116,10 +116,21 @@
 	f.Add([]byte(`{"d":["ff",""],"f":{"0.0.1":[1,2]}}`), "a.0.0.1")
 	f.Add([]byte(`{"f":{"":[]}}`), "....")
 	f.Add([]byte(`{"d":["zz"]}`), "a.-1.0.0")
+	f.Add([]byte(`{"r":[0,2,3,4],"p":{"2":["01",""],"9":["ff"]},"b":{"2.0":{"1001":"03"}},"o":["m"]}`), "r.2.0.1")
+	f.Add([]byte(`{"r":[4,2],"p":{"-1":["01"],"4611686018427387904":["01"]}}`), "r.4611686018427387904.0.0")
 	f.Fuzz(func(t *testing.T, value []byte, name string) {
 		b := NewRegistry()
 		j := b.Add(accepted("a", Step{Count: 3}, Step{Count: 2, After: []int{0}}), 0)
 		_ = b.Restore(j, value) // may return an error, must not panic
+		r := b.Add(hourly("r", time.Unix(1e9, 0), 12, Step{Count: 3}, Step{Count: 2, After: []int{0}}), 0)
+		if b.Restore(r, value) == nil {
+			_, err := EncodeProgress(r)
+			require.NoError(t, err)
+		}
+		b.CreateDue(time.Unix(2e9, 0), 0)
+		for _, live := range b.Live() {
+			live.OpenSteps(time.Unix(2e9, 0), 0)
+		}
 		if n, err := ParseTaskName(name); err == nil {
 			b.Task(n)
 		}
