coordinator: a row is left out only if the store takes writes without it

Cause: a row that the store refused alone was left out for 30 s at once. A store that refuses every write for a moment, for example behind a wrong address, would have had one row after the other left out, and their jobs held up. Change: after such a refusal the next write has no rows. If that is refused too, no row is the cause; a row is left out once this has shown it twice.

--- a/internal/coordinator/journal.go
+++ b/internal/coordinator/journal.go
@@ -34,6 +34,8 @@
 	maxBatchBytes = 256 << 10
 	// refusedRetry is when a row that the store refuses is tried again, unless its value is smaller by then.
 	refusedRetry = 30 * time.Second
+	// strikesToRefuse is how often the store must have refused a row alone, and taken a write without it.
+	strikesToRefuse = 2
 	// slowWriteThreshold is the duration from which a write is logged as slow. A write usually
 	// takes 10 ms.
 	slowWriteThreshold = 250 * time.Millisecond
@@ -65,10 +67,20 @@
 	// maxRows bounds the rows of the next write. It is lower than maxBatchRows while a row is searched
 	// for because of which the store refused a write.
 	maxRows int
+	// suspect is a row that the store has refused alone, with the reason; nil if there is none. The next write
+	// has no rows: if it is refused as well, the row is not the cause. strikes counts, by key, how often it
+	// was not: the store may have begun to take writes again in between.
+	suspect *suspectRow
+	strikes map[string]int
 	// refused are the rows that the store does not take.
 	refused map[string]refusedRow
 }
 
+type suspectRow struct {
+	put    platform.Put
+	reason error
+}
+
 // refusedRow is a row that the store does not take, other than because it is away.
 type refusedRow struct {
 	size  int
@@ -79,7 +91,7 @@
 	w.newMinions, w.goneMinions = map[*holding.Minion]bool{}, map[jobs.Minion]bool{}
 	w.obsoleteProgress, w.heldStarts = map[jobs.ID]bool{}, map[*jobs.Job]bool{}
 	w.waiters, w.waveRows = map[jobs.ID][]func(){}, map[string][]byte{}
-	w.maxRows, w.refused = maxBatchRows, map[string]refusedRow{}
+	w.maxRows, w.refused, w.strikes = maxBatchRows, map[string]refusedRow{}, map[string]int{}
 }
 
 // progressVersion is the version of a job's progress that a write contains.
@@ -175,16 +187,17 @@
 }
 
 // writeRefused handles a write that the store refuses for good, because of one of its rows or because
-// of all together. The next write has half of the rows, until the row is found; it is then left out.
+// of all together. The next write has half of the rows, until the row is found. It is left out once a
+// write without it has taken effect.
 func (t *Term) writeRefused(b *batch, err error) {
 	w := &t.writer
 	w.urgent, w.notBefore = true, t.now
 	t.log.Warn().Err(err).Int("rows", len(b.puts)).Int("bytes", b.bytes).Msg("Coordinator: the store refused a write.")
 	switch {
-	case len(b.puts) == 0: // the row of the lease alone
-		w.notBefore = t.now + writeRetryDelay
+	case len(b.puts) == 0: // the row of the lease alone: no row of the term is the cause
+		w.suspect, w.notBefore = nil, t.now+writeRetryDelay
 	case len(b.puts) == 1:
-		t.refuseRow(b.puts[0].Key, len(b.puts[0].Value), err)
+		w.suspect = &suspectRow{b.puts[0], err}
 	default:
 		w.maxRows = len(b.puts) / 2
 	}
@@ -195,6 +208,9 @@
 	w := &t.writer
 	w.urgent = false
 	b := &batch{term: t, keys: map[string]bool{}}
+	if w.suspect != nil {
+		return b
+	}
 	for m := range w.newMinions {
 		row := t.minionRowOf(m)
 		value, err := json.Marshal(row)
@@ -236,7 +252,20 @@
 	for _, f := range b.done {
 		f()
 	}
-	b.term.writer.maxRows = min(maxBatchRows, 2*b.term.writer.maxRows)
+	w := &b.term.writer
+	w.maxRows = min(maxBatchRows, 2*w.maxRows)
+	if len(w.strikes) > 0 {
+		for _, p := range b.puts {
+			delete(w.strikes, p.Key)
+		}
+	}
+	if s := w.suspect; s != nil {
+		w.suspect, w.urgent = nil, true
+		if w.strikes[s.put.Key]++; w.strikes[s.put.Key] == strikesToRefuse {
+			delete(w.strikes, s.put.Key)
+			b.term.refuseRow(s.put.Key, len(s.put.Value), s.reason)
+		}
+	}
 }
 
 // failed is called if the write had no effect.
--- a/internal/coordinator/rowsize_test.go
+++ b/internal/coordinator/rowsize_test.go
@@ -144,3 +144,27 @@
 		}
 	})
 }
+
+// Guards against rows that are blamed, and left out for long, while the store refuses each write whatever is
+// in it.
+func TestNoRowIsBlamedWhileTheStoreRefusesAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ts := newTestSite(t, 4)
+		var refuses atomic.Bool
+		ts.store.Refuses = func(platform.Put) bool { return refuses.Load() }
+		term := ts.startTerm("e1", nil)
+		defer endTerm(term)
+		sleep(time.Second)
+		refuses.Store(true)
+		for i := range 40 {
+			ts.submitJob(term, jobs.ID(fmt.Sprintf("%016x", i)), step(1))
+		}
+		sleep(time.Second)
+		refuses.Store(false)
+		sleep(8 * time.Second)
+		for i := range 40 {
+			require.Equal(t, jobs.StateCompleted, ts.state(term, jobs.ID(fmt.Sprintf("%016x", i))))
+		}
+		require.Empty(t, ts.log.linesWith("does not take a row"))
+	})
+}
