--- a/internal/coordinator/journal.go
+++ b/internal/coordinator/journal.go
@@ -34,8 +34,8 @@
 	maxBatchBytes = 256 << 10
 	// refusedRetry is when a row that the store refuses is tried again, unless its value is smaller by then.
 	refusedRetry = 30 * time.Second
-	// strikesToRefuse is how often the store must have refused a row alone, and taken a write without it.
-	strikesToRefuse = 2
+	// refusalsToLeaveOut is how often the store must have refused a row alone and taken a write without it.
+	refusalsToLeaveOut = 2
 	// slowWriteThreshold is the duration from which a write is logged as slow. A write usually
 	// takes 10 ms.
 	slowWriteThreshold = 250 * time.Millisecond
@@ -68,10 +68,10 @@
 	// for because of which the store refused a write.
 	maxRows int
 	// suspect is a row that the store has refused alone, with the reason; nil if there is none. The next write
-	// has no rows: if it is refused as well, the row is not the cause. strikes counts, by key, how often it
+	// has no rows: if it is refused as well, the row is not the cause. refusedAlone counts, by key, how often it
 	// was not: the store may have begun to take writes again in between.
-	suspect *suspectRow
-	strikes map[string]int
+	suspect      *suspectRow
+	refusedAlone map[string]int
 	// refused are the rows that the store does not take.
 	refused map[string]refusedRow
 }
@@ -91,7 +91,7 @@
 	w.newMinions, w.goneMinions = map[*holding.Minion]bool{}, map[jobs.Minion]bool{}
 	w.obsoleteProgress, w.heldStarts = map[jobs.ID]bool{}, map[*jobs.Job]bool{}
 	w.waiters, w.waveRows = map[jobs.ID][]func(){}, map[string][]byte{}
-	w.maxRows, w.refused, w.strikes = maxBatchRows, map[string]refusedRow{}, map[string]int{}
+	w.maxRows, w.refused, w.refusedAlone = maxBatchRows, map[string]refusedRow{}, map[string]int{}
 }
 
 // progressVersion is the version of a job's progress that a write contains.
@@ -254,15 +254,15 @@
 	}
 	w := &b.term.writer
 	w.maxRows = min(maxBatchRows, 2*w.maxRows)
-	if len(w.strikes) > 0 {
+	if len(w.refusedAlone) > 0 {
 		for _, p := range b.puts {
-			delete(w.strikes, p.Key)
+			delete(w.refusedAlone, p.Key)
 		}
 	}
 	if s := w.suspect; s != nil {
 		w.suspect, w.urgent = nil, true
-		if w.strikes[s.put.Key]++; w.strikes[s.put.Key] == strikesToRefuse {
-			delete(w.strikes, s.put.Key)
+		if w.refusedAlone[s.put.Key]++; w.refusedAlone[s.put.Key] == refusalsToLeaveOut {
+			delete(w.refusedAlone, s.put.Key)
 			b.term.refuseRow(s.put.Key, len(s.put.Value), s.reason)
 		}
 	}
