standins/fleet: the rows that the store refuses are set under its lock

The node's election runs in the test's background, so the order depends on scheduling. Change: SetRefuses sets the function under the store's lock; the tests use it and check what they did.

--- a/internal/coordinator/rowsize_test.go
+++ b/internal/coordinator/rowsize_test.go
@@ -95,7 +95,7 @@
 		const refused = jobs.ID("00000000000000ff")
 		var refuses atomic.Bool
 		refuses.Store(true)
-		ts.store.Refuses = func(p platform.Put) bool { return refuses.Load() && p.Key == ProgressKey(refused) }
+		ts.store.SetRefuses(func(p platform.Put) bool { return refuses.Load() && p.Key == ProgressKey(refused) })
 		term := ts.startTerm("e1", nil)
 		defer endTerm(term)
 		sleep(time.Second)
@@ -132,7 +132,7 @@
 		for _, id := range ids {
 			ts.submitJob(nil, id, step(1))
 		}
-		ts.store.Refuses = func(p platform.Put) bool { return p.Key == JobKey(ids[0]) }
+		ts.store.SetRefuses(func(p platform.Put) bool { return p.Key == JobKey(ids[0]) })
 		term := ts.startTerm("e1", nil)
 		defer endTerm(term)
 		sleep(40 * time.Second)
@@ -151,7 +151,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ts := newTestSite(t, 4)
 		var refuses atomic.Bool
-		ts.store.Refuses = func(platform.Put) bool { return refuses.Load() }
+		ts.store.SetRefuses(func(platform.Put) bool { return refuses.Load() })
 		term := ts.startTerm("e1", nil)
 		defer endTerm(term)
 		sleep(time.Second)
--- a/internal/entry/rowsize_test.go
+++ b/internal/entry/rowsize_test.go
@@ -60,7 +60,7 @@
 		require.True(t, errors.Is(a.Err, site.ErrNotStorable), "%v", a.Err)
 		require.Contains(t, a.Err.Error(), "expected at most 4096")
 
-		tc.store.Refuses = func(p platform.Put) bool { return strings.Contains(p.Key, "ac") }
+		tc.store.SetRefuses(func(p platform.Put) bool { return strings.Contains(p.Key, "ac") })
 		a = node.Submit(context.Background(), newJob("00000000000000ac"))
 		require.True(t, errors.Is(a.Err, site.ErrNotStorable), "%v", a.Err)
 		require.Equal(t, site.ReasonRefusedByStore, a.Reason)
--- a/standins/fleet/store.go
+++ b/standins/fleet/store.go
@@ -45,8 +45,7 @@
 	Latency time.Duration
 	// CallTimeout is how long a caller waits for a lost answer.
 	CallTimeout time.Duration
-	// Refuses, if set, tells of which rows the store refuses each transaction that writes them.
-	Refuses func(p platform.Put) bool
+	refuses     func(p platform.Put) bool // guarded by mu
 }
 
 // NewStore returns an empty store.
@@ -54,6 +53,21 @@
 	return &Store{rows: map[string]platform.Row{}, changed: make(chan struct{}), Latency: 4 * time.Millisecond, CallTimeout: 900 * time.Millisecond}
 }
 
+// SetRefuses sets of which rows the store refuses each transaction that writes them.
+func (s *Store) SetRefuses(refuses func(p platform.Put) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refuses = refuses
+}
+
+// refusesAny reports whether the store refuses a transaction because of its rows.
+func (s *Store) refusesAny(puts []platform.Put) bool {
+	s.mu.Lock()
+	refuses := s.refuses
+	s.mu.Unlock()
+	return refuses != nil && slices.ContainsFunc(puts, refuses)
+}
+
 // View is the store as one entry VM reaches it.
 type View struct {
 	*Store
@@ -193,7 +207,7 @@
 	if err := check(t); err != nil {
 		return nil, err
 	}
-	if v.Refuses != nil && slices.ContainsFunc(t.Puts, v.Refuses) {
+	if v.refusesAny(t.Puts) {
 		return nil, errors.Wrap(platform.ErrRejected, "row refused")
 	}
 	f, err := v.begin(ctx, "commit")
