check-config: checks a configuration of the platform before it is sent

Cause: the store accepts a configuration whose entries have no effect, and operators see it only when jobs are rejected. The comparison is that of internal/config.

--- a/cmd/boragepulley/main.go
+++ b/cmd/boragepulley/main.go
@@ -7,11 +7,13 @@
 	"io"
 	"os"
 	"os/signal"
+	"strconv"
 	"syscall"
 
 	"github.com/alecthomas/kong"
 	"github.com/pkg/errors"
 
+	"boragepulley/internal/jobs"
 	"boragepulley/internal/operator"
 	"boragepulley/internal/sitestatus"
 )
@@ -34,26 +36,29 @@
 	exitNotEverywhere
 	// exitUnavailable: a server answered that it cannot serve now; nothing was applied.
 	exitUnavailable
+	// exitWarnings: a check found warnings and no errors.
+	exitWarnings
 )
 
 const description = `Operate a boragepulley site.
 
-Exit codes: 0 success; 1 faults found or request refused, nothing applied; 2 wrong usage; 3 conflict with another operator's apply, nothing applied; 4 no server reachable, nothing applied; 5 outcome of an apply unknown; 6 applied, but not in force everywhere within --wait; 7 a server cannot serve the request now, nothing applied.`
+Exit codes: 0 success; 1 faults found or request refused, nothing applied; 2 wrong usage; 3 conflict with another operator's apply, nothing applied; 4 no server reachable, nothing applied; 5 outcome of an apply unknown; 6 applied, but not in force everywhere within --wait; 7 a server cannot serve the request now, nothing applied; 8 check-config found warnings only.`
 
 // cli is the command line.
 type cli struct {
-	Output  string     `help:"Output format: ${enum}." enum:"text,json" default:"text" short:"o"`
-	Server  []string   `help:"Operator address HOST:PORT of an entry VM; repeat it to name more, which are tried in order." env:"BORAGEPULLEY_SERVERS" placeholder:"HOST:PORT"`
-	Token   string     `help:"Operator token. Prefer the environment variable: other users of the machine can see command lines." env:"BORAGEPULLEY_TOKEN" placeholder:"TOKEN"`
-	Check   checkCmd   `cmd:"" help:"Check files without a server."`
-	Plan    planCmd    `cmd:"" help:"Show what applying files would change."`
-	Apply   applyCmd   `cmd:"" help:"Apply files as a whole and wait until they are in force everywhere."`
-	Status  statusCmd  `cmd:"" help:"Show the configuration, coordinators, entry VMs, VMs, waves and teams."`
-	Jobs    jobsCmd    `cmd:"" help:"List jobs that a server knows, newest first."`
-	Explain explainCmd `cmd:"" help:"Show every recorded step of a job, from a server or from collected logs."`
-	Report  reportCmd  `cmd:"" help:"Print the account of the site."`
-	Version versionCmd `cmd:"" help:"Print the version of the tool, and of the server if one is given."`
-	Key     struct {
+	Output      string         `help:"Output format: ${enum}." enum:"text,json" default:"text" short:"o"`
+	Server      []string       `help:"Operator address HOST:PORT of an entry VM; repeat it to name more, which are tried in order." env:"BORAGEPULLEY_SERVERS" placeholder:"HOST:PORT"`
+	Token       string         `help:"Operator token. Prefer the environment variable: other users of the machine can see command lines." env:"BORAGEPULLEY_TOKEN" placeholder:"TOKEN"`
+	Check       checkCmd       `cmd:"" help:"Check files without a server."`
+	CheckConfig checkConfigCmd `cmd:"" help:"Check a configuration of the users' platform before it is written to the store, and show what it changes."`
+	Plan        planCmd        `cmd:"" help:"Show what applying files would change."`
+	Apply       applyCmd       `cmd:"" help:"Apply files as a whole and wait until they are in force everywhere."`
+	Status      statusCmd      `cmd:"" help:"Show the configuration, coordinators, entry VMs, VMs, waves and teams."`
+	Jobs        jobsCmd        `cmd:"" help:"List jobs that a server knows, newest first."`
+	Explain     explainCmd     `cmd:"" help:"Show every recorded step of a job, from a server or from collected logs."`
+	Report      reportCmd      `cmd:"" help:"Print the account of the site."`
+	Version     versionCmd     `cmd:"" help:"Print the version of the tool, and of the server if one is given."`
+	Key         struct {
 		New keyNewCmd `cmd:"" help:"Make a new key and print its section for the files. The secret is printed once and stored nowhere."`
 	} `cmd:"" help:"Manage keys."`
 }
@@ -87,7 +92,7 @@
 		}
 	}()
 	var c cli
-	parser, err := kong.New(&c, kong.Name("boragepulley"), kong.Description(description),
+	parser, err := kong.New(&c, kong.Name("boragepulley"), kong.Description(description), kong.Vars{"row_bytes": strconv.Itoa(jobs.DefaultRowBytes)},
 		kong.Writers(out, errOut), kong.Exit(func(n int) { panic(helpShown(n)) }), kong.UsageOnError())
 	if err != nil {
 		_, _ = fmt.Fprintln(errOut, "boragepulley:", err)
--- a/internal/config/diff.go
+++ b/internal/config/diff.go
@@ -69,26 +69,37 @@
 // field is one field of an object as files write it.
 type field struct{ name, value string }
 
-// object is one object of a site in a form that can be compared.
-type object struct {
+// Object is one object of a site in a form that can be compared.
+type Object struct {
 	name   string
 	fields []field
 }
 
+// NewObject returns an object with fields given as pairs of name and value. Objects that are compared must
+// have the same fields in the same order.
+func NewObject(name string, pairs ...any) Object {
+	o := Object{name: name}
+	for i := 0; i+1 < len(pairs); i += 2 {
+		o.fields = append(o.fields, field{fmt.Sprint(pairs[i]), fmt.Sprint(pairs[i+1])})
+	}
+	return o
+}
+
 // Diff returns the differences from old to new, by kind in the order of the files'
 // sections. A nil site has no objects.
 func Diff(old, new *Site) []Change {
 	var out []Change
 	a, b := sections(old), sections(new)
 	for i := range b {
-		out = append(out, diffSection(b[i].kind, a[i].objects, b[i].objects)...)
+		out = append(out, DiffObjects(b[i].kind, a[i].objects, b[i].objects)...)
 	}
 	return out
 }
 
-func diffSection(kind Kind, old, new []object) []Change {
+// DiffObjects returns the differences between two lists of objects of one kind.
+func DiffObjects(kind Kind, old, new []Object) []Change {
 	var out []Change
-	before := make(map[string]object, len(old))
+	before := make(map[string]Object, len(old))
 	for _, o := range old {
 		before[o.name] = o
 	}
@@ -118,7 +129,7 @@
 	return out
 }
 
-func (o object) summary() string {
+func (o Object) summary() string {
 	parts := make([]string, 0, len(o.fields))
 	for _, f := range o.fields {
 		if f.value != "" && f.value != "false" {
@@ -131,17 +142,17 @@
 // section is all objects of one kind.
 type section struct {
 	kind    Kind
-	objects []object
+	objects []Object
 }
 
 // sections returns the objects of a site. Every call returns the same kinds in the same
 // order, and objects of a kind have the same fields.
 func sections(s *Site) []section {
-	var single [3][]object
+	var single [3][]Object
 	if s == nil {
 		s = &Site{}
 	} else {
-		single = [3][]object{
+		single = [3][]Object{
 			{{"", []field{{"name", s.Name}}}},
 			{{"", weightFields(s.Weights)}},
 			{{"", []field{{"keys", string(s.Isolation.Keys)}, duration("after", s.Isolation.After)}}},
@@ -164,8 +175,8 @@
 	}
 }
 
-func objects[T any](list []T, f func(*T) object) []object {
-	out := make([]object, len(list))
+func objects[T any](list []T, f func(*T) Object) []Object {
+	out := make([]Object, len(list))
 	for i := range list {
 		out[i] = f(&list[i])
 	}
@@ -179,36 +190,36 @@
 	}
 }
 
-func dataCentreObject(c *DataCentre) object {
-	return object{string(c.Name), []field{{"entry_vms", list(c.EntryVMs)}}}
+func dataCentreObject(c *DataCentre) Object {
+	return Object{string(c.Name), []field{{"entry_vms", list(c.EntryVMs)}}}
 }
 
-func serviceObject(s *Service) object {
-	return object{string(s.Name), []field{duration("max_run", s.MaxRun)}}
+func serviceObject(s *Service) Object {
+	return Object{string(s.Name), []field{duration("max_run", s.MaxRun)}}
 }
 
-func poolObject(p *Pool) object {
-	return object{string(p.Name), []field{{"service", string(p.Service)}, boolean("spare", p.Spare),
+func poolObject(p *Pool) Object {
+	return Object{string(p.Name), []field{{"service", string(p.Service)}, boolean("spare", p.Spare),
 		integer("min", int64(p.Min)), integer("max", int64(p.Max))}}
 }
 
-func vmObject(v *VM) object {
-	return object{string(v.Name), []field{
+func vmObject(v *VM) Object {
+	return Object{string(v.Name), []field{
 		{"pool", string(v.Pool)}, {"data_centre", string(v.DC)}, {"rack", string(v.Rack)}, {"address", v.Addr},
 		integer("slots", int64(v.Slots)), integer("connections", int64(v.Connections)),
 		boolean("drain", v.Drain),
 	}}
 }
 
-func workerObject(w *Worker) object {
-	return object{string(w.Name), []field{
+func workerObject(w *Worker) Object {
+	return Object{string(w.Name), []field{
 		{"data_centre", string(w.DC)}, {"rack", string(w.Rack)}, {"address", w.Addr},
 		integer("cores", int64(w.Cores)), integer("memory_mb", int64(w.MemoryMB)), integer("accelerators", int64(w.Accelerators)),
 	}}
 }
 
-func queueObject(q *Queue) object {
-	return object{string(q.Name), []field{
+func queueObject(q *Queue) Object {
+	return Object{string(q.Name), []field{
 		{"kind", string(q.Kind)}, {"service", string(q.Service)}, boolean("open", q.Open), {"teams", list(q.Teams)},
 		integer("max_waiting", int64(q.MaxWaiting)), integer("max_body", q.MaxBody),
 		duration("deadline", q.Deadline), duration("max_deadline", q.MaxDeadline),
@@ -217,20 +228,20 @@
 	}}
 }
 
-func teamObject(t *Team) object {
-	return object{string(t.Name), []field{integer("share", int64(t.Share)), integer("limit", int64(t.Limit))}}
+func teamObject(t *Team) Object {
+	return Object{string(t.Name), []field{integer("share", int64(t.Share)), integer("limit", int64(t.Limit))}}
 }
 
-func keyObject(k *Key) object {
-	return object{k.ID, []field{{"team", string(k.Team)}, {"sha256", hex.EncodeToString(k.SHA256[:])}}}
+func keyObject(k *Key) Object {
+	return Object{k.ID, []field{{"team", string(k.Team)}, {"sha256", hex.EncodeToString(k.SHA256[:])}}}
 }
 
-func budgetObject(b *Budget) object {
-	return object{string(b.Service) + " per " + string(b.Scope), []field{integer("max_unavailable", int64(b.MaxUnavailable))}}
+func budgetObject(b *Budget) Object {
+	return Object{string(b.Service) + " per " + string(b.Scope), []field{integer("max_unavailable", int64(b.MaxUnavailable))}}
 }
 
-func waveObject(w *Wave) object {
-	return object{w.Name, []field{
+func waveObject(w *Wave) Object {
+	return Object{w.Name, []field{
 		{"pools", list(w.Pools)}, {"start", w.Start.UTC().Format(time.RFC3339Nano)}, duration("drain_timeout", w.DrainTimeout),
 		duration("cooldown", w.Cooldown),
 	}}
