evacuation: nothing is started in an evacuated data centre

Change: each entry VM keeps the evacuations of the table op, also those learned from heartbeats and their replies. The coordinator reads the table at the start of a term, excludes the minions of evacuated data centres from plans, places and machines, withdraws starts, and checks once more immediately before an order is written (fencing.StartIf). Rows with an empty value are no longer taken for removals when they come from the store without a value or through a peer.

--- a/internal/capacity/plan.go
+++ b/internal/capacity/plan.go
@@ -69,6 +69,9 @@
 	Incoming bool
 	// Usable is false for a machine that is down or does not answer.
 	Usable bool
+	// Evacuated machines belong to an evacuated data centre. They serve no pool and are not moved;
+	// what is being emptied there for another service is released.
+	Evacuated bool
 	// Tasks is the number of tasks on the machine, LongRunning that of the long-running ones.
 	Tasks, LongRunning int
 	// Reclaimable machines may be emptied for another service.
@@ -126,6 +129,7 @@
 // NewPlan plans moves towards the target of each service. Machines above a target go to the standby
 // pool if there is one.
 func NewPlan(s Snapshot) Plan {
+	s.Machines = withoutEvacuated(s.Machines)
 	byName := map[model.Service]*serviceState{}
 	for _, x := range s.Services {
 		byName[x.Name] = &serviceState{Service: x}
@@ -185,6 +189,20 @@
 	return p
 }
 
+// withoutEvacuated returns the machines with those of evacuated data centres out of service.
+func withoutEvacuated(all []Machine) []Machine {
+	if !slices.ContainsFunc(all, func(m Machine) bool { return m.Evacuated }) {
+		return all
+	}
+	all = slices.Clone(all)
+	for i := range all {
+		if m := &all[i]; m.Evacuated {
+			m.Usable, m.Movable, m.Reclaimable, m.Incoming = false, false, false, false
+		}
+	}
+	return all
+}
+
 // largest returns the capacity of the largest machine, by resource.
 func largest(all []Machine) jobs.Resources {
 	var size jobs.Resources
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"boragepulley/internal/evacuation"
 	"boragepulley/internal/fencing"
 	"boragepulley/internal/guard"
 	"boragepulley/internal/holding"
@@ -68,6 +69,11 @@
 	Config func() *site.Config
 	// Waves returns the operators' maintenance waves.
 	Waves func() map[int64]site.Wave
+	// Evacuations returns the operators' evacuations, nil while they are unknown: no start is sent
+	// then. LearnEvacuations passes on a state that was read from the store or received from another
+	// entry VM. If Evacuations is nil, no data centre is ever evacuated.
+	Evacuations      func() *evacuation.State
+	LearnEvacuations func(s *evacuation.State, source string)
 	// SetMembers is called with the peer addresses and sizes of all entry VMs.
 	SetMembers func(map[model.EntryVM]peer.Member)
 	// Dial returns the connection to a peer. It does not block.
@@ -147,6 +153,8 @@
 	waves     waves
 	machines  machines
 	releasing bool
+	// evacuations is the state that the term has last acted on.
+	evacuations *evacuation.State
 	// pollGap is the pause between two polls of a minion, see pollGapFor.
 	pollGap time.Duration
 	// runLease is the duration of the leases that minions are granted for their runs.
@@ -350,6 +358,7 @@
 	if !t.loaded {
 		return tick
 	}
+	t.updateEvacuations()
 	t.pollFeeds()
 	if t.now >= t.nextMinionCheck {
 		t.nextMinionCheck = t.now + minionCheckInterval
--- a/internal/coordinator/evacuate.go
+++ b/internal/coordinator/evacuate.go
@@ -140,7 +140,7 @@
 func (t *Term) reservePlaces(minions []schedule.Minion) {
 	byMinion := map[jobs.Minion][]*jobs.Task{}
 	for task, to := range t.reservedPlaces {
-		if task.Phase != jobs.Stopping {
+		if m := t.minions[to]; task.Phase != jobs.Stopping || m != nil && t.evacuated(m.DC) {
 			delete(t.reservedPlaces, task)
 			continue
 		}
--- a/internal/coordinator/handover.go
+++ b/internal/coordinator/handover.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"boragepulley/internal/evacuation"
 	"boragepulley/internal/guard"
 	"boragepulley/internal/jobs"
 	"boragepulley/internal/model"
@@ -137,6 +138,8 @@
 // announceSuccessor sends the name of the successor to the other entry VMs.
 func (t *Term) announceSuccessor(ctx context.Context) {
 	msg := &peer.CoordinatorHeartbeat{From: t.deps.Self, Epoch: t.epoch, Addr: t.deps.Addr, Released: true, Lease: t.held.Version}
+	known := t.knownEvacuations()
+	msg.Evacuated, msg.OperatorVersion = known.Names(), evacuation.VersionOf(known)
 	var clients []PeerClient
 	if err := t.do(ctx, func() {
 		for _, m := range t.members.byName {
--- a/internal/coordinator/harness_test.go
+++ b/internal/coordinator/harness_test.go
@@ -32,6 +32,8 @@
 	waves     map[int64]site.Wave
 	startedAt time.Time
 	log       lockedBuffer
+	// evacuations, if set, is what an entry VM knows of the operators' evacuations.
+	evacuations func(name model.EntryVM) *knownEvacuations
 }
 
 // lockedBuffer collects the log lines of all terms.
@@ -99,7 +101,7 @@
 func (s *testSite) list(id jobs.Minion) { s.store.Put("servers/"+string(id), s.minions.EntryRow(id)) }
 
 func (s *testSite) deps(name model.EntryVM, view *fleet.View) Deps {
-	return Deps{
+	d := Deps{
 		Self: peer.Sender{Entry: name, DC: "dc", Incarnation: model.Incarnation(name)}, Addr: "a", Table: view, Feed: view,
 		Fleet: fencing.NewFleet(s.minions, s.machines),
 		Codec: Codec{
@@ -118,6 +120,11 @@
 		Log:        zerolog.New(&s.log).With().Str("entry", string(name)).Logger().Hook(timestampHook{s}),
 		Rand:       rand.New(rand.NewPCG(1, 2)),
 	}
+	if s.evacuations != nil {
+		known := s.evacuations(name)
+		d.Evacuations, d.LearnEvacuations = known.state.Load, known.learn
+	}
+	return d
 }
 
 // startTerm acquires the lease for an entry VM, as if the process of the previous holder had ended,
--- a/internal/coordinator/machineorders.go
+++ b/internal/coordinator/machineorders.go
@@ -153,15 +153,21 @@
 	pending := &move{to: mv.To, orderedAt: t.now, minion: m.Minion, inFlight: true}
 	t.machines.moves[mv.Machine] = pending
 	t.log.Info().Str("machine", string(mv.Machine)).Str("from", string(m.Pool)).Str("to", string(mv.To)).Msg("Coordinator: moving machine.")
+	drop := func() {
+		delete(t.machines.moves, mv.Machine)
+		t.uncordon(pending.minion)
+	}
 	send := func() {
+		if t.evacuated(m.DC) {
+			t.log.Info().Str("machine", string(mv.Machine)).Str("dc", string(m.DC)).Msg("Coordinator: order dropped, the machine's data centre is evacuated.")
+			drop()
+			return
+		}
 		pending.orderedAt = t.now
 		t.sendOrder(machineCallTimeout, func(ctx context.Context) error { return t.orders.Move(ctx, mv.Machine, mv.To) },
 			func(err error) { t.moveAnswered(mv.Machine, pending, err) })
 	}
-	t.queueMachineOrder(machineOrder{mv.Machine, pending.minion, send, func() {
-		delete(t.machines.moves, mv.Machine)
-		t.uncordon(pending.minion)
-	}})
+	t.queueMachineOrder(machineOrder{mv.Machine, pending.minion, send, drop})
 }
 
 // moveAnswered handles the answer to a move order. If the answer was lost, the list of machines
--- a/internal/coordinator/members.go
+++ b/internal/coordinator/members.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"boragepulley/internal/evacuation"
 	"boragepulley/internal/lease"
 	"boragepulley/internal/model"
 	"boragepulley/internal/peer"
@@ -147,6 +148,8 @@
 	if m.sentVersion != version {
 		msg.Members = t.members.all
 	}
+	known := t.knownEvacuations()
+	msg.Evacuated, msg.OperatorVersion = known.Names(), evacuation.VersionOf(known)
 	if c := t.deps.Config(); c != nil {
 		msg.Config = c.Version
 	}
@@ -157,6 +160,9 @@
 	sent := t.now
 	t.async(heartbeatTimeout, func(ctx context.Context) func() {
 		r, err := m.client.CoordinatorHeartbeat(ctx, msg)
+		if err == nil {
+			t.learnEvacuations(evacuation.FromPeer(r.OperatorVersion, r.Evacuated), string(name))
+		}
 		return func() { t.heartbeatAnswered(name, m, sent, version, r, err) }
 	})
 }
--- a/internal/coordinator/minions.go
+++ b/internal/coordinator/minions.go
@@ -72,7 +72,7 @@
 
 // usable reports whether new work may be assigned to a minion.
 func (t *Term) usable(m *holding.Minion) bool {
-	return m.Listed && !m.Leaving && !m.Cordoned && t.now >= m.OrderedUntil && m.Recorded && m.Polled && m.FailedPolls == 0 && m.ClockKnown()
+	return m.Listed && !m.Leaving && !m.Cordoned && t.now >= m.OrderedUntil && m.Recorded && m.Polled && m.FailedPolls == 0 && m.ClockKnown() && t.mayStartIn(m.DC)
 }
 
 // checkMinions polls each minion that is due, and requeues the tasks of minions whose leases have
--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -138,11 +138,16 @@
 	}
 	order := site.StartOrder{Task: task.Name(), Run: task.Run, Payload: task.Step.Job.Spec.Payload, LeaseUntil: start.leaseUntil, Checkpoint: task.Checkpoint}
 	to := addressOf(m)
+	dc := m.DC
+	allowed := func() bool { return t.mayStartIn(dc) }
 	var clock int64
 	var at time.Duration
 	t.sendToMinion(m, func(ctx context.Context) (err error) {
-		clock, err = t.orders.Start(ctx, to, order)
+		clock, err = t.orders.StartIf(ctx, to, order, allowed)
 		at = t.deps.Now()
+		if errors.Is(err, site.ErrLeaseEnded) && !allowed() {
+			return errEvacuated
+		}
 		return err
 	}, func(err error) { t.startAnswered(task, start, order.Run, clock, at, err) })
 }
@@ -193,6 +198,11 @@
 		m.NextPoll = min(m.NextPoll, t.now+t.pollGap)
 		return
 	}
+	if errors.Is(err, errEvacuated) {
+		start.tries-- // this attempt has not been sent
+		t.withdrawStart(task, start)
+		return
+	}
 	t.startFailed(task, start, err)
 }
 
@@ -302,7 +312,10 @@
 	for task, start := range t.pendingStarts {
 		unresponsive := start.minion.FailedPolls > 0
 		switch {
-		case start.inFlight || t.now < start.nextSend:
+		case start.inFlight:
+		case !t.mayStartIn(start.minion.DC):
+			t.withdrawStart(task, start)
+		case t.now < start.nextSend:
 		case unresponsive && start.tries == 0:
 			t.requeueBecause(task, "start_not_sent_minion_silent")
 		case !start.minion.ClockKnown():
--- a/internal/coordinator/rebalance.go
+++ b/internal/coordinator/rebalance.go
@@ -238,7 +238,7 @@
 // further machine helps a task without a place, however many its service gets.
 func (t *Term) hostedElsewhere(svc model.Service, n capacity.Need) bool {
 	for _, m := range t.machines.byName {
-		if x := (capacity.Machine{Capacity: m.Capacity, Kind: m.Kind, Rack: m.Rack}); m.Pool != svc && x.CanHost(n) {
+		if x := (capacity.Machine{Capacity: m.Capacity, Kind: m.Kind, Rack: m.Rack}); m.Pool != svc && !t.evacuated(m.DC) && x.CanHost(n) {
 			return true
 		}
 	}
@@ -262,7 +262,7 @@
 }
 
 func (t *Term) machineSnapshot(m site.Machine, standby model.Service) capacity.Machine {
-	out := capacity.Machine{Name: m.Name, Pool: m.Pool, Capacity: m.Capacity, Kind: m.Kind, Rack: m.Rack, Usable: m.State == site.MachineUp}
+	out := capacity.Machine{Name: m.Name, Pool: m.Pool, Capacity: m.Capacity, Kind: m.Kind, Rack: m.Rack, Usable: m.State == site.MachineUp, Evacuated: t.evacuated(m.DC)}
 	if mv := t.machines.moves[m.Name]; mv != nil {
 		out.Pool, out.Usable, out.Incoming = mv.to, true, true
 		return out
--- a/internal/coordinator/recover.go
+++ b/internal/coordinator/recover.go
@@ -124,6 +124,9 @@
 	read(platform.JobTable, &rows.jobs)
 	read(progressTable, &rows.progress)
 	read(recentOrdersTable, &rows.recentOrders)
+	if t.deps.Evacuations != nil {
+		g.Go(func() error { return t.readEvacuations(ctx) })
+	}
 	return rows, g.Wait()
 }
 
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -51,8 +51,9 @@
 	term        atomic.Pointer[coordinator.Term]
 	coordinator atomic.Pointer[coordinatorView]
 	// members are all entry VMs.
-	members atomic.Pointer[map[model.EntryVM]peer.Member]
-	store   *relay.Store
+	members     atomic.Pointer[map[model.EntryVM]peer.Member]
+	evacuations evacuations
+	store       *relay.Store
 	// attempts are recent attempts to store jobs.
 	attempts attempts
 	// queries are callers' queries about jobs for the coordinator.
@@ -103,6 +104,7 @@
 func New(d Deps) *Node {
 	ctx, stop := context.WithCancel(context.Background())
 	n := &Node{deps: d, log: logging.Part(d.Log, "entry"), ctx: ctx, stop: stop, peers: map[string]peer.SiteHandler{}}
+	n.evacuations.lines = logging.NewLimiter(evacuationLinesPerSecond, evacuationLineBurst)
 	n.store = &relay.Store{Self: d.Self, Table: d.Table, Feed: d.Feed, Peers: n.relayPeers}
 	n.deps.Table, n.deps.Feed = n.store, n.store
 	return n
@@ -193,6 +195,7 @@
 			}
 			return nil
 		},
+		Evacuations: n.evacuations.state.Load, LearnEvacuations: n.learnEvacuations,
 		SetMembers: func(m map[model.EntryVM]peer.Member) { n.members.Store(&m) },
 		Dial:       func(name model.EntryVM, addr string) coordinator.PeerClient { return n.dial(name, addr) },
 		Now:        n.deps.Now, Log: logging.Part(n.deps.Log, "coordinator"), Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"boragepulley/internal/evacuation"
 	"boragepulley/internal/guard"
 	"boragepulley/internal/lease"
 	"boragepulley/internal/platform"
@@ -15,8 +16,8 @@
 )
 
 const (
-	// operatorTable contains the configuration and the maintenance waves.
-	operatorTable = "op"
+	// operatorTable contains the configuration, the maintenance waves and the evacuations.
+	operatorTable = evacuation.Table
 	configKey     = operatorTable + "/config"
 	wavePrefix    = operatorTable + "/wave/"
 	// operatorLongPoll is how long the store may delay its response until there are changes. A
@@ -33,6 +34,7 @@
 func (n *Node) followOperators() {
 	var after uint64
 	readAll := true
+	var own *evacuation.State // as read by this function
 	for n.ctx.Err() == nil {
 		ctx, cancel := context.WithTimeout(n.ctx, operatorTimeout)
 		var c platform.Changes
@@ -54,6 +56,8 @@
 			}
 			continue
 		}
+		// Evacuations come first: they must be in force within a few seconds.
+		_ = guard.Recover(n.log, "evacuations", func() { own = n.followEvacuations(own, c, readAll) })
 		readAll, after = false, max(after, c.Version)
 		for _, r := range c.Rows {
 			_ = guard.Recover(n.log, "row "+r.Key, func() { n.applyOperatorRow(r) }) // a panic in one row must not affect the others
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"boragepulley/internal/evacuation"
 	"boragepulley/internal/jobs"
 	"boragepulley/internal/peer"
 )
@@ -18,7 +19,9 @@
 // heartbeat from a replaced coordinator is ignored.
 func (h handler) CoordinatorHeartbeat(_ context.Context, m *peer.CoordinatorHeartbeat) (*peer.CoordinatorHeartbeatReply, error) {
 	n := h.n
-	reply := &peer.CoordinatorHeartbeatReply{From: n.deps.Self, ShuttingDown: n.stopping.Load()}
+	n.learnEvacuations(evacuation.FromPeer(m.OperatorVersion, m.Evacuated), string(m.From.Entry))
+	known := n.evacuations.state.Load()
+	reply := &peer.CoordinatorHeartbeatReply{From: n.deps.Self, ShuttingDown: n.stopping.Load(), Evacuated: known.Names(), OperatorVersion: evacuation.VersionOf(known)}
 	for {
 		old := n.coordinator.Load()
 		if old != nil && old.epoch > m.Epoch {
--- a/internal/fencing/fencing.go
+++ b/internal/fencing/fencing.go
@@ -67,7 +67,12 @@
 
 // send passes an order on if the deadline allows it, and bounds the call by the deadline.
 func (s *Sender) send(ctx context.Context, call func(ctx context.Context) error) error {
-	remaining := s.Remaining()
+	return s.sendUnder(ctx, s, call)
+}
+
+// sendUnder is send with a permission that may be narrower than the sender's lease.
+func (s *Sender) sendUnder(ctx context.Context, l site.OrderLease, call func(ctx context.Context) error) error {
+	remaining := l.Remaining()
 	if remaining == 0 {
 		counters.Add("held_back", 1)
 		return errors.WithStack(site.ErrLeaseEnded)
@@ -97,13 +102,35 @@
 
 // Start starts a run of a task and returns the minion's clock in milliseconds, 0 if unknown.
 func (s *Sender) Start(ctx context.Context, to site.MinionAddress, o site.StartOrder) (clock int64, err error) {
-	err = s.send(ctx, func(ctx context.Context) (err error) {
-		clock, err = s.fleet.minions.Start(ctx, s.receiver(to), o)
+	return s.StartIf(ctx, to, o, func() bool { return true })
+}
+
+// StartIf is Start for an order that may be sent only while allowed returns true. Like the lease it
+// is checked immediately before the client writes the order; if it is false by then, the error is
+// site.ErrLeaseEnded. allowed must be safe for concurrent use.
+func (s *Sender) StartIf(ctx context.Context, to site.MinionAddress, o site.StartOrder, allowed func() bool) (clock int64, err error) {
+	l := conditionalLease{s, allowed}
+	err = s.sendUnder(ctx, l, func(ctx context.Context) (err error) {
+		clock, err = s.fleet.minions.Start(ctx, site.Receiver{MinionAddress: to, Token: s.token, Lease: l}, o)
 		return err
 	})
 	return clock, err
 }
 
+// conditionalLease is a sender's lease that counts as ended while a condition does not hold.
+type conditionalLease struct {
+	*Sender
+	allowed func() bool
+}
+
+// Remaining implements site.OrderLease.
+func (l conditionalLease) Remaining() time.Duration {
+	if !l.allowed() {
+		return 0
+	}
+	return l.Sender.Remaining()
+}
+
 // Stop stops a run of a task.
 func (s *Sender) Stop(ctx context.Context, to site.MinionAddress, o site.StopOrder) error {
 	return s.send(ctx, func(ctx context.Context) error { return s.fleet.minions.Stop(ctx, s.receiver(to), o) })
--- a/internal/fencing/fencing_test.go
+++ b/internal/fencing/fencing_test.go
@@ -114,3 +114,25 @@
 	require.Panics(t, func() { _ = s.Stop(context.Background(), site.MinionAddress{}, site.StopOrder{}) })
 	require.Equal(t, before+1, invariant.Count(invariant.FencingToken))
 }
+
+// Guards against a start that is sent although its condition no longer holds, be it before it is passed on
+// or while the client connects.
+func TestStartIsSentOnlyWhileItIsAllowed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeFleet{}
+		s := newTestSender(f)
+		s.SetDeadline(time.Second)
+		var allowed atomic.Bool
+		_, err := s.StartIf(context.Background(), site.MinionAddress{}, site.StartOrder{}, allowed.Load)
+		require.ErrorIs(t, err, site.ErrLeaseEnded)
+		require.Zero(t, f.sent.Load())
+		allowed.Store(true)
+		_, err = s.StartIf(context.Background(), site.MinionAddress{}, site.StartOrder{}, allowed.Load)
+		require.NoError(t, err)
+		l := conditionalLease{s, allowed.Load}
+		require.Equal(t, time.Second, l.Remaining())
+		allowed.Store(false)
+		require.Zero(t, l.Remaining())
+		require.Equal(t, time.Second, s.Remaining(), "other orders are sent")
+	})
+}
--- a/internal/peer/site.go
+++ b/internal/peer/site.go
@@ -47,6 +47,10 @@
 	Lease uint64 `json:"lease"`
 	// Members are all entry VMs; empty if unchanged since the coordinator sent them last.
 	Members map[model.EntryVM]Member `json:"members,omitempty"`
+	// Evacuated are the data centres that the sender knows to be evacuated, as of OperatorVersion of
+	// the operators' table. A sender that has not read the table leaves both out.
+	Evacuated       []model.DataCentre `json:"evacuated,omitempty"`
+	OperatorVersion uint64             `json:"operator_version,omitempty"`
 }
 
 // Member describes one entry VM.
@@ -70,6 +74,10 @@
 	Config uint64 `json:"config"`
 	// ShuttingDown is set while the receiver shuts down; it must not become coordinator.
 	ShuttingDown bool `json:"leaving,omitempty"`
+	// Evacuated are the data centres that the sender knows to be evacuated, as of OperatorVersion of
+	// the operators' table. A sender that has not read the table leaves both out.
+	Evacuated       []model.DataCentre `json:"evacuated,omitempty"`
+	OperatorVersion uint64             `json:"operator_version,omitempty"`
 }
 
 // JobOffer informs the coordinator of an accepted job whose row is stored.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -161,8 +161,11 @@
 	out := make([]platform.Row, len(in))
 	for i, r := range in {
 		out[i] = platform.Row{Key: r.Key, Version: r.Version, Value: r.Value}
-		if r.Removed {
+		switch {
+		case r.Removed:
 			out[i].Value = nil
+		case r.Value == nil:
+			out[i].Value = []byte{} // the encoding leaves out an empty value; nil means removed
 		}
 	}
 	return out
