interference: learn which tasks slow each other down, and keep them apart

Cause: tasks of some images slow each other down on one minion, and placement knew of scavengers beside latency-sensitive tasks only. Nothing is computed for steps without an image, and scheduling is as before while no pair is trusted.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -146,7 +146,9 @@
 	feeds     feeds
 	waves     waves
 	machines  machines
-	releasing bool
+	// interference is what is known of tasks that slow each other down.
+	interference interferenceState
+	releasing    bool
 	// pollGap is the pause between two polls of a minion, see pollGapFor.
 	pollGap time.Duration
 	// runLease is the duration of the leases that minions are granted for their runs.
--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -189,6 +189,7 @@
 	if err == nil {
 		m.RejectedStarts = 0
 		t.registry.Started(task, t.now)
+		t.runBegan(m, task, start)
 		delete(t.pendingStarts, task)
 		m.NextPoll = min(m.NextPoll, t.now+t.pollGap)
 		return
--- a/internal/coordinator/plan.go
+++ b/internal/coordinator/plan.go
@@ -66,6 +66,7 @@
 	t.recordUnplaced(p.Unplaced)
 	t.startsBounded = p.Bounded
 	r := planResult{decidedAt: t.deps.Now(), steps: len(snap.Steps), tried: p.Tried, starts: len(p.Start)}
+	t.countAvoided(p.Start)
 	runs := runNumbers{lowest: t.firstRun()}
 	for _, assignment := range p.Start {
 		if m := t.minions[assignment.Minion]; m != nil {
@@ -157,6 +158,7 @@
 		s.Minions = append(s.Minions, minion)
 	}
 	t.reservePlaces(s.Minions)
+	t.addInterference(s)
 	relocating := t.relocating()
 	wall := time.Now()
 	t.incompleteGangs = t.incompleteGangs[:0]
--- a/internal/coordinator/reports.go
+++ b/internal/coordinator/reports.go
@@ -62,6 +62,7 @@
 	was := j.State()
 	if end.Outcome == jobs.EndDone && end.Run == task.Run {
 		t.recordRunTime(task)
+		t.learnFromEnd(m, task, end)
 	}
 	t.registry.Finish(task, end.Run, m.ID, end.Outcome, end.Checkpoint, t.queueOf(j).MaxAttempts, t.now)
 	// An end that changes nothing may be redundant only because of another end that is not stored
@@ -103,6 +104,8 @@
 			stop.begunOrNever = min(stop.begunOrNever, t.now)
 		}
 		task.Percent = run.Percent
+		t.runBegan(m, task, t.pendingStarts[task])
+		t.learnFromTail(m, task, run)
 		task.Checkpointed(run.Run, run.Checkpoint)
 		t.registry.Started(task, t.now)
 		delete(t.pendingStarts, task)
@@ -110,6 +113,7 @@
 		t.registry.Adopt(task, run.Run, m.ID, run.Checkpoint, t.now)
 		task.Percent = run.Percent
 		m.Assign(task)
+		t.runBegan(m, task, nil)
 		seen[task] = true
 	case task.Step.Job.State().Final() && !task.Active():
 		t.registry.Adopt(task, run.Run, m.ID, run.Checkpoint, t.now)
--- a/internal/holding/holding.go
+++ b/internal/holding/holding.go
@@ -11,6 +11,7 @@
 	"maps"
 	"time"
 
+	"boragepulley/internal/interference"
 	"boragepulley/internal/jobs"
 	"boragepulley/internal/latency"
 	"boragepulley/internal/model"
@@ -58,6 +59,8 @@
 	Tasks    map[*jobs.Task]struct{}
 	// Kinds counts the Tasks by kind.
 	Kinds Kinds
+	// neighbours tells which images ran beside each run of a task with an image.
+	neighbours neighbours
 	// EmptySince is when the last task was unassigned.
 	EmptySince time.Duration
 
@@ -118,6 +121,8 @@
 	// them per minion. Neither has entries for what is not there.
 	NeedByTeam map[model.Team]jobs.Resources
 	PerStep    map[*jobs.StepRun]int
+	// Images counts the tasks of each image. It is nil while no task has named one.
+	Images map[interference.Image]int
 	// tasksByTeam counts the tasks of each team.
 	tasksByTeam map[model.Team]int
 }
@@ -135,6 +140,14 @@
 		k.LongRunning += n
 		k.LongRunningUse = k.LongRunningUse.Add(spec.Reserved().Scale(n))
 	}
+	if image := interference.Image(spec.Image); image != "" {
+		if k.Images == nil {
+			k.Images = map[interference.Image]int{}
+		}
+		if k.Images[image] += n; k.Images[image] == 0 {
+			delete(k.Images, image)
+		}
+	}
 	if k.tasksByTeam == nil {
 		k.NeedByTeam, k.PerStep, k.tasksByTeam = map[model.Team]jobs.Resources{}, map[*jobs.StepRun]int{}, map[model.Team]int{}
 	}
@@ -232,6 +245,7 @@
 		return
 	}
 	delete(m.Tasks, t)
+	m.neighbours.runEnded(t, now)
 	if len(m.Tasks) == 0 {
 		m.EmptySince = now
 	}
@@ -246,6 +260,7 @@
 	for t := range m.Tasks {
 		if t.Step.Job == j {
 			delete(m.Tasks, t)
+			m.neighbours.runEnded(t, 0) // the time is not known; a few shares are too low
 			continue
 		}
 		m.Used = m.Used.Add(t.Step.Spec.Reserved())
--- a/internal/schedule/fit.go
+++ b/internal/schedule/fit.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"boragepulley/internal/interference"
 	"boragepulley/internal/jobs"
 )
 
@@ -51,6 +52,15 @@
 	return best
 }
 
+// chooseIgnoring returns the minion that would be chosen for a task if none had a neighbour to avoid.
+func chooseIgnoring(minions []*Minion, s *Step, t *jobs.Task) *Minion {
+	avoid := s.avoid
+	s.avoid = 0
+	m := choose(minions, s, t)
+	s.avoid = avoid
+	return m
+}
+
 // score rates a minion for a task. Lower is better; penalties are compared before freeShare.
 type score struct {
 	// penalties is a bit set of the penalty constants.
@@ -90,8 +100,8 @@
 	if m.Suspect {
 		sc.penalties |= penaltySuspect
 	}
-	// Scavenger tasks slow down latency-sensitive ones.
-	if spec.Scavenger && m.Serving > 0 || spec.TailTarget > 0 && m.Scavengers > 0 {
+	// Scavenger tasks slow down latency-sensitive ones; which others slow each other down is learned.
+	if spec.Scavenger && m.Serving > 0 || spec.TailTarget > 0 && m.Scavengers > 0 || s.avoid&m.Images != 0 {
 		sc.penalties |= penaltyInterference
 	}
 	if spec.DataRack != "" && spec.DataRack != string(m.Rack) {
@@ -157,9 +167,12 @@
 		m.LongRunning++
 		m.LongRunningUse = m.LongRunningUse.Add(spec.Reserved())
 	}
+	if m.interference != nil {
+		m.Images |= m.interference.Bit(interference.Image(spec.Image))
+	}
 }
 
-// release undoes Reserve.
+// release undoes Reserve, except for Images.
 func (m *Minion) release(s *Step) {
 	spec := s.StepRun.Spec
 	m.Free = m.Free.Add(spec.Reserved())
--- a/internal/schedule/plan.go
+++ b/internal/schedule/plan.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"boragepulley/internal/interference"
 	"boragepulley/internal/jobs"
 	"boragepulley/internal/model"
 )
@@ -14,9 +15,11 @@
 	// shrinks during a plan, so a later task that needs as much is not tried.
 	unplaceable map[model.Service]jobs.Resources
 	// lastBest is the minion chosen for the previous task of the step, or nil. It stays the best
-	// choice while it accepts tasks, because the fullest minion is now fuller still.
-	lastBest *Minion
-	queue    *stepQueue
+	// choice while it accepts tasks, because the fullest minion is now fuller still. lastInsteadOf is
+	// that assignment's InsteadOf.
+	lastBest      *Minion
+	lastInsteadOf jobs.Minion
+	queue         *stepQueue
 	// failures counts, by service, the steps of which a task found no place.
 	failures map[model.Service]int
 	// starts counts the tasks in plan.Start that are not long-running.
@@ -32,6 +35,7 @@
 		if m.TasksPerStep == nil {
 			m.TasksPerStep = map[*jobs.StepRun]int{}
 		}
+		m.interference = s.Interference
 		p.byService[m.Service] = append(p.byService[m.Service], m)
 	}
 	p.loads = serviceLoads(s)
@@ -120,8 +124,9 @@
 	}
 	// A team's limit counts what a task needs, also the CPU that a scavenger task does not reserve.
 	need := s.StepRun.Spec.Need
-	var placed []*Minion
-	p.lastBest = nil
+	var placed []placement
+	p.lastBest, p.lastInsteadOf = nil, ""
+	p.findAvoided(s)
 	for i, t := range s.Waiting {
 		reason := ReasonNoCapacity
 		var m *Minion
@@ -149,13 +154,13 @@
 			p.leaveWaiting(s, len(s.Waiting)-i, reason)
 			return
 		}
+		placed = append(placed, placement{m, m.Images})
 		m.Reserve(s.StepRun)
 		if team != nil {
 			team.Used = team.Used.Add(need)
 		}
 		p.loads[s.Service].inUse[s.Team] += need.CPU
-		placed = append(placed, m)
-		p.plan.Start = append(p.plan.Start, Assignment{Task: t, Minion: m.ID})
+		p.plan.Start = append(p.plan.Start, Assignment{Task: t, Minion: m.ID, InsteadOf: p.lastInsteadOf})
 		if !s.StepRun.Spec.LongRunning {
 			p.starts++
 		}
@@ -167,17 +172,23 @@
 func (p *planner) choose(minions []*Minion, s *Step, t *jobs.Task) *Minion {
 	spec := s.StepRun.Spec
 	// lastBest is not reused for long-running tasks, which prefer the emptiest minion, for tasks
-	// with minions to avoid, and for tasks that are both scavengers and latency-sensitive, which
-	// interfere with one another.
-	reusable := !spec.LongRunning && len(t.FailedOn) == 0 && !(spec.Scavenger && spec.TailTarget > 0)
+	// with minions to avoid, and for tasks that interfere with one another: those that are both
+	// scavengers and latency-sensitive, and those whose image slows itself down.
+	reusable := !spec.LongRunning && len(t.FailedOn) == 0 && !(spec.Scavenger && spec.TailTarget > 0) && !s.avoidsItself(p.snap)
 	if reusable && p.lastBest != nil && p.lastBest.accepts(s) {
 		return p.lastBest
 	}
+	p.lastInsteadOf = ""
 	need := spec.Reserved()
 	if smallest, ok := p.unplaceable[s.Service]; ok && smallest.Fits(need) {
 		return nil
 	}
 	m := choose(minions, s, t)
+	if m != nil && s.avoid != 0 {
+		if other := chooseIgnoring(minions, s, t); other != m {
+			p.lastInsteadOf = other.ID
+		}
+	}
 	if m == nil && s.fitsAny() {
 		p.unplaceable[s.Service] = need
 	}
@@ -188,10 +199,30 @@
 	return m
 }
 
+// placement is a placed task's minion, and Minion.Images before that.
+type placement struct {
+	minion *Minion
+	images uint64
+}
+
+// findAvoided sets the images beside which a step's tasks should not be started.
+func (p *planner) findAvoided(s *Step) {
+	if p.snap.Interference != nil {
+		s.avoid = p.snap.Interference.Avoid(interference.Image(s.StepRun.Spec.Image))
+	}
+}
+
+// avoidsItself reports whether the step's tasks should not be started beside one another.
+func (s *Step) avoidsItself(snap *Snapshot) bool {
+	return s.avoid != 0 && s.avoid&snap.Interference.Bit(interference.Image(s.StepRun.Spec.Image)) != 0
+}
+
 // undoGang takes back the placed tasks of a gang that does not fit as a whole.
-func (p *planner) undoGang(s *Step, team *Team, placed []*Minion) {
-	for _, m := range placed {
+func (p *planner) undoGang(s *Step, team *Team, placed []placement) {
+	for i := len(placed) - 1; i >= 0; i-- { // the first task on a minion has its images from before
+		m := placed[i].minion
 		m.release(s)
+		m.Images = placed[i].images
 		if team != nil {
 			team.Used = team.Used.Sub(s.StepRun.Spec.Need)
 		}
--- a/internal/schedule/relocate.go
+++ b/internal/schedule/relocate.go
@@ -21,6 +21,7 @@
 func (p *planner) reservePlaces(s *Step, tasks []*jobs.Task) []Assignment {
 	var out []Assignment
 	var targets []*Minion
+	p.findAvoided(s)
 	for _, m := range p.byService[s.Service] {
 		if !m.Draining && !m.Rejecting {
 			targets = append(targets, m)
--- a/internal/schedule/types.go
+++ b/internal/schedule/types.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"boragepulley/internal/interference"
 	"boragepulley/internal/jobs"
 	"boragepulley/internal/model"
 )
@@ -19,6 +20,8 @@
 	// InUse is the CPU that each team's running tasks use on the minions of a service, in
 	// thousandths of a core.
 	InUse map[model.Service]map[model.Team]int64
+	// Interference tells which images slow each other down; nil while that is known of none.
+	Interference *interference.Table
 }
 
 // Step is a step of a job with tasks that can start now.
@@ -46,6 +49,8 @@
 	// Stopping lists the long-running tasks that are being stopped without a place for their next
 	// run. They keep what the plan found for them while they ran.
 	Stopping []*jobs.Task
+	// avoid is the set of images beside which its tasks should not be started.
+	avoid uint64
 }
 
 // Minion is a minion that accepts new tasks.
@@ -60,6 +65,8 @@
 	// Serving counts the tasks with a latency target, Scavengers those that use only
 	// processor time left over by others.
 	Serving, Scavengers int
+	// Images is the set of images of the minion's tasks, as bits of Snapshot.Interference.
+	Images uint64
 	// LongRunning counts the long-running tasks, LongRunningUse is what they reserve.
 	LongRunning    int
 	LongRunningUse jobs.Resources
@@ -77,6 +84,8 @@
 	TasksPerStep map[*jobs.StepRun]int
 	// held is what is held for tasks that can not start yet. It is not part of Free.
 	held jobs.Resources
+	// interference is Snapshot.Interference.
+	interference *interference.Table
 }
 
 // Team holds a team's weight, its resource limit and the use of it.
@@ -94,6 +103,8 @@
 type Assignment struct {
 	Task   *jobs.Task
 	Minion jobs.Minion
+	// InsteadOf is the minion that would have been chosen without Snapshot.Interference, if it is another one.
+	InsteadOf jobs.Minion
 }
 
 // Reason tells why tasks of a step were not placed.
