--- a/internal/coordinator/interference.go
+++ b/internal/coordinator/interference.go
@@ -88,6 +88,7 @@
 	if s.learner == nil {
 		s.learner = interference.NewLearner()
 		s.learnedLog, s.avoidedLog = logging.NewLimiter(1, 20), logging.NewLimiter(2, 20)
+		setGauge("interference_pairs", 0) // the last term's value otherwise
 	}
 	s.exposures = m.Exposures(s.exposures[:0], task, t.now)
 	counters.Add("interference_samples", 1)
@@ -149,14 +150,8 @@
 }
 
 // countAvoided counts and logs the starts on another minion than without the trusted pairs.
-func (t *Term) countAvoided(starts []schedule.Assignment) {
-	if t.interference.table() == nil {
-		return
-	}
-	for _, a := range starts {
-		if a.InsteadOf == "" {
-			continue
-		}
+func (t *Term) countAvoided(avoided []schedule.Avoided) {
+	for _, a := range avoided {
 		counters.Add("interference_avoided", 1)
 		if suppressed, ok := t.interference.avoidedLog.Allow(); ok {
 			t.log.Info().Str("task", a.Task.Name()).Str("image", a.Task.Step.Spec.Image).Str("minion", string(a.Minion)).Str("instead_of", string(a.InsteadOf)).
--- a/internal/coordinator/plan.go
+++ b/internal/coordinator/plan.go
@@ -66,7 +66,7 @@
 	t.recordUnplaced(p.Unplaced)
 	t.startsBounded = p.Bounded
 	r := planResult{decidedAt: t.deps.Now(), steps: len(snap.Steps), tried: p.Tried, starts: len(p.Start)}
-	t.countAvoided(p.Start)
+	t.countAvoided(p.Avoided)
 	runs := runNumbers{lowest: t.firstRun()}
 	for _, assignment := range p.Start {
 		if m := t.minions[assignment.Minion]; m != nil {
--- a/internal/interference/interference.go
+++ b/internal/interference/interference.go
@@ -52,8 +52,8 @@
 	pairs int
 }
 
-// newTable returns the table of some pairs, nil if there are none. They must name at most maxImages images.
-func newTable(pairs []Pair) *Table {
+// NewTable returns the table of some pairs, nil if there are none. It ignores images beyond the first 64.
+func NewTable(pairs []Pair) *Table {
 	if len(pairs) == 0 {
 		return nil
 	}
--- a/internal/interference/learner.go
+++ b/internal/interference/learner.go
@@ -154,7 +154,7 @@
 	if s.Image == "" || !(s.Value > 0) || math.IsInf(s.Value, 0) {
 		return nil
 	}
-	changes := l.use(s.Image, s.At)
+	changes := l.use(s.Image, s.Image, s.At)
 	sub := l.subjects[s.Image]
 	y := math.Log(s.Value)
 	if sub == nil {
@@ -163,7 +163,7 @@
 	}
 	for _, n := range s.Neighbours {
 		if n.Image != "" && n.Share > 0 {
-			changes = append(changes, l.use(n.Image, s.At)...)
+			changes = append(changes, l.use(n.Image, s.Image, s.At)...)
 			changes = append(changes, l.addPair(s.Image, sub, n.Image, s.At)...)
 		}
 	}
@@ -253,12 +253,15 @@
 }
 
 // use records that an image was in a sample. If there are too many images, it removes the one that was in
-// none for the longest time.
-func (l *Learner) use(i Image, now time.Duration) (changes []Change) {
+// none for the longest time, other than keep.
+func (l *Learner) use(i, keep Image, now time.Duration) (changes []Change) {
 	if _, known := l.seen[i]; !known && len(l.seen) >= maxImages {
 		var oldest Image
 		first := true
 		for k, at := range l.seen {
+			if k == keep {
+				continue
+			}
 			if first || cmp.Or(cmp.Compare(at, l.seen[oldest]), cmp.Compare(k, oldest)) < 0 {
 				oldest, first = k, false
 			}
@@ -351,7 +354,7 @@
 		}
 	}
 	slices.SortFunc(trusted, comparePairs)
-	l.table = newTable(trusted)
+	l.table = NewTable(trusted)
 }
 
 func (s *subject) index(i Image) int {
--- a/internal/interference/learner_test.go
+++ b/internal/interference/learner_test.go
@@ -190,31 +190,47 @@
 // Guards against memory that grows with the images and minions that were ever seen, and against an eviction
 // that leaves a wrong count, a wrong index or a pair of an unknown image.
 func TestMemoryIsBounded(t *testing.T) {
-	w := newWorld(1)
-	w.stretch[Pair{image(0), image(1)}] = 3
-	for i := range 4000 {
-		beside := []Exposure{{image(i * 7 % 300), 0.5}, {image(i * 13 % 301), 1}, {image(i % 40), 0.3}}
-		w.run(image(i%200), Minion(fmt.Sprint(i)), beside...)
-		if i%2 == 0 {
-			w.run(image(0), "m", Exposure{image(1), float64(i / 2 % 2)})
-		}
-		require.LessOrEqual(t, len(w.l.seen), maxImages)
-		require.LessOrEqual(t, len(w.l.subjects), maxImages)
-		require.LessOrEqual(t, len(w.l.minions), maxMinions)
-		pairs := 0
-		for name, s := range w.l.subjects {
-			require.Contains(t, w.l.seen, name)
-			pairs += len(s.neighbours)
-			require.Len(t, s.gram, len(s.neighbours)+1)
-			require.Len(t, s.xy, len(s.neighbours)+1)
-			for _, n := range s.neighbours {
-				require.Contains(t, w.l.seen, n.image)
+	for name, images := range map[string]int{"many images": 300, "many pairs": maxImages - 4} {
+		w := newWorld(1)
+		w.stretch[Pair{"slowed", "neighbour"}] = 3
+		minions, pairs := 0, 0
+		for i := range 2000 {
+			beside := []Exposure{{image(i * 7 % images), 0.5}, {image(i * i % images), 1}, {image((i * 13) % (images - 1)), 0.3}}
+			w.run(image(i*i*i%images), Minion(fmt.Sprint(i)), beside...)
+			w.run("slowed", "m", Exposure{"neighbour", float64(i % 2)})
+			if i%10 != 0 {
+				continue
 			}
+			sum := 0
+			for name, s := range w.l.subjects {
+				require.Contains(t, w.l.seen, name)
+				require.Len(t, s.gram, len(s.neighbours)+1)
+				require.Len(t, s.xy, len(s.neighbours)+1)
+				for _, n := range s.neighbours {
+					require.Contains(t, w.l.seen, n.image)
+				}
+				sum += len(s.neighbours)
+			}
+			require.Equal(t, sum, w.l.pairs)
+			require.LessOrEqual(t, len(w.l.seen), maxImages)
+			minions, pairs = max(minions, len(w.l.minions)), max(pairs, sum)
 		}
-		require.Equal(t, pairs, w.l.pairs)
-		require.LessOrEqual(t, pairs, maxPairs)
+		require.Equal(t, maxMinions, minions, name)
+		require.LessOrEqual(t, pairs, maxPairs, name)
+		require.Equal(t, name == "many pairs", pairs == maxPairs, "%s: %d", name, pairs)
+		require.Equal(t, []Pair{{"slowed", "neighbour"}}, w.pairs(), "what is seen often is kept")
+	}
+	l := NewLearner()
+	var beside []Exposure
+	for i := range maxImages + 10 {
+		beside = append(beside, Exposure{image(i), 1})
 	}
-	require.Equal(t, []Pair{{image(0), image(1)}}, w.pairs(), "what is seen often is kept")
+	for range 3 {
+		l.Add(Sample{Image: image(20), Minion: "m", Value: 1, Neighbours: beside})
+	}
+	require.Contains(t, l.subjects, image(20), "not evicted for its own neighbours")
+	require.Len(t, l.seen, maxImages)
+	require.Len(t, l.subjects[image(20)].neighbours, l.pairs)
 }
 
 // Guards against samples that spoil all estimates.
@@ -225,3 +241,21 @@
 	}
 	require.Empty(t, l.subjects)
 }
+
+// BenchmarkAdd measures a sample with six neighbours, of an image that has been seen beside as many others as
+// the name says.
+func BenchmarkAdd(b *testing.B) {
+	for _, images := range []int{6, maxImages} {
+		b.Run(fmt.Sprint(images), func(b *testing.B) {
+			w := newWorld(1)
+			b.ReportAllocs()
+			for i := range b.N {
+				var beside [6]Exposure
+				for k := range beside {
+					beside[k] = Exposure{image((i + k*images/6) % images), 0.5}
+				}
+				w.run(image(0), "m", beside[:]...)
+			}
+		})
+	}
+}
--- a/internal/schedule/choose_test.go
+++ b/internal/schedule/choose_test.go
@@ -9,18 +9,21 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"boragepulley/internal/interference"
 	"boragepulley/internal/jobs"
 	"boragepulley/internal/model"
 )
 
 // referenceChoice chooses a minion by comparing all of them, without the shortcuts of planner.choose.
-func referenceChoice(minions []*Minion, s *Step, t *jobs.Task) *Minion {
+func referenceChoice(table *interference.Table, minions []*Minion, s *Step, t *jobs.Task) *Minion {
 	sp := s.StepRun.Spec
 	better := func(a, b *Minion) bool {
 		for _, penalized := range []func(m *Minion) bool{
 			func(m *Minion) bool { return slices.Contains(t.FailedOn, m.ID) },
 			func(m *Minion) bool { return m.Suspect },
-			func(m *Minion) bool { return sp.Scavenger && m.Serving > 0 || sp.TailTarget > 0 && m.Scavengers > 0 },
+			func(m *Minion) bool {
+				return sp.Scavenger && m.Serving > 0 || sp.TailTarget > 0 && m.Scavengers > 0 || m.Images&table.Avoid(interference.Image(sp.Image)) != 0
+			},
 			func(m *Minion) bool { return sp.DataRack != "" && sp.DataRack != string(m.Rack) },
 		} {
 			if x, y := penalized(a), penalized(b); x != y {
@@ -51,6 +54,12 @@
 // comparison does, or leave it waiting.
 func TestFastChoiceIsThePlainOne(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
+		var pairs []interference.Pair
+		image := rapid.SampledFrom([]string{"", "x", "y", "z"})
+		for range rapid.IntRange(0, 3).Draw(t, "pairs") {
+			pairs = append(pairs, interference.Pair{Subject: interference.Image(rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, "subject")), Neighbour: interference.Image(rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, "neighbour"))})
+		}
+		table := interference.NewTable(pairs)
 		var minions []*Minion
 		for i := range rapid.IntRange(0, 6).Draw(t, "minions") {
 			m := minion(jobs.Minion(fmt.Sprint(i)), rapid.Int64Range(1, 12).Draw(t, "cores"))
@@ -59,23 +68,25 @@
 			m.Serving, m.Scavengers, m.LongRunning = rapid.IntRange(0, 1).Draw(t, "serving"), rapid.IntRange(0, 1).Draw(t, "scavenger"), rapid.IntRange(0, 4).Draw(t, "long-running")
 			m.Rack = model.Rack(rapid.SampledFrom([]string{"r1", "r2"}).Draw(t, "rack"))
 			m.TasksPerStep = map[*jobs.StepRun]int{}
+			m.interference, m.Images = table, table.Bit(interference.Image(image.Draw(t, "beside")))
 			minions = append(minions, &m)
 		}
-		p := planner{unplaceable: map[model.Service]jobs.Resources{}}
+		p := planner{snap: &Snapshot{Interference: table}, unplaceable: map[model.Service]jobs.Resources{}}
 		for i := range rapid.IntRange(1, 5).Draw(t, "steps") {
 			spec := jobs.Step{Count: rapid.IntRange(1, 6).Draw(t, "count"), Need: need(rapid.Int64Range(0, 5).Draw(t, "need")),
 				LongRunning: rapid.Bool().Draw(t, "long-running"), Scavenger: rapid.Bool().Draw(t, "scavenger"), MaxPerMinion: rapid.IntRange(0, 2).Draw(t, "per"),
-				Label: rapid.SampledFrom([]string{"", "", "a", "r1"}).Draw(t, "label"), DataRack: rapid.SampledFrom([]string{"", "r1"}).Draw(t, "data")}
+				Label: rapid.SampledFrom([]string{"", "", "a", "r1"}).Draw(t, "label"), DataRack: rapid.SampledFrom([]string{"", "r1"}).Draw(t, "data"), Image: image.Draw(t, "image")}
 			if rapid.Bool().Draw(t, "tail") {
 				spec.TailTarget = time.Second
 			}
 			s := stepOf(jobs.ID(fmt.Sprint(i)), spec)
 			p.lastBest = nil
+			p.findAvoided(&s)
 			for _, x := range s.Waiting {
 				if rapid.IntRange(0, 3).Draw(t, "failed") == 0 {
 					x.FailedOn = []jobs.Minion{jobs.Minion(fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "on")))}
 				}
-				want := referenceChoice(minions, &s, x)
+				want := referenceChoice(table, minions, &s, x)
 				got := p.choose(minions, &s, x)
 				require.True(t, want == got, "step %d: got %v, want %v", i, got, want)
 				if got == nil {
--- a/internal/schedule/hold_test.go
+++ b/internal/schedule/hold_test.go
@@ -37,7 +37,7 @@
 	large, small := longRunningStep(3000, 0, 2, 0), longRunningStep(500, 0, 3, 0)
 	large.StepRun.Job.ID, small.StepRun.Job.ID = "1", "2"
 	p := NewPlan(&Snapshot{Minions: []Minion{minionWith("a", 1000), minionWith("b", 400)}, Steps: []Step{large, small, smallStep(5)}})
-	require.Equal(t, []Assignment{{Task: small.Waiting[0], Minion: "a"}, {Task: small.Waiting[1], Minion: "a"}}, p.Start, "and no other task starts")
+	require.Equal(t, []Assignment{{small.Waiting[0], "a"}, {small.Waiting[1], "a"}}, p.Start, "and no other task starts")
 
 	large = longRunningStep(3000, 0, 1, 0)
 	large.StepRun.Job.ID = "1"
--- a/internal/schedule/plan.go
+++ b/internal/schedule/plan.go
@@ -16,7 +16,7 @@
 	unplaceable map[model.Service]jobs.Resources
 	// lastBest is the minion chosen for the previous task of the step, or nil. It stays the best
 	// choice while it accepts tasks, because the fullest minion is now fuller still. lastInsteadOf is
-	// that assignment's InsteadOf.
+	// Avoided.InsteadOf of the previous task, or empty.
 	lastBest      *Minion
 	lastInsteadOf jobs.Minion
 	queue         *stepQueue
@@ -154,13 +154,18 @@
 			p.leaveWaiting(s, len(s.Waiting)-i, reason)
 			return
 		}
-		placed = append(placed, placement{m, m.Images})
+		if s.StepRun.Spec.Gang {
+			placed = append(placed, placement{m, m.Images})
+		}
 		m.Reserve(s.StepRun)
 		if team != nil {
 			team.Used = team.Used.Add(need)
 		}
 		p.loads[s.Service].inUse[s.Team] += need.CPU
-		p.plan.Start = append(p.plan.Start, Assignment{Task: t, Minion: m.ID, InsteadOf: p.lastInsteadOf})
+		p.plan.Start = append(p.plan.Start, Assignment{Task: t, Minion: m.ID})
+		if p.lastInsteadOf != "" {
+			p.plan.Avoided = append(p.plan.Avoided, Avoided{Assignment{Task: t, Minion: m.ID}, p.lastInsteadOf})
+		}
 		if !s.StepRun.Spec.LongRunning {
 			p.starts++
 		}
@@ -199,7 +204,7 @@
 	return m
 }
 
-// placement is a placed task's minion, and Minion.Images before that.
+// placement is the minion of a placed task of a gang, and Minion.Images before that.
 type placement struct {
 	minion *Minion
 	images uint64
@@ -229,6 +234,9 @@
 		p.loads[s.Service].inUse[s.Team] -= s.StepRun.Spec.Need.CPU
 	}
 	p.plan.Start = p.plan.Start[:len(p.plan.Start)-len(placed)]
+	for n := len(p.plan.Avoided); n > 0 && p.plan.Avoided[n-1].Task.Step == s.StepRun; n-- {
+		p.plan.Avoided = p.plan.Avoided[:n-1]
+	}
 	if !s.StepRun.Spec.LongRunning {
 		p.starts -= len(placed)
 	}
--- a/internal/schedule/relocate_test.go
+++ b/internal/schedule/relocate_test.go
@@ -69,7 +69,7 @@
 	require.Empty(t, p.Relocate)
 	require.Equal(t, []Unplaced{{s.StepRun, 1, ReasonNoCapacity}}, p.Unplaced)
 	p = NewPlan(&Snapshot{Minions: []Minion{draining, minionWith("b", 2000)}, Steps: []Step{s}})
-	require.Equal(t, []Assignment{{Task: s.Relocating[0], Minion: "b"}}, p.Relocate)
+	require.Equal(t, []Assignment{{s.Relocating[0], "b"}}, p.Relocate)
 	require.Empty(t, p.Start)
 }
 
--- a/internal/schedule/types.go
+++ b/internal/schedule/types.go
@@ -103,7 +103,12 @@
 type Assignment struct {
 	Task   *jobs.Task
 	Minion jobs.Minion
-	// InsteadOf is the minion that would have been chosen without Snapshot.Interference, if it is another one.
+}
+
+// Avoided is an assignment of Plan.Start to another minion than without Snapshot.Interference.
+type Avoided struct {
+	Assignment
+	// InsteadOf is the minion that would have been chosen.
 	InsteadOf jobs.Minion
 }
 
@@ -131,6 +136,7 @@
 	Start    []Assignment
 	Relocate []Assignment
 	Unplaced []Unplaced
+	Avoided  []Avoided
 	// Bounded is set if Snapshot.MaxStarts kept tasks from being placed.
 	Bounded bool
 	// Tried counts the steps for which a place was searched, Compared the comparisons of two steps to
--- a/standins/fleet/minions.go
+++ b/standins/fleet/minions.go
@@ -94,6 +94,9 @@
 	all map[jobs.Minion]*Minion // guarded by mu
 	// Work returns how long a run of a task takes and how it ends; 0 lasts.
 	Work func(task string, no int) (time.Duration, jobs.End)
+	// Slowed, if set before the first order, returns by which factor a run that begins now takes longer because
+	// of the tasks that run beside it.
+	Slowed func(task string, beside []string) float64
 	// Need returns what a task reserves.
 	Need func(task string) jobs.Resources
 	// Fault decides over an order: None, Lose, Late, Reset or Connecting.
@@ -583,6 +586,13 @@
 	r := &run{task: o.Task, no: o.Run, began: now, need: s.Need(o.Task), gang: s.gangOf(o.Task), checkpoint: o.Checkpoint}
 	d, how := s.Work(o.Task, o.Run)
 	r.how = how
+	if s.Slowed != nil {
+		var beside []string
+		for name := range m.runs {
+			beside = append(beside, name)
+		}
+		d = time.Duration(float64(d) * s.Slowed(o.Task, beside))
+	}
 	if d > 0 {
 		r.ends = now.Add(d)
 	}
