interference: later samples of a job weigh 1/n

Cause: with the weight 1/n², a pair needed twice as many jobs to be found as necessary, and the test of evictions did not notice an image that is evicted by its own neighbours.

--- a/internal/interference/learner.go
+++ b/internal/interference/learner.go
@@ -96,9 +96,9 @@
 	samples int
 }
 
-// weight returns the weight of the next sample of a group: 1 for the first and 1/n² for the n-th. The tasks of
-// a job often run side by side and are alike in duration, so that eight of them tell little more than one.
-// With 1/n, a pair was found in the noise of jobs in one of 20 trials.
+// weight returns the weight of the next sample of a group: 1 for the first and 1/n for the n-th. The tasks of
+// a job often run side by side and are alike in duration, so that eight of them tell much less than tasks
+// of eight jobs. With 1/n², a pair takes twice as many jobs to be found.
 func (s *subject) weight(name string) float64 {
 	if name == "" {
 		return 1
@@ -106,7 +106,7 @@
 	for k := range s.groups {
 		if g := &s.groups[k]; g.name == name {
 			g.samples++
-			return 1 / float64(g.samples*g.samples)
+			return 1 / float64(g.samples)
 		}
 	}
 	s.groups[s.nextGroup] = group{name, 1}
--- a/internal/interference/learner_test.go
+++ b/internal/interference/learner_test.go
@@ -226,11 +226,11 @@
 		beside = append(beside, Exposure{image(i), 1})
 	}
 	for range 3 {
-		l.Add(Sample{Image: image(20), Minion: "m", Value: 1, Neighbours: beside})
+		l.Add(Sample{Image: image(0), Minion: "m", Value: 1, Neighbours: beside})
 	}
-	require.Contains(t, l.subjects, image(20), "not evicted for its own neighbours")
+	require.Contains(t, l.subjects, image(0), "not evicted for its own neighbours")
 	require.Len(t, l.seen, maxImages)
-	require.Len(t, l.subjects[image(20)].neighbours, l.pairs)
+	require.Len(t, l.subjects[image(0)].neighbours, l.pairs)
 }
 
 // Guards against samples that spoil all estimates.
