--- a/internal/coordinator/interference.go
+++ b/internal/coordinator/interference.go
@@ -34,8 +34,9 @@
 	return s.learner.Table()
 }
 
-// runBegan tells a minion that the run of one of its tasks has begun, as far as the start order shows: its
-// time is known exactly if the order was sent once.
+// runBegan records that the run of a task has begun on a minion, unless that is known already. The time is
+// known exactly if the start order was sent once; start is nil for a run that a minion reports and whose start
+// is not pending.
 func (t *Term) runBegan(m *holding.Minion, task *jobs.Task, start *pendingStart) {
 	if task.Step.Spec.Image != "" {
 		m.RunBegan(task, t.now, start != nil && start.tries == 1 && task.Checkpoint == "")
--- a/internal/coordinator/reports.go
+++ b/internal/coordinator/reports.go
@@ -113,7 +113,6 @@
 		t.registry.Adopt(task, run.Run, m.ID, run.Checkpoint, t.now)
 		task.Percent = run.Percent
 		m.Assign(task)
-		t.runBegan(m, task, nil)
 		seen[task] = true
 	case task.Step.Job.State().Final() && !task.Active():
 		t.registry.Adopt(task, run.Run, m.ID, run.Checkpoint, t.now)
--- a/internal/schedule/choose_test.go
+++ b/internal/schedule/choose_test.go
@@ -19,6 +19,8 @@
 	sp := s.StepRun.Spec
 	better := func(a, b *Minion) bool {
 		for _, penalized := range []func(m *Minion) bool{
+			func(m *Minion) bool { return m.Rejecting },
+			func(m *Minion) bool { return sp.LongRunning && m.Draining },
 			func(m *Minion) bool { return slices.Contains(t.FailedOn, m.ID) },
 			func(m *Minion) bool { return m.Suspect },
 			func(m *Minion) bool {
@@ -65,6 +67,7 @@
 			m := minion(jobs.Minion(fmt.Sprint(i)), rapid.Int64Range(1, 12).Draw(t, "cores"))
 			m.Free.CPU -= rapid.Int64Range(0, m.Free.CPU/1000).Draw(t, "used") * 1000
 			m.Suspect, m.MaintenanceDue = rapid.Bool().Draw(t, "suspect"), rapid.Bool().Draw(t, "maintenance due")
+			m.Rejecting, m.Draining = rapid.Bool().Draw(t, "rejecting"), rapid.Bool().Draw(t, "draining")
 			m.Serving, m.Scavengers, m.LongRunning = rapid.IntRange(0, 1).Draw(t, "serving"), rapid.IntRange(0, 1).Draw(t, "scavenger"), rapid.IntRange(0, 4).Draw(t, "long-running")
 			m.Rack = model.Rack(rapid.SampledFrom([]string{"r1", "r2"}).Draw(t, "rack"))
 			m.TasksPerStep = map[*jobs.StepRun]int{}
