--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -152,9 +152,11 @@
 	feeds     feeds
 	waves     waves
 	machines  machines
-	releasing bool
 	// evacuations is the state that the term has last acted on.
 	evacuations *evacuation.State
+	// interference is what is known of tasks that slow each other down.
+	interference interferenceState
+	releasing    bool
 	// pollGap is the pause between two polls of a minion, see pollGapFor.
 	pollGap time.Duration
 	// runLease is the duration of the leases that minions are granted for their runs.
