--- a/internal/coordinator/evacuations_test.go
+++ b/internal/coordinator/evacuations_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -138,8 +139,10 @@
 		s.evacuate("nowhere", "e1")
 		sleep(100 * time.Millisecond)
 		a, b, c := s.startsIn("a"), s.startsIn("b"), s.startsIn("c")
+		chosen := strings.Count(s.log.linesWith("Coordinator: start."), `"minion":"a`)
 		s.submitMany(term, 24, 24)
 		sleep(9 * time.Second)
+		require.Equal(t, chosen, strings.Count(s.log.linesWith("Coordinator: start."), `"minion":"a`), "the plan does not choose them")
 		require.Equal(t, a, s.startsIn("a"))
 		require.Equal(t, c, s.startsIn("c"))
 		require.Equal(t, b+24, s.startsIn("b"))
@@ -203,10 +206,10 @@
 		s.evacuate("a", "e1")
 		s.evacuate("b", "e1")
 		sleep(200 * time.Millisecond)
+		require.Contains(t, s.log.linesWith("task requeued"), `"reason":"evacuated"`, "while the store does not answer")
 		refuse.Store(false)
 		sleep(5 * time.Second)
 		require.Zero(t, s.startsIn("a")+s.startsIn("b"))
-		require.Contains(t, s.log.linesWith("task requeued"), `"reason":"evacuated"`)
 		s.requireCompleted(term, 0, 12)
 	})
 }
@@ -235,14 +238,15 @@
 		term := Start(d, s.acquire(d))
 		defer endTerm(term)
 		sleep(time.Second)
-		s.submitMany(term, 0, 6)
+		s.submitMany(term, 0, 22) // more than fit into b and c
 		sleep(30 * time.Millisecond)
 		require.Zero(t, s.startsIn("a"))
 		s.evacuate("a", "e1")
 		sleep(5 * time.Second)
 		require.Zero(t, s.startsIn("a"))
 		require.Contains(t, s.log.linesWith("task requeued"), `"reason":"evacuated"`)
-		s.requireCompleted(term, 0, 6)
+		require.Empty(t, s.log.linesWith("Coordinator: stop."), "nothing was sent")
+		s.requireCompleted(term, 0, 22)
 	})
 }
 
@@ -287,23 +291,25 @@
 	})
 }
 
-// informedPeer answers heartbeats with a state of the evacuations.
-type informedPeer struct{ known *knownEvacuations }
+// informedPeer answers heartbeats with a state of the evacuations, and keeps the coordinator's.
+type informedPeer struct{ known, coordinators *knownEvacuations }
 
-func (p informedPeer) CoordinatorHeartbeat(context.Context, *peer.CoordinatorHeartbeat) (*peer.CoordinatorHeartbeatReply, error) {
+func (p informedPeer) CoordinatorHeartbeat(_ context.Context, m *peer.CoordinatorHeartbeat) (*peer.CoordinatorHeartbeatReply, error) {
+	p.coordinators.learn(evacuation.FromPeer(m.OperatorVersion, m.Evacuated), "")
 	s := p.known.state.Load()
 	return &peer.CoordinatorHeartbeatReply{Evacuated: s.Names(), OperatorVersion: evacuation.VersionOf(s)}, nil
 }
 
 // Guards against starts by a coordinator that is cut off from the store and depends on the promises of
-// other entry VMs, which know of the evacuation.
+// other entry VMs, which know of the evacuation, and against a future coordinator that is not told of it.
 func TestCutOffCoordinatorLearnsFromHeartbeatReplies(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newEvacuationSite(t)
 		s.store.Put(MemberTable+"/e2", []byte(`{"a":"b","d":"b","i":"1"}`))
 		var cut atomic.Bool
 		d := s.deps("e1", &fleet.View{Store: s.store, Fault: cuttable(&cut)})
-		d.Dial = func(model.EntryVM, string) PeerClient { return informedPeer{s.evacuations("e2")} }
+		var received knownEvacuations
+		d.Dial = func(model.EntryVM, string) PeerClient { return informedPeer{s.evacuations("e2"), &received} }
 		term := Start(d, s.acquire(d).WithTable(d.Table))
 		defer endTerm(term)
 		sleep(2 * time.Second)
@@ -315,6 +321,7 @@
 		a := s.startsIn("a")
 		require.True(t, s.known["e1"].state.Load().Evacuated("a"))
 		sleep(3 * time.Second)
+		require.True(t, received.state.Load().Evacuated("a"), "the other entry VMs learn of it from the coordinator")
 		cut.Store(false)
 		sleep(15 * time.Second)
 		require.Equal(t, a, s.startsIn("a"))
@@ -382,6 +389,8 @@
 				s.minions.Need = func(string) jobs.Resources { return jobs.Resources{CPU: 2000} }
 				s.minions.SetWork(func(string, int) (time.Duration, jobs.End) { return 2 * time.Second, jobs.EndDone })
 				s.minions.SetGangs(func(string) int { return 4 }, gangTimeout)
+				// One member to a minion: with one of four in b and c out of service, some are in a.
+				s.minions.Change("c1", func(m *fleet.Minion) { m.Cut = true })
 				var refuse, silent atomic.Bool
 				term := s.startTerm("e1", func(op string) fleet.Fault {
 					if op == "commit" && refuse.Load() {
@@ -401,15 +410,77 @@
 				})
 				s.submitJob(term, gang, jobs.Step{Count: 4, Gang: true, SavesProgress: true, MaxPerMinion: 1, Need: jobs.Resources{CPU: 2000}, Estimate: 2 * time.Second})
 				sleep(300 * time.Millisecond)
-				s.evacuate("a", "e1")
+				if !refuseWrites {
+					s.evacuate("a", "e1")
+				} else {
+					// The other members must not wait for the next plan: their starts may be sent before it.
+					require.NoError(t, term.do(t.Context(), func() {
+						s.evacuate("a", "e1")
+						require.Len(t, term.pendingStarts, 4)
+						for task, start := range term.pendingStarts {
+							if dcOf(start.minion.ID) == "a" {
+								term.withdrawStart(task, start)
+								break
+							}
+						}
+						require.Empty(t, term.pendingStarts)
+					}))
+				}
 				sleep(500 * time.Millisecond)
 				a := s.startsIn("a")
+				s.minions.Change("c1", func(m *fleet.Minion) { m.Cut = false })
 				refuse.Store(false)
 				silent.Store(false)
 				sleep(15 * time.Second)
 				require.Equal(t, a, s.startsIn("a"))
-				s.requireCompleted(term, 0, 0)
 				require.Equal(t, jobs.StateCompleted, s.state(term, gang))
+				s.requireNoViolations()
+			})
+		})
+	}
+}
+
+// Guards against a pool whose machines in an evacuated data centre are not replaced, or are replaced by
+// machines there, also by one whose order was decided before the evacuation and waits for the store.
+func TestMachinesOfAnEvacuatedDataCentreAreReplaced(t *testing.T) {
+	for name, queued := range map[string]bool{"planned later": false, "order queued": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBurstSite(t, 3, 2)
+				for i := range 6 {
+					b.moving.Add(model.VM(fmt.Sprintf("off%d", i)), standbyService, jobs.Resources{CPU: 4000, MemoryMB: 4000})
+				}
+				for i := range 100 { // so many that some of them are chosen
+					vm := model.VM(fmt.Sprintf("elsewhere%d", i))
+					b.moving.Add(vm, standbyService, jobs.Resources{CPU: 4000, MemoryMB: 4000})
+					b.moving.Locate(vm, "elsewhere")
+				}
+				known := &knownEvacuations{}
+				b.evacuations = func(model.EntryVM) *knownEvacuations { return known }
+				b.startWithoutBurst()
+				submit := func() {
+					b.submitJob(b.term, "0000000000000001", jobs.Step{Count: 12, Need: jobs.Resources{CPU: 1000}, LongRunning: true})
+				}
+				if queued {
+					// The machines' orders wait until the row of recent orders is stored.
+					require.NoError(t, b.term.do(t.Context(), func() { b.term.writer.writing = true }))
+					submit()
+					sleep(300 * time.Millisecond)
+					require.NotEmpty(t, b.log.linesWith("moving machine"))
+				}
+				known.learn(&evacuation.State{Version: 1 << 40, DCs: map[model.DataCentre]bool{"elsewhere": true}}, "store")
+				if queued {
+					require.NoError(t, b.term.do(t.Context(), func() { b.term.writer.writing = false }))
+				} else {
+					submit()
+				}
+				sleep(10 * time.Second)
+				for _, vm := range b.moving.Pool(testService) {
+					require.NotContains(t, vm, "elsewhere")
+				}
+				require.Greater(t, len(b.moving.Pool(testService)), 3, "machines of the other data centre came")
+				require.Equal(t, queued, b.log.linesWith("order dropped") != "")
+				b.requireNoViolations()
 			})
 		})
 	}
--- a/internal/coordinator/status.go
+++ b/internal/coordinator/status.go
@@ -57,6 +57,8 @@
 		return sitestatus.MinionLeaving
 	case m.Cordoned:
 		return sitestatus.MinionCordoned
+	case t.evacuated(m.DC):
+		return sitestatus.MinionEvacuated
 	case !t.usable(m):
 		return sitestatus.MinionUnknown
 	case m.Draining:
--- a/internal/coordinator/waiting.go
+++ b/internal/coordinator/waiting.go
@@ -23,9 +23,11 @@
 	// Cordoned, Leaving and Silent minions get no new work; Unknown ones have not been polled, are
 	// not recorded, or are no longer listed.
 	Cordoned int `json:"cordoned"`
-	Leaving  int `json:"leaving"`
-	Silent   int `json:"silent"`
-	Unknown  int `json:"unknown"`
+	// Evacuated minions are in a data centre that an operator evacuates.
+	Evacuated int `json:"evacuated,omitempty"`
+	Leaving   int `json:"leaving"`
+	Silent    int `json:"silent"`
+	Unknown   int `json:"unknown"`
 	// Label and StepLimit are constraints of the step; Full minions lack CPU, memory or accelerators.
 	Label     int `json:"label"`
 	StepLimit int `json:"step_limit"`
@@ -60,6 +62,8 @@
 		b.Leaving++
 	case m.Cordoned:
 		b.Cordoned++
+	case t.evacuated(m.DC):
+		b.Evacuated++
 	case !t.usable(m):
 		b.Unknown++
 	case spec.Label != "" && spec.Label != m.Kind && spec.Label != string(m.Rack):
--- a/internal/entry/evacuations_test.go
+++ b/internal/entry/evacuations_test.go
@@ -124,7 +124,7 @@
 		submit(0, 20)
 		tc.setFaults(old, true, refuseAll)
 		submit(20, 120)
-		require.NotEqual(t, old, tc.coordinator())
+		require.NotEmpty(t, tc.coordinatorOtherThan(old))
 		mu.Lock()
 		defer mu.Unlock()
 		late, elsewhere := 0, 0
--- a/internal/sitestatus/status.go
+++ b/internal/sitestatus/status.go
@@ -90,6 +90,8 @@
 	MinionLeaving  MinionState = "leaving"
 	MinionCordoned MinionState = "cordoned"
 	MinionDraining MinionState = "draining"
+	// MinionEvacuated is in a data centre that an operator evacuates.
+	MinionEvacuated MinionState = "evacuated"
 	// MinionUnknown has not been polled yet, is not recorded, or is no longer listed.
 	MinionUnknown MinionState = "unknown"
 )
--- a/standins/fleet/machines.go
+++ b/standins/fleet/machines.go
@@ -202,3 +202,10 @@
 	s.all[name] = m
 	s.join(m)
 }
+
+// Locate sets the data centre of a machine on standby, which is "dc" by default.
+func (s *MovingMachines) Locate(name model.VM, dc model.DataCentre) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.all[name].DC = dc
+}
