--- a/internal/coordinator/harness_test.go
+++ b/internal/coordinator/harness_test.go
@@ -34,6 +34,8 @@
 	log       lockedBuffer
 	// evacuations, if set, is what an entry VM knows of the operators' evacuations.
 	evacuations func(name model.EntryVM) *knownEvacuations
+	// clients are the minions and machines, unless a test replaces them.
+	clients fencing.Fleet
 }
 
 // lockedBuffer collects the log lines of all terms.
@@ -85,6 +87,7 @@
 		Teams: map[model.Team]site.Team{testTeam: {Weight: 1}}, Keys: map[string]model.Team{"key": testTeam},
 		Queues: []site.Queue{{Name: testQueue, Host: "h", Prefix: "/q/", Service: testService, MaxAttempts: 3, Stretch: 2, Target: time.Second}}}
 	ts.config.Index()
+	ts.clients = fencing.NewFleet(ts.minions, ts.machines)
 	for i := range n {
 		ts.addMinion(jobs.Minion(fmt.Sprintf("m%d", i)))
 	}
@@ -103,7 +106,7 @@
 func (s *testSite) deps(name model.EntryVM, view *fleet.View) Deps {
 	d := Deps{
 		Self: peer.Sender{Entry: name, DC: "dc", Incarnation: model.Incarnation(name)}, Addr: "a", Table: view, Feed: view,
-		Fleet: fencing.NewFleet(s.minions, s.machines),
+		Fleet: s.clients,
 		Codec: Codec{
 			Minion: func(_ string, v []byte) (e site.MinionEntry, err error) { return e, json.Unmarshal(v, &e) },
 			Wave:   func(v []byte) (w site.Wave, err error) { return w, json.Unmarshal(v, &w) },
--- a/internal/coordinator/soak_test.go
+++ b/internal/coordinator/soak_test.go
@@ -45,7 +45,13 @@
 // Guards against the same, and against orders of a coordinator that is cut off from the store while
 // its successor works. Several such cuts overlap, and some heal before the old term has ended.
 func TestSoakWithCutCoordinators(t *testing.T) {
-	runSeeds(t, soakSeeds[:30], func(t *testing.T, seed uint64) { runSoakWithCuts(t, seed, cutShare) })
+	runSeeds(t, soakSeeds[:30], func(t *testing.T, seed uint64) { runSoakWithCuts(t, seed, cutShare, false) })
+}
+
+// Guards against the same while data centres are evacuated at random, and against starts that are ordered in
+// an evacuated data centre later than evacuateBound after its row was written.
+func TestSoakWithEvacuations(t *testing.T) {
+	runSeeds(t, soakSeeds[:30], func(t *testing.T, seed uint64) { runSoakWithCuts(t, seed, cutShare, true) })
 }
 
 // cutShare is the share of the steps of TestSoakWithCutCoordinators in which the coordinator is cut
@@ -77,15 +83,19 @@
 	soakSettleTime = 20 * time.Second
 )
 
-func runSoak(t *testing.T, seed uint64) { runSoakWithCuts(t, seed, 0) }
+func runSoak(t *testing.T, seed uint64) { runSoakWithCuts(t, seed, 0, false) }
 
 // runSoakWithCuts runs the soak of a seed. In a share of its steps the coordinator is cut off from
-// the store and replaced.
-func runSoakWithCuts(t *testing.T, seed uint64, cutShare float64) {
+// the store and replaced. With evacuations, data centres are evacuated for random times.
+func runSoakWithCuts(t *testing.T, seed uint64, cutShare float64, evacuations bool) {
 	r := &lockedRand{r: rand.New(rand.NewPCG(seed, 0))}
 	// The cuts have their own random numbers, so that the other faults of a seed are the same.
 	rc := rand.New(rand.NewPCG(seed, 1))
 	ts := newTestSite(t, soakMinions)
+	var operators *soakOperators
+	if evacuations {
+		operators = newSoakOperators(ts, rand.New(rand.NewPCG(seed, 2)))
+	}
 	ts.minions.Work = func(task string, run int) (time.Duration, jobs.End) {
 		d := time.Duration(50+len(task)*7+run%3*100) * time.Millisecond
 		if run%5 == 4 {
@@ -113,6 +123,9 @@
 		cut = &atomic.Bool{}
 		cuts = append(cuts, cut)
 		own := cuttable(cut)
+		if operators != nil {
+			operators.follow(name, func(op string) fleet.Fault { return cmp.Or(own(op), store(op)) })
+		}
 		return ts.startTerm(name, func(op string) fleet.Fault { return cmp.Or(own(op), store(op)) })
 	}
 	term := start("e0")
@@ -127,6 +140,9 @@
 			sleep(lease.TTL + 100*time.Millisecond)
 			term = start(entryName(i))
 		}
+		if operators != nil {
+			operators.step()
+		}
 		if rc.Float64() < healShare {
 			for _, c := range cuts {
 				c.Store(false)
@@ -156,6 +172,9 @@
 		}
 	}
 	noFaults.Store(true)
+	if operators != nil {
+		operators.endAll()
+	}
 	for _, old := range replaced {
 		require.Error(t, old.Wait(), "a replaced term ends")
 	}
@@ -164,6 +183,9 @@
 	}
 	select {
 	case <-term.Done():
+		if operators != nil {
+			operators.follow("last", nil)
+		}
 		term = ts.startTerm("last", nil)
 	default:
 	}
@@ -174,6 +196,9 @@
 	endTerm(term)
 	ts.requireNoViolations()
 	ts.requireRestartsExplained(soakSteps)
+	if operators != nil {
+		operators.requireBound()
+	}
 	require.Zero(t, invariant.Count(invariant.FencingToken))
 }
 
--- a/internal/peer/site_fuzz_test.go
+++ b/internal/peer/site_fuzz_test.go
@@ -5,12 +5,14 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"boragepulley/internal/model"
 )
 
 // Guards against messages between the entry VMs of a site that crash the decoder, and against accepting
 // messages without a sender.
 func FuzzDecodeSiteMessages(f *testing.F) {
-	msgs := []any{&CoordinatorHeartbeat{From: testSender}, &JobOffer{From: testSender, Row: json.RawMessage("{}")}, &JobRequest{From: testSender, Job: "00000000000000aa"},
+	msgs := []any{&CoordinatorHeartbeat{From: testSender}, &CoordinatorHeartbeat{From: testSender, OperatorVersion: 7, Evacuated: []model.DataCentre{"a"}}, &JobOffer{From: testSender, Row: json.RawMessage("{}")}, &JobRequest{From: testSender, Job: "00000000000000aa"},
 		&SiteConfigGet{From: testSender}, &StoreCall{From: testSender, Commit: &StoreTxn{Puts: []StoreRow{{Key: "job/1", Value: []byte("{}")}}}}, &Ping{From: testSender}}
 	for _, m := range msgs {
 		b, err := json.Marshal(m)
