coordinator: evacuations are read again after a suspension

Cause: a process that is suspended for longer than its lease and continues its term, because no other took over, sent starts with the evacuations it knew before: the feed's call was broken and noticed only later.

Change: after a pause of the loop of more than 1 s the term reads the table op again and sends no start meanwhile; if the read fails, starts continue. A start that was withheld immediately before sending goes back to the pending orders, which withdraw it if its data centre is evacuated.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -153,6 +153,10 @@
 	waves     waves
 	machines  machines
 	releasing bool
+	// lastLoop is when the term's loop last ran, rereading is set while the operators' table is read again
+	// after the process was suspended.
+	lastLoop  time.Duration
+	rereading atomic.Bool
 	// evacuations is the state that the term has last acted on.
 	evacuations *evacuation.State
 	// pollGap is the pause between two polls of a minion, see pollGapFor.
@@ -220,6 +224,7 @@
 	}
 	t.inheritedLog = logging.NewLimiter(200, 500)
 	t.now = d.Now()
+	t.lastLoop = t.now
 	t.startedAt, t.leaseUntil, t.leaseVersion = t.now, held.ExpiresAt, held.Version
 	t.orders = fencing.NewSender(d.Fleet, d.Self.Entry, t.epoch, d.Now)
 	t.writer.init()
@@ -349,6 +354,7 @@
 // runDueWork does all work that is due and returns how long to wait for the next event.
 func (t *Term) runDueWork() time.Duration {
 	t.now = t.deps.Now()
+	t.noticeSuspension()
 	t.updateOrderDeadline()
 	if t.endIfStale() {
 		return tick
--- a/internal/coordinator/evacuations.go
+++ b/internal/coordinator/evacuations.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -15,8 +16,16 @@
 // reasonEvacuated is the reason for withdrawing a start from a minion of an evacuated data centre.
 const reasonEvacuated model.Reason = "evacuated"
 
-// errEvacuated is the error of a start that was not sent because of an evacuation.
-var errEvacuated = errors.Wrap(site.ErrNotSent, "coordinator: data centre is evacuated")
+// errWithheld is the error of a start that was not sent because mayStartIn did not allow it.
+var errWithheld = errors.Wrap(site.ErrNotSent, "coordinator: no start may be sent to the data centre")
+
+const (
+	// suspendedAfter is the pause of the term's loop from which the process counts as having been
+	// suspended. The loop runs at least every 40 ms, and a long scheduling run takes 0.2 s.
+	suspendedAfter = time.Second
+	// operatorReadTimeout bounds the read of the operators' table after that.
+	operatorReadTimeout = 900 * time.Millisecond
+)
 
 // knownEvacuations returns the operators' evacuations, or nil. It is safe for concurrent use.
 func (t *Term) knownEvacuations() *evacuation.State {
@@ -36,14 +45,34 @@
 // evacuated reports whether a data centre is evacuated.
 func (t *Term) evacuated(dc model.DataCentre) bool { return t.knownEvacuations().Evacuated(dc) }
 
-// mayStartIn reports whether starts may be sent to a data centre: it is not evacuated, and the
-// operators' table has been read. It is safe for concurrent use.
+// mayStartIn reports whether starts may be sent to a data centre: it is not evacuated, the operators'
+// table has been read, and is not being read again. It is safe for concurrent use.
 func (t *Term) mayStartIn(dc model.DataCentre) bool {
 	if t.deps.Evacuations == nil {
 		return true
 	}
 	s := t.deps.Evacuations()
-	return s != nil && !s.Evacuated(dc)
+	return s != nil && !s.Evacuated(dc) && !t.rereading.Load()
+}
+
+// noticeSuspension reads the operators' table again after the process was suspended: the call that
+// would have told of a change may be broken, which takes a while to be noticed. If the store does not
+// answer, starts continue, as in any outage of the store. It must run before the orders' deadline is
+// extended: that ends during a suspension which is long enough to matter, so until then none is sent.
+func (t *Term) noticeSuspension() {
+	paused := t.now - t.lastLoop
+	if t.deps.Evacuations != nil && paused > suspendedAfter && !t.rereading.Load() {
+		t.rereading.Store(true)
+		t.async(operatorReadTimeout, func(ctx context.Context) func() {
+			err := t.readEvacuations(ctx)
+			t.rereading.Store(false)
+			return func() {
+				t.log.Info().Err(err).Dur("paused", paused).Msg("Coordinator: evacuations read again after a pause of the process.")
+				t.needsPlan, t.ordersChanged = true, true
+			}
+		})
+	}
+	t.lastLoop = t.now
 }
 
 // readEvacuations reads the operators' table at the start of a term. What this process knew before
--- a/internal/coordinator/evacuations_test.go
+++ b/internal/coordinator/evacuations_test.go
@@ -485,3 +485,31 @@
 		})
 	}
 }
+
+// Guards against starts by a process that was suspended, with what it knew before: the call that would have
+// told it of an evacuation is broken.
+func TestEvacuationsAreReadAgainAfterASuspension(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newEvacuationSite(t)
+		d := s.deps("e1", &fleet.View{Store: s.store})
+		var suspended atomic.Int64
+		steady := d.Now
+		d.Now = func() time.Duration { return steady() + time.Duration(suspended.Load()) }
+		term := Start(d, s.acquire(d))
+		defer endTerm(term)
+		sleep(time.Second)
+		s.submitMany(term, 0, 60)
+		sleep(100 * time.Millisecond)
+		require.Positive(t, s.startsIn("a"))
+		var a int
+		require.NoError(t, term.do(t.Context(), func() {
+			suspended.Add(int64(5500 * time.Millisecond))
+			s.evacuate("a") // no feed tells of it
+			a = s.startsIn("a")
+		}))
+		sleep(10 * time.Second)
+		require.NoError(t, term.ctx.Err())
+		require.Equal(t, a, s.startsIn("a"))
+		s.requireCompleted(term, 0, 60)
+	})
+}
--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -146,7 +146,7 @@
 		clock, err = t.orders.StartIf(ctx, to, order, allowed)
 		at = t.deps.Now()
 		if errors.Is(err, site.ErrLeaseEnded) && !allowed() {
-			return errEvacuated
+			return errWithheld
 		}
 		return err
 	}, func(err error) { t.startAnswered(task, start, order.Run, clock, at, err) })
@@ -198,9 +198,9 @@
 		m.NextPoll = min(m.NextPoll, t.now+t.pollGap)
 		return
 	}
-	if errors.Is(err, errEvacuated) {
+	if errors.Is(err, errWithheld) {
 		start.tries-- // this attempt has not been sent
-		t.withdrawStart(task, start)
+		t.ordersChanged = true
 		return
 	}
 	t.startFailed(task, start, err)
@@ -313,7 +313,7 @@
 		unresponsive := start.minion.FailedPolls > 0
 		switch {
 		case start.inFlight:
-		case !t.mayStartIn(start.minion.DC):
+		case t.evacuated(start.minion.DC):
 			t.withdrawStart(task, start)
 		case t.now < start.nextSend:
 		case unresponsive && start.tries == 0:
@@ -328,6 +328,8 @@
 			counters.Add("starts_given_up", 1)
 			start.minion.AvoidUntil = t.now + givenUpAvoidance
 			t.stopRun(task, model.ReasonWorkerNotStarted)
+		case !t.mayStartIn(start.minion.DC):
+			// It is sent once the operators' table has been read again.
 		case start.tries > 0 || t.startRecorded(task, start, gangs):
 			t.sendStart(task, start)
 		}
