schedule: minions that are slow after their start come after others

Cause: an evacuation brings new machines into a pool, and cold_left_ms of their minions' entries was not read.

Entries without the field count as warm.

The effect under load is not measured.

--- a/internal/coordinator/evacuations_test.go
+++ b/internal/coordinator/evacuations_test.go
@@ -513,3 +513,27 @@
 		s.requireCompleted(term, 0, 60)
 	})
 }
+
+// Guards against tasks that are placed on a minion which is slow after its start while others have room, and
+// against a minion that counts as slow for ever, because its entry is written again and again.
+func TestColdMinionsComeLast(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ts := newTestSite(t, 2)
+		ts.minions.Change("m0", func(m *fleet.Minion) { m.Entry.ColdLeft = 3 * time.Second })
+		ts.list("m0")
+		term := ts.startTerm("e1", nil)
+		defer endTerm(term)
+		sleep(time.Second)
+		ts.submitJob(term, "0000000000000001", step(4))
+		sleep(700 * time.Millisecond)
+		require.Zero(t, strings.Count(ts.log.linesWith("Coordinator: start."), `"minion":"m0"`))
+		ts.submitJob(term, "0000000000000002", step(8))
+		sleep(700 * time.Millisecond)
+		require.Equal(t, 4, strings.Count(ts.log.linesWith("Coordinator: start."), `"minion":"m0"`), "no capacity stays idle")
+		ts.list("m0")
+		sleep(time.Second)
+		require.NoError(t, term.do(t.Context(), func() {
+			require.LessOrEqual(t, term.minions["m0"].ColdUntil, term.now)
+		}))
+	})
+}
--- a/internal/coordinator/minions.go
+++ b/internal/coordinator/minions.go
@@ -9,8 +9,12 @@
 	"boragepulley/internal/site"
 )
 
-// maxRemaining bounds the time that a leaving minion says it has left.
-const maxRemaining = 24 * time.Hour
+const (
+	// maxRemaining bounds the time that a leaving minion says it has left.
+	maxRemaining = 24 * time.Hour
+	// maxCold bounds the time for which a minion says it is slow after its start.
+	maxCold = time.Hour
+)
 
 // applyMinionEntry applies an entry of the platform's list of minions. An unreadable entry is
 // ignored; a nil value means that the entry was removed.
@@ -35,6 +39,7 @@
 	case m == nil:
 		m = holding.New(e, 0)
 		m.EmptySince, m.LeavesAt, m.IncarnationAt = t.now, t.now+min(e.Remaining, maxRemaining), t.now
+		t.setCold(m, e)
 		t.minions[e.ID] = m
 		// The removal of the minion's row may still be due. It would follow the new record.
 		delete(t.writer.goneMinions, e.ID)
@@ -52,6 +57,9 @@
 		if m.Incarnation != 0 && e.Incarnation > m.Incarnation {
 			t.minionRestarted(m, e.Incarnation)
 		}
+		if e.ColdLeft != m.ColdLeft || e.Incarnation != m.ColdOf {
+			t.setCold(m, e) // an entry that is written again unchanged does not extend it
+		}
 		incarnation := m.Incarnation
 		if incarnation == 0 {
 			m.IncarnationAt = t.now
@@ -63,6 +71,11 @@
 	t.needsPlan = true
 }
 
+// setCold records how long a minion is slow after its start, by its entry.
+func (t *Term) setCold(m *holding.Minion, e site.MinionEntry) {
+	m.ColdUntil, m.ColdOf = t.now+min(e.ColdLeft, maxCold), e.Incarnation
+}
+
 // endedByOrder reports whether an entry is of a minion that an order for its machine has ended, and not
 // of a later incarnation under the same id.
 func (t *Term) endedByOrder(e site.MinionEntry) bool {
--- a/internal/coordinator/plan.go
+++ b/internal/coordinator/plan.go
@@ -178,7 +178,7 @@
 func minionSnapshot(m *holding.Minion, now time.Duration) schedule.Minion {
 	k := &m.Kinds
 	return schedule.Minion{ID: m.ID, Service: m.Service, Kind: m.Kind, Rack: m.Rack, Free: m.Capacity.Sub(m.Used).Sub(m.Orphaned), Capacity: m.Capacity,
-		Suspect: now < m.AvoidUntil, Rejecting: now < m.AvoidUntil && m.RejectedStarts >= rejectingAfter, Draining: m.Draining, TasksPerStep: maps.Clone(k.PerStep),
+		Suspect: now < m.AvoidUntil, Rejecting: now < m.AvoidUntil && m.RejectedStarts >= rejectingAfter, Draining: m.Draining, Cold: now < m.ColdUntil, TasksPerStep: maps.Clone(k.PerStep),
 		Serving: k.Serving, Scavengers: k.Scavengers, LongRunning: k.LongRunning, LongRunningUse: k.LongRunningUse}
 }
 
--- a/internal/holding/holding.go
+++ b/internal/holding/holding.go
@@ -89,6 +89,9 @@
 	Draining bool
 	// LeavesAt is when a minion that is leaving may be gone.
 	LeavesAt time.Duration
+	// ColdUntil is until when the minion is slow after its start, by the entry of incarnation ColdOf.
+	ColdUntil time.Duration
+	ColdOf    int64
 	// Ordered is set while an order that ends the minion may be carried out. OrderedUntil is until when one of
 	// an earlier coordinator may be; before that the minion gets no new work.
 	Ordered      bool
--- a/internal/schedule/choose_test.go
+++ b/internal/schedule/choose_test.go
@@ -22,6 +22,7 @@
 			func(m *Minion) bool { return m.Suspect },
 			func(m *Minion) bool { return sp.Scavenger && m.Serving > 0 || sp.TailTarget > 0 && m.Scavengers > 0 },
 			func(m *Minion) bool { return sp.DataRack != "" && sp.DataRack != string(m.Rack) },
+			func(m *Minion) bool { return m.Cold && !sp.LongRunning },
 		} {
 			if x, y := penalized(a), penalized(b); x != y {
 				return y
@@ -56,6 +57,7 @@
 			m := minion(jobs.Minion(fmt.Sprint(i)), rapid.Int64Range(1, 12).Draw(t, "cores"))
 			m.Free.CPU -= rapid.Int64Range(0, m.Free.CPU/1000).Draw(t, "used") * 1000
 			m.Suspect, m.MaintenanceDue = rapid.Bool().Draw(t, "suspect"), rapid.Bool().Draw(t, "maintenance due")
+			m.Cold = rapid.Bool().Draw(t, "cold")
 			m.Serving, m.Scavengers, m.LongRunning = rapid.IntRange(0, 1).Draw(t, "serving"), rapid.IntRange(0, 1).Draw(t, "scavenger"), rapid.IntRange(0, 4).Draw(t, "long-running")
 			m.Rack = model.Rack(rapid.SampledFrom([]string{"r1", "r2"}).Draw(t, "rack"))
 			m.TasksPerStep = map[*jobs.StepRun]int{}
--- a/internal/schedule/fit.go
+++ b/internal/schedule/fit.go
@@ -68,12 +68,13 @@
 
 // Penalties of a minion for a task, as bits: each outweighs all that follow.
 const (
-	penaltyRejecting = 1 << (7 - iota)
+	penaltyRejecting = 1 << (8 - iota)
 	penaltyDraining
 	penaltyFailedBefore
 	penaltySuspect
 	penaltyInterference
 	penaltyRemoteData
+	penaltyCold
 	penaltyMaintenanceDue
 	penaltyNotPacked
 )
@@ -97,6 +98,10 @@
 	if spec.DataRack != "" && spec.DataRack != string(m.Rack) {
 		sc.penalties |= penaltyRemoteData
 	}
+	// The first seconds of a long-running task matter little.
+	if m.Cold && !spec.LongRunning {
+		sc.penalties |= penaltyCold
+	}
 	// The fullest minion comes first, so that others become empty and their machines can move to
 	// other pools.
 	sc.freeShare = m.freeShare()
--- a/internal/schedule/types.go
+++ b/internal/schedule/types.go
@@ -70,6 +70,8 @@
 	// Rejecting minions have recently rejected several starts one after another; they are used only
 	// if no other can take the task.
 	Rejecting bool
+	// Cold minions are slow for a while after their start.
+	Cold bool
 	// MaintenanceDue is set if the minion's machine will be maintained soon: long-running tasks
 	// started on it would have to move again.
 	MaintenanceDue bool
--- a/internal/site/fleet.go
+++ b/internal/site/fleet.go
@@ -86,6 +86,8 @@
 	// until it stops.
 	Leaving   bool
 	Remaining time.Duration
+	// ColdLeft is how much longer the minion is slow after its start, as of when the entry was written.
+	ColdLeft time.Duration
 	// Incarnation distinguishes restarts under the same id: the start time in milliseconds since 1970.
 	Incarnation int64
 }
