coordinator: hand over when its own path to the store is bad

Cause: a coordinator that was cut from the store for 12 s kept its lease through peers; its writes took 330 to 1,450 ms, starts on new minions waited for them, and the start rate fell to a tenth.

Change: the decision in internal/succession; the coordinator measures its writes and whether they needed a relay (relay.WithRoute), asks the other entry VMs in its heartbeats to read the store only while its path is bad, and Term.HandOver releases the lease to the one with the fastest reads. The orders stop for at most 1.5 s; after a last write without effect the term goes on (fencing.Sender.Reopen). ShouldYield and chooseSuccessor take the paths into account.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -76,6 +76,9 @@
 	// the lease, its process has ended, or it depended on the promise of this entry VM not to
 	// acquire the lease, which has expired.
 	PredecessorStopped bool
+	// LastHandover is when a coordinator last handed over because of its path to the store, as known to this
+	// process, in nanoseconds on the clock of Now; 0 if never. Nil means that the term keeps it itself.
+	LastHandover *atomic.Int64
 	// Now reads a monotonic clock that includes the time during which the machine was suspended.
 	Now  func() time.Duration
 	Log  zerolog.Logger
@@ -143,10 +146,13 @@
 	writer    storeWriter
 	compactor rowCompactor
 	members   members
+	path      storePath
 	feeds     feeds
 	waves     waves
 	machines  machines
 	releasing bool
+	// releaseMu is held by the one call that releases the lease or hands it over.
+	releaseMu sync.Mutex
 	// pollGap is the pause between two polls of a minion, see pollGapFor.
 	pollGap time.Duration
 	// runLease is the duration of the leases that minions are granted for their runs.
@@ -215,6 +221,7 @@
 	t.startedAt, t.leaseUntil, t.leaseVersion = t.now, held.ExpiresAt, held.Version
 	t.orders = fencing.NewSender(d.Fleet, d.Self.Entry, t.epoch, d.Now)
 	t.writer.init()
+	t.path.init(&t.deps)
 	t.compactor.init()
 	t.members.init()
 	t.waves.init()
@@ -347,6 +354,7 @@
 	}
 	t.updateMembers()
 	t.writeIfDue()
+	t.checkPath()
 	if !t.loaded {
 		return tick
 	}
--- a/internal/coordinator/handover.go
+++ b/internal/coordinator/handover.go
@@ -13,6 +13,7 @@
 	"boragepulley/internal/model"
 	"boragepulley/internal/peer"
 	"boragepulley/internal/platform"
+	"boragepulley/internal/succession"
 )
 
 const (
@@ -31,16 +32,10 @@
 // silent minions end, releases the site's lease and announces a successor.
 func (t *Term) Release(ctx context.Context) error {
 	defer t.End(ErrNotCoordinating)
+	t.releaseMu.Lock()
+	defer t.releaseMu.Unlock()
 	var renewals *sync.WaitGroup
-	if err := t.do(ctx, func() {
-		renewals = t.renewAllLeases()
-		t.releasing = true
-		for _, m := range t.minions {
-			if m.Recorded && m.FailedPolls > 0 {
-				t.writer.newMinions[m] = true
-			}
-		}
-	}); err != nil {
+	if err := t.do(ctx, func() { renewals = t.beginRelease() }); err != nil {
 		return err
 	}
 	renewals.Wait()
@@ -58,10 +53,23 @@
 	if err != nil {
 		return err
 	}
-	t.announceSuccessor(ctx)
+	t.announceSuccessor(ctx, "")
 	return nil
 }
 
+// beginRelease ends scheduling and writing, and renews the leases of all runs. The returned group is done
+// when the minions have answered or not answered in time.
+func (t *Term) beginRelease() *sync.WaitGroup {
+	renewals := t.renewAllLeases()
+	t.releasing = true
+	for _, m := range t.minions {
+		if m.Recorded && m.FailedPolls > 0 {
+			t.writer.newMinions[m] = true
+		}
+	}
+	return renewals
+}
+
 // flush waits for the write in progress and stores the remaining rows except the last batch, which
 // it returns to be written together with the release of the lease.
 func (t *Term) flush(ctx context.Context) ([]platform.Put, error) {
@@ -93,7 +101,7 @@
 }
 
 // chooseSuccessor returns the member that should coordinate next. Among the members that respond
-// it prefers the largest, then those in another data centre, which is not cut off together with
+// it prefers those with a good path to the store if that is known, the largest, then those in another data centre, which is not cut off together with
 // this one, and then the one that started last, because a rolling restart has already passed it.
 func (t *Term) chooseSuccessor() model.EntryVM {
 	var best model.EntryVM
@@ -102,7 +110,7 @@
 			continue
 		}
 		b := t.members.byName[best]
-		if b == nil || cmp.Or(cmp.Compare(m.row.Cores, b.row.Cores), -cmp.Compare(t.sameDC(m), t.sameDC(b)), cmp.Compare(m.firstSeen, b.firstSeen), cmp.Compare(best, name)) > 0 {
+		if b == nil || cmp.Or(cmp.Compare(t.pathRank(m), t.pathRank(b)), cmp.Compare(m.row.Cores, b.row.Cores), -cmp.Compare(t.sameDC(m), t.sameDC(b)), cmp.Compare(m.firstSeen, b.firstSeen), cmp.Compare(best, name)) > 0 {
 			best = name
 		}
 	}
@@ -127,22 +135,23 @@
 	larger := false
 	if err := t.do(ctx, func() {
 		m := t.members.byName[t.chooseSuccessor()]
-		larger = !t.releasing && t.now > t.startedAt+yieldAfter && m != nil && m.row.Cores > t.deps.Cores && t.now > m.firstSeen+yieldAfter
+		larger = !t.releasing && t.now > t.startedAt+yieldAfter && m != nil && m.row.Cores > t.deps.Cores && t.now > m.firstSeen+yieldAfter && succession.YieldAllowed(t.now, t.lastHandover(), m.reads)
 	}); err != nil {
 		return false
 	}
 	return larger
 }
 
-// announceSuccessor sends the name of the successor to the other entry VMs.
-func (t *Term) announceSuccessor(ctx context.Context) {
+// announceSuccessor sends the name of the successor to the other entry VMs. An empty name selects the
+// successor of chooseSuccessor.
+func (t *Term) announceSuccessor(ctx context.Context, successor model.EntryVM) {
 	msg := &peer.CoordinatorHeartbeat{From: t.deps.Self, Epoch: t.epoch, Addr: t.deps.Addr, Released: true, Lease: t.held.Version}
 	var clients []PeerClient
 	if err := t.do(ctx, func() {
 		for _, m := range t.members.byName {
 			clients = append(clients, m.client)
 		}
-		msg.Successor = t.chooseSuccessor()
+		msg.Successor, msg.HandoverAgeMS = cmp.Or(successor, t.chooseSuccessor()), t.handoverAge()
 	}); err != nil {
 		return
 	}
--- a/internal/coordinator/journal.go
+++ b/internal/coordinator/journal.go
@@ -12,6 +12,7 @@
 	"boragepulley/internal/jobs"
 	"boragepulley/internal/lease"
 	"boragepulley/internal/platform"
+	"boragepulley/internal/relay"
 )
 
 const (
@@ -104,7 +105,7 @@
 // writeIfDue sends the next write if one is due.
 func (t *Term) writeIfDue() {
 	w := &t.writer
-	if w.writing || t.now < w.notBefore || t.releasing {
+	if w.writing || t.now < w.notBefore || t.releasing || t.now < t.path.pausedUntil {
 		return
 	}
 	due := w.lastSent + renewInterval
@@ -403,15 +404,18 @@
 func (t *Term) sendWrite(b *batch) {
 	w := &t.writer
 	w.writing, w.lastSent = true, t.now
+	t.path.writeSent(t.now)
 	t.load.writes++
 	t.load.rows += len(b.puts)
 	t.run("write", func() {
 		// The write has no timeout of its own: the next write is conditional on the row version
 		// that this one leaves, so its outcome must be known unless the term ends.
-		err := t.held.Commit(t.ctx, b.puts)
+		ctx, route := relay.WithRoute(t.ctx)
+		err := t.held.Commit(ctx, b.puts)
 		until, version := t.held.ExpiresAt, t.held.Version
 		t.post(func() {
 			t.leaseVersion = version
+			t.observeWrite(err, route.Relayed())
 			t.writeFinished(b, err, until)
 		})
 	})
--- a/internal/coordinator/members.go
+++ b/internal/coordinator/members.go
@@ -66,6 +66,7 @@
 	shuttingDown bool
 	// sentVersion is the version of members.all that the member has received.
 	sentVersion int
+	memberPath
 }
 
 func (s *members) init() { s.byName = map[model.EntryVM]*memberState{} }
@@ -97,7 +98,7 @@
 		})
 	}
 	for name, m := range s.byName {
-		if !m.inFlight && t.now >= m.nextHeartbeat {
+		if !m.inFlight && t.now >= m.nextHeartbeat && !t.path.stopped {
 			t.sendHeartbeat(name, m)
 		}
 	}
@@ -143,6 +144,7 @@
 
 func (t *Term) sendHeartbeat(name model.EntryVM, m *memberState) {
 	msg := &peer.CoordinatorHeartbeat{From: t.deps.Self, Epoch: t.epoch, Addr: t.deps.Addr, Lease: t.leaseVersion, Successor: t.chooseSuccessor()}
+	msg.Probe, msg.HandoverAgeMS = t.probes(m), t.handoverAge()
 	version := t.members.version
 	if m.sentVersion != version {
 		msg.Members = t.members.all
@@ -170,5 +172,6 @@
 		t.End(errors.Wrapf(lease.ErrLost, "epoch %d is known to %s", r.Epoch, name))
 	default:
 		m.promisedAt, m.sentVersion, m.shuttingDown = sent, version, r.ShuttingDown
+		m.observeRead(r, sent)
 	}
 }
--- /dev/null
+++ b/internal/coordinator/succession.go
@@ -0,0 +1,290 @@
+package coordinator
+
+import (
+	"context"
+	"expvar"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"boragepulley/internal/logging"
+	"boragepulley/internal/peer"
+	"boragepulley/internal/platform"
+	"boragepulley/internal/succession"
+)
+
+const (
+	// pathCheckInterval is how often the path to the store is judged.
+	pathCheckInterval = 50 * time.Millisecond
+	// handoverTimeout bounds the time between the end of orders and the release of the lease. Writes through
+	// a peer took up to 1.45 s. The lease of a coordinator that is lost is free after 2 s and more, so that a
+	// failed release leaves the site without a coordinator for no longer.
+	handoverTimeout = 1500 * time.Millisecond
+	// writeWait bounds the wait for the write in progress, during which orders are still sent.
+	writeWait = 1500 * time.Millisecond
+	// writePause is for how long no write is begun after each check for the end of the one in progress.
+	writePause = 50 * time.Millisecond
+	// handoverRetryDelay is the pause after a handover that failed or was not begun. Each one that fails ends
+	// the calls to the minions.
+	handoverRetryDelay = 3 * time.Second
+)
+
+// storePathMS is the gauge "store_path_ms": the usual duration of the coordinator's writes.
+var storePathMS = new(expvar.Int)
+
+func init() { counters.Set("store_path_ms", storePathMS) }
+
+// storePath is the coordinator's own path to the store, as its writes show it.
+type storePath struct {
+	writes []succession.Write // newest first
+	// trying is since when a write has been tried; 0 if none is. A write that had no effect and those that
+	// follow it count as one.
+	trying    time.Duration
+	badSince  time.Duration
+	reason    succession.Reason
+	probe     bool
+	nextCheck time.Duration
+	// pausedUntil is until when no write is begun, because a handover waits for the one in progress.
+	pausedUntil time.Duration
+	// stopped is set while the role is being handed over. No heartbeats are sent then: if the handover fails,
+	// the others notice the silence as early as that of a lost coordinator.
+	stopped bool
+	// finalBatch is the last write of a handover.
+	finalBatch *batch
+	// notBefore is the earliest time of the next handover.
+	notBefore time.Duration
+	// due is set while a handover is due.
+	due atomic.Bool
+	log *logging.Limiter
+}
+
+func (p *storePath) init(d *Deps) {
+	if d.LastHandover == nil {
+		d.LastHandover = new(atomic.Int64)
+	}
+	p.reason, p.log = succession.Healthy, logging.NewLimiter(0.5, 10)
+}
+
+func (p *storePath) writeSent(now time.Duration) {
+	if p.trying == 0 {
+		p.trying = now
+	}
+}
+
+// observeWrite records the end of a write.
+func (t *Term) observeWrite(err error, relayed bool) {
+	p := &t.path
+	if noEffect(err) {
+		return // it will be repeated
+	}
+	p.writes = succession.AddWrite(p.writes, succession.Write{At: t.now, Took: t.now - p.trying, Relayed: relayed})
+	p.trying = 0
+}
+
+// noEffect reports whether a write failed because the store could not be reached, and certainly had no
+// effect.
+func noEffect(err error) bool {
+	return errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrRateLimited)
+}
+
+// memberPath is the path of a member to the store, as it reports it.
+type memberPath struct {
+	// reads are the last reads in a row that succeeded, newest first.
+	reads []succession.Read
+}
+
+// observeRead records the read in the answer to a heartbeat. It is counted as older than it is by the time
+// that the heartbeat took to arrive.
+func (m *memberPath) observeRead(r *peer.CoordinatorHeartbeatReply, sent time.Duration) {
+	switch {
+	case r.StoreAgeMS <= 0:
+	case !r.StoreOK:
+		m.reads = nil
+	default:
+		m.reads = succession.AddRead(m.reads, succession.Read{Number: r.StoreRead,
+			At: sent - time.Duration(r.StoreAgeMS)*time.Millisecond, Took: time.Duration(r.StoreMS) * time.Millisecond})
+	}
+}
+
+// pathRank returns 1 for a member whose path to the store is known to be good and 0 for others.
+func (t *Term) pathRank(m *memberState) int {
+	if succession.GoodPath(m.reads, t.now) {
+		return 1
+	}
+	return 0
+}
+
+func (t *Term) lastHandover() time.Duration { return time.Duration(t.deps.LastHandover.Load()) }
+
+// handoverAge returns the age of the last handover for a heartbeat.
+func (t *Term) handoverAge() int64 {
+	last := t.lastHandover()
+	if last == 0 {
+		return 0
+	}
+	return max(1, (t.now - last).Milliseconds())
+}
+
+// probes reports whether a member is to read the store.
+func (t *Term) probes(m *memberState) bool {
+	return t.path.probe || m.row.Cores > t.deps.Cores && succession.ProbeForYield(t.now, t.lastHandover())
+}
+
+// checkPath judges the path to the store if that is due.
+func (t *Term) checkPath() {
+	p := &t.path
+	if t.releasing || t.now < p.nextCheck {
+		return
+	}
+	p.nextCheck = t.now + pathCheckInterval
+	d := t.decideHandover()
+	p.badSince, p.probe = d.BadSince, d.Probe
+	p.due.Store(d.To != "")
+	storePathMS.Set(d.OwnWrite.Milliseconds())
+	if d.Reason == p.reason {
+		return
+	}
+	p.reason = d.Reason
+	if suppressed, ok := p.log.Allow(); ok {
+		t.log.Info().Str("reason", string(d.Reason)).Dur("write", d.OwnWrite).Float64("relay_share", d.RelayShare).Str("candidate", string(d.To)).
+			Dur("candidate_read", d.CandidateRead).Int("members", len(t.members.byName)).Int64("suppressed", suppressed).Msg("Coordinator: path to the store judged.")
+	}
+}
+
+func (t *Term) decideHandover() succession.Decision {
+	p := &t.path
+	s := succession.State{Now: t.now, StartedAt: t.startedAt, LastHandover: t.lastHandover(), Loaded: t.loaded, Cores: t.deps.Cores,
+		Writes: p.writes, WriteInProgress: p.trying, BadSince: p.badSince}
+	if p.badSince != 0 && t.now >= p.notBefore {
+		for name, m := range t.members.byName {
+			s.Candidates = append(s.Candidates, succession.Candidate{Name: name, OtherDC: m.row.DC != t.deps.Self.DC, Cores: m.row.Cores,
+				AnsweredAt: m.promisedAt, ShuttingDown: m.shuttingDown, Reads: slices.Clone(m.reads)})
+		}
+	}
+	return succession.Decide(s)
+}
+
+// HandoverDue reports whether HandOver should be called.
+func (t *Term) HandoverDue() bool { return t.path.due.Load() }
+
+// HandOver hands the role over to an entry VM with a better path to the store, if that is still due. Orders
+// are sent until the write in progress has ended. Then they stop, and one last write stores what fits into
+// it and releases the lease; ends of runs that it does not contain are not acknowledged, so that minions
+// report them to the successor. If the last write certainly had no effect, the term goes on. If its outcome
+// is not known after handoverTimeout, the term ends.
+func (t *Term) HandOver(ctx context.Context) (handedOver bool, err error) {
+	t.releaseMu.Lock()
+	defer t.releaseMu.Unlock()
+	h, err := t.beginHandover(ctx)
+	if err != nil || h.decision.To == "" {
+		return false, err
+	}
+	err = t.releaseUnhealthy(ctx, h)
+	switch {
+	case err == nil:
+		counters.Add("handovers_health", 1)
+		t.deps.LastHandover.Store(int64(t.deps.Now()))
+		t.announceSuccessor(ctx, h.decision.To)
+		t.End(ErrNotCoordinating)
+		return true, nil
+	case noEffect(err), errors.Is(err, platform.ErrRejected):
+		counters.Add("handovers_failed", 1)
+		return false, errors.Wrap(t.resume(ctx, err), "coordinator: handover")
+	}
+	counters.Add("handovers_failed", 1)
+	t.End(err)
+	return false, errors.Wrap(err, "coordinator: handover")
+}
+
+// handover is one that has begun.
+type handover struct {
+	decision succession.Decision
+	renewals *sync.WaitGroup
+	waiting  bool
+}
+
+// beginHandover waits for the end of the write in progress and ends scheduling and writing. The result names
+// no successor if the handover is not due any more or the write does not end.
+func (t *Term) beginHandover(ctx context.Context) (handover, error) {
+	giveUp := t.deps.Now() + writeWait
+	for {
+		h, err := ask(ctx, t, func() handover { return t.tryBeginHandover(giveUp) })
+		if err != nil || !h.waiting {
+			return h, err
+		}
+		time.Sleep(writePollInterval)
+	}
+}
+
+func (t *Term) tryBeginHandover(giveUp time.Duration) handover {
+	p := &t.path
+	switch {
+	case t.releasing || !p.due.Load():
+		return handover{}
+	case t.writer.writing && t.now < giveUp:
+		p.pausedUntil = t.now + writePause
+		return handover{waiting: true}
+	case t.writer.writing:
+		t.log.Info().Dur("writing", t.now-t.writer.lastSent).Msg("Coordinator: no handover, a write is in progress.")
+		t.handoverFailed()
+		return handover{}
+	}
+	p.pausedUntil = 0
+	d := t.decideHandover()
+	if d.To == "" {
+		p.due.Store(false)
+		return handover{}
+	}
+	t.log.Warn().Dur("write", d.OwnWrite).Float64("relay_share", d.RelayShare).Dur("bad_for", t.now-d.BadSince).Str("candidate", string(d.To)).
+		Dur("candidate_read", d.CandidateRead).Dur("lease_left", t.leaseUntil-t.now).Msg("Coordinator: handing over, its path to the store is bad.")
+	p.stopped = true
+	return handover{decision: d, renewals: t.beginRelease()}
+}
+
+// handoverFailed delays the next handover.
+func (t *Term) handoverFailed() {
+	p := &t.path
+	p.pausedUntil, p.stopped = 0, false
+	p.notBefore = t.now + handoverRetryDelay
+	p.due.Store(false)
+}
+
+// releaseUnhealthy ends the orders in progress and makes the last write.
+func (t *Term) releaseUnhealthy(ctx context.Context, h handover) error {
+	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
+	defer cancel()
+	h.renewals.Wait()
+	t.orders.Close()
+	puts, err := ask(ctx, t, func() []platform.Put {
+		t.path.finalBatch = t.collectBatch()
+		return t.path.finalBatch.puts
+	})
+	if err != nil {
+		return err
+	}
+	err = t.held.ReleaseUnhealthy(ctx, puts)
+	if errors.Is(err, platform.ErrRejected) && len(puts) > 0 {
+		t.log.Warn().Err(err).Int("rows", len(puts)).Msg("Coordinator: the store refused the final write; releasing without it.")
+		err = t.held.ReleaseUnhealthy(ctx, nil)
+	}
+	return err
+}
+
+// resume continues the term after a last write without effect. It returns cause.
+func (t *Term) resume(ctx context.Context, cause error) error {
+	err := t.do(ctx, func() {
+		t.log.Warn().Err(cause).Dur("lease_left", t.leaseUntil-t.now).Msg("Coordinator: the last write had no effect; the term goes on.")
+		t.path.finalBatch.failed()
+		t.handoverFailed()
+		t.releasing = false
+		t.orders.Reopen()
+		t.writer.urgent, t.needsPlan, t.ordersChanged = true, true, true
+	})
+	if err != nil {
+		t.End(err)
+	}
+	return cause
+}
--- a/internal/entry/elect.go
+++ b/internal/entry/elect.go
@@ -44,6 +44,8 @@
 	changedAt time.Duration
 	// nextRead is when the row is read again.
 	nextRead time.Duration
+	// notBefore is until when this node leaves the lease to others, see handoverHoldOff.
+	notBefore time.Duration
 }
 
 // elect registers the node, acquires the lease when it is free, and runs the resulting terms.
@@ -58,13 +60,20 @@
 			select {
 			case <-t.Done():
 				n.endTerm(t)
-				seen = observedLease{}
+				seen = observedLease{notBefore: seen.notBefore}
 			default:
-				n.yield(t)
+				if t.HandoverDue() {
+					n.handOver(t, &seen)
+				} else {
+					n.yield(t)
+				}
 			}
 			continue
 		}
 		now := n.deps.Now()
+		if now < seen.notBefore && !n.namedOnRelease() {
+			continue
+		}
 		named, designated := n.namedOnRelease(), n.designatedSuccessor()
 		if n.stopping.Load() || !named && (!designated && !n.coordinatorSilent(now) || now < seen.nextRead) {
 			continue
@@ -216,6 +225,9 @@
 			seen.changedAt = min(requestedAt, view.lastHeartbeat)
 		}
 		n.recordHolder(held)
+		if held.Unhealthy && held.Holder == "" {
+			n.recordHandoverAt(requestedAt)
+		}
 	}
 	if n.leaseFree(seen) {
 		n.acquireLease(seen, named)
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -62,6 +62,11 @@
 	synced, stopping atomic.Bool
 	// outageSince is since when the store does not answer, on the node's clock; 0 while it does.
 	outageSince atomic.Int64
+	// lastHandover is when a coordinator last handed over because of its path to the store, as known to
+	// this process, on the node's clock; 0 if never.
+	lastHandover atomic.Int64
+	// probe reads the store directly while the coordinator asks for it.
+	probe storeProbe
 
 	mu    sync.Mutex
 	peers map[string]peer.SiteHandler // guarded by mu; by address
@@ -193,9 +198,10 @@
 			}
 			return nil
 		},
-		SetMembers: func(m map[model.EntryVM]peer.Member) { n.members.Store(&m) },
-		Dial:       func(name model.EntryVM, addr string) coordinator.PeerClient { return n.dial(name, addr) },
-		Now:        n.deps.Now, Log: logging.Part(n.deps.Log, "coordinator"), Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		SetMembers:   func(m map[model.EntryVM]peer.Member) { n.members.Store(&m) },
+		Dial:         func(name model.EntryVM, addr string) coordinator.PeerClient { return n.dial(name, addr) },
+		LastHandover: &n.lastHandover,
+		Now:          n.deps.Now, Log: logging.Part(n.deps.Log, "coordinator"), Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 }
 
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -43,6 +43,10 @@
 			break
 		}
 	}
+	n.recordHandover(m)
+	if m.Probe {
+		n.reportStorePath(reply)
+	}
 	ownVersion := uint64(0)
 	if c := n.config.Load(); c != nil {
 		ownVersion = c.Version
--- a/internal/fencing/fencing.go
+++ b/internal/fencing/fencing.go
@@ -38,8 +38,13 @@
 	// now reads a monotonic clock that includes the time during which the machine was suspended.
 	now      func() time.Duration
 	deadline atomic.Int64 // on the clock of now
-	ctx      context.Context
-	stop     context.CancelFunc
+	gate     atomic.Pointer[gate]
+}
+
+// gate ends the calls that were made while it was in force.
+type gate struct {
+	ctx  context.Context
+	stop context.CancelFunc
 }
 
 var _ site.OrderLease = (*Sender)(nil)
@@ -47,19 +52,25 @@
 // NewSender returns a sender whose deadline has passed.
 func NewSender(f Fleet, holder model.EntryVM, token uint64, now func() time.Duration) *Sender {
 	s := &Sender{fleet: f, holder: holder, token: token, now: now}
-	s.ctx, s.stop = context.WithCancel(context.Background())
+	s.Reopen()
 	return s
 }
 
 // SetDeadline sets until when orders may be sent.
 func (s *Sender) SetDeadline(until time.Duration) { s.deadline.Store(int64(until)) }
 
-// Close ends the calls in progress and rejects all further orders.
-func (s *Sender) Close() { s.stop() }
+// Close ends the calls in progress and rejects all further orders until Reopen.
+func (s *Sender) Close() { s.gate.Load().stop() }
+
+// Reopen accepts orders again after Close. Calls that Close ended stay ended.
+func (s *Sender) Reopen() {
+	ctx, stop := context.WithCancel(context.Background())
+	s.gate.Store(&gate{ctx, stop})
+}
 
 // Remaining implements site.OrderLease.
 func (s *Sender) Remaining() time.Duration {
-	if s.ctx.Err() != nil {
+	if s.gate.Load().ctx.Err() != nil {
 		return 0
 	}
 	return max(0, time.Duration(s.deadline.Load())-s.now())
@@ -67,14 +78,14 @@
 
 // send passes an order on if the deadline allows it, and bounds the call by the deadline.
 func (s *Sender) send(ctx context.Context, call func(ctx context.Context) error) error {
-	remaining := s.Remaining()
+	gate, remaining := s.gate.Load(), s.Remaining()
 	if remaining == 0 {
 		counters.Add("held_back", 1)
 		return errors.WithStack(site.ErrLeaseEnded)
 	}
 	ctx, cancel := context.WithTimeout(ctx, remaining)
 	defer cancel()
-	defer context.AfterFunc(s.ctx, cancel)()
+	defer context.AfterFunc(gate.ctx, cancel)()
 	err := call(ctx)
 	switch {
 	case errors.Is(err, site.ErrLeaseEnded):
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -37,6 +37,8 @@
 	Epoch uint64 `json:"e"`
 	// Seq increases with each write of a holder.
 	Seq uint64 `json:"n"`
+	// Unhealthy is set in a released lease if the holder released it because of its path to the store.
+	Unhealthy bool `json:"u,omitempty"`
 }
 
 // Decode decodes the row of the lease. A row that does not exist decodes to a lease without a holder.
@@ -103,10 +105,24 @@
 }
 
 // Release writes the last puts and releases the lease, so that another entry VM can acquire it
-// immediately.
+// immediately. After an error without effect the lease is still held.
 func (h *Held) Release(ctx context.Context, puts []platform.Put) error {
-	h.Row.Holder, h.Row.Addr = "", ""
-	return h.Commit(ctx, puts)
+	return h.release(ctx, puts, false)
+}
+
+// ReleaseUnhealthy is Release by a holder whose path to the store is bad.
+func (h *Held) ReleaseUnhealthy(ctx context.Context, puts []platform.Put) error {
+	return h.release(ctx, puts, true)
+}
+
+func (h *Held) release(ctx context.Context, puts []platform.Put, unhealthy bool) error {
+	before := h.Row
+	h.Row.Holder, h.Row.Addr, h.Row.Unhealthy = "", "", unhealthy
+	err := h.Commit(ctx, puts)
+	if err != nil {
+		h.Row = before
+	}
+	return err
 }
 
 // WithTable returns a copy of the lease that writes through t.
--- a/internal/peer/site.go
+++ b/internal/peer/site.go
@@ -47,6 +47,11 @@
 	Lease uint64 `json:"lease"`
 	// Members are all entry VMs; empty if unchanged since the coordinator sent them last.
 	Members map[model.EntryVM]Member `json:"members,omitempty"`
+	// Probe is set if the receiver is to read the lease's row directly from the store and report it.
+	Probe bool `json:"probe,omitempty"`
+	// HandoverAgeMS is how long ago a coordinator handed over because of its path to the store, in
+	// milliseconds and at least 1; 0 if the sender knows of none.
+	HandoverAgeMS int64 `json:"handover_age_ms,omitempty"`
 }
 
 // Member describes one entry VM.
@@ -70,6 +75,15 @@
 	Config uint64 `json:"config"`
 	// ShuttingDown is set while the receiver shuts down; it must not become coordinator.
 	ShuttingDown bool `json:"leaving,omitempty"`
+	// StoreMS is how long the last direct read of the store that succeeded took, StoreAgeMS how long ago it
+	// ended. StoreAgeMS is at least 1 if there was one since the first probe. StoreOK is set if no read has
+	// failed after it.
+	StoreMS    int64 `json:"store_ms,omitempty"`
+	StoreAgeMS int64 `json:"store_age_ms,omitempty"`
+	StoreOK    bool  `json:"store_ok,omitempty"`
+	// StoreRead is the number of that read among all direct reads of the receiver's process. Ages do not
+	// tell reads apart, because heartbeats take different times to arrive.
+	StoreRead uint64 `json:"store_read,omitempty"`
 }
 
 // JobOffer informs the coordinator of an accepted job whose row is stored.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -12,6 +12,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -75,9 +76,26 @@
 	return errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrRateLimited)
 }
 
+// Route tells how the store calls of one operation were made.
+type Route struct{ relayed atomic.Bool }
+
+// Relayed reports whether a direct call failed without effect, so that a relay was needed.
+func (r *Route) Relayed() bool { return r.relayed.Load() }
+
+type routeKey struct{}
+
+// WithRoute returns a context whose store calls are recorded in the returned Route.
+func WithRoute(ctx context.Context) (context.Context, *Route) {
+	r := &Route{}
+	return context.WithValue(ctx, routeKey{}, r), r
+}
+
 // callPeer makes a call through a peer. ok is false if no peer could make it either; the caller
 // then returns the error of the direct call.
 func (s *Store) callPeer(ctx context.Context, m *peer.StoreCall) (a *peer.StoreReply, ok bool, err error) {
+	if r, ok := ctx.Value(routeKey{}).(*Route); ok {
+		r.relayed.Store(true)
+	}
 	m.From = s.Self
 	peers := s.Peers()
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
--- a/internal/succession/succession.go
+++ b/internal/succession/succession.go
@@ -22,10 +22,11 @@
 	BadStorePath Reason = "bad_store_path"
 )
 
-// Write is one write of the coordinator to the store.
+// Write is one write of the coordinator to the store that ended at At.
 type Write struct {
-	At      time.Duration
-	Took    time.Duration
+	At   time.Duration
+	Took time.Duration
+	// Relayed is set if the direct call failed, so that the write needed a relay.
 	Relayed bool
 }
 
@@ -37,15 +38,17 @@
 	Cores        float64
 	AnsweredAt   time.Duration
 	ShuttingDown bool
-	// Reads are the last direct reads of the store that the candidate reported, newest first; a failed one
-	// ends the list.
+	// Reads are the last direct reads of the store that the candidate reported, newest first; one that failed
+	// or was not reported ends the list.
 	Reads []Read
 }
 
-// Read is a direct read of the store.
+// Read is a direct read of the store that ended at At.
 type Read struct {
-	At   time.Duration
-	Took time.Duration
+	// Number counts the reads of the entry VM's process, including those that failed.
+	Number uint64
+	At     time.Duration
+	Took   time.Duration
 }
 
 // State is the input of a decision.
@@ -69,4 +72,11 @@
 	To       model.EntryVM
 	Reason   Reason
 	BadSince time.Duration
+	// Probe is set if the candidates are to read the store, so that a later decision has their reads.
+	Probe bool
+	// OwnWrite is the coordinator's usual write and RelayShare the share of its recent writes that needed a
+	// relay; CandidateRead is the slower of the two last reads of To.
+	OwnWrite      time.Duration
+	RelayShare    float64
+	CandidateRead time.Duration
 }
