--- a/internal/coordinator/members.go
+++ b/internal/coordinator/members.go
@@ -173,5 +173,6 @@
 	default:
 		m.promisedAt, m.sentVersion, m.shuttingDown = sent, version, r.ShuttingDown
 		m.observeRead(r, sent)
+		t.observeHandover(r, sent)
 	}
 }
--- a/internal/coordinator/succession.go
+++ b/internal/coordinator/succession.go
@@ -23,12 +23,9 @@
 	// a peer took up to 1.45 s. The lease of a coordinator that is lost is free after 2 s and more, so that a
 	// failed release leaves the site without a coordinator for no longer.
 	handoverTimeout = 1500 * time.Millisecond
-	// writeWait bounds the wait for the write in progress, during which orders are still sent.
-	writeWait = 1500 * time.Millisecond
 	// writePause is for how long no write is begun after each check for the end of the one in progress.
 	writePause = 50 * time.Millisecond
-	// handoverRetryDelay is the pause after a handover that failed or was not begun. Each one that fails ends
-	// the calls to the minions.
+	// handoverRetryDelay is the pause after a handover that failed. Each one ends the calls to the minions.
 	handoverRetryDelay = 3 * time.Second
 )
 
@@ -94,25 +91,39 @@
 type memberPath struct {
 	// reads are the last reads in a row that succeeded, newest first.
 	reads []succession.Read
+	// failed is set if the last reported read failed.
+	failed bool
 }
 
 // observeRead records the read in the answer to a heartbeat. It is counted as older than it is by the time
 // that the heartbeat took to arrive.
 func (m *memberPath) observeRead(r *peer.CoordinatorHeartbeatReply, sent time.Duration) {
 	switch {
-	case r.StoreAgeMS <= 0:
+	case r.StoreRead == 0:
 	case !r.StoreOK:
-		m.reads = nil
+		m.reads, m.failed = nil, true
 	default:
+		m.failed = false
 		m.reads = succession.AddRead(m.reads, succession.Read{Number: r.StoreRead,
 			At: sent - time.Duration(r.StoreAgeMS)*time.Millisecond, Took: time.Duration(r.StoreMS) * time.Millisecond})
 	}
 }
 
-// pathRank returns 1 for a member whose path to the store is known to be good and 0 for others.
+// observeHandover records the last handover that a member knows of.
+func (t *Term) observeHandover(r *peer.CoordinatorHeartbeatReply, sent time.Duration) {
+	if r.HandoverAgeMS > 0 {
+		succession.RecordHandover(t.deps.LastHandover, sent-time.Duration(r.HandoverAgeMS)*time.Millisecond)
+	}
+}
+
+// pathRank returns 1 for a member whose path to the store is known to be good, -1 for one whose last reported
+// read failed and 0 for others.
 func (t *Term) pathRank(m *memberState) int {
-	if succession.GoodPath(m.reads, t.now) {
+	switch {
+	case succession.GoodPath(m.reads, t.now):
 		return 1
+	case m.failed:
+		return -1
 	}
 	return 0
 }
@@ -120,13 +131,7 @@
 func (t *Term) lastHandover() time.Duration { return time.Duration(t.deps.LastHandover.Load()) }
 
 // handoverAge returns the age of the last handover for a heartbeat.
-func (t *Term) handoverAge() int64 {
-	last := t.lastHandover()
-	if last == 0 {
-		return 0
-	}
-	return max(1, (t.now - last).Milliseconds())
-}
+func (t *Term) handoverAge() int64 { return succession.HandoverAge(t.deps.LastHandover, t.now) }
 
 // probes reports whether a member is to read the store.
 func (t *Term) probes(m *memberState) bool {
@@ -157,8 +162,8 @@
 func (t *Term) decideHandover() succession.Decision {
 	p := &t.path
 	s := succession.State{Now: t.now, StartedAt: t.startedAt, LastHandover: t.lastHandover(), Loaded: t.loaded, Cores: t.deps.Cores,
-		Writes: p.writes, WriteInProgress: p.trying, BadSince: p.badSince}
-	if p.badSince != 0 && t.now >= p.notBefore {
+		Writes: p.writes, WriteInProgress: p.trying, BadSince: p.badSince, NotBefore: p.notBefore}
+	if p.badSince != 0 {
 		for name, m := range t.members.byName {
 			s.Candidates = append(s.Candidates, succession.Candidate{Name: name, OtherDC: m.row.DC != t.deps.Self.DC, Cores: m.row.Cores,
 				AnsweredAt: m.promisedAt, ShuttingDown: m.shuttingDown, Reads: slices.Clone(m.reads)})
@@ -167,6 +172,9 @@
 	return succession.Decide(s)
 }
 
+// MayOrder reports whether orders may be sent.
+func (t *Term) MayOrder() bool { return t.orders.Remaining() > 0 }
+
 // HandoverDue reports whether HandOver should be called.
 func (t *Term) HandoverDue() bool { return t.path.due.Load() }
 
@@ -174,29 +182,35 @@
 // are sent until the write in progress has ended. Then they stop, and one last write stores what fits into
 // it and releases the lease; ends of runs that it does not contain are not acknowledged, so that minions
 // report them to the successor. If the last write certainly had no effect, the term goes on. If its outcome
-// is not known after handoverTimeout, the term ends.
-func (t *Term) HandOver(ctx context.Context) (handedOver bool, err error) {
+// is not known after handoverTimeout, the term ends, and the lease is free or expires.
+func (t *Term) HandOver(ctx context.Context) error {
 	t.releaseMu.Lock()
 	defer t.releaseMu.Unlock()
 	h, err := t.beginHandover(ctx)
 	if err != nil || h.decision.To == "" {
-		return false, err
+		return err
 	}
+	goesOn := false
+	defer func() {
+		if !goesOn { // also after a panic, because nothing is written any more
+			t.End(ErrNotCoordinating)
+		}
+	}()
 	err = t.releaseUnhealthy(ctx, h)
-	switch {
-	case err == nil:
-		counters.Add("handovers_health", 1)
-		t.deps.LastHandover.Store(int64(t.deps.Now()))
-		t.announceSuccessor(ctx, h.decision.To)
-		t.End(ErrNotCoordinating)
-		return true, nil
-	case noEffect(err), errors.Is(err, platform.ErrRejected):
+	if noEffect(err) || errors.Is(err, platform.ErrRejected) {
+		counters.Add("handovers_failed", 1)
+		goesOn = t.resume(ctx, err) == nil
+		return errors.Wrap(err, "coordinator: handover")
+	}
+	succession.RecordHandover(t.deps.LastHandover, t.deps.Now())
+	if err != nil {
 		counters.Add("handovers_failed", 1)
-		return false, errors.Wrap(t.resume(ctx, err), "coordinator: handover")
+		t.End(err) // with its cause
+		return errors.Wrap(err, "coordinator: handover")
 	}
-	counters.Add("handovers_failed", 1)
-	t.End(err)
-	return false, errors.Wrap(err, "coordinator: handover")
+	counters.Add("handovers_health", 1)
+	t.announceSuccessor(ctx, h.decision.To)
+	return nil
 }
 
 // handover is one that has begun.
@@ -206,12 +220,12 @@
 	waiting  bool
 }
 
-// beginHandover waits for the end of the write in progress and ends scheduling and writing. The result names
-// no successor if the handover is not due any more or the write does not end.
+// beginHandover waits for the end of the write in progress, during which orders are still sent, and ends
+// scheduling and writing. The result names no successor if the handover is not due any more, as after some
+// seconds in which the candidates have not been probed.
 func (t *Term) beginHandover(ctx context.Context) (handover, error) {
-	giveUp := t.deps.Now() + writeWait
 	for {
-		h, err := ask(ctx, t, func() handover { return t.tryBeginHandover(giveUp) })
+		h, err := ask(ctx, t, t.tryBeginHandover)
 		if err != nil || !h.waiting {
 			return h, err
 		}
@@ -219,18 +233,14 @@
 	}
 }
 
-func (t *Term) tryBeginHandover(giveUp time.Duration) handover {
+func (t *Term) tryBeginHandover() handover {
 	p := &t.path
 	switch {
 	case t.releasing || !p.due.Load():
 		return handover{}
-	case t.writer.writing && t.now < giveUp:
+	case t.writer.writing:
 		p.pausedUntil = t.now + writePause
 		return handover{waiting: true}
-	case t.writer.writing:
-		t.log.Info().Dur("writing", t.now-t.writer.lastSent).Msg("Coordinator: no handover, a write is in progress.")
-		t.handoverFailed()
-		return handover{}
 	}
 	p.pausedUntil = 0
 	d := t.decideHandover()
@@ -244,14 +254,6 @@
 	return handover{decision: d, renewals: t.beginRelease()}
 }
 
-// handoverFailed delays the next handover.
-func (t *Term) handoverFailed() {
-	p := &t.path
-	p.pausedUntil, p.stopped = 0, false
-	p.notBefore = t.now + handoverRetryDelay
-	p.due.Store(false)
-}
-
 // releaseUnhealthy ends the orders in progress and makes the last write.
 func (t *Term) releaseUnhealthy(ctx context.Context, h handover) error {
 	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
@@ -273,18 +275,16 @@
 	return err
 }
 
-// resume continues the term after a last write without effect. It returns cause.
+// resume continues the term after a last write without effect.
 func (t *Term) resume(ctx context.Context, cause error) error {
-	err := t.do(ctx, func() {
+	return t.do(ctx, func() {
 		t.log.Warn().Err(cause).Dur("lease_left", t.leaseUntil-t.now).Msg("Coordinator: the last write had no effect; the term goes on.")
-		t.path.finalBatch.failed()
-		t.handoverFailed()
+		p := &t.path
+		p.finalBatch.failed()
+		p.stopped, p.notBefore = false, t.now+handoverRetryDelay
+		p.due.Store(false)
 		t.releasing = false
 		t.orders.Reopen()
 		t.writer.urgent, t.needsPlan, t.ordersChanged = true, true, true
 	})
-	if err != nil {
-		t.End(err)
-	}
-	return cause
 }
--- a/internal/entry/elect.go
+++ b/internal/entry/elect.go
@@ -14,6 +14,7 @@
 	"boragepulley/internal/model"
 	"boragepulley/internal/peer"
 	"boragepulley/internal/platform"
+	"boragepulley/internal/succession"
 )
 
 const (
@@ -226,7 +227,7 @@
 		}
 		n.recordHolder(held)
 		if held.Unhealthy && held.Holder == "" {
-			n.recordHandoverAt(requestedAt)
+			succession.RecordHandover(&n.lastHandover, requestedAt)
 		}
 	}
 	if n.leaseFree(seen) {
--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -9,6 +9,7 @@
 	"boragepulley/internal/lease"
 	"boragepulley/internal/peer"
 	"boragepulley/internal/platform"
+	"boragepulley/internal/succession"
 )
 
 const (
@@ -24,43 +25,46 @@
 
 // handOver hands the role over to an entry VM with a better path to the store.
 func (n *Node) handOver(t *coordinator.Term, seen *observedLease) {
-	handedOver, err := t.HandOver(n.ctx)
-	if err != nil {
+	if err := t.HandOver(n.ctx); err != nil {
 		n.log.Warn().Err(err).Msg("Entry: role not handed over.")
 	}
-	if handedOver {
+	select {
+	case <-t.Done(): // handed over, or the outcome is not known
 		seen.notBefore = n.deps.Now() + handoverHoldOff
+	default:
 	}
 }
 
-// recordHandover records the last handover that a coordinator reports.
-func (n *Node) recordHandover(m *peer.CoordinatorHeartbeat) {
+// exchangeHandover records the last handover that a coordinator reports and returns the age of the last one
+// known.
+func (n *Node) exchangeHandover(m *peer.CoordinatorHeartbeat) (ageMS int64) {
+	now := n.deps.Now()
 	if m.HandoverAgeMS > 0 {
-		n.recordHandoverAt(n.deps.Now() - time.Duration(m.HandoverAgeMS)*time.Millisecond)
-	}
-}
-
-// recordHandoverAt records a handover at a time, unless a later one is known.
-func (n *Node) recordHandoverAt(at time.Duration) {
-	for {
-		old := n.lastHandover.Load()
-		if int64(at) <= old || n.lastHandover.CompareAndSwap(old, int64(at)) {
-			return
-		}
+		succession.RecordHandover(&n.lastHandover, now-time.Duration(m.HandoverAgeMS)*time.Millisecond)
 	}
+	return succession.HandoverAge(&n.lastHandover, now)
 }
 
 // storeProbe is the result of the direct reads of the store.
 type storeProbe struct {
 	mu        sync.Mutex
+	stopped   bool          // guarded by mu; no read is begun any more
 	reading   bool          // guarded by mu
 	startedAt time.Duration // guarded by mu; when the last read began
-	reads     uint64        // guarded by mu; number of reads begun
-	// read is set once a read has succeeded; lastRead, endedAt and took are the number, end and duration of
-	// the last that did, and ok is set if none has failed since. Guarded by mu.
-	read, ok      bool
-	lastRead      uint64
-	endedAt, took time.Duration
+	// begun counts the reads, ended is the number of the last one that has ended, and ok tells whether that
+	// one succeeded. Guarded by mu.
+	begun, ended uint64
+	ok           bool
+	// succeededAt and took are the end and the duration of the last read that succeeded, 0 if none has.
+	// Guarded by mu.
+	succeededAt, took time.Duration
+}
+
+// stop prevents further reads, so that none is begun after the node has waited for its goroutines.
+func (p *storeProbe) stop() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stopped = true
 }
 
 // reportStorePath puts the last direct read of the store into a reply and starts the next one in the
@@ -69,12 +73,13 @@
 	p, now := &n.probe, n.deps.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.read {
-		r.StoreMS, r.StoreAgeMS, r.StoreOK, r.StoreRead = p.took.Milliseconds(), max(1, (now-p.endedAt).Milliseconds()), p.ok, p.lastRead
+	r.StoreRead, r.StoreOK = p.ended, p.ok
+	if p.succeededAt != 0 {
+		r.StoreMS, r.StoreAgeMS = p.took.Milliseconds(), max(1, (now-p.succeededAt).Milliseconds())
 	}
-	if !p.reading && (p.startedAt == 0 || now >= p.startedAt+probeInterval) {
+	if !p.stopped && !p.reading && (p.startedAt == 0 || now >= p.startedAt+probeInterval) {
 		p.reading, p.startedAt = true, now
-		p.reads++
+		p.begun++
 		n.runOnce("reading the store for the coordinator", n.readStoreDirectly)
 	}
 }
@@ -88,9 +93,9 @@
 		p, now := &n.probe, n.deps.Now()
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		p.reading, p.ok = false, err == nil
+		p.reading, p.ended, p.ok = false, p.begun, err == nil
 		if err == nil {
-			p.read, p.endedAt, p.took, p.lastRead = true, now, now-began, p.reads
+			p.succeededAt, p.took = now, now-began
 		}
 	}()
 	counters.Add("store_probes", 1)
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -164,6 +164,7 @@
 // Stop stops the node and waits for its goroutines.
 func (n *Node) Stop() {
 	n.stop()
+	n.probe.stop()
 	if t := n.term.Load(); t != nil {
 		t.End(coordinator.ErrNotCoordinating)
 	}
--- a/internal/entry/node_test.go
+++ b/internal/entry/node_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -47,6 +48,8 @@
 	cores map[string]float64
 	// dcs are the data centres of entry VMs; the default is "dc".
 	dcs map[string]model.DataCentre
+	// logs, if set, receives the log lines of all entry VMs.
+	logs io.Writer
 }
 
 // setFaults sets the faults of an entry VM's store calls, and whether it is partitioned.
@@ -137,7 +140,7 @@
 		Limits: coordinator.Limits{MaxMinionLease: 6 * time.Second, MachineOrderGap: 3 * time.Second, JobMemory: tc.jobMemory},
 		Dial:   func(to model.EntryVM, _ string) peer.SiteHandler { return link{tc, name, string(to)} },
 		Now:    func() time.Duration { return time.Hour + time.Since(tc.startedAt) },
-		Log:    zerolog.Nop(),
+		Log:    zerolog.New(cmp.Or(tc.logs, io.Discard)),
 	})
 	tc.mu.Lock()
 	tc.nodes[name] = n
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -43,7 +43,7 @@
 			break
 		}
 	}
-	n.recordHandover(m)
+	reply.HandoverAgeMS = n.exchangeHandover(m)
 	if m.Probe {
 		n.reportStorePath(reply)
 	}
--- a/internal/fencing/fencing_test.go
+++ b/internal/fencing/fencing_test.go
@@ -114,3 +114,22 @@
 	require.Panics(t, func() { _ = s.Stop(context.Background(), site.MinionAddress{}, site.StopOrder{}) })
 	require.Equal(t, before+1, invariant.Count(invariant.FencingToken))
 }
+
+// Guards against orders that a closed sender still delivers after it was opened again: they belong to the time
+// before, and their senders were told that they have ended.
+func TestReopenedSenderDoesNotReviveCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeFleet{delay: time.Second}
+		s := newTestSender(f)
+		s.SetDeadline(time.Hour)
+		ended := make(chan error, 1)
+		go func() { ended <- s.Stop(context.Background(), site.MinionAddress{}, site.StopOrder{}) }()
+		synctest.Wait()
+		s.Close()
+		require.ErrorIs(t, s.Stop(context.Background(), site.MinionAddress{}, site.StopOrder{}), site.ErrLeaseEnded)
+		s.Reopen()
+		require.ErrorIs(t, <-ended, site.ErrNoAnswer)
+		require.NoError(t, s.Stop(context.Background(), site.MinionAddress{}, site.StopOrder{}))
+		require.Equal(t, int64(2), f.sent.Load())
+	})
+}
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -72,3 +72,26 @@
 		require.Equal(t, sent+TTL, h.ExpiresAt)
 	})
 }
+
+// Guards against a lease without a holder that is renewed after a release without effect: others would acquire
+// it while its holder goes on.
+func TestReleaseWithoutEffectKeepsTheHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := fleet.NewStore()
+		fault := fleet.None
+		v := &fleet.View{Store: s, Fault: func(string) fleet.Fault { return fault }}
+		h, err := Acquire(context.Background(), v, clockFrom(time.Now()), s.Row(Key), Row{Holder: "a", Addr: "x", Incarnation: "1"})
+		require.NoError(t, err)
+		fault = fleet.Refuse
+		require.ErrorIs(t, h.ReleaseUnhealthy(context.Background(), nil), platform.ErrUnavailable)
+		fault = fleet.None
+		require.NoError(t, h.Commit(context.Background(), nil))
+		r, err := Decode(s.Row(Key))
+		require.NoError(t, err)
+		require.Equal(t, Row{Holder: "a", Addr: "x", Incarnation: "1", Epoch: 1, Seq: 2}, r)
+		require.NoError(t, h.ReleaseUnhealthy(context.Background(), nil))
+		r, err = Decode(s.Row(Key))
+		require.NoError(t, err)
+		require.Equal(t, Row{Incarnation: "1", Epoch: 1, Seq: 3, Unhealthy: true}, r)
+	})
+}
--- a/internal/peer/site.go
+++ b/internal/peer/site.go
@@ -76,13 +76,15 @@
 	// ShuttingDown is set while the receiver shuts down; it must not become coordinator.
 	ShuttingDown bool `json:"leaving,omitempty"`
 	// StoreMS is how long the last direct read of the store that succeeded took, StoreAgeMS how long ago it
-	// ended. StoreAgeMS is at least 1 if there was one since the first probe. StoreOK is set if no read has
-	// failed after it.
+	// ended, at least 1, or 0 if none has succeeded. StoreOK is set if the last read that has ended succeeded.
 	StoreMS    int64 `json:"store_ms,omitempty"`
 	StoreAgeMS int64 `json:"store_age_ms,omitempty"`
 	StoreOK    bool  `json:"store_ok,omitempty"`
-	// StoreRead is the number of that read among all direct reads of the receiver's process. Ages do not
-	// tell reads apart, because heartbeats take different times to arrive.
+	// HandoverAgeMS is as in CoordinatorHeartbeat. A successor learns from it of a handover whose outcome its
+	// predecessor did not learn.
+	HandoverAgeMS int64 `json:"handover_age_ms,omitempty"`
+	// StoreRead is the number of the last read that has ended among all direct reads of the receiver's
+	// process. Ages do not tell reads apart, because heartbeats take different times to arrive.
 	StoreRead uint64 `json:"store_read,omitempty"`
 }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -143,3 +143,26 @@
 		require.NoError(t, err)
 	})
 }
+
+// Guards against a coordinator that does not notice that its writes need a relay: also one that no peer could
+// make did.
+func TestRouteTellsOfARelay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fault := fleet.None
+		s, p, _ := newStores(func(string) fleet.Fault { return fault })
+		ctx, route := WithRoute(context.Background())
+		_, err := s.Commit(ctx, 0, txn())
+		require.NoError(t, err)
+		require.False(t, route.Relayed())
+		fault = fleet.Refuse
+		_, err = s.Get(ctx, 0, "t/1")
+		require.NoError(t, err)
+		require.True(t, route.Relayed())
+		p.err = errors.Wrap(peer.ErrNoAnswer, "test")
+		time.Sleep(contactTTL)
+		ctx, route = WithRoute(context.Background())
+		_, err = s.Commit(ctx, 0, txn())
+		require.ErrorIs(t, err, platform.ErrUnavailable)
+		require.True(t, route.Relayed())
+	})
+}
--- a/internal/succession/decide.go
+++ b/internal/succession/decide.go
@@ -62,7 +62,7 @@
 		return d
 	}
 	d.BadSince = cmp.Or(s.BadSince, s.Now)
-	earliest := max(d.BadSince+badFor, s.StartedAt+minTerm)
+	earliest := max(d.BadSince+badFor, s.StartedAt+minTerm, s.NotBefore)
 	if s.LastHandover != 0 {
 		earliest = max(earliest, s.LastHandover+minInterval)
 	}
@@ -216,10 +216,15 @@
 	return lastHandover == 0 || now >= lastHandover+minInterval && GoodPath(reads, now)
 }
 
-// ProbeForYield reports whether larger entry VMs are probed so that YieldAllowed can become true. Without
-// a handover for health none is.
+// ProbeForYield reports whether larger entry VMs are probed after a handover for health, so that the one that
+// handed over is not chosen as successor, and that YieldAllowed can become true. Without such a handover none
+// is.
 func ProbeForYield(now, lastHandover time.Duration) bool {
-	return lastHandover != 0 && now >= lastHandover+minInterval && (now-lastHandover-minInterval)%yieldProbePeriod < probeOn
+	if lastHandover == 0 {
+		return false
+	}
+	age := now - lastHandover
+	return age < probeFirst || age >= minInterval && (age-minInterval)%yieldProbePeriod < probeOn
 }
 
 // yieldProbePeriod is how often larger entry VMs are probed. The path may stay bad for hours, and calls to
--- a/internal/succession/succession.go
+++ b/internal/succession/succession.go
@@ -57,8 +57,10 @@
 	StartedAt time.Duration
 	// LastHandover is when a handover for health is last known to have happened; 0 if never.
 	LastHandover time.Duration
-	Loaded       bool
-	Cores        float64
+	// NotBefore is the earliest time of the next handover after one that failed; 0 if none has.
+	NotBefore time.Duration
+	Loaded    bool
+	Cores     float64
 	// Writes are the recent writes, newest first. WriteInProgress is since when one is in progress, or 0.
 	Writes          []Write
 	WriteInProgress time.Duration
