coordinator: a release waits for a handover without a mutex; random test of handovers

Change: a slot in a channel, bounded by the caller's context and the term's end. A random test with cuts, lost and refused calls, slow stores and a shutdown checks that at most one entry VM may send orders, that accepted jobs run once and that minions see no violation; one more test for the shutdown during a handover.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -151,8 +151,8 @@
 	waves     waves
 	machines  machines
 	releasing bool
-	// releaseMu is held by the one call that releases the lease or hands it over.
-	releaseMu sync.Mutex
+	// releaseSlot has room for the one call that releases the lease or hands it over.
+	releaseSlot chan struct{}
 	// pollGap is the pause between two polls of a minion, see pollGapFor.
 	pollGap time.Duration
 	// runLease is the duration of the leases that minions are granted for their runs.
@@ -211,7 +211,7 @@
 func Start(d Deps, held *lease.Held) *Term {
 	ctx, stop := context.WithCancelCause(context.Background())
 	t := &Term{
-		deps: d, held: held, epoch: held.Row.Epoch, events: make(chan func(), 4096), ctx: ctx, stop: stop,
+		deps: d, held: held, epoch: held.Row.Epoch, events: make(chan func(), 4096), releaseSlot: make(chan struct{}, 1), ctx: ctx, stop: stop,
 		log:      d.Log.With().Uint64("epoch", held.Row.Epoch).Logger(),
 		registry: jobs.NewRegistry(), minions: map[jobs.Minion]*holding.Minion{}, queues: map[model.Queue]site.Queue{},
 		pendingStarts: map[*jobs.Task]*pendingStart{}, pendingStops: map[*jobs.Task]*pendingStop{}, reservedPlaces: map[*jobs.Task]jobs.Minion{}, asideJobs: map[jobs.ID]bool{}, runLease: min(runLeaseTTL, d.Limits.MaxMinionLease), pollGap: minPollGap,
--- a/internal/coordinator/handover.go
+++ b/internal/coordinator/handover.go
@@ -32,8 +32,10 @@
 // silent minions end, releases the site's lease and announces a successor.
 func (t *Term) Release(ctx context.Context) error {
 	defer t.End(ErrNotCoordinating)
-	t.releaseMu.Lock()
-	defer t.releaseMu.Unlock()
+	if err := t.takeReleaseSlot(ctx); err != nil {
+		return err
+	}
+	defer func() { <-t.releaseSlot }()
 	var renewals *sync.WaitGroup
 	if err := t.do(ctx, func() { renewals = t.beginRelease() }); err != nil {
 		return err
--- a/internal/coordinator/succession.go
+++ b/internal/coordinator/succession.go
@@ -184,8 +184,10 @@
 // report them to the successor. If the last write certainly had no effect, the term goes on. If its outcome
 // is not known after handoverTimeout, the term ends, and the lease is free or expires.
 func (t *Term) HandOver(ctx context.Context) error {
-	t.releaseMu.Lock()
-	defer t.releaseMu.Unlock()
+	if err := t.takeReleaseSlot(ctx); err != nil {
+		return err
+	}
+	defer func() { <-t.releaseSlot }()
 	h, err := t.beginHandover(ctx)
 	if err != nil || h.decision.To == "" {
 		return err
@@ -213,6 +215,18 @@
 	return nil
 }
 
+// takeReleaseSlot waits for the end of another release or handover.
+func (t *Term) takeReleaseSlot(ctx context.Context) error {
+	select {
+	case t.releaseSlot <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-t.ctx.Done():
+		return ErrNotCoordinating
+	}
+}
+
 // handover is one that has begun.
 type handover struct {
 	decision succession.Decision
--- a/internal/entry/handover_test.go
+++ b/internal/entry/handover_test.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"context"
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -9,12 +11,14 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 
 	"boragepulley/internal/jobs"
 	"boragepulley/internal/lease"
 	"boragepulley/internal/model"
 	"boragepulley/internal/peer"
+	"boragepulley/internal/site"
 	"boragepulley/standins/fleet"
 )
 
@@ -277,6 +281,25 @@
 	})
 }
 
+// Guards against two calls that write the last rows at once, because the entry VM is shut down while a handover
+// waits for the write in progress or makes its last one.
+func TestShutdownDuringAHandover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tc, log := newCutSite(t)
+		defer tc.stop()
+		tc.cut(true)
+		for log.count(`"reason":"bad_store_path"`) == 0 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(2 * electionInterval)
+		tc.nodes["a1"].BeginShutdown(t.Context())
+		time.Sleep(time.Second)
+		require.NotEmpty(t, tc.coordinatorOtherThan("a1"))
+		require.Equal(t, 1, tc.orderers())
+		require.True(t, tc.submitOneTask("b1", 1))
+	})
+}
+
 // Guards against a probe that blocks the answer to a heartbeat, that goes through a peer, or that is made more
 // often than allowed; a heartbeat without a probe causes none.
 func TestProbeReadsDirectlyInTheBackground(t *testing.T) {
@@ -337,3 +360,88 @@
 		require.NotNil(t, n.term.Load())
 	})
 }
+
+// Guards against two coordinators, jobs that stay behind and runs that are started twice while handovers meet
+// cuts, lost and refused calls, slow stores and shutdowns at random.
+func TestRandomFaultsDuringHandovers(t *testing.T) {
+	handovers := 0
+	for seed := range uint64(handoverSeeds) {
+		synctest.Test(t, func(t *testing.T) {
+			r := rand.New(rand.NewPCG(seed, 1))
+			tc, log := newCutSite(t)
+			defer tc.stop()
+			var accepted []jobs.ID
+			for i := range 80 {
+				dc, faulty := []string{"a", "b"}[r.IntN(2)], r.IntN(3) > 0
+				for name := range tc.nodes {
+					var f func(string) fleet.Fault
+					if faulty && name[:1] == dc {
+						f = randomFault(r.Uint64())
+					}
+					tc.setFaults(name, false, f)
+					tc.loseAnswers(name, faulty && r.IntN(12) == 0)
+				}
+				if i == 40 { // a restart without notice to the role's next holder
+					name := tc.coordinator()
+					if name != "" {
+						tc.nodes[name].BeginShutdown(t.Context())
+						tc.nodes[name].Stop()
+						tc.start(name)
+					}
+				}
+				for range 2 + r.IntN(30) {
+					id := jobs.ID(fmt.Sprintf("%016x", len(accepted)))
+					ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+					a := tc.nodes["b1"].Submit(ctx, jobs.Accepted{ID: id, Queue: "q", Service: "s", AcceptedAt: time.Now(),
+						Spec: jobs.Spec{Steps: []jobs.Step{{Count: 1, Need: jobs.Resources{CPU: 1000}}}}})
+					cancel()
+					if a.Err == nil {
+						accepted = append(accepted, id)
+					}
+					time.Sleep(100 * time.Millisecond)
+					require.LessOrEqual(t, tc.orderers(), 1, "seed %d", seed)
+				}
+			}
+			for name := range tc.nodes {
+				tc.setFaults(name, false, nil)
+				tc.loseAnswers(name, false)
+			}
+			time.Sleep(20 * time.Second)
+			for _, id := range accepted {
+				// The sites of these tests forget a job soon after its end.
+				if a := tc.nodes["b1"].State(t.Context(), id); !errors.Is(a.Err, site.ErrJobNotFound) {
+					require.Equal(t, jobs.StateCompleted, a.State, "seed %d, job %s", seed, id)
+				}
+				require.Positive(t, tc.minions.Starts(string(id)+".0.0.0"), "seed %d, job %s", seed, id)
+			}
+			require.Empty(t, tc.minions.Violations(), "seed %d", seed)
+			handovers += log.count("Coordinator: handing over")
+		})
+	}
+	require.Positive(t, handovers)
+	t.Logf("%d handovers", handovers)
+}
+
+// handoverSeeds is the number of random cases.
+const handoverSeeds = 4
+
+// randomFault returns the faults of an entry VM's calls of the store: refused slowly, some of them lost, or
+// slow.
+func randomFault(seed uint64) func(string) fleet.Fault {
+	switch seed % 4 {
+	case 0, 1:
+		return slowlyRefused
+	case 2:
+		var n atomic.Uint64
+		return func(string) fleet.Fault {
+			if (n.Add(1)*seed>>7)%4 == 0 {
+				return fleet.Lose
+			}
+			return fleet.None
+		}
+	}
+	return func(string) fleet.Fault {
+		time.Sleep(300 * time.Millisecond)
+		return fleet.None
+	}
+}
