--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -82,6 +82,9 @@
 	// the lease, its process has ended, or it depended on the promise of this entry VM not to
 	// acquire the lease, which has expired.
 	PredecessorStopped bool
+	// LastHandover is when a coordinator last handed over because of its path to the store, as known to this
+	// process, in nanoseconds on the clock of Now; 0 if never. Nil means that the term keeps it itself.
+	LastHandover *atomic.Int64
 	// Now reads a monotonic clock that includes the time during which the machine was suspended.
 	Now  func() time.Duration
 	Log  zerolog.Logger
@@ -149,6 +152,7 @@
 	writer    storeWriter
 	compactor rowCompactor
 	members   members
+	path      storePath
 	feeds     feeds
 	waves     waves
 	machines  machines
@@ -161,6 +165,8 @@
 	// interference is what is known of tasks that slow each other down.
 	interference interferenceState
 	releasing    bool
+	// releaseSlot has room for the one call that releases the lease or hands it over.
+	releaseSlot chan struct{}
 	// pollGap is the pause between two polls of a minion, see pollGapFor.
 	pollGap time.Duration
 	// runLease is the duration of the leases that minions are granted for their runs.
@@ -219,7 +225,7 @@
 func Start(d Deps, held *lease.Held) *Term {
 	ctx, stop := context.WithCancelCause(context.Background())
 	t := &Term{
-		deps: d, held: held, epoch: held.Row.Epoch, events: make(chan func(), 4096), ctx: ctx, stop: stop,
+		deps: d, held: held, epoch: held.Row.Epoch, events: make(chan func(), 4096), releaseSlot: make(chan struct{}, 1), ctx: ctx, stop: stop,
 		log:      d.Log.With().Uint64("epoch", held.Row.Epoch).Logger(),
 		registry: jobs.NewRegistry(), minions: map[jobs.Minion]*holding.Minion{}, queues: map[model.Queue]site.Queue{},
 		pendingStarts: map[*jobs.Task]*pendingStart{}, pendingStops: map[*jobs.Task]*pendingStop{}, reservedPlaces: map[*jobs.Task]jobs.Minion{}, asideJobs: map[jobs.ID]bool{}, runLease: min(runLeaseTTL, d.Limits.MaxMinionLease), pollGap: minPollGap,
@@ -230,6 +236,7 @@
 	t.startedAt, t.leaseUntil, t.leaseVersion = t.now, held.ExpiresAt, held.Version
 	t.orders = fencing.NewSender(d.Fleet, d.Self.Entry, t.epoch, d.Now)
 	t.writer.init()
+	t.path.init(&t.deps)
 	t.compactor.init()
 	t.members.init()
 	t.waves.init()
@@ -363,6 +370,7 @@
 	}
 	t.updateMembers()
 	t.writeIfDue()
+	t.checkPath()
 	if !t.loaded {
 		return tick
 	}
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -63,6 +63,11 @@
 	synced, stopping atomic.Bool
 	// outageSince is since when the store does not answer, on the node's clock; 0 while it does.
 	outageSince atomic.Int64
+	// lastHandover is when a coordinator last handed over because of its path to the store, as known to
+	// this process, on the node's clock; 0 if never.
+	lastHandover atomic.Int64
+	// probe reads the store directly while the coordinator asks for it.
+	probe storeProbe
 
 	mu    sync.Mutex
 	peers map[string]peer.SiteHandler // guarded by mu; by address
@@ -161,6 +166,7 @@
 // Stop stops the node and waits for its goroutines.
 func (n *Node) Stop() {
 	n.stop()
+	n.probe.stop()
 	if t := n.term.Load(); t != nil {
 		t.End(coordinator.ErrNotCoordinating)
 	}
@@ -196,9 +202,10 @@
 			return nil
 		},
 		Evacuations: n.evacuations.state.Load, LearnEvacuations: n.learnEvacuations,
-		SetMembers: func(m map[model.EntryVM]peer.Member) { n.members.Store(&m) },
-		Dial:       func(name model.EntryVM, addr string) coordinator.PeerClient { return n.dial(name, addr) },
-		Now:        n.deps.Now, Log: logging.Part(n.deps.Log, "coordinator"), Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		SetMembers:   func(m map[model.EntryVM]peer.Member) { n.members.Store(&m) },
+		Dial:         func(name model.EntryVM, addr string) coordinator.PeerClient { return n.dial(name, addr) },
+		LastHandover: &n.lastHandover,
+		Now:          n.deps.Now, Log: logging.Part(n.deps.Log, "coordinator"), Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 }
 
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -46,6 +46,10 @@
 			break
 		}
 	}
+	reply.HandoverAgeMS = n.exchangeHandover(m)
+	if m.Probe {
+		n.reportStorePath(reply)
+	}
 	ownVersion := uint64(0)
 	if c := n.config.Load(); c != nil {
 		ownVersion = c.Version
--- a/internal/fencing/fencing_test.go
+++ b/internal/fencing/fencing_test.go
@@ -136,3 +136,22 @@
 		require.Equal(t, time.Second, s.Remaining(), "other orders are sent")
 	})
 }
+
+// Guards against orders that a closed sender still delivers after it was opened again: they belong to the time
+// before, and their senders were told that they have ended.
+func TestReopenedSenderDoesNotReviveCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeFleet{delay: time.Second}
+		s := newTestSender(f)
+		s.SetDeadline(time.Hour)
+		ended := make(chan error, 1)
+		go func() { ended <- s.Stop(context.Background(), site.MinionAddress{}, site.StopOrder{}) }()
+		synctest.Wait()
+		s.Close()
+		require.ErrorIs(t, s.Stop(context.Background(), site.MinionAddress{}, site.StopOrder{}), site.ErrLeaseEnded)
+		s.Reopen()
+		require.ErrorIs(t, <-ended, site.ErrNoAnswer)
+		require.NoError(t, s.Stop(context.Background(), site.MinionAddress{}, site.StopOrder{}))
+		require.Equal(t, int64(2), f.sent.Load())
+	})
+}
--- a/internal/peer/site.go
+++ b/internal/peer/site.go
@@ -51,6 +51,11 @@
 	// the operators' table. A sender that has not read the table leaves both out.
 	Evacuated       []model.DataCentre `json:"evacuated,omitempty"`
 	OperatorVersion uint64             `json:"operator_version,omitempty"`
+	// Probe is set if the receiver is to read the lease's row directly from the store and report it.
+	Probe bool `json:"probe,omitempty"`
+	// HandoverAgeMS is how long ago a coordinator handed over because of its path to the store, in
+	// milliseconds and at least 1; 0 if the sender knows of none.
+	HandoverAgeMS int64 `json:"handover_age_ms,omitempty"`
 }
 
 // Member describes one entry VM.
@@ -78,6 +83,17 @@
 	// the operators' table. A sender that has not read the table leaves both out.
 	Evacuated       []model.DataCentre `json:"evacuated,omitempty"`
 	OperatorVersion uint64             `json:"operator_version,omitempty"`
+	// StoreMS is how long the last direct read of the store that succeeded took, StoreAgeMS how long ago it
+	// ended, at least 1, or 0 if none has succeeded. StoreOK is set if the last read that has ended succeeded.
+	StoreMS    int64 `json:"store_ms,omitempty"`
+	StoreAgeMS int64 `json:"store_age_ms,omitempty"`
+	StoreOK    bool  `json:"store_ok,omitempty"`
+	// HandoverAgeMS is as in CoordinatorHeartbeat. A successor learns from it of a handover whose outcome its
+	// predecessor did not learn.
+	HandoverAgeMS int64 `json:"handover_age_ms,omitempty"`
+	// StoreRead is the number of the last read that has ended among all direct reads of the receiver's
+	// process. Ages do not tell reads apart, because heartbeats take different times to arrive.
+	StoreRead uint64 `json:"store_read,omitempty"`
 }
 
 // JobOffer informs the coordinator of an accepted job whose row is stored.
