entry: readiness by the ability to store jobs

Cause: Node.Ready looked at configuration and shutdown only. In a data centre that is cut off from the store, each attempt of a caller got 503 from another entry VM of the same data centre.

Change: internal/readiness decides from the VM's own probes and from how peers answered; relay.Store.Probe reads a row directly and through up to three peers; peer.StoreCall.WithinMS lets a peer answer although its store does not, so that a slow store is told from a network cut; peer.Member carries the data centre. Probes begin after a failed call and end when one succeeds and the VM is in rotation; there are none otherwise.

Tests changed: TestStateIsAskedForAgainWhileTheStoreIsAway let the coordinator's first read pass, by which it read back its lease; its probes now read the same row before, so that all reads of that row pass. Without the second question to the coordinator it still fails (5 of 5). TestJobThatTheStoreNeverTakesIsRejectedForGood wrote a field of the store while entry VMs read it, which -race reported in the full run; the field is set before they start.

--- a/internal/coordinator/members.go
+++ b/internal/coordinator/members.go
@@ -125,13 +125,13 @@
 			s.byName[name] = &memberState{row: row, firstSeen: t.now, client: t.deps.Dial(name, row.Addr)}
 		}
 	}
-	all := map[model.EntryVM]peer.Member{t.deps.Self.Entry: {Addr: t.deps.Addr, Cores: t.deps.Cores}}
+	all := map[model.EntryVM]peer.Member{t.deps.Self.Entry: {Addr: t.deps.Addr, Cores: t.deps.Cores, DC: t.deps.Self.DC}}
 	for name, m := range s.byName {
 		if !seen[name] {
 			delete(s.byName, name)
 			continue
 		}
-		all[name] = peer.Member{Addr: m.row.Addr, Cores: m.row.Cores}
+		all[name] = peer.Member{Addr: m.row.Addr, Cores: m.row.Cores, DC: m.row.DC}
 	}
 	if maps.Equal(s.all, all) {
 		return
--- a/internal/entry/elect.go
+++ b/internal/entry/elect.go
@@ -165,7 +165,7 @@
 			n.log.Error().Err(err).Str("row", r.Key).Msg("Entry: ignoring unreadable entry VM row.")
 			continue
 		}
-		members[name] = peer.Member{Addr: row.Addr, Cores: row.Cores}
+		members[name] = peer.Member{Addr: row.Addr, Cores: row.Cores, DC: row.DC}
 	}
 	n.members.CompareAndSwap(nil, &members)
 }
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -6,5 +6,5 @@
 // "may_be_stored", "store_away"), state queries by source ("state_coordinator", "state_store",
 // "state_in_doubt" if the coordinator's knowledge may be outdated and the store does not answer),
 // cancellations by the place that took them ("cancel_coordinator", "cancel_store"), and
-// "leases_taken".
+// "leases_taken", "readiness_changes", and the gauge "ready" (1 while connections are asked for).
 var counters = expvar.NewMap("entry")
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -60,6 +60,8 @@
 	// synced is set once the operators' rows have been read from the store, stopping once a shutdown
 	// has begun.
 	synced, stopping atomic.Bool
+	// readiness decides whether connections are asked for.
+	readiness readinessWatch
 	// outageSince is since when the store does not answer, on the node's clock; 0 while it does.
 	outageSince atomic.Int64
 
@@ -103,7 +105,9 @@
 func New(d Deps) *Node {
 	ctx, stop := context.WithCancel(context.Background())
 	n := &Node{deps: d, log: logging.Part(d.Log, "entry"), ctx: ctx, stop: stop, peers: map[string]peer.SiteHandler{}}
-	n.store = &relay.Store{Self: d.Self, Table: d.Table, Feed: d.Feed, Peers: n.relayPeers}
+	n.readiness.wake = make(chan struct{}, 1)
+	n.store = &relay.Store{Self: d.Self, Table: d.Table, Feed: d.Feed, Peers: n.relayPeers, OnFailure: n.wakeStoreWatch,
+		Background: func(f func(context.Context)) { n.runOnce("a read of the store", func() { f(n.ctx) }) }}
 	n.deps.Table, n.deps.Feed = n.store, n.store
 	return n
 }
@@ -127,6 +131,7 @@
 func (n *Node) Start() {
 	n.runForever("following operators", n.followOperators)
 	n.runForever("election", n.elect)
+	n.runForever("watching the store", n.watchStore)
 }
 
 // restartDelay is the pause before a background task is restarted after a panic.
@@ -149,6 +154,7 @@
 // BeginShutdown makes Ready report false and releases the coordinator role.
 func (n *Node) BeginShutdown(ctx context.Context) {
 	n.stopping.Store(true)
+	n.updateReadiness()
 	if t := n.term.Load(); t != nil {
 		if err := t.Release(ctx); err != nil {
 			n.log.Warn().Err(err).Msg("Entry: lease not released; it will expire.")
--- a/internal/entry/node_test.go
+++ b/internal/entry/node_test.go
@@ -39,10 +39,14 @@
 	nodes map[string]*Node // guarded by mu
 	// partitioned entry VMs can neither reach others nor be reached.
 	partitioned map[string]bool // guarded by mu
+	// cutDCs cannot reach other data centres nor be reached from them.
+	cutDCs map[model.DataCentre]bool // guarded by mu
 	// answersLost entry VMs get no answers from others, which handle their messages.
 	answersLost map[string]bool // guarded by mu
 	// fault returns the fault to apply to a store call, by entry VM.
 	fault map[string]func(op string) fleet.Fault // guarded by mu
+	// getFault returns the fault to apply to the read of a row, by entry VM; the default is that of fault.
+	getFault map[string]func(key string) fleet.Fault // guarded by mu
 	// cores are the sizes of entry VMs; the default is 0.
 	cores map[string]float64
 	// dcs are the data centres of entry VMs; the default is "dc".
@@ -63,6 +67,9 @@
 	if tc.partitioned[from] || tc.partitioned[to] {
 		return nil
 	}
+	if a, b := tc.dcs[from], tc.dcs[to]; a != b && (tc.cutDCs[a] || tc.cutDCs[b]) {
+		return nil
+	}
 	return tc.nodes[to]
 }
 
@@ -78,8 +85,8 @@
 
 // newLimitedCluster is newTestCluster with a limit of the memory for accepted jobs, in bytes.
 func newLimitedCluster(t *testing.T, n int, jobMemory int64) *testCluster {
-	tc := &testCluster{t: t, jobMemory: jobMemory, store: fleet.NewStore(), minions: fleet.NewMinions(), nodes: map[string]*Node{}, partitioned: map[string]bool{}, answersLost: map[string]bool{},
-		fault: map[string]func(string) fleet.Fault{}, cores: map[string]float64{}, dcs: map[string]model.DataCentre{}, startedAt: time.Now()}
+	tc := &testCluster{t: t, jobMemory: jobMemory, store: fleet.NewStore(), minions: fleet.NewMinions(), nodes: map[string]*Node{}, partitioned: map[string]bool{}, cutDCs: map[model.DataCentre]bool{}, answersLost: map[string]bool{},
+		fault: map[string]func(string) fleet.Fault{}, getFault: map[string]func(string) fleet.Fault{}, cores: map[string]float64{}, dcs: map[string]model.DataCentre{}, startedAt: time.Now()}
 	tc.minions.Add(site.MinionEntry{ID: "m", Service: "s", Addr: "m", Capacity: jobs.Resources{CPU: 9000}})
 	tc.store.Put("servers/m", tc.minions.EntryRow("m"))
 	tc.writeConfig(1, "s")
@@ -114,6 +121,15 @@
 		}
 		return fleet.None
 	}}
+	view.GetFault = func(key string) fleet.Fault {
+		tc.mu.Lock()
+		f := tc.getFault[name]
+		tc.mu.Unlock()
+		if f != nil {
+			return f(key)
+		}
+		return view.Fault("get")
+	}
 	n := New(Deps{
 		Self: peer.Sender{Entry: model.EntryVM(name), DC: cmp.Or(tc.dcs[name], "dc"), Incarnation: model.NewIncarnation()}, PeerAddr: name, Cores: tc.cores[name], Table: view, Feed: view,
 		Fleet: fencing.NewFleet(tc.minions, &fleet.Machines{}),
@@ -737,13 +753,15 @@
 		for name := range tc.nodes {
 			tc.setFaults(name, false, func(string) fleet.Fault { return fleet.Lose })
 		}
-		var readBack atomic.Bool
-		tc.setFaults(string(coordinates.deps.Self.Entry), false, func(op string) fleet.Fault {
-			if op == "get" && readBack.CompareAndSwap(false, true) {
+		tc.mu.Lock()
+		tc.getFault[string(coordinates.deps.Self.Entry)] = func(key string) fleet.Fault {
+			// The coordinator reads back that it has renewed its lease. Its probes read the same row.
+			if key == lease.Key {
 				return fleet.None
 			}
 			return fleet.Lose
-		})
+		}
+		tc.mu.Unlock()
 		require.Equal(t, site.Answer{State: jobs.StateCompleted, Reason: site.ReasonCoordinator}, reader.State(t.Context(), id1))
 	})
 }
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -9,7 +9,6 @@
 	"github.com/pkg/errors"
 
 	"boragepulley/internal/guard"
-	"boragepulley/internal/lease"
 	"boragepulley/internal/platform"
 	"boragepulley/internal/site"
 )
@@ -59,6 +58,7 @@
 			_ = guard.Recover(n.log, "row "+r.Key, func() { n.applyOperatorRow(r) }) // a panic in one row must not affect the others
 		}
 		n.synced.Store(true)
+		n.updateReadiness()
 	}
 }
 
@@ -69,10 +69,11 @@
 // store does not answer, only such reads are sent to it, see ProbeOnlyByReads.
 func (n *Node) awaitStore() bool {
 	began := n.deps.Now()
+	n.readiness.awaiting.Store(true)
+	defer n.readiness.awaiting.Store(false)
+	n.wakeStoreWatch()
 	for n.sleep(operatorRetryDelay) {
-		ctx, cancel := context.WithTimeout(n.ctx, storeCheckTimeout)
-		_, err := n.deps.Table.Get(ctx, platform.PriorityConfig, lease.Key)
-		cancel()
+		err := n.probeStore()
 		if err == nil {
 			n.outageSince.Store(0)
 			if took := n.deps.Now() - began; took > minLoggedOutage {
--- a/internal/entry/rowsize_test.go
+++ b/internal/entry/rowsize_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -46,8 +48,13 @@
 // Guards against an answer that asks the caller to come back though the job can never be stored.
 func TestJobThatTheStoreNeverTakesIsRejectedForGood(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		tc := newTestCluster(t, 3)
+		tc := newTestCluster(t, 0)
 		defer tc.stop()
+		var refuse atomic.Bool
+		tc.store.Refuses = func(p platform.Put) bool { return refuse.Load() && strings.Contains(p.Key, "ac") }
+		for i := range 3 {
+			tc.start(fmt.Sprint("e", i))
+		}
 		time.Sleep(3 * time.Second)
 		node := tc.otherThan(tc.coordinator())
 		node.deps.Limits.RowBytes = 4096
@@ -60,7 +67,7 @@
 		require.True(t, errors.Is(a.Err, site.ErrNotStorable), "%v", a.Err)
 		require.Contains(t, a.Err.Error(), "expected at most 4096")
 
-		tc.store.Refuses = func(p platform.Put) bool { return strings.Contains(p.Key, "ac") }
+		refuse.Store(true)
 		a = node.Submit(context.Background(), newJob("00000000000000ac"))
 		require.True(t, errors.Is(a.Err, site.ErrNotStorable), "%v", a.Err)
 		require.Equal(t, site.ReasonRefusedByStore, a.Reason)
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -35,8 +35,13 @@
 	return nil
 }
 
-// Ready reports whether the load balancer should send connections to this entry VM.
-func (n *Node) Ready() bool { return n.config.Load() != nil && n.synced.Load() && !n.stopping.Load() }
+// Ready reports whether the load balancer should send connections to this entry VM. It does not block.
+func (n *Node) Ready() bool {
+	return n.configured() && !n.stopping.Load() && !n.readiness.out.Load()
+}
+
+// configured reports whether the operators' rows have been read and contain a configuration.
+func (n *Node) configured() bool { return n.config.Load() != nil && n.synced.Load() }
 
 // Submit stores a job, on condition that its row does not exist: an id stands for one job, no
 // matter how often and at which entry VMs it is submitted. It rejects a job only if no attempt with
--- a/internal/peer/site.go
+++ b/internal/peer/site.go
@@ -54,6 +54,8 @@
 	Addr string `json:"a"`
 	// Cores is the number of processor cores that it may use.
 	Cores float64 `json:"c,omitempty"`
+	// DC is its data centre; empty from a sender of an earlier version.
+	DC model.DataCentre `json:"d,omitempty"`
 }
 
 // QueueLoad is the coordinator's estimate of the backlog of a queue.
@@ -127,6 +129,9 @@
 	Commit   *StoreTxn     `json:"commit,omitempty"`
 	ReadAll  string        `json:"read_all,omitempty"`
 	Changes  *StoreChanges `json:"changes,omitempty"`
+	// WithinMS is when the receiver answers a Get at the latest, with StoreUnavailable if the store has not
+	// answered by then; 0 if it waits for the store. A receiver of an earlier version ignores it.
+	WithinMS int64 `json:"within_ms,omitempty"`
 }
 
 // StoreScan reads the rows whose keys have a prefix.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -51,6 +51,14 @@
 	Feed  platform.Feed
 	// Peers returns the connections to the other entry VMs. They are comparable.
 	Peers func() []PeerClient
+	// OnFailure, if set, is called after a call that the store did not answer, unless peers have answered
+	// such calls lately. It must not block.
+	OnFailure func()
+	// Background runs f, which ends soon after its context does. If unset, f runs in its own goroutine.
+	Background func(f func(ctx context.Context))
+
+	// served and relayed are when the last call was answered, and when the last one was through a peer.
+	served, relayed instant
 
 	mu sync.Mutex
 	// contacts holds how each peer answered last.
@@ -62,6 +70,13 @@
 	at time.Time
 	// ok is set if it answered and could make the call at the store.
 	ok bool
+	// answered is set if it answered.
+	answered bool
+	// reached is when the peer last made a call at the store, zero if it never did.
+	reached time.Time
+	// silentSince is when the first probe began, and silentUntil when the last one ended, that the peer did
+	// not answer, without an answer or a long pause in between. Zero if it is not silent.
+	silentSince, silentUntil time.Time
 }
 
 var (
@@ -75,6 +90,21 @@
 	return errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrRateLimited)
 }
 
+// mayRelay reports whether a call that was tried directly may be passed to a peer, and records its outcome. A
+// call that its own caller gave up says nothing about the store.
+func (s *Store) mayRelay(ctx context.Context, err error) bool {
+	if err == nil || !noEffect(err) {
+		if !errors.Is(err, platform.ErrUnknownOutcome) {
+			s.served.set(time.Now())
+		}
+		return false
+	}
+	if s.OnFailure != nil && !errors.Is(ctx.Err(), context.Canceled) && time.Since(s.relayed.get()) > relayedTTL {
+		s.OnFailure()
+	}
+	return true
+}
+
 // callPeer makes a call through a peer. ok is false if no peer could make it either; the caller
 // then returns the error of the direct call.
 func (s *Store) callPeer(ctx context.Context, m *peer.StoreCall) (a *peer.StoreReply, ok bool, err error) {
@@ -95,6 +125,7 @@
 		case err != nil || a.Failure == peer.StoreUnavailable:
 			continue
 		}
+		s.relayed.set(time.Now())
 		return a, true, errorFromReply(a)
 	}
 	return nil, false, nil
@@ -105,16 +136,20 @@
 func (s *Store) ask(ctx context.Context, p PeerClient, m *peer.StoreCall, timeout time.Duration) (*peer.StoreReply, error) {
 	bounded, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	began := time.Now()
 	a, err := p.Store(bounded, m)
 	if err != nil && ctx.Err() != nil {
 		return a, err
 	}
+	if err == nil && a.Failure != peer.StoreUnavailable && a.Failure != peer.StoreUnknown {
+		s.served.set(time.Now())
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.contacts == nil {
 		s.contacts = map[PeerClient]contact{}
 	}
-	s.contacts[p] = contact{time.Now(), err == nil && a.Failure != peer.StoreUnavailable}
+	s.contacts[p] = s.contacts[p].next(began, time.Now(), m.WithinMS > 0, a, err)
 	return a, err
 }
 
@@ -171,7 +206,7 @@
 // Get implements platform.Table.
 func (s *Store) Get(ctx context.Context, p platform.Priority, key string) (platform.Row, error) {
 	r, err := s.Table.Get(ctx, p, key)
-	if err == nil || !noEffect(err) {
+	if !s.mayRelay(ctx, err) {
 		return r, err
 	}
 	if a, ok, rerr := s.callPeer(ctx, &peer.StoreCall{Priority: int(p), Get: key}); ok {
@@ -186,7 +221,7 @@
 // Scan implements platform.Table.
 func (s *Store) Scan(ctx context.Context, p platform.Priority, prefix string, limit int) ([]platform.Row, error) {
 	r, err := s.Table.Scan(ctx, p, prefix, limit)
-	if err == nil || !noEffect(err) {
+	if !s.mayRelay(ctx, err) {
 		return r, err
 	}
 	if a, ok, rerr := s.callPeer(ctx, &peer.StoreCall{Priority: int(p), Scan: &peer.StoreScan{Prefix: prefix, Limit: limit}}); ok && rerr == nil {
@@ -198,7 +233,7 @@
 // Commit implements platform.Table.
 func (s *Store) Commit(ctx context.Context, p platform.Priority, t platform.Txn) (map[string]uint64, error) {
 	v, err := s.Table.Commit(ctx, p, t)
-	if err == nil || !noEffect(err) {
+	if !s.mayRelay(ctx, err) {
 		return v, err
 	}
 	x := &peer.StoreTxn{}
@@ -225,7 +260,7 @@
 // ReadAll implements platform.Feed.
 func (s *Store) ReadAll(ctx context.Context, p platform.Priority, table string) (platform.Changes, error) {
 	c, err := s.Feed.ReadAll(ctx, p, table)
-	if err == nil || !noEffect(err) {
+	if !s.mayRelay(ctx, err) {
 		return c, err
 	}
 	if a, ok, rerr := s.callPeer(ctx, &peer.StoreCall{Priority: int(p), ReadAll: table}); ok && rerr == nil {
@@ -237,7 +272,7 @@
 // Changes implements platform.Feed. Through a peer it waits at most maxRelayedWait.
 func (s *Store) Changes(ctx context.Context, p platform.Priority, table string, after uint64, wait time.Duration) (platform.Changes, error) {
 	c, err := s.Feed.Changes(ctx, p, table, after, wait)
-	if err == nil || !noEffect(err) {
+	if !s.mayRelay(ctx, err) {
 		return c, err
 	}
 	m := &peer.StoreChanges{Table: table, After: after, WaitMS: min(wait, maxRelayedWait).Milliseconds()}
@@ -275,7 +310,7 @@
 		a.Rows, a.Version = toWireRows(c.Rows), c.Version
 	default:
 		var r platform.Row
-		r, err = s.Table.Get(ctx, p, m.Get)
+		r, err = s.serveGet(ctx, p, m)
 		a.Rows = toWireRows([]platform.Row{r})
 	}
 	if err != nil {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -143,3 +143,107 @@
 		require.NoError(t, err)
 	})
 }
+
+// Guards against a peer that counts as unreachable because the store answers it late, because of one lost
+// answer, or because of an earlier silence, and against one that is cut off and does not.
+func TestProbesTellSilentPeersFromThoseWithoutTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, p, _ := newStores(func(string) fleet.Fault { return fleet.Refuse })
+		client := fakePeerClient{p}
+		ctx := context.Background()
+		probe := func() error {
+			defer time.Sleep(200 * time.Millisecond)
+			bounded, cancel := context.WithTimeout(ctx, time.Second)
+			defer cancel()
+			return s.Probe(bounded, 0, "t/1")
+		}
+		require.NoError(t, probe())
+		require.Equal(t, Contact{Answered: true, ReachesStore: true}, s.Contact(client))
+		time.Sleep(reachedTTL)
+		require.False(t, s.Contact(client).ReachesStore)
+
+		// The store keeps the peer waiting.
+		p.Table = &fleet.View{Store: fleet.NewStore(), Fault: func(string) fleet.Fault { return fleet.Lose }}
+		began := time.Now()
+		require.ErrorIs(t, probe(), platform.ErrUnavailable)
+		require.Less(t, time.Since(began), 500*time.Millisecond)
+		require.Equal(t, Contact{Answered: true}, s.Contact(client))
+
+		// It does not answer.
+		for i, err := range []error{peer.ErrNoAnswer, peer.ErrRefused, peer.ErrNotConnected} {
+			p.err = errors.Wrap(err, "test")
+			require.ErrorIs(t, probe(), platform.ErrUnavailable)
+			require.Equal(t, Contact{SilentFor: time.Duration(204*i) * time.Millisecond}, s.Contact(client), "it ends with the last probe")
+		}
+		time.Sleep(time.Hour)
+		require.ErrorIs(t, probe(), platform.ErrUnavailable)
+		require.Zero(t, s.Contact(client).SilentFor, "another silence")
+		s.ForgetSilence()
+		require.Zero(t, s.Contact(client).SilentFor)
+		p.err = errors.Wrap(peer.ErrBusy, "test")
+		require.ErrorIs(t, probe(), platform.ErrUnavailable)
+		require.Equal(t, Contact{Answered: true}, s.Contact(client), "it can be reached")
+	})
+}
+
+// Guards against a silence that is never confirmed because other peers are asked, and against probes that ask
+// all peers of a large site.
+func TestProbesAskSilentPeersAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, answering, _ := newStores(func(string) fleet.Fault { return fleet.Refuse })
+		answering.Table = s.Table
+		peers := []PeerClient{}
+		cut := &fakePeer{Store: answering.Store, err: errors.Wrap(peer.ErrNoAnswer, "cut off")}
+		for range 20 {
+			peers = append(peers, &fakePeerClient{answering}, &fakePeerClient{cut})
+		}
+		s.Peers = func() []PeerClient { return append([]PeerClient(nil), peers...) }
+		for i := range 10 {
+			require.Error(t, s.Probe(context.Background(), 0, "t/1"))
+			require.Equal(t, probePeers*(i+1), answering.calls+cut.calls)
+			time.Sleep(200 * time.Millisecond)
+		}
+		longest := time.Duration(0)
+		for _, p := range peers {
+			longest = max(longest, s.Contact(p).SilentFor)
+		}
+		require.Greater(t, longest, 1500*time.Millisecond)
+		require.Positive(t, answering.calls)
+	})
+}
+
+// Guards against probes because of calls that their callers gave up, that peers answer, or that the store
+// answers with an error.
+func TestFailuresAreReportedOnlyIfNobodyAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fault := fleet.None
+		s, p, _ := newStores(func(string) fleet.Fault { return fault })
+		reported := 0
+		s.OnFailure = func() { reported++ }
+		ctx := context.Background()
+		for range 2 {
+			_, _ = s.Commit(ctx, 0, txn()) // stored, then a conflict
+		}
+		require.Zero(t, reported)
+		fault = fleet.Lose
+		_, err := s.Commit(ctx, 0, txn())
+		require.ErrorIs(t, err, platform.ErrUnknownOutcome)
+		cancelled, cancel := context.WithCancel(ctx)
+		cancel()
+		_, err = s.Get(cancelled, 0, "t/1")
+		require.Error(t, err)
+		require.Zero(t, reported)
+		fault = fleet.Refuse
+		for range 100 {
+			_, err = s.Get(ctx, 0, "t/1")
+			require.NoError(t, err)
+			time.Sleep(10 * time.Millisecond)
+		}
+		require.Equal(t, 1, reported, "peers answer such calls")
+		p.err = errors.Wrap(peer.ErrNoAnswer, "cut off")
+		time.Sleep(relayedTTL + time.Millisecond)
+		_, err = s.Get(ctx, 0, "t/1")
+		require.Error(t, err)
+		require.Equal(t, 2, reported)
+	})
+}
--- a/standins/fleet/store.go
+++ b/standins/fleet/store.go
@@ -59,6 +59,8 @@
 	*Store
 	// Fault decides over a call; op is "get", "scan", "read", "changes" or "commit".
 	Fault func(op string) Fault
+	// GetFault, if set, decides over the read of a row instead of Fault.
+	GetFault func(key string) Fault
 }
 
 var (
@@ -129,6 +131,11 @@
 	if v.Fault != nil {
 		f = v.Fault(op)
 	}
+	return v.beginWith(ctx, op, f)
+}
+
+// beginWith passes the time of a call that has a fault.
+func (v *View) beginWith(ctx context.Context, op string, f Fault) (Fault, error) {
 	if err := pause(ctx, v.Latency); err != nil {
 		return f, errors.Wrap(platform.ErrUnavailable, err.Error())
 	}
@@ -155,7 +162,11 @@
 
 // Get implements platform.Table.
 func (v *View) Get(ctx context.Context, _ platform.Priority, key string) (platform.Row, error) {
-	if _, err := v.begin(ctx, "get"); err != nil {
+	begin := v.begin
+	if v.GetFault != nil {
+		begin = func(ctx context.Context, op string) (Fault, error) { return v.beginWith(ctx, op, v.GetFault(key)) }
+	}
+	if _, err := begin(ctx, "get"); err != nil {
 		return platform.Row{Key: key}, err
 	}
 	r := v.Row(key)
