relay: probes ask peers until the store's own read ends

Cause: with the real client a direct read takes up to 0.9 s, so that a probe showed only every 1.1 s whether a peer is silent; and an operator's long poll that began before a cut and ended in it counted as an answer of the store.

Change: a probe asks peers every 350 ms while it awaits the store, sooner after a failed probe, and the decision is made after each round. An answer counts from when its call began. A probe of a peer over which the process was suspended does not count as silence.

--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -106,7 +106,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	n := &Node{deps: d, log: logging.Part(d.Log, "entry"), ctx: ctx, stop: stop, peers: map[string]peer.SiteHandler{}}
 	n.readiness.wake = make(chan struct{}, 1)
-	n.store = &relay.Store{Self: d.Self, Table: d.Table, Feed: d.Feed, Peers: n.relayPeers, OnFailure: n.wakeStoreWatch,
+	n.store = &relay.Store{Self: d.Self, Table: d.Table, Feed: d.Feed, Peers: n.relayPeers, OnFailure: n.wakeStoreWatch, OnPeersAsked: func() { n.updateReadiness() },
 		Background: func(f func(context.Context)) { n.runOnce("a read of the store", func() { f(n.ctx) }) }}
 	n.deps.Table, n.deps.Feed = n.store, n.store
 	return n
--- a/internal/entry/readiness.go
+++ b/internal/entry/readiness.go
@@ -97,7 +97,7 @@
 	if w.probes.Failing() {
 		e.Peers = n.peerEvidence()
 	}
-	// The time of the last answer is read after the evidence, so that a peer that is known to reach the store
+	// The time of the last answered call is read after the evidence, so that a peer that is known to reach the store
 	// never counts without the answer that it passed on.
 	now := n.deps.Now()
 	e.Now = now
--- a/internal/readiness/probes.go
+++ b/internal/readiness/probes.go
@@ -47,7 +47,7 @@
 func (p *Probes) Failing() bool { return p.failing }
 
 // FailingFor is for how long all probes have failed and no other call was answered, up to the end of the last
-// probe. lastAnswer is when the store last answered any call, directly or through a peer.
+// probe. lastAnswer is when the latest call began that the store has answered, directly or through a peer.
 func (p *Probes) FailingFor(lastAnswer time.Duration) time.Duration {
 	if !p.failing {
 		return 0
--- a/internal/relay/probe.go
+++ b/internal/relay/probe.go
@@ -18,11 +18,15 @@
 	// probeDelay is how long a probe waits for the store's own answer, which usually takes 5 to 10 ms, before
 	// it asks peers.
 	probeDelay = 150 * time.Millisecond
+	// probeRepeatDelay is the same after a failed probe, when it matters how soon peers turn out to be silent.
+	probeRepeatDelay = 30 * time.Millisecond
 	// probeWithin is when a peer answers a probe at the latest, whether or not the store has answered it. A
 	// peer that waits for the store can thus be told from one that cannot be reached.
 	probeWithin = 150 * time.Millisecond
 	// peerProbeTimeout allows for the way to the peer and back.
-	peerProbeTimeout = 400 * time.Millisecond
+	peerProbeTimeout = 300 * time.Millisecond
+	// probePause is the pause before peers are asked again while the store's own answer is awaited.
+	probePause = 50 * time.Millisecond
 	// probePeers is how many peers a probe asks, and probeSilent how many of them are peers that have not
 	// answered lately, so that it shows soon whether they stay silent.
 	probePeers  = 3
@@ -52,7 +56,15 @@
 // instant is a point in time that goroutines share. The zero value is a time long ago.
 type instant struct{ p atomic.Pointer[time.Time] }
 
-func (i *instant) set(t time.Time) { i.p.Store(&t) }
+// advance sets the time unless it is later already.
+func (i *instant) advance(t time.Time) {
+	for {
+		old := i.p.Load()
+		if old != nil && !t.After(*old) || i.p.CompareAndSwap(old, &t) {
+			return
+		}
+	}
+}
 
 func (i *instant) get() time.Time {
 	if t := i.p.Load(); t != nil {
@@ -67,7 +79,7 @@
 	c.at, c.ok = ended, err == nil && a.Failure != peer.StoreUnavailable
 	c.answered = !unanswered(err)
 	switch {
-	case c.answered:
+	case c.answered, ended.Sub(began) > silenceGap: // this process was suspended meanwhile
 		c.silentSince, c.silentUntil = time.Time{}, time.Time{}
 	case probe && (c.silentSince.IsZero() || began.Sub(c.silentUntil) > silenceGap):
 		c.silentSince, c.silentUntil = began, ended
@@ -86,7 +98,8 @@
 	return errors.Is(err, peer.ErrNoAnswer) || errors.Is(err, peer.ErrRefused) || errors.Is(err, peer.ErrNotConnected)
 }
 
-// LastServed returns when a call was last answered by the store, directly or through a peer; zero if never.
+// LastServed returns when the latest call began that the store has answered, directly or through a peer; zero if
+// none. An answer that took long thus does not speak for the time since.
 func (s *Store) LastServed() time.Time { return s.served.get() }
 
 // Contact returns how a peer answered.
@@ -108,38 +121,41 @@
 	}
 }
 
-// Probe reads a row to find out whether the store can be reached. If it does not answer at once, a few peers
-// are asked as well. It fails if neither the store nor one of them answers before ctx ends.
-func (s *Store) Probe(ctx context.Context, p platform.Priority, key string) error {
+// Probe reads a row to find out whether the store can be reached. If it does not answer at once, or did not
+// answer the probe before, a few peers are asked as well, again and again until it answers. It fails if neither
+// the store nor a peer answers before ctx ends.
+func (s *Store) Probe(ctx context.Context, p platform.Priority, key string) (err error) {
+	defer func() { s.probeFailed.Store(err != nil) }()
+	began := time.Now()
 	direct := s.getInBackground(p, key)
-	hedge := time.NewTimer(probeDelay)
-	defer hedge.Stop()
-	var own *getResult
-	select {
-	case r := <-direct:
-		own = &r
-	case <-hedge.C:
-	case <-ctx.Done():
-		return errors.Wrap(platform.ErrUnavailable, ctx.Err().Error())
-	}
-	if own == nil || noEffect(own.err) {
-		if s.probePeers(ctx, p, key) {
-			return nil
-		}
+	delay := probeDelay
+	if s.probeFailed.Load() {
+		delay = probeRepeatDelay
 	}
-	if own == nil {
+	hedge := time.NewTimer(delay)
+	defer hedge.Stop()
+	for asked := false; ; asked = true {
 		select {
 		case r := <-direct:
-			own = &r
+			switch {
+			case !noEffect(r.err):
+				s.served.advance(began)
+				return nil
+			case !asked && s.probePeers(ctx, p, key):
+				return nil
+			}
+			return r.err
+		case <-hedge.C:
+			if s.probePeers(ctx, p, key) {
+				return nil
+			}
+			if end, ok := ctx.Deadline(); !ok || time.Until(end) >= peerProbeTimeout {
+				hedge.Reset(probePause)
+			}
 		case <-ctx.Done():
 			return errors.Wrap(platform.ErrUnavailable, ctx.Err().Error())
 		}
 	}
-	if noEffect(own.err) {
-		return own.err
-	}
-	s.served.set(time.Now())
-	return nil
 }
 
 type getResult struct {
@@ -178,6 +194,9 @@
 		})
 	}
 	wg.Wait()
+	if s.OnPeersAsked != nil {
+		s.OnPeersAsked()
+	}
 	return reached.Load()
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -12,6 +12,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -54,11 +55,16 @@
 	// OnFailure, if set, is called after a call that the store did not answer, unless peers have answered
 	// such calls lately. It must not block.
 	OnFailure func()
+	// OnPeersAsked, if set, is called when a probe has asked peers, while it may still await the store's answer.
+	OnPeersAsked func()
 	// Background runs f, which ends soon after its context does. If unset, f runs in its own goroutine.
 	Background func(f func(ctx context.Context))
 
-	// served and relayed are when the last call was answered, and when the last one was through a peer.
+	// served is when the latest call began that the store has answered, directly or through a peer, and
+	// relayed when a peer answered last.
 	served, relayed instant
+	// probeFailed is set if the last probe failed.
+	probeFailed atomic.Bool
 
 	mu sync.Mutex
 	// contacts holds how each peer answered last.
@@ -92,10 +98,10 @@
 
 // mayRelay reports whether a call that was tried directly may be passed to a peer, and records its outcome. A
 // call that its own caller gave up says nothing about the store.
-func (s *Store) mayRelay(ctx context.Context, err error) bool {
+func (s *Store) mayRelay(ctx context.Context, began time.Time, err error) bool {
 	if err == nil || !noEffect(err) {
 		if !errors.Is(err, platform.ErrUnknownOutcome) {
-			s.served.set(time.Now())
+			s.served.advance(began)
 		}
 		return false
 	}
@@ -125,7 +131,7 @@
 		case err != nil || a.Failure == peer.StoreUnavailable:
 			continue
 		}
-		s.relayed.set(time.Now())
+		s.relayed.advance(time.Now())
 		return a, true, errorFromReply(a)
 	}
 	return nil, false, nil
@@ -142,7 +148,7 @@
 		return a, err
 	}
 	if err == nil && a.Failure != peer.StoreUnavailable && a.Failure != peer.StoreUnknown {
-		s.served.set(time.Now())
+		s.served.advance(began)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -205,8 +211,9 @@
 
 // Get implements platform.Table.
 func (s *Store) Get(ctx context.Context, p platform.Priority, key string) (platform.Row, error) {
+	began := time.Now()
 	r, err := s.Table.Get(ctx, p, key)
-	if !s.mayRelay(ctx, err) {
+	if !s.mayRelay(ctx, began, err) {
 		return r, err
 	}
 	if a, ok, rerr := s.callPeer(ctx, &peer.StoreCall{Priority: int(p), Get: key}); ok {
@@ -220,8 +227,9 @@
 
 // Scan implements platform.Table.
 func (s *Store) Scan(ctx context.Context, p platform.Priority, prefix string, limit int) ([]platform.Row, error) {
+	began := time.Now()
 	r, err := s.Table.Scan(ctx, p, prefix, limit)
-	if !s.mayRelay(ctx, err) {
+	if !s.mayRelay(ctx, began, err) {
 		return r, err
 	}
 	if a, ok, rerr := s.callPeer(ctx, &peer.StoreCall{Priority: int(p), Scan: &peer.StoreScan{Prefix: prefix, Limit: limit}}); ok && rerr == nil {
@@ -232,8 +240,9 @@
 
 // Commit implements platform.Table.
 func (s *Store) Commit(ctx context.Context, p platform.Priority, t platform.Txn) (map[string]uint64, error) {
+	began := time.Now()
 	v, err := s.Table.Commit(ctx, p, t)
-	if !s.mayRelay(ctx, err) {
+	if !s.mayRelay(ctx, began, err) {
 		return v, err
 	}
 	x := &peer.StoreTxn{}
@@ -259,8 +268,9 @@
 
 // ReadAll implements platform.Feed.
 func (s *Store) ReadAll(ctx context.Context, p platform.Priority, table string) (platform.Changes, error) {
+	began := time.Now()
 	c, err := s.Feed.ReadAll(ctx, p, table)
-	if !s.mayRelay(ctx, err) {
+	if !s.mayRelay(ctx, began, err) {
 		return c, err
 	}
 	if a, ok, rerr := s.callPeer(ctx, &peer.StoreCall{Priority: int(p), ReadAll: table}); ok && rerr == nil {
@@ -271,8 +281,9 @@
 
 // Changes implements platform.Feed. Through a peer it waits at most maxRelayedWait.
 func (s *Store) Changes(ctx context.Context, p platform.Priority, table string, after uint64, wait time.Duration) (platform.Changes, error) {
+	began := time.Now()
 	c, err := s.Feed.Changes(ctx, p, table, after, wait)
-	if !s.mayRelay(ctx, err) {
+	if !s.mayRelay(ctx, began, err) {
 		return c, err
 	}
 	m := &peer.StoreChanges{Table: table, After: after, WaitMS: min(wait, maxRelayedWait).Milliseconds()}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,7 +18,7 @@
 // fakePeer is a peer that makes calls through its own view of the store.
 type fakePeer struct {
 	*Store
-	calls int
+	calls atomic.Int64
 	// err and writeErr are the errors of all calls and of writes.
 	err, writeErr error
 }
@@ -25,7 +26,7 @@
 type fakePeerClient struct{ s *fakePeer }
 
 func (p fakePeerClient) Store(ctx context.Context, m *peer.StoreCall) (*peer.StoreReply, error) {
-	p.s.calls++
+	p.s.calls.Add(1)
 	switch {
 	case p.s.err != nil:
 		return nil, p.s.err
@@ -71,7 +72,7 @@
 		rows.Compact()
 		_, err = s.Changes(ctx, 0, "t", 0, 0)
 		require.ErrorIs(t, err, platform.ErrHistoryGone)
-		require.Equal(t, 7, p.calls, "one read before the first write")
+		require.EqualValues(t, 7, p.calls.Load(), "one read before the first write")
 	})
 }
 
@@ -82,7 +83,7 @@
 		s, p, _ := newStores(func(string) fleet.Fault { return fleet.Lose })
 		_, err := s.Commit(context.Background(), 0, txn())
 		require.ErrorIs(t, err, platform.ErrUnknownOutcome)
-		require.Zero(t, p.calls)
+		require.Zero(t, p.calls.Load())
 	})
 }
 
@@ -118,7 +119,7 @@
 			require.ErrorIs(t, err, platform.ErrUnavailable)
 			time.Sleep(20 * time.Millisecond)
 		}
-		require.Less(t, p.calls, 10, "peers that do not answer are tried seldom")
+		require.Less(t, p.calls.Load(), int64(10), "peers that do not answer are tried seldom")
 		require.Less(t, time.Since(began), 3*time.Second)
 		p.err = nil
 		time.Sleep(silentTTL)
@@ -208,7 +209,7 @@
 		s.Peers = func() []PeerClient { return append([]PeerClient(nil), peers...) }
 		for i := range 10 {
 			require.Error(t, s.Probe(context.Background(), 0, "t/1"))
-			require.Equal(t, probePeers*(i+1), answering.calls+cut.calls)
+			require.EqualValues(t, probePeers*(i+1), answering.calls.Load()+cut.calls.Load())
 			time.Sleep(200 * time.Millisecond)
 		}
 		longest := time.Duration(0)
@@ -216,7 +217,7 @@
 			longest = max(longest, s.Contact(p).SilentFor)
 		}
 		require.Greater(t, longest, 1500*time.Millisecond)
-		require.Positive(t, answering.calls)
+		require.Positive(t, answering.calls.Load())
 	})
 }
 
