entry: no goroutine begins while a node stops

Cause: a peer's probe is answered by a read in the background, which added to the node's wait group while Stop waited for it (reported by -race in TestStateIsAnsweredWhileTheStoreRefusesAll, 1 of 150 runs). Other messages could do so too.

Change: runOnce starts nothing once the node is stopped; such a read is then made at once with an ended context.

--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -107,7 +107,7 @@
 	n := &Node{deps: d, log: logging.Part(d.Log, "entry"), ctx: ctx, stop: stop, peers: map[string]peer.SiteHandler{}}
 	n.readiness.wake = make(chan struct{}, 1)
 	n.store = &relay.Store{Self: d.Self, Table: d.Table, Feed: d.Feed, Peers: n.relayPeers, OnFailure: n.wakeStoreWatch, OnPeersAsked: func() { n.updateReadiness() },
-		Background: func(f func(context.Context)) { n.runOnce("a read of the store", func() { f(n.ctx) }) }}
+		Background: n.runInBackground}
 	n.deps.Table, n.deps.Feed = n.store, n.store
 	return n
 }
@@ -147,9 +147,24 @@
 	})
 }
 
-// runOnce runs f in its own goroutine.
-func (n *Node) runOnce(what string, f func()) {
+// runOnce runs f in its own goroutine. It reports false, and does nothing, once the node is stopped: messages
+// of other entry VMs may arrive until then and later.
+func (n *Node) runOnce(what string, f func()) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.ctx.Err() != nil {
+		return false
+	}
 	n.wg.Go(func() { _ = guard.Recover(n.log, what, f) })
+	return true
+}
+
+// runInBackground runs f in its own goroutine, or before it returns, with a context that has ended, once the
+// node is stopped.
+func (n *Node) runInBackground(f func(ctx context.Context)) {
+	if !n.runOnce("a read of the store", func() { f(n.ctx) }) {
+		f(n.ctx)
+	}
 }
 
 // BeginShutdown makes Ready report false and releases the coordinator role.
@@ -165,7 +180,9 @@
 
 // Stop stops the node and waits for its goroutines.
 func (n *Node) Stop() {
-	n.stop()
+	n.mu.Lock()
+	n.stop() // under the lock, so that runOnce starts nothing while wg.Wait waits
+	n.mu.Unlock()
 	if t := n.term.Load(); t != nil {
 		t.End(coordinator.ErrNotCoordinating)
 	}
