--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -6,6 +6,6 @@
 // "may_be_stored", "store_away"), state queries by source ("state_coordinator", "state_store",
 // "state_in_doubt" if the coordinator's knowledge may be outdated and the store does not answer),
 // cancellations by the place that took them ("cancel_coordinator", "cancel_store"),
-// "leases_taken", direct reads of the store for the coordinator ("store_probes"), and the gauge
-// "evacuated_dcs".
+// "leases_taken", "readiness_changes", direct reads of the store for the coordinator
+// ("store_probes"), and the gauges "evacuated_dcs" and "ready" (1 while connections are asked for).
 var counters = expvar.NewMap("entry")
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -61,6 +61,8 @@
 	// synced is set once the operators' rows have been read from the store, stopping once a shutdown
 	// has begun.
 	synced, stopping atomic.Bool
+	// readiness decides whether connections are asked for.
+	readiness readinessWatch
 	// outageSince is since when the store does not answer, on the node's clock; 0 while it does.
 	outageSince atomic.Int64
 	// lastHandover is when a coordinator last handed over because of its path to the store, as known to
@@ -110,7 +112,9 @@
 	ctx, stop := context.WithCancel(context.Background())
 	n := &Node{deps: d, log: logging.Part(d.Log, "entry"), ctx: ctx, stop: stop, peers: map[string]peer.SiteHandler{}}
 	n.evacuations.lines = logging.NewLimiter(evacuationLinesPerSecond, evacuationLineBurst)
-	n.store = &relay.Store{Self: d.Self, Table: d.Table, Feed: d.Feed, Peers: n.relayPeers}
+	n.readiness.wake = make(chan struct{}, 1)
+	n.store = &relay.Store{Self: d.Self, Table: d.Table, Feed: d.Feed, Peers: n.relayPeers, OnFailure: n.wakeStoreWatch, OnPeersAsked: func() { n.updateReadiness() },
+		Background: n.runInBackground}
 	n.deps.Table, n.deps.Feed = n.store, n.store
 	return n
 }
@@ -132,8 +136,10 @@
 
 // Start starts following the operators' configuration and taking part in the election.
 func (n *Node) Start() {
+	n.initReadiness()
 	n.runForever("following operators", n.followOperators)
 	n.runForever("election", n.elect)
+	n.runForever("watching the store", n.watchStore)
 }
 
 // restartDelay is the pause before a background task is restarted after a panic.
@@ -148,14 +154,30 @@
 	})
 }
 
-// runOnce runs f in its own goroutine.
-func (n *Node) runOnce(what string, f func()) {
+// runOnce runs f in its own goroutine. It reports false, and does nothing, once the node is stopped: messages
+// of other entry VMs may arrive until then and later.
+func (n *Node) runOnce(what string, f func()) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.ctx.Err() != nil {
+		return false
+	}
 	n.wg.Go(func() { _ = guard.Recover(n.log, what, f) })
+	return true
+}
+
+// runInBackground runs f in its own goroutine, or before it returns, with a context that has ended, once the
+// node is stopped.
+func (n *Node) runInBackground(f func(ctx context.Context)) {
+	if !n.runOnce("a read of the store", func() { f(n.ctx) }) {
+		f(n.ctx)
+	}
 }
 
 // BeginShutdown makes Ready report false and releases the coordinator role.
 func (n *Node) BeginShutdown(ctx context.Context) {
 	n.stopping.Store(true)
+	n.updateReadiness()
 	if t := n.term.Load(); t != nil {
 		if err := t.Release(ctx); err != nil {
 			n.log.Warn().Err(err).Msg("Entry: lease not released; it will expire.")
@@ -165,7 +187,9 @@
 
 // Stop stops the node and waits for its goroutines.
 func (n *Node) Stop() {
-	n.stop()
+	n.mu.Lock()
+	n.stop() // under the lock, so that runOnce starts nothing while wg.Wait waits
+	n.mu.Unlock()
 	n.probe.stop()
 	if t := n.term.Load(); t != nil {
 		t.End(coordinator.ErrNotCoordinating)
