entry: a new process reads the store before it takes the coordinator's configuration

Change: a heartbeat's version is fetched only once the operators' rows have been read or a read has failed.

--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -61,6 +61,8 @@
 	// synced is set once the operators' rows have been read from the store, stopping once a shutdown
 	// has begun.
 	synced, stopping atomic.Bool
+	// readFailed is set once a read of the operators' rows has failed.
+	readFailed atomic.Bool
 	// readiness decides whether connections are asked for.
 	readiness readinessWatch
 	// outageSince is since when the store does not answer, on the node's clock; 0 while it does.
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -50,6 +50,7 @@
 			readAll = true
 			continue
 		case err != nil:
+			n.readFailed.Store(true)
 			if !n.awaitStore() {
 				return
 			}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -55,7 +55,10 @@
 		ownVersion = c.Version
 	}
 	reply.Config = ownVersion
-	if m.Config > ownVersion {
+	// The coordinator may not have the newest version yet, in which a key may have been withdrawn that this
+	// process would accept again after a restart. Without the store its version is the best there is.
+	firstRead := !n.synced.Load() && !n.readFailed.Load()
+	if m.Config > ownVersion && !firstRead {
 		n.runOnce("fetching a configuration", func() { n.fetchConfig(m) })
 	}
 	return reply, nil
