--- a/bench/cluster/cluster.go
+++ b/bench/cluster/cluster.go
@@ -42,7 +42,9 @@
 	LogLevel string
 	// DirectMinions leaves the proxy out between entry VMs and minions.
 	DirectMinions bool
-	Seed          uint64
+	// Settings are further lines of each entry VM's settings.
+	Settings string
+	Seed     uint64
 }
 
 // Cluster is a running experiment.
--- a/bench/cluster/entries.go
+++ b/bench/cluster/entries.go
@@ -51,6 +51,7 @@
 	fmt.Fprintf(&b, "caller_listen = %q\noperator_listen = %q\npeer_listen = %q\n", e.Caller, e.Operator, e.Peer)
 	fmt.Fprintf(&b, "operator_token = %q\nlog_level = %q\n", OperatorToken, c.LogLevel)
 	fmt.Fprintf(&b, "platform_url = \"http://%s\"\nbalancer_grace = \"500ms\"\ndrain_timeout = %q\n", link, drainTimeout)
+	b.WriteString(c.Settings)
 	for _, n := range c.names {
 		p := c.entries[n]
 		addr := p.Peer
@@ -125,5 +126,14 @@
 	return p != nil && p.Running()
 }
 
+// PID returns the process id of a daemon. Error: it was not started.
+func (c *Cluster) PID(n model.EntryVM) (int, error) {
+	p := c.entries[n].proc
+	if p == nil {
+		return 0, errors.Errorf("cluster: %s was not started", n)
+	}
+	return p.PID(), nil
+}
+
 // Usage returns processor time and memory of a daemon.
 func (c *Cluster) Usage(n model.EntryVM) (proc.Usage, error) { return c.entries[n].proc.Usage() }
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -32,6 +32,9 @@
 	DefaultAnswerBytes = 16 << 20
 )
 
+// maxFDs is the largest value of max_fds.
+const maxFDs = 1 << 20
+
 // MinTokenLength is the minimum length of the operator token in bytes; shorter tokens could
 // be guessed.
 const MinTokenLength = 16
@@ -97,6 +100,8 @@
 		BalancerGrace:       t.Duration("balancer_grace", tomldoc.DurationRule{Default: DefaultBalancerGrace, Min: 0, Max: time.Minute}),
 		DrainTimeout:        t.Duration("drain_timeout", tomldoc.DurationRule{Default: DefaultDrainTimeout, Min: time.Second, Max: time.Hour}),
 		AnswerRetention:     t.Duration("answer_retention", tomldoc.DurationRule{Default: DefaultAnswerRetention, Min: time.Second, Max: time.Hour}),
+		MemoryMB:            t.Float("memory_mb", tomldoc.FloatRule{Default: 0, Min: 0, Max: 1e6}),
+		MaxFDs:              int(t.Int("max_fds", tomldoc.IntRule{Default: 0, Min: 0, Max: maxFDs})),
 		AnswerBytes:         t.Int("answer_bytes", tomldoc.IntRule{Default: DefaultAnswerBytes, Min: 0, Max: 1 << 30}),
 	}
 	checkListenAddresses(t, s)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -39,6 +39,10 @@
 	// AnswerRetention is how long answers are kept; AnswerBytes limits their total size.
 	AnswerRetention time.Duration
 	AnswerBytes     int64
+	// MemoryMB is the memory that this entry VM may use, in MB, and MaxFDs how many descriptors it may
+	// have open; 0 means the process's own limit.
+	MemoryMB float64
+	MaxFDs   int
 }
 
 // Peer is the name and address of an entry VM of the site.
--- a/internal/settings/site.go
+++ b/internal/settings/site.go
@@ -34,6 +34,8 @@
 	Cores float64
 	// MemoryMB is the memory that this entry VM may use, in MB; 0 means no limit.
 	MemoryMB float64
+	// MaxFDs is how many descriptors this process may have open; 0 means the process's own limit.
+	MaxFDs int
 	// LinkMbps is the bandwidth of this entry VM's link, in Mbit/s.
 	LinkMbps float64
 	// TerminationGrace is the time between SIGTERM and the platform's SIGKILL.
@@ -84,6 +86,7 @@
 		StoreRowBytes:    int(t.Int("store_row_bytes", tomldoc.IntRule{Default: jobs.DefaultRowBytes, Min: 4 << 10, Max: 1 << 20})),
 		Cores:            t.Float("cores", tomldoc.FloatRule{Default: 1, Min: 0.01, Max: 1024}),
 		MemoryMB:         t.Float("memory_mb", tomldoc.FloatRule{Default: 0, Min: 0, Max: 1e6}),
+		MaxFDs:           int(t.Int("max_fds", tomldoc.IntRule{Default: 0, Min: 0, Max: maxFDs})),
 		LinkMbps:         t.Float("link_mbps", tomldoc.FloatRule{Default: 1000, Min: 0.1, Max: 1e6}),
 		TerminationGrace: requiredDuration("grace"),
 		MaxMinionLease:   requiredDuration("max_hold"),
