ingress, platform, entry, caller: tests of bounds and of true refusals

Cause: the bounds on callers had only the tests with real processes.

Found by them and mended: a request that was the only one with unfinished memory evicted itself in place of waiting for room, and a body that failed gave its memory back only with the end of its request.

--- a/internal/caller/server_test.go
+++ b/internal/caller/server_test.go
@@ -24,6 +24,7 @@
 	"boragepulley/internal/config"
 	"boragepulley/internal/control"
 	"boragepulley/internal/dispatch"
+	"boragepulley/internal/ingress"
 	"boragepulley/internal/model"
 	"boragepulley/internal/peer"
 	"boragepulley/internal/platform"
@@ -270,6 +271,39 @@
 	require.Zero(t, ran.Load())
 }
 
+// Guards against bodies that together take more memory than there is for them: a request without room is
+// refused, says so, and is served once there is room.
+func TestNoRoomForABody(t *testing.T) {
+	arrived, gate := make(chan struct{}, 2), make(chan struct{})
+	s := newTestAPI(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			arrived <- struct{}{}
+			<-gate
+		}
+		minion(w, r)
+	}, func(_ *fakeControl, c *Config) {
+		c.Bounds = ingress.NewGuard("test", ingress.Limits{Connections: 10, Bytes: 60, ProcessingBytes: 60}, time.Second, zerolog.Nop())
+	})
+	const path = "/v1/queues/open/requests"
+	first := make(chan int, 1)
+	go func() {
+		resp, _ := s.call(t, "POST", path, strings.Repeat("x", 40))
+		first <- resp.StatusCode
+	}()
+	<-arrived
+	resp, body := s.call(t, "POST", path, strings.Repeat("x", 40))
+	require.Equal(t, 429, resp.StatusCode)
+	require.NotEmpty(t, resp.Header.Get("Retry-After"))
+	require.Equal(t, model.OutcomeNotRun, decode(t, body).Outcome)
+	close(gate)
+	require.Equal(t, 200, <-first)
+	resp, _ = s.call(t, "POST", path, strings.Repeat("x", 40))
+	require.Equal(t, 200, resp.StatusCode)
+	resp, body = s.call(t, "POST", path, strings.Repeat("x", 61))
+	require.Equal(t, 413, resp.StatusCode, "it never fits")
+	require.Equal(t, model.ReasonBodyTooLarge, decode(t, body).Reason)
+}
+
 // Guards against a team that reads or cancels another team's job, and against access
 // without a key to jobs of queues that need one.
 func TestJobsOfOtherTeams(t *testing.T) {
--- a/internal/entry/backlog_test.go
+++ b/internal/entry/backlog_test.go
@@ -53,3 +53,22 @@
 		require.NoError(t, node(1).Submit(context.Background(), waiting).Err, "there is space again")
 	})
 }
+
+// Guards against an entry VM without memory for a body that says a job is not accepted although an
+// attempt at another entry VM has stored it.
+func TestRefusalForLackOfMemoryIsTrue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tc := newLimitedCluster(t, 3, 0)
+		defer tc.stop()
+		time.Sleep(3 * time.Second)
+		a := newJob("5c0e7a21d94b36f8")
+		require.NoError(t, tc.nodes["e1"].Submit(context.Background(), a).Err)
+		for _, n := range tc.nodes {
+			require.NoError(t, n.Refuse(context.Background(), a.ID).Err, "accepted before")
+			refused := n.Refuse(context.Background(), "00000000000000aa")
+			require.ErrorIs(t, refused.Err, site.ErrOverloaded)
+			require.GreaterOrEqual(t, refused.RetryAfter, time.Second)
+			require.Equal(t, site.ReasonNoRoom, refused.Reason)
+		}
+	})
+}
--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -32,7 +32,7 @@
 
 // ReadBody reads a body of at most limit bytes. Errors: ErrTooLarge, ErrTimeout, ErrNoRoom, ErrClosed,
 // or the error of reading.
-func (g *Guard) ReadBody(r *http.Request, limit int64) ([]byte, error) {
+func (g *Guard) ReadBody(r *http.Request, limit int64) (body []byte, err error) {
 	limit = g.MaxBody(limit)
 	if r.ContentLength > limit {
 		return nil, ErrTooLarge
@@ -40,7 +40,12 @@
 	c := connOf(r)
 	var parts [][]byte
 	var total, held int64
-	defer func() { recycle(parts) }()
+	defer func() {
+		recycle(parts)
+		if err != nil {
+			g.release(c, held)
+		}
+	}()
 	for eof := false; !eof; {
 		if len(parts) == 0 || len(parts[len(parts)-1]) == cap(parts[len(parts)-1]) {
 			size := partSize(len(parts), r.ContentLength, total, limit)
@@ -67,7 +72,7 @@
 		return nil, ErrClosed
 	}
 	if len(parts) == 1 {
-		body := parts[0]
+		body = parts[0]
 		parts = nil
 		return body, nil
 	}
@@ -76,7 +81,7 @@
 		return nil, err
 	}
 	defer release()
-	body := make([]byte, 0, total)
+	body = make([]byte, 0, total)
 	for _, p := range parts {
 		body = append(body, p...)
 	}
--- a/internal/ingress/book.go
+++ b/internal/ingress/book.go
@@ -59,7 +59,7 @@
 // if the new one must be refused, because all others are being served.
 func (b *Book) Open(now time.Duration) (id ID, victim *Victim, ok bool) {
 	if b.open >= b.limits.Connections {
-		if victim = b.choose(now, false); victim == nil {
+		if victim = b.choose(now, false, 0); victim == nil {
 			return 0, nil, false
 		}
 		victim.Reason = ReasonConnections
@@ -126,9 +126,9 @@
 			b.held += n
 			return victims, true
 		}
-		v := b.choose(now, true)
-		if v == nil {
-			return victims, false
+		v := b.choose(now, true, 0)
+		if v == nil || v.ID == id && b.choose(now, true, id) == nil {
+			return victims, false // all others are being served, so that there is room soon
 		}
 		v.Reason = ReasonMemory
 		b.evict(v.ID)
@@ -180,13 +180,13 @@
 
 // choose returns the connection to close first, nil if all are being served. Stalled ones come first,
 // by the time since they sent; then those that have held most for longest. With holding set, only
-// connections that hold memory count.
-func (b *Book) choose(now time.Duration, holding bool) *Victim {
+// connections that hold memory count. The one with the id except is left out.
+func (b *Book) choose(now time.Duration, holding bool, except ID) *Victim {
 	var best *Victim
 	var bestStalled bool
 	var bestScore float64
 	for id, e := range b.conns {
-		if e.serving || e.evicted || holding && e.held == 0 {
+		if id == except || e.serving || e.evicted || holding && e.held == 0 {
 			continue
 		}
 		v := e.victim(id, now)
--- /dev/null
+++ b/internal/ingress/guard_test.go
@@ -0,0 +1,177 @@
+package ingress
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+)
+
+// pipes is a listener of connections within the process.
+type pipes struct {
+	conns chan net.Conn
+	done  chan struct{}
+}
+
+func (p *pipes) Accept() (net.Conn, error) {
+	select {
+	case c := <-p.conns:
+		return c, nil
+	case <-p.done:
+		return nil, net.ErrClosed
+	}
+}
+func (p *pipes) Close() error   { close(p.done); return nil }
+func (p *pipes) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (p *pipes) dial() net.Conn {
+	here, there := net.Pipe()
+	p.conns <- there
+	return here
+}
+
+// serve runs a server under a guard. Its handler reads the body, tells the result on the channel and,
+// if there is a body and gate is set, waits for it.
+func serve(t *testing.T, l Limits, gate chan struct{}) (p *pipes, g *Guard, results chan string, shutdown func(context.Context) error) {
+	p = &pipes{make(chan net.Conn), make(chan struct{})}
+	g = newGuard("test", l, DefaultBodyTimeout, zerolog.Nop(), Unbounded().lines)
+	results = make(chan string, 16)
+	s := &http.Server{ConnContext: ConnContext, Handler: g.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := g.ReadBody(r, 200*kib)
+		results <- fmt.Sprintf("%d %v", len(body), err)
+		switch {
+		case err != nil:
+			w.Header().Set("Connection", "close")
+		case gate != nil:
+			<-gate
+		}
+	}))}
+	go func() { _ = s.Serve(g.Listen(p)) }()
+	return p, g, results, s.Shutdown
+}
+
+func post(c net.Conn, length int, body string) {
+	fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", length, body)
+}
+
+var roomy = Limits{Connections: 10, Bytes: 400 * kib, ProcessingBytes: 300 * kib}
+
+// Guards against a body that is read wrongly in parts, a limit that is off by one, memory that is not
+// given back, and a client that holds a request open for longer than the time limit.
+func TestBodies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, g, results, shutdown := serve(t, roomy, nil)
+		c := p.dial()
+		go io.Copy(io.Discard, c) //nolint:errcheck // ends with the connection
+		for _, n := range []int{1, 4 * kib, 32 * kib, 32*kib + 1, 100 * kib, 200 * kib} {
+			post(c, n, strings.Repeat("x", n))
+			require.Equal(t, fmt.Sprintf("%d <nil>", n), <-results)
+			fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", n, strings.Repeat("x", n))
+			require.Equal(t, fmt.Sprintf("%d <nil>", n), <-results)
+			synctest.Wait()
+			open, held := g.book.Usage()
+			require.Equal(t, 1, open)
+			require.Zero(t, held, "between requests")
+		}
+		post(c, 200*kib+1, "")
+		require.Equal(t, "0 "+ErrTooLarge.Error(), <-results)
+		for _, withheld := range []int{1, 99 * kib} {
+			c := p.dial()
+			go io.Copy(io.Discard, c) //nolint:errcheck // ends with the connection
+			began := time.Now()
+			post(c, 100*kib, strings.Repeat("x", 100*kib-withheld))
+			require.Equal(t, "0 "+ErrTimeout.Error(), <-results)
+			require.Equal(t, DefaultBodyTimeout, time.Since(began))
+		}
+		require.NoError(t, shutdown(t.Context()))
+		synctest.Wait()
+		_, held := g.book.Usage()
+		require.Zero(t, held)
+	})
+}
+
+// Guards against a crowd whose unfinished bodies keep an ordinary request from being served, and
+// against one that is refused for good while others are served.
+func TestUnfinishedBodiesMakeRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gate := make(chan struct{}, 16)
+		p, g, results, shutdown := serve(t, roomy, gate)
+		dial := func(length int, body string) {
+			c := p.dial()
+			go io.Copy(io.Discard, c) //nolint:errcheck // ends with the connection
+			go post(c, length, body)
+		}
+		part, whole := strings.Repeat("x", 180*kib-1), strings.Repeat("x", 150*kib)
+		const served, closed = "153600 <nil>", "0 ingress: connection closed"
+		for range 2 {
+			dial(180*kib, part)
+			synctest.Wait()
+			time.Sleep(10 * time.Millisecond)
+		}
+		for range 2 { // each takes the place of an unfinished one
+			dial(150*kib, whole)
+			require.ElementsMatch(t, []string{closed, served}, []string{<-results, <-results})
+		}
+		// Only requests that are being served hold memory now: one waits for it, and one in vain.
+		dial(150*kib, whole)
+		time.Sleep(500 * time.Millisecond)
+		gate <- struct{}{}
+		require.Equal(t, served, <-results)
+		dial(150*kib, whole)
+		require.Equal(t, "0 "+ErrNoRoom.Error(), <-results)
+		for range 2 {
+			gate <- struct{}{}
+		}
+		require.NoError(t, shutdown(t.Context()))
+		synctest.Wait()
+		_, held := g.book.Usage()
+		require.Zero(t, held)
+	})
+}
+
+// Guards against headers that never end and are not accounted for, more connections than the bound,
+// and a shutdown that waits for clients that have stalled within a request.
+func TestUnfinishedHeadersAndShutdown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, g, _, shutdown := serve(t, Limits{Connections: 3, Bytes: 20 * kib, ProcessingBytes: kib}, nil)
+		for range 8 {
+			c := p.dial()
+			go fmt.Fprintf(c, "GET / HTTP/1.1\r\nX: %s", strings.Repeat("y", 4*kib)) //nolint:errcheck // ends with the connection
+			synctest.Wait()
+			time.Sleep(time.Millisecond)
+		}
+		open, held := g.book.Usage()
+		require.LessOrEqual(t, open, 3)
+		require.Positive(t, held)
+		require.LessOrEqual(t, held, int64(20*kib))
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		go g.Drain(ctx)
+		require.NoError(t, shutdown(ctx))
+	})
+}
+
+// Guards against a body that needs more memory than there is to process it and is never served.
+func TestOneRequestMayTakeAllProcessingMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGuard("test", roomy, 0, zerolog.Nop(), Unbounded().lines)
+		release, err := g.Reserve(t.Context(), 1<<40)
+		require.NoError(t, err)
+		_, err = g.Reserve(t.Context(), 1)
+		require.ErrorIs(t, err, ErrNoRoom)
+		release()
+		gone, cancel := context.WithCancel(t.Context())
+		cancel()
+		release, err = g.Reserve(gone, 1)
+		require.NoError(t, err, "room does not depend on the caller's time")
+		release()
+	})
+}
