--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -201,17 +201,21 @@
 	return ok && c.SetReadDeadline(time.Time{}) == nil
 }
 
-// Reserve reserves memory for processing a complete body, in the order of the calls. A request that
-// needs more than there is gets all of it. Error: ErrNoRoom after a short time.
+// Reserve reserves memory for processing a complete body, in the order of the calls. Bodies that need
+// little have memory of their own. A request that needs more than there is gets all of it. Error: ErrNoRoom after a short time.
 func (g *Guard) Reserve(ctx context.Context, n int64) (release func(), err error) {
-	n = min(n, g.limits.ProcessingBytes)
-	release = func() { g.processing.Release(n) }
-	if g.processing.TryAcquire(n) { // also for a request whose time is over; that is for the caller to judge
+	room := g.large
+	if n <= smallBytes && n <= g.smallRoom {
+		room = g.small
+	}
+	n = min(n, g.largeRoom)
+	release = func() { room.Release(n) }
+	if room.TryAcquire(n) { // also for a request whose time is over; that is for the caller to judge
 		return release, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, roomTimeout)
 	defer cancel()
-	if err := g.processing.Acquire(ctx, n); err != nil {
+	if err := room.Acquire(ctx, n); err != nil {
 		return nil, g.noRoom()
 	}
 	return release, nil
--- a/internal/ingress/guard.go
+++ b/internal/ingress/guard.go
@@ -35,7 +35,9 @@
 	log         zerolog.Logger
 	lines       *logging.Limiter
 	began       time.Time
-	processing  *semaphore.Weighted
+	// small and large are the memory for processing bodies that need up to smallBytes and more.
+	small, large         *semaphore.Weighted
+	smallRoom, largeRoom int64
 
 	mu    sync.Mutex
 	book  *Book         // guarded by mu
@@ -57,8 +59,10 @@
 }
 
 func newGuard(name string, l Limits, bodyTimeout time.Duration, log zerolog.Logger, lines *logging.Limiter) *Guard {
+	small := int64(float64(l.ProcessingBytes) * smallShare)
+	large := l.ProcessingBytes - small
 	return &Guard{name: name, limits: l, bodyTimeout: bodyTimeout, log: log, lines: lines, began: time.Now(),
-		processing: semaphore.NewWeighted(l.ProcessingBytes), book: NewBook(l), conns: map[ID]*conn{}, freed: make(chan struct{})}
+		small: semaphore.NewWeighted(small), large: semaphore.NewWeighted(large), smallRoom: small, largeRoom: large, book: NewBook(l), conns: map[ID]*conn{}, freed: make(chan struct{})}
 }
 
 // now is monotonic.
@@ -66,7 +70,7 @@
 
 // MaxBody returns the largest body that the budget can hold, at most limit.
 func (g *Guard) MaxBody(limit int64) int64 {
-	return min(limit, g.limits.Bytes, g.limits.ProcessingBytes)
+	return min(limit, g.limits.Bytes, g.largeRoom)
 }
 
 // Listen bounds the connections of a listener.
