--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -75,6 +75,7 @@
 // New builds a daemon and opens its listeners. Errors: an address that cannot be
 // listened on, or settings that the platform client rejects.
 func New(set *settings.Settings, log zerolog.Logger) (*Daemon, error) {
+	limitHeap(set.MemoryMB)
 	d := &Daemon{
 		set:  set,
 		log:  logging.Part(log, "daemon"),
--- a/internal/daemon/site.go
+++ b/internal/daemon/site.go
@@ -77,12 +77,17 @@
 	clients []*peer.Client // guarded by mu
 }
 
+// limitHeap sets where the garbage collector begins to work harder; 0 MB means no limit.
+func limitHeap(memoryMB float64) {
+	if memoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryMB * heapShare * (1 << 20)))
+	}
+}
+
 // NewSite builds an entry VM and opens its listeners. Errors: an address that cannot be
 // listened on, or settings that the store's client rejects.
 func NewSite(set *settings.Site, log zerolog.Logger) (*Site, error) {
-	if set.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(set.MemoryMB * heapShare * (1 << 20)))
-	}
+	limitHeap(set.MemoryMB)
 	store, err := client.NewClient(client.Options{
 		BaseURL: set.StoreURL, ClientName: string(set.DC) + "/" + string(set.Name), WritesPerSecond: set.StoreWrites / 2,
 		ReadsPerSecond: set.StoreReads / 2, CallTimeout: siteStoreTimeout, MinSmallCallTimeout: siteSmallTimeout, MaxBreakerBackoff: siteBreakerMax, ProbeOnlyByReads: true, Log: logging.Part(log, "store"),
