test/clients: graceful shutdown beside hostile clients

Cause: a shutdown of the site path waited for unfinished bodies until its time was over and ended with exit status 1; nothing tested it with real processes.

--- a/test/clients/clients_test.go
+++ b/test/clients/clients_test.go
@@ -77,6 +77,9 @@
 	head func(client int) string
 	// ordinary sends an ordinary request and returns the status, 0 if there was no answer.
 	ordinary func(try int) int
+	// terminate shuts the process down gracefully. Error: it did not end in time, or with another exit
+	// status than 0.
+	terminate func() error
 }
 
 // request is how a client sends.
@@ -155,6 +158,22 @@
 	testRequests(t, startSite, []request{{name: "jobs of many steps", wire: withLength, piece: bodyBytes, steps: true}})
 }
 
+// Guards against a graceful shutdown that waits for clients that never finish, and fails.
+func TestShutdownUnderHostileClients(t *testing.T) {
+	if testing.Short() {
+		t.Skip("needs seconds")
+	}
+	for name, start := range map[string]func(t *testing.T) *target{"site": startSite, "product": startProduct} {
+		for _, r := range requests {
+			t.Run(name+", "+r.name, func(t *testing.T) {
+				x := start(t)
+				defer openCrowd(t, x, r)()
+				require.NoError(t, x.terminate())
+			})
+		}
+	}
+}
+
 func testPath(t *testing.T, start func(t *testing.T) *target) { testRequests(t, start, requests) }
 
 func testRequests(t *testing.T, start func(t *testing.T) *target, list []request) {
