peer: budget for messages that are being received

Cause: a client that reaches the listener for other entry VMs could announce messages of 24 MiB, send a part of each and stay open.

Change: the codec holds memory of the listener's guard before it takes it, and releases it once the message is decoded or lost. A buffer grows by what is held, not by the runtime's choice.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -91,7 +91,8 @@
 		return nil, err
 	}
 	d.operatorBounds = ingress.NewGuard("operators", ingress.Small(operatorConnections), ingress.DefaultBodyTimeout, logging.Part(log, "caller"))
-	d.peerBounds = ingress.NewGuard("peers", ingress.Small(peerConnections), 0, logging.Part(log, "caller"))
+	d.peerBounds = ingress.NewGuard("peers", ingress.DerivePeers(set.MemoryMB, peerConnections, peer.MaxMessage), 0, logging.Part(log, "caller"))
+	d.peers.SetBudget(d.peerBounds)
 	return d, d.listen()
 }
 
--- a/internal/daemon/site.go
+++ b/internal/daemon/site.go
@@ -122,8 +122,9 @@
 	}
 	s.ready, s.readyBounds = small("ready", platform.ReadinessHandler(s.node))
 	s.metrics, s.metricsBounds = small("metrics", sitestatus.Handler(s.node, expvar.Handler()))
-	s.peerBounds = ingress.NewGuard("peers", ingress.Small(peerConnections), 0, callerLog)
+	s.peerBounds = ingress.NewGuard("peers", ingress.DerivePeers(set.MemoryMB, peerConnections, peer.MaxMessage), 0, callerLog)
 	s.peers = peer.NewSiteServer(s.node.Handler(), logging.Part(log, "peer"))
+	s.peers.SetBudget(s.peerBounds)
 	return s, s.listen()
 }
 
--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -139,6 +139,19 @@
 	return g.conns[c.id] == c
 }
 
+// Hold holds n bytes for a connection of Listen or ListenOnly, for a protocol other than HTTP. Errors:
+// ErrNoRoom, ErrClosed.
+func (g *Guard) Hold(nc net.Conn, n int64) error {
+	c, _ := nc.(*conn)
+	return g.hold(context.Background(), c, n)
+}
+
+// Release gives n bytes back.
+func (g *Guard) Release(nc net.Conn, n int64) {
+	c, _ := nc.(*conn)
+	g.release(c, n)
+}
+
 // hold holds n bytes for a connection. It waits for a short time if only requests that are being
 // served hold memory. Errors: ErrNoRoom, ErrClosed.
 func (g *Guard) hold(ctx context.Context, c *conn, n int64) error {
--- a/internal/ingress/limits.go
+++ b/internal/ingress/limits.go
@@ -66,6 +66,14 @@
 	return Limits{Connections: connections, Bytes: int64(connections) * connectionBytes, ProcessingBytes: connectionBytes}
 }
 
+// DerivePeers returns the limits of the listener for other entry VMs. One message of the largest size
+// always fits.
+func DerivePeers(memoryMB float64, connections int, largestMessage int64) Limits {
+	l := Derive(memoryMB, 0)
+	l.Connections, l.Bytes = connections, max(l.Bytes, largestMessage)
+	return l
+}
+
 const (
 	cgroupMemoryFile = "/sys/fs/cgroup/memory.max"
 	memoryFile       = "/proc/meminfo"
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -19,6 +19,10 @@
 type codec struct {
 	// read and wrote are called with the size of each message, including its length prefix.
 	read, wrote func(n int)
+	// hold, if set, is called before memory for n bytes of a message is taken, and release once the message
+	// is decoded or lost.
+	hold    func(n int) error
+	release func(n int)
 }
 
 // WriteObject implements jsonrpc2.ObjectCodec. Error: ErrTooLarge, before anything is written.
@@ -49,7 +53,20 @@
 	if size > MaxMessage {
 		return errors.Wrapf(ErrMalformed, "length %d exceeds the maximum", size)
 	}
-	data, err := readAll(r, int(size))
+	held := 0
+	if c.release != nil {
+		defer func() { c.release(held) }()
+	}
+	data, err := readAll(r, int(size), func(n int) error {
+		if c.hold == nil {
+			return nil
+		}
+		err := c.hold(n)
+		if err == nil {
+			held += n
+		}
+		return err
+	})
 	if err != nil {
 		return err
 	}
@@ -62,12 +79,24 @@
 
 // readAll reads n bytes. It grows the buffer as data arrives, so that a false length does
 // not allocate much more memory than the data that was sent.
-func readAll(r io.Reader, n int) ([]byte, error) {
+func readAll(r io.Reader, n int, hold func(n int) error) ([]byte, error) {
 	const step = 64 << 10
+	if err := hold(min(n, step)); err != nil {
+		return nil, err
+	}
 	data := make([]byte, 0, min(n, step))
 	for len(data) < n {
 		read := len(data)
-		data = append(data, make([]byte, min(n-read, max(step, read)))...)
+		if read == cap(data) {
+			more := min(n-read, max(step, read))
+			if err := hold(more); err != nil {
+				return nil, err
+			}
+			larger := make([]byte, read, read+more)
+			copy(larger, data)
+			data = larger
+		}
+		data = data[:cap(data)]
 		if _, err := io.ReadFull(r, data[read:]); err != nil {
 			return nil, err
 		}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -30,6 +30,8 @@
 	log    zerolog.Logger
 	known  map[model.EntryVM]bool
 
+	budget Budget // nil for none; set before Serve
+
 	ctx  context.Context
 	stop context.CancelFunc
 
@@ -55,6 +57,16 @@
 	return &Server{h: h, routes: routes, log: log, known: known, ctx: ctx, stop: stop, conns: map[*jsonrpc2.Conn]struct{}{}}
 }
 
+// Budget bounds the memory of messages that are being received on connections of Serve's listener.
+type Budget interface {
+	// Hold takes n bytes. Error: there is no room; the connection is closed then.
+	Hold(c net.Conn, n int64) error
+	Release(c net.Conn, n int64)
+}
+
+// SetBudget sets the budget for received messages. It must be called before Serve.
+func (s *Server) SetBudget(b Budget) { s.budget = b }
+
 // Serve accepts connections from lis until Close. It returns nil after Close, and
 // the listener's error otherwise.
 func (s *Server) Serve(lis net.Listener) error {
@@ -89,7 +101,12 @@
 		return
 	}
 	sc := &serverConn{srv: s, meter: meter{peer: unknownPeer}, calls: map[jsonrpc2.ID]inbound{}}
-	stream := jsonrpc2.NewBufferedStream(&deadlineConn{Conn: nc}, sc.meter.codec())
+	frames := sc.meter.codec()
+	if s.budget != nil {
+		frames.hold = func(n int) error { return s.budget.Hold(nc, int64(n)) }
+		frames.release = func(n int) { s.budget.Release(nc, int64(n)) }
+	}
+	stream := jsonrpc2.NewBufferedStream(&deadlineConn{Conn: nc}, frames)
 	conn := jsonrpc2.NewConn(s.ctx, stream, sc,
 		jsonrpc2.SetLogger(rpcLogger{s.log}), jsonrpc2.OnRecv(sc.onRecv), jsonrpc2.OnSend(sc.onSend))
 	s.conns[conn] = struct{}{}
--- a/test/clients/clients_test.go
+++ b/test/clients/clients_test.go
@@ -6,8 +6,10 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"flag"
 	"fmt"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -20,6 +22,7 @@
 	"github.com/stretchr/testify/require"
 
 	"boragepulley/internal/jobs"
+	"boragepulley/internal/peer"
 )
 
 const (
@@ -36,6 +39,9 @@
 	bodyBytes = 262144
 	// headerBytes is how much a client sends of headers that it never terminates.
 	headerBytes = 256 << 10
+	// peerCrowd is the number of clients that send peerBytes of a message for other entry VMs.
+	peerCrowd = 300
+	peerBytes = 1 << 20
 	// pieceBytes is the size of one write of a client that sends in pieces.
 	pieceBytes = 4 << 10
 )
@@ -70,7 +76,9 @@
 
 // target is a process under test.
 type target struct {
-	addr    string
+	addr string
+	// peer is the address for other entry VMs.
+	peer    string
 	pid     int
 	running func() bool
 	// head returns the request line and the headers of a request, but for those of its length.
@@ -158,6 +166,39 @@
 	testRequests(t, startSite, []request{{name: "jobs of many steps", wire: withLength, piece: bodyBytes, steps: true}})
 }
 
+// Guards against messages for other entry VMs that are announced as large, stop short of their end and
+// together exceed the memory.
+func TestPeerListenersUnderHostileClients(t *testing.T) {
+	if testing.Short() {
+		t.Skip("needs seconds")
+	}
+	for name, start := range map[string]func(t *testing.T) *target{"site": startSite, "product": startProduct} {
+		t.Run(name, func(t *testing.T) {
+			x := start(t)
+			stop := watchDescriptors(t, x)
+			var wg sync.WaitGroup
+			for range peerCrowd {
+				conn, err := net.Dial("tcp", x.peer)
+				require.NoError(t, err)
+				defer conn.Close()
+				wg.Go(func() {
+					_ = conn.SetWriteDeadline(time.Now().Add(sendWithin))
+					message := binary.AppendUvarint(nil, peer.MaxMessage)
+					_, _ = conn.Write(append(message, make([]byte, peerBytes)...)) // fails once it is closed
+				})
+			}
+			wg.Wait()
+			time.Sleep(500 * time.Millisecond) // the process reads what has arrived
+			assert.True(t, x.running(), "the process has ended")
+			requireAnswered(t, x, "beside the crowd")
+			fds, peak := stop(), peakMB(t, x.pid)
+			t.Logf("peak memory %d MB of %d, descriptors %d of %d", peak, memoryMB, fds, maxFDs)
+			assert.LessOrEqual(t, peak, memoryMB, "MB at the peak")
+			assert.LessOrEqual(t, fds, maxFDs, "descriptors at the peak")
+		})
+	}
+}
+
 // Guards against a graceful shutdown that waits for clients that never finish, and fails.
 func TestShutdownUnderHostileClients(t *testing.T) {
 	if testing.Short() {
--- a/test/clients/targets_test.go
+++ b/test/clients/targets_test.go
@@ -90,7 +90,7 @@
 	head := func(id int) string {
 		return fmt.Sprintf("POST /q/%016x HTTP/1.1\r\nHost: %s\r\nApi-Key: %s\r\nContent-Type: application/json\r\n", 0xabc0000+id, jobsHost, apiKey)
 	}
-	return &target{addr: addr[0], pid: e.PID(), running: e.Running, head: head, terminate: func() error { return e.Terminate(grace) }, ordinary: func(try int) int {
+	return &target{addr: addr[0], peer: addr[2], pid: e.PID(), running: e.Running, head: head, terminate: func() error { return e.Terminate(grace) }, ordinary: func(try int) int {
 		return call(t, addr[0], fmt.Sprintf("/q/%016x", time.Now().UnixNano()+int64(try)), jobsHost, http.Header{"Api-Key": {apiKey}},
 			`{"spec":"p","steps":[{"count":1,"cpu":1000,"mem_mb":64,"estimate_ms":100}]}`)
 	}}
@@ -120,7 +120,7 @@
 	head := func(int) string {
 		return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: %s\r\nContent-Type: application/json\r\n", path, key)
 	}
-	return &target{addr: addr, pid: usage, running: running, head: head, terminate: func() error { return c.Terminate(name, startWithin) }, ordinary: func(int) int {
+	return &target{addr: addr, peer: c.Entry(name).Peer, pid: usage, running: running, head: head, terminate: func() error { return c.Terminate(name, startWithin) }, ordinary: func(int) int {
 		return call(t, addr, path, "x", http.Header{"Authorization": {key}}, "{}")
 	}}
 }
