ingress: a lack of descriptors does not end a listener

Cause: peer.Server.Serve returns any error of Accept but a time-out, so that EMFILE ended the listener and with it the process.

Change: the guards' listeners write a line and try again after 20 ms on errors that pass.

--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -187,7 +187,7 @@
 
 func (g *Guard) noRoom() error {
 	count(g.name, "no_room")
-	g.line("Caller: request refused, no memory for its body.", nil)
+	g.line("Caller: request refused, no memory for its body.", nil, nil)
 	return ErrNoRoom
 }
 
--- a/internal/ingress/guard.go
+++ b/internal/ingress/guard.go
@@ -6,8 +6,10 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/semaphore"
 
@@ -23,6 +25,8 @@
 	roomTimeout = time.Second
 	// headerFactor is the memory of a header, as a multiple of its bytes: the text, and the map of fields.
 	headerFactor = 2
+	// acceptPause is the time until connections are accepted again after a lack of descriptors.
+	acceptPause = 20 * time.Millisecond
 	// drainInterval is how often a shutdown looks for stalled clients.
 	drainInterval = 100 * time.Millisecond
 )
@@ -86,11 +90,18 @@
 	connectionsOnly bool
 }
 
-// Accept returns the next connection that is not refused.
+// Accept returns the next connection that is not refused. A lack of descriptors or kernel memory is not
+// returned: it passes, and a server that takes it for the end of the listener would end the process.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
 		nc, err := l.Listener.Accept()
-		if err != nil {
+		switch {
+		case passes(err):
+			count(l.guard.name, "accept_failed")
+			l.guard.line("Caller: connection not accepted.", nil, err)
+			time.Sleep(acceptPause)
+			continue
+		case err != nil:
 			return nil, err
 		}
 		if c := l.guard.open(nc, l.connectionsOnly); c != nil {
@@ -99,6 +110,16 @@
 	}
 }
 
+// passes reports whether an error of accepting a connection passes.
+func passes(err error) bool {
+	for _, e := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED} {
+		if errors.Is(err, e) {
+			return true
+		}
+	}
+	return false
+}
+
 // open registers a connection; nil if it was refused.
 func (g *Guard) open(nc net.Conn, connectionsOnly bool) *conn {
 	g.mu.Lock()
@@ -106,7 +127,7 @@
 	if !ok {
 		g.mu.Unlock()
 		count(g.name, "connections_refused")
-		g.line("Caller: connection refused, all others are being served.", nil)
+		g.line("Caller: connection refused, all others are being served.", nil, nil)
 		_ = nc.Close()
 		return nil
 	}
@@ -144,12 +165,13 @@
 func (g *Guard) close(conns []*conn) {
 	for _, c := range conns {
 		count(g.name, "closed_"+string(c.victim.Reason))
-		g.line("Caller: connection closed.", c.victim)
+		g.line("Caller: connection closed.", c.victim, nil)
 		_ = c.Conn.Close()
 	}
 }
 
-func (g *Guard) line(text string, v *Victim) {
+// line writes a log line, at a bounded rate. The victim and the error may be nil.
+func (g *Guard) line(text string, v *Victim, err error) {
 	suppressed, ok := g.lines.Allow()
 	if !ok {
 		return
@@ -161,6 +183,9 @@
 	if v != nil {
 		e.Str("reason", string(v.Reason)).Dur("idle", v.Idle).Dur("holds_since", v.Age).Int64("holds", v.Held)
 	}
+	if err != nil {
+		e.Str("error", err.Error())
+	}
 	if suppressed > 0 {
 		e.Int64("suppressed", suppressed)
 	}
--- a/internal/ingress/guard_test.go
+++ b/internal/ingress/guard_test.go
@@ -6,7 +6,9 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -178,3 +180,36 @@
 		release()
 	})
 }
+
+// failing is a listener whose first calls fail.
+type failing struct {
+	net.Listener
+	errs []error
+}
+
+func (f *failing) Accept() (net.Conn, error) {
+	if len(f.errs) > 0 {
+		err := f.errs[0]
+		f.errs = f.errs[1:]
+		return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", err)}
+	}
+	return f.Listener.Accept()
+}
+
+// Guards against a lack of descriptors that ends a listener, and with it the process.
+func TestLackOfDescriptorsPasses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &pipes{make(chan net.Conn, 1), make(chan struct{})}
+		l := Unbounded().ListenOnly(&failing{p, []error{syscall.EMFILE, syscall.ENFILE}})
+		c := make(chan net.Conn, 1)
+		go func() { x, _ := l.Accept(); c <- x }()
+		here := p.dial()
+		defer here.Close()
+		require.NotNil(t, <-c)
+		require.NoError(t, p.Close())
+		_, err := l.Accept()
+		require.ErrorIs(t, err, net.ErrClosed)
+		_, err = Unbounded().Listen(&failing{p, []error{syscall.EINVAL}}).Accept()
+		require.ErrorIs(t, err, syscall.EINVAL)
+	})
+}
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -4,7 +4,7 @@
 
 // counters is the expvar map "ingress". By listener: connections closed for a bound
 // ("closed_connections", "closed_memory") or a shutdown ("closed_shutdown"), refused at their start
-// ("connections_refused"), closed because a body did not arrive ("closed_without_answer"),
+// ("connections_refused"), not accepted for lack of descriptors ("accept_failed"), closed because a body did not arrive ("closed_without_answer"),
 // "body_timeouts", and requests without room for their body ("no_room"); and as gauges "open" and "held",
 // the connections and the bytes of headers and bodies.
 var counters = expvar.NewMap("ingress")
