entry: the test of refusals waits for the announcement

Cause: TestRefusalForLackOfMemoryIsTrue failed in one of two runs: it asked other entry VMs for a job before its announcement had reached the coordinator, which earlierAttempt asks.

Measured: go test -race -count=15 -run 'LackOfMemory|Backlog' ./internal/entry passes.

--- a/internal/entry/backlog_test.go
+++ b/internal/entry/backlog_test.go
@@ -63,6 +63,8 @@
 		time.Sleep(3 * time.Second)
 		a := newJob("5c0e7a21d94b36f8")
 		require.NoError(t, tc.nodes["e1"].Submit(context.Background(), a).Err)
+		// The check asks the coordinator, which learns of the job by an announcement.
+		time.Sleep(100 * time.Millisecond)
 		for _, n := range tc.nodes {
 			require.NoError(t, n.Refuse(context.Background(), a.ID).Err, "accepted before")
 			refused := n.Refuse(context.Background(), "00000000000000aa")
