entry: one function for refusals that are checked against earlier attempts

Cause: Refuse repeated the body of refuseForBacklog.

Change: both call Node.refuse; no change of behaviour.

Measured: go test -race ./internal/entry ./platform passes.

--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -92,27 +92,25 @@
 
 // refuseForBacklog rejects a job because of the backlog, unless an earlier attempt has or may have stored it.
 func (n *Node) refuseForBacklog(ctx context.Context, id jobs.ID) site.Answer {
-	switch stored, mayBe := n.earlierAttempt(ctx, id); {
-	case stored:
-		return n.acceptedBefore(id)
-	case mayBe:
-		return n.mayBeStored(errors.New("earlier attempt with unknown outcome"))
-	}
-	counters.Add("refused_backlog", 1)
-	return site.Answer{Err: errors.Wrap(site.ErrOverloaded, "the jobs that have not ended take all memory"), RetryAfter: maxRetryAfter, Reason: site.ReasonFull}
+	return n.refuse(ctx, id, "refused_backlog", site.Answer{Err: errors.Wrap(site.ErrOverloaded, "the jobs that have not ended take all memory"), RetryAfter: maxRetryAfter, Reason: site.ReasonFull})
 }
 
 // Refuse rejects a job whose body this entry VM has no memory for, unless an earlier attempt has or may
 // have stored it.
 func (n *Node) Refuse(ctx context.Context, id jobs.ID) site.Answer {
+	return n.refuse(ctx, id, "refused_no_room", site.Answer{Err: errors.Wrap(site.ErrOverloaded, "no memory for the body"), RetryAfter: time.Second, Reason: site.ReasonNoRoom})
+}
+
+// refuse returns the refusal and counts it, unless an earlier attempt has or may have stored the job.
+func (n *Node) refuse(ctx context.Context, id jobs.ID, counter string, refusal site.Answer) site.Answer {
 	switch stored, mayBe := n.earlierAttempt(ctx, id); {
 	case stored:
 		return n.acceptedBefore(id)
 	case mayBe:
 		return n.mayBeStored(errors.New("earlier attempt with unknown outcome"))
 	}
-	counters.Add("refused_no_room", 1)
-	return site.Answer{Err: errors.Wrap(site.ErrOverloaded, "no memory for the body"), RetryAfter: time.Second, Reason: site.ReasonNoRoom}
+	counters.Add(counter, 1)
+	return refusal
 }
 
 // unavailable is the answer to a request that needs the store, which does not answer.
