--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"boragepulley/internal/config"
+	"boragepulley/internal/ingress"
 	"boragepulley/internal/model"
 	"boragepulley/internal/tomldoc"
 )
@@ -32,6 +33,9 @@
 	DefaultAnswerBytes = 16 << 20
 )
 
+// maxFDs is the largest value of max_fds.
+const maxFDs = 1 << 20
+
 // MinTokenLength is the minimum length of the operator token in bytes; shorter tokens could
 // be guessed.
 const MinTokenLength = 16
@@ -97,13 +101,26 @@
 		BalancerGrace:       t.Duration("balancer_grace", tomldoc.DurationRule{Default: DefaultBalancerGrace, Min: 0, Max: time.Minute}),
 		DrainTimeout:        t.Duration("drain_timeout", tomldoc.DurationRule{Default: DefaultDrainTimeout, Min: time.Second, Max: time.Hour}),
 		AnswerRetention:     t.Duration("answer_retention", tomldoc.DurationRule{Default: DefaultAnswerRetention, Min: time.Second, Max: time.Hour}),
+		MemoryMB:            t.Float("memory_mb", tomldoc.FloatRule{Default: 0, Min: 0, Max: 1e6}),
+		MaxFDs:              int(t.Int("max_fds", tomldoc.IntRule{Default: 0, Min: 0, Max: maxFDs})),
 		AnswerBytes:         t.Int("answer_bytes", tomldoc.IntRule{Default: DefaultAnswerBytes, Min: 0, Max: 1 << 30}),
 	}
+	checkResources(t, s.MemoryMB, s.MaxFDs)
 	checkListenAddresses(t, s)
 	readPeers(t, s)
 	return s
 }
 
+// checkResources reports a memory or a number of descriptors with which a process could not serve callers.
+func checkResources(t *tomldoc.Table, memoryMB float64, fds int) {
+	if memoryMB > 0 && memoryMB < ingress.MinMemoryMB {
+		t.Fault("memory_mb", fmt.Sprint(memoryMB), fmt.Sprintf("at least %d, so that bodies fit into their part of it, or 0 for the process's own limit", ingress.MinMemoryMB))
+	}
+	if fds > 0 && fds < ingress.MinFDs {
+		t.Fault("max_fds", fmt.Sprint(fds), fmt.Sprintf("at least %d, so that callers can connect, or 0 for the process's own limit", ingress.MinFDs))
+	}
+}
+
 // readToken reads the operator token. Faults do not contain the token.
 func readToken(t *tomldoc.Table) string {
 	return t.String("operator_token", tomldoc.StringRule{
