check-config: fewer than one attempt is a warning

Cause: found in review: DecodeConfig takes a queue without max_attempts as one attempt, so the check called an accepted configuration faulty. Change: a warning that says so. Measured: go test ./internal/siteconfig ./platform ./cmd/boragepulley passes.

--- a/internal/siteconfig/siteconfig.go
+++ b/internal/siteconfig/siteconfig.go
@@ -151,7 +151,7 @@
 
 func (c *checker) checkObjective(i int, q *site.Queue) {
 	if n := c.d.Attempts[i]; n < 1 {
-		c.fault(Queues, i, "MaxAttempts", fmt.Sprint(n), "at least 1")
+		c.warn(Queues, i, "MaxAttempts", fmt.Sprint(n), "at least 1, as which it counts")
 	}
 	if q.Priority < 0 {
 		c.fault(Queues, i, "Priority", fmt.Sprint(q.Priority), "0 for the highest priority, or a number above it")
