readiness: cut off only if no other data centre answers

Cause: an answer that a peer reaches the store, or one silent entry VM of another data centre, was enough evidence to leave the rotation. A peer that reaches the store is itself a path for this VM. VMs therefore left when the store went away for all after some of them had been refused, and all VMs of the site left when two in different data centres were down and the store was away.

Change: the evidence is a peer of another data centre that has been silent for 1 s while none of another data centre has answered within 2 s. Which peers reach the store is only counted for the log.

--- a/internal/entry/readiness.go
+++ b/internal/entry/readiness.go
@@ -118,7 +118,7 @@
 		setReadyGauge(d.Reason.Ready())
 	case d.Reason == readiness.StoreAwayForAll && prev.Reason != d.Reason:
 		n.log.Info().Dur("failing", e.FailingFor).Int("answering", d.Answering).Int("silent", d.Silent).Int("reaching", d.Reaching).
-			Msg("Entry: stays ready without the store, which no other data centre is known to reach.")
+			Msg("Entry: stays ready without the store, it is not known to be cut off from other data centres.")
 	}
 	return !w.probes.Failing() && !w.out.Load()
 }
@@ -135,7 +135,7 @@
 			continue
 		}
 		c := n.store.Contact(n.dial(name, m.Addr))
-		out = append(out, readiness.Peer{OtherDC: m.DC != "" && m.DC != n.deps.Self.DC, Answered: c.Answered, SilentFor: c.SilentFor, ReachesStore: c.ReachesStore})
+		out = append(out, readiness.Peer{OtherDC: m.DC != "" && m.DC != n.deps.Self.DC, Answered: c.Answered, AnsweredLately: c.AnsweredLately, SilentFor: c.SilentFor, ReachesStore: c.ReachesStore})
 	}
 	return out
 }
--- a/internal/entry/readiness_test.go
+++ b/internal/entry/readiness_test.go
@@ -170,6 +170,37 @@
 	}
 }
 
+// Guards against a site out of rotation while the store is away for all, because some entry VMs reached it
+// shortly before or because two of different data centres are down.
+func TestStoreAwayForAllTakesNoneOut(t *testing.T) {
+	t.Run("after refusals of some", func(t *testing.T) {
+		inThreeDCs(t, func(t *testing.T, tc *testCluster) {
+			for _, n := range sixEntryVMs[:3] {
+				tc.setFaults(n, false, refuseAll)
+			}
+			for i := range 12 {
+				go tc.nodes[sixEntryVMs[i%6]].Submit(t.Context(), newJob(jobs.ID(fmt.Sprintf("%016x", i))))
+				time.Sleep(250 * time.Millisecond)
+			}
+			for _, n := range sixEntryVMs {
+				tc.setFaults(n, false, refuseAll)
+			}
+			during(10*time.Second, func() { tc.requireReady(sixEntryVMs...) })
+		})
+	})
+	t.Run("two are down", func(t *testing.T) {
+		inThreeDCs(t, func(t *testing.T, tc *testCluster) {
+			tc.setFaults("e1", true, refuseAll)
+			tc.setFaults("e5", true, refuseAll)
+			time.Sleep(time.Second)
+			for _, n := range []string{"e0", "e2", "e3", "e4"} {
+				tc.setFaults(n, false, silent)
+			}
+			during(10*time.Second, func() { tc.requireReady("e0", "e2", "e3", "e4") })
+		})
+	})
+}
+
 // Guards against a site of one data centre, or an entry VM that knows no other, out of rotation: there is
 // nowhere else to go.
 func TestSingleDataCentreStaysReady(t *testing.T) {
--- a/internal/readiness/readiness.go
+++ b/internal/readiness/readiness.go
@@ -31,9 +31,9 @@
 	Unconfigured Reason = "no_configuration"
 	// Stopping: a shutdown has begun.
 	Stopping Reason = "stopping"
-	// StoreAwayForAll: the VM can not store jobs, and no evidence tells that another data centre can.
+	// StoreAwayForAll: the VM can not store jobs, and is not known to be cut off from other data centres.
 	StoreAwayForAll Reason = "store_away_for_all"
-	// CutOff: the VM can not store jobs and others can, or are not reachable either.
+	// CutOff: the VM can not store jobs and reaches no other data centre.
 	CutOff Reason = "cut_off"
 	// Recovering: the VM was cut off and has not been well for long enough.
 	Recovering Reason = "recovering"
@@ -66,7 +66,9 @@
 	// SilentFor is for how long it has answered no call, up to the end of the last one; 0 if it has answered
 	// its last call or was not called.
 	SilentFor time.Duration
-	// ReachesStore is set if it recently answered that the store answers it.
+	// AnsweredLately is set if it has answered a call within the last seconds.
+	AnsweredLately bool
+	// ReachesStore is set if it recently answered that the store answers it. It does not count as evidence.
 	ReachesStore bool
 }
 
@@ -115,19 +117,22 @@
 		return CutOff
 	case e.FailingFor < failingBound:
 		return Accepting
-	case othersMayServe(e.Peers):
+	case cutOff(e.Peers):
 		return CutOff
 	}
 	return StoreAwayForAll
 }
 
-// othersMayServe reports whether callers may be served better in another data centre. While none is known,
-// there is nowhere else to go.
-func othersMayServe(peers []Peer) bool {
-	elsewhere, evidence := false, false
+// cutOff reports whether a peer of another data centre is silent and none has answered lately. A peer that
+// answers and reaches the store is itself a path for this VM, so that it is no evidence of a cut. Single
+// VMs that are down while the store is away for all are none either, as long as others answer.
+func cutOff(peers []Peer) bool {
+	silent := false
 	for _, p := range peers {
-		elsewhere = elsewhere || p.OtherDC
-		evidence = evidence || p.ReachesStore || p.OtherDC && p.SilentFor >= silentBound
+		if p.OtherDC && p.AnsweredLately {
+			return false
+		}
+		silent = silent || p.OtherDC && p.SilentFor >= silentBound
 	}
-	return elsewhere && evidence
+	return silent
 }
--- a/internal/relay/probe.go
+++ b/internal/relay/probe.go
@@ -36,6 +36,9 @@
 	silenceGap = 2 * time.Second
 	// reachedTTL is for how long after a peer made a call at the store it counts as reaching the store.
 	reachedTTL = 2 * time.Second
+	// answeredTTL is for how long after its answer a peer counts as having answered lately. Within it, several
+	// rounds of probes ask peers.
+	answeredTTL = 2 * time.Second
 	// relayedTTL is for how long after a call through a peer a failed direct call is not reported to OnFailure.
 	relayedTTL = 2 * time.Second
 	// backgroundGetTimeout bounds a read that goes on after its caller was answered. A store that is slow by
@@ -47,6 +50,8 @@
 type Contact struct {
 	// Answered is set if it answered the last call.
 	Answered bool
+	// AnsweredLately is set if it answered a call within the last seconds.
+	AnsweredLately bool
 	// SilentFor is from the beginning of the first to the end of the last probe that it did not answer.
 	SilentFor time.Duration
 	// ReachesStore is set if it made a call at the store within the last seconds.
@@ -77,7 +82,9 @@
 // long over any other call as the store takes.
 func (c contact) next(began, ended time.Time, probe bool, a *peer.StoreReply, err error) contact {
 	c.at, c.ok = ended, err == nil && a.Failure != peer.StoreUnavailable
-	c.answered = !unanswered(err)
+	if c.answered = !unanswered(err); c.answered {
+		c.answeredAt = ended
+	}
 	switch {
 	case c.answered, ended.Sub(began) > silenceGap: // this process was suspended meanwhile
 		c.silentSince, c.silentUntil = time.Time{}, time.Time{}
@@ -107,7 +114,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := s.contacts[p]
-	return Contact{Answered: c.answered, SilentFor: c.silentUntil.Sub(c.silentSince), ReachesStore: !c.reached.IsZero() && time.Since(c.reached) < reachedTTL}
+	return Contact{
+		Answered: c.answered, AnsweredLately: !c.answeredAt.IsZero() && time.Since(c.answeredAt) < answeredTTL,
+		SilentFor:    c.silentUntil.Sub(c.silentSince),
+		ReachesStore: !c.reached.IsZero() && time.Since(c.reached) < reachedTTL,
+	}
 }
 
 // ForgetSilence forgets which peers did not answer. It is for a process that was suspended, which cannot
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -78,6 +78,8 @@
 	ok bool
 	// answered is set if it answered.
 	answered bool
+	// answeredAt is when it answered last, zero if it never did.
+	answeredAt time.Time
 	// reached is when the peer last made a call at the store, zero if it never did.
 	reached time.Time
 	// silentSince is when the first probe began, and silentUntil when the last one ended, that the peer did
