relay: a late probe does not leave out a peer for writes

Cause: a peer answers a probe after 150 ms, whether or not the store has answered it. 'Unavailable' then set the peer to not reachable, and no write was passed to it for 500 ms, until the next probe did the same. With 200 ms a store call, entry VMs that the store rejects refused jobs which peers could store.

Change: such an answer changes neither the time nor the outcome by which writes choose peers, also if an earlier call failed: otherwise probes would prolong a single failure for as long as the store is slow. The order in which probes ask peers has a time of its own.

--- a/internal/entry/readiness_test.go
+++ b/internal/entry/readiness_test.go
@@ -201,6 +201,26 @@
 	})
 }
 
+// Guards against jobs that are refused at entry VMs with a path through peers, because the store answers those
+// more slowly than they answer probes.
+func TestSubmitsGoThroughPeersWithASlowStore(t *testing.T) {
+	inThreeDCs(t, func(t *testing.T, tc *testCluster) {
+		slow := func(string) fleet.Fault { time.Sleep(200 * time.Millisecond); return fleet.None }
+		for _, n := range sixEntryVMs[2:] {
+			tc.setFaults(n, false, slow)
+		}
+		for _, n := range sixEntryVMs[:2] {
+			tc.setFaults(n, false, refuseAll)
+		}
+		time.Sleep(3 * time.Second)
+		for i := range 20 {
+			a := tc.nodes["e0"].Submit(t.Context(), newJob(jobs.ID(fmt.Sprintf("%016x", 100+i))))
+			require.NoError(t, a.Err, "submit %d", i)
+			time.Sleep(200 * time.Millisecond)
+		}
+	})
+}
+
 // Guards against a site of one data centre, or an entry VM that knows no other, out of rotation: there is
 // nowhere else to go.
 func TestSingleDataCentreStaysReady(t *testing.T) {
--- a/internal/relay/probe.go
+++ b/internal/relay/probe.go
@@ -81,7 +81,13 @@
 // next returns the contact after a further call. Only a probe shows that a peer is silent: a peer may take as
 // long over any other call as the store takes.
 func (c contact) next(began, ended time.Time, probe bool, a *peer.StoreReply, err error) contact {
-	c.at, c.ok = ended, err == nil && a.Failure != peer.StoreUnavailable
+	c.calledAt = ended
+	ok := err == nil && a.Failure != peer.StoreUnavailable
+	// A peer answers a probe before its own read of the store ends. "Unavailable" then does not mean that it
+	// could not make a call that waits for longer, also if an earlier call through it failed.
+	if late := probe && err == nil && !ok; !late {
+		c.at, c.ok = ended, ok
+	}
 	if c.answered = !unanswered(err); c.answered {
 		c.answeredAt = ended
 	}
@@ -93,7 +99,7 @@
 	case probe:
 		c.silentUntil = ended
 	}
-	if c.ok && a.Failure != peer.StoreUnknown {
+	if ok && a.Failure != peer.StoreUnknown {
 		c.reached = ended
 	}
 	return c
@@ -228,7 +234,7 @@
 		}
 	}
 	slices.SortStableFunc(silent, func(a, b PeerClient) int { return s.contacts[a].silentSince.Compare(s.contacts[b].silentSince) })
-	slices.SortStableFunc(others, func(a, b PeerClient) int { return s.contacts[a].at.Compare(s.contacts[b].at) })
+	slices.SortStableFunc(others, func(a, b PeerClient) int { return s.contacts[a].calledAt.Compare(s.contacts[b].calledAt) })
 	first := min(len(silent), max(probeSilent, probePeers-len(others)))
 	first = min(first, probePeers)
 	return append(silent[:first:first], others[:min(len(others), probePeers-first)]...)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -73,6 +73,9 @@
 
 // contact is how a peer answered last.
 type contact struct {
+	// calledAt is when the last call ended.
+	calledAt time.Time
+	// at is when the last call ended that shows whether it can make calls at the store.
 	at time.Time
 	// ok is set if it answered and could make the call at the store.
 	ok bool
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -279,3 +279,18 @@
 		require.Equal(t, 2, reported)
 	})
 }
+
+// Guards against writes that are passed to no peer while the store answers peers more slowly than they answer
+// probes.
+func TestLateProbeDoesNotLeaveOutAPeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, p, rows := newStores(func(string) fleet.Fault { return fleet.Refuse })
+		p.Table = &fleet.View{Store: rows, Fault: func(string) fleet.Fault { time.Sleep(200 * time.Millisecond); return fleet.None }}
+		ctx := context.Background()
+		for _, key := range []string{"t/1", "t/2"} { // before and after the peer's first call other than a probe
+			require.ErrorIs(t, s.Probe(ctx, 0, key), platform.ErrUnavailable)
+			_, err := s.Commit(ctx, 0, platform.Txn{Puts: []platform.Put{{Key: key, Value: []byte(`"v"`)}}})
+			require.NoError(t, err)
+		}
+	})
+}
