entry: follow the operators' rows through peers that the store answers slowly

Cause: after an outage the rows were read again only once a probe succeeded. A probe through a peer fails while the store takes more than 150 ms, so that an entry VM without a direct path followed neither the configuration nor evacuations, although it could read them through peers.

Change: after a failed probe an ordinary read is made beside the next probes, one at a time; if it is answered, the rows are read again.

--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -4,12 +4,14 @@
 	"context"
 	"maps"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"boragepulley/internal/evacuation"
 	"boragepulley/internal/guard"
+	"boragepulley/internal/lease"
 	"boragepulley/internal/platform"
 	"boragepulley/internal/site"
 )
@@ -70,16 +72,22 @@
 // storeCheckTimeout bounds a read that checks whether the store answers again.
 const storeCheckTimeout = 900 * time.Millisecond
 
-// awaitStore returns once the store answers a read. It reports false when the node stops. While the
-// store does not answer, only such reads are sent to it, see ProbeOnlyByReads.
+// awaitStore returns once the store answers a read, directly or through a peer. It reports false when the
+// node stops. While the store does not answer, only such reads are sent to it, see ProbeOnlyByReads.
+//
+// Peers answer a probe within 150 ms, also if the store takes longer. After a failed probe, an ordinary read
+// is made beside the next ones, one at a time, because the operators' rows can be followed if it succeeds.
 func (n *Node) awaitStore() bool {
 	began := n.deps.Now()
 	n.readiness.awaiting.Store(true)
 	defer n.readiness.awaiting.Store(false)
 	n.wakeStoreWatch()
+	ctx, cancel := context.WithCancel(n.ctx)
+	defer cancel()
+	var reading, answered atomic.Bool
 	for n.sleep(operatorRetryDelay) {
 		err := n.probeStore()
-		if err == nil {
+		if err == nil || answered.Load() {
 			n.outageSince.Store(0)
 			if took := n.deps.Now() - began; took > minLoggedOutage {
 				n.log.Info().Dur("away", took).Msg("Entry: store answers again.")
@@ -89,6 +97,16 @@
 		if n.outageSince.CompareAndSwap(0, int64(began)) {
 			n.log.Info().Err(err).Msg("Entry: store does not answer.")
 		}
+		if reading.CompareAndSwap(false, true) {
+			n.runOnce("a read of the store", func() {
+				defer reading.Store(false)
+				ctx, cancel := context.WithTimeout(ctx, storeCheckTimeout)
+				defer cancel()
+				if _, err := n.deps.Table.Get(ctx, platform.PriorityConfig, lease.Key); err == nil {
+					answered.Store(true)
+				}
+			})
+		}
 	}
 	return false
 }
--- a/internal/entry/readiness_test.go
+++ b/internal/entry/readiness_test.go
@@ -221,6 +221,32 @@
 	})
 }
 
+// Guards against an entry VM that does not follow the operators' rows after an outage, although it can read them
+// through peers, because the store answers those more slowly than they answer probes.
+func TestOperatorsAreFollowedThroughPeersWithASlowStore(t *testing.T) {
+	inThreeDCs(t, func(t *testing.T, tc *testCluster) {
+		for _, n := range sixEntryVMs {
+			tc.setFaults(n, false, refuseAll)
+		}
+		time.Sleep(3 * time.Second)
+		e0 := tc.nodes["e0"]
+		require.True(t, e0.readiness.awaiting.Load())
+		slow := func(string) fleet.Fault { time.Sleep(200 * time.Millisecond); return fleet.None }
+		for _, n := range sixEntryVMs[2:] {
+			tc.setFaults(n, false, slow)
+		}
+		time.Sleep(4 * time.Second)
+		waiting := 0
+		during(10*time.Second, func() {
+			if e0.readiness.awaiting.Load() {
+				waiting++
+			}
+		})
+		require.Less(t, waiting, 500, "of 1000")
+		require.Zero(t, e0.outageSince.Load())
+	})
+}
+
 // Guards against a site of one data centre, or an entry VM that knows no other, out of rotation: there is
 // nowhere else to go.
 func TestSingleDataCentreStaysReady(t *testing.T) {
