entry: the watch of the store goes on after a panic

Cause: a panic while the entry VM is out of rotation ended the probes by which it returns, and nothing woke them again until the next failed call.

Change: the restarted watch begins with a probe if the entry VM is out.

Measured: TestRestartedWatchReturnsToRotation fails without the change (out after 3 s) and passes 10 of 10 with it.

--- a/internal/entry/readiness.go
+++ b/internal/entry/readiness.go
@@ -45,6 +45,9 @@
 // watchStore probes the store after a failed call until it answers again and this entry VM is ready. At other
 // times it makes no calls. While followOperators probes, it only updates the decision.
 func (n *Node) watchStore() {
+	if n.readiness.out.Load() { // restarted after a panic, which may have ended the probes by which this entry VM returns
+		n.wakeStoreWatch()
+	}
 	for {
 		select {
 		case <-n.readiness.wake:
--- a/internal/entry/readiness_test.go
+++ b/internal/entry/readiness_test.go
@@ -331,3 +331,16 @@
 		require.EqualValues(t, 1, reads.Load())
 	})
 }
+
+// Guards against an entry VM that stays out of rotation because a panic ended the probes by which it returns.
+func TestRestartedWatchReturnsToRotation(t *testing.T) {
+	inThreeDCs(t, func(t *testing.T, tc *testCluster) {
+		n := tc.nodes["e0"]
+		n.readiness.mu.Lock()
+		n.readiness.decision = readiness.Decision{Reason: readiness.CutOff, Since: n.deps.Now()}
+		n.readiness.out.Store(true)
+		n.readiness.mu.Unlock()
+		n.runForever("watching the store", n.watchStore)
+		tc.awaitReady(true, 3*time.Second, "e0")
+	})
+}
