relay: a probe succeeds only if the read does

Cause: a direct read whose outcome is unknown, or that the store rejected, counted as a successful probe and as an answer of the store.

Change: only a read without an error is a success.

Measured: TestOnlyAReadThatSucceedsIsASuccessfulProbe fails without the change and passes 10 of 10 with it.

--- a/internal/relay/probe.go
+++ b/internal/relay/probe.go
@@ -155,7 +155,7 @@
 		select {
 		case r := <-direct:
 			switch {
-			case !noEffect(r.err):
+			case r.err == nil:
 				s.served.advance(began)
 				return nil
 			case !asked && s.probePeers(ctx, p, key):
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -294,3 +294,29 @@
 		}
 	})
 }
+
+// failingTable answers reads with an error.
+type failingTable struct {
+	platform.Table
+	err error
+}
+
+func (t failingTable) Get(context.Context, platform.Priority, string) (platform.Row, error) {
+	return platform.Row{}, t.err
+}
+
+// Guards against an entry VM that returns to rotation by probes that the store did not carry out.
+func TestOnlyAReadThatSucceedsIsASuccessfulProbe(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, p, _ := newStores(nil)
+		p.err = errors.Wrap(peer.ErrNoAnswer, "cut off")
+		require.NoError(t, s.Probe(context.Background(), 0, "t/1"))
+		served := s.LastServed()
+		for _, err := range []error{platform.ErrUnknownOutcome, platform.ErrRejected, platform.ErrUnavailable} {
+			time.Sleep(time.Second)
+			s.Table = failingTable{err: errors.Wrap(err, "test")}
+			require.ErrorIs(t, s.Probe(context.Background(), 0, "t/1"), err)
+			require.Equal(t, served, s.LastServed())
+		}
+	})
+}
