interference: rare samples end the trust in a pair

A pair that had become rare stayed trusted, and was kept apart, for ever.

Change: in both cases pairs with fewer than half of the minimum of samples with or without the neighbour are no longer trusted, and the sums decay also without a usable sample.

Measured: both parts of TestRareSamplesEndTheTrust fail without the change and pass with it; the part with a known minion also fails with only the second half of the change taken back.

--- a/internal/interference/learner.go
+++ b/internal/interference/learner.go
@@ -179,7 +179,8 @@
 	y -= sub.origin
 	slowness, known := l.observeSlowness(s, sub, x, y)
 	if !known {
-		return l.changed(changes)
+		sub.decay(s.At)
+		return l.changed(append(changes, sub.dropRare(s.Image)...))
 	}
 	y -= slowness
 	if sub.theta != nil {
@@ -376,23 +377,47 @@
 	return math.Exp(s.theta[k+1])
 }
 
-// add adds a sample to the decayed sums.
-func (s *subject) add(x []float64, y, weight float64, now time.Duration) {
+func (s *subject) decay(now time.Duration) {
 	f := decayFactor(now-s.at, halfLife)
 	s.at = now
 	for i, row := range s.gram {
 		for j := range row {
-			row[j] = row[j]*f + weight*x[i]*x[j]
+			row[j] *= f
+		}
+		s.xy[i] *= f
+	}
+	s.yy *= f
+}
+
+// add adds a sample to the decayed sums.
+func (s *subject) add(x []float64, y, weight float64, now time.Duration) {
+	s.decay(now)
+	for i, row := range s.gram {
+		for j := range row {
+			row[j] += weight * x[i] * x[j]
 		}
-		s.xy[i] = s.xy[i]*f + weight*x[i]*y
+		s.xy[i] += weight * x[i] * y
 	}
-	s.yy = s.yy*f + weight*y*y
+	s.yy += weight * y * y
+}
+
+// dropRare ends the trust in pairs with too few samples left. It needs no solution of the regression, so that
+// trust also ends if samples are too rare for one.
+func (s *subject) dropRare(name Image) (changes []Change) {
+	for k := range s.neighbours {
+		n := &s.neighbours[k]
+		if n.trusted && min(s.with(k), s.without(k)) < minSamples/2 {
+			n.trusted = false
+			changes = append(changes, Change{Pair: Pair{name, n.image}, Stretch: s.stretch(k), With: s.with(k), Without: s.without(k)})
+		}
+	}
+	return changes
 }
 
 // evaluate solves the regression and returns the pairs that have become trusted or are no longer.
 func (s *subject) evaluate(name Image) (changes []Change) {
 	if s.gram[0][0] < minSamples {
-		return nil
+		return s.dropRare(name)
 	}
 	theta, variances := solve(s.gram, s.xy)
 	if theta == nil {
--- a/internal/interference/learner_test.go
+++ b/internal/interference/learner_test.go
@@ -187,6 +187,31 @@
 	require.Nil(t, w.l.Table())
 }
 
+// Guards against a pair that stays trusted for ever because samples have become too rare for an evaluation, or
+// for the slowness of their minions to be known.
+func TestRareSamplesEndTheTrust(t *testing.T) {
+	for _, known := range []bool{false, true} {
+		t.Run(fmt.Sprintf("minion known: %v", known), func(t *testing.T) {
+			w := newWorld(1)
+			p := Pair{image(1), image(4)}
+			w.stretch[p] = 1.5
+			w.runRandom(2400)
+			require.Equal(t, []Pair{p}, w.pairs())
+			for range 20 {
+				w.now += 8 * halfLife
+				if known {
+					for range 20 {
+						w.run(image(0), "m")
+					}
+				}
+				w.run(p.Subject, "m", Exposure{p.Neighbour, 1})
+			}
+			require.Empty(t, w.pairs())
+			require.Nil(t, w.l.Table())
+		})
+	}
+}
+
 // Guards against memory that grows with the images and minions that were ever seen, and against an eviction
 // that leaves a wrong count, a wrong index or a pair of an unknown image.
 func TestMemoryIsBounded(t *testing.T) {
