--- a/internal/entry/readiness_test.go
+++ b/internal/entry/readiness_test.go
@@ -170,6 +170,83 @@
 	}
 }
 
+// Guards against a site out of rotation while the store is away for all, because some entry VMs reached it
+// shortly before or because two of different data centres are down.
+func TestStoreAwayForAllTakesNoneOut(t *testing.T) {
+	t.Run("after refusals of some", func(t *testing.T) {
+		inThreeDCs(t, func(t *testing.T, tc *testCluster) {
+			for _, n := range sixEntryVMs[:3] {
+				tc.setFaults(n, false, refuseAll)
+			}
+			for i := range 12 {
+				go tc.nodes[sixEntryVMs[i%6]].Submit(t.Context(), newJob(jobs.ID(fmt.Sprintf("%016x", i))))
+				time.Sleep(250 * time.Millisecond)
+			}
+			for _, n := range sixEntryVMs {
+				tc.setFaults(n, false, refuseAll)
+			}
+			during(10*time.Second, func() { tc.requireReady(sixEntryVMs...) })
+		})
+	})
+	t.Run("two are down", func(t *testing.T) {
+		inThreeDCs(t, func(t *testing.T, tc *testCluster) {
+			tc.setFaults("e1", true, refuseAll)
+			tc.setFaults("e5", true, refuseAll)
+			time.Sleep(time.Second)
+			for _, n := range []string{"e0", "e2", "e3", "e4"} {
+				tc.setFaults(n, false, silent)
+			}
+			during(10*time.Second, func() { tc.requireReady("e0", "e2", "e3", "e4") })
+		})
+	})
+}
+
+// Guards against jobs that are refused at entry VMs with a path through peers, because the store answers those
+// more slowly than they answer probes.
+func TestSubmitsGoThroughPeersWithASlowStore(t *testing.T) {
+	inThreeDCs(t, func(t *testing.T, tc *testCluster) {
+		slow := func(string) fleet.Fault { time.Sleep(200 * time.Millisecond); return fleet.None }
+		for _, n := range sixEntryVMs[2:] {
+			tc.setFaults(n, false, slow)
+		}
+		for _, n := range sixEntryVMs[:2] {
+			tc.setFaults(n, false, refuseAll)
+		}
+		time.Sleep(3 * time.Second)
+		for i := range 20 {
+			a := tc.nodes["e0"].Submit(t.Context(), newJob(jobs.ID(fmt.Sprintf("%016x", 100+i))))
+			require.NoError(t, a.Err, "submit %d", i)
+			time.Sleep(200 * time.Millisecond)
+		}
+	})
+}
+
+// Guards against an entry VM that does not follow the operators' rows after an outage, although it can read them
+// through peers, because the store answers those more slowly than they answer probes.
+func TestOperatorsAreFollowedThroughPeersWithASlowStore(t *testing.T) {
+	inThreeDCs(t, func(t *testing.T, tc *testCluster) {
+		for _, n := range sixEntryVMs {
+			tc.setFaults(n, false, refuseAll)
+		}
+		time.Sleep(3 * time.Second)
+		e0 := tc.nodes["e0"]
+		require.True(t, e0.readiness.awaiting.Load())
+		slow := func(string) fleet.Fault { time.Sleep(200 * time.Millisecond); return fleet.None }
+		for _, n := range sixEntryVMs[2:] {
+			tc.setFaults(n, false, slow)
+		}
+		time.Sleep(4 * time.Second)
+		waiting := 0
+		during(10*time.Second, func() {
+			if e0.readiness.awaiting.Load() {
+				waiting++
+			}
+		})
+		require.Less(t, waiting, 500, "of 1000")
+		require.Zero(t, e0.outageSince.Load())
+	})
+}
+
 // Guards against a site of one data centre, or an entry VM that knows no other, out of rotation: there is
 // nowhere else to go.
 func TestSingleDataCentreStaysReady(t *testing.T) {
@@ -254,3 +331,16 @@
 		require.EqualValues(t, 1, reads.Load())
 	})
 }
+
+// Guards against an entry VM that stays out of rotation because a panic ended the probes by which it returns.
+func TestRestartedWatchReturnsToRotation(t *testing.T) {
+	inThreeDCs(t, func(t *testing.T, tc *testCluster) {
+		n := tc.nodes["e0"]
+		n.readiness.mu.Lock()
+		n.readiness.decision = readiness.Decision{Reason: readiness.CutOff, Since: n.deps.Now()}
+		n.readiness.out.Store(true)
+		n.readiness.mu.Unlock()
+		n.runForever("watching the store", n.watchStore)
+		tc.awaitReady(true, 3*time.Second, "e0")
+	})
+}
--- a/internal/relay/probe.go
+++ b/internal/relay/probe.go
@@ -36,6 +36,9 @@
 	silenceGap = 2 * time.Second
 	// reachedTTL is for how long after a peer made a call at the store it counts as reaching the store.
 	reachedTTL = 2 * time.Second
+	// answeredTTL is for how long after its answer a peer counts as having answered lately. Within it, several
+	// rounds of probes ask peers.
+	answeredTTL = 2 * time.Second
 	// relayedTTL is for how long after a call through a peer a failed direct call is not reported to OnFailure.
 	relayedTTL = 2 * time.Second
 	// backgroundGetTimeout bounds a read that goes on after its caller was answered. A store that is slow by
@@ -47,6 +50,8 @@
 type Contact struct {
 	// Answered is set if it answered the last call.
 	Answered bool
+	// AnsweredLately is set if it answered a call within the last seconds.
+	AnsweredLately bool
 	// SilentFor is from the beginning of the first to the end of the last probe that it did not answer.
 	SilentFor time.Duration
 	// ReachesStore is set if it made a call at the store within the last seconds.
@@ -76,8 +81,16 @@
 // next returns the contact after a further call. Only a probe shows that a peer is silent: a peer may take as
 // long over any other call as the store takes.
 func (c contact) next(began, ended time.Time, probe bool, a *peer.StoreReply, err error) contact {
-	c.at, c.ok = ended, err == nil && a.Failure != peer.StoreUnavailable
-	c.answered = !unanswered(err)
+	c.calledAt = ended
+	ok := err == nil && a.Failure != peer.StoreUnavailable
+	// A peer answers a probe before its own read of the store ends. "Unavailable" then does not mean that it
+	// could not make a call that waits for longer, also if an earlier call through it failed.
+	if late := probe && err == nil && !ok; !late {
+		c.at, c.ok = ended, ok
+	}
+	if c.answered = !unanswered(err); c.answered {
+		c.answeredAt = ended
+	}
 	switch {
 	case c.answered, ended.Sub(began) > silenceGap: // this process was suspended meanwhile
 		c.silentSince, c.silentUntil = time.Time{}, time.Time{}
@@ -86,7 +99,7 @@
 	case probe:
 		c.silentUntil = ended
 	}
-	if c.ok && a.Failure != peer.StoreUnknown {
+	if ok && a.Failure != peer.StoreUnknown {
 		c.reached = ended
 	}
 	return c
@@ -107,7 +120,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := s.contacts[p]
-	return Contact{Answered: c.answered, SilentFor: c.silentUntil.Sub(c.silentSince), ReachesStore: !c.reached.IsZero() && time.Since(c.reached) < reachedTTL}
+	return Contact{
+		Answered: c.answered, AnsweredLately: !c.answeredAt.IsZero() && time.Since(c.answeredAt) < answeredTTL,
+		SilentFor:    c.silentUntil.Sub(c.silentSince),
+		ReachesStore: !c.reached.IsZero() && time.Since(c.reached) < reachedTTL,
+	}
 }
 
 // ForgetSilence forgets which peers did not answer. It is for a process that was suspended, which cannot
@@ -138,7 +155,7 @@
 		select {
 		case r := <-direct:
 			switch {
-			case !noEffect(r.err):
+			case r.err == nil:
 				s.served.advance(began)
 				return nil
 			case !asked && s.probePeers(ctx, p, key):
@@ -217,7 +234,7 @@
 		}
 	}
 	slices.SortStableFunc(silent, func(a, b PeerClient) int { return s.contacts[a].silentSince.Compare(s.contacts[b].silentSince) })
-	slices.SortStableFunc(others, func(a, b PeerClient) int { return s.contacts[a].at.Compare(s.contacts[b].at) })
+	slices.SortStableFunc(others, func(a, b PeerClient) int { return s.contacts[a].calledAt.Compare(s.contacts[b].calledAt) })
 	first := min(len(silent), max(probeSilent, probePeers-len(others)))
 	first = min(first, probePeers)
 	return append(silent[:first:first], others[:min(len(others), probePeers-first)]...)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -73,11 +73,16 @@
 
 // contact is how a peer answered last.
 type contact struct {
+	// calledAt is when the last call ended.
+	calledAt time.Time
+	// at is when the last call ended that shows whether it can make calls at the store.
 	at time.Time
 	// ok is set if it answered and could make the call at the store.
 	ok bool
 	// answered is set if it answered.
 	answered bool
+	// answeredAt is when it answered last, zero if it never did.
+	answeredAt time.Time
 	// reached is when the peer last made a call at the store, zero if it never did.
 	reached time.Time
 	// silentSince is when the first probe began, and silentUntil when the last one ended, that the peer did
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -182,22 +182,22 @@
 			return s.Probe(bounded, 0, "t/1")
 		}
 		require.NoError(t, probe())
-		require.Equal(t, Contact{Answered: true, ReachesStore: true}, s.Contact(client))
+		require.Equal(t, Contact{Answered: true, AnsweredLately: true, ReachesStore: true}, s.Contact(client))
 		time.Sleep(reachedTTL)
-		require.False(t, s.Contact(client).ReachesStore)
+		require.Equal(t, Contact{Answered: true}, s.Contact(client))
 
 		// The store keeps the peer waiting.
 		p.Table = &fleet.View{Store: fleet.NewStore(), Fault: func(string) fleet.Fault { return fleet.Lose }}
 		began := time.Now()
 		require.ErrorIs(t, probe(), platform.ErrUnavailable)
 		require.Less(t, time.Since(began), 500*time.Millisecond)
-		require.Equal(t, Contact{Answered: true}, s.Contact(client))
+		require.Equal(t, Contact{Answered: true, AnsweredLately: true}, s.Contact(client))
 
 		// It does not answer.
 		for i, err := range []error{peer.ErrNoAnswer, peer.ErrRefused, peer.ErrNotConnected} {
 			p.err = errors.Wrap(err, "test")
 			require.ErrorIs(t, probe(), platform.ErrUnavailable)
-			require.Equal(t, Contact{SilentFor: time.Duration(204*i) * time.Millisecond}, s.Contact(client), "it ends with the last probe")
+			require.Equal(t, Contact{AnsweredLately: true, SilentFor: time.Duration(204*i) * time.Millisecond}, s.Contact(client), "it ends with the last probe")
 		}
 		time.Sleep(time.Hour)
 		for range 2 { // the store may keep a peer waiting for longer than the time limit of a relayed call
@@ -214,7 +214,7 @@
 		require.Zero(t, s.Contact(client).SilentFor)
 		p.err = errors.Wrap(peer.ErrBusy, "test")
 		require.ErrorIs(t, probe(), platform.ErrUnavailable)
-		require.Equal(t, Contact{Answered: true}, s.Contact(client), "it can be reached")
+		require.Equal(t, Contact{Answered: true, AnsweredLately: true}, s.Contact(client), "it can be reached")
 	})
 }
 
@@ -279,3 +279,44 @@
 		require.Equal(t, 2, reported)
 	})
 }
+
+// Guards against writes that are passed to no peer while the store answers peers more slowly than they answer
+// probes.
+func TestLateProbeDoesNotLeaveOutAPeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, p, rows := newStores(func(string) fleet.Fault { return fleet.Refuse })
+		p.Table = &fleet.View{Store: rows, Fault: func(string) fleet.Fault { time.Sleep(200 * time.Millisecond); return fleet.None }}
+		ctx := context.Background()
+		for _, key := range []string{"t/1", "t/2"} { // before and after the peer's first call other than a probe
+			require.ErrorIs(t, s.Probe(ctx, 0, key), platform.ErrUnavailable)
+			_, err := s.Commit(ctx, 0, platform.Txn{Puts: []platform.Put{{Key: key, Value: []byte(`"v"`)}}})
+			require.NoError(t, err)
+		}
+	})
+}
+
+// failingTable answers reads with an error.
+type failingTable struct {
+	platform.Table
+	err error
+}
+
+func (t failingTable) Get(context.Context, platform.Priority, string) (platform.Row, error) {
+	return platform.Row{}, t.err
+}
+
+// Guards against an entry VM that returns to rotation by probes that the store did not carry out.
+func TestOnlyAReadThatSucceedsIsASuccessfulProbe(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, p, _ := newStores(nil)
+		p.err = errors.Wrap(peer.ErrNoAnswer, "cut off")
+		require.NoError(t, s.Probe(context.Background(), 0, "t/1"))
+		served := s.LastServed()
+		for _, err := range []error{platform.ErrUnknownOutcome, platform.ErrRejected, platform.ErrUnavailable} {
+			time.Sleep(time.Second)
+			s.Table = failingTable{err: errors.Wrap(err, "test")}
+			require.ErrorIs(t, s.Probe(context.Background(), 0, "t/1"), err)
+			require.Equal(t, served, s.LastServed())
+		}
+	})
+}
