coordinator: a gang is not started in part when one member is requeued as it is recorded

Cause: resendOrders visits pending starts in random order. Once a gang was recorded, members were sent before a member of a data centre that had just been evacuated, or on a minion that had stopped answering, was requeued in the same pass. Change: a gang counts as recorded only if all its members are in one run and each start that has not been sent may be sent now. Measured: TestRecordedGangIsNotStartedInPart (evacuated, silent) fails without the change (2 and 3 members started) and passes with it; -race -count=10 of it and the gang tests passes.

--- a/internal/coordinator/gangs.go
+++ b/internal/coordinator/gangs.go
@@ -63,8 +63,10 @@
 	return r.gangs[s]
 }
 
-// startRecorded reports whether the stored progress names the minion of a start, and those of all other
-// members of a gang.
+// startRecorded reports whether the stored progress names the minion of a start. The starts of a gang count as
+// recorded only if all its members are in one run, and all that have not been sent can be sent: pending starts
+// are visited in random order, so that members would otherwise be sent before another one is requeued in the
+// same pass.
 func (t *Term) startRecorded(task *jobs.Task, start *pendingStart, gangs map[*jobs.StepRun]bool) bool {
 	s := task.Step
 	if !s.Spec.Gang {
@@ -72,11 +74,16 @@
 	}
 	recorded, known := gangs[s]
 	if !known {
-		recorded = true
+		recorded = s.Whole()
 		for _, x := range s.Tasks {
-			recorded = recorded && (x.Phase != jobs.Ordered || s.Job.RecordedOn(x.Minion))
+			recorded = recorded && (x.Phase != jobs.Ordered || s.Job.RecordedOn(x.Minion) && t.sendable(t.pendingStarts[x]))
 		}
 		gangs[s] = recorded
 	}
 	return recorded
 }
+
+// sendable reports whether a start, nil if none is pending, has been sent or may be sent now.
+func (t *Term) sendable(start *pendingStart) bool {
+	return start == nil || start.tries > 0 || start.minion.FailedPolls == 0 && t.mayStartIn(start.minion.DC)
+}
