coordinator: polls that a failed handover ended do not count as failures

Cause: Close of the sender ends the long polls in progress. After a handover that did not happen their minions counted as silent, and unsent starts were requeued. Change: such calls are marked with fencing.ErrClosed, which a poll does not count; resume polls all minions at once. Measured: TestPollsEndedByAFailedHandoverAreNoFailures fails without the change (3 minions counted as silent) and passes with it, -race -count=5.

--- a/internal/coordinator/polls.go
+++ b/internal/coordinator/polls.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"boragepulley/internal/fencing"
 	"boragepulley/internal/holding"
 	"boragepulley/internal/jobs"
 	"boragepulley/internal/site"
@@ -168,6 +169,9 @@
 // pollFailed handles a poll that was refused or not answered.
 func (t *Term) pollFailed(m *holding.Minion, err error) {
 	switch {
+	case errors.Is(err, fencing.ErrClosed):
+		m.NextPoll = t.now // sent once the term goes on, if it does
+		return
 	case errors.Is(err, site.ErrLeaseEnded):
 		m.NextPoll = t.now + silentPollInterval // nothing was sent; it says nothing about the minion
 		return
--- a/internal/coordinator/succession.go
+++ b/internal/coordinator/succession.go
@@ -299,6 +299,9 @@
 		p.due.Store(false)
 		t.releasing = false
 		t.orders.Reopen()
+		for _, m := range t.minions {
+			m.NextPoll = t.now // run leases were not renewed meanwhile
+		}
 		t.writer.urgent, t.needsPlan, t.ordersChanged = true, true, true
 	})
 }
--- a/internal/fencing/fencing.go
+++ b/internal/fencing/fencing.go
@@ -41,6 +41,15 @@
 	gate     atomic.Pointer[gate]
 }
 
+// ErrClosed is also the error of a call that Close ended, which says nothing about the receiver.
+var ErrClosed = errors.New("fencing: call ended by the sender")
+
+// closedError is an error of a call that Close ended. It is ErrClosed beside what it was.
+type closedError struct{ error }
+
+func (e closedError) Unwrap() error        { return e.error }
+func (e closedError) Is(target error) bool { return target == ErrClosed }
+
 // gate ends the calls that were made while it was in force.
 type gate struct {
 	ctx  context.Context
@@ -98,6 +107,9 @@
 	case errors.Is(err, site.ErrNoAnswer) && s.Remaining() == 0:
 		counters.Add("cut_short", 1)
 	}
+	if gate.ctx.Err() != nil && (errors.Is(err, site.ErrNoAnswer) || errors.Is(err, site.ErrNotSent)) {
+		err = closedError{err}
+	}
 	invariant.Check(site.RefusalOf(err) != site.RefusedFenced || s.Remaining() == 0, invariant.FencingToken,
 		"order with token %d reached a receiver that had seen a higher one, %s before the end of the lease", s.token, s.Remaining())
 	return err
