ingress: keep earlier write deadlines, end a request when its connection is idle

Cause: every write on a guarded connection set a deadline of 30 s, also where peers (1.5 s), operators or the product path had set their own. The end of a request was accounted when its handler returned: bytes of the body that the server discards afterwards counted as a header of the idle connection, and the connection could be closed before its answer was written. Requests whose body is not read, and those that wait for room or for their refusal, counted as stalled.

Change: deadlines on ListenOnly connections are left alone, on HTTP an earlier one stays. The end of a request is accounted in http.Server.ConnState at StateIdle. A request is being served while its handler runs, except while ReadBody waits for the client; a connection that waits for room is not stalled.

Measured: with each of these changes taken back alone, TestEarlierWriteDeadlinesStay or TestBodiesThatAreNotRead fails. Tests of internal/ingress, internal/caller and internal/peer pass with -race.

--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -90,8 +90,8 @@
 	s := &Server{cfg: c, log: c.Log.With().Str("part", "caller").Logger(), echo: echo.New()}
 	s.routes()
 	s.http = &http.Server{
-		Handler:           c.Bounds.Handler(s.echo),
-		ConnContext:       ingress.ConnContext,
+		Handler:     c.Bounds.Handler(s.echo),
+		ConnContext: ingress.ConnContext, ConnState: ingress.ConnState,
 		ReadHeaderTimeout: c.BodyTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
--- a/internal/daemon/site.go
+++ b/internal/daemon/site.go
@@ -115,10 +115,10 @@
 	callerLog := logging.Part(log, "caller")
 	s.bounds = ingress.NewGuard("callers", ingress.Derive(set.MemoryMB, set.MaxFDs), ingress.DefaultBodyTimeout, callerLog)
 	s.callers = &http.Server{Handler: platform.BoundedCallerHandler(s.node, s.bounds, callerLog), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle,
-		MaxHeaderBytes: maxHeaderBytes, ConnContext: ingress.ConnContext}
+		MaxHeaderBytes: maxHeaderBytes, ConnContext: ingress.ConnContext, ConnState: ingress.ConnState}
 	small := func(name string, h http.Handler) (*http.Server, *ingress.Guard) {
 		g := ingress.NewGuard(name, ingress.Small(smallConnections), ingress.DefaultBodyTimeout, callerLog)
-		return &http.Server{Handler: g.Handler(h), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle, MaxHeaderBytes: maxHeaderBytes, ConnContext: ingress.ConnContext}, g
+		return &http.Server{Handler: g.Handler(h), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle, MaxHeaderBytes: maxHeaderBytes, ConnContext: ingress.ConnContext, ConnState: ingress.ConnState}, g
 	}
 	s.ready, s.readyBounds = small("ready", platform.ReadinessHandler(s.node))
 	s.metrics, s.metricsBounds = small("metrics", sitestatus.Handler(s.node, expvar.Handler()))
--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -44,8 +44,10 @@
 		recycle(parts)
 		if err != nil {
 			g.release(c, held)
+			g.serve(c) // the refusal
 		}
 	}()
+	g.await(c)
 	for eof := false; !eof; {
 		if len(parts) == 0 || len(parts[len(parts)-1]) == cap(parts[len(parts)-1]) {
 			size := partSize(len(parts), r.ContentLength, total, limit)
@@ -164,6 +166,13 @@
 		victims, ok := g.book.Hold(c.id, n, g.now())
 		closing := g.take(victims)
 		known, freed := g.conns[c.id] == c, g.freed
+		if ok {
+			if late != nil {
+				g.book.Sent(c.id, g.now())
+			}
+		} else {
+			g.book.Wait(c.id)
+		}
 		g.mu.Unlock()
 		g.close(closing)
 		switch {
@@ -201,6 +210,26 @@
 	g.wake()
 }
 
+// await marks a connection whose client is to send a body.
+func (g *Guard) await(c *conn) {
+	if c == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.book.Await(c.id, g.now())
+}
+
+// serve marks a connection whose request is being answered.
+func (g *Guard) serve(c *conn) {
+	if c == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.book.Serve(c.id)
+}
+
 // complete marks the end of a body; false if the connection was closed.
 func (g *Guard) complete(c *conn) bool {
 	if c == nil {
@@ -208,6 +237,7 @@
 	}
 	g.mu.Lock()
 	ok := g.book.Serve(c.id)
+	c.arrived = true
 	g.mu.Unlock()
 	// While the request is served, the server reads from the connection to notice its end; that read
 	// must not time out.
--- a/internal/ingress/book.go
+++ b/internal/ingress/book.go
@@ -33,7 +33,9 @@
 	held   int64
 	// heldSince is when held became positive.
 	heldSince time.Duration
-	// serving is set from the end of the body to the end of the answer. The memory and the answer are
+	// waiting is set while the process does not read from the client for lack of memory.
+	waiting bool
+	// serving is set while the process, not the client, is to act on a request. The memory and the answer are
 	// the process's own concern then, and the connection is not closed for a bound.
 	serving bool
 	// evicted connections are being closed; what they hold counts until their request has ended.
@@ -102,7 +104,21 @@
 // Sent notes that the client sent something.
 func (b *Book) Sent(id ID, now time.Duration) {
 	if e := b.conns[id]; e != nil {
-		e.sentAt = now
+		e.sentAt, e.waiting = now, false
+	}
+}
+
+// Wait notes that the client cannot send until there is room, so that it does not count as stalled.
+func (b *Book) Wait(id ID) {
+	if e := b.conns[id]; e != nil {
+		e.waiting = true
+	}
+}
+
+// Await notes that the rest of a request is to come from the client, from now on.
+func (b *Book) Await(id ID, now time.Duration) {
+	if e := b.conns[id]; e != nil {
+		e.serving, e.waiting, e.sentAt = false, false, now
 	}
 }
 
@@ -157,7 +173,7 @@
 func (b *Book) End(id ID, now time.Duration) {
 	if e := b.conns[id]; e != nil {
 		b.drop(e, e.held)
-		e.serving, e.sentAt = false, now
+		e.serving, e.waiting, e.sentAt = false, false, now
 	}
 }
 
@@ -166,7 +182,7 @@
 func (b *Book) Stalled(now time.Duration) []Victim {
 	var out []Victim
 	for id, e := range b.conns {
-		if !e.serving && !e.evicted && now-e.sentAt >= stalledAfter {
+		if !e.serving && !e.waiting && !e.evicted && now-e.sentAt >= stalledAfter {
 			v := e.victim(id, now)
 			v.Reason = ReasonShutdown
 			out = append(out, v)
@@ -190,7 +206,7 @@
 			continue
 		}
 		v := e.victim(id, now)
-		stalled := v.Idle >= stalledAfter
+		stalled := !e.waiting && v.Idle >= stalledAfter
 		score := v.Idle.Seconds()
 		if !stalled {
 			score = float64(v.Held) * (v.Age + time.Millisecond).Seconds()
--- a/internal/ingress/guard.go
+++ b/internal/ingress/guard.go
@@ -131,7 +131,7 @@
 		_ = nc.Close()
 		return nil
 	}
-	c := &conn{Conn: nc, guard: g, id: id, inRequest: connectionsOnly}
+	c := &conn{Conn: nc, guard: g, id: id, deadlines: connectionsOnly, inRequest: connectionsOnly}
 	g.conns[id] = c
 	var closing []*conn
 	if victim != nil {
@@ -217,6 +217,14 @@
 	id     ID
 	victim *Victim // set before the guard closes it
 
+	// deadlines is set if the protocol on the connection sets its own write deadlines.
+	deadlines bool
+	writeMu   sync.Mutex
+	// writeBy is the write deadline that the user of the connection set, zero if none.
+	writeBy time.Time // guarded by writeMu
+
+	// arrived is set once the whole request has arrived.
+	arrived bool // guarded by guard.mu
 	// inRequest is set from the end of the header to the end of the answer; header bytes count as held.
 	inRequest bool // guarded by guard.mu
 }
@@ -230,14 +238,43 @@
 	return n, err
 }
 
-// Write implements net.Conn. It bounds the time for which a client that does not read blocks an answer.
+// Write implements net.Conn. On a connection of Listen it bounds the time for which a client that does
+// not read blocks an answer; an earlier deadline of the server stays in force.
 func (c *conn) Write(p []byte) (int, error) {
-	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return 0, err
+	if !c.deadlines {
+		if err := c.boundWrite(time.Now().Add(writeTimeout)); err != nil {
+			return 0, err
+		}
 	}
 	return c.Conn.Write(p)
 }
 
+// boundWrite sets the write deadline unless the user of the connection has set an earlier one.
+func (c *conn) boundWrite(by time.Time) error {
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	if !c.writeBy.IsZero() && c.writeBy.Before(by) {
+		return nil
+	}
+	return c.Conn.SetWriteDeadline(by)
+}
+
+// SetWriteDeadline implements net.Conn.
+func (c *conn) SetWriteDeadline(t time.Time) error {
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	c.writeBy = t
+	return c.Conn.SetWriteDeadline(t)
+}
+
+// SetDeadline implements net.Conn.
+func (c *conn) SetDeadline(t time.Time) error {
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	c.writeBy = t
+	return c.Conn.SetDeadline(t)
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	g := c.guard
@@ -279,8 +316,10 @@
 	return c
 }
 
-// Handler accounts for the requests of a server whose listener is Listen and whose ConnContext is
-// ConnContext. It bounds the time for bodies.
+// Handler accounts for the requests of a server whose listener is Listen, whose ConnContext is
+// ConnContext and whose ConnState is ConnState. It bounds the time for bodies. A request is being served
+// while its handler runs, except while ReadBody waits for the client. After the handler it is so only if
+// the whole request has arrived, because the server waits for the rest of a body before the next request.
 func (g *Guard) Handler(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := connOf(r)
@@ -289,10 +328,8 @@
 			return
 		}
 		g.mu.Lock()
-		c.inRequest = true
-		if r.ContentLength == 0 {
-			g.book.Serve(c.id)
-		}
+		c.inRequest, c.arrived = true, r.ContentLength == 0
+		g.book.Serve(c.id)
 		g.mu.Unlock()
 		if r.ContentLength != 0 {
 			_ = c.SetReadDeadline(time.Now().Add(g.bodyTimeout)) // fails if it is closed
@@ -300,14 +337,33 @@
 		defer func() {
 			g.mu.Lock()
 			defer g.mu.Unlock()
-			c.inRequest = false
-			g.book.End(c.id, g.now())
-			g.wake()
+			if !c.arrived {
+				g.book.Await(c.id, g.now())
+			}
 		}()
 		h.ServeHTTP(w, r)
 	})
 }
 
+// ConnState accounts for the end of a request; it is a hook of http.Server. A connection is idle once the
+// answer has been written and the rest of the body has been read. The end of the handler is too early:
+// bytes of a body that are read after it would count as those of the next header.
+func ConnState(nc net.Conn, state http.ConnState) {
+	c, ok := nc.(*conn)
+	if !ok || state != http.StateIdle {
+		return
+	}
+	c.writeMu.Lock()
+	c.writeBy = time.Time{}
+	c.writeMu.Unlock()
+	g := c.guard
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c.inRequest = false
+	g.book.End(c.id, g.now())
+	g.wake()
+}
+
 // CloseConnection closes the connection of a request without an answer, which promises nothing.
 func (g *Guard) CloseConnection(r *http.Request) {
 	if c := connOf(r); c != nil {
--- a/internal/ingress/guard_test.go
+++ b/internal/ingress/guard_test.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -46,7 +47,7 @@
 	p = &pipes{make(chan net.Conn), make(chan struct{})}
 	g = newGuard("test", l, DefaultBodyTimeout, zerolog.Nop(), Unbounded().lines)
 	results = make(chan string, 16)
-	s := &http.Server{ConnContext: ConnContext, Handler: g.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	s := &http.Server{ConnContext: ConnContext, ConnState: ConnState, Handler: g.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, err := g.ReadBody(r, 200*kib)
 		results <- fmt.Sprintf("%d %v", len(body), err)
 		switch {
@@ -213,3 +214,69 @@
 		require.ErrorIs(t, err, syscall.EINVAL)
 	})
 }
+
+// Guards against a protocol whose own write deadline is replaced by a later one, and a server's answer
+// without any.
+func TestEarlierWriteDeadlinesStay(t *testing.T) {
+	for name, x := range map[string]struct {
+		listen func(*Guard, net.Listener) net.Listener
+		own    time.Duration
+		want   time.Duration
+	}{
+		"other protocol": {(*Guard).ListenOnly, 1500 * time.Millisecond, 1500 * time.Millisecond},
+		"long":           {(*Guard).ListenOnly, time.Minute, time.Minute},
+		"HTTP, earlier":  {(*Guard).Listen, time.Second, time.Second},
+		"HTTP, later":    {(*Guard).Listen, time.Minute, writeTimeout},
+		"HTTP, none":     {(*Guard).Listen, 0, writeTimeout},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := &pipes{make(chan net.Conn, 1), make(chan struct{})}
+				here := p.dial()
+				defer here.Close()
+				c, err := x.listen(Unbounded(), p).Accept()
+				require.NoError(t, err)
+				began := time.Now()
+				if x.own > 0 {
+					require.NoError(t, c.SetWriteDeadline(began.Add(x.own)))
+				}
+				_, err = c.Write([]byte("x"))
+				require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+				require.Equal(t, x.want, time.Since(began))
+			})
+		})
+	}
+}
+
+// Guards against the rest of a body that counts as held by an idle connection, and against a request that
+// is closed as stalled while its handler works, because the handler does not read the body.
+func TestBodiesThatAreNotRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &pipes{make(chan net.Conn), make(chan struct{})}
+		g := newGuard("test", roomy, DefaultBodyTimeout, zerolog.Nop(), Unbounded().lines)
+		gate := make(chan struct{})
+		s := &http.Server{ConnContext: ConnContext, ConnState: ConnState, Handler: g.Handler(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			<-gate
+			w.WriteHeader(http.StatusUnauthorized)
+		}))}
+		go func() { _ = s.Serve(g.Listen(p)) }()
+		c := p.dial()
+		answered := make(chan string, 1)
+		go func() {
+			line, _ := bufio.NewReader(c).ReadString('\n')
+			answered <- line
+			_, _ = io.Copy(io.Discard, c)
+		}()
+		go post(c, 200*kib, strings.Repeat("x", 200*kib))
+		time.Sleep(2 * stalledAfter)
+		synctest.Wait()
+		require.Empty(t, g.book.Stalled(g.now()), "it is being served")
+		gate <- struct{}{}
+		require.Contains(t, <-answered, "401")
+		synctest.Wait()
+		open, held := g.book.Usage()
+		require.Equal(t, 1, open)
+		require.Zero(t, held)
+		require.NoError(t, s.Shutdown(t.Context()))
+	})
+}
