entry: ordinary reads beside failing probes at most once a second

Cause: each failed probe began an ordinary read, which costs up to three reads of a store that is away for all.

Change: they begin at least 1 s apart.

--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -72,11 +72,15 @@
 // storeCheckTimeout bounds a read that checks whether the store answers again.
 const storeCheckTimeout = 900 * time.Millisecond
 
+// slowReadInterval is the least time between two ordinary reads while the store does not answer. Each costs up
+// to three reads of a store that is away for all; it is longer than storeCheckTimeout, so that there is one at a time.
+const slowReadInterval = time.Second
+
 // awaitStore returns once the store answers a read, directly or through a peer. It reports false when the
 // node stops. While the store does not answer, only such reads are sent to it, see ProbeOnlyByReads.
 //
 // Peers answer a probe within 150 ms, also if the store takes longer. After a failed probe, an ordinary read
-// is made beside the next ones, one at a time, because the operators' rows can be followed if it succeeds.
+// is made beside the next ones, because the operators' rows can be followed if it succeeds.
 func (n *Node) awaitStore() bool {
 	began := n.deps.Now()
 	n.readiness.awaiting.Store(true)
@@ -84,7 +88,8 @@
 	n.wakeStoreWatch()
 	ctx, cancel := context.WithCancel(n.ctx)
 	defer cancel()
-	var reading, answered atomic.Bool
+	var answered atomic.Bool
+	var nextRead time.Duration
 	for n.sleep(operatorRetryDelay) {
 		err := n.probeStore()
 		if err == nil || answered.Load() {
@@ -97,9 +102,9 @@
 		if n.outageSince.CompareAndSwap(0, int64(began)) {
 			n.log.Info().Err(err).Msg("Entry: store does not answer.")
 		}
-		if reading.CompareAndSwap(false, true) {
+		if now := n.deps.Now(); now >= nextRead {
+			nextRead = now + slowReadInterval
 			n.runOnce("a read of the store", func() {
-				defer reading.Store(false)
 				ctx, cancel := context.WithTimeout(ctx, storeCheckTimeout)
 				defer cancel()
 				if _, err := n.deps.Table.Get(ctx, platform.PriorityConfig, lease.Key); err == nil {
