relay: probes do not multiply the reads of a store that is away

Cause: a probe asked three peers again every 200 to 350 ms while it waited for the store, also after all had answered that the store is unavailable, and each answer costs a read. Peers were asked as well after the store's rate limit.

Change: no further round within a probe once all asked peers have answered that the store is unavailable; silent peers are asked again as before. No round after the store has answered the direct read with its rate limit (429), which is now told from other refusals by platform.ErrThrottled. ErrRateLimited is something else, the client's own budget or circuit breaker, which is open in a cut, so that peers are still asked.

--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -20,6 +20,8 @@
 	ErrUnknownOutcome = errors.New("platform: outcome unknown")
 	// ErrRateLimited means that the request budget or the circuit breaker rejected the call before sending.
 	ErrRateLimited = errors.New("platform: request budget exhausted")
+	// ErrThrottled is the cause of an ErrUnavailable for a call that the platform answered with its rate limit.
+	ErrThrottled = errors.New("platform: rate limit exceeded")
 )
 
 // Priority orders calls that compete for the request budget; lower values go first.
--- a/internal/relay/probe.go
+++ b/internal/relay/probe.go
@@ -139,8 +139,10 @@
 }
 
 // Probe reads a row to find out whether the store can be reached. If it does not answer at once, or did not
-// answer the probe before, a few peers are asked as well, again and again until it answers. It fails if neither
-// the store nor a peer answers before ctx ends.
+// answer the probe before, a few peers are asked as well. They are asked again until it answers, unless all
+// have answered that they do not reach it either: each such answer costs a read of a store that is away or
+// slow. No peer is asked after the store's rate limit. It fails if neither the store nor a peer answers before
+// ctx ends.
 func (s *Store) Probe(ctx context.Context, p platform.Priority, key string) (err error) {
 	defer func() { s.probeFailed.Store(err != nil) }()
 	began := time.Now()
@@ -158,15 +160,19 @@
 			case r.err == nil:
 				s.served.advance(began)
 				return nil
-			case !asked && s.probePeers(ctx, p, key):
+			case asked || errors.Is(r.err, platform.ErrThrottled):
+				return r.err
+			}
+			if reached, _ := s.probePeers(ctx, p, key); reached {
 				return nil
 			}
 			return r.err
 		case <-hedge.C:
-			if s.probePeers(ctx, p, key) {
+			reached, again := s.probePeers(ctx, p, key)
+			if reached {
 				return nil
 			}
-			if end, ok := ctx.Deadline(); !ok || time.Until(end) >= peerProbeTimeout {
+			if end, ok := ctx.Deadline(); again && (!ok || time.Until(end) >= peerProbeTimeout) {
 				hedge.Reset(probePause)
 			}
 		case <-ctx.Done():
@@ -197,16 +203,19 @@
 	return done
 }
 
-// probePeers reports whether a peer can read a row. It returns when all that were asked have answered or
-// taken too long.
-func (s *Store) probePeers(ctx context.Context, p platform.Priority, key string) bool {
+// probePeers reports whether a peer can read a row, and whether asking again may tell more: it does not if
+// all answered that the store is unavailable. It returns when all that were asked have answered or taken too long.
+func (s *Store) probePeers(ctx context.Context, p platform.Priority, key string) (reached, again bool) {
 	var wg sync.WaitGroup
-	var reached atomic.Bool
+	var readable, undecided atomic.Bool
 	for _, c := range s.peersToProbe() {
 		wg.Go(func() {
 			a, err := s.ask(ctx, c, &peer.StoreCall{From: s.Self, Priority: int(p), Get: key, WithinMS: probeWithin.Milliseconds()}, peerProbeTimeout)
-			if err == nil && a.Failure == "" {
-				reached.Store(true)
+			switch {
+			case err != nil || a.Failure != "" && a.Failure != peer.StoreUnavailable:
+				undecided.Store(true)
+			case a.Failure == "":
+				readable.Store(true)
 			}
 		})
 	}
@@ -214,7 +223,7 @@
 	if s.OnPeersAsked != nil {
 		s.OnPeersAsked()
 	}
-	return reached.Load()
+	return readable.Load(), undecided.Load()
 }
 
 // peersToProbe returns the peers that the next probe asks: those that have been silent the longest, and
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	stderrors "errors"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -320,3 +321,28 @@
 		}
 	})
 }
+
+// Guards against probes that multiply the reads of a store that is away or limits their rate, and against a cut
+// that shows later because silent peers are not asked again.
+func TestProbesAskAgainOnlyIfPeersAreSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, p, _ := newStores(func(string) fleet.Fault { return fleet.Lose })
+		rounds := 0
+		s.OnPeersAsked = func() { rounds++ }
+		probe := func() int {
+			rounds = 0
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			require.Error(t, s.Probe(ctx, 0, "t/1"))
+			return rounds
+		}
+		p.Table = s.Table
+		require.Equal(t, 1, probe(), "it answers that the store is away")
+		p.err = errors.Wrap(peer.ErrNoAnswer, "cut off")
+		require.Greater(t, probe(), 3)
+		s.Table = failingTable{err: errors.Wrap(platform.ErrUnavailable, "test")}
+		require.Equal(t, 1, probe())
+		s.Table = failingTable{err: stderrors.Join(platform.ErrUnavailable, platform.ErrThrottled)}
+		require.Zero(t, probe())
+	})
+}
