relay: delete the contacts of former peers

Cause: how a peer answered was kept for as long as the process ran, also after the entry VM had left the site.

Change: when a peer is called for the first time, contacts that are not among the peers any more are deleted.

Measured: TestContactsOfFormerPeersAreDeleted finds 4 contacts in place of 2 without the change and passes with it.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -10,7 +10,9 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -173,10 +175,20 @@
 		s.served.advance(began)
 	}
 	s.mu.Lock()
+	_, known := s.contacts[p]
+	s.mu.Unlock()
+	var peers []PeerClient
+	if !known {
+		peers = s.Peers()
+	}
+	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.contacts == nil {
 		s.contacts = map[PeerClient]contact{}
 	}
+	if !known { // only then can there be more than before
+		maps.DeleteFunc(s.contacts, func(k PeerClient, _ contact) bool { return !slices.Contains(peers, k) })
+	}
 	s.contacts[p] = s.contacts[p].next(began, time.Now(), m.WithinMS > 0, a, err)
 	return a, err
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -346,3 +346,21 @@
 		require.Zero(t, probe())
 	})
 }
+
+// Guards against memory that grows with all entry VMs that ever belonged to the site.
+func TestContactsOfFormerPeersAreDeleted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, p, _ := newStores(func(string) fleet.Fault { return fleet.Refuse })
+		for range 10 {
+			peers := []PeerClient{&fakePeerClient{p}, &fakePeerClient{p}}
+			s.Peers = func() []PeerClient { return append([]PeerClient(nil), peers...) }
+			for range 5 {
+				require.NoError(t, s.Probe(context.Background(), 0, "t/1"))
+			}
+			require.Len(t, s.contacts, len(peers))
+			for _, c := range peers {
+				require.True(t, s.Contact(c).AnsweredLately)
+			}
+		}
+	})
+}
