relay: while peers are silent, probes ask one of another data centre

Cause: a probe asks two silent peers and the one that was not called for the longest time. In a large data centre most of those are its own, so that the others elsewhere were asked less than once in 2 s and seemed to be gone too.

Change: while any peer is silent, one of another data centre that is not silent is among the peers that are asked, if need be as a fourth.

--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -115,7 +115,7 @@
 	n := &Node{deps: d, log: logging.Part(d.Log, "entry"), ctx: ctx, stop: stop, peers: map[string]peer.SiteHandler{}}
 	n.evacuations.lines = logging.NewLimiter(evacuationLinesPerSecond, evacuationLineBurst)
 	n.readiness.wake = make(chan struct{}, 1)
-	n.store = &relay.Store{Self: d.Self, Table: d.Table, Feed: d.Feed, Peers: n.relayPeers, OnFailure: n.wakeStoreWatch, OnPeersAsked: func() { n.updateReadiness() },
+	n.store = &relay.Store{Self: d.Self, Table: d.Table, Feed: d.Feed, Peers: n.relayPeers, RemotePeers: n.remotePeers, OnFailure: n.wakeStoreWatch, OnPeersAsked: func() { n.updateReadiness() },
 		Background: n.runInBackground}
 	n.deps.Table, n.deps.Feed = n.store, n.store
 	return n
@@ -123,13 +123,23 @@
 
 // relayPeers returns the known other entry VMs, through which the store can be called.
 func (n *Node) relayPeers() []relay.PeerClient {
+	return n.peersWhere(func(peer.Member) bool { return true })
+}
+
+// remotePeers returns those of relayPeers that are known to be in another data centre.
+func (n *Node) remotePeers() []relay.PeerClient { return n.peersWhere(n.elsewhere) }
+
+// elsewhere reports whether a member is known to be in another data centre.
+func (n *Node) elsewhere(m peer.Member) bool { return m.DC != "" && m.DC != n.deps.Self.DC }
+
+func (n *Node) peersWhere(wanted func(peer.Member) bool) []relay.PeerClient {
 	members := n.members.Load()
 	if members == nil {
 		return nil
 	}
 	out := make([]relay.PeerClient, 0, len(*members))
 	for name, m := range *members {
-		if name != n.deps.Self.Entry {
+		if name != n.deps.Self.Entry && wanted(m) {
 			out = append(out, n.dial(name, m.Addr))
 		}
 	}
--- a/internal/entry/readiness.go
+++ b/internal/entry/readiness.go
@@ -138,7 +138,7 @@
 			continue
 		}
 		c := n.store.Contact(n.dial(name, m.Addr))
-		out = append(out, readiness.Peer{OtherDC: m.DC != "" && m.DC != n.deps.Self.DC, Answered: c.Answered, AnsweredLately: c.AnsweredLately, SilentFor: c.SilentFor, ReachesStore: c.ReachesStore})
+		out = append(out, readiness.Peer{OtherDC: n.elsewhere(m), Answered: c.Answered, AnsweredLately: c.AnsweredLately, SilentFor: c.SilentFor, ReachesStore: c.ReachesStore})
 	}
 	return out
 }
--- a/internal/entry/readiness_test.go
+++ b/internal/entry/readiness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -201,6 +202,32 @@
 	})
 }
 
+// Guards against a large data centre out of rotation while the store is away for all and two entry VMs elsewhere
+// are down, because its probes seldom ask the others elsewhere.
+func TestStoreAwayForAllInALargeDataCentre(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tc := newTestCluster(t, 0)
+		defer tc.stop()
+		var names []string
+		for i := range 20 {
+			names = append(names, fmt.Sprint("e", i))
+			tc.dcs[names[i]] = model.DataCentre("aaaaaaaaaaaabbbbcccc"[i : i+1])
+		}
+		for _, n := range names {
+			tc.start(n)
+		}
+		time.Sleep(4 * time.Second)
+		tc.setFaults("e12", true, refuseAll)
+		tc.setFaults("e16", true, refuseAll)
+		time.Sleep(time.Second)
+		up := slices.DeleteFunc(names, func(n string) bool { return n == "e12" || n == "e16" })
+		for _, n := range up {
+			tc.setFaults(n, false, silent)
+		}
+		during(20*time.Second, func() { tc.requireReady(up...) })
+	})
+}
+
 // Guards against jobs that are refused at entry VMs with a path through peers, because the store answers those
 // more slowly than they answer probes.
 func TestSubmitsGoThroughPeersWithASlowStore(t *testing.T) {
--- a/internal/relay/probe.go
+++ b/internal/relay/probe.go
@@ -227,9 +227,14 @@
 }
 
 // peersToProbe returns the peers that the next probe asks: those that have been silent the longest, and
-// otherwise those that were not called for the longest time.
+// otherwise those that were not called for the longest time. While any is silent, at least one of another data
+// centre that is not silent is among them, so that it soon shows whether none answers there.
 func (s *Store) peersToProbe() []PeerClient {
 	peers := s.Peers()
+	var remote []PeerClient
+	if s.RemotePeers != nil {
+		remote = s.RemotePeers()
+	}
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -246,7 +251,15 @@
 	slices.SortStableFunc(others, func(a, b PeerClient) int { return s.contacts[a].calledAt.Compare(s.contacts[b].calledAt) })
 	first := min(len(silent), max(probeSilent, probePeers-len(others)))
 	first = min(first, probePeers)
-	return append(silent[:first:first], others[:min(len(others), probePeers-first)]...)
+	rest := min(len(others), probePeers-first)
+	chosen := append(silent[:first:first], others[:rest]...)
+	isRemote := func(p PeerClient) bool { return slices.Contains(remote, p) }
+	if len(silent) > 0 && !slices.ContainsFunc(others[:rest], isRemote) {
+		if k := slices.IndexFunc(others[rest:], isRemote); k >= 0 {
+			chosen = append(chosen, others[rest+k])
+		}
+	}
+	return chosen
 }
 
 // serveGet reads a row on behalf of a peer.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -54,6 +54,8 @@
 	Feed  platform.Feed
 	// Peers returns the connections to the other entry VMs. They are comparable.
 	Peers func() []PeerClient
+	// RemotePeers, if set, returns those of Peers that are known to be in another data centre.
+	RemotePeers func() []PeerClient
 	// OnFailure, if set, is called after a call that the store did not answer, unless peers have answered
 	// such calls lately. It must not block.
 	OnFailure func()
