--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -10,7 +10,9 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -52,6 +54,8 @@
 	Feed  platform.Feed
 	// Peers returns the connections to the other entry VMs. They are comparable.
 	Peers func() []PeerClient
+	// RemotePeers, if set, returns those of Peers that are known to be in another data centre.
+	RemotePeers func() []PeerClient
 	// OnFailure, if set, is called after a call that the store did not answer, unless peers have answered
 	// such calls lately. It must not block.
 	OnFailure func()
@@ -173,10 +177,20 @@
 		s.served.advance(began)
 	}
 	s.mu.Lock()
+	_, known := s.contacts[p]
+	s.mu.Unlock()
+	var peers []PeerClient
+	if !known {
+		peers = s.Peers()
+	}
+	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.contacts == nil {
 		s.contacts = map[PeerClient]contact{}
 	}
+	if !known { // only then can there be more than before
+		maps.DeleteFunc(s.contacts, func(k PeerClient, _ contact) bool { return !slices.Contains(peers, k) })
+	}
 	s.contacts[p] = s.contacts[p].next(began, time.Now(), m.WithinMS > 0, a, err)
 	return a, err
 }
