entry: the hold-off applies only to a term that may have handed over

Cause: after any end of the term during HandOver the entry VM left the lease to others for 3 s, counted from the return of HandOver, also where nobody but the successor could take it. Change: the term tells when orders stopped for a handover that released the lease or may have; the hold-off counts from then and is left out if at most one other entry VM is known.

--- a/internal/coordinator/succession.go
+++ b/internal/coordinator/succession.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"boragepulley/internal/lease"
 	"boragepulley/internal/logging"
 	"boragepulley/internal/peer"
 	"boragepulley/internal/platform"
@@ -53,6 +54,8 @@
 	finalBatch *batch
 	// notBefore is the earliest time of the next handover.
 	notBefore time.Duration
+	// handedOverAt is the result of Term.HandedOverAt.
+	handedOverAt atomic.Int64
 	// due is set while a handover is due.
 	due atomic.Bool
 	log *logging.Limiter
@@ -178,6 +181,10 @@
 // HandoverDue reports whether HandOver should be called.
 func (t *Term) HandoverDue() bool { return t.path.due.Load() }
 
+// HandedOverAt returns when orders stopped for a handover that released the lease, or that may have done so; 0
+// if there was none.
+func (t *Term) HandedOverAt() time.Duration { return time.Duration(t.path.handedOverAt.Load()) }
+
 // HandOver hands the role over to an entry VM with a better path to the store, if that is still due. Orders
 // are sent until the write in progress has ended. Then they stop, and one last write stores what fits into
 // it and releases the lease; ends of runs that it does not contain are not acknowledged, so that minions
@@ -198,7 +205,10 @@
 			t.End(ErrNotCoordinating)
 		}
 	}()
-	err = t.releaseUnhealthy(ctx, h)
+	written, err := t.releaseUnhealthy(ctx, h)
+	if !written || errors.Is(err, lease.ErrLost) || noEffect(err) || errors.Is(err, platform.ErrRejected) {
+		t.path.handedOverAt.Store(0)
+	}
 	if noEffect(err) || errors.Is(err, platform.ErrRejected) {
 		counters.Add("handovers_failed", 1)
 		goesOn = t.resume(ctx, err) == nil
@@ -268,25 +278,26 @@
 	return handover{decision: d, renewals: t.beginRelease()}
 }
 
-// releaseUnhealthy ends the orders in progress and makes the last write.
-func (t *Term) releaseUnhealthy(ctx context.Context, h handover) error {
+// releaseUnhealthy ends the orders in progress and makes the last write. written is false if it was not begun.
+func (t *Term) releaseUnhealthy(ctx context.Context, h handover) (written bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
 	defer cancel()
 	h.renewals.Wait()
 	t.orders.Close()
+	t.path.handedOverAt.Store(int64(t.deps.Now()))
 	puts, err := ask(ctx, t, func() []platform.Put {
 		t.path.finalBatch = t.collectBatch()
 		return t.path.finalBatch.puts
 	})
 	if err != nil {
-		return err
+		return false, err
 	}
 	err = t.held.ReleaseUnhealthy(ctx, puts)
 	if errors.Is(err, platform.ErrRejected) && len(puts) > 0 {
 		t.log.Warn().Err(err).Int("rows", len(puts)).Msg("Coordinator: the store refused the final write; releasing without it.")
 		err = t.held.ReleaseUnhealthy(ctx, nil)
 	}
-	return err
+	return true, err
 }
 
 // resume continues the term after a last write without effect.
--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -19,7 +19,8 @@
 	probeReadTimeout = 400 * time.Millisecond
 	// handoverHoldOff is how long an entry VM that handed over because of its path to the store leaves the
 	// free lease to others. A named successor takes it at once; others notice the silence after 0.9 s, read
-	// the row, and small ones wait another 0.8 s. Afterwards a bad coordinator is better than none.
+	// the row, and small ones wait another 0.8 s. Afterwards a bad coordinator is better than none. It counts
+	// from the end of orders, and does not apply if only the successor is known: nobody else could take over.
 	handoverHoldOff = 3 * time.Second
 )
 
@@ -28,13 +29,24 @@
 	if err := t.HandOver(n.ctx); err != nil {
 		n.log.Warn().Err(err).Msg("Entry: role not handed over.")
 	}
-	select {
-	case <-t.Done(): // handed over, or the outcome is not known
-		seen.notBefore = n.deps.Now() + handoverHoldOff
-	default:
+	if at := t.HandedOverAt(); at != 0 && n.othersKnown() > 1 {
+		seen.notBefore = at + handoverHoldOff
 	}
 }
 
+// othersKnown returns the number of other entry VMs that this node knows.
+func (n *Node) othersKnown() int {
+	members := n.members.Load()
+	if members == nil {
+		return 0
+	}
+	out := len(*members)
+	if _, ok := (*members)[n.deps.Self.Entry]; ok {
+		out--
+	}
+	return out
+}
+
 // exchangeHandover records the last handover that a coordinator reports and returns the age of the last one
 // known.
 func (n *Node) exchangeHandover(m *peer.CoordinatorHeartbeat) (ageMS int64) {
