succession: faulty ages and reads of a peer are ignored

Cause: handover_age_ms, store_ms and store_age_ms were multiplied without a bound; a faulty peer's value overflowed into a time far ahead and switched handovers off for good, or into a negative read. Change: values that are negative or above 24 h are ignored, and no handover is recorded later than now.

--- a/internal/coordinator/succession.go
+++ b/internal/coordinator/succession.go
@@ -99,24 +99,23 @@
 }
 
 // observeRead records the read in the answer to a heartbeat. It is counted as older than it is by the time
-// that the heartbeat took to arrive.
+// that the heartbeat took to arrive. One whose times cannot be right is ignored.
 func (m *memberPath) observeRead(r *peer.CoordinatorHeartbeatReply, sent time.Duration) {
+	age, ageOK := succession.Reported(r.StoreAgeMS)
+	took, tookOK := succession.Reported(r.StoreMS)
 	switch {
-	case r.StoreRead == 0:
+	case r.StoreRead == 0 || !ageOK || !tookOK:
 	case !r.StoreOK:
 		m.reads, m.failed = nil, true
 	default:
 		m.failed = false
-		m.reads = succession.AddRead(m.reads, succession.Read{Number: r.StoreRead,
-			At: sent - time.Duration(r.StoreAgeMS)*time.Millisecond, Took: time.Duration(r.StoreMS) * time.Millisecond})
+		m.reads = succession.AddRead(m.reads, succession.Read{Number: r.StoreRead, At: sent - age, Took: took})
 	}
 }
 
 // observeHandover records the last handover that a member knows of.
 func (t *Term) observeHandover(r *peer.CoordinatorHeartbeatReply, sent time.Duration) {
-	if r.HandoverAgeMS > 0 {
-		succession.RecordHandover(t.deps.LastHandover, sent-time.Duration(r.HandoverAgeMS)*time.Millisecond)
-	}
+	succession.RecordReported(t.deps.LastHandover, r.HandoverAgeMS, sent, t.now)
 }
 
 // pathRank returns 1 for a member whose path to the store is known to be good, -1 for one whose last reported
@@ -214,7 +213,8 @@
 		goesOn = t.resume(ctx, err) == nil
 		return errors.Wrap(err, "coordinator: handover")
 	}
-	succession.RecordHandover(t.deps.LastHandover, t.deps.Now())
+	now := t.deps.Now()
+	succession.RecordHandover(t.deps.LastHandover, now, now)
 	if err != nil {
 		counters.Add("handovers_failed", 1)
 		t.End(err) // with its cause
--- a/internal/entry/elect.go
+++ b/internal/entry/elect.go
@@ -227,7 +227,7 @@
 		}
 		n.recordHolder(held)
 		if held.Unhealthy && held.Holder == "" {
-			succession.RecordHandover(&n.lastHandover, requestedAt)
+			succession.RecordHandover(&n.lastHandover, requestedAt, n.deps.Now())
 		}
 	}
 	if n.leaseFree(seen) {
--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -51,9 +51,7 @@
 // known.
 func (n *Node) exchangeHandover(m *peer.CoordinatorHeartbeat) (ageMS int64) {
 	now := n.deps.Now()
-	if m.HandoverAgeMS > 0 {
-		succession.RecordHandover(&n.lastHandover, now-time.Duration(m.HandoverAgeMS)*time.Millisecond)
-	}
+	succession.RecordReported(&n.lastHandover, m.HandoverAgeMS, now, now)
 	return succession.HandoverAge(&n.lastHandover, now)
 }
 
