relay, platform: a write that the store refuses for good stays refused

Cause: a relayed ErrRejected became ErrUnknownOutcome, and CommitAndVerify ignored the rejection of its repeat, so that the write was repeated until its context ended and a release could not fall back. Change: a reply has the failure "rejected", which earlier versions treat as unknown; CommitAndVerify returns ErrRejected of its repeat once the row is read as unchanged after it.

--- a/internal/peer/site.go
+++ b/internal/peer/site.go
@@ -203,6 +203,8 @@
 	StoreUnknown     StoreFailure = "unknown_outcome"
 	StoreUnavailable StoreFailure = "unavailable"
 	StoreHistoryGone StoreFailure = "history_gone"
+	// StoreRejected is a call that the store refuses for good. Earlier versions treat it as StoreUnknown.
+	StoreRejected StoreFailure = "rejected"
 )
 
 func (m *StoreCall) sender() Sender            { return m.From }
--- a/internal/platform/verify.go
+++ b/internal/platform/verify.go
@@ -24,7 +24,8 @@
 //
 // After a lost answer only the version of the row with the key is returned.
 //
-// Errors: ErrUnavailable, ErrRateLimited, ErrRejected (no effect); ErrConflict (no effect, or,
+// Errors: ErrUnavailable, ErrRateLimited, ErrRejected (no effect; of a repeat, once the row is known to be
+// unchanged after it); ErrConflict (no effect, or,
 // after a lost answer, the row does not carry the write and no longer can); ErrUnknownOutcome
 // when the context ends before the outcome is known.
 //
@@ -38,6 +39,7 @@
 	}
 	cond, conditional := conditionOn(x, key)
 	wait := newReadBackWait()
+	var rejected error // of the last repeat
 	for {
 		r, readErr := t.Get(ctx, p, key)
 		switch {
@@ -48,13 +50,18 @@
 			return nil, err
 		case r.Version != cond:
 			return nil, &ConflictError{Rows: []Row{r}}
+		case rejected != nil:
+			return nil, rejected // as the lost request was, which is the same
 		default:
 			v, again := t.Commit(ctx, p, x)
 			if again == nil {
 				return v, nil
 			}
 			// A conflict or another lost answer is resolved by the next read: the first
-			// request may have been applied in between.
+			// request may have been applied in between. So is a rejection.
+			if errors.Is(again, ErrRejected) {
+				rejected = again
+			}
 		}
 		if !sleep(ctx, wait.NextBackOff()) {
 			return nil, err
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -211,6 +211,8 @@
 		return &platform.ConflictError{Rows: fromWireRows(a.Rows)}
 	case peer.StoreHistoryGone:
 		return errors.Wrap(platform.ErrHistoryGone, a.Detail)
+	case peer.StoreRejected:
+		return errors.Wrap(platform.ErrRejected, a.Detail)
 	}
 	return errors.Wrap(platform.ErrUnknownOutcome, a.Detail)
 }
@@ -379,6 +381,8 @@
 		return peer.StoreConflict
 	case errors.Is(err, platform.ErrHistoryGone):
 		return peer.StoreHistoryGone
+	case errors.Is(err, platform.ErrRejected):
+		return peer.StoreRejected
 	case noEffect(err):
 		return peer.StoreUnavailable
 	}
