coordinator, entry: three minor faults of handovers

Cause: a direct read that panicked counted as a success; a handover was recorded for a lost lease and when nothing was written; a release that gave up waiting for a handover's last write ended the term, so that no successor was announced. Change: the read's outcome is an error until it has ended; a handover is recorded only if the lease was or may have been released; the handover in progress ends the term itself, also after a write without effect. Measured: TestReadThatPanicsIsNoSuccess and TestImpatientShutdownLetsAHandoverAnnounceItsSuccessor fail without their changes and pass with them (-race -count=3). The condition of the record has no test of its own.

--- a/internal/coordinator/handover.go
+++ b/internal/coordinator/handover.go
@@ -32,10 +32,14 @@
 // sending orders and ends the calls in progress, stores the remaining progress and when the leases of
 // silent minions end, releases the site's lease and announces a successor.
 func (t *Term) Release(ctx context.Context) error {
-	defer t.End(ErrNotCoordinating)
 	if err := t.takeReleaseSlot(ctx); err != nil {
+		t.path.releaseWanted.Store(true)
+		if !t.path.handingOver.Load() { // which ends the term after its last write and the announcement
+			t.End(ErrNotCoordinating)
+		}
 		return err
 	}
+	defer t.End(ErrNotCoordinating)
 	defer func() { <-t.releaseSlot }()
 	var renewals *sync.WaitGroup
 	if err := t.do(ctx, func() { renewals = t.beginRelease() }); err != nil {
--- a/internal/coordinator/succession.go
+++ b/internal/coordinator/succession.go
@@ -56,6 +56,9 @@
 	notBefore time.Duration
 	// handedOverAt is the result of Term.HandedOverAt.
 	handedOverAt atomic.Int64
+	// handingOver is set while a handover makes its last write and announces the successor. releaseWanted is
+	// set once a release gave up waiting for it: the term must not go on then.
+	handingOver, releaseWanted atomic.Bool
 	// due is set while a handover is due.
 	due atomic.Bool
 	log *logging.Limiter
@@ -199,22 +202,28 @@
 		return err
 	}
 	goesOn := false
+	t.path.handingOver.Store(true)
 	defer func() {
-		if !goesOn { // also after a panic, because nothing is written any more
+		t.path.handingOver.Store(false)
+		if !goesOn || t.path.releaseWanted.Load() { // also after a panic, because nothing is written any more
 			t.End(ErrNotCoordinating)
 		}
 	}()
 	written, err := t.releaseUnhealthy(ctx, h)
-	if !written || errors.Is(err, lease.ErrLost) || noEffect(err) || errors.Is(err, platform.ErrRejected) {
+	refused := noEffect(err) || errors.Is(err, platform.ErrRejected)
+	mayBeReleased := written && !refused && !errors.Is(err, lease.ErrLost)
+	if !mayBeReleased {
 		t.path.handedOverAt.Store(0)
 	}
-	if noEffect(err) || errors.Is(err, platform.ErrRejected) {
+	if refused {
 		counters.Add("handovers_failed", 1)
 		goesOn = t.resume(ctx, err) == nil
 		return errors.Wrap(err, "coordinator: handover")
 	}
-	now := t.deps.Now()
-	succession.RecordHandover(t.deps.LastHandover, now, now)
+	if mayBeReleased {
+		now := t.deps.Now()
+		succession.RecordHandover(t.deps.LastHandover, now, now)
+	}
 	if err != nil {
 		counters.Add("handovers_failed", 1)
 		t.End(err) // with its cause
--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"boragepulley/internal/coordinator"
 	"boragepulley/internal/lease"
 	"boragepulley/internal/peer"
@@ -94,11 +96,14 @@
 	}
 }
 
+// errNotRead is the outcome of a read that has not ended.
+var errNotRead = errors.New("entry: store not read")
+
 // readStoreDirectly reads the row of the lease without a relay.
 func (n *Node) readStoreDirectly() {
 	ctx, cancel := context.WithTimeout(n.ctx, probeReadTimeout)
 	defer cancel()
-	began, err := n.deps.Now(), error(nil)
+	began, err := n.deps.Now(), errNotRead // stays so if the read panics
 	defer func() {
 		p, now := &n.probe, n.deps.Now()
 		p.mu.Lock()
