--- a/internal/coordinator/succession.go
+++ b/internal/coordinator/succession.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"boragepulley/internal/lease"
 	"boragepulley/internal/logging"
 	"boragepulley/internal/peer"
 	"boragepulley/internal/platform"
@@ -53,6 +54,11 @@
 	finalBatch *batch
 	// notBefore is the earliest time of the next handover.
 	notBefore time.Duration
+	// handedOverAt is the result of Term.HandedOverAt.
+	handedOverAt atomic.Int64
+	// handingOver is set while a handover makes its last write and announces the successor. releaseWanted is
+	// set once a release gave up waiting for it: the term must not go on then.
+	handingOver, releaseWanted atomic.Bool
 	// due is set while a handover is due.
 	due atomic.Bool
 	log *logging.Limiter
@@ -96,24 +102,23 @@
 }
 
 // observeRead records the read in the answer to a heartbeat. It is counted as older than it is by the time
-// that the heartbeat took to arrive.
+// that the heartbeat took to arrive. One whose times cannot be right is ignored.
 func (m *memberPath) observeRead(r *peer.CoordinatorHeartbeatReply, sent time.Duration) {
+	age, ageOK := succession.Reported(r.StoreAgeMS)
+	took, tookOK := succession.Reported(r.StoreMS)
 	switch {
-	case r.StoreRead == 0:
+	case r.StoreRead == 0 || !ageOK || !tookOK:
 	case !r.StoreOK:
 		m.reads, m.failed = nil, true
 	default:
 		m.failed = false
-		m.reads = succession.AddRead(m.reads, succession.Read{Number: r.StoreRead,
-			At: sent - time.Duration(r.StoreAgeMS)*time.Millisecond, Took: time.Duration(r.StoreMS) * time.Millisecond})
+		m.reads = succession.AddRead(m.reads, succession.Read{Number: r.StoreRead, At: sent - age, Took: took})
 	}
 }
 
 // observeHandover records the last handover that a member knows of.
 func (t *Term) observeHandover(r *peer.CoordinatorHeartbeatReply, sent time.Duration) {
-	if r.HandoverAgeMS > 0 {
-		succession.RecordHandover(t.deps.LastHandover, sent-time.Duration(r.HandoverAgeMS)*time.Millisecond)
-	}
+	succession.RecordReported(t.deps.LastHandover, r.HandoverAgeMS, sent, t.now)
 }
 
 // pathRank returns 1 for a member whose path to the store is known to be good, -1 for one whose last reported
@@ -178,6 +183,10 @@
 // HandoverDue reports whether HandOver should be called.
 func (t *Term) HandoverDue() bool { return t.path.due.Load() }
 
+// HandedOverAt returns when orders stopped for a handover that released the lease, or that may have done so; 0
+// if there was none.
+func (t *Term) HandedOverAt() time.Duration { return time.Duration(t.path.handedOverAt.Load()) }
+
 // HandOver hands the role over to an entry VM with a better path to the store, if that is still due. Orders
 // are sent until the write in progress has ended. Then they stop, and one last write stores what fits into
 // it and releases the lease; ends of runs that it does not contain are not acknowledged, so that minions
@@ -193,18 +202,28 @@
 		return err
 	}
 	goesOn := false
+	t.path.handingOver.Store(true)
 	defer func() {
-		if !goesOn { // also after a panic, because nothing is written any more
+		t.path.handingOver.Store(false)
+		if !goesOn || t.path.releaseWanted.Load() { // also after a panic, because nothing is written any more
 			t.End(ErrNotCoordinating)
 		}
 	}()
-	err = t.releaseUnhealthy(ctx, h)
-	if noEffect(err) || errors.Is(err, platform.ErrRejected) {
+	written, err := t.releaseUnhealthy(ctx, h)
+	refused := noEffect(err) || errors.Is(err, platform.ErrRejected)
+	mayBeReleased := written && !refused && !errors.Is(err, lease.ErrLost)
+	if !mayBeReleased {
+		t.path.handedOverAt.Store(0)
+	}
+	if refused {
 		counters.Add("handovers_failed", 1)
 		goesOn = t.resume(ctx, err) == nil
 		return errors.Wrap(err, "coordinator: handover")
 	}
-	succession.RecordHandover(t.deps.LastHandover, t.deps.Now())
+	if mayBeReleased {
+		now := t.deps.Now()
+		succession.RecordHandover(t.deps.LastHandover, now, now)
+	}
 	if err != nil {
 		counters.Add("handovers_failed", 1)
 		t.End(err) // with its cause
@@ -268,25 +287,26 @@
 	return handover{decision: d, renewals: t.beginRelease()}
 }
 
-// releaseUnhealthy ends the orders in progress and makes the last write.
-func (t *Term) releaseUnhealthy(ctx context.Context, h handover) error {
+// releaseUnhealthy ends the orders in progress and makes the last write. written is false if it was not begun.
+func (t *Term) releaseUnhealthy(ctx context.Context, h handover) (written bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
 	defer cancel()
 	h.renewals.Wait()
 	t.orders.Close()
+	t.path.handedOverAt.Store(int64(t.deps.Now()))
 	puts, err := ask(ctx, t, func() []platform.Put {
 		t.path.finalBatch = t.collectBatch()
 		return t.path.finalBatch.puts
 	})
 	if err != nil {
-		return err
+		return false, err
 	}
 	err = t.held.ReleaseUnhealthy(ctx, puts)
 	if errors.Is(err, platform.ErrRejected) && len(puts) > 0 {
 		t.log.Warn().Err(err).Int("rows", len(puts)).Msg("Coordinator: the store refused the final write; releasing without it.")
 		err = t.held.ReleaseUnhealthy(ctx, nil)
 	}
-	return err
+	return true, err
 }
 
 // resume continues the term after a last write without effect.
