platform: release decoding memory before the store is called

Cause: the memory for decoding stayed reserved during the call of the store, up to 2.85 s, so that 200 ordinary requests a second used it up while the store was slow, and got 429.

Change: the service calls back once the row is encoded, and drops the steps.

--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -47,11 +47,19 @@
 // matter how often and at which entry VMs it is submitted. It rejects a job only if no attempt with
 // its id is known that has or may have stored it.
 func (n *Node) Submit(ctx context.Context, a jobs.Accepted) site.Answer {
+	return n.SubmitEncoding(ctx, a, func() {})
+}
+
+// SubmitEncoding is Submit that calls encoded before it waits for the store, once the job's steps are not
+// needed any more.
+func (n *Node) SubmitEncoding(ctx context.Context, a jobs.Accepted, encoded func()) site.Answer {
 	value, err := jobs.EncodeAccepted(a, n.deps.Limits.MaxRowBytes())
 	if err != nil {
 		counters.Add("too_large", 1)
 		return site.Answer{Err: errors.Wrap(site.ErrNotStorable, err.Error()), Reason: site.ReasonTooLarge}
 	}
+	a.Spec = jobs.Spec{}
+	encoded()
 	if n.backlogFull() {
 		return n.refuseForBacklog(ctx, a.ID)
 	}
