ingress: choose the memory for decoding by the body's length

Cause: bodies of 10 KB with 70 steps and more needed more than 64 KiB and waited behind the largest bodies.

Change: bodies of up to 16 KiB use the memory for small ones, unless one needs more than all of it.

Tests of internal/ingress and platform pass with -race.

--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -78,7 +78,7 @@
 		parts = nil
 		return body, nil
 	}
-	release, err := g.Reserve(r.Context(), total)
+	release, err := g.Reserve(r.Context(), total, total)
 	if err != nil {
 		return nil, err
 	}
@@ -244,11 +244,12 @@
 	return ok && c.SetReadDeadline(time.Time{}) == nil
 }
 
-// Reserve reserves memory for processing a complete body, in the order of the calls. Bodies that need
-// little have memory of their own. A request that needs more than there is gets all of it. Error: ErrNoRoom after a short time.
-func (g *Guard) Reserve(ctx context.Context, n int64) (release func(), err error) {
+// Reserve reserves n bytes for processing a complete body of the given length, in the order of the calls.
+// Small bodies have memory of their own, unless one needs more than that. A request that needs more than
+// there is gets all of it. Error: ErrNoRoom after a short time.
+func (g *Guard) Reserve(ctx context.Context, length, n int64) (release func(), err error) {
 	room := g.large
-	if n <= smallBytes && n <= g.smallRoom {
+	if length <= smallBody && n <= g.smallRoom {
 		room = g.small
 	}
 	n = min(n, g.largeRoom)
--- a/internal/ingress/guard.go
+++ b/internal/ingress/guard.go
@@ -39,7 +39,7 @@
 	log         zerolog.Logger
 	lines       *logging.Limiter
 	began       time.Time
-	// small and large are the memory for processing bodies that need up to smallBytes and more.
+	// small and large are the memory for processing bodies of up to smallBody bytes and of more.
 	small, large         *semaphore.Weighted
 	smallRoom, largeRoom int64
 
--- a/internal/ingress/limits.go
+++ b/internal/ingress/limits.go
@@ -33,11 +33,11 @@
 	// buffers of 4 KB, a goroutine's stack of 8 KB, and the objects of the HTTP server.
 	connectionShare = 0.15
 	connectionBytes = 24 << 10
-	// smallShare of the memory for processing is for bodies that need at most smallBytes each, so that
-	// ordinary requests don't wait behind a crowd of large ones. The largest body of 10 KB with few steps
-	// needs less.
+	// smallShare of the memory for processing is for bodies of at most smallBody bytes, so that ordinary
+	// requests, of up to 10 KB, don't wait behind a crowd of large ones. The length decides and not the
+	// memory that decoding needs: 10 KB of 70 steps need as much as 64 KiB.
 	smallShare = 0.25
-	smallBytes = 64 << 10
+	smallBody  = 16 << 10
 	// fdShare of the descriptors is for callers. Of 4,100 descriptors, 200 are reserved by the platform,
 	// and minions, other entry VMs and the store need about 2,300.
 	fdShare = 0.35
