entry: no refusal while an earlier attempt may be stored

Cause: a job could be refused with 429 while an earlier attempt with its id was inside the call of the store at the same entry VM, or when the coordinator did not answer whether it knows the job.

Change: an attempt counts as possibly stored from before the commit until its outcome is known. Refusals for the backlog or for lack of memory become 504 if no coordinator answers. A coordinator says of an unknown job whether it may be the only one. Other requests don't ask it.

Measured: the new tests fail without the note before the commit, and without the check of the answer. Tests of internal/entry pass with -race.

--- a/internal/coordinator/api.go
+++ b/internal/coordinator/api.go
@@ -45,6 +45,8 @@
 		for i, id := range ids {
 			if j := t.registry.Get(id); j != nil {
 				out[i] = t.visibleState(j)
+			} else {
+				out[i].Current = t.now < t.exclusiveUntil()
 			}
 		}
 		return out
--- a/internal/entry/attempts.go
+++ b/internal/entry/attempts.go
@@ -31,6 +31,8 @@
 	// current and previous map ids to whether the job is certainly stored.
 	current, previous map[jobs.ID]bool // guarded by mu
 	startedAt         time.Duration    // guarded by mu; when current was created
+	// inProgress counts the attempts that are being stored.
+	inProgress map[jobs.ID]int // guarded by mu
 }
 
 // record notes an attempt. An attempt with an unknown outcome does not replace a stored one.
@@ -43,6 +45,25 @@
 	a.current[id] = stored || a.current[id] || a.previous[id]
 }
 
+// begin notes an attempt whose row may be stored from now on, until end is called: when its outcome is
+// recorded, or it has certainly failed.
+func (a *attempts) begin(id jobs.ID) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.inProgress == nil {
+		a.inProgress = map[jobs.ID]int{}
+	}
+	a.inProgress[id]++
+}
+
+func (a *attempts) end(id jobs.ID) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.inProgress[id]--; a.inProgress[id] <= 0 {
+		delete(a.inProgress, id)
+	}
+}
+
 // lookup reports whether an attempt is remembered and whether its job is certainly stored.
 func (a *attempts) lookup(id jobs.ID) (stored, known bool) {
 	a.mu.Lock()
@@ -51,20 +72,21 @@
 		return stored, true
 	}
 	stored, known = a.previous[id]
-	return stored, known
+	return stored, known || a.inProgress[id] > 0
 }
 
 // earlierAttempt reports whether the job of a request that cannot be stored now is, or may be,
-// stored by an earlier attempt with the same id.
-func (n *Node) earlierAttempt(ctx context.Context, id jobs.ID) (stored, mayBe bool) {
+// stored by an earlier attempt with the same id. answered is false if no coordinator that knows all
+// announced jobs has answered.
+func (n *Node) earlierAttempt(ctx context.Context, id jobs.ID) (stored, mayBe, answered bool) {
 	stored, mayBe = n.attempts.lookup(id)
 	if stored {
-		return true, true
+		return true, true, true
 	}
 	ctx, cancel := context.WithTimeout(ctx, attemptCheckTimeout)
 	defer cancel()
-	_, stored, _ = n.stateFromCoordinator(ctx, id)
-	return stored, mayBe || stored
+	_, stored, answered = n.stateFromCoordinator(ctx, id)
+	return stored, mayBe || stored, answered
 }
 
 // recordUncertain notes an attempt with an unknown outcome and informs the other entry VMs, at which
--- a/internal/entry/backlog_test.go
+++ b/internal/entry/backlog_test.go
@@ -12,6 +12,7 @@
 
 	"boragepulley/internal/jobs"
 	"boragepulley/internal/site"
+	"boragepulley/standins/fleet"
 )
 
 // Guards against a coordinator whose process exceeds its memory because of the number of accepted jobs, and
@@ -74,3 +75,54 @@
 		}
 	})
 }
+
+// Guards against a refusal that says a job is not accepted while an earlier attempt is still in the call
+// of the store at the same entry VM, and against one that remains after that attempt has failed.
+func TestNoRefusalWhileAnAttemptIsBeingStored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tc := newTestCluster(t, 3)
+		defer tc.stop()
+		time.Sleep(4 * time.Second)
+		n := tc.otherThan(tc.coordinator())
+		n.attempts.begin(id1)
+		require.ErrorIs(t, n.Refuse(t.Context(), id1).Err, site.ErrOutcomeUnknown)
+		n.attempts.end(id1)
+		require.ErrorIs(t, n.Refuse(t.Context(), id1).Err, site.ErrOverloaded)
+		var during []site.Answer
+		for name := range tc.nodes {
+			tc.setFaults(name, false, refuseAll)
+		}
+		tc.setFaults(string(n.deps.Self.Entry), false, func(op string) fleet.Fault {
+			if op == "commit" {
+				during = append(during, n.Refuse(t.Context(), id1))
+			}
+			return fleet.Refuse
+		})
+		require.ErrorIs(t, n.Submit(t.Context(), newJob(id1)).Err, site.ErrUnavailable)
+		require.NotEmpty(t, during)
+		for _, a := range during {
+			require.ErrorIs(t, a.Err, site.ErrOutcomeUnknown)
+		}
+		require.ErrorIs(t, n.Refuse(t.Context(), id1).Err, site.ErrOverloaded, "it has certainly failed")
+	})
+}
+
+// Guards against a refusal that says a job is not accepted although another entry VM may have stored it,
+// because the coordinator did not answer, and against jobs that are not stored for that reason.
+func TestNoRefusalWithoutTheCoordinator(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tc := newTestCluster(t, 3)
+		defer tc.stop()
+		time.Sleep(4 * time.Second)
+		n := tc.otherThan(tc.coordinator())
+		tc.mu.Lock()
+		tc.answersLost[string(n.deps.Self.Entry)] = true
+		tc.mu.Unlock()
+		began := time.Now()
+		require.ErrorIs(t, n.Refuse(t.Context(), id1).Err, site.ErrOutcomeUnknown)
+		require.LessOrEqual(t, time.Since(began), attemptCheckTimeout)
+		began = time.Now()
+		require.NoError(t, n.Submit(t.Context(), newJob(id2)).Err)
+		require.Less(t, time.Since(began), attemptCheckTimeout, "the coordinator is not asked")
+	})
+}
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -65,6 +65,9 @@
 	}
 	key := coordinator.JobKey(a.ID)
 	table := uncertainTable{n.deps.Table, sync.OnceFunc(func() { n.recordUncertain(a.ID) })}
+	n.attempts.begin(a.ID)
+	end := sync.OnceFunc(func() { n.attempts.end(a.ID) })
+	defer end()
 	_, err = platform.CommitAndVerify(ctx, table, platform.PriorityClaim, platform.Txn{
 		Conditions: []platform.Condition{{Key: key}},
 		Puts:       []platform.Put{{Key: key, Value: value}},
@@ -80,7 +83,8 @@
 	case errors.Is(err, platform.ErrUnknownOutcome):
 		return n.mayBeStored(err)
 	}
-	switch stored, mayBe := n.earlierAttempt(ctx, a.ID); {
+	end()
+	switch stored, mayBe, _ := n.earlierAttempt(ctx, a.ID); {
 	case stored:
 		return n.acceptedBefore(a.ID)
 	case mayBe:
@@ -114,13 +118,16 @@
 	return n.refuse(ctx, id, "refused_no_room", site.Answer{Err: errors.Wrap(site.ErrOverloaded, "no memory for the body"), RetryAfter: time.Second, Reason: site.ReasonNoRoom})
 }
 
-// refuse returns the refusal and counts it, unless an earlier attempt has or may have stored the job.
+// refuse returns the refusal and counts it, unless an earlier attempt has or may have stored the job. That
+// cannot be told if the coordinator does not answer: another entry VM may have stored it.
 func (n *Node) refuse(ctx context.Context, id jobs.ID, counter string, refusal site.Answer) site.Answer {
-	switch stored, mayBe := n.earlierAttempt(ctx, id); {
+	switch stored, mayBe, answered := n.earlierAttempt(ctx, id); {
 	case stored:
 		return n.acceptedBefore(id)
 	case mayBe:
 		return n.mayBeStored(errors.New("earlier attempt with unknown outcome"))
+	case !answered:
+		return n.mayBeStored(errors.New("no answer of the coordinator about earlier attempts"))
 	}
 	counters.Add(counter, 1)
 	return refusal
@@ -190,14 +197,15 @@
 }
 
 // stateFromCoordinator asks the coordinator for a job's state. known is false if the coordinator does
-// not know the job or does not answer, current is false if another entry VM may know a later state.
+// not know the job or does not answer, current is false if another entry VM may know a later state. Of a
+// job that is not known, current tells that a coordinator has answered.
 func (n *Node) stateFromCoordinator(ctx context.Context, id jobs.ID) (a site.Answer, known, current bool) {
 	ctx, cancel := context.WithTimeout(ctx, coordinatorCallTimeout)
 	defer cancel()
 	if t := n.term.Load(); t != nil {
 		s, err := t.State(ctx, id)
 		if err != nil || s.State == "" {
-			return a, false, false
+			return a, false, err == nil && s.Current
 		}
 		return site.Answer{State: s.State, Reason: site.ReasonCoordinator}, true, s.Current
 	}
@@ -207,7 +215,7 @@
 	}
 	r := n.askCoordinator(ctx, id)
 	if r == nil || !r.Known {
-		return a, false, false
+		return a, false, r != nil && r.Coordinates
 	}
 	s := jobs.State(r.State)
 	return site.Answer{State: s, Reason: site.ReasonCoordinator}, true, r.Coordinates || s.Final()
