ingress: members that send a message are not closed for another one

Cause: a message of another entry VM could evict a connection in the middle of a large one, the budget had no room beside the largest message, and a connection in the middle of a request could be closed at the bound on connections while others were idle. Each candidate was allocated, and each release allocated a channel.

Its budget has 4 MiB beside the largest message. At the bound on connections, those that hold nothing are closed first, the longest idle first. The choice keeps a value, and the channel exists only while a request waits. CloseWrite is forwarded.

Measured: tests of internal/ingress pass with -race.

--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -165,13 +165,15 @@
 		g.mu.Lock()
 		victims, ok := g.book.Hold(c.id, n, g.now())
 		closing := g.take(victims)
-		known, freed := g.conns[c.id] == c, g.freed
+		known := g.conns[c.id] == c
+		var freed <-chan struct{}
 		if ok {
 			if late != nil {
 				g.book.Sent(c.id, g.now())
 			}
-		} else {
+		} else if known {
 			g.book.Wait(c.id)
+			freed = g.waitFreed()
 		}
 		g.mu.Unlock()
 		g.close(closing)
@@ -184,8 +186,13 @@
 		if late == nil {
 			late = time.After(roomTimeout)
 		}
+		var stalled <-chan time.Time
+		if g.limits.KeepSending {
+			stalled = time.After(stallInterval)
+		}
 		select {
 		case <-freed:
+		case <-stalled:
 		case <-late:
 			return g.noRoom()
 		case <-ctx.Done():
--- a/internal/ingress/book.go
+++ b/internal/ingress/book.go
@@ -146,6 +146,9 @@
 		if v == nil || v.ID == id && b.choose(now, true, id) == nil {
 			return victims, false // all others are being served, so that there is room soon
 		}
+		if b.limits.KeepSending && (v.ID == id || !b.conns[v.ID].stalled(now)) {
+			return victims, false
+		}
 		v.Reason = ReasonMemory
 		b.evict(v.ID)
 		victims = append(victims, *v)
@@ -182,7 +185,7 @@
 func (b *Book) Stalled(now time.Duration) []Victim {
 	var out []Victim
 	for id, e := range b.conns {
-		if !e.serving && !e.waiting && !e.evicted && now-e.sentAt >= stalledAfter {
+		if !e.serving && !e.evicted && e.stalled(now) {
 			v := e.victim(id, now)
 			v.Reason = ReasonShutdown
 			out = append(out, v)
@@ -195,32 +198,45 @@
 }
 
 // choose returns the connection to close first, nil if all are being served. Stalled ones come first,
-// by the time since they sent; then those that have held most for longest. With holding set, only
-// connections that hold memory count. The one with the id except is left out.
+// by the time since they sent; then, if holding is set, those that have held most for longest, and only
+// connections that hold memory count. Otherwise those that hold nothing come next, by the time since they
+// sent, before others: they are between requests. The one with the id except is left out.
 func (b *Book) choose(now time.Duration, holding bool, except ID) *Victim {
-	var best *Victim
-	var bestStalled bool
+	var best Victim
+	var bestClass int
 	var bestScore float64
 	for id, e := range b.conns {
 		if id == except || e.serving || e.evicted || holding && e.held == 0 {
 			continue
 		}
 		v := e.victim(id, now)
-		stalled := !e.waiting && v.Idle >= stalledAfter
-		score := v.Idle.Seconds()
-		if !stalled {
+		class, score := 0, v.Idle.Seconds()
+		switch {
+		case e.stalled(now):
+			class = 2
+		case e.held == 0:
+			class = 1
+		default:
 			score = float64(v.Held) * (v.Age + time.Millisecond).Seconds()
 		}
 		switch {
-		case best == nil, stalled && !bestStalled:
-		case stalled != bestStalled, score < bestScore:
+		case best.ID == 0, class > bestClass:
+		case class < bestClass, score < bestScore:
 			continue
 		case score == bestScore && (v.Idle < best.Idle || v.Idle == best.Idle && v.ID > best.ID):
 			continue
 		}
-		best, bestStalled, bestScore = &v, stalled, score
+		best, bestClass, bestScore = v, class, score
 	}
-	return best
+	if best.ID == 0 {
+		return nil
+	}
+	return &best
+}
+
+// stalled reports whether the client could send and has not for stalledAfter.
+func (e *entry) stalled(now time.Duration) bool {
+	return !e.waiting && now-e.sentAt >= stalledAfter
 }
 
 func (e *entry) victim(id ID, now time.Duration) Victim {
--- a/internal/ingress/book_test.go
+++ b/internal/ingress/book_test.go
@@ -106,6 +106,51 @@
 	require.Empty(t, b.Stalled(time.Second), "each is closed once")
 }
 
+// Guards against a member that is closed in the middle of a large message, because another one sends, and
+// against small messages that wait for the largest one.
+func TestMembersThatSendAreNotClosedForMemory(t *testing.T) {
+	l := DerivePeers(96, 8, 24<<20)
+	b := NewBook(l)
+	large, other := open(t, b, 0), open(t, b, 0)
+	_, ok := b.Hold(large, 24<<20, 0)
+	require.True(t, ok)
+	_, ok = b.Hold(other, smallMessages, 0)
+	require.True(t, ok, "beside the largest message")
+	b.Sent(large, 500*time.Millisecond)
+	b.Sent(other, 1400*time.Millisecond)
+	victims, ok := b.Hold(other, 64*kib, 1400*time.Millisecond)
+	require.False(t, ok)
+	require.Empty(t, victims, "it is sending")
+	victims, ok = b.Hold(other, 64*kib, 1500*time.Millisecond)
+	require.False(t, ok, "the evicted one's memory is still in use")
+	require.Len(t, victims, 1, "it has stalled")
+	require.Equal(t, large, victims[0].ID)
+	b.Close(large)
+	_, ok = b.Hold(other, 64*kib, 1500*time.Millisecond)
+	require.True(t, ok)
+}
+
+// Guards against a client in the middle of a request that is closed for a new connection although others
+// are between requests, and of these against any but the one idle for longest.
+func TestIdleConnectionsMakeRoomFirst(t *testing.T) {
+	b := NewBook(Limits{Connections: 3, Bytes: 100 * kib})
+	sending, used, idle := open(t, b, 0), open(t, b, 0), open(t, b, 0)
+	_, ok := b.Hold(sending, 60*kib, 0)
+	require.True(t, ok)
+	b.Sent(idle, 10*time.Millisecond)
+	b.Sent(used, 20*time.Millisecond)
+	b.Sent(sending, 30*time.Millisecond)
+	for _, want := range []ID{idle, used} {
+		id, victim, ok := b.Open(500 * time.Millisecond)
+		require.True(t, ok)
+		require.Equal(t, want, victim.ID)
+		require.True(t, b.Serve(id))
+	}
+	_, victim, ok := b.Open(500 * time.Millisecond)
+	require.True(t, ok)
+	require.Equal(t, sending, victim.ID)
+}
+
 // Guards against an account that drifts from what is held, exceeds a bound, or never has room again.
 func TestAccountIsExact(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/ingress/guard.go
+++ b/internal/ingress/guard.go
@@ -27,6 +27,8 @@
 	headerFactor = 2
 	// acceptPause is the time until connections are accepted again after a lack of descriptors.
 	acceptPause = 20 * time.Millisecond
+	// stallInterval is how often a message that waits for memory looks for clients that have stalled meanwhile.
+	stallInterval = 100 * time.Millisecond
 	// drainInterval is how often a shutdown looks for stalled clients.
 	drainInterval = 100 * time.Millisecond
 )
@@ -46,7 +48,7 @@
 	mu    sync.Mutex
 	book  *Book         // guarded by mu
 	conns map[ID]*conn  // guarded by mu
-	freed chan struct{} // guarded by mu; closed when memory is released
+	freed chan struct{} // guarded by mu; closed when memory is released, nil if no request waits for it
 }
 
 // NewGuard returns a guard. The name stands in log lines and metrics.
@@ -66,7 +68,7 @@
 	small := int64(float64(l.ProcessingBytes) * smallShare)
 	large := l.ProcessingBytes - small
 	return &Guard{name: name, limits: l, bodyTimeout: bodyTimeout, log: log, lines: lines, began: time.Now(),
-		small: semaphore.NewWeighted(small), large: semaphore.NewWeighted(large), smallRoom: small, largeRoom: large, book: NewBook(l), conns: map[ID]*conn{}, freed: make(chan struct{})}
+		small: semaphore.NewWeighted(small), large: semaphore.NewWeighted(large), smallRoom: small, largeRoom: large, book: NewBook(l), conns: map[ID]*conn{}}
 }
 
 // now is monotonic.
@@ -157,8 +159,18 @@
 
 // wake lets requests that wait for memory try again. The caller holds mu.
 func (g *Guard) wake() {
-	close(g.freed)
-	g.freed = make(chan struct{})
+	if g.freed != nil {
+		close(g.freed)
+		g.freed = nil
+	}
+}
+
+// waitFreed returns a channel that is closed when memory is released. The caller holds mu.
+func (g *Guard) waitFreed() <-chan struct{} {
+	if g.freed == nil {
+		g.freed = make(chan struct{})
+	}
+	return g.freed
 }
 
 // close closes connections that take returned.
@@ -275,6 +287,15 @@
 	return c.Conn.SetDeadline(t)
 }
 
+// CloseWrite shuts down the sending side, where the connection can. A server does so before it closes a
+// connection with unread data, so that the client can read the answer.
+func (c *conn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	g := c.guard
--- a/internal/ingress/guard_test.go
+++ b/internal/ingress/guard_test.go
@@ -284,3 +284,35 @@
 		require.NoError(t, s.Shutdown(t.Context()))
 	})
 }
+
+// Guards against a message that is refused, or waits for the whole time, although the client that holds
+// the memory stalls meanwhile, and against a guarded connection that hides the half-close of TCP.
+func TestMessageWaitsForOneThatStalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := DerivePeers(96, 8, 24<<20)
+		g := newGuard("test", l, 0, zerolog.Nop(), Unbounded().lines)
+		p := &pipes{make(chan net.Conn, 2), make(chan struct{})}
+		lis := g.ListenOnly(p)
+		accept := func() net.Conn {
+			here := p.dial()
+			t.Cleanup(func() { here.Close() })
+			c, err := lis.Accept()
+			require.NoError(t, err)
+			return c
+		}
+		first := accept()
+		require.NoError(t, g.Hold(first, l.Bytes))
+		go func() {
+			_, _ = first.Read(make([]byte, 1)) // ends when the guard closes it
+			first.Close()
+		}()
+		time.Sleep(500 * time.Millisecond)
+		second := accept()
+		began := time.Now()
+		require.NoError(t, g.Hold(second, 64*kib))
+		require.Equal(t, 500*time.Millisecond, time.Since(began))
+		second.Close()
+		_, ok := second.(interface{ CloseWrite() error })
+		require.True(t, ok)
+	})
+}
--- a/internal/ingress/limits.go
+++ b/internal/ingress/limits.go
@@ -16,6 +16,9 @@
 	Bytes int64
 	// ProcessingBytes bounds the memory in which complete bodies are joined and decoded.
 	ProcessingBytes int64
+	// KeepSending keeps clients that have not stalled from being closed for lack of memory: a request waits
+	// for them, or is refused.
+	KeepSending bool
 }
 
 const (
@@ -66,11 +69,15 @@
 	return Limits{Connections: connections, Bytes: int64(connections) * connectionBytes, ProcessingBytes: connectionBytes}
 }
 
+// smallMessages is the room for other messages while one of the largest size arrives: 64 parts of 64 KiB,
+// the most that a message holds at first.
+const smallMessages = 4 << 20
+
 // DerivePeers returns the limits of the listener for other entry VMs. One message of the largest size
-// always fits.
+// always fits, beside small ones. Members that are sending a message are not closed for another one.
 func DerivePeers(memoryMB float64, connections int, largestMessage int64) Limits {
 	l := Derive(memoryMB, 0)
-	l.Connections, l.Bytes = connections, max(l.Bytes, largestMessage)
+	l.Connections, l.Bytes, l.KeepSending = connections, max(l.Bytes, largestMessage+smallMessages), true
 	return l
 }
 
