--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -78,7 +78,7 @@
 		parts = nil
 		return body, nil
 	}
-	release, err := g.Reserve(r.Context(), total)
+	release, err := g.Reserve(r.Context(), total, total)
 	if err != nil {
 		return nil, err
 	}
@@ -165,13 +165,15 @@
 		g.mu.Lock()
 		victims, ok := g.book.Hold(c.id, n, g.now())
 		closing := g.take(victims)
-		known, freed := g.conns[c.id] == c, g.freed
+		known := g.conns[c.id] == c
+		var freed <-chan struct{}
 		if ok {
 			if late != nil {
 				g.book.Sent(c.id, g.now())
 			}
-		} else {
+		} else if known {
 			g.book.Wait(c.id)
+			freed = g.waitFreed()
 		}
 		g.mu.Unlock()
 		g.close(closing)
@@ -184,8 +186,13 @@
 		if late == nil {
 			late = time.After(roomTimeout)
 		}
+		var stalled <-chan time.Time
+		if g.limits.KeepSending {
+			stalled = time.After(stallInterval)
+		}
 		select {
 		case <-freed:
+		case <-stalled:
 		case <-late:
 			return g.noRoom()
 		case <-ctx.Done():
@@ -244,11 +251,12 @@
 	return ok && c.SetReadDeadline(time.Time{}) == nil
 }
 
-// Reserve reserves memory for processing a complete body, in the order of the calls. Bodies that need
-// little have memory of their own. A request that needs more than there is gets all of it. Error: ErrNoRoom after a short time.
-func (g *Guard) Reserve(ctx context.Context, n int64) (release func(), err error) {
+// Reserve reserves n bytes for processing a complete body of the given length, in the order of the calls.
+// Small bodies have memory of their own, unless one needs more than that. A request that needs more than
+// there is gets all of it. Error: ErrNoRoom after a short time.
+func (g *Guard) Reserve(ctx context.Context, length, n int64) (release func(), err error) {
 	room := g.large
-	if n <= smallBytes && n <= g.smallRoom {
+	if length <= smallBody && n <= g.smallRoom {
 		room = g.small
 	}
 	n = min(n, g.largeRoom)
--- a/internal/ingress/guard_test.go
+++ b/internal/ingress/guard_test.go
@@ -166,17 +166,21 @@
 func TestOneRequestMayTakeAllProcessingMemory(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := newGuard("test", roomy, 0, zerolog.Nop(), Unbounded().lines)
-		release, err := g.Reserve(t.Context(), 1<<40)
+		release, err := g.Reserve(t.Context(), 200*kib, 1<<40)
 		require.NoError(t, err)
-		_, err = g.Reserve(t.Context(), smallBytes+1)
+		_, err = g.Reserve(t.Context(), smallBody+1, 1)
 		require.ErrorIs(t, err, ErrNoRoom)
-		small, err := g.Reserve(t.Context(), smallBytes)
-		require.NoError(t, err, "small ones do not wait for large ones")
+		small, err := g.Reserve(t.Context(), smallBody, 100*kib)
+		require.NoError(t, err, "small ones do not wait for large ones, also with many steps")
+		_, err = g.Reserve(t.Context(), smallBody, 1)
+		require.ErrorIs(t, err, ErrNoRoom, "their memory is bounded")
 		small()
+		_, err = g.Reserve(t.Context(), smallBody, 100*kib+1)
+		require.ErrorIs(t, err, ErrNoRoom, "one that exceeds it is decoded with the large ones")
 		release()
 		gone, cancel := context.WithCancel(t.Context())
 		cancel()
-		release, err = g.Reserve(gone, 1)
+		release, err = g.Reserve(gone, 1, 1)
 		require.NoError(t, err, "room does not depend on the caller's time")
 		release()
 	})
@@ -280,3 +284,35 @@
 		require.NoError(t, s.Shutdown(t.Context()))
 	})
 }
+
+// Guards against a message that is refused, or waits for the whole time, although the client that holds
+// the memory stalls meanwhile, and against a guarded connection that hides the half-close of TCP.
+func TestMessageWaitsForOneThatStalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := DerivePeers(96, 8, 24<<20)
+		g := newGuard("test", l, 0, zerolog.Nop(), Unbounded().lines)
+		p := &pipes{make(chan net.Conn, 2), make(chan struct{})}
+		lis := g.ListenOnly(p)
+		accept := func() net.Conn {
+			here := p.dial()
+			t.Cleanup(func() { here.Close() })
+			c, err := lis.Accept()
+			require.NoError(t, err)
+			return c
+		}
+		first := accept()
+		require.NoError(t, g.Hold(first, l.Bytes))
+		go func() {
+			_, _ = first.Read(make([]byte, 1)) // ends when the guard closes it
+			first.Close()
+		}()
+		time.Sleep(500 * time.Millisecond)
+		second := accept()
+		began := time.Now()
+		require.NoError(t, g.Hold(second, 64*kib))
+		require.Equal(t, 500*time.Millisecond, time.Since(began))
+		second.Close()
+		_, ok := second.(interface{ CloseWrite() error })
+		require.True(t, ok)
+	})
+}
--- a/internal/ingress/limits.go
+++ b/internal/ingress/limits.go
@@ -16,6 +16,9 @@
 	Bytes int64
 	// ProcessingBytes bounds the memory in which complete bodies are joined and decoded.
 	ProcessingBytes int64
+	// KeepSending keeps clients that have not stalled from being closed for lack of memory: a request waits
+	// for them, or is refused.
+	KeepSending bool
 }
 
 const (
@@ -33,11 +36,11 @@
 	// buffers of 4 KB, a goroutine's stack of 8 KB, and the objects of the HTTP server.
 	connectionShare = 0.15
 	connectionBytes = 24 << 10
-	// smallShare of the memory for processing is for bodies that need at most smallBytes each, so that
-	// ordinary requests don't wait behind a crowd of large ones. The largest body of 10 KB with few steps
-	// needs less.
+	// smallShare of the memory for processing is for bodies of at most smallBody bytes, so that ordinary
+	// requests, of up to 10 KB, don't wait behind a crowd of large ones. The length decides and not the
+	// memory that decoding needs: 10 KB of 70 steps need as much as 64 KiB.
 	smallShare = 0.25
-	smallBytes = 64 << 10
+	smallBody  = 16 << 10
 	// fdShare of the descriptors is for callers. Of 4,100 descriptors, 200 are reserved by the platform,
 	// and minions, other entry VMs and the store need about 2,300.
 	fdShare = 0.35
@@ -66,11 +69,15 @@
 	return Limits{Connections: connections, Bytes: int64(connections) * connectionBytes, ProcessingBytes: connectionBytes}
 }
 
+// smallMessages is the room for other messages while one of the largest size arrives: 64 parts of 64 KiB,
+// the most that a message holds at first.
+const smallMessages = 4 << 20
+
 // DerivePeers returns the limits of the listener for other entry VMs. One message of the largest size
-// always fits.
+// always fits, beside small ones. Members that are sending a message are not closed for another one.
 func DerivePeers(memoryMB float64, connections int, largestMessage int64) Limits {
 	l := Derive(memoryMB, 0)
-	l.Connections, l.Bytes = connections, max(l.Bytes, largestMessage)
+	l.Connections, l.Bytes, l.KeepSending = connections, max(l.Bytes, largestMessage+smallMessages), true
 	return l
 }
 
