entry: count due jobs and jobs accepted since the last count in the memory of jobs

Cause: the count that stops the acceptance contained a job only while none of its tasks was due, and entry VMs learned of it with the next counts (300 ms, or later beside a long planning run) and heartbeat. Some 14 jobs of 20,000 steps, 11.7 MB each when due, were accepted meanwhile.

Change: - jobs.Registry counts the steps of due occurrences and the tasks that were looked at, and takes them out when the occurrence or job ends. - The coordinator publishes the count when a job is added, and heartbeats carry the count and the limit. - Each entry VM adds the jobs that it is storing and those accepted since the last but one count. - Jobs above 128 KiB leave a quarter of the memory for jobs to others. - A job that needs more than half of the memory for jobs gets 413 with the sizes, after the check for earlier attempts.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -189,6 +189,10 @@
 type View struct {
 	Pending map[model.Queue]int
 	Load    map[model.Queue]peer.QueueLoad
+	// CountedAt is when Pending and Load were counted, on the term's clock.
+	CountedAt time.Duration
+	// JobBytes is the memory of the open jobs, JobLimit is Limits.JobMemory.
+	JobBytes, JobLimit int64
 	// Full is set while no further job is to be accepted, see Limits.JobMemory.
 	Full bool
 }
--- a/internal/coordinator/members.go
+++ b/internal/coordinator/members.go
@@ -157,6 +157,7 @@
 	}
 	if v := t.view.Load(); v != nil {
 		msg.HasCounts, msg.Pending, msg.Load, msg.Full = true, v.Pending, v.Load, v.Full
+		msg.JobBytes, msg.JobLimit = v.JobBytes, v.JobLimit
 	}
 	m.inFlight, m.nextHeartbeat = true, t.now+heartbeatInterval
 	sent := t.now
--- a/internal/coordinator/plan.go
+++ b/internal/coordinator/plan.go
@@ -290,14 +290,28 @@
 	}
 	t.lastView = t.now
 	t.updateGauges()
-	v := &View{Pending: map[model.Queue]int{}, Load: map[model.Queue]peer.QueueLoad{}}
+	v := &View{CountedAt: t.now, Pending: map[model.Queue]int{}, Load: map[model.Queue]peer.QueueLoad{}}
 	for _, j := range t.registry.Open() {
 		if !j.HasBegun() {
 			v.Pending[j.Queue]++
 		}
 	}
+	t.storeView(v)
+}
+
+// publishJobMemory updates the memory of the open jobs in the published view, if there is one.
+func (t *Term) publishJobMemory() {
+	if old := t.view.Load(); old != nil && old.JobBytes != t.registry.MemoryBytes() {
+		v := *old
+		t.storeView(&v)
+	}
+}
+
+// storeView publishes a view with the present memory of the open jobs.
+func (t *Term) storeView(v *View) {
 	setGauge("jobs_open_bytes", t.registry.MemoryBytes())
-	v.Full = t.deps.Limits.JobMemory > 0 && t.registry.MemoryBytes() > t.deps.Limits.JobMemory
+	v.JobBytes, v.JobLimit = t.registry.MemoryBytes(), t.deps.Limits.JobMemory
+	v.Full = v.JobLimit > 0 && v.JobBytes > v.JobLimit
 	if before := t.view.Load(); v.Full != (before != nil && before.Full) {
 		t.log.Warn().Bool("full", v.Full).Int64("bytes", t.registry.MemoryBytes()).Int64("limit", t.deps.Limits.JobMemory).Int("jobs", len(t.registry.Open())).Msg("Coordinator: acceptance of jobs changes, because of the memory of those that have not ended.")
 	}
--- a/internal/coordinator/recover.go
+++ b/internal/coordinator/recover.go
@@ -239,6 +239,7 @@
 	}
 	j.Inherited = inherited
 	if !inherited {
+		t.publishJobMemory()
 		t.recordDemand(j)
 	}
 	if inherited {
--- a/internal/entry/backlog_test.go
+++ b/internal/entry/backlog_test.go
@@ -74,3 +74,79 @@
 		}
 	})
 }
+
+// Guards against a burst of jobs that all pass a count taken before them, so that the process exceeds its
+// memory before the coordinator counts again.
+func TestBurstBetweenTwoCountsIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const most = 10
+		a := newJob("")
+		a.Spec.Repeat, a.Spec.FirstRun, a.Spec.Interval = 100, time.Now().Add(time.Hour), time.Hour
+		tc := newLimitedCluster(t, 3, most*a.Spec.MemoryBytes())
+		defer tc.stop()
+		time.Sleep(3 * time.Second)
+		for name, n := range tc.nodes {
+			accepted := 0
+			for i := range 5 * most {
+				a.ID = jobs.ID(fmt.Sprintf("%s%014x", name, i))
+				if n.Submit(context.Background(), a).Err == nil {
+					accepted++
+				}
+			}
+			// Each entry VM knows of its own jobs only, until the next count.
+			require.LessOrEqual(t, accepted, most+1, name)
+		}
+	})
+}
+
+// Guards against one job that takes the memory of the coordinator alone, and against a refusal of a job that
+// another entry VM has accepted under a larger limit.
+func TestJobThatTakesTooMuchMemoryIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		large := newJob("5c0e7a21d94b36f8")
+		large.Spec.Steps[0].Count = 1000
+		tc := newLimitedCluster(t, 3, 2*large.Spec.DueBytes()-2)
+		defer tc.stop()
+		time.Sleep(3 * time.Second)
+		got := tc.nodes["e0"].Submit(context.Background(), large)
+		require.ErrorIs(t, got.Err, site.ErrNotStorable)
+		require.Equal(t, site.ReasonTooLarge, got.Reason)
+		require.ErrorContains(t, got.Err, fmt.Sprintf("about %d bytes in memory, expected at most %d", large.Spec.DueBytes(), large.Spec.DueBytes()-1))
+		small := newJob(large.ID)
+		require.NoError(t, tc.nodes["e1"].Submit(context.Background(), small).Err)
+		time.Sleep(100 * time.Millisecond)
+		require.NoError(t, tc.nodes["e0"].Submit(context.Background(), large).Err, "accepted before")
+	})
+}
+
+// Guards against reservations that are kept after a job was not stored, or after the coordinator has counted
+// it, which would end the acceptance for good.
+func TestBacklogForgetsWhatIsCounted(t *testing.T) {
+	var b backlog
+	at := func(s int) countOfJobs { return countOfJobs{1, time.Duration(s) * time.Second} }
+	require.True(t, b.reserve(10, at(1), 0, 9))
+	require.False(t, b.reserve(10, at(1), 0, 9), "the first is being stored")
+	b.settle(10, false)
+	require.True(t, b.reserve(10, at(1), 0, 9))
+	b.settle(10, true)
+	require.False(t, b.reserve(10, at(1), 0, 9))
+	require.False(t, b.reserve(10, at(2), 0, 9), "the count may not contain it")
+	require.False(t, b.reserve(10, at(3), 10, 9), "counted")
+	require.True(t, b.reserve(10, at(3), 0, 9), "ended")
+}
+
+// Guards against a few large jobs that take all memory for jobs, so that ordinary ones are refused.
+func TestLargeJobsLeaveMemoryForOthers(t *testing.T) {
+	const limit = 16 << 20
+	var b backlog
+	c := countOfJobs{1, time.Second}
+	require.True(t, b.reserve(limit/2, c, 0, limit))
+	require.False(t, b.reserve(limit/2, c, 0, limit))
+	require.True(t, b.reserve(limit/4, c, 0, limit))
+	for range limit / 4 / smallJob {
+		require.True(t, b.reserve(smallJob, c, 0, limit))
+	}
+	require.False(t, b.reserve(smallJob+1, c, 0, limit))
+	require.True(t, b.reserve(1, c, 0, limit), "the limit is reached, not exceeded")
+	require.False(t, b.reserve(1, c, 0, limit))
+}
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -56,6 +56,8 @@
 	store       *relay.Store
 	// attempts are recent attempts to store jobs.
 	attempts attempts
+	// backlog counts the jobs that the coordinator's count may not contain.
+	backlog backlog
 	// queries are callers' queries about jobs for the coordinator.
 	queries stateQueries
 	// synced is set once the operators' rows have been read from the store, stopping once a shutdown
@@ -107,6 +109,8 @@
 	load      map[model.Queue]peer.QueueLoad
 	// full is set while no further job is to be accepted.
 	full bool
+	// jobBytes and jobLimit are those of peer.CoordinatorHeartbeat.
+	jobBytes, jobLimit int64
 }
 
 // New returns a node. It does nothing until Start.
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -32,8 +32,10 @@
 		switch {
 		case m.HasCounts:
 			next.countedAt, next.pending, next.load, next.full = next.lastHeartbeat, m.Pending, m.Load, m.Full
+			next.jobBytes, next.jobLimit = m.JobBytes, m.JobLimit
 		case old != nil:
 			next.countedAt, next.pending, next.load, next.full = old.countedAt, old.pending, old.load, old.full
+			next.jobBytes, next.jobLimit = old.jobBytes, old.jobLimit
 		}
 		if n.coordinator.CompareAndSwap(old, next) {
 			reply.Epoch = m.Epoch
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -47,14 +47,20 @@
 // matter how often and at which entry VMs it is submitted. It rejects a job only if no attempt with
 // its id is known that has or may have stored it.
 func (n *Node) Submit(ctx context.Context, a jobs.Accepted) site.Answer {
+	size := a.Spec.DueBytes()
+	if most := n.deps.Limits.JobMemory / jobShare; most > 0 && size > most {
+		return n.refuse(ctx, a.ID, "too_large", site.Answer{Err: errors.Wrapf(site.ErrNotStorable, "job: found about %d bytes in memory, expected at most %d", size, most), Reason: site.ReasonTooLarge})
+	}
 	value, err := jobs.EncodeAccepted(a, n.deps.Limits.MaxRowBytes())
 	if err != nil {
 		counters.Add("too_large", 1)
 		return site.Answer{Err: errors.Wrap(site.ErrNotStorable, err.Error()), Reason: site.ReasonTooLarge}
 	}
-	if n.backlogFull() {
+	if !n.reserveBacklog(size) {
 		return n.refuseForBacklog(ctx, a.ID)
 	}
+	stored := false
+	defer func() { n.backlog.settle(size, stored) }()
 	key := coordinator.JobKey(a.ID)
 	table := uncertainTable{n.deps.Table, sync.OnceFunc(func() { n.recordUncertain(a.ID) })}
 	_, err = platform.CommitAndVerify(ctx, table, platform.PriorityClaim, platform.Txn{
@@ -63,6 +69,7 @@
 	}, key, func(r platform.Row) bool { return bytes.Equal(r.Value, value) })
 	switch {
 	case err == nil:
+		stored = true
 		n.attempts.record(a.ID, true, n.deps.Now())
 		n.announceJob(a.ID, value)
 		counters.Add("accepted", 1)
@@ -70,10 +77,11 @@
 	case errors.Is(err, platform.ErrConflict):
 		return n.acceptedBefore(a.ID)
 	case errors.Is(err, platform.ErrUnknownOutcome):
+		stored = true // it may be
 		return n.mayBeStored(err)
 	}
-	switch stored, mayBe := n.earlierAttempt(ctx, a.ID); {
-	case stored:
+	switch before, mayBe := n.earlierAttempt(ctx, a.ID); {
+	case before:
 		return n.acceptedBefore(a.ID)
 	case mayBe:
 		return n.mayBeStored(errors.WithMessage(err, "earlier attempt with unknown outcome"))
@@ -85,19 +93,9 @@
 	return n.unavailable(err)
 }
 
-// backlogFull reports whether no further job is to be accepted, by a recent count of the coordinator.
-func (n *Node) backlogFull() bool {
-	if t := n.term.Load(); t != nil {
-		v := t.View()
-		return v != nil && v.Full
-	}
-	view := n.coordinator.Load()
-	return view != nil && view.full && n.deps.Now()-view.countedAt <= maxPendingAge
-}
-
 // refuseForBacklog rejects a job because of the backlog, unless an earlier attempt has or may have stored it.
 func (n *Node) refuseForBacklog(ctx context.Context, id jobs.ID) site.Answer {
-	return n.refuse(ctx, id, "refused_backlog", site.Answer{Err: errors.Wrap(site.ErrOverloaded, "the jobs that have not ended take all memory"), RetryAfter: maxRetryAfter, Reason: site.ReasonFull})
+	return n.refuse(ctx, id, "refused_backlog", site.Answer{Err: errors.Wrap(site.ErrOverloaded, "the jobs that have not ended leave too little memory"), RetryAfter: maxRetryAfter, Reason: site.ReasonFull})
 }
 
 // Refuse rejects a job whose body this entry VM has no memory for, unless an earlier attempt has or may
--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -153,7 +153,7 @@
 	unblocked []*StepRun
 	// current are the steps that are open or have active tasks, and steps that were so before.
 	current []*StepRun
-	// memory is Spec.MemoryBytes.
+	// memory is Spec.MemoryBytes and the memory of the occurrences in memory.
 	memory int64
 	// work is Spec.Work.
 	work  float64
@@ -275,7 +275,7 @@
 	// waiting the others.
 	open, live map[ID]*Job
 	waiting    waitingJobs
-	// memory is the sum of Spec.MemoryBytes of the open jobs.
+	// memory is the sum of Job.memory of the open jobs.
 	memory int64
 	// unsaved holds the jobs with progress that is not stored, unsavedOrder the same in the order of
 	// their oldest unsaved change. Entries of jobs that have been saved since are dropped later.
@@ -427,6 +427,9 @@
 			s.Tasks = append(s.Tasks, &tasks[i])
 		}
 		s.waiting = nil
+		if s.of != nil {
+			s.Job.countMemory(taskSize * int64(more))
+		}
 	}
 	return s.Tasks[index]
 }
@@ -757,8 +760,15 @@
 	}
 }
 
-// MemoryBytes returns about how much memory the jobs take that are not in a final state, without their
-// occurrences that are due.
+// countMemory adds n bytes to the memory of the job.
+func (j *Job) countMemory(n int64) {
+	j.memory += n
+	if r := j.registry; r != nil && r.open[j.ID] == j {
+		r.memory += n
+	}
+}
+
+// MemoryBytes returns about how much memory the jobs take that are not in a final state.
 func (r *Registry) MemoryBytes() int64 { return r.memory }
 
 // markChanged counts a change of the job's progress, which then has to be stored.
--- a/internal/jobs/occurrence.go
+++ b/internal/jobs/occurrence.go
@@ -38,6 +38,15 @@
 // ended reports whether all steps have ended.
 func (o *occurrence) ended() bool { return o.endedSteps == len(o.steps) }
 
+// memoryBytes returns about how much memory the occurrence takes.
+func (o *occurrence) memoryBytes() int64 {
+	n := occurrenceSize + stepRunSize*int64(len(o.steps))
+	for _, s := range o.steps {
+		n += taskSize * int64(len(s.Tasks))
+	}
+	return n
+}
+
 // LiveSteps returns the steps of the occurrences in memory, in their order.
 func (j *Job) LiveSteps() []*StepRun {
 	var out []*StepRun
@@ -100,6 +109,7 @@
 	i, _ := j.find(k)
 	j.live = slices.Insert(j.live, i, o)
 	j.idle++
+	j.countMemory(o.memoryBytes())
 	if j.registry != nil && !j.state.Final() {
 		j.registry.live[j.ID] = j
 	}
@@ -193,6 +203,7 @@
 	}
 	o.taskBegun() // it does not count as idle any more
 	j.live = slices.Delete(j.live, i, i+1)
+	j.countMemory(-o.memoryBytes())
 	if len(j.live) == 0 {
 		j.live, j.current, j.unblocked = nil, nil, nil
 		j.registry.waitForDue(j)
--- a/internal/jobs/size_test.go
+++ b/internal/jobs/size_test.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -119,3 +120,65 @@
 	_, err = DecodeAccepted([]byte("\x1f\x8b\x08"))
 	require.ErrorIs(t, err, ErrRecord)
 }
+
+// Guards against a coordinator that accepts jobs beyond its memory because due jobs count as little as
+// those that wait, and against a count that keeps what ended jobs took, so that nothing is accepted later.
+func TestMemoryOfDueJobsIsCounted(t *testing.T) {
+	b := NewRegistry()
+	a := accepted("1", chain()...)
+	a.Spec.Steps[0].Count = 8
+	j := b.Add(a, 0)
+	j.OpenSteps(time.Time{}, 0)
+	untouched := b.MemoryBytes()
+	require.Greater(t, untouched, j.Spec.MemoryBytes())
+	for _, s := range j.LiveSteps() {
+		s.AllTasks()
+	}
+	require.Greater(t, b.MemoryBytes(), untouched)
+	require.Equal(t, j.Spec.DueBytes(), b.MemoryBytes())
+	b.Cancel(j, 0)
+	require.Zero(t, b.MemoryBytes())
+
+	first := time.Unix(1e9, 0)
+	repeated := b.Add(hourly("2", first, 3, Step{Count: 2}), 0)
+	waiting := b.MemoryBytes()
+	require.Equal(t, repeated.Spec.MemoryBytes(), waiting)
+	for k := range 2 {
+		b.CreateDue(first.Add(time.Duration(k)*time.Hour), 0)
+		repeated.OpenSteps(first.Add(time.Duration(k)*time.Hour), 0)
+		for i := range 2 {
+			x := b.Task(TaskName{repeated.ID, k, 0, i})
+			x.Hold()
+			b.Order(x, x.NextRun(1), "m", 0)
+			require.Greater(t, b.MemoryBytes(), waiting)
+			b.Finish(x, x.Run, "m", EndDone, "", 1, 0)
+			x.Release()
+		}
+		require.Equal(t, waiting, b.MemoryBytes(), "an occurrence that has ended takes nothing")
+	}
+	b.Remove("2")
+	require.Zero(t, b.MemoryBytes())
+}
+
+// Guards against a count that refuses ordinary jobs: thousands of open jobs of a few steps must fit into the
+// share of a VM of 184 MB that is for accepted jobs.
+func TestMemoryOfOrdinaryJobsFits(t *testing.T) {
+	const open, limit = 2000, 184 * 15 / 100 << 20
+	b := NewRegistry()
+	for i := range open {
+		a := accepted(ID(fmt.Sprintf("%016x", i)), Step{Count: 8, Estimate: time.Second}, Step{Count: 8, Estimate: time.Second, After: []int{0}})
+		j := b.Add(a, 0)
+		j.OpenSteps(time.Time{}, 0)
+		for _, s := range j.LiveSteps() {
+			s.AllTasks()
+		}
+	}
+	many := accepted("", make([]Step, MaxTasks)...)
+	for i := range many.Spec.Steps {
+		many.Spec.Steps[i].Count = 1
+	}
+	wide := accepted("", Step{Count: MaxTasks})
+	t.Logf("%d jobs of 2 steps of 8 tasks: %d bytes of %d; a job of %d steps: %d, of one step of as many tasks: %d", open, b.MemoryBytes(), limit, MaxTasks,
+		many.Spec.DueBytes(), wide.Spec.DueBytes())
+	require.Less(t, b.MemoryBytes(), int64(limit)/2)
+}
--- a/internal/jobs/spec.go
+++ b/internal/jobs/spec.go
@@ -215,12 +215,19 @@
 	return out
 }
 
-// Sizes in memory, in bytes: of a job and a step without what they refer to, and of an entry of After and
-// the same entry as a dependent.
+// Sizes in memory, in bytes: of a job and a step without what they refer to, of an entry of After and
+// the same entry as a dependent, of an occurrence, and of a step and a task of one.
 const (
-	jobSize   = int64(unsafe.Sizeof(Job{})) + 2*64 // with its entries in maps
-	stepSize  = int64(unsafe.Sizeof(Step{}))
+	jobSize = int64(unsafe.Sizeof(Job{})) + 2*64 // with its entries in maps
+	// with its critical path and its list of dependents
+	stepSize  = int64(unsafe.Sizeof(Step{}) + unsafe.Sizeof(time.Duration(0)) + unsafe.Sizeof([]int32{}))
 	afterSize = int64(unsafe.Sizeof(int(0)) + unsafe.Sizeof(int32(0)))
+
+	occurrenceSize = int64(unsafe.Sizeof(occurrence{}))
+	// with its entries in occurrence.steps, Job.unblocked and Job.current
+	stepRunSize = int64(unsafe.Sizeof(StepRun{}) + 3*unsafe.Sizeof((*StepRun)(nil)))
+	// with its entries in StepRun.Tasks and StepRun.waiting
+	taskSize = int64(unsafe.Sizeof(Task{}) + 2*unsafe.Sizeof((*Task)(nil)))
 )
 
 // MemoryBytes returns about how much memory a job with this specification takes while none of its
@@ -234,6 +241,16 @@
 	return n
 }
 
+// DueBytes returns about how much memory a job with this specification takes while one occurrence is due
+// and all of its tasks have been looked at.
+func (s *Spec) DueBytes() int64 {
+	n := s.MemoryBytes() + occurrenceSize + stepRunSize*int64(len(s.Steps))
+	for i := range s.Steps {
+		n += taskSize * int64(s.Steps[i].Count)
+	}
+	return n
+}
+
 // Work returns the estimated work of one task of the step, in core-seconds.
 func (s *Step) Work() float64 { return float64(s.Need.CPU) / 1000 * s.Estimate.Seconds() }
 
--- a/internal/peer/site.go
+++ b/internal/peer/site.go
@@ -35,6 +35,10 @@
 	HasCounts bool `json:"counted,omitempty"`
 	// Full is set while no further job is to be accepted.
 	Full bool `json:"full,omitempty"`
+	// JobBytes is the memory of the jobs that have not ended, JobLimit the most that they may take; 0 for
+	// no limit, or from a sender of an earlier version.
+	JobBytes int64 `json:"job_bytes,omitempty"`
+	JobLimit int64 `json:"job_limit,omitempty"`
 	// Pending counts the accepted jobs by queue of which no task has started.
 	Pending map[model.Queue]int `json:"pending,omitempty"`
 	// Load is the load of each queue, by which entry VMs reject jobs that would wait too long.
--- a/internal/site/answer.go
+++ b/internal/site/answer.go
@@ -15,7 +15,8 @@
 	// ErrOverloaded means that the job was not accepted and never runs: it could not
 	// finish in time on the available capacity.
 	ErrOverloaded = errors.New("site: overloaded, job cannot finish in time")
-	// ErrNotStorable means that the job was not accepted and never will be: the store does not take it.
+	// ErrNotStorable means that the job was not accepted: the store does not take it, or it needs more
+	// memory than this entry VM allows for one job.
 	ErrNotStorable = errors.New("site: job cannot be stored")
 	// ErrUnavailable means that nothing was done, because a part of the system that it needs does not
 	// answer.
@@ -35,12 +36,12 @@
 	ReasonMayBeStored    Reason = "may_be_stored"
 	// ReasonStoreUnavailable: the store did not answer, neither directly nor through peers.
 	ReasonStoreUnavailable Reason = "store_unavailable"
-	// ReasonFull: the jobs that have not ended take all the memory that a coordinator has for them.
+	// ReasonFull: the jobs that have not ended leave no memory of the coordinator for this one.
 	ReasonFull Reason = "backlog_full"
 	// ReasonNoRoom: the bodies of other requests take all the memory that the entry VM has for them.
 	ReasonNoRoom Reason = "no_room"
-	// ReasonTooLarge: the job's row exceeds what the store takes. ReasonRefusedByStore: the store called
-	// the row invalid.
+	// ReasonTooLarge: the job's row exceeds what the store takes, or the job the memory for one.
+	// ReasonRefusedByStore: the store called the row invalid.
 	ReasonTooLarge       Reason = "job_too_large"
 	ReasonRefusedByStore Reason = "refused_by_store"
 	// ReasonCoordinator and ReasonStore: the coordinator's or the store's knowledge of the job.
