--- a/internal/ingress/guard_test.go
+++ b/internal/ingress/guard_test.go
@@ -316,3 +316,35 @@
 		require.True(t, ok)
 	})
 }
+
+// Guards against a submission that is closed as stalled while it waits for room, or while its refusal is
+// being checked.
+func TestWaitingForRoomIsNotStalling(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gate := make(chan struct{})
+		p := &pipes{make(chan net.Conn), make(chan struct{})}
+		g := newGuard("test", roomy, DefaultBodyTimeout, zerolog.Nop(), Unbounded().lines)
+		s := &http.Server{ConnContext: ConnContext, ConnState: ConnState, Handler: g.Handler(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			_, _ = g.ReadBody(r, 200*kib)
+			<-gate
+		}))}
+		go func() { _ = s.Serve(g.Listen(p)) }()
+		dial := func(n int) {
+			c := p.dial()
+			go io.Copy(io.Discard, c) //nolint:errcheck // ends with the connection
+			go post(c, n, strings.Repeat("x", n))
+		}
+		for range 2 {
+			dial(190 * kib) // they are served and hold the memory
+		}
+		synctest.Wait()
+		dial(150 * kib)
+		for range 8 {
+			time.Sleep(roomTimeout/2 - time.Millisecond)
+			synctest.Wait()
+			require.Empty(t, g.book.Stalled(g.now()))
+		}
+		close(gate)
+		require.NoError(t, s.Shutdown(t.Context()))
+	})
+}
