--- a/internal/entry/backlog.go
+++ b/internal/entry/backlog.go
@@ -31,7 +31,8 @@
 }
 
 // reserve counts a job of the given size, unless the open jobs of the count and those counted here take more
-// than limit, or a large job would make them take more than three quarters of it. It reports whether it did; settle must then be called. limit 0 means no limit.
+// than limit, or a large job would make them take more than three quarters of it. It reports whether it did;
+// settle must then be called. limit 0 means no limit.
 func (b *backlog) reserve(size int64, c countOfJobs, open, limit int64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/readiness/probes.go
+++ b/internal/readiness/probes.go
@@ -19,8 +19,8 @@
 	successes    int
 }
 
-// Record adds a probe. It reports false, and forgets all probes, if the process was suspended during this one: its outcome then says
-// nothing about the store.
+// Record adds a probe. It reports false, and forgets all probes, if the process was suspended during this one:
+// its outcome then says nothing about the store.
 func (p *Probes) Record(began, ended time.Duration, ok bool) bool {
 	if ended-began >= Suspended {
 		*p = Probes{}
