ingress: tests read the book under its lock

Product code always holds the lock. Change: usageOf and stalledIn take the lock; what is checked is unchanged.

--- a/internal/ingress/guard_test.go
+++ b/internal/ingress/guard_test.go
@@ -80,7 +80,7 @@
 			fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", n, strings.Repeat("x", n))
 			require.Equal(t, fmt.Sprintf("%d <nil>", n), <-results)
 			synctest.Wait()
-			open, held := g.book.Usage()
+			open, held := usageOf(g)
 			require.Equal(t, 1, open)
 			require.Zero(t, held, "between requests")
 		}
@@ -96,7 +96,7 @@
 		}
 		require.NoError(t, shutdown(t.Context()))
 		synctest.Wait()
-		_, held := g.book.Usage()
+		_, held := usageOf(g)
 		require.Zero(t, held)
 	})
 }
@@ -135,7 +135,7 @@
 		}
 		require.NoError(t, shutdown(t.Context()))
 		synctest.Wait()
-		_, held := g.book.Usage()
+		_, held := usageOf(g)
 		require.Zero(t, held)
 	})
 }
@@ -151,7 +151,7 @@
 			synctest.Wait()
 			time.Sleep(time.Millisecond)
 		}
-		open, held := g.book.Usage()
+		open, held := usageOf(g)
 		require.LessOrEqual(t, open, 3)
 		require.Positive(t, held)
 		require.LessOrEqual(t, held, int64(20*kib))
@@ -274,11 +274,11 @@
 		go post(c, 200*kib, strings.Repeat("x", 200*kib))
 		time.Sleep(2 * stalledAfter)
 		synctest.Wait()
-		require.Empty(t, g.book.Stalled(g.now()), "it is being served")
+		require.Empty(t, stalledIn(g), "it is being served")
 		gate <- struct{}{}
 		require.Contains(t, <-answered, "401")
 		synctest.Wait()
-		open, held := g.book.Usage()
+		open, held := usageOf(g)
 		require.Equal(t, 1, open)
 		require.Zero(t, held)
 		require.NoError(t, s.Shutdown(t.Context()))
@@ -342,9 +342,22 @@
 		for range 8 {
 			time.Sleep(roomTimeout/2 - time.Millisecond)
 			synctest.Wait()
-			require.Empty(t, g.book.Stalled(g.now()))
+			require.Empty(t, stalledIn(g))
 		}
 		close(gate)
 		require.NoError(t, s.Shutdown(t.Context()))
 	})
 }
+
+// usageOf and stalledIn read the book under its lock, because the server's goroutines go on after a check.
+func usageOf(g *Guard) (open int, held int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.book.Usage()
+}
+
+func stalledIn(g *Guard) []Victim {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.book.Stalled(g.now())
+}
