coordinator: log what tells an incarnation's calls from those of the one before

Cause: for two runs of a task after a restart, no line had the incarnation that a lease was granted to, the clock behind it, the calls without an answer, or why a time was taken for the end of all leases, so that three hypotheses could not be told apart. Change: fields on the lines about restarts, silent minions, expired leases and the loaded state; a line and a counter for answers to calls from before a restart. No decision changes. Tests of holding and coordinator pass without the race detector.

--- a/internal/coordinator/minions.go
+++ b/internal/coordinator/minions.go
@@ -55,7 +55,7 @@
 			t.log.Info().Str("minion", id).Int("tasks", len(m.Tasks)).Dur("remaining", e.Remaining).Msg("Coordinator: minion is leaving.")
 		}
 		if m.Incarnation != 0 && e.Incarnation > m.Incarnation {
-			t.minionRestarted(m, e.Incarnation)
+			t.minionRestarted(m, e.Incarnation, "list")
 		}
 		if e.ColdLeft != m.ColdLeft || e.Incarnation != m.ColdOf {
 			t.setCold(m, e) // an entry that is written again unchanged does not extend it
@@ -126,7 +126,8 @@
 // leasesExpired requeues the tasks of a minion whose leases have expired.
 func (t *Term) leasesExpired(m *holding.Minion) {
 	if len(m.Tasks) > 0 {
-		t.log.Warn().Str("minion", string(m.ID)).Int("tasks", len(m.Tasks)).Dur("silent", t.now-m.LastReply).Msg("Coordinator: leases over, tasks are requeued.")
+		t.log.Warn().Str("minion", string(m.ID)).Int("tasks", len(m.Tasks)).Dur("silent", t.now-m.LastReply).
+			Int64("born", m.Incarnation).Int("restarts", m.Restarts).Str("basis", string(m.ExpiryBasis)).Msg("Coordinator: leases over, tasks are requeued.")
 	}
 	for task := range m.Tasks {
 		counters.Add("runs_given_up", 1)
@@ -139,10 +140,15 @@
 
 // minionRestarted handles a restart of a minion under the same id. The next poll reports what the
 // new incarnation runs, as it may already have received a start. It may still carry out unanswered
-// starts, so these are rejected by stop orders, see rejectStaleStarts.
-func (t *Term) minionRestarted(m *holding.Minion, incarnation int64) {
-	t.log.Info().Str("minion", string(m.ID)).Int("tasks", len(m.Tasks)).Int64("born", incarnation).Msg("Coordinator: minion restarted.")
+// starts, so these are rejected by stop orders, see rejectStaleStarts. source is what told of the restart.
+func (t *Term) minionRestarted(m *holding.Minion, incarnation int64, source string) {
+	counters.Add("minion_restarts", 1)
+	before := m.Incarnation
+	clock, age := m.Clock(t.now)
 	m.Restarted(incarnation, t.now, t.deps.Limits.MaxMinionLease)
+	t.log.Info().Str("minion", string(m.ID)).Int("tasks", len(m.Tasks)).Int64("born", incarnation).Int64("born_before", before).Str("source", source).
+		Int64("clock_before", clock).Dur("clock_age", age).Bool("poll_in_flight", m.Polling).Int("starts_in_flight", m.StartsInFlight).Int("starts_unanswered", len(m.StaleStarts)).
+		Dur("lease_left", m.RunsExpireAt-t.now).Str("basis", string(m.ExpiryBasis)).Msg("Coordinator: minion restarted.")
 	m.NextPoll = t.now
 	// A start of which nothing is known may reach the new incarnation. The lease in it is on the clock of
 	// the one before.
@@ -156,6 +162,18 @@
 	}
 }
 
+// noteLateAnswer logs an answer to a call that was sent before the minion's last known restart. restarts is
+// the number of restarts that were known then, leaseUntil the end of the lease in the call on the minion's
+// clock, or 0, and clock the reading in the answer.
+func (t *Term) noteLateAnswer(m *holding.Minion, restarts int, call string, leaseUntil, clock int64, err error) {
+	if m.Restarts == restarts {
+		return
+	}
+	counters.Add("answers_to_earlier_calls", 1)
+	known, age := m.Clock(t.now)
+	t.log.Info().Err(err).Str("minion", string(m.ID)).Str("call", call).Int64("lease_until", leaseUntil).Int64("clock", clock).Int64("clock_known", known).Dur("clock_age", age).Msg("Coordinator: answer to a call from before a restart.")
+}
+
 // rejectStaleStarts sends stop orders for starts that were sent to an earlier incarnation of a
 // minion, so that the current one does not carry them out.
 func (t *Term) rejectStaleStarts(m *holding.Minion) {
--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -140,6 +140,7 @@
 	to := addressOf(m)
 	dc := m.DC
 	allowed := func() bool { return t.mayStartIn(dc) }
+	restarts := m.Restarts
 	var clock int64
 	var at time.Duration
 	t.sendToMinion(m, func(ctx context.Context) (err error) {
@@ -149,7 +150,10 @@
 			return errWithheld
 		}
 		return err
-	}, func(err error) { t.startAnswered(task, start, order.Run, clock, at, err) })
+	}, func(err error) {
+		t.noteLateAnswer(m, restarts, "start", order.LeaseUntil, clock, err)
+		t.startAnswered(task, start, order.Run, clock, at, err)
+	})
 }
 
 // sendToMinion sends an order in its own goroutine, for as long as the minion may take to answer.
@@ -187,7 +191,7 @@
 		return
 	}
 	if m.ObserveClock(clock, at) {
-		t.minionRestarted(m, 0)
+		t.minionRestarted(m, 0, "start")
 		m.ObserveClock(clock, at)
 	}
 	t.needsPlan = t.needsPlan || t.startsBounded
--- a/internal/coordinator/polls.go
+++ b/internal/coordinator/polls.go
@@ -60,7 +60,7 @@
 		o.Wait = max(0, min(pollWaitFor(m)-slowness, t.exclusiveUntil()-t.now-timeout)).Truncate(time.Millisecond)
 	}
 	m.Polling = true
-	to, sent := addressOf(m), t.now
+	to, sent, restarts := addressOf(m), t.now, m.Restarts
 	t.async(o.Wait+timeout, func(ctx context.Context) func() {
 		began := t.deps.Now()
 		r, err := t.orders.Poll(ctx, to, o)
@@ -69,6 +69,7 @@
 			if took := at - began - o.Wait; took >= 0 { // the minion may answer before the wait is over
 				observeLatency(m, took, timeout, err)
 			}
+			t.noteLateAnswer(m, restarts, "poll", o.LeaseUntil, r.Clock, err)
 			t.pollAnswered(m, sent, at, o.Ack, r, err)
 		}
 	})
@@ -141,7 +142,7 @@
 			m.NextPoll = t.now + silentPollInterval
 			return
 		}
-		t.minionRestarted(m, r.Incarnation)
+		t.minionRestarted(m, r.Incarnation, "poll")
 	} else {
 		m.AckDelivered(acked)
 	}
@@ -186,7 +187,8 @@
 		return
 	}
 	if m.FailedPolls == 0 {
-		t.log.Info().Err(err).Str("minion", string(m.ID)).Int("tasks", len(m.Tasks)).Dur("lease_left", m.RunsExpireAt-t.now).Msg("Coordinator: minion does not answer.")
+		t.log.Info().Err(err).Str("minion", string(m.ID)).Int("tasks", len(m.Tasks)).Int64("born", m.Incarnation).
+			Dur("lease_left", m.RunsExpireAt-t.now).Str("basis", string(m.ExpiryBasis)).Msg("Coordinator: minion does not answer.")
 		if m.LastReply == 0 {
 			m.LastReply = t.now
 		}
--- a/internal/coordinator/recover.go
+++ b/internal/coordinator/recover.go
@@ -208,7 +208,8 @@
 	t.feeds.startFrom(rows.jobs.Version, rows.listed.Version)
 	t.loaded, t.needsPlan = true, true
 	t.log.Info().Int("jobs", t.registry.Len()).Int("open", len(t.registry.Open())).Int("minions", len(t.minions)).
-		Dur("after", t.now-t.startedAt).Msg("Coordinator: state loaded.")
+		Dur("after", t.now-t.startedAt).
+		Dur("leases_end_after", t.unseenUntil()-t.startedAt).Msg("Coordinator: state loaded.")
 }
 
 // addJobRow adds an accepted job from its row. inherited is set for a job that was accepted under
--- a/internal/holding/holding.go
+++ b/internal/holding/holding.go
@@ -31,6 +31,18 @@
 	maxAnswerTimeout = 1500 * time.Millisecond
 )
 
+// ExpiryBasis is what the time at which all runs of a minion have expired was computed from.
+type ExpiryBasis string
+
+const (
+	// ExpiryTakeover: the leases that an earlier coordinator may have granted.
+	ExpiryTakeover ExpiryBasis = "takeover"
+	// ExpiryLease: the end of a lease that was sent, on the minion's clock.
+	ExpiryLease ExpiryBasis = "lease"
+	// ExpiryRestart: the longest lease that a minion grants, after a restart.
+	ExpiryRestart ExpiryBasis = "restart"
+)
+
 // Minion is the coordinator's known state of a minion.
 type Minion struct {
 	site.MinionEntry
@@ -46,6 +58,10 @@
 	// RunsExpireAt is when the leases of all runs have expired, including those of runs that this
 	// coordinator does not know of.
 	RunsExpireAt time.Duration
+	// ExpiryBasis tells what RunsExpireAt was computed from.
+	ExpiryBasis ExpiryBasis
+	// Restarts counts the restarts under this id that this coordinator knows of.
+	Restarts int
 
 	// clock is the last reading of the minion's clock in milliseconds, clockAt the time at which it
 	// was taken into account.
@@ -178,7 +194,7 @@
 // New returns the state of a minion of which only the entry in the platform's list is known.
 // unseenUntil is when runs that earlier coordinators ordered there have certainly ended.
 func New(e site.MinionEntry, unseenUntil time.Duration) *Minion {
-	return &Minion{MinionEntry: e, RunsExpireAt: unseenUntil, Latency: latency.Estimator{Least: minAnswerTimeout, Longest: maxAnswerTimeout}, Tasks: map[*jobs.Task]struct{}{}, UnconfirmedStarts: map[string]int{}, StaleStarts: map[string]int{}}
+	return &Minion{MinionEntry: e, RunsExpireAt: unseenUntil, ExpiryBasis: ExpiryTakeover, Latency: latency.Estimator{Least: minAnswerTimeout, Longest: maxAnswerTimeout}, Tasks: map[*jobs.Task]struct{}{}, UnconfirmedStarts: map[string]int{}, StaleStarts: map[string]int{}}
 }
 
 // ClockKnown reports whether leases can be expressed on the minion's clock.
@@ -210,20 +226,36 @@
 	until := m.clock + (now - m.clockAt + duration).Milliseconds()
 	// A slow clock reaches the end of the lease later.
 	left := time.Duration(float64(now-m.clockAt+duration) * (1 + clockSlowness))
-	m.RunsExpireAt = max(m.RunsExpireAt, m.clockAt+left+readingMargin)
+	m.expireAt(m.clockAt+left+readingMargin, ExpiryLease)
 	return until
 }
 
+// expireAt extends RunsExpireAt to a time.
+func (m *Minion) expireAt(at time.Duration, basis ExpiryBasis) {
+	if at > m.RunsExpireAt {
+		m.RunsExpireAt, m.ExpiryBasis = at, basis
+	}
+}
+
+// Clock returns the last reading of the minion's clock, in milliseconds, and its age; 0 if it is not known.
+func (m *Minion) Clock(now time.Duration) (ms int64, age time.Duration) {
+	if !m.ClockKnown() {
+		return 0, 0
+	}
+	return m.clock, now - m.clockAt
+}
+
 // Restarted resets the state for a new incarnation under the same id. Ends that the previous
 // incarnation reported can no longer be acknowledged. maxLease is the longest lease that a minion
 // grants.
 func (m *Minion) Restarted(incarnation int64, now, maxLease time.Duration) {
 	m.Incarnation, m.IncarnationAt = incarnation, now
+	m.Restarts++
 	if m.StartsInFlight > 0 || m.LastStart > 0 && m.LastStart >= m.LastReported {
 		// The new incarnation may have received a start that was meant for the previous one. The lease
 		// in it is on that one's clock, so the new one grants as much as it ever grants.
 		left := time.Duration(float64(maxLease) * (1 + clockSlowness))
-		m.RunsExpireAt = max(m.RunsExpireAt, now+maxAnswerTimeout+left+readingMargin)
+		m.expireAt(now+maxAnswerTimeout+left+readingMargin, ExpiryRestart)
 	}
 	m.lastEnd, m.ackable, m.acked, m.unackedEnds = 0, 0, 0, nil
 	m.clock, m.clockAt = 0, 0
