standins/fleet: calls of an earlier incarnation, and clocks that start anywhere

Cause: a late or delayed call ended with the process that it was sent to, and the clock of each incarnation started at 0. On the users' machines the next incarnation under the same id carries out such calls, and its clock starts at an arbitrary value.

Change: Minions.CallsSurviveRestarts lets the next incarnation carry out calls that have not been carried out; ClockStart sets where the clock of an incarnation starts; LateBy sets how much later a late call is carried out. The checks for violations are unchanged. It is a switch because TestStartsThatAreCarriedOutLateRunNoTaskTwice, with starts up to 5 s late, depends on the former meaning.

With the switch off, the tests of standins/fleet pass, and those of internal/coordinator passed before the change.

--- a/standins/fleet/minions.go
+++ b/standins/fleet/minions.go
@@ -65,9 +65,10 @@
 type Minion struct {
 	Entry site.MinionEntry
 	born  time.Time
-	// rate is how fast the minion's clock runs.
-	rate  float64
-	token uint64
+	// rate is how fast the minion's clock runs, clockStart its value at the start in milliseconds.
+	rate       float64
+	clockStart int64
+	token      uint64
 	// arrived is the highest token of an order that has arrived, also of one that is carried out
 	// later.
 	arrived uint64
@@ -113,6 +114,16 @@
 	StopTime time.Duration
 	// ClockRate, if set before the first minion, returns how fast a minion's clock runs: 1 is right.
 	ClockRate func(id jobs.Minion) float64
+	// ClockStart, if set before the first minion, returns the value in milliseconds at which the clock of a new
+	// incarnation starts; nil means 0.
+	ClockStart func(id jobs.Minion) int64
+	// CallsSurviveRestarts, if set before the first order, lets the next incarnation carry out calls that have
+	// not been carried out when their minion restarts under its id: no header tells two incarnations apart.
+	// Otherwise such calls end with the process that they were sent to.
+	CallsSurviveRestarts bool
+	// LateBy, if set before the first order, returns how much later an order with fault Late is carried out;
+	// nil means lateBy.
+	LateBy func(op string) time.Duration
 	// OnEvent, if set before the first order, is called with each event while the minions are
 	// locked.
 	OnEvent func(Event)
@@ -178,6 +189,9 @@
 	if s.ClockRate != nil {
 		m.rate = s.ClockRate(e.ID)
 	}
+	if s.ClockStart != nil {
+		m.clockStart = s.ClockStart(e.ID)
+	}
 	return m
 }
 
@@ -364,7 +378,7 @@
 }
 
 func (m *Minion) clock(at time.Time) int64 {
-	return time.Duration(float64(at.Sub(m.born)) * m.rate).Milliseconds()
+	return m.clockStart + time.Duration(float64(at.Sub(m.born))*m.rate).Milliseconds()
 }
 
 // settle ends the runs whose time or lease is over.
@@ -397,8 +411,8 @@
 	}
 }
 
-// answer passes an order to its minion, with faults. order runs under the lock. The connection ends with
-// the process that the order was sent to.
+// answer passes an order to its minion, with faults. order runs under the lock. Unless calls survive
+// restarts, the connection ends with the process that the order was sent to.
 func answer[T any](ctx context.Context, s *Minions, op string, to site.Receiver, f Fault, order func(m *Minion) (T, error)) (T, error) {
 	var none T
 	life := s.addressee(ctx, to.ID)
@@ -424,8 +438,8 @@
 	}
 	value, err := none, error(nil)
 	if f == Late {
-		// The order waits in the process.
-		time.AfterFunc(lateBy, func() { _, _ = carry(s, to, life, order) })
+		// The order waits in the process, or on its way if calls survive restarts.
+		time.AfterFunc(s.lateBy(op), func() { _, _ = carry(s, to, life, order) })
 	} else {
 		value, err = carry(s, to, life, order)
 	}
@@ -464,7 +478,7 @@
 	life := s.life(to.ID)
 	go func() {
 		time.Sleep(d / 2)
-		if s.life(to.ID) != life {
+		if s.life(to.ID) != life && !s.CallsSurviveRestarts {
 			answer <- result{err: errors.Wrap(site.ErrNoAnswer, "connection reset")}
 			return
 		}
@@ -492,7 +506,15 @@
 	return s.life(id)
 }
 
-// life returns the present process of a minion. A connection ends with the process.
+// lateBy returns how much later an order with fault Late is carried out.
+func (s *Minions) lateBy(op string) time.Duration {
+	if s.LateBy != nil {
+		return s.LateBy(op)
+	}
+	return lateBy
+}
+
+// life returns the present process of a minion.
 func (s *Minions) life(id jobs.Minion) *Minion {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -523,12 +545,13 @@
 	m.arrived = max(m.arrived, to.Token)
 }
 
-// carry carries an order out, unless the process that it was sent to has ended.
+// carry carries an order out, unless the process that it was sent to has ended and calls do not survive
+// restarts.
 func carry[T any](s *Minions, to site.Receiver, life *Minion, order func(m *Minion) (T, error)) (none T, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	m := s.all[to.ID]
-	if m == nil || m != life || m.Down || m.Cut {
+	if m == nil || m != life && !s.CallsSurviveRestarts || m.Down || m.Cut {
 		return none, errors.WithStack(site.ErrNoAnswer)
 	}
 	s.settle(m)
@@ -545,7 +568,7 @@
 }
 
 func (m *Minion) prolong(until int64) {
-	at := m.born.Add(m.onOwnClock(time.Duration(until) * time.Millisecond))
+	at := m.born.Add(m.onOwnClock(time.Duration(until-m.clockStart) * time.Millisecond))
 	if latest := time.Now().Add(m.onOwnClock(maxHold)); at.After(latest) {
 		at = latest
 	}
@@ -666,9 +689,15 @@
 func (s *Minions) poll(ctx context.Context, to site.Receiver, f Fault, o site.PollRequest) (out site.PollReport, err error) {
 	until := time.Now().Add(o.Wait)
 	life := s.addressee(ctx, to.ID)
+	// by is the process that carried the poll out; the wait for an end ends with it.
+	var by *Minion
 	first := true
 	for {
 		look := func(m *Minion) (site.PollReport, error) {
+			if by != nil && m != by {
+				return site.PollReport{}, errors.WithStack(site.ErrNoAnswer)
+			}
+			by = m
 			if o.LeaseUntil > 0 {
 				m.prolong(o.LeaseUntil)
 			}
