holding: a clock that jumps ahead tells of a restart

Callers: a task can start again after its end. An acknowledgement for the earlier incarnation went to the new one, which forgot its own end. Change: a reading of more than 2 s ahead of the expected one tells of a restart as well; readings can be 1.5 s old.

--- a/internal/holding/holding.go
+++ b/internal/holding/holding.go
@@ -200,8 +200,8 @@
 // ClockKnown reports whether leases can be expressed on the minion's clock.
 func (m *Minion) ClockKnown() bool { return m.clockAt != 0 }
 
-// clockSlack is how far a clock reading may lag behind the expected one without indicating a
-// restart: replies can be 1.5 s old when they are processed.
+// clockSlack is how far a clock reading may differ from the expected one without indicating a restart:
+// replies can be 1.5 s old when they are processed. The clock of a new incarnation may be ahead as well.
 const clockSlack = 2 * time.Second
 
 // ObserveClock records a reading of the minion's clock and reports whether the clock was reset,
@@ -214,7 +214,7 @@
 	if m.ClockKnown() {
 		since := now - m.clockAt
 		expected := m.clock + time.Duration(float64(since)*(1-clockSlowness)).Milliseconds()
-		restarted = ms < expected-clockSlack.Milliseconds()
+		restarted = ms < expected-clockSlack.Milliseconds() || ms > m.clock+(since+clockSlack).Milliseconds()
 	}
 	m.clock, m.clockAt = ms, now
 	return restarted
--- a/internal/holding/holding_test.go
+++ b/internal/holding/holding_test.go
@@ -65,6 +65,14 @@
 	require.True(t, m.ObserveClock(300, time.Minute+2*time.Second))
 }
 
+// Guards against a restart that goes unnoticed because the clock of the new incarnation is ahead.
+func TestClockThatJumpsAheadIsOfANewIncarnation(t *testing.T) {
+	m := New(site.MinionEntry{}, 0)
+	require.False(t, m.ObserveClock(90_000, time.Minute))
+	require.False(t, m.ObserveClock(92_900, time.Minute+time.Second), "the reading before was 1.9 s old")
+	require.True(t, m.ObserveClock(7_000_000, time.Minute+2*time.Second))
+}
+
 // Guards against counts of a minion's tasks that differ from its tasks: plans place tasks by them.
 func TestKindsMatchTheTasks(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
