coordinator: answers of an earlier incarnation count for nothing

Callers: a lease that ends minutes ahead of or behind the minion's clock, so that tasks lapse or run twice, and ends that are never acknowledged. Cause: an answer to a poll or a start that was sent before a restart became known was taken for one of the present incarnation. It set the clock, and the incarnation where only a clock had told of the restart; the number in the poll counted as acknowledged by the new incarnation, whose own ends up to it were then never acknowledged. Change: each call carries the number of restarts that were known when it was sent. An answer to an earlier poll counts only with the present incarnation in it, and never as the delivery of an acknowledgement. A start's answer names no incarnation: an earlier start is sent again, which a minion carries out once.

--- a/internal/coordinator/minions.go
+++ b/internal/coordinator/minions.go
@@ -155,6 +155,7 @@
 	for task := range m.Tasks {
 		if start := t.pendingStarts[task]; start != nil {
 			start.leaseUntil, start.expiresAt = 0, max(start.expiresAt, m.RunsExpireAt)
+			start.unansweredSince = 0 // the present incarnation has not been asked yet
 		}
 		if stop := t.pendingStops[task]; stop != nil && stop.begunOrNever > t.now {
 			stop.begunOrNever = max(stop.begunOrNever, m.RunsExpireAt)
--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -152,7 +152,7 @@
 		return err
 	}, func(err error) {
 		t.noteLateAnswer(m, restarts, "start", order.LeaseUntil, clock, err)
-		t.startAnswered(task, start, order.Run, clock, at, err)
+		t.startAnswered(task, start, order.Run, restarts, clock, at, err)
 	})
 }
 
@@ -182,14 +182,20 @@
 	}
 }
 
-// startAnswered handles the answer to a start. clock is the minion's clock as read at time at.
-func (t *Term) startAnswered(task *jobs.Task, start *pendingStart, run int, clock int64, at time.Duration, err error) {
+// startAnswered handles the answer to a start. restarts is the number of the minion's restarts that were
+// known when it was sent, clock the minion's clock as read at time at.
+func (t *Term) startAnswered(task *jobs.Task, start *pendingStart, run, restarts int, clock int64, at time.Duration, err error) {
 	start.inFlight = false
 	m := start.minion
 	defer func() { m.StartsInFlight-- }()
 	if t.pendingStarts[task] != start || task.Run != run {
 		return
 	}
+	if m.Restarts != restarts && !errors.Is(err, errWithheld) {
+		// The answer does not tell which incarnation it is of, so the start is sent again.
+		err = errors.Wrap(site.ErrNoAnswer, "sent before a restart of the minion")
+		clock = 0
+	}
 	if m.ObserveClock(clock, at) {
 		t.minionRestarted(m, 0, "start")
 		m.ObserveClock(clock, at)
--- a/internal/coordinator/polls.go
+++ b/internal/coordinator/polls.go
@@ -70,7 +70,7 @@
 				observeLatency(m, took, timeout, err)
 			}
 			t.noteLateAnswer(m, restarts, "poll", o.LeaseUntil, r.Clock, err)
-			t.pollAnswered(m, sent, at, o.Ack, r, err)
+			t.pollAnswered(m, restarts, sent, at, o.Ack, r, err)
 		}
 	})
 }
@@ -120,9 +120,9 @@
 	return &pending
 }
 
-// pollAnswered handles the answer to a poll, given the times at which it was sent and answered and
-// the acknowledged number that it carried.
-func (t *Term) pollAnswered(m *holding.Minion, sent, at time.Duration, acked int64, r site.PollReport, err error) {
+// pollAnswered handles the answer to a poll, given the number of restarts that were known when it was sent,
+// the times at which it was sent and answered and the acknowledged number that it carried.
+func (t *Term) pollAnswered(m *holding.Minion, restarts int, sent, at time.Duration, acked int64, r site.PollReport, err error) {
 	m.Polling = false
 	if t.minions[m.ID] != m {
 		return
@@ -131,20 +131,20 @@
 		t.pollFailed(m, err)
 		return
 	}
+	if m.Restarts != restarts && m.IsFormer(r.Incarnation) || r.Incarnation != 0 && r.Incarnation < m.Incarnation && sent < m.IncarnationAt {
+		m.NextPoll = t.now
+		return
+	}
 	answersAgain := m.FailedPolls > 0
 	if answersAgain {
 		t.log.Info().Str("minion", string(m.ID)).Dur("silent", t.now-m.LastReply).Msg("Coordinator: minion answers again.")
 	}
 	if m.Incarnation != 0 && r.Incarnation != 0 && r.Incarnation != m.Incarnation {
-		// A lower one is of an earlier process, unless the poll was sent to a process that was known then:
-		// the wall clock by which incarnations are numbered may have been set back.
-		if r.Incarnation < m.Incarnation && sent < m.IncarnationAt {
-			m.NextPoll = t.now + silentPollInterval
-			return
-		}
+		// It may be lower than the one before: the wall clock by which incarnations are numbered may have
+		// been set back.
 		t.minionRestarted(m, r.Incarnation, "poll")
-	} else {
-		m.AckDelivered(acked)
+	} else if m.Restarts == restarts {
+		m.AckDelivered(acked) // otherwise the number is of an end of an earlier incarnation
 	}
 	if m.Incarnation == 0 && r.Incarnation != 0 {
 		m.Incarnation, m.IncarnationAt = r.Incarnation, t.now
--- a/internal/holding/holding.go
+++ b/internal/holding/holding.go
@@ -67,6 +67,8 @@
 	// was taken into account.
 	clock   int64
 	clockAt time.Duration
+	// former is the last known incarnation before the present one.
+	former int64
 
 	// Used is the sum of the resources that Tasks reserve.
 	Used jobs.Resources
@@ -245,10 +247,13 @@
 	return m.clock, now - m.clockAt
 }
 
-// Restarted resets the state for a new incarnation under the same id. Ends that the previous
-// incarnation reported can no longer be acknowledged. maxLease is the longest lease that a minion
-// grants.
+// Restarted resets the state for a new incarnation under the same id, 0 if only its clock tells of it. Ends
+// that the previous incarnation reported can no longer be acknowledged. maxLease is the longest lease that a
+// minion grants.
 func (m *Minion) Restarted(incarnation int64, now, maxLease time.Duration) {
+	if m.Incarnation != 0 {
+		m.former = m.Incarnation
+	}
 	m.Incarnation, m.IncarnationAt = incarnation, now
 	m.Restarts++
 	if m.StartsInFlight > 0 || m.LastStart > 0 && m.LastStart >= m.LastReported {
@@ -263,6 +268,15 @@
 	m.UnconfirmedStarts = map[string]int{}
 }
 
+// IsFormer reports whether an answer to a poll that was sent before the last known restart is not of the
+// present incarnation, given the incarnation in the answer.
+func (m *Minion) IsFormer(incarnation int64) bool {
+	if m.Incarnation == 0 {
+		return incarnation == 0 || incarnation == m.former
+	}
+	return incarnation < m.Incarnation
+}
+
 // Assign adds a task and its reservation to the minion.
 func (m *Minion) Assign(t *jobs.Task) {
 	if _, ok := m.Tasks[t]; ok {
--- a/internal/holding/holding_test.go
+++ b/internal/holding/holding_test.go
@@ -73,6 +73,18 @@
 	require.True(t, m.ObserveClock(7_000_000, time.Minute+2*time.Second))
 }
 
+// Guards against an answer of an earlier incarnation that counts as one of the present incarnation.
+func TestAnswersOfEarlierIncarnationsAreTold(t *testing.T) {
+	m := New(site.MinionEntry{Incarnation: 5}, 0)
+	m.Restarted(0, time.Second, time.Second) // only its clock tells of the restart
+	require.True(t, m.IsFormer(5))
+	require.True(t, m.IsFormer(0))
+	require.False(t, m.IsFormer(7))
+	m.Restarted(7, time.Second, time.Second)
+	require.True(t, m.IsFormer(5))
+	require.False(t, m.IsFormer(7))
+}
+
 // Guards against counts of a minion's tasks that differ from its tasks: plans place tasks by them.
 func TestKindsMatchTheTasks(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
