coordinator: leases and orders of an earlier incarnation of a minion

Cause: a start or a renewal that was computed for an earlier incarnation is carried out by the next one, at once or seconds later. Its lease is a time on a clock that has nothing to do with the new one, so that everything on the minion gets the longest lease that it grants (6 s or 10 s). The coordinator allowed for that only if a start was in flight when it learned of the restart, and a successor always counted on 4.2 s. Acknowledgements carried out late dropped ends that nobody had seen. The class: a value that means something to one incarnation of a peer is accepted by the next one, because only the id is checked. Change: after a restart the coordinator reserves a higher fencing token in the stored lease and uses it for that minion. Once a poll with it is answered, the minion rejects all that was sent before; until then it takes no new work, and its leases count as the longest ones. The minion's row has its incarnation and tells of such leases, so that a successor waits for them; one that sees another incarnation in the list does so as well. An order to any incarnation counts for all later ones: one in between forgets the token. Runs that an earlier incarnation had listed have ended with it and start again at once. A minion that rejects an order because of the own raised token has not replaced the coordinator (fencing.ErrOutdated). The tests that let a held-back poll reach the minion accept its rejection for the token; that the task runs once is checked as before.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -125,6 +125,8 @@
 	loaded       bool
 	registry     *jobs.Registry
 	minions      map[jobs.Minion]*holding.Minion
+	// droppedMinions tells when minions were dropped, see droppedLately.
+	droppedMinions map[jobs.Minion]time.Duration
 	// queues are the queues as last configured, queuesFrom is the configuration that they were last
 	// read from.
 	queues        map[model.Queue]site.Queue
@@ -231,7 +233,7 @@
 	t := &Term{
 		deps: d, held: held, epoch: held.Row.Epoch, events: make(chan func(), 4096), releaseSlot: make(chan struct{}, 1), ctx: ctx, stop: stop,
 		log:      d.Log.With().Uint64("epoch", held.Row.Epoch).Logger(),
-		registry: jobs.NewRegistry(), minions: map[jobs.Minion]*holding.Minion{}, queues: map[model.Queue]site.Queue{},
+		registry: jobs.NewRegistry(), minions: map[jobs.Minion]*holding.Minion{}, droppedMinions: map[jobs.Minion]time.Duration{}, queues: map[model.Queue]site.Queue{},
 		pendingStarts: map[*jobs.Task]*pendingStart{}, pendingStops: map[*jobs.Task]*pendingStop{}, reservedPlaces: map[*jobs.Task]jobs.Minion{}, asideJobs: map[jobs.ID]bool{}, runLease: min(runLeaseTTL, d.Limits.MaxMinionLease), pollGap: minPollGap,
 	}
 	t.inheritedLog = logging.NewLimiter(200, 500)
@@ -461,5 +463,5 @@
 func (t *Term) leading() bool { return !t.releasing && t.now < t.exclusiveUntil() }
 
 func addressOf(m *holding.Minion) site.MinionAddress {
-	return site.MinionAddress{ID: m.ID, Addr: m.Addr}
+	return site.MinionAddress{ID: m.ID, Addr: m.Addr, RaisedToken: m.Token}
 }
--- a/internal/coordinator/journal.go
+++ b/internal/coordinator/journal.go
@@ -212,14 +212,22 @@
 	if w.suspect != nil {
 		return b
 	}
+	var token uint64
 	for m := range w.newMinions {
-		row := t.minionRowOf(m)
+		row, stored := t.minionRowOf(m), func() {}
+		if m.Unfenced && m.Token == 0 {
+			if token == 0 {
+				token = t.held.ReserveToken()
+			}
+			restarts, reserved := m.Restarts, token
+			stored = func() { t.raiseToken(m, restarts, reserved) }
+		}
 		value, err := json.Marshal(row)
 		if err != nil {
 			t.log.Error().Err(err).Str("minion", string(m.ID)).Msg("Coordinator: row of minion could not be encoded.")
 			continue
 		}
-		if b.add(minionKey(m.ID), value, func() { t.minionStored(m, row) }) == batchFull {
+		if b.add(minionKey(m.ID), value, func() { stored(); t.minionStored(m, row) }) == batchFull {
 			break
 		}
 	}
@@ -280,9 +288,23 @@
 // minionStored records that a row of a minion is stored.
 func (t *Term) minionStored(m *holding.Minion, row minionRow) {
 	m.Recorded, t.needsPlan = true, true
-	if t.minionRowOf(m).Ordered == row.Ordered { // it may have changed during the write
-		delete(t.writer.newMinions, m)
+	m.LongLeasesRecorded = row.LongLeases
+	now := t.minionRowOf(m)
+	if now.Ordered == row.Ordered && now.Incarnation == row.Incarnation && now.LongLeases == row.LongLeases && (!m.Unfenced || m.Token != 0) {
+		delete(t.writer.newMinions, m) // unless it has changed during the write
+	}
+}
+
+// raiseToken raises the fencing token for a minion, once the token is reserved in the stored lease. restarts
+// is the number of the minion's restarts for which it was reserved.
+func (t *Term) raiseToken(m *holding.Minion, restarts int, token uint64) {
+	if m.Restarts != restarts {
+		return
 	}
+	t.orders.RaiseToken(m.ID, token)
+	m.RaiseToken(token, t.now)
+	m.NextPoll = t.now
+	t.log.Info().Str("minion", string(m.ID)).Int64("born", m.Incarnation).Uint64("token", token).Msg("Coordinator: fencing token raised after a restart.")
 }
 
 // addProgress adds the progress of jobs to a write and returns the added jobs. Progress that a start
--- a/internal/coordinator/machineorders.go
+++ b/internal/coordinator/machineorders.go
@@ -65,9 +65,7 @@
 		return
 	}
 	m.Ordered, m.OrderedUntil = ordered, 0
-	if m.Recorded {
-		t.writer.newMinions[m] = true
-	}
+	t.recordAgain(m)
 }
 
 // sendMachineOrder sends a queued order, or drops it.
--- a/internal/coordinator/machines.go
+++ b/internal/coordinator/machines.go
@@ -140,6 +140,7 @@
 	}
 	delete(t.writer.newMinions, m)
 	delete(t.minions, id)
+	t.droppedMinions[id] = t.now
 	t.machines.endedMinions[id] = m.Incarnation
 }
 
--- a/internal/coordinator/minions.go
+++ b/internal/coordinator/minions.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"boragepulley/internal/holding"
@@ -12,6 +13,9 @@
 const (
 	// maxRemaining bounds the time that a leaving minion says it has left.
 	maxRemaining = 24 * time.Hour
+	// maxOrderDelay is how late an order may be carried out that had no answer. The users' documentation speaks
+	// of seconds.
+	maxOrderDelay = time.Minute
 	// maxCold bounds the time for which a minion says it is slow after its start.
 	maxCold = time.Hour
 )
@@ -39,11 +43,14 @@
 	case m == nil:
 		m = holding.New(e, 0)
 		m.EmptySince, m.LeavesAt, m.IncarnationAt = t.now, t.now+min(e.Remaining, maxRemaining), t.now
+		if t.droppedLately(e.ID) {
+			m.Unfence(t.now, t.deps.Limits.MaxMinionLease)
+		}
 		t.setCold(m, e)
 		t.minions[e.ID] = m
 		// The removal of the minion's row may still be due. It would follow the new record.
 		delete(t.writer.goneMinions, e.ID)
-	case m.Incarnation != 0 && e.Incarnation != 0 && e.Incarnation < m.Incarnation:
+	case m.Listed && m.Incarnation != 0 && e.Incarnation != 0 && e.Incarnation < m.Incarnation:
 		// Of an earlier incarnation, or of one that started after the wall clock was set back, which the
 		// next poll tells.
 		return
@@ -71,6 +78,14 @@
 	t.needsPlan = true
 }
 
+// droppedLately reports whether a minion has been dropped that may come back under its id before all orders
+// to it are void.
+func (t *Term) droppedLately(id jobs.Minion) bool {
+	maps.DeleteFunc(t.droppedMinions, func(_ jobs.Minion, at time.Duration) bool { return t.now > at+maxOrderDelay })
+	_, ok := t.droppedMinions[id]
+	return ok
+}
+
 // setCold records how long a minion is slow after its start, by its entry.
 func (t *Term) setCold(m *holding.Minion, e site.MinionEntry) {
 	m.ColdUntil, m.ColdOf = t.now+min(e.ColdLeft, maxCold), e.Incarnation
@@ -85,7 +100,7 @@
 
 // usable reports whether new work may be assigned to a minion.
 func (t *Term) usable(m *holding.Minion) bool {
-	return m.Listed && !m.Leaving && !m.Cordoned && t.now >= m.OrderedUntil && m.Recorded && m.Polled && m.FailedPolls == 0 && m.ClockKnown() && t.mayStartIn(m.DC)
+	return m.Listed && !m.Leaving && !m.Cordoned && t.now >= m.OrderedUntil && m.Recorded && m.Polled && !m.Unfenced && m.FailedPolls == 0 && m.ClockKnown() && t.mayStartIn(m.DC)
 }
 
 // checkMinions polls each minion that is due, and requeues the tasks of minions whose leases have
@@ -106,11 +121,15 @@
 			}
 			delete(t.writer.newMinions, m)
 			delete(t.minions, id)
+			t.droppedMinions[id] = t.now
 			continue
 		}
 		if m.Listed && !m.Recorded {
 			t.writer.newMinions[m] = true
 		}
+		if m.LongLeasesRecorded && !m.Unfenced && t.now > m.LongLeasesUntil {
+			t.recordAgain(m)
+		}
 		if m.OrderedUntil != 0 && t.now >= m.OrderedUntil {
 			t.setOrdered(m, m.Ordered)
 		}
@@ -150,9 +169,14 @@
 		Int64("clock_before", clock).Dur("clock_age", age).Bool("poll_in_flight", m.Polling).Int("starts_in_flight", m.StartsInFlight).Int("starts_unanswered", len(m.StaleStarts)).
 		Dur("lease_left", m.RunsExpireAt-t.now).Str("basis", string(m.ExpiryBasis)).Msg("Coordinator: minion restarted.")
 	m.NextPoll = t.now
+	t.recordAgain(m)
 	// A start of which nothing is known may reach the new incarnation. The lease in it is on the clock of
 	// the one before.
 	for task := range m.Tasks {
+		if incarnation != 0 && before != 0 && t.endedWithIncarnation(m, task) {
+			t.requeueBecause(task, "minion_restarted")
+			continue
+		}
 		if start := t.pendingStarts[task]; start != nil {
 			start.leaseUntil, start.expiresAt = 0, max(start.expiresAt, m.RunsExpireAt)
 			start.unansweredSince = 0 // the present incarnation has not been asked yet
@@ -163,6 +187,36 @@
 	}
 }
 
+// endedWithIncarnation reports whether a task's run has ended with the incarnation of the minion that has just
+// been replaced: that one listed the run, and no other attempt to start it can reach the present one.
+func (t *Term) endedWithIncarnation(m *holding.Minion, task *jobs.Task) bool {
+	if run, ok := m.StaleStarts[task.Name()]; ok && run == task.Run {
+		return false
+	}
+	if stop := t.pendingStops[task]; stop != nil {
+		return stop.begunOrNever < m.LastReported
+	}
+	return task.Phase == jobs.Running && task.PhaseSince < m.LastReported
+}
+
+// earlierOrdersVoid is called once a minion carries out no order to an earlier incarnation any more.
+func (t *Term) earlierOrdersVoid(m *holding.Minion) {
+	clear(m.StaleStarts)
+	for task := range m.Tasks {
+		if stop := t.pendingStops[task]; stop != nil {
+			stop.begunOrNever = min(stop.begunOrNever, t.now)
+		}
+	}
+	t.needsPlan, t.ordersChanged = true, true
+}
+
+// recordAgain writes the row of a recorded minion anew.
+func (t *Term) recordAgain(m *holding.Minion) {
+	if m.Recorded {
+		t.writer.newMinions[m] = true
+	}
+}
+
 // noteLateAnswer logs an answer to a call that was sent before the minion's last known restart. restarts is
 // the number of restarts that were known then, leaseUntil the end of the lease in the call on the minion's
 // clock, or 0, and clock the reading in the answer.
--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"boragepulley/internal/fencing"
 	"boragepulley/internal/holding"
 	"boragepulley/internal/jobs"
 	"boragepulley/internal/model"
@@ -236,6 +237,9 @@
 		m.AvoidUntil = max(m.AvoidUntil, t.now+suspectDuration)
 		m.NextPoll = t.now // a minion without tasks would be polled seconds later
 		return
+	case errors.Is(err, fencing.ErrOutdated):
+		t.ordersChanged = true // sent again with the raised token
+		return
 	case reason == site.RefusedFenced:
 		t.End(errors.Wrap(err, "coordinator: replaced"))
 		return
@@ -339,6 +343,8 @@
 			counters.Add("starts_given_up", 1)
 			start.minion.AvoidUntil = t.now + givenUpAvoidance
 			t.stopRun(task, model.ReasonWorkerNotStarted)
+		case start.minion.Unfenced:
+			// It is sent once earlier orders can have no effect on the minion.
 		case !t.mayStartIn(start.minion.DC):
 			// It is sent once the operators' table has been read again.
 		case start.tries > 0 || t.startRecorded(task, start, gangs):
--- a/internal/coordinator/polls.go
+++ b/internal/coordinator/polls.go
@@ -53,7 +53,7 @@
 		o.LeaseUntil = m.GrantLease(t.now, t.runLease)
 	}
 	timeout := m.Latency.Timeout()
-	if len(m.Tasks) > 0 && m.FailedPolls == 0 && m.Polled {
+	if len(m.Tasks) > 0 && m.FailedPolls == 0 && m.Polled && !m.Unfenced {
 		// The answer must arrive before the site's lease ends, which also ends the call. A minion that
 		// answers slowly is not made to wait as well, because its leases must be renewed in time.
 		slowness := timeout - m.Latency.Least
@@ -148,9 +148,13 @@
 	}
 	if m.Incarnation == 0 && r.Incarnation != 0 {
 		m.Incarnation, m.IncarnationAt = r.Incarnation, t.now
+		t.recordAgain(m)
 	}
 	m.FailedPolls, m.LastReply, m.LastReported = 0, t.now, sent
 	m.ObserveClock(r.Clock, at)
+	if m.PollAnswered(sent, at) {
+		t.earlierOrdersVoid(m)
+	}
 	polled, orphaned := m.Polled, m.Orphaned
 	t.reconcile(m, sent, r)
 	t.rejectStaleStarts(m)
@@ -162,6 +166,9 @@
 	if len(m.Tasks) > 0 && answersAgain {
 		m.NextPoll = t.now // renew the leases at once
 	}
+	if m.Unfenced && m.Token == 0 {
+		m.NextPoll = t.now + silentPollInterval // it takes no work until the token is raised
+	}
 	if len(m.Tasks) == 0 && !m.AckPending() && m.Orphaned == (jobs.Resources{}) {
 		m.NextPoll = t.now + idlePollInterval
 	}
@@ -173,6 +180,12 @@
 	case errors.Is(err, fencing.ErrClosed):
 		m.NextPoll = t.now // sent once the term goes on, if it does
 		return
+	case errors.Is(err, fencing.ErrOutdated):
+		if raised := t.orders.RaisedToken(m.ID); m.Token < raised {
+			m.RaiseToken(raised, t.now) // of a minion that had been dropped
+		}
+		m.NextPoll = t.now // sent again with the raised token
+		return
 	case errors.Is(err, site.ErrLeaseEnded):
 		m.NextPoll = t.now + silentPollInterval // nothing was sent; it says nothing about the minion
 		return
--- a/internal/coordinator/recover.go
+++ b/internal/coordinator/recover.go
@@ -66,11 +66,16 @@
 	Epoch      uint64 `json:"e,omitempty"`
 	// Ordered is set while an order for the minion's machine, which ends the minion, may be carried out.
 	Ordered bool `json:"o,omitempty"`
+	// Incarnation is the last one that the coordinator knew; 0 if it knew none.
+	Incarnation int64 `json:"i,omitempty"`
+	// LongLeases is set while a lease on the minion may be as long as it grants at most, because an order
+	// to an earlier incarnation may have been carried out by this one.
+	LongLeases bool `json:"r,omitempty"`
 }
 
 // minionRowOf returns the row of a minion.
 func (t *Term) minionRowOf(m *holding.Minion) minionRow {
-	row := minionRow{Addr: m.Addr, Service: m.Service, Ordered: m.Ordered || t.now < m.OrderedUntil}
+	row := minionRow{Addr: m.Addr, Service: m.Service, Ordered: m.Ordered || t.now < m.OrderedUntil, Incarnation: m.Incarnation, LongLeases: m.Unfenced || t.now <= m.LongLeasesUntil}
 	if t.releasing && m.FailedPolls > 0 {
 		row.LeasesLeft, row.Epoch = max(1, (m.RunsExpireAt-t.now).Milliseconds()+1), t.epoch
 	}
@@ -79,10 +84,13 @@
 
 // unseenUntilOn is unseenUntil for one minion.
 func (t *Term) unseenUntilOn(row minionRow) time.Duration {
-	out := t.unseenUntil()
-	if row.LeasesLeft > 0 && row.Epoch+1 == t.epoch {
+	if row.LeasesLeft > 0 && row.Epoch == t.held.PreviousEpoch {
 		left := time.Duration(row.LeasesLeft) * time.Millisecond
-		out = min(out, t.startedAt+left+left/20)
+		return t.startedAt + left + left/20
+	}
+	out := t.unseenUntil()
+	if row.LongLeases && out > 0 {
+		out += max(0, holding.LongestLease(t.deps.Limits.MaxMinionLease)-runLeaseTTL-runLeaseTTL/20)
 	}
 	return out
 }
@@ -156,8 +164,11 @@
 			continue
 		}
 		id := jobs.Minion(rowID(r.Key))
-		m := holding.New(site.MinionEntry{ID: id, Addr: v.Addr, Service: v.Service}, t.unseenUntilOn(v))
+		m := holding.New(site.MinionEntry{ID: id, Addr: v.Addr, Service: v.Service, Incarnation: v.Incarnation}, t.unseenUntilOn(v))
 		m.Recorded = true
+		if v.LongLeases {
+			m.LongLeasesRecorded, m.LongLeasesUntil = true, m.RunsExpireAt
+		}
 		if v.Ordered {
 			m.OrderedUntil = t.startedAt + t.machineOrderGap()
 		}
--- a/internal/coordinator/restarted_minion_test.go
+++ b/internal/coordinator/restarted_minion_test.go
@@ -220,10 +220,12 @@
 	return <-held
 }
 
-// carryOut carries a poll out that was held back.
+// carryOut lets a poll reach m0 that was held back. It is carried out unless m0 has seen a higher token.
 func (s *restartSite) carryOut(p *sentPoll) {
 	_, err := s.minions.Poll(context.Background(), p.to, site.PollRequest{LeaseUntil: p.order.LeaseUntil, Ack: p.order.Ack})
-	require.NoError(s.t, err)
+	if site.RefusalOf(err) != site.RefusedFenced {
+		require.NoError(s.t, err)
+	}
 }
 
 // runAfterRestart lets the task of slowJob run on m0, which restarts while a poll with a lease on its earlier clock
--- a/internal/fencing/fencing.go
+++ b/internal/fencing/fencing.go
@@ -6,16 +6,20 @@
 //     the client immediately before it writes, because the process may be suspended in between.
 //   - No call lasts beyond the deadline as it was when the call was sent. The client discards what
 //     it has not delivered by then.
+//   - Once a minion has answered an order with a raised token, it carries out none of the orders that
+//     were sent to it with a lower one, so that none of an earlier incarnation has an effect later.
 package fencing
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"boragepulley/internal/invariant"
+	"boragepulley/internal/jobs"
 	"boragepulley/internal/model"
 	"boragepulley/internal/site"
 )
@@ -39,8 +43,16 @@
 	now      func() time.Duration
 	deadline atomic.Int64 // on the clock of now
 	gate     atomic.Pointer[gate]
+
+	mu sync.Mutex
+	// raised are the tokens of minions that are higher than token.
+	raised map[jobs.Minion]uint64 // guarded by mu
 }
 
+// ErrOutdated means that a minion rejected an order because it has seen a token that this sender raised
+// after the order was made. The order had no effect and will have none.
+var ErrOutdated = errors.New("fencing: order from before the sender raised the token")
+
 // ErrClosed is also the error of a call that Close ended, which says nothing about the receiver.
 var ErrClosed = errors.New("fencing: call ended by the sender")
 
@@ -60,11 +72,39 @@
 
 // NewSender returns a sender whose deadline has passed.
 func NewSender(f Fleet, holder model.EntryVM, token uint64, now func() time.Duration) *Sender {
-	s := &Sender{fleet: f, holder: holder, token: token, now: now}
+	s := &Sender{fleet: f, holder: holder, token: token, now: now, raised: map[jobs.Minion]uint64{}}
 	s.Reopen()
 	return s
 }
 
+// RaiseToken records that orders for a minion carry a higher token from now on, in their MinionAddress. The
+// token must be reserved for this sender, see lease.Held.ReserveToken.
+func (s *Sender) RaiseToken(id jobs.Minion, token uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.raised[id] = max(s.raised[id], token)
+}
+
+// RaisedToken returns the token that was last raised for a minion, or 0.
+func (s *Sender) RaisedToken(id jobs.Minion) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.raised[id]
+}
+
+// checkOutdated returns ErrOutdated in place of the rejection of an order whose token has been raised since.
+func (s *Sender) checkOutdated(to site.Receiver, err error) error {
+	if site.RefusalOf(err) != site.RefusedFenced {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if to.Token < s.raised[to.ID] {
+		return errors.WithStack(ErrOutdated)
+	}
+	return err
+}
+
 // SetDeadline sets until when orders may be sent.
 func (s *Sender) SetDeadline(until time.Duration) { s.deadline.Store(int64(until)) }
 
@@ -115,8 +155,8 @@
 	return err
 }
 
-func (s *Sender) receiver(id site.MinionAddress) site.Receiver {
-	return site.Receiver{MinionAddress: id, Token: s.token, Lease: s}
+func (s *Sender) receiver(to site.MinionAddress) site.Receiver {
+	return site.Receiver{MinionAddress: to, Token: max(s.token, to.RaisedToken), Epoch: s.token, Lease: s}
 }
 
 func (s *Sender) fence() site.MachineFence {
@@ -134,8 +174,10 @@
 func (s *Sender) StartIf(ctx context.Context, to site.MinionAddress, o site.StartOrder, allowed func() bool) (clock int64, err error) {
 	l := conditionalLease{s, allowed}
 	err = s.sendUnder(ctx, l, func(ctx context.Context) (err error) {
-		clock, err = s.fleet.minions.Start(ctx, site.Receiver{MinionAddress: to, Token: s.token, Lease: l}, o)
-		return err
+		r := s.receiver(to)
+		r.Lease = l
+		clock, err = s.fleet.minions.Start(ctx, r, o)
+		return s.checkOutdated(r, err)
 	})
 	return clock, err
 }
@@ -156,14 +198,18 @@
 
 // Stop stops a run of a task.
 func (s *Sender) Stop(ctx context.Context, to site.MinionAddress, o site.StopOrder) error {
-	return s.send(ctx, func(ctx context.Context) error { return s.fleet.minions.Stop(ctx, s.receiver(to), o) })
+	return s.send(ctx, func(ctx context.Context) error {
+		r := s.receiver(to)
+		return s.checkOutdated(r, s.fleet.minions.Stop(ctx, r, o))
+	})
 }
 
 // Poll renews the leases of the runs on a minion and returns its running and ended runs.
 func (s *Sender) Poll(ctx context.Context, to site.MinionAddress, o site.PollRequest) (r site.PollReport, err error) {
 	err = s.send(ctx, func(ctx context.Context) (err error) {
-		r, err = s.fleet.minions.Poll(ctx, s.receiver(to), o)
-		return err
+		receiver := s.receiver(to)
+		r, err = s.fleet.minions.Poll(ctx, receiver, o)
+		return s.checkOutdated(receiver, err)
 	})
 	return r, err
 }
--- a/internal/fencing/fencing_test.go
+++ b/internal/fencing/fencing_test.go
@@ -155,3 +155,24 @@
 		require.Equal(t, int64(2), f.sent.Load())
 	})
 }
+
+// Guards against a coordinator that counts as replaced because a minion rejects its own order from before it
+// raised the token, and against an overlap of two holders that passes for that.
+func TestRejectionByOwnRaisedTokenIsNoReplacement(t *testing.T) {
+	f := &fakeFleet{err: &site.RefusedError{Reason: site.RefusedFenced}}
+	s := newTestSender(f)
+	s.SetDeadline(time.Hour)
+	token := s.token + 3
+	s.RaiseToken("m", token)
+	for _, order := range []func(to site.MinionAddress) error{
+		func(to site.MinionAddress) error { _, err := s.Start(t.Context(), to, site.StartOrder{}); return err },
+		func(to site.MinionAddress) error { return s.Stop(t.Context(), to, site.StopOrder{}) },
+		func(to site.MinionAddress) error { _, err := s.Poll(t.Context(), to, site.PollRequest{}); return err },
+	} {
+		err := order(site.MinionAddress{ID: "m"})
+		require.ErrorIs(t, err, ErrOutdated)
+		require.Empty(t, site.RefusalOf(err))
+		require.Panics(t, func() { _ = order(site.MinionAddress{ID: "m", RaisedToken: token}) }, "rejected with the raised token")
+		require.Panics(t, func() { _ = order(site.MinionAddress{ID: "other"}) })
+	}
+}
--- a/internal/holding/holding.go
+++ b/internal/holding/holding.go
@@ -2,8 +2,15 @@
 // when all runs on it have expired, its tasks, and which reported ends of runs can be
 // acknowledged. It performs no I/O and is owned by one goroutine.
 //
+// Orders that were sent to an incarnation of a minion may be carried out by a later one, which has the same
+// id, and whose clock and numbers of ends have no relation to those of the one before. A lease that was
+// computed for the earlier clock is then of any length up to the longest that a minion grants. A minion is
+// Unfenced until it has answered an order with a fencing token that was raised after the restart: from then
+// on it rejects all that was sent to earlier incarnations.
+//
 // Invariants of a Minion:
-//   - RunsExpireAt is never before the end of a lease that was sent, on this process's clock.
+//   - RunsExpireAt is never before the end of a lease that was sent, on this process's clock, whichever
+//     known incarnation carries it out.
 //   - NextAck never covers an end that changed a job if that change is not stored.
 package holding
 
@@ -62,6 +69,16 @@
 	ExpiryBasis ExpiryBasis
 	// Restarts counts the restarts under this id that this coordinator knows of.
 	Restarts int
+	// Unfenced is set while orders to an earlier incarnation may be carried out by the present one.
+	Unfenced bool
+	// Token is the raised fencing token for the present incarnation, 0 if none is needed or stored yet.
+	// TokenAt is when it was raised.
+	Token   uint64
+	TokenAt time.Duration
+	// LongLeasesUntil is until when leases may last that were computed for the clock of an earlier
+	// incarnation. LongLeasesRecorded is set if the stored row of the minion tells of such leases.
+	LongLeasesUntil    time.Duration
+	LongLeasesRecorded bool
 
 	// clock is the last reading of the minion's clock in milliseconds, clockAt the time at which it
 	// was taken into account.
@@ -69,6 +86,10 @@
 	clockAt time.Duration
 	// former is the last known incarnation before the present one.
 	former int64
+	// ordered is set if any incarnation was sent an order that a later one must not carry out.
+	ordered bool
+	// maxLease is the longest lease that the minion grants, on a slow clock. It is known after a restart.
+	maxLease time.Duration
 
 	// Used is the sum of the resources that Tasks reserve.
 	Used jobs.Resources
@@ -194,9 +215,9 @@
 }
 
 // New returns the state of a minion of which only the entry in the platform's list is known.
-// unseenUntil is when runs that earlier coordinators ordered there have certainly ended.
+// unseenUntil is when runs that earlier coordinators ordered there have certainly ended; 0 if there are none.
 func New(e site.MinionEntry, unseenUntil time.Duration) *Minion {
-	return &Minion{MinionEntry: e, RunsExpireAt: unseenUntil, ExpiryBasis: ExpiryTakeover, Latency: latency.Estimator{Least: minAnswerTimeout, Longest: maxAnswerTimeout}, Tasks: map[*jobs.Task]struct{}{}, UnconfirmedStarts: map[string]int{}, StaleStarts: map[string]int{}}
+	return &Minion{ordered: unseenUntil > 0, MinionEntry: e, RunsExpireAt: unseenUntil, ExpiryBasis: ExpiryTakeover, Latency: latency.Estimator{Least: minAnswerTimeout, Longest: maxAnswerTimeout}, Tasks: map[*jobs.Task]struct{}{}, UnconfirmedStarts: map[string]int{}, StaleStarts: map[string]int{}}
 }
 
 // ClockKnown reports whether leases can be expressed on the minion's clock.
@@ -225,6 +246,7 @@
 // GrantLease returns the end of a lease that lasts for duration from now, in milliseconds on the
 // minion's clock, and extends RunsExpireAt to it. The clock must be known.
 func (m *Minion) GrantLease(now, duration time.Duration) int64 {
+	m.ordered = true
 	until := m.clock + (now - m.clockAt + duration).Milliseconds()
 	// A slow clock reaches the end of the lease later.
 	left := time.Duration(float64(now-m.clockAt+duration) * (1 + clockSlowness))
@@ -247,6 +269,11 @@
 	return m.clock, now - m.clockAt
 }
 
+// LongestLease returns how long a lease may last that a minion shortened to maxLease on its clock.
+func LongestLease(maxLease time.Duration) time.Duration {
+	return time.Duration(float64(maxLease)*(1+clockSlowness)) + readingMargin
+}
+
 // Restarted resets the state for a new incarnation under the same id, 0 if only its clock tells of it. Ends
 // that the previous incarnation reported can no longer be acknowledged. maxLease is the longest lease that a
 // minion grants.
@@ -256,11 +283,8 @@
 	}
 	m.Incarnation, m.IncarnationAt = incarnation, now
 	m.Restarts++
-	if m.StartsInFlight > 0 || m.LastStart > 0 && m.LastStart >= m.LastReported {
-		// The new incarnation may have received a start that was meant for the previous one. The lease
-		// in it is on that one's clock, so the new one grants as much as it ever grants.
-		left := time.Duration(float64(maxLease) * (1 + clockSlowness))
-		m.expireAt(now+maxAnswerTimeout+left+readingMargin, ExpiryRestart)
+	if m.ordered {
+		m.Unfence(now, maxLease)
 	}
 	m.lastEnd, m.ackable, m.acked, m.unackedEnds = 0, 0, 0, nil
 	m.clock, m.clockAt = 0, 0
@@ -268,6 +292,37 @@
 	m.UnconfirmedStarts = map[string]int{}
 }
 
+// Unfence records that orders to an earlier incarnation may be carried out by the present one.
+func (m *Minion) Unfence(now, maxLease time.Duration) {
+	m.maxLease = maxLease
+	m.ordered, m.Unfenced, m.Token, m.TokenAt = true, true, 0, 0
+	m.expectLongLeases(now + maxAnswerTimeout)
+}
+
+// expectLongLeases allows for a lease for the clock of an earlier incarnation that is granted until at.
+func (m *Minion) expectLongLeases(at time.Duration) {
+	m.LongLeasesUntil = max(m.LongLeasesUntil, at+LongestLease(m.maxLease))
+	m.expireAt(m.LongLeasesUntil, ExpiryRestart)
+}
+
+// RaiseToken sets the token of further orders, which must be higher than that of all earlier ones.
+func (m *Minion) RaiseToken(token uint64, now time.Duration) { m.Token, m.TokenAt = token, now }
+
+// PollAnswered records that the present incarnation has answered a poll that was sent at the given time. It
+// reports whether the minion has become fenced by it.
+func (m *Minion) PollAnswered(sent, now time.Duration) (fenced bool) {
+	if !m.Unfenced {
+		return false
+	}
+	m.Unfenced = m.Token == 0 || sent < m.TokenAt
+	if m.Unfenced {
+		m.expectLongLeases(now + maxAnswerTimeout)
+		return false
+	}
+	m.expectLongLeases(now)
+	return true
+}
+
 // IsFormer reports whether an answer to a poll that was sent before the last known restart is not of the
 // present incarnation, given the incarnation in the answer.
 func (m *Minion) IsFormer(incarnation int64) bool {
@@ -343,6 +398,7 @@
 	if m.ackable <= m.acked {
 		return 0
 	}
+	m.ordered = true
 	return m.ackable
 }
 
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -33,8 +33,11 @@
 	// Addr is the holder's peer address.
 	Addr        string            `json:"a,omitempty"`
 	Incarnation model.Incarnation `json:"i,omitempty"`
-	// Epoch is the fencing token; it increases with each holder.
+	// Epoch is the holder's first fencing token; it increases with each holder.
 	Epoch uint64 `json:"e"`
+	// MaxToken is the highest fencing token that the holder has reserved, see Held.ReserveToken. It is 0
+	// while that is Epoch.
+	MaxToken uint64 `json:"t,omitempty"`
 	// Seq increases with each write of a holder.
 	Seq uint64 `json:"n"`
 	// Unhealthy is set in a released lease if the holder released it because of its path to the store.
@@ -53,8 +56,10 @@
 
 // Held is a lease that this process holds. Its methods are not safe for concurrent use.
 type Held struct {
-	Row   Row
-	table platform.Table
+	Row Row
+	// PreviousEpoch is the epoch of the holder before.
+	PreviousEpoch uint64
+	table         platform.Table
 	// Version is the version of the row after the last write.
 	Version uint64
 	now     func() time.Duration
@@ -70,8 +75,8 @@
 	if err != nil {
 		return nil, err
 	}
-	owner.Epoch, owner.Seq = old.Epoch+1, 0
-	h := &Held{Row: owner, table: t, Version: lastRead.Version, now: now}
+	owner.Epoch, owner.MaxToken, owner.Seq = max(old.Epoch, old.MaxToken)+1, 0, 0
+	h := &Held{Row: owner, PreviousEpoch: old.Epoch, table: t, Version: lastRead.Version, now: now}
 	return h, h.Commit(ctx, nil)
 }
 
@@ -104,6 +109,13 @@
 	return nil
 }
 
+// ReserveToken returns a fencing token that is higher than all that this holder has used and lower than
+// those of later holders. It may be used once the next Commit has succeeded.
+func (h *Held) ReserveToken() uint64 {
+	h.Row.MaxToken = max(h.Row.Epoch, h.Row.MaxToken) + 1
+	return h.Row.MaxToken
+}
+
 // Release writes the last puts and releases the lease, so that another entry VM can acquire it
 // immediately. After an error without effect the lease is still held.
 func (h *Held) Release(ctx context.Context, puts []platform.Put) error {
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -95,3 +95,28 @@
 		require.Equal(t, Row{Incarnation: "1", Epoch: 1, Seq: 3, Unhealthy: true}, r)
 	})
 }
+
+// Guards against a fencing token that two holders use, and against one that is used before it is stored.
+func TestReservedTokensAreBelowThoseOfLaterHolders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := fleet.NewStore()
+		v := &fleet.View{Store: s}
+		now := clockFrom(time.Now())
+		a, err := Acquire(context.Background(), v, now, s.Row(Key), Row{Holder: "a", Incarnation: "1"})
+		require.NoError(t, err)
+		require.EqualValues(t, 2, a.ReserveToken())
+		require.EqualValues(t, 3, a.ReserveToken())
+		require.NoError(t, a.Commit(context.Background(), nil))
+		require.EqualValues(t, 1, a.Row.Epoch, "the epoch stays")
+		require.NoError(t, a.Release(context.Background(), nil))
+		b, err := Acquire(context.Background(), v, now, s.Row(Key), Row{Holder: "b", Incarnation: "2"})
+		require.NoError(t, err)
+		require.EqualValues(t, 4, b.Row.Epoch)
+		require.EqualValues(t, 1, b.PreviousEpoch)
+		require.EqualValues(t, 5, b.ReserveToken())
+		c, err := Acquire(context.Background(), v, now, s.Row(Key), Row{Holder: "c", Incarnation: "3"})
+		require.NoError(t, err)
+		require.EqualValues(t, 5, c.Row.Epoch, "a reservation that was not stored was not used")
+		require.ErrorIs(t, b.Commit(context.Background(), nil), ErrLost)
+	})
+}
--- a/internal/site/fleet.go
+++ b/internal/site/fleet.go
@@ -101,13 +101,16 @@
 type MinionAddress struct {
 	ID   jobs.Minion
 	Addr string
+	// RaisedToken is the fencing token for the minion's present incarnation if it is higher than the
+	// coordinator's first one.
+	RaisedToken uint64
 }
 
 // Receiver is the minion to which an order is addressed, and the right to send it.
 type Receiver struct {
 	MinionAddress
-	// Token is the coordinator's fencing token.
-	Token uint64
+	// Token is the fencing token of the order. Epoch is the coordinator's first one.
+	Token, Epoch uint64
 	// Lease bounds the sending; nil means no bound.
 	Lease OrderLease
 }
