control: permits of a process that ends during a takeover free their slots

Callers would see requests wait, or be refused at their deadlines, although minions are idle, when an entry VM ends or restarts shortly after its coordinator was lost. Its slots, and its teams' parts of their limits, stayed occupied until each permit was overdue, which is the service's maximum run time and more.

Cause: the permits that an entry VM reports in its reply to a registration belong to its process, but a new coordinator kept them by the name of the entry VM. If that process ended while the registration phase went on, for instance because it waited for a silent entry VM, nothing removed them: only a coordinator that grants handled the end of an incarnation. At the end of the phase they were adopted as permits of the next process of that name, which does not know them and never releases them. Change: the end of an incarnation during the phase marks the reported permits of that entry VM. They are adopted as orphaned, so that the status of the minions frees them, and jobs that still run keep their slots. If the process turns out to be running, its next registration makes them its own again, as before.

--- a/internal/control/member.go
+++ b/internal/control/member.go
@@ -336,8 +336,12 @@
 // onIncarnationEnd releases what was held by a process that has ended.
 func (c *Control) onIncarnationEnd(m *member, reason string) {
 	m.confirmationWaived, m.allotmentsSeq = true, 0
-	if c.coord != nil && m.DC == c.self.DC {
+	switch {
+	case m.DC != c.self.DC:
+	case c.coord != nil:
 		c.deliverEffects(c.coord.admission.RemoveHolder(time.Now(), m.Name))
+	case c.takeover != nil:
+		c.takeover.removeHolder(m.Name)
 	}
 	c.recordEvent("failure", "entry/"+string(m.Name), "", "gone", reason)
 }
--- a/internal/control/takeover.go
+++ b/internal/control/takeover.go
@@ -18,6 +18,9 @@
 	// pending holds the members that have neither answered nor been found unavailable.
 	pending map[model.EntryVM]*member
 	permits []model.Permit
+	// orphans are reported permits whose holder's process has ended since. Its next process does not
+	// hold them, but their jobs may still run.
+	orphans []model.Permit
 	// rowsSettled is set once the rows of VMs, waves and allotments were read or the read
 	// has failed.
 	rowsSettled bool
@@ -153,7 +156,7 @@
 	c.takeover = nil
 	c.coord = c.newCoordinator(tk.token, tk.local)
 	c.gate.authorize(tk.token, c.authorityUntil(now, tk.local))
-	c.deliverEffects(c.coord.admission.Adopt(now, append(tk.permits, c.gate.outstanding()...)))
+	c.adoptPermits(tk, now)
 	c.adoptTasksAtTakeover(tk)
 	c.snapshotStale = true
 	setGauge("coordinator", 1)
@@ -168,6 +171,35 @@
 	}
 }
 
+// removeHolder records that the process of an entry VM has ended.
+func (tk *takeover) removeHolder(name model.EntryVM) {
+	var kept []model.Permit
+	for _, p := range tk.permits {
+		if p.Holder == name {
+			tk.orphans = append(tk.orphans, p)
+		} else {
+			kept = append(kept, p)
+		}
+	}
+	tk.permits = kept
+}
+
+// adoptPermits adds the permits that were reported during the takeover and those of this entry VM.
+// Only the minions' status frees the orphans, unless their process turned out to be running and
+// reported them again.
+func (c *Control) adoptPermits(tk *takeover, now time.Time) {
+	a := c.coord.admission
+	c.deliverEffects(a.Adopt(now, tk.orphans))
+	ended := map[model.EntryVM]bool{}
+	for _, p := range tk.orphans {
+		ended[p.Holder] = true
+	}
+	for holder := range ended {
+		c.deliverEffects(a.RemoveHolder(now, holder))
+	}
+	c.deliverEffects(a.Adopt(now, append(tk.permits, c.gate.outstanding()...)))
+}
+
 // continueWithToken switches a local successor to the token that it has written to the
 // table.
 func (c *Control) continueWithToken(t model.Token) {
