control: a coordinator without the table counts on no earlier process of an entry VM

Callers would see more requests start on a minion than it has slots, which it refuses or delays, after their coordinator was cut off from the table and then paused: for the moment from its return until it heard from its successor, it granted and dispatched beside it.

Cause: without the table a coordinator needs the confirmations of the other entry VMs of its data centre, except of those that are gone or silent. That exception was kept by the name of the entry VM: one that was gone before the pause, or whose process had just been replaced by another one, counted for its next process, which had not confirmed anything and could take the lease during the pause. Change: a refused connection counts as a confirmation, that is, for LeaseTTL, and is renewed by each of the probes that go on every 0.5 s. The end of a process ends the exception for its silence. A next process usually waits longer than that for a change of the lease row. One that finds its own name or none in the row takes it at once, so that the old holder may grant beside it after a pause of less than LeaseTTL; that case is read from the code and open. A process that ended and whose machine then gives no answer at all is excepted again once it was silent for 2 x LeaseTTL; until then the coordinator may lose its role.

--- a/internal/control/incarnation_test.go
+++ b/internal/control/incarnation_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"boragepulley/internal/config"
 	"boragepulley/internal/model"
 )
 
@@ -56,3 +57,73 @@
 	require.NoError(cl.t, err)
 	return n
 }
+
+// Guards against a coordinator that grants on after a pause while another one serves, because what
+// it knew of an entry VM's earlier process counts for the next one: that it was gone, so that no
+// confirmation is needed.
+func TestPausedHolderAndNextProcessOfMember(t *testing.T) {
+	for name, heard := range map[string]bool{"not heard of": false, "heard of, has not confirmed": true} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, map[model.DataCentre]int{"a": 2, "b": 1}, func(cl *cluster) {
+				old := cl.startServing(4, 100)
+				other := cl.otherNodes(old)[0]
+				cl.addSite("v2", 4, map[model.Team]int{"t": 100})
+				// Otherwise the old holder would reject keys, because it knows that its configuration may be out of date.
+				cl.sites["v2"].Isolation.Keys = config.KeysServe
+				_, err := cl.apply(old, "v2", 1)
+				require.NoError(cl.t, err)
+				cl.awaitConfig(2, 3*time.Second, old, other)
+				cl.nodes[other].kill()
+				cl.advance(2 * time.Second)
+				cl.nodes[old].cutFromStore.Store(true)
+				for range 300 {
+					cl.advance(10 * time.Millisecond)
+					require.Equal(cl.t, []model.EntryVM{old}, cl.coordinators("a"), "it serves alone without the table")
+				}
+				if heard {
+					cl.setDropMessages(func(from, to model.EntryVM) bool { return from == old && to == other })
+					cl.start(other)
+					alive := func() bool { return cl.nodes[old].control.Snapshot().Peers[other].Status == MemberAlive }
+					cl.eventually(time.Second, alive, "new process not heard of")
+				}
+				cl.nodes[old].pause()
+				cl.setDropMessages(nil)
+				if !heard {
+					cl.start(other)
+				}
+				require.Equal(cl.t, other, cl.awaitCoordinator("a", 3*time.Second))
+				require.Len(cl.t, cl.acquireUpTo(other, 100), 8)
+				first := make(chan *model.Permit, 1)
+				go func() {
+					p, _ := cl.acquire(old, "t", time.Second)
+					if p != nil && cl.nodes[old].control.CheckPermit(p, "key-t") != model.ReasonNone {
+						p = nil
+					}
+					first <- p
+				}()
+				cl.advance(100 * time.Millisecond) // now it waits for the paused control goroutine
+				cl.nodes[old].resume()
+				require.Nil(cl.t, <-first, "all slots are in use")
+			})
+		})
+	}
+}
+
+// Guards against a coordinator that gives up its role without the table because an entry VM restarts.
+func TestRestartOfMemberWithoutTable(t *testing.T) {
+	inBubble(t, map[model.DataCentre]int{"a": 3, "b": 1}, func(cl *cluster) {
+		old := cl.startServing(4, 100)
+		cl.store.setDown(true)
+		cl.advance(3 * time.Second)
+		other := cl.otherNodes(old)[0]
+		for _, down := range []time.Duration{20 * time.Millisecond, 300 * time.Millisecond, 2 * time.Second} {
+			cl.nodes[other].kill()
+			cl.advance(down)
+			cl.start(other)
+			for range 400 {
+				cl.advance(10 * time.Millisecond)
+				require.Equal(cl.t, []model.EntryVM{old}, cl.coordinators("a"))
+			}
+		}
+	})
+}
--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -394,7 +394,8 @@
 // authorityUntil returns the time until which this entry VM may grant permits. That is the
 // end of its lease in the table. While the table is unreachable, it is LeaseTTL after the
 // oldest of the latest confirmations by the other entry VMs of the data centre, without
-// those that are gone or silent.
+// those that are silent. A refused connection counts as a confirmation, but no longer than
+// one: a new process of that entry VM may have taken over since.
 func (c *Control) authorityUntil(now time.Time, local bool) time.Time {
 	if !local && c.lease.validUntil.After(now) {
 		return c.lease.validUntil
@@ -404,10 +405,14 @@
 	}
 	until := now.Add(LeaseTTL)
 	for _, m := range c.localMembers() {
-		if m.confirmationWaived || m.status == MemberGone {
+		if m.confirmationWaived {
 			continue
 		}
-		if t := m.confirmed.Add(LeaseTTL); t.Before(until) {
+		t := m.confirmed
+		if m.goneAt.After(t) {
+			t = m.goneAt
+		}
+		if t = t.Add(LeaseTTL); t.Before(until) {
 			until = t
 		}
 	}
--- a/internal/control/member.go
+++ b/internal/control/member.go
@@ -42,8 +42,8 @@
 	// confirmed is the send time of the latest message whose answer confirmed the token of
 	// this entry VM.
 	confirmed time.Time
-	// confirmationWaived is set when the member's process ended or was silent for
-	// silentAfter. Its confirmation is not required until it confirms again.
+	// confirmationWaived is set when the member's process was silent for silentAfter. Its
+	// confirmation is not required until it confirms again. That does not apply to its next process.
 	confirmationWaived bool
 	// unregistered is set until the member accepts a registration. It is set again by
 	// each takeover and whenever the member was unreachable.
@@ -335,7 +335,8 @@
 
 // onIncarnationEnd releases what was held by a process that has ended.
 func (c *Control) onIncarnationEnd(m *member, reason string) {
-	m.confirmationWaived, m.allotmentsSeq = true, 0
+	m.confirmationWaived, m.allotmentsSeq = false, 0
+	m.unansweredSince, m.silentProbes = time.Time{}, 0
 	switch {
 	case m.DC != c.self.DC:
 	case c.coord != nil:
