control: a restarted coordinator does not confirm the role of its earlier process

Callers would see all requests to a data centre wait and be refused (no coordinator) for as long as the platform's store rejects one entry VM: the one whose process coordinated and was restarted within about half a second, before connections to it were refused.

Cause: a token and the name of its coordinator are passed on in heartbeats. The new process of the coordinator took them from the others' replies, so that it followed itself with the token of the process before it and confirmed that in its own replies. The others took that for a living coordinator and left the lease to it. It could not take the lease without the table, nor the role without the table unless its name was the lowest. Change: a token of the own entry VM that is reported by others belongs to an earlier process, which has ended. The entry VM notes the token and follows nobody with it. Its replies then say that the coordinator gave up, and the others take the lease at once, because its row names a process that has ended.

--- a/internal/control/incarnation_test.go
+++ b/internal/control/incarnation_test.go
@@ -127,3 +127,27 @@
 		}
 	})
 }
+
+// Guards against a data centre without a coordinator, because the restarted process of its
+// coordinator confirms the role that the process before it had, and cannot take it itself.
+func TestQuickRestartOfCoordinatorCutFromTable(t *testing.T) {
+	inBubble(t, map[model.DataCentre]int{"a": 3}, func(cl *cluster) {
+		old := cl.startServing(8, 100)
+		if lowest := cl.peers[0].Name; old == lowest { // the lowest name could take the role without the table
+			cl.nodes[old].kill()
+			old = cl.awaitCoordinator("a", 3*time.Second)
+			cl.start(lowest)
+			cl.advance(time.Second)
+			require.Equal(cl.t, []model.EntryVM{old}, cl.coordinators("a"))
+		}
+		cl.nodes[old].cutFromStore.Store(true)
+		cl.nodes[old].kill()
+		cl.start(old) // before connections to it are refused
+		next := cl.awaitCoordinator("a", 2200*time.Millisecond)
+		require.NotEqual(cl.t, old, next)
+		for _, p := range cl.peers {
+			permit, reason := cl.acquire(p.Name, "t", time.Second)
+			require.NotNil(cl.t, permit, reason)
+		}
+	})
+}
--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -97,7 +97,10 @@
 }
 
 // observeToken follows the holder of a token if it is higher than the known one, and steps
-// down if this entry VM is the coordinator with a lower one.
+// down if this entry VM is the coordinator with a lower one. A token of this entry VM that
+// others report belongs to an earlier process of it, which has ended: this process follows its
+// own tokens from the time at which it takes the role. If it reported itself as the holder, the
+// others would go on waiting for a coordinator that does not exist.
 func (c *Control) observeToken(t model.Token, holder model.EntryVM, source string) {
 	if !c.following.token.Less(t) {
 		return
@@ -105,6 +108,9 @@
 	if c.coord != nil || c.takeover != nil {
 		c.stepDown("higher token " + t.String() + " in " + source)
 	}
+	if holder == c.self.Entry {
+		c.following.resigned, holder = t, ""
+	}
 	c.follow(t, holder, source)
 }
 
