control: usage reports of a restarted data centre count while the table is down

Callers would see requests refused that another data centre has room for, and shares that leave out its work, after all processes of that data centre were restarted during an outage of the table, until the table is back.

Cause: a coordinator ignores reports with a lower token than the last one from that data centre. The token belongs to the terms that a process has seen. Change: the next process of the entry VM that sent the last report is not measured by that one's token. Reports of a process that has ended are ignored as before. If another entry VM of the restarted data centre takes the role, its reports are still ignored until its token is higher. Forwarding itself was not measured.

--- a/internal/control/member.go
+++ b/internal/control/member.go
@@ -412,8 +412,9 @@
 	// configuration version in the answer.
 	answered      time.Time
 	configVersion uint64
-	// usageToken and usageSeq identify the newest usage report received; waiting holds its
-	// counts.
+	// usageFrom, usageToken and usageSeq identify the newest usage report received; waiting holds
+	// its counts.
+	usageFrom  peer.Sender
 	usageToken model.Token
 	usageSeq   uint64
 	waiting    map[model.Team]int
--- a/internal/control/usage.go
+++ b/internal/control/usage.go
@@ -46,7 +46,8 @@
 }
 
 // Usage implements peer.ControlHandler. It ignores reports that are older than one already
-// received or come from a replaced coordinator.
+// received or come from a replaced coordinator. The next process of the one that sent the last
+// report may have a lower token, if it has taken the role without the table.
 func (h handler) Usage(ctx context.Context, u *peer.Usage) (*peer.Empty, error) {
 	c := h.c
 	return callOnLoop(ctx, c, func() (*peer.Empty, error) {
@@ -54,10 +55,12 @@
 		if remote == nil || !c.acceptSender(u.From) || c.coord == nil {
 			return &peer.Empty{}, nil
 		}
-		if u.Token.Less(remote.usageToken) || u.Token == remote.usageToken && u.Seq <= remote.usageSeq {
+		last := remote.usageFrom
+		restarted := last.Entry == u.From.Entry && last.Incarnation != u.From.Incarnation
+		if !restarted && (u.Token.Less(remote.usageToken) || u.Token == remote.usageToken && u.Seq <= remote.usageSeq) {
 			return &peer.Empty{}, nil
 		}
-		remote.usageToken, remote.usageSeq = u.Token, u.Seq
+		remote.usageFrom, remote.usageToken, remote.usageSeq = u.From, u.Token, u.Seq
 		remote.waiting = u.Waiting
 		c.deliverEffects(c.coord.admission.SetRemoteUsage(time.Now(), u.From.DC, u.Running, u.Free))
 		return &peer.Empty{}, nil
--- a/internal/control/usage_test.go
+++ b/internal/control/usage_test.go
@@ -36,3 +36,24 @@
 	remote.coordinator = ""
 	require.True(t, remote.heartbeatDue(now, now), "no coordinator known")
 }
+
+// Guards against a data centre whose usage reports are ignored while the table is down, so that
+// nothing is forwarded to it and its work does not count for the shares: all its processes have
+// restarted, and its coordinator's token is lower than that of the process before it.
+func TestUsageReportsOfRestartedDataCentre(t *testing.T) {
+	inBubble(t, map[model.DataCentre]int{"a": 1, "b": 1}, func(cl *cluster) {
+		cl.startServing(8, 100)
+		before := cl.token("b-1")
+		cl.store.setDown(true)
+		cl.nodes["b-1"].kill()
+		cl.advance(2 * time.Second)
+		cl.start("b-1")
+		cl.advance(10 * time.Second)
+		require.Equal(cl.t, []model.EntryVM{"b-1"}, cl.coordinators("b"))
+		require.True(cl.t, cl.token("b-1").Less(before))
+		c := cl.nodes["a-1"].control
+		reported, err := callOnLoop(cl.t.Context(), c, func() (model.Token, error) { return c.remoteDCs["b"].usageToken, nil })
+		require.NoError(cl.t, err)
+		require.Equal(cl.t, cl.token("b-1"), reported)
+	})
+}
