coordinator: a restarted entry VM gets the list of entry VMs with the next heartbeat

Callers would not be served by an entry VM that was restarted while the platform's store rejects its machine, for as long as that lasts, although the store serves the others: it is not ready.

Cause: the coordinator sends the list of entry VMs until a heartbeat with it was answered, and kept that by name. It learns of a new process from its row in the store, which that process cannot write without the list, because it calls the store through others that it does not know. Change: what a member has received counts for the process that answered. An answer of another process to a heartbeat without the list makes the next one carry it. The reads of the store that the earlier process reported do not count for the next one either, because each process numbers them from 1. No message has changed: answers have named their process before.

--- a/internal/coordinator/members.go
+++ b/internal/coordinator/members.go
@@ -65,7 +65,9 @@
 	promisedAt time.Duration
 	// shuttingDown is set while the member shuts down.
 	shuttingDown bool
-	// sentVersion is the version of members.all that the member has received.
+	// incarnation is the process that answered last.
+	incarnation model.Incarnation
+	// sentVersion is the version of members.all that this process has received, 0 if none.
 	sentVersion int
 	memberPath
 }
@@ -178,6 +180,15 @@
 		t.log.Warn().Str("entry", string(name)).Uint64("higher", r.Epoch).Msg("Coordinator: another entry VM has become coordinator.")
 		t.End(errors.Wrapf(lease.ErrLost, "epoch %d is known to %s", r.Epoch, name))
 	default:
+		if m.incarnation != r.From.Incarnation {
+			// Its row tells this later, or not at all while the store rejects its machine. The new
+			// process does not know the list unless this heartbeat has carried it, and counts its reads
+			// of the store from 1.
+			m.incarnation, m.memberPath = r.From.Incarnation, memberPath{}
+			if m.sentVersion == version {
+				version = 0
+			}
+		}
 		m.promisedAt, m.sentVersion, m.shuttingDown = sent, version, r.ShuttingDown
 		m.observeRead(r, sent)
 		t.observeHandover(r, sent)
