siteplatform, sitefaults: minions whose clocks start anywhere and that take earlier calls

Cause: the soak of real processes restarts minions under their ids, but each clock started at 0, calls ended with the process, and an order that its own sender had overtaken with a raised token would count as an overlap of two holders, because the wire has no epoch. Change: clocks of new incarnations start at random values; calls survive restarts; the stand-in of the platform takes a token's epoch from the lease in its store, so that tokens of different holders are checked as before.

--- a/bench/sitefaults/run.go
+++ b/bench/sitefaults/run.go
@@ -125,7 +125,7 @@
 	defer r.proxy.Close()
 	p, err := siteplatform.Start(siteplatform.Site{
 		Capacity: jobs.Resources{CPU: machineCPU, MemoryMB: machineMB}, Machines: machineSpecs(), Config: config(0), MoveTime: moveTime, UpkeepTime: upkeepTime,
-		Heartbeat: heartbeat, StopTime: stopTime, Work: all.work, Need: all.need, ClockRate: clockRate(o.Seed), OnEvent: r.check.event,
+		Heartbeat: heartbeat, StopTime: stopTime, Work: all.work, Need: all.need, ClockRate: clockRate(o.Seed), ClockStart: clockStart(o.Seed), OnEvent: r.check.event,
 		Route: func(name, addr string) (string, error) { return r.route(ports, name, addr) },
 		OnMachine: func(name string, up bool) {
 			if l := r.proxy.Link(name); !up {
--- a/bench/sitefaults/site.go
+++ b/bench/sitefaults/site.go
@@ -12,6 +12,21 @@
 	"boragepulley/standins/siteplatform"
 )
 
+// clockStart returns where the clock of each incarnation of a minion starts: a new one is as often ahead of the
+// one before as behind it.
+func clockStart(seed uint64) func(jobs.Minion) int64 {
+	var mu sync.Mutex
+	rng := rand.New(rand.NewPCG(seed, 0))
+	return func(jobs.Minion) int64 {
+		mu.Lock()
+		defer mu.Unlock()
+		return rng.Int64N(maxClockStart)
+	}
+}
+
+// maxClockStart is in milliseconds.
+const maxClockStart = 9_000_000
+
 // Times of the stand-in, as on the users' sites.
 const (
 	moveTime   = 1500 * time.Millisecond
--- a/standins/siteplatform/minions.go
+++ b/standins/siteplatform/minions.go
@@ -27,10 +27,10 @@
 	WaitMS     int64  `json:"wait_ms"`
 }
 
-// minionHandler serves the address of a machine. current returns the machine's present
-// minion, "" for none.
-func minionHandler(all *fleet.Minions, current func() jobs.Minion) http.Handler {
-	h := &minionServer{all: all, current: current}
+// minionHandler serves the address of a machine. current returns the machine's present minion, "" for none,
+// epochOf the epoch of the coordinator that a fencing token belongs to, 0 if that is not known.
+func minionHandler(all *fleet.Minions, current func() jobs.Minion, epochOf func(token uint64) uint64) http.Handler {
+	h := &minionServer{all: all, current: current, epochOf: epochOf}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /-/run-start", h.serve(func(r *http.Request, to site.Receiver, o order) (map[string]any, error) {
 		clock, err := all.Start(r.Context(), to, site.StartOrder{Task: o.Task, Run: o.Attempt, Payload: o.Spec, LeaseUntil: o.DeadlineMS, Checkpoint: o.Checkpoint})
@@ -59,6 +59,7 @@
 type minionServer struct {
 	all     *fleet.Minions
 	current func() jobs.Minion
+	epochOf func(token uint64) uint64
 }
 
 // serve checks for which minion an order is and translates the model's answer.
@@ -77,7 +78,7 @@
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
-		body, err := carry(r, site.Receiver{MinionAddress: site.MinionAddress{ID: id}, Token: o.Token}, o)
+		body, err := carry(r, site.Receiver{MinionAddress: site.MinionAddress{ID: id}, Token: o.Token, Epoch: h.epochOf(o.Token)}, o)
 		var refused *site.RefusedError
 		switch {
 		case errors.As(err, &refused):
--- a/standins/siteplatform/platform.go
+++ b/standins/siteplatform/platform.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"boragepulley/internal/jobs"
+	"boragepulley/internal/lease"
 	"boragepulley/internal/model"
 	"boragepulley/internal/site"
 	"boragepulley/standins/fleet"
@@ -43,6 +44,8 @@
 	StopTime time.Duration
 	// ClockRate, if set, returns how fast a minion's clock runs: 1 is right.
 	ClockRate func(jobs.Minion) float64
+	// ClockStart, if set, returns the value in milliseconds at which the clock of a new incarnation starts.
+	ClockStart func(jobs.Minion) int64
 	// Work returns how long a run of a task takes and how it ends; 0 lasts. Need returns what a
 	// task reserves.
 	Work func(task string, run int) (time.Duration, jobs.End)
@@ -108,7 +111,7 @@
 	p := &Platform{site: s, rows: fleet.NewStore(), minions: fleet.NewMinions(), events: &story{began: time.Now()}, waves: map[int64]*Wave{}, parts: &partNames{byKey: map[string]string{}},
 		storeHost: serve.NewHost("127.0.0.1:0"), machinesHost: serve.NewHost("127.0.0.1:0"), stop: make(chan struct{})}
 	p.minions.Work, p.minions.Need, p.minions.RejectsOverload, p.minions.StopTime = s.Work, s.Need, true, s.StopTime
-	p.minions.ClockRate = s.ClockRate
+	p.minions.ClockRate, p.minions.ClockStart, p.minions.CallsSurviveRestarts = s.ClockRate, s.ClockStart, true
 	p.minions.OnEvent = func(e fleet.Event) {
 		p.events.add("task %s run %d %s on %s, %s, token %d, at %d", e.Task, e.Run, e.Kind, e.Minion, e.How, e.Token, e.At.Sub(p.events.began).Milliseconds())
 		if s.OnEvent != nil {
@@ -138,7 +141,7 @@
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		return m.minion
-	}))
+	}, p.epochOf))
 	if err != nil {
 		return err
 	}
@@ -155,6 +158,16 @@
 	return nil
 }
 
+// epochOf returns the epoch of the coordinator that holds the site's lease if a fencing token is one of its,
+// and 0 otherwise.
+func (p *Platform) epochOf(token uint64) uint64 {
+	l, err := lease.Decode(p.rows.Row(lease.Key))
+	if err != nil || token < l.Epoch || token > max(l.Epoch, l.MaxToken) {
+		return 0
+	}
+	return l.Epoch
+}
+
 // startMinion begins a new minion on a machine. The caller holds mu.
 func (p *Platform) startMinion(m *machine) {
 	m.lives++
