coordinator: a successor waits for leases that are set until a restarted minion answers it

Callers: a task that must run once runs twice (rule TWICE), after its minion restarted under its id, the coordinator was replaced before the minion had answered it again, and the minion was cut off soon after it had answered the next one. Cause: the row of such a minion says that its leases may be the longest ones, and the successor counted those from its takeover. But calls of the predecessor with leases on the earlier clock are carried out until the minion has answered the successor's higher fencing token. Change: a minion with such a row counts as unfenced, with the successor's own token, so that its first answer extends the time for which the successor waits, as the answer to a raised token does within a term. No token is reserved and nothing is written for it.

--- a/internal/holding/holding.go
+++ b/internal/holding/holding.go
@@ -299,6 +299,15 @@
 	m.expectLongLeases(now + maxAnswerTimeout)
 }
 
+// InheritLongLeases records that an earlier coordinator left the minion unfenced, or with leases that may be as
+// long as it grants at most. token is higher than any of that coordinator, whose orders may be carried out until
+// the minion has answered an order with it. RunsExpireAt allows for those until the takeover.
+func (m *Minion) InheritLongLeases(token uint64, maxLease time.Duration) {
+	m.maxLease = maxLease
+	m.Unfenced, m.Token = true, token
+	m.LongLeasesRecorded, m.LongLeasesUntil = true, m.RunsExpireAt
+}
+
 // expectLongLeases allows for a lease for the clock of an earlier incarnation that is granted until at.
 func (m *Minion) expectLongLeases(at time.Duration) {
 	m.LongLeasesUntil = max(m.LongLeasesUntil, at+LongestLease(m.maxLease))
