coordinator: a successor waits for long leases on minions that its predecessor dropped

Callers: a task that must run once runs twice (rule TWICE), after its minion had left the list for longer than its leases, the coordinator was replaced, the minion came back under its id and was then cut off. Cause: the next incarnation carries out a start for the earlier one, with the longest lease. A coordinator remembers the minions that it has dropped for as long as calls may be late, but not those of its predecessor, whose rows are removed with them: it counted on an ordinary lease. Change: within that time after a takeover, a minion that is listed without a row counts as unfenced, with the successor's own token, until its first answer, from which the longest lease is counted. It takes no work before that answer in any case, so that it begins work as early as before. A minion that is new within a minute of a takeover and is lost within some seconds of its first answer is waited for longer than before, up to the longest lease.

--- a/internal/coordinator/minions.go
+++ b/internal/coordinator/minions.go
@@ -43,8 +43,11 @@
 	case m == nil:
 		m = holding.New(e, 0)
 		m.EmptySince, m.LeavesAt, m.IncarnationAt = t.now, t.now+min(e.Remaining, maxRemaining), t.now
-		if t.droppedLately(e.ID) {
+		switch {
+		case t.droppedLately(e.ID):
 			m.Unfence(t.now, t.deps.Limits.MaxMinionLease)
+		case t.epoch > 1 && t.now <= t.startedAt+maxOrderDelay:
+			m.InheritLongLeases(t.epoch, t.deps.Limits.MaxMinionLease) // an earlier coordinator may have dropped it
 		}
 		t.setCold(m, e)
 		t.minions[e.ID] = m
--- a/internal/coordinator/restarted_takeover_test.go
+++ b/internal/coordinator/restarted_takeover_test.go
@@ -12,6 +12,7 @@
 
 	"boragepulley/internal/jobs"
 	"boragepulley/internal/site"
+	"boragepulley/standins/fleet"
 )
 
 // restartUnanswered lets m0 restart while it runs the task of slowJob. A start of laterJob that was meant for the
@@ -79,3 +80,42 @@
 		})
 	}
 }
+
+// sentStart is a start that was sent and not carried out.
+type sentStart struct {
+	to    site.Receiver
+	order site.StartOrder
+}
+
+// Guards against a successor that counts on an ordinary lease on a minion that its predecessor has dropped, and that
+// is back under its id: a start for the earlier incarnation has the longest lease.
+func TestSuccessorWaitsForALeaseOnAMinionThatWasDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newRestartSite(t, earlierClock, laterClock)
+		var late atomic.Pointer[sentStart]
+		s.calls.onStart(func(ctx context.Context, to site.Receiver, o site.StartOrder) (int64, error) {
+			if strings.HasPrefix(o.Task, string(slowJob)) && late.Load() == nil {
+				late.Store(&sentStart{to, o})
+				s.minions.Change("m0", func(m *fleet.Minion) { m.Down = true })
+				s.store.Put("servers/m0", nil)
+				return 0, unanswered(ctx)
+			}
+			return s.minions.Start(ctx, to, o)
+		})
+		s.submitJob(s.term, slowJob, longRunningStep(1))
+		for dropped := false; !dropped; sleep(10 * time.Millisecond) {
+			require.NoError(t, s.term.do(t.Context(), func() { dropped = s.term.minions["m0"] == nil }))
+		}
+		sleep(time.Second)
+		endTerm(s.term)
+		s.takeOver()
+		sleep(500 * time.Millisecond)
+		s.minions.Restart("m0")
+		_, err := s.minions.Start(context.Background(), late.Load().to, late.Load().order)
+		require.NoError(t, err)
+		s.list("m0")
+		sleep(500 * time.Millisecond)
+		s.cut()
+		s.requireOneRun()
+	})
+}
--- a/internal/holding/holding.go
+++ b/internal/holding/holding.go
@@ -304,7 +304,7 @@
 // the minion has answered an order with it. RunsExpireAt allows for those until the takeover.
 func (m *Minion) InheritLongLeases(token uint64, maxLease time.Duration) {
 	m.maxLease = maxLease
-	m.Unfenced, m.Token = true, token
+	m.ordered, m.Unfenced, m.Token = true, true, token
 	m.LongLeasesRecorded, m.LongLeasesUntil = true, m.RunsExpireAt
 }
 
