coordinator: a start on a restarted minion is given up while no token can be raised

Callers: a task has no run for as long as the store does not take the row of its minion, although others are idle. Cause: a start without an answer is not sent again after a restart of its minion until a higher fencing token is stored, and the time since which it had no answer was forgotten, so that it was not given up either. Change: that time begins anew with the restart. After startGiveUpAfter the start is stopped on the present incarnation, which then rejects it whenever it arrives, and the task starts elsewhere.

--- a/internal/coordinator/minions.go
+++ b/internal/coordinator/minions.go
@@ -182,7 +182,9 @@
 		}
 		if start := t.pendingStarts[task]; start != nil {
 			start.leaseUntil, start.expiresAt = 0, max(start.expiresAt, m.RunsExpireAt)
-			start.unansweredSince = 0 // the present incarnation has not been asked yet
+			if start.unansweredSince != 0 {
+				start.unansweredSince = t.now // the present incarnation has not been asked yet
+			}
 		}
 		if stop := t.pendingStops[task]; stop != nil && stop.begunOrNever > t.now {
 			stop.begunOrNever = max(stop.begunOrNever, m.RunsExpireAt)
