coordinator, holding: fencing by token, a bound on it, and restarts that only a clock tells

Change: a poll carries its token and restarts in one value (sentPoll), and fences by the token; a minion counts as fenced MaxOrderDelay (a minute) after the restart in any case, as no order is later than that; a poll's clock tells of a restart where its incarnation was not known. Names: sentOrders in place of ordered; the row of a minion is compared as a whole.

--- a/internal/coordinator/backlog_test.go
+++ b/internal/coordinator/backlog_test.go
@@ -192,7 +192,7 @@
 	m.Orphaned = jobs.Resources{}
 	answer := func(r site.PollReport) bool {
 		term.needsPlan = false
-		term.pollAnswered(m, m.Restarts, term.now, term.now, 0, r, nil)
+		term.pollAnswered(m, sentPoll{at: term.now, restarts: m.Restarts}, term.now, r, nil)
 		return term.needsPlan
 	}
 	require.False(t, answer(site.PollReport{Clock: 1000}))
--- a/internal/coordinator/journal.go
+++ b/internal/coordinator/journal.go
@@ -290,7 +290,8 @@
 	m.Recorded, t.needsPlan = true, true
 	m.LongLeasesRecorded = row.LongLeases
 	now := t.minionRowOf(m)
-	if now.Ordered == row.Ordered && now.Incarnation == row.Incarnation && now.LongLeases == row.LongLeases && (!m.Unfenced || m.Token != 0) {
+	now.LeasesLeft, now.Epoch = row.LeasesLeft, row.Epoch // it changes all the time
+	if tokenDue := m.Unfenced && m.Token == 0; now == row && !tokenDue {
 		delete(t.writer.newMinions, m) // unless it has changed during the write
 	}
 }
@@ -302,7 +303,7 @@
 		return
 	}
 	t.orders.RaiseToken(m.ID, token)
-	m.RaiseToken(token, t.now)
+	m.Token = token
 	m.NextPoll = t.now
 	t.log.Info().Str("minion", string(m.ID)).Int64("born", m.Incarnation).Uint64("token", token).Msg("Coordinator: fencing token raised after a restart.")
 }
--- a/internal/coordinator/minions.go
+++ b/internal/coordinator/minions.go
@@ -13,9 +13,6 @@
 const (
 	// maxRemaining bounds the time that a leaving minion says it has left.
 	maxRemaining = 24 * time.Hour
-	// maxOrderDelay is how late an order may be carried out that had no answer. The users' documentation speaks
-	// of seconds.
-	maxOrderDelay = time.Minute
 	// maxCold bounds the time for which a minion says it is slow after its start.
 	maxCold = time.Hour
 )
@@ -46,8 +43,8 @@
 		switch {
 		case t.droppedLately(e.ID):
 			m.Unfence(t.now, t.deps.Limits.MaxMinionLease)
-		case t.epoch > 1 && t.now <= t.startedAt+maxOrderDelay:
-			m.InheritLongLeases(t.epoch, t.deps.Limits.MaxMinionLease) // an earlier coordinator may have dropped it
+		case t.epoch > 1 && t.now <= t.startedAt+holding.MaxOrderDelay:
+			m.InheritLongLeases(t.epoch, t.now, t.deps.Limits.MaxMinionLease) // an earlier coordinator may have dropped it
 		}
 		t.setCold(m, e)
 		t.minions[e.ID] = m
@@ -84,7 +81,7 @@
 // droppedLately reports whether a minion has been dropped that may come back under its id before all orders
 // to it are void.
 func (t *Term) droppedLately(id jobs.Minion) bool {
-	maps.DeleteFunc(t.droppedMinions, func(_ jobs.Minion, at time.Duration) bool { return t.now > at+maxOrderDelay })
+	maps.DeleteFunc(t.droppedMinions, func(_ jobs.Minion, at time.Duration) bool { return t.now > at+holding.MaxOrderDelay })
 	_, ok := t.droppedMinions[id]
 	return ok
 }
--- a/internal/coordinator/polls.go
+++ b/internal/coordinator/polls.go
@@ -60,7 +60,7 @@
 		o.Wait = max(0, min(pollWaitFor(m)-slowness, t.exclusiveUntil()-t.now-timeout)).Truncate(time.Millisecond)
 	}
 	m.Polling = true
-	to, sent, restarts := addressOf(m), t.now, m.Restarts
+	to, p := addressOf(m), sentPoll{at: t.now, restarts: m.Restarts, ack: o.Ack, token: m.Token}
 	t.async(o.Wait+timeout, func(ctx context.Context) func() {
 		began := t.deps.Now()
 		r, err := t.orders.Poll(ctx, to, o)
@@ -69,8 +69,8 @@
 			if took := at - began - o.Wait; took >= 0 { // the minion may answer before the wait is over
 				observeLatency(m, took, timeout, err)
 			}
-			t.noteLateAnswer(m, restarts, "poll", o.LeaseUntil, r.Clock, err)
-			t.pollAnswered(m, restarts, sent, at, o.Ack, r, err)
+			t.noteLateAnswer(m, p.restarts, "poll", o.LeaseUntil, r.Clock, err)
+			t.pollAnswered(m, p, at, r, err)
 		}
 	})
 }
@@ -120,9 +120,18 @@
 	return &pending
 }
 
-// pollAnswered handles the answer to a poll, given the number of restarts that were known when it was sent,
-// the times at which it was sent and answered and the acknowledged number that it carried.
-func (t *Term) pollAnswered(m *holding.Minion, restarts int, sent, at time.Duration, acked int64, r site.PollReport, err error) {
+// sentPoll is what must be known of a poll when it is answered.
+type sentPoll struct {
+	// at is when it was sent, restarts the number of the minion's restarts that were known then.
+	at       time.Duration
+	restarts int
+	// ack and token are the acknowledged number and the raised token in it.
+	ack   int64
+	token uint64
+}
+
+// pollAnswered handles the answer to a poll that was received at the given time.
+func (t *Term) pollAnswered(m *holding.Minion, p sentPoll, at time.Duration, r site.PollReport, err error) {
 	m.Polling = false
 	if t.minions[m.ID] != m {
 		return
@@ -131,7 +140,7 @@
 		t.pollFailed(m, err)
 		return
 	}
-	if m.Restarts != restarts && m.IsFormer(r.Incarnation) || r.Incarnation != 0 && r.Incarnation < m.Incarnation && sent < m.IncarnationAt {
+	if m.Restarts != p.restarts && m.IsFormer(r.Incarnation) || r.Incarnation != 0 && r.Incarnation < m.Incarnation && p.at < m.IncarnationAt {
 		m.NextPoll = t.now
 		return
 	}
@@ -143,20 +152,25 @@
 		// It may be lower than the one before: the wall clock by which incarnations are numbered may have
 		// been set back.
 		t.minionRestarted(m, r.Incarnation, "poll")
-	} else if m.Restarts == restarts {
-		m.AckDelivered(acked) // otherwise the number is of an end of an earlier incarnation
+	} else if m.Restarts == p.restarts {
+		m.AckDelivered(p.ack) // otherwise the number is of an end of an earlier incarnation
 	}
-	if m.Incarnation == 0 && r.Incarnation != 0 {
+	unnamed := m.Incarnation == 0
+	if unnamed && r.Incarnation != 0 {
 		m.Incarnation, m.IncarnationAt = r.Incarnation, t.now
 		t.recordAgain(m)
 	}
-	m.FailedPolls, m.LastReply, m.LastReported = 0, t.now, sent
-	m.ObserveClock(r.Clock, at)
-	if m.PollAnswered(sent, at) {
+	m.FailedPolls, m.LastReply, m.LastReported = 0, t.now, p.at
+	if m.ObserveClock(r.Clock, at) && unnamed {
+		// The last known reading is of a start's answer, which names no incarnation.
+		t.minionRestarted(m, r.Incarnation, "clock")
+		m.ObserveClock(r.Clock, at)
+	}
+	if m.PollAnswered(p.token, at) {
 		t.earlierOrdersVoid(m)
 	}
 	polled, orphaned := m.Polled, m.Orphaned
-	t.reconcile(m, sent, r)
+	t.reconcile(m, p.at, r)
 	t.rejectStaleStarts(m)
 	// A task whose end as done is not listed yet must not start again.
 	m.Polled = m.Polled || !r.MoreEnds
@@ -182,7 +196,7 @@
 		return
 	case errors.Is(err, fencing.ErrOutdated):
 		if raised := t.orders.RaisedToken(m.ID); m.Token < raised {
-			m.RaiseToken(raised, t.now) // of a minion that had been dropped
+			m.Token = raised // of a minion that had been dropped
 		}
 		m.NextPoll = t.now // sent again with the raised token
 		return
--- a/internal/coordinator/recover.go
+++ b/internal/coordinator/recover.go
@@ -167,7 +167,7 @@
 		m := holding.New(site.MinionEntry{ID: id, Addr: v.Addr, Service: v.Service, Incarnation: v.Incarnation}, t.unseenUntilOn(v))
 		m.Recorded = true
 		if v.LongLeases {
-			m.InheritLongLeases(t.epoch, t.deps.Limits.MaxMinionLease)
+			m.InheritLongLeases(t.epoch, t.now, t.deps.Limits.MaxMinionLease)
 		}
 		if v.Ordered {
 			m.OrderedUntil = t.startedAt + t.machineOrderGap()
--- a/internal/coordinator/restarted_minion_test.go
+++ b/internal/coordinator/restarted_minion_test.go
@@ -197,8 +197,8 @@
 	}
 }
 
-// sentPoll is a poll that was sent and not carried out.
-type sentPoll struct {
+// delayedPoll is a poll that was sent and not carried out.
+type delayedPoll struct {
 	to    site.Receiver
 	order site.PollRequest
 	at    time.Time
@@ -206,14 +206,14 @@
 
 // holdBackPoll holds back the next poll of m0 that holds is true of, until the returned poll is carried out.
 // m0 restarts meanwhile, and its caller gives up.
-func (s *restartSite) holdBackPoll(holds func(o site.PollRequest) bool) *sentPoll {
-	held := make(chan *sentPoll, 1)
+func (s *restartSite) holdBackPoll(holds func(o site.PollRequest) bool) *delayedPoll {
+	held := make(chan *delayedPoll, 1)
 	var taken atomic.Bool
 	s.calls.onPoll(func(ctx context.Context, to site.Receiver, o site.PollRequest) (site.PollReport, error) {
 		if to.ID != "m0" || !holds(o) || !taken.CompareAndSwap(false, true) {
 			return s.minions.Poll(ctx, to, o)
 		}
-		held <- &sentPoll{to, o, time.Now()}
+		held <- &delayedPoll{to, o, time.Now()}
 		s.restart()
 		return site.PollReport{}, unanswered(ctx)
 	})
@@ -221,7 +221,7 @@
 }
 
 // carryOut lets a poll reach m0 that was held back. It is carried out unless m0 has seen a higher token.
-func (s *restartSite) carryOut(p *sentPoll) {
+func (s *restartSite) carryOut(p *delayedPoll) {
 	_, err := s.minions.Poll(context.Background(), p.to, site.PollRequest{LeaseUntil: p.order.LeaseUntil, Ack: p.order.Ack})
 	if site.RefusalOf(err) != site.RefusedFenced {
 		require.NoError(s.t, err)
@@ -231,7 +231,7 @@
 // runAfterRestart lets the task of slowJob run on m0, which restarts while a poll with a lease on its earlier clock
 // is on its way. The task is started again properly, if the coordinator wants that before the poll can be
 // carried out no more.
-func (s *restartSite) runAfterRestart() *sentPoll {
+func (s *restartSite) runAfterRestart() *delayedPoll {
 	s.submitJob(s.term, slowJob, longRunningStep(1))
 	sleep(time.Second)
 	require.Equal(s.t, []jobs.Minion{"m0"}, s.minions.Running(taskOfSlowJob(0)))
--- a/internal/coordinator/restarted_takeover_test.go
+++ b/internal/coordinator/restarted_takeover_test.go
@@ -18,15 +18,15 @@
 // restartUnanswered lets m0 restart while it runs the task of slowJob. A start of laterJob that was meant for the
 // earlier incarnation is carried out by the next one. Neither that one nor any poll is answered from then on, until
 // the returned function is called. The returned poll renews the leases on the earlier clock.
-func (s *restartSite) restartUnanswered() (*sentPoll, func()) {
+func (s *restartSite) restartUnanswered() (*delayedPoll, func()) {
 	s.submitJob(s.term, slowJob, longRunningStep(1))
 	sleep(time.Second)
 	require.Equal(s.t, []jobs.Minion{"m0"}, s.minions.Running(taskOfSlowJob(0)))
 	var silent, taken atomic.Bool
-	var last atomic.Pointer[sentPoll]
+	var last atomic.Pointer[delayedPoll]
 	s.calls.onPoll(func(ctx context.Context, to site.Receiver, o site.PollRequest) (site.PollReport, error) {
 		if to.ID == "m0" && !silent.Load() && o.LeaseUntil > 0 {
-			last.Store(&sentPoll{to, o, time.Now()})
+			last.Store(&delayedPoll{to, o, time.Now()})
 		}
 		if to.ID != "m0" || !silent.Load() {
 			return s.minions.Poll(ctx, to, o)
@@ -81,8 +81,8 @@
 	}
 }
 
-// sentStart is a start that was sent and not carried out.
-type sentStart struct {
+// delayedStart is a start that was sent and not carried out.
+type delayedStart struct {
 	to    site.Receiver
 	order site.StartOrder
 }
@@ -92,10 +92,10 @@
 func TestSuccessorWaitsForALeaseOnAMinionThatWasDropped(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newRestartSite(t, earlierClock, laterClock)
-		var late atomic.Pointer[sentStart]
+		var late atomic.Pointer[delayedStart]
 		s.calls.onStart(func(ctx context.Context, to site.Receiver, o site.StartOrder) (int64, error) {
 			if strings.HasPrefix(o.Task, string(slowJob)) && late.Load() == nil {
-				late.Store(&sentStart{to, o})
+				late.Store(&delayedStart{to, o})
 				s.minions.Change("m0", func(m *fleet.Minion) { m.Down = true })
 				s.store.Put("servers/m0", nil)
 				return 0, unanswered(ctx)
--- a/internal/holding/holding.go
+++ b/internal/holding/holding.go
@@ -25,6 +25,10 @@
 	"boragepulley/internal/site"
 )
 
+// MaxOrderDelay is how late an order may be carried out that had no answer. The users' documentation speaks of
+// seconds.
+const MaxOrderDelay = time.Minute
+
 const (
 	// clockSlowness is the most by which a minion's clock may run slower (2%, from the users' documentation).
 	clockSlowness = 0.02
@@ -69,12 +73,12 @@
 	ExpiryBasis ExpiryBasis
 	// Restarts counts the restarts under this id that this coordinator knows of.
 	Restarts int
-	// Unfenced is set while orders to an earlier incarnation may be carried out by the present one.
-	Unfenced bool
+	// Unfenced is set while orders to an earlier incarnation may be carried out by the present one, and
+	// UnfencedAt is since when.
+	Unfenced   bool
+	UnfencedAt time.Duration
 	// Token is the raised fencing token for the present incarnation, 0 if none is needed or stored yet.
-	// TokenAt is when it was raised.
-	Token   uint64
-	TokenAt time.Duration
+	Token uint64
 	// LongLeasesUntil is until when leases may last that were computed for the clock of an earlier
 	// incarnation. LongLeasesRecorded is set if the stored row of the minion tells of such leases.
 	LongLeasesUntil    time.Duration
@@ -86,8 +90,9 @@
 	clockAt time.Duration
 	// former is the last known incarnation before the present one.
 	former int64
-	// ordered is set if any incarnation was sent an order that a later one must not carry out.
-	ordered bool
+	// sentOrders is set if any incarnation was sent a lease or an acknowledgement, which a later one must not
+	// carry out.
+	sentOrders bool
 	// maxLease is the longest lease that the minion grants, on a slow clock. It is known after a restart.
 	maxLease time.Duration
 
@@ -217,7 +222,7 @@
 // New returns the state of a minion of which only the entry in the platform's list is known.
 // unseenUntil is when runs that earlier coordinators ordered there have certainly ended; 0 if there are none.
 func New(e site.MinionEntry, unseenUntil time.Duration) *Minion {
-	return &Minion{ordered: unseenUntil > 0, MinionEntry: e, RunsExpireAt: unseenUntil, ExpiryBasis: ExpiryTakeover, Latency: latency.Estimator{Least: minAnswerTimeout, Longest: maxAnswerTimeout}, Tasks: map[*jobs.Task]struct{}{}, UnconfirmedStarts: map[string]int{}, StaleStarts: map[string]int{}}
+	return &Minion{sentOrders: unseenUntil > 0, MinionEntry: e, RunsExpireAt: unseenUntil, ExpiryBasis: ExpiryTakeover, Latency: latency.Estimator{Least: minAnswerTimeout, Longest: maxAnswerTimeout}, Tasks: map[*jobs.Task]struct{}{}, UnconfirmedStarts: map[string]int{}, StaleStarts: map[string]int{}}
 }
 
 // ClockKnown reports whether leases can be expressed on the minion's clock.
@@ -246,7 +251,7 @@
 // GrantLease returns the end of a lease that lasts for duration from now, in milliseconds on the
 // minion's clock, and extends RunsExpireAt to it. The clock must be known.
 func (m *Minion) GrantLease(now, duration time.Duration) int64 {
-	m.ordered = true
+	m.sentOrders = true
 	until := m.clock + (now - m.clockAt + duration).Milliseconds()
 	// A slow clock reaches the end of the lease later.
 	left := time.Duration(float64(now-m.clockAt+duration) * (1 + clockSlowness))
@@ -283,7 +288,7 @@
 	}
 	m.Incarnation, m.IncarnationAt = incarnation, now
 	m.Restarts++
-	if m.ordered {
+	if m.sentOrders {
 		m.Unfence(now, maxLease)
 	}
 	m.lastEnd, m.ackable, m.acked, m.unackedEnds = 0, 0, 0, nil
@@ -295,16 +300,16 @@
 // Unfence records that orders to an earlier incarnation may be carried out by the present one.
 func (m *Minion) Unfence(now, maxLease time.Duration) {
 	m.maxLease = maxLease
-	m.ordered, m.Unfenced, m.Token, m.TokenAt = true, true, 0, 0
+	m.sentOrders, m.Unfenced, m.UnfencedAt, m.Token = true, true, now, 0
 	m.expectLongLeases(now + maxAnswerTimeout)
 }
 
 // InheritLongLeases records that an earlier coordinator left the minion unfenced, or with leases that may be as
 // long as it grants at most. token is higher than any of that coordinator, whose orders may be carried out until
 // the minion has answered an order with it. RunsExpireAt allows for those until the takeover.
-func (m *Minion) InheritLongLeases(token uint64, maxLease time.Duration) {
+func (m *Minion) InheritLongLeases(token uint64, now, maxLease time.Duration) {
 	m.maxLease = maxLease
-	m.ordered, m.Unfenced, m.Token = true, true, token
+	m.sentOrders, m.Unfenced, m.UnfencedAt, m.Token = true, true, now, token
 	m.LongLeasesRecorded, m.LongLeasesUntil = true, m.RunsExpireAt
 }
 
@@ -314,16 +319,13 @@
 	m.expireAt(m.LongLeasesUntil, ExpiryRestart)
 }
 
-// RaiseToken sets the token of further orders, which must be higher than that of all earlier ones.
-func (m *Minion) RaiseToken(token uint64, now time.Duration) { m.Token, m.TokenAt = token, now }
-
-// PollAnswered records that the present incarnation has answered a poll that was sent at the given time. It
-// reports whether the minion has become fenced by it.
-func (m *Minion) PollAnswered(sent, now time.Duration) (fenced bool) {
+// PollAnswered records that the present incarnation has answered a poll with the given raised token. It reports
+// whether the minion has become fenced by it.
+func (m *Minion) PollAnswered(token uint64, now time.Duration) (fenced bool) {
 	if !m.Unfenced {
 		return false
 	}
-	m.Unfenced = m.Token == 0 || sent < m.TokenAt
+	m.Unfenced = (m.Token == 0 || token < m.Token) && now <= m.UnfencedAt+MaxOrderDelay
 	if m.Unfenced {
 		m.expectLongLeases(now + maxAnswerTimeout)
 		return false
@@ -407,7 +409,7 @@
 	if m.ackable <= m.acked {
 		return 0
 	}
-	m.ordered = true
+	m.sentOrders = true
 	return m.ackable
 }
 
--- a/internal/holding/restarts_test.go
+++ b/internal/holding/restarts_test.go
@@ -16,7 +16,6 @@
 type modelCall struct {
 	lease    int64
 	token    uint64
-	sent     time.Duration
 	restarts int
 }
 
@@ -71,14 +70,14 @@
 				m.Restarted(incarnation, at, testMaxLease)
 			}
 			m.ObserveClock(read, at)
-			m.PollAnswered(c.sent, at)
+			m.PollAnswered(c.token, at)
 			lastHeard = at
 		}
 		for range rapid.IntRange(1, 60).Draw(t, "events") {
 			now += time.Duration(rapid.IntRange(0, 700).Draw(t, "pause")) * time.Millisecond
 			switch rapid.SampledFrom([]string{"poll", "poll", "lose", "late", "late", "restart", "list", "raise"}).Draw(t, "event") {
 			case "poll", "lose":
-				c := modelCall{token: max(1, m.Token), sent: now, restarts: m.Restarts}
+				c := modelCall{token: max(1, m.Token), restarts: m.Restarts}
 				if m.ClockKnown() {
 					c.lease = m.GrantLease(now, 4*time.Second)
 				}
@@ -114,7 +113,7 @@
 			case "raise":
 				if m.Unfenced && m.Token == 0 {
 					token++
-					m.RaiseToken(token, now)
+					m.Token = token
 				}
 			}
 			if m.Incarnation == x.incarnation {
