--- a/internal/coordinator/journal.go
+++ b/internal/coordinator/journal.go
@@ -290,7 +290,7 @@
 	m.Recorded, t.needsPlan = true, true
 	m.LongLeasesRecorded = row.LongLeases
 	now := t.minionRowOf(m)
-	now.LeasesLeft, now.Epoch = row.LeasesLeft, row.Epoch // it changes all the time
+	now.LeasesLeft, now.Epoch = row.LeasesLeft, row.Epoch // the time left changes with each call
 	if tokenDue := m.Unfenced && m.Token == 0; now == row && !tokenDue {
 		delete(t.writer.newMinions, m) // unless it has changed during the write
 	}
--- a/internal/holding/holding.go
+++ b/internal/holding/holding.go
@@ -10,7 +10,8 @@
 //
 // Invariants of a Minion:
 //   - RunsExpireAt is never before the end of a lease that was sent, on this process's clock, whichever
-//     known incarnation carries it out.
+//     known incarnation carries it out. An Unfenced minion that has been silent for maxAnswerTimeout is
+//     an exception: what it carries out later is not allowed for.
 //   - NextAck never covers an end that changed a job if that change is not stored.
 package holding
 
