--- a/internal/coordinator/restarted_minion_test.go
+++ b/internal/coordinator/restarted_minion_test.go
@@ -486,8 +486,17 @@
 // Guards against an acknowledgement for an earlier incarnation that is sent although a start's answer has told of
 // the restart, by a clock that is ahead of the earlier one: the new incarnation would forget its own first end.
 func TestClockAheadOfTheEarlierOneTellsOfARestart(t *testing.T) {
-	// The earlier clock has advanced by 1.1 s by then, and 2 s are within the tolerance for delayed answers.
-	for _, ahead := range []int64{3_500, 3_600_000} {
+	requireNoEndLostAhead(t, 3_500, 3_600_000)
+}
+
+// Guards against the same if the new clock is 1.9 s ahead of what is expected of the earlier one, which is within
+// the tolerance for delayed answers.
+func TestClockCloseToTheEarlierOneLosesNoEnd(t *testing.T) { requireNoEndLostAhead(t, 3_000) }
+
+// requireNoEndLostAhead lets a start be carried out by the next incarnation, whose clock starts that many
+// milliseconds after where the earlier one did, while an acknowledgement for the earlier one is due.
+func requireNoEndLostAhead(t *testing.T, starts ...int64) {
+	for _, ahead := range starts {
 		t.Run(fmt.Sprint(ahead), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				s := newRestartSite(t, earlierClock, earlierClock+ahead)
