--- a/review/6/main.go
+++ b/review/6/main.go
@@ -152,7 +152,7 @@
 			lab2.Fail("%v", err)
 		}
 		c.Kill(300 * time.Millisecond)
-		time.Sleep(5500 * time.Millisecond)
+		time.Sleep(5300 * time.Millisecond)
 		link.ResetOpen()
 		if err := link.Heal(); err != nil {
 			lab2.Fail("%v", err)
