--- /dev/null
+++ b/review/lab3/gang.go
@@ -0,0 +1,88 @@
+//go:build review3
+
+package main
+
+import (
+	"fmt"
+	"time"
+)
+
+// gang: a minion is cut off from the system just after it has begun its member of a gang, the gang ends as done,
+// and the minion starts again under its id behind the cut.
+func init() {
+	cases["gang"] = func(s *site, trouble bool) {
+		s.configure(map[string]string{"cut": "carve"}, []string{"carve"}, "", []map[string]any{{"name": "ward", "api_keys": []string{"key-ward"}, "weight": 10, "cap": map[string]any{"cpu": 0, "mem_mb": 0, "gpu": 0}}})
+		var ms []*minion
+		for i := range 4 {
+			m, err := s.addMachine(fmt.Sprintf("m%d", i), "carve", "hall", fmt.Sprintf("r%d", i/2), resources{4000, 8192, 0})
+			if err != nil {
+				panic(err)
+			}
+			ms = append(ms, m)
+		}
+		for i := range 3 {
+			s.addDaemon(fmt.Sprintf("front-%d", i), []string{"hall", "room", "bay"}[i])
+		}
+		s.awaitReady(3)
+		warm := &job{ID: newID(), Spec: "warm", queue: "cut", key: "key-ward", Steps: []step{{Count: 8, CPU: 1000, Mem: 100, Estimate: 300, PerMin: 2, work: 300 * time.Millisecond}}}
+		s.submit(warm)
+		s.await("the first job", 20*time.Second, func() bool { st, _ := s.state(warm); return st == "completed" })
+		time.Sleep(time.Second)
+
+		j := &job{ID: newID(), Spec: "gang", queue: "cut", key: "key-ward", Steps: []step{{Count: 3, CPU: 3000, Mem: 1000, Estimate: 1200, Gang: true, work: 1200 * time.Millisecond}}}
+		cutAt := make(chan *minion, 1)
+		if trouble {
+			for _, m := range ms {
+				m.onStart = func(task string, _ int) {
+					if task[:16] != j.ID {
+						return
+					}
+					for _, x := range ms {
+						x.onStart = nil
+					}
+					m.cut = true
+					s.note("CUT    %s is cut off from all machines and the store; it runs on", m.id)
+					cutAt <- m
+				}
+			}
+		}
+		if ok, _ := s.submit(j); !ok {
+			s.finish(2)
+		}
+		if trouble {
+			m := <-cutAt
+			go func() {
+				time.Sleep(2500 * time.Millisecond)
+				s.world.mu.Lock()
+				m.crash()
+				m.reset()
+				s.note("CRASH  %s ends and starts again behind the cut, life %d", m.id, m.lives)
+				s.world.mu.Unlock()
+				time.Sleep(500 * time.Millisecond)
+				s.world.mu.Lock()
+				m.cut = false
+				m.beat()
+				s.note("HEALED %s", m.id)
+				s.world.mu.Unlock()
+			}()
+		}
+		var shown time.Time
+		for end := time.Now().Add(12 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+			if st, _ := s.state(j); st == "completed" && shown.IsZero() {
+				shown = time.Now()
+				s.note("GET    job %s is shown as completed", j.ID)
+			}
+		}
+		s.world.mu.Lock()
+		s.twice()
+		for _, e := range s.events {
+			if e.kind == "start" && !shown.IsZero() && e.task[:16] == j.ID && e.at.After(shown.Add(time.Second)) {
+				s.breaks("TWICE: %s starts %v after its job was shown as completed", e.task, e.at.Sub(shown).Round(time.Millisecond))
+			}
+		}
+		s.world.mu.Unlock()
+		if shown.IsZero() {
+			s.note("the job was not shown as completed in time")
+		}
+	}
+}
--- /dev/null
+++ b/review/lab3/soak.go
@@ -0,0 +1,397 @@
+//go:build review3
+
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// soak: many jobs of all kinds under random disruptions, to look for broken rules. It is not a case.
+func init() {
+	cases["soak"] = func(s *site, trouble bool) {
+		seed, _ := strconv.ParseUint(os.Getenv("SEED"), 10, 64)
+		r := rand.New(rand.NewPCG(seed, 7))
+		var rmu sync.Mutex
+		rnd := func(n int) int { rmu.Lock(); defer rmu.Unlock(); return r.IntN(n) }
+		kinds := os.Getenv("FAULTS") // empty: all
+		services := []string{"carve", "proof", "spare"}
+		s.configure(map[string]string{"cut": "carve", "read": "proof"}, services, "spare", []map[string]any{
+			{"name": "ward", "api_keys": []string{"key-ward"}, "weight": 10, "cap": map[string]any{"cpu": 0, "mem_mb": 0, "gpu": 0}},
+			{"name": "floor", "api_keys": []string{"key-floor"}, "weight": 5, "cap": map[string]any{"cpu": 30000, "mem_mb": 0, "gpu": 0}}})
+		var ms []*minion
+		for i := range 14 {
+			m, err := s.addMachine(fmt.Sprintf("m%d", i), services[i%3], []string{"hall", "room", "bay"}[i%3], fmt.Sprintf("r%d", i/4), resources{8000, 16384, 0})
+			if err != nil {
+				panic(err)
+			}
+			if i%4 == 1 {
+				m.rate = 0.98
+			}
+			ms = append(ms, m)
+		}
+		proxies := map[*daemon]*proxy{}
+		for i := range 4 {
+			p := newProxy(s.storeURL)
+			s.storeURL = p.addr
+			d := s.addDaemon(fmt.Sprintf("front-%d", i), []string{"hall", "room", "bay", "hall"}[i])
+			s.storeURL = p.to
+			proxies[d] = p
+		}
+		s.awaitReady(4)
+		type handed struct {
+			j                   *job
+			accepted, rejected  bool
+			at, cancelAt, shown time.Time
+			cancelled           bool
+			wrong               string
+		}
+		var hmu sync.Mutex
+		var all []*handed
+		var wg sync.WaitGroup
+		begin := time.Now()
+		length := 60 * time.Second
+		mk := func() *job {
+			q := []string{"cut", "read"}[rnd(2)]
+			j := &job{ID: newID(), queue: q, key: []string{"key-ward", "key-floor"}[rnd(2)]}
+			j.Spec = "spec-" + j.ID
+			ms := func(lo, hi int) time.Duration { return time.Duration(lo+rnd(hi-lo)) * time.Millisecond }
+			n := 1 + rnd(3)
+			for i := range n {
+				st := step{Count: 1 + rnd(6), CPU: int64(200 + rnd(900)), Mem: 100, Estimate: 800, work: ms(200, 1500)}
+				if i > 0 && rnd(4) > 0 {
+					st.After = []int{i - 1}
+				}
+				switch rnd(6) {
+				case 0, 1:
+					st.Gang = true
+					st.Count = 2 + rnd(3)
+				case 2:
+					st.Saves = true
+					st.work = ms(1000, 2500)
+				case 3:
+					st.PerMin = 1 + rnd(2)
+					st.Count = min(st.Count, 4)
+				case 4:
+					if rnd(3) == 0 {
+						st.failing = 1
+					}
+				}
+				j.Steps = append(j.Steps, st)
+			}
+			if rnd(5) == 0 {
+				j.Repeat, j.First, j.Interval = 2+rnd(4), time.Now().UnixMilli()+int64(rnd(4000)), int64(500+rnd(3000))
+				for i := range j.Steps {
+					j.Steps[i].failing = 0
+				}
+			}
+			return j
+		}
+		for range 5 {
+			wg.Go(func() {
+				for time.Since(begin) < length {
+					h := &handed{j: mk()}
+					hmu.Lock()
+					all = append(all, h)
+					hmu.Unlock()
+					h.accepted, h.rejected = s.submit(h.j)
+					h.at = time.Now()
+					if h.accepted && rnd(8) == 0 {
+						time.Sleep(time.Duration(rnd(1500)) * time.Millisecond)
+						h.cancelled = true
+						if s.cancel(h.j) {
+							h.cancelAt = time.Now()
+						}
+					}
+					time.Sleep(time.Duration(900+rnd(1200)) * time.Millisecond)
+				}
+			})
+		}
+		stopFaults := make(chan struct{})
+		has := func(k string) bool { return kinds == "" || strings.Contains(kinds, k) }
+		var fw sync.WaitGroup
+		if trouble {
+			lose := struct {
+				sync.Mutex
+				f     fault
+				share int
+				until time.Time
+				who   string
+			}{}
+			s.st.decide = func(write bool, client string) (fault, time.Duration) {
+				lose.Lock()
+				defer lose.Unlock()
+				if time.Now().After(lose.until) || lose.who != "" && !strings.Contains(client, lose.who) || rnd(100) >= lose.share {
+					return faultNone, 0
+				}
+				if !write && (lose.f == faultLate || lose.f == faultLost) {
+					return faultNone, 0
+				}
+				return lose.f, time.Duration(1000+rnd(5000)) * time.Millisecond
+			}
+			loop := func(kind string, pause int, f func()) {
+				if !has(kind) {
+					return
+				}
+				fw.Go(func() {
+					for {
+						select {
+						case <-stopFaults:
+							return
+						case <-time.After(time.Duration(1000+rnd(pause)) * time.Millisecond):
+						}
+						f()
+					}
+				})
+			}
+			loop("cut", 3000, func() {
+				m := ms[rnd(len(ms))]
+				reborn := rnd(2) == 0
+				d := time.Duration(300+rnd(5000)) * time.Millisecond
+				s.world.mu.Lock()
+				if m.down || m.cut || m.state != "up" {
+					s.world.mu.Unlock()
+					return
+				}
+				m.cut = true
+				id := m.id
+				s.note("CUT    %s for %v, reborn %v", m.id, d, reborn)
+				s.world.mu.Unlock()
+				if reborn {
+					time.Sleep(time.Duration(rnd(int(d))))
+					s.world.mu.Lock()
+					if m.id == id && m.state == "up" {
+						m.crash()
+						m.reset()
+						s.note("REBORN %s life %d", m.id, m.lives)
+					}
+					s.world.mu.Unlock()
+				}
+				time.Sleep(d / 2)
+				s.world.mu.Lock()
+				m.cut = false
+				m.beat()
+				s.note("HEALED %s", m.id)
+				s.world.mu.Unlock()
+			})
+			loop("crash", 3000, func() {
+				m := ms[rnd(len(ms))]
+				s.world.mu.Lock()
+				if m.down || m.cut || m.state != "up" {
+					s.world.mu.Unlock()
+					return
+				}
+				id := m.id
+				m.crash()
+				m.down = true
+				s.note("CRASH  %s", m.id)
+				s.world.mu.Unlock()
+				time.Sleep(time.Duration(50+rnd(3000)) * time.Millisecond)
+				s.world.mu.Lock()
+				if m.id == id {
+					m.down = false
+					m.reset()
+					m.beat()
+					s.note("AGAIN  %s life %d", m.id, m.lives)
+				} else {
+					m.down = false
+				}
+				s.world.mu.Unlock()
+			})
+			loop("late", 5000, func() {
+				s.world.mu.Lock()
+				end := time.Now().Add(5 * time.Second)
+				for _, m := range ms {
+					m.late = func(op string) time.Duration {
+						if time.Now().After(end) || rnd(100) >= 20 || op == "hold" && rnd(4) > 0 {
+							return 0
+						}
+						return time.Duration(2000+rnd(10000)) * time.Millisecond
+					}
+				}
+				s.note("LATE   orders for 5 s")
+				s.world.mu.Unlock()
+				time.Sleep(5 * time.Second)
+			})
+			loop("kill", 6000, func() {
+				d := s.daemons[rnd(len(s.daemons))]
+				if h := s.holder(); h != nil && rnd(2) == 0 {
+					d = h
+				}
+				s.mu2.Lock()
+				alive := d.alive
+				s.mu2.Unlock()
+				if !alive {
+					return
+				}
+				sig := syscall.SIGKILL
+				if rnd(3) == 0 {
+					sig = syscall.SIGTERM
+				}
+				s.signal(d, sig)
+				select {
+				case <-d.exited:
+				case <-time.After(6 * time.Second):
+					s.signal(d, syscall.SIGKILL)
+					<-d.exited
+				}
+				time.Sleep(time.Duration(300+rnd(3000)) * time.Millisecond)
+				s.launch(d)
+			})
+			loop("freeze", 8000, func() {
+				d := s.daemons[rnd(len(s.daemons))]
+				if h := s.holder(); h != nil && rnd(2) == 0 {
+					d = h
+				}
+				s.signal(d, syscall.SIGSTOP)
+				time.Sleep(time.Duration(500+rnd(4000)) * time.Millisecond)
+				s.signal(d, syscall.SIGCONT)
+			})
+			loop("storecut", 8000, func() {
+				d := s.daemons[rnd(len(s.daemons))]
+				if h := s.holder(); h != nil && rnd(2) == 0 {
+					d = h
+				}
+				s.note("STORE  %s cut from the store", d.name)
+				proxies[d].set(true)
+				time.Sleep(time.Duration(500+rnd(5000)) * time.Millisecond)
+				proxies[d].set(false)
+				s.note("STORE  %s reaches the store", d.name)
+			})
+			loop("store", 9000, func() {
+				lose.Lock()
+				lose.f = []fault{faultLate, faultLost, faultBusy, faultSilent}[rnd(4)]
+				lose.share = 35
+				if lose.f >= faultSilent {
+					lose.share = 100
+				}
+				lose.until = time.Now().Add(time.Duration(1000+rnd(3500)) * time.Millisecond)
+				lose.who = ""
+				if rnd(3) == 0 {
+					lose.who = fmt.Sprintf("front-%d", rnd(4))
+				}
+				s.note("STORE  fault %d, share %d, who %q until %v", lose.f, lose.share, lose.who, time.Until(lose.until))
+				lose.Unlock()
+				time.Sleep(4 * time.Second)
+			})
+			n := int64(0)
+			loop("wave", 9000, func() {
+				n++
+				v := &wave{Wave: n, Duration: 20, Cap: 2, begun: map[string]bool{}}
+				for _, m := range ms {
+					if rnd(3) == 0 {
+						v.Machines = append(v.Machines, m.machine)
+					}
+				}
+				if len(v.Machines) == 0 {
+					return
+				}
+				s.world.mu.Lock()
+				s.waves[n] = v
+				s.world.mu.Unlock()
+				s.st.put(rowName{"op", "", fmt.Sprintf("wave/%d", n)}, jsonText(v))
+				s.note("WAVE   %d %v", n, v.Machines)
+			})
+		}
+		wg.Wait()
+		close(stopFaults)
+		fw.Wait()
+		s.note("QUIET")
+		// All jobs that nobody has cancelled end.
+		end := time.Now().Add(25 * time.Second)
+		for {
+			open := 0
+			hmu.Lock()
+			list := append([]*handed{}, all...)
+			hmu.Unlock()
+			var pw sync.WaitGroup
+			slots := make(chan struct{}, 16)
+			var omu sync.Mutex
+			for _, h := range list {
+				if !h.accepted || !h.shown.IsZero() || h.cancelled {
+					continue
+				}
+				pw.Go(func() {
+					slots <- struct{}{}
+					defer func() { <-slots }()
+					st, status := s.state(h.j)
+					omu.Lock()
+					defer omu.Unlock()
+					switch {
+					case status == 410:
+						h.wrong = "410"
+						h.shown = time.Now()
+					case st == "completed":
+						h.shown = time.Now()
+					case st == "failed" || st == "cancelled":
+						h.wrong = st
+						h.shown = time.Now()
+					default:
+						open++
+					}
+				})
+			}
+			pw.Wait()
+			if open == 0 || time.Now().After(end) {
+				break
+			}
+			time.Sleep(300 * time.Millisecond)
+		}
+		s.world.mu.Lock()
+		defer s.world.mu.Unlock()
+		s.twice()
+		s.order()
+		starts := map[string]int{}
+		doneTasks := map[string]bool{}
+		for _, e := range s.events {
+			n, _ := parseTask(e.task)
+			if e.kind == "start" {
+				starts[n.job]++
+			}
+			if e.kind == "end" && e.how == "done" {
+				doneTasks[e.task] = true
+				if st := s.stepOf(n); st != nil && st.Gang {
+					for i := range st.Count {
+						doneTasks[fmt.Sprintf("%s.%d.%d.%d", n.job, n.occ, n.step, i)] = true
+					}
+				}
+			}
+		}
+		for _, h := range all {
+			switch {
+			case h.rejected && !h.accepted && starts[h.j.ID] > 0:
+				s.breaks("REFUSED: %s was rejected and %d tasks started", h.j.ID, starts[h.j.ID])
+			case h.wrong != "" && h.wrong != "failed":
+				s.breaks("LOST: %s is shown as %s", h.j.ID, h.wrong)
+			case h.wrong == "failed":
+				s.breaks("LOST?: %s is shown as failed", h.j.ID)
+			case h.accepted && !h.cancelled && h.shown.IsZero():
+				s.breaks("LOST: %s has not ended", h.j.ID)
+			case !h.shown.IsZero():
+				for k := range max(1, h.j.Repeat) {
+					for i, st := range h.j.Steps {
+						for x := range st.Count {
+							if t := fmt.Sprintf("%s.%d.%d.%d", h.j.ID, k, i, x); !doneTasks[t] {
+								s.breaks("MIXED: %s is completed without %s", h.j.ID, t)
+							}
+						}
+					}
+				}
+			}
+			if !h.cancelAt.IsZero() {
+				for _, e := range s.events {
+					if e.kind == "start" && strings.HasPrefix(e.task, h.j.ID) && e.at.After(h.cancelAt.Add(3*time.Second)) {
+						s.breaks("UNASKED?: %s starts %v after its job was cancelled", e.task, e.at.Sub(h.cancelAt))
+					}
+				}
+			}
+		}
+		s.note("jobs %d, events %d", len(all), len(s.events))
+	}
+}
