--- a/review/lab3/gang.go
+++ b/review/lab3/gang.go
@@ -13,7 +13,7 @@
 	cases["gang"] = func(s *site, trouble bool) {
 		s.configure(map[string]string{"cut": "carve"}, []string{"carve"}, "", []map[string]any{{"name": "ward", "api_keys": []string{"key-ward"}, "weight": 10, "cap": map[string]any{"cpu": 0, "mem_mb": 0, "gpu": 0}}})
 		var ms []*minion
-		for i := range 4 {
+		for i := range 6 {
 			m, err := s.addMachine(fmt.Sprintf("m%d", i), "carve", "hall", fmt.Sprintf("r%d", i/2), resources{4000, 8192, 0})
 			if err != nil {
 				panic(err)
--- a/review/lab3/large.go
+++ b/review/lab3/large.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -27,6 +28,8 @@
 			s.addDaemon(fmt.Sprintf("front-%d", i), []string{"hall", "room", "bay"}[i])
 		}
 		s.awaitReady(3)
+		const traffic, finish = 20 * time.Second, 14 * time.Second
+		var shown time.Time
 		n := 19000
 		if v := os.Getenv("STEPS"); v != "" {
 			n, _ = strconv.Atoi(v)
@@ -44,7 +47,7 @@
 		}
 		var small []*job
 		go func() {
-			for {
+			for end := time.Now().Add(traffic); time.Now().Before(end); {
 				o := &job{ID: newID(), Spec: "small", queue: "cut", key: "key-ward", Steps: []step{{Count: 4, CPU: 1000, Mem: 100, Estimate: 300, work: 300 * time.Millisecond}}}
 				if ok, _ := s.submit(o); ok {
 					s.world.mu.Lock()
@@ -54,22 +57,47 @@
 				time.Sleep(3 * time.Second)
 			}
 		}()
-		last := 0
-		for end := time.Now().Add(75 * time.Second); time.Now().Before(end); time.Sleep(time.Second) {
-			st, _ := s.state(j)
+		handedIn := time.Now()
+		last, idle := 0, time.Now()
+		var broken bool
+		for end := handedIn.Add(60 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 			s.world.mu.Lock()
 			done, running, listed := map[string]bool{}, 0, 0
+			var cpu, room int64
 			for _, e := range s.events {
-				if e.kind == "end" && e.how == "done" {
+				if e.kind == "end" && e.how == "done" && strings.HasPrefix(e.task, j.ID) {
 					done[e.task] = true
 				}
 			}
 			for _, m := range s.minions {
-				running += len(m.runs)
+				room += m.capacity.CPU
 				listed += len(m.ends)
+				for _, r := range m.runs {
+					cpu += r.need.CPU
+					if strings.HasPrefix(r.task, j.ID) {
+						running++
+					}
+				}
 			}
 			s.world.mu.Unlock()
-			s.note("state %s, %d of %d tasks done (%d more), %d running, %d ends not taken note of", st, len(done), n, len(done)-last, running, listed)
+			now := time.Now()
+			if running > 0 || len(done) == n || 2*cpu >= room {
+				idle = now
+			}
+			// finish_s (14 s) after the end of the traffic, 3 s with nothing of the job running.
+			if !broken && now.Sub(handedIn) > traffic+finish && now.Sub(idle) >= 3*time.Second {
+				broken = true
+				s.world.mu.Lock()
+				s.breaks("LOST: %v after the end of the traffic, nothing of job %s has run for %v; %d of its %d tasks have ended done, all others' turn has come, and %d of %d thousandths of a core are in use",
+					now.Sub(handedIn.Add(traffic)).Round(100*time.Millisecond), j.ID, now.Sub(idle).Round(100*time.Millisecond), len(done), n, cpu, room)
+				s.world.mu.Unlock()
+			}
+			if now.Sub(shown) < time.Second {
+				continue
+			}
+			shown = now
+			st, _ := s.state(j)
+			s.note("state %s, %d of %d tasks done (%d more), %d running, %d ends listed and not taken note of", st, len(done), n, len(done)-last, running, listed)
 			last = len(done)
 			s.world.mu.Lock()
 			list := append([]*job{}, small...)
@@ -80,7 +108,7 @@
 				text += x + " "
 			}
 			s.note("small jobs: %s", text)
-			if st == "completed" {
+			if st == "completed" && now.Sub(handedIn) > traffic {
 				return
 			}
 		}
--- a/review/lab3/minions.go
+++ b/review/lab3/minions.go
@@ -165,16 +165,16 @@
 }
 
 type world struct {
-	mu       sync.Mutex
-	began    time.Time
-	st       *store
-	minions  []*minion
-	jobs     map[string]*job
-	events   []*event
-	rec      func(string)
-	waves    map[int64]*wave
-	broken   []string
-	ckpts    map[string]map[string]time.Duration
+	mu      sync.Mutex
+	began   time.Time
+	st      *store
+	minions []*minion
+	jobs    map[string]*job
+	events  []*event
+	rec     func(string)
+	waves   map[int64]*wave
+	broken  []string
+	ckpts   map[string]map[string]time.Duration
 	// via, if set, returns the address at which a minion is listed.
 	via func(addr string) string
 }
