--- a/review/lab3/minions.go
+++ b/review/lab3/minions.go
@@ -39,16 +39,21 @@
 
 // step is a step of a job that a requester handed in.
 type step struct {
-	Count    int   `json:"count"`
-	CPU      int64 `json:"cpu,omitempty"`
-	Mem      int64 `json:"mem_mb,omitempty"`
-	Estimate int64 `json:"estimate_ms,omitempty"`
-	After    []int `json:"after,omitempty"`
-	Gang     bool  `json:"gang,omitempty"`
-	Saves    bool  `json:"saves_progress,omitempty"`
-	Lasts    bool  `json:"long_running,omitempty"`
-	PerMin   int   `json:"max_per_server,omitempty"`
-	MayMiss  int   `json:"may_miss,omitempty"`
+	Count    int    `json:"count"`
+	CPU      int64  `json:"cpu,omitempty"`
+	Mem      int64  `json:"mem_mb,omitempty"`
+	Estimate int64  `json:"estimate_ms,omitempty"`
+	After    []int  `json:"after,omitempty"`
+	Gang     bool   `json:"gang,omitempty"`
+	Saves    bool   `json:"saves_progress,omitempty"`
+	Lasts    bool   `json:"long_running,omitempty"`
+	PerMin   int    `json:"max_per_server,omitempty"`
+	MayMiss  int    `json:"may_miss,omitempty"`
+	SameRack bool   `json:"same_rack,omitempty"`
+	Affinity string `json:"affinity,omitempty"`
+	Label    string `json:"required_label,omitempty"`
+	Fills    bool   `json:"fills,omitempty"`
+	Spec     bool   `json:"speculative,omitempty"`
 	// work is how long a task takes, failing how many of its first attempts fail.
 	work    time.Duration
 	failing int
--- a/review/lab3/soak.go
+++ b/review/lab3/soak.go
@@ -24,7 +24,7 @@
 		services := []string{"carve", "proof", "spare"}
 		s.configure(map[string]string{"cut": "carve", "read": "proof"}, services, "spare", []map[string]any{
 			{"name": "ward", "api_keys": []string{"key-ward"}, "weight": 10, "cap": map[string]any{"cpu": 0, "mem_mb": 0, "gpu": 0}},
-			{"name": "floor", "api_keys": []string{"key-floor"}, "weight": 5, "cap": map[string]any{"cpu": 30000, "mem_mb": 0, "gpu": 0}}})
+			{"name": "floor", "api_keys": []string{"key-floor"}, "weight": 5, "cap": map[string]any{"cpu": 60000, "mem_mb": 0, "gpu": 0}}})
 		var ms []*minion
 		for i := range 14 {
 			m, err := s.addMachine(fmt.Sprintf("m%d", i), services[i%3], []string{"hall", "room", "bay"}[i%3], fmt.Sprintf("r%d", i/4), resources{8000, 16384, 0})
@@ -50,7 +50,8 @@
 			accepted, rejected  bool
 			at, cancelAt, shown time.Time
 			cancelled           bool
-			wrong               string
+			wrong, odd          string
+			first               time.Time // when it was first shown as completed
 		}
 		var hmu sync.Mutex
 		var all []*handed
@@ -71,7 +72,12 @@
 				switch rnd(6) {
 				case 0, 1:
 					st.Gang = true
-					st.Count = 2 + rnd(3)
+					st.Count = 2 + rnd(5)
+					st.CPU = int64(200 + rnd(3000))
+					st.Saves = rnd(2) == 0
+					if st.Saves {
+						st.work = ms(800, 3000)
+					}
 				case 2:
 					st.Saves = true
 					st.work = ms(1000, 2500)
@@ -100,11 +106,16 @@
 					hmu.Lock()
 					all = append(all, h)
 					hmu.Unlock()
-					h.accepted, h.rejected = s.submit(h.j)
-					h.at = time.Now()
+					s.note("BODY   %s %s %s %s", h.j.ID, h.j.queue, h.j.key, jsonText(h.j))
+					a, r := s.submit(h.j)
+					hmu.Lock()
+					h.accepted, h.rejected, h.at = a, r, time.Now()
+					hmu.Unlock()
 					if h.accepted && rnd(8) == 0 {
 						time.Sleep(time.Duration(rnd(1500)) * time.Millisecond)
+						hmu.Lock()
 						h.cancelled = true
+						hmu.Unlock()
 						if s.cancel(h.j) {
 							h.cancelAt = time.Now()
 						}
@@ -113,6 +124,41 @@
 				}
 			})
 		}
+		// States that are shown while the faults go on.
+		for range 3 {
+			wg.Go(func() {
+				for time.Since(begin) < length {
+					time.Sleep(time.Duration(20+rnd(200)) * time.Millisecond)
+					hmu.Lock()
+					if len(all) == 0 {
+						hmu.Unlock()
+						continue
+					}
+					h := all[rnd(len(all))]
+					old, accepted, cancelled := time.Since(h.at), h.accepted, h.cancelled
+					hmu.Unlock()
+					if !accepted {
+						continue
+					}
+					asked := time.Now()
+					st, status := s.state(h.j)
+					hmu.Lock()
+					if !cancelled && !h.cancelled && old > 3*time.Second && (status == 410 || st == "failed" || st == "cancelled") {
+						s.note("SHOWN? job %s, asked at %d, is shown as %q, %d", h.j.ID, asked.Sub(s.world.began).Milliseconds(), st, status)
+						if h.odd == "" {
+							h.odd = fmt.Sprintf("%s %d", st, status)
+						}
+					}
+					if st == "completed" && h.first.IsZero() {
+						h.first = time.Now()
+					}
+					if st != "" && st != "completed" && !h.first.IsZero() && asked.After(h.first) {
+						s.note("SHOWN? job %s is shown as %q after it was shown as completed", h.j.ID, st)
+					}
+					hmu.Unlock()
+				}
+			})
+		}
 		stopFaults := make(chan struct{})
 		has := func(k string) bool { return kinds == "" || strings.Contains(kinds, k) }
 		var fw sync.WaitGroup
@@ -304,7 +350,7 @@
 		fw.Wait()
 		s.note("QUIET")
 		// All jobs that nobody has cancelled end.
-		end := time.Now().Add(25 * time.Second)
+		end := time.Now().Add(35 * time.Second)
 		for {
 			open := 0
 			hmu.Lock()
@@ -364,6 +410,9 @@
 			}
 		}
 		for _, h := range all {
+			if h.odd != "" && !h.cancelled {
+				s.breaks("LOST?: %s was shown as %s", h.j.ID, h.odd)
+			}
 			switch {
 			case h.rejected && !h.accepted && starts[h.j.ID] > 0:
 				s.breaks("REFUSED: %s was rejected and %d tasks started", h.j.ID, starts[h.j.ID])
