--- a/review/lab3/gang.go
+++ b/review/lab3/gang.go
@@ -4,11 +4,12 @@
 
 import (
 	"fmt"
+	"os"
 	"time"
 )
 
-// gang: a minion is cut off from the system just after it has begun its member of a gang, the gang ends as done,
-// and the minion starts again under its id behind the cut.
+// gang: a minion is cut off from all machines of the system just after it has begun its member of a gang, the gang ends
+// as done, and the minion starts again under its id behind the cut. Three rounds, one after the other.
 func init() {
 	cases["gang"] = func(s *site, trouble bool) {
 		s.configure(map[string]string{"cut": "carve"}, []string{"carve"}, "", []map[string]any{{"name": "ward", "api_keys": []string{"key-ward"}, "weight": 10, "cap": map[string]any{"cpu": 0, "mem_mb": 0, "gpu": 0}}})
@@ -27,62 +28,74 @@
 		warm := &job{ID: newID(), Spec: "warm", queue: "cut", key: "key-ward", Steps: []step{{Count: 8, CPU: 1000, Mem: 100, Estimate: 300, PerMin: 2, work: 300 * time.Millisecond}}}
 		s.submit(warm)
 		s.await("the first job", 20*time.Second, func() bool { st, _ := s.state(warm); return st == "completed" })
-		time.Sleep(time.Second)
-
-		j := &job{ID: newID(), Spec: "gang", queue: "cut", key: "key-ward", Steps: []step{{Count: 3, CPU: 3000, Mem: 1000, Estimate: 1200, Gang: true, work: 1200 * time.Millisecond}}}
-		cutAt := make(chan *minion, 1)
-		if trouble {
-			for _, m := range ms {
-				m.onStart = func(task string, _ int) {
-					if task[:16] != j.ID {
-						return
-					}
-					for _, x := range ms {
-						x.onStart = nil
-					}
-					m.cut = true
-					s.note("CUT    %s is cut off from all machines and the store; it runs on", m.id)
-					cutAt <- m
-				}
-			}
-		}
-		if ok, _ := s.submit(j); !ok {
-			s.finish(2)
-		}
-		if trouble {
-			m := <-cutAt
-			go func() {
-				time.Sleep(2500 * time.Millisecond)
-				s.world.mu.Lock()
-				m.crash()
-				m.reset()
-				s.note("CRASH  %s ends and starts again behind the cut, life %d", m.id, m.lives)
-				s.world.mu.Unlock()
-				time.Sleep(500 * time.Millisecond)
-				s.world.mu.Lock()
-				m.cut = false
-				m.beat()
-				s.note("HEALED %s", m.id)
-				s.world.mu.Unlock()
-			}()
-		}
-		var shown time.Time
-		for end := time.Now().Add(12 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
-			if st, _ := s.state(j); st == "completed" && shown.IsZero() {
-				shown = time.Now()
-				s.note("GET    job %s is shown as completed", j.ID)
-			}
+		for range 3 {
+			time.Sleep(time.Second)
+			s.gangRound(ms, trouble)
 		}
 		s.world.mu.Lock()
 		s.twice()
-		for _, e := range s.events {
-			if e.kind == "start" && !shown.IsZero() && e.task[:16] == j.ID && e.at.After(shown.Add(time.Second)) {
-				s.breaks("TWICE: %s starts %v after its job was shown as completed", e.task, e.at.Sub(shown).Round(time.Millisecond))
+		s.world.mu.Unlock()
+	}
+}
+
+// gangRound hands in one gang and, with trouble, cuts off the minion that begins the first of its members.
+func (s *site) gangRound(ms []*minion, trouble bool) {
+	j := &job{ID: newID(), Spec: "gang", queue: "cut", key: "key-ward", Steps: []step{{Count: 3, CPU: 3000, Mem: 1000, Estimate: 1200, Gang: true, work: 1200 * time.Millisecond}}}
+	cutAt := make(chan *minion, 1)
+	if trouble {
+		s.world.mu.Lock()
+		for _, m := range ms {
+			m.onStart = func(task string, _ int) {
+				if task[:16] != j.ID {
+					return
+				}
+				for _, x := range ms {
+					x.onStart = nil
+				}
+				m.cut, m.cutStore = true, os.Getenv("CUT_STORE") == "1"
+				s.note("CUT    %s is cut off from all machines of the system; it runs on", m.id)
+				cutAt <- m
 			}
 		}
 		s.world.mu.Unlock()
-		if shown.IsZero() {
-			s.note("the job was not shown as completed in time")
+	}
+	if ok, _ := s.submit(j); !ok {
+		s.finish(2)
+	}
+	if trouble {
+		m := <-cutAt
+		time.AfterFunc(2500*time.Millisecond, func() {
+			s.world.mu.Lock()
+			m.crash()
+			m.reset()
+			m.beat()
+			s.note("CRASH  %s ends and starts again behind the cut, life %d", m.id, m.lives)
+			s.world.mu.Unlock()
+		})
+		time.AfterFunc(3*time.Second, func() {
+			s.world.mu.Lock()
+			m.cut = false
+			m.beat()
+			s.note("HEALED %s", m.id)
+			s.world.mu.Unlock()
+		})
+	}
+	var shown time.Time
+	for end := time.Now().Add(12 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		if st, _ := s.state(j); st == "completed" && shown.IsZero() {
+			shown = time.Now()
+			s.note("GET    job %s is shown as completed", j.ID)
+		}
+	}
+	if shown.IsZero() {
+		s.note("the job was not shown as completed in time")
+		return
+	}
+	s.world.mu.Lock()
+	for _, e := range s.events {
+		if e.kind == "start" && e.task[:16] == j.ID && e.at.After(shown.Add(time.Second)) {
+			s.breaks("TWICE: %s starts %v after its job was shown as completed", e.task, e.at.Sub(shown).Round(time.Millisecond))
 		}
 	}
+	s.world.mu.Unlock()
 }
--- a/review/lab3/minions.go
+++ b/review/lab3/minions.go
@@ -150,7 +150,12 @@
 	// onStart, if set, is called with world.mu held when a start was carried out, before it is answered.
 	onStart func(task string, attempt int)
 	// late, if set, is asked before an order is carried out: > 0 leaves it unanswered and carries it out later.
-	late func(op string) time.Duration
+	loses func(op string) bool // whether the answer to an order is lost
+	// cutStore: a cut is one from the store too, not only from all machines of the system.
+	cutStore bool
+	// lateOutlives: an order that is carried out late, as it was held up on its way, reaches the next life too.
+	lateOutlives bool
+	late         func(op string) time.Duration
 }
 
 // event is one start or end of a run.
@@ -242,7 +247,7 @@
 
 // beat writes the minion's entry. world.mu is held.
 func (m *minion) beat() {
-	if m.cut || m.down || m.state != "up" {
+	if m.cut && m.cutStore || m.down || m.state != "up" {
 		return
 	}
 	m.sequence++
@@ -485,14 +490,20 @@
 			time.AfterFunc(d, func() {
 				w.mu.Lock()
 				defer w.mu.Unlock()
-				if m.id == id && m.lives == life && !m.down && m.state == "up" {
-					m.carry(op, o)
+				if m.id == id && (m.lives == life || m.lateOutlives) && !m.down && m.state == "up" {
+					status, answer := m.carry(op, o)
+					w.note("%s for %s is carried out by %s, life %d: %d %v", op, o.Task, m.id, m.lives, status, answer["reason"])
 				}
 			})
 			silence(r)
 		}
 	}
 	status, body := m.carry(op, o)
+	if m.loses != nil && m.loses(op) {
+		w.note("the answer of %s to %s for %s is lost", m.id, op, o.Task)
+		w.mu.Unlock()
+		silence(r)
+	}
 	life := m.lives
 	if op == "hold" && status == 200 {
 		until := time.Now().Add(time.Duration(min(o.Wait, 2000)) * time.Millisecond)
--- a/review/lab3/soak.go
+++ b/review/lab3/soak.go
@@ -64,6 +64,16 @@
 			j.Spec = "spec-" + j.ID
 			ms := func(lo, hi int) time.Duration { return time.Duration(lo+rnd(hi-lo)) * time.Millisecond }
 			n := 1 + rnd(3)
+			if os.Getenv("MIX") == "gang" {
+				for i := range n {
+					st := step{Count: 2 + rnd(3), CPU: int64(200 + rnd(1500)), Mem: 100, Estimate: 500, Gang: true, work: ms(50, 1200), Saves: rnd(3) == 0}
+					if i > 0 {
+						st.After = []int{i - 1}
+					}
+					j.Steps = append(j.Steps, st)
+				}
+				return j
+			}
 			for i := range n {
 				st := step{Count: 1 + rnd(6), CPU: int64(200 + rnd(900)), Mem: 100, Estimate: 800, work: ms(200, 1500)}
 				if i > 0 && rnd(4) > 0 {
@@ -160,6 +170,10 @@
 			})
 		}
 		stopFaults := make(chan struct{})
+		pace := time.Duration(1)
+		if os.Getenv("MIX") == "gang" {
+			pace = 3
+		}
 		has := func(k string) bool { return kinds == "" || strings.Contains(kinds, k) }
 		var fw sync.WaitGroup
 		if trouble {
@@ -190,7 +204,7 @@
 						select {
 						case <-stopFaults:
 							return
-						case <-time.After(time.Duration(1000+rnd(pause)) * time.Millisecond):
+						case <-time.After(time.Duration(1000+rnd(pause)) / pace * time.Millisecond):
 						}
 						f()
 					}
@@ -205,7 +219,7 @@
 					s.world.mu.Unlock()
 					return
 				}
-				m.cut = true
+				m.cut, m.cutStore = true, rnd(2) == 0
 				id := m.id
 				s.note("CUT    %s for %v, reborn %v", m.id, d, reborn)
 				s.world.mu.Unlock()
@@ -265,6 +279,16 @@
 				s.world.mu.Unlock()
 				time.Sleep(5 * time.Second)
 			})
+			loop("answers", 4000, func() {
+				s.world.mu.Lock()
+				end := time.Now().Add(5 * time.Second)
+				for _, m := range ms {
+					m.loses = func(op string) bool { return time.Now().Before(end) && rnd(100) < 10 }
+				}
+				s.note("LOST   answers for 5 s")
+				s.world.mu.Unlock()
+				time.Sleep(5 * time.Second)
+			})
 			loop("kill", 6000, func() {
 				d := s.daemons[rnd(len(s.daemons))]
 				if h := s.holder(); h != nil && rnd(2) == 0 {
