--- a/review/lab3/gang.go
+++ b/review/lab3/gang.go
@@ -38,6 +38,77 @@
 	}
 }
 
+// oneway: as gang, with a cut that begins a second before the gang is handed in and loses what the minion sends.
+func init() {
+	cases["oneway"] = func(s *site, trouble bool) {
+		s.configure(map[string]string{"cut": "carve"}, []string{"carve"}, "", []map[string]any{{"name": "ward", "api_keys": []string{"key-ward"}, "weight": 10, "cap": map[string]any{"cpu": 0, "mem_mb": 0, "gpu": 0}}})
+		var ms []*minion
+		for i := range 6 {
+			m, err := s.addMachine(fmt.Sprintf("m%d", i), "carve", "hall", fmt.Sprintf("r%d", i/2), resources{4000, 8192, 0})
+			if err != nil {
+				panic(err)
+			}
+			ms = append(ms, m)
+		}
+		for i := range 4 {
+			s.addDaemon(fmt.Sprintf("front-%d", i), []string{"hall", "room", "bay"}[i%3])
+		}
+		s.awaitReady(4)
+		warm := &job{ID: newID(), Spec: "warm", queue: "cut", key: "key-ward", Steps: []step{{Count: 24, CPU: 1000, Mem: 100, Estimate: 300, PerMin: 4, work: 300 * time.Millisecond}}}
+		s.submit(warm)
+		s.await("the first job", 20*time.Second, func() bool { st, _ := s.state(warm); return st == "completed" })
+		gap := 200 * time.Millisecond
+		if v, err := time.ParseDuration(os.Getenv("GAP")); err == nil {
+			gap = v
+		}
+		for round := range 4 {
+			time.Sleep(1500 * time.Millisecond)
+			m := ms[round]
+			if trouble {
+				s.world.mu.Lock()
+				m.cut, m.oneWay, m.cutAt = true, true, time.Now()
+				s.note("CUT    what %s sends to the machines of the system is lost", m.id)
+				s.world.mu.Unlock()
+			}
+			time.Sleep(gap)
+			j := &job{ID: newID(), Spec: "gang", queue: "cut", key: "key-ward", Steps: []step{{Count: 6, CPU: 2500, Mem: 1000, Estimate: 1000, Gang: true, work: time.Second}}}
+			if ok, _ := s.submit(j); !ok {
+				s.finish(2)
+			}
+			if trouble {
+				time.AfterFunc(3*time.Second, func() {
+					s.world.mu.Lock()
+					m.crash()
+					m.reset()
+					m.beat()
+					s.note("CRASH  %s ends and starts again behind the cut, life %d", m.id, m.lives)
+					s.world.mu.Unlock()
+				})
+				time.AfterFunc(3500*time.Millisecond, func() {
+					s.world.mu.Lock()
+					m.cut = false
+					s.note("HEALED %s", m.id)
+					s.world.mu.Unlock()
+				})
+			}
+			var shown time.Time
+			for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+				if st, _ := s.state(j); st == "completed" && shown.IsZero() {
+					shown = time.Now()
+					s.note("GET    job %s is shown as completed", j.ID)
+				}
+			}
+			s.world.mu.Lock()
+			for _, e := range s.events {
+				if e.kind == "start" && e.task[:16] == j.ID && !shown.IsZero() && e.at.After(shown.Add(time.Second)) {
+					s.breaks("TWICE: %s starts %v after its job was shown as completed", e.task, e.at.Sub(shown).Round(time.Millisecond))
+				}
+			}
+			s.world.mu.Unlock()
+		}
+	}
+}
+
 // gangRound hands in one gang and, with trouble, cuts off the minion that begins the first of its members.
 func (s *site) gangRound(ms []*minion, trouble bool) {
 	j := &job{ID: newID(), Spec: "gang", queue: "cut", key: "key-ward", Steps: []step{{Count: 3, CPU: 3000, Mem: 1000, Estimate: 1200, Gang: true, work: 1200 * time.Millisecond}}}
--- a/review/lab3/hopeless.go
+++ b/review/lab3/hopeless.go
@@ -14,7 +14,13 @@
 // to end.
 func init() {
 	cases["hopeless"] = func(s *site, trouble bool) {
-		s.configure(map[string]string{"cut": "carve", "read": "proof"}, []string{"carve", "proof"}, "", []map[string]any{{"name": "ward", "api_keys": []string{"key-ward"}, "weight": 10, "cap": map[string]any{"cpu": 0, "mem_mb": 0, "gpu": 0}},
+		low := os.Getenv("LOW") // a queue of lower priority on the service of the other one, or none
+		read := "proof"
+		if low != "" {
+			read = "carve"
+			s.priority = map[string]int{low: 2}
+		}
+		s.configure(map[string]string{"cut": "carve", "read": read}, []string{"carve", "proof"}, "", []map[string]any{{"name": "ward", "api_keys": []string{"key-ward"}, "weight": 10, "cap": map[string]any{"cpu": 0, "mem_mb": 0, "gpu": 0}},
 			{"name": "floor", "api_keys": []string{"key-floor"}, "weight": 5, "cap": map[string]any{"cpu": 8000, "mem_mb": 0, "gpu": 0}}})
 		for i := range 6 {
 			if _, err := s.addMachine(fmt.Sprintf("m%d", i), "carve", "hall", fmt.Sprintf("r%d", i/2), resources{8000, 16384, 0}); err != nil {
@@ -93,12 +99,19 @@
 			}
 			time.Sleep(500 * time.Millisecond)
 			var list []*job
+			queues := []string{"cut", "read"}
+			if low != "" {
+				queues[0] = "read"
+			}
 			for i := range 8 {
 				st := []step{{Count: 2, CPU: 1000, Mem: 100, Estimate: 300, work: w}}
+				if low != "" {
+					st[0].Count, st[0].CPU, st[0].work, st[0].Estimate = 4, 1500, 1500*time.Millisecond, 1500
+				}
 				if i%2 == 0 {
 					st = append(st, step{Count: 2, CPU: 500, After: []int{0}, work: w})
 				}
-				o := &job{ID: newID(), Spec: "small", queue: []string{"cut", "read"}[i/4], key: []string{"key-ward", "key-floor"}[i%4/2], Steps: st}
+				o := &job{ID: newID(), Spec: "small", queue: queues[i/4], key: []string{"key-ward", "key-floor"}[i%4/2], Steps: st}
 				if strings.HasSuffix(n, "cap") {
 					o.key = "key-ward"
 				}
@@ -109,7 +122,7 @@
 				}
 			}
 			began := time.Now()
-			for time.Since(began) < 9*time.Second && len(list) > 0 {
+			for time.Since(began) < 14*time.Second && len(list) > 0 {
 				var left []*job
 				for _, o := range list {
 					if st, _ := s.state(o); st != "completed" {
@@ -120,7 +133,7 @@
 				time.Sleep(50 * time.Millisecond)
 			}
 			s.note("beside %s: %d left after %v", n, len(list), time.Since(began))
-			if len(list) > 0 || time.Since(began) > 3*time.Second {
+			if len(list) > 0 || time.Since(began) > 8*time.Second {
 				fmt.Println("beside", n, len(list), "ordinary jobs are left after", time.Since(began).Round(time.Millisecond))
 			}
 			for _, h := range append(hs, list...) {
--- a/review/lab3/minions.go
+++ b/review/lab3/minions.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -151,6 +152,9 @@
 	onStart func(task string, attempt int)
 	// late, if set, is asked before an order is carried out: > 0 leaves it unanswered and carries it out later.
 	loses func(op string) bool // whether the answer to an order is lost
+	// oneWay: of a cut, only what the minion sends is lost. cutAt is when it began.
+	oneWay bool
+	cutAt  time.Time
 	// cutStore: a cut is one from the store too, not only from all machines of the system.
 	cutStore bool
 	// lateOutlives: an order that is carried out late, as it was held up on its way, reaches the next life too.
@@ -222,7 +226,10 @@
 	for _, op := range []string{"run-start", "run-stop", "hold", "pace"} {
 		mux.HandleFunc("POST /-/"+op, func(rw http.ResponseWriter, r *http.Request) { m.serve(op, rw, r) })
 	}
-	go func() { _ = http.Serve(l, mux) }()
+	server := &http.Server{Handler: mux, ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
+		return context.WithValue(ctx, openedKey{}, time.Now())
+	}}
+	go func() { _ = server.Serve(l) }()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.minions = append(w.minions, m)
@@ -460,6 +467,16 @@
 	}
 }
 
+// openedKey is the key of the time at which a channel was opened.
+type openedKey struct{}
+
+// arrives reports whether a request reaches the minion: in a cut that is one-way, what its callers send on channels
+// that were open before still does. world.mu is held.
+func (m *minion) arrives(r *http.Request) bool {
+	opened, _ := r.Context().Value(openedKey{}).(time.Time)
+	return !m.cut || m.oneWay && opened.Before(m.cutAt) && opened.After(m.born)
+}
+
 func (m *minion) serve(op string, rw http.ResponseWriter, r *http.Request) {
 	var o order
 	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
@@ -469,7 +486,7 @@
 	time.Sleep(500 * time.Microsecond)
 	w := m.w
 	w.mu.Lock()
-	if m.cut {
+	if !m.arrives(r) {
 		w.mu.Unlock()
 		m.hang()
 	}
--- a/review/lab3/site.go
+++ b/review/lab3/site.go
@@ -35,6 +35,7 @@
 }
 
 type site struct {
+	priority map[string]int // of queues
 	*world
 	dir      string
 	storeURL string
@@ -100,7 +101,7 @@
 	routes, svcs := []any{}, []any{}
 	for q, svc := range queues {
 		routes = append(routes, map[string]any{"name": "r-" + q, "host": "jobs.example", "prefix": "/" + q + "/", "kind": "unsafe", "timeout_ms": 3000, "target_duration_ms": 600,
-			"priority": 0, "service": svc, "max_attempts": 3, "stretch": 1.6, "public": false})
+			"priority": s.priority[q], "service": svc, "max_attempts": 3, "stretch": 1.6, "public": false})
 	}
 	for _, v := range services {
 		svcs = append(svcs, map[string]any{"name": v, "health_path": "/health", "max_conns": 64, "protocol": "h1", "tls": false, "rejects_overload": true, "standby": v == standby})
--- a/review/lab3/soak.go
+++ b/review/lab3/soak.go
@@ -34,6 +34,7 @@
 			if i%4 == 1 {
 				m.rate = 0.98
 			}
+			m.lateOutlives = os.Getenv("OUTLIVE") != ""
 			ms = append(ms, m)
 		}
 		proxies := map[*daemon]*proxy{}
@@ -219,7 +220,7 @@
 					s.world.mu.Unlock()
 					return
 				}
-				m.cut, m.cutStore = true, rnd(2) == 0
+				m.cut, m.cutStore = true, rnd(2) == 0 && os.Getenv("OUTLIVE") == ""
 				id := m.id
 				s.note("CUT    %s for %v, reborn %v", m.id, d, reborn)
 				s.world.mu.Unlock()
@@ -465,6 +466,18 @@
 				}
 			}
 		}
-		s.note("jobs %d, events %d", len(all), len(s.events))
+		completed := 0
+		for n, v := range s.waves {
+			if !strings.Contains(string(s.st.value(rowName{"status", "", fmt.Sprintf("wave/%d", n)})), "completed") {
+				continue
+			}
+			completed++
+			for _, m := range v.Machines {
+				if !v.begun[m] {
+					s.breaks("MIXED: wave %d is shown as completed, and %s hasn't begun its upkeep", n, m)
+				}
+			}
+		}
+		s.note("jobs %d, events %d, waves %d, completed %d", len(all), len(s.events), len(s.waves), completed)
 	}
 }
