--- a/review/lab3/minions.go
+++ b/review/lab3/minions.go
@@ -152,6 +152,8 @@
 	onStart func(task string, attempt int)
 	// late, if set, is asked before an order is carried out: > 0 leaves it unanswered and carries it out later.
 	loses func(op string) bool // whether the answer to an order is lost
+	// mute: it carries out what it is told and answers nothing.
+	mute bool
 	// oneWay: of a cut, only what the minion sends is lost. cutAt is when it began.
 	oneWay bool
 	cutAt  time.Time
@@ -516,6 +518,20 @@
 		}
 	}
 	status, body := m.carry(op, o)
+	if m.mute {
+		born := m.born
+		w.mu.Unlock()
+		for r.Context().Err() == nil {
+			time.Sleep(2 * time.Millisecond)
+			w.mu.Lock()
+			ended := m.down || m.born != born
+			w.mu.Unlock()
+			if ended {
+				break
+			}
+		}
+		panic(http.ErrAbortHandler)
+	}
 	if m.loses != nil && m.loses(op) {
 		w.note("the answer of %s to %s for %s is lost", m.id, op, o.Task)
 		w.mu.Unlock()
