review: silent minions in the soak of the laboratory

Cause: the soak had no minion that is mute, so that it did not meet case 11. Change: adds them, and a line in the report.

--- a/review/lab3/soak.go
+++ b/review/lab3/soak.go
@@ -280,6 +280,32 @@
 				s.world.mu.Unlock()
 				time.Sleep(5 * time.Second)
 			})
+			loop("mute", 2000, func() {
+				m := ms[rnd(len(ms))]
+				s.world.mu.Lock()
+				if m.down || m.cut || m.mute || m.state != "up" {
+					s.world.mu.Unlock()
+					return
+				}
+				m.mute = true
+				id := m.id
+				s.note("MUTE   %s", m.id)
+				s.world.mu.Unlock()
+				time.Sleep(time.Duration(500+rnd(3000)) * time.Millisecond)
+				s.world.mu.Lock()
+				if m.id == id && m.state == "up" && !m.down && rnd(3) > 0 {
+					m.crash()
+					m.reset()
+					m.beat()
+					s.note("REBORN %s life %d, mute", m.id, m.lives)
+				}
+				s.world.mu.Unlock()
+				time.Sleep(time.Duration(rnd(1500)) * time.Millisecond)
+				s.world.mu.Lock()
+				m.mute = false
+				s.note("SOUND  %s", m.id)
+				s.world.mu.Unlock()
+			})
 			loop("answers", 4000, func() {
 				s.world.mu.Lock()
 				end := time.Now().Add(5 * time.Second)
