--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -1,7 +1,6 @@
 #!/bin/sh
-# Plays the case "mute" of review/lab3 with target/boragepulleyd --site; with FORM=gang the form with a cut. Exits with 1
-# if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out. Build first: the
-# deploy file, then review/build-3.sh.
+# Plays the case "gang" of review/lab3 with target/boragepulleyd --site. Exits with 1 if the rule was broken, 0 if it held,
+# 2 if the case could not run. TROUBLE=0 leaves the disruption out. Build first: the deploy file, then review/build-3.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/boragepulleyd ] && [ -x target/review3/lab3 ] || exit 2
-exec target/review3/lab3 -case "${FORM:-mute}" -record review/11/record.txt
+exec target/review3/lab3 -case gang -record review/11/record.txt
--- a/review/lab3/site.go
+++ b/review/lab3/site.go
@@ -16,6 +16,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -55,14 +56,20 @@
 var home = fmt.Sprintf("127.%d.%d.%d", 10+rand.IntN(200), rand.IntN(250), 2+rand.IntN(250))
 
 func freeAddr() string {
-	l, err := net.Listen("tcp", home+":0")
-	if err != nil {
-		panic(err)
+	for {
+		port := lastPort.Add(1)
+		if l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", home, port)); err == nil {
+			l.Close()
+			return l.Addr().String()
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
 }
 
+// lastPort is the last port that was given out: none twice, and none that the system gives to others.
+var lastPort atomic.Int64
+
+func init() { lastPort.Store(12000) }
+
 func serveOn(h http.Handler) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -174,6 +181,10 @@
 	go func() {
 		err := cmd.Wait()
 		out.Close()
+		if cmd.ProcessState.Exited() && !cmd.ProcessState.Success() {
+			log, _ := os.ReadFile(d.log)
+			s.note("last of the log of %s: %s", d.name, log[max(0, len(log)-400):])
+		}
 		s.mu2.Lock()
 		if d.cmd == cmd {
 			d.alive, d.inRotation = false, false
