review: entries of silent minions expire, and a wider soak

Cause: the stand-in of the platform kept the entry of a minion that writes nothing. And the soak drew no leaving minions, reused addresses, replaced entry VMs, configurations, dropped history or jobs that last.

MORE=1 adds those disruptions and jobs to the soak (review/lab3/more.go).

--- a/review/lab3/minions.go
+++ b/review/lab3/minions.go
@@ -142,6 +142,8 @@
 	state     string // of the machine
 	upkeepOf  int64  // the wave of its last upkeep
 	sequence  int
+	reported  time.Time // when it last wrote its entry
+	listed    bool
 	lives     int
 	holder    string
 	holderTok uint64
@@ -191,6 +193,8 @@
 	waves   map[int64]*wave
 	broken  []string
 	ckpts   map[string]map[string]time.Duration
+	// ever are the services to which a queue has ever been sent, where that is looked at.
+	ever map[string]map[string]bool
 	// via, if set, returns the address at which a minion is listed.
 	via func(addr string) string
 }
@@ -266,6 +270,16 @@
 		v["state"], v["remaining_ms"] = "draining", max(0, time.Until(m.goneAt).Milliseconds())
 	}
 	m.w.st.put(rowName{"servers", "", m.id}, jsonText(v))
+	m.reported, m.listed = time.Now(), true
+}
+
+// expire removes the entry of a minion that has been silent for three status report intervals. world.mu is held.
+func (m *minion) expire() {
+	if m.listed && time.Since(m.reported) > 3*beatInterval {
+		m.listed = false
+		m.w.st.remove(rowName{"servers", "", m.id})
+		m.w.note("LIST   the entry of %s has expired", m.id)
+	}
 }
 
 // crash ends all runs of a minion. world.mu is held.
@@ -433,6 +447,9 @@
 		case <-tick.C:
 			w.mu.Lock()
 			w.settle()
+			for _, m := range w.minions {
+				m.expire()
+			}
 			w.mu.Unlock()
 		case <-beat.C:
 			w.mu.Lock()
@@ -642,6 +659,9 @@
 			return 400, ok
 		}
 		need := resources{CPU: s.CPU, Mem: s.Mem}
+		if s.Fills {
+			need.CPU = 0
+		}
 		used := need
 		for _, r := range m.runs {
 			used = used.add(r.need)
@@ -694,11 +714,17 @@
 		if x.down {
 			continue
 		}
-		if other := x.runs[o.Task]; other != nil {
+		if other := x.runs[o.Task]; other != nil && !s.Spec {
 			w.breaks("TWICE: %s runs on %s (attempt %d) and %s (attempt %d) at the same time", o.Task, x.id, other.attempt, m.id, o.Attempt)
 		}
 	}
 	m.runs[o.Task] = r
+	if s.Label != "" && s.Label != "a" && s.Label != m.rack {
+		w.breaks("ROUTE: %s starts on %s without its label", o.Task, m.id)
+	}
+	if ever := w.ever[w.jobs[n.job].queue]; ever != nil && !ever[m.pool] {
+		w.breaks("ROUTE: %s starts on %s of %s", o.Task, m.id, m.pool)
+	}
 	if s.Gang {
 		if runs, _ := w.members(r); len(runs) == s.Count {
 			for _, x := range runs {
@@ -721,6 +747,9 @@
 		out := []any{}
 		for _, m := range w.minions {
 			id := m.id
+			if m.state == "gone" {
+				continue
+			}
 			if m.state != "up" {
 				id = ""
 			}
@@ -756,7 +785,7 @@
 	defer w.mu.Unlock()
 	var m *minion
 	for _, x := range w.minions {
-		if x.machine == name {
+		if x.machine == name && x.state != "gone" {
 			m = x
 		}
 	}
@@ -817,6 +846,7 @@
 	m.crash()
 	old := m.id
 	w.st.remove(rowName{"servers", "", old})
+	m.listed = false
 	time.AfterFunc(down, func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
--- a/review/lab3/site.go
+++ b/review/lab3/site.go
@@ -29,6 +29,7 @@
 	cmd                            *exec.Cmd
 	alive                          bool
 	inRotation                     bool
+	gone                           bool // removed for good
 	misses                         int
 	exited                         chan struct{}
 	settings, log                  string
@@ -90,7 +91,7 @@
 			panic(err)
 		}
 	}
-	s := &site{dir: dir, records: f, stop: make(chan struct{})}
+	s := &site{dir: dir, records: f, stop: make(chan struct{}), daemons: make([]*daemon, 0, 100)}
 	s.world = &world{began: time.Now(), st: newStore(), jobs: map[string]*job{}, waves: map[int64]*wave{}, ckpts: map[string]map[string]time.Duration{}}
 	s.world.rec = func(line string) {
 		s.recMu.Lock()
@@ -118,8 +119,11 @@
 	s.note("config version %d", s.version)
 }
 
-func (s *site) addDaemon(name, zone string) *daemon {
-	d := &daemon{name: name, zone: zone, front: freeAddr(), ready: freeAddr(), peer: freeAddr(), metrics: freeAddr(), storeAddr: s.storeURL, cloudAddr: s.cloudURL}
+func (s *site) addDaemon(name, zone string) *daemon { return s.addDaemonVia(name, zone, s.storeURL) }
+
+// addDaemonVia adds an entry VM that reaches the store at another address.
+func (s *site) addDaemonVia(name, zone, storeURL string) *daemon {
+	d := &daemon{name: name, zone: zone, front: freeAddr(), ready: freeAddr(), peer: freeAddr(), metrics: freeAddr(), storeAddr: storeURL, cloudAddr: s.cloudURL}
 	d.settings, d.log = filepath.Join(s.dir, name+".toml"), filepath.Join(s.dir, name+".log")
 	s.mu2.Lock()
 	s.daemons = append(s.daemons, d)
@@ -410,7 +414,7 @@
 	lasts := func(task string) bool {
 		n, _ := parseTask(task)
 		s := w.stepOf(n)
-		return s != nil && s.Lasts
+		return s != nil && (s.Lasts || s.Spec)
 	}
 	type done struct{ first, noted *event }
 	ends := map[string]done{}
--- a/review/lab3/soak.go
+++ b/review/lab3/soak.go
@@ -20,7 +20,8 @@
 		r := rand.New(rand.NewPCG(seed, 7))
 		var rmu sync.Mutex
 		rnd := func(n int) int { rmu.Lock(); defer rmu.Unlock(); return r.IntN(n) }
-		kinds := os.Getenv("FAULTS") // empty: all
+		kinds := os.Getenv("FAULTS")    // empty: all
+		more := os.Getenv("MORE") != "" // jobs and disruptions of the last sitting
 		services := []string{"carve", "proof", "spare"}
 		s.configure(map[string]string{"cut": "carve", "read": "proof"}, services, "spare", []map[string]any{
 			{"name": "ward", "api_keys": []string{"key-ward"}, "weight": 10, "cap": map[string]any{"cpu": 0, "mem_mb": 0, "gpu": 0}},
@@ -45,6 +46,8 @@
 			s.storeURL = p.to
 			proxies[d] = p
 		}
+		var pmu sync.Mutex
+		proxyOf := func(d *daemon) *proxy { pmu.Lock(); defer pmu.Unlock(); return proxies[d] }
 		s.awaitReady(4)
 		type handed struct {
 			j                   *job
@@ -59,6 +62,9 @@
 		var wg sync.WaitGroup
 		begin := time.Now()
 		length := 60 * time.Second
+		if more {
+			length = 45 * time.Second
+		}
 		mk := func() *job {
 			q := []string{"cut", "read"}[rnd(2)]
 			j := &job{ID: newID(), queue: q, key: []string{"key-ward", "key-floor"}[rnd(2)]}
@@ -75,6 +81,11 @@
 				}
 				return j
 			}
+			if more && rnd(16) == 0 {
+				j.key = "key-ward"
+				j.Steps = []step{{Count: 1 + rnd(4), CPU: int64(200 + rnd(900)), Mem: 100, Estimate: 800, Lasts: true, MayMiss: rnd(2), Saves: rnd(2) == 0}}
+				return j
+			}
 			for i := range n {
 				st := step{Count: 1 + rnd(6), CPU: int64(200 + rnd(900)), Mem: 100, Estimate: 800, work: ms(200, 1500)}
 				if i > 0 && rnd(4) > 0 {
@@ -100,6 +111,18 @@
 						st.failing = 1
 					}
 				}
+				if more && !st.Gang {
+					switch rnd(8) {
+					case 0:
+						st.Spec = true
+					case 1:
+						st.Fills = true
+					case 2:
+						st.Label = "a"
+					case 3:
+						st.Affinity = fmt.Sprintf("r%d", rnd(4))
+					}
+				}
 				j.Steps = append(j.Steps, st)
 			}
 			if rnd(5) == 0 {
@@ -148,7 +171,7 @@
 					h := all[rnd(len(all))]
 					old, accepted, cancelled := time.Since(h.at), h.accepted, h.cancelled
 					hmu.Unlock()
-					if !accepted {
+					if !accepted || h.j.Steps[0].Lasts {
 						continue
 					}
 					asked := time.Now()
@@ -331,6 +354,9 @@
 				if rnd(3) == 0 {
 					sig = syscall.SIGTERM
 				}
+				if d.gone {
+					return
+				}
 				s.signal(d, sig)
 				select {
 				case <-d.exited:
@@ -339,7 +365,9 @@
 					<-d.exited
 				}
 				time.Sleep(time.Duration(300+rnd(3000)) * time.Millisecond)
-				s.launch(d)
+				if !d.gone {
+					s.launch(d)
+				}
 			})
 			loop("freeze", 8000, func() {
 				d := s.daemons[rnd(len(s.daemons))]
@@ -356,9 +384,9 @@
 					d = h
 				}
 				s.note("STORE  %s cut from the store", d.name)
-				proxies[d].set(true)
+				proxyOf(d).set(true)
 				time.Sleep(time.Duration(500+rnd(5000)) * time.Millisecond)
-				proxies[d].set(false)
+				proxyOf(d).set(false)
 				s.note("STORE  %s reaches the store", d.name)
 			})
 			loop("store", 9000, func() {
@@ -377,6 +405,15 @@
 				lose.Unlock()
 				time.Sleep(4 * time.Second)
 			})
+			if more {
+				s.soakMore(ms, rnd, loop, services, func(name, zone string) {
+					p := newProxy(s.storeURL)
+					pmu.Lock()
+					d := s.addDaemonVia(name, zone, p.addr)
+					proxies[d] = p
+					pmu.Unlock()
+				})
+			}
 			n := int64(0)
 			loop("wave", 9000, func() {
 				n++
@@ -400,6 +437,14 @@
 		close(stopFaults)
 		fw.Wait()
 		s.note("QUIET")
+		s.lasting(func(f func(j *job)) {
+			for _, h := range all {
+				if h.accepted && !h.cancelled && h.j.Steps[0].Lasts {
+					h.cancelled = true
+					f(h.j)
+				}
+			}
+		})
 		// All jobs that nobody has cancelled end.
 		end := time.Now().Add(35 * time.Second)
 		for {
@@ -473,7 +518,7 @@
 				s.breaks("LOST?: %s is shown as failed", h.j.ID)
 			case h.accepted && !h.cancelled && h.shown.IsZero():
 				s.breaks("LOST: %s has not ended", h.j.ID)
-			case !h.shown.IsZero():
+			case !h.shown.IsZero() && !h.j.Steps[0].Lasts:
 				for k := range max(1, h.j.Repeat) {
 					for i, st := range h.j.Steps {
 						for x := range st.Count {
@@ -499,7 +544,7 @@
 			}
 			completed++
 			for _, m := range v.Machines {
-				if !v.begun[m] {
+				if !v.begun[m] && s.stays(m) {
 					s.breaks("MIXED: wave %d is shown as completed, and %s hasn't begun its upkeep", n, m)
 				}
 			}
--- a/review/lab3/store.go
+++ b/review/lab3/store.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -71,6 +72,9 @@
 	log     []storedRow
 	version uint64
 	began   time.Time
+	// floor is the version up to which the history has been dropped; slow is how much longer each answer takes.
+	floor uint64
+	slow  atomic.Int64
 	// decide returns what happens to a call; client is the name that the caller gives itself.
 	decide func(write bool, client string) (fault, time.Duration)
 	// onCommit is called, without the lock, after a transaction was applied.
@@ -139,6 +143,14 @@
 	return s.rows[name].Value
 }
 
+// compact drops the history, up to the newest version.
+func (s *store) compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.floor, s.log = s.version, nil
+	s.changed.Broadcast()
+}
+
 // silence holds a call until its caller gives up.
 func silence(r *http.Request) {
 	select {
@@ -219,7 +231,7 @@
 		time.AfterFunc(late, func() { s.carry(client, &x) })
 		silence(r)
 	}
-	time.Sleep(storeTime)
+	time.Sleep(storeTime + time.Duration(s.slow.Load()))
 	done, a := s.carry(client, &x)
 	if f == faultLost {
 		silence(r)
@@ -274,7 +286,7 @@
 	case faultSilent, faultLost, faultLate:
 		silence(r)
 	}
-	time.Sleep(storeTime)
+	time.Sleep(storeTime + time.Duration(s.slow.Load()))
 	return false
 }
 
@@ -342,6 +354,11 @@
 	s.mu.Lock()
 	a := storeAnswer{Rows: []storedRow{}}
 	for {
+		if after < s.floor {
+			s.mu.Unlock()
+			http.Error(w, "compacted", http.StatusGone)
+			return
+		}
 		for i := sort.Search(len(s.log), func(i int) bool { return s.log[i].Version > after }); i < len(s.log); i++ {
 			if s.log[i].Table == q.Get("table") {
 				a.Rows = append(a.Rows, s.log[i])
