review: case 12, a coordinator that never catches up with the jobs' table

Traced: the new coordinator, on a machine with 10 Mbit/s, asked for the changes of the jobs' table from one version for its whole term, because the answer took longer than the call may.

Change: case 12, a script with six entry VMs on links of 10 Mbit/s, a kill of the leader and a slow store; stand-in with a bandwidth, a history of 20 s and changeable bounds. The soak can vary the clocks of the minions' lives (CLOCKS=1).

--- a/review/lab3/minions.go
+++ b/review/lab3/minions.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -16,8 +17,8 @@
 
 // Machines with a minion each, and the machine service, as the platform's pages describe them.
 
-// Bounds of the deployment, as in its settings.
-const (
+// Bounds of the deployment, as in its settings: of amga-engrave, where a case doesn't set others.
+var (
 	maxHold      = 6 * time.Second
 	stopTime     = 400 * time.Millisecond
 	gangTimeout  = 3 * time.Second
@@ -127,6 +128,7 @@
 	// Guarded by world.mu.
 	id        string
 	born      time.Time
+	bornMS    int64 // as it says
 	base      int64
 	rate      float64
 	token     uint64
@@ -195,6 +197,8 @@
 	ckpts   map[string]map[string]time.Duration
 	// ever are the services to which a queue has ever been sent, where that is looked at.
 	ever map[string]map[string]bool
+	// anyClock: each life's clock begins anywhere, and the time of day that it was started at is up to 2 s off.
+	anyClock bool
 	// via, if set, returns the address at which a minion is listed.
 	via func(addr string) string
 }
@@ -250,6 +254,11 @@
 func (m *minion) reset() {
 	m.lives++
 	m.born, m.base, m.token, m.lease = time.Now(), 100000, 0, time.Time{}
+	m.bornMS = m.born.UnixMilli()
+	if m.w.anyClock {
+		m.base = 1 + rand.Int64N(200000)
+		m.bornMS = max(m.bornMS+rand.Int64N(4001)-2000, 1)
+	}
 	m.runs, m.barred, m.ends, m.next, m.void, m.sequence = map[string]*run{}, map[string]int{}, nil, 0, 0, 0
 	m.draining = false
 }
@@ -265,7 +274,7 @@
 	}
 	m.sequence++
 	v := map[string]any{"service": m.pool, "address": m.addr, "zone": m.zone, "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
-		"capacity": m.capacity, "labels": []string{"a", m.rack}, "clock_ms": m.clock(time.Now()), "sequence": m.sequence, "born": m.born.UnixMilli()}
+		"capacity": m.capacity, "labels": []string{"a", m.rack}, "clock_ms": m.clock(time.Now()), "sequence": m.sequence, "born": m.bornMS}
 	if m.draining {
 		v["state"], v["remaining_ms"] = "draining", max(0, time.Until(m.goneAt).Milliseconds())
 	}
@@ -589,7 +598,7 @@
 	for _, e := range m.ends[:min(len(m.ends), 500)] {
 		finished = append(finished, []any{e.seq, e.task, e.attempt, e.how, e.saved})
 	}
-	return map[string]any{"clock_ms": m.clock(now), "born": m.born.UnixMilli(), "running": running, "finished": finished}
+	return map[string]any{"clock_ms": m.clock(now), "born": m.bornMS, "running": running, "finished": finished}
 }
 
 // prolong extends the lease to a time on the minion's clock.
@@ -613,7 +622,7 @@
 	w.settle()
 	now := time.Now()
 	refuse := func(reason string) (int, map[string]any) {
-		return http.StatusConflict, map[string]any{"clock_ms": m.clock(now), "born": m.born.UnixMilli(), "reason": reason}
+		return http.StatusConflict, map[string]any{"clock_ms": m.clock(now), "born": m.bornMS, "reason": reason}
 	}
 	if o.Token < m.token {
 		return refuse("fence")
--- a/review/lab3/site.go
+++ b/review/lab3/site.go
@@ -36,7 +36,15 @@
 	storeAddr, cloudAddr, peerAddr string
 }
 
+// kind is what the settings of the entry VMs say of the deployment.
+type kind struct {
+	writes, reads int
+	cores, mbps   float64
+	memory, hold  int
+}
+
 type site struct {
+	kind     kind
 	priority map[string]int // of queues
 	*world
 	dir      string
@@ -91,7 +99,7 @@
 			panic(err)
 		}
 	}
-	s := &site{dir: dir, records: f, stop: make(chan struct{}), daemons: make([]*daemon, 0, 100)}
+	s := &site{kind: kind{600, 2000, 0.4, 1000, 284, 6000}, dir: dir, records: f, stop: make(chan struct{}), daemons: make([]*daemon, 0, 100)}
 	s.world = &world{began: time.Now(), st: newStore(), jobs: map[string]*job{}, waves: map[int64]*wave{}, ckpts: map[string]map[string]time.Duration{}}
 	s.world.rec = func(line string) {
 		s.recMu.Lock()
@@ -142,19 +150,19 @@
 metrics_listen = %q
 log_level = "info"
 store_url = "http://%s"
-store_writes_per_second = 600
-store_reads_per_second = 2000
+store_writes_per_second = %d
+store_reads_per_second = %d
 machines_address = %q
 advice_address = "127.0.0.1:9"
-cores = 0.4
-link_mbps = 1000.0
-memory_mb = 284
+cores = %g
+link_mbps = %g
+memory_mb = %d
 max_fds = 4100
 grace = "6s"
-max_hold = "6000ms"
+max_hold = "%dms"
 duty_gap = "3000ms"
 retention = "120s"
-`, d.name, d.zone, d.front, d.ready, d.peer, d.metrics, d.storeAddr, d.cloudAddr)
+`, d.name, d.zone, d.front, d.ready, d.peer, d.metrics, d.storeAddr, s.kind.writes, s.kind.reads, d.cloudAddr, s.kind.cores, s.kind.mbps, s.kind.memory, s.kind.hold)
 	if d.peerAddr != "" {
 		text += fmt.Sprintf("peer_address = %q\n", d.peerAddr)
 	}
@@ -479,6 +487,8 @@
 	mu       sync.Mutex
 	cut      bool
 	conns    map[net.Conn]bool
+	// down and up, if set, are the bandwidth towards those that connect, and from them.
+	down, up *bandwidth
 	// silent are connections that deliver nothing more.
 	silent map[net.Conn]bool
 }
@@ -561,8 +571,8 @@
 	p.mu.Unlock()
 	defer p.forget(up)
 	defer up.Close()
-	copyTo := func(dst, src net.Conn) {
-		buf := make([]byte, 32<<10)
+	copyTo := func(dst, src net.Conn, b *bandwidth) {
+		buf := make([]byte, 16<<10)
 		for {
 			n, err := src.Read(buf)
 			for p.isCut() {
@@ -576,6 +586,7 @@
 				continue
 			}
 			if n > 0 {
+				b.take(n)
 				if _, werr := dst.Write(buf[:n]); werr != nil {
 					break
 				}
@@ -587,6 +598,27 @@
 		dst.Close()
 		src.Close()
 	}
-	go copyTo(up, c)
-	copyTo(c, up)
+	go copyTo(up, c, p.up)
+	copyTo(c, up, p.down)
+}
+
+// bandwidth limits bytes per second, of all connections that share it.
+type bandwidth struct {
+	mu    sync.Mutex
+	rate  float64
+	until time.Time
+}
+
+func (b *bandwidth) take(n int) {
+	if b == nil {
+		return
+	}
+	b.mu.Lock()
+	if now := time.Now(); b.until.Before(now) {
+		b.until = now
+	}
+	b.until = b.until.Add(time.Duration(float64(n) / b.rate * float64(time.Second)))
+	wait := time.Until(b.until)
+	b.mu.Unlock()
+	time.Sleep(wait)
 }
--- a/review/lab3/soak.go
+++ b/review/lab3/soak.go
@@ -22,6 +22,7 @@
 		rnd := func(n int) int { rmu.Lock(); defer rmu.Unlock(); return r.IntN(n) }
 		kinds := os.Getenv("FAULTS")    // empty: all
 		more := os.Getenv("MORE") != "" // jobs and disruptions of the last sitting
+		s.anyClock = os.Getenv("CLOCKS") != ""
 		services := []string{"carve", "proof", "spare"}
 		s.configure(map[string]string{"cut": "carve", "read": "proof"}, services, "spare", []map[string]any{
 			{"name": "ward", "api_keys": []string{"key-ward"}, "weight": 10, "cap": map[string]any{"cpu": 0, "mem_mb": 0, "gpu": 0}},
--- a/review/lab3/store.go
+++ b/review/lab3/store.go
@@ -75,6 +75,11 @@
 	// floor is the version up to which the history has been dropped; slow is how much longer each answer takes.
 	floor uint64
 	slow  atomic.Int64
+	// keeps, if set, is for how long the history is kept; logAt are the times of its entries.
+	keeps time.Duration
+	logAt []time.Time
+	// onFeed, if set, is told of each answer to a call for changes.
+	onFeed func(client, table string, after uint64, rows, bytes int)
 	// decide returns what happens to a call; client is the name that the caller gives itself.
 	decide func(write bool, client string) (fault, time.Duration)
 	// onCommit is called, without the lock, after a transaction was applied.
@@ -124,6 +129,14 @@
 		s.rows[name] = r
 	}
 	s.log = append(s.log, r)
+	s.logAt = append(s.logAt, time.Now())
+	n := 0
+	for s.keeps > 0 && time.Since(s.logAt[n]) > s.keeps {
+		n++
+	}
+	if n > 0 {
+		s.floor, s.log, s.logAt = s.log[n-1].Version, s.log[n:], s.logAt[n:]
+	}
 }
 
 func (s *store) remove(name rowName) {
@@ -147,7 +160,7 @@
 func (s *store) compact() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.floor, s.log = s.version, nil
+	s.floor, s.log, s.logAt = s.version, nil, nil
 	s.changed.Broadcast()
 }
 
@@ -375,6 +388,9 @@
 	if f, _ := s.fault(false, r); f != faultNone && f != faultBusy {
 		silence(r)
 	}
+	if s.onFeed != nil {
+		s.onFeed(clientOf(r), q.Get("table"), after, len(a.Rows), len(jsonText(a)))
+	}
 	reply(w, http.StatusOK, a)
 }
 
