--- a/review/lab3/feed.go
+++ b/review/lab3/feed.go
@@ -111,7 +111,7 @@
 		hand(seconds("T4", 1), number("RATE1", 50))
 		wg.Wait()
 		s.note("QUIET")
-		time.Sleep(14 * time.Second)
+		time.Sleep(14*time.Second + seconds("WAIT", 0))
 		look := func() map[string]bool {
 			s.world.mu.Lock()
 			defer s.world.mu.Unlock()
@@ -145,7 +145,7 @@
 		defer s.world.mu.Unlock()
 		s.note("handed in %d, accepted %d, without a start %d", len(all), accepted, idle)
 		if idle > 0 {
-			s.breaks("LOST: %d of %d accepted jobs have not begun 17 s after the end of the traffic", idle, accepted)
+			s.breaks("LOST: %d of %d accepted jobs have not begun %v after the end of the traffic", idle, accepted, 17*time.Second+seconds("WAIT", 0))
 		}
 		for j, at := range cancelled {
 			for _, m := range s.world.minions {
