review: case 12 with one disruption

Cause: the first form of case 12 needed a kill, a slow store and a burst, with specs of 4,000 bytes.

Change: the kill of the leader alone, specs of the site's mean of 2,400 bytes, and 1,750 jobs that are due later, which make the tables longer.

--- a/review/lab3/feed.go
+++ b/review/lab3/feed.go
@@ -12,8 +12,8 @@
 	"time"
 )
 
-// feed: the leader is killed in a burst, on machines with a link of 10 Mbit/s. The next one reads its tables for some
-// seconds. Jobs that are accepted meanwhile, and cancellings, reach it only as changes of the store's table of jobs.
+// feed: the leader is killed, on machines with a link of 10 Mbit/s. The next one reads its tables for some seconds. Jobs
+// that are accepted meanwhile, and cancellings, reach it only as changes of the store's table of jobs.
 func init() {
 	cases["feed"] = func(s *site, trouble bool) {
 		number := func(name string, otherwise float64) float64 {
@@ -59,7 +59,7 @@
 		var mu sync.Mutex
 		var all []*handed
 		var wg sync.WaitGroup
-		text := strings.Repeat("x", int(number("SPEC", 4000)))
+		text := strings.Repeat("x", int(number("SPEC", 2400)))
 		hand := func(d time.Duration, perSecond float64) {
 			tick := time.NewTicker(time.Duration(float64(time.Second) / perSecond))
 			defer tick.Stop()
@@ -79,7 +79,17 @@
 		seconds := func(name string, otherwise float64) time.Duration {
 			return time.Duration(number(name, otherwise) * float64(time.Second))
 		}
-		hand(seconds("T1", 6), number("RATE1", 50))
+		// Jobs that are due much later make the tables longer.
+		for i := range int(number("TIMED", 1750)) {
+			j := &job{ID: newID(), Spec: text, queue: "cut", key: "key-ward", Repeat: 1, First: time.Now().Add(10 * time.Minute).UnixMilli(), Interval: 1000,
+				Steps: []step{{Count: 2, CPU: 1000, Mem: 100, Estimate: 300, work: 300 * time.Millisecond}}}
+			wg.Go(func() { s.submit(j) })
+			if i%2 == 1 {
+				time.Sleep(20 * time.Millisecond)
+			}
+		}
+		wg.Wait()
+		hand(seconds("T1", 6), number("RATE1", 80))
 		if trouble {
 			old := s.holder()
 			if old == nil {
@@ -87,7 +97,7 @@
 			}
 			s.signal(old, syscall.SIGKILL)
 			time.AfterFunc(3500*time.Millisecond, func() { s.launch(old) })
-			if x := number("SLOW", 60); x > 0 {
+			if x := number("SLOW", 0); x > 0 {
 				s.st.slow.Store(int64(float64(storeTime) * (x - 1)))
 				s.note("STORE  its answers take %v times as long", x)
 				time.AfterFunc(4500*time.Millisecond, func() {
@@ -97,7 +107,7 @@
 			}
 		}
 		cancelled := map[*job]time.Time{}
-		time.AfterFunc(seconds("CANCEL", 5), func() {
+		time.AfterFunc(seconds("CANCEL", 7), func() {
 			for _, j := range lasting[:6] {
 				if s.cancel(j) {
 					mu.Lock()
@@ -106,9 +116,9 @@
 				}
 			}
 		})
-		hand(seconds("T2", 3), number("RATE1", 50))
-		hand(seconds("T3", 4), number("RATE3", 180))
-		hand(seconds("T4", 1), number("RATE1", 50))
+		hand(seconds("T2", 4), number("RATE1", 80))
+		hand(seconds("T3", 6), number("RATE3", 110))
+		hand(seconds("T4", 0), number("RATE1", 80))
 		wg.Wait()
 		s.note("QUIET")
 		time.Sleep(14*time.Second + seconds("WAIT", 0))
