coordinator: let the term send its polls before the test counts them

Cause: TestPollsEndedByAFailedHandoverAreNoFailures counted the polls with an event that the term can run in one batch with the event of resume (drainEvents), before it checks the minions. The product was right: the polls were sent at the end of the same batch.

Change: the test waits until all goroutines of its bubble are blocked. synctest.Wait advances no time, so a poll that is sent later than at the moment of resume still fails the test; its three checks are unchanged.

--- a/internal/coordinator/resume_test.go
+++ b/internal/coordinator/resume_test.go
@@ -39,6 +39,8 @@
 		require.NoError(t, term.do(t.Context(), func() { term.path.finalBatch = term.collectBatch() }))
 		sleep(20 * time.Millisecond)
 		require.NoError(t, term.resume(t.Context(), platform.ErrUnavailable))
+		// The loop may run the next event in one batch with that of resume, before it sends what is due.
+		synctest.Wait()
 		failed, polling := 0, 0
 		require.NoError(t, term.do(t.Context(), func() {
 			for _, m := range term.minions {
