coordinator: log the run that an end is compared with

The line of an ended run did not say what the coordinator took for the task's current run, and no line told where a term's numbers begin.

Hypotheses, and what would refute each: 1. The successor numbers the task below runs of its predecessor. Refuted by a first_run above every number used before. 2. The end of a run with a higher number replaces the number of the run in progress on another minion, which the next report then does not match. Refuted if the registry still has the lower run as current when that report is handled, or if the task is requeued before it. 3. The first run ends on its minion before the second one begins, and what overlaps is a start that is carried out late. Refuted by one start order for each run, and by the events of the minions. 4. The lease of the minion that was cut off is taken as over too early. Refuted if its runs lapse before the successor's first start.

No decision changes.

--- a/internal/coordinator/reports.go
+++ b/internal/coordinator/reports.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"boragepulley/internal/holding"
 	"boragepulley/internal/jobs"
 	"boragepulley/internal/site"
@@ -60,6 +62,7 @@
 	countEnd(end.Outcome)
 	j := task.Step.Job
 	was := j.State()
+	current := currentRun{task.Run, task.Minion, task.Phase}
 	if end.Outcome == jobs.EndDone && end.Run == task.Run {
 		t.recordRunTime(task)
 		t.learnFromEnd(m, task, end)
@@ -73,7 +76,7 @@
 		m.Unassign(task, t.now)
 	}
 	if end.Outcome != jobs.EndDone && end.Outcome != jobs.EndStopped {
-		t.log.Info().Str("task", end.Task).Int("run", end.Run).Str("minion", string(m.ID)).Str("how", string(end.Outcome)).Msg("Coordinator: run ended.")
+		t.log.Info().Str("task", end.Task).Int("run", end.Run).Str("minion", string(m.ID)).Str("how", string(end.Outcome)).Object("current", current).Msg("Coordinator: run ended.")
 	}
 	if now := j.State(); now != was && now.Final() {
 		t.jobEnded(j)
@@ -81,6 +84,18 @@
 	t.needsPlan = true
 }
 
+// currentRun is the run that the registry assigns to a task, for logs.
+type currentRun struct {
+	number int
+	minion jobs.Minion
+	phase  jobs.Phase
+}
+
+// MarshalZerologObject implements zerolog.LogObjectMarshaler.
+func (r currentRun) MarshalZerologObject(e *zerolog.Event) {
+	e.Int("run", r.number).Str("minion", string(r.minion)).Stringer("phase", r.phase)
+}
+
 // jobEnded stops the remaining runs of a job that has reached a final state.
 func (t *Term) jobEnded(j *jobs.Job) {
 	t.writer.urgent = true
