jobs: the end of one run does not end another run of the task

Cause: Registry.Finish took the highest number that it was told of for that of the current run. After a takeover a task ran as 1001 on one minion; the minion that had been cut off listed the end of the earlier run 1061. The registry then assigned 1061 to the first minion, whose next report listed 1001: that run was stopped as an orphan, "run is gone" was concluded for 1061, and the task was started again before the end of 1001 was known. Only the end of a run on the minion that the task is assigned to says anything about the current run.

Change: a task has the number of its current run and, beside it, the highest number of any run that is known. An end on another minion raises the latter only, and adopting a run with a lower number no longer lowers the number of the next one. Rows are unchanged.

That a successor begins below the numbers of its predecessor is another fault, which this does not touch.

--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -63,8 +63,10 @@
 	Step  *StepRun
 	Index int
 	Phase Phase
-	// Run is the number of the task's latest run, or 0.
+	// Run is the number of the current run, or of the last one that was current; 0 if there was none.
 	Run int
+	// HighestRun is the highest number of a run that is known, whether or not it was ever current.
+	HighestRun int
 	// Minion is the minion of the current run in phases ordered, running and stopping.
 	Minion Minion
 	// FailedRuns lists the runs that failed and count as attempts. Those of a gang are in
@@ -532,7 +534,7 @@
 
 // NextRun returns the number of the task's next run. lowest is the lowest number that the current
 // coordinator may use; it exceeds all numbers of earlier coordinators, known or not.
-func (t *Task) NextRun(lowest int) int { return max(t.Run+1, lowest) }
+func (t *Task) NextRun(lowest int) int { return max(t.HighestRun+1, lowest) }
 
 // NextRun returns the number of the next run of a gang, which all members have in common: it exceeds the
 // numbers of all their runs so far. lowest is as in Task.NextRun.
@@ -578,6 +580,7 @@
 		t.Checkpoint = t.Step.gangCheckpoint
 	}
 	t.Run, t.Minion, t.Percent, t.PhaseSince = run, m, 0, now
+	t.HighestRun = max(t.HighestRun, run)
 }
 
 // Started records that a minion runs an ordered task.
@@ -646,13 +649,16 @@
 		return false
 	}
 	t.Step.Job.markBegun()
-	if run > t.Run {
-		t.Run = run
-	}
-	if run == t.Run {
+	t.HighestRun = max(t.HighestRun, run)
+	if run >= t.Run {
 		t.Checkpointed(run, checkpoint)
 	}
-	current := run == t.Run && (t.Minion == m || t.Minion == "")
+	// The end of a higher run on another minion tells nothing of the current run. On the same minion it
+	// rules the current one out: the minion starts no run below one that has ended there.
+	current := run >= t.Run && (t.Minion == m || t.Minion == "")
+	if current {
+		t.Run = run
+	}
 	lasting := t.Step.Spec.LongRunning
 	switch {
 	case outcome == EndDone && !lasting:
--- a/internal/jobs/book_test.go
+++ b/internal/jobs/book_test.go
@@ -36,6 +36,27 @@
 	require.Equal(t, StateFailed, k.State())
 }
 
+// Guards against the end of a run on one minion that counts as the end of a run in progress on another one, and
+// against the number of a later run that does not exceed both.
+func TestEndOfAnotherRunIsNotThatOfTheCurrentOne(t *testing.T) {
+	for _, how := range []End{EndFailed, EndStopped, EndLeaseExpired} {
+		b := NewRegistry()
+		x := b.Add(accepted("1", Step{Count: 1, LongRunning: true}), 0).Step(0, 0).Task(0)
+		b.Order(x, 1001, "m1", 0)
+		b.Started(x, 0)
+		b.Finish(x, 1061, "m0", how, "", 1, 0)
+		require.Equal(t, Running, x.Phase, how)
+		require.Equal(t, 1001, x.Run, "the run on m1 is still the current one")
+		require.Equal(t, 1062, x.NextRun(1001))
+		b.Finish(x, 1001, "m1", how, "", 1, 0)
+		require.Equal(t, Waiting, x.Phase, how)
+		require.Equal(t, 1062, x.NextRun(1001))
+
+		b.Adopt(x, 1002, "m1", "", 0)
+		require.Equal(t, 1062, x.NextRun(1001), "a run with a lower number that a minion reports")
+	}
+}
+
 // Guards against a gang whose other members run again after one member is done.
 func TestGangMembersEndTogether(t *testing.T) {
 	b := NewRegistry()
--- a/internal/jobs/record.go
+++ b/internal/jobs/record.go
@@ -284,7 +284,7 @@
 			t.FailedRuns = runs
 		}
 		for _, run := range runs {
-			t.Run = max(t.Run, run)
+			t.restoreRun(run)
 		}
 	}
 	for name, byRun := range p.FailedBits {
@@ -299,7 +299,7 @@
 		for _, run := range slices.Sorted(maps.Keys(byRun)) {
 			err := s.fromBitmap(byRun[run], func(t *Task) {
 				t.FailedRuns = append(t.FailedRuns, run)
-				t.Run = max(t.Run, run)
+				t.restoreRun(run)
 			})
 			if err != nil {
 				return err
@@ -309,6 +309,11 @@
 	return nil
 }
 
+// restoreRun notes the number of an earlier run.
+func (t *Task) restoreRun(run int) {
+	t.Run, t.HighestRun = max(t.Run, run), max(t.HighestRun, run)
+}
+
 // TaskName is the parsed name of a task.
 type TaskName struct {
 	Job                     ID
