coordinator: order a run only if the stored lease owns its number

Cause: each term had 1,000 run numbers for a task, and the comment said that those of earlier terms are always lower. Nothing kept a term from using more, and the last number is stored nowhere. The successor began at 1,001 while runs up to 1,061 had been ordered: minions reject a number that is not above each one that was stopped or has ended there.

Change: a fencing token stands for a span of 1,000 run numbers (internal/runspan). The lease's row already names the highest token that its holder has reserved, and the next holder's first token is above it. A run is sent only once the stored row covers its number. The next token is reserved with an ordinary write of the lease when half of the last span is used, so that a start waits only if a task uses 500 numbers while no write succeeds. A takeover reads nothing more. Weighed and rejected: a mark in the progress of each such job (more rows, and the version before does not read it), a new term (a takeover every 1,000 restarts), numbers from what minions list (those that are cut off or have been replaced list nothing).

Tests: TestTaskRestartedOftenRunsSoonAfterATakeover failed before (no run after 6 s). TestRunIsOrderedOnlyOnceItsNumberIsStored, TestTokensReservedAtOnceAreBelowThoseOfLaterHolders and the tests of runspan are new. Packages coordinator, jobs, entry, lease, runspan and explain pass with -race.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -21,6 +21,7 @@
 	"boragepulley/internal/model"
 	"boragepulley/internal/peer"
 	"boragepulley/internal/platform"
+	"boragepulley/internal/runspan"
 	"boragepulley/internal/schedule"
 	"boragepulley/internal/site"
 )
@@ -89,6 +90,9 @@
 	Now  func() time.Duration
 	Log  zerolog.Logger
 	Rand *rand.Rand
+
+	// runSpans replaces runspan.Size in tests; 0 means that.
+	runSpans runspan.Spans
 }
 
 // PeerClient is the connection to one other entry VM.
@@ -155,6 +159,7 @@
 	compactor rowCompactor
 	members   members
 	path      storePath
+	ownRuns   ownRuns
 	feeds     feeds
 	waves     waves
 	machines  machines
@@ -241,6 +246,7 @@
 	t.lastLoop = t.now
 	t.startedAt, t.leaseUntil, t.leaseVersion = t.now, held.ExpiresAt, held.Version
 	t.orders = fencing.NewSender(d.Fleet, d.Self.Entry, t.epoch, d.Now)
+	t.ownRuns.init(d.runSpans, t.epoch)
 	t.writer.init()
 	t.path.init(&t.deps)
 	t.compactor.init()
--- a/internal/coordinator/gangs.go
+++ b/internal/coordinator/gangs.go
@@ -63,24 +63,28 @@
 	return r.gangs[s]
 }
 
-// startRecorded reports whether the stored progress names the minion of a start. The starts of a gang count as
-// recorded only if all its members are in one run, and all that have not been sent can be sent: pending starts
+// startStored reports whether the store has what a successor must know of a start: the progress names its
+// minion, and the lease the token of its run number. The starts of a gang count as
+// stored only if all its members are in one run, and all that have not been sent can be sent: pending starts
 // are visited in random order, so that members would otherwise be sent before another one is requeued in the
 // same pass.
-func (t *Term) startRecorded(task *jobs.Task, start *pendingStart, gangs map[*jobs.StepRun]bool) bool {
+func (t *Term) startStored(task *jobs.Task, start *pendingStart, gangs map[*jobs.StepRun]bool) bool {
 	s := task.Step
+	if !t.runReserved(task) {
+		return false
+	}
 	if !s.Spec.Gang {
 		return s.Job.RecordedOn(start.minion.ID)
 	}
-	recorded, known := gangs[s]
+	stored, known := gangs[s]
 	if !known {
-		recorded = s.Whole()
+		stored = s.Whole()
 		for _, x := range s.Tasks {
-			recorded = recorded && (x.Phase != jobs.Ordered || s.Job.RecordedOn(x.Minion) && t.sendable(t.pendingStarts[x]))
+			stored = stored && (x.Phase != jobs.Ordered || s.Job.RecordedOn(x.Minion) && t.sendable(t.pendingStarts[x]))
 		}
-		gangs[s] = recorded
+		gangs[s] = stored
 	}
-	return recorded
+	return stored
 }
 
 // sendable reports whether a start, nil if none is pending, has been sent or may be sent now.
--- a/internal/coordinator/harness_test.go
+++ b/internal/coordinator/harness_test.go
@@ -18,6 +18,7 @@
 	"boragepulley/internal/lease"
 	"boragepulley/internal/model"
 	"boragepulley/internal/peer"
+	"boragepulley/internal/runspan"
 	"boragepulley/internal/site"
 	"boragepulley/standins/fleet"
 )
@@ -32,6 +33,8 @@
 	waves     map[int64]site.Wave
 	startedAt time.Time
 	log       lockedBuffer
+	// runSpans is Deps.runSpans of all terms.
+	runSpans runspan.Spans
 	// evacuations, if set, is what an entry VM knows of the operators' evacuations.
 	evacuations func(name model.EntryVM) *knownEvacuations
 	// clients are the minions and machines, unless a test replaces them.
@@ -122,6 +125,7 @@
 		Now:        func() time.Duration { return time.Hour + time.Since(s.startedAt) },
 		Log:        zerolog.New(&s.log).With().Str("entry", string(name)).Logger().Hook(timestampHook{s}),
 		Rand:       rand.New(rand.NewPCG(1, 2)),
+		runSpans:   s.runSpans,
 	}
 	if s.evacuations != nil {
 		known := s.evacuations(name)
--- a/internal/coordinator/journal.go
+++ b/internal/coordinator/journal.go
@@ -427,6 +427,7 @@
 func (t *Term) sendWrite(b *batch) {
 	w := &t.writer
 	w.writing, w.lastSent = true, t.now
+	t.reserveRuns()
 	t.path.writeSent(t.now)
 	t.load.writes++
 	t.load.rows += len(b.puts)
@@ -435,9 +436,12 @@
 		// that this one leaves, so its outcome must be known unless the term ends.
 		ctx, route := relay.WithRoute(t.ctx)
 		err := t.held.Commit(ctx, b.puts)
-		until, version := t.held.ExpiresAt, t.held.Version
+		until, version, token := t.held.ExpiresAt, t.held.Version, t.held.LastToken()
 		t.post(func() {
 			t.leaseVersion = version
+			if err == nil {
+				t.ownRuns.stored(token)
+			}
 			t.observeWrite(err, route.Relayed())
 			t.writeFinished(b, err, until)
 		})
--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -111,20 +111,18 @@
 		t.registry.MarkUnsaved(j)
 		t.writer.heldStarts[j], t.writer.urgent = true, true
 	}
-	if held || task.Step.Spec.Gang {
+	owned := t.ownRuns.give(run)
+	if !owned {
+		counters.Add("starts_held_for_numbers", 1)
+		t.writer.urgent = true
+	}
+	if held || !owned || task.Step.Spec.Gang {
 		t.ordersChanged = true
-		return // resendOrders sends it once the minion is in the stored progress
+		return // resendOrders sends it once startStored
 	}
 	t.sendStart(task, start)
 }
 
-// runsPerEpoch is the number of run numbers that each coordinator can use per task. The run numbers
-// of earlier coordinators, known or not, are always lower.
-const runsPerEpoch = 1000
-
-// firstRun returns the lowest run number of this term.
-func (t *Term) firstRun() int { return int(t.epoch-1)*runsPerEpoch + 1 }
-
 func (t *Term) sendStart(task *jobs.Task, start *pendingStart) {
 	m := start.minion
 	start.inFlight = true
@@ -347,7 +345,7 @@
 			// It is sent once earlier orders can have no effect on the minion.
 		case !t.mayStartIn(start.minion.DC):
 			// It is sent once the operators' table has been read again.
-		case start.tries > 0 || t.startRecorded(task, start, gangs):
+		case start.tries > 0 || t.startStored(task, start, gangs):
 			t.sendStart(task, start)
 		}
 	}
--- a/internal/coordinator/ownruns_test.go
+++ b/internal/coordinator/ownruns_test.go
@@ -9,6 +9,8 @@
 	"github.com/stretchr/testify/require"
 
 	"boragepulley/internal/jobs"
+	"boragepulley/internal/lease"
+	"boragepulley/internal/runspan"
 	"boragepulley/standins/fleet"
 )
 
@@ -67,3 +69,58 @@
 		require.Len(t, s.minions.Running(restartedTask), 1)
 	})
 }
+
+// Guards against a long-running task that has no run for long after a takeover: its runs were so many that the
+// minions reject the numbers with which the next coordinator begins.
+func TestTaskRestartedOftenRunsSoonAfterATakeover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestSite(t, 6)
+		term, on := s.startFailingTask(1060)
+		s.minions.Change(on, func(m *fleet.Minion) { m.Down = true })
+		endTerm(term)
+		next := s.startTerm("e2", nil)
+		defer endTerm(next)
+		sleep(6 * time.Second)
+		s.requireNoViolations()
+		require.Len(t, s.minions.Running(restartedTask), 1)
+	})
+}
+
+// Guards against a run with a number that a successor may use as well: it is ordered before the stored lease
+// names the number's token, as while the store is away.
+func TestRunIsOrderedOnlyOnceItsNumberIsStored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const spans runspan.Spans = 4
+		s := newTestSite(t, 3)
+		s.runSpans = spans
+		var beyond atomic.Int64
+		s.minions.OnEvent = func(e fleet.Event) {
+			stored, err := lease.Decode(s.store.Row(lease.Key))
+			if e.Kind == fleet.RunBegan && (err != nil || e.Run > spans.Last(max(stored.Epoch, stored.MaxToken))) {
+				beyond.Add(1)
+			}
+		}
+		var away atomic.Bool
+		s.minions.SetWork(func(string, int) (time.Duration, jobs.End) { return 5 * time.Millisecond, jobs.EndFailed })
+		term := s.startTerm("e1", func(op string) fleet.Fault {
+			if away.Load() && op == "commit" {
+				return fleet.Refuse
+			}
+			return fleet.None
+		})
+		defer endTerm(term)
+		sleep(time.Second)
+		s.submitJob(term, restartedJob, longRunningStep(1))
+		sleep(2 * time.Second)
+		before := s.minions.Starts(restartedTask)
+		require.Greater(t, before, 3*int(spans), "more numbers are stored as they are needed")
+		away.Store(true)
+		sleep(time.Second)
+		during := s.minions.Starts(restartedTask)
+		require.LessOrEqual(t, during, before+2*int(spans))
+		away.Store(false)
+		sleep(time.Second)
+		require.Greater(t, s.minions.Starts(restartedTask), during)
+		require.Zero(t, beyond.Load())
+	})
+}
--- a/internal/coordinator/plan.go
+++ b/internal/coordinator/plan.go
@@ -67,7 +67,7 @@
 	t.startsBounded = p.Bounded
 	r := planResult{decidedAt: t.deps.Now(), steps: len(snap.Steps), tried: p.Tried, starts: len(p.Start)}
 	t.countAvoided(p.Avoided)
-	runs := runNumbers{lowest: t.firstRun()}
+	runs := runNumbers{lowest: t.ownRuns.first}
 	for _, assignment := range p.Start {
 		if m := t.minions[assignment.Minion]; m != nil {
 			t.startTask(assignment.Task, runs.next(assignment.Task), m)
--- a/internal/coordinator/recover.go
+++ b/internal/coordinator/recover.go
@@ -219,7 +219,7 @@
 	t.feeds.startFrom(rows.jobs.Version, rows.listed.Version)
 	t.loaded, t.needsPlan = true, true
 	t.log.Info().Int("jobs", t.registry.Len()).Int("open", len(t.registry.Open())).Int("minions", len(t.minions)).
-		Dur("after", t.now-t.startedAt).Int("first_run", t.firstRun()).
+		Dur("after", t.now-t.startedAt).Int("first_run", t.ownRuns.first).
 		Dur("leases_end_after", t.unseenUntil()-t.startedAt).Msg("Coordinator: state loaded.")
 }
 
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -35,7 +35,7 @@
 	Incarnation model.Incarnation `json:"i,omitempty"`
 	// Epoch is the holder's first fencing token; it increases with each holder.
 	Epoch uint64 `json:"e"`
-	// MaxToken is the highest fencing token that the holder has reserved, see Held.ReserveToken. It is 0
+	// MaxToken is the highest fencing token that the holder has reserved, see Held.Reserve. It is 0
 	// while that is Epoch.
 	MaxToken uint64 `json:"t,omitempty"`
 	// Seq increases with each write of a holder.
@@ -112,10 +112,22 @@
 // ReserveToken returns a fencing token that is higher than all that this holder has used and lower than
 // those of later holders. It may be used once the next Commit has succeeded.
 func (h *Held) ReserveToken() uint64 {
-	h.Row.MaxToken = max(h.Row.Epoch, h.Row.MaxToken) + 1
+	h.Reserve(h.LastToken() + 1)
 	return h.Row.MaxToken
 }
 
+// Reserve reserves all fencing tokens up to the given one that this holder does not have. They may be used
+// once the next Commit has succeeded.
+func (h *Held) Reserve(upTo uint64) {
+	if upTo > h.LastToken() {
+		h.Row.MaxToken = upTo
+	}
+}
+
+// LastToken returns the highest fencing token that is or will be reserved with the next Commit. All from
+// Row.Epoch to this one are the holder's own.
+func (h *Held) LastToken() uint64 { return max(h.Row.Epoch, h.Row.MaxToken) }
+
 // Release writes the last puts and releases the lease, so that another entry VM can acquire it
 // immediately. After an error without effect the lease is still held.
 func (h *Held) Release(ctx context.Context, puts []platform.Put) error {
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -96,6 +96,27 @@
 	})
 }
 
+// Guards against reserved tokens that a later holder owns as well.
+func TestTokensReservedAtOnceAreBelowThoseOfLaterHolders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := fleet.NewStore()
+		v := &fleet.View{Store: s}
+		now := clockFrom(time.Now())
+		a, err := Acquire(context.Background(), v, now, s.Row(Key), Row{Holder: "a", Incarnation: "1"})
+		require.NoError(t, err)
+		a.Reserve(1)
+		require.Zero(t, a.Row.MaxToken, "it has this one")
+		a.Reserve(7)
+		a.Reserve(5)
+		require.EqualValues(t, 7, a.LastToken())
+		require.EqualValues(t, 8, a.ReserveToken())
+		require.NoError(t, a.Commit(context.Background(), nil))
+		b, err := Acquire(context.Background(), v, now, s.Row(Key), Row{Holder: "b", Incarnation: "2"})
+		require.NoError(t, err)
+		require.EqualValues(t, 9, b.Row.Epoch)
+	})
+}
+
 // Guards against a fencing token that two holders use, and against one that is used before it is stored.
 func TestReservedTokensAreBelowThoseOfLaterHolders(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
