coordinator: skip run numbers when a minion has had higher ones

Callers would see: after an upgrade, a long-running task that the former version had restarted over 1,000 times has no run for long. That version reserved no run numbers, so the lease does not tell what it used.

Change: if the rejected start was the only attempt, the run never began. The task is requeued at once, and its next start leaves out 1, 2, 4 ... numbers until one is accepted, which takes 20 starts for a million numbers. A start with an earlier attempt is handled as before: its run may have begun and ended.

TestSkippedRunsDouble is new.

--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -241,6 +241,13 @@
 	case reason == site.RefusedFenced:
 		t.End(errors.Wrap(err, "coordinator: replaced"))
 		return
+	case reason == site.RefusedStale && start.tries == 1:
+		// This was the only attempt, so the run never began: a run with a number that this term does not know
+		// was stopped or has ended there. A version that reserved no numbers may have ordered it.
+		counters.Add("starts_below_earlier_runs", 1)
+		t.registry.SkipRuns(task)
+		t.requeueBecause(task, "start_below_earlier_run")
+		return
 	case reason == site.RefusedStale:
 		// The run has already ended, or the next poll reports it as running.
 		t.registry.AwaitReport(task, t.now)
--- a/internal/coordinator/ownruns_test.go
+++ b/internal/coordinator/ownruns_test.go
@@ -43,11 +43,27 @@
 	return term, running[0]
 }
 
+// eachPredecessor runs a test whose first term is of this version, or of one that used more run numbers than the
+// stored lease named. endPredecessor ends it.
+func eachPredecessor(t *testing.T, test func(t *testing.T, s *testSite, endPredecessor func(*Term))) {
+	for name, spans := range map[string]runspan.Spans{"this version": 0, "without reservations": 1_000_000} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newTestSite(t, 6)
+				s.runSpans = spans
+				test(t, s, func(term *Term) {
+					endTerm(term)
+					s.runSpans = 0
+				})
+			})
+		})
+	}
+}
+
 // Guards against a long-running task that runs twice after a takeover: its runs under the earlier coordinator
 // were so many that the next one began with a lower number, and took the end of the earlier run for that of its own.
 func TestTaskRestartedOftenRunsOnceAfterATakeover(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		s := newTestSite(t, 6)
+	eachPredecessor(t, func(t *testing.T, s *testSite, endPredecessor func(*Term)) {
 		term, on := s.startFailingTask(1060)
 		for _, m := range s.minions.States() { // no run of the task has ended on their successors
 			if id := m.Entry.ID; id != on {
@@ -59,7 +75,7 @@
 		sleep(2 * time.Second)
 		require.Equal(t, []jobs.Minion{on}, s.minions.Running(restartedTask))
 		s.minions.Change(on, func(m *fleet.Minion) { m.Cut = true })
-		endTerm(term)
+		endPredecessor(term)
 		next := s.startTerm("e2", nil)
 		defer endTerm(next)
 		sleep(5300 * time.Millisecond)
@@ -73,11 +89,10 @@
 // Guards against a long-running task that has no run for long after a takeover: its runs were so many that the
 // minions reject the numbers with which the next coordinator begins.
 func TestTaskRestartedOftenRunsSoonAfterATakeover(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		s := newTestSite(t, 6)
+	eachPredecessor(t, func(t *testing.T, s *testSite, endPredecessor func(*Term)) {
 		term, on := s.startFailingTask(1060)
 		s.minions.Change(on, func(m *fleet.Minion) { m.Down = true })
-		endTerm(term)
+		endPredecessor(term)
 		next := s.startTerm("e2", nil)
 		defer endTerm(next)
 		sleep(6 * time.Second)
--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -67,6 +67,8 @@
 	Run int
 	// HighestRun is the highest number of a run that is known, whether or not it was ever current.
 	HighestRun int
+	// skips counts the calls of Registry.SkipRuns since a run last began.
+	skips uint8
 	// Minion is the minion of the current run in phases ordered, running and stopping.
 	Minion Minion
 	// FailedRuns lists the runs that failed and count as attempts. Those of a gang are in
@@ -583,8 +585,19 @@
 	t.HighestRun = max(t.HighestRun, run)
 }
 
+// maxSkips bounds how many numbers SkipRuns leaves out at a time: 2 to the power of it.
+const maxSkips = 20
+
+// SkipRuns leaves out numbers for the task's next run, twice as many with each call, because a minion has had
+// a run with an unknown number that is not below the current one.
+func (r *Registry) SkipRuns(t *Task) {
+	t.HighestRun += 1 << t.skips
+	t.skips = min(t.skips+1, maxSkips)
+}
+
 // Started records that a minion runs an ordered task.
 func (r *Registry) Started(t *Task, now time.Duration) {
+	t.skips = 0
 	t.Step.Job.markBegun()
 	r.AwaitReport(t, now)
 }
--- a/internal/jobs/book_test.go
+++ b/internal/jobs/book_test.go
@@ -57,6 +57,26 @@
 	}
 }
 
+// Guards against a task that needs a start for each number that lies between those of its earlier runs and the
+// lowest one that the coordinator may use.
+func TestSkippedRunsDouble(t *testing.T) {
+	b := NewRegistry()
+	x := b.Add(accepted("1", Step{Count: 1, LongRunning: true}), 0).Step(0, 0).Task(0)
+	starts := 0
+	for last := 1_000_000; x.HighestRun <= last; starts++ {
+		b.Order(x, x.NextRun(1), "m", 0)
+		if x.Run <= last {
+			b.SkipRuns(x)
+			b.Requeue(x, 0)
+		}
+	}
+	require.Less(t, starts, 25)
+	b.Started(x, 0)
+	before := x.HighestRun
+	b.SkipRuns(x)
+	require.Equal(t, before+1, x.HighestRun)
+}
+
 // Guards against a gang whose other members run again after one member is done.
 func TestGangMembersEndTogether(t *testing.T) {
 	b := NewRegistry()
