coordinator: soak with few run numbers per token

Change: TestSoakWithFewRunNumbersPerToken runs the soak with cut coordinators, killed ones and handovers with two numbers per token, and checks each run that begins: the stored lease names its token, and no run of the task with this number was on another minion.

--- a/internal/coordinator/soak_test.go
+++ b/internal/coordinator/soak_test.go
@@ -22,6 +22,7 @@
 	"boragepulley/internal/invariant"
 	"boragepulley/internal/jobs"
 	"boragepulley/internal/lease"
+	"boragepulley/internal/runspan"
 	"boragepulley/standins/fleet"
 )
 
@@ -54,6 +55,40 @@
 	runSeeds(t, soakSeeds[:30], func(t *testing.T, seed uint64) { runSoakWithCuts(t, seed, cutShare, true) })
 }
 
+// Guards against the same, and against runs with a number that another coordinator used or may use as well, while
+// each coordinator restarts tasks more often than there are numbers to a token.
+func TestSoakWithFewRunNumbersPerToken(t *testing.T) {
+	runSeeds(t, soakSeeds[:30], func(t *testing.T, seed uint64) {
+		runSoakOn(t, newFewNumbersSite(t, soakMinions), seed, cutShare, false)
+	})
+}
+
+// fewNumbers is the size of the spans of run numbers in TestSoakWithFewRunNumbersPerToken.
+const fewNumbers runspan.Spans = 2
+
+// newFewNumbersSite returns a site whose minions check that each run that begins has a number that the
+// lease names, and that no run of the task on another minion had.
+func newFewNumbersSite(t *testing.T, n int) *testSite {
+	s := newTestSite(t, n)
+	s.runSpans = fewNumbers
+	owned, begun := uint64(0), map[string]jobs.Minion{} // both only used while the minions are locked
+	s.minions.OnEvent = func(e fleet.Event) {
+		if e.Kind != fleet.RunBegan {
+			return
+		}
+		l, err := lease.Decode(s.store.Row(lease.Key))
+		require.NoError(t, err)
+		owned = max(owned, l.Epoch, l.MaxToken)
+		run := fmt.Sprint(e.Task, " run ", e.Run)
+		require.LessOrEqual(t, fewNumbers.Token(e.Run), owned, run)
+		if before, ok := begun[run]; ok {
+			require.Equal(t, before, e.Minion, run) // the next incarnation has carried out the same order
+		}
+		begun[run] = e.Minion
+	}
+	return s
+}
+
 // cutShare is the share of the steps of TestSoakWithCutCoordinators in which the coordinator is cut
 // off from the store, and healShare that in which all cuts end.
 const cutShare, healShare = 0.15, 0.25
@@ -88,10 +123,14 @@
 // runSoakWithCuts runs the soak of a seed. In a share of its steps the coordinator is cut off from
 // the store and replaced. With evacuations, data centres are evacuated for random times.
 func runSoakWithCuts(t *testing.T, seed uint64, cutShare float64, evacuations bool) {
+	runSoakOn(t, newTestSite(t, soakMinions), seed, cutShare, evacuations)
+}
+
+// runSoakOn is runSoakWithCuts on a site.
+func runSoakOn(t *testing.T, ts *testSite, seed uint64, cutShare float64, evacuations bool) {
 	r := &lockedRand{r: rand.New(rand.NewPCG(seed, 0))}
 	// The cuts have their own random numbers, so that the other faults of a seed are the same.
 	rc := rand.New(rand.NewPCG(seed, 1))
-	ts := newTestSite(t, soakMinions)
 	var operators *soakOperators
 	if evacuations {
 		operators = newSoakOperators(ts, rand.New(rand.NewPCG(seed, 2)))
