entry: log attempts with an unknown outcome and cancellations of unknown jobs

The log did not tell what the entry VM that answered knew of the attempt to store the job.

Hypotheses, and what would refute each: 1. The entry VM that got the DELETE had been told of the attempt and did not look. Refuted by a notice that arrives after the 410. 2. The coordinator or the store had the job, and the answer came from an outdated view. Refuted by a job that is stored after the 410 only. 3. The DELETE overtakes the attempt: no entry VM has an unknown outcome yet. Refuted by a notice before the DELETE. 4. The job is stored by a second attempt of the caller. Refuted by one POST for each such job.

Change: a line when an attempt ends without an answer, one when another entry VM is told of it, and one when a job is to be cancelled that is not stored, with what is known of attempts; bounded, 50 lines a second and entry VM.

The job's row can still be written after any number of looks: to look at the attempts is not enough.

--- a/internal/entry/attempts.go
+++ b/internal/entry/attempts.go
@@ -8,11 +8,14 @@
 	"github.com/pkg/errors"
 
 	"boragepulley/internal/jobs"
+	"boragepulley/internal/logging"
 	"boragepulley/internal/peer"
 	"boragepulley/internal/platform"
 )
 
 const (
+	// attemptLinesPerSecond and attemptLineBurst bound the log lines about attempts.
+	attemptLinesPerSecond, attemptLineBurst = 50, 200
 	// attemptTTL is the shortest time for which an attempt is remembered: callers try up to five
 	// times and are asked to wait at most maxRetryAfter in between.
 	attemptTTL = 30 * time.Second
@@ -25,7 +28,7 @@
 )
 
 // attempts remembers the jobs of recent attempts whose rows are or may be stored, by this entry VM
-// or by another one that has sent a notice. The zero value is empty.
+// or by another one that has sent a notice. It is empty once lines is set.
 type attempts struct {
 	mu sync.Mutex
 	// current and previous map ids to whether the job is certainly stored.
@@ -33,6 +36,8 @@
 	startedAt         time.Duration    // guarded by mu; when current was created
 	// inProgress counts the attempts that are being stored.
 	inProgress map[jobs.ID]int // guarded by mu
+	// lines bounds the log lines about attempts and cancellations whose job is not stored.
+	lines *logging.Limiter
 }
 
 // record notes an attempt. An attempt with an unknown outcome does not replace a stored one.
@@ -93,6 +98,9 @@
 // the caller may try again.
 func (n *Node) recordUncertain(id jobs.ID) {
 	n.attempts.record(id, false, n.deps.Now())
+	if suppressed, ok := n.attempts.lines.Allow(); ok {
+		n.log.Info().Str("job", string(id)).Int64("suppressed", suppressed).Msg("Entry: the outcome of an attempt to store a job is unknown; telling the other entry VMs.")
+	}
 	members := n.members.Load()
 	if members == nil {
 		return
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -117,6 +117,7 @@
 func New(d Deps) *Node {
 	ctx, stop := context.WithCancel(context.Background())
 	n := &Node{deps: d, log: logging.Part(d.Log, "entry"), ctx: ctx, stop: stop, peers: map[string]peer.SiteHandler{}}
+	n.attempts.lines = logging.NewLimiter(attemptLinesPerSecond, attemptLineBurst)
 	n.evacuations.lines = logging.NewLimiter(evacuationLinesPerSecond, evacuationLineBurst)
 	n.readiness.wake = make(chan struct{}, 1)
 	n.store = &relay.Store{Self: d.Self, Table: d.Table, Feed: d.Feed, Peers: n.relayPeers, RemotePeers: n.remotePeers, OnFailure: n.wakeStoreWatch, OnPeersAsked: func() { n.updateReadiness() },
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -106,6 +106,9 @@
 // JobUncertain implements peer.SiteHandler.
 func (h handler) JobUncertain(_ context.Context, m *peer.JobRequest) (*peer.Empty, error) {
 	h.n.attempts.record(jobs.ID(m.Job), false, h.n.deps.Now())
+	if suppressed, ok := h.n.attempts.lines.Allow(); ok {
+		h.n.log.Info().Str("job", m.Job).Str("from", string(m.From.Entry)).Int64("suppressed", suppressed).Msg("Entry: told of an attempt with an unknown outcome.")
+	}
 	return &peer.Empty{}, nil
 }
 
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -272,6 +272,7 @@
 		return n.unavailable(err)
 	}
 	if row.Version == 0 {
+		n.logUnknownJob(id, mayBeDone)
 		return site.Answer{Err: errors.WithStack(site.ErrJobNotFound), Reason: site.ReasonStore}
 	}
 	_, err = n.deps.Table.Commit(ctx, platform.PriorityClaim, platform.Txn{Puts: []platform.Put{{Key: coordinator.CancelKey(id), Value: []byte("{}")}}})
@@ -282,6 +283,17 @@
 	return site.Answer{Reason: site.ReasonStore}
 }
 
+// logUnknownJob logs the cancellation of a job that neither the coordinator nor the store has.
+func (n *Node) logUnknownJob(id jobs.ID, coordinatorSilent bool) {
+	suppressed, ok := n.attempts.lines.Allow()
+	if !ok {
+		return
+	}
+	stored, known := n.attempts.lookup(id)
+	n.log.Info().Str("job", string(id)).Bool("coordinator_silent", coordinatorSilent).Bool("attempt_known", known).Bool("attempt_stored", stored).
+		Int64("suppressed", suppressed).Msg("Entry: cancellation of a job that is not stored.")
+}
+
 // cancelAtCoordinator asks the coordinator to cancel a job. done is set if the cancellation is stored,
 // mayBeDone if the coordinator did not answer, or had not stored it in time.
 func (n *Node) cancelAtCoordinator(ctx context.Context, id jobs.ID) (done, mayBeDone bool) {
