entry: withdraw a job that is cancelled before it is stored

Cause: the caller had left before its job was accepted, and the store had lost the answer to the write that accepts it. Neither the coordinator nor the store had the job at the time of the DELETE, so Cancel answered 410 and stored nothing; the write was performed seconds later, as its condition, that the row does not exist, still held.

To look at the notices would not be enough: they may be lost, and the entry VM of the attempt may have ended.

Change: DELETE of a job without a row writes a withdrawal into that row, under the condition of the accepting write, and answers 410 once that is stored. The store performs only one of the two writes, in any order. If the job is stored meanwhile, it is cancelled as before; if the outcome cannot be found out the answer is 504, as for any call. A later POST with the id gets 429 with the time until the id can be used again, GET and DELETE get 410. The coordinator keeps a withdrawal like the state of an ended job and then removes it, only as it was read, because a job may be stored under the id. It costs a write for each DELETE of an unknown job.

--- a/internal/coordinator/api.go
+++ b/internal/coordinator/api.go
@@ -4,13 +4,14 @@
 	"context"
 
 	"boragepulley/internal/jobs"
+	"boragepulley/internal/platform"
 )
 
 // JobStored informs the term of a job whose row is stored.
 func (t *Term) JobStored(id jobs.ID, row []byte) {
 	t.post(func() {
 		if t.loaded {
-			t.addJobRow(string(id), row, false)
+			t.addJobRow(string(id), platform.Row{Value: row}, false)
 		}
 	})
 }
@@ -43,7 +44,7 @@
 		}
 		out := make([]JobState, len(ids))
 		for i, id := range ids {
-			if j := t.registry.Get(id); j != nil {
+			if j := t.knownJob(id); j != nil {
 				out[i] = t.visibleState(j)
 			} else {
 				out[i].Current = t.now < t.exclusiveUntil()
@@ -57,6 +58,14 @@
 	return states, err
 }
 
+// knownJob returns an accepted job, or nil.
+func (t *Term) knownJob(id jobs.ID) *jobs.Job {
+	if j := t.registry.Get(id); j != nil && !j.Withdrawn {
+		return j
+	}
+	return nil
+}
+
 func (t *Term) visibleState(j *jobs.Job) JobState {
 	s := j.VisibleState()
 	return JobState{s, s.Final() || t.now < t.exclusiveUntil() && !j.FinalStateSent}
@@ -69,7 +78,7 @@
 	stored := make(chan struct{})
 	type answer struct{ loaded, known bool }
 	a, err := ask(ctx, t, func() answer {
-		j := t.registry.Get(id)
+		j := t.knownJob(id)
 		if !t.loaded || j == nil {
 			return answer{loaded: t.loaded}
 		}
--- a/internal/coordinator/backlog_test.go
+++ b/internal/coordinator/backlog_test.go
@@ -53,7 +53,7 @@
 		value, err := json.Marshal(a)
 		require.NoError(tb, err)
 		t.now = now - time.Duration(n-i)*time.Millisecond
-		require.NotNil(tb, t.addJobRow(fmt.Sprintf("%016x", i*7919%1000003), value, false))
+		require.NotNil(tb, t.addJobRow(fmt.Sprintf("%016x", i*7919%1000003), platform.Row{Value: value}, false))
 	}
 	t.now = now
 	return t
--- a/internal/coordinator/endedrows.go
+++ b/internal/coordinator/endedrows.go
@@ -31,7 +31,8 @@
 // so that memory, the store and the duration of a takeover do not grow with every job that ever
 // ran. Jobs are spread over shards, so these transactions cannot be conditional on the lease. They
 // need no condition: a job is queued here only after its final state, which never changes, was
-// stored under the lease. The progress row, which holds that state, is removed after the job's row
+// stored under the lease. A withdrawal is an exception: once it is removed a job can be stored under its
+// id, so it is removed only as it was read. The progress row, which holds that state, is removed after the job's row
 // holds it as well.
 type rowCompactor struct {
 	// due contains the jobs whose rows have to be compacted, by shard.
@@ -57,9 +58,23 @@
 	t.compactor.due[shard][j.ID] = j
 }
 
+// maxWriteDelay is how late a write may be performed that had no answer. The users' documentation speaks of
+// seconds.
+const maxWriteDelay = time.Minute
+
+// WithdrawalTime is how long the withdrawal of a job is kept: no attempt to store the job that began before
+// it can be performed later.
+func (l Limits) WithdrawalTime() time.Duration {
+	return max(l.Retention, maxWriteDelay) + retentionMargin
+}
+
 // expired reports whether the retention time of a job's state has passed.
 func (t *Term) expired(j *jobs.Job) bool {
-	return j.State().Final() && !j.Unsaved() && t.now > j.EndedAt+t.deps.Limits.Retention+retentionMargin && len(j.Active()) == 0
+	kept := t.deps.Limits.Retention + retentionMargin
+	if j.Withdrawn {
+		kept = t.deps.Limits.WithdrawalTime()
+	}
+	return j.State().Final() && !j.Unsaved() && t.now > j.EndedAt+kept && len(j.Active()) == 0
 }
 
 // compactRows writes the compactions that are due.
@@ -85,7 +100,7 @@
 }
 
 func (t *Term) compactShard(shard int) {
-	var puts []platform.Put
+	var x platform.Txn
 	var done []func()
 	most, n := compactBatch, 0
 	if t.compactor.oneByOne[shard] {
@@ -106,21 +121,30 @@
 				continue
 			}
 		}
-		puts = append(puts, platform.Put{Key: JobKey(id), Value: value})
+		x.Puts = append(x.Puts, platform.Put{Key: JobKey(id), Value: value})
+		if j.Withdrawn {
+			x.Conditions = append(x.Conditions, platform.Condition{Key: JobKey(id), Version: j.RowVersion})
+		}
 		hasCancel := j.HasCancel
 		if hasCancel {
-			puts = append(puts, platform.Put{Key: CancelKey(id)})
+			x.Puts = append(x.Puts, platform.Put{Key: CancelKey(id)})
 		}
 		done = append(done, func() { t.rowsCompacted(shard, j, remove, hasCancel) })
 	}
 	t.compactor.writing[shard] = true
 	t.async(compactTimeout, func(ctx context.Context) func() {
-		_, err := t.deps.Table.Commit(ctx, platform.PriorityBackground, platform.Txn{Puts: puts})
+		_, err := t.deps.Table.Commit(ctx, platform.PriorityBackground, x)
 		return func() {
 			t.compactor.writing[shard] = false
-			if errors.Is(err, platform.ErrRejected) {
+			switch {
+			case errors.Is(err, platform.ErrRejected):
 				t.compactionRefused(shard, last, len(done), err)
 				return
+			case errors.Is(err, platform.ErrConflict) && len(done) > 1:
+				t.compactor.oneByOne[shard] = true // one of the withdrawals has been removed already
+				return
+			case errors.Is(err, platform.ErrConflict):
+				err = nil // this one: an earlier removal took effect without an answer
 			}
 			if err != nil {
 				t.log.Info().Err(err).Int("shard", shard).Int("jobs", len(done)).Msg("Coordinator: rows of ended jobs could not be compacted; will retry.")
@@ -149,7 +173,9 @@
 }
 
 func (t *Term) rowsCompacted(shard int, j *jobs.Job, removed, hasCancel bool) {
-	delete(t.compactor.due[shard], j.ID)
+	if t.compactor.due[shard][j.ID] == j {
+		delete(t.compactor.due[shard], j.ID)
+	}
 	if hasCancel {
 		j.HasCancel = false
 	}
@@ -157,7 +183,7 @@
 		j.HasProgress = false
 		t.writer.obsoleteProgress[j.ID] = true
 	}
-	if removed {
+	if removed && t.registry.Get(j.ID) == j {
 		t.registry.Remove(j.ID)
 	}
 }
--- a/internal/coordinator/feeds.go
+++ b/internal/coordinator/feeds.go
@@ -104,7 +104,7 @@
 			}
 			continue
 		}
-		t.addJobRow(id, r.Value, false)
+		t.addJobRow(id, r, false)
 	}
 }
 
--- a/internal/coordinator/paused_test.go
+++ b/internal/coordinator/paused_test.go
@@ -13,6 +13,7 @@
 	"boragepulley/internal/jobs"
 	"boragepulley/internal/lease"
 	"boragepulley/internal/model"
+	"boragepulley/internal/platform"
 	"boragepulley/internal/site"
 	"boragepulley/standins/fleet"
 )
@@ -55,7 +56,7 @@
 		row := ts.store.Row(JobKey("0000000000000001")).Value
 		require.NoError(t, term.do(t.Context(), func() {
 			require.True(t, term.leading())
-			j := term.addJobRow("0000000000000001", row, false)
+			j := term.addJobRow("0000000000000001", platform.Row{Value: row}, false)
 			j.OpenSteps(time.Now(), 0)
 			suspended.Add(int64(2 * lease.TTL))
 			x, m := j.Step(0, 0).Task(0), term.minions["m0"]
--- a/internal/coordinator/recover.go
+++ b/internal/coordinator/recover.go
@@ -184,7 +184,7 @@
 			cancels = append(cancels, jobs.ID(base))
 			continue
 		}
-		t.addJobRow(id, r.Value, t.epoch > 1)
+		t.addJobRow(id, r, t.epoch > 1)
 	}
 	for _, r := range rows.progress.Rows {
 		id := jobs.ID(rowID(r.Key))
@@ -223,13 +223,23 @@
 		Dur("leases_end_after", t.unseenUntil()-t.startedAt).Msg("Coordinator: state loaded.")
 }
 
-// addJobRow adds an accepted job from its row. inherited is set for a job that was accepted under
-// an earlier coordinator.
-func (t *Term) addJobRow(id string, value []byte, inherited bool) *jobs.Job {
-	if j := t.registry.Get(jobs.ID(id)); j != nil || t.asideJobs[jobs.ID(id)] {
-		return j
+// addJobRow adds an accepted job from its row, or a withdrawal. The version of the row may be 0 for a job.
+// inherited is set for a job that was accepted under an earlier coordinator.
+func (t *Term) addJobRow(id string, row platform.Row, inherited bool) *jobs.Job {
+	known := t.registry.Get(jobs.ID(id))
+	if known != nil && !known.Withdrawn || t.asideJobs[jobs.ID(id)] {
+		return known
+	}
+	a, err := jobs.DecodeAccepted(row.Value)
+	if err == nil && known != nil {
+		if a.Withdrawn {
+			if row.Version > known.RowVersion { // withdrawn again
+				known.RowVersion, known.EndedAt = row.Version, t.now
+			}
+			return known
+		}
+		t.registry.Remove(known.ID) // the id is used again, after the withdrawal was removed from the store
 	}
-	a, err := jobs.DecodeAccepted(value)
 	if err == nil && !a.Final.Final() {
 		err = a.Spec.Check()
 	}
@@ -238,7 +248,7 @@
 		t.asideJobs[jobs.ID(id)] = true // its progress is kept for a version that reads the row
 		return nil
 	}
-	a.ID = jobs.ID(id)
+	a.ID, a.RowVersion = jobs.ID(id), row.Version
 	var j *jobs.Job
 	if failed := guard.Recover(t.log, "adding a job", func() { j = t.registry.Add(a, t.now) }); failed != nil {
 		t.asideJobs[a.ID] = true
--- a/internal/coordinator/rowsize_test.go
+++ b/internal/coordinator/rowsize_test.go
@@ -67,7 +67,7 @@
 		a := jobs.Accepted{Queue: "q0", Service: "svc0", Spec: jobs.Spec{Steps: []jobs.Step{{Count: jobs.MaxTasks}}}}
 		value, err := json.Marshal(a)
 		require.NoError(t, err)
-		j := term.addJobRow(fmt.Sprintf("%016x", i), value, false)
+		j := term.addJobRow(fmt.Sprintf("%016x", i), platform.Row{Value: value}, false)
 		term.registry.Finish(term.registry.Task(jobs.TaskName{Job: j.ID, Index: jobs.MaxTasks - 1}), 1, "m0", jobs.EndDone, "", 3, term.now)
 	}
 	for range 150 {
--- a/internal/coordinator/schedules_test.go
+++ b/internal/coordinator/schedules_test.go
@@ -12,6 +12,7 @@
 
 	"boragepulley/internal/jobs"
 	"boragepulley/internal/logging"
+	"boragepulley/internal/platform"
 	"boragepulley/standins/fleet"
 )
 
@@ -89,7 +90,7 @@
 		spec.Steps = []jobs.Step{step(1)}
 		value, err := json.Marshal(jobs.Accepted{Queue: "q0", Service: "svc0", AcceptedAt: time.Now().Add(-10 * time.Second), Spec: spec})
 		require.NoError(t, err)
-		return term.addJobRow(id, value, true)
+		return term.addJobRow(id, platform.Row{Value: value}, true)
 	}
 	once := add("0000000000000001", jobs.Spec{})
 	timed := add("0000000000000002", jobs.Spec{Repeat: 2, FirstRun: time.Now().Add(-3 * time.Second), Interval: time.Hour})
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -86,6 +86,9 @@
 		counters.Add("accepted", 1)
 		return site.Answer{Reason: site.ReasonAccepted}
 	case errors.Is(err, platform.ErrConflict):
+		if conflictsWithWithdrawal(err) {
+			return n.rejectWithdrawn()
+		}
 		return n.acceptedBefore(a.ID)
 	case errors.Is(err, platform.ErrUnknownOutcome):
 		stored = true // it may be
@@ -247,6 +250,8 @@
 		return n.unavailable(err)
 	}
 	switch {
+	case a.Withdrawn:
+		return site.Answer{Err: errors.WithStack(site.ErrJobNotFound), Reason: site.ReasonWithdrawn}
 	case a.Final.Final():
 		return site.Answer{State: a.Final, Reason: site.ReasonStore}
 	case p.Final.Final():
@@ -257,7 +262,8 @@
 	return site.Answer{State: jobs.StateRunning, Reason: site.ReasonStore}
 }
 
-// Cancel cancels a job and returns once the cancellation is stored.
+// Cancel cancels a job and returns once the cancellation is stored. A job that is not stored is withdrawn, so
+// that no attempt to store it takes effect later; the answer is then ErrJobNotFound.
 func (n *Node) Cancel(ctx context.Context, id jobs.ID) site.Answer {
 	done, mayBeDone := n.cancelAtCoordinator(ctx, id)
 	if done {
@@ -271,11 +277,19 @@
 	case err != nil:
 		return n.unavailable(err)
 	}
-	if row.Version == 0 {
+	switch {
+	case row.Version == 0:
 		n.logUnknownJob(id, mayBeDone)
-		return site.Answer{Err: errors.WithStack(site.ErrJobNotFound), Reason: site.ReasonStore}
+		return n.withdraw(ctx, id)
+	case jobs.IsWithdrawal(row.Value):
+		return site.Answer{Err: errors.WithStack(site.ErrJobNotFound), Reason: site.ReasonWithdrawn}
 	}
-	_, err = n.deps.Table.Commit(ctx, platform.PriorityClaim, platform.Txn{Puts: []platform.Put{{Key: coordinator.CancelKey(id), Value: []byte("{}")}}})
+	return n.requestCancel(ctx, id)
+}
+
+// requestCancel stores a request to cancel a stored job, which the coordinator carries out.
+func (n *Node) requestCancel(ctx context.Context, id jobs.ID) site.Answer {
+	_, err := n.deps.Table.Commit(ctx, platform.PriorityClaim, platform.Txn{Puts: []platform.Put{{Key: coordinator.CancelKey(id), Value: []byte("{}")}}})
 	if err != nil {
 		return site.Answer{Err: errors.Wrap(site.ErrOutcomeUnknown, err.Error()), Reason: site.ReasonStore}
 	}
@@ -283,17 +297,6 @@
 	return site.Answer{Reason: site.ReasonStore}
 }
 
-// logUnknownJob logs the cancellation of a job that neither the coordinator nor the store has.
-func (n *Node) logUnknownJob(id jobs.ID, coordinatorSilent bool) {
-	suppressed, ok := n.attempts.lines.Allow()
-	if !ok {
-		return
-	}
-	stored, known := n.attempts.lookup(id)
-	n.log.Info().Str("job", string(id)).Bool("coordinator_silent", coordinatorSilent).Bool("attempt_known", known).Bool("attempt_stored", stored).
-		Int64("suppressed", suppressed).Msg("Entry: cancellation of a job that is not stored.")
-}
-
 // cancelAtCoordinator asks the coordinator to cancel a job. done is set if the cancellation is stored,
 // mayBeDone if the coordinator did not answer, or had not stored it in time.
 func (n *Node) cancelAtCoordinator(ctx context.Context, id jobs.ID) (done, mayBeDone bool) {
--- a/internal/jobs/row.go
+++ b/internal/jobs/row.go
@@ -43,6 +43,12 @@
 	return out.Bytes(), nil
 }
 
+// IsWithdrawal reports whether the row of a job is a withdrawal.
+func IsWithdrawal(value []byte) bool {
+	a, err := DecodeAccepted(value)
+	return err == nil && a.Withdrawn
+}
+
 // DecodeAccepted decodes the row of an accepted job, but for its id. Error: ErrRecord.
 func DecodeAccepted(value []byte) (Accepted, error) {
 	var a Accepted
--- a/internal/jobs/spec.go
+++ b/internal/jobs/spec.go
@@ -292,8 +292,17 @@
 	Spec       Spec      `json:"j,omitzero"`
 	// Final is the job's final state, or empty.
 	Final State `json:"f,omitempty"`
+	// Withdrawn is set if the job was cancelled before it was accepted, see Withdrawal.
+	Withdrawn bool `json:"w,omitempty"`
+	// RowVersion is the version of the row of a withdrawal.
+	RowVersion uint64 `json:"-"`
 }
 
+// Withdrawal returns the row of a job that was cancelled before it was accepted. It takes the place of the
+// job's row, so that no attempt to store that has an effect any more. Versions that do not know withdrawals
+// read it as a cancelled job.
+func Withdrawal() Accepted { return Accepted{Final: StateCancelled, Withdrawn: true} }
+
 // Tombstone returns the row to keep for a job in the given final state.
 func (a Accepted) Tombstone(s State) Accepted {
 	a.Spec, a.Final = Spec{}, s
--- a/internal/site/answer.go
+++ b/internal/site/answer.go
@@ -15,6 +15,8 @@
 	// ErrOverloaded means that the job was not accepted and never runs: it could not
 	// finish in time on the available capacity.
 	ErrOverloaded = errors.New("site: overloaded, job cannot finish in time")
+	// ErrWithdrawn means that the job was not accepted and never runs: it was cancelled before.
+	ErrWithdrawn = errors.New("site: job was cancelled before it was accepted")
 	// ErrNotStorable means that the job was not accepted: the store does not take it, or it needs more
 	// memory than this entry VM allows for one job.
 	ErrNotStorable = errors.New("site: job cannot be stored")
@@ -47,6 +49,8 @@
 	// ReasonCoordinator and ReasonStore: the coordinator's or the store's knowledge of the job.
 	ReasonCoordinator Reason = "coordinator"
 	ReasonStore       Reason = "store"
+	// ReasonWithdrawn: the job was cancelled before it was accepted.
+	ReasonWithdrawn Reason = "withdrawn"
 	// ReasonPending and ReasonPendingUnknown: the coordinator's count of waiting jobs.
 	ReasonPending        Reason = "pending"
 	ReasonPendingUnknown Reason = "pending_unknown"
@@ -66,7 +70,8 @@
 type Answer struct {
 	// State is set if the request asked for the state of a job.
 	State jobs.State
-	// RetryAfter is the delay before the caller retries, set with ErrOverloaded and ErrUnavailable.
+	// RetryAfter is the delay before the caller retries, set with ErrOverloaded, ErrWithdrawn and
+	// ErrUnavailable.
 	RetryAfter time.Duration
 	Err        error
 	// Reason and Age are for the log. Age is how old the information behind Reason was: the time
