entry: give no promise while a write may still acquire the lease

Two coordinators give orders.

Cause: an entry VM that had decided to acquire the lease, or whose write was on its way, answered the heartbeat of the lease's holder, which was back after a cut. The holder counts an answer as a promise for 2 s. The decision was not checked again after the wait of up to 0.88 s that leaves precedence to larger entry VMs.

Change: when its wait is over, an entry VM looks at the heartbeats once more, and from then on answers none until the outcome of its write is known. After a write without an answer that is when a later version of the lease's row is known. The holder is silent to this entry VM meanwhile, and stops at the end of its lease if it cannot reach the store.

--- a/internal/entry/elect.go
+++ b/internal/entry/elect.go
@@ -230,6 +230,7 @@
 			succession.RecordHandover(&n.lastHandover, requestedAt, n.deps.Now())
 		}
 	}
+	n.acquiring.rowSeen(row.Version)
 	if n.leaseFree(seen) {
 		n.acquireLease(seen, named)
 		return
@@ -274,17 +275,29 @@
 	if !named && !ownLease && !n.sleep(wait) {
 		return
 	}
+	earlier := n.acquiring.begin(seen.row.Version)
+	if !n.leaseFree(seen) { // its holder has been heard of meanwhile
+		if !earlier {
+			n.acquiring.end()
+		}
+		return
+	}
 	ctx, cancel := context.WithTimeout(n.ctx, leaseCallTimeout)
 	defer cancel()
 	held, err := lease.Acquire(ctx, n.deps.Table, n.deps.Now, seen.row, lease.Row{Holder: n.deps.Self.Entry, Addr: n.deps.PeerAddr, Incarnation: n.deps.Self.Incarnation})
 	switch {
 	case errors.Is(err, lease.ErrLost):
+		n.acquiring.end()
 		seen.nextRead = 0
 		return
 	case err != nil:
+		if !earlier && !errors.Is(err, platform.ErrUnknownOutcome) {
+			n.acquiring.end()
+		}
 		n.log.Info().Err(err).Msg("Entry: lease could not be acquired.")
 		return
 	}
+	defer n.acquiring.end() // once this entry VM is recorded as the coordinator
 	if ownLease && n.largerEntryKnown() {
 		n.log.Info().Uint64("epoch", held.Row.Epoch).Float64("cores", n.deps.Cores).Msg("Entry: releasing the lease of the earlier process to a larger entry VM.")
 		if err := held.Release(ctx, nil); err != nil {
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -54,6 +54,8 @@
 	members     atomic.Pointer[map[model.EntryVM]peer.Member]
 	evacuations evacuations
 	store       *relay.Store
+	// acquiring is the acquisition of the lease that may still take effect.
+	acquiring acquisition
 	// attempts are recent attempts to store jobs.
 	attempts attempts
 	// backlog counts the jobs that the coordinator's count may not contain.
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"boragepulley/internal/evacuation"
 	"boragepulley/internal/jobs"
 	"boragepulley/internal/peer"
@@ -42,6 +44,10 @@
 			if len(m.Members) > 0 {
 				n.members.Store(&m.Members)
 			}
+			if n.acquiring.mayFollow(m.Lease) {
+				// The answer would be a promise not to acquire the lease.
+				return nil, errors.Wrap(peer.ErrBusy, "acquiring the lease")
+			}
 			if old == nil || old.epoch != m.Epoch {
 				n.log.Info().Str("coordinator", string(m.From.Entry)).Uint64("epoch", m.Epoch).Msg("Entry: following new coordinator.")
 			}
