jobs: tell withdrawals from jobs by the size of the row first

Cause: each POST of a job that is stored already decoded the job's row, of up to 64 KB, to find out whether it is a withdrawal.

--- a/internal/jobs/row.go
+++ b/internal/jobs/row.go
@@ -43,8 +43,14 @@
 	return out.Bytes(), nil
 }
 
+// maxWithdrawalBytes bounds the row of a withdrawal, so that rows of jobs need not be decoded to tell them apart.
+const maxWithdrawalBytes = 256
+
 // IsWithdrawal reports whether the row of a job is a withdrawal.
 func IsWithdrawal(value []byte) bool {
+	if len(value) > maxWithdrawalBytes {
+		return false
+	}
 	a, err := DecodeAccepted(value)
 	return err == nil && a.Withdrawn
 }
