coordinator: ignore runs whose number no coordinator can have used

Cause: run numbers of all tasks now follow from the tokens in the lease. One odd number in the report of a minion raised the highest token, and with it the numbers of all later runs and all later fencing tokens, for good.

Change: an end or a run with a number more than 2^30 above the last one that the lease names is ignored and counted (odd_run_numbers); the run is stopped as one of no known task.

--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -118,7 +118,7 @@
 	}
 	if held || !owned || task.Step.Spec.Gang {
 		t.ordersChanged = true
-		return // resendOrders sends it once startStored
+		return // resendOrders sends it once startStored holds
 	}
 	t.sendStart(task, start)
 }
--- a/internal/coordinator/ownruns.go
+++ b/internal/coordinator/ownruns.go
@@ -32,6 +32,25 @@
 // stored records the highest token that the stored lease names.
 func (o *ownRuns) stored(token uint64) { o.last = max(o.last, o.spans.Last(token)) }
 
+// maxUnownedRuns is how far the number of a reported run may be above the last own one: a version that reserved no
+// numbers, or an orphaned run, may be ahead of it.
+const maxUnownedRuns = 1 << 30
+
+// plausible reports whether a coordinator can have given a run the number that a minion reports. Others are
+// ignored, because the numbers of all later runs would have to be higher.
+func (o *ownRuns) plausible(run int) bool { return run <= o.last+maxUnownedRuns }
+
+// reportedTask returns the task of a run that a minion reports, or nil if there is none or the number of the run
+// cannot be right.
+func (t *Term) reportedTask(name string, run int) *jobs.Task {
+	if !t.ownRuns.plausible(run) {
+		counters.Add("odd_run_numbers", 1)
+		t.log.Warn().Str("task", name).Int("run", run).Int("last_own", t.ownRuns.last).Msg("Coordinator: ignoring a run whose number no coordinator can have used.")
+		return nil
+	}
+	return t.taskByName(name)
+}
+
 // reserveRuns adds to the next write the tokens whose run numbers will be needed soon.
 func (t *Term) reserveRuns() {
 	o := &t.ownRuns
--- a/internal/coordinator/ownruns_test.go
+++ b/internal/coordinator/ownruns_test.go
@@ -11,6 +11,7 @@
 	"boragepulley/internal/jobs"
 	"boragepulley/internal/lease"
 	"boragepulley/internal/runspan"
+	"boragepulley/internal/site"
 	"boragepulley/standins/fleet"
 )
 
@@ -101,6 +102,31 @@
 	})
 }
 
+// Guards against one odd number in the report of a minion that raises the run numbers and fencing tokens of the whole
+// site for good.
+func TestOddRunNumberOfAMinionIsIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestSite(t, 1)
+		s.minions.SetWork(func(string, int) (time.Duration, jobs.End) { return 0, jobs.EndDone })
+		term := s.startTerm("e1", nil)
+		defer endTerm(term)
+		sleep(time.Second)
+		s.submitJob(term, restartedJob, longRunningStep(1))
+		sleep(time.Second)
+		require.NoError(t, term.do(t.Context(), func() {
+			m := term.minions["m0"]
+			end := site.EndReport{Seq: 7, Task: restartedTask, Run: 1 << 50, Outcome: jobs.EndFailed}
+			term.reconcile(m, term.now, site.PollReport{Ended: []site.EndReport{end}, Running: []site.RunReport{{Task: restartedTask, Run: 1}}})
+			term.stopRun(term.taskByName(restartedTask), reasonWave)
+		}))
+		sleep(4 * time.Second)
+		require.NotEmpty(t, s.minions.Running(restartedTask))
+		stored, err := lease.Decode(s.store.Row(lease.Key))
+		require.NoError(t, err)
+		require.Zero(t, stored.MaxToken)
+	})
+}
+
 // Guards against a run with a number that a successor may use as well: it is ordered before the stored lease
 // names the number's token, as while the store is away.
 func TestRunIsOrderedOnlyOnceItsNumberIsStored(t *testing.T) {
--- a/internal/coordinator/reports.go
+++ b/internal/coordinator/reports.go
@@ -50,7 +50,7 @@
 	if !m.IsNewEnd(end.Seq) {
 		return // no task is assigned to the minion for a run that was reported to have ended
 	}
-	task := t.taskByName(end.Task)
+	task := t.reportedTask(end.Task, end.Run)
 	if task != nil && task.Minion == m.ID && task.Run <= end.Run {
 		seen[task] = true
 	}
@@ -107,7 +107,7 @@
 
 // runReported handles a run in progress that a minion reports.
 func (t *Term) runReported(m *holding.Minion, run site.RunReport, seen map[*jobs.Task]bool) {
-	task := t.taskByName(run.Task)
+	task := t.reportedTask(run.Task, run.Run)
 	if task == nil {
 		t.stopOrphan(m, run.Task, run.Run, "")
 		return
