coordinator: log unanswered starts and runs that are given up

The log told neither which starts got no answer nor what was known of a run when its minion's leases were counted as over, so that the hypotheses could not be told apart.

Change: a line for each start without an answer, with task, run, minion and attempt, and one for each run that is given up, with its phase and whether its start is pending or unconfirmed.

--- a/internal/coordinator/minions.go
+++ b/internal/coordinator/minions.go
@@ -150,6 +150,9 @@
 	}
 	for task := range m.Tasks {
 		counters.Add("runs_given_up", 1)
+		_, unconfirmed := m.UnconfirmedStarts[task.Name()]
+		t.log.Info().Str("task", task.Name()).Int("run", task.Run).Str("minion", string(m.ID)).Stringer("phase", task.Phase).
+			Bool("start_pending", t.pendingStarts[task] != nil).Bool("start_unconfirmed", unconfirmed).Msg("Coordinator: run given up.")
 		t.requeue(task)
 		m.Unassign(task, t.now) // a task that is done has no minion any more
 	}
--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -223,6 +223,8 @@
 		// The start may be carried out, now or seconds later, so the task stays assigned to this
 		// minion.
 		m.UnconfirmedStarts[task.Name()] = task.Run
+		t.log.Info().Err(err).Str("task", task.Name()).Int("run", task.Run).Str("minion", string(m.ID)).Int("attempt", start.tries).
+			Int("restarts", m.Restarts).Msg("Coordinator: start not answered.")
 		counters.Add("starts_unanswered", 1)
 		t.load.unanswered++
 		if start.unansweredSince == 0 {
