coordinator: start no task elsewhere while a start of it is in doubt

The start of a task gets no answer and is held up for 5.1 s, its minion is cut off and restarts under its id. The task is started elsewhere 4.6 s after the start, and then the first start reaches the restarted minion.

Cause: the tasks of a minion that does not answer were requeued once the leases on its known clock were over. The clock of the next incarnation is unrelated, so that it grants the lease in an old start again, up to the longest that it grants at all; neither id nor fencing token tells that the start is old. Also, the answer to one attempt to start a run counted as the answer to all of them.

A test with an answered second attempt has two runs as well.

Change: package indoubt keeps, per minion and task, the starts that got no answer, whichever incarnation they were sent to and whatever became of other attempts. Other tasks of the minion wait no longer than before. MaxOrderDelay, one minute, was a second value for the same delay; the uses of it now allow for the time of the call and for a predecessor that goes on for its lease. Counter start_waits, histogram start_wait_ms, a log line with task, run, minion, number of starts and bound.

Three tests demanded that a task with an unanswered start to a silent minion starts elsewhere after an ordinary or the longest lease, which is the fault: TestNoLeaseIsGrantedOnAnUnknownClock, TestUnansweredStartIsGivenUp and TestUnansweredStartOnAnIdleMinionIsGivenUpInTime. They now bound its wait by the stated rule and, new, demand the former bound or a better one for a task beside it without such a start.

--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -2,8 +2,11 @@
 
 import (
 	"expvar"
+	"sync"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
+
 	"boragepulley/internal/capacity"
 	"boragepulley/internal/jobs"
 )
@@ -12,6 +15,44 @@
 // gauges of the current term ("term_*"), which keep their last value after the term.
 var counters = expvar.NewMap("coordinator")
 
+// startWaits are the times for which tasks waited for starts that may be carried out late.
+var startWaits = newWaits()
+
+func init() { counters.Set("start_wait_ms", expvar.Func(startWaits.snapshot)) }
+
+// maxRecordedWait is the longest wait that waits tells from longer ones.
+const maxRecordedWait = time.Minute
+
+// waits is a histogram of durations in milliseconds.
+type waits struct {
+	mu sync.Mutex
+	h  *hdrhistogram.Histogram // guarded by mu
+}
+
+func newWaits() *waits {
+	return &waits{h: hdrhistogram.New(1, maxRecordedWait.Milliseconds(), 2)}
+}
+
+func (w *waits) add(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	_ = w.h.RecordValue(min(max(1, d.Milliseconds()), maxRecordedWait.Milliseconds()))
+}
+
+// waitsSnapshot is the published content of waits, in milliseconds.
+type waitsSnapshot struct {
+	Count int64 `json:"count"`
+	P50   int64 `json:"p50"`
+	P99   int64 `json:"p99"`
+	Max   int64 `json:"max"`
+}
+
+func (w *waits) snapshot() any {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return waitsSnapshot{Count: w.h.TotalCount(), P50: w.h.ValueAtQuantile(50), P99: w.h.ValueAtQuantile(99), Max: w.h.Max()}
+}
+
 func countEnd(how jobs.End) { counters.Add("ends_"+string(how), 1) }
 
 // countHeld adds to the machine-milliseconds that the machines in pools were held for.
--- a/internal/coordinator/minions.go
+++ b/internal/coordinator/minions.go
@@ -43,7 +43,7 @@
 		switch {
 		case t.droppedLately(e.ID):
 			m.Unfence(t.now, t.deps.Limits.MaxMinionLease)
-		case t.epoch > 1 && t.now <= t.startedAt+holding.MaxOrderDelay:
+		case t.epoch > 1 && t.now <= t.predecessorSentUntil()+holding.OrdersVoidAfter:
 			m.InheritLongLeases(t.epoch, t.now, t.deps.Limits.MaxMinionLease) // an earlier coordinator may have dropped it
 		}
 		t.setCold(m, e)
@@ -81,7 +81,7 @@
 // droppedLately reports whether a minion has been dropped that may come back under its id before all orders
 // to it are void.
 func (t *Term) droppedLately(id jobs.Minion) bool {
-	maps.DeleteFunc(t.droppedMinions, func(_ jobs.Minion, at time.Duration) bool { return t.now > at+holding.MaxOrderDelay })
+	maps.DeleteFunc(t.droppedMinions, func(_ jobs.Minion, at time.Duration) bool { return t.now > at+holding.OrdersVoidAfter })
 	_, ok := t.droppedMinions[id]
 	return ok
 }
@@ -115,7 +115,7 @@
 		if m.FailedPolls > 0 && t.now > m.RunsExpireAt {
 			t.leasesExpired(m)
 		}
-		if !m.Listed && len(m.Tasks) == 0 && t.now > m.RunsExpireAt && m.FailedPolls > 0 {
+		if !m.Listed && len(m.Tasks) == 0 && t.now > m.RunsExpireAt && m.FailedPolls > 0 && !t.startsInDoubt(m) {
 			if m.Recorded {
 				t.writer.goneMinions[id] = true
 			}
@@ -142,17 +142,23 @@
 	}
 }
 
-// leasesExpired requeues the tasks of a minion whose leases have expired.
+// leasesExpired requeues the tasks of a minion whose leases have expired, but those of which a start may still
+// be carried out.
 func (t *Term) leasesExpired(m *holding.Minion) {
-	if len(m.Tasks) > 0 {
-		t.log.Warn().Str("minion", string(m.ID)).Int("tasks", len(m.Tasks)).Dur("silent", t.now-m.LastReply).
+	given := make([]*jobs.Task, 0, len(m.Tasks))
+	for task := range m.Tasks {
+		if !t.waitsForStart(m, task) {
+			given = append(given, task)
+		}
+	}
+	if len(given) > 0 {
+		t.log.Warn().Str("minion", string(m.ID)).Int("tasks", len(given)).Int("waiting", len(m.Tasks)-len(given)).Dur("silent", t.now-m.LastReply).
 			Int64("born", m.Incarnation).Int("restarts", m.Restarts).Str("basis", string(m.ExpiryBasis)).Msg("Coordinator: leases over, tasks are requeued.")
 	}
-	for task := range m.Tasks {
+	for _, task := range given {
 		counters.Add("runs_given_up", 1)
-		_, unconfirmed := m.UnconfirmedStarts[task.Name()]
 		t.log.Info().Str("task", task.Name()).Int("run", task.Run).Str("minion", string(m.ID)).Stringer("phase", task.Phase).
-			Bool("start_pending", t.pendingStarts[task] != nil).Bool("start_unconfirmed", unconfirmed).Msg("Coordinator: run given up.")
+			Bool("start_pending", t.pendingStarts[task] != nil).Msg("Coordinator: run given up.")
 		t.requeue(task)
 		m.Unassign(task, t.now) // a task that is done has no minion any more
 	}
@@ -195,7 +201,7 @@
 // endedWithIncarnation reports whether a task's run has ended with the incarnation of the minion that has just
 // been replaced: that one listed the run, and no other attempt to start it can reach the present one.
 func (t *Term) endedWithIncarnation(m *holding.Minion, task *jobs.Task) bool {
-	if run, ok := m.StaleStarts[task.Name()]; ok && run == task.Run {
+	if _, ok := m.StaleStarts[task.Name()]; ok {
 		return false
 	}
 	if stop := t.pendingStops[task]; stop != nil {
@@ -240,7 +246,12 @@
 	if !t.leading() {
 		return
 	}
+	arriving := m.InDoubt.Arriving(t.now)
 	for name, run := range m.StaleStarts {
+		if _, ok := arriving[name]; !ok {
+			delete(m.StaleStarts, name)
+			continue
+		}
 		if task := t.taskByName(name); task != nil && task.Minion == m.ID && task.Run == run && task.Active() {
 			continue // this run has been ordered there since
 		}
--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -187,6 +187,9 @@
 	start.inFlight = false
 	m := start.minion
 	defer func() { m.StartsInFlight-- }()
+	if errors.Is(err, site.ErrNoAnswer) {
+		t.startUnanswered(m, task.Name(), run, start.tries, err)
+	}
 	if t.pendingStarts[task] != start || task.Run != run {
 		return
 	}
@@ -222,9 +225,6 @@
 	case errors.Is(err, site.ErrNoAnswer), errors.Is(err, site.ErrNotSent) && start.tries > 1:
 		// The start may be carried out, now or seconds later, so the task stays assigned to this
 		// minion.
-		m.UnconfirmedStarts[task.Name()] = task.Run
-		t.log.Info().Err(err).Str("task", task.Name()).Int("run", task.Run).Str("minion", string(m.ID)).Int("attempt", start.tries).
-			Int("restarts", m.Restarts).Msg("Coordinator: start not answered.")
 		counters.Add("starts_unanswered", 1)
 		t.load.unanswered++
 		if start.unansweredSince == 0 {
--- a/internal/coordinator/polls.go
+++ b/internal/coordinator/polls.go
@@ -60,7 +60,7 @@
 		o.Wait = max(0, min(pollWaitFor(m)-slowness, t.exclusiveUntil()-t.now-timeout)).Truncate(time.Millisecond)
 	}
 	m.Polling = true
-	to, p := addressOf(m), sentPoll{at: t.now, restarts: m.Restarts, ack: o.Ack, token: m.Token}
+	to, p := addressOf(m), sentPoll{at: t.now, restarts: m.Restarts, ack: o.Ack, token: m.Token, grantsLease: o.LeaseUntil > 0}
 	t.async(o.Wait+timeout, func(ctx context.Context) func() {
 		began := t.deps.Now()
 		r, err := t.orders.Poll(ctx, to, o)
@@ -128,6 +128,8 @@
 	// ack and token are the acknowledged number and the raised token in it.
 	ack   int64
 	token uint64
+	// grantsLease is set if it renewed the leases of the minion's runs.
+	grantsLease bool
 }
 
 // pollAnswered handles the answer to a poll that was received at the given time.
@@ -137,6 +139,9 @@
 		return
 	}
 	if err != nil {
+		if p.grantsLease && errors.Is(err, site.ErrNoAnswer) {
+			m.InDoubt.LeaseUnanswered(t.now)
+		}
 		t.pollFailed(m, err)
 		return
 	}
@@ -161,6 +166,7 @@
 		t.recordAgain(m)
 	}
 	m.FailedPolls, m.LastReply, m.LastReported = 0, t.now, p.at
+	t.startWaitsEnded(m, p.at)
 	if m.ObserveClock(r.Clock, at) && unnamed {
 		// The last known reading is of a start's answer, which names no incarnation.
 		t.minionRestarted(m, r.Incarnation, "clock")
@@ -207,6 +213,7 @@
 		// The address belongs to another minion. This one has ended, and so have its runs.
 		t.log.Info().Str("minion", string(m.ID)).Int("tasks", len(m.Tasks)).Msg("Coordinator: another minion uses the address.")
 		m.RunsExpireAt = 0
+		m.InDoubt.Void()
 		t.leasesExpired(m)
 	case site.RefusalOf(err) == site.RefusedFenced:
 		t.log.Warn().Str("minion", string(m.ID)).Msg("Coordinator: minion has seen a higher fencing token.")
--- a/internal/coordinator/recover.go
+++ b/internal/coordinator/recover.go
@@ -144,12 +144,15 @@
 	if t.epoch == 1 {
 		return 0
 	}
-	last := t.startedAt
-	if !t.deps.PredecessorStopped {
-		// The predecessor may continue on the promises of other entry VMs.
-		last += lease.TTL
+	return t.predecessorSentUntil() + runLeaseTTL + runLeaseTTL/20
+}
+
+// predecessorSentUntil returns until when an earlier coordinator could send orders.
+func (t *Term) predecessorSentUntil() time.Duration {
+	if t.deps.PredecessorStopped {
+		return t.startedAt
 	}
-	return last + runLeaseTTL + runLeaseTTL/20
+	return t.startedAt + lease.TTL // on the promises of other entry VMs
 }
 
 // restore initialises the term's state from the tables.
--- a/internal/coordinator/reports.go
+++ b/internal/coordinator/reports.go
@@ -60,6 +60,9 @@
 		return
 	}
 	countEnd(end.Outcome)
+	if end.Run == task.Run && m.ID == task.Minion {
+		t.startCarriedOut(m, task)
+	}
 	j := task.Step.Job
 	was := j.State()
 	current := currentRun{task.Run, task.Minion, task.Phase}
@@ -119,6 +122,7 @@
 			stop.begunOrNever = min(stop.begunOrNever, t.now)
 		}
 		task.Percent = run.Percent
+		t.startCarriedOut(m, task)
 		t.runBegan(m, task, t.pendingStarts[task])
 		t.learnFromTail(m, task, run)
 		task.Checkpointed(run.Run, run.Checkpoint)
@@ -161,6 +165,8 @@
 func (t *Term) runUnlisted(task *jobs.Task, sent time.Duration, moreEnds bool) {
 	switch {
 	case moreEnds && !task.Step.Spec.LongRunning:
+	case task.Phase == jobs.Running && t.mayStartLate(task):
+		// The minion has restarted and may carry out a start of the task until it knows a higher token.
 	case task.Phase == jobs.Running && task.PhaseSince < sent:
 		t.log.Warn().Str("task", task.Name()).Int("run", task.Run).Str("minion", string(task.Minion)).Msg("Coordinator: run is gone.")
 		t.requeue(task)
--- a/internal/coordinator/restarted_minion_test.go
+++ b/internal/coordinator/restarted_minion_test.go
@@ -31,9 +31,11 @@
 // interceptedMinions are minions whose starts and polls a test can pass on, hold back or lose.
 type interceptedMinions struct {
 	*fleet.Minions
-	mu    sync.Mutex
-	start func(ctx context.Context, to site.Receiver, o site.StartOrder) (int64, error)            // guarded by mu
-	poll  func(ctx context.Context, to site.Receiver, o site.PollRequest) (site.PollReport, error) // guarded by mu
+	// silent lets no call to m0 through. A test can still pass it what was on its way before.
+	silent atomic.Bool
+	mu     sync.Mutex
+	start  func(ctx context.Context, to site.Receiver, o site.StartOrder) (int64, error)            // guarded by mu
+	poll   func(ctx context.Context, to site.Receiver, o site.PollRequest) (site.PollReport, error) // guarded by mu
 }
 
 func (x *interceptedMinions) onStart(f func(ctx context.Context, to site.Receiver, o site.StartOrder) (int64, error)) {
@@ -49,6 +51,9 @@
 }
 
 func (x *interceptedMinions) Start(ctx context.Context, to site.Receiver, o site.StartOrder) (int64, error) {
+	if to.ID == "m0" && x.silent.Load() {
+		return 0, unanswered(ctx)
+	}
 	x.mu.Lock()
 	f := x.start
 	x.mu.Unlock()
@@ -59,6 +64,9 @@
 }
 
 func (x *interceptedMinions) Poll(ctx context.Context, to site.Receiver, o site.PollRequest) (site.PollReport, error) {
+	if to.ID == "m0" && x.silent.Load() {
+		return site.PollReport{}, unanswered(ctx)
+	}
 	x.mu.Lock()
 	f := x.poll
 	x.mu.Unlock()
@@ -68,6 +76,13 @@
 	return f(ctx, to, o)
 }
 
+func (x *interceptedMinions) Stop(ctx context.Context, to site.Receiver, o site.StopOrder) error {
+	if to.ID == "m0" && x.silent.Load() {
+		return unanswered(ctx)
+	}
+	return x.Minions.Stop(ctx, to, o)
+}
+
 // restartSite is a site with one minion, m0, that restarts under its id.
 type restartSite struct {
 	*testSite
--- a/internal/holding/holding.go
+++ b/internal/holding/holding.go
@@ -19,6 +19,7 @@
 	"maps"
 	"time"
 
+	"boragepulley/internal/indoubt"
 	"boragepulley/internal/interference"
 	"boragepulley/internal/jobs"
 	"boragepulley/internal/latency"
@@ -26,9 +27,8 @@
 	"boragepulley/internal/site"
 )
 
-// MaxOrderDelay is how late an order may be carried out that had no answer. The users' documentation speaks of
-// seconds.
-const MaxOrderDelay = time.Minute
+// OrdersVoidAfter is how long after an order was sent it is certainly not carried out any more.
+const OrdersVoidAfter = maxPollWait + maxAnswerTimeout + indoubt.MaxDelay
 
 const (
 	// clockSlowness is the most by which a minion's clock may run slower (2%, from the users' documentation).
@@ -41,6 +41,8 @@
 	// within clockSlack.
 	minAnswerTimeout = 300 * time.Millisecond
 	maxAnswerTimeout = 1500 * time.Millisecond
+	// maxPollWait is the longest time for which a minion may delay its answer to a poll (PROTOCOL.md).
+	maxPollWait = 2 * time.Second
 )
 
 // ExpiryBasis is what the time at which all runs of a minion have expired was computed from.
@@ -145,9 +147,10 @@
 	Ordered      bool
 	OrderedUntil time.Duration
 
-	// UnconfirmedStarts holds, by task name, the runs of start orders to this incarnation that were
-	// not answered and may be carried out late; StaleStarts holds those sent to earlier incarnations.
-	UnconfirmedStarts, StaleStarts map[string]int
+	// InDoubt are the starts that got no answer and may be carried out, by this incarnation or a later one.
+	InDoubt indoubt.Starts
+	// StaleStarts holds, by task name, the runs of starts to earlier incarnations that this one may carry out.
+	StaleStarts map[string]int
 
 	// lastEnd is the sequence number of the last reported end, ackable the last one that can be
 	// acknowledged.
@@ -223,7 +226,7 @@
 // New returns the state of a minion of which only the entry in the platform's list is known.
 // unseenUntil is when runs that earlier coordinators ordered there have certainly ended; 0 if there are none.
 func New(e site.MinionEntry, unseenUntil time.Duration) *Minion {
-	return &Minion{sentOrders: unseenUntil > 0, MinionEntry: e, RunsExpireAt: unseenUntil, ExpiryBasis: ExpiryTakeover, Latency: latency.Estimator{Least: minAnswerTimeout, Longest: maxAnswerTimeout}, Tasks: map[*jobs.Task]struct{}{}, UnconfirmedStarts: map[string]int{}, StaleStarts: map[string]int{}}
+	return &Minion{sentOrders: unseenUntil > 0, MinionEntry: e, RunsExpireAt: unseenUntil, ExpiryBasis: ExpiryTakeover, Latency: latency.Estimator{Least: minAnswerTimeout, Longest: maxAnswerTimeout}, Tasks: map[*jobs.Task]struct{}{}, StaleStarts: map[string]int{}}
 }
 
 // ClockKnown reports whether leases can be expressed on the minion's clock.
@@ -294,8 +297,7 @@
 	}
 	m.lastEnd, m.ackable, m.acked, m.unackedEnds = 0, 0, 0, nil
 	m.clock, m.clockAt = 0, 0
-	maps.Copy(m.StaleStarts, m.UnconfirmedStarts)
-	m.UnconfirmedStarts = map[string]int{}
+	maps.Copy(m.StaleStarts, m.InDoubt.Arriving(now))
 }
 
 // Unfence records that orders to an earlier incarnation may be carried out by the present one.
@@ -326,7 +328,7 @@
 	if !m.Unfenced {
 		return false
 	}
-	m.Unfenced = (m.Token == 0 || token < m.Token) && now <= m.UnfencedAt+MaxOrderDelay
+	m.Unfenced = (m.Token == 0 || token < m.Token) && now <= m.UnfencedAt+OrdersVoidAfter
 	if m.Unfenced {
 		m.expectLongLeases(now + maxAnswerTimeout)
 		return false
