coordinator: tell successors of the starts in doubt on silent minions

Cause: a successor waits 4.2 s (9 s without a clean stop) for the runs that earlier coordinators ordered, the longest lease more if the minion had restarted. A start that its predecessor sent without an answer may be carried out 12 s later and run for the longest lease. The successor did not know of it.

Change: the row of a minion that does not answer names the tasks with starts in doubt. The successor starts no task of their jobs until the minion answers or the starts are void, counted from the time until which its predecessor could send. It also keeps such a minion on its list for so long. Former versions ignore the new field of the row.

Test: TestSuccessorWaitsForAStartInDoubt (killed and orderly, 8 and 11 s late) failed in 4 of 4 cases before: "runs on m1 and m0".

Not covered: a start that was sent in the last fraction of a second before a kill, whose row is not written yet.

--- a/internal/coordinator/handover.go
+++ b/internal/coordinator/handover.go
@@ -191,9 +191,16 @@
 // a minion that has not reported to this one yet.
 func (t *Term) mayRunUnreported(j *jobs.Job) bool {
 	for id := range j.MayRunOn() {
-		if m := t.minions[id]; m != nil && !m.Polled && t.now <= m.RunsExpireAt && !t.minionReplaced(m) {
+		m := t.minions[id]
+		if m == nil {
+			continue
+		}
+		if !m.Polled && t.now <= m.RunsExpireAt && !t.minionReplaced(m) {
 			return true
 		}
+		if (!m.Polled || m.FailedPolls > 0) && t.startOfJobInDoubt(m, j) {
+			return true // also if its machine is listed without a minion, as it may start again under its id
+		}
 	}
 	return false
 }
--- a/internal/coordinator/indoubt_test.go
+++ b/internal/coordinator/indoubt_test.go
@@ -109,7 +109,41 @@
 	})
 }
 
-// Guards against a second run if the task was being stopped when the minion fell silent, as in an evacuation.
+// Guards against a successor that starts a task whose start, sent by its predecessor to a minion that does not answer,
+// is carried out later than ordinary leases last.
+func TestSuccessorWaitsForAStartInDoubt(t *testing.T) {
+	for _, late := range []time.Duration{8, 11} {
+		for _, orderly := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%d s late, orderly %t", late, orderly), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					s := newRestartSite(t, earlierClock, laterClock)
+					carryOut := s.holdUpStart()
+					s.submitJob(s.term, slowJob, longRunningStep(1))
+					sleep(50 * time.Millisecond)
+					s.calls.silent.Store(true)
+					s.addMinion("m1")
+					sleep(2 * time.Second)
+					if orderly {
+						require.NoError(t, s.term.Release(t.Context()))
+						_ = s.term.Wait()
+					} else {
+						endTerm(s.term)
+					}
+					s.takeOver()
+					s.minions.Restart("m0")
+					s.store.Put("servers/m0", nil) // the entry expires
+					sleep(late*time.Second - 2050*time.Millisecond)
+					carryOut()
+					sleep(restartedTaskWait)
+					s.requireNoViolations()
+					require.Equal(t, []jobs.Minion{"m1"}, s.minions.Running(taskOfSlowJob(0)))
+				})
+			})
+		}
+	}
+}
+
+// Guards against the same second run if the task was being stopped when the minion fell silent, as in an evacuation.
 func TestStoppedTaskWithAStartInDoubtRunsOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newRestartSite(t, earlierClock, laterClock)
--- a/internal/coordinator/journal.go
+++ b/internal/coordinator/journal.go
@@ -288,10 +288,10 @@
 // minionStored records that a row of a minion is stored.
 func (t *Term) minionStored(m *holding.Minion, row minionRow) {
 	m.Recorded, t.needsPlan = true, true
-	m.LongLeasesRecorded = row.LongLeases
+	m.LongLeasesRecorded, m.InDoubtRecorded = row.LongLeases, row.InDoubt
 	now := t.minionRowOf(m)
 	now.LeasesLeft, now.Epoch = row.LeasesLeft, row.Epoch // the time left changes with each call
-	if tokenDue := m.Unfenced && m.Token == 0; now == row && !tokenDue {
+	if tokenDue := m.Unfenced && m.Token == 0; now.equal(row) && !tokenDue {
 		delete(t.writer.newMinions, m) // unless it has changed during the write
 	}
 }
--- a/internal/coordinator/polls.go
+++ b/internal/coordinator/polls.go
@@ -229,6 +229,7 @@
 	}
 	m.FailedPolls++
 	m.LastPollFailure = t.now
+	t.recordInDoubt(m)
 	m.NextPoll = t.now + silentPollInterval
 	if m.FailedPolls == 1 {
 		m.NextPoll = t.now // retry at once, as a single answer may have been lost
--- a/internal/coordinator/recover.go
+++ b/internal/coordinator/recover.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"reflect"
+	"slices"
 	"strings"
 	"time"
 
@@ -71,11 +73,24 @@
 	// LongLeases is set while a lease on the minion may be as long as it grants at most, because an order
 	// to an earlier incarnation may have been carried out by this one.
 	LongLeases bool `json:"r,omitempty"`
+	// InDoubt are the tasks with starts that got no answer, of a minion that did not answer. Any of its
+	// incarnations may carry them out.
+	InDoubt []string `json:"d,omitempty"`
+}
+
+// equal reports whether two rows tell the same.
+func (r minionRow) equal(other minionRow) bool {
+	inDoubt := slices.Equal(r.InDoubt, other.InDoubt)
+	r.InDoubt, other.InDoubt = nil, nil
+	return inDoubt && reflect.DeepEqual(r, other)
 }
 
 // minionRowOf returns the row of a minion.
 func (t *Term) minionRowOf(m *holding.Minion) minionRow {
 	row := minionRow{Addr: m.Addr, Service: m.Service, Ordered: m.Ordered || t.now < m.OrderedUntil, Incarnation: m.Incarnation, LongLeases: m.Unfenced || t.now <= m.LongLeasesUntil}
+	if m.FailedPolls > 0 {
+		row.InDoubt = m.InDoubt.Tasks()
+	}
 	if t.releasing && m.FailedPolls > 0 {
 		row.LeasesLeft, row.Epoch = max(1, (m.RunsExpireAt-t.now).Milliseconds()+1), t.epoch
 	}
@@ -169,6 +184,7 @@
 		id := jobs.Minion(rowID(r.Key))
 		m := holding.New(site.MinionEntry{ID: id, Addr: v.Addr, Service: v.Service, Incarnation: v.Incarnation}, t.unseenUntilOn(v))
 		m.Recorded = true
+		t.inheritInDoubt(m, v.InDoubt)
 		if v.LongLeases {
 			m.InheritLongLeases(t.epoch, t.now, t.deps.Limits.MaxMinionLease)
 		}
--- a/internal/coordinator/startwaits.go
+++ b/internal/coordinator/startwaits.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"slices"
 	"time"
 
 	"boragepulley/internal/holding"
@@ -17,6 +18,9 @@
 	m.InDoubt.Unanswered(task, run, t.now)
 	t.log.Info().Err(err).Str("task", task).Int("run", run).Str("minion", string(m.ID)).Int("attempt", attempt).
 		Int("restarts", m.Restarts).Msg("Coordinator: start not answered.")
+	if m.FailedPolls > 0 {
+		t.recordInDoubt(m)
+	}
 }
 
 // startCarriedOut records that the current run of a task is known to have begun on a minion. Unless other
@@ -73,6 +77,9 @@
 		t.startWaitEnded(m, task, "minion_answers")
 	}
 	m.InDoubt.Reported(sent)
+	if m.InDoubt.Len() == 0 && len(m.InDoubtRecorded) > 0 {
+		t.recordAgain(m)
+	}
 }
 
 // mayStartLate reports whether the minion of a task, which answers, may carry out a start of the task that was
@@ -92,3 +99,29 @@
 	m.InDoubt.Forget(t.now, t.longestLease())
 	return m.InDoubt.Len() > 0
 }
+
+// inheritInDoubt takes over the starts in doubt that an earlier coordinator has sent to a minion.
+func (t *Term) inheritInDoubt(m *holding.Minion, tasks []string) {
+	for _, task := range tasks {
+		m.InDoubt.Assume(task, 0, t.predecessorSentUntil()+holding.OrdersVoidAfter)
+	}
+	m.InDoubtRecorded = tasks
+}
+
+// startOfJobInDoubt reports whether a start of any task of a job may still be carried out on a minion, or its run may
+// be in progress there.
+func (t *Term) startOfJobInDoubt(m *holding.Minion, j *jobs.Job) bool {
+	for _, name := range m.InDoubt.Tasks() {
+		if n, err := jobs.ParseTaskName(name); err == nil && n.Job == j.ID && t.now <= m.InDoubt.Decide(name, t.longestLease()).NotBefore {
+			return true
+		}
+	}
+	return false
+}
+
+// recordInDoubt lets the row of a minion that does not answer tell successors of the starts in doubt.
+func (t *Term) recordInDoubt(m *holding.Minion) {
+	if !slices.Equal(m.InDoubt.Tasks(), m.InDoubtRecorded) {
+		t.recordAgain(m)
+	}
+}
--- a/internal/holding/holding.go
+++ b/internal/holding/holding.go
@@ -149,6 +149,8 @@
 
 	// InDoubt are the starts that got no answer and may be carried out, by this incarnation or a later one.
 	InDoubt indoubt.Starts
+	// InDoubtRecorded are the tasks of such starts that the stored row of the minion names.
+	InDoubtRecorded []string
 	// StaleStarts holds, by task name, the runs of starts to earlier incarnations that this one may carry out.
 	StaleStarts map[string]int
 
--- a/internal/indoubt/indoubt.go
+++ b/internal/indoubt/indoubt.go
@@ -10,7 +10,11 @@
 // one entry per task and minion, for at most MaxDelay and the longest lease.
 package indoubt
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // MaxDelay is how much later than its sender has given it up a call may be carried out at most. The users'
 // documentation speaks of seconds (PROTOCOL.md), their test bench of 2 to 12 s after the call.
@@ -39,6 +43,11 @@
 
 // Unanswered records that a start of a run was given up without an answer at the given time.
 func (s *Starts) Unanswered(task string, run int, at time.Duration) {
+	s.Assume(task, run, at+MaxDelay)
+}
+
+// Assume records a start of which only is known by when it has been carried out or never will be.
+func (s *Starts) Assume(task string, run int, arriveBy time.Duration) {
 	if s.byTask == nil {
 		s.byTask = map[string]*Attempts{}
 	}
@@ -47,8 +56,8 @@
 		a = &Attempts{}
 		s.byTask[task] = a
 	}
-	a.Run, a.Count, a.ArriveBy = max(a.Run, run), a.Count+1, max(a.ArriveBy, at+MaxDelay)
-	s.leasesArriveBy = max(s.leasesArriveBy, at+MaxDelay)
+	a.Run, a.Count, a.ArriveBy = max(a.Run, run), a.Count+1, max(a.ArriveBy, arriveBy)
+	s.leasesArriveBy = max(s.leasesArriveBy, arriveBy)
 }
 
 // LeaseUnanswered records that a call that renews the leases of all runs was given up without an answer.
@@ -67,6 +76,9 @@
 // Of returns the starts of a task, or nil if there are none.
 func (s *Starts) Of(task string) *Attempts { return s.byTask[task] }
 
+// Tasks returns the names of the tasks with such starts, in order.
+func (s *Starts) Tasks() []string { return slices.Sorted(maps.Keys(s.byTask)) }
+
 // Len returns the number of tasks with starts that may be carried out or whose runs may be in progress.
 func (s *Starts) Len() int { return len(s.byTask) }
 
