coordinator: log starts that are sent again

The log told neither that its start was sent again nor for which phase of the task, so that the hypotheses could not be told apart.

Change: a line for each further attempt to start a run, with the phase of the task, attempt, known restarts and the end of the lease.

--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -135,6 +135,10 @@
 		start.leaseUntil = m.GrantLease(t.now, t.runLease)
 		start.expiresAt = max(start.expiresAt, m.RunsExpireAt)
 	}
+	if start.tries > 1 {
+		t.log.Info().Str("task", task.Name()).Int("run", task.Run).Str("minion", string(m.ID)).Stringer("phase", task.Phase).Int("attempt", start.tries).
+			Int("restarts", m.Restarts).Int64("lease_until", start.leaseUntil).Msg("Coordinator: start sent again.")
+	}
 	order := site.StartOrder{Task: task.Name(), Run: task.Run, Payload: task.Step.Job.Spec.Payload, LeaseUntil: start.leaseUntil, Checkpoint: task.Checkpoint}
 	to := addressOf(m)
 	dc := m.DC
