coordinator: settle orders where the phase of a task changes

Its minion had been cut off when it had begun its run, and restarted under its id before the cut healed.

Cause: the end of one member marks all members of a gang as done, but only the orders of the task whose end was listed were dropped. The pending start of the member without an answer stayed, and it was sent again, with a lease on the new clock, in the millisecond in which the minion answered.

Change: the registry tells when a task leaves a phase, and the coordinator settles its orders there instead of in each caller: a start is pending only in phase ordered, a stop only in phase stopping. If the task is done by another run or another member, a start that was sent, or a stop that is not acknowledged, is followed by a stop once the minion answers, and the capacity is given back after that. Counter starts_of_done_tasks and a line.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -241,6 +241,7 @@
 		registry: jobs.NewRegistry(), minions: map[jobs.Minion]*holding.Minion{}, droppedMinions: map[jobs.Minion]time.Duration{}, queues: map[model.Queue]site.Queue{},
 		pendingStarts: map[*jobs.Task]*pendingStart{}, pendingStops: map[*jobs.Task]*pendingStop{}, reservedPlaces: map[*jobs.Task]jobs.Minion{}, asideJobs: map[jobs.ID]bool{}, runLease: min(runLeaseTTL, d.Limits.MaxMinionLease), pollGap: minPollGap,
 	}
+	t.registry.OnPhase = t.settleOrders
 	t.inheritedLog = logging.NewLimiter(200, 500)
 	t.now = d.Now()
 	t.lastLoop = t.now
--- a/internal/coordinator/fencing_test.go
+++ b/internal/coordinator/fencing_test.go
@@ -62,10 +62,13 @@
 // sending: by then another entry VM may hold the lease.
 func TestTermSuspendedBeforeSendingSendsNothing(t *testing.T) {
 	calls := map[string]func(term *Term, m *holding.Minion){
-		"poll":                func(term *Term, m *holding.Minion) { m.Polling = false; term.poll(m) },
-		"renewal of leases":   func(term *Term, _ *holding.Minion) { term.renewAllLeases() },
-		"stop of stale start": func(term *Term, m *holding.Minion) { m.StaleStarts["1.0.0.0"] = 1; term.rejectStaleStarts(m) },
-		"stop of orphan":      func(term *Term, m *holding.Minion) { term.stopOrphan(m, "1.0.0.0", 1, "") },
+		"poll":              func(term *Term, m *holding.Minion) { m.Polling = false; term.poll(m) },
+		"renewal of leases": func(term *Term, _ *holding.Minion) { term.renewAllLeases() },
+		"stop of stale start": func(term *Term, m *holding.Minion) {
+			m.StaleStarts["1.0.0.0"] = holding.StaleStart{Run: 1, Until: term.now + time.Second}
+			term.rejectStaleStarts(m)
+		},
+		"stop of orphan": func(term *Term, m *holding.Minion) { term.stopOrphan(m, "1.0.0.0", 1, "") },
 	}
 	for name, call := range calls {
 		t.Run(name, func(t *testing.T) {
--- a/internal/coordinator/minions.go
+++ b/internal/coordinator/minions.go
@@ -240,15 +240,15 @@
 	t.log.Info().Err(err).Str("minion", string(m.ID)).Str("call", call).Int64("lease_until", leaseUntil).Int64("clock", clock).Int64("clock_known", known).Dur("clock_age", age).Msg("Coordinator: answer to a call from before a restart.")
 }
 
-// rejectStaleStarts sends stop orders for starts that were sent to an earlier incarnation of a
-// minion, so that the current one does not carry them out.
+// rejectStaleStarts sends stop orders for starts that are not wanted any more, so that the minion does not carry
+// them out.
 func (t *Term) rejectStaleStarts(m *holding.Minion) {
 	if !t.leading() {
 		return
 	}
-	arriving := m.InDoubt.Arriving(t.now)
-	for name, run := range m.StaleStarts {
-		if _, ok := arriving[name]; !ok {
+	for name, stale := range m.StaleStarts {
+		run := stale.Run
+		if t.now > stale.Until {
 			delete(m.StaleStarts, name)
 			continue
 		}
@@ -258,7 +258,7 @@
 		to, o := addressOf(m), site.StopOrder{Task: name, Run: run}
 		t.sendToMinion(m, func(ctx context.Context) error { return t.orders.Stop(ctx, to, o) },
 			func(err error) {
-				if err == nil && m.StaleStarts[name] == run {
+				if err == nil && m.StaleStarts[name].Run == run {
 					delete(m.StaleStarts, name)
 				}
 			})
--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -211,7 +211,6 @@
 		m.RejectedStarts = 0
 		t.registry.Started(task, t.now)
 		t.runBegan(m, task, start)
-		delete(t.pendingStarts, task)
 		m.NextPoll = min(m.NextPoll, t.now+t.pollGap)
 		return
 	}
@@ -257,7 +256,6 @@
 	case reason == site.RefusedStale:
 		// The run has already ended, or the next poll reports it as running.
 		t.registry.AwaitReport(task, t.now)
-		delete(t.pendingStarts, task)
 		m.NextPoll = t.now
 		return
 	case reason == site.RefusedRoom:
@@ -295,7 +293,6 @@
 		t.ordersChanged = true
 	}
 	t.registry.Stop(task, reason, t.now)
-	delete(t.pendingStarts, task)
 }
 
 func (t *Term) sendStop(task *jobs.Task, stop *pendingStop, m *holding.Minion) {
@@ -375,8 +372,32 @@
 	}
 }
 
-// dropOrders drops the pending orders for a task's current run.
-func (t *Term) dropOrders(task *jobs.Task) {
-	delete(t.pendingStarts, task)
-	delete(t.pendingStops, task)
+// settleOrders settles the pending orders for a task that has left a phase: a start is pending only while the task
+// is ordered, a stop only while it is stopping. If the task is done without the run that the start is for, e.g. by the
+// end of an earlier run or of another member of its gang, the minion may have carried the start out, or may do so
+// later. The run is then stopped there, and its room is given away only after that.
+func (t *Term) settleOrders(task *jobs.Task, left jobs.Phase) {
+	switch left {
+	case jobs.Ordered:
+		start := t.pendingStarts[task]
+		delete(t.pendingStarts, task)
+		if start != nil && start.tries > 0 && task.Phase == jobs.Done {
+			t.stopOnceAnswered(start.minion, task)
+		}
+	case jobs.Stopping:
+		stop, m := t.pendingStops[task], t.minions[task.Minion]
+		delete(t.pendingStops, task)
+		if stop != nil && stop.begunOrNever > t.now && m != nil && task.Phase == jobs.Done {
+			t.stopOnceAnswered(m, task)
+		}
+	}
+}
+
+// stopOnceAnswered lets the run of a task that is done be stopped when its minion answers.
+func (t *Term) stopOnceAnswered(m *holding.Minion, task *jobs.Task) {
+	counters.Add("starts_of_done_tasks", 1)
+	t.log.Info().Str("task", task.Name()).Int("run", task.Run).Str("minion", string(m.ID)).Bool("silent", m.FailedPolls > 0).
+		Msg("Coordinator: task is done, a start of it has no answer.")
+	m.StaleStarts[task.Name()] = holding.StaleStart{Run: task.Run, Until: t.now + holding.OrdersVoidAfter}
+	m.NextPoll = t.now
 }
--- a/internal/coordinator/reports.go
+++ b/internal/coordinator/reports.go
@@ -28,8 +28,12 @@
 	for x := range m.Tasks {
 		switch {
 		case seen[x]:
-		case x.Phase == jobs.Done && x.PhaseSince < sent:
-			m.Unassign(x, t.now) // of a gang, another member of which has ended
+		case x.Phase == jobs.Done:
+			// Another member of its gang has ended, or an earlier run. A start that is to be ruled out uses its
+			// capacity.
+			if _, stale := m.StaleStarts[x.Name()]; !stale && x.PhaseSince < sent {
+				m.Unassign(x, t.now)
+			}
 		default:
 			t.runUnlisted(x, sent, r.MoreEnds)
 		}
@@ -62,6 +66,7 @@
 	countEnd(end.Outcome)
 	if end.Run == task.Run && m.ID == task.Minion {
 		t.startCarriedOut(m, task)
+		delete(t.pendingStops, task)
 	}
 	j := task.Step.Job
 	was := j.State()
@@ -75,7 +80,6 @@
 	// yet, so it is not acknowledged before that one is.
 	m.AckOnceSaved(end.Seq, j, j.LastChange())
 	if !task.Active() {
-		t.dropOrders(task)
 		m.Unassign(task, t.now)
 	}
 	if end.Outcome != jobs.EndDone && end.Outcome != jobs.EndStopped {
@@ -122,12 +126,10 @@
 			stop.begunOrNever = min(stop.begunOrNever, t.now)
 		}
 		task.Percent = run.Percent
-		t.startCarriedOut(m, task)
-		t.runBegan(m, task, t.pendingStarts[task])
+		t.runBegan(m, task, t.startCarriedOut(m, task))
 		t.learnFromTail(m, task, run)
 		task.Checkpointed(run.Run, run.Checkpoint)
 		t.registry.Started(task, t.now)
-		delete(t.pendingStarts, task)
 	case task.Phase == jobs.Waiting && !task.Step.Job.State().Final():
 		t.registry.Adopt(task, run.Run, m.ID, run.Checkpoint, t.now)
 		task.Percent = run.Percent
@@ -188,7 +190,6 @@
 	if m := t.minions[task.Minion]; m != nil {
 		m.Unassign(task, t.now)
 	}
-	t.dropOrders(task)
 	t.registry.Requeue(task, t.now)
 	t.needsPlan = true
 }
--- a/internal/coordinator/startwaits.go
+++ b/internal/coordinator/startwaits.go
@@ -23,12 +23,15 @@
 	}
 }
 
-// startCarriedOut records that the current run of a task is known to have begun on a minion. Unless other
-// attempts to start it are on their way, no start of it is in doubt any more.
-func (t *Term) startCarriedOut(m *holding.Minion, task *jobs.Task) {
-	if start := t.pendingStarts[task]; start != nil && !start.inFlight {
+// startCarriedOut records that the current run of a task is known to have begun on a minion, and returns its start
+// if that was pending. Unless other attempts to start it are on their way, none is in doubt any more.
+func (t *Term) startCarriedOut(m *holding.Minion, task *jobs.Task) *pendingStart {
+	start := t.pendingStarts[task]
+	delete(t.pendingStarts, task)
+	if start != nil && !start.inFlight {
 		m.InDoubt.CarriedOut(task.Name(), task.Run, start.tries)
 	}
+	return start
 }
 
 // waitsForStart reports whether a task must stay assigned to a minion that does not answer and whose known leases
@@ -89,8 +92,8 @@
 	if m == nil || !m.Unfenced {
 		return false
 	}
-	_, stale := m.StaleStarts[task.Name()]
-	return stale && m.InDoubt.Arriving(t.now)[task.Name()] > 0
+	stale, ok := m.StaleStarts[task.Name()]
+	return ok && t.now <= stale.Until
 }
 
 // startsInDoubt reports whether starts that were sent to a minion may still be carried out, or their runs may be in
--- a/internal/holding/holding.go
+++ b/internal/holding/holding.go
@@ -16,7 +16,6 @@
 package holding
 
 import (
-	"maps"
 	"time"
 
 	"boragepulley/internal/indoubt"
@@ -151,8 +150,10 @@
 	InDoubt indoubt.Starts
 	// InDoubtRecorded are the tasks of such starts that the stored row of the minion names.
 	InDoubtRecorded []string
-	// StaleStarts holds, by task name, the runs of starts to earlier incarnations that this one may carry out.
-	StaleStarts map[string]int
+	// StaleStarts holds, by task name, the starts that this incarnation may carry out although their run is not
+	// wanted any more: those to earlier incarnations, and those of tasks that have become done otherwise. A stop of
+	// the run rules them out.
+	StaleStarts map[string]StaleStart
 
 	// lastEnd is the sequence number of the last reported end, ackable the last one that can be
 	// acknowledged.
@@ -163,6 +164,13 @@
 	unackedEnds []end
 }
 
+// StaleStart is a start that a minion may carry out and that is not wanted.
+type StaleStart struct {
+	Run int
+	// Until is from when on it is certainly not carried out any more.
+	Until time.Duration
+}
+
 // Kinds counts the tasks of a minion by kind, so that a scheduling run need not look at each of them.
 type Kinds struct {
 	// Serving tasks have a latency target; Scavengers use only processor time left over by others.
@@ -228,7 +236,7 @@
 // New returns the state of a minion of which only the entry in the platform's list is known.
 // unseenUntil is when runs that earlier coordinators ordered there have certainly ended; 0 if there are none.
 func New(e site.MinionEntry, unseenUntil time.Duration) *Minion {
-	return &Minion{sentOrders: unseenUntil > 0, MinionEntry: e, RunsExpireAt: unseenUntil, ExpiryBasis: ExpiryTakeover, Latency: latency.Estimator{Least: minAnswerTimeout, Longest: maxAnswerTimeout}, Tasks: map[*jobs.Task]struct{}{}, StaleStarts: map[string]int{}}
+	return &Minion{sentOrders: unseenUntil > 0, MinionEntry: e, RunsExpireAt: unseenUntil, ExpiryBasis: ExpiryTakeover, Latency: latency.Estimator{Least: minAnswerTimeout, Longest: maxAnswerTimeout}, Tasks: map[*jobs.Task]struct{}{}, StaleStarts: map[string]StaleStart{}}
 }
 
 // ClockKnown reports whether leases can be expressed on the minion's clock.
@@ -299,7 +307,9 @@
 	}
 	m.lastEnd, m.ackable, m.acked, m.unackedEnds = 0, 0, 0, nil
 	m.clock, m.clockAt = 0, 0
-	maps.Copy(m.StaleStarts, m.InDoubt.Arriving(now))
+	for task, a := range m.InDoubt.Arriving(now) {
+		m.StaleStarts[task] = StaleStart{a.Run, a.ArriveBy}
+	}
 }
 
 // Unfence records that orders to an earlier incarnation may be carried out by the present one.
--- a/internal/indoubt/indoubt.go
+++ b/internal/indoubt/indoubt.go
@@ -82,12 +82,12 @@
 // Len returns the number of tasks with starts that may be carried out or whose runs may be in progress.
 func (s *Starts) Len() int { return len(s.byTask) }
 
-// Arriving returns, by task, the highest run whose start may still be carried out.
-func (s *Starts) Arriving(now time.Duration) map[string]int {
-	out := map[string]int{}
+// Arriving returns, by task, the starts that may still be carried out.
+func (s *Starts) Arriving(now time.Duration) map[string]Attempts {
+	out := map[string]Attempts{}
 	for task, a := range s.byTask {
 		if now <= a.ArriveBy {
-			out[task] = a.Run
+			out[task] = *a
 		}
 	}
 	return out
--- a/internal/indoubt/indoubt_test.go
+++ b/internal/indoubt/indoubt_test.go
@@ -85,7 +85,7 @@
 	var s Starts
 	s.Unanswered("a", 3, time.Second)
 	s.Reported(time.Second + MaxDelay)
-	require.Equal(t, map[string]int{"a": 3}, s.Arriving(time.Second+MaxDelay))
+	require.Equal(t, map[string]Attempts{"a": {Run: 3, Count: 1, ArriveBy: time.Second + MaxDelay}}, s.Arriving(time.Second+MaxDelay))
 	require.Empty(t, s.Arriving(time.Second+MaxDelay+1))
 	s.Reported(time.Second + MaxDelay + 1)
 	require.Nil(t, s.Of("a"))
--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -288,6 +288,9 @@
 	unsavedCount uint64
 	// unsavedJobs is the memory of the last result of Unsaved.
 	unsavedJobs []*Job
+	// OnPhase, if set before the first job is added, is called when a task has left a phase, before the rest of
+	// the task is changed. It must not change the registry.
+	OnPhase func(t *Task, left Phase)
 }
 
 // unsavedEntry is a job in Registry.unsavedOrder. It is out of date if the job's unsavedSince differs.
@@ -515,6 +518,9 @@
 	s.byPhase[before]--
 	s.byPhase[p]++
 	t.Phase = p
+	if r := s.Job.registry; r != nil && r.OnPhase != nil && before != p {
+		r.OnPhase(t, before)
+	}
 	o := s.of
 	if o == nil {
 		return
