coordinator: requeue a task whose start has expired without a run

When the minion answered, without the run, the start was sent again although its lease was over, and another second passed until it was given up and its stop acknowledged.

Change: a task whose start was sent to the incarnation that answers, with a lease that is over, is requeued as soon as a poll sent after that does not list its run. The minion rejects such a start.

--- a/internal/coordinator/reports.go
+++ b/internal/coordinator/reports.go
@@ -172,6 +172,8 @@
 	case task.Phase == jobs.Running && task.PhaseSince < sent:
 		t.log.Warn().Str("task", task.Name()).Int("run", task.Run).Str("minion", string(task.Minion)).Msg("Coordinator: run is gone.")
 		t.requeue(task)
+	case task.Phase == jobs.Ordered && t.startExpired(task, sent):
+		t.requeueBecause(task, "start_expired_not_listed")
 	case task.Phase == jobs.Stopping:
 		if s := t.pendingStops[task]; s != nil && s.begunOrNever < sent {
 			t.requeueBecause(task, "stopped_run_not_listed")
--- a/internal/coordinator/startwaits.go
+++ b/internal/coordinator/startwaits.go
@@ -85,6 +85,13 @@
 	}
 }
 
+// startExpired reports whether the leases in all attempts to start a task were over at the given time, so that the
+// incarnation that they were sent to carries none of them out any more.
+func (t *Term) startExpired(task *jobs.Task, at time.Duration) bool {
+	start := t.pendingStarts[task]
+	return start != nil && start.tries > 0 && !start.inFlight && start.leaseUntil != 0 && at > start.expiresAt
+}
+
 // mayStartLate reports whether the minion of a task, which answers, may carry out a start of the task that was
 // sent to an earlier incarnation.
 func (t *Term) mayStartLate(task *jobs.Task) bool {
