coordinator: draw starts in doubt in the soak of restarted minions

The stand-in lost a late call when its minion was cut off before it was carried out, the list told of each restart before the cut, and a late start was not drawn if its task had been started elsewhere or if it was older than an ordinary lease.

Change: a call that has arrived is carried out behind a cut. A late start is drawn unless the minion has answered a poll since it was sent, its task is done, or a later coordinator has begun; a raised token is no later coordinator. In a third of the restarts, and in all of the new TestSoakWithStartsInDoubt, nobody knows of the restart before the cut is over; half of the jobs of that one are gangs. The soak keeps the states of all jobs until it asks for them: without takeovers it lasts longer than a minute.

--- a/internal/coordinator/harness_test.go
+++ b/internal/coordinator/harness_test.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -37,6 +38,8 @@
 	runSpans runspan.Spans
 	// evacuations, if set, is what an entry VM knows of the operators' evacuations.
 	evacuations func(name model.EntryVM) *knownEvacuations
+	// retention is Limits.Retention of all terms; 0 means a minute.
+	retention time.Duration
 	// clients are the minions and machines, unless a test replaces them.
 	clients fencing.Fleet
 }
@@ -117,7 +120,7 @@
 				return json.Marshal(map[string]string{"state": string(s)})
 			},
 		},
-		Limits:     Limits{MaxMinionLease: 6 * time.Second, MachineOrderGap: 3 * time.Second, Retention: time.Minute},
+		Limits:     Limits{MaxMinionLease: 6 * time.Second, MachineOrderGap: 3 * time.Second, Retention: cmp.Or(s.retention, time.Minute)},
 		Config:     func() *site.Config { return s.config },
 		Waves:      func() map[int64]site.Wave { return s.waves },
 		SetMembers: func(map[model.EntryVM]peer.Member) {},
--- a/internal/coordinator/soak_restarted_test.go
+++ b/internal/coordinator/soak_restarted_test.go
@@ -35,27 +35,39 @@
 // under their ids with clocks that start anywhere, carry out calls for their earlier incarnations up to 12 s late, and
 // are cut off within the longest lease, while coordinators are killed and hand over.
 func TestSoakWithRestartedMinions(t *testing.T) {
-	runSeeds(t, restartSeeds, runSoakWithRestartedMinions)
+	runSeeds(t, restartSeeds, func(t *testing.T, seed uint64) { runSoakWithRestartedMinions(t, seed, false) })
 }
 
+// Guards against the same when nobody knows of the restarts before the minions can be reached again: starts without an
+// answer are carried out behind the cut, and half of the jobs are gangs, members of which may be done without an
+// answer to their start.
+func TestSoakWithStartsInDoubt(t *testing.T) {
+	runSeeds(t, restartSeeds, func(t *testing.T, seed uint64) { runSoakWithRestartedMinions(t, seed, true) })
+}
+
+// gangOfTwo reports whether a job of TestSoakWithStartsInDoubt has a gang: every second one.
+func gangOfTwo(number int) bool { return number%2 == 1 }
+
 // unpreventable reports whether no coordinator could prevent what a call does. None of the following is drawn,
 // unless the incarnation has answered for reachedTime, so that a stop or a higher fencing token has reached it:
-//   - a start whose task has ended, was stopped or has begun again, or that was sent by an earlier coordinator
-//     or longer ago than an ordinary lease lasts. The task may have been started elsewhere by then, and the list
-//     or a poll tells of the restart too late to bar the start;
+//   - a start whose task has ended, was stopped or has begun again, although the minion has answered a poll since
+//     it was sent or the task is done, or that was sent by an earlier coordinator. The task may have been started
+//     elsewhere by then, and the list or a poll tells of the restart too late to bar the start;
 //   - an acknowledgement that drops the end of a run that nobody has seen, if both it and the run's start were
 //     on their way before anybody knew of the restart.
 func unpreventable(c fleet.EarlierCall) bool {
 	if c.Op == "hold" {
 		return c.DropsUnseen
 	}
-	return c.Reached < reachedTime && (c.Superseded || c.Deposed || c.Age > runLeaseTTL)
+	return c.Reached < reachedTime && (c.Superseded && (c.Polled || c.Done) || c.Deposed)
 }
 
-func runSoakWithRestartedMinions(t *testing.T, seed uint64) {
+// runSoakWithRestartedMinions plays a seed. With unknown set nobody knows of a restart before the cut is over.
+func runSoakWithRestartedMinions(t *testing.T, seed uint64, unknown bool) {
 	r := &lockedRand{r: rand.New(rand.NewPCG(seed, 3))}
 	within := func(d time.Duration) time.Duration { return time.Duration(r.Float64() * float64(d)) }
 	ts := newTestSite(t, 0)
+	ts.retention = time.Hour // the state of each job is asked for at the end
 	ts.config.Queues[0].MaxAttempts = 1000
 	ts.config.Index()
 	m := ts.minions
@@ -86,11 +98,22 @@
 	}
 	// A third of the seeds has short tasks only, a third long ones only.
 	m.Work = func(task string, _ int) (time.Duration, jobs.End) {
+		if unknown {
+			return 2500 * time.Millisecond, jobs.EndDone
+		}
 		if kind := seed % 3; kind == 0 || kind == 2 && fnvOf(task)%2 == 0 {
 			return 100 * time.Millisecond, jobs.EndDone
 		}
 		return 8 * time.Second, jobs.EndDone
 	}
+	if unknown {
+		m.SetGangs(func(task string) int {
+			if n, err := jobs.ParseTaskName(task); err == nil && n.Step == 0 && gangOfTwo(int(n.Job[len(n.Job)-1])) {
+				return 2
+			}
+			return 0
+		}, gangTimeout)
+	}
 	for i := range restartMinions {
 		ts.addMinion(jobs.Minion(fmt.Sprint("m", i)))
 	}
@@ -108,7 +131,11 @@
 		term = ts.startTerm(entryName(i), nil)
 	}
 	for i := range restartSteps {
-		ts.submitJob(term, jobs.ID(fmt.Sprintf("%016x", i)), step(1+r.IntN(3)), step(1, 0))
+		first := step(1 + r.IntN(3))
+		if id := fmt.Sprintf("%016x", i); unknown && gangOfTwo(int(id[len(id)-1])) {
+			first.Count, first.Gang, first.MaxPerMinion = 2, true, 1
+		}
+		ts.submitJob(term, jobs.ID(fmt.Sprintf("%016x", i)), first, step(1, 0))
 		sleep(within(time.Second))
 		var ids []jobs.Minion
 		for range 1 + r.IntN(3) {
@@ -128,7 +155,18 @@
 				change(func(x *fleet.Minion) { x.Down = true })
 				sleep(within(600 * time.Millisecond))
 			}
-			// The list tells of each restart before the minion is cut off: nobody can know of one otherwise.
+			if unknown || r.IntN(3) == 0 { // nobody knows of the restart before the cut is over
+				change(func(x *fleet.Minion) { x.Cut = true })
+				sleep(within(3 * time.Second))
+				for _, id := range ids {
+					m.Restart(id)
+				}
+				change(func(x *fleet.Minion) { x.Cut = true })
+				time.AfterFunc(within(14*time.Second), func() { change(func(x *fleet.Minion) { x.Cut = false }) })
+				failing.Store(false)
+				break
+			}
+			// Otherwise the list tells of each restart before the minion is cut off.
 			for _, id := range ids {
 				m.Restart(id)
 			}
--- a/standins/fleet/minions.go
+++ b/standins/fleet/minions.go
@@ -146,9 +146,11 @@
 	began      time.Time
 	gangs      gangs // guarded by mu
 	// begun and barred are the highest runs of each task that began, and that ended or were stopped, on any
-	// minion; token is the highest one of an order that was carried out.
+	// minion; epoch is that of the latest coordinator of which an order was carried out.
 	begun, barred map[string]int // guarded by mu
-	token         uint64         // guarded by mu
+	// polledAt is when each minion last answered a poll.
+	polledAt map[jobs.Minion]time.Time // guarded by mu
+	epoch    uint64                    // guarded by mu
 }
 
 // EarlierCall is a call that an incarnation is about to carry out which was not known when the call was sent.
@@ -159,7 +161,11 @@
 	// Superseded is set for a start whose run has ended or was stopped on any minion, or after which a later
 	// run of its task began.
 	Superseded bool
-	// Deposed is set if an order with a higher fencing token was carried out by any minion.
+	// Polled is set if the minion has answered a poll since the call was sent, under any of its incarnations.
+	Polled bool
+	// Done is set if an end of its task as done was noted.
+	Done bool
+	// Deposed is set if an order of a later coordinator was carried out by any minion.
 	Deposed bool
 	// DropsUnseen is set for an acknowledgement that would drop the end of a run that no answer has listed and
 	// that was itself started by such a call.
@@ -171,8 +177,8 @@
 
 // earlier returns a call that was sent to a process of a minion, and whether its present process was not
 // known then.
-func (s *Minions) earlier(op string, m, to *Minion, sent time.Time, token uint64) (c EarlierCall, ok bool) {
-	c = EarlierCall{Op: op, Age: time.Since(sent), Deposed: token < s.token}
+func (s *Minions) earlier(op string, m, to *Minion, sent time.Time, epoch uint64) (c EarlierCall, ok bool) {
+	c = EarlierCall{Op: op, Age: time.Since(sent), Deposed: epoch < s.epoch, Polled: s.polledAt[m.Entry.ID].After(sent)}
 	if !m.reachedAt.IsZero() {
 		c.Reached = time.Since(m.reachedAt)
 	}
@@ -183,7 +189,7 @@
 
 // NewMinions returns a site without minions.
 func NewMinions() *Minions {
-	return &Minions{all: map[jobs.Minion]*Minion{}, done: map[string]bool{}, starts: map[string]int{}, begun: map[string]int{}, barred: map[string]int{}, began: time.Now(), OrderTimeout: 400 * time.Millisecond,
+	return &Minions{all: map[jobs.Minion]*Minion{}, done: map[string]bool{}, starts: map[string]int{}, begun: map[string]int{}, barred: map[string]int{}, polledAt: map[jobs.Minion]time.Time{}, began: time.Now(), OrderTimeout: 400 * time.Millisecond,
 		Work: func(string, int) (time.Duration, jobs.End) { return 500 * time.Millisecond, jobs.EndDone },
 		Need: func(string) jobs.Resources { return jobs.Resources{CPU: 1000} }}
 }
@@ -504,8 +510,13 @@
 		}
 	}
 	if f == Late {
-		// The order waits in the process, or on its way if calls survive restarts.
-		time.AfterFunc(s.lateBy(op), func() { _, _ = carry(s, to, life, order) })
+		// The order has arrived and waits in the process, or for the next one if calls survive restarts: it is
+		// carried out also if the minion has been cut off since.
+		if !s.reachable(to.ID) {
+			_ = pause(ctx, s.OrderTimeout)
+			return none, errors.Wrap(site.ErrNoAnswer, op)
+		}
+		time.AfterFunc(s.lateBy(op), func() { _, _ = carryOut(s, to, life, true, order) })
 	} else {
 		value, err = carry(s, to, life, order)
 	}
@@ -587,6 +598,14 @@
 	return s.all[id]
 }
 
+// reachable reports whether calls reach a minion.
+func (s *Minions) reachable(id jobs.Minion) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m := s.all[id]
+	return m != nil && !m.Down && !m.Cut
+}
+
 // heldPoll is how often a held order checks whether it may arrive.
 const heldPoll = 5 * time.Millisecond
 
@@ -617,18 +636,23 @@
 
 // carry carries an order out, unless the process that it was sent to has ended and calls do not survive
 // restarts.
-func carry[T any](s *Minions, to site.Receiver, life *Minion, order func(m *Minion) (T, error)) (none T, err error) {
+func carry[T any](s *Minions, to site.Receiver, life *Minion, order func(m *Minion) (T, error)) (T, error) {
+	return carryOut(s, to, life, false, order)
+}
+
+// carryOut is carry for an order that may have arrived before the minion was cut off.
+func carryOut[T any](s *Minions, to site.Receiver, life *Minion, arrived bool, order func(m *Minion) (T, error)) (none T, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	m := s.all[to.ID]
-	if m == nil || m != life && !s.CallsSurviveRestarts || m.Down || m.Cut {
+	if m == nil || m != life && !s.CallsSurviveRestarts || m.Down || m.Cut && !arrived {
 		return none, errors.WithStack(site.ErrNoAnswer)
 	}
 	s.settle(m)
 	if to.Token < m.token {
 		return none, &site.RefusedError{Reason: site.RefusedFenced}
 	}
-	m.token, s.token = to.Token, max(s.token, to.Token)
+	m.token, s.epoch = to.Token, max(s.epoch, to.Epoch)
 	return order(m)
 }
 
@@ -655,7 +679,8 @@
 func (s *Minions) start(ctx context.Context, to site.Receiver, f Fault, o site.StartOrder) (int64, error) {
 	sent, life := time.Now(), s.addressee(ctx, to.ID)
 	return answer(ctx, s, "start", to, f, func(m *Minion) (int64, error) {
-		call, early := s.earlier("start", m, life, sent, to.Token)
+		call, early := s.earlier("start", m, life, sent, to.Epoch)
+		call.Done = s.done[o.Task]
 		call.Superseded = o.Run <= s.barred[o.Task] || o.Run < s.begun[o.Task] || s.done[o.Task]
 		if early && s.DropsEarlier != nil && s.DropsEarlier(call) {
 			return 0, errors.WithStack(site.ErrNoAnswer)
@@ -781,7 +806,7 @@
 			if o.LeaseUntil > 0 {
 				m.prolong(o.LeaseUntil)
 			}
-			if !s.ackDropped(m, life, sent, to.Token, o.Ack) {
+			if !s.ackDropped(m, life, sent, to.Epoch, o.Ack) {
 				s.note(m, o.Ack)
 			}
 			return s.report(m), nil
@@ -805,8 +830,8 @@
 }
 
 // ackDropped reports whether an acknowledgement is lost.
-func (s *Minions) ackDropped(m, to *Minion, sent time.Time, token uint64, number int64) bool {
-	c, early := s.earlier("hold", m, to, sent, token)
+func (s *Minions) ackDropped(m, to *Minion, sent time.Time, epoch uint64, number int64) bool {
+	c, early := s.earlier("hold", m, to, sent, epoch)
 	for n := range m.unseen {
 		c.DropsUnseen = c.DropsUnseen || n <= number
 	}
@@ -817,6 +842,7 @@
 func (s *Minions) seen(m *Minion, ended []site.EndReport) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.polledAt[m.Entry.ID] = time.Now()
 	for _, e := range ended {
 		delete(m.unseen, e.Seq)
 	}
