--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -375,7 +375,7 @@
 // settleOrders settles the pending orders for a task that has left a phase: a start is pending only while the task
 // is ordered, a stop only while it is stopping. If the task is done without the run that the start is for, e.g. by the
 // end of an earlier run or of another member of its gang, the minion may have carried the start out, or may do so
-// later. The run is then stopped there, and its room is given away only after that.
+// later. The run is then stopped there, and its capacity is given away only after that.
 func (t *Term) settleOrders(task *jobs.Task, left jobs.Phase) {
 	switch left {
 	case jobs.Ordered:
--- a/internal/holding/holding.go
+++ b/internal/holding/holding.go
@@ -11,7 +11,7 @@
 // Invariants of a Minion:
 //   - RunsExpireAt is never before the end of a lease that was sent, on this process's clock, whichever
 //     known incarnation carries it out. An Unfenced minion that has been silent for maxAnswerTimeout is
-//     an exception: what it carries out later is not allowed for.
+//     an exception: what it carries out later is not allowed for, but by InDoubt for the tasks concerned.
 //   - NextAck never covers an end that changed a job if that change is not stored.
 package holding
 
@@ -308,7 +308,9 @@
 	m.lastEnd, m.ackable, m.acked, m.unackedEnds = 0, 0, 0, nil
 	m.clock, m.clockAt = 0, 0
 	for task, a := range m.InDoubt.Arriving(now) {
-		m.StaleStarts[task] = StaleStart{a.Run, a.ArriveBy}
+		if a.Run > 0 { // of an earlier coordinator otherwise, whose orders a poll with a higher token rules out
+			m.StaleStarts[task] = StaleStart{a.Run, a.ArriveBy}
+		}
 	}
 }
 
--- a/internal/indoubt/indoubt.go
+++ b/internal/indoubt/indoubt.go
@@ -22,7 +22,7 @@
 
 // Attempts are the starts of one task that were sent to one minion, got no answer and may be carried out.
 type Attempts struct {
-	// Run is the highest number of a run among them.
+	// Run is the highest number of a run among them, 0 if it is not known.
 	Run int
 	// Count is the number of starts.
 	Count int
@@ -46,7 +46,8 @@
 	s.Assume(task, run, at+MaxDelay)
 }
 
-// Assume records a start of which only is known by when it has been carried out or never will be.
+// Assume records a start that has been carried out by the given time or never will be. run is 0 if it is not
+// known.
 func (s *Starts) Assume(task string, run int, arriveBy time.Duration) {
 	if s.byTask == nil {
 		s.byTask = map[string]*Attempts{}
