coordinator: test that an expired start does not hold up its task

Cause: the change that requeues a task whose start has expired was shown by a random test only.

Change: TestExpiredStartIsRequeuedWhenTheMinionAnswers, in which neither the start nor a further attempt is answered.

--- a/internal/coordinator/indoubt_test.go
+++ b/internal/coordinator/indoubt_test.go
@@ -109,6 +109,33 @@
 	})
 }
 
+// Guards against a task that waits for another answer to its start, or for that of a stop, although its minion answers
+// and does not list the run after the lease in the start is over: the minion can't carry it out any more.
+func TestExpiredStartIsRequeuedWhenTheMinionAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newRestartSite(t, earlierClock, laterClock)
+		s.calls.onStart(func(ctx context.Context, to site.Receiver, o site.StartOrder) (int64, error) {
+			if o.Run == 1 {
+				return 0, unanswered(ctx)
+			}
+			return s.minions.Start(ctx, to, o)
+		})
+		s.submitJob(s.term, slowJob, longRunningStep(1))
+		sleep(50 * time.Millisecond)
+		s.calls.silent.Store(true)
+		s.addMinion("m1")
+		sleep(6 * time.Second)
+		require.Empty(t, s.minions.Running(taskOfSlowJob(0)))
+		s.calls.silent.Store(false)
+		for s.log.linesWith("minion answers again") == "" {
+			sleep(10 * time.Millisecond)
+		}
+		sleep(200 * time.Millisecond)
+		require.NotEmpty(t, s.minions.Running(taskOfSlowJob(0)))
+		s.requireNoViolations()
+	})
+}
+
 // Guards against a successor that starts a task whose start, sent by its predecessor to a minion that does not answer,
 // is carried out later than ordinary leases last.
 func TestSuccessorWaitsForAStartInDoubt(t *testing.T) {
